--- /dev/null
+++ b/crates/lapisdrum-standins/src/platform/server.rs
@@ -0,0 +1,206 @@
+//! The platform stand-in's HTTP server and its switches.
+
+use super::table::Table;
+use actix_http::{Method, StatusCode};
+use actix_rt::net::TcpListener;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use lapisdrum::{
+    platform::wire::{HostWire, Txn},
+    util::http::{self, BodyFault, HttpRequest, HttpResponse},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// Largest body, in bytes.
+const BODY_LIMIT: usize = 256 * 1024 * 1024;
+
+/// What the platform does wrong.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlatformSwitches {
+    /// Every call waits this long first, in milliseconds.
+    pub slow_ms: u64,
+    /// Connections are closed without an answer, and nothing is done.
+    pub down: bool,
+    /// Writes take effect and their answers are lost.
+    pub lose_answers: bool,
+    /// Only the next this many writes lose their answers.
+    pub lose_next: u32,
+    /// Daemons, by name, that get no answer and whose calls do nothing.
+    pub cut: Vec<String>,
+}
+
+/// Reads and writes so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Transactions that wrote.
+    pub writes: u64,
+    /// Rows and lists read.
+    pub reads: u64,
+    /// Bytes of answers to reads.
+    pub read_bytes: u64,
+    /// Bytes of transactions received.
+    pub write_bytes: u64,
+}
+
+/// The platform's state; shared with a test that runs it embedded.
+#[derive(Default)]
+pub struct Platform {
+    /// The table.
+    pub table: RefCell<Table>,
+    /// The object store.
+    pub objects: RefCell<IndexMap<String, Bytes>>,
+    /// The membership list.
+    pub hosts: RefCell<Vec<HostWire>>,
+    /// What it does wrong.
+    pub switches: RefCell<PlatformSwitches>,
+    read_bytes: Cell<u64>,
+    write_bytes: Cell<u64>,
+}
+
+impl Platform {
+    /// Reads and writes so far.
+    pub fn counts(&self) -> PlatformCounts {
+        let table = self.table.borrow();
+        PlatformCounts {
+            writes: table.writes,
+            reads: table.reads,
+            read_bytes: self.read_bytes.get(),
+            write_bytes: self.write_bytes.get(),
+        }
+    }
+
+    /// Serves on `listener` until `stop` turns true.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        http::serve(listener, BODY_LIMIT, stop, move |read| {
+            Rc::clone(&self).answer(read)
+        })
+        .await;
+    }
+
+    async fn answer(self: Rc<Self>, read: Result<HttpRequest, BodyFault>) -> HttpResponse {
+        let Ok(req) = read else {
+            return HttpResponse::empty(StatusCode::BAD_REQUEST);
+        };
+        if let Some(path) = req.path.strip_prefix("/control/") {
+            return self.control(path, &req);
+        }
+        let switches = self.switches.borrow().clone();
+        if switches.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(switches.slow_ms)).await;
+        }
+        if switches.down || is_cut(&switches, &req) {
+            return never().await;
+        }
+        let is_write = req.method != Method::GET;
+        let answer = self.serve_call(&req);
+        if is_write && self.loses_answer() {
+            return never().await;
+        }
+        answer
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut switches = self.switches.borrow_mut();
+        if switches.lose_next > 0 {
+            switches.lose_next -= 1;
+            return true;
+        }
+        switches.lose_answers
+    }
+
+    fn serve_call(&self, req: &HttpRequest) -> HttpResponse {
+        let path = req.path.trim_start_matches("/v1/");
+        match (&req.method, path.split_once('/')) {
+            (&Method::POST, Some(("table", "txn"))) => self.txn(req),
+            (&Method::GET, Some(("table", key))) => match self.table.borrow_mut().get(key) {
+                Some(row) => self.count_read(HttpResponse::json(StatusCode::OK, &row)),
+                None => HttpResponse::empty(StatusCode::NOT_FOUND),
+            },
+            (&Method::GET, None) if path == "table" => {
+                let prefix = req.query("prefix").unwrap_or_default();
+                let rows = self.table.borrow_mut().list(prefix);
+                self.count_read(HttpResponse::json(StatusCode::OK, &rows))
+            }
+            (&Method::GET, None) if path == "hosts" => {
+                self.count_read(HttpResponse::json(StatusCode::OK, &*self.hosts.borrow()))
+            }
+            (method, Some(("objects", key))) => self.object(method, key, req),
+            _ => HttpResponse::empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn count_read(&self, answer: HttpResponse) -> HttpResponse {
+        self.read_bytes
+            .set(self.read_bytes.get() + answer.body.len() as u64);
+        answer
+    }
+
+    fn txn(&self, req: &HttpRequest) -> HttpResponse {
+        let Ok(txn) = req.json::<Txn>() else {
+            return HttpResponse::empty(StatusCode::BAD_REQUEST);
+        };
+        self.write_bytes
+            .set(self.write_bytes.get() + req.body.len() as u64);
+        match self.table.borrow_mut().txn(&txn) {
+            Ok(done) => HttpResponse::json(StatusCode::OK, &done),
+            Err(conflict) => HttpResponse::json(StatusCode::CONFLICT, &conflict),
+        }
+    }
+
+    fn object(&self, method: &Method, key: &str, req: &HttpRequest) -> HttpResponse {
+        let mut objects = self.objects.borrow_mut();
+        match *method {
+            Method::PUT => {
+                objects.insert(key.to_owned(), req.body.clone());
+                HttpResponse::empty(StatusCode::OK)
+            }
+            Method::DELETE => {
+                objects.swap_remove(key);
+                HttpResponse::empty(StatusCode::OK)
+            }
+            _ => match objects.get(key) {
+                Some(body) => HttpResponse::bytes(StatusCode::OK, body.clone()),
+                None => HttpResponse::empty(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    /// For tests that run the stand-in as a process: `PUT /control/{switches,hosts}`,
+    /// `GET /control/counts`.
+    fn control(&self, path: &str, req: &HttpRequest) -> HttpResponse {
+        match path {
+            "switches" => match req.json() {
+                Ok(switches) => *self.switches.borrow_mut() = switches,
+                Err(_) => return HttpResponse::empty(StatusCode::BAD_REQUEST),
+            },
+            "hosts" => match req.json() {
+                Ok(hosts) => *self.hosts.borrow_mut() = hosts,
+                Err(_) => return HttpResponse::empty(StatusCode::BAD_REQUEST),
+            },
+            "counts" => return HttpResponse::json(StatusCode::OK, &self.counts()),
+            _ => return HttpResponse::empty(StatusCode::NOT_FOUND),
+        }
+        HttpResponse::empty(StatusCode::OK)
+    }
+}
+
+fn is_cut(switches: &PlatformSwitches, req: &HttpRequest) -> bool {
+    caller(req).is_some_and(|daemon| switches.cut.iter().any(|cut| cut == daemon))
+}
+
+/// The daemon that a call came from, by the name that it gives itself.
+pub(crate) fn caller(req: &HttpRequest) -> Option<&str> {
+    req.header("user-agent")?.strip_prefix("lapisdrum/")
+}
+
+/// Leaves a caller without an answer until its own timeout.
+async fn never() -> HttpResponse {
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/lapisdrum-standins/src/platform/table.rs
@@ -0,0 +1,86 @@
+//! The transactional table, without I/O.
+
+use indexmap::IndexMap;
+use lapisdrum::platform::wire::{Row, Txn, TxnConflict, TxnDone};
+use serde_json::Value;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Cell {
+    value: Value,
+    version: u64,
+}
+
+/// Rows under keys; versions rise over the whole table and are never used again.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: IndexMap<String, Cell>,
+    last_version: u64,
+    /// Transactions that wrote.
+    pub writes: u64,
+    /// Reads of rows and lists.
+    pub reads: u64,
+}
+
+impl Table {
+    /// Runs a transaction: all of it or nothing.
+    pub fn txn(&mut self, txn: &Txn) -> Result<TxnDone, TxnConflict> {
+        for compare in &txn.compare {
+            let version = self.version(&compare.key);
+            if version != compare.version {
+                return Err(TxnConflict {
+                    key: compare.key.clone(),
+                    version,
+                });
+            }
+        }
+        self.writes += 1;
+        for key in &txn.delete {
+            self.rows.shift_remove(key);
+        }
+        let versions = txn
+            .put
+            .iter()
+            .map(|put| self.put(&put.key, put.value.clone()))
+            .collect();
+        Ok(TxnDone { versions })
+    }
+
+    /// Reads a row.
+    pub fn get(&mut self, key: &str) -> Option<Row> {
+        self.reads += 1;
+        self.rows.get(key).map(|cell| row(key, cell))
+    }
+
+    /// Reads the rows under a prefix in key order.
+    pub fn list(&mut self, prefix: &str) -> Vec<Row> {
+        self.reads += 1;
+        let found = self.rows.iter().filter(|(key, _)| key.starts_with(prefix));
+        let mut rows: Vec<Row> = found.map(|(key, cell)| row(key, cell)).collect();
+        rows.sort_by(|a, b| a.key.cmp(&b.key));
+        rows
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |cell| cell.version)
+    }
+
+    fn put(&mut self, key: &str, value: Value) -> u64 {
+        self.last_version += 1;
+        self.rows.insert(
+            key.to_owned(),
+            Cell {
+                value,
+                version: self.last_version,
+            },
+        );
+        self.last_version
+    }
+}
+
+fn row(key: &str, cell: &Cell) -> Row {
+    Row {
+        key: key.to_owned(),
+        value: cell.value.clone(),
+        version: cell.version,
+    }
+}
--- /dev/null
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -0,0 +1,85 @@
+//! A small site for tests and examples: addresses on loopback, settings files, host entries.
+
+use lapisdrum::platform::wire::HostWire;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+
+/// A loopback address of its own with a port that is free now. A random host part keeps two test
+/// runs on one machine, and a port that is taken again, apart.
+pub fn free_address() -> SocketAddr {
+    let ip = Ipv4Addr::new(127, rand::random_range(1..=250), rand::random(), rand::random_range(2..=250));
+    let bound = TcpListener::bind((IpAddr::V4(ip), 0));
+    let address = bound.and_then(|listener| listener.local_addr());
+    address.unwrap_or_else(|e| panic!("no free loopback port: {e}"))
+}
+
+/// What a daemon of a test needs to know.
+#[derive(Clone, Debug)]
+pub struct DaemonPlan {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other daemons reach it.
+    pub peers: SocketAddr,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// More settings as TOML tables, such as `[shards]`.
+    pub more: String,
+}
+
+impl DaemonPlan {
+    /// A daemon on free addresses.
+    pub fn new(name: &str, data_centre: &str, platform: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            callers: free_address(),
+            peers: free_address(),
+            platform,
+            more: QUICK.to_owned(),
+        }
+    }
+
+    /// Its settings file.
+    pub fn settings(&self) -> String {
+        format!(
+            "[daemon]\nname = \"{}\"\ndata_centre = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\n\
+             [platform]\naddress = \"{}\"\ntimeout_ms = 500\npoll_ms = 200\n\n{}",
+            self.name, self.data_centre, self.callers, self.peers, self.platform, self.more
+        )
+    }
+}
+
+/// Shorter intervals than the defaults, so that a test takes seconds.
+pub const QUICK: &str = "\
+[shards]
+lease_ms = 1500
+renew_ms = 250
+task_lease_ms = 3000
+task_renew_ms = 250
+linger_batch_ms = 10
+
+[catalogue]
+poll_ms = 250
+
+[requests]
+grant_poll_ms = 250
+";
+
+/// A live worker's line in the membership list.
+pub fn host(name: &str, address: SocketAddr, data_centre: &str, rack: &str) -> HostWire {
+    HostWire {
+        host: name.to_owned(),
+        address: address.to_string(),
+        data_centre: data_centre.to_owned(),
+        rack: rack.to_owned(),
+        state: "live".to_owned(),
+        cores: 16,
+        memory_mb: 60_000,
+        accelerators: 0,
+        slots: 8,
+        connections: 64,
+    }
+}
--- /dev/null
+++ b/crates/lapisdrum-standins/src/worker/mod.rs
@@ -0,0 +1,4 @@
+//! The worker stand-in: slots, connections, tasks under leases with epochs, late usage.
+
+pub mod server;
+pub mod tasks;
--- /dev/null
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -0,0 +1,398 @@
+//! The worker stand-in's HTTP server and its switches.
+
+use super::tasks::{TaskPlan, Tasks};
+use crate::platform::server::caller;
+use actix_http::{Method, StatusCode};
+use actix_rt::net::TcpListener;
+use indexmap::IndexMap;
+use lapisdrum::{
+    core::{id::JobId, size::Size, time::WorkerMillis},
+    util::http::{self, BodyFault, HttpRequest, HttpResponse},
+    worker::wire::{
+        CLOCK_HEADER, ENTRY_HEADER, NOT_RUN_HEADER, OwnerCommand, REQUEST_HEADER, RejectReason,
+        Rejected, RenewTasks, StartTask, TaskList, TaskState, ThrottleTask, Usage,
+    },
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Largest body, in bytes.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// Time between two looks at leases and work.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How a worker behaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WorkerSwitches {
+    /// Time for a request, in milliseconds.
+    pub request_ms: u64,
+    /// Time for a whole task, in milliseconds.
+    pub task_ms: u64,
+    /// Time between two checkpoints, in milliseconds.
+    pub checkpoint_ms: u64,
+    /// Entries whose tasks have no end.
+    pub endless: Vec<String>,
+    /// Nothing is answered.
+    pub hung: bool,
+    /// Requests run and are never answered.
+    pub hang_requests: bool,
+    /// Requests are refused as not run.
+    pub refuses: bool,
+    /// Requests are answered at once with status 500.
+    pub fails_requests: bool,
+    /// Every task fails at once.
+    pub fails_tasks: bool,
+    /// Answers are cut off half way.
+    pub cuts_answers: bool,
+    /// Age of usage figures, in milliseconds.
+    pub usage_age_ms: u64,
+    /// Daemons, by name, that get no answer and whose calls do nothing.
+    pub cut: Vec<String>,
+}
+
+impl Default for WorkerSwitches {
+    fn default() -> Self {
+        Self {
+            request_ms: 5,
+            task_ms: 500,
+            checkpoint_ms: 100,
+            endless: Vec::new(),
+            hung: false,
+            hang_requests: false,
+            refuses: false,
+            fails_requests: false,
+            fails_tasks: false,
+            cuts_answers: false,
+            usage_age_ms: 5_000,
+            cut: Vec::new(),
+        }
+    }
+}
+
+impl WorkerSwitches {
+    fn is_silent_to(&self, req: &HttpRequest) -> bool {
+        let cut = |daemon: &str| self.cut.iter().any(|cut| cut == daemon);
+        self.hung || caller(req).is_some_and(cut)
+    }
+}
+
+/// One run of a task here, in milliseconds of the machine's wall clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRun {
+    /// The task.
+    pub task: JobId,
+    /// Its attempt.
+    pub attempt: u32,
+    /// When it was started.
+    pub from_ms: u64,
+    /// When it ended; none while it runs.
+    pub to_ms: Option<u64>,
+    /// The progress that it began with, in thousandths.
+    pub first_permille: u32,
+}
+
+/// What a worker has run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerLog {
+    /// Ids of requests, each as often as it ran.
+    pub requests: Vec<String>,
+    /// Runs of tasks.
+    pub tasks: Vec<TaskRun>,
+    /// Most requests that ran at once.
+    pub most_requests: u32,
+    /// Most that tasks and requests together took at once.
+    pub most_size: Size,
+}
+
+/// A worker's state; shared with a test that runs it embedded.
+pub struct Worker {
+    /// What it has.
+    pub capacity: Size,
+    /// Requests at once.
+    pub slots: u32,
+    /// How it behaves.
+    pub switches: RefCell<WorkerSwitches>,
+    /// Its tasks.
+    pub tasks: RefCell<Tasks>,
+    /// What it has run.
+    pub log: RefCell<WorkerLog>,
+    /// Calls answered, by kind.
+    pub calls: RefCell<IndexMap<&'static str, u64>>,
+    running_requests: Cell<u32>,
+    origin: Instant,
+}
+
+impl Worker {
+    /// A worker of this capacity.
+    pub fn new(capacity: Size, slots: u32, switches: WorkerSwitches) -> Rc<Self> {
+        Rc::new(Self {
+            capacity,
+            slots,
+            switches: RefCell::new(switches),
+            tasks: RefCell::new(Tasks::new(capacity)),
+            log: RefCell::default(),
+            calls: RefCell::default(),
+            running_requests: Cell::new(0),
+            origin: Instant::now(),
+        })
+    }
+
+    /// The worker's own clock. It counts on from the machine's time, so that it doesn't go back when
+    /// the worker is restarted.
+    pub fn now(&self) -> WorkerMillis {
+        WorkerMillis(BASE_MS + self.origin.elapsed().as_millis() as u64)
+    }
+
+    /// Serves on `listener` until `stop` turns true.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
+        let ticker = actix_rt::spawn(Rc::clone(&self).tick());
+        http::serve(listener, BODY_LIMIT, stop, move |read| {
+            Rc::clone(&self).answer(read)
+        })
+        .await;
+        ticker.abort();
+    }
+
+    async fn tick(self: Rc<Self>) {
+        loop {
+            self.tasks.borrow_mut().tick(self.now());
+            self.note_runs();
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Brings the log of runs in line with the tasks.
+    fn note_runs(&self) {
+        let tasks = self.tasks.borrow();
+        let mut log = self.log.borrow_mut();
+        for run in log.tasks.iter_mut().filter(|run| run.to_ms.is_none()) {
+            let task = tasks.tasks.get(&run.task);
+            let running = task.is_some_and(|task| {
+                task.state == TaskState::Running && task.attempt.0 == run.attempt
+            });
+            if !running {
+                run.to_ms = Some(wall_ms());
+            }
+        }
+        log.most_size = most(&log.most_size, &tasks.running_size());
+    }
+
+    async fn answer(self: Rc<Self>, read: Result<HttpRequest, BodyFault>) -> HttpResponse {
+        let Ok(req) = read else {
+            return HttpResponse::empty(StatusCode::BAD_REQUEST);
+        };
+        if let Some(path) = req.path.strip_prefix("/control/") {
+            return self.control(path, &req);
+        }
+        if self.switches.borrow().is_silent_to(&req) {
+            return std::future::pending().await;
+        }
+        let path = req.path.trim_start_matches("/v1/").to_owned();
+        let parts: Vec<&str> = path.split('/').collect();
+        let answer = match (&req.method, parts.as_slice()) {
+            (&Method::POST, ["requests"]) => self.request(&req).await,
+            (&Method::POST, ["claim"]) => self.claim(&req),
+            (&Method::POST, ["renew"]) => self.renew(&req),
+            (&Method::PUT, ["tasks", id]) => self.start(id, &req),
+            (&Method::POST, ["tasks", id, verb]) => self.command(id, verb, &req),
+            (&Method::GET, ["usage"]) => self.usage(),
+            _ => HttpResponse::empty(StatusCode::NOT_FOUND),
+        };
+        answer.with(CLOCK_HEADER, self.now().0.to_string())
+    }
+
+    async fn request(&self, req: &HttpRequest) -> HttpResponse {
+        self.count("request");
+        let switches = self.switches.borrow().clone();
+        let id = req.header(REQUEST_HEADER).unwrap_or_default().to_owned();
+        if switches.refuses || self.running_requests.get() >= self.slots {
+            return HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE)
+                .with(NOT_RUN_HEADER, "true");
+        }
+        self.log.borrow_mut().requests.push(id.clone());
+        let _running = Running::begin(self);
+        if switches.hang_requests {
+            return std::future::pending().await;
+        }
+        if switches.fails_requests {
+            return HttpResponse::empty(StatusCode::INTERNAL_SERVER_ERROR).with(REQUEST_HEADER, id);
+        }
+        tokio::time::sleep(Duration::from_millis(switches.request_ms)).await;
+        let entry = req.header(ENTRY_HEADER).unwrap_or_default().to_owned();
+        HttpResponse::bytes(StatusCode::OK, req.body.clone())
+            .with(REQUEST_HEADER, id)
+            .with(ENTRY_HEADER, entry)
+    }
+
+    fn claim(&self, req: &HttpRequest) -> HttpResponse {
+        self.count("claim");
+        with_body(req, |command: OwnerCommand| {
+            let claimed = self.tasks.borrow_mut().claim(command.epoch);
+            self.reply(claimed.map(|tasks| TaskList { tasks }))
+        })
+    }
+
+    fn renew(&self, req: &HttpRequest) -> HttpResponse {
+        self.count("renew");
+        with_body(req, |renew: RenewTasks| {
+            let now = self.now();
+            self.tasks.borrow_mut().tick(now);
+            let renewed = self.tasks.borrow_mut().renew(now, &renew);
+            self.reply(renewed.map(|tasks| TaskList { tasks }))
+        })
+    }
+
+    fn start(&self, id: &str, req: &HttpRequest) -> HttpResponse {
+        self.count("start");
+        let Ok(id) = JobId::try_from(id) else {
+            return HttpResponse::empty(StatusCode::BAD_REQUEST);
+        };
+        with_body(req, |start: StartTask| {
+            let plan = self.plan(&start.entry);
+            let known = self.tasks.borrow().tasks.get(&id).map(|task| task.attempt);
+            let started = self.tasks.borrow_mut().start(self.now(), &id, &start, plan);
+            if started.is_ok() && known != Some(start.attempt) {
+                self.log.borrow_mut().tasks.push(TaskRun {
+                    task: id.clone(),
+                    attempt: start.attempt.0,
+                    from_ms: wall_ms(),
+                    to_ms: None,
+                    first_permille: start.checkpoint.map_or(0, |saved| saved.progress_permille),
+                });
+                self.note_runs();
+            }
+            self.reply(started)
+        })
+    }
+
+    fn plan(&self, entry: &str) -> TaskPlan {
+        let switches = self.switches.borrow();
+        let endless = switches.endless.iter().any(|name| name == entry);
+        TaskPlan {
+            work_ms: (!endless).then_some(switches.task_ms),
+            checkpoint_ms: switches.checkpoint_ms,
+            fails: switches.fails_tasks,
+        }
+    }
+
+    fn command(&self, id: &str, verb: &str, req: &HttpRequest) -> HttpResponse {
+        self.count("command");
+        let Ok(id) = JobId::try_from(id) else {
+            return HttpResponse::empty(StatusCode::BAD_REQUEST);
+        };
+        let answer = match verb {
+            "throttle" => with_body(req, |throttle: ThrottleTask| {
+                let mut tasks = self.tasks.borrow_mut();
+                let done = tasks.throttle(&id, throttle.epoch, throttle.permille);
+                drop(tasks);
+                self.reply(done)
+            }),
+            "stop" => with_body(req, |command: OwnerCommand| {
+                let done = self.tasks.borrow_mut().stop(&id, command.epoch);
+                self.reply(done)
+            }),
+            "checkpoint" => with_body(req, |command: OwnerCommand| {
+                let now = self.now();
+                let done = self.tasks.borrow_mut().checkpoint(now, &id, command.epoch);
+                self.reply(done)
+            }),
+            _ => HttpResponse::empty(StatusCode::NOT_FOUND),
+        };
+        self.note_runs();
+        answer
+    }
+
+    fn usage(&self) -> HttpResponse {
+        self.count("usage");
+        let usage = Usage {
+            age_ms: self.switches.borrow().usage_age_ms,
+            total: self.tasks.borrow().running_size(),
+            tasks: Vec::new(),
+            requests: Vec::new(),
+        };
+        HttpResponse::json(StatusCode::OK, &usage)
+    }
+
+    fn reply<T: Serialize>(&self, outcome: Result<T, RejectReason>) -> HttpResponse {
+        match outcome {
+            Ok(done) => HttpResponse::json(StatusCode::OK, &done),
+            Err(reason) => {
+                let epoch = self.tasks.borrow().epoch;
+                HttpResponse::json(StatusCode::CONFLICT, &Rejected { reason, epoch })
+            }
+        }
+    }
+
+    fn count(&self, call: &'static str) {
+        *self.calls.borrow_mut().entry(call).or_default() += 1;
+    }
+
+    /// For tests that run the stand-in as a process: `PUT /control/switches`, `GET /control/log`.
+    fn control(&self, path: &str, req: &HttpRequest) -> HttpResponse {
+        match path {
+            "switches" => match req.json() {
+                Ok(switches) => {
+                    *self.switches.borrow_mut() = switches;
+                    HttpResponse::empty(StatusCode::OK)
+                }
+                Err(_) => HttpResponse::empty(StatusCode::BAD_REQUEST),
+            },
+            "log" => HttpResponse::json(StatusCode::OK, &*self.log.borrow()),
+            _ => HttpResponse::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+/// First reading of a worker's clock: not zero, so that a reading is never mistaken for none.
+const BASE_MS: u64 = 1_000_000;
+
+struct Running<'a>(&'a Worker);
+
+impl<'a> Running<'a> {
+    fn begin(worker: &'a Worker) -> Self {
+        let running = worker.running_requests.get() + 1;
+        worker.running_requests.set(running);
+        let mut log = worker.log.borrow_mut();
+        log.most_requests = log.most_requests.max(running);
+        Self(worker)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0
+            .running_requests
+            .set(self.0.running_requests.get() - 1);
+    }
+}
+
+fn with_body<T: DeserializeOwned>(
+    req: &HttpRequest,
+    then: impl FnOnce(T) -> HttpResponse,
+) -> HttpResponse {
+    match req.json() {
+        Ok(body) => then(body),
+        Err(_) => HttpResponse::empty(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn most(a: &Size, b: &Size) -> Size {
+    Size {
+        millicores: a.millicores.max(b.millicores),
+        memory_mb: a.memory_mb.max(b.memory_mb),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
--- /dev/null
+++ b/src/lapisdrum/api/operators.rs
@@ -0,0 +1,151 @@
+//! Operators' calls: the catalogue and the time line.
+
+use super::wire::{CHANGE_HEADER, CatalogueBody, ChangeBody, EntryBody, TimelineBody, error};
+use crate::{
+    core::{
+        catalogue::RawEntry,
+        id::{ChangeId, EntryName, Revision},
+    },
+    daemon::{
+        Cx,
+        catalogue::{self, ChangeEnd},
+    },
+    state::catalogue::ChangeRefusal,
+    util::http::{HttpRequest, HttpResponse},
+};
+use actix_http::StatusCode;
+
+/// `PUT /v1/catalogue/ENTRY`: adds or changes an entry.
+pub async fn put_entry(cx: &Cx, name: EntryName, req: &HttpRequest) -> HttpResponse {
+    let raw: RawEntry = match req.json() {
+        Ok(raw) => raw,
+        Err(e) => {
+            let help = "send the entry as a JSON object; `lapisdrum check FILE` names every fault";
+            return error(
+                StatusCode::BAD_REQUEST,
+                format!("the entry can't be read: {e}"),
+                help,
+            );
+        }
+    };
+    if raw.name != name.as_str() {
+        let what = format!("the path names `{name}` and the body `{}`", raw.name);
+        return error(StatusCode::BAD_REQUEST, what, "name the same entry in both");
+    }
+    change(cx, raw, req).await
+}
+
+/// `DELETE /v1/catalogue/ENTRY`: retires an entry; what was accepted is finished.
+pub async fn retire_entry(cx: &Cx, name: EntryName, req: &HttpRequest) -> HttpResponse {
+    let row = cx.catalogue.borrow().rows.get(&name).cloned();
+    match row {
+        Some(row) => {
+            change(
+                cx,
+                RawEntry {
+                    retired: true,
+                    ..row.raw
+                },
+                req,
+            )
+            .await
+        }
+        None => no_entry(&name),
+    }
+}
+
+/// `GET /v1/catalogue/ENTRY`.
+pub fn get_entry(cx: &Cx, name: &EntryName) -> HttpResponse {
+    match cx.catalogue.borrow().rows.get(name) {
+        Some(row) => HttpResponse::json(StatusCode::OK, &EntryBody::from(row))
+            .with("etag", format!("\"{}\"", row.revision)),
+        None => no_entry(name),
+    }
+}
+
+/// `GET /v1/catalogue`.
+pub fn list(cx: &Cx) -> HttpResponse {
+    let catalogue = cx.catalogue.borrow();
+    let entries = catalogue.rows.values().map(EntryBody::from).collect();
+    HttpResponse::json(
+        StatusCode::OK,
+        &CatalogueBody {
+            revision: catalogue.revision,
+            entries,
+        },
+    )
+}
+
+/// `GET /v1/timeline`.
+pub fn timeline(cx: &Cx) -> HttpResponse {
+    let (events, dropped) = cx.timeline.read();
+    HttpResponse::json(StatusCode::OK, &TimelineBody { events, dropped })
+}
+
+fn no_entry(name: &EntryName) -> HttpResponse {
+    let what = format!("no entry `{name}` in the catalogue");
+    error(
+        StatusCode::NOT_FOUND,
+        what,
+        "`lapisdrum catalogue list` shows the entries",
+    )
+}
+
+async fn change(cx: &Cx, raw: RawEntry, req: &HttpRequest) -> HttpResponse {
+    let if_match = match req.header("if-match").map(parse_etag) {
+        None => None,
+        Some(Some(revision)) => Some(revision),
+        Some(None) => {
+            let help = "send the revision that a read of the entry gave, such as \"12\"";
+            return error(StatusCode::BAD_REQUEST, "`if-match` is no revision", help);
+        }
+    };
+    let change = match req.header(CHANGE_HEADER) {
+        Some(raw) => ChangeId::try_from(raw),
+        None => ChangeId::try_from(format!("{:016x}", rand::random::<u64>())),
+    };
+    let change = match change {
+        Ok(change) => change,
+        Err(e) => return error(StatusCode::BAD_REQUEST, e, "correct `lapisdrum-change`"),
+    };
+    change_answer(catalogue::change(cx, raw, if_match, change).await)
+}
+
+fn change_answer(end: ChangeEnd) -> HttpResponse {
+    match end {
+        ChangeEnd::Accepted(revision) => {
+            HttpResponse::json(StatusCode::OK, &ChangeBody { revision })
+                .with("etag", format!("\"{revision}\""))
+        }
+        ChangeEnd::Refused(ChangeRefusal::Conflict { current }) => error(
+            StatusCode::PRECONDITION_FAILED,
+            format!("conflict: the entry is at revision {current}; nothing was changed"),
+            "read the entry, look at the other change, and send yours again",
+        ),
+        ChangeEnd::Refused(ChangeRefusal::Unconditional { current }) => error(
+            StatusCode::PRECONDITION_REQUIRED,
+            format!("the entry exists at revision {current} and `if-match` is missing"),
+            "send `if-match` with the revision that you mean to change",
+        ),
+        ChangeEnd::Invalid(faults) => error(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            faults,
+            "correct the entry; nothing was changed",
+        ),
+        ChangeEnd::StoreAway => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the platform's table can't be reached; nothing was changed",
+            "come back after the time in retry-after",
+        )
+        .with("retry-after", "2"),
+        ChangeEnd::Unknown => error(
+            StatusCode::BAD_GATEWAY,
+            "the change may be in: its answer was lost",
+            "repeat it with the same `lapisdrum-change` header; it is made at most once",
+        ),
+    }
+}
+
+fn parse_etag(raw: &str) -> Option<Revision> {
+    raw.trim().trim_matches('"').parse().ok().map(Revision)
+}
--- /dev/null
+++ b/src/lapisdrum/api/server.rs
@@ -0,0 +1,215 @@
+//! Serves callers and operators: routes, and the answers that need no more than a line.
+
+use super::{
+    jobs, operators,
+    wire::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused},
+};
+use crate::{
+    core::{
+        id::{EntryName, JobId, RequestId},
+        outcome::Refusal,
+    },
+    daemon::{
+        Cx,
+        metrics::{EntryLabel, ReasonLabel, RequestLabels},
+        router::{self, RunEnd, RunRequest},
+    },
+    timeline::event::Happening,
+    util::http::{self, BodyFault, HttpRequest, HttpResponse},
+};
+use actix_http::{Method, StatusCode};
+use actix_rt::net::TcpListener;
+use bytes::Bytes;
+use std::{rc::Rc, time::Duration};
+
+/// Serves until the daemon drains and the last request in flight is answered.
+pub async fn serve(cx: Cx, listener: TcpListener) {
+    let limit = usize::try_from(cx.cfg.requests.max_body_bytes).unwrap_or(usize::MAX);
+    let stop = cx.draining.subscribe();
+    http::serve(listener, limit, stop, move |read| {
+        let cx = Rc::clone(&cx);
+        async move {
+            match read {
+                Ok(req) => route(&cx, req).await,
+                Err(fault) => body_fault(fault),
+            }
+        }
+    })
+    .await;
+}
+
+fn body_fault(fault: BodyFault) -> HttpResponse {
+    let answer = match fault {
+        BodyFault::TooLarge { limit } => error(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body is larger than {limit} bytes"),
+            "send less, or ask an operator to raise `requests.max_body_bytes`",
+        ),
+        BodyFault::Incomplete => error(
+            StatusCode::BAD_REQUEST,
+            "the body broke off",
+            "send the request again; it was not run",
+        ),
+    };
+    answer.with(OUTCOME_HEADER, "refused")
+}
+
+async fn route(cx: &Cx, req: HttpRequest) -> HttpResponse {
+    let path = req.path.clone();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (&req.method, parts.as_slice()) {
+        (&Method::POST, ["v1", "run", entry]) => run(cx, entry, req).await,
+        (&Method::POST, ["v1", "jobs", entry]) => {
+            with_name(entry, |entry| jobs::submit(cx, entry, &req)).await
+        }
+        (&Method::GET, ["v1", "jobs", job]) => {
+            with_name(job, |job: JobId| jobs::show(cx, job)).await
+        }
+        (&Method::DELETE, ["v1", "jobs", job]) => {
+            with_name(job, |job: JobId| jobs::cancel(cx, job)).await
+        }
+        (&Method::PUT, ["v1", "catalogue", entry]) => {
+            with_name(entry, |entry| operators::put_entry(cx, entry, &req)).await
+        }
+        (&Method::GET, ["v1", "catalogue", entry]) => {
+            with_name(entry, |entry: EntryName| async move {
+                operators::get_entry(cx, &entry)
+            })
+            .await
+        }
+        (&Method::DELETE, ["v1", "catalogue", entry]) => {
+            with_name(entry, |entry| operators::retire_entry(cx, entry, &req)).await
+        }
+        (&Method::GET, ["v1", "catalogue"]) => operators::list(cx),
+        (&Method::GET, ["v1", "timeline"]) => operators::timeline(cx),
+        (&Method::GET, ["metrics"]) => metrics(cx),
+        (&Method::GET, ["healthz"]) => HttpResponse::empty(StatusCode::OK),
+        (&Method::GET, ["readyz"]) => readiness(cx),
+        _ => error(
+            StatusCode::NOT_FOUND,
+            format!("nothing at {} {}", req.method, req.path),
+            "see the README for the paths",
+        ),
+    }
+}
+
+/// Runs `then` with a checked name out of the path.
+async fn with_name<T, F>(raw: &str, then: impl FnOnce(T) -> F) -> HttpResponse
+where
+    T: for<'a> TryFrom<&'a str, Error = crate::core::id::InvalidName>,
+    F: Future<Output = HttpResponse>,
+{
+    match T::try_from(raw) {
+        Ok(name) => then(name).await,
+        Err(e) => error(StatusCode::BAD_REQUEST, e, "correct the name in the path"),
+    }
+}
+
+fn metrics(cx: &Cx) -> HttpResponse {
+    let text = Bytes::from(cx.metrics.text());
+    HttpResponse::bytes(StatusCode::OK, text).with(
+        "content-type",
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    )
+}
+
+fn readiness(cx: &Cx) -> HttpResponse {
+    match cx.is_ready() {
+        true => HttpResponse::empty(StatusCode::OK),
+        false => HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+async fn run(cx: &Cx, entry: &str, req: HttpRequest) -> HttpResponse {
+    let began = cx.clock.now();
+    let (answer, outcome) = match run_request(entry, &req) {
+        Ok(parsed) => run_answer(cx, router::run(cx, parsed).await),
+        Err(answer) => (answer.with(OUTCOME_HEADER, "refused"), "refused"),
+    };
+    let known = EntryName::try_from(entry).ok();
+    let known = known.filter(|name| cx.catalogue.borrow().rows.contains_key(name));
+    // Only known entries become labels: callers must not be able to grow the metrics.
+    if let Some(entry) = known.map(String::from) {
+        let seconds = cx.clock.now().since(began).as_secs_f64();
+        cx.metrics
+            .request_seconds
+            .get_or_create(&EntryLabel {
+                entry: entry.clone(),
+            })
+            .observe(seconds);
+        cx.metrics
+            .requests
+            .get_or_create(&RequestLabels { entry, outcome })
+            .inc();
+    }
+    answer
+}
+
+fn run_request(entry: &str, req: &HttpRequest) -> Result<RunRequest, HttpResponse> {
+    let bad = |e: String, help: &str| error(StatusCode::BAD_REQUEST, e, help);
+    let entry = EntryName::try_from(entry)
+        .map_err(|e| bad(e.to_string(), "correct the entry in the path"))?;
+    let deadline = match req.header(DEADLINE_HEADER).map(str::parse::<u64>) {
+        None => None,
+        Some(Ok(ms)) if ms > 0 => Some(Duration::from_millis(ms)),
+        Some(_) => {
+            return Err(bad(
+                format!("`{DEADLINE_HEADER}` is not a whole number of milliseconds above 0"),
+                "correct the header or leave it out",
+            ));
+        }
+    };
+    let key = req.header(KEY_HEADER).map(RequestId::try_from).transpose();
+    let key = key.map_err(|e| bad(e.to_string(), "correct `idempotency-key`"))?;
+    Ok(RunRequest {
+        entry,
+        body: req.body.clone(),
+        content_type: req.header("content-type").map(str::to_owned),
+        deadline,
+        key,
+    })
+}
+
+fn run_answer(cx: &Cx, end: RunEnd) -> (HttpResponse, &'static str) {
+    match end {
+        RunEnd::Done(id, answer) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let mut res = HttpResponse::bytes(status, answer.body)
+                .with(OUTCOME_HEADER, "done")
+                .with(REQUEST_HEADER, id.to_string());
+            if let Some(content_type) = answer.content_type {
+                res = res.with("content-type", content_type);
+            }
+            (res, "done")
+        }
+        RunEnd::Refused(refusal) => (note_refusal(cx, &refusal), "refused"),
+        RunEnd::Unknown(id, why) => {
+            let help = "it may have run; ask again only if running twice does no harm";
+            let res = error(
+                StatusCode::BAD_GATEWAY,
+                format!("outcome unknown: {why}"),
+                help,
+            )
+            .with(OUTCOME_HEADER, "unknown")
+            .with(REQUEST_HEADER, id.to_string());
+            (res, "unknown")
+        }
+    }
+}
+
+/// Counts a refusal and makes its answer. Refusals for load are counted only: a line or event for
+/// each would grow with the overload that they answer.
+pub fn note_refusal(cx: &Cx, refusal: &Refusal) -> HttpResponse {
+    let reason = refusal.reason();
+    cx.metrics
+        .refusals
+        .get_or_create(&ReasonLabel { reason })
+        .inc();
+    if let Refusal::UnknownEntry(entry) = refusal {
+        cx.timeline.record(Happening::RequestRefused {
+            entry: entry.to_string(),
+            reason: reason.to_owned(),
+        });
+    }
+    refused(refusal)
+}
--- /dev/null
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -0,0 +1,246 @@
+//! Jobs from a caller's point of view: any daemon takes the call and brings it to the shard's owner.
+
+use super::{
+    Cx,
+    journal::{Urgency, WriteEnd},
+    shard::Shard,
+    supervisor,
+};
+use crate::{
+    core::{
+        catalogue::{Class, Entry},
+        id::{EntryName, JobId, RequestId, ShardId},
+        job::{Job, JobEnd, JobPhase},
+        outcome::Refusal,
+    },
+    peer::wire::{PeerReply, PeerRequest},
+    state::ledger::Event,
+    timeline::event::Happening,
+};
+use std::{rc::Rc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// When to come back while a shard has no owner that answers.
+const NO_OWNER_RETRY: Duration = Duration::from_secs(2);
+
+/// How a call about a job ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// The job as it stands.
+    Job(JobId, Job),
+    /// Refused; nothing was changed.
+    Refused(Refusal),
+    /// It may have taken effect.
+    Unknown,
+}
+
+/// Accepts a job of `entry`; `key` makes a repeat find the first one's job.
+pub async fn submit(cx: &Cx, entry: &EntryName, key: Option<&RequestId>) -> JobAnswer {
+    if cx.is_draining() {
+        return JobAnswer::Refused(Refusal::Draining {
+            retry_after: NO_OWNER_RETRY,
+        });
+    }
+    if let Err(refusal) = check_entry(cx, entry) {
+        return JobAnswer::Refused(refusal);
+    }
+    let unique = key.map_or_else(rand::random, |key| xxh3_64(key.as_str().as_bytes()));
+    let index = u32::try_from(unique % u64::from(cx.cfg.shards.count)).unwrap_or_default();
+    let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
+    let job = JobId::new(&shard, unique);
+    let req = PeerRequest::SubmitJob {
+        shard: shard.clone(),
+        job: job.clone(),
+        entry: entry.clone(),
+    };
+    at_owner(cx, &shard, job, req).await
+}
+
+/// Shows a job.
+pub async fn show(cx: &Cx, job: JobId) -> JobAnswer {
+    let Some(shard) = job.shard() else {
+        return JobAnswer::Refused(Refusal::UnknownJob(job));
+    };
+    let req = PeerRequest::ShowJob(job.clone());
+    at_owner(cx, &shard, job, req).await
+}
+
+/// Cancels a job.
+pub async fn cancel(cx: &Cx, job: JobId) -> JobAnswer {
+    let Some(shard) = job.shard() else {
+        return JobAnswer::Refused(Refusal::UnknownJob(job));
+    };
+    let req = PeerRequest::CancelJob(job.clone());
+    at_owner(cx, &shard, job, req).await
+}
+
+async fn at_owner(cx: &Cx, shard: &ShardId, job: JobId, req: PeerRequest) -> JobAnswer {
+    let reply = if cx.shards.borrow().contains_key(shard) {
+        answer(cx, req).await
+    } else {
+        let Some(address) = cx.members.borrow().owner_address(shard) else {
+            return JobAnswer::Refused(Refusal::NoOwner {
+                retry_after: NO_OWNER_RETRY,
+            });
+        };
+        let reads_only = matches!(req, PeerRequest::ShowJob(_));
+        match cx.peers.call(&address, req).await {
+            Ok(reply) => reply,
+            Err(_) if reads_only => PeerReply::Refused(Refusal::NoOwner {
+                retry_after: NO_OWNER_RETRY,
+            }),
+            Err(_) => PeerReply::Unknown,
+        }
+    };
+    match reply {
+        PeerReply::Job(found) => JobAnswer::Job(job, found),
+        PeerReply::Refused(refusal) => JobAnswer::Refused(refusal),
+        _ => JobAnswer::Unknown,
+    }
+}
+
+/// Answers a call about a job as its shard's owner.
+pub async fn answer(cx: &Cx, req: PeerRequest) -> PeerReply {
+    match req {
+        PeerRequest::SubmitJob { shard, job, entry } => match owned(cx, &shard) {
+            Ok(shard) => accept(cx, &shard, job, &entry).await,
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        PeerRequest::ShowJob(job) => match find(cx, &job) {
+            Ok((_, found)) => PeerReply::Job(found),
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        PeerRequest::CancelJob(job) => match find(cx, &job) {
+            Ok((shard, found)) => end_by_caller(cx, &shard, &job, found).await,
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        _ => PeerReply::Unknown,
+    }
+}
+
+fn owned(cx: &Cx, shard: &ShardId) -> Result<Rc<Shard>, Refusal> {
+    let own = cx.shards.borrow().get(shard).cloned();
+    let own = own.filter(|shard| shard.is_serving());
+    own.ok_or(Refusal::NoOwner {
+        retry_after: NO_OWNER_RETRY,
+    })
+}
+
+fn find(cx: &Cx, job: &JobId) -> Result<(Rc<Shard>, Job), Refusal> {
+    let unknown = || Refusal::UnknownJob(job.clone());
+    let shard = owned(cx, &job.shard().ok_or_else(unknown)?)?;
+    let found = shard.job(job).ok_or_else(unknown)?;
+    Ok((shard, found))
+}
+
+fn check_entry(cx: &Cx, name: &EntryName) -> Result<Entry, Refusal> {
+    let entry = cx.catalogue.borrow().entry(name);
+    let entry = entry.ok_or_else(|| Refusal::UnknownEntry(name.clone()))?;
+    if entry.class == Class::LatencyCritical {
+        return Err(Refusal::WrongClass {
+            entry: name.clone(),
+            class: entry.class,
+        });
+    }
+    if !entry.is_active() {
+        return Err(Refusal::Retired(name.clone()));
+    }
+    Ok(entry)
+}
+
+async fn accept(cx: &Cx, shard: &Rc<Shard>, job: JobId, name: &EntryName) -> PeerReply {
+    if let Some(known) = shard.job(&job) {
+        return match known.entry == *name {
+            true => PeerReply::Job(known),
+            false => PeerReply::Refused(Refusal::WrongClass {
+                entry: known.entry,
+                class: Class::Batch,
+            }),
+        };
+    }
+    let entry = match check_entry(cx, name).and_then(|entry| check_fits(cx, shard, entry)) {
+        Ok(entry) => entry,
+        Err(refusal) => return PeerReply::Refused(refusal),
+    };
+    let accepted = Event::Accepted {
+        job: job.clone(),
+        entry: entry.name.clone(),
+        size: entry.size,
+    };
+    let ticket = match shard.propose(cx, vec![accepted], Urgency::Urgent) {
+        Ok(ticket) => ticket,
+        Err(e) => return PeerReply::Refused(e.refusal()),
+    };
+    match ticket.end().await {
+        WriteEnd::Committed => {
+            cx.timeline
+                .record(Happening::JobAccepted { job: job.clone() });
+            shard.placement.notify_one();
+            shard.job(&job).map_or(PeerReply::Unknown, PeerReply::Job)
+        }
+        WriteEnd::NotWritten => PeerReply::Refused(Refusal::NoOwner {
+            retry_after: NO_OWNER_RETRY,
+        }),
+        WriteEnd::Unknown => PeerReply::Unknown,
+    }
+}
+
+/// A job that fits no host, even an empty one, would wait for ever.
+fn check_fits(cx: &Cx, shard: &Shard, entry: Entry) -> Result<Entry, Refusal> {
+    let members = cx.members.borrow();
+    let hosts = members.shard_hosts(&shard.id, cx.cfg.shards.count);
+    if hosts.is_empty() || hosts.iter().any(|host| entry.size.fits(&host.capacity)) {
+        return Ok(entry);
+    }
+    let size = entry.size;
+    let reason = format!(
+        "it takes {} millicores, {} MB and {} accelerators, and no host has as much",
+        size.millicores, size.memory_mb, size.accelerators
+    );
+    Err(Refusal::NeverFits { reason })
+}
+
+async fn end_by_caller(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: Job) -> PeerReply {
+    if found.is_ended() || found.cancelling {
+        return PeerReply::Job(found);
+    }
+    let event = match found.phase {
+        JobPhase::Waiting => Event::Ended {
+            job: job.clone(),
+            end: JobEnd::Cancelled,
+        },
+        _ => Event::CancelAsked { job: job.clone() },
+    };
+    let ticket = match shard.propose(cx, vec![event], Urgency::Urgent) {
+        Ok(ticket) => ticket,
+        Err(e) => return PeerReply::Refused(e.refusal()),
+    };
+    match ticket.end().await {
+        WriteEnd::Committed => {
+            stop_at_worker(cx, shard, job, &found);
+            shard.job(job).map_or(PeerReply::Unknown, PeerReply::Job)
+        }
+        WriteEnd::NotWritten => PeerReply::Refused(Refusal::NoOwner {
+            retry_after: NO_OWNER_RETRY,
+        }),
+        WriteEnd::Unknown => PeerReply::Unknown,
+    }
+}
+
+/// Stops the task now rather than at the worker's next visit, which records the end.
+fn stop_at_worker(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: &Job) {
+    let Some(placement) = found.placement() else {
+        return;
+    };
+    let hosts = &cx.members.borrow().hosts;
+    let Some(address) = hosts
+        .get(&placement.worker)
+        .map(|host| host.address.clone())
+    else {
+        return;
+    };
+    let (cx, job, epoch) = (Rc::clone(cx), job.clone(), shard.epoch);
+    supervisor::spawn("stop-task", async move {
+        let _ = cx.workers.stop(&address, &job, epoch).await;
+    });
+}
--- /dev/null
+++ b/src/lapisdrum/daemon/peers.rs
@@ -0,0 +1,40 @@
+//! What this daemon answers to other daemons.
+
+use super::{Cx, catalogue, grants, jobs};
+use crate::{
+    core::outcome::Refusal,
+    peer::wire::{PeerReply, PeerRequest},
+};
+use std::time::Duration;
+
+/// When a daemon should ask again that took this one for an owner that it is not.
+const NOT_OWNER_RETRY: Duration = Duration::from_secs(1);
+
+/// Answers one request.
+pub async fn answer(cx: &Cx, req: PeerRequest) -> PeerReply {
+    match req {
+        PeerRequest::SubmitJob { .. } | PeerRequest::ShowJob(_) | PeerRequest::CancelJob(_) => {
+            jobs::answer(cx, req).await
+        }
+        PeerRequest::Grants(round) => {
+            let own = cx.shards.borrow().get(&round.shard).cloned();
+            match own {
+                Some(shard) => grants::answer(cx, &shard, round).await,
+                None => PeerReply::Refused(Refusal::NoOwner {
+                    retry_after: NOT_OWNER_RETRY,
+                }),
+            }
+        }
+        PeerRequest::News(revision) => {
+            catalogue::hear(cx, revision);
+            PeerReply::Ok
+        }
+        PeerRequest::Catalogue(known) => {
+            let own = cx.catalogue.borrow();
+            match own.revision > known {
+                true => PeerReply::Catalogue(own.clone()),
+                false => PeerReply::Ok,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lapisdrum/peer/client.rs
@@ -0,0 +1,100 @@
+//! Calls to other daemons over connections that are kept and reopened.
+//!
+//! tarpc matches replies to calls by id; a call that times out is dropped on this side, so a late
+//! reply reaches nobody.
+
+use super::{
+    server::PeerServiceClient as Stub,
+    wire::{PeerReply, PeerRequest, Stamped},
+};
+use crate::timeline::ring::Timeline;
+use indexmap::IndexMap;
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration};
+use tarpc::{client, context, tokio_serde::formats::Bincode};
+
+/// Largest frame between daemons, in bytes.
+pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// A call without a reply; it may have taken effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerError {
+    what: String,
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "peer did not answer: {}", self.what)
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Connections to other daemons by address.
+pub struct Peers {
+    timeline: Rc<Timeline>,
+    timeout: Duration,
+    open: RefCell<IndexMap<String, Stub>>,
+}
+
+impl Peers {
+    /// No connections yet; each call is given `timeout`.
+    pub fn new(timeline: Rc<Timeline>, timeout: Duration) -> Self {
+        Self {
+            timeline,
+            timeout,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Calls the daemon at `address`.
+    pub async fn call(&self, address: &str, req: PeerRequest) -> Result<PeerReply, PeerError> {
+        let exchange = self.exchange(address, req);
+        let outcome = match tokio::time::timeout(self.timeout, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(PeerError {
+                what: "timeout".to_owned(),
+            }),
+        };
+        if outcome.is_err() {
+            self.open.borrow_mut().swap_remove(address);
+        }
+        outcome
+    }
+
+    async fn exchange(&self, address: &str, req: PeerRequest) -> Result<PeerReply, PeerError> {
+        let stub = self.stub(address).await?;
+        let mut cx = context::current();
+        cx.deadline = std::time::Instant::now() + self.timeout;
+        let req = Stamped {
+            stamp: self.timeline.stamp(),
+            value: req,
+        };
+        let reply = stub.call(cx, req).await.map_err(|e| PeerError {
+            what: e.to_string(),
+        })?;
+        self.timeline.observe(reply.stamp);
+        Ok(reply.value)
+    }
+
+    async fn stub(&self, address: &str) -> Result<Stub, PeerError> {
+        if let Some(stub) = self.open.borrow().get(address) {
+            return Ok(stub.clone());
+        }
+        let target: SocketAddr = address.parse().map_err(|_| PeerError {
+            what: format!("`{address}` is no IP number and port"),
+        })?;
+        let mut connect = tarpc::serde_transport::tcp::connect(target, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = connect.await.map_err(|e| PeerError {
+            what: e.to_string(),
+        })?;
+        let new = Stub::new(client::Config::default(), transport);
+        actix_rt::spawn(async move {
+            let _ = new.dispatch.await;
+        });
+        self.open
+            .borrow_mut()
+            .insert(address.to_owned(), new.client.clone());
+        Ok(new.client)
+    }
+}
--- /dev/null
+++ b/src/lapisdrum/platform/client.rs
@@ -0,0 +1,182 @@
+//! The client of the platform's services.
+//!
+//! Every call ends in one of three ways that callers must tell apart: it took effect, it certainly
+//! did not, or nobody knows. An answer may be lost after the write took effect, so a write that
+//! failed in any way after it was sent is [`TxnOutcome::Unknown`] until its row is read back.
+
+use super::wire::{Host, HostWire, Row, Txn, TxnConflict, TxnDone};
+use actix_http::StatusCode;
+use awc::Client;
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use std::{fmt, time::Duration};
+
+/// Largest answer that is read, in bytes: a whole catalogue or a shard's ledger.
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+
+/// How a transaction ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TxnOutcome {
+    /// It took effect; the new versions of the rows put.
+    Committed(Vec<u64>),
+    /// An assertion failed and nothing was written.
+    Conflict(TxnConflict),
+    /// No answer, or none that tells; it may take effect yet.
+    Unknown(PlatformError),
+}
+
+/// A call that the platform did not answer as asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformError {
+    what: String,
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "platform did not answer: {}", self.what)
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+impl PlatformError {
+    /// A write that its sender held back since its lease has run out.
+    pub fn lease_lapsed() -> Self {
+        Self::new("the lease has run out")
+    }
+
+    fn new(what: impl fmt::Display) -> Self {
+        Self {
+            what: what.to_string(),
+        }
+    }
+}
+
+/// Speaks to the platform at one address.
+#[derive(Clone)]
+pub struct PlatformClient {
+    http: Client,
+    base: String,
+}
+
+impl PlatformClient {
+    /// A client of the platform at `address` (IP number and port) that gives each call `timeout` and
+    /// names itself `user_agent`, so that the platform's logs tell daemons apart.
+    pub fn new(address: &str, user_agent: &str, timeout: Duration) -> Self {
+        let http = Client::builder()
+            .timeout(timeout)
+            .disable_redirects()
+            .add_default_header(("user-agent", user_agent))
+            .finish();
+        Self {
+            http,
+            base: format!("http://{address}/v1"),
+        }
+    }
+
+    /// Runs a transaction.
+    pub async fn txn(&self, txn: &Txn) -> TxnOutcome {
+        match self.try_txn(txn).await {
+            Ok(outcome) => outcome,
+            Err(e) => TxnOutcome::Unknown(e),
+        }
+    }
+
+    async fn try_txn(&self, txn: &Txn) -> Result<TxnOutcome, PlatformError> {
+        let url = format!("{}/table/txn", self.base);
+        let mut answer = self
+            .http
+            .post(url)
+            .send_json(txn)
+            .await
+            .map_err(PlatformError::new)?;
+        let body = answer
+            .body()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(PlatformError::new)?;
+        match answer.status() {
+            StatusCode::OK => {
+                parse(&body).map(|done: TxnDone| TxnOutcome::Committed(done.versions))
+            }
+            StatusCode::CONFLICT => parse(&body).map(TxnOutcome::Conflict),
+            status => Err(PlatformError::new(status)),
+        }
+    }
+
+    /// Reads a row.
+    pub async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let answer = self.fetch(&format!("{}/table/{key}", self.base)).await?;
+        answer.map(|body| parse(&body)).transpose()
+    }
+
+    /// Reads all rows whose keys begin with `prefix`, in key order, as of one moment.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        let answer = self
+            .fetch(&format!("{}/table?prefix={prefix}", self.base))
+            .await?;
+        parse(&answer.unwrap_or_default())
+    }
+
+    /// Reads the membership list; hosts whose names break the rules are left out.
+    pub async fn hosts(&self) -> Result<Vec<Host>, PlatformError> {
+        let answer = self.fetch(&format!("{}/hosts", self.base)).await?;
+        let raw: Vec<HostWire> = parse(&answer.unwrap_or_default())?;
+        Ok(raw
+            .into_iter()
+            .filter_map(|host| Host::try_from(host).ok())
+            .collect())
+    }
+
+    /// Stores an object.
+    pub async fn put_object(&self, key: &str, body: Bytes) -> Result<(), PlatformError> {
+        let sent = self
+            .http
+            .put(format!("{}/objects/{key}", self.base))
+            .send_body(body)
+            .await;
+        let answer = sent.map_err(PlatformError::new)?;
+        if answer.status().is_success() {
+            return Ok(());
+        }
+        Err(PlatformError::new(answer.status()))
+    }
+
+    /// Reads an object.
+    pub async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        self.fetch(&format!("{}/objects/{key}", self.base)).await
+    }
+
+    /// Deletes an object; one that is not there is no error.
+    pub async fn delete_object(&self, key: &str) -> Result<(), PlatformError> {
+        let sent = self
+            .http
+            .delete(format!("{}/objects/{key}", self.base))
+            .send()
+            .await;
+        sent.map(|_| ()).map_err(PlatformError::new)
+    }
+
+    async fn fetch(&self, url: &str) -> Result<Option<Bytes>, PlatformError> {
+        let mut answer = self
+            .http
+            .get(url)
+            .send()
+            .await
+            .map_err(PlatformError::new)?;
+        let body = answer
+            .body()
+            .limit(MAX_ANSWER_BYTES)
+            .await
+            .map_err(PlatformError::new)?;
+        match answer.status() {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(PlatformError::new(status)),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(PlatformError::new)
+}
--- /dev/null
+++ b/src/lapisdrum/state/ledger.rs
@@ -0,0 +1,501 @@
+//! A shard's ledger: what its owner must remember, as events applied to a state.
+//!
+//! The owner alone appends. One table transaction asserts the epoch and the next sequence number
+//! and puts one row that carries a [`Batch`]; recovery is the last snapshot plus the batches after
+//! it. [`State::apply`] checks every event against the state, so an event that does not belong is
+//! found when it is proposed and not at the next recovery.
+
+use super::ownership::Holder;
+use crate::core::{
+    id::{EntryName, Epoch, JobId, RequestId, Sequence, WorkerId},
+    job::{Attempt, Checkpoint, Job, JobEnd, JobPhase, Placement},
+    size::Size,
+};
+use indexmap::IndexMap;
+use std::fmt;
+
+data! {
+    /// What a daemon may use of a worker for requests, without asking anybody.
+    #[derive(Copy, Default)]
+    pub struct Grant {
+        /// Requests at once.
+        pub slots: u32,
+        /// The sum of their sizes.
+        pub size: Size,
+    }
+
+    /// How a claimed request ended.
+    pub enum ClaimEnd {
+        /// Answered: status, and the body when it is small enough to keep.
+        Done {
+            /// The worker's status.
+            status: u16,
+            /// The worker's body.
+            body: Vec<u8>,
+        },
+        /// It was not run and may be asked again.
+        NotRun,
+        /// Whether it ran is not known; it will not be sent again.
+        Unknown,
+    }
+
+    /// A caller's request id, claimed before the request is sent.
+    pub struct Claim {
+        /// The entry that it was claimed for.
+        pub entry: EntryName,
+        /// The daemon that claimed it and may send it.
+        pub by: Holder,
+        /// How it ended, once known.
+        pub end: Option<ClaimEnd>,
+    }
+
+    /// An owner that may have renewed tasks of this shard.
+    pub struct OwnerRecord {
+        /// Its epoch.
+        pub epoch: Epoch,
+        /// Who it was.
+        pub holder: Holder,
+        /// Whether it gave the shard up itself.
+        pub released: bool,
+    }
+
+    /// One thing that happened in a shard.
+    pub enum Event {
+        /// An owner took the shard.
+        OwnerBegan {
+            /// Its epoch.
+            epoch: Epoch,
+            /// Who it is.
+            holder: Holder,
+        },
+        /// An owner gave the shard up; its last event.
+        OwnerEnded {
+            /// Its epoch.
+            epoch: Epoch,
+        },
+        /// A job was accepted.
+        Accepted {
+            /// The job.
+            job: JobId,
+            /// Its entry.
+            entry: EntryName,
+            /// What it takes.
+            size: Size,
+        },
+        /// A job was given a place.
+        Placed {
+            /// The job.
+            job: JobId,
+            /// Where, by whom, which attempt.
+            placement: Placement,
+        },
+        /// A worker saved a job's progress.
+        Checkpointed {
+            /// The job.
+            job: JobId,
+            /// The attempt that saved it.
+            attempt: Attempt,
+            /// What was saved.
+            checkpoint: Checkpoint,
+        },
+        /// A job lost its place: it has certainly stopped there and waits for another.
+        Evicted {
+            /// The job.
+            job: JobId,
+            /// The attempt that stopped.
+            attempt: Attempt,
+        },
+        /// An attempt failed on its worker; the job waits again.
+        AttemptFailed {
+            /// The job.
+            job: JobId,
+            /// The attempt that failed.
+            attempt: Attempt,
+        },
+        /// A cancel was asked for.
+        CancelAsked {
+            /// The job.
+            job: JobId,
+        },
+        /// A job is over.
+        Ended {
+            /// The job.
+            job: JobId,
+            /// How.
+            end: JobEnd,
+        },
+        /// An ended job is forgotten after its retention.
+        Forgotten {
+            /// The job.
+            job: JobId,
+        },
+        /// A request id was claimed.
+        Claimed {
+            /// The id.
+            request: RequestId,
+            /// The entry.
+            entry: EntryName,
+            /// The daemon that will send it.
+            by: Holder,
+        },
+        /// A claimed request's end is known.
+        ClaimEnded {
+            /// The id.
+            request: RequestId,
+            /// How it ended.
+            end: ClaimEnd,
+        },
+        /// A claim is forgotten after its retention.
+        ClaimForgotten {
+            /// The id.
+            request: RequestId,
+        },
+        /// A daemon's floor on a worker is set; an empty grant takes it back.
+        Granted {
+            /// The daemon.
+            to: Holder,
+            /// The worker.
+            worker: WorkerId,
+            /// What it may use.
+            grant: Grant,
+        },
+        /// A daemon is certainly gone, and with it all its floors.
+        GrantsVoided {
+            /// The daemon.
+            of: Holder,
+        },
+    }
+
+    /// One row of the ledger.
+    pub struct Batch {
+        /// Its place.
+        pub sequence: Sequence,
+        /// The writer's epoch.
+        pub epoch: Epoch,
+        /// Drawn at random by the writer for this try, so that a read-back tells its own row from
+        /// one that somebody else wrote at the same place.
+        pub nonce: u64,
+        /// What happened, in order.
+        pub events: Vec<Event>,
+    }
+}
+
+/// An event that does not belong to the state that it was applied to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Misplaced {
+    what: &'static str,
+    subject: String,
+}
+
+impl fmt::Display for Misplaced {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} for `{}`", self.what, self.subject)
+    }
+}
+
+impl std::error::Error for Misplaced {}
+
+fn misplaced(what: &'static str, subject: &impl ToString) -> Misplaced {
+    Misplaced {
+        what,
+        subject: subject.to_string(),
+    }
+}
+
+data! {
+    /// Everything that a shard remembers.
+    #[derive(Default)]
+    pub struct State {
+        /// The last batch applied.
+        pub sequence: Sequence,
+        /// The epoch of the last owner that wrote.
+        pub epoch: Epoch,
+        /// Jobs that are not yet forgotten.
+        pub jobs: IndexMap<JobId, Job>,
+        /// Request ids that callers brought.
+        pub claims: IndexMap<RequestId, Claim>,
+        /// Floors of each daemon on each worker.
+        #[serde(with = "indexmap::map::serde_seq")]
+        pub grants: IndexMap<Holder, IndexMap<WorkerId, Grant>>,
+        /// Owners so far that may matter to a task still placed.
+        pub owners: Vec<OwnerRecord>,
+        /// What is committed on each worker, tasks and floors together; follows from the rest.
+        pub committed: IndexMap<WorkerId, Grant>,
+    }
+}
+
+impl State {
+    /// Applies a whole batch, or nothing of it when its place or epoch is wrong.
+    pub fn apply_batch(&mut self, batch: &Batch) -> Result<(), Misplaced> {
+        if batch.sequence != self.sequence.next() {
+            return Err(misplaced("sequence out of order", &batch.sequence.0));
+        }
+        if batch.epoch < self.epoch {
+            return Err(misplaced("epoch below the last writer's", &batch.epoch));
+        }
+        for event in &batch.events {
+            self.apply(event)?;
+        }
+        self.sequence = batch.sequence;
+        self.epoch = batch.epoch;
+        Ok(())
+    }
+
+    /// Applies one event; an error leaves the state as it was.
+    pub fn apply(&mut self, event: &Event) -> Result<(), Misplaced> {
+        match event {
+            Event::OwnerBegan { epoch, holder } => self.owner_began(*epoch, holder),
+            Event::OwnerEnded { epoch } => self.owner_ended(*epoch),
+            Event::Accepted { job, entry, size } => self.accepted(job, entry, size),
+            Event::Placed { job, placement } => self.placed(job, placement),
+            Event::Checkpointed {
+                job,
+                attempt,
+                checkpoint,
+            } => {
+                self.running(job, *attempt)?.checkpoint = Some(checkpoint.clone());
+                Ok(())
+            }
+            Event::Evicted { job, attempt } => self.unplaced(job, *attempt).map(|_| ()),
+            Event::AttemptFailed { job, attempt } => {
+                self.unplaced(job, *attempt)?.failures += 1;
+                Ok(())
+            }
+            Event::CancelAsked { job } => self.cancel_asked(job),
+            Event::Ended { job, end } => self.ended(job, end),
+            Event::Forgotten { job } => self.forgotten(job),
+            Event::Claimed { request, entry, by } => self.claimed(request, entry, by),
+            Event::ClaimEnded { request, end } => self.claim_ended(request, end),
+            Event::ClaimForgotten { request } => self.claim_forgotten(request),
+            Event::Granted { to, worker, grant } => {
+                self.granted(to, worker, *grant);
+                Ok(())
+            }
+            Event::GrantsVoided { of } => {
+                self.grants_voided(of);
+                Ok(())
+            }
+        }
+    }
+
+    /// What is committed on a worker.
+    pub fn committed_on(&self, worker: &WorkerId) -> Grant {
+        self.committed.get(worker).copied().unwrap_or_default()
+    }
+
+    /// What follows from jobs and floors alone; equals `committed` at all times.
+    pub fn recount(&self) -> IndexMap<WorkerId, Grant> {
+        let mut sums: IndexMap<WorkerId, Grant> = IndexMap::new();
+        for job in self.jobs.values() {
+            if let Some(placement) = job.placement() {
+                let sum = sums.entry(placement.worker.clone()).or_default();
+                sum.size = sum.size.plus(&job.size);
+            }
+        }
+        for (worker, grant) in self.grants.values().flatten() {
+            let sum = sums.entry(worker.clone()).or_default();
+            sum.slots += grant.slots;
+            sum.size = sum.size.plus(&grant.size);
+        }
+        sums
+    }
+
+    /// The owners besides `epoch` that may have renewed a task placed at `placed`.
+    pub fn suspects(&self, placed: Epoch, epoch: Epoch) -> impl Iterator<Item = &OwnerRecord> {
+        self.owners
+            .iter()
+            .filter(move |owner| owner.epoch >= placed && owner.epoch < epoch)
+    }
+
+    fn owner_began(&mut self, epoch: Epoch, holder: &Holder) -> Result<(), Misplaced> {
+        if self.owners.last().is_some_and(|last| last.epoch >= epoch) {
+            return Err(misplaced("owner's epoch not above the last", &epoch));
+        }
+        let oldest = self
+            .jobs
+            .values()
+            .filter_map(|job| job.placement())
+            .map(|p| p.epoch)
+            .min();
+        let oldest = oldest.unwrap_or(epoch);
+        self.owners.retain(|owner| owner.epoch >= oldest);
+        self.owners.push(OwnerRecord {
+            epoch,
+            holder: holder.clone(),
+            released: false,
+        });
+        Ok(())
+    }
+
+    fn owner_ended(&mut self, epoch: Epoch) -> Result<(), Misplaced> {
+        let owner = self.owners.iter_mut().find(|owner| owner.epoch == epoch);
+        let owner = owner.ok_or_else(|| misplaced("no such owner", &epoch))?;
+        owner.released = true;
+        Ok(())
+    }
+
+    fn accepted(&mut self, id: &JobId, entry: &EntryName, size: &Size) -> Result<(), Misplaced> {
+        if self.jobs.contains_key(id) {
+            return Err(misplaced("job accepted twice", id));
+        }
+        let job = Job {
+            entry: entry.clone(),
+            size: *size,
+            phase: JobPhase::Waiting,
+            attempts: Attempt::default(),
+            failures: 0,
+            checkpoint: None,
+            cancelling: false,
+        };
+        self.jobs.insert(id.clone(), job);
+        Ok(())
+    }
+
+    fn placed(&mut self, id: &JobId, placement: &Placement) -> Result<(), Misplaced> {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| misplaced("no such job", id))?;
+        if job.phase != JobPhase::Waiting {
+            return Err(misplaced("job placed while not waiting", id));
+        }
+        if placement.attempt != Attempt(job.attempts.0 + 1) {
+            return Err(misplaced("attempt out of order", id));
+        }
+        job.attempts = placement.attempt;
+        job.phase = JobPhase::Placed(placement.clone());
+        let sum = self.committed.entry(placement.worker.clone()).or_default();
+        sum.size = sum.size.plus(&job.size);
+        Ok(())
+    }
+
+    fn running(&mut self, id: &JobId, attempt: Attempt) -> Result<&mut Job, Misplaced> {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| misplaced("no such job", id))?;
+        match job.placement() {
+            Some(placement) if placement.attempt == attempt => Ok(job),
+            _ => Err(misplaced("attempt is not the placed one", id)),
+        }
+    }
+
+    fn unplaced(&mut self, id: &JobId, attempt: Attempt) -> Result<&mut Job, Misplaced> {
+        self.running(id, attempt)?;
+        self.free_place(id);
+        let job = &mut self.jobs[id];
+        job.phase = JobPhase::Waiting;
+        Ok(job)
+    }
+
+    fn free_place(&mut self, id: &JobId) {
+        let job = &self.jobs[id];
+        let Some(placement) = job.placement() else {
+            return;
+        };
+        let (worker, size) = (placement.worker.clone(), job.size);
+        let sum = self.committed.entry(worker.clone()).or_default();
+        sum.size = sum.size.minus(&size);
+        self.drop_empty(&worker);
+    }
+
+    fn drop_empty(&mut self, worker: &WorkerId) {
+        if self.committed.get(worker) == Some(&Grant::default()) {
+            self.committed.swap_remove(worker);
+        }
+    }
+
+    fn cancel_asked(&mut self, id: &JobId) -> Result<(), Misplaced> {
+        let job = self
+            .jobs
+            .get_mut(id)
+            .ok_or_else(|| misplaced("no such job", id))?;
+        if job.is_ended() {
+            return Err(misplaced("cancel of an ended job", id));
+        }
+        job.cancelling = true;
+        Ok(())
+    }
+
+    fn ended(&mut self, id: &JobId, end: &JobEnd) -> Result<(), Misplaced> {
+        let job = self
+            .jobs
+            .get(id)
+            .ok_or_else(|| misplaced("no such job", id))?;
+        if job.is_ended() {
+            return Err(misplaced("job ended twice", id));
+        }
+        self.free_place(id);
+        self.jobs[id].phase = JobPhase::Ended(end.clone());
+        Ok(())
+    }
+
+    fn forgotten(&mut self, id: &JobId) -> Result<(), Misplaced> {
+        match self.jobs.get(id) {
+            Some(job) if job.is_ended() => {
+                self.jobs.swap_remove(id);
+                Ok(())
+            }
+            _ => Err(misplaced("only an ended job is forgotten", id)),
+        }
+    }
+
+    fn claimed(&mut self, id: &RequestId, entry: &EntryName, by: &Holder) -> Result<(), Misplaced> {
+        if self.claims.contains_key(id) {
+            return Err(misplaced("request claimed twice", id));
+        }
+        let claim = Claim {
+            entry: entry.clone(),
+            by: by.clone(),
+            end: None,
+        };
+        self.claims.insert(id.clone(), claim);
+        Ok(())
+    }
+
+    fn claim_ended(&mut self, id: &RequestId, end: &ClaimEnd) -> Result<(), Misplaced> {
+        let claim = self
+            .claims
+            .get_mut(id)
+            .ok_or_else(|| misplaced("no such claim", id))?;
+        if claim.end.is_some() {
+            return Err(misplaced("claim ended twice", id));
+        }
+        claim.end = Some(end.clone());
+        Ok(())
+    }
+
+    fn claim_forgotten(&mut self, id: &RequestId) -> Result<(), Misplaced> {
+        match self.claims.get(id) {
+            Some(claim) if claim.end.is_some() => {
+                self.claims.swap_remove(id);
+                Ok(())
+            }
+            _ => Err(misplaced("only an ended claim is forgotten", id)),
+        }
+    }
+
+    fn granted(&mut self, to: &Holder, worker: &WorkerId, grant: Grant) {
+        let floors = self.grants.entry(to.clone()).or_default();
+        let before = floors.insert(worker.clone(), grant).unwrap_or_default();
+        if grant == Grant::default() {
+            floors.swap_remove(worker);
+        }
+        if floors.is_empty() {
+            self.grants.swap_remove(to);
+        }
+        let sum = self.committed.entry(worker.clone()).or_default();
+        sum.slots = sum.slots - before.slots + grant.slots;
+        sum.size = sum.size.minus(&before.size).plus(&grant.size);
+        self.drop_empty(worker);
+    }
+
+    fn grants_voided(&mut self, of: &Holder) {
+        for (worker, grant) in self.grants.swap_remove(of).unwrap_or_default() {
+            let sum = self.committed.entry(worker.clone()).or_default();
+            sum.slots -= grant.slots;
+            sum.size = sum.size.minus(&grant.size);
+            self.drop_empty(&worker);
+        }
+    }
+}
--- /dev/null
+++ b/src/lapisdrum/util/http.rs
@@ -0,0 +1,268 @@
+//! Serving and asking over HTTP/1.1 with whole bodies, for every edge and for the stand-ins.
+//!
+//! The accept loop runs on the caller's own thread: a handler may hold `Rc` state without locks,
+//! and a test that pauses the runtime's clock pauses the server with it. Bodies are bounded; one
+//! beyond the bound is refused before it is held in memory.
+
+use actix_http::{
+    HttpService, Method, Request, Response, StatusCode,
+    body::{BodySize, BoxBody, MessageBody},
+    error::PayloadError,
+    header::HeaderMap,
+};
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// Time for a client to send its request's head.
+const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for connections to close after the last request in flight was answered. An idle keep-alive
+/// connection does not close by itself, and waiting for all of them would never end.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+/// Time between two looks at what is still open.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// A request with its body read whole.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// The method.
+    pub method: Method,
+    /// The path, without the query.
+    pub path: String,
+    /// The query, without the question mark; empty when there is none.
+    pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl HttpRequest {
+    /// A header's value, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// A query parameter's value as written; names and percent signs are not decoded.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        pairs
+            .into_iter()
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+
+    /// The body read as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// An answer with a whole body.
+#[derive(Clone, Debug)]
+pub struct HttpResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// Header names and values.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl HttpResponse {
+    /// An answer with `body` as JSON.
+    pub fn json(status: StatusCode, body: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        Self::bytes(status, body.into()).with("content-type", "application/json")
+    }
+
+    /// An answer with these bytes.
+    pub fn bytes(status: StatusCode, body: Bytes) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body,
+        }
+    }
+
+    /// An answer without a body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self::bytes(status, Bytes::new())
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// What a handler is given when the body could not be read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFault {
+    /// The body is beyond the bound.
+    TooLarge {
+        /// The bound in bytes.
+        limit: usize,
+    },
+    /// The client went away or broke off.
+    Incomplete,
+}
+
+/// Serves `handler` on `listener` until `stop` turns true; then accepts no more, lets requests in
+/// flight finish, and returns once the last of them is answered.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    body_limit: usize,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let handler = Rc::new(handler);
+    let in_flight = Rc::new(());
+    let counted = Rc::clone(&in_flight);
+    let service = fn_service(move |req: Request| {
+        let (handler, token) = (Rc::clone(&handler), Rc::clone(&counted));
+        async move {
+            let read = read_request(req, body_limit).await;
+            Ok::<_, Infallible>(to_actix(handler(read).await, token))
+        }
+    });
+    let signal = {
+        let stop = stop.clone();
+        move || wait_true(stop.clone())
+    };
+    let factory = HttpService::build()
+        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+        .keep_alive(KEEP_ALIVE)
+        .tcp_nodelay(true)
+        .graceful_shutdown_signal(signal)
+        .finish(service)
+        .tcp()
+        .into_factory();
+    let Ok(connections) = factory.new_service(()).await else {
+        return;
+    };
+    accept_loop(listener, stop, Rc::new(connections), &in_flight).await;
+}
+
+async fn accept_loop<S>(
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+    service: Rc<S>,
+    in_flight: &Rc<()>,
+) where
+    S: Service<TcpStream> + 'static,
+{
+    // The service itself holds one token.
+    let idle_tokens = Rc::strong_count(in_flight);
+    let open = Rc::new(());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_true(stop.clone()) => break,
+        };
+        // A failed accept (out of file handles, client gone) must not end the server.
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(CLOSE_POLL).await;
+            continue;
+        };
+        let (service, token) = (Rc::clone(&service), Rc::clone(&open));
+        actix_rt::spawn(async move {
+            let _ = service.call(stream).await;
+            drop(token);
+        });
+    }
+    drop(listener);
+    while Rc::strong_count(in_flight) > idle_tokens {
+        tokio::time::sleep(CLOSE_POLL).await;
+    }
+    let all_closed = async {
+        while Rc::strong_count(&open) > 1 {
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    };
+    let _ = tokio::time::timeout(CLOSE_GRACE, all_closed).await;
+}
+
+/// Completes once the watched value is true; never, if its sender goes away while it is false.
+pub async fn wait_true(mut stop: watch::Receiver<bool>) {
+    if stop.wait_for(|stopped| *stopped).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn read_request(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
+    let mut payload = req.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_: PayloadError| BodyFault::Incomplete)?;
+        if body.len() + chunk.len() > limit {
+            return Err(BodyFault::TooLarge { limit });
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(HttpRequest {
+        method: req.method().clone(),
+        path: req.path().to_owned(),
+        query: req.uri().query().unwrap_or_default().to_owned(),
+        headers: std::mem::replace(req.headers_mut(), HeaderMap::new()),
+        body: body.freeze(),
+    })
+}
+
+fn to_actix(answer: HttpResponse, token: Rc<()>) -> Response<BoxBody> {
+    let mut builder = Response::build(answer.status);
+    for (name, value) in answer.headers {
+        builder.insert_header((name, value));
+    }
+    builder.body(InFlightBody { body: answer.body, _token: token }).map_into_boxed_body()
+}
+
+/// A body that keeps its request counted as in flight until it has been handed to the socket.
+struct InFlightBody {
+    body: Bytes,
+    _token: Rc<()>,
+}
+
+impl MessageBody for InFlightBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.body.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let body = std::mem::take(&mut self.body);
+        Poll::Ready((!body.is_empty()).then_some(Ok(body)))
+    }
+}
