--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -6,7 +6,12 @@
 /// A loopback address of its own with a port that is free now. A random host part keeps two test
 /// runs on one machine, and a port that is taken again, apart.
 pub fn free_address() -> SocketAddr {
-    let ip = Ipv4Addr::new(127, rand::random_range(1..=250), rand::random(), rand::random_range(2..=250));
+    let ip = Ipv4Addr::new(
+        127,
+        rand::random_range(1..=250),
+        rand::random(),
+        rand::random_range(2..=250),
+    );
     let bound = TcpListener::bind((IpAddr::V4(ip), 0));
     let address = bound.and_then(|listener| listener.local_addr());
     address.unwrap_or_else(|e| panic!("no free loopback port: {e}"))
@@ -54,6 +59,9 @@
 
 /// Shorter intervals than the defaults, so that a test takes seconds.
 pub const QUICK: &str = "\
+[log]
+level = \"warn\"
+
 [shards]
 lease_ms = 1500
 renew_ms = 250
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -52,14 +52,19 @@
     let [(_, first), (second_address, second)] = &clients;
 
     println!("1. daemons come up");
-    until("both daemons are ready", async || first.is_ready().await && second.is_ready().await)
-        .await?;
+    until("both daemons are ready", async || {
+        first.is_ready().await && second.is_ready().await
+    })
+    .await?;
 
     println!("2. an operator adds three entries through the first daemon");
     let file: lapisdrum::core::catalogue::CatalogueFile = toml_entries()?;
     for raw in &file.entry {
         let done = first.put_entry(raw, None).await?;
-        println!("   {} ({}): revision {}", raw.name, raw.class, done.revision);
+        println!(
+            "   {} ({}): revision {}",
+            raw.name, raw.class, done.revision
+        );
     }
 
     println!("3. a caller asks the second daemon for a route map");
@@ -69,7 +74,10 @@
     println!("4. a batch render is accepted, runs under a lease and finishes");
     let render = submit(first, "catalogue-render").await?;
     until("the render is done", async || {
-        second.job(&render).await.is_ok_and(|job| job.state == "done")
+        second
+            .job(&render)
+            .await
+            .is_ok_and(|job| job.state == "done")
     })
     .await?;
     println!("   {render}: done");
@@ -77,13 +85,23 @@
     println!("5. a livestream starts in one place and keeps running");
     let stream = submit(second, "studio-livestream").await?;
     until("the livestream runs", async || {
-        first.job(&stream).await.is_ok_and(|job| job.state == "running")
+        first
+            .job(&stream)
+            .await
+            .is_ok_and(|job| job.state == "running")
     })
     .await?;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let shown = first.job(&stream).await?;
-    ensure!(shown.state == "running", "the livestream is {}", shown.state);
-    println!("   {stream}: running on {}", shown.worker.unwrap_or_default());
+    ensure!(
+        shown.state == "running",
+        "the livestream is {}",
+        shown.state
+    );
+    println!(
+        "   {stream}: running on {}",
+        shown.worker.unwrap_or_default()
+    );
 
     println!("6. what happened, over both daemons");
     for record in timeline::merge(&clients).await.events {
@@ -100,7 +118,10 @@
     let platform = Rc::new(Platform::default());
     for (name, rack) in [("worker-1", "rack-a"), ("worker-2", "rack-b")] {
         let address = start_worker(stopped).await?;
-        platform.hosts.borrow_mut().push(site::host(name, address, "westlands", rack));
+        platform
+            .hosts
+            .borrow_mut()
+            .push(site::host(name, address, "westlands", rack));
     }
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
@@ -109,9 +130,16 @@
 }
 
 async fn start_worker(stopped: &watch::Receiver<bool>) -> Result<SocketAddr> {
-    let capacity = Size { millicores: 16_000, memory_mb: 60_000, accelerators: 0 };
+    let capacity = Size {
+        millicores: 16_000,
+        memory_mb: 60_000,
+        accelerators: 0,
+    };
     let endless = vec!["studio-livestream".to_owned()];
-    let switches = WorkerSwitches { endless, ..WorkerSwitches::default() };
+    let switches = WorkerSwitches {
+        endless,
+        ..WorkerSwitches::default()
+    };
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     actix_rt::spawn(Worker::new(capacity, 8, switches).serve(listener, stopped.clone()));
@@ -121,7 +149,10 @@
 fn toml_entries() -> Result<lapisdrum::core::catalogue::CatalogueFile> {
     let file: lapisdrum::core::catalogue::CatalogueFile = toml::from_str(CATALOGUE)?;
     let names = file.entry.iter().map(|raw: &RawEntry| raw.name.as_str());
-    ensure!(names.count() == 3, "the example catalogue has three entries");
+    ensure!(
+        names.count() == 3,
+        "the example catalogue has three entries"
+    );
     Ok(file)
 }
 
@@ -130,7 +161,9 @@
     let http = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
     let deadline = tokio::time::Instant::now() + STEP_TIMEOUT;
     while tokio::time::Instant::now() < deadline {
-        let sent = http.post(format!("http://{address}/v1/run/route-map")).send_body("studio 14");
+        let sent = http
+            .post(format!("http://{address}/v1/run/route-map"))
+            .send_body("studio 14");
         if let Ok(mut answer) = sent.await
             && answer.status().is_success()
         {
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -168,7 +168,10 @@
     log::info!("draining");
     cx.draining.send_replace(true);
     let answered = supervisor.finished("api-server");
-    if tokio::time::timeout(cx.cfg.daemon.drain, answered).await.is_err() {
+    if tokio::time::timeout(cx.cfg.daemon.drain, answered)
+        .await
+        .is_err()
+    {
         log::warn!("drain timeout; requests still in flight are cut off");
     }
     supervisor.stop("registrar");
@@ -177,7 +180,10 @@
         grants::give_back(cx).await;
         registrar::release_all(cx).await;
     };
-    if tokio::time::timeout(GIVE_UP_TIMEOUT, give_up).await.is_err() {
+    if tokio::time::timeout(GIVE_UP_TIMEOUT, give_up)
+        .await
+        .is_err()
+    {
         log::warn!("platform does not answer; floors and shards are left to lapse");
     }
     supervisor.stop_all();
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -242,7 +242,12 @@
     for (name, value) in answer.headers {
         builder.insert_header((name, value));
     }
-    builder.body(InFlightBody { body: answer.body, _token: token }).map_into_boxed_body()
+    builder
+        .body(InFlightBody {
+            body: answer.body,
+            _token: token,
+        })
+        .map_into_boxed_body()
 }
 
 /// A body that keeps its request counted as in flight until it has been handed to the socket.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,5 @@
-fn main() {}
+//! The one test binary: a module a subject.
+
+mod bad_input;
+mod process;
+mod support;
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,5 @@
+//! What several subjects need: processes, waiting, raw HTTP.
+
+pub(crate) mod http;
+pub(crate) mod process;
+pub(crate) mod wait;
--- /dev/null
+++ b/tests/testsuite/support/process.rs
@@ -0,0 +1,237 @@
+//! Daemons and stand-ins as processes of their own, ended by id when a test is over.
+
+use super::{http, wait};
+use actix_http::Method;
+use lapisdrum::{api::client::DaemonClient, platform::wire::HostWire};
+use lapisdrum_standins::{
+    platform::server::PlatformSwitches,
+    site::{self, DaemonPlan},
+    worker::server::{WorkerLog, WorkerSwitches},
+};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+use tempfile::TempDir;
+
+/// Time for a process to serve.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Time for one call to a daemon.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The binary under test.
+pub(crate) fn lapisdrum_binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lapisdrum"))
+}
+
+/// The stand-ins' binary, which `cargo test` builds as an example.
+fn standins_binary() -> PathBuf {
+    let bin = lapisdrum_binary();
+    let path = bin
+        .parent()
+        .unwrap_or(Path::new("."))
+        .join("examples")
+        .join("standins");
+    assert!(
+        path.exists(),
+        "{} is missing: run `cargo build --examples`",
+        path.display()
+    );
+    path
+}
+
+/// A process that ends with its handle.
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by name, such as `STOP`, `CONT` or `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "signal {name} to {id}"
+        );
+    }
+
+    /// Ends it without warning.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether it has ended, and with which status.
+    pub(crate) fn ended(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A stand-in process and where it listens.
+pub(crate) struct Standin {
+    pub(crate) process: Process,
+    pub(crate) address: SocketAddr,
+}
+
+impl Standin {
+    fn start(args: &[&str]) -> Self {
+        let listen = site::free_address().to_string();
+        let mut child = Command::new(standins_binary())
+            .args(args)
+            .args(["--listen", &listen])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the stand-in starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the stand-in reports");
+        let address = line.trim().strip_prefix("listening on ");
+        let address = address.and_then(|address| address.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("stand-in said `{line}`"));
+        Self {
+            process: Process { child },
+            address,
+        }
+    }
+
+    pub(crate) fn platform() -> Self {
+        Self::start(&["platform"])
+    }
+
+    pub(crate) fn worker() -> Self {
+        Self::start(&["worker"])
+    }
+
+    pub(crate) async fn switch_platform(&self, switches: &PlatformSwitches) {
+        http::put_json(self.address, "/control/switches", switches).await;
+    }
+
+    pub(crate) async fn switch_worker(&self, switches: &WorkerSwitches) {
+        http::put_json(self.address, "/control/switches", switches).await;
+    }
+
+    pub(crate) async fn set_hosts(&self, hosts: &[HostWire]) {
+        http::put_json(self.address, "/control/hosts", &hosts).await;
+    }
+
+    pub(crate) async fn log(&self) -> WorkerLog {
+        let answer = http::send(Method::GET, self.address, "/control/log", &[], "").await;
+        let answer = answer.expect("the worker reports its log");
+        serde_json::from_slice(&answer.body).expect("a worker's log")
+    }
+}
+
+/// A daemon process.
+pub(crate) struct DaemonProcess {
+    pub(crate) process: Process,
+    pub(crate) plan: DaemonPlan,
+    _dir: TempDir,
+}
+
+impl DaemonProcess {
+    pub(crate) fn start(plan: DaemonPlan) -> Self {
+        let dir = TempDir::new().expect("a temporary folder");
+        let config = dir.path().join("daemon.toml");
+        fs::write(&config, plan.settings()).expect("the settings are written");
+        let child = Command::new(lapisdrum_binary())
+            .arg("run")
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Self {
+            process: Process { child },
+            plan,
+            _dir: dir,
+        }
+    }
+
+    pub(crate) fn client(&self) -> DaemonClient {
+        DaemonClient::new(&self.plan.callers.to_string(), CALL_TIMEOUT)
+    }
+
+    pub(crate) async fn ready(&self) {
+        let client = self.client();
+        wait::until("the daemon is ready", START_LIMIT, async || {
+            client.is_ready().await
+        })
+        .await;
+    }
+}
+
+/// A platform, workers in one data centre and daemons, all as processes.
+pub(crate) struct Site {
+    pub(crate) daemons: Vec<DaemonProcess>,
+    pub(crate) workers: Vec<Standin>,
+    pub(crate) platform: Standin,
+    pub(crate) hosts: Vec<HostWire>,
+}
+
+impl Site {
+    /// Starts everything and waits until each daemon is ready.
+    pub(crate) async fn start(daemons: usize, workers: usize) -> Self {
+        Self::start_with(daemons, workers, |_| {}).await
+    }
+
+    /// Like [`Site::start`], with a last word on each daemon's settings.
+    pub(crate) async fn start_with(
+        daemons: usize,
+        workers: usize,
+        adjust: impl Fn(&mut DaemonPlan),
+    ) -> Self {
+        let platform = Standin::platform();
+        let workers: Vec<Standin> = (0..workers).map(|_| Standin::worker()).collect();
+        let host = |(i, worker): (usize, &Standin)| {
+            site::host(
+                &format!("worker-{i}"),
+                worker.address,
+                "westlands",
+                &format!("rack-{i}"),
+            )
+        };
+        let hosts: Vec<HostWire> = workers.iter().enumerate().map(host).collect();
+        platform.set_hosts(&hosts).await;
+        let mut site = Self {
+            daemons: Vec::new(),
+            workers,
+            platform,
+            hosts,
+        };
+        for i in 0..daemons {
+            let mut plan = DaemonPlan::new(
+                &format!("westlands-{i}"),
+                "westlands",
+                site.platform.address,
+            );
+            adjust(&mut plan);
+            site.daemons.push(DaemonProcess::start(plan));
+        }
+        for daemon in &site.daemons {
+            daemon.ready().await;
+        }
+        site
+    }
+}
--- /dev/null
+++ b/tests/testsuite/support/wait.rs
@@ -0,0 +1,35 @@
+//! Waiting for something to hold, with a bound.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(25);
+
+/// Waits until `holds`, or fails the test after `limit`.
+pub(crate) async fn until(what: &str, limit: Duration, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + limit;
+    loop {
+        if holds().await {
+            return;
+        }
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Waits until `get` gives something, or fails the test after `limit`.
+pub(crate) async fn until_some<T>(
+    what: &str,
+    limit: Duration,
+    mut get: impl AsyncFnMut() -> Option<T>,
+) -> T {
+    let end = Instant::now() + limit;
+    loop {
+        if let Some(got) = get().await {
+            return got;
+        }
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
