--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -68,6 +68,9 @@
 task_lease_ms = 3000
 task_renew_ms = 250
 linger_batch_ms = 10
+write_spacing_ms = 10
+checkpoint_ms = 250
+leaving_grace_ms = 1000
 
 [catalogue]
 poll_ms = 250
--- /dev/null
+++ b/src/lapisdrum/daemon/evictions.rs
@@ -0,0 +1,162 @@
+//! When a placed task certainly runs no more: its host is gone, or it is silent and every lease that
+//! anybody may have given it has run out. [`crate::state::fencing`] holds the rule; this gathers the
+//! evidence.
+
+use super::{
+    Cx,
+    journal::{Urgency, WriteEnd},
+    sessions,
+    shard::Shard,
+    supervisor,
+};
+use crate::{
+    core::{
+        id::{JobId, WorkerId},
+        job::{JobEnd, Placement},
+        time::Millis,
+    },
+    state::{
+        fencing::{self, EarlierOwners, Evidence, WorkerEvidence},
+        ledger::{Event, OwnerRecord},
+    },
+    timeline::event::Happening,
+};
+use indexmap::IndexMap;
+use std::rc::Rc;
+
+/// Evicts what was placed on hosts that the platform no longer names: it vouches that they are dead.
+///
+/// The list lags, so a host that this process has never seen named may be one that the list does not
+/// name *yet*; an earlier owner with a fresher list may have placed tasks there. Such a host counts
+/// as gone only after a whole task lease without being named.
+pub fn forget_gone_hosts(cx: &Cx, shard: &Rc<Shard>) {
+    let terms = &cx.cfg.shards.terms;
+    let patience = terms.lengthened(cx.cfg.shards.task_lease);
+    let is_late = cx.clock.now().since(shard.since) > patience;
+    let gone: Vec<WorkerId> = {
+        let members = cx.members.borrow();
+        let index = shard.journal.index();
+        let unnamed = index
+            .workers()
+            .filter(|worker| !members.hosts.contains_key(*worker));
+        unnamed
+            .filter(|worker| is_late || members.was_named(worker))
+            .cloned()
+            .collect()
+    };
+    for worker in &gone {
+        for (job, placement) in sessions::placements_on(shard, worker) {
+            unplace(cx, shard, &job, &placement, "host is gone");
+        }
+    }
+    let members = cx.members.borrow();
+    let named = |worker: &WorkerId| members.hosts.contains_key(worker);
+    shard
+        .sessions
+        .borrow_mut()
+        .retain(|worker, _| named(worker));
+}
+
+/// Evicts what a silent worker certainly no longer runs.
+pub fn give_up_silent(
+    cx: &Cx,
+    shard: &Rc<Shard>,
+    worker: &WorkerId,
+    judged: &IndexMap<JobId, Placement>,
+) {
+    let now = cx.clock.now();
+    for (job, placement) in judged {
+        let sent = shard.session(worker, |session| session.sent(job, placement.attempt));
+        let evidence = Evidence {
+            worker: WorkerEvidence::Silent,
+            own_lease_end: sent.flatten().map(|sent| sent.lease_end),
+            earlier: earlier_owners(cx, shard, placement),
+            owner_since: shard.since,
+            task_lease: cx.cfg.shards.task_lease,
+            hold: sessions::hold_of(cx, shard, job),
+        };
+        if fencing::restart_at(&evidence, &cx.cfg.shards.terms) < now {
+            unplace(cx, shard, job, placement, "lease has run out");
+        }
+    }
+}
+
+/// What is known of earlier owners that may have renewed a placement.
+fn earlier_owners(cx: &Cx, shard: &Shard, placement: &Placement) -> EarlierOwners {
+    let state = shard.state();
+    let mut suspects = state.suspects(placement.epoch, shard.epoch).peekable();
+    if suspects.peek().is_none() {
+        return EarlierOwners::None;
+    }
+    let mut latest = shard.since;
+    for owner in suspects {
+        match gone_since(cx, shard, owner) {
+            Some(since) => latest = latest.max(since),
+            None => return EarlierOwners::Unaccounted,
+        }
+    }
+    EarlierOwners::Gone(latest)
+}
+
+/// Since when an earlier owner is known to be gone. One that released the shard was gone before this
+/// owner took it. One that was replaced or whose host left the platform's list may have renewed
+/// tasks until shortly before that was seen, so its time counts from there.
+fn gone_since(cx: &Cx, shard: &Shard, owner: &OwnerRecord) -> Option<Millis> {
+    if owner.released {
+        return Some(shard.since);
+    }
+    let mut found = shard.owners_gone.borrow_mut();
+    if let Some(since) = found.get(&owner.epoch) {
+        return Some(*since);
+    }
+    let members = cx.members.borrow();
+    let is_gone =
+        members.is_replaced(&owner.holder, shard.since) || members.is_host_gone(&owner.holder);
+    is_gone.then(|| {
+        let now = cx.clock.now();
+        found.insert(owner.epoch, now);
+        now
+    })
+}
+
+/// Takes a placement back in the ledger. The caller knows that it runs no more.
+pub fn unplace(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: &Placement, reason: &str) {
+    let current = shard.job(job);
+    let Some(current) = current.filter(|job| job.placement() == Some(placement)) else {
+        return;
+    };
+    let event = match current.cancelling {
+        true => Event::Ended {
+            job: job.clone(),
+            end: JobEnd::Cancelled,
+        },
+        false => Event::Evicted {
+            job: job.clone(),
+            attempt: placement.attempt,
+        },
+    };
+    // While the ledger can't take it, the placement stands and the next visit tries again.
+    let Ok(ticket) = shard.propose(cx, vec![event], Urgency::Urgent) else {
+        return;
+    };
+    let (cx, shard, job) = (Rc::clone(cx), Rc::clone(shard), job.clone());
+    let (placement, reason) = (placement.clone(), reason.to_owned());
+    supervisor::spawn("unplaced", async move {
+        if ticket.end().await == WriteEnd::Committed {
+            let worker = &placement.worker;
+            shard.session(worker, |session| session.forget(&job, placement.attempt));
+            note_eviction(&cx, &job, worker, &reason);
+            shard.placement.notify_one();
+        }
+    });
+}
+
+/// Tells counters and time line of an eviction.
+pub fn note_eviction(cx: &Cx, job: &JobId, worker: &WorkerId, reason: &str) {
+    cx.metrics.evictions.inc();
+    cx.timeline.record(Happening::TaskEvicted {
+        job: job.clone(),
+        worker: worker.clone(),
+        reason: reason.to_owned(),
+    });
+}
--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -280,7 +280,8 @@
     u32::try_from(n).unwrap_or(u32::MAX)
 }
 
-fn request_share(cx: &Cx, host: &Host) -> Size {
+/// What of a worker is kept for requests.
+pub fn request_share(cx: &Cx, host: &Host) -> Size {
     let percent = u64::from(cx.cfg.shards.request_share_percent);
     host.capacity.times(percent).divided(PERCENT)
 }
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -1,19 +1,21 @@
 //! Jobs from a caller's point of view: any daemon takes the call and brings it to the shard's owner.
 
 use super::{
-    Cx,
+    Cx, grants,
     journal::{Urgency, WriteEnd},
+    limits,
     shard::Shard,
-    supervisor,
+    upkeep, visits,
 };
 use crate::{
     core::{
         catalogue::{Class, Entry},
         id::{EntryName, JobId, RequestId, ShardId},
-        job::{Job, JobEnd, JobPhase},
+        job::Job,
         outcome::Refusal,
     },
     peer::wire::{PeerReply, PeerRequest},
+    platform::wire::Host,
     state::ledger::Event,
     timeline::event::Happening,
 };
@@ -151,14 +153,15 @@
 async fn accept(cx: &Cx, shard: &Rc<Shard>, job: JobId, name: &EntryName) -> PeerReply {
     if let Some(known) = shard.job(&job) {
         return match known.entry == *name {
-            true => PeerReply::Job(known),
+            true => settled(cx, shard, &job).await,
             false => PeerReply::Refused(Refusal::WrongClass {
                 entry: known.entry,
                 class: Class::Batch,
             }),
         };
     }
-    let entry = match check_entry(cx, name).and_then(|entry| check_fits(cx, shard, entry)) {
+    let checked = check_entry(cx, name).and_then(|entry| check_fits(cx, shard, entry));
+    let entry = match checked.and_then(|entry| check_limits(cx, shard, entry)) {
         Ok(entry) => entry,
         Err(refusal) => return PeerReply::Refused(refusal),
     };
@@ -167,17 +170,38 @@
         entry: entry.name.clone(),
         size: entry.size,
     };
-    let ticket = match shard.propose(cx, vec![accepted], Urgency::Urgent) {
+    let reply = write(cx, shard, &job, accepted).await;
+    if matches!(reply, PeerReply::Job(_)) {
+        cx.timeline.record(Happening::JobAccepted { job });
+        shard.placement.notify_one();
+    }
+    reply
+}
+
+/// Has an event about a job written and answers with the job.
+async fn write(cx: &Cx, shard: &Shard, job: &JobId, event: Event) -> PeerReply {
+    let ticket = match shard.propose(cx, vec![event], Urgency::Urgent) {
         Ok(ticket) => ticket,
         Err(e) => return PeerReply::Refused(e.refusal()),
     };
-    match ticket.end().await {
-        WriteEnd::Committed => {
-            cx.timeline
-                .record(Happening::JobAccepted { job: job.clone() });
-            shard.placement.notify_one();
-            shard.job(&job).map_or(PeerReply::Unknown, PeerReply::Job)
-        }
+    answer_for(shard, job, ticket.end_within(write_limit(cx)).await)
+}
+
+/// The job once all that is known of it is durable: a repeat must not be told of a job whose
+/// acceptance may still be lost.
+async fn settled(cx: &Cx, shard: &Shard, job: &JobId) -> PeerReply {
+    let unsettled = shard.journal.is_unsettled(job);
+    let ticket = unsettled.then(|| shard.journal.settlement()).flatten();
+    let end = match ticket {
+        Some(ticket) => ticket.end_within(write_limit(cx)).await,
+        None => WriteEnd::Committed,
+    };
+    answer_for(shard, job, end)
+}
+
+fn answer_for(shard: &Shard, job: &JobId, end: WriteEnd) -> PeerReply {
+    match end {
+        WriteEnd::Committed => shard.job(job).map_or(PeerReply::Unknown, PeerReply::Job),
         WriteEnd::NotWritten => PeerReply::Refused(Refusal::NoOwner {
             retry_after: NO_OWNER_RETRY,
         }),
@@ -185,62 +209,60 @@
     }
 }
 
-/// A job that fits no host, even an empty one, would wait for ever.
+/// How long a caller waits for a write before its end counts as unknown: two tries at the table.
+fn write_limit(cx: &Cx) -> Duration {
+    cx.cfg.platform.timeout * 2 + cx.cfg.shards.write_spacing
+}
+
+/// A job that fits no host beside what is kept for requests would wait for ever.
 fn check_fits(cx: &Cx, shard: &Shard, entry: Entry) -> Result<Entry, Refusal> {
     let members = cx.members.borrow();
     let hosts = members.shard_hosts(&shard.id, cx.cfg.shards.count);
-    if hosts.is_empty() || hosts.iter().any(|host| entry.size.fits(&host.capacity)) {
+    let room = |host: &Host| host.capacity.minus(&grants::request_share(cx, host));
+    if hosts.is_empty() || hosts.iter().any(|host| entry.size.fits(&room(host))) {
         return Ok(entry);
     }
     let size = entry.size;
     let reason = format!(
-        "it takes {} millicores, {} MB and {} accelerators, and no host has as much",
+        "it takes {} millicores, {} MB and {} accelerators, and no host has as much for tasks",
         size.millicores, size.memory_mb, size.accelerators
     );
     Err(Refusal::NeverFits { reason })
 }
 
-async fn end_by_caller(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: Job) -> PeerReply {
-    if found.is_ended() || found.cancelling {
-        return PeerReply::Job(found);
+/// A queue without a bound would take in work that nobody waits for any longer when its turn comes.
+fn check_limits(cx: &Cx, shard: &Shard, entry: Entry) -> Result<Entry, Refusal> {
+    let counts = shard.journal.index().counts(&entry.name);
+    let running = limits::job_limit(cx, shard, &entry);
+    let room = running.saturating_sub(counts.placed) + limits::queue_limit(cx, shard, &entry);
+    if running == 0 || counts.waiting >= room {
+        return Err(Refusal::OverLimit {
+            entry: entry.name,
+            retry_after: NO_OWNER_RETRY,
+        });
     }
-    let event = match found.phase {
-        JobPhase::Waiting => Event::Ended {
-            job: job.clone(),
-            end: JobEnd::Cancelled,
-        },
-        _ => Event::CancelAsked { job: job.clone() },
-    };
-    let ticket = match shard.propose(cx, vec![event], Urgency::Urgent) {
-        Ok(ticket) => ticket,
-        Err(e) => return PeerReply::Refused(e.refusal()),
+    Ok(entry)
+}
+
+async fn end_by_caller(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: Job) -> PeerReply {
+    let Some(event) = upkeep::cancel(job, &found) else {
+        return settled(cx, shard, job).await;
     };
-    match ticket.end().await {
-        WriteEnd::Committed => {
-            stop_at_worker(cx, shard, job, &found);
-            shard.job(job).map_or(PeerReply::Unknown, PeerReply::Job)
-        }
-        WriteEnd::NotWritten => PeerReply::Refused(Refusal::NoOwner {
-            retry_after: NO_OWNER_RETRY,
-        }),
-        WriteEnd::Unknown => PeerReply::Unknown,
+    let reply = write(cx, shard, job, event).await;
+    if matches!(reply, PeerReply::Job(_)) {
+        stop_at_worker(cx, shard, job, &found);
     }
+    reply
 }
 
-/// Stops the task now rather than at the worker's next visit, which records the end.
+/// Stops the task now rather than at the worker's next visit.
 fn stop_at_worker(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: &Job) {
     let Some(placement) = found.placement() else {
         return;
     };
-    let hosts = &cx.members.borrow().hosts;
-    let Some(address) = hosts
-        .get(&placement.worker)
-        .map(|host| host.address.clone())
-    else {
-        return;
-    };
-    let (cx, job, epoch) = (Rc::clone(cx), job.clone(), shard.epoch);
-    supervisor::spawn("stop-task", async move {
-        let _ = cx.workers.stop(&address, &job, epoch).await;
-    });
+    let worker = &placement.worker;
+    let address = shard.session(worker, |session| session.address.clone());
+    if let Some(address) = address {
+        visits::stop_running(cx, shard, worker, &address, job);
+    }
 }
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -1,29 +1,36 @@
-//! The writer of a shard's ledger: group commit, lost answers read back, snapshots.
+//! The writer of a shard's ledger: group commit and lost answers read back.
 //!
 //! Load pattern: thousands of task starts a second on a table that takes a few hundred writes a
 //! second for the whole system. A row for each event would need a write for each start. Events that
-//! arrive while a write is under way, or within a short linger, share the next row.
+//! arrive while a write is under way, within a short linger, or before the spacing of writes is
+//! over, share the next row. [`super::snapshots`] keeps the number of rows bounded.
 //!
 //! An event is applied to the state when it is proposed, so that the next decision sees it; its
 //! effects (an answer to a caller, a command to a worker) wait for [`Ticket`]. If the write can't be
 //! settled because another owner came, the whole state is dropped with the shard.
 
-use super::{Cx, registrar::epoch_key};
+use super::{
+    Cx,
+    index::{Index, job_of},
+    registrar::epoch_key,
+    snapshots::{self, Snapshot},
+};
 use crate::{
     core::{
-        id::{Epoch, Sequence, ShardId},
+        id::{EntryName, Epoch, JobId, Sequence, ShardId},
         outcome::Refusal,
         time::Millis,
     },
     platform::{
-        client::{PlatformError, TxnOutcome},
+        client::TxnOutcome,
         wire::{Row, Txn},
     },
     state::ledger::{Batch, Event, Misplaced, State},
     util::backoff::Backoff,
 };
+use indexmap::IndexSet;
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Ref, RefCell, RefMut},
     time::Duration,
 };
 use tokio::sync::{Notify, oneshot};
@@ -58,11 +65,11 @@
 /// Why an event was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ProposeError {
-    /// The table is away or the lease has run out; nothing was changed.
+    /// The table is away, the lease has run out, or the owner is giving the shard up.
     Stalled,
     /// The shard is lost.
     Lost,
-    /// The event does not belong to the state.
+    /// An event does not belong to the state; it and those after it were not taken.
     Misplaced(Misplaced),
 }
 
@@ -89,6 +96,12 @@
     pub async fn end(self) -> WriteEnd {
         self.0.await.unwrap_or(WriteEnd::Unknown)
     }
+
+    /// The write's end, or unknown after `limit`: a caller is answered although the table is away.
+    pub async fn end_within(self, limit: Duration) -> WriteEnd {
+        let end = tokio::time::timeout(limit, self.end()).await;
+        end.unwrap_or(WriteEnd::Unknown)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,13 +111,36 @@
     Lost,
 }
 
+/// What goes into one row: who waits for it and which jobs it is about.
+#[derive(Default)]
+struct Company {
+    waiters: Vec<oneshot::Sender<WriteEnd>>,
+    jobs: IndexSet<JobId>,
+}
+
+impl Company {
+    fn answer(&mut self, end: WriteEnd) {
+        self.jobs.clear();
+        for waiter in self.waiters.drain(..) {
+            let _ = waiter.send(end);
+        }
+    }
+}
+
 struct Inner {
     state: State,
+    index: Index,
     open: Vec<Event>,
-    waiters: Vec<oneshot::Sender<WriteEnd>>,
+    open_company: Company,
+    /// Of the row that is under way; none while no write is.
+    under_way: Option<Company>,
     due: Option<Millis>,
+    written_at: Option<Millis>,
     standing: Standing,
     since_snapshot: u64,
+    is_storing: bool,
+    snapshot: Option<Snapshot>,
+    first_row: Sequence,
 }
 
 /// One shard's ledger under one owner.
@@ -114,13 +150,13 @@
     epoch_version: u64,
     inner: RefCell<Inner>,
     work: Notify,
+    snapshot_work: Notify,
 }
 
-/// A batch on its way to the table, who waits for it, and the snapshot due after it.
+/// A batch on its way to the table and the snapshot due after it.
 struct Outgoing {
     batch: Batch,
-    waiters: Vec<oneshot::Sender<WriteEnd>>,
-    snapshot: Option<Vec<u8>>,
+    snapshot: Option<Snapshot>,
 }
 
 enum Settled {
@@ -134,11 +170,17 @@
     pub fn new(shard: ShardId, epoch: Epoch, epoch_version: u64) -> Self {
         let inner = Inner {
             state: State::default(),
+            index: Index::default(),
             open: Vec::new(),
-            waiters: Vec::new(),
+            open_company: Company::default(),
+            under_way: None,
             due: None,
+            written_at: None,
             standing: Standing::Stalled,
             since_snapshot: 0,
+            is_storing: false,
+            snapshot: None,
+            first_row: Sequence::default().next(),
         };
         Self {
             shard,
@@ -146,56 +188,119 @@
             epoch_version,
             inner: RefCell::new(inner),
             work: Notify::new(),
+            snapshot_work: Notify::new(),
         }
     }
 
+    /// The shard.
+    pub fn shard(&self) -> &ShardId {
+        &self.shard
+    }
+
+    /// The epoch, and the version of its row that every write asserts.
+    pub fn guard(&self) -> (Epoch, u64) {
+        (self.epoch, self.epoch_version)
+    }
+
     /// The state, with everything proposed so far.
     pub fn state(&self) -> Ref<'_, State> {
         Ref::map(self.inner.borrow(), |inner| &inner.state)
     }
 
-    /// Applies events and has them written together. On an error nothing was changed.
+    /// The index of the state.
+    pub fn index(&self) -> Ref<'_, Index> {
+        Ref::map(self.inner.borrow(), |inner| &inner.index)
+    }
+
+    /// The index, to take from its queues and lists.
+    pub fn index_mut(&self) -> RefMut<'_, Index> {
+        RefMut::map(self.inner.borrow_mut(), |inner| &mut inner.index)
+    }
+
+    /// Takes the next waiting job of an entry off its queue; see [`Index::take_waiting`].
+    pub fn take_waiting(&self, entry: &EntryName) -> Option<JobId> {
+        let inner = &mut *self.inner.borrow_mut();
+        inner.index.take_waiting(&inner.state, entry)
+    }
+
+    /// Whether an event about the job has been proposed that is not yet durable.
+    pub fn is_unsettled(&self, job: &JobId) -> bool {
+        let inner = self.inner.borrow();
+        let under_way = inner.under_way.as_ref();
+        inner.open_company.jobs.contains(job)
+            || under_way.is_some_and(|company| company.jobs.contains(job))
+    }
+
+    /// Whether the table has taken the last row without delay.
+    pub fn is_writing(&self) -> bool {
+        self.inner.borrow().standing == Standing::Writing
+    }
+
+    /// Applies events and has them written together. When one is misplaced those before it are
+    /// written all the same, so that state and ledger stay equal.
     pub fn propose(
         &self,
         cx: &Cx,
-        events: Vec<Event>,
+        mut events: Vec<Event>,
         urgency: Urgency,
     ) -> Result<Ticket, ProposeError> {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         match inner.standing {
             Standing::Writing => {}
             Standing::Stalled => return Err(ProposeError::Stalled),
             Standing::Lost => return Err(ProposeError::Lost),
         }
+        let now = cx.clock.now();
+        let mut fault = None;
+        let mut taken = 0;
         for event in &events {
-            inner.state.apply(event).map_err(ProposeError::Misplaced)?;
+            let before = Index::before(&inner.state, event);
+            if let Err(misplaced) = inner.state.apply(event) {
+                fault = Some(ProposeError::Misplaced(misplaced));
+                break;
+            }
+            inner.index.note(before, &inner.state, event, now);
+            inner.open_company.jobs.extend(job_of(event).cloned());
+            taken += 1;
         }
-        let (tx, rx) = oneshot::channel();
+        events.truncate(taken);
         inner.open.extend(events);
-        inner.waiters.push(tx);
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
             Urgency::Batch => cx.cfg.shards.linger_batch,
         };
-        let due = cx.clock.now() + linger;
+        let due = now + linger;
         inner.due = Some(inner.due.map_or(due, |earlier| earlier.min(due)));
         self.work.notify_one();
+        if let Some(fault) = fault {
+            return Err(fault);
+        }
+        let (tx, rx) = oneshot::channel();
+        inner.open_company.waiters.push(tx);
         Ok(Ticket(rx))
     }
 
-    /// Whether every proposed event is durable.
-    pub fn is_settled(&self) -> bool {
-        let inner = self.inner.borrow();
-        inner.open.is_empty() && inner.due.is_none() && inner.waiters.is_empty()
+    /// Completes when everything proposed so far is durable; none when it is already.
+    pub fn settlement(&self) -> Option<Ticket> {
+        let inner = &mut *self.inner.borrow_mut();
+        let company = match (inner.open.is_empty(), inner.under_way.as_mut()) {
+            (false, _) => &mut inner.open_company,
+            (true, Some(company)) => company,
+            (true, None) => return None,
+        };
+        let (tx, rx) = oneshot::channel();
+        company.waiters.push(tx);
+        Some(Ticket(rx))
     }
 
-    /// Ends the ledger: nothing more is written by this owner.
+    /// Ends the ledger: nothing more is written by this owner. A row under way may yet be in.
     pub fn lose(&self) {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         inner.standing = Standing::Lost;
         inner.open.clear();
-        for waiter in inner.waiters.drain(..) {
-            let _ = waiter.send(WriteEnd::NotWritten);
+        inner.open_company.answer(WriteEnd::NotWritten);
+        if let Some(mut company) = inner.under_way.take() {
+            company.answer(WriteEnd::Unknown);
         }
         self.work.notify_one();
     }
@@ -203,52 +308,44 @@
     /// Reads the last snapshot and the rows after it. The epoch row has been raised before, so no
     /// earlier owner can add a row while or after this reads.
     pub async fn recover(&self, cx: &Cx) -> eyre::Result<()> {
-        let mut state = self.read_snapshot(cx).await?;
+        let mut state = snapshots::read(cx, &self.shard).await?;
         let rows = cx.platform.list(&self.row_prefix()).await?;
         let mut replayed = 0;
+        let mut first_row = None;
         for row in &rows {
             let batch = row.parse::<Batch>();
             let batch = batch.ok_or_else(|| eyre::eyre!("ledger row {} is malformed", row.key))?;
+            first_row.get_or_insert(batch.sequence);
             // A snapshot whose older rows are not yet deleted covers them.
             if batch.sequence > state.sequence {
                 state.apply_batch(&batch)?;
                 replayed += 1;
             }
         }
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
+        if inner.standing == Standing::Lost {
+            return Ok(());
+        }
+        inner.first_row = first_row.unwrap_or(state.sequence.next());
+        inner.index = Index::build(&state, cx.clock.now());
         inner.state = state;
         inner.since_snapshot = replayed;
         inner.standing = Standing::Writing;
         Ok(())
     }
 
-    async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<State> {
-        let pointer = cx.platform.get(&self.pointer_key()).await?;
-        let Some(pointer) = pointer.and_then(|row| row.parse::<SnapshotPointer>()) else {
-            return Ok(State::default());
-        };
-        let object = cx.platform.get_object(&pointer.object).await?;
-        let object = object.ok_or_else(|| eyre::eyre!("snapshot {} is gone", pointer.object))?;
-        Ok(serde_json::from_slice(&object)?)
-    }
-
     /// Writes what is proposed until the shard is lost.
     pub async fn write_all(&self, cx: &Cx, may_act: impl Fn() -> bool) {
-        while let Some(mut due) = self.next_due().await {
+        while let Some(mut due) = self.next_due(cx).await {
             while due > cx.clock.now() {
                 let wait = due.since(cx.clock.now());
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
                     () = self.work.notified() => {}
                 }
-                due = self.inner.borrow().due.unwrap_or_default();
+                due = self.effective_due(cx).unwrap_or_default();
             }
-            let Some(Outgoing {
-                batch,
-                waiters,
-                snapshot,
-            }) = self.take_batch(cx)
-            else {
+            let Some(Outgoing { batch, snapshot }) = self.take_batch(cx) else {
                 continue;
             };
             let settled = self.settle(cx, &batch, &may_act).await;
@@ -257,9 +354,7 @@
                 Settled::Refused => WriteEnd::NotWritten,
                 Settled::Lost => WriteEnd::Unknown,
             };
-            for waiter in waiters {
-                let _ = waiter.send(end);
-            }
+            self.end_batch(end);
             if end != WriteEnd::Committed {
                 self.lose();
                 return;
@@ -267,30 +362,45 @@
             cx.metrics.ledger_writes.inc();
             cx.metrics.ledger_events.inc_by(batch.events.len() as u64);
             if let Some(snapshot) = snapshot {
-                self.store_snapshot(cx, batch.sequence, snapshot).await;
+                self.inner.borrow_mut().snapshot = Some(snapshot);
+                self.snapshot_work.notify_one();
             }
         }
     }
 
-    async fn next_due(&self) -> Option<Millis> {
+    fn end_batch(&self, end: WriteEnd) {
+        let company = self.inner.borrow_mut().under_way.take();
+        if let Some(mut company) = company {
+            company.answer(end);
+        }
+    }
+
+    async fn next_due(&self, cx: &Cx) -> Option<Millis> {
         loop {
-            {
-                let inner = self.inner.borrow();
-                if inner.standing == Standing::Lost {
-                    return None;
-                }
-                if inner.due.is_some() {
-                    return inner.due;
-                }
+            if self.inner.borrow().standing == Standing::Lost {
+                return None;
+            }
+            if let Some(due) = self.effective_due(cx) {
+                return Some(due);
             }
             self.work.notified().await;
         }
     }
 
+    /// When the next row is due. Under load rows keep their spacing, however urgent their events;
+    /// after a quiet time an event waits for its own linger only.
+    fn effective_due(&self, cx: &Cx) -> Option<Millis> {
+        let inner = self.inner.borrow();
+        let spaced = inner.written_at.map(|at| at + cx.cfg.shards.write_spacing);
+        inner.due.map(|due| due.max(spaced.unwrap_or_default()))
+    }
+
     fn take_batch(&self, cx: &Cx) -> Option<Outgoing> {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         inner.due = None;
         if inner.open.is_empty() {
+            // A proposal without events has nothing to wait for.
+            inner.open_company.answer(WriteEnd::Committed);
             return None;
         }
         let batch = Batch {
@@ -299,27 +409,31 @@
             nonce: rand::random(),
             events: std::mem::take(&mut inner.open),
         };
+        inner.under_way = Some(std::mem::take(&mut inner.open_company));
+        inner.written_at = Some(cx.clock.now());
         inner.state.sequence = batch.sequence;
         inner.state.epoch = self.epoch;
         inner.since_snapshot += 1;
-        let snapshot = (inner.since_snapshot >= cx.cfg.shards.snapshot_batches).then(|| {
+        let is_due = inner.since_snapshot >= cx.cfg.shards.snapshot_batches;
+        let snapshot = (is_due && !inner.is_storing).then(|| {
             inner.since_snapshot = 0;
+            inner.is_storing = true;
             // The state as of this batch, before anything later is proposed.
-            serde_json::to_vec(&inner.state).unwrap_or_default()
+            Snapshot {
+                sequence: batch.sequence,
+                state: inner.state.clone(),
+            }
         });
-        Some(Outgoing {
-            batch,
-            waiters: std::mem::take(&mut inner.waiters),
-            snapshot,
-        })
+        Some(Outgoing { batch, snapshot })
     }
 
     /// Tries a batch until it is known to be written, or never to be.
     async fn settle(&self, cx: &Cx, batch: &Batch, may_act: &impl Fn() -> bool) -> Settled {
+        let key = snapshots::row_key(&self.shard, batch.sequence);
         let txn = Txn::default()
             .compare(epoch_key(&self.shard), self.epoch_version)
-            .compare(self.row_key(batch.sequence), 0)
-            .put(self.row_key(batch.sequence), batch);
+            .compare(&key, 0)
+            .put(&key, batch);
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         let mut in_doubt = false;
         loop {
@@ -330,28 +444,27 @@
                     Settled::Refused
                 };
             }
-            let outcome = match may_act() || in_doubt {
-                true => cx.platform.txn(&txn).await,
-                // A paused owner wakes here with its lease gone and must not write.
-                false => TxnOutcome::Unknown(PlatformError::lease_lapsed()),
-            };
-            match outcome {
-                TxnOutcome::Committed(_) => {
-                    self.set_standing(Standing::Writing);
-                    return Settled::Committed;
-                }
-                TxnOutcome::Conflict(conflict) => {
-                    if let Some(settled) = self.read_back(cx, batch, in_doubt, &conflict.key).await
-                    {
-                        return settled;
+            // A paused owner wakes here with its lease gone and must not write. A row that was sent
+            // may be sent again: its epoch still decides.
+            if in_doubt || may_act() {
+                match cx.platform.txn(&txn).await {
+                    TxnOutcome::Committed(_) => {
+                        self.set_standing(Standing::Writing);
+                        return Settled::Committed;
+                    }
+                    TxnOutcome::Conflict(conflict) => {
+                        let found = self.read_back(cx, batch, in_doubt, &conflict.key).await;
+                        if let Some(settled) = found {
+                            return settled;
+                        }
+                    }
+                    TxnOutcome::Unknown(_) => {
+                        cx.metrics.platform_unknown.inc();
+                        in_doubt = true;
                     }
-                }
-                TxnOutcome::Unknown(_) => {
-                    cx.metrics.platform_unknown.inc();
-                    in_doubt |= may_act();
-                    self.set_standing(Standing::Stalled);
                 }
             }
+            self.set_standing(Standing::Stalled);
             let wait = backoff.next_wait(&mut rand::rng());
             tokio::time::sleep(wait).await;
         }
@@ -368,7 +481,8 @@
         if !in_doubt && conflict == epoch_key(&self.shard) {
             return Some(Settled::Refused);
         }
-        let row: Option<Row> = cx.platform.get(&self.row_key(batch.sequence)).await.ok()?;
+        let key = snapshots::row_key(&self.shard, batch.sequence);
+        let row: Option<Row> = cx.platform.get(&key).await.ok()?;
         match row.and_then(|row| row.parse::<Batch>()) {
             Some(found) if found.nonce == batch.nonce => {
                 self.set_standing(Standing::Writing);
@@ -387,61 +501,32 @@
         }
     }
 
-    /// Stores a snapshot, points to it, and deletes the rows that it covers. A failure leaves more
-    /// rows to replay and nothing else.
-    async fn store_snapshot(&self, cx: &Cx, sequence: Sequence, snapshot: Vec<u8>) {
-        let object = format!("snapshot/{}/{:020}-{}", self.shard, sequence.0, self.epoch);
-        if cx
-            .platform
-            .put_object(&object, snapshot.into())
-            .await
-            .is_err()
-        {
-            return;
-        }
-        let old = cx.platform.get(&self.pointer_key()).await.ok().flatten();
-        let old = old.and_then(|row| row.parse::<SnapshotPointer>());
-        let pointer = SnapshotPointer { object, sequence };
-        let txn = Txn::default()
-            .compare(epoch_key(&self.shard), self.epoch_version)
-            .put(self.pointer_key(), &pointer);
-        if !matches!(cx.platform.txn(&txn).await, TxnOutcome::Committed(_)) {
-            return;
-        }
-        let first = old
-            .as_ref()
-            .map(|old| old.sequence)
-            .unwrap_or_default()
-            .next();
-        let mut delete = Txn::default().compare(epoch_key(&self.shard), self.epoch_version);
-        for covered in first.0..=sequence.0 {
-            delete = delete.delete(self.row_key(Sequence(covered)));
-        }
-        let _ = cx.platform.txn(&delete).await;
-        if let Some(old) = old {
-            let _ = cx.platform.delete_object(&old.object).await;
+    /// Waits for the next snapshot to store.
+    pub async fn next_snapshot(&self) -> Snapshot {
+        loop {
+            if let Some(snapshot) = self.inner.borrow_mut().snapshot.take() {
+                return snapshot;
+            }
+            self.snapshot_work.notified().await;
         }
     }
 
-    fn row_prefix(&self) -> String {
-        format!("ledger/{}/", self.shard)
+    /// Notes that a snapshot was stored or given up; a failure leaves more rows to replay.
+    pub fn end_snapshot(&self) {
+        self.inner.borrow_mut().is_storing = false;
     }
 
-    fn row_key(&self, sequence: Sequence) -> String {
-        format!("ledger/{}/{:020}", self.shard, sequence.0)
+    /// The first row that may not be deleted yet.
+    pub fn first_row(&self) -> Sequence {
+        self.inner.borrow().first_row
     }
 
-    fn pointer_key(&self) -> String {
-        format!("snapshot/{}", self.shard)
+    /// Notes that all rows before this one are deleted.
+    pub fn set_first_row(&self, first: Sequence) {
+        self.inner.borrow_mut().first_row = first;
     }
-}
 
-data! {
-    /// The row that names a shard's last snapshot.
-    pub struct SnapshotPointer {
-        /// The object's key.
-        pub object: String,
-        /// The last batch that it covers.
-        pub sequence: Sequence,
+    fn row_prefix(&self) -> String {
+        format!("ledger/{}/", self.shard)
     }
 }
--- /dev/null
+++ b/src/lapisdrum/daemon/limits.rs
@@ -0,0 +1,38 @@
+//! How much of an entry's limits over the whole system one shard may use for jobs.
+//!
+//! The one place to ask: a shard's part is an even division over all shards that the table names, so
+//! that the parts add up to the limit whatever each shard's owner knows of the others.
+
+use super::{Cx, shard::Shard};
+use crate::core::{catalogue::Entry, id::ShardId};
+
+/// Jobs of an entry that may have a place in this shard at once.
+pub fn job_limit(cx: &Cx, shard: &Shard, entry: &Entry) -> u32 {
+    part(cx, shard, entry.limits.concurrency)
+}
+
+/// Jobs of an entry that may wait in this shard.
+pub fn queue_limit(cx: &Cx, shard: &Shard, entry: &Entry) -> u32 {
+    part(cx, shard, entry.limits.queue)
+}
+
+fn part(cx: &Cx, shard: &Shard, limit: u32) -> u32 {
+    let members = cx.members.borrow();
+    let mut all: Vec<&ShardId> = members.shards.keys().collect();
+    if !all.contains(&&shard.id) {
+        all.push(&shard.id);
+    }
+    all.sort();
+    let rank = all.iter().position(|id| **id == shard.id);
+    even_part(limit, to_u32(rank.unwrap_or_default()), to_u32(all.len()))
+}
+
+/// The part of `limit` for the one at `rank` out of `count`; what doesn't divide goes to the first.
+pub fn even_part(limit: u32, rank: u32, count: u32) -> u32 {
+    let count = count.max(1);
+    limit / count + u32::from(rank < limit % count)
+}
+
+fn to_u32(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -5,17 +5,25 @@
 //! [`supervisor`] keeps the parts running; each part reaches the others through the context [`Cx`].
 
 pub mod catalogue;
+pub mod evictions;
 pub mod grants;
+pub mod index;
 pub mod jobs;
 pub mod journal;
+pub mod limits;
 pub mod members;
 pub mod metrics;
+pub mod observer;
 pub mod peers;
 pub mod registrar;
 pub mod router;
+pub mod sessions;
 pub mod shard;
+pub mod snapshots;
+pub mod starts;
 pub mod supervisor;
-pub mod tasks;
+pub mod upkeep;
+pub mod visits;
 
 use crate::{
     core::{
@@ -25,7 +33,7 @@
     peer::client::Peers,
     platform::client::PlatformClient,
     settings::Settings,
-    state::{catalogue::Catalogue, ownership::Holder},
+    state::ownership::Holder,
     timeline::{event::Happening, ring::Timeline},
     worker::client::WorkerClient,
 };
@@ -66,7 +74,7 @@
     /// Counters and histograms.
     pub metrics: metrics::Metrics,
     /// The catalogue in force here.
-    pub catalogue: RefCell<Catalogue>,
+    pub catalogue: RefCell<catalogue::InForce>,
     /// Daemons, shards and hosts as last seen.
     pub members: RefCell<members::Members>,
     /// Shards that this daemon owns.
@@ -149,6 +157,7 @@
     let supervisor = Supervisor::new(Rc::clone(cx));
     supervisor.start("catalogue", catalogue::follow);
     supervisor.start("registrar", registrar::run);
+    supervisor.start("observer", observer::run);
     supervisor.start("grants", grants::run);
     supervisor.start_once(
         "peer-server",
@@ -174,6 +183,7 @@
     {
         log::warn!("drain timeout; requests still in flight are cut off");
     }
+    supervisor.stop("observer");
     supervisor.stop("registrar");
     supervisor.stop("grants");
     let give_up = async {
--- /dev/null
+++ b/src/lapisdrum/daemon/observer.rs
@@ -0,0 +1,266 @@
+//! Sees the other daemons, shards and hosts, takes what is free, and balances shards over the
+//! daemons of the data centre.
+
+use super::{
+    Cx,
+    members::{Presence, SeenPresence, SeenShard},
+    registrar::{self, EpochRow, PRESENCE_PREFIX, SHARD_PREFIX, epoch_key, shard_key},
+    shard::Shard,
+};
+use crate::{
+    core::{
+        id::{DaemonId, ShardId},
+        time::Millis,
+    },
+    platform::{
+        client::{PlatformError, TxnOutcome},
+        wire::{Row, Txn},
+    },
+    state::ownership::{self, Availability, ShardRow, Sighting, Tenure},
+    timeline::event::Happening,
+};
+use indexmap::IndexMap;
+use std::{rc::Rc, time::Duration};
+use tokio::time::MissedTickBehavior;
+
+/// Rounds in which a daemon must be above its even part before it releases a shard. A daemon that
+/// comes and goes would otherwise make shards wander, and each move costs a recovery.
+const ROUNDS_ABOVE_PART: u32 = 10;
+/// Age of an unchanged presence row at which it is deleted: longer than the longest hold, since the
+/// row of a dead daemon is evidence for as long as its tasks may matter.
+const STALE_PRESENCE: Duration = Duration::from_secs(25 * 3_600);
+
+/// Runs until the process ends.
+pub async fn run(cx: Cx) -> eyre::Result<()> {
+    let mut above = 0;
+    let mut rounds = tokio::time::interval(cx.cfg.shards.renew.min(cx.cfg.platform.poll));
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        rounds.tick().await;
+        // What can't be seen stays as last seen; the registrar reports that the platform is away.
+        let _ = look(&cx, &mut above).await;
+    }
+}
+
+async fn look(cx: &Cx, above: &mut u32) -> Result<(), PlatformError> {
+    see_daemons(cx).await?;
+    see_shards(cx).await?;
+    // Before any shard is taken: without the list, every host of a recovered shard would seem gone.
+    see_hosts(cx).await?;
+    if cx.is_draining() {
+        return Ok(());
+    }
+    take_available(cx).await?;
+    balance(cx, above).await;
+    Ok(())
+}
+
+async fn see_daemons(cx: &Cx) -> Result<(), PlatformError> {
+    let rows = cx.platform.list(PRESENCE_PREFIX).await?;
+    note_daemons(cx, &rows);
+    delete_stale(cx).await;
+    Ok(())
+}
+
+fn note_daemons(cx: &Cx, rows: &[Row]) {
+    let now = cx.clock.now();
+    let mut members = cx.members.borrow_mut();
+    let mut seen = IndexMap::new();
+    for row in rows {
+        let Some(presence) = row.parse::<Presence>() else {
+            continue;
+        };
+        let name = presence.holder.daemon.clone();
+        let before = members.daemons.get(&name).map(|before| before.seen);
+        let sighting = Sighting::update(before, row.version, now);
+        seen.insert(
+            name,
+            SeenPresence {
+                row: presence,
+                seen: sighting,
+            },
+        );
+    }
+    members.daemons = seen;
+}
+
+async fn see_shards(cx: &Cx) -> Result<(), PlatformError> {
+    let rows = cx.platform.list(SHARD_PREFIX).await?;
+    let now = cx.clock.now();
+    let mut members = cx.members.borrow_mut();
+    for row in rows {
+        let (Some(id), Some(shard)) = (shard_name(&row), row.parse::<ShardRow>()) else {
+            continue;
+        };
+        let before = members.shards.get(&id).map(|before| before.seen);
+        let seen = Sighting::update(before, row.version, now);
+        members.shards.insert(id, SeenShard { row: shard, seen });
+    }
+    Ok(())
+}
+
+fn shard_name(row: &Row) -> Option<ShardId> {
+    ShardId::try_from(row.key.strip_prefix(SHARD_PREFIX)?).ok()
+}
+
+async fn see_hosts(cx: &Cx) -> Result<(), PlatformError> {
+    let hosts = cx.platform.hosts().await?;
+    let (count, now) = (cx.cfg.shards.count, cx.clock.now());
+    cx.members.borrow_mut().set_hosts(hosts, count, now);
+    Ok(())
+}
+
+/// Deletes presence rows of daemons that are long gone, so that the list does not grow with every
+/// host that was ever replaced.
+async fn delete_stale(cx: &Cx) {
+    let now = cx.clock.now();
+    let stale: Vec<(DaemonId, u64)> = {
+        let members = cx.members.borrow();
+        let old = members
+            .daemons
+            .iter()
+            .filter(|(_, seen)| now.since(seen.seen.since) > STALE_PRESENCE);
+        old.map(|(name, seen)| (name.clone(), seen.seen.version))
+            .collect()
+    };
+    for (name, version) in stale {
+        let key = format!("{PRESENCE_PREFIX}{name}");
+        let txn = Txn::default().compare(&key, version).delete(&key);
+        let _ = cx.platform.txn(&txn).await;
+    }
+}
+
+/// Takes free shards of this data centre: up to this daemon's even part of them, and any that has
+/// been free for a lease, since the daemon whose part it is may be unable to take it.
+async fn take_available(cx: &Cx) -> Result<(), PlatformError> {
+    let dc = &cx.cfg.daemon.data_centre;
+    for index in 0..cx.cfg.shards.count {
+        let id = ShardId::new(dc, index);
+        if cx.shards.borrow().contains_key(&id) {
+            continue;
+        }
+        let (row, seen) = last_seen(cx, &id);
+        if is_for_us(cx, row.as_ref(), seen) {
+            take(cx, id, row.as_ref(), seen.version).await?;
+        }
+    }
+    Ok(())
+}
+
+fn last_seen(cx: &Cx, id: &ShardId) -> (Option<ShardRow>, Sighting) {
+    let members = cx.members.borrow();
+    match members.shards.get(id) {
+        Some(shard) => (Some(shard.row.clone()), shard.seen),
+        None => (
+            None,
+            Sighting {
+                version: 0,
+                since: cx.clock.now(),
+            },
+        ),
+    }
+}
+
+fn is_for_us(cx: &Cx, row: Option<&ShardRow>, seen: Sighting) -> bool {
+    let (terms, now) = (&cx.cfg.shards.terms, cx.clock.now());
+    // A take-over whose answer was lost: nobody has acted under that epoch, so the next one may be
+    // taken without waiting for the lease to run out.
+    let is_own = row.is_some_and(|row| row.holder.as_ref() == Some(&cx.me));
+    let patience = match ownership::availability(row, seen, now, terms) {
+        _ if is_own => Duration::ZERO,
+        Availability::Held => return false,
+        Availability::Vacant => terms.lengthened(terms.lease),
+        Availability::Lapsed => terms.lengthened(terms.lease) * 2,
+    };
+    cx.shards.borrow().len() < part(cx) || now.since(seen.since) > patience
+}
+
+/// This daemon's even part of the data centre's shards, rounded up.
+fn part(cx: &Cx) -> usize {
+    (cx.cfg.shards.count as usize).div_ceil(live_daemons(cx))
+}
+
+fn live_daemons(cx: &Cx) -> usize {
+    let members = cx.members.borrow();
+    let patience = cx.cfg.shards.terms.lengthened(cx.cfg.shards.terms.lease);
+    let live = members.live(&cx.cfg.daemon.data_centre, cx.clock.now(), patience);
+    live.len().max(1)
+}
+
+async fn take(
+    cx: &Cx,
+    id: ShardId,
+    row: Option<&ShardRow>,
+    version: u64,
+) -> Result<(), PlatformError> {
+    let new = ownership::taken(row, cx.me.clone());
+    let sent_at = cx.clock.now();
+    let txn = Txn::default()
+        .compare(shard_key(&id), version)
+        .put(shard_key(&id), &new)
+        .put(epoch_key(&id), &EpochRow { epoch: new.epoch });
+    let versions = match cx.platform.txn(&txn).await {
+        TxnOutcome::Committed(versions) => versions,
+        // Lost the race: the next round reads what holds.
+        TxnOutcome::Conflict(_) => return Ok(()),
+        TxnOutcome::Unknown(e) => match read_back(cx, &id, &new).await? {
+            Some(versions) => versions,
+            None => return Err(e),
+        },
+    };
+    begin(cx, id, new, &versions, sent_at);
+    Ok(())
+}
+
+/// After a lost answer: the versions of both rows if the take-over is in.
+async fn read_back(
+    cx: &Cx,
+    id: &ShardId,
+    new: &ShardRow,
+) -> Result<Option<Vec<u64>>, PlatformError> {
+    let shard = cx.platform.get(&shard_key(id)).await?;
+    let epoch = cx.platform.get(&epoch_key(id)).await?;
+    let shard = shard.filter(|row| row.parse::<ShardRow>().as_ref() == Some(new));
+    let is_ours = |row: &Row| {
+        row.parse::<EpochRow>()
+            .is_some_and(|row| row.epoch == new.epoch)
+    };
+    let versions = shard
+        .zip(epoch.filter(is_ours))
+        .map(|(shard, epoch)| vec![shard.version, epoch.version]);
+    Ok(versions)
+}
+
+fn begin(cx: &Cx, id: ShardId, row: ShardRow, versions: &[u64], sent_at: Millis) {
+    let tenure = Tenure {
+        epoch: row.epoch,
+        renewed_at: sent_at,
+    };
+    let shard = Shard::new(id.clone(), row, versions[0], versions[1], tenure);
+    cx.shards.borrow_mut().insert(id.clone(), Rc::clone(&shard));
+    cx.metrics.shards_owned.inc();
+    cx.timeline.record(Happening::ShardTaken {
+        shard: id.clone(),
+        epoch: shard.epoch,
+    });
+    log::info!("shard {id} is taken at epoch {}", shard.epoch);
+    super::shard::start(cx, shard);
+}
+
+/// Releases one shard when this daemon has long had more than its part.
+async fn balance(cx: &Cx, above: &mut u32) {
+    let held: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
+    if held.len() <= part(cx) {
+        *above = 0;
+        return;
+    }
+    *above += 1;
+    if *above < ROUNDS_ABOVE_PART {
+        return;
+    }
+    *above = 0;
+    if let Some(shard) = held.last().filter(|shard| shard.is_serving()) {
+        log::info!("shard {} is released to balance", shard.id);
+        registrar::release(cx, shard).await;
+    }
+}
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -25,14 +25,14 @@
                 }),
             }
         }
-        PeerRequest::News(revision) => {
-            catalogue::hear(cx, revision);
+        PeerRequest::News(change) => {
+            catalogue::hear(cx, change);
             PeerReply::Ok
         }
         PeerRequest::Catalogue(known) => {
             let own = cx.catalogue.borrow();
             match own.revision > known {
-                true => PeerReply::Catalogue(own.clone()),
+                true => PeerReply::Catalogue(own.catalogue().clone()),
                 false => PeerReply::Ok,
             }
         }
--- /dev/null
+++ b/src/lapisdrum/daemon/sessions.rs
@@ -0,0 +1,211 @@
+//! What a shard's owner knows of each worker under its own epoch, and the leases it has sent there.
+
+use super::{Cx, shard::Shard};
+use crate::{
+    core::{
+        id::{JobId, WorkerId},
+        job::{Attempt, Placement},
+        time::Millis,
+    },
+    state::fencing::{self, ClockReading},
+    worker::wire::Renewal,
+};
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// The last lease that was sent for one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    /// The attempt. A late note about an earlier one must not touch this one's.
+    pub attempt: Attempt,
+    /// The lease's end on our clock, erring late.
+    pub lease_end: Millis,
+    /// The worker has reported the attempt.
+    pub is_reported: bool,
+    /// When its checkpoint was last put into the ledger.
+    pub checkpointed_at: Option<Millis>,
+}
+
+/// One worker under this owner's epoch.
+#[derive(Debug, Default)]
+pub struct Session {
+    /// Where the worker answers. A name that comes back at another address is another session.
+    pub address: String,
+    /// The worker has accepted this epoch.
+    pub claimed: bool,
+    /// It has refused this epoch for a later one.
+    pub is_refused: bool,
+    /// A visit to it is under way.
+    pub busy: bool,
+    /// Its clock, from its last answer.
+    pub reading: Option<ClockReading>,
+    /// Since when it has not answered; none while it answers.
+    pub silent_since: Option<Millis>,
+    /// Since when it has been leaving.
+    pub leaving_since: Option<Millis>,
+    /// Until when it gets no new task, having refused one.
+    pub no_room_until: Millis,
+    /// Leases sent to it.
+    pub sent: IndexMap<JobId, Sent>,
+    /// Tasks with a stop under way. A start of the same task there could be stopped by it.
+    pub stopping: IndexSet<JobId>,
+}
+
+impl Session {
+    /// Whether new tasks may be sent to the worker.
+    pub fn takes_tasks(&self, now: Millis) -> bool {
+        self.claimed && self.silent_since.is_none() && self.no_room_until <= now
+    }
+
+    /// The last lease sent for an attempt.
+    pub fn sent(&self, job: &JobId, attempt: Attempt) -> Option<Sent> {
+        self.sent
+            .get(job)
+            .copied()
+            .filter(|sent| sent.attempt == attempt)
+    }
+
+    /// Notes that the worker has reported an attempt.
+    pub fn note_reported(&mut self, job: &JobId, attempt: Attempt) {
+        if let Some(sent) = self.sent.get_mut(job)
+            && sent.attempt == attempt
+        {
+            sent.is_reported = true;
+        }
+    }
+
+    /// Forgets an attempt that is over.
+    pub fn forget(&mut self, job: &JobId, attempt: Attempt) {
+        if self.sent(job, attempt).is_some() {
+            self.sent.swap_remove(job);
+        }
+    }
+}
+
+impl Shard {
+    /// Uses a worker's session, if there is one.
+    pub fn session<T>(&self, worker: &WorkerId, then: impl FnOnce(&mut Session) -> T) -> Option<T> {
+        self.sessions.borrow_mut().get_mut(worker).map(then)
+    }
+}
+
+/// Makes sure that a worker has a session at its present address. A new one takes every placement
+/// there for leased just now: what an earlier session had sent is no longer known.
+pub fn open(cx: &Cx, shard: &Shard, worker: &WorkerId, address: &str) {
+    let known = shard.session(worker, |session| session.address == address);
+    if known == Some(true) {
+        return;
+    }
+    let lease_end = unknown_lease_end(cx);
+    let placed = placements_on(shard, worker).into_iter();
+    let sent = placed.map(|(job, placement)| {
+        let sent = Sent {
+            attempt: placement.attempt,
+            lease_end,
+            is_reported: false,
+            checkpointed_at: None,
+        };
+        (job, sent)
+    });
+    let session = Session {
+        address: address.to_owned(),
+        sent: sent.collect(),
+        ..Session::default()
+    };
+    shard.sessions.borrow_mut().insert(worker.clone(), session);
+}
+
+/// The latest end on our clock of a lease that this owner may have sent before now.
+fn unknown_lease_end(cx: &Cx) -> Millis {
+    fencing::own_lease_end(
+        cx.clock.now(),
+        cx.cfg.shards.task_lease,
+        &cx.cfg.shards.terms,
+    )
+}
+
+/// What the ledger places on a worker.
+pub fn placements_on(shard: &Shard, worker: &WorkerId) -> Vec<(JobId, Placement)> {
+    let (state, index) = (shard.state(), shard.journal.index());
+    let placed = index.on_worker(worker);
+    let placed = placed.filter_map(|id| Some((id, state.jobs.get(id)?.placement()?)));
+    placed
+        .map(|(id, placement)| (id.clone(), placement.clone()))
+        .collect()
+}
+
+/// Placements whose start can no longer be under way: placed by an earlier owner, reported, or with
+/// a lease that has run out.
+pub fn settled_placements(cx: &Cx, shard: &Shard, worker: &WorkerId) -> IndexMap<JobId, Placement> {
+    let placed = placements_on(shard, worker);
+    let now = cx.clock.now();
+    let sessions = shard.sessions.borrow();
+    let session = sessions.get(worker);
+    let is_settled = |job: &JobId, placement: &Placement| {
+        let sent = session.and_then(|session| session.sent(job, placement.attempt));
+        placement.epoch < shard.epoch
+            || sent.is_some_and(|sent| sent.is_reported || sent.lease_end < now)
+    };
+    placed
+        .into_iter()
+        .filter(|(job, placement)| is_settled(job, placement))
+        .collect()
+}
+
+/// New leases for everything placed on a worker, each within the job's hold.
+pub fn renewals(cx: &Cx, shard: &Shard, worker: &WorkerId) -> Vec<Renewal> {
+    let renew = |(task, placement): (JobId, Placement)| {
+        let sent = shard.session(worker, |session| session.sent(&task, placement.attempt))?;
+        // Until the worker has reported a start of ours, the start's own lease has to do.
+        if placement.epoch == shard.epoch && !sent.is_some_and(|sent| sent.is_reported) {
+            return None;
+        }
+        let until_ms = next_lease(cx, shard, worker, &task, placement.attempt)?;
+        Some(Renewal { task, until_ms })
+    };
+    let placed = placements_on(shard, worker).into_iter();
+    placed.filter_map(renew).collect()
+}
+
+/// The end of a lease given now, on the worker's clock, and notes its end on ours. None when the
+/// owner's own right has run out or the shard is being given up: a successor counts on no renewal
+/// after this owner's last event.
+pub fn next_lease(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    task: &JobId,
+    attempt: Attempt,
+) -> Option<u64> {
+    if !shard.is_serving() {
+        return None;
+    }
+    let terms = &cx.cfg.shards.terms;
+    let now = cx.clock.now();
+    let right = shard.tenure().right_until(hold_of(cx, shard, task), terms);
+    let end = (now + cx.cfg.shards.task_lease).min(right);
+    if end <= now {
+        return None;
+    }
+    let reading = shard.session(worker, |session| session.reading)??;
+    let until = fencing::end_on_worker(reading, end, terms)?;
+    let lease_end = fencing::own_lease_end(now, cx.cfg.shards.task_lease, terms);
+    shard.session(worker, |session| {
+        let before = session.sent(task, attempt);
+        let sent = Sent {
+            attempt,
+            lease_end,
+            is_reported: before.is_some_and(|sent| sent.is_reported),
+            checkpointed_at: before.and_then(|sent| sent.checkpointed_at),
+        };
+        session.sent.insert(task.clone(), sent);
+    });
+    Some(until.0)
+}
+
+/// How long an owner that is cut off from the table may go on renewing a task.
+pub fn hold_of(cx: &Cx, shard: &Shard, task: &JobId) -> Duration {
+    let entry = shard.state().jobs.get(task).map(|job| job.entry.clone());
+    let entry = entry.and_then(|name| cx.catalogue.borrow().entry(&name));
+    entry.map_or(cx.cfg.shards.task_lease, |entry| entry.hold)
+}
--- a/src/lapisdrum/daemon/shard.rs
+++ b/src/lapisdrum/daemon/shard.rs
@@ -3,16 +3,17 @@
 use super::{
     Cx,
     journal::{Journal, ProposeError, Ticket, Urgency, WriteEnd},
-    supervisor, tasks,
+    registrar,
+    sessions::Session,
+    snapshots, starts, supervisor, upkeep, visits,
 };
 use crate::{
     core::{
         id::{Epoch, JobId, ShardId, WorkerId},
-        job::{Attempt, Job},
+        job::Job,
         time::Millis,
     },
     state::{
-        fencing::ClockReading,
         ledger::{Event, State},
         ownership::{Holder, LeaseTerms, ShardRow, Tenure},
     },
@@ -32,23 +33,6 @@
 /// Longest wait before a failed recovery is tried again.
 const LONGEST_RECOVERY_WAIT: Duration = Duration::from_secs(1);
 
-/// What the owner knows of one worker under its own epoch.
-#[derive(Debug, Default)]
-pub struct Session {
-    /// The worker has accepted this epoch.
-    pub claimed: bool,
-    /// A call to it is under way.
-    pub busy: bool,
-    /// Its clock, from its last answer.
-    pub reading: Option<ClockReading>,
-    /// Since when it has not answered; none while it answers.
-    pub silent_since: Option<Millis>,
-    /// Ends, on our clock, of the last leases sent to it.
-    pub lease_ends: IndexMap<JobId, Millis>,
-    /// Attempts whose start it has answered.
-    pub started: IndexMap<JobId, Attempt>,
-}
-
 /// A shard that this daemon owns.
 pub struct Shard {
     /// Its name.
@@ -68,6 +52,8 @@
     /// Rung when a job may be placed.
     pub placement: Notify,
     row: RefCell<(u64, ShardRow)>,
+    /// A renewal whose answer was lost, and when it was first sent.
+    doubtful: RefCell<Option<(ShardRow, Millis)>>,
     tenure: Cell<Tenure>,
     serving: Cell<bool>,
     lost: watch::Sender<bool>,
@@ -92,6 +78,7 @@
             owners_gone: RefCell::default(),
             placement: Notify::new(),
             row: RefCell::new((row_version, row)),
+            doubtful: RefCell::default(),
             tenure: Cell::new(tenure),
             serving: Cell::new(false),
             lost: watch::Sender::new(false),
@@ -108,11 +95,28 @@
         let mut tenure = self.tenure.get();
         tenure.renew(sent_at);
         self.tenure.set(tenure);
-        self.adopt_row(row, version);
+        self.doubtful.borrow_mut().take();
+        *self.row.borrow_mut() = (version, row);
+    }
+
+    /// Notes that a renewal's answer was lost. Tries that would write the same row can't be told
+    /// apart, so the first one's time counts.
+    pub fn doubt(&self, row: ShardRow, sent_at: Millis) {
+        let mut doubtful = self.doubtful.borrow_mut();
+        if !doubtful.as_ref().is_some_and(|(known, _)| *known == row) {
+            *doubtful = Some((row, sent_at));
+        }
     }
 
-    /// Notes the row's present version without counting a renewal.
+    /// Notes the row as read back. It counts as a renewal only if it is one whose answer was lost.
     pub fn adopt_row(&self, row: ShardRow, version: u64) {
+        let doubtful = self.doubtful.borrow().clone();
+        if let Some((_, sent_at)) = doubtful.filter(|(doubtful, _)| *doubtful == row) {
+            let mut tenure = self.tenure.get();
+            tenure.renew(sent_at);
+            self.tenure.set(tenure);
+            self.doubtful.borrow_mut().take();
+        }
         *self.row.borrow_mut() = (version, row);
     }
 
@@ -146,13 +150,24 @@
     /// Renews and starts nothing more, and writes the last event of a graceful end. If it can't be
     /// written, the successor takes this owner for unaccounted and waits longer.
     pub async fn end_tenure(&self, cx: &Cx) {
+        let was_serving = self.is_serving();
         self.serving.set(false);
+        if !was_serving || !self.may_act(cx.clock.now(), &cx.cfg.shards.terms) {
+            return;
+        }
         let ended = Event::OwnerEnded { epoch: self.epoch };
-        if let Ok(ticket) = self.propose(cx, vec![ended], Urgency::Urgent) {
+        if let Ok(ticket) = self.journal.propose(cx, vec![ended], Urgency::Urgent) {
             ticket.end().await;
         }
     }
 
+    /// Whether an event proposed now would be written, as far as is known.
+    pub fn can_write(&self, cx: &Cx) -> bool {
+        self.is_serving()
+            && self.may_act(cx.clock.now(), &cx.cfg.shards.terms)
+            && self.journal.is_writing()
+    }
+
     /// The ledger's state.
     pub fn state(&self) -> Ref<'_, State> {
         self.journal.state()
@@ -163,7 +178,8 @@
         self.state().jobs.get(id).cloned()
     }
 
-    /// Proposes events; see [`Journal::propose`]. Refused once the lease has run out.
+    /// Proposes events; see [`Journal::propose`]. Refused once the lease has run out, and while the
+    /// shard is being given up: nothing may follow the owner's last event.
     pub fn propose(
         &self,
         cx: &Cx,
@@ -173,14 +189,16 @@
         if self.is_lost() {
             return Err(ProposeError::Lost);
         }
-        if !self.may_act(cx.clock.now(), &cx.cfg.shards.terms) {
+        let may_act = self.may_act(cx.clock.now(), &cx.cfg.shards.terms);
+        if !self.is_serving() || !may_act {
             return Err(ProposeError::Stalled);
         }
         self.journal.propose(cx, events, urgency)
     }
 }
 
-/// Starts the loops of a shard that was just taken.
+/// Starts the loops of a shard that was just taken. When they end for any reason the shard is lost
+/// here, so that it is never held without being served.
 pub fn start(cx: &Cx, shard: Rc<Shard>) {
     let cx = Rc::clone(cx);
     supervisor::spawn("shard", async move {
@@ -189,36 +207,45 @@
             () = serve(&cx, &shard) => {}
             _ = stop.wait_for(|lost| *lost) => {}
         }
+        registrar::lose(&cx, &shard);
     });
 }
 
 async fn serve(cx: &Cx, shard: &Rc<Shard>) {
     recover(cx, shard).await;
-    let now = || cx.clock.now();
-    let may_act = || shard.may_act(now(), &cx.cfg.shards.terms);
-    let begin = async {
-        let began = Event::OwnerBegan {
-            epoch: shard.epoch,
-            holder: cx.me.clone(),
-        };
-        let Ok(ticket) = shard.journal.propose(cx, vec![began], Urgency::Urgent) else {
-            return;
-        };
-        if ticket.end().await != WriteEnd::Committed {
-            return;
-        }
-        shard.serving.set(true);
-        cx.timeline.record(Happening::ShardServing {
-            shard: shard.id.clone(),
-            epoch: shard.epoch,
-        });
-        log::info!("shard {} is served at epoch {}", shard.id, shard.epoch);
-        futures::join!(
-            tasks::visit_workers(cx, shard),
-            tasks::place_jobs(cx, shard)
-        );
+    let may_act = || shard.may_act(cx.clock.now(), &cx.cfg.shards.terms);
+    tokio::select! {
+        () = shard.journal.write_all(cx, may_act) => {}
+        () = snapshots::keep(cx, &shard.journal) => {}
+        () = act(cx, shard) => {}
+    }
+}
+
+/// Begins this ownership in the ledger and acts on it. Ends only if it can't begin.
+async fn act(cx: &Cx, shard: &Rc<Shard>) {
+    let began = Event::OwnerBegan {
+        epoch: shard.epoch,
+        holder: cx.me.clone(),
+    };
+    let Ok(ticket) = shard.journal.propose(cx, vec![began], Urgency::Urgent) else {
+        return;
     };
-    futures::join!(shard.journal.write_all(cx, may_act), begin);
+    if ticket.end().await != WriteEnd::Committed {
+        return;
+    }
+    shard.serving.set(true);
+    cx.timeline.record(Happening::ShardServing {
+        shard: shard.id.clone(),
+        epoch: shard.epoch,
+    });
+    log::info!("shard {} is served at epoch {}", shard.id, shard.epoch);
+    futures::join!(
+        visits::visit_workers(cx, shard),
+        starts::place_jobs(cx, shard),
+        upkeep::run(cx, shard)
+    );
+    // The shard is being given up; its last event may still be on its way.
+    std::future::pending().await
 }
 
 async fn recover(cx: &Cx, shard: &Rc<Shard>) {
--- /dev/null
+++ b/src/lapisdrum/daemon/starts.rs
@@ -0,0 +1,276 @@
+//! Placing waiting jobs and starting their tasks.
+//!
+//! A pass computes the workers' rooms once and goes round the entries one job at a time, so that a
+//! long queue of one entry delays no other. It ends an entry's turn at its first job that fits
+//! nowhere, so a pass costs no more than what it places, however many jobs wait.
+
+use super::{
+    Cx,
+    evictions::unplace,
+    grants,
+    journal::{Urgency, WriteEnd},
+    limits, sessions,
+    shard::Shard,
+    supervisor,
+};
+use crate::{
+    core::{
+        id::{EntryName, JobId, WorkerId},
+        job::{Attempt, Placement},
+    },
+    policy::placement::{self, Room},
+    state::ledger::Event,
+    timeline::event::Happening,
+    worker::{
+        client::CommandEnd,
+        wire::{RejectReason, StartTask},
+    },
+};
+use std::{rc::Rc, time::Duration};
+
+/// Longest time between two looks for jobs to place.
+const PASS_TICK: Duration = Duration::from_millis(500);
+/// Shortest time between two looks: 335 jobs a second must not cause as many passes.
+const PASS_GAP: Duration = Duration::from_millis(20);
+/// Most jobs that one pass places, so that a flood does not hold the thread up.
+const MOST_PER_PASS: usize = 500;
+/// How long a worker that refused a task for lack of room gets no other.
+const NO_ROOM_WAIT: Duration = Duration::from_secs(1);
+
+/// Places waiting jobs until the shard is lost or given up.
+pub async fn place_jobs(cx: &Cx, shard: &Rc<Shard>) {
+    while shard.is_serving() {
+        place_waiting(cx, shard);
+        tokio::time::sleep(PASS_GAP).await;
+        tokio::select! {
+            () = shard.placement.notified() => {}
+            () = tokio::time::sleep(PASS_TICK) => {}
+        }
+    }
+}
+
+/// One entry's turn in a pass.
+struct Turn {
+    entry: EntryName,
+    /// Jobs that its limit still allows.
+    left: u32,
+    /// Jobs that have to go on waiting.
+    aside: Vec<JobId>,
+}
+
+fn place_waiting(cx: &Cx, shard: &Rc<Shard>) {
+    if !shard.can_write(cx) {
+        return;
+    }
+    let waiting = shard.journal.index().waiting_entries();
+    if waiting.is_empty() {
+        return;
+    }
+    let mut rooms = rooms(cx, shard);
+    let mut turns: Vec<Turn> = waiting
+        .into_iter()
+        .map(|entry| turn(cx, shard, entry))
+        .collect();
+    let mut placed = 0;
+    while !turns.is_empty() && placed < MOST_PER_PASS {
+        turns.retain_mut(|turn| {
+            let goes_on = place_next(cx, shard, turn, &mut rooms);
+            placed += usize::from(goes_on);
+            if !goes_on {
+                put_back(shard, turn);
+            }
+            goes_on
+        });
+    }
+    for turn in &mut turns {
+        put_back(shard, turn);
+        shard.placement.notify_one();
+    }
+}
+
+fn turn(cx: &Cx, shard: &Shard, name: EntryName) -> Turn {
+    let entry = cx.catalogue.borrow().entry(&name);
+    let placed = shard.journal.index().counts(&name).placed;
+    // An accepted job of an entry that is gone from the catalogue still finishes.
+    let limit = entry.map_or(u32::MAX, |entry| limits::job_limit(cx, shard, &entry));
+    Turn {
+        entry: name,
+        left: limit.saturating_sub(placed),
+        aside: Vec::new(),
+    }
+}
+
+fn put_back(shard: &Shard, turn: &mut Turn) {
+    let aside = std::mem::take(&mut turn.aside);
+    shard.journal.index_mut().put_back(&turn.entry, aside);
+}
+
+/// Places one job of an entry; false when the entry's turn is over.
+fn place_next(cx: &Cx, shard: &Rc<Shard>, turn: &mut Turn, rooms: &mut [Room]) -> bool {
+    if turn.left == 0 {
+        return false;
+    }
+    let Some(job) = shard.journal.take_waiting(&turn.entry) else {
+        return false;
+    };
+    // Its eviction is not durable, so its last worker may not have been told to forget it.
+    if shard.journal.is_unsettled(&job) {
+        turn.aside.push(job);
+        return true;
+    }
+    let known = shard.job(&job);
+    let Some((size, attempts)) = known.map(|known| (known.size, known.attempts)) else {
+        return true;
+    };
+    let chosen = placement::choose(rooms, &size).map(|room| room.worker.clone());
+    let Some(worker) = chosen else {
+        turn.aside.push(job);
+        return false;
+    };
+    if shard.session(&worker, |session| session.stopping.contains(&job)) == Some(true) {
+        turn.aside.push(job);
+        return true;
+    }
+    let placement = Placement {
+        worker: worker.clone(),
+        epoch: shard.epoch,
+        attempt: Attempt(attempts.0 + 1),
+    };
+    let is_placed = place(cx, shard, &job, placement);
+    if !is_placed {
+        turn.aside.push(job);
+        return false;
+    }
+    turn.left -= 1;
+    if let Some(room) = rooms.iter_mut().find(|room| room.worker == worker) {
+        room.free = room.free.minus(&size);
+    }
+    true
+}
+
+fn place(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: Placement) -> bool {
+    let placed = Event::Placed {
+        job: job.clone(),
+        placement: placement.clone(),
+    };
+    let Ok(ticket) = shard.propose(cx, vec![placed], Urgency::Batch) else {
+        return false;
+    };
+    let (cx, shard, job) = (Rc::clone(cx), Rc::clone(shard), job.clone());
+    supervisor::spawn("task-start", async move {
+        if ticket.end().await == WriteEnd::Committed {
+            start_task(&cx, &shard, &job, &placement).await;
+        }
+    });
+    true
+}
+
+/// What is free for tasks on each worker that may take one.
+fn rooms(cx: &Cx, shard: &Shard) -> Vec<Room> {
+    let now = cx.clock.now();
+    let members = cx.members.borrow();
+    let sessions = shard.sessions.borrow();
+    let state = shard.state();
+    let takes_tasks = |worker: &WorkerId| {
+        let session = sessions.get(worker);
+        session.is_some_and(|session| session.takes_tasks(now))
+    };
+    let hosts = members.shard_hosts(&shard.id, cx.cfg.shards.count);
+    let hosts = hosts
+        .into_iter()
+        .filter(|host| !host.leaving && takes_tasks(&host.worker));
+    hosts
+        .map(|host| {
+            let committed = state.committed_on(&host.worker);
+            let reserved = grants::unclaimed_reserve(cx, &state, host);
+            let free = host.capacity.minus(&committed.size).minus(&reserved);
+            Room {
+                worker: host.worker.clone(),
+                free,
+            }
+        })
+        .collect()
+}
+
+async fn start_task(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: &Placement) {
+    let worker = &placement.worker;
+    let Some((start, address)) = start_command(cx, shard, job, placement) else {
+        // Nothing was sent. If the ledger can't take the eviction now, the next visit finds a lease
+        // that has run out.
+        note_unsent(cx, shard, job, placement);
+        unplace(cx, shard, job, placement, "no right to start it");
+        return;
+    };
+    cx.timeline.record(Happening::TaskPlaced {
+        job: job.clone(),
+        worker: worker.clone(),
+        attempt: placement.attempt,
+    });
+    match cx.workers.start(&address, job, &start).await {
+        CommandEnd::Done(..) => {
+            shard.session(worker, |session| {
+                session.note_reported(job, placement.attempt);
+            });
+            cx.metrics.task_starts.inc();
+            cx.timeline.record(Happening::TaskStarted {
+                job: job.clone(),
+                worker: worker.clone(),
+            });
+        }
+        // Another attempt is there, which the next visit finds and stops; this one did not start.
+        CommandEnd::Rejected(reason, ..) => {
+            if reason == RejectReason::NoRoom {
+                let until = cx.clock.now() + NO_ROOM_WAIT;
+                shard.session(worker, |session| session.no_room_until = until);
+            }
+            let reason = format!("worker rejected it: {reason:?}");
+            unplace(cx, shard, job, placement, &reason);
+        }
+        // It may run. The next visits find out, or its lease runs out.
+        CommandEnd::Silent(_) => {}
+    }
+}
+
+fn note_unsent(cx: &Cx, shard: &Shard, job: &JobId, placement: &Placement) {
+    let sent = sessions::Sent {
+        attempt: placement.attempt,
+        lease_end: cx.clock.now(),
+        is_reported: false,
+        checkpointed_at: None,
+    };
+    shard.session(&placement.worker, |session| {
+        if session.sent(job, placement.attempt).is_none() {
+            session.sent.insert(job.clone(), sent);
+        }
+    });
+}
+
+/// The start of a task, if this owner may still send it: its lease holds and the placement that was
+/// written is still the job's.
+fn start_command(
+    cx: &Cx,
+    shard: &Shard,
+    job: &JobId,
+    placement: &Placement,
+) -> Option<(StartTask, String)> {
+    if !shard.may_act(cx.clock.now(), &cx.cfg.shards.terms) {
+        return None;
+    }
+    let known = shard.job(job)?;
+    // An eviction between proposal and commit has taken this attempt back already.
+    if known.placement() != Some(placement) || known.cancelling {
+        return None;
+    }
+    let worker = &placement.worker;
+    let address = shard.session(worker, |session| session.address.clone())?;
+    let until_ms = sessions::next_lease(cx, shard, worker, job, placement.attempt)?;
+    let start = StartTask {
+        epoch: shard.epoch,
+        until_ms,
+        attempt: placement.attempt,
+        entry: known.entry.to_string(),
+        size: known.size,
+        checkpoint: known.checkpoint,
+    };
+    Some((start, address))
+}
--- /dev/null
+++ b/src/lapisdrum/daemon/visits.rs
@@ -0,0 +1,405 @@
+//! The owner's visits to its workers: claim, renew, reconcile, move tasks off leaving hosts.
+//!
+//! Each worker is visited by a call of its own, so a slow worker delays nobody else's renewals. A
+//! visit never waits for the ledger: with the table away it would renew nothing more, and a platform
+//! outage would stop running tasks. Effects of what it finds wait for the ledger beside it.
+
+use super::{
+    Cx,
+    evictions::{self, note_eviction},
+    journal::{Urgency, WriteEnd},
+    sessions,
+    shard::Shard,
+    supervisor,
+};
+use crate::{
+    core::{
+        catalogue::Class,
+        id::{JobId, WorkerId},
+        job::{Job, JobEnd, Placement},
+        time::Millis,
+    },
+    state::{fencing::ClockReading, ledger::Event},
+    timeline::event::Happening,
+    worker::{
+        client::CommandEnd,
+        wire::{RenewTasks, TaskList, TaskState, TaskStatus},
+    },
+};
+use indexmap::{IndexMap, IndexSet};
+use std::{rc::Rc, time::Duration};
+
+/// Visits every worker of the shard at the renewal interval, until the shard is lost.
+pub async fn visit_workers(cx: &Cx, shard: &Rc<Shard>) {
+    while shard.is_serving() {
+        for (worker, address, leaving) in hosts_of(cx, shard) {
+            sessions::open(cx, shard, &worker, &address);
+            let was_busy = shard.session(&worker, |session| {
+                note_leaving(session, leaving, cx.clock.now());
+                std::mem::replace(&mut session.busy, true)
+            });
+            if was_busy == Some(false) {
+                let (cx, shard) = (Rc::clone(cx), Rc::clone(shard));
+                supervisor::spawn("worker-visit", async move {
+                    visit(&cx, &shard, &worker, &address).await;
+                });
+            }
+        }
+        evictions::forget_gone_hosts(cx, shard);
+        tokio::time::sleep(cx.cfg.shards.task_renew).await;
+    }
+}
+
+fn hosts_of(cx: &Cx, shard: &Shard) -> Vec<(WorkerId, String, bool)> {
+    let members = cx.members.borrow();
+    let hosts = members.shard_hosts(&shard.id, cx.cfg.shards.count);
+    hosts
+        .into_iter()
+        .map(|host| (host.worker.clone(), host.address.clone(), host.leaving))
+        .collect()
+}
+
+fn note_leaving(session: &mut sessions::Session, leaving: bool, now: Millis) {
+    session.leaving_since = match leaving {
+        true => session.leaving_since.or(Some(now)),
+        false => None,
+    };
+}
+
+async fn visit(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str) {
+    let claimed = shard.session(worker, |session| session.claimed) == Some(true);
+    // Only what was settled before the call can be judged by its answer.
+    let judged = sessions::settled_placements(cx, shard, worker);
+    let end = match claimed {
+        true => {
+            let renew = RenewTasks {
+                epoch: shard.epoch,
+                tasks: sessions::renewals(cx, shard, worker),
+            };
+            cx.workers.renew(address, &renew).await
+        }
+        false => cx.workers.claim(address, shard.epoch).await,
+    };
+    // A session that was opened anew meanwhile is for another address.
+    let is_same = shard.session(worker, |session| session.address == address);
+    if !shard.is_serving() || is_same != Some(true) {
+        return;
+    }
+    let now = cx.clock.now();
+    note_answer(cx, shard, worker, end.reading(now), now);
+    match end {
+        CommandEnd::Done(list, _) => {
+            if !claimed {
+                note_claimed(cx, shard, worker);
+            }
+            reconcile(cx, shard, worker, address, &list, &judged);
+        }
+        CommandEnd::Rejected(..) => note_refused(shard, worker),
+        CommandEnd::Silent(_) => evictions::give_up_silent(cx, shard, worker, &judged),
+    }
+    shard.session(worker, |session| session.busy = false);
+}
+
+fn note_answer(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    reading: Option<ClockReading>,
+    now: Millis,
+) {
+    let fell_silent = shard.session(worker, |session| {
+        if reading.is_some() {
+            session.reading = reading;
+            session.silent_since = None;
+            return false;
+        }
+        let fell_silent = session.silent_since.is_none();
+        session.silent_since = session.silent_since.or(Some(now));
+        fell_silent
+    });
+    if fell_silent == Some(true) {
+        cx.timeline.record(Happening::WorkerSilent {
+            worker: worker.clone(),
+        });
+        log::warn!("worker {worker} does not answer");
+    }
+}
+
+/// The worker has seen a later epoch: another owner has come, and the registrar will find it out.
+fn note_refused(shard: &Shard, worker: &WorkerId) {
+    let first = shard.session(worker, |session| {
+        session.claimed = false;
+        !std::mem::replace(&mut session.is_refused, true)
+    });
+    if first == Some(true) {
+        log::warn!("worker {worker} refuses epoch {}", shard.epoch);
+    }
+}
+
+fn note_claimed(cx: &Cx, shard: &Shard, worker: &WorkerId) {
+    shard.session(worker, |session| {
+        session.claimed = true;
+        session.is_refused = false;
+    });
+    cx.timeline.record(Happening::WorkerClaimed {
+        worker: worker.clone(),
+        epoch: shard.epoch,
+    });
+    shard.placement.notify_one();
+}
+
+/// Brings the ledger in line with what a worker reports.
+fn reconcile(
+    cx: &Cx,
+    shard: &Rc<Shard>,
+    worker: &WorkerId,
+    address: &str,
+    list: &TaskList,
+    judged: &IndexMap<JobId, Placement>,
+) {
+    let mut over = Vec::new();
+    for status in &list.tasks {
+        // What is proposed but not durable must have no effect on the worker yet.
+        if shard.journal.is_unsettled(&status.task) {
+            continue;
+        }
+        let job = shard.job(&status.task);
+        match job.as_ref().and_then(Job::placement) {
+            Some(placement)
+                if placement.worker == *worker && placement.attempt == status.attempt =>
+            {
+                follow_status(cx, shard, worker, address, status);
+            }
+            // An attempt that the ledger does not place here: over, or moved on.
+            _ if job.is_some() || status.task.shard().as_ref() == Some(&shard.id) => {
+                over.push(status.task.clone());
+            }
+            _ => {}
+        }
+    }
+    stop_tasks(cx, shard, worker, address, over);
+    let reported: IndexSet<&JobId> = list.tasks.iter().map(|s| &s.task).collect();
+    for (job, placement) in judged.iter().filter(|(job, _)| !reported.contains(job)) {
+        evictions::unplace(cx, shard, job, placement, "worker has stopped it");
+    }
+}
+
+/// Acts on the status of a task that the ledger places on the worker that reports it.
+fn follow_status(
+    cx: &Cx,
+    shard: &Rc<Shard>,
+    worker: &WorkerId,
+    address: &str,
+    status: &TaskStatus,
+) {
+    let Some(job) = shard.job(&status.task) else {
+        return;
+    };
+    shard.session(worker, |session| {
+        session.note_reported(&status.task, status.attempt);
+    });
+    if status.state == TaskState::Running && is_to_stop(cx, shard, worker, &job) {
+        stop_running(cx, shard, worker, address, &status.task);
+        return;
+    }
+    let events = events_of(cx, shard, worker, &job, status);
+    if events.is_empty() {
+        return;
+    }
+    let Ok(ticket) = shard.propose(cx, events.clone(), Urgency::Batch) else {
+        return;
+    };
+    let (cx, shard, status) = (Rc::clone(cx), Rc::clone(shard), status.clone());
+    let (worker, address) = (worker.clone(), address.to_owned());
+    supervisor::spawn("task-status", async move {
+        if ticket.end().await == WriteEnd::Committed {
+            after_status(&cx, &shard, &worker, &address, &status, &events);
+        }
+    });
+}
+
+/// Whether a running task has to come down: it is cancelled, or its host leaves and its class's time
+/// to stay is over.
+fn is_to_stop(cx: &Cx, shard: &Shard, worker: &WorkerId, job: &Job) -> bool {
+    let leaving_since = shard.session(worker, |session| session.leaving_since);
+    let Some(since) = leaving_since.flatten() else {
+        return job.cancelling;
+    };
+    let class = cx.catalogue.borrow().entry(&job.entry).map(|e| e.class);
+    let grace = match class {
+        Some(Class::LongRunning) => cx.cfg.shards.leaving_grace,
+        _ => Duration::ZERO,
+    };
+    // A stop that the ledger can't take would leave the task down until the table is back.
+    let is_due = shard.can_write(cx) && cx.clock.now().since(since) >= grace;
+    job.cancelling || is_due
+}
+
+/// What a status adds to the ledger.
+fn events_of(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    job: &Job,
+    status: &TaskStatus,
+) -> Vec<Event> {
+    let task = &status.task;
+    let mut events = Vec::new();
+    if let Some(checkpoint) = &status.checkpoint
+        && job.checkpoint.as_ref() != Some(checkpoint)
+        && is_checkpoint_due(cx, shard, worker, status)
+    {
+        events.push(Event::Checkpointed {
+            job: task.clone(),
+            attempt: status.attempt,
+            checkpoint: checkpoint.clone(),
+        });
+    }
+    match (status.state, job.cancelling) {
+        (TaskState::Running, _) => {}
+        (TaskState::Finished, _) => events.push(Event::Ended {
+            job: task.clone(),
+            end: JobEnd::Done,
+        }),
+        (TaskState::Failed | TaskState::Stopped | TaskState::Lapsed, true) => {
+            events.push(Event::Ended {
+                job: task.clone(),
+                end: JobEnd::Cancelled,
+            });
+        }
+        (TaskState::Failed, false) => events.push(failure_event(cx, job, status)),
+        (TaskState::Stopped | TaskState::Lapsed, false) => events.push(Event::Evicted {
+            job: task.clone(),
+            attempt: status.attempt,
+        }),
+    }
+    events
+}
+
+/// A running task's progress goes into the ledger now and then only: 17,800 tasks a shard would
+/// otherwise write more events than all starts and ends together.
+fn is_checkpoint_due(cx: &Cx, shard: &Shard, worker: &WorkerId, status: &TaskStatus) -> bool {
+    if status.state != TaskState::Running {
+        return true;
+    }
+    let now = cx.clock.now();
+    let due = shard.session(worker, |session| {
+        let sent = session.sent.get_mut(&status.task)?;
+        let is_due = sent
+            .checkpointed_at
+            .is_none_or(|at| now.since(at) >= cx.cfg.shards.checkpoint);
+        if is_due {
+            sent.checkpointed_at = Some(now);
+        }
+        Some(is_due)
+    });
+    due.flatten().unwrap_or(false)
+}
+
+fn failure_event(cx: &Cx, job: &Job, status: &TaskStatus) -> Event {
+    let entry = cx.catalogue.borrow().entry(&job.entry);
+    let most = entry.map_or(1, |entry| entry.max_failures);
+    if job.failures + 1 < most {
+        return Event::AttemptFailed {
+            job: status.task.clone(),
+            attempt: status.attempt,
+        };
+    }
+    let text = status.message.clone();
+    Event::Ended {
+        job: status.task.clone(),
+        end: JobEnd::Failed(text.unwrap_or_else(|| "the task failed".to_owned())),
+    }
+}
+
+/// Effects of a durable status: the worker may forget the task, the time line and counters learn.
+fn after_status(
+    cx: &Cx,
+    shard: &Rc<Shard>,
+    worker: &WorkerId,
+    address: &str,
+    status: &TaskStatus,
+    events: &[Event],
+) {
+    for event in events {
+        match event {
+            Event::Ended { job, end } => note_end(cx, job, end),
+            Event::Evicted { job, .. } => note_eviction(cx, job, worker, "lease or stop"),
+            Event::AttemptFailed { job, .. } => note_eviction(cx, job, worker, "failed there"),
+            _ => {}
+        }
+    }
+    if status.state != TaskState::Running {
+        shard.session(worker, |session| {
+            session.forget(&status.task, status.attempt);
+        });
+        stop_tasks(cx, shard, worker, address, vec![status.task.clone()]);
+    }
+}
+
+fn note_end(cx: &Cx, job: &JobId, end: &JobEnd) {
+    if *end == JobEnd::Done {
+        cx.metrics.jobs_done.inc();
+    }
+    let end = format!("{end:?}").to_lowercase();
+    cx.timeline.record(Happening::JobEnded {
+        job: job.clone(),
+        end,
+    });
+}
+
+/// Brings a running task down after a last checkpoint, and acts on its last status at once.
+pub fn stop_running(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str, task: &JobId) {
+    if !begin_stop(shard, worker, task) {
+        return;
+    }
+    let task = task.clone();
+    let (cx, shard) = (Rc::clone(cx), Rc::clone(shard));
+    let (worker, address) = (worker.clone(), address.to_owned());
+    supervisor::spawn("task-stop", async move {
+        // Without a checkpoint the task goes on from the last one that the ledger names.
+        let _ = cx.workers.checkpoint(&address, &task, shard.epoch).await;
+        let end = cx.workers.stop(&address, &task, shard.epoch).await;
+        end_stop(&shard, &worker, &task);
+        if let CommandEnd::Done(status, _) = end
+            && shard.is_serving()
+            && !shard.journal.is_unsettled(&task)
+        {
+            let placed = shard.job(&task);
+            let placed = placed.as_ref().and_then(Job::placement);
+            if placed.is_some_and(|p| p.worker == worker && p.attempt == status.attempt) {
+                follow_status(&cx, &shard, &worker, &address, &status);
+            }
+        }
+    });
+}
+
+/// Stops tasks that are not to run on a worker, or acknowledges their recorded ends.
+fn stop_tasks(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str, tasks: Vec<JobId>) {
+    let begun = tasks.into_iter();
+    let begun: Vec<JobId> = begun
+        .filter(|task| begin_stop(shard, worker, task))
+        .collect();
+    if begun.is_empty() {
+        shard.placement.notify_one();
+        return;
+    }
+    let (cx, shard) = (Rc::clone(cx), Rc::clone(shard));
+    let (worker, address) = (worker.clone(), address.to_owned());
+    supervisor::spawn("task-stops", async move {
+        for task in &begun {
+            let _ = cx.workers.stop(&address, task, shard.epoch).await;
+            end_stop(&shard, &worker, task);
+        }
+        shard.placement.notify_one();
+    });
+}
+
+/// Notes a stop that is about to be sent; false when one is under way.
+fn begin_stop(shard: &Shard, worker: &WorkerId, task: &JobId) -> bool {
+    shard.session(worker, |session| session.stopping.insert(task.clone())) == Some(true)
+}
+
+fn end_stop(shard: &Shard, worker: &WorkerId, task: &JobId) {
+    shard.session(worker, |session| session.stopping.swap_remove(task));
+}
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -6,7 +6,11 @@
         job::Job,
         outcome::Refusal,
     },
-    state::{catalogue::Catalogue, ledger::Grant, ownership::Holder},
+    state::{
+        catalogue::{Catalogue, ChangeRow},
+        ledger::Grant,
+        ownership::Holder,
+    },
     timeline::event::Stamp,
 };
 
@@ -44,8 +48,8 @@
         CancelJob(JobId),
         /// Report floors and ask for new ones.
         Grants(GrantRound),
-        /// Tell of a greater catalogue revision.
-        News(Revision),
+        /// Pass an accepted catalogue change on.
+        News(ChangeRow),
         /// Ask for the catalogue if it is newer than the asker's.
         Catalogue(Revision),
     }
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -78,6 +78,16 @@
     pub linger_urgent: Duration,
     /// Time that any other event waits.
     pub linger_batch: Duration,
+    /// Least time between two rows of one ledger: bounds a shard's writes under any load.
+    pub write_spacing: Duration,
+    /// Least time between two checkpoints of one running task in the ledger.
+    pub checkpoint: Duration,
+    /// Time for which ended jobs and claims are kept.
+    pub retention: Duration,
+    /// Most ended jobs, and most ended claims, that are kept.
+    pub retained: usize,
+    /// Time for which a long-running task stays on a host that is leaving.
+    pub leaving_grace: Duration,
     /// Batches after which a snapshot is taken.
     pub snapshot_batches: u64,
     /// Hundredths of each worker that are kept for requests.
@@ -233,6 +243,12 @@
         command_timeout: r.duration("shards.command_timeout_ms", 1_000, 10..=60_000),
         linger_urgent: r.duration("shards.linger_urgent_ms", 2, 0..=1_000),
         linger_batch: r.duration("shards.linger_batch_ms", 50, 0..=10_000),
+        write_spacing: r.duration("shards.write_spacing_ms", 50, 0..=10_000),
+        checkpoint: r.duration("shards.checkpoint_ms", 15_000, 0..=600_000),
+        retention: r.duration("shards.retention_ms", 3_600_000, 0..=86_400_000),
+        retained: usize::try_from(r.integer("shards.retained", 20_000, 1..=1_000_000))
+            .unwrap_or(usize::MAX),
+        leaving_grace: r.duration("shards.leaving_grace_ms", 30_000, 0..=3_600_000),
         snapshot_batches: r.integer("shards.snapshot_batches", 1_024, 1..=1_000_000),
         request_share_percent: small(r.integer("shards.request_share_percent", 50, 0..=100)),
     }
--- a/src/lapisdrum/state/catalogue.rs
+++ b/src/lapisdrum/state/catalogue.rs
@@ -28,6 +28,16 @@
         pub revision: Revision,
     }
 
+    /// One accepted change, as kept for followers and for the history.
+    pub struct ChangeRow {
+        /// The revision that it made.
+        pub revision: Revision,
+        /// The entry.
+        pub name: EntryName,
+        /// The entry's row since then.
+        pub row: EntryRow,
+    }
+
     /// A whole catalogue at one revision.
     #[derive(Default)]
     pub struct Catalogue {
@@ -77,6 +87,17 @@
         true
     }
 
+    /// Applies the very next change; tells whether it did. A change with a gap before it has to wait
+    /// for those in between, or the catalogue would hold a state that was never in force.
+    pub fn apply(&mut self, change: &ChangeRow) -> bool {
+        if change.revision.0 != self.revision.0 + 1 {
+            return false;
+        }
+        self.rows.insert(change.name.clone(), change.row.clone());
+        self.revision = change.revision;
+        true
+    }
+
     /// A checked entry, with its revision.
     pub fn entry(&self, name: &EntryName) -> Option<Entry> {
         let row = self.rows.get(name)?;
