Floors: both sides of the exchange as a pure module; a round names its owner

Cause: floors were divided inside daemon/grants.rs, out of reach of property tests. Reading it for the move found three faults, mended here: - A round that was under way over two take-overs (A, B, A again) met an empty list of rounds and could take back what a later round had given. A round now carries the epoch it is meant for. - At a graceful end the daemon reported nothing held and was answered by a raise to its target, since its presence row still stood. A round now says that its sender is leaving. - The epoch of the last answer stood for all shards of the data centre; with several shards a request carried another shard's epoch. Each floor now keeps the epoch of its own owner.

Ruled out: keeping the last round in the ledger (a write for each exchange).

--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -25,7 +25,7 @@
     peer::client::Peers,
     platform::client::PlatformClient,
     settings::Settings,
-    state::{catalogue::Catalogue, ownership::Holder},
+    state::{catalogue::Catalogue, grants::Floors, ownership::Holder},
     timeline::{event::Happening, ring::Timeline},
     worker::client::WorkerClient,
 };
@@ -72,7 +72,7 @@
     /// Shards that this daemon owns.
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
-    pub floors: RefCell<grants::Floors>,
+    pub floors: RefCell<Floors>,
     /// Requests let in and not yet answered.
     pub admission: RefCell<crate::policy::admission::Admission>,
     /// Whether a catalogue at least as new as any in force when this daemon started is in force.
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -132,7 +132,7 @@
         let out = Outgoing {
             request: &id,
             entry: &entry.name,
-            epoch: cx.floors.borrow().epoch,
+            epoch: cx.floors.borrow().epoch_on(&worker),
             content_type: req.content_type.as_deref(),
             body: req.body.clone(),
             left,
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -54,6 +54,8 @@
     pub struct GrantRound {
         /// The shard.
         pub shard: ShardId,
+        /// The epoch of the owner that it is meant for.
+        pub epoch: Epoch,
         /// The asker.
         pub holder: Holder,
         /// Raised by each exchange, so that one that arrives late is ignored.
@@ -61,6 +63,8 @@
         /// What the asker holds itself to at present. It never uses more without a new answer, so
         /// whatever the ledger has beyond it is given back.
         pub holding: Vec<WorkerGrant>,
+        /// The asker is on its way out and wants nothing new.
+        pub leaving: bool,
     }
 
     /// The owner's side of an exchange about floors.
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -5,5 +5,6 @@
 
 pub mod catalogue;
 pub mod fencing;
+pub mod grants;
 pub mod ledger;
 pub mod ownership;
