Ledger: durable holds, nothing answered before its row, moves between shards

Faults found by reading the code for the model, with the symptom of each: - The hold was read from the catalogue. Lowered by an operator while an owner is cut off, the successor waits out the new hold and the old owner renews by the old one: two livestreams. State::apply_all takes all or none, by a trial on the jobs and claims concerned. - A repeated acceptance, or a floor exchange after one that timed out, was answered from events not yet durable. A proposal without events is now a barrier, which both await. - A placement evicted between proposal and commit was started all the same. start_task looks. - Placing went on after OwnerEnded. place_waiting asks, and the ledger refuses such a placement.

New: MovedOut and MovedIn, for one transaction over two ledgers. The daemon does not use them yet. Ruled out: cloning the state for each proposal (time in proportion to all jobs kept).

--- a/src/lapisdrum/core/job.rs
+++ b/src/lapisdrum/core/job.rs
@@ -4,6 +4,7 @@
     id::{EntryName, Epoch, WorkerId},
     size::Size,
 };
+use std::time::Duration;
 
 scalar! {
     /// Counts the runs of one job; each placement is a new attempt.
@@ -56,6 +57,10 @@
         pub entry: EntryName,
         /// What it takes of a host, copied from the entry when it was accepted.
         pub size: Size,
+        /// How long an owner that is cut off may go on renewing it, copied in the same way. A
+        /// successor waits this out, so both must go by one figure: were it read from the catalogue,
+        /// a change would reach the successor and not the owner that is cut off.
+        pub hold: Duration,
         /// Its stage.
         pub phase: JobPhase,
         /// Attempts so far.
--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -150,14 +150,14 @@
         let (hosts, holding) = (wholes(cx), by_worker(round.holding));
         grants::changes(&shard.state(), &hosts, &holder, &holding, &targets)
     };
-    if !events.is_empty() {
-        let ticket = match shard.propose(cx, events, Urgency::Urgent) {
-            Ok(ticket) => ticket,
-            Err(e) => return PeerReply::Refused(e.refusal()),
-        };
-        if ticket.end().await != WriteEnd::Committed {
-            return PeerReply::Unknown;
-        }
+    // Also without events: a floor that an earlier round raised may still be on its way to the table,
+    // and a successor that has not seen it would give the same room to another.
+    let ticket = match shard.propose(cx, events, Urgency::Urgent) {
+        Ok(ticket) => ticket,
+        Err(e) => return PeerReply::Refused(e.refusal()),
+    };
+    if ticket.end().await != WriteEnd::Committed {
+        return PeerReply::Unknown;
     }
     let floors = shard.state().grants.get(&holder).cloned();
     PeerReply::Grants(GrantAnswer {
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -151,7 +151,7 @@
 async fn accept(cx: &Cx, shard: &Rc<Shard>, job: JobId, name: &EntryName) -> PeerReply {
     if let Some(known) = shard.job(&job) {
         return match known.entry == *name {
-            true => PeerReply::Job(known),
+            true => known_job(cx, shard, known).await,
             false => PeerReply::Refused(Refusal::WrongClass {
                 entry: known.entry,
                 class: Class::Batch,
@@ -166,6 +166,7 @@
         job: job.clone(),
         entry: entry.name.clone(),
         size: entry.size,
+        hold: entry.hold,
     };
     let ticket = match shard.propose(cx, vec![accepted], Urgency::Urgent) {
         Ok(ticket) => ticket,
@@ -185,6 +186,18 @@
     }
 }
 
+/// Answers a repeat of an acceptance. The first one's row may still be on its way to the table and
+/// never arrive there, so the repeat waits for it as well.
+async fn known_job(cx: &Cx, shard: &Rc<Shard>, known: Job) -> PeerReply {
+    let Ok(ticket) = shard.propose(cx, Vec::new(), Urgency::Urgent) else {
+        return PeerReply::Unknown;
+    };
+    match ticket.end().await {
+        WriteEnd::Committed => PeerReply::Job(known),
+        WriteEnd::NotWritten | WriteEnd::Unknown => PeerReply::Unknown,
+    }
+}
+
 /// A job that fits no host, even an empty one, would wait for ever.
 fn check_fits(cx: &Cx, shard: &Shard, entry: Entry) -> Result<Entry, Refusal> {
     let members = cx.members.borrow();
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -154,7 +154,8 @@
         Ref::map(self.inner.borrow(), |inner| &inner.state)
     }
 
-    /// Applies events and has them written together. On an error nothing was changed.
+    /// Applies events and has them written together. On an error nothing was changed. Without events
+    /// the ticket completes once everything proposed before is durable.
     pub fn propose(
         &self,
         cx: &Cx,
@@ -167,9 +168,10 @@
             Standing::Stalled => return Err(ProposeError::Stalled),
             Standing::Lost => return Err(ProposeError::Lost),
         }
-        for event in &events {
-            inner.state.apply(event).map_err(ProposeError::Misplaced)?;
-        }
+        inner
+            .state
+            .apply_all(&events)
+            .map_err(ProposeError::Misplaced)?;
         let (tx, rx) = oneshot::channel();
         inner.open.extend(events);
         inner.waiters.push(tx);
@@ -291,6 +293,10 @@
         let mut inner = self.inner.borrow_mut();
         inner.due = None;
         if inner.open.is_empty() {
+            // One write at a time: whatever was proposed before is durable by now.
+            for waiter in inner.waiters.drain(..) {
+                let _ = waiter.send(WriteEnd::Committed);
+            }
             return None;
         }
         let batch = Batch {
@@ -330,7 +336,9 @@
                     Settled::Refused
                 };
             }
-            let outcome = match may_act() || in_doubt {
+            // Judged before the wait: the lease may end while the write is under way.
+            let sent = in_doubt || may_act();
+            let outcome = match sent {
                 true => cx.platform.txn(&txn).await,
                 // A paused owner wakes here with its lease gone and must not write.
                 false => TxnOutcome::Unknown(PlatformError::lease_lapsed()),
@@ -348,7 +356,7 @@
                 }
                 TxnOutcome::Unknown(_) => {
                     cx.metrics.platform_unknown.inc();
-                    in_doubt |= may_act();
+                    in_doubt |= sent;
                     self.set_standing(Standing::Stalled);
                 }
             }
--- a/src/lapisdrum/daemon/tasks.rs
+++ b/src/lapisdrum/daemon/tasks.rs
@@ -214,7 +214,7 @@
 fn next_lease(cx: &Cx, shard: &Shard, session: &mut Session, task: &JobId) -> Option<u64> {
     let terms = &cx.cfg.shards.terms;
     let now = cx.clock.now();
-    let hold = hold_of(cx, shard, task);
+    let hold = hold_of(shard, task);
     let right = shard.tenure().right_until(hold, terms);
     let end = (now + cx.cfg.shards.task_lease).min(right);
     if end <= now {
@@ -226,10 +226,10 @@
     Some(until.0)
 }
 
-fn hold_of(cx: &Cx, shard: &Shard, task: &JobId) -> Duration {
-    let entry = shard.state().jobs.get(task).map(|job| job.entry.clone());
-    let entry = entry.and_then(|name| cx.catalogue.borrow().entry(&name));
-    entry.map_or(cx.cfg.shards.task_lease, |entry| entry.hold)
+/// A job that the ledger does not know has no hold: nothing of it is renewed.
+fn hold_of(shard: &Shard, task: &JobId) -> Duration {
+    let state = shard.state();
+    state.jobs.get(task).map(|job| job.hold).unwrap_or_default()
 }
 
 /// Brings the ledger in line with what a worker reports.
@@ -415,7 +415,7 @@
             earlier: earlier_owners(cx, shard, placement),
             owner_since: shard.since,
             task_lease: cx.cfg.shards.task_lease,
-            hold: hold_of(cx, shard, job),
+            hold: hold_of(shard, job),
         };
         if fencing::restart_at(&evidence, &cx.cfg.shards.terms) < now {
             unplace(cx, shard, job, placement, "lease has run out");
@@ -498,6 +498,10 @@
 }
 
 fn place_waiting(cx: &Cx, shard: &Rc<Shard>) {
+    // After the last event of a graceful end nothing may be started any more.
+    if !shard.is_serving() {
+        return;
+    }
     let waiting: Vec<(JobId, Size, Attempt)> = {
         let state = shard.state();
         let waits = state
@@ -561,6 +565,11 @@
 }
 
 async fn start_task(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: &Placement) {
+    // Evicted between its proposal and its commit: by now it may have been placed elsewhere, and a
+    // start would make a second copy.
+    if shard.job(job).as_ref().and_then(Job::placement) != Some(placement) {
+        return;
+    }
     let Some((start, address)) = start_command(cx, shard, job, placement) else {
         // Nothing was sent. If the ledger can't take the eviction now, the next visit finds a lease
         // that has run out.
--- a/src/lapisdrum/state/ledger.rs
+++ b/src/lapisdrum/state/ledger.rs
@@ -7,12 +7,12 @@
 
 use super::ownership::Holder;
 use crate::core::{
-    id::{EntryName, Epoch, JobId, RequestId, Sequence, WorkerId},
+    id::{EntryName, Epoch, JobId, RequestId, Sequence, ShardId, WorkerId},
     job::{Attempt, Checkpoint, Job, JobEnd, JobPhase, Placement},
     size::Size,
 };
 use indexmap::IndexMap;
-use std::fmt;
+use std::{fmt, hash::Hash, time::Duration};
 
 data! {
     /// What a daemon may use of a worker for requests, without asking anybody.
@@ -81,6 +81,8 @@
             entry: EntryName,
             /// What it takes.
             size: Size,
+            /// How long an owner that is cut off may go on renewing it.
+            hold: Duration,
         },
         /// A job was given a place.
         Placed {
@@ -129,6 +131,20 @@
             /// The job.
             job: JobId,
         },
+        /// A waiting job left for another shard, in the transaction that put it there.
+        MovedOut {
+            /// The job.
+            job: JobId,
+            /// Where to.
+            to: ShardId,
+        },
+        /// A job arrived from another shard, in the transaction that took it from there.
+        MovedIn {
+            /// The job's id, which still names its home shard.
+            id: JobId,
+            /// The job as it left.
+            job: Job,
+        },
         /// A request id was claimed.
         Claimed {
             /// The id.
@@ -180,6 +196,41 @@
     }
 }
 
+impl Event {
+    /// The job that it is about.
+    fn job(&self) -> Option<&JobId> {
+        match self {
+            Self::Accepted { job, .. }
+            | Self::Placed { job, .. }
+            | Self::Checkpointed { job, .. }
+            | Self::Evicted { job, .. }
+            | Self::AttemptFailed { job, .. }
+            | Self::CancelAsked { job }
+            | Self::Ended { job, .. }
+            | Self::Forgotten { job }
+            | Self::MovedOut { job, .. }
+            | Self::MovedIn { id: job, .. } => Some(job),
+            Self::OwnerBegan { .. }
+            | Self::OwnerEnded { .. }
+            | Self::Claimed { .. }
+            | Self::ClaimEnded { .. }
+            | Self::ClaimForgotten { .. }
+            | Self::Granted { .. }
+            | Self::GrantsVoided { .. } => None,
+        }
+    }
+
+    /// The claimed request that it is about.
+    fn request(&self) -> Option<&RequestId> {
+        match self {
+            Self::Claimed { request, .. }
+            | Self::ClaimEnded { request, .. }
+            | Self::ClaimForgotten { request } => Some(request),
+            _ => None,
+        }
+    }
+}
+
 /// An event that does not belong to the state that it was applied to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Misplaced {
@@ -212,6 +263,10 @@
         pub epoch: Epoch,
         /// Jobs that are not yet forgotten.
         pub jobs: IndexMap<JobId, Job>,
+        /// Jobs that left for another shard, and where to: a repeat of their acceptance must not make
+        /// a second job, and callers are sent on.
+        #[serde(default)]
+        pub moved: IndexMap<JobId, ShardId>,
         /// Request ids that callers brought.
         pub claims: IndexMap<RequestId, Claim>,
         /// Floors of each daemon on each worker.
@@ -225,7 +280,8 @@
 }
 
 impl State {
-    /// Applies a whole batch, or nothing of it when its place or epoch is wrong.
+    /// Applies a batch, or nothing of it when its place or epoch is wrong. An event in it that does
+    /// not belong means that the ledger is broken; the state is then of no use.
     pub fn apply_batch(&mut self, batch: &Batch) -> Result<(), Misplaced> {
         if batch.sequence != self.sequence.next() {
             return Err(misplaced("sequence out of order", &batch.sequence.0));
@@ -241,12 +297,46 @@
         Ok(())
     }
 
+    /// Applies several events, or none of them.
+    pub fn apply_all(&mut self, events: &[Event]) -> Result<(), Misplaced> {
+        if let [event] = events {
+            return self.apply(event);
+        }
+        let mut trial = self.subjects_of(events);
+        for event in events {
+            trial.apply(event)?;
+        }
+        for event in events {
+            self.apply(event)?;
+        }
+        Ok(())
+    }
+
+    /// As much of the state as decides whether `events` belong to it. Cloning all of it for each
+    /// proposal would cost time in proportion to the jobs kept.
+    fn subjects_of(&self, events: &[Event]) -> Self {
+        let jobs: Vec<&JobId> = events.iter().filter_map(Event::job).collect();
+        let requests = events.iter().filter_map(Event::request);
+        Self {
+            jobs: subset(&self.jobs, jobs.iter().copied()),
+            moved: subset(&self.moved, jobs.iter().copied()),
+            claims: subset(&self.claims, requests),
+            owners: self.owners.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Applies one event; an error leaves the state as it was.
     pub fn apply(&mut self, event: &Event) -> Result<(), Misplaced> {
         match event {
             Event::OwnerBegan { epoch, holder } => self.owner_began(*epoch, holder),
             Event::OwnerEnded { epoch } => self.owner_ended(*epoch),
-            Event::Accepted { job, entry, size } => self.accepted(job, entry, size),
+            Event::Accepted {
+                job,
+                entry,
+                size,
+                hold,
+            } => self.accepted(job, entry, size, *hold),
             Event::Placed { job, placement } => self.placed(job, placement),
             Event::Checkpointed {
                 job,
@@ -264,6 +354,8 @@
             Event::CancelAsked { job } => self.cancel_asked(job),
             Event::Ended { job, end } => self.ended(job, end),
             Event::Forgotten { job } => self.forgotten(job),
+            Event::MovedOut { job, to } => self.moved_out(job, to),
+            Event::MovedIn { id, job } => self.moved_in(id, job),
             Event::Claimed { request, entry, by } => self.claimed(request, entry, by),
             Event::ClaimEnded { request, end } => self.claim_ended(request, end),
             Event::ClaimForgotten { request } => self.claim_forgotten(request),
@@ -334,13 +426,20 @@
         Ok(())
     }
 
-    fn accepted(&mut self, id: &JobId, entry: &EntryName, size: &Size) -> Result<(), Misplaced> {
-        if self.jobs.contains_key(id) {
+    fn accepted(
+        &mut self,
+        id: &JobId,
+        entry: &EntryName,
+        size: &Size,
+        hold: Duration,
+    ) -> Result<(), Misplaced> {
+        if self.jobs.contains_key(id) || self.moved.contains_key(id) {
             return Err(misplaced("job accepted twice", id));
         }
         let job = Job {
             entry: entry.clone(),
             size: *size,
+            hold,
             phase: JobPhase::Waiting,
             attempts: Attempt::default(),
             failures: 0,
@@ -362,6 +461,12 @@
         if placement.attempt != Attempt(job.attempts.0 + 1) {
             return Err(misplaced("attempt out of order", id));
         }
+        // Its successor takes an owner that has ended for one that starts nothing more, and waits
+        // only for the last lease.
+        let has_ended = |owner: &OwnerRecord| owner.epoch == placement.epoch && owner.released;
+        if self.owners.iter().any(has_ended) {
+            return Err(misplaced("job placed by an owner that has ended", id));
+        }
         job.attempts = placement.attempt;
         job.phase = JobPhase::Placed(placement.clone());
         let sum = self.committed.entry(placement.worker.clone()).or_default();
@@ -436,10 +541,39 @@
                 self.jobs.swap_remove(id);
                 Ok(())
             }
+            None if self.moved.contains_key(id) => {
+                self.moved.swap_remove(id);
+                Ok(())
+            }
             _ => Err(misplaced("only an ended job is forgotten", id)),
         }
     }
 
+    /// A placed job stays: while it may be running, only the shard of its worker can tell.
+    fn moved_out(&mut self, id: &JobId, to: &ShardId) -> Result<(), Misplaced> {
+        match self.jobs.get(id) {
+            Some(job) if job.phase == JobPhase::Waiting => {
+                self.jobs.swap_remove(id);
+                self.moved.insert(id.clone(), to.clone());
+                Ok(())
+            }
+            _ => Err(misplaced("only a waiting job moves", id)),
+        }
+    }
+
+    fn moved_in(&mut self, id: &JobId, job: &Job) -> Result<(), Misplaced> {
+        if self.jobs.contains_key(id) {
+            return Err(misplaced("job moved in twice", id));
+        }
+        if job.phase != JobPhase::Waiting {
+            return Err(misplaced("only a waiting job moves", id));
+        }
+        // It may come back to a shard that it left.
+        self.moved.swap_remove(id);
+        self.jobs.insert(id.clone(), job.clone());
+        Ok(())
+    }
+
     fn claimed(&mut self, id: &RequestId, entry: &EntryName, by: &Holder) -> Result<(), Misplaced> {
         if self.claims.contains_key(id) {
             return Err(misplaced("request claimed twice", id));
@@ -499,3 +633,11 @@
         }
     }
 }
+
+fn subset<'a, K: Hash + Eq + Clone + 'a, V: Clone>(
+    all: &IndexMap<K, V>,
+    keys: impl Iterator<Item = &'a K>,
+) -> IndexMap<K, V> {
+    keys.filter_map(|key| Some((key.clone(), all.get(key)?.clone())))
+        .collect()
+}
