--- a/src/lapisdrum/daemon/evictions.rs
+++ b/src/lapisdrum/daemon/evictions.rs
@@ -73,7 +73,7 @@
             earlier: earlier_owners(cx, shard, placement),
             owner_since: shard.since,
             task_lease: cx.cfg.shards.task_lease,
-            hold: sessions::hold_of(cx, shard, job),
+            hold: sessions::hold_of(shard, job),
         };
         if fencing::restart_at(&evidence, &cx.cfg.shards.terms) < now {
             unplace(cx, shard, job, placement, "lease has run out");
--- a/src/lapisdrum/daemon/index.rs
+++ b/src/lapisdrum/daemon/index.rs
@@ -38,9 +38,9 @@
     Ended,
 }
 
-/// A job as it stood before an event, for [`Index::note`].
+/// Jobs as they stood before some events, for [`Index::note`].
 #[derive(Clone, Debug, Default)]
-pub struct Before(Option<View>);
+pub struct Before(IndexMap<JobId, Option<View>>);
 
 /// Jobs and claims by worker, entry and age.
 #[derive(Debug, Default)]
@@ -70,34 +70,43 @@
         index
     }
 
-    /// What is known of the event's job before the event is applied.
-    pub fn before(state: &State, event: &Event) -> Before {
-        let job = job_of(event).and_then(|id| state.jobs.get(id));
-        Before(job.map(view))
+    /// What is known of the events' jobs before they are applied.
+    pub fn before(state: &State, events: &[Event]) -> Before {
+        let jobs = events.iter().filter_map(Event::job);
+        Before(
+            jobs.map(|id| (id.clone(), state.jobs.get(id).map(view)))
+                .collect(),
+        )
     }
 
-    /// Follows an event that was applied to `state`.
-    pub fn note(&mut self, before: Before, state: &State, event: &Event, now: Millis) {
-        match event {
-            Event::Claimed { request, .. } => self.open_claims.push_back((now, request.clone())),
-            Event::ClaimEnded { request, .. } => {
-                self.ended_claims.push_back((now, request.clone()));
+    /// Follows events that were applied to `state`.
+    pub fn note(&mut self, before: Before, state: &State, events: &[Event], now: Millis) {
+        for event in events {
+            match event {
+                Event::Claimed { request, .. } => {
+                    self.open_claims.push_back((now, request.clone()));
+                }
+                Event::ClaimEnded { request, .. } => {
+                    self.ended_claims.push_back((now, request.clone()));
+                }
+                _ => {}
             }
-            _ => {}
         }
-        let Some(id) = job_of(event) else {
-            return;
-        };
-        let after = state.jobs.get(id).map(view);
-        if before.0 == after {
-            return;
+        for (id, before) in before.0 {
+            let after = state.jobs.get(&id).map(view);
+            if before != after {
+                self.change(&id, before, after, now);
+            }
         }
+    }
+
+    fn change(&mut self, id: &JobId, before: Option<View>, after: Option<View>, now: Millis) {
         // Work that lost its place was accepted before anything that still waits.
-        let side = match before.0 {
+        let side = match before {
             Some(_) => Side::Front,
             None => Side::Back,
         };
-        if let Some(view) = before.0 {
+        if let Some(view) = before {
             self.leave(id, &view);
         }
         if let Some(view) = after {
@@ -231,27 +240,6 @@
     }
 }
 
-/// The job that an event is about.
-pub fn job_of(event: &Event) -> Option<&JobId> {
-    match event {
-        Event::Accepted { job, .. }
-        | Event::Placed { job, .. }
-        | Event::Checkpointed { job, .. }
-        | Event::Evicted { job, .. }
-        | Event::AttemptFailed { job, .. }
-        | Event::CancelAsked { job }
-        | Event::Ended { job, .. }
-        | Event::Forgotten { job } => Some(job),
-        Event::OwnerBegan { .. }
-        | Event::OwnerEnded { .. }
-        | Event::Claimed { .. }
-        | Event::ClaimEnded { .. }
-        | Event::ClaimForgotten { .. }
-        | Event::Granted { .. }
-        | Event::GrantsVoided { .. } => None,
-    }
-}
-
 fn take_expired<T>(
     list: &mut VecDeque<(Millis, T)>,
     before: Millis,
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -16,7 +16,7 @@
     },
     peer::wire::{PeerReply, PeerRequest},
     platform::wire::Host,
-    state::ledger::Event,
+    state::ledger::{Event, State},
     timeline::event::Happening,
 };
 use std::{rc::Rc, time::Duration};
@@ -169,6 +169,7 @@
         job: job.clone(),
         entry: entry.name.clone(),
         size: entry.size,
+        hold: entry.hold,
     };
     let reply = write(cx, shard, &job, accepted).await;
     if matches!(reply, PeerReply::Job(_)) {
@@ -190,11 +191,12 @@
 /// The job once all that is known of it is durable: a repeat must not be told of a job whose
 /// acceptance may still be lost.
 async fn settled(cx: &Cx, shard: &Shard, job: &JobId) -> PeerReply {
-    let unsettled = shard.journal.is_unsettled(job);
-    let ticket = unsettled.then(|| shard.journal.settlement()).flatten();
-    let end = match ticket {
-        Some(ticket) => ticket.end_within(write_limit(cx)).await,
-        None => WriteEnd::Committed,
+    if !shard.journal.is_unsettled(job) {
+        return answer_for(shard, job, WriteEnd::Committed);
+    }
+    let end = match shard.propose(cx, Vec::new(), Urgency::Urgent) {
+        Ok(barrier) => barrier.end_within(write_limit(cx)).await,
+        Err(_) => WriteEnd::Unknown,
     };
     answer_for(shard, job, end)
 }
@@ -218,7 +220,9 @@
 fn check_fits(cx: &Cx, shard: &Shard, entry: Entry) -> Result<Entry, Refusal> {
     let members = cx.members.borrow();
     let hosts = members.shard_hosts(&shard.id, cx.cfg.shards.count);
-    let room = |host: &Host| host.capacity.minus(&grants::request_share(cx, host));
+    let unused = State::default();
+    let kept = |host: &Host| grants::unclaimed_reserve(cx, &unused, host);
+    let room = |host: &Host| host.capacity.minus(&kept(host));
     if hosts.is_empty() || hosts.iter().any(|host| entry.size.fits(&room(host))) {
         return Ok(entry);
     }
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Cx,
-    index::{Index, job_of},
+    index::Index,
     registrar::epoch_key,
     snapshots::{self, Snapshot},
 };
@@ -69,7 +69,7 @@
     Stalled,
     /// The shard is lost.
     Lost,
-    /// An event does not belong to the state; it and those after it were not taken.
+    /// An event does not belong to the state.
     Misplaced(Misplaced),
 }
 
@@ -236,12 +236,12 @@
         self.inner.borrow().standing == Standing::Writing
     }
 
-    /// Applies events and has them written together. When one is misplaced those before it are
-    /// written all the same, so that state and ledger stay equal.
+    /// Applies events and has them written together. On an error nothing was changed. Without events
+    /// the ticket completes once everything proposed before is durable.
     pub fn propose(
         &self,
         cx: &Cx,
-        mut events: Vec<Event>,
+        events: Vec<Event>,
         urgency: Urgency,
     ) -> Result<Ticket, ProposeError> {
         let inner = &mut *self.inner.borrow_mut();
@@ -251,19 +251,14 @@
             Standing::Lost => return Err(ProposeError::Lost),
         }
         let now = cx.clock.now();
-        let mut fault = None;
-        let mut taken = 0;
-        for event in &events {
-            let before = Index::before(&inner.state, event);
-            if let Err(misplaced) = inner.state.apply(event) {
-                fault = Some(ProposeError::Misplaced(misplaced));
-                break;
-            }
-            inner.index.note(before, &inner.state, event, now);
-            inner.open_company.jobs.extend(job_of(event).cloned());
-            taken += 1;
-        }
-        events.truncate(taken);
+        let before = Index::before(&inner.state, &events);
+        inner
+            .state
+            .apply_all(&events)
+            .map_err(ProposeError::Misplaced)?;
+        inner.index.note(before, &inner.state, &events, now);
+        let jobs = events.iter().filter_map(Event::job);
+        inner.open_company.jobs.extend(jobs.cloned());
         inner.open.extend(events);
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
@@ -272,27 +267,11 @@
         let due = now + linger;
         inner.due = Some(inner.due.map_or(due, |earlier| earlier.min(due)));
         self.work.notify_one();
-        if let Some(fault) = fault {
-            return Err(fault);
-        }
         let (tx, rx) = oneshot::channel();
         inner.open_company.waiters.push(tx);
         Ok(Ticket(rx))
     }
 
-    /// Completes when everything proposed so far is durable; none when it is already.
-    pub fn settlement(&self) -> Option<Ticket> {
-        let inner = &mut *self.inner.borrow_mut();
-        let company = match (inner.open.is_empty(), inner.under_way.as_mut()) {
-            (false, _) => &mut inner.open_company,
-            (true, Some(company)) => company,
-            (true, None) => return None,
-        };
-        let (tx, rx) = oneshot::channel();
-        company.waiters.push(tx);
-        Some(Ticket(rx))
-    }
-
     /// Ends the ledger: nothing more is written by this owner. A row under way may yet be in.
     pub fn lose(&self) {
         let inner = &mut *self.inner.borrow_mut();
@@ -399,7 +378,7 @@
         let inner = &mut *self.inner.borrow_mut();
         inner.due = None;
         if inner.open.is_empty() {
-            // A proposal without events has nothing to wait for.
+            // One write at a time: whatever was proposed before is durable by now.
             inner.open_company.answer(WriteEnd::Committed);
             return None;
         }
--- a/src/lapisdrum/daemon/sessions.rs
+++ b/src/lapisdrum/daemon/sessions.rs
@@ -182,7 +182,7 @@
     }
     let terms = &cx.cfg.shards.terms;
     let now = cx.clock.now();
-    let right = shard.tenure().right_until(hold_of(cx, shard, task), terms);
+    let right = shard.tenure().right_until(hold_of(shard, task), terms);
     let end = (now + cx.cfg.shards.task_lease).min(right);
     if end <= now {
         return None;
@@ -203,9 +203,9 @@
     Some(until.0)
 }
 
-/// How long an owner that is cut off from the table may go on renewing a task.
-pub fn hold_of(cx: &Cx, shard: &Shard, task: &JobId) -> Duration {
-    let entry = shard.state().jobs.get(task).map(|job| job.entry.clone());
-    let entry = entry.and_then(|name| cx.catalogue.borrow().entry(&name));
-    entry.map_or(cx.cfg.shards.task_lease, |entry| entry.hold)
+/// How long an owner that is cut off from the table may go on renewing a task. A job that the ledger
+/// does not know has no hold: nothing of it is renewed.
+pub fn hold_of(shard: &Shard, task: &JobId) -> Duration {
+    let state = shard.state();
+    state.jobs.get(task).map(|job| job.hold).unwrap_or_default()
 }
