lapisdrum-load: sites of processes and the capacity experiment

Cause: every figure in docs/CAPACITY.md must come from a slope that was measured; nothing measured a daemon's cost yet. Change: crates/lapisdrum-load starts daemons and stand-ins as processes of one binary and reads the owner's processor time, memory and platform traffic; the stand-ins can serve many workers in one process.

--- /dev/null
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -0,0 +1,244 @@
+//! `lapisdrum-load capacity`: what a daemon costs its host against workers, tasks and entries.
+//!
+//! Each run starts a site of its own, lets it settle, then measures the owner's processor time,
+//! resident memory and the platform's traffic over a window. docs/CAPACITY.md draws its lines
+//! through these points.
+
+use crate::{
+    measure::process_use,
+    site::{Site, until},
+    table,
+};
+use clap::Args;
+use eyre::Result;
+use lapisdrum::core::catalogue::RawEntry;
+use lapisdrum_standins::worker::server::WorkerSwitches;
+use serde::Serialize;
+use std::{path::PathBuf, time::Duration};
+
+/// Time for a run's tasks to be running.
+const SETTLE_LIMIT: Duration = Duration::from_secs(300);
+/// Pause before the window, so that start-up costs stay out of it.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Arguments of `capacity`.
+#[derive(Debug, Args)]
+pub struct CapacityArgs {
+    /// Workers of each run.
+    #[arg(long, value_delimiter = ',', default_value = "50")]
+    workers: Vec<usize>,
+    /// Running tasks of each run.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    tasks: Vec<usize>,
+    /// Catalogue entries of each run.
+    #[arg(long, value_delimiter = ',', default_value = "3")]
+    entries: Vec<usize>,
+    /// Daemons.
+    #[arg(long, default_value_t = 1)]
+    daemons: usize,
+    /// Length of the window in seconds.
+    #[arg(long, default_value_t = 20)]
+    window_s: u64,
+    /// Settings besides the addresses: a TOML file; the defaults when absent.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+    /// Where to write the rows as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// One run's figures; CPU, memory and traffic are the first daemon's share.
+#[derive(Clone, Debug, Serialize)]
+pub struct CapacityRow {
+    /// Workers.
+    pub workers: usize,
+    /// Running tasks.
+    pub tasks: usize,
+    /// Catalogue entries.
+    pub entries: usize,
+    /// Daemons.
+    pub daemons: usize,
+    /// Processor time of the owner, in hundredths of a core.
+    pub owner_cpu_percent: f64,
+    /// Resident memory of the owner, in megabytes.
+    pub owner_resident_mb: f64,
+    /// Most resident memory of the owner, in megabytes.
+    pub owner_peak_mb: f64,
+    /// Table writes a second, all daemons.
+    pub table_writes_per_s: f64,
+    /// Table and list reads a second, all daemons.
+    pub table_reads_per_s: f64,
+    /// Bytes a second from the platform, all daemons.
+    pub platform_read_bytes_per_s: f64,
+    /// Bytes a second to the platform, all daemons.
+    pub platform_write_bytes_per_s: f64,
+}
+
+/// Runs every combination and prints the table.
+pub async fn run(args: CapacityArgs) -> Result<()> {
+    let mut rows = Vec::new();
+    for &workers in &args.workers {
+        for &tasks in &args.tasks {
+            for &entries in &args.entries {
+                let row = run_one(&args, workers, tasks, entries).await?;
+                eprintln!("{row:?}");
+                rows.push(row);
+            }
+        }
+    }
+    print(&rows);
+    if let Some(path) = &args.json {
+        table::write_json(path, &rows)?;
+    }
+    Ok(())
+}
+
+async fn run_one(
+    args: &CapacityArgs,
+    workers: usize,
+    tasks: usize,
+    entries: usize,
+) -> Result<CapacityRow> {
+    let more = match &args.settings {
+        Some(path) => std::fs::read_to_string(path)?,
+        None => "[log]\nlevel = \"warn\"\n".to_owned(),
+    };
+    let site = Site::start(args.daemons, workers, |plan| plan.more = more.clone()).await?;
+    let endless = vec!["stream".to_owned()];
+    site.switch_workers(&WorkerSwitches {
+        endless,
+        ..WorkerSwitches::default()
+    })
+    .await?;
+    let client = site.daemons[0].client();
+    for i in 0..entries.max(1) {
+        let name = if i == 0 {
+            "stream".to_owned()
+        } else {
+            format!("entry-{i}")
+        };
+        client.put_entry(&small_entry(&name), None).await?;
+    }
+    start_tasks(&site, tasks).await?;
+    tokio::time::sleep(SETTLE).await;
+    measure_window(args, &site, workers, tasks, entries).await
+}
+
+fn small_entry(name: &str) -> RawEntry {
+    RawEntry {
+        name: name.to_owned(),
+        owner: "trail".to_owned(),
+        class: "long-running".to_owned(),
+        millicores: 10,
+        memory_mb: 10,
+        accelerators: 0,
+        concurrency: Some(1_000_000),
+        rate_per_s: None,
+        queue: Some(1_000_000),
+        body_bytes: None,
+        idempotent: false,
+        deadline_ms: None,
+        hold_ms: None,
+        max_failures: None,
+        priority: None,
+        retired: false,
+    }
+}
+
+/// Hands `tasks` jobs in, some at a time, and waits until all of them run.
+async fn start_tasks(site: &Site, tasks: usize) -> Result<()> {
+    const AT_ONCE: usize = 64;
+    let client = site.daemons[0].client();
+    until("the first job is taken", SETTLE_LIMIT, async || {
+        tasks == 0 || client.submit_job("stream").await.is_ok()
+    })
+    .await?;
+    let mut left = tasks.saturating_sub(1);
+    while left > 0 {
+        let batch = left.min(AT_ONCE);
+        let calls = (0..batch).map(|_| client.submit_job("stream"));
+        let taken = futures::future::join_all(calls).await;
+        left -= taken.iter().filter(|outcome| outcome.is_ok()).count();
+    }
+    until("all tasks run", SETTLE_LIMIT, async || {
+        started(site).await >= tasks
+    })
+    .await
+}
+
+async fn started(site: &Site) -> usize {
+    let mut sum = 0;
+    for daemon in &site.daemons {
+        let text = daemon.metrics().await.unwrap_or_default();
+        let line = text
+            .lines()
+            .find_map(|l| l.strip_prefix("lapisdrum_task_starts_total "));
+        sum += line
+            .and_then(|n| n.trim().parse::<usize>().ok())
+            .unwrap_or(0);
+    }
+    sum
+}
+
+async fn measure_window(
+    args: &CapacityArgs,
+    site: &Site,
+    workers: usize,
+    tasks: usize,
+    entries: usize,
+) -> Result<CapacityRow> {
+    let owner = owner(site).await;
+    let id = site.daemons[owner].process.id();
+    let before = (process_use(id)?, site.platform_counts().await?);
+    tokio::time::sleep(Duration::from_secs(args.window_s)).await;
+    let after = (process_use(id)?, site.platform_counts().await?);
+    let seconds = args.window_s as f64;
+    let rate = |from: u64, to: u64| (to - from) as f64 / seconds;
+    Ok(CapacityRow {
+        workers,
+        tasks,
+        entries,
+        daemons: args.daemons,
+        owner_cpu_percent: (after.0.cpu - before.0.cpu).as_secs_f64() / seconds * 100.0,
+        owner_resident_mb: after.0.resident_kb as f64 / 1024.0,
+        owner_peak_mb: after.0.peak_kb as f64 / 1024.0,
+        table_writes_per_s: rate(before.1.writes, after.1.writes),
+        table_reads_per_s: rate(before.1.reads, after.1.reads),
+        platform_read_bytes_per_s: rate(before.1.read_bytes, after.1.read_bytes),
+        platform_write_bytes_per_s: rate(before.1.write_bytes, after.1.write_bytes),
+    })
+}
+
+/// The daemon that owns the first shard.
+async fn owner(site: &Site) -> usize {
+    for (i, daemon) in site.daemons.iter().enumerate() {
+        let text = daemon.metrics().await.unwrap_or_default();
+        if text.lines().any(|line| line == "lapisdrum_shards_owned 1") {
+            return i;
+        }
+    }
+    0
+}
+
+fn print(rows: &[CapacityRow]) {
+    let headings = [
+        "workers", "tasks", "entries", "daemons", "cpu %", "rss MB", "peak MB", "writes/s",
+        "reads/s", "in B/s", "out B/s",
+    ];
+    let cells = |row: &CapacityRow| {
+        vec![
+            row.workers.to_string(),
+            row.tasks.to_string(),
+            row.entries.to_string(),
+            row.daemons.to_string(),
+            format!("{:.2}", row.owner_cpu_percent),
+            format!("{:.1}", row.owner_resident_mb),
+            format!("{:.1}", row.owner_peak_mb),
+            format!("{:.2}", row.table_writes_per_s),
+            format!("{:.2}", row.table_reads_per_s),
+            format!("{:.0}", row.platform_read_bytes_per_s),
+            format!("{:.0}", row.platform_write_bytes_per_s),
+        ]
+    };
+    table::print(&headings, &rows.iter().map(cells).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/lapisdrum-load/src/site.rs
@@ -0,0 +1,256 @@
+//! A site of processes for an experiment: a platform, workers, daemons, ended with their handle.
+
+use eyre::{Result, WrapErr as _, bail, ensure, eyre};
+use lapisdrum::{api::client::DaemonClient, platform::wire::HostWire};
+use lapisdrum_standins::{
+    platform::server::{PlatformCounts, PlatformSwitches},
+    site::{self, DaemonPlan},
+    worker::server::WorkerSwitches,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    env, fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Time for a process to serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at something awaited.
+const POLL: Duration = Duration::from_millis(20);
+/// Workers to a rack in an experiment's hosts.
+const RACK_SIZE: usize = 8;
+
+/// A process that is ended with its handle, by its id.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn start(args: &[&str], stdout: Stdio) -> Result<Self> {
+        let own = env::current_exe()?;
+        let child = Command::new(own)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(stdout)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends it without warning.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A daemon process.
+pub struct Daemon {
+    /// The process.
+    pub process: Process,
+    /// Its settings.
+    pub plan: DaemonPlan,
+    config: PathBuf,
+}
+
+impl Daemon {
+    /// Starts a daemon without waiting for it.
+    pub fn start(plan: DaemonPlan) -> Result<Self> {
+        let name = format!(
+            "lapisdrum-{}-{:016x}.toml",
+            plan.name,
+            rand::random::<u64>()
+        );
+        let config = env::temp_dir().join(name);
+        fs::write(&config, plan.settings())?;
+        let path = config.display().to_string();
+        let process = Process::start(&["daemon", "--config", &path], Stdio::null())?;
+        Ok(Self {
+            process,
+            plan,
+            config,
+        })
+    }
+
+    /// A client of it.
+    pub fn client(&self) -> DaemonClient {
+        DaemonClient::new(&self.plan.callers.to_string(), CALL_TIMEOUT)
+    }
+
+    /// Its metrics as text.
+    pub async fn metrics(&self) -> Result<String> {
+        let http = client();
+        let sent = http
+            .get(format!("http://{}/metrics", self.plan.callers))
+            .send()
+            .await;
+        let mut answer = sent.map_err(|e| eyre!("{e}"))?;
+        Ok(String::from_utf8_lossy(&answer.body().await?).into_owned())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.config);
+    }
+}
+
+/// A platform, workers and daemons as processes.
+pub struct Site {
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The membership list.
+    pub hosts: Vec<HostWire>,
+    /// Where the platform listens.
+    pub platform: SocketAddr,
+    /// Where each worker listens.
+    pub workers: Vec<SocketAddr>,
+    _processes: Vec<Process>,
+}
+
+impl Site {
+    /// Starts a platform, `workers` workers in one process and `daemons` daemons, and waits until
+    /// every daemon is ready.
+    pub async fn start(
+        daemons: usize,
+        workers: usize,
+        adjust: impl Fn(&mut DaemonPlan),
+    ) -> Result<Self> {
+        let (platform_process, platform) = standin(&["platform"], 1)?;
+        let count = workers.to_string();
+        let (fleet, workers) = standin(&["workers", "--count", &count], workers)?;
+        let host = |(i, address): (usize, &SocketAddr)| {
+            let rack = format!("rack-{}", i / RACK_SIZE);
+            site::host(&format!("worker-{i}"), *address, "westlands", &rack)
+        };
+        let hosts: Vec<HostWire> = workers.iter().enumerate().map(host).collect();
+        let platform = platform[0];
+        put(platform, "/control/hosts", &hosts).await?;
+        let _processes = vec![platform_process, fleet];
+        let mut site = Self {
+            daemons: Vec::new(),
+            hosts,
+            platform,
+            workers,
+            _processes,
+        };
+        for i in 0..daemons {
+            let mut plan = DaemonPlan::new(&format!("westlands-{i}"), "westlands", platform);
+            adjust(&mut plan);
+            site.daemons.push(Daemon::start(plan)?);
+        }
+        for daemon in &site.daemons {
+            let client = daemon.client();
+            until("a daemon is ready", START_LIMIT, async || {
+                client.is_ready().await
+            })
+            .await?;
+        }
+        Ok(site)
+    }
+
+    /// Sets what the platform does wrong.
+    pub async fn switch_platform(&self, switches: &PlatformSwitches) -> Result<()> {
+        put(self.platform, "/control/switches", switches).await
+    }
+
+    /// Sets how every worker behaves.
+    pub async fn switch_workers(&self, switches: &WorkerSwitches) -> Result<()> {
+        for worker in &self.workers {
+            put(*worker, "/control/switches", switches).await?;
+        }
+        Ok(())
+    }
+
+    /// The platform's reads and writes so far.
+    pub async fn platform_counts(&self) -> Result<PlatformCounts> {
+        get(self.platform, "/control/counts").await
+    }
+}
+
+fn standin(args: &[&str], addresses: usize) -> Result<(Process, Vec<SocketAddr>)> {
+    let listen = SocketAddr::from((site::free_address().ip(), 0)).to_string();
+    let all = [&["standins"], args, &["--listen", &listen]].concat();
+    let mut process = Process::start(&all, Stdio::piped())?;
+    let stdout = process
+        .child
+        .stdout
+        .take()
+        .ok_or_else(|| eyre!("stdout is piped"))?;
+    let lines = BufReader::new(stdout).lines().take(addresses);
+    let parse = |line: std::io::Result<String>| -> Result<SocketAddr> {
+        let line = line?;
+        let address = line.strip_prefix("listening on ");
+        address
+            .ok_or_else(|| eyre!("stand-in said `{line}`"))?
+            .parse()
+            .wrap_err("an address")
+    };
+    let found = lines.map(parse).collect::<Result<Vec<_>>>()?;
+    ensure!(
+        found.len() == addresses,
+        "{} of {addresses} stand-ins started",
+        found.len()
+    );
+    Ok((process, found))
+}
+
+/// Waits until something holds.
+pub async fn until(
+    what: &str,
+    limit: Duration,
+    mut holds: impl AsyncFnMut() -> bool,
+) -> Result<()> {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if holds().await {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    bail!("not within {limit:?}: {what}")
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder().timeout(CALL_TIMEOUT).finish()
+}
+
+/// Sends a JSON value to a stand-in.
+pub async fn put(address: SocketAddr, path: &str, value: &impl Serialize) -> Result<()> {
+    let sent = client()
+        .put(format!("http://{address}{path}"))
+        .send_json(value)
+        .await;
+    let answer = sent.map_err(|e| eyre!("{e}"))?;
+    ensure!(
+        answer.status().is_success(),
+        "PUT {path}: {}",
+        answer.status()
+    );
+    Ok(())
+}
+
+/// Reads a JSON value from a stand-in.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T> {
+    let sent = client().get(format!("http://{address}{path}")).send().await;
+    let mut answer = sent.map_err(|e| eyre!("{e}"))?;
+    let body = answer.body().limit(1 << 28).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- a/crates/lapisdrum-standins/src/platform/table.rs
+++ b/crates/lapisdrum-standins/src/platform/table.rs
@@ -35,7 +35,7 @@
         }
         self.writes += 1;
         for key in &txn.delete {
-            self.rows.shift_remove(key);
+            self.rows.swap_remove(key);
         }
         let versions = txn
             .put
--- a/crates/lapisdrum-standins/src/process.rs
+++ b/crates/lapisdrum-standins/src/process.rs
@@ -29,6 +29,15 @@
         #[arg(long)]
         listen: SocketAddr,
     },
+    /// Many workers in one process, each on a port of its own.
+    Workers {
+        /// Where the first listens; the others take free ports of the same IP number.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// How many.
+        #[arg(long)]
+        count: usize,
+    },
     /// A worker.
     Worker {
         /// Where to listen.
@@ -51,18 +60,28 @@
 
 /// Serves until the process is ended.
 pub async fn run(args: Args) -> Result<()> {
-    let (stop, stopped) = watch::channel(false);
-    let (Kind::Platform { listen } | Kind::Worker { listen, .. }) = args.kind;
-    let listener = TcpListener::bind(listen).await?;
-    println!("listening on {}", listener.local_addr()?);
+    // Never sent: the process is ended from outside.
+    let (_stop, stopped) = watch::channel(false);
     match args.kind {
-        Kind::Platform { .. } => Rc::new(Platform::default()).serve(listener, stopped).await,
+        Kind::Platform { listen } => {
+            let listener = bind(listen).await?;
+            Rc::new(Platform::default()).serve(listener, stopped).await;
+        }
+        Kind::Workers { listen, count } => {
+            let mut serving = Vec::new();
+            for i in 0..count {
+                let port = if i == 0 { listen.port() } else { 0 };
+                let listener = bind(SocketAddr::new(listen.ip(), port)).await?;
+                serving.push(usual_worker().serve(listener, stopped.clone()));
+            }
+            futures::future::join_all(serving).await;
+        }
         Kind::Worker {
+            listen,
             cores,
             memory_mb,
             accelerators,
             slots,
-            ..
         } => {
             let capacity = Size {
                 millicores: cores * 1_000,
@@ -70,9 +89,24 @@
                 accelerators,
             };
             let worker = Worker::new(capacity, slots, WorkerSwitches::default());
-            worker.serve(listener, stopped).await;
+            worker.serve(bind(listen).await?, stopped).await;
         }
     }
-    drop(stop);
     Ok(())
 }
+
+async fn bind(listen: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+/// A worker of the size that [`crate::site::host`] lists.
+fn usual_worker() -> Rc<Worker> {
+    let capacity = Size {
+        millicores: 16_000,
+        memory_mb: 60_000,
+        accelerators: 0,
+    };
+    Worker::new(capacity, 8, WorkerSwitches::default())
+}
