Process tests of kills, freezes, cuts, outages, races, balance, drains

Two faults that they found and that are mended here: - With the answer to every write lost, a row was sent again and its conflict lost as well, so nothing was ever settled. The row is now read back before it is sent again. - A repeat under a key waited for every later event of its job; with a checkpoint in each row it was never told. It waits for the acceptance only. One test changed: a_render_resumes_... handed its job in once, right after the daemon was ready, and failed when the shard had no owner yet (a refusal that is right). It now repeats until the job is accepted; what it asserts is as before.

--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -30,6 +30,8 @@
     pub peers: SocketAddr,
     /// The platform.
     pub platform: SocketAddr,
+    /// Peers to ask first while the platform is away.
+    pub ask_first: Vec<SocketAddr>,
     /// More settings as TOML tables, such as `[shards]`.
     pub more: String,
 }
@@ -43,16 +45,29 @@
             callers: free_address(),
             peers: free_address(),
             platform,
+            ask_first: Vec::new(),
             more: QUICK.to_owned(),
         }
     }
 
     /// Its settings file.
     pub fn settings(&self) -> String {
+        let asked = self
+            .ask_first
+            .iter()
+            .map(|address| format!("\"{address}\""));
+        let asked: Vec<String> = asked.collect();
         format!(
-            "[daemon]\nname = \"{}\"\ndata_centre = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\n\
+            "[daemon]\nname = \"{}\"\ndata_centre = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\
+             ask_first = [{}]\n\n\
              [platform]\naddress = \"{}\"\ntimeout_ms = 500\npoll_ms = 200\n\n{}",
-            self.name, self.data_centre, self.callers, self.peers, self.platform, self.more
+            self.name,
+            self.data_centre,
+            self.callers,
+            self.peers,
+            asked.join(", "),
+            self.platform,
+            self.more
         )
     }
 }
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -153,7 +153,10 @@
 async fn accept(cx: &Cx, shard: &Rc<Shard>, job: JobId, name: &EntryName) -> PeerReply {
     if let Some(known) = shard.job(&job) {
         return match known.entry == *name {
-            true => settled(cx, shard, &job).await,
+            true => {
+                let accepted = !shard.journal.is_unaccepted(&job);
+                settled(cx, shard, &job, accepted).await
+            }
             false => PeerReply::Refused(Refusal::WrongClass {
                 entry: known.entry,
                 class: Class::Batch,
@@ -188,10 +191,10 @@
     answer_for(shard, job, ticket.end_within(write_limit(cx)).await)
 }
 
-/// The job once all that is known of it is durable: a repeat must not be told of a job whose
-/// acceptance may still be lost.
-async fn settled(cx: &Cx, shard: &Shard, job: &JobId) -> PeerReply {
-    if !shard.journal.is_unsettled(job) {
+/// A job that was accepted or cancelled before. A repeat must not be told of what may still be lost,
+/// so it waits for the first one's row; later events of the job don't matter to it.
+async fn settled(cx: &Cx, shard: &Shard, job: &JobId, is_settled: bool) -> PeerReply {
+    if is_settled {
         return answer_for(shard, job, WriteEnd::Committed);
     }
     let end = match shard.propose(cx, Vec::new(), Urgency::Urgent) {
@@ -250,7 +253,8 @@
 
 async fn end_by_caller(cx: &Cx, shard: &Rc<Shard>, job: &JobId, found: Job) -> PeerReply {
     let Some(event) = upkeep::cancel(job, &found) else {
-        return settled(cx, shard, job).await;
+        let settled_by_now = !shard.journal.is_unsettled(job);
+        return settled(cx, shard, job, settled_by_now).await;
     };
     let reply = write(cx, shard, job, event).await;
     if matches!(reply, PeerReply::Job(_)) {
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -21,10 +21,7 @@
         outcome::Refusal,
         time::Millis,
     },
-    platform::{
-        client::TxnOutcome,
-        wire::{Row, Txn},
-    },
+    platform::{client::TxnOutcome, wire::Txn},
     state::ledger::{Batch, Event, Misplaced, State},
     util::backoff::Backoff,
 };
@@ -116,11 +113,14 @@
 struct Company {
     waiters: Vec<oneshot::Sender<WriteEnd>>,
     jobs: IndexSet<JobId>,
+    /// Those of the jobs that it accepts.
+    accepted: IndexSet<JobId>,
 }
 
 impl Company {
     fn answer(&mut self, end: WriteEnd) {
         self.jobs.clear();
+        self.accepted.clear();
         for waiter in self.waiters.drain(..) {
             let _ = waiter.send(end);
         }
@@ -231,6 +231,14 @@
             || under_way.is_some_and(|company| company.jobs.contains(job))
     }
 
+    /// Whether the job's acceptance is not yet durable.
+    pub fn is_unaccepted(&self, job: &JobId) -> bool {
+        let inner = self.inner.borrow();
+        let under_way = inner.under_way.as_ref();
+        inner.open_company.accepted.contains(job)
+            || under_way.is_some_and(|company| company.accepted.contains(job))
+    }
+
     /// Whether the table has taken the last row without delay.
     pub fn is_writing(&self) -> bool {
         self.inner.borrow().standing == Standing::Writing
@@ -259,6 +267,11 @@
         inner.index.note(before, &inner.state, &events, now);
         let jobs = events.iter().filter_map(Event::job);
         inner.open_company.jobs.extend(jobs.cloned());
+        let accepted = events
+            .iter()
+            .filter(|event| matches!(event, Event::Accepted { .. }));
+        let accepted = accepted.filter_map(Event::job);
+        inner.open_company.accepted.extend(accepted.cloned());
         inner.open.extend(events);
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
@@ -440,6 +453,11 @@
                     TxnOutcome::Unknown(_) => {
                         cx.metrics.platform_unknown.inc();
                         in_doubt = true;
+                        // Read rather than sent again: the next answer may be lost just as well.
+                        if self.is_in(cx, batch).await {
+                            self.set_standing(Standing::Writing);
+                            return Settled::Committed;
+                        }
                     }
                 }
             }
@@ -460,9 +478,7 @@
         if !in_doubt && conflict == epoch_key(&self.shard) {
             return Some(Settled::Refused);
         }
-        let key = snapshots::row_key(&self.shard, batch.sequence);
-        let row: Option<Row> = cx.platform.get(&key).await.ok()?;
-        match row.and_then(|row| row.parse::<Batch>()) {
+        match self.row_at(cx, batch.sequence).await? {
             Some(found) if found.nonce == batch.nonce => {
                 self.set_standing(Standing::Writing);
                 Some(Settled::Committed)
@@ -473,6 +489,18 @@
         }
     }
 
+    async fn is_in(&self, cx: &Cx, batch: &Batch) -> bool {
+        let found = self.row_at(cx, batch.sequence).await.flatten();
+        found.is_some_and(|found| found.nonce == batch.nonce)
+    }
+
+    /// The batch in the table at a place, if the table answers and if there is one.
+    async fn row_at(&self, cx: &Cx, sequence: Sequence) -> Option<Option<Batch>> {
+        let key = snapshots::row_key(&self.shard, sequence);
+        let row = cx.platform.get(&key).await.ok()?;
+        Some(row.and_then(|row| row.parse::<Batch>()))
+    }
+
     fn set_standing(&self, standing: Standing) {
         let mut inner = self.inner.borrow_mut();
         if inner.standing != Standing::Lost {
--- a/tests/testsuite/process/faults.rs
+++ b/tests/testsuite/process/faults.rs
@@ -194,7 +194,11 @@
         };
         worker.switch_worker(&slow).await;
     }
-    let job = client.submit_job("render").await.expect("accepted").job;
+    // A daemon is ready once it has the catalogue; a job can be refused until the shard has an owner.
+    let job = wait::until_some("the render is accepted", LIMIT, async || {
+        client.submit_job("render").await.ok().map(|body| body.job)
+    })
+    .await;
     let worker = wait::until_some("a checkpoint is in the ledger", LIMIT, async || {
         let shown = client.job(job.as_str()).await.ok()?;
         (shown.progress_permille > 100)
--- a/tests/testsuite/process/mod.rs
+++ b/tests/testsuite/process/mod.rs
@@ -1,4 +1,8 @@
 //! Tests of the real binary: daemons, workers and platform as separate processes.
 
+mod changes;
 mod faults;
+mod outages;
+mod ownership;
+mod runs;
 mod thin_path;
--- /dev/null
+++ b/tests/testsuite/process/outages.rs
@@ -0,0 +1,111 @@
+//! A platform that is slow, silent, or loses the answers to writes that took effect.
+
+use super::runs::{self, LIMIT};
+use crate::support::{http, process::Site, wait};
+use actix_http::{Method, StatusCode};
+use indexmap::IndexSet;
+use lapisdrum_standins::platform::server::PlatformSwitches;
+use std::time::Duration;
+
+/// Hands a render in under a key until it is accepted; its id.
+async fn submit_keyed(site: &Site, daemon: usize, key: &str) -> String {
+    let callers = site.daemons[daemon].plan.callers;
+    wait::until_some("a keyed render is accepted", LIMIT, async || {
+        let headers = [("idempotency-key", key)];
+        let sent = http::send(Method::POST, callers, "/v1/jobs/render", &headers, "").await;
+        let answer = sent.ok()?;
+        let accepted = answer.status == StatusCode::ACCEPTED;
+        let job = answer.json()["job"].as_str().map(str::to_owned);
+        job.filter(|_| accepted)
+    })
+    .await
+}
+
+/// Callers hand renders in while the platform loses the answer to every write, then while it is
+/// slow, then while it comes and goes. They repeat under the same key until they are told of a job,
+/// at whichever daemon. Every key has one job, every job is done, and none is run twice.
+#[actix_rt::test]
+async fn lost_answers_and_outages_neither_lose_nor_double_a_render() {
+    let site = Site::start(2, 2).await;
+    runs::prepare(&site, 300).await;
+    runs::submit(&site, 0, "render").await;
+    let loses = PlatformSwitches {
+        lose_answers: true,
+        ..PlatformSwitches::default()
+    };
+    let slow = PlatformSwitches {
+        slow_ms: 200,
+        ..PlatformSwitches::default()
+    };
+    let down = PlatformSwitches {
+        down: true,
+        ..PlatformSwitches::default()
+    };
+    let mut jobs = IndexSet::new();
+    let mut keys = Vec::new();
+    for (phase, switches) in [loses, slow].iter().enumerate() {
+        site.platform.switch_platform(switches).await;
+        for i in 0..4 {
+            let key = format!("render-{phase}-{i}");
+            let first = submit_keyed(&site, i % 2, &key).await;
+            let again = submit_keyed(&site, (i + 1) % 2, &key).await;
+            assert_eq!(first, again, "one job a key");
+            jobs.insert(first);
+            keys.push(key);
+        }
+    }
+    site.platform.switch_platform(&down).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.platform
+        .switch_platform(&PlatformSwitches::default())
+        .await;
+    for key in &keys {
+        assert!(jobs.contains(&submit_keyed(&site, 0, key).await), "{key}");
+    }
+    assert_eq!(jobs.len(), keys.len());
+    for job in &jobs {
+        runs::reaches(&site, 1, job, "done").await;
+    }
+    let all = runs::all(&site).await;
+    runs::assert_never_doubled(&all);
+    for job in &jobs {
+        let of_job = all.iter().filter(|run| run.task.as_str() == job);
+        assert_eq!(of_job.count(), 1, "{job} ran once: {all:?}");
+    }
+}
+
+/// An archive watcher and a render share a worker when the table goes away. The render ends, which
+/// can't be recorded, and that must not keep the owner from renewing the watcher: it runs on through
+/// two task leases, and once the table is back the render is done, from its one run.
+#[actix_rt::test]
+async fn an_outage_stops_no_running_task_and_loses_no_end() {
+    let site = Site::start(1, 1).await;
+    runs::prepare(&site, 800).await;
+    let client = site.daemons[0].client();
+    // A hold longer than the outage.
+    let mut entry = runs::raw("archive", "long-running");
+    entry.hold_ms = Some(60_000);
+    client.put_entry(&entry, None).await.expect("accepted");
+    let watcher = runs::submit(&site, 0, "archive").await;
+    runs::reaches(&site, 0, &watcher, "running").await;
+    let render = runs::submit(&site, 0, "render").await;
+    runs::reaches(&site, 0, &render, "running").await;
+    let down = PlatformSwitches {
+        down: true,
+        ..PlatformSwitches::default()
+    };
+    site.platform.switch_platform(&down).await;
+    // The render ends and a task's lease passes twice.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let all = runs::all(&site).await;
+    let kept = all.iter().find(|run| run.task.as_str() == watcher);
+    assert_eq!(kept.expect("a run").to_ms, None, "it still runs: {all:?}");
+    site.platform
+        .switch_platform(&PlatformSwitches::default())
+        .await;
+    runs::reaches(&site, 0, &render, "done").await;
+    let all = runs::all(&site).await;
+    runs::assert_never_doubled(&all);
+    let renders = all.iter().filter(|run| run.task.as_str() == render);
+    assert_eq!(renders.count(), 1, "{all:?}");
+}
--- /dev/null
+++ b/tests/testsuite/process/ownership.rs
@@ -0,0 +1,139 @@
+//! Owners that die, freeze or are cut off while their tasks run.
+
+use super::runs::{self, LIMIT};
+use crate::support::{process::Site, wait};
+use lapisdrum_standins::{platform::server::PlatformSwitches, worker::server::WorkerSwitches};
+use std::time::Duration;
+
+/// Longer than the entries' hold.
+const PAST_HOLD: Duration = Duration::from_secs(8);
+
+/// Twenty renders are accepted and their owner dies in the middle of placing them. The other daemon
+/// recovers the ledger, claims the workers, keeps what runs and places what waits. Every caller's
+/// render is done, none ran twice at once, and no host was ever overfull.
+#[actix_rt::test]
+async fn renders_outlive_their_owner_and_each_is_done_once() {
+    let mut site = Site::start(2, 2).await;
+    runs::prepare(&site, 2000).await;
+    let mut jobs = vec![runs::submit(&site, 0, "render").await];
+    for i in 1..20 {
+        jobs.push(runs::submit(&site, i % 2, "render").await);
+    }
+    let dead = runs::owner(&site).await;
+    site.daemons[dead].process.kill();
+    for job in &jobs {
+        runs::reaches(&site, 1 - dead, job, "done").await;
+    }
+    let all = runs::all(&site).await;
+    runs::assert_never_doubled(&all);
+    assert_eq!(all.len(), jobs.len(), "one attempt each: {all:?}");
+    runs::assert_sizes_held(&site).await;
+}
+
+/// A stream and renders run. Their owner is frozen for longer than its lease and the hold, then goes
+/// on. Meanwhile the other daemon has taken over. The frozen one finds its lease gone: it starts and
+/// renews nothing, the workers refuse its epoch, and callers see one stream and every render once.
+#[actix_rt::test]
+async fn a_frozen_owner_finds_its_lease_gone_and_doubles_nothing() {
+    let site = Site::start(2, 2).await;
+    runs::prepare(&site, 1500).await;
+    let stream = runs::submit(&site, 0, "stream").await;
+    runs::reaches(&site, 0, &stream, "running").await;
+    let frozen = runs::owner(&site).await;
+    let other = 1 - frozen;
+    let mut jobs = Vec::new();
+    for _ in 0..6 {
+        jobs.push(runs::submit(&site, frozen, "render").await);
+    }
+    site.daemons[frozen].process.signal("STOP");
+    jobs.push(runs::submit(&site, other, "render").await);
+    tokio::time::sleep(PAST_HOLD).await;
+    site.daemons[frozen].process.signal("CONT");
+    jobs.push(runs::submit(&site, frozen, "render").await);
+    for job in &jobs {
+        runs::reaches(&site, other, job, "done").await;
+    }
+    let all = runs::all(&site).await;
+    runs::assert_never_doubled(&all);
+    let streams: Vec<_> = all.iter().filter(|r| r.task.as_str() == stream).collect();
+    assert_eq!(streams.len(), 1, "the stream went on: {streams:?}");
+    assert_eq!(streams[0].to_ms, None, "it still runs: {streams:?}");
+    wait::until("the frozen owner gave the shard up", LIMIT, async || {
+        runs::owned(&site, frozen).await == 0
+    })
+    .await;
+}
+
+/// The owner and one worker, which runs a stream, are cut off together: the platform does not answer
+/// the owner, the worker does not answer the other daemon. The other takes the shard, but silence is
+/// no proof that the stream has ended, so it waits out the hold that the owner promised. Viewers
+/// have at most one stream at any time, and one again after the hold.
+#[actix_rt::test]
+async fn an_owner_cut_off_with_a_worker_does_not_double_its_stream() {
+    let site = Site::start(2, 2).await;
+    runs::prepare(&site, 500).await;
+    let stream = runs::submit(&site, 0, "stream").await;
+    runs::reaches(&site, 0, &stream, "running").await;
+    let old = runs::owner(&site).await;
+    let shown = site.daemons[old].client().job(&stream).await;
+    let worker = shown.expect("a job").worker.expect("a worker");
+    let with = site
+        .hosts
+        .iter()
+        .position(|host| host.host == worker)
+        .expect("a known worker");
+    let switches = WorkerSwitches {
+        endless: vec!["stream".to_owned()],
+        cut: vec![site.daemons[1 - old].plan.name.clone()],
+        ..WorkerSwitches::default()
+    };
+    site.workers[with].switch_worker(&switches).await;
+    let cut = PlatformSwitches {
+        cut: vec![site.daemons[old].plan.name.clone()],
+        ..PlatformSwitches::default()
+    };
+    site.platform.switch_platform(&cut).await;
+    wait::until("the stream runs elsewhere", LIMIT, async || {
+        let log = site.workers[1 - with].log().await;
+        log.tasks.iter().any(|run| run.task.as_str() == stream)
+    })
+    .await;
+    let all = runs::all(&site).await;
+    runs::assert_never_doubled(&all);
+    assert_eq!(all.len(), 2, "moved once: {all:?}");
+    let first = all.iter().find(|run| run.to_ms.is_some()).expect("an end");
+    let ran_ms = first.to_ms.unwrap_or_default() - first.from_ms;
+    assert!(ran_ms > 4_000, "renewed beyond a lease of 3 s: {all:?}");
+}
+
+/// One daemon owns both shards of its data centre. A second daemon comes; the first, above its even
+/// part, releases one shard gracefully. A stream in either shard is not interrupted.
+#[actix_rt::test]
+async fn shards_are_balanced_over_the_data_centre_without_a_break() {
+    let two = |plan: &mut lapisdrum_standins::site::DaemonPlan| {
+        plan.more = plan.more.replace("[shards]", "[shards]\ncount = 2");
+    };
+    let mut site = Site::start_with(1, 4, two).await;
+    runs::prepare(&site, 500).await;
+    let mut streams = Vec::new();
+    for _ in 0..6 {
+        streams.push(runs::submit(&site, 0, "stream").await);
+    }
+    for stream in &streams {
+        runs::reaches(&site, 0, stream, "running").await;
+    }
+    assert_eq!(runs::owned(&site, 0).await, 2);
+    site.add_daemon(two).await;
+    wait::until("each daemon owns one shard", LIMIT, async || {
+        runs::owned(&site, 0).await == 1 && runs::owned(&site, 1).await == 1
+    })
+    .await;
+    // Longer than a task's lease, so that only renewals by the new owner can have kept them.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for stream in &streams {
+        runs::reaches(&site, 1, stream, "running").await;
+    }
+    let all = runs::all(&site).await;
+    assert_eq!(all.len(), streams.len(), "none was moved: {all:?}");
+    assert!(all.iter().all(|run| run.to_ms.is_none()), "{all:?}");
+}
--- /dev/null
+++ b/tests/testsuite/process/runs.rs
@@ -0,0 +1,122 @@
+//! What the workers' logs must show after any failure.
+
+use crate::support::{http, process::Site, wait};
+use actix_http::Method;
+use lapisdrum::core::{catalogue::RawEntry, size::Size};
+use lapisdrum_standins::worker::server::{TaskRun, WorkerSwitches};
+use serde_json::json;
+use std::time::Duration;
+
+/// An entry of one core and half a gigabyte, whose tasks an owner that is cut off renews for 6 s.
+pub(crate) fn raw(name: &str, class: &str) -> RawEntry {
+    let entry = json!({
+        "name": name, "owner": "trail", "class": class, "millicores": 1000, "memory_mb": 512,
+        "deadline_ms": 5000, "hold_ms": 6000
+    });
+    serde_json::from_value(entry).expect("a raw entry")
+}
+
+/// Adds a batch `render` that takes `task_ms` and a long-running `stream`; an `archive`, which a test
+/// may add, has no end either.
+pub(crate) async fn prepare(site: &Site, task_ms: u64) {
+    for worker in &site.workers {
+        let switches = WorkerSwitches {
+            task_ms,
+            endless: vec!["stream".to_owned(), "archive".to_owned()],
+            ..WorkerSwitches::default()
+        };
+        worker.switch_worker(&switches).await;
+    }
+    let client = site.daemons[0].client();
+    for (name, class) in [("render", "batch"), ("stream", "long-running")] {
+        let put = client.put_entry(&raw(name, class), None).await;
+        put.expect("the entry is accepted");
+    }
+}
+
+/// Every run on every worker.
+pub(crate) async fn all(site: &Site) -> Vec<TaskRun> {
+    let mut runs = Vec::new();
+    for worker in &site.workers {
+        runs.extend(worker.log().await.tasks);
+    }
+    runs
+}
+
+/// No task ran in two places at once, and no attempt was started twice.
+pub(crate) fn assert_never_doubled(runs: &[TaskRun]) {
+    for (i, a) in runs.iter().enumerate() {
+        for b in runs[i + 1..].iter().filter(|b| b.task == a.task) {
+            let over =
+                |first: &TaskRun, next: &TaskRun| first.to_ms.is_some_and(|to| to <= next.from_ms);
+            assert!(over(a, b) || over(b, a), "two runs at once: {a:?} {b:?}");
+            assert_ne!(a.attempt, b.attempt, "one attempt twice: {a:?} {b:?}");
+        }
+    }
+}
+
+/// No worker ever ran more than it has.
+pub(crate) async fn assert_sizes_held(site: &Site) {
+    for (worker, host) in site.workers.iter().zip(&site.hosts) {
+        let has = Size {
+            millicores: host.cores * 1_000,
+            memory_mb: host.memory_mb,
+            accelerators: host.accelerators,
+        };
+        let log = worker.log().await;
+        assert!(
+            log.most_size.fits(&has),
+            "{}: {:?}",
+            host.host,
+            log.most_size
+        );
+    }
+}
+
+/// The index of the daemon whose own time line says that it serves a shard now.
+pub(crate) async fn owner(site: &Site) -> usize {
+    for (i, daemon) in site.daemons.iter().enumerate() {
+        if owned(site, i).await > 0 && daemon.client().is_ready().await {
+            return i;
+        }
+    }
+    panic!("no daemon owns the shard");
+}
+
+/// How many shards a daemon owns, by its own metrics.
+pub(crate) async fn owned(site: &Site, daemon: usize) -> u32 {
+    let callers = site.daemons[daemon].plan.callers;
+    let answer = http::send(Method::GET, callers, "/metrics", &[], "").await;
+    let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    let text = text.unwrap_or_default();
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix("lapisdrum_shards_owned "));
+    line.and_then(|n| n.trim().parse().ok()).unwrap_or(0)
+}
+
+/// Hands in a job, trying until it is accepted.
+pub(crate) async fn submit(site: &Site, daemon: usize, entry: &str) -> String {
+    let client = site.daemons[daemon].client();
+    wait::until_some("a job is accepted", LIMIT, async || {
+        let job = client.submit_job(entry).await.ok()?;
+        Some(job.job.to_string())
+    })
+    .await
+}
+
+/// Waits until a job is in a state.
+pub(crate) async fn reaches(site: &Site, daemon: usize, job: &str, state: &str) {
+    let client = site.daemons[daemon].client();
+    let what = format!("{job} is {state}");
+    wait::until(&what, LIMIT, async || {
+        client
+            .job(job)
+            .await
+            .is_ok_and(|shown| shown.state == state)
+    })
+    .await;
+}
+
+/// A generous bound for anything that is waited for.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -234,4 +234,22 @@
         }
         site
     }
+
+    /// Starts one more daemon and waits until it is ready.
+    pub(crate) async fn add_daemon(&mut self, adjust: impl Fn(&mut DaemonPlan)) {
+        let name = format!("westlands-{}", self.daemons.len());
+        let mut plan = DaemonPlan::new(&name, "westlands", self.platform.address);
+        adjust(&mut plan);
+        let daemon = DaemonProcess::start(plan);
+        daemon.ready().await;
+        self.daemons.push(daemon);
+    }
+
+    /// Starts a daemon that has ended once more, at its addresses, and waits until it is ready.
+    pub(crate) async fn restart_daemon(&mut self, daemon: usize, adjust: impl Fn(&mut DaemonPlan)) {
+        let mut plan = self.daemons[daemon].plan.clone();
+        adjust(&mut plan);
+        self.daemons[daemon] = DaemonProcess::start(plan);
+        self.daemons[daemon].ready().await;
+    }
 }
