--- a/crates/lapisdrum-load/src/capacity.rs
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -11,11 +11,15 @@
 };
 use clap::Args;
 use eyre::Result;
-use lapisdrum::core::catalogue::RawEntry;
+use lapisdrum::{api::client::DaemonClient, core::catalogue::RawEntry};
 use lapisdrum_standins::worker::server::WorkerSwitches;
 use serde::Serialize;
 use std::{path::PathBuf, time::Duration};
 
+/// The entry of tasks that run all the time.
+const STREAM: &str = "stream";
+/// The entry of short jobs.
+const RENDER: &str = "render";
 /// Time for a run's tasks to be running.
 const SETTLE_LIMIT: Duration = Duration::from_secs(300);
 /// Pause before the window, so that start-up costs stay out of it.
@@ -33,6 +37,9 @@
     /// Catalogue entries of each run.
     #[arg(long, value_delimiter = ',', default_value = "3")]
     entries: Vec<usize>,
+    /// Short jobs handed in each second during the window, of each run.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    starts_per_s: Vec<u32>,
     /// Daemons.
     #[arg(long, default_value_t = 1)]
     daemons: usize,
@@ -58,6 +65,8 @@
     pub entries: usize,
     /// Daemons.
     pub daemons: usize,
+    /// Tasks started a second, as measured.
+    pub starts_per_s: f64,
     /// Processor time of the owner, in hundredths of a core.
     pub owner_cpu_percent: f64,
     /// Resident memory of the owner, in megabytes.
@@ -72,6 +81,8 @@
     pub platform_read_bytes_per_s: f64,
     /// Bytes a second to the platform, all daemons.
     pub platform_write_bytes_per_s: f64,
+    /// Bytes a second to and from workers for commands, all daemons.
+    pub worker_bytes_per_s: f64,
 }
 
 /// Runs every combination and prints the table.
@@ -80,9 +91,17 @@
     for &workers in &args.workers {
         for &tasks in &args.tasks {
             for &entries in &args.entries {
-                let row = run_one(&args, workers, tasks, entries).await?;
-                eprintln!("{row:?}");
-                rows.push(row);
+                for &starts_per_s in &args.starts_per_s {
+                    let case = Case {
+                        workers,
+                        tasks,
+                        entries,
+                        starts_per_s,
+                    };
+                    let row = run_one(&args, case).await?;
+                    eprintln!("{row:?}");
+                    rows.push(row);
+                }
             }
         }
     }
@@ -93,42 +112,68 @@
     Ok(())
 }
 
-async fn run_one(
-    args: &CapacityArgs,
+/// What one run varies.
+#[derive(Clone, Copy, Debug)]
+struct Case {
     workers: usize,
     tasks: usize,
     entries: usize,
-) -> Result<CapacityRow> {
+    starts_per_s: u32,
+}
+
+async fn run_one(args: &CapacityArgs, case: Case) -> Result<CapacityRow> {
     let more = match &args.settings {
         Some(path) => std::fs::read_to_string(path)?,
         None => "[log]\nlevel = \"warn\"\n".to_owned(),
     };
-    let site = Site::start(args.daemons, workers, |plan| plan.more = more.clone()).await?;
-    let endless = vec!["stream".to_owned()];
+    let site = Site::start(args.daemons, case.workers, |plan| plan.more = more.clone()).await?;
+    let endless = vec![STREAM.to_owned()];
     site.switch_workers(&WorkerSwitches {
         endless,
         ..WorkerSwitches::default()
     })
     .await?;
     let client = site.daemons[0].client();
-    for i in 0..entries.max(1) {
-        let name = if i == 0 {
-            "stream".to_owned()
-        } else {
-            format!("entry-{i}")
-        };
-        client.put_entry(&small_entry(&name), None).await?;
+    client
+        .put_entry(&small_entry(STREAM, "long-running"), None)
+        .await?;
+    client
+        .put_entry(&small_entry(RENDER, "batch"), None)
+        .await?;
+    for i in 2..case.entries {
+        client
+            .put_entry(&small_entry(&format!("entry-{i}"), "batch"), None)
+            .await?;
     }
-    start_tasks(&site, tasks).await?;
+    start_tasks(&site, case.tasks).await?;
+    let feeder = actix_rt::spawn(feed(client, case.starts_per_s));
     tokio::time::sleep(SETTLE).await;
-    measure_window(args, &site, workers, tasks, entries).await
+    let row = measure_window(args, &site, case).await;
+    feeder.abort();
+    row
+}
+
+/// Hands short jobs in at a steady rate, each by a call of its own.
+async fn feed(client: DaemonClient, per_second: u32) {
+    if per_second == 0 {
+        return;
+    }
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
+    loop {
+        ticks.tick().await;
+        let client = client.clone();
+        actix_rt::spawn(async move {
+            // A refused job is one start fewer; the measured rate shows it.
+            let _ = client.submit_job(RENDER).await;
+        });
+    }
 }
 
-fn small_entry(name: &str) -> RawEntry {
+fn small_entry(name: &str, class: &str) -> RawEntry {
     RawEntry {
         name: name.to_owned(),
         owner: "trail".to_owned(),
-        class: "long-running".to_owned(),
+        class: class.to_owned(),
         millicores: 10,
         memory_mb: 10,
         accelerators: 0,
@@ -150,13 +195,13 @@
     const AT_ONCE: usize = 64;
     let client = site.daemons[0].client();
     until("the first job is taken", SETTLE_LIMIT, async || {
-        tasks == 0 || client.submit_job("stream").await.is_ok()
+        tasks == 0 || client.submit_job(STREAM).await.is_ok()
     })
     .await?;
     let mut left = tasks.saturating_sub(1);
     while left > 0 {
         let batch = left.min(AT_ONCE);
-        let calls = (0..batch).map(|_| client.submit_job("stream"));
+        let calls = (0..batch).map(|_| client.submit_job(STREAM));
         let taken = futures::future::join_all(calls).await;
         left -= taken.iter().filter(|outcome| outcome.is_ok()).count();
     }
@@ -180,25 +225,24 @@
     sum
 }
 
-async fn measure_window(
-    args: &CapacityArgs,
-    site: &Site,
-    workers: usize,
-    tasks: usize,
-    entries: usize,
-) -> Result<CapacityRow> {
+async fn measure_window(args: &CapacityArgs, site: &Site, case: Case) -> Result<CapacityRow> {
     let owner = owner(site).await;
     let id = site.daemons[owner].process.id();
     let before = (process_use(id)?, site.platform_counts().await?);
+    let worker_bytes = site.worker_bytes().await?;
+    let starts = started(site).await;
     tokio::time::sleep(Duration::from_secs(args.window_s)).await;
     let after = (process_use(id)?, site.platform_counts().await?);
+    let starts = started(site).await - starts;
+    let worker_bytes = site.worker_bytes().await? - worker_bytes;
     let seconds = args.window_s as f64;
     let rate = |from: u64, to: u64| (to - from) as f64 / seconds;
     Ok(CapacityRow {
-        workers,
-        tasks,
-        entries,
+        workers: case.workers,
+        tasks: case.tasks,
+        entries: case.entries,
         daemons: args.daemons,
+        starts_per_s: starts as f64 / seconds,
         owner_cpu_percent: (after.0.cpu - before.0.cpu).as_secs_f64() / seconds * 100.0,
         owner_resident_mb: after.0.resident_kb as f64 / 1024.0,
         owner_peak_mb: after.0.peak_kb as f64 / 1024.0,
@@ -206,6 +250,7 @@
         table_reads_per_s: rate(before.1.reads, after.1.reads),
         platform_read_bytes_per_s: rate(before.1.read_bytes, after.1.read_bytes),
         platform_write_bytes_per_s: rate(before.1.write_bytes, after.1.write_bytes),
+        worker_bytes_per_s: worker_bytes as f64 / seconds,
     })
 }
 
@@ -222,8 +267,19 @@
 
 fn print(rows: &[CapacityRow]) {
     let headings = [
-        "workers", "tasks", "entries", "daemons", "cpu %", "rss MB", "peak MB", "writes/s",
-        "reads/s", "in B/s", "out B/s",
+        "workers",
+        "tasks",
+        "entries",
+        "daemons",
+        "starts/s",
+        "cpu %",
+        "rss MB",
+        "peak MB",
+        "writes/s",
+        "reads/s",
+        "in B/s",
+        "out B/s",
+        "workers B/s",
     ];
     let cells = |row: &CapacityRow| {
         vec![
@@ -231,6 +287,7 @@
             row.tasks.to_string(),
             row.entries.to_string(),
             row.daemons.to_string(),
+            format!("{:.1}", row.starts_per_s),
             format!("{:.2}", row.owner_cpu_percent),
             format!("{:.1}", row.owner_resident_mb),
             format!("{:.1}", row.owner_peak_mb),
@@ -238,6 +295,7 @@
             format!("{:.2}", row.table_reads_per_s),
             format!("{:.0}", row.platform_read_bytes_per_s),
             format!("{:.0}", row.platform_write_bytes_per_s),
+            format!("{:.0}", row.worker_bytes_per_s),
         ]
     };
     table::print(&headings, &rows.iter().map(cells).collect::<Vec<_>>());
--- a/crates/lapisdrum-load/src/site.rs
+++ b/crates/lapisdrum-load/src/site.rs
@@ -179,6 +179,16 @@
         Ok(())
     }
 
+    /// Bytes of commands to workers and of their answers so far.
+    pub async fn worker_bytes(&self) -> Result<u64> {
+        let calls = self
+            .workers
+            .iter()
+            .map(|worker| get::<u64>(*worker, "/control/traffic"));
+        let counts = futures::future::join_all(calls).await;
+        counts.into_iter().sum()
+    }
+
     /// The platform's reads and writes so far.
     pub async fn platform_counts(&self) -> Result<PlatformCounts> {
         get(self.platform, "/control/counts").await
--- a/crates/lapisdrum-standins/src/lib.rs
+++ b/crates/lapisdrum-standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod platform;
 pub mod process;
 pub mod site;
+pub mod traffic;
 pub mod worker;
--- a/crates/lapisdrum-standins/src/platform/server.rs
+++ b/crates/lapisdrum-standins/src/platform/server.rs
@@ -1,6 +1,7 @@
 //! The platform stand-in's HTTP server and its switches.
 
 use super::table::Table;
+use crate::traffic::{request_bytes, response_bytes};
 use actix_http::{Method, StatusCode};
 use actix_rt::net::TcpListener;
 use bytes::Bytes;
@@ -43,9 +44,9 @@
     pub writes: u64,
     /// Rows and lists read.
     pub reads: u64,
-    /// Bytes of answers to reads.
+    /// Bytes of answers, heads included.
     pub read_bytes: u64,
-    /// Bytes of transactions received.
+    /// Bytes of calls received, heads included.
     pub write_bytes: u64,
 }
 
@@ -100,6 +101,10 @@
         }
         let is_write = req.method != Method::GET;
         let answer = self.serve_call(&req);
+        self.write_bytes
+            .set(self.write_bytes.get() + request_bytes(&req));
+        self.read_bytes
+            .set(self.read_bytes.get() + response_bytes(&answer));
         if is_write && self.loses_answer() {
             return never().await;
         }
@@ -120,34 +125,26 @@
         match (&req.method, path.split_once('/')) {
             (&Method::POST, Some(("table", "txn"))) => self.txn(req),
             (&Method::GET, Some(("table", key))) => match self.table.borrow_mut().get(key) {
-                Some(row) => self.count_read(HttpResponse::json(StatusCode::OK, &row)),
+                Some(row) => HttpResponse::json(StatusCode::OK, &row),
                 None => HttpResponse::empty(StatusCode::NOT_FOUND),
             },
             (&Method::GET, None) if path == "table" => {
                 let prefix = req.query("prefix").unwrap_or_default();
                 let rows = self.table.borrow_mut().list(prefix);
-                self.count_read(HttpResponse::json(StatusCode::OK, &rows))
+                HttpResponse::json(StatusCode::OK, &rows)
             }
             (&Method::GET, None) if path == "hosts" => {
-                self.count_read(HttpResponse::json(StatusCode::OK, &*self.hosts.borrow()))
+                HttpResponse::json(StatusCode::OK, &*self.hosts.borrow())
             }
             (method, Some(("objects", key))) => self.object(method, key, req),
             _ => HttpResponse::empty(StatusCode::NOT_FOUND),
         }
     }
 
-    fn count_read(&self, answer: HttpResponse) -> HttpResponse {
-        self.read_bytes
-            .set(self.read_bytes.get() + answer.body.len() as u64);
-        answer
-    }
-
     fn txn(&self, req: &HttpRequest) -> HttpResponse {
         let Ok(txn) = req.json::<Txn>() else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
-        self.write_bytes
-            .set(self.write_bytes.get() + req.body.len() as u64);
         match self.table.borrow_mut().txn(&txn) {
             Ok(done) => HttpResponse::json(StatusCode::OK, &done),
             Err(conflict) => HttpResponse::json(StatusCode::CONFLICT, &conflict),
--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -1,7 +1,10 @@
 //! The worker stand-in's HTTP server and its switches.
 
 use super::tasks::{TaskPlan, Tasks};
-use crate::platform::server::caller;
+use crate::{
+    platform::server::caller,
+    traffic::{request_bytes, response_bytes},
+};
 use actix_http::{Method, StatusCode};
 use actix_rt::net::TcpListener;
 use indexmap::IndexMap;
@@ -124,6 +127,8 @@
     pub log: RefCell<WorkerLog>,
     /// Calls answered, by kind.
     pub calls: RefCell<IndexMap<&'static str, u64>>,
+    /// Bytes of commands received and of answers to them, heads included.
+    pub command_bytes: Cell<u64>,
     running_requests: Cell<u32>,
     origin: Instant,
 }
@@ -138,6 +143,7 @@
             tasks: RefCell::new(Tasks::new(capacity)),
             log: RefCell::default(),
             calls: RefCell::default(),
+            command_bytes: Cell::new(0),
             running_requests: Cell::new(0),
             origin: Instant::now(),
         })
@@ -194,6 +200,7 @@
             return std::future::pending().await;
         }
         let path = req.path.trim_start_matches("/v1/").to_owned();
+        let received = request_bytes(&req);
         let parts: Vec<&str> = path.split('/').collect();
         let answer = match (&req.method, parts.as_slice()) {
             (&Method::POST, ["requests"]) => self.request(&req).await,
@@ -204,7 +211,12 @@
             (&Method::GET, ["usage"]) => self.usage(),
             _ => HttpResponse::empty(StatusCode::NOT_FOUND),
         };
-        answer.with(CLOCK_HEADER, self.now().0.to_string())
+        let answer = answer.with(CLOCK_HEADER, self.now().0.to_string());
+        if path != "requests" {
+            let both = received + response_bytes(&answer);
+            self.command_bytes.set(self.command_bytes.get() + both);
+        }
+        answer
     }
 
     async fn request(&self, req: &HttpRequest) -> HttpResponse {
@@ -343,6 +355,7 @@
                 }
                 Err(_) => HttpResponse::empty(StatusCode::BAD_REQUEST),
             },
+            "traffic" => HttpResponse::json(StatusCode::OK, &self.command_bytes.get()),
             "log" => HttpResponse::json(StatusCode::OK, &*self.log.borrow()),
             _ => HttpResponse::empty(StatusCode::NOT_FOUND),
         }
