Ledger: rows bounded in events, place in the acceptance's row; take over at the lapse

Cause: with 2 ms of linger the lead measured 199 rows/s at 200 starts/s; a take-over waited for the observer's next round after the lapse. Change: linger 20 ms (urgent) and 100 ms, spacing 50 ms, at most 1,000 events a row; a job may be placed while its acceptance is on its way, so both share a row; the observer wakes at the moment of a lapse and takes without another look.

--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -174,10 +174,11 @@
         size: entry.size,
         hold: entry.hold,
     };
+    // Its place may go into the same row.
+    shard.placement.notify_one();
     let reply = write(cx, shard, &job, accepted).await;
     if matches!(reply, PeerReply::Job(_)) {
         cx.timeline.record(Happening::JobAccepted { job });
-        shard.placement.notify_one();
     }
     reply
 }
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -25,9 +25,10 @@
     state::ledger::{Batch, Event, Misplaced, State},
     util::backoff::Backoff,
 };
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use std::{
     cell::{Ref, RefCell, RefMut},
+    collections::VecDeque,
     time::Duration,
 };
 use tokio::sync::{Notify, oneshot};
@@ -108,21 +109,42 @@
     Lost,
 }
 
-/// What goes into one row: who waits for it and which jobs it is about.
+/// Events that go into one row together, and who waits for them.
+struct Proposal {
+    events: Vec<Event>,
+    waiter: oneshot::Sender<WriteEnd>,
+}
+
+/// Jobs with events that are proposed and not yet durable.
 #[derive(Default)]
-struct Company {
-    waiters: Vec<oneshot::Sender<WriteEnd>>,
-    jobs: IndexSet<JobId>,
-    /// Those of the jobs that it accepts.
+struct Pending {
+    events: IndexMap<JobId, u32>,
     accepted: IndexSet<JobId>,
 }
 
-impl Company {
-    fn answer(&mut self, end: WriteEnd) {
-        self.jobs.clear();
-        self.accepted.clear();
-        for waiter in self.waiters.drain(..) {
-            let _ = waiter.send(end);
+impl Pending {
+    fn add(&mut self, event: &Event) {
+        let Some(job) = event.job() else {
+            return;
+        };
+        *self.events.entry(job.clone()).or_default() += 1;
+        if matches!(event, Event::Accepted { .. }) {
+            self.accepted.insert(job.clone());
+        }
+    }
+
+    fn remove(&mut self, event: &Event) {
+        let Some(job) = event.job() else {
+            return;
+        };
+        if let Some(count) = self.events.get_mut(job) {
+            *count -= 1;
+            if *count == 0 {
+                self.events.swap_remove(job);
+            }
+        }
+        if matches!(event, Event::Accepted { .. }) {
+            self.accepted.swap_remove(job);
         }
     }
 }
@@ -130,10 +152,10 @@
 struct Inner {
     state: State,
     index: Index,
-    open: Vec<Event>,
-    open_company: Company,
-    /// Of the row that is under way; none while no write is.
-    under_way: Option<Company>,
+    open: VecDeque<Proposal>,
+    /// Who waits for the row that is under way.
+    under_way: Vec<oneshot::Sender<WriteEnd>>,
+    pending: Pending,
     due: Option<Millis>,
     written_at: Option<Millis>,
     standing: Standing,
@@ -171,9 +193,9 @@
         let inner = Inner {
             state: State::default(),
             index: Index::default(),
-            open: Vec::new(),
-            open_company: Company::default(),
-            under_way: None,
+            open: VecDeque::new(),
+            under_way: Vec::new(),
+            pending: Pending::default(),
             due: None,
             written_at: None,
             standing: Standing::Stalled,
@@ -225,18 +247,12 @@
 
     /// Whether an event about the job has been proposed that is not yet durable.
     pub fn is_unsettled(&self, job: &JobId) -> bool {
-        let inner = self.inner.borrow();
-        let under_way = inner.under_way.as_ref();
-        inner.open_company.jobs.contains(job)
-            || under_way.is_some_and(|company| company.jobs.contains(job))
+        self.inner.borrow().pending.events.contains_key(job)
     }
 
     /// Whether the job's acceptance is not yet durable.
     pub fn is_unaccepted(&self, job: &JobId) -> bool {
-        let inner = self.inner.borrow();
-        let under_way = inner.under_way.as_ref();
-        inner.open_company.accepted.contains(job)
-            || under_way.is_some_and(|company| company.accepted.contains(job))
+        self.inner.borrow().pending.accepted.contains(job)
     }
 
     /// Whether the table has taken the last row without delay.
@@ -265,14 +281,11 @@
             .apply_all(&events)
             .map_err(ProposeError::Misplaced)?;
         inner.index.note(before, &inner.state, &events, now);
-        let jobs = events.iter().filter_map(Event::job);
-        inner.open_company.jobs.extend(jobs.cloned());
-        let accepted = events
-            .iter()
-            .filter(|event| matches!(event, Event::Accepted { .. }));
-        let accepted = accepted.filter_map(Event::job);
-        inner.open_company.accepted.extend(accepted.cloned());
-        inner.open.extend(events);
+        for event in &events {
+            inner.pending.add(event);
+        }
+        let (waiter, ticket) = oneshot::channel();
+        inner.open.push_back(Proposal { events, waiter });
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
             Urgency::Batch => cx.cfg.shards.linger_batch,
@@ -280,20 +293,17 @@
         let due = now + linger;
         inner.due = Some(inner.due.map_or(due, |earlier| earlier.min(due)));
         self.work.notify_one();
-        let (tx, rx) = oneshot::channel();
-        inner.open_company.waiters.push(tx);
-        Ok(Ticket(rx))
+        Ok(Ticket(ticket))
     }
 
     /// Ends the ledger: nothing more is written by this owner. A row under way may yet be in.
     pub fn lose(&self) {
         let inner = &mut *self.inner.borrow_mut();
         inner.standing = Standing::Lost;
-        inner.open.clear();
-        inner.open_company.answer(WriteEnd::NotWritten);
-        if let Some(mut company) = inner.under_way.take() {
-            company.answer(WriteEnd::Unknown);
+        for proposal in inner.open.drain(..) {
+            let _ = proposal.waiter.send(WriteEnd::NotWritten);
         }
+        answer(&mut inner.under_way, WriteEnd::Unknown);
         self.work.notify_one();
     }
 
@@ -346,7 +356,7 @@
                 Settled::Refused => WriteEnd::NotWritten,
                 Settled::Lost => WriteEnd::Unknown,
             };
-            self.end_batch(end);
+            self.end_batch(&batch, end);
             if end != WriteEnd::Committed {
                 self.lose();
                 return;
@@ -360,11 +370,12 @@
         }
     }
 
-    fn end_batch(&self, end: WriteEnd) {
-        let company = self.inner.borrow_mut().under_way.take();
-        if let Some(mut company) = company {
-            company.answer(end);
+    fn end_batch(&self, batch: &Batch, end: WriteEnd) {
+        let inner = &mut *self.inner.borrow_mut();
+        for event in &batch.events {
+            inner.pending.remove(event);
         }
+        answer(&mut inner.under_way, end);
     }
 
     async fn next_due(&self, cx: &Cx) -> Option<Millis> {
@@ -389,24 +400,37 @@
 
     fn take_batch(&self, cx: &Cx) -> Option<Outgoing> {
         let inner = &mut *self.inner.borrow_mut();
-        inner.due = None;
-        if inner.open.is_empty() {
+        let most = cx.cfg.shards.row_events;
+        let mut events = Vec::new();
+        while let Some(proposal) = inner.open.front() {
+            if !events.is_empty() && events.len() + proposal.events.len() > most {
+                break;
+            }
+            if let Some(proposal) = inner.open.pop_front() {
+                events.extend(proposal.events);
+                inner.under_way.push(proposal.waiter);
+            }
+        }
+        // What did not fit goes as soon as the spacing allows.
+        inner.due = (!inner.open.is_empty()).then(|| cx.clock.now());
+        if events.is_empty() {
             // One write at a time: whatever was proposed before is durable by now.
-            inner.open_company.answer(WriteEnd::Committed);
+            answer(&mut inner.under_way, WriteEnd::Committed);
             return None;
         }
         let batch = Batch {
             sequence: inner.state.sequence.next(),
             epoch: self.epoch,
             nonce: rand::random(),
-            events: std::mem::take(&mut inner.open),
+            events,
         };
-        inner.under_way = Some(std::mem::take(&mut inner.open_company));
         inner.written_at = Some(cx.clock.now());
         inner.state.sequence = batch.sequence;
         inner.state.epoch = self.epoch;
         inner.since_snapshot += 1;
-        let is_due = inner.since_snapshot >= cx.cfg.shards.snapshot_batches;
+        // A state that is ahead of its row must not be stored under that row's number.
+        let is_due =
+            inner.since_snapshot >= cx.cfg.shards.snapshot_batches && inner.open.is_empty();
         let snapshot = (is_due && !inner.is_storing).then(|| {
             inner.since_snapshot = 0;
             inner.is_storing = true;
@@ -537,3 +561,9 @@
         format!("ledger/{}/", self.shard)
     }
 }
+
+fn answer(waiters: &mut Vec<oneshot::Sender<WriteEnd>>, end: WriteEnd) {
+    for waiter in waiters.drain(..) {
+        let _ = waiter.send(end);
+    }
+}
--- a/src/lapisdrum/daemon/observer.rs
+++ b/src/lapisdrum/daemon/observer.rs
@@ -26,6 +26,8 @@
 /// Rounds in which a daemon must be above its even part before it releases a shard. A daemon that
 /// comes and goes would otherwise make shards wander, and each move costs a recovery.
 const ROUNDS_ABOVE_PART: u32 = 10;
+/// A lapse is looked at this much after its moment, when it is certain.
+const JUST_AFTER: Duration = Duration::from_millis(2);
 /// Age of an unchanged presence row at which it is deleted: longer than the longest hold, since the
 /// row of a dead daemon is evidence for as long as its tasks may matter.
 const STALE_PRESENCE: Duration = Duration::from_secs(25 * 3_600);
@@ -36,22 +38,41 @@
     let mut rounds = tokio::time::interval(cx.cfg.shards.renew.min(cx.cfg.platform.poll));
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        rounds.tick().await;
+        let lapse = tokio::time::sleep(until_lapse(&cx));
         // What can't be seen stays as last seen; the registrar reports that the platform is away.
-        let _ = look(&cx, &mut above).await;
+        let _ = tokio::select! {
+            _ = rounds.tick() => look(&cx, &mut above).await,
+            // Taken without another look: a row that was renewed meanwhile has another version.
+            () = lapse => take_available(&cx).await,
+        };
     }
 }
 
+/// Time until the lease of a shard that another daemon holds may have run out. Waiting for the next
+/// round instead would add up to a round to every take-over.
+fn until_lapse(cx: &Cx) -> Duration {
+    let (terms, now) = (&cx.cfg.shards.terms, cx.clock.now());
+    let members = cx.members.borrow();
+    let own = cx.cfg.daemon.data_centre.as_str();
+    let held = members
+        .shards
+        .iter()
+        .filter(|(id, shard)| id.data_centre() == own && shard.row.holder.is_some());
+    let lapses = held
+        .map(|(_, shard)| shard.seen.since + terms.lengthened(terms.lease) + JUST_AFTER)
+        .filter(|lapse| *lapse > now);
+    lapses.min().map_or(cx.cfg.shards.renew, |at| at.since(now))
+}
+
 async fn look(cx: &Cx, above: &mut u32) -> Result<(), PlatformError> {
     see_daemons(cx).await?;
     see_shards(cx).await?;
     // Before any shard is taken: without the list, every host of a recovered shard would seem gone.
     see_hosts(cx).await?;
-    if cx.is_draining() {
-        return Ok(());
-    }
     take_available(cx).await?;
-    balance(cx, above).await;
+    if !cx.is_draining() {
+        balance(cx, above).await;
+    }
     Ok(())
 }
 
@@ -133,6 +154,9 @@
 /// Takes free shards of this data centre: up to this daemon's even part of them, and any that has
 /// been free for a lease, since the daemon whose part it is may be unable to take it.
 async fn take_available(cx: &Cx) -> Result<(), PlatformError> {
+    if cx.is_draining() || cx.members.borrow().hosts_read_at.is_none() {
+        return Ok(());
+    }
     let dc = &cx.cfg.daemon.data_centre;
     for index in 0..cx.cfg.shards.count {
         let id = ShardId::new(dc, index);
--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -113,8 +113,9 @@
     let Some(job) = shard.journal.take_waiting(&turn.entry) else {
         return false;
     };
-    // Its eviction is not durable, so its last worker may not have been told to forget it.
-    if shard.journal.is_unsettled(&job) {
+    // Its eviction is not durable, so its last worker may not have been told to forget it. A job that
+    // is just being accepted was nowhere before, and its place goes into the same row.
+    if shard.journal.is_unsettled(&job) && !shard.journal.is_unaccepted(&job) {
         turn.aside.push(job);
         return true;
     }
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -80,6 +80,8 @@
     pub linger_batch: Duration,
     /// Least time between two rows of one ledger: bounds a shard's writes under any load.
     pub write_spacing: Duration,
+    /// Most events in one row of a ledger.
+    pub row_events: usize,
     /// Least time between two checkpoints of one running task in the ledger.
     pub checkpoint: Duration,
     /// Time for which ended jobs and claims are kept.
@@ -241,9 +243,11 @@
         task_lease,
         task_renew,
         command_timeout: r.duration("shards.command_timeout_ms", 1_000, 10..=60_000),
-        linger_urgent: r.duration("shards.linger_urgent_ms", 2, 0..=1_000),
-        linger_batch: r.duration("shards.linger_batch_ms", 50, 0..=10_000),
+        linger_urgent: r.duration("shards.linger_urgent_ms", 20, 0..=1_000),
+        linger_batch: r.duration("shards.linger_batch_ms", 100, 0..=10_000),
         write_spacing: r.duration("shards.write_spacing_ms", 50, 0..=10_000),
+        row_events: usize::try_from(r.integer("shards.row_events", 1_000, 1..=100_000))
+            .unwrap_or(usize::MAX),
         checkpoint: r.duration("shards.checkpoint_ms", 15_000, 0..=600_000),
         retention: r.duration("shards.retention_ms", 3_600_000, 0..=86_400_000),
         retained: usize::try_from(r.integer("shards.retained", 20_000, 1..=1_000_000))
