--- a/crates/lapisdrum-load/src/args.rs
+++ b/crates/lapisdrum-load/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line: the processes that experiments start, and the experiments.
 
-use crate::capacity;
+use crate::{capacity, catalogue, ledger, recovery, takeover};
 use clap::{Parser, Subcommand};
 use eyre::{Result, eyre};
 use std::path::PathBuf;
@@ -28,6 +28,14 @@
     Standins(lapisdrum_standins::process::Args),
     /// A daemon's processor time, memory and traffic against workers, tasks and entries.
     Capacity(capacity::CapacityArgs),
+    /// Table writes and reads against tasks started.
+    Ledger(ledger::LedgerArgs),
+    /// Time from an owner's death to the next start.
+    Takeover(takeover::TakeoverArgs),
+    /// Time to recover a ledger against its length.
+    Recovery(recovery::RecoveryArgs),
+    /// Time until a catalogue change is in force everywhere.
+    Catalogue(catalogue::CatalogueArgs),
 }
 
 /// Runs the subcommand that was asked for.
@@ -38,5 +46,9 @@
             .map_err(|failure| eyre!("{failure}")),
         Command::Standins(args) => lapisdrum_standins::process::run(args).await,
         Command::Capacity(args) => capacity::run(args).await,
+        Command::Ledger(args) => ledger::run(args).await,
+        Command::Takeover(args) => takeover::run(args).await,
+        Command::Recovery(args) => recovery::run(args).await,
+        Command::Catalogue(args) => catalogue::run(args).await,
     }
 }
--- /dev/null
+++ b/crates/lapisdrum-load/src/catalogue.rs
@@ -0,0 +1,88 @@
+//! `lapisdrum-load catalogue`: time from an accepted change to its being in force at every daemon.
+
+use crate::{ledger::small_batch, site::Site, table};
+use clap::Args;
+use eyre::Result;
+use hdrhistogram::Histogram;
+use lapisdrum::core::id::Revision;
+use lapisdrum_standins::platform::server::PlatformSwitches;
+use std::{path::PathBuf, time::Duration};
+use tokio::time::Instant;
+
+/// Time between two looks at a daemon's revision.
+const LOOK: Duration = Duration::from_millis(5);
+/// Longest time for a change.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Arguments of `catalogue`.
+#[derive(Debug, Args)]
+pub struct CatalogueArgs {
+    /// Daemons.
+    #[arg(long, default_value_t = 7)]
+    daemons: usize,
+    /// Changes to measure.
+    #[arg(long, default_value_t = 100)]
+    changes: usize,
+    /// How much slower the platform answers, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    slow_ms: u64,
+    /// Settings besides the addresses: a TOML file; the defaults when absent.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+}
+
+/// Makes the changes one after another, each at the next daemon, and prints the times.
+pub async fn run(args: CatalogueArgs) -> Result<()> {
+    let more = match &args.settings {
+        Some(path) => std::fs::read_to_string(path)?,
+        None => "[log]\nlevel = \"warn\"\n".to_owned(),
+    };
+    let site = Site::start(args.daemons, 1, |plan| plan.more = more.clone()).await?;
+    let slow = PlatformSwitches {
+        slow_ms: args.slow_ms,
+        ..PlatformSwitches::default()
+    };
+    site.switch_platform(&slow).await?;
+    let (mut all, mut last) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
+    let mut seen = None;
+    for i in 0..args.changes {
+        let mut entry = small_batch("render");
+        entry.millicores = 10 + i as u64 % 10;
+        let client = site.daemons[i % args.daemons].client();
+        // Counted from the moment when the operator sent it.
+        let sent_at = Instant::now();
+        let revision = client.put_entry(&entry, seen).await?.revision;
+        seen = Some(revision);
+        let waits = (0..args.daemons).map(|i| in_force(&site, i, revision, sent_at));
+        let times = futures::future::join_all(waits).await;
+        for ms in &times {
+            all.saturating_record(*ms);
+        }
+        last.saturating_record(times.into_iter().max().unwrap_or(0));
+    }
+    let cells = |what: &str, times: &Histogram<u64>| {
+        vec![
+            what.to_owned(),
+            times.value_at_quantile(0.5).to_string(),
+            times.value_at_quantile(0.99).to_string(),
+            times.max().to_string(),
+        ]
+    };
+    table::print(
+        &["in force", "half ms", "99th ms", "greatest ms"],
+        &[cells("at a daemon", &all), cells("at all", &last)],
+    );
+    Ok(())
+}
+
+/// Milliseconds from `since` until a daemon has a revision in force.
+async fn in_force(site: &Site, daemon: usize, revision: Revision, since: Instant) -> u64 {
+    let name = "lapisdrum_catalogue_revision";
+    while since.elapsed() < LIMIT {
+        if site.daemons[daemon].metric(name).await >= revision.0 {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    since.elapsed().as_millis() as u64
+}
--- /dev/null
+++ b/crates/lapisdrum-load/src/ledger.rs
@@ -0,0 +1,248 @@
+//! `lapisdrum-load ledger`: table writes and reads a second against tasks started a second.
+//!
+//! Jobs are handed in at a fixed rate, whatever the daemon answers. The first setting writes each
+//! event into a row of its own at once; the others gather events for a linger.
+
+use crate::{
+    site::{Site, until},
+    table,
+};
+use clap::Args;
+use eyre::Result;
+use hdrhistogram::Histogram;
+use lapisdrum::core::catalogue::RawEntry;
+use lapisdrum_standins::worker::server::WorkerSwitches;
+use serde::Serialize;
+use std::{
+    cell::{Cell, RefCell},
+    path::PathBuf,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{Instant, MissedTickBehavior};
+
+/// Time for the shard to be served.
+const SERVE_LIMIT: Duration = Duration::from_secs(30);
+/// Load before the window, so that it shows the steady state.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Time between two lots of jobs handed in.
+const LOT: Duration = Duration::from_millis(20);
+
+/// Arguments of `ledger`.
+#[derive(Debug, Args)]
+pub struct LedgerArgs {
+    /// Jobs handed in a second.
+    #[arg(long, default_value_t = 200)]
+    rate: u64,
+    /// Workers.
+    #[arg(long, default_value_t = 65)]
+    workers: usize,
+    /// Time for a task, in milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    task_ms: u64,
+    /// Length of each window, in seconds.
+    #[arg(long, default_value_t = 10)]
+    window_s: u64,
+    /// Lingers to try besides row by row, in milliseconds.
+    #[arg(long, value_delimiter = ',', default_value = "0,50,250")]
+    lingers: Vec<u64>,
+    /// Where to write the rows as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// One setting's figures over the window.
+#[derive(Clone, Debug, Serialize)]
+pub struct LedgerRow {
+    /// How rows are written.
+    pub writing: String,
+    /// Jobs handed in a second.
+    pub rate: u64,
+    /// Tasks started a second.
+    pub starts_per_s: f64,
+    /// Jobs refused or unknown.
+    pub not_accepted: u64,
+    /// Table writes a second, of every kind.
+    pub table_writes_per_s: f64,
+    /// Reads a second, of every kind.
+    pub table_reads_per_s: f64,
+    /// Time until an acceptance was answered, at half.
+    pub accepted_ms_p50: u64,
+    /// The same at the 99th percentile.
+    pub accepted_ms_p99: u64,
+}
+
+/// Runs every setting and prints the table.
+pub async fn run(args: LedgerArgs) -> Result<()> {
+    let by_row =
+        "linger_urgent_ms = 0\nlinger_batch_ms = 0\nwrite_spacing_ms = 0\nrow_events = 1\n";
+    let mut settings = vec![("row by row".to_owned(), by_row.to_owned())];
+    for linger in &args.lingers {
+        let text = format!(
+            "linger_urgent_ms = {linger}\nlinger_batch_ms = {linger}\nwrite_spacing_ms = 0\n"
+        );
+        settings.push((format!("linger {linger} ms"), text));
+    }
+    settings.push(("defaults".to_owned(), String::new()));
+    let mut rows = Vec::new();
+    for (writing, text) in settings {
+        let row = run_one(&args, writing, &text).await?;
+        eprintln!("{row:?}");
+        rows.push(row);
+    }
+    print(&rows);
+    if let Some(path) = &args.json {
+        table::write_json(path, &rows)?;
+    }
+    Ok(())
+}
+
+async fn run_one(args: &LedgerArgs, writing: String, settings: &str) -> Result<LedgerRow> {
+    let more = format!("[log]\nlevel = \"warn\"\n\n[shards]\n{settings}");
+    let site = Site::start(1, args.workers, |plan| plan.more = more.clone()).await?;
+    let switches = WorkerSwitches {
+        task_ms: args.task_ms,
+        ..WorkerSwitches::default()
+    };
+    site.switch_workers(&switches).await?;
+    let client = site.daemons[0].client();
+    client.put_entry(&small_batch("render"), None).await?;
+    until("the first job is taken", SERVE_LIMIT, async || {
+        client.submit_job("render").await.is_ok()
+    })
+    .await?;
+    let load = Load::start(&site, args.rate);
+    tokio::time::sleep(WARM_UP).await;
+    load.reset();
+    let (counts, starts) = (site.platform_counts().await?, site.starts().await);
+    let begun = Instant::now();
+    tokio::time::sleep(Duration::from_secs(args.window_s)).await;
+    let (counts_after, starts_after) = (site.platform_counts().await?, site.starts().await);
+    let seconds = begun.elapsed().as_secs_f64();
+    let per_s = |from: u64, to: u64| (to - from) as f64 / seconds;
+    let latencies = load.stop();
+    Ok(LedgerRow {
+        writing,
+        rate: args.rate,
+        starts_per_s: per_s(starts, starts_after),
+        not_accepted: latencies.failed,
+        table_writes_per_s: per_s(counts.writes, counts_after.writes),
+        table_reads_per_s: per_s(counts.reads, counts_after.reads),
+        accepted_ms_p50: latencies.taken.value_at_quantile(0.5),
+        accepted_ms_p99: latencies.taken.value_at_quantile(0.99),
+    })
+}
+
+/// A small batch entry without practical limits.
+pub fn small_batch(name: &str) -> RawEntry {
+    RawEntry {
+        name: name.to_owned(),
+        owner: "trail".to_owned(),
+        class: "batch".to_owned(),
+        millicores: 10,
+        memory_mb: 10,
+        accelerators: 0,
+        concurrency: Some(1_000_000),
+        rate_per_s: None,
+        queue: Some(1_000_000),
+        body_bytes: None,
+        idempotent: false,
+        deadline_ms: None,
+        hold_ms: None,
+        max_failures: None,
+        priority: None,
+        retired: false,
+    }
+}
+
+/// How long acceptances took, in milliseconds, and how many failed.
+struct Latencies {
+    taken: Histogram<u64>,
+    failed: u64,
+}
+
+impl Latencies {
+    fn new() -> Self {
+        // Three digits are within what the library allows.
+        let taken = Histogram::new(3).unwrap_or_else(|e| panic!("a histogram: {e}"));
+        Self { taken, failed: 0 }
+    }
+}
+
+/// Hands jobs in at a rate until it is stopped.
+struct Load {
+    latencies: Rc<RefCell<Latencies>>,
+    stopped: Rc<Cell<bool>>,
+}
+
+impl Load {
+    fn start(site: &Site, rate: u64) -> Self {
+        let load = Self {
+            latencies: Rc::new(RefCell::new(Latencies::new())),
+            stopped: Rc::default(),
+        };
+        let client = site.daemons[0].client();
+        let (latencies, stopped) = (Rc::clone(&load.latencies), Rc::clone(&load.stopped));
+        actix_rt::spawn(async move {
+            let begun = Instant::now();
+            let mut ticks = tokio::time::interval(LOT);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+            let mut sent = 0;
+            while !stopped.get() {
+                ticks.tick().await;
+                let due = (begun.elapsed().as_secs_f64() * rate as f64) as u64;
+                for _ in sent..due {
+                    let (client, latencies) = (client.clone(), Rc::clone(&latencies));
+                    actix_rt::spawn(async move {
+                        let sent_at = Instant::now();
+                        let accepted = client.submit_job("render").await.is_ok();
+                        let mut latencies = latencies.borrow_mut();
+                        let ms = sent_at.elapsed().as_millis() as u64;
+                        match accepted {
+                            true => latencies.taken.saturating_record(ms),
+                            false => latencies.failed += 1,
+                        }
+                    });
+                }
+                sent = due;
+            }
+        });
+        load
+    }
+
+    /// Begins to count.
+    fn reset(&self) {
+        *self.latencies.borrow_mut() = Latencies::new();
+    }
+
+    fn stop(self) -> Latencies {
+        self.stopped.set(true);
+        self.latencies.replace(Latencies::new())
+    }
+}
+
+fn print(rows: &[LedgerRow]) {
+    let headings = [
+        "writing",
+        "jobs/s",
+        "starts/s",
+        "not accepted",
+        "writes/s",
+        "reads/s",
+        "accepted p50 ms",
+        "p99 ms",
+    ];
+    let cells = |row: &LedgerRow| {
+        vec![
+            row.writing.clone(),
+            row.rate.to_string(),
+            format!("{:.1}", row.starts_per_s),
+            row.not_accepted.to_string(),
+            format!("{:.1}", row.table_writes_per_s),
+            format!("{:.1}", row.table_reads_per_s),
+            row.accepted_ms_p50.to_string(),
+            row.accepted_ms_p99.to_string(),
+        ]
+    };
+    table::print(&headings, &rows.iter().map(cells).collect::<Vec<_>>());
+}
--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -5,6 +5,10 @@
 
 pub mod args;
 pub mod capacity;
+pub mod catalogue;
+pub mod ledger;
 pub mod measure;
+pub mod recovery;
 pub mod site;
 pub mod table;
+pub mod takeover;
--- a/crates/lapisdrum-load/src/site.rs
+++ b/crates/lapisdrum-load/src/site.rs
@@ -104,6 +104,15 @@
         let mut answer = sent.map_err(|e| eyre!("{e}"))?;
         Ok(String::from_utf8_lossy(&answer.body().await?).into_owned())
     }
+
+    /// One of its metrics without labels; zero without an answer.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let text = self.metrics().await.unwrap_or_default();
+        let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+        let line = lines.find(|(found, _)| *found == name);
+        line.and_then(|(_, value)| value.trim().parse().ok())
+            .unwrap_or(0)
+    }
 }
 
 impl Drop for Daemon {
@@ -166,6 +175,25 @@
         Ok(site)
     }
 
+    /// Tasks started by all daemons so far.
+    pub async fn starts(&self) -> u64 {
+        let mut sum = 0;
+        for daemon in &self.daemons {
+            sum += daemon.metric("lapisdrum_task_starts_total").await;
+        }
+        sum
+    }
+
+    /// The daemon that owns a shard; the first when none does.
+    pub async fn owner(&self) -> usize {
+        for (i, daemon) in self.daemons.iter().enumerate() {
+            if daemon.metric("lapisdrum_shards_owned").await > 0 {
+                return i;
+            }
+        }
+        0
+    }
+
     /// Sets what the platform does wrong.
     pub async fn switch_platform(&self, switches: &PlatformSwitches) -> Result<()> {
         put(self.platform, "/control/switches", switches).await
--- /dev/null
+++ b/crates/lapisdrum-load/src/takeover.rs
@@ -0,0 +1,97 @@
+//! `lapisdrum-load takeover`: time from an owner's death to the first task that its successor starts.
+
+use crate::{
+    ledger::small_batch,
+    site::{Site, until},
+    table,
+};
+use clap::Args;
+use eyre::Result;
+use lapisdrum_standins::worker::server::WorkerSwitches;
+use std::{path::PathBuf, time::Duration};
+use tokio::time::Instant;
+
+/// Longest time for anything awaited.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Arguments of `takeover`.
+#[derive(Debug, Args)]
+pub struct TakeoverArgs {
+    /// Deaths to measure, each on a site of its own.
+    #[arg(long, default_value_t = 10)]
+    trials: usize,
+    /// Workers.
+    #[arg(long, default_value_t = 65)]
+    workers: usize,
+    /// Jobs accepted before the death.
+    #[arg(long, default_value_t = 200)]
+    jobs: usize,
+    /// Settings besides the addresses: a TOML file; the defaults when absent.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+    /// Where to write the times as JSON, in milliseconds.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// Runs the trials and prints half, greatest and each.
+pub async fn run(args: TakeoverArgs) -> Result<()> {
+    let mut times = Vec::new();
+    for _ in 0..args.trials {
+        let took = run_one(&args).await?;
+        eprintln!("first start after {took:?}");
+        times.push(took.as_millis() as u64);
+    }
+    times.sort_unstable();
+    let half = times[times.len() / 2];
+    let most = times[times.len() - 1];
+    table::print(
+        &["trials", "least ms", "half ms", "greatest ms"],
+        &[vec![
+            times.len().to_string(),
+            times[0].to_string(),
+            half.to_string(),
+            most.to_string(),
+        ]],
+    );
+    if let Some(path) = &args.json {
+        table::write_json(path, &times)?;
+    }
+    Ok(())
+}
+
+async fn run_one(args: &TakeoverArgs) -> Result<Duration> {
+    let more = match &args.settings {
+        Some(path) => std::fs::read_to_string(path)?,
+        None => "[log]\nlevel = \"warn\"\n".to_owned(),
+    };
+    let mut site = Site::start(2, args.workers, |plan| plan.more = more.clone()).await?;
+    let switches = WorkerSwitches {
+        task_ms: 60_000,
+        ..WorkerSwitches::default()
+    };
+    site.switch_workers(&switches).await?;
+    let client = site.daemons[0].client();
+    client.put_entry(&small_batch("render"), None).await?;
+    let other = site.daemons[1].client();
+    until("jobs are taken at both", LIMIT, async || {
+        client.submit_job("render").await.is_ok() && other.submit_job("render").await.is_ok()
+    })
+    .await?;
+    for _ in 0..args.jobs {
+        client.submit_job("render").await?;
+    }
+    let dead = site.owner().await;
+    // Anywhere within a renewal's interval.
+    tokio::time::sleep(Duration::from_millis(rand::random_range(0..1_000))).await;
+    site.daemons[dead].process.kill();
+    let died = Instant::now();
+    let survivor = &site.daemons[1 - dead];
+    let client = survivor.client();
+    until("the survivor starts a task", LIMIT, async || {
+        let _ = client.submit_job("render").await;
+        survivor.metric("lapisdrum_task_starts_total").await > 0
+    })
+    .await?;
+    Ok(died.elapsed())
+}
