Capacity experiment: the membership list is read at the default interval

Cause: DaemonPlan fixed platform.poll_ms at the tests' 200 ms, so the experiment measured five times the traffic that a daemon has by default. Change: the interval is a field of the plan; the experiment sets 1,000 ms.

--- a/crates/lapisdrum-load/src/capacity.rs
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -43,6 +43,9 @@
     /// Daemons.
     #[arg(long, default_value_t = 1)]
     daemons: usize,
+    /// Time between two reads of the membership list, in milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    poll_ms: u64,
     /// Length of the window in seconds.
     #[arg(long, default_value_t = 20)]
     window_s: u64,
@@ -126,7 +129,11 @@
         Some(path) => std::fs::read_to_string(path)?,
         None => "[log]\nlevel = \"warn\"\n".to_owned(),
     };
-    let site = Site::start(args.daemons, case.workers, |plan| plan.more = more.clone()).await?;
+    let site = Site::start(args.daemons, case.workers, |plan| {
+        plan.more = more.clone();
+        plan.poll_ms = args.poll_ms;
+    })
+    .await?;
     let endless = vec![STREAM.to_owned()];
     site.switch_workers(&WorkerSwitches {
         endless,
