Policy modules: first working versions behind their lasting interfaces

Cause: admission, routing and placement were one-rule stubs, and queueing, retries, outliers, interference, eviction, health, grants and pace did not exist, so the request path and the shard's owner had nothing to drive.

Ruled out: a token bucket for rates (a burst of a second's worth lets twice the rate through in the second after a pause; a sliding second counted by millisecond is exact and bounded), counting waiting requests against concurrency (nothing could ever wait).

Change: one pure module a decision; time and random numbers are handed in. The router and the owner's placement call the new signatures as they called the old ones; what they do with the rest is theirs to add.

--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -12,7 +12,10 @@
         outcome::Refusal,
         time::Millis,
     },
-    policy::routing::{self, Candidate},
+    policy::{
+        admission::{Claim, Share},
+        routing::{Candidate, Routing},
+    },
     timeline::event::Happening,
     worker::client::{Answer, Outgoing, RequestEnd},
 };
@@ -59,11 +62,7 @@
         Ok(entry) => entry,
         Err(refusal) => return RunEnd::Refused(refusal),
     };
-    if !cx
-        .admission
-        .borrow_mut()
-        .try_admit(&entry, daemon_count(cx))
-    {
+    if !cx.admission.borrow_mut().start(&claim(cx, &entry)) {
         let entry = entry.name;
         return RunEnd::Refused(Refusal::OverLimit {
             entry,
@@ -85,7 +84,23 @@
 
 impl Drop for Admitted<'_> {
     fn drop(&mut self) {
-        self.cx.admission.borrow_mut().finish(&self.entry.name);
+        self.cx
+            .admission
+            .borrow_mut()
+            .finish(&self.entry.name, &self.entry.owner);
+    }
+}
+
+fn claim<'a>(cx: &Cx, entry: &'a Entry) -> Claim<'a> {
+    Claim {
+        entry: &entry.name,
+        owner: &entry.owner,
+        share: Share {
+            concurrency: entry.limits.concurrency / daemon_count(cx),
+            rate_per_s: None,
+            queue: 0,
+        },
+        quota: None,
     }
 }
 
@@ -191,17 +206,17 @@
     let members = cx.members.borrow();
     let floors = cx.floors.borrow();
     let mut candidates = Vec::new();
-    for (index, (worker, floor)) in floors.held.iter().enumerate() {
+    for (worker, floor) in &floors.held {
         let leaving = members.hosts.get(worker).is_none_or(|host| host.leaving);
         if !leaving && floors.has_room(worker, &entry.size) {
             candidates.push(Candidate {
-                index,
+                worker,
                 outstanding: floor.used.slots,
             });
         }
     }
-    let chosen = routing::choose(&candidates, &mut rand::rng())?;
-    let (worker, _) = floors.held.get_index(chosen)?;
+    let chosen = Routing::default().choose(&candidates, cx.clock.now(), &mut rand::rng())?;
+    let worker = candidates[chosen].worker;
     let host = members.hosts.get(worker)?;
     Some((worker.clone(), host.address.clone()))
 }
--- a/src/lapisdrum/daemon/tasks.rs
+++ b/src/lapisdrum/daemon/tasks.rs
@@ -6,17 +6,22 @@
 use super::{
     Cx,
     journal::{Urgency, WriteEnd},
+    members::Members,
     shard::{Session, Shard},
     supervisor,
 };
 use crate::{
     core::{
+        catalogue::Class,
         id::{JobId, WorkerId},
         job::{Attempt, Job, JobEnd, Placement},
         size::Size,
         time::Millis,
     },
-    policy::placement::{self, Room},
+    policy::{
+        interference::{Interference, Kind},
+        placement::{self, Room, Wanted},
+    },
     state::{
         fencing::{self, ClockReading, EarlierOwners, Evidence, WorkerEvidence},
         ledger::{Event, OwnerRecord},
@@ -509,12 +514,17 @@
             .collect()
     };
     for (job, size, attempts) in waiting {
-        let rooms = rooms(cx, shard);
-        let Some(room) = placement::choose(&rooms, &size) else {
+        let wanted = Wanted {
+            kind: Kind(0),
+            class: Class::Batch,
+            size,
+            same_placed: 0,
+        };
+        let Some(worker) = choose_worker(cx, shard, &wanted) else {
             continue;
         };
         let placement = Placement {
-            worker: room.worker.clone(),
+            worker,
             epoch: shard.epoch,
             attempt: Attempt(attempts.0 + 1),
         };
@@ -534,9 +544,16 @@
     }
 }
 
-/// What is free for tasks on each worker that may take one.
-fn rooms(cx: &Cx, shard: &Shard) -> Vec<Room> {
+fn choose_worker(cx: &Cx, shard: &Shard, wanted: &Wanted) -> Option<WorkerId> {
     let members = cx.members.borrow();
+    let rooms = rooms(cx, shard, &members);
+    let (known, now) = (Interference::default(), cx.clock.now());
+    let chosen = placement::choose(&rooms, wanted, &known, now, &mut rand::rng())?;
+    Some(rooms[chosen].worker.clone())
+}
+
+/// What is free for tasks on each worker that may take one.
+fn rooms<'a>(cx: &Cx, shard: &Shard, members: &'a Members) -> Vec<Room<'a>> {
     let sessions = shard.sessions.borrow();
     let state = shard.state();
     let usable = |worker: &WorkerId| {
@@ -553,8 +570,12 @@
             let reserved = super::grants::unclaimed_reserve(cx, &state, host);
             let free = host.capacity.minus(&committed.size).minus(&reserved);
             Room {
-                worker: host.worker.clone(),
+                worker: &host.worker,
+                rack: &host.rack,
+                capacity: host.capacity,
                 free,
+                residents: &[],
+                same_in_rack: 0,
             }
         })
         .collect()
--- /dev/null
+++ b/src/lapisdrum/policy/queueing.rs
@@ -0,0 +1,555 @@
+//! Which waiting item is next, and which is refused rather than left to wait.
+//!
+//! Load patterns: a burst of many times the capacity; one hot caller; batch work beside
+//! latency-critical work; deadlines that pass in the queue. Without an order of its own, a queue
+//! serves first whoever asked most, and at overload it serves only items whose callers have already
+//! gone: throughput is full and goodput is nothing.
+//!
+//! - Latency-critical items go ahead of the rest, but one start in [`REST_TURN`] is the rest's while
+//!   any of it waits, so batch work is slowed and never starved.
+//! - Within a class, owners share by weight (start-time fair queueing on expected run time), and
+//!   within an owner each entry and caller (or key) is a flow with an equal share. Of the flows that
+//!   have not had more than their share, the one with the earliest deadline is next.
+//! - An item is refused at once when its entry's queue is at its bound, or when the measured drain
+//!   rate says that it can't start in time. A full queue makes room for a flow that has less than
+//!   the longest flow by giving up the longest flow's last item.
+//! - An item that can't be finished by its deadline any more is given up at once.
+//!
+//! The cost of a decision grows with the flows that wait, not with the items.
+
+use super::drain::{DrainRate, Returns};
+use crate::core::{
+    catalogue::Class,
+    id::{EntryName, OwnerName},
+    time::Millis,
+};
+use indexmap::IndexMap;
+use rand::Rng;
+use std::{collections::BTreeMap, time::Duration};
+
+/// One start in so many is the rest's while latency-critical items wait too. A tenth keeps batch
+/// work moving and takes less than a tenth from latency-critical work at full load.
+pub const REST_TURN: u32 = 10;
+/// Run time that a start is taken to cost at least, so that items of unknown cost count too.
+const LEAST_COST: Duration = Duration::from_micros(100);
+
+/// What the queue has to know of an item.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The entry.
+    pub entry: EntryName,
+    /// Its owner.
+    pub owner: OwnerName,
+    /// Hash of the caller or key whose items share one flow.
+    pub caller: u64,
+    /// Class of work.
+    pub class: Class,
+    /// Share of its owner; the entry's priority.
+    pub weight: u32,
+    /// Items of this entry that may wait here.
+    pub bound: u32,
+    /// Time that a run is expected to take; zero when unknown.
+    pub run: Duration,
+    /// When it must be finished; none for work without a deadline.
+    pub deadline: Option<Millis>,
+}
+
+scalar! {
+    /// A waiting item's number, in order of arrival.
+    pub struct Ticket(pub u64);
+}
+
+/// What became of an item that was handed in.
+#[derive(Debug)]
+pub enum Enqueued<T> {
+    /// It waits. An item of a longer flow may have been given up for it.
+    Waiting {
+        /// Its number.
+        ticket: Ticket,
+        /// What was given up for it.
+        displaced: Option<Refused<T>>,
+    },
+    /// It does not wait.
+    Refused(Refused<T>),
+}
+
+/// An item that is given up before it was started.
+#[derive(Debug)]
+pub struct Refused<T> {
+    /// What was handed in with it.
+    pub payload: T,
+    /// Why.
+    pub reason: Reason,
+    /// When its caller should come back.
+    pub retry_after: Duration,
+}
+
+/// Why an item is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The entry's queue is at its bound.
+    QueueFull,
+    /// It could not have been finished by its deadline.
+    Deadline,
+}
+
+/// Items that wait to be started, with what each was handed in with.
+#[derive(Debug)]
+pub struct Queue<T> {
+    urgent: Lane,
+    rest: Lane,
+    items: IndexMap<Ticket, Waiting<T>>,
+    entries: IndexMap<EntryName, EntryState>,
+    by_deadline: BTreeMap<(Millis, Ticket), ()>,
+    next_ticket: u64,
+    urgent_run: u32,
+    rate: DrainRate,
+    returns: Returns,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    item: Item,
+    payload: T,
+    /// Last moment at which a start can still finish in time.
+    latest_start: Option<Millis>,
+}
+
+/// What is known of an entry that has items waiting, or had some lately.
+#[derive(Debug, Default)]
+struct EntryState {
+    waiting: u32,
+    rate: DrainRate,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            urgent: Lane::default(),
+            rest: Lane::default(),
+            items: IndexMap::new(),
+            entries: IndexMap::new(),
+            by_deadline: BTreeMap::new(),
+            next_ticket: 0,
+            urgent_run: 0,
+            rate: DrainRate::default(),
+            returns: Returns::default(),
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// Puts an item in line, or refuses it at once.
+    pub fn enqueue(
+        &mut self,
+        item: Item,
+        payload: T,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Enqueued<T> {
+        let latest_start = item.deadline.map(|deadline| deadline.before(item.run));
+        let wait = self.expected_wait(&item, now);
+        if latest_start.is_some_and(|latest| latest < now + wait || item.deadline <= Some(now)) {
+            return Enqueued::Refused(self.refuse(payload, Reason::Deadline, wait, now, rng));
+        }
+        let mut displaced = None;
+        if self.waiting_of(&item.entry) >= item.bound {
+            let Some(longest) = self.displaceable(&item) else {
+                return Enqueued::Refused(self.refuse(payload, Reason::QueueFull, wait, now, rng));
+            };
+            displaced = self
+                .take(longest, now)
+                .map(|waiting| self.refuse(waiting.payload, Reason::QueueFull, wait, now, rng));
+        }
+        let ticket = self.insert(item, payload, latest_start, now);
+        Enqueued::Waiting { ticket, displaced }
+    }
+
+    /// Takes the item that is to be started now, among those whose entry `may_start`.
+    pub fn next(
+        &mut self,
+        now: Millis,
+        may_start: impl Fn(&EntryName, &OwnerName) -> bool,
+    ) -> Option<(Ticket, Item, T)> {
+        let rest_first = self.urgent_run + 1 >= REST_TURN;
+        let order = match rest_first {
+            true => [Kind::Rest, Kind::Urgent],
+            false => [Kind::Urgent, Kind::Rest],
+        };
+        let found = order.into_iter().find_map(|kind| {
+            let ticket = self.lane(kind).pick(&may_start)?;
+            Some((kind, ticket))
+        });
+        let (kind, ticket) = found?;
+        self.urgent_run = match kind {
+            Kind::Urgent if !self.rest.is_empty() => self.urgent_run + 1,
+            Kind::Urgent | Kind::Rest => 0,
+        };
+        let item = &self.items[&ticket].item;
+        let (owner, flow, cost) = (item.owner.clone(), item.flow(), item.cost());
+        self.lane_mut(kind).charge(&owner, &flow, cost);
+        if let Some(state) = self.entries.get_mut(&flow.entry) {
+            state.rate.note(now);
+        }
+        self.rate.note(now);
+        let taken = self.take(ticket, now)?;
+        Some((ticket, taken.item, taken.payload))
+    }
+
+    /// Takes an item out of line whose caller has gone away.
+    pub fn remove(&mut self, ticket: Ticket, now: Millis) -> Option<T> {
+        self.take(ticket, now).map(|waiting| waiting.payload)
+    }
+
+    /// Gives up every item that can't be finished by its deadline any more.
+    pub fn expire(&mut self, now: Millis, rng: &mut impl Rng) -> Vec<Refused<T>> {
+        let mut given_up = Vec::new();
+        while let Some(((latest, ticket), ())) = self.by_deadline.first_key_value() {
+            if *latest >= now {
+                break;
+            }
+            let ticket = *ticket;
+            let Some(waiting) = self.take(ticket, now) else {
+                break;
+            };
+            let wait = self.expected_wait(&waiting.item, now);
+            given_up.push(self.refuse(waiting.payload, Reason::Deadline, wait, now, rng));
+        }
+        given_up
+    }
+
+    /// When [`Self::expire`] has something to give up next, if nothing is started before.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        let ((latest, _), ()) = self.by_deadline.first_key_value()?;
+        Some(*latest + Duration::from_millis(1))
+    }
+
+    /// When a caller should come back that is refused at present for want of room.
+    pub fn retry_after(&mut self, now: Millis, rng: &mut impl Rng) -> Duration {
+        let wait = self
+            .rate
+            .time_for(self.len() as f64, now)
+            .unwrap_or_default();
+        self.returns.book(wait, self.rate.per_second(now), now, rng)
+    }
+
+    /// Items that wait.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Items of an entry that wait.
+    pub fn waiting_of(&self, entry: &EntryName) -> u32 {
+        self.entries.get(entry).map_or(0, |state| state.waiting)
+    }
+
+    /// Starts a second of items that had to wait, as measured; none before enough was measured.
+    pub fn drain_per_second(&self, now: Millis) -> Option<f64> {
+        self.rate.per_second(now)
+    }
+
+    fn insert(
+        &mut self,
+        item: Item,
+        payload: T,
+        latest_start: Option<Millis>,
+        now: Millis,
+    ) -> Ticket {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let state = self.entries.entry(item.entry.clone()).or_default();
+        state.waiting += 1;
+        state.rate.busy(now);
+        self.rate.busy(now);
+        if let Some(latest) = latest_start {
+            self.by_deadline.insert((latest, ticket), ());
+        }
+        self.lane_mut(Kind::of(item.class)).insert(&item, ticket);
+        let waiting = Waiting {
+            item,
+            payload,
+            latest_start,
+        };
+        self.items.insert(ticket, waiting);
+        ticket
+    }
+
+    fn take(&mut self, ticket: Ticket, now: Millis) -> Option<Waiting<T>> {
+        let waiting = self.items.swap_remove(&ticket)?;
+        let item = &waiting.item;
+        if let Some(latest) = waiting.latest_start {
+            self.by_deadline.remove(&(latest, ticket));
+        }
+        self.lane_mut(Kind::of(item.class)).remove(item, ticket);
+        if let Some(state) = self.entries.get_mut(&item.entry) {
+            state.waiting -= 1;
+            if state.waiting == 0 {
+                state.rate.idle(now);
+            }
+        }
+        if self.items.is_empty() {
+            self.rate.idle(now);
+        }
+        Some(waiting)
+    }
+
+    /// Time until an item would start if it were put in line now: what the order would serve before
+    /// it, by the measured rates of the whole queue and of its entry.
+    fn expected_wait(&self, item: &Item, now: Millis) -> Duration {
+        let lane = self.lane(Kind::of(item.class));
+        let ahead = lane.ahead_of(&item.owner, item.weight, &item.flow());
+        let overall = self.rate.time_for(ahead, now);
+        let own = self.entries.get(&item.entry).and_then(|state| {
+            let ahead = ahead.min(f64::from(state.waiting));
+            state.rate.time_for(ahead, now)
+        });
+        overall.unwrap_or_default().max(own.unwrap_or_default())
+    }
+
+    /// The last item of the longest flow of the same entry, if that flow is longer than the item's
+    /// own would be.
+    fn displaceable(&self, item: &Item) -> Option<Ticket> {
+        let lane = self.lane(Kind::of(item.class));
+        let own = lane.flow_len(&item.owner, &item.flow());
+        let (longest, ticket) = lane.longest_flow(&item.owner, &item.entry)?;
+        (longest > own + 1).then_some(ticket)
+    }
+
+    fn refuse(
+        &mut self,
+        payload: T,
+        reason: Reason,
+        wait: Duration,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Refused<T> {
+        let rate = self.rate.per_second(now);
+        let retry_after = self.returns.book(wait, rate, now, rng);
+        Refused {
+            payload,
+            reason,
+            retry_after,
+        }
+    }
+
+    fn lane(&self, kind: Kind) -> &Lane {
+        match kind {
+            Kind::Urgent => &self.urgent,
+            Kind::Rest => &self.rest,
+        }
+    }
+
+    fn lane_mut(&mut self, kind: Kind) -> &mut Lane {
+        match kind {
+            Kind::Urgent => &mut self.urgent,
+            Kind::Rest => &mut self.rest,
+        }
+    }
+}
+
+/// Which of the two lines an item stands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Urgent,
+    Rest,
+}
+
+impl Kind {
+    fn of(class: Class) -> Self {
+        match class {
+            Class::LatencyCritical => Self::Urgent,
+            Class::Batch | Class::LongRunning => Self::Rest,
+        }
+    }
+}
+
+impl Item {
+    fn flow(&self) -> FlowKey {
+        FlowKey {
+            entry: self.entry.clone(),
+            caller: self.caller,
+        }
+    }
+
+    /// Cost in microseconds of run time.
+    fn cost(&self) -> f64 {
+        self.run.max(LEAST_COST).as_secs_f64() * 1e6
+    }
+
+    /// Items without a deadline stand behind all that have one, in order of arrival.
+    fn rank(&self, ticket: Ticket) -> (Millis, Ticket) {
+        (self.deadline.unwrap_or(Millis(u64::MAX)), ticket)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct FlowKey {
+    entry: EntryName,
+    caller: u64,
+}
+
+/// One class: owners that share by weight.
+#[derive(Debug, Default)]
+struct Lane {
+    owners: IndexMap<OwnerName, Owner>,
+    /// Virtual time: the start tag of the owner that was served last.
+    clock: f64,
+}
+
+#[derive(Debug)]
+struct Owner {
+    weight: u32,
+    /// Virtual time from which it may be served next.
+    tag: f64,
+    clock: f64,
+    flows: IndexMap<FlowKey, Flow>,
+    waiting: usize,
+}
+
+#[derive(Debug)]
+struct Flow {
+    tag: f64,
+    /// In order of deadline, then arrival.
+    items: BTreeMap<(Millis, Ticket), ()>,
+}
+
+impl Lane {
+    fn is_empty(&self) -> bool {
+        self.owners.values().all(|owner| owner.waiting == 0)
+    }
+
+    fn insert(&mut self, item: &Item, ticket: Ticket) {
+        let clock = self.clock;
+        let owner = self.owners.entry(item.owner.clone()).or_insert(Owner {
+            weight: 1,
+            tag: clock,
+            clock: 0.0,
+            flows: IndexMap::new(),
+            waiting: 0,
+        });
+        if owner.waiting == 0 {
+            owner.tag = owner.tag.max(clock);
+        }
+        owner.weight = item.weight.max(1);
+        owner.waiting += 1;
+        let clock = owner.clock;
+        let flow = owner.flows.entry(item.flow()).or_insert(Flow {
+            tag: clock,
+            items: BTreeMap::new(),
+        });
+        if flow.items.is_empty() {
+            flow.tag = flow.tag.max(clock);
+        }
+        flow.items.insert(item.rank(ticket), ());
+    }
+
+    fn remove(&mut self, item: &Item, ticket: Ticket) {
+        let Some(owner) = self.owners.get_mut(&item.owner) else {
+            return;
+        };
+        let key = item.flow();
+        if let Some(flow) = owner.flows.get_mut(&key)
+            && flow.items.remove(&item.rank(ticket)).is_some()
+        {
+            owner.waiting -= 1;
+            // A flow that is ahead of its share is remembered until the others have caught up.
+            if flow.items.is_empty() && flow.tag <= owner.clock {
+                owner.flows.swap_remove(&key);
+            }
+        }
+        if owner.waiting == 0 && owner.tag <= self.clock {
+            self.owners.swap_remove(&item.owner);
+        }
+    }
+
+    /// The next item by share and deadline among those that may start.
+    fn pick(&self, may_start: &impl Fn(&EntryName, &OwnerName) -> bool) -> Option<Ticket> {
+        let owners = self.owners.iter().filter(|(_, owner)| owner.waiting > 0);
+        let found = owners.filter_map(|(name, owner)| {
+            let ticket = owner.pick(|entry| may_start(entry, name))?;
+            Some((owner.tag, ticket))
+        });
+        let first = found.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        first.map(|(_, ticket)| ticket)
+    }
+
+    /// Charges a start to its owner and flow.
+    fn charge(&mut self, owner: &OwnerName, key: &FlowKey, cost: f64) {
+        let Some(owner) = self.owners.get_mut(owner) else {
+            return;
+        };
+        self.clock = self.clock.max(owner.tag);
+        owner.tag += cost / f64::from(owner.weight);
+        if let Some(flow) = owner.flows.get_mut(key) {
+            owner.clock = owner.clock.max(flow.tag);
+            flow.tag += cost;
+        }
+    }
+
+    /// Items that would be started before one more of this flow.
+    fn ahead_of(&self, name: &OwnerName, weight: u32, key: &FlowKey) -> f64 {
+        let own = self.owners.get(name);
+        let own_flow = own.and_then(|owner| owner.flows.get(key));
+        let turns = own_flow.map_or(0, |flow| flow.items.len()) as f64 + 1.0;
+        let flows = own.into_iter().flat_map(|owner| owner.flows.iter());
+        let beside: f64 = flows
+            .map(|(other, flow)| {
+                let waiting = flow.items.len() as f64;
+                if other == key {
+                    waiting
+                } else {
+                    waiting.min(turns)
+                }
+            })
+            .sum();
+        let others = self.owners.iter().filter(|(other, _)| *other != name);
+        let before: f64 = others
+            .map(|(_, owner)| {
+                let share = f64::from(owner.weight) / f64::from(weight.max(1));
+                (owner.waiting as f64).min((beside + 1.0) * share)
+            })
+            .sum();
+        beside + before
+    }
+
+    fn flow_len(&self, owner: &OwnerName, key: &FlowKey) -> usize {
+        let flow = self
+            .owners
+            .get(owner)
+            .and_then(|owner| owner.flows.get(key));
+        flow.map_or(0, |flow| flow.items.len())
+    }
+
+    /// The longest flow of an entry: its length and its last item.
+    fn longest_flow(&self, owner: &OwnerName, entry: &EntryName) -> Option<(usize, Ticket)> {
+        let flows = self.owners.get(owner)?.flows.iter();
+        let own = flows.filter(|(key, _)| key.entry == *entry);
+        let (_, flow) = own.max_by_key(|(_, flow)| flow.items.len())?;
+        let ((_, last), ()) = flow.items.last_key_value()?;
+        Some((flow.items.len(), *last))
+    }
+}
+
+impl Owner {
+    /// Of the flows that are not ahead of their share, the one with the earliest deadline.
+    fn pick(&self, may_start: impl Fn(&EntryName) -> bool) -> Option<Ticket> {
+        let ready = self
+            .flows
+            .iter()
+            .filter(|(key, flow)| !flow.items.is_empty() && may_start(&key.entry));
+        let ready: Vec<&Flow> = ready.map(|(_, flow)| flow).collect();
+        let least = ready.iter().map(|flow| flow.tag).min_by(f64::total_cmp)?;
+        let limit = least.max(self.clock);
+        let due = ready.into_iter().filter(|flow| flow.tag <= limit);
+        let heads = due.filter_map(|flow| flow.items.first_key_value());
+        heads
+            .map(|((rank, ticket), ())| (*rank, *ticket))
+            .min()
+            .map(|(_, ticket)| ticket)
+    }
+}
