Load driver: policy trials with virtual time; a standing queue is kept short

Ruled out: a shorter bound (it refuses short bursts that would be served in time), the starts' own waits as the sign of a standing queue (callers below their share start at once and hide it).

Change: `lapisdrum-load policy` drives the policy modules in an event loop with virtual time beside round robin, first-in first-out and no admission. While an entry's queue has not been empty for 250 ms, an item is refused unless it would start within its entry's usual run time.

--- a/crates/lapisdrum-load/src/args.rs
+++ b/crates/lapisdrum-load/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line: the processes that experiments start, and the experiments.
 
-use crate::capacity;
+use crate::{capacity, policy};
 use clap::{Parser, Subcommand};
 use eyre::{Result, eyre};
 use std::path::PathBuf;
@@ -28,6 +28,8 @@
     Standins(lapisdrum_standins::process::Args),
     /// A daemon's processor time, memory and traffic against workers, tasks and entries.
     Capacity(capacity::CapacityArgs),
+    /// The decisions under load, with virtual time and baselines.
+    Policy(policy::PolicyArgs),
 }
 
 /// Runs the subcommand that was asked for.
@@ -38,5 +40,6 @@
             .map_err(|failure| eyre!("{failure}")),
         Command::Standins(args) => lapisdrum_standins::process::run(args).await,
         Command::Capacity(args) => capacity::run(args).await,
+        Command::Policy(args) => policy::run(&args),
     }
 }
--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod args;
 pub mod capacity;
 pub mod measure;
+pub mod policy;
 pub mod site;
 pub mod table;
--- /dev/null
+++ b/crates/lapisdrum-load/src/policy/bench.rs
@@ -0,0 +1,359 @@
+//! A deterministic event loop with virtual time: callers, the policy modules as a daemon drives
+//! them, workers as functions of run time.
+//!
+//! It tests decisions by what callers receive; it is no model of a cluster. There is no network but
+//! a fixed delay to callers, no platform, no failure of a daemon. Every draw comes from one seed.
+
+use super::{
+    daemon::{Daemon, Decisions, Given},
+    load::{Persistence, Stream, WorkerKind, valid},
+};
+use hdrhistogram::Histogram;
+use lapisdrum::core::{id::WorkerId, time::Millis};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{cmp::Ordering, collections::BinaryHeap, time::Duration};
+
+/// Time that a worker takes to fail at once, in microseconds.
+const FAIL_US: u64 = 500;
+
+/// One trial's inputs.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// The workers of one data centre.
+    pub workers: Vec<WorkerKind>,
+    /// Slots of each worker.
+    pub slots: u32,
+    /// Daemons that share them; each has an even part of every worker's slots.
+    pub daemons: u32,
+    /// One way between callers and daemons.
+    pub client_delay: Duration,
+    /// What is sent.
+    pub streams: Vec<Stream>,
+    /// Length in virtual time.
+    pub length: Duration,
+    /// Time at the beginning that is not counted.
+    pub warm_up: Duration,
+    /// Seed of every draw.
+    pub seed: u64,
+}
+
+/// What the callers of one stream received.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Requests sent, returns included.
+    pub sent: u64,
+    /// Whole answers within the deadline.
+    pub done: u64,
+    /// Answers after the deadline.
+    pub late: u64,
+    /// Refused, not run.
+    pub refused: u64,
+    /// Nobody knows whether they ran.
+    pub unknown: u64,
+    /// Requests that a worker was sent, repetitions included.
+    pub sends: u64,
+    /// From sending to the answer, in microseconds, of whole answers.
+    pub latency: Histogram<u64>,
+    /// From sending to the refusal, in microseconds.
+    pub refusal: Histogram<u64>,
+    /// Counted time.
+    pub counted: Duration,
+}
+
+impl Received {
+    fn new(counted: Duration) -> Self {
+        let histogram = || {
+            Histogram::new_with_bounds(1, 3_600_000_000, 3)
+                .unwrap_or_else(|e| unreachable!("fixed bounds are valid: {e}"))
+        };
+        Self {
+            sent: 0,
+            done: 0,
+            late: 0,
+            refused: 0,
+            unknown: 0,
+            sends: 0,
+            latency: histogram(),
+            refusal: histogram(),
+            counted,
+        }
+    }
+
+    /// Whole answers within the deadline, a second.
+    pub fn goodput(&self) -> f64 {
+        self.done as f64 / self.counted.as_secs_f64()
+    }
+
+    /// A latency quantile in milliseconds.
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
+/// A caller's request on its way.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Its stream.
+    pub stream: usize,
+    /// Its caller.
+    pub caller: u64,
+    /// When it was sent, in microseconds.
+    pub sent_us: u64,
+    /// When its answer is of no more use.
+    pub deadline: Millis,
+    /// Times that it has come back.
+    pub returns: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Send(usize),
+    Arrive(Request),
+    End { daemon: usize, flight: u64 },
+    Expire { daemon: usize },
+}
+
+/// Runs a trial under some decisions; one result a stream.
+pub fn run(trial: &Trial, decisions: Decisions) -> Vec<Received> {
+    let mut bench = Bench::new(trial, decisions);
+    for stream in 0..trial.streams.len() {
+        bench.plan_send(stream);
+    }
+    let end = trial.length.as_micros() as u64;
+    while let Some(Planned { at, event, .. }) = bench.heap.pop() {
+        if at > end {
+            break;
+        }
+        bench.now_us = at;
+        bench.handle(event);
+    }
+    bench.received
+}
+
+/// An event on the heap: the earliest is greatest, and of two at one moment the one planned first.
+#[derive(Clone, Copy, Debug)]
+struct Planned {
+    at: u64,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Planned {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Planned {}
+
+impl PartialOrd for Planned {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Planned {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+struct Bench<'a> {
+    trial: &'a Trial,
+    daemons: Vec<Daemon>,
+    received: Vec<Received>,
+    heap: BinaryHeap<Planned>,
+    planned: u64,
+    now_us: u64,
+    rng: StdRng,
+}
+
+impl<'a> Bench<'a> {
+    fn new(trial: &'a Trial, decisions: Decisions) -> Self {
+        let workers: Vec<WorkerId> = (0..trial.workers.len())
+            .map(|i| valid(WorkerId::try_from(format!("w{i}"))))
+            .collect();
+        let daemon = |index| Daemon::new(trial, decisions, workers.clone(), index);
+        let counted = trial.length - trial.warm_up;
+        Self {
+            trial,
+            daemons: (0..trial.daemons).map(daemon).collect(),
+            received: trial
+                .streams
+                .iter()
+                .map(|_| Received::new(counted))
+                .collect(),
+            heap: BinaryHeap::new(),
+            planned: 0,
+            now_us: 0,
+            rng: StdRng::seed_from_u64(trial.seed),
+        }
+    }
+
+    fn plan(&mut self, at: u64, event: Event) {
+        let number = self.planned;
+        self.planned += 1;
+        self.heap.push(Planned { at, number, event });
+    }
+
+    fn now(&self) -> Millis {
+        Millis(self.now_us / 1_000)
+    }
+
+    /// Plans a stream's next request: a Poisson process, thinned where the rate is lower.
+    fn plan_send(&mut self, stream: usize) {
+        let rate = self.trial.streams[stream].rate;
+        let now = Duration::from_micros(self.now_us);
+        let per_second = rate.at(now);
+        // While nothing is sent, look again soon.
+        let gap = match per_second > 0.0 {
+            true => -self.rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln() / per_second,
+            false => 0.01,
+        };
+        let at = self.now_us + (gap * 1e6).min(1e9) as u64;
+        self.plan(at, Event::Send(stream));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Send(stream) => {
+                self.plan_send(stream);
+                let kind = &self.trial.streams[stream];
+                if kind.rate.at(Duration::from_micros(self.now_us)) > 0.0 {
+                    let caller = self.rng.random_range(0..kind.callers);
+                    self.send(stream, caller, 0);
+                }
+            }
+            Event::Arrive(request) => self.arrive(request),
+            Event::End { daemon, flight } => self.end(daemon, flight),
+            Event::Expire { daemon } => self.expire(daemon),
+        }
+    }
+
+    fn send(&mut self, stream: usize, caller: u64, returns: u32) {
+        let delay = self.trial.client_delay;
+        let arrives = self.now_us + delay.as_micros() as u64;
+        let request = Request {
+            stream,
+            caller,
+            sent_us: self.now_us,
+            deadline: Millis(arrives / 1_000) + self.trial.streams[stream].deadline,
+            returns,
+        };
+        if self.is_counted(&request) {
+            self.received[stream].sent += 1;
+        }
+        self.plan(arrives, Event::Arrive(request));
+    }
+
+    fn arrive(&mut self, request: Request) {
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        let now = self.now();
+        let given = self.daemons[daemon].arrive(request, now, &mut self.rng);
+        self.give(given);
+        self.pump(daemon);
+    }
+
+    fn end(&mut self, daemon: usize, flight: u64) {
+        let now = self.now();
+        let given = self.daemons[daemon].end(flight, now, &mut self.rng);
+        self.give(given);
+        self.pump(daemon);
+    }
+
+    fn expire(&mut self, daemon: usize) {
+        let now = self.now();
+        let given = self.daemons[daemon].expire(now, &mut self.rng);
+        self.give(given);
+        self.pump(daemon);
+    }
+
+    /// Starts what can be started and plans how it ends.
+    fn pump(&mut self, daemon: usize) {
+        let now = self.now();
+        while let Some((id, flight)) = self.daemons[daemon].start_next(now, &mut self.rng) {
+            let stream = flight.request.stream;
+            if self.is_counted(&flight.request) {
+                self.received[stream].sends += 1;
+            }
+            let run = self.trial.streams[stream].run.draw(&mut self.rng);
+            let (took, ok) = ends(self.trial.workers[flight.worker], run);
+            let left = flight.request.deadline.since(now).as_micros() as u64;
+            self.daemons[daemon].outcome(id, ok && took <= left);
+            let at = self.now_us + took.min(left);
+            self.plan(at, Event::End { daemon, flight: id });
+        }
+        if let Some(at) = self.daemons[daemon].next_expiry_to_plan() {
+            let at = (at.0 * 1_000).max(self.now_us);
+            self.plan(at, Event::Expire { daemon });
+        }
+    }
+
+    /// Hands answers to callers, who may come back.
+    fn give(&mut self, given: Vec<Given>) {
+        for answer in given {
+            let (Given::Done(request) | Given::Unknown(request) | Given::Refused(request, _)) =
+                answer;
+            let back_us = self.trial.client_delay.as_micros() as u64;
+            let took = self.now_us + back_us - request.sent_us;
+            if self.is_counted(&request) {
+                self.count(&answer, &request, took);
+            }
+            if let Given::Refused(request, retry_after) = answer {
+                self.plan_return(request, retry_after);
+            }
+        }
+    }
+
+    fn count(&mut self, answer: &Given, request: &Request, took: u64) {
+        let deadline = self.trial.streams[request.stream].deadline;
+        let due = (deadline + self.trial.client_delay * 2).as_micros() as u64;
+        let received = &mut self.received[request.stream];
+        match answer {
+            Given::Done(_) if took <= due + 1_000 => {
+                received.done += 1;
+                received.latency.saturating_record(took);
+            }
+            Given::Done(_) => received.late += 1,
+            Given::Unknown(_) => received.unknown += 1,
+            Given::Refused(..) => {
+                received.refused += 1;
+                received.refusal.saturating_record(took);
+            }
+        }
+    }
+
+    fn plan_return(&mut self, request: Request, retry_after: Duration) {
+        let wait = match self.trial.streams[request.stream].persistence {
+            Persistence::Obedient(most) if request.returns < most => retry_after,
+            Persistence::Impatient(wait, most) if request.returns < most => wait,
+            _ => return,
+        };
+        // The wait begins when the refusal reaches the caller; the send adds its own way back.
+        let sent = self.now_us + (self.trial.client_delay * 2 + wait).as_micros() as u64;
+        let again = Request {
+            sent_us: sent - self.trial.client_delay.as_micros() as u64,
+            deadline: Millis(sent / 1_000) + self.trial.streams[request.stream].deadline,
+            returns: request.returns + 1,
+            ..request
+        };
+        if self.is_counted(&again) {
+            self.received[request.stream].sent += 1;
+        }
+        self.plan(sent, Event::Arrive(again));
+    }
+
+    fn is_counted(&self, request: &Request) -> bool {
+        request.sent_us >= self.trial.warm_up.as_micros() as u64
+    }
+}
+
+/// How long a worker takes and whether it answers.
+fn ends(kind: WorkerKind, run: u64) -> (u64, bool) {
+    match kind {
+        WorkerKind::Sound => (run, true),
+        WorkerKind::Slow(times) => ((run as f64 * times) as u64, true),
+        WorkerKind::Hanging => (u64::MAX, false),
+        WorkerKind::Failing => (FAIL_US, false),
+    }
+}
--- a/src/lapisdrum/policy/queueing.rs
+++ b/src/lapisdrum/policy/queueing.rs
@@ -13,6 +13,9 @@
 //! - An item is refused at once when its entry's queue is at its bound, or when the measured drain
 //!   rate says that it can't start in time. A full queue makes room for a flow that has less than
 //!   the longest flow by giving up the longest flow's last item.
+//! - While an entry's queue has not been empty for [`STANDING`], its load is beyond its capacity and
+//!   a longer queue serves nobody more: a latency-critical item is then refused unless it would start
+//!   within its entry's usual run time. A shorter burst may fill the queue up to the deadline.
 //! - An item that can't be finished by its deadline any more is given up at once.
 //!
 //! The cost of a decision grows with the flows that wait, not with the items.
@@ -30,6 +33,12 @@
 /// One start in so many is the rest's while latency-critical items wait too. A tenth keeps batch
 /// work moving and takes less than a tenth from latency-critical work at full load.
 pub const REST_TURN: u32 = 10;
+/// Time after which a queue that was never empty is a standing one. Long against the random swings of
+/// a pool at nine tenths of its capacity (tens of milliseconds), short against a deadline of a second.
+pub const STANDING: Duration = Duration::from_millis(250);
+/// Wait that is accepted of an item in a standing queue at least: below it, the queue would run empty
+/// between two answers and capacity would be lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(5);
 /// Run time that a start is taken to cost at least, so that items of unknown cost count too.
 const LEAST_COST: Duration = Duration::from_micros(100);
 
@@ -91,6 +100,8 @@
     QueueFull,
     /// It could not have been finished by its deadline.
     Deadline,
+    /// The entry's queue is a standing one, and it would have waited for longer than it runs.
+    Overload,
 }
 
 /// Items that wait to be started, with what each was handed in with.
@@ -119,9 +130,18 @@
 #[derive(Debug, Default)]
 struct EntryState {
     waiting: u32,
+    /// Since when it has not been empty.
+    waiting_since: Option<Millis>,
     rate: DrainRate,
 }
 
+impl EntryState {
+    fn is_standing(&self, now: Millis) -> bool {
+        self.waiting_since
+            .is_some_and(|since| now.since(since) >= STANDING)
+    }
+}
+
 impl<T> Default for Queue<T> {
     fn default() -> Self {
         Self {
@@ -152,6 +172,9 @@
         if latest_start.is_some_and(|latest| latest < now + wait || item.deadline <= Some(now)) {
             return Enqueued::Refused(self.refuse(payload, Reason::Deadline, wait, now, rng));
         }
+        if wait > self.patience(&item, now) {
+            return Enqueued::Refused(self.refuse(payload, Reason::Overload, wait, now, rng));
+        }
         let mut displaced = None;
         if self.waiting_of(&item.entry) >= item.bound {
             let Some(longest) = self.displaceable(&item) else {
@@ -264,6 +287,7 @@
         self.next_ticket += 1;
         let state = self.entries.entry(item.entry.clone()).or_default();
         state.waiting += 1;
+        state.waiting_since.get_or_insert(now);
         state.rate.busy(now);
         self.rate.busy(now);
         if let Some(latest) = latest_start {
@@ -289,6 +313,7 @@
         if let Some(state) = self.entries.get_mut(&item.entry) {
             state.waiting -= 1;
             if state.waiting == 0 {
+                state.waiting_since = None;
                 state.rate.idle(now);
             }
         }
@@ -311,6 +336,16 @@
         overall.unwrap_or_default().max(own.unwrap_or_default())
     }
 
+    /// Wait that is accepted of an item besides its deadline.
+    fn patience(&self, item: &Item, now: Millis) -> Duration {
+        let state = self.entries.get(&item.entry);
+        let standing = state.is_some_and(|state| state.is_standing(now));
+        match Kind::of(item.class) {
+            Kind::Urgent if standing => item.run.max(LEAST_PATIENCE),
+            Kind::Urgent | Kind::Rest => Duration::MAX,
+        }
+    }
+
     /// The last item of the longest flow of the same entry, if that flow is longer than the item's
     /// own would be.
     fn displaceable(&self, item: &Item) -> Option<Ticket> {
