Health: a broken release or a broken worker condemns nobody else

Cause: three broken workers that fail the same jobs put those jobs at fault, because a worker's failures are cleared when it is set aside and it then looked sound; and an entry that fails everywhere set a third of the workers aside. Ruled out: keeping the failures of a worker that is aside (they would count again at its return). Change: a worker that is aside or on trial is no witness against a job; an entry that failed on three workers since its last success anywhere counts against no worker. succeeded() takes the entry for it.

--- a/src/lapisdrum/policy/health.rs
+++ b/src/lapisdrum/policy/health.rs
@@ -5,11 +5,12 @@
 //! first fails most of the shard's jobs; and a remedy that counts failures by worker alone lets the
 //! second set every worker aside, one by one.
 //!
-//! A worker is set aside when distinct jobs fail on it in a row ([`DISTINCT`]), none of them known
-//! to be at fault. A job is at fault when it has failed on distinct workers ([`DISTINCT`]) of which
-//! none is suspect without it; its failures then count against nobody. A worker set aside comes back
-//! with one task at a time; a success clears it, a failure doubles its time aside. At most a third
-//! of the shard's workers are aside at once.
+//! A worker is set aside when distinct jobs fail on it in a row ([`DISTINCT`]). A job is at fault when
+//! it has failed on distinct workers ([`DISTINCT`]) of which none is suspect without it; its failures
+//! then count against nobody. Nor do those of an entry whose jobs fail on as many workers without a
+//! success anywhere: a broken release fails wherever it is started. A worker set aside comes back with
+//! one task at a time; a success clears it, a failure doubles its time aside. At most a third of the
+//! shard's workers are aside at once.
 
 use crate::core::{
     id::{EntryName, JobId, WorkerId},
@@ -71,11 +72,14 @@
 pub struct Health {
     workers: IndexMap<WorkerId, WorkerRecord>,
     jobs: IndexMap<JobId, JobRecord>,
+    /// Workers on which an entry's jobs failed since the last success of any of them.
+    entries: IndexMap<EntryName, IndexSet<WorkerId>>,
 }
 
 impl Health {
     /// Notes that a task finished or saved progress on a worker.
-    pub fn succeeded(&mut self, worker: &WorkerId, job: &JobId) {
+    pub fn succeeded(&mut self, worker: &WorkerId, job: &JobId, entry: &EntryName) {
+        self.entries.swap_remove(entry);
         self.workers.swap_remove(worker);
         self.jobs.swap_remove(job);
     }
@@ -137,6 +141,8 @@
     fn note(&mut self, worker: &WorkerId, job: &JobId, entry: &EntryName, now: Millis) {
         let record = self.workers.entry(worker.clone()).or_default();
         record.failed.insert(job.clone(), entry.clone());
+        let failed_on = self.entries.entry(entry.clone()).or_default();
+        failed_on.insert(worker.clone());
         let record = self.jobs.entry(job.clone()).or_default();
         record.workers.insert(worker.clone());
         record.last = now;
@@ -147,14 +153,22 @@
         let Some(record) = self.jobs.get(job) else {
             return false;
         };
-        let sound = record.workers.iter().filter(|worker| {
-            let failed = self.workers.get(*worker).map(|record| &record.failed);
-            let others = failed.map_or(0, |failed| failed.keys().filter(|j| *j != job).count());
-            others + 1 < DISTINCT
-        });
+        let sound = record
+            .workers
+            .iter()
+            .filter(|worker| self.is_sound_without(worker, job));
         sound.count() >= DISTINCT
     }
 
+    /// Whether a worker was never set aside since its last success and few other jobs failed on it.
+    fn is_sound_without(&self, worker: &WorkerId, job: &JobId) -> bool {
+        let Some(record) = self.workers.get(worker) else {
+            return true;
+        };
+        let others = record.failed.keys().filter(|failed| *failed != job);
+        record.back_at.is_none() && others.count() + 1 < DISTINCT
+    }
+
     /// A job at fault counts against no worker.
     fn clear(&mut self, job: &JobId) {
         for record in self.workers.values_mut() {
@@ -162,13 +176,14 @@
         }
     }
 
-    /// Distinct jobs that failed on a worker and on few others.
+    /// Distinct jobs that failed on a worker, those of entries left out that fail everywhere.
     fn blameless_jobs(&self, record: &WorkerRecord) -> usize {
-        let blameless = record.failed.keys().filter(|job| {
-            let workers = self.jobs.get(*job).map_or(0, |record| record.workers.len());
-            workers < DISTINCT
-        });
-        blameless.count()
+        let fails_everywhere = |entry: &EntryName| {
+            let failed_on = self.entries.get(entry);
+            failed_on.is_some_and(|workers| workers.len() >= DISTINCT)
+        };
+        let entries = record.failed.values();
+        entries.filter(|entry| !fails_everywhere(entry)).count()
     }
 
     fn set_aside(&mut self, worker: &WorkerId, now: Millis) {
--- a/tests/testsuite/policy/health.rs
+++ b/tests/testsuite/policy/health.rs
@@ -46,6 +46,18 @@
     assert_eq!(health.aside(Millis(0)), 0);
 }
 
+/// A broken release: a hundred jobs of one entry are tried, none succeeds. The first worker may be
+/// suspected for it, but not one after another.
+#[test]
+fn an_entry_that_fails_everywhere_sets_few_workers_aside() {
+    let mut health = Health::default();
+    let broken = entry("broken");
+    for i in 0..100 {
+        health.failed(&worker(i % POOL), &job(i), &broken, POOL, Millis(i as u64));
+    }
+    assert_eq!(health.aside(Millis(100)), 0);
+}
+
 /// The worker comes back with one task at a time: a failure sends it away for longer, a success
 /// clears it.
 #[test]
@@ -67,22 +79,24 @@
         health.standing(&worker(0), back + Duration::from_secs(60)),
         Standing::Trial
     );
-    health.succeeded(&worker(0), &job(10));
+    health.succeeded(&worker(0), &job(10), &render);
     assert_eq!(health.standing(&worker(0), back), Standing::Good);
 }
 
-/// Jobs of a broken worker that later fail on a second broken worker are still not at fault.
+/// Three broken workers fail the same three jobs one after another. Each is set aside, and no job is
+/// condemned for it: a worker that is aside is no witness against a job.
 #[test]
-fn two_bad_workers_do_not_condemn_a_job() {
+fn bad_workers_do_not_condemn_a_job() {
     let mut health = Health::default();
     let render = entry("render");
-    for w in 0..2 {
-        for i in 0..6 {
+    for w in 0..3 {
+        health.succeeded(&worker(9), &job(9), &render);
+        for i in 0..3 {
             let verdict = health.failed(&worker(w), &job(i), &render, POOL, Millis(0));
             assert_ne!(verdict, Verdict::JobAtFault, "job {i} on worker {w}");
         }
     }
-    assert_eq!(health.aside(Millis(0)), 2);
+    assert_eq!(health.aside(Millis(0)), 3);
 }
 
 proptest! {
