--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod observer;
 pub mod peers;
+pub mod pressure;
 pub mod registrar;
 pub mod router;
 pub mod sessions;
