Observer: own data centre's rows each round, others' rarely; hosts by tag

Cause: each round read every presence row, shard row and host of the whole system; at 20 data centres and 10,000 workers that is megabytes a poll. Change: presence rows stand under their data centre; other data centres' rows are read every tenth round; the membership list is asked for by data centre and tag, and an unchanged list is not sent. Two tests mended: the recovery test read a table that its writer went on changing, which a successor never does (the epoch is raised first), so it now recovers from a copy of the platform taken at several moments, more than before; the cut test cut after the placement and sometimes before the start, so it now waits for the run itself.

--- a/crates/lapisdrum-standins/src/platform/server.rs
+++ b/crates/lapisdrum-standins/src/platform/server.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
+    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     time::Duration,
 };
@@ -133,14 +134,29 @@
                 let rows = self.table.borrow_mut().list(prefix);
                 HttpResponse::json(StatusCode::OK, &rows)
             }
-            (&Method::GET, None) if path == "hosts" => {
-                HttpResponse::json(StatusCode::OK, &*self.hosts.borrow())
-            }
+            (&Method::GET, None) if path == "hosts" => self.list_hosts(req),
             (method, Some(("objects", key))) => self.object(method, key, req),
             _ => HttpResponse::empty(StatusCode::NOT_FOUND),
         }
     }
 
+    fn list_hosts(&self, req: &HttpRequest) -> HttpResponse {
+        let hosts = self.hosts.borrow();
+        let dc = req.query("data_centre");
+        let listed = hosts
+            .iter()
+            .filter(|host| dc.is_none_or(|dc| host.data_centre == dc));
+        let answer = HttpResponse::json(StatusCode::OK, &listed.collect::<Vec<_>>());
+        let mut hasher = DefaultHasher::new();
+        answer.body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let answer = match req.header("if-none-match") == Some(&tag) {
+            true => HttpResponse::empty(StatusCode::NOT_MODIFIED),
+            false => answer,
+        };
+        answer.with("etag", tag)
+    }
+
     fn txn(&self, req: &HttpRequest) -> HttpResponse {
         let Ok(txn) = req.json::<Txn>() else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
--- a/src/lapisdrum/daemon/members.rs
+++ b/src/lapisdrum/daemon/members.rs
@@ -59,10 +59,12 @@
     pub daemons: IndexMap<DaemonId, SeenPresence>,
     /// Shards by name.
     pub shards: IndexMap<ShardId, SeenShard>,
-    /// Hosts by name: workers, and entry hosts with no slots.
+    /// Hosts of this data centre by name: workers, and entry hosts with no slots.
     pub hosts: IndexMap<WorkerId, Host>,
     /// When the list of hosts was last read; none before the first time.
     pub hosts_read_at: Option<Millis>,
+    /// The tag of that list.
+    pub hosts_tag: Option<String>,
     /// Workers that this process has ever seen named.
     named: IndexSet<WorkerId>,
     /// Addresses of all hosts that are named now.
--- a/src/lapisdrum/daemon/observer.rs
+++ b/src/lapisdrum/daemon/observer.rs
@@ -4,14 +4,13 @@
 use super::{
     Cx,
     members::{Presence, SeenPresence, SeenShard},
-    registrar::{self, EpochRow, PRESENCE_PREFIX, SHARD_PREFIX, epoch_key, shard_key},
+    registrar::{
+        self, EpochRow, PRESENCE_PREFIX, SHARD_PREFIX, epoch_key, presence_key, shard_key,
+    },
     shard::Shard,
 };
 use crate::{
-    core::{
-        id::{DaemonId, ShardId},
-        time::Millis,
-    },
+    core::{id::ShardId, time::Millis},
     platform::{
         client::{PlatformError, TxnOutcome},
         wire::{Row, Txn},
@@ -28,6 +27,9 @@
 const ROUNDS_ABOVE_PART: u32 = 10;
 /// A lapse is looked at this much after its moment, when it is certain.
 const JUST_AFTER: Duration = Duration::from_millis(2);
+/// Rounds between two looks at the daemons and shards of other data centres, which matter only for
+/// requests that spill over and for passing on the catalogue.
+const ROUNDS_BETWEEN_OTHERS: u32 = 10;
 /// Age of an unchanged presence row at which it is deleted: longer than the longest hold, since the
 /// row of a dead daemon is evidence for as long as its tasks may matter.
 const STALE_PRESENCE: Duration = Duration::from_secs(25 * 3_600);
@@ -35,13 +37,18 @@
 /// Runs until the process ends.
 pub async fn run(cx: Cx) -> eyre::Result<()> {
     let mut above = 0;
+    let mut round = 0_u32;
     let mut rounds = tokio::time::interval(cx.cfg.shards.renew.min(cx.cfg.platform.poll));
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let lapse = tokio::time::sleep(until_lapse(&cx));
         // What can't be seen stays as last seen; the registrar reports that the platform is away.
         let _ = tokio::select! {
-            _ = rounds.tick() => look(&cx, &mut above).await,
+            _ = rounds.tick() => {
+                let others = round.is_multiple_of(ROUNDS_BETWEEN_OTHERS);
+                round = round.wrapping_add(1);
+                look(&cx, &mut above, others).await
+            }
             // Taken without another look: a row that was renewed meanwhile has another version.
             () = lapse => take_available(&cx).await,
         };
@@ -64,9 +71,9 @@
     lapses.min().map_or(cx.cfg.shards.renew, |at| at.since(now))
 }
 
-async fn look(cx: &Cx, above: &mut u32) -> Result<(), PlatformError> {
-    see_daemons(cx).await?;
-    see_shards(cx).await?;
+async fn look(cx: &Cx, above: &mut u32, others: bool) -> Result<(), PlatformError> {
+    see_daemons(cx, others).await?;
+    see_shards(cx, others).await?;
     // Before any shard is taken: without the list, every host of a recovered shard would seem gone.
     see_hosts(cx).await?;
     take_available(cx).await?;
@@ -76,15 +83,21 @@
     Ok(())
 }
 
-async fn see_daemons(cx: &Cx) -> Result<(), PlatformError> {
-    let rows = cx.platform.list(PRESENCE_PREFIX).await?;
-    note_daemons(cx, &rows);
+/// Reads the presence rows of this data centre, or of all.
+async fn see_daemons(cx: &Cx, others: bool) -> Result<(), PlatformError> {
+    let own = &cx.cfg.daemon.data_centre;
+    let prefix = match others {
+        true => PRESENCE_PREFIX.to_owned(),
+        false => format!("{PRESENCE_PREFIX}{own}/"),
+    };
+    let rows = cx.platform.list(&prefix).await?;
+    note_daemons(cx, &rows, others);
     delete_stale(cx).await;
     Ok(())
 }
 
-fn note_daemons(cx: &Cx, rows: &[Row]) {
-    let now = cx.clock.now();
+fn note_daemons(cx: &Cx, rows: &[Row], others: bool) {
+    let (now, own) = (cx.clock.now(), &cx.cfg.daemon.data_centre);
     let mut members = cx.members.borrow_mut();
     let mut seen = IndexMap::new();
     for row in rows {
@@ -102,11 +115,18 @@
             },
         );
     }
-    members.daemons = seen;
+    let was_read = |seen: &SeenPresence| others || seen.row.data_centre == *own;
+    members.daemons.retain(|_, seen| !was_read(seen));
+    members.daemons.extend(seen);
 }
 
-async fn see_shards(cx: &Cx) -> Result<(), PlatformError> {
-    let rows = cx.platform.list(SHARD_PREFIX).await?;
+/// Reads the shard rows of this data centre, or of all.
+async fn see_shards(cx: &Cx, others: bool) -> Result<(), PlatformError> {
+    let prefix = match others {
+        true => SHARD_PREFIX.to_owned(),
+        false => format!("{SHARD_PREFIX}{}.", cx.cfg.daemon.data_centre),
+    };
+    let rows = cx.platform.list(&prefix).await?;
     let now = cx.clock.now();
     let mut members = cx.members.borrow_mut();
     for row in rows {
@@ -125,9 +145,18 @@
 }
 
 async fn see_hosts(cx: &Cx) -> Result<(), PlatformError> {
-    let hosts = cx.platform.hosts().await?;
+    let known = cx.members.borrow().hosts_tag.clone();
+    let dc = &cx.cfg.daemon.data_centre;
+    let read = cx.platform.hosts(dc, known.as_deref()).await?;
     let (count, now) = (cx.cfg.shards.count, cx.clock.now());
-    cx.members.borrow_mut().set_hosts(hosts, count, now);
+    let mut members = cx.members.borrow_mut();
+    match read {
+        None => members.hosts_read_at = Some(now),
+        Some(list) => {
+            members.hosts_tag = list.tag.filter(|_| !list.hosts.is_empty());
+            members.set_hosts(list.hosts, count, now);
+        }
+    }
     Ok(())
 }
 
@@ -135,17 +164,19 @@
 /// host that was ever replaced.
 async fn delete_stale(cx: &Cx) {
     let now = cx.clock.now();
-    let stale: Vec<(DaemonId, u64)> = {
+    let stale: Vec<(String, u64)> = {
         let members = cx.members.borrow();
         let old = members
             .daemons
             .iter()
             .filter(|(_, seen)| now.since(seen.seen.since) > STALE_PRESENCE);
-        old.map(|(name, seen)| (name.clone(), seen.seen.version))
-            .collect()
+        old.map(|(name, seen)| {
+            let key = presence_key(seen.row.data_centre.as_str(), name);
+            (key, seen.seen.version)
+        })
+        .collect()
     };
-    for (name, version) in stale {
-        let key = format!("{PRESENCE_PREFIX}{name}");
+    for (key, version) in stale {
         let txn = Txn::default().compare(&key, version).delete(&key);
         let _ = cx.platform.txn(&txn).await;
     }
--- a/src/lapisdrum/daemon/registrar.rs
+++ b/src/lapisdrum/daemon/registrar.rs
@@ -44,8 +44,14 @@
     format!("epoch/{shard}")
 }
 
-fn presence_key(daemon: &DaemonId) -> String {
-    format!("{PRESENCE_PREFIX}{daemon}")
+/// The key of a daemon's presence row: by data centre, since each reads its own often and the others
+/// rarely.
+pub fn presence_key(dc: &str, daemon: &DaemonId) -> String {
+    format!("{PRESENCE_PREFIX}{dc}/{daemon}")
+}
+
+fn own_presence_key(cx: &Cx) -> String {
+    presence_key(cx.cfg.daemon.data_centre.as_str(), &cx.me.daemon)
 }
 
 /// Runs until the process ends.
@@ -89,7 +95,7 @@
 async fn try_renew(cx: &Cx, beat: u64) -> Result<bool, PlatformError> {
     let held: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
     let sent_at = cx.clock.now();
-    let mut txn = Txn::default().put(presence_key(&cx.me.daemon), &presence(cx, beat));
+    let mut txn = Txn::default().put(own_presence_key(cx), &presence(cx, beat));
     let mut written = Vec::new();
     for shard in &held {
         let (version, row) = shard.row();
@@ -226,7 +232,7 @@
 
 async fn try_release(cx: &Cx) -> bool {
     let held: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
-    let mut txn = Txn::default().delete(presence_key(&cx.me.daemon));
+    let mut txn = Txn::default().delete(own_presence_key(cx));
     for shard in &held {
         let (version, row) = shard.row();
         let row = ownership::released(&row);
--- a/src/lapisdrum/platform/client.rs
+++ b/src/lapisdrum/platform/client.rs
@@ -5,7 +5,11 @@
 //! failed in any way after it was sent is [`TxnOutcome::Unknown`] until its row is read back.
 
 use super::wire::{Host, HostWire, Row, Txn, TxnConflict, TxnDone};
-use actix_http::StatusCode;
+use crate::core::id::DataCentre;
+use actix_http::{
+    StatusCode,
+    header::{ETAG, IF_NONE_MATCH},
+};
 use awc::Client;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -25,6 +29,15 @@
     Unknown(PlatformError),
 }
 
+/// The membership list as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostList {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    /// The list's tag, if the platform gives one.
+    pub tag: Option<String>,
+}
+
 /// A call that the platform did not answer as asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformError {
@@ -118,14 +131,32 @@
         parse(&answer.unwrap_or_default())
     }
 
-    /// Reads the membership list; hosts whose names break the rules are left out.
-    pub async fn hosts(&self) -> Result<Vec<Host>, PlatformError> {
-        let answer = self.fetch(&format!("{}/hosts", self.base)).await?;
-        let raw: Vec<HostWire> = parse(&answer.unwrap_or_default())?;
-        Ok(raw
-            .into_iter()
-            .filter_map(|host| Host::try_from(host).ok())
-            .collect())
+    /// Reads the membership list of a data centre, unless it still has the tag `known`; none when it
+    /// is unchanged. Hosts whose names break the rules are left out. A platform that knows neither
+    /// tags nor the parameter answers with the whole list, which is as good and only larger.
+    pub async fn hosts(
+        &self,
+        dc: &DataCentre,
+        known: Option<&str>,
+    ) -> Result<Option<HostList>, PlatformError> {
+        let url = format!("{}/hosts?data_centre={dc}", self.base);
+        let mut req = self.http.get(url);
+        if let Some(tag) = known {
+            req = req.insert_header((IF_NONE_MATCH, tag));
+        }
+        let mut answer = req.send().await.map_err(PlatformError::new)?;
+        match answer.status() {
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            StatusCode::OK => {}
+            status => return Err(PlatformError::new(status)),
+        }
+        let tag = answer.headers().get(ETAG);
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+        let raw: Vec<HostWire> = parse(&body.map_err(PlatformError::new)?)?;
+        let hosts = raw.into_iter().filter_map(|host| Host::try_from(host).ok());
+        let hosts = hosts.filter(|host| host.data_centre == *dc).collect();
+        Ok(Some(HostList { hosts, tag }))
     }
 
     /// Stores an object.
--- a/tests/testsuite/daemon/journal.rs
+++ b/tests/testsuite/daemon/journal.rs
@@ -33,9 +33,21 @@
 
 impl Bench {
     async fn start() -> Self {
+        Self::on(Rc::new(Platform::default())).await
+    }
+
+    /// A bench on a copy of the platform as it is at this moment: what a successor would find if
+    /// everything stopped here.
+    async fn copy(&self) -> Self {
+        let platform = Platform::default();
+        *platform.table.borrow_mut() = self.platform.table.borrow().clone();
+        *platform.objects.borrow_mut() = self.platform.objects.borrow().clone();
+        Self::on(Rc::new(platform)).await
+    }
+
+    async fn on(platform: Rc<Platform>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let platform = Rc::new(Platform::default());
         let (stop, stopped) = watch::channel(false);
         actix_rt::spawn(Rc::clone(&platform).serve(listener, stopped));
         let mut plan = DaemonPlan::new("karen-0", "karen", address);
@@ -107,6 +119,8 @@
     may_act.set(false);
     let next = bench.take(2).await;
     assert_eq!(next.state().jobs.len(), 1, "the next owner has the job");
+    // What the owner finds now that it may look again is another's epoch.
+    may_act.set(true);
     assert_ne!(ticket.end().await, WriteEnd::NotWritten);
 }
 
@@ -145,9 +159,12 @@
             Err(e) => panic!("not taken: {e:?}"),
         };
         assert_eq!(end, WriteEnd::Committed);
-        let reader = Journal::new(bench.shard.clone(), Epoch(1), 0);
-        reader.recover(&bench.cx).await.expect("recovers");
-        assert_eq!(reader.state().jobs.len() as u64, n + 1);
+        // Now, and at moments in which a snapshot's steps may be under way.
+        for pause_ms in [0, 1, 2, 5] {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let successor = bench.copy().await.take(2).await;
+            assert_eq!(successor.state().jobs.len() as u64, n + 1);
+        }
     }
     let prefix = format!("ledger/{}/", bench.shard);
     wait::until("covered rows are deleted", LIMIT, async || {
--- a/tests/testsuite/process/outages.rs
+++ b/tests/testsuite/process/outages.rs
@@ -87,9 +87,9 @@
     entry.hold_ms = Some(60_000);
     client.put_entry(&entry, None).await.expect("accepted");
     let watcher = runs::submit(&site, 0, "archive").await;
-    runs::reaches(&site, 0, &watcher, "running").await;
+    runs::worker_of(&site, &watcher).await;
     let render = runs::submit(&site, 0, "render").await;
-    runs::reaches(&site, 0, &render, "running").await;
+    runs::worker_of(&site, &render).await;
     let down = PlatformSwitches {
         down: true,
         ..PlatformSwitches::default()
--- a/tests/testsuite/process/ownership.rs
+++ b/tests/testsuite/process/ownership.rs
@@ -38,7 +38,7 @@
     let site = Site::start(2, 2).await;
     runs::prepare(&site, 1500).await;
     let stream = runs::submit(&site, 0, "stream").await;
-    runs::reaches(&site, 0, &stream, "running").await;
+    runs::worker_of(&site, &stream).await;
     let frozen = runs::owner(&site).await;
     let other = 1 - frozen;
     let mut jobs = Vec::new();
@@ -73,15 +73,9 @@
     let site = Site::start(2, 2).await;
     runs::prepare(&site, 500).await;
     let stream = runs::submit(&site, 0, "stream").await;
-    runs::reaches(&site, 0, &stream, "running").await;
     let old = runs::owner(&site).await;
-    let shown = site.daemons[old].client().job(&stream).await;
-    let worker = shown.expect("a job").worker.expect("a worker");
-    let with = site
-        .hosts
-        .iter()
-        .position(|host| host.host == worker)
-        .expect("a known worker");
+    // A job counts as running once it is placed; the cut must come after its start.
+    let with = runs::worker_of(&site, &stream).await;
     let switches = WorkerSwitches {
         endless: vec!["stream".to_owned()],
         cut: vec![site.daemons[1 - old].plan.name.clone()],
--- a/tests/testsuite/process/runs.rs
+++ b/tests/testsuite/process/runs.rs
@@ -118,5 +118,19 @@
     .await;
 }
 
+/// Waits until a worker runs a task; the worker's index.
+pub(crate) async fn worker_of(site: &Site, task: &str) -> usize {
+    wait::until_some("a worker runs the task", LIMIT, async || {
+        for (i, worker) in site.workers.iter().enumerate() {
+            let log = worker.log().await;
+            if log.tasks.iter().any(|run| run.task.as_str() == task) {
+                return Some(i);
+            }
+        }
+        None
+    })
+    .await
+}
+
 /// A generous bound for anything that is waited for.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
