--- a/crates/lapisdrum-standins/src/worker/mod.rs
+++ b/crates/lapisdrum-standins/src/worker/mod.rs
@@ -1,4 +1,5 @@
 //! The worker stand-in: slots, connections, tasks under leases with epochs, late usage.
 
+pub mod link;
 pub mod server;
 pub mod tasks;
--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -9,8 +9,8 @@
     core::{id::JobId, size::Size, time::WorkerMillis},
     util::http::{self, BodyFault, HttpRequest, HttpResponse},
     worker::wire::{
-        CLOCK_HEADER, ENTRY_HEADER, NOT_RUN_HEADER, OwnerCommand, REQUEST_HEADER, RejectReason,
-        Rejected, RenewTasks, StartTask, TaskList, TaskState, ThrottleTask, Usage,
+        CLOCK_HEADER, DEADLINE_HEADER, ENTRY_HEADER, NOT_RUN_HEADER, OwnerCommand, REQUEST_HEADER,
+        RejectReason, Rejected, RenewTasks, StartTask, TaskList, TaskState, ThrottleTask, Usage,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -48,8 +48,14 @@
     pub fails_requests: bool,
     /// Every task fails at once.
     pub fails_tasks: bool,
-    /// Answers are cut off half way.
-    pub cuts_answers: bool,
+    /// Of this many requests one answer is cut off half way and its connection closed; 0 for none.
+    pub cuts_one_in: u32,
+    /// Of this many requests one answer names another request; 0 for none.
+    pub misnames_one_in: u32,
+    /// Of this many requests one takes ten times as long; 0 for none.
+    pub delays_one_in: u32,
+    /// What a request of an entry takes.
+    pub entry_sizes: IndexMap<String, Size>,
     /// Age of usage figures, in milliseconds.
     pub usage_age_ms: u64,
     /// Daemons, by name, that get no answer and whose calls do nothing.
@@ -68,7 +74,10 @@
             refuses: false,
             fails_requests: false,
             fails_tasks: false,
-            cuts_answers: false,
+            cuts_one_in: 0,
+            misnames_one_in: 0,
+            delays_one_in: 0,
+            entry_sizes: IndexMap::new(),
             usage_age_ms: 5_000,
             cut: Vec::new(),
         }
@@ -125,6 +134,8 @@
     /// Calls answered, by kind.
     pub calls: RefCell<IndexMap<&'static str, u64>>,
     running_requests: Cell<u32>,
+    requests_size: Cell<Size>,
+    requests_seen: Cell<u32>,
     origin: Instant,
 }
 
@@ -139,6 +150,8 @@
             log: RefCell::default(),
             calls: RefCell::default(),
             running_requests: Cell::new(0),
+            requests_size: Cell::default(),
+            requests_seen: Cell::new(0),
             origin: Instant::now(),
         })
     }
@@ -180,7 +193,8 @@
                 run.to_ms = Some(wall_ms());
             }
         }
-        log.most_size = most(&log.most_size, &tasks.running_size());
+        let taken = tasks.running_size().plus(&self.requests_size.get());
+        log.most_size = most(&log.most_size, &taken);
     }
 
     async fn answer(self: Rc<Self>, read: Result<HttpRequest, BodyFault>) -> HttpResponse {
@@ -207,27 +221,42 @@
         answer.with(CLOCK_HEADER, self.now().0.to_string())
     }
 
-    async fn request(&self, req: &HttpRequest) -> HttpResponse {
+    async fn request(self: &Rc<Self>, req: &HttpRequest) -> HttpResponse {
         self.count("request");
         let switches = self.switches.borrow().clone();
         let id = req.header(REQUEST_HEADER).unwrap_or_default().to_owned();
+        let entry = req.header(ENTRY_HEADER).unwrap_or_default().to_owned();
         if switches.refuses || self.running_requests.get() >= self.slots {
             return HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE)
+                .with(REQUEST_HEADER, id)
                 .with(NOT_RUN_HEADER, "true");
         }
         self.log.borrow_mut().requests.push(id.clone());
-        let _running = Running::begin(self);
-        if switches.hang_requests {
-            return std::future::pending().await;
-        }
+        let size = switches.entry_sizes.get(&entry).copied();
+        let running = Running::begin(self, size.unwrap_or_default());
+        self.note_runs();
         if switches.fails_requests {
             return HttpResponse::empty(StatusCode::INTERNAL_SERVER_ERROR).with(REQUEST_HEADER, id);
         }
-        tokio::time::sleep(Duration::from_millis(switches.request_ms)).await;
-        let entry = req.header(ENTRY_HEADER).unwrap_or_default().to_owned();
-        HttpResponse::bytes(StatusCode::OK, req.body.clone())
-            .with(REQUEST_HEADER, id)
-            .with(ENTRY_HEADER, entry)
+        let nth = self.requests_seen.get() + 1;
+        self.requests_seen.set(nth);
+        let is_one_in = |n: u32| n > 0 && nth.is_multiple_of(n);
+        let in_time =
+            run_until_deadline(&switches, is_one_in(switches.delays_one_in), req, running);
+        if !in_time.await {
+            return HttpResponse::empty(StatusCode::GATEWAY_TIMEOUT).with(REQUEST_HEADER, id);
+        }
+        let named = match is_one_in(switches.misnames_one_in) {
+            true => "another-request".to_owned(),
+            false => id,
+        };
+        let answer = HttpResponse::bytes(StatusCode::OK, req.body.clone())
+            .with(REQUEST_HEADER, named)
+            .with(ENTRY_HEADER, entry);
+        match is_one_in(switches.cuts_one_in) {
+            true => cut_off(answer),
+            false => answer,
+        }
     }
 
     fn claim(&self, req: &HttpRequest) -> HttpResponse {
@@ -352,23 +381,69 @@
 /// First reading of a worker's clock: not zero, so that a reading is never mistaken for none.
 const BASE_MS: u64 = 1_000_000;
 
-struct Running<'a>(&'a Worker);
+/// How much longer a delayed request takes.
+const DELAY_FACTOR: u64 = 10;
 
-impl<'a> Running<'a> {
-    fn begin(worker: &'a Worker) -> Self {
+/// Runs a request to its end or its deadline, also when its caller has gone away; tells whether it
+/// ended in time.
+async fn run_until_deadline(
+    switches: &WorkerSwitches,
+    is_delayed: bool,
+    req: &HttpRequest,
+    running: Running,
+) -> bool {
+    let factor = if is_delayed { DELAY_FACTOR } else { 1 };
+    let takes = match switches.hang_requests {
+        true => Duration::MAX,
+        false => Duration::from_millis(switches.request_ms * factor),
+    };
+    let left = req.header(DEADLINE_HEADER).and_then(|ms| ms.parse().ok());
+    let left = left.map_or(Duration::MAX, Duration::from_millis);
+    let run = actix_rt::spawn(async move {
+        tokio::time::sleep(takes.min(left)).await;
+        drop(running);
+    });
+    run.await.is_ok() && takes <= left
+}
+
+/// An answer that breaks off after half of its body.
+fn cut_off(mut answer: HttpResponse) -> HttpResponse {
+    answer.declared_len = Some(answer.body.len() as u64 + 1);
+    answer.body.truncate(answer.body.len() / 2);
+    answer
+}
+
+/// A request that runs.
+struct Running {
+    worker: Rc<Worker>,
+    size: Size,
+}
+
+impl Running {
+    fn begin(worker: &Rc<Worker>, size: Size) -> Self {
         let running = worker.running_requests.get() + 1;
         worker.running_requests.set(running);
+        worker
+            .requests_size
+            .set(worker.requests_size.get().plus(&size));
         let mut log = worker.log.borrow_mut();
         log.most_requests = log.most_requests.max(running);
-        Self(worker)
+        Self {
+            worker: Rc::clone(worker),
+            size,
+        }
     }
 }
 
-impl Drop for Running<'_> {
+impl Drop for Running {
     fn drop(&mut self) {
-        self.0
+        let worker = &self.worker;
+        worker
             .running_requests
-            .set(self.0.running_requests.get() - 1);
+            .set(worker.running_requests.get() - 1);
+        worker
+            .requests_size
+            .set(worker.requests_size.get().minus(&self.size));
     }
 }
 
--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -24,9 +24,10 @@
 
 /// Serves until the daemon drains and the last request in flight is answered.
 pub async fn serve(cx: Cx, listener: TcpListener) {
-    let limit = usize::try_from(cx.cfg.requests.max_body_bytes).unwrap_or(usize::MAX);
     let stop = cx.draining.subscribe();
-    http::serve(listener, limit, stop, move |read| {
+    let limits = Rc::clone(&cx);
+    let limit = move |_: &Method, path: &str| body_limit(&limits, path);
+    http::serve_with(listener, limit, stop, move |read| {
         let cx = Rc::clone(&cx);
         async move {
             match read {
@@ -38,12 +39,26 @@
     .await;
 }
 
+/// The bound on a body: the entry's own for a request, so that what would be refused is not held.
+fn body_limit(cx: &Cx, path: &str) -> usize {
+    let most = cx.cfg.requests.max_body_bytes;
+    let entry = path.strip_prefix("/v1/run/").map(EntryName::try_from);
+    let own = match entry {
+        Some(Ok(name)) => {
+            let entry = cx.catalogue.borrow().entry(&name);
+            entry.map_or(most, |entry| entry.limits.body_bytes)
+        }
+        _ => most,
+    };
+    usize::try_from(own.min(most)).unwrap_or(usize::MAX)
+}
+
 fn body_fault(fault: BodyFault) -> HttpResponse {
     let answer = match fault {
         BodyFault::TooLarge { limit } => error(
             StatusCode::PAYLOAD_TOO_LARGE,
             format!("the body is larger than {limit} bytes"),
-            "send less, or ask an operator to raise `requests.max_body_bytes`",
+            "send less, or ask an operator to raise the entry's `body_bytes`",
         ),
         BodyFault::Incomplete => error(
             StatusCode::BAD_REQUEST,
@@ -182,6 +197,16 @@
             }
             (res, "done")
         }
+        RunEnd::DoneBefore(id, status) => {
+            let res = error(
+                StatusCode::GONE,
+                format!("done before with status {status}; its answer was too large to keep"),
+                "the request was run once and is not run again",
+            )
+            .with(OUTCOME_HEADER, "done")
+            .with(REQUEST_HEADER, id.to_string());
+            (res, "done")
+        }
         RunEnd::Refused(refusal) => (note_refusal(cx, &refusal), "refused"),
         RunEnd::Unknown(id, why) => {
             let help = "it may have run; ask again only if running twice does no harm";
--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -133,7 +133,8 @@
         Refusal::UnknownEntry(_) | Refusal::UnknownJob(_) => StatusCode::NOT_FOUND,
         Refusal::Retired(_) => StatusCode::GONE,
         Refusal::WrongClass { .. } | Refusal::InProgress { .. } => StatusCode::CONFLICT,
-        Refusal::NeverFits { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::NeverFits { .. } | Refusal::IdReused(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
         Refusal::Busy { .. }
         | Refusal::TooLate { .. }
--- a/src/lapisdrum/core/outcome.rs
+++ b/src/lapisdrum/core/outcome.rs
@@ -5,7 +5,7 @@
 
 use super::{
     catalogue::Class,
-    id::{EntryName, JobId},
+    id::{EntryName, JobId, RequestId},
 };
 use std::{fmt, time::Duration};
 
@@ -62,6 +62,15 @@
             /// When to come back.
             retry_after: Duration,
         },
+        /// The request id was used before, for another entry or another body.
+        IdReused(RequestId),
+        /// The request's body is beyond the entry's limit.
+        BodyTooLarge {
+            /// The entry.
+            entry: EntryName,
+            /// The limit in bytes.
+            limit: u64,
+        },
         /// This daemon is shutting down.
         Draining {
             /// When to come back.
@@ -78,6 +87,8 @@
             | Self::Retired(_)
             | Self::WrongClass { .. }
             | Self::NeverFits { .. }
+            | Self::IdReused(_)
+            | Self::BodyTooLarge { .. }
             | Self::UnknownJob(_) => None,
             Self::OverLimit { retry_after, .. }
             | Self::Busy { retry_after }
@@ -103,6 +114,8 @@
             Self::NeverFits { .. } => "never_fits",
             Self::UnknownJob(_) => "unknown_job",
             Self::InProgress { .. } => "in_progress",
+            Self::IdReused(_) => "id_reused",
+            Self::BodyTooLarge { .. } => "body_too_large",
             Self::Draining { .. } => "draining",
         }
     }
@@ -119,6 +132,8 @@
             Self::WrongClass { .. } => "submit it to /v1/jobs/ENTRY",
             Self::NeverFits { .. } => "ask an operator to lower the entry's size",
             Self::UnknownJob(_) => "check the id; jobs are forgotten some time after their end",
+            Self::IdReused(_) => "give each request an id of its own",
+            Self::BodyTooLarge { .. } => "send less, or ask an operator to raise `body_bytes`",
             Self::OverLimit { .. }
             | Self::Busy { .. }
             | Self::TooLate { .. }
@@ -144,6 +159,13 @@
             Self::NeverFits { reason } => write!(f, "no worker can ever run it: {reason}"),
             Self::UnknownJob(job) => write!(f, "no job `{job}`"),
             Self::InProgress { .. } => f.write_str("a request with this id is being served"),
+            Self::IdReused(id) => write!(f, "the id `{id}` was used for another request"),
+            Self::BodyTooLarge { entry, limit } => {
+                write!(
+                    f,
+                    "the body is beyond entry `{entry}`'s limit of {limit} bytes"
+                )
+            }
             Self::Draining { .. } => f.write_str("this daemon is shutting down"),
         }
     }
--- /dev/null
+++ b/src/lapisdrum/daemon/claims.rs
@@ -0,0 +1,422 @@
+//! Claims on request ids that callers bring: made before a request is sent, ended when it is over.
+//!
+//! Failure: a caller's answer is lost and it asks again through another daemon, while the first run
+//! is still going or long over. Without a claim that both daemons find, a certificate check that is
+//! not idempotent runs twice. The claim is in the ledger of the id's home before anything is sent;
+//! with the home or the table out of reach the request is refused, not run.
+//!
+//! A daemon repeats the end of a claim until the home has it. A claim whose daemon is certainly gone
+//! ends as unknown. One that its daemon does not know of (its call was given up and arrived late) was
+//! never sent and is released.
+
+use super::{
+    Cx,
+    journal::{Urgency, WriteEnd},
+    peers,
+    shard::Shard,
+    supervisor,
+};
+use crate::{
+    core::{
+        id::{EntryName, RequestId, ShardId},
+        outcome::Refusal,
+        time::Millis,
+    },
+    peer::wire::{ClaimCall, PeerReply, PeerRequest},
+    platform::{client::TxnOutcome, wire::Txn},
+    state::{
+        claims::{self, Found, Homes, MOST_CLAIMS},
+        ledger::{ClaimEnd, Event},
+        ownership::{Holder, Sighting},
+    },
+    util::backoff::Backoff,
+};
+use indexmap::IndexMap;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+/// The row that names the homes of claims.
+const HOMES_KEY: &str = "claim-homes";
+/// Time between two looks at homes and claims.
+const POLL: Duration = Duration::from_millis(500);
+/// When to come back for a request that is being served, or whose home can't be reached.
+const RETRY: Duration = Duration::from_secs(1);
+/// Longest deadline of a request, for how long its claim may stay open.
+const LONGEST_REQUEST: Duration = Duration::from_secs(3_600);
+/// Age from which the owner asks a claim's daemon whether it still serves it.
+const DOUBTED_AFTER: Duration = Duration::from_secs(5);
+/// First wait before the end of a claim is told again.
+const FIRST_END_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait before the end of a claim is told again.
+const LONGEST_END_WAIT: Duration = Duration::from_secs(2);
+
+/// What a daemon keeps of claims: its own as a server of callers, and its notes as a home's owner.
+#[derive(Debug, Default)]
+pub struct Claims {
+    /// Ids that this daemon serves or has yet to report the end of.
+    served: RefCell<IndexMap<RequestId, u64>>,
+    /// The homes as last read, and when.
+    homes: RefCell<Option<SeenHomes>>,
+    /// As owner: notes on the claims of own shards.
+    notes: RefCell<IndexMap<RequestId, Note>>,
+    asking: Cell<bool>,
+}
+
+#[derive(Clone, Debug)]
+struct SeenHomes {
+    row: Homes,
+    seen: Sighting,
+    read_at: Millis,
+}
+
+/// What the owner of a home remembers of a claim besides the ledger; begun anew by each owner, which
+/// errs towards keeping a claim longer.
+#[derive(Clone, Copy, Debug)]
+struct Note {
+    nonce: Option<u64>,
+    since: Millis,
+    ended_since: Option<Millis>,
+}
+
+/// A claim that this daemon holds. Its end must be told through [`end`].
+#[derive(Debug)]
+#[must_use = "a claim without an end keeps its id from ever being served"]
+pub struct OwnClaim {
+    calls: Vec<ClaimCall>,
+}
+
+/// How a claim began.
+#[derive(Debug)]
+pub enum Begun {
+    /// This daemon may serve the request.
+    Claimed(OwnClaim),
+    /// The request was served before.
+    Ended(ClaimEnd),
+    /// Refused; this repeat is not served.
+    Refused(Refusal),
+}
+
+fn no_home() -> Refusal {
+    Refusal::StoreAway { retry_after: RETRY }
+}
+
+/// Claims an id at its homes.
+pub async fn begin(cx: &Cx, request: &RequestId, entry: &EntryName, within: Duration) -> Begun {
+    let Some(homes) = homes_of(cx, request) else {
+        return Begun::Refused(no_home());
+    };
+    let nonce = rand::random();
+    {
+        let mut served = cx.claims.served.borrow_mut();
+        if served.contains_key(request) {
+            return Begun::Refused(Refusal::InProgress { retry_after: RETRY });
+        }
+        served.insert(request.clone(), nonce);
+    }
+    let call = |shard| ClaimCall {
+        shard,
+        request: request.clone(),
+        entry: entry.clone(),
+        by: cx.me.clone(),
+        nonce,
+    };
+    let mut made = OwnClaim { calls: Vec::new() };
+    for home in homes {
+        let call = call(home);
+        let asked = ask(cx, PeerRequest::Claim(call.clone()), &call.shard);
+        let reply = tokio::time::timeout(within, asked).await;
+        let begun = match reply.unwrap_or(PeerReply::Unknown) {
+            PeerReply::Claimed => {
+                made.calls.push(call);
+                continue;
+            }
+            PeerReply::ClaimEnded(end) => Begun::Ended(end),
+            PeerReply::Refused(refusal) => Begun::Refused(refusal),
+            // The claim may be in the ledger. Nothing was sent, so it is released.
+            _ => {
+                made.calls.push(call);
+                Begun::Refused(no_home())
+            }
+        };
+        end(cx, request, made, ClaimEnd::NotRun);
+        return begun;
+    }
+    Begun::Claimed(made)
+}
+
+/// Tells the homes how a claimed request ended, until each of them has it.
+pub fn end(cx: &Cx, request: &RequestId, claim: OwnClaim, end: ClaimEnd) {
+    if claim.calls.is_empty() {
+        cx.claims.served.borrow_mut().swap_remove(request);
+        return;
+    }
+    let (cx, request) = (Rc::clone(cx), request.clone());
+    supervisor::spawn("claim-end", async move {
+        for call in claim.calls {
+            tell_end(&cx, call, &end).await;
+        }
+        cx.claims.served.borrow_mut().swap_remove(&request);
+    });
+}
+
+async fn tell_end(cx: &Cx, call: ClaimCall, end: &ClaimEnd) {
+    let mut backoff = Backoff::new(FIRST_END_WAIT, LONGEST_END_WAIT);
+    loop {
+        let told = PeerRequest::EndClaim(call.clone(), end.clone());
+        if ask(cx, told, &call.shard).await == PeerReply::Ok {
+            return;
+        }
+        let wait = backoff.next_wait(&mut rand::rng());
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Whether the end of every claim of this daemon is told.
+pub fn all_told(cx: &Cx) -> bool {
+    cx.claims.served.borrow().is_empty()
+}
+
+/// Those of `ids` that this daemon serves or has yet to report the end of.
+pub fn still_served(cx: &Cx, mut ids: Vec<RequestId>) -> Vec<RequestId> {
+    let served = cx.claims.served.borrow();
+    ids.retain(|id| served.contains_key(id));
+    ids
+}
+
+/// Asks a shard's owner, which may be this daemon. No answer is [`PeerReply::Unknown`].
+async fn ask(cx: &Cx, req: PeerRequest, shard: &ShardId) -> PeerReply {
+    if cx.shards.borrow().contains_key(shard) {
+        let answered = Box::pin(peers::answer(cx, req));
+        let answered = tokio::time::timeout(cx.cfg.requests.peer_timeout, answered).await;
+        return answered.unwrap_or(PeerReply::Unknown);
+    }
+    let address = cx.members.borrow().owner_address(shard);
+    match address {
+        Some(address) => {
+            let answered = cx.peers.call(&address, req).await;
+            answered.unwrap_or(PeerReply::Unknown)
+        }
+        None => PeerReply::Refused(Refusal::NoOwner { retry_after: RETRY }),
+    }
+}
+
+/// The homes of an id; none while the row is not known or was read too long ago.
+fn homes_of(cx: &Cx, request: &RequestId) -> Option<Vec<ShardId>> {
+    let homes = cx.claims.homes.borrow();
+    let homes = homes.as_ref()?;
+    let age = cx.clock.now().since(homes.read_at);
+    (age < cx.cfg.requests.claim_retention).then(|| homes.row.of(request))
+}
+
+/// As owner of a home: claims an id, or tells what became of it.
+pub async fn answer_claim(cx: &Cx, shard: &Rc<Shard>, call: ClaimCall) -> PeerReply {
+    let found = claims::look(&shard.state(), &call.request, &call.entry);
+    match found {
+        Found::Nothing => {}
+        Found::InProgress => {
+            return PeerReply::Refused(Refusal::InProgress { retry_after: RETRY });
+        }
+        Found::Ended(end) => return PeerReply::ClaimEnded(end),
+        Found::OtherEntry => return PeerReply::Refused(Refusal::IdReused(call.request)),
+    }
+    if shard.state().claims.len() >= MOST_CLAIMS {
+        return PeerReply::Refused(Refusal::Busy { retry_after: RETRY });
+    }
+    let claimed = Event::Claimed {
+        request: call.request.clone(),
+        entry: call.entry,
+        by: call.by,
+    };
+    let ticket = match shard.propose(cx, vec![claimed], Urgency::Urgent) {
+        Ok(ticket) => ticket,
+        Err(e) => return PeerReply::Refused(e.refusal()),
+    };
+    let note = Note {
+        nonce: Some(call.nonce),
+        since: cx.clock.now(),
+        ended_since: None,
+    };
+    cx.claims.notes.borrow_mut().insert(call.request, note);
+    match ticket.end().await {
+        WriteEnd::Committed => PeerReply::Claimed,
+        WriteEnd::NotWritten => PeerReply::Refused(no_home()),
+        WriteEnd::Unknown => PeerReply::Unknown,
+    }
+}
+
+/// As owner of a home: ends a claim. A repeat, and a late word about an earlier claim on the same
+/// id, change nothing.
+pub async fn answer_end(cx: &Cx, shard: &Rc<Shard>, call: ClaimCall, end: ClaimEnd) -> PeerReply {
+    let noted = cx.claims.notes.borrow().get(&call.request).copied();
+    let is_late = noted.is_some_and(|note| note.nonce.is_some_and(|nonce| nonce != call.nonce));
+    let is_open = {
+        let state = shard.state();
+        let claim = state.claims.get(&call.request);
+        claim.is_some_and(|claim| claim.end.is_none() && claim.by == call.by)
+    };
+    if is_late || !is_open {
+        return PeerReply::Ok;
+    }
+    let ticket = match shard.propose(cx, end_events(call.request, end), Urgency::Urgent) {
+        Ok(ticket) => ticket,
+        Err(e) => return PeerReply::Refused(e.refusal()),
+    };
+    match ticket.end().await {
+        WriteEnd::Committed => PeerReply::Ok,
+        WriteEnd::NotWritten => PeerReply::Refused(no_home()),
+        WriteEnd::Unknown => PeerReply::Unknown,
+    }
+}
+
+/// A request that was not run leaves no claim: its id may be asked again.
+fn end_events(request: RequestId, end: ClaimEnd) -> Vec<Event> {
+    let is_released = end == ClaimEnd::NotRun;
+    let mut events = vec![Event::ClaimEnded {
+        request: request.clone(),
+        end,
+    }];
+    if is_released {
+        events.push(Event::ClaimForgotten { request });
+    }
+    events
+}
+
+/// Follows the row of homes and looks after the claims of own shards until the process ends.
+pub async fn run(cx: Cx) -> eyre::Result<()> {
+    loop {
+        follow_homes(&cx).await;
+        let own: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
+        for shard in own.iter().filter(|shard| shard.is_serving()) {
+            look_after(&cx, shard);
+        }
+        forget_notes(&cx, &own);
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn follow_homes(cx: &Cx) {
+    let Ok(row) = cx.platform.get(HOMES_KEY).await else {
+        return;
+    };
+    let now = cx.clock.now();
+    let known: Vec<ShardId> = cx.members.borrow().shards.keys().cloned().collect();
+    let (version, next) = match row {
+        None => (0, Homes::first(&known)),
+        Some(row) => {
+            let version = row.version;
+            let Some(homes) = row.parse::<Homes>() else {
+                return;
+            };
+            let before = cx.claims.homes.borrow().as_ref().map(|homes| homes.seen);
+            let seen = Sighting::update(before, version, now);
+            let overlap = claims::overlap(cx.cfg.requests.claim_retention, LONGEST_REQUEST);
+            let overlap = cx.cfg.shards.terms.lengthened(overlap);
+            let next = homes.next(&known, now.since(seen.since), overlap);
+            *cx.claims.homes.borrow_mut() = Some(SeenHomes {
+                row: homes,
+                seen,
+                read_at: now,
+            });
+            (version, next)
+        }
+    };
+    if let Some(next) = next {
+        let txn = Txn::default()
+            .compare(HOMES_KEY.to_owned(), version)
+            .put(HOMES_KEY.to_owned(), &next);
+        // Whoever was first, and whether or not the answer arrives: the next look reads the row.
+        let _: TxnOutcome = cx.platform.txn(&txn).await;
+    }
+}
+
+/// Ends, releases and forgets claims of an own shard.
+fn look_after(cx: &Cx, shard: &Rc<Shard>) {
+    let now = cx.clock.now();
+    let mut events = Vec::new();
+    let mut doubted: IndexMap<Holder, Vec<RequestId>> = IndexMap::new();
+    {
+        let state = shard.state();
+        let mut notes = cx.claims.notes.borrow_mut();
+        for (request, claim) in &state.claims {
+            let note = notes.entry(request.clone()).or_insert(Note {
+                nonce: None,
+                since: now,
+                ended_since: None,
+            });
+            match claim.end {
+                None if peers::is_gone(cx, &claim.by, note.since) => {
+                    events.extend(end_events(request.clone(), ClaimEnd::Unknown));
+                }
+                None if now.since(note.since) > DOUBTED_AFTER => {
+                    doubted
+                        .entry(claim.by.clone())
+                        .or_default()
+                        .push(request.clone());
+                }
+                None => {}
+                Some(_) => {
+                    let since = *note.ended_since.get_or_insert(now);
+                    if now.since(since) > cx.cfg.requests.claim_retention {
+                        events.push(Event::ClaimForgotten {
+                            request: request.clone(),
+                        });
+                    }
+                }
+            }
+        }
+    }
+    if !events.is_empty() {
+        // Without room or table the next look proposes them again.
+        let _ = shard.propose(cx, events, Urgency::Batch);
+    }
+    if !doubted.is_empty() && !cx.claims.asking.replace(true) {
+        let (cx, shard) = (Rc::clone(cx), Rc::clone(shard));
+        supervisor::spawn("doubted-claims", async move {
+            for (holder, ids) in doubted {
+                release_unknown(&cx, &shard, &holder, ids).await;
+            }
+            cx.claims.asking.set(false);
+        });
+    }
+}
+
+/// Releases claims that their daemon does not know of.
+async fn release_unknown(cx: &Cx, shard: &Rc<Shard>, holder: &Holder, ids: Vec<RequestId>) {
+    let served = if *holder == cx.me {
+        still_served(cx, ids.clone())
+    } else {
+        let asked = PeerRequest::ClaimsServed(holder.clone(), ids.clone());
+        match cx.peers.call(&holder.address, asked).await {
+            Ok(PeerReply::ClaimsServed(served)) => served,
+            _ => return,
+        }
+    };
+    let mut events = Vec::new();
+    {
+        let state = shard.state();
+        for id in ids.into_iter().filter(|id| !served.contains(id)) {
+            let claim = state.claims.get(&id);
+            // Another claim may have been made in the meantime.
+            if claim.is_some_and(|claim| claim.end.is_none() && claim.by == *holder) {
+                events.extend(end_events(id, ClaimEnd::NotRun));
+            }
+        }
+    }
+    if !events.is_empty() && !shard.is_lost() {
+        let _ = shard.propose(cx, events, Urgency::Batch);
+    }
+}
+
+fn forget_notes(cx: &Cx, own: &[Rc<Shard>]) {
+    let is_kept = |request: &RequestId| {
+        own.iter()
+            .any(|shard| shard.state().claims.contains_key(request))
+    };
+    cx.claims
+        .notes
+        .borrow_mut()
+        .retain(|request, _| is_kept(request));
+}
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -5,6 +5,7 @@
 //! [`supervisor`] keeps the parts running; each part reaches the others through the context [`Cx`].
 
 pub mod catalogue;
+pub mod claims;
 pub mod grants;
 pub mod jobs;
 pub mod journal;
@@ -73,6 +74,10 @@
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
     pub floors: RefCell<grants::Floors>,
+    /// Claims on request ids that this daemon serves, and where claims are kept.
+    pub claims: claims::Claims,
+    /// Requests being served, also those whose callers have gone away.
+    pub in_flight: Rc<()>,
     /// Requests let in and not yet answered.
     pub admission: RefCell<crate::policy::admission::Admission>,
     /// Whether a catalogue at least as new as any in force when this daemon started is in force.
@@ -98,12 +103,11 @@
         let agent = format!("lapisdrum/{}", cfg.daemon.name);
         let platform_address = cfg.platform.address.to_string();
         let platform = PlatformClient::new(&platform_address, &agent, cfg.platform.timeout);
-        let connections = usize::try_from(cfg.requests.connections).unwrap_or(usize::MAX);
         Rc::new(Self {
             me,
             clock: Clock::start(),
             platform,
-            workers: WorkerClient::new(connections, &agent, cfg.shards.command_timeout),
+            workers: WorkerClient::new(&agent, cfg.shards.command_timeout),
             peers: Peers::new(Rc::clone(&timeline), cfg.requests.peer_timeout),
             timeline,
             metrics: metrics::Metrics::new(),
@@ -111,6 +115,8 @@
             members: RefCell::default(),
             shards: RefCell::default(),
             floors: RefCell::default(),
+            claims: claims::Claims::default(),
+            in_flight: Rc::default(),
             admission: RefCell::default(),
             catalogue_ready: Cell::new(false),
             draining: watch::Sender::new(false),
@@ -150,6 +156,7 @@
     supervisor.start("catalogue", catalogue::follow);
     supervisor.start("registrar", registrar::run);
     supervisor.start("grants", grants::run);
+    supervisor.start("claims", claims::run);
     supervisor.start_once(
         "peer-server",
         crate::peer::server::serve(Rc::clone(cx), peers),
@@ -167,7 +174,10 @@
     cx.timeline.record(Happening::DaemonDraining {});
     log::info!("draining");
     cx.draining.send_replace(true);
-    let answered = supervisor.finished("api-server");
+    let answered = async {
+        supervisor.finished("api-server").await;
+        router::finished(cx).await;
+    };
     if tokio::time::timeout(cx.cfg.daemon.drain, answered)
         .await
         .is_err()
@@ -176,6 +186,7 @@
     }
     supervisor.stop("registrar");
     supervisor.stop("grants");
+    supervisor.stop("claims");
     let give_up = async {
         grants::give_back(cx).await;
         registrar::release_all(cx).await;
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -1,11 +1,12 @@
 //! What this daemon answers to other daemons.
 
-use super::{Cx, catalogue, grants, jobs};
+use super::{Cx, catalogue, claims, grants, jobs, shard::Shard};
 use crate::{
-    core::outcome::Refusal,
+    core::{id::ShardId, outcome::Refusal, time::Millis},
     peer::wire::{PeerReply, PeerRequest},
+    state::ownership::Holder,
 };
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 /// When a daemon should ask again that took this one for an owner that it is not.
 const NOT_OWNER_RETRY: Duration = Duration::from_secs(1);
@@ -16,15 +17,21 @@
         PeerRequest::SubmitJob { .. } | PeerRequest::ShowJob(_) | PeerRequest::CancelJob(_) => {
             jobs::answer(cx, req).await
         }
-        PeerRequest::Grants(round) => {
-            let own = cx.shards.borrow().get(&round.shard).cloned();
-            match own {
-                Some(shard) => grants::answer(cx, &shard, round).await,
-                None => PeerReply::Refused(Refusal::NoOwner {
-                    retry_after: NOT_OWNER_RETRY,
-                }),
-            }
-        }
+        PeerRequest::Grants(round) => match owned(cx, &round.shard) {
+            Ok(shard) => grants::answer(cx, &shard, round).await,
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        PeerRequest::Claim(call) => match owned(cx, &call.shard) {
+            Ok(shard) => claims::answer_claim(cx, &shard, call).await,
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        PeerRequest::EndClaim(call, end) => match owned(cx, &call.shard) {
+            Ok(shard) => claims::answer_end(cx, &shard, call, end).await,
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
+        // The run before this one can't be answered for.
+        PeerRequest::ClaimsServed(holder, _) if holder != cx.me => PeerReply::Unknown,
+        PeerRequest::ClaimsServed(_, ids) => PeerReply::ClaimsServed(claims::still_served(cx, ids)),
         PeerRequest::News(revision) => {
             catalogue::hear(cx, revision);
             PeerReply::Ok
@@ -38,3 +45,30 @@
         }
     }
 }
+
+/// A shard that this daemon owns and whose ledger is recovered.
+pub fn owned(cx: &Cx, shard: &ShardId) -> Result<Rc<Shard>, Refusal> {
+    let own = cx.shards.borrow().get(shard).cloned();
+    let own = own.filter(|shard| shard.is_serving());
+    own.ok_or(Refusal::NoOwner {
+        retry_after: NOT_OWNER_RETRY,
+    })
+}
+
+/// Calls to the platform in one round of the registrar, each of which may take its timeout.
+const CALLS_A_ROUND: u32 = 5;
+
+/// Whether a run of a daemon, last heard of at `heard`, is certainly over: another run is at its
+/// address, or it has released its presence row. A daemon asks nothing of others before its own row
+/// is written, so a list of rows that was read whole after `heard` has it unless it was released.
+pub fn is_gone(cx: &Cx, holder: &Holder, heard: Millis) -> bool {
+    if *holder == cx.me {
+        return false;
+    }
+    let members = cx.members.borrow();
+    let rows = || members.daemons.values().map(|seen| &seen.row.holder);
+    let is_replaced = rows().any(|row| row.address == holder.address && row != holder);
+    let read_after = heard + cx.cfg.platform.timeout * CALLS_A_ROUND;
+    let is_read = members.hosts_read_at.is_some_and(|read| read >= read_after);
+    is_replaced || (is_read && !rows().any(|row| row == holder))
+}
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -2,11 +2,15 @@
 
 use crate::{
     core::{
-        id::{EntryName, Epoch, JobId, Revision, ShardId, WorkerId},
+        id::{EntryName, Epoch, JobId, RequestId, Revision, ShardId, WorkerId},
         job::Job,
         outcome::Refusal,
     },
-    state::{catalogue::Catalogue, ledger::Grant, ownership::Holder},
+    state::{
+        catalogue::Catalogue,
+        ledger::{ClaimEnd, Grant},
+        ownership::Holder,
+    },
     timeline::event::Stamp,
 };
 
@@ -44,12 +48,33 @@
         CancelJob(JobId),
         /// Report floors and ask for new ones.
         Grants(GrantRound),
+        /// Claim a request id in a shard that the other owns.
+        Claim(ClaimCall),
+        /// Tell how a claimed request ended; repeated until it is answered.
+        EndClaim(ClaimCall, ClaimEnd),
+        /// Ask which of these claims this run of the other still serves or has yet to report the end
+        /// of.
+        ClaimsServed(Holder, Vec<RequestId>),
         /// Tell of a greater catalogue revision.
         News(Revision),
         /// Ask for the catalogue if it is newer than the asker's.
         Catalogue(Revision),
     }
 
+    /// A claim as its two sides speak of it.
+    pub struct ClaimCall {
+        /// The shard.
+        pub shard: ShardId,
+        /// The id.
+        pub request: RequestId,
+        /// The entry.
+        pub entry: EntryName,
+        /// The daemon that claims it and may send it.
+        pub by: Holder,
+        /// Drawn for each claim, so that a late word about an earlier one is told apart.
+        pub nonce: u64,
+    }
+
     /// One exchange about floors.
     pub struct GrantRound {
         /// The shard.
@@ -81,6 +106,12 @@
         Job(Job),
         /// Floors.
         Grants(GrantAnswer),
+        /// The id is the asker's to serve.
+        Claimed,
+        /// The id was claimed before, and its request is over.
+        ClaimEnded(ClaimEnd),
+        /// Claims that are still served.
+        ClaimsServed(Vec<RequestId>),
         /// A newer catalogue.
         Catalogue(Catalogue),
         /// Refused, nothing was done.
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -102,6 +102,8 @@
     pub peer_timeout: Duration,
     /// Time between two exchanges about floors.
     pub grant_poll: Duration,
+    /// How long the outcome of a request whose caller brought an id is kept for repeats.
+    pub claim_retention: Duration,
 }
 
 /// Form of log lines.
@@ -248,6 +250,7 @@
         connections: small(r.integer("requests.connections", 16, 1..=10_000)),
         peer_timeout: r.duration("requests.peer_timeout_ms", 1_000, 10..=60_000),
         grant_poll: r.duration("requests.grant_poll_ms", 1_000, 10..=60_000),
+        claim_retention: r.duration("requests.claim_retention_ms", 3_600_000, 1_000..=86_400_000),
     }
 }
 
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -4,6 +4,7 @@
 //! same functions run under the model checker and the property tests.
 
 pub mod catalogue;
+pub mod claims;
 pub mod fencing;
 pub mod ledger;
 pub mod ownership;
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -8,7 +8,7 @@
     HttpService, Method, Request, Response, StatusCode,
     body::{BodySize, BoxBody, MessageBody},
     error::PayloadError,
-    header::HeaderMap,
+    header::{CONTENT_LENGTH, HeaderMap},
 };
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
@@ -82,6 +82,9 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Bytes,
+    /// The length that is declared when it isn't the body's: the connection is closed after a body
+    /// that falls short of it. For stand-ins that cut their answers off.
+    pub declared_len: Option<u64>,
 }
 
 impl HttpResponse {
@@ -97,6 +100,7 @@
             status,
             headers: Vec::new(),
             body,
+            declared_len: None,
         }
     }
 
@@ -134,7 +138,7 @@
 }
 
 /// Serves `handler` on `listener` until `stop` turns true; then accepts no more, lets requests in
-/// flight finish, and returns once the last of them is answered.
+/// flight finish, and returns once the last of them is answered. Bodies are bounded by `body_limit`.
 pub async fn serve<H, F>(
     listener: TcpListener,
     body_limit: usize,
@@ -143,14 +147,31 @@
 ) where
     H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
     F: Future<Output = HttpResponse> + 'static,
+{
+    serve_with(listener, move |_, _| body_limit, stop, handler).await;
+}
+
+/// Like [`serve`], with a bound on the body that is asked for by method and path, before any of the
+/// body is read.
+pub async fn serve_with<L, H, F>(
+    listener: TcpListener,
+    body_limit: L,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    L: Fn(&Method, &str) -> usize + 'static,
+    H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
+    F: Future<Output = HttpResponse> + 'static,
 {
     let handler = Rc::new(handler);
+    let body_limit = Rc::new(body_limit);
     let in_flight = Rc::new(());
     let counted = Rc::clone(&in_flight);
     let service = fn_service(move |req: Request| {
         let (handler, token) = (Rc::clone(&handler), Rc::clone(&counted));
+        let limit = body_limit(req.method(), req.path());
         async move {
-            let read = read_request(req, body_limit).await;
+            let read = read_request(req, limit).await;
             Ok::<_, Infallible>(to_actix(handler(read).await, token))
         }
     });
@@ -219,6 +240,9 @@
 }
 
 async fn read_request(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
+    if declared_len(&req).is_some_and(|len| len > limit) {
+        return Err(BodyFault::TooLarge { limit });
+    }
     let mut payload = req.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -237,13 +261,20 @@
     })
 }
 
+fn declared_len(req: &Request) -> Option<usize> {
+    let declared = req.head().headers.get(CONTENT_LENGTH)?;
+    declared.to_str().ok()?.parse().ok()
+}
+
 fn to_actix(answer: HttpResponse, token: Rc<()>) -> Response<BoxBody> {
     let mut builder = Response::build(answer.status);
     for (name, value) in answer.headers {
         builder.insert_header((name, value));
     }
+    let declared_len = answer.declared_len.unwrap_or(answer.body.len() as u64);
     builder
         .body(InFlightBody {
+            declared_len,
             body: answer.body,
             _token: token,
         })
@@ -252,6 +283,7 @@
 
 /// A body that keeps its request counted as in flight until it has been handed to the socket.
 struct InFlightBody {
+    declared_len: u64,
     body: Bytes,
     _token: Rc<()>,
 }
@@ -260,7 +292,7 @@
     type Error = Infallible;
 
     fn size(&self) -> BodySize {
-        BodySize::Sized(self.body.len() as u64)
+        BodySize::Sized(self.declared_len)
     }
 
     fn poll_next(
--- a/src/lapisdrum/worker/client.rs
+++ b/src/lapisdrum/worker/client.rs
@@ -1,9 +1,11 @@
 //! The client of workers.
 //!
 //! For a request the difference between *not run* and *unknown* decides whether it may be sent
-//! again. Only two things prove that it did not run: no connection was made, or the worker said so.
-//! A broken connection, a timeout or a body cut short prove nothing. awc closes a connection whose
-//! answer was not read whole, so no later request can be given an earlier one's answer.
+//! again. Only two things prove that it did not run: no connection was made, or the worker said so
+//! of this very request. A broken connection, a timeout or a body cut short prove nothing; nor does
+//! a kept connection that the worker closes at the moment of use, since it may have read the request
+//! first. awc closes a connection whose answer was not read whole. An answer that a worker sends
+//! twice may still meet the next request on the connection, so each answer must name its request.
 
 use super::wire::{
     CLOCK_HEADER, DEADLINE_HEADER, ENTRY_HEADER, EPOCH_HEADER, NOT_RUN_HEADER, OwnerCommand,
@@ -15,7 +17,10 @@
     time::{Millis, WorkerMillis, millis},
 };
 use actix_http::{Method, StatusCode, header::HeaderMap};
-use awc::{Client, Connector, error::SendRequestError};
+use awc::{
+    Client, Connector,
+    error::{ConnectError, SendRequestError},
+};
 use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{fmt, time::Duration};
@@ -24,6 +29,9 @@
 const MAX_COMMAND_ANSWER: usize = 16 * 1024 * 1024;
 /// Time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// awc's limit counts the connections to all workers together and makes further requests wait
+/// unseen while their deadlines pass, so it is off; the router bounds each worker's connections.
+const NO_LIMIT: usize = 0;
 
 /// A worker's whole answer to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,11 +93,11 @@
 }
 
 impl WorkerClient {
-    /// A client that keeps at most `connections` to each worker for requests, gives each command
-    /// `command_timeout`, and names itself `user_agent`, so that workers' logs tell daemons apart.
-    pub fn new(connections: usize, user_agent: &str, command_timeout: Duration) -> Self {
+    /// A client that gives each command `command_timeout` and names itself `user_agent`, so that
+    /// workers' logs tell daemons apart.
+    pub fn new(user_agent: &str, command_timeout: Duration) -> Self {
         let agent = ("user-agent", user_agent);
-        let connector = Connector::new().limit(connections).timeout(CONNECT_TIMEOUT);
+        let connector = Connector::new().limit(NO_LIMIT).timeout(CONNECT_TIMEOUT);
         let requests = Client::builder().connector(connector).disable_timeout();
         let requests = requests
             .disable_redirects()
@@ -126,15 +134,16 @@
             Err(e) => return unsent_or_unknown(&e),
         };
         let status = answer.status();
+        // An answer that names another request is not ours to pass on; nor is a refusal, which would
+        // have a request sent again that is running.
+        if header_text(answer.headers(), REQUEST_HEADER) != Some(out.request.as_str()) {
+            return RequestEnd::Unknown("the answer names another request".to_owned());
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE
             && answer.headers().contains_key(NOT_RUN_HEADER)
         {
             return RequestEnd::NotRun("the worker refused it".to_owned());
         }
-        // An answer that names another request is not ours to pass on.
-        if header_text(answer.headers(), REQUEST_HEADER) != Some(out.request.as_str()) {
-            return RequestEnd::Unknown("the answer names another request".to_owned());
-        }
         let content_type = header_text(answer.headers(), "content-type").map(str::to_owned);
         match answer.body().limit(out.answer_limit).await {
             Ok(body) => RequestEnd::Answered(Answer {
@@ -261,6 +270,9 @@
 
 fn unsent_or_unknown(e: &SendRequestError) -> RequestEnd {
     match e {
+        // awc gives this for a connection that closed before the answer's head, after the request
+        // had been sent on it.
+        SendRequestError::Connect(ConnectError::Disconnected) => RequestEnd::Unknown(e.to_string()),
         // Without a connection not a byte was sent.
         SendRequestError::Connect(_) | SendRequestError::Url(_) => {
             RequestEnd::NotRun(e.to_string())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod bad_input;
 mod process;
+mod requests;
 mod support;
--- /dev/null
+++ b/tests/testsuite/requests/claims.rs
@@ -0,0 +1,200 @@
+//! Ids that callers bring: a repeat finds the first outcome, and a certificate check never runs
+//! twice.
+
+use super::embedded::{EmbeddedSite, LIMIT, entry};
+use crate::support::{
+    http::{self, Raw},
+    process::Site,
+    wait,
+};
+use actix_http::Method;
+use lapisdrum_standins::{platform::server::PlatformSwitches, worker::server::WorkerSwitches};
+use std::time::Duration;
+
+const CHECK: &str = "certificate-check";
+
+fn outcome(answer: &Raw) -> &str {
+    answer.header("lapisdrum-outcome").unwrap_or("none")
+}
+
+fn key(key: &str) -> [(&str, &str); 1] {
+    [("idempotency-key", key)]
+}
+
+/// Waits until keyed requests are served: the homes of claims are known.
+async fn claims_are_kept(site: &EmbeddedSite) {
+    for (i, daemon) in site.daemons.iter().enumerate() {
+        wait::until("claims are kept", LIMIT, async || {
+            let asked = daemon.ask(CHECK, &key(&format!("warm-{i}")), "x").await;
+            asked.is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+    for worker in &site.workers {
+        worker.worker.log.borrow_mut().requests.clear();
+    }
+}
+
+/// A technician's answer is lost; the check is asked again through the other daemon. The first run's
+/// answer comes back and the worker has run it once. While the first is still running, the repeat is
+/// told to come back.
+#[actix_rt::test]
+async fn a_repeat_through_another_daemon_gets_the_first_outcome() {
+    let site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry(CHECK, false, 5_000)).await;
+    claims_are_kept(&site).await;
+    site.switch_workers(|switches| switches.request_ms = 600);
+    let id = key("check-1");
+    let first = site.daemons[0].ask(CHECK, &id, "meter 7");
+    let early = async {
+        wait::until("the check runs", LIMIT, async || !site.runs().is_empty()).await;
+        site.daemons[1].ask(CHECK, &id, "meter 7").await
+    };
+    let (first, early) = futures::join!(first, early);
+    assert_eq!(first.expect("an answer").body, "meter 7");
+    let early = early.expect("an answer");
+    assert_eq!(outcome(&early), "refused", "{:?}", early.json());
+    assert!(early.header("retry-after").is_some());
+    for daemon in &site.daemons {
+        let repeat = wait::until_some("the first outcome", LIMIT, async || {
+            let repeat = daemon.ask(CHECK, &id, "meter 7").await.ok()?;
+            (outcome(&repeat) == "done").then_some(repeat)
+        })
+        .await;
+        assert_eq!(repeat.body, "meter 7");
+    }
+    assert_eq!(site.runs(), ["check-1"], "one run");
+}
+
+/// An id is used again for another meter. Handing out the first meter's answer would be a wrong
+/// answer, and running it would break the promise to the first caller; it is refused.
+#[actix_rt::test]
+async fn an_id_for_another_body_is_refused() {
+    let site = EmbeddedSite::start(&["multan"], 2, 1).await;
+    site.serve_entry(&entry(CHECK, false, 5_000)).await;
+    claims_are_kept(&site).await;
+    let id = key("check-2");
+    let first = site.daemons[0].ask(CHECK, &id, "meter 7").await;
+    assert_eq!(first.expect("an answer").body, "meter 7");
+    let reused = wait::until_some("the claim is ended", LIMIT, async || {
+        let reused = site.daemons[1].ask(CHECK, &id, "meter 8").await.ok()?;
+        reused.header("retry-after").is_none().then_some(reused)
+    })
+    .await;
+    assert_eq!(outcome(&reused), "refused");
+    assert_eq!(reused.status, 422, "{:?}", reused.json());
+    assert_eq!(site.runs(), ["check-2"], "one run");
+}
+
+/// Every worker refuses the check before it runs. The caller is told that it was not run, and the
+/// claim is released: the same id is served once workers take requests again.
+#[actix_rt::test]
+async fn a_request_that_was_not_run_may_be_asked_again_under_its_id() {
+    let site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry(CHECK, false, 5_000)).await;
+    claims_are_kept(&site).await;
+    site.switch_workers(|switches| switches.refuses = true);
+    let id = key("check-3");
+    let refused = site.daemons[0].ask(CHECK, &id, "meter 7").await;
+    let refused = refused.expect("an answer");
+    assert_eq!(outcome(&refused), "refused", "{:?}", refused.json());
+    assert_eq!(site.runs(), [""; 0], "none ran");
+    site.switch_workers(|switches| switches.refuses = false);
+    wait::until("the same id is served", LIMIT, async || {
+        let again = site.daemons[1].ask(CHECK, &id, "meter 7").await;
+        again.is_ok_and(|answer| answer.body == "meter 7")
+    })
+    .await;
+    assert_eq!(site.runs(), ["check-3"], "one run");
+}
+
+/// The table is away, so no claim can be made durable. A check with an id is refused with a time to
+/// come back, and no worker has run it; one without an id is still served inside the floors. Once
+/// the table is back the same id is served, once.
+#[actix_rt::test]
+async fn without_its_home_an_id_is_refused_and_not_run() {
+    let site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry(CHECK, false, 5_000)).await;
+    claims_are_kept(&site).await;
+    site.platform.switches.borrow_mut().down = true;
+    for daemon in &site.daemons {
+        let refused = daemon.ask(CHECK, &key("check-4"), "meter 7").await;
+        let refused = refused.expect("an answer");
+        assert_eq!(outcome(&refused), "refused", "{:?}", refused.json());
+        assert!(refused.header("retry-after").is_some());
+        let plain = daemon.ask(CHECK, &[], "meter 8").await;
+        assert_eq!(plain.expect("an answer").body, "meter 8");
+    }
+    let keyed = |runs: Vec<String>| runs.iter().filter(|id| *id == "check-4").count();
+    assert_eq!(keyed(site.runs()), 0, "none ran");
+    *site.platform.switches.borrow_mut() = PlatformSwitches::default();
+    wait::until("the id is served", LIMIT, async || {
+        let again = site.daemons[1].ask(CHECK, &key("check-4"), "meter 7").await;
+        again.is_ok_and(|answer| answer.body == "meter 7")
+    })
+    .await;
+    assert_eq!(keyed(site.runs()), 1, "one run");
+}
+
+/// A daemon dies while its check runs. The caller asks again through the other daemon: first the id
+/// is in progress; once a new run of the dead daemon shows that it is gone, the outcome is unknown,
+/// and it is never run a second time.
+#[actix_rt::test]
+async fn a_dead_daemons_claim_ends_as_unknown_and_never_runs_again() {
+    let mut site = Site::start(2, 2).await;
+    let client = site.daemons[0].client();
+    client
+        .put_entry(&entry(CHECK, false, 20_000), None)
+        .await
+        .expect("the entry is accepted");
+    let callers = [0, 1].map(|daemon: usize| site.daemons[daemon].plan.callers);
+    let ask = |daemon: usize, id: &'static str| {
+        let callers = callers[daemon];
+        let path = format!("/v1/run/{CHECK}");
+        async move { http::send(Method::POST, callers, &path, &key(id), "meter 7").await }
+    };
+    for daemon in 0..2 {
+        wait::until("claims are kept", LIMIT, async || {
+            let id = ["warm-0", "warm-1"][daemon];
+            ask(daemon, id)
+                .await
+                .is_ok_and(|answer| answer.status.is_success())
+        })
+        .await;
+    }
+    for worker in &site.workers {
+        let slow = WorkerSwitches {
+            request_ms: 8_000,
+            ..WorkerSwitches::default()
+        };
+        worker.switch_worker(&slow).await;
+    }
+    let running = actix_rt::spawn(ask(0, "check-5"));
+    wait::until("the check runs", LIMIT, async || {
+        runs_of(&site, "check-5").await == 1
+    })
+    .await;
+    let early = ask(1, "check-5").await.expect("an answer");
+    assert_eq!(outcome(&early), "refused", "{:?}", early.json());
+    let plan = site.daemons[0].plan.clone();
+    site.daemons[0].process.kill();
+    let _ = running.await;
+    site.daemons[0] = crate::support::process::DaemonProcess::start(plan);
+    let end = wait::until_some("the claim is over", LIMIT, async || {
+        let end = ask(1, "check-5").await.ok()?;
+        (outcome(&end) != "refused").then_some(end)
+    })
+    .await;
+    assert_eq!(outcome(&end), "unknown", "{:?}", end.json());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(runs_of(&site, "check-5").await, 1, "one run");
+}
+
+async fn runs_of(site: &Site, id: &str) -> usize {
+    let mut runs = 0;
+    for worker in &site.workers {
+        let log = worker.log().await;
+        runs += log.requests.iter().filter(|ran| *ran == id).count();
+    }
+    runs
+}
--- /dev/null
+++ b/tests/testsuite/requests/mod.rs
@@ -0,0 +1,5 @@
+//! The request path, judged by what callers receive and by what workers log.
+
+mod claims;
+mod embedded;
+mod outcomes;
--- /dev/null
+++ b/tests/testsuite/requests/outcomes.rs
@@ -0,0 +1,254 @@
+//! Truthful outcomes and whole answers: done, refused and unknown, whatever workers do.
+
+use super::embedded::{EmbeddedSite, LIMIT, SLOTS, entry};
+use crate::support::{http::Raw, wait};
+use lapisdrum::core::size::Size;
+use lapisdrum_standins::worker::link::LinkSwitches;
+use std::time::{Duration, Instant};
+
+/// The size of one request of [`entry`].
+const SIZE: Size = Size {
+    millicores: 500,
+    memory_mb: 100,
+    accelerators: 0,
+};
+
+fn outcome(answer: &Raw) -> &str {
+    answer.header("lapisdrum-outcome").unwrap_or("none")
+}
+
+/// Counts of what callers received.
+#[derive(Debug, Default)]
+struct Tally {
+    done: u32,
+    refused: u32,
+    unknown: u32,
+}
+
+/// Sends `rounds` requests in a row from each of `callers` callers, each with a body of its own, and
+/// checks that whoever is answered gets its own body whole.
+async fn crowd(site: &EmbeddedSite, name: &str, callers: usize, rounds: usize) -> Tally {
+    let caller = |caller: usize| async move {
+        let daemon = &site.daemons[caller % site.daemons.len()];
+        let mut tally = Tally::default();
+        for round in 0..rounds {
+            // Long enough that a cut shows.
+            let body = format!("{name} of caller {caller} round {round};").repeat(50);
+            let answer = daemon.ask(name, &[], &body).await.expect("an answer");
+            match outcome(&answer) {
+                "done" => {
+                    assert_eq!(
+                        answer.body, body,
+                        "another caller's answer, or not the whole"
+                    );
+                    tally.done += 1;
+                }
+                "refused" => {
+                    assert!(answer.header("retry-after").is_some());
+                    tally.refused += 1;
+                }
+                "unknown" => tally.unknown += 1,
+                other => panic!("outcome `{other}`"),
+            }
+        }
+        tally
+    };
+    let tallies = futures::future::join_all((0..callers).map(caller)).await;
+    let mut sum = Tally::default();
+    for tally in tallies {
+        sum.done += tally.done;
+        sum.refused += tally.refused;
+        sum.unknown += tally.unknown;
+    }
+    sum
+}
+
+fn most_often(runs: &[String]) -> usize {
+    let often = |id: &String| runs.iter().filter(|ran| *ran == id).count();
+    runs.iter().map(often).max().unwrap_or_default()
+}
+
+/// 200 callers ask at once while workers cut answers off, delay some, name the wrong request in
+/// some, and the connections repeat or lose others. Each caller gets its own whole answer or is told
+/// the truth: as many requests ran as were done or unknown, none of them twice.
+#[actix_rt::test]
+async fn each_of_200_callers_gets_its_own_whole_answer() {
+    let site = EmbeddedSite::start(&["multan"], 2, 4).await;
+    site.serve_entry(&entry("check", false, 2_000)).await;
+    for worker in &site.workers {
+        worker.switch(|switches| {
+            switches.cuts_one_in = 11;
+            switches.delays_one_in = 7;
+            switches.misnames_one_in = 13;
+        });
+        *worker.link.switches.borrow_mut() = LinkSwitches {
+            repeats_one_in: 5,
+            drops_one_in: 17,
+        };
+    }
+    let tally = crowd(&site, "check", 200, 3).await;
+    assert!(tally.done > 0 && tally.unknown > 0, "{tally:?}");
+    let runs = site.runs();
+    assert_eq!(most_often(&runs), 1, "a non-idempotent request ran twice");
+    assert!(
+        runs.len() <= (tally.done + tally.unknown) as usize,
+        "{} runs for {tally:?}",
+        runs.len()
+    );
+    for worker in &site.workers {
+        let log = worker.worker.log.borrow();
+        assert!(log.most_requests <= SLOTS, "{}", log.most_requests);
+    }
+}
+
+/// Workers refuse everything before it runs. Callers are told that nothing was run, and the workers'
+/// logs agree.
+#[actix_rt::test]
+async fn refused_means_not_run() {
+    let site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry("check", false, 2_000)).await;
+    site.switch_workers(|switches| switches.refuses = true);
+    let tally = crowd(&site, "check", 20, 1).await;
+    assert_eq!((tally.done, tally.unknown), (0, 0), "{tally:?}");
+    assert_eq!(site.runs(), [""; 0]);
+}
+
+/// The worker runs a check and the connection closes without an answer. Nobody knows whether it ran,
+/// so the caller is told so and it isn't sent again; a route map, which is idempotent, is.
+#[actix_rt::test]
+async fn a_lost_answer_is_unknown_unless_the_entry_is_idempotent() {
+    let site = EmbeddedSite::start(&["multan"], 1, 2).await;
+    site.serve_entry(&entry("check", false, 2_000)).await;
+    site.serve_entry(&entry("map", true, 2_000)).await;
+    for worker in &site.workers {
+        worker.link.switches.borrow_mut().drops_one_in = 1;
+    }
+    let check = site.daemons[0].ask("check", &[], "meter 7").await;
+    assert_eq!(outcome(&check.expect("an answer")), "unknown");
+    assert_eq!(site.runs().len(), 1, "sent once");
+    for worker in &site.workers {
+        worker.link.switches.borrow_mut().drops_one_in = 2;
+    }
+    for _ in 0..4 {
+        let map = site.daemons[0].ask("map", &[], "studio 3").await;
+        assert_eq!(map.expect("an answer").body, "studio 3");
+    }
+}
+
+/// Callers ask for checks that their workers run longer than the callers wait, go away, and others
+/// ask at once. The worker still runs what was given up on, so its slots and size stay counted: it
+/// never runs more than it has slots for, and never more than its share for requests.
+#[actix_rt::test]
+async fn a_worker_is_never_given_more_than_its_slots_and_size() {
+    let site = EmbeddedSite::start(&["multan"], 2, 1).await;
+    let large = Size {
+        millicores: 3_000,
+        ..SIZE
+    };
+    let mut raw = entry("check", false, 3_000);
+    raw.millicores = large.millicores;
+    site.serve_entry(&raw).await;
+    site.switch_workers(|switches| {
+        switches.request_ms = 1_500;
+        switches.entry_sizes.insert("check".to_owned(), large);
+    });
+    let impatient = |caller: usize| {
+        let daemon = &site.daemons[caller % 2];
+        async move {
+            for _ in 0..6 {
+                let asked = daemon.ask("check", &[], "x");
+                // The caller closes its connection.
+                let _ = tokio::time::timeout(Duration::from_millis(200), asked).await;
+            }
+        }
+    };
+    futures::future::join_all((0..20).map(impatient)).await;
+    let log = site.workers[0].worker.log.borrow();
+    assert!(!log.requests.is_empty(), "some ran");
+    assert!(log.most_requests <= SLOTS, "{}", log.most_requests);
+    // Half of the worker is kept for requests.
+    assert!(log.most_size.millicores <= 8_000, "{:?}", log.most_size);
+}
+
+/// A worker hangs with requests on it. Each is answered at its deadline with an unknown outcome, and
+/// not later; the deadline that the caller gave is what counts.
+#[actix_rt::test]
+async fn a_hung_worker_is_answered_for_at_the_deadline() {
+    let site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    site.serve_entry(&entry("check", false, 30_000)).await;
+    site.switch_workers(|switches| switches.hang_requests = true);
+    let began = Instant::now();
+    let headers = [("lapisdrum-deadline-ms", "400")];
+    let answer = site.daemons[0].ask("check", &headers, "meter 7").await;
+    let answer = answer.expect("an answer");
+    assert_eq!(outcome(&answer), "unknown", "{:?}", answer.json());
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "the caller's deadline counts"
+    );
+}
+
+/// The platform says that a worker is leaving. It takes no new request from any daemon a few polls
+/// later, while the other serves all of them.
+#[actix_rt::test]
+async fn a_leaving_worker_gets_no_new_requests() {
+    let site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry("check", false, 5_000)).await;
+    site.platform.hosts.borrow_mut()[0].state = "leaving".to_owned();
+    // Two polls of the test's settings, and as much again for a busy machine.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = site.workers[0].runs().len();
+    let tally = crowd(&site, "check", 4, 10).await;
+    assert_eq!(tally.unknown, 0, "{tally:?}");
+    assert!(tally.done > 0, "{tally:?}");
+    assert_eq!(
+        site.workers[0].runs().len(),
+        before,
+        "the leaving worker ran more"
+    );
+}
+
+/// A daemon is told to end with requests in flight, one of whose callers has gone away. It answers
+/// the others whole and takes nothing new; it ends only after the abandoned one is over as well, so
+/// that its floors aren't given to others while the worker still runs it.
+#[actix_rt::test]
+async fn a_graceful_end_waits_for_all_that_runs() {
+    let mut site = EmbeddedSite::start(&["multan"], 2, 2).await;
+    site.serve_entry(&entry("check", false, 5_000)).await;
+    site.switch_workers(|switches| switches.request_ms = 1_500);
+    let ending = &site.daemons[0];
+    let abandoned = ending.ask("check", &[], "gone");
+    let _ = tokio::time::timeout(Duration::from_millis(300), abandoned).await;
+    let asked = async {
+        let calls = (0..4).map(|_| ending.ask("check", &[], "meter 7"));
+        futures::future::join_all(calls).await
+    };
+    let told = async {
+        wait::until("all run", LIMIT, async || site.runs().len() == 5).await;
+        ending.tell_to_end();
+    };
+    let (answers, ()) = futures::join!(asked, told);
+    for answer in answers {
+        assert_eq!(answer.expect("an answer").body, "meter 7");
+    }
+    site.daemons[0].ended().await;
+    let after = site.daemons[1].ask("check", &[], "meter 8").await;
+    assert_eq!(after.expect("an answer").body, "meter 8");
+}
+
+/// A caller sends more than the entry allows. It is refused before the body is held, and nothing is
+/// run; a body at the limit is served.
+#[actix_rt::test]
+async fn a_body_beyond_the_entrys_limit_is_refused() {
+    let site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    let mut raw = entry("check", false, 5_000);
+    raw.body_bytes = Some(2_000);
+    site.serve_entry(&raw).await;
+    let long = site.daemons[0].ask("check", &[], &"x".repeat(2_001)).await;
+    let long = long.expect("an answer");
+    assert_eq!((long.status.as_u16(), outcome(&long)), (413, "refused"));
+    assert_eq!(site.runs(), [""; 0]);
+    let body = "x".repeat(2_000);
+    let at_limit = site.daemons[0].ask("check", &[], &body).await;
+    assert_eq!(at_limit.expect("an answer").body, body);
+}
