--- a/crates/lapisdrum-standins/src/worker/link.rs
+++ b/crates/lapisdrum-standins/src/worker/link.rs
@@ -7,6 +7,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
 
@@ -20,6 +21,8 @@
     pub repeats_one_in: u32,
     /// Of this many answers one is dropped and its connection closed; 0 for none.
     pub drops_one_in: u32,
+    /// Connections are closed this long after they were made, in milliseconds; 0 for never.
+    pub closes_after_ms: u64,
 }
 
 /// A link's state; shared with a test.
@@ -57,7 +60,12 @@
                 }
             }
         };
+        let closes_after = match self.switches.borrow().closes_after_ms {
+            0 => Duration::MAX,
+            ms => Duration::from_millis(ms),
+        };
         tokio::select! {
+            () = tokio::time::sleep(closes_after) => Ok(()),
             ended = answers => ended,
             ended = copy(&mut near_read, &mut far_write) => ended.map(|_| ()),
         }
--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -50,7 +50,7 @@
     pub fails_tasks: bool,
     /// Of this many requests one answer is cut off half way and its connection closed; 0 for none.
     pub cuts_one_in: u32,
-    /// Of this many requests one answer names another request; 0 for none.
+    /// Of this many requests one gets another request's answer; 0 for none.
     pub misnames_one_in: u32,
     /// Of this many requests one takes ten times as long; 0 for none.
     pub delays_one_in: u32,
@@ -246,11 +246,11 @@
         if !in_time.await {
             return HttpResponse::empty(StatusCode::GATEWAY_TIMEOUT).with(REQUEST_HEADER, id);
         }
-        let named = match is_one_in(switches.misnames_one_in) {
-            true => "another-request".to_owned(),
-            false => id,
+        let (named, body) = match is_one_in(switches.misnames_one_in) {
+            true => ("another-request".to_owned(), FOREIGN_BODY.into()),
+            false => (id, req.body.clone()),
         };
-        let answer = HttpResponse::bytes(StatusCode::OK, req.body.clone())
+        let answer = HttpResponse::bytes(StatusCode::OK, body)
             .with(REQUEST_HEADER, named)
             .with(ENTRY_HEADER, entry);
         match is_one_in(switches.cuts_one_in) {
@@ -381,6 +381,8 @@
 /// First reading of a worker's clock: not zero, so that a reading is never mistaken for none.
 const BASE_MS: u64 = 1_000_000;
 
+/// The answer to another request.
+const FOREIGN_BODY: &str = "the answer to another request";
 /// How much longer a delayed request takes.
 const DELAY_FACTOR: u64 = 10;
 
--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -2,7 +2,9 @@
 
 use super::{
     jobs, operators,
-    wire::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused},
+    wire::{
+        CALLER_HEADER, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused,
+    },
 };
 use crate::{
     core::{
@@ -21,6 +23,7 @@
 use actix_rt::net::TcpListener;
 use bytes::Bytes;
 use std::{rc::Rc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Serves until the daemon drains and the last request in flight is answered.
 pub async fn serve(cx: Cx, listener: TcpListener) {
@@ -182,9 +185,19 @@
         content_type: req.header("content-type").map(str::to_owned),
         deadline,
         key,
+        caller: caller_of(req),
     })
 }
 
+/// Who asks, for fairness between callers: by the name that a gateway passes on, else by address.
+fn caller_of(req: &HttpRequest) -> u64 {
+    match (req.header(CALLER_HEADER), req.peer) {
+        (Some(name), _) => xxh3_64(name.as_bytes()),
+        (None, Some(peer)) => xxh3_64(peer.to_string().as_bytes()),
+        (None, None) => 0,
+    }
+}
+
 fn run_answer(cx: &Cx, end: RunEnd) -> (HttpResponse, &'static str) {
     match end {
         RunEnd::Done(id, answer) => {
--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -22,6 +22,8 @@
 pub const DEADLINE_HEADER: &str = "lapisdrum-deadline-ms";
 /// Header with the caller's own id for a request or job.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// Header by which a gateway names the caller that it asks for.
+pub const CALLER_HEADER: &str = "lapisdrum-caller";
 /// Header with an operator's id for a change.
 pub const CHANGE_HEADER: &str = "lapisdrum-change";
 
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -12,9 +12,11 @@
 pub mod members;
 pub mod metrics;
 pub mod peers;
+pub mod queue;
 pub mod registrar;
 pub mod router;
 pub mod shard;
+pub mod shares;
 pub mod supervisor;
 pub mod tasks;
 
@@ -26,7 +28,7 @@
     peer::client::Peers,
     platform::client::PlatformClient,
     settings::Settings,
-    state::{catalogue::Catalogue, ownership::Holder},
+    state::{catalogue::Catalogue, grants::Floors, ownership::Holder},
     timeline::{event::Happening, ring::Timeline},
     worker::client::WorkerClient,
 };
@@ -73,11 +75,13 @@
     /// Shards that this daemon owns.
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
-    pub floors: RefCell<grants::Floors>,
+    pub floors: RefCell<Floors>,
     /// Claims on request ids that this daemon serves, and where claims are kept.
     pub claims: claims::Claims,
     /// Requests being served, also those whose callers have gone away.
     pub in_flight: Rc<()>,
+    /// Requests that wait, and what routing has learned.
+    pub line: queue::Line,
     /// Requests let in and not yet answered.
     pub admission: RefCell<crate::policy::admission::Admission>,
     /// Whether a catalogue at least as new as any in force when this daemon started is in force.
@@ -117,6 +121,7 @@
             floors: RefCell::default(),
             claims: claims::Claims::default(),
             in_flight: Rc::default(),
+            line: queue::Line::default(),
             admission: RefCell::default(),
             catalogue_ready: Cell::new(false),
             draining: watch::Sender::new(false),
@@ -157,6 +162,7 @@
     supervisor.start("registrar", registrar::run);
     supervisor.start("grants", grants::run);
     supervisor.start("claims", claims::run);
+    supervisor.start("queue", queue::run);
     supervisor.start_once(
         "peer-server",
         crate::peer::server::serve(Rc::clone(cx), peers),
@@ -187,6 +193,7 @@
     supervisor.stop("registrar");
     supervisor.stop("grants");
     supervisor.stop("claims");
+    supervisor.stop("queue");
     let give_up = async {
         grants::give_back(cx).await;
         registrar::release_all(cx).await;
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -324,14 +324,19 @@
 fn candidates(cx: &Cx, entry: &Entry) -> Vec<(WorkerId, u32)> {
     let members = cx.members.borrow();
     let floors = cx.floors.borrow();
-    let daemons = u32::try_from(members.daemons.len()).unwrap_or(u32::MAX).max(1);
+    let daemons = u32::try_from(members.daemons.len())
+        .unwrap_or(u32::MAX)
+        .max(1);
     let has_room = |worker: &WorkerId, used: u32| {
         let host = members.hosts.get(worker);
         host.is_some_and(|host| {
             !host.leaving && used < connection_share(cx, host.connections, daemons)
         }) && floors.has_room(worker, &entry.size)
     };
-    let held = floors.held.iter().map(|(worker, floor)| (worker, floor.used.slots));
+    let held = floors
+        .held
+        .iter()
+        .map(|(worker, floor)| (worker, floor.used.slots));
     held.filter(|(worker, used)| has_room(worker, *used))
         .map(|(worker, used)| (worker.clone(), used))
         .collect()
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -7,38 +7,41 @@
 use super::{
     Cx,
     claims::{self, Begun},
+    queue::{self, Place},
     supervisor,
 };
 use crate::{
     core::{
         catalogue::{Class, Entry},
-        id::{EntryName, RequestId, WorkerId},
+        id::{EntryName, RequestId},
         outcome::Refusal,
-        size::Size,
         time::Millis,
     },
-    policy::routing::{self, Candidate},
+    policy::{retry::Failure, routing::End},
     state::{claims::KeptAnswer, ledger::ClaimEnd},
     timeline::event::Happening,
     worker::client::{Answer, Outgoing, RequestEnd},
 };
 use bytes::Bytes;
-use std::{rc::Rc, time::Duration};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// When to come back after a refusal for want of room.
+/// When to come back to a daemon that is not ready.
 const BUSY_RETRY: Duration = Duration::from_secs(1);
 /// Largest answer that is passed on, in bytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
-/// Sends of one request that certainly did not run before.
-const MOST_SENDS: usize = 3;
+/// Least status of an answer that tells of a fault of the worker.
+const FIRST_SERVER_FAULT: u16 = 500;
 /// Time after a request's deadline in which its worker has certainly ended it: the deadline is
 /// counted by the worker from the request's arrival, a packet's delay after it was sent.
 const LATE_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at what is still in flight.
 const FINISH_POLL: Duration = Duration::from_millis(5);
 
+/// Completes when the caller has gone away.
+type CallerGone = oneshot::Receiver<Infallible>;
+
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct RunRequest {
@@ -52,6 +55,8 @@
     pub deadline: Option<Duration>,
     /// The caller's own id for the request.
     pub key: Option<RequestId>,
+    /// Hash of who asks; requests of one caller share one turn in line.
+    pub caller: u64,
 }
 
 /// How a request ended for the caller.
@@ -67,13 +72,15 @@
     Unknown(RequestId, String),
 }
 
-/// Serves a caller's request. It goes on when the caller goes away: its worker may be running it,
-/// and the slot must stay counted.
+/// Serves a caller's request. Once sent it goes on when the caller goes away: its worker may be
+/// running it, and its place must stay taken.
 pub async fn run(cx: &Cx, req: RunRequest) -> RunEnd {
     let (tx, rx) = oneshot::channel();
+    // Dropped with this future.
+    let (_caller, caller_gone) = oneshot::channel::<Infallible>();
     let (owned, in_flight) = (Rc::clone(cx), Rc::clone(&cx.in_flight));
     supervisor::spawn("request", async move {
-        let end = serve(&owned, &req).await;
+        let end = serve(&owned, &req, caller_gone).await;
         // Nobody listens when the caller has gone away.
         let _ = tx.send(end);
         drop(in_flight);
@@ -90,26 +97,31 @@
     }
 }
 
-async fn serve(cx: &Cx, req: &RunRequest) -> RunEnd {
+async fn serve(cx: &Cx, req: &RunRequest, caller_gone: CallerGone) -> RunEnd {
     let began = cx.clock.now();
-    let entry = match check(cx, req) {
-        Ok(entry) => entry,
+    let checked = check(cx, req).and_then(|entry| {
+        queue::let_in(cx, &entry)?;
+        Ok(entry)
+    });
+    let entry = match checked {
+        Ok(entry) => Rc::new(entry),
         Err(refusal) => return RunEnd::Refused(refusal),
     };
     let deadline = began + req.deadline.unwrap_or(entry.deadline).min(entry.deadline);
     match &req.key {
-        Some(key) => serve_claimed(cx, &entry, req, key, deadline).await,
-        None => admit_and_send(cx, &entry, req, mint_id(cx), deadline).await,
+        Some(key) => serve_claimed(cx, &entry, req, key, deadline, caller_gone).await,
+        None => wait_and_send(cx, &entry, req, mint_id(cx), deadline, caller_gone).await,
     }
 }
 
 /// Serves a request whose id the caller brought: once, whatever is repeated.
 async fn serve_claimed(
     cx: &Cx,
-    entry: &Entry,
+    entry: &Rc<Entry>,
     req: &RunRequest,
     key: &RequestId,
     deadline: Millis,
+    caller_gone: CallerGone,
 ) -> RunEnd {
     let left = deadline.since(cx.clock.now());
     let claim = match claims::begin(cx, key, &entry.name, left).await {
@@ -117,7 +129,7 @@
         Begun::Ended(end) => return first_outcome(req, key, end),
         Begun::Refused(refusal) => return RunEnd::Refused(refusal),
     };
-    let end = admit_and_send(cx, entry, req, key.clone(), deadline).await;
+    let end = wait_and_send(cx, entry, req, key.clone(), deadline, caller_gone).await;
     claims::end(cx, key, claim, claim_end(req, &end));
     end
 }
@@ -162,43 +174,24 @@
     }
 }
 
-async fn admit_and_send(
+async fn wait_and_send(
     cx: &Cx,
-    entry: &Entry,
+    entry: &Rc<Entry>,
     req: &RunRequest,
     id: RequestId,
     deadline: Millis,
+    caller_gone: CallerGone,
 ) -> RunEnd {
-    if !cx.admission.borrow_mut().try_admit(entry, daemon_count(cx)) {
-        return RunEnd::Refused(Refusal::OverLimit {
-            entry: entry.name.clone(),
-            retry_after: BUSY_RETRY,
-        });
-    }
-    let admitted = Admitted { cx, entry };
-    let end = send(cx, entry, req, id, deadline).await;
-    drop(admitted);
-    end
-}
-
-/// Gives the admission back.
-struct Admitted<'a> {
-    cx: &'a Cx,
-    entry: &'a Entry,
-}
-
-impl Drop for Admitted<'_> {
-    fn drop(&mut self) {
-        self.cx.admission.borrow_mut().finish(&self.entry.name);
+    let gone = async {
+        // Nothing is ever sent; this ends when the other side is dropped.
+        let _ = caller_gone.await;
+    };
+    match queue::wait(cx, entry, req.caller, deadline, gone).await {
+        Ok(place) => send(cx, entry, req, id, deadline, place).await,
+        Err(refusal) => RunEnd::Refused(refusal),
     }
 }
 
-fn daemon_count(cx: &Cx) -> u32 {
-    u32::try_from(cx.members.borrow().daemons.len())
-        .unwrap_or(u32::MAX)
-        .max(1)
-}
-
 fn check(cx: &Cx, req: &RunRequest) -> Result<Entry, Refusal> {
     if !cx.is_ready() {
         return Err(Refusal::Draining {
@@ -224,61 +217,71 @@
     Ok(entry)
 }
 
-async fn send(cx: &Cx, entry: &Entry, req: &RunRequest, id: RequestId, deadline: Millis) -> RunEnd {
+/// Sends a request until it is answered, may not be sent again, or has no place left.
+async fn send(
+    cx: &Cx,
+    entry: &Entry,
+    req: &RunRequest,
+    id: RequestId,
+    deadline: Millis,
+    first: Place,
+) -> RunEnd {
+    let mut next = Some(first);
     // Whether a send has ended without a word on whether it ran.
     let mut in_doubt = None;
-    for _ in 0..MOST_SENDS {
+    while let Some(place) = next {
         let left = deadline.since(cx.clock.now());
-        let chosen = choose_worker(cx, entry);
-        let refusal = match (left.is_zero(), &chosen) {
-            (true, _) => Some(Refusal::TooLate {
-                retry_after: BUSY_RETRY,
-            }),
-            (false, None) => Some(Refusal::Busy {
-                retry_after: BUSY_RETRY,
-            }),
-            (false, Some(_)) => None,
-        };
-        if let Some(refusal) = refusal {
-            // What was sent before may have run.
-            return match in_doubt {
-                Some(why) => unknown(cx, id, why),
-                None => RunEnd::Refused(refusal),
-            };
-        }
-        let Some((worker, address)) = chosen else {
+        if left.is_zero() {
             break;
-        };
+        }
         let out = Outgoing {
             request: &id,
             entry: &entry.name,
-            epoch: cx.floors.borrow().epoch,
+            epoch: cx.floors.borrow().epoch_on(&place.worker),
             content_type: req.content_type.as_deref(),
             body: req.body.clone(),
             left,
             answer_limit: ANSWER_LIMIT,
         };
-        let slot = Slot::take(cx, worker, &entry.size);
-        match cx.workers.run(&address, out).await {
-            RequestEnd::Answered(answer) => return RunEnd::Done(id, answer),
-            RequestEnd::NotRun(_) => {}
+        let end = cx.workers.run(&place.address, out).await;
+        place.note_end(routing_end(&end));
+        let failure = match end {
+            RequestEnd::Answered(answer) => {
+                cx.line.note_success(&entry.name);
+                return RunEnd::Done(id, answer);
+            }
+            RequestEnd::Unsent(_) | RequestEnd::NotRun(_) => {
+                drop(place);
+                Failure::NotRun
+            }
             RequestEnd::Unknown(why) => {
-                slot.hold_until(deadline + LATE_MARGIN);
-                if !entry.idempotent {
-                    return unknown(cx, id, why);
-                }
+                place.hold_until(deadline + LATE_MARGIN);
                 in_doubt = Some(why);
+                Failure::Unknown
             }
-        }
+        };
+        let is_repeated = cx.line.try_retry(entry, failure);
+        next = is_repeated.then(|| Place::take(cx, entry)).flatten();
     }
     match in_doubt {
+        // What was sent before may have run.
         Some(why) => unknown(cx, id, why),
         None => RunEnd::Refused(Refusal::Busy {
-            retry_after: BUSY_RETRY,
+            retry_after: cx.line.retry_after(cx.clock.now()),
         }),
     }
 }
 
+fn routing_end(end: &RequestEnd) -> End {
+    match end {
+        // A worker that fails at once looks fastest; it counts as failing.
+        RequestEnd::Answered(answer) if answer.status >= FIRST_SERVER_FAULT => End::Failed,
+        RequestEnd::Answered(_) => End::Answered,
+        RequestEnd::NotRun(_) => End::Full,
+        RequestEnd::Unsent(_) | RequestEnd::Unknown(_) => End::Failed,
+    }
+}
+
 fn unknown(cx: &Cx, id: RequestId, why: String) -> RunEnd {
     cx.timeline.record(Happening::RequestUnknown {
         request: id.clone(),
@@ -287,76 +290,6 @@
     RunEnd::Unknown(id, why)
 }
 
-/// A slot in use, counted until it is dropped.
-///
-/// Failure: a request's answer is lost or late. The worker may be running it still, so a slot that
-/// is free again at once would let the host be loaded beyond its size. The worker ends a request at
-/// the deadline that came with it, and the slot is held until then.
-struct Slot {
-    cx: Cx,
-    worker: WorkerId,
-    size: Size,
-    _in_flight: Rc<()>,
-}
-
-impl Slot {
-    fn take(cx: &Cx, worker: WorkerId, size: &Size) -> Self {
-        cx.floors.borrow_mut().take(&worker, size);
-        Self {
-            cx: Rc::clone(cx),
-            worker,
-            size: *size,
-            _in_flight: Rc::clone(&cx.in_flight),
-        }
-    }
-
-    /// Keeps the slot counted until a time at which the request is over on its worker.
-    fn hold_until(self, end: Millis) {
-        let wait = end.since(self.cx.clock.now());
-        supervisor::spawn("held-slot", async move {
-            tokio::time::sleep(wait).await;
-            drop(self);
-        });
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let mut floors = self.cx.floors.borrow_mut();
-        floors.release(&self.worker, &self.size);
-    }
-}
-
-fn choose_worker(cx: &Cx, entry: &Entry) -> Option<(WorkerId, String)> {
-    let daemons = daemon_count(cx);
-    let members = cx.members.borrow();
-    let floors = cx.floors.borrow();
-    let mut candidates = Vec::new();
-    for (index, (worker, floor)) in floors.held.iter().enumerate() {
-        let host = members.hosts.get(worker);
-        let is_open = host.is_some_and(|host| {
-            !host.leaving && floor.used.slots < connection_share(cx, host.connections, daemons)
-        });
-        if is_open && floors.has_room(worker, &entry.size) {
-            candidates.push(Candidate {
-                index,
-                outstanding: floor.used.slots,
-            });
-        }
-    }
-    let chosen = routing::choose(&candidates, &mut rand::rng())?;
-    let (worker, _) = floors.held.get_index(chosen)?;
-    let host = members.hosts.get(worker)?;
-    Some((worker.clone(), host.address.clone()))
-}
-
-/// Connections to one worker for requests: its limit divided over the daemons, less one for
-/// commands.
-fn connection_share(cx: &Cx, connections: u32, daemons: u32) -> u32 {
-    let share = (connections / daemons).saturating_sub(1).max(1);
-    share.min(cx.cfg.requests.connections)
-}
-
 /// An id that no other daemon mints: this run's number and a random part.
 fn mint_id(cx: &Cx) -> RequestId {
     let text = format!(
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -6,5 +6,6 @@
 pub mod catalogue;
 pub mod claims;
 pub mod fencing;
+pub mod grants;
 pub mod ledger;
 pub mod ownership;
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -18,6 +18,7 @@
 use std::{
     convert::Infallible,
     future::Future,
+    net::IpAddr,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -48,6 +49,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The client's address.
+    pub peer: Option<IpAddr>,
 }
 
 impl HttpRequest {
@@ -258,6 +261,7 @@
         query: req.uri().query().unwrap_or_default().to_owned(),
         headers: std::mem::replace(req.headers_mut(), HeaderMap::new()),
         body: body.freeze(),
+        peer: req.peer_addr().map(|peer| peer.ip()),
     })
 }
 
--- a/src/lapisdrum/worker/client.rs
+++ b/src/lapisdrum/worker/client.rs
@@ -49,7 +49,9 @@
 pub enum RequestEnd {
     /// The whole answer arrived.
     Answered(Answer),
-    /// It certainly did not run.
+    /// No connection was made.
+    Unsent(String),
+    /// The worker says that it did not run it.
     NotRun(String),
     /// Nobody knows whether it ran.
     Unknown(String),
@@ -275,7 +277,7 @@
         SendRequestError::Connect(ConnectError::Disconnected) => RequestEnd::Unknown(e.to_string()),
         // Without a connection not a byte was sent.
         SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            RequestEnd::NotRun(e.to_string())
+            RequestEnd::Unsent(e.to_string())
         }
         _ => RequestEnd::Unknown(e.to_string()),
     }
@@ -296,6 +298,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Answered(answer) => write!(f, "answered with status {}", answer.status),
+            Self::Unsent(why) => write!(f, "not sent: {why}"),
             Self::NotRun(why) => write!(f, "not run: {why}"),
             Self::Unknown(why) => write!(f, "unknown: {why}"),
         }
