Floors of daemons that are gone are taken back once their requests are over

Cause: a floor stood in the ledger for ever when its daemon died, so a new run of the daemon at the same address got none, and a drain that was cut short gave floors back under requests that were still running.

Change: the owner voids the floors of a daemon that is certainly gone (another run wrote its presence at the same address after it was heard of, or a list of presence rows read after that doesn't name it), the longest deadline of any entry later.

--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -8,6 +8,8 @@
 use super::{
     Cx,
     journal::{Urgency, WriteEnd},
+    peers,
+    router::LATE_MARGIN,
     shard::Shard,
 };
 use crate::{
@@ -15,6 +17,7 @@
         id::{Epoch, ShardId, WorkerId},
         outcome::Refusal,
         size::Size,
+        time::Millis,
     },
     peer::wire::{GrantAnswer, GrantRound, PeerReply, PeerRequest, WorkerGrant},
     platform::wire::Host,
@@ -24,11 +27,24 @@
         ownership::Holder,
     },
 };
-use std::{rc::Rc, time::Duration};
+use indexmap::IndexMap;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 /// When a daemon should ask again after a refused exchange.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// What an owner remembers of the daemons that hold floors, to find those that are gone.
+#[derive(Debug, Default)]
+pub struct Holders(RefCell<IndexMap<(ShardId, Holder), Watch>>);
+
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    /// The owner's epoch under which it was first seen: a later owner begins anew.
+    epoch: Epoch,
+    heard: Millis,
+    gone_since: Option<Millis>,
+}
+
 /// Exchanges floors with the owners of this data centre's shards until the process ends.
 pub async fn run(cx: Cx) -> eyre::Result<()> {
     loop {
@@ -36,6 +52,10 @@
             let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
             exchange(&cx, shard).await;
         }
+        let own: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
+        for shard in own.iter().filter(|shard| shard.is_serving()) {
+            void_gone(&cx, shard);
+        }
         tokio::time::sleep(cx.cfg.requests.grant_poll).await;
     }
 }
@@ -108,8 +128,20 @@
     grants.into_iter().map(wire).collect()
 }
 
-/// Gives every floor back at a graceful end.
+/// Gives every floor back at a graceful end. Where the drain was cut short, workers may be running
+/// requests still; the floors are then left to be voided after the longest deadline.
 pub async fn give_back(cx: &Cx) {
+    let nothing = Grant::default();
+    let is_used = cx
+        .floors
+        .borrow()
+        .held
+        .values()
+        .any(|floor| floor.used != nothing);
+    if is_used {
+        log::warn!("requests may be running still; floors are not given back");
+        return;
+    }
     cx.floors.borrow_mut().held.clear();
     for index in 0..cx.cfg.shards.count {
         let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
@@ -134,6 +166,50 @@
     }
 }
 
+/// As owner: takes back the floors of daemons that are certainly gone.
+///
+/// A daemon that died has left requests on workers, which run on until the deadlines that they were
+/// sent with. Its floors given to others at once would load a worker beyond its size, so they stay
+/// counted for the longest deadline of any entry after the daemon was found to be gone.
+fn void_gone(cx: &Cx, shard: &Rc<Shard>) {
+    let now = cx.clock.now();
+    let holders: Vec<Holder> = shard.state().grants.keys().cloned().collect();
+    let runs_on = cx
+        .cfg
+        .shards
+        .terms
+        .lengthened(longest_deadline(cx) + LATE_MARGIN);
+    let mut watched = cx.floor_holders.0.borrow_mut();
+    watched.retain(|(id, holder), watch| {
+        *id != shard.id || (watch.epoch == shard.epoch && holders.contains(holder))
+    });
+    for holder in holders {
+        let key = (shard.id.clone(), holder.clone());
+        let watch = watched.entry(key).or_insert(Watch {
+            epoch: shard.epoch,
+            heard: now,
+            gone_since: None,
+        });
+        if !peers::is_gone(cx, &holder, watch.heard) {
+            watch.gone_since = None;
+            continue;
+        }
+        let gone_since = *watch.gone_since.get_or_insert(now);
+        if now.since(gone_since) > runs_on {
+            // What can't be proposed now is proposed at the next look.
+            let voided = vec![Event::GrantsVoided { of: holder }];
+            let _ = shard.propose(cx, voided, Urgency::Batch);
+        }
+    }
+}
+
+fn longest_deadline(cx: &Cx) -> Duration {
+    let catalogue = cx.catalogue.borrow();
+    let names = catalogue.rows.keys();
+    let deadlines = names.filter_map(|name| catalogue.entry(name).map(|entry| entry.deadline));
+    deadlines.max().unwrap_or_default()
+}
+
 /// The owner's side of an exchange.
 pub async fn answer(cx: &Cx, shard: &Rc<Shard>, round: GrantRound) -> PeerReply {
     if !shard.is_serving() {
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -76,6 +76,8 @@
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
     pub floors: RefCell<Floors>,
+    /// As owner: the daemons that hold floors.
+    pub floor_holders: grants::Holders,
     /// Claims on request ids that this daemon serves, and where claims are kept.
     pub claims: claims::Claims,
     /// Requests being served, also those whose callers have gone away.
@@ -119,6 +121,7 @@
             members: RefCell::default(),
             shards: RefCell::default(),
             floors: RefCell::default(),
+            floor_holders: grants::Holders::default(),
             claims: claims::Claims::default(),
             in_flight: Rc::default(),
             line: queue::Line::default(),
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -66,9 +66,17 @@
         return false;
     }
     let members = cx.members.borrow();
-    let rows = || members.daemons.values().map(|seen| &seen.row.holder);
-    let is_replaced = rows().any(|row| row.address == holder.address && row != holder);
+    // A row that merely lies there may be older than `holder`; one that was written after it was
+    // heard of is not.
+    let is_replaced = members.daemons.values().any(|seen| {
+        let other = &seen.row.holder;
+        other.address == holder.address && other != holder && seen.seen.since > heard
+    });
     let read_after = heard + cx.cfg.platform.timeout * CALLS_A_ROUND;
     let is_read = members.hosts_read_at.is_some_and(|read| read >= read_after);
-    is_replaced || (is_read && !rows().any(|row| row == holder))
+    let is_named = members
+        .daemons
+        .values()
+        .any(|seen| seen.row.holder == *holder);
+    is_replaced || (is_read && !is_named)
 }
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -35,7 +35,7 @@
 const FIRST_SERVER_FAULT: u16 = 500;
 /// Time after a request's deadline in which its worker has certainly ended it: the deadline is
 /// counted by the worker from the request's arrival, a packet's delay after it was sent.
-const LATE_MARGIN: Duration = Duration::from_millis(500);
+pub const LATE_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at what is still in flight.
 const FINISH_POLL: Duration = Duration::from_millis(5);
 
--- a/tests/testsuite/requests/mod.rs
+++ b/tests/testsuite/requests/mod.rs
@@ -2,4 +2,5 @@
 
 mod claims;
 mod embedded;
+mod floors;
 mod outcomes;
