Limits hold for the whole system: durable shares of each entry

Cause: each daemon divided a limit by the number of daemons that it saw, so two that saw different numbers (one had just come, or was cut off) together exceeded the limit.

Ruled out: parts that expire (with the platform away nothing would be served within seconds); a part a daemon only by even division (an idle daemon's part is lost to the others).

Change: one table row an entry; each daemon (for requests) and each shard (for jobs) has a part, lowers it itself after it has come down, and raises it only by a write of its own that is known to have taken effect.

--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -156,6 +156,11 @@
         })
     }
 
+    /// Requests that run at present.
+    pub fn running_requests(&self) -> u32 {
+        self.running_requests.get()
+    }
+
     /// The worker's own clock. It counts on from the machine's time, so that it doesn't go back when
     /// the worker is restarted.
     pub fn now(&self) -> WorkerMillis {
--- a/src/lapisdrum/daemon/claims.rs
+++ b/src/lapisdrum/daemon/claims.rs
@@ -347,7 +347,7 @@
                 ended_since: None,
             });
             match claim.end {
-                None if peers::is_gone(cx, &claim.by, note.since) => {
+                None if peers::gone_for(cx, &claim.by).is_some() => {
                     events.extend(end_events(request.clone(), ClaimEnd::Unknown));
                 }
                 None if now.since(note.since) > DOUBTED_AFTER => {
--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -17,7 +17,6 @@
         id::{Epoch, ShardId, WorkerId},
         outcome::Refusal,
         size::Size,
-        time::Millis,
     },
     peer::wire::{GrantAnswer, GrantRound, PeerReply, PeerRequest, WorkerGrant},
     platform::wire::Host,
@@ -27,24 +26,11 @@
         ownership::Holder,
     },
 };
-use indexmap::IndexMap;
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 /// When a daemon should ask again after a refused exchange.
 const RETRY: Duration = Duration::from_secs(1);
 
-/// What an owner remembers of the daemons that hold floors, to find those that are gone.
-#[derive(Debug, Default)]
-pub struct Holders(RefCell<IndexMap<(ShardId, Holder), Watch>>);
-
-#[derive(Clone, Copy, Debug)]
-struct Watch {
-    /// The owner's epoch under which it was first seen: a later owner begins anew.
-    epoch: Epoch,
-    heard: Millis,
-    gone_since: Option<Millis>,
-}
-
 /// Exchanges floors with the owners of this data centre's shards until the process ends.
 pub async fn run(cx: Cx) -> eyre::Result<()> {
     loop {
@@ -172,30 +158,10 @@
 /// sent with. Its floors given to others at once would load a worker beyond its size, so they stay
 /// counted for the longest deadline of any entry after the daemon was found to be gone.
 fn void_gone(cx: &Cx, shard: &Rc<Shard>) {
-    let now = cx.clock.now();
+    let runs_on = requests_run_on(cx);
     let holders: Vec<Holder> = shard.state().grants.keys().cloned().collect();
-    let runs_on = cx
-        .cfg
-        .shards
-        .terms
-        .lengthened(longest_deadline(cx) + LATE_MARGIN);
-    let mut watched = cx.floor_holders.0.borrow_mut();
-    watched.retain(|(id, holder), watch| {
-        *id != shard.id || (watch.epoch == shard.epoch && holders.contains(holder))
-    });
     for holder in holders {
-        let key = (shard.id.clone(), holder.clone());
-        let watch = watched.entry(key).or_insert(Watch {
-            epoch: shard.epoch,
-            heard: now,
-            gone_since: None,
-        });
-        if !peers::is_gone(cx, &holder, watch.heard) {
-            watch.gone_since = None;
-            continue;
-        }
-        let gone_since = *watch.gone_since.get_or_insert(now);
-        if now.since(gone_since) > runs_on {
+        if peers::gone_for(cx, &holder).is_some_and(|gone| gone > runs_on) {
             // What can't be proposed now is proposed at the next look.
             let voided = vec![Event::GrantsVoided { of: holder }];
             let _ = shard.propose(cx, voided, Urgency::Batch);
@@ -203,6 +169,14 @@
     }
 }
 
+/// How long requests of a daemon that is gone may run on.
+pub fn requests_run_on(cx: &Cx) -> Duration {
+    cx.cfg
+        .shards
+        .terms
+        .lengthened(longest_deadline(cx) + LATE_MARGIN)
+}
+
 fn longest_deadline(cx: &Cx) -> Duration {
     let catalogue = cx.catalogue.borrow();
     let names = catalogue.rows.keys();
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -76,8 +76,10 @@
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
     pub floors: RefCell<Floors>,
-    /// As owner: the daemons that hold floors.
-    pub floor_holders: grants::Holders,
+    /// Runs of other daemons that are gone.
+    pub departures: peers::Departures,
+    /// Shares of the entries' limits.
+    pub shares: shares::Held,
     /// Claims on request ids that this daemon serves, and where claims are kept.
     pub claims: claims::Claims,
     /// Requests being served, also those whose callers have gone away.
@@ -121,7 +123,8 @@
             members: RefCell::default(),
             shards: RefCell::default(),
             floors: RefCell::default(),
-            floor_holders: grants::Holders::default(),
+            departures: peers::Departures::default(),
+            shares: shares::Held::default(),
             claims: claims::Claims::default(),
             in_flight: Rc::default(),
             line: queue::Line::default(),
@@ -166,6 +169,7 @@
     supervisor.start("grants", grants::run);
     supervisor.start("claims", claims::run);
     supervisor.start("queue", queue::run);
+    supervisor.start("shares", shares::run);
     supervisor.start_once(
         "peer-server",
         crate::peer::server::serve(Rc::clone(cx), peers),
@@ -197,7 +201,9 @@
     supervisor.stop("grants");
     supervisor.stop("claims");
     supervisor.stop("queue");
+    supervisor.stop("shares");
     let give_up = async {
+        shares::give_back(cx).await;
         grants::give_back(cx).await;
         registrar::release_all(cx).await;
     };
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -6,7 +6,8 @@
     peer::wire::{PeerReply, PeerRequest},
     state::ownership::Holder,
 };
-use std::{rc::Rc, time::Duration};
+use indexmap::IndexMap;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 /// When a daemon should ask again that took this one for an owner that it is not.
 const NOT_OWNER_RETRY: Duration = Duration::from_secs(1);
@@ -58,10 +59,40 @@
 /// Calls to the platform in one round of the registrar, each of which may take its timeout.
 const CALLS_A_ROUND: u32 = 5;
 
-/// Whether a run of a daemon, last heard of at `heard`, is certainly over: another run is at its
+/// Other daemons' runs that this process has heard of, and since when they are gone.
+#[derive(Debug, Default)]
+pub struct Departures(RefCell<IndexMap<Holder, Departure>>);
+
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    heard: Millis,
+    gone_since: Option<Millis>,
+}
+
+/// Runs that are remembered at most; one that is forgotten is found to be gone anew.
+const MOST_DEPARTURES: usize = 10_000;
+
+/// How long a run of a daemon has certainly been over, as far as this process knows.
+pub fn gone_for(cx: &Cx, holder: &Holder) -> Option<Duration> {
+    let now = cx.clock.now();
+    let mut known = cx.departures.0.borrow_mut();
+    if known.len() > MOST_DEPARTURES {
+        known.clear();
+    }
+    let departure = known.entry(holder.clone()).or_insert(Departure {
+        heard: now,
+        gone_since: None,
+    });
+    if departure.gone_since.is_none() && is_gone(cx, holder, departure.heard) {
+        departure.gone_since = Some(now);
+    }
+    departure.gone_since.map(|since| now.since(since))
+}
+
+/// Whether a run of a daemon, heard of at `heard`, is certainly over: another run is at its
 /// address, or it has released its presence row. A daemon asks nothing of others before its own row
 /// is written, so a list of rows that was read whole after `heard` has it unless it was released.
-pub fn is_gone(cx: &Cx, holder: &Holder, heard: Millis) -> bool {
+fn is_gone(cx: &Cx, holder: &Holder, heard: Millis) -> bool {
     if *holder == cx.me {
         return false;
     }
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -63,6 +63,11 @@
         self.queue.borrow().len()
     }
 
+    /// Requests of an entry that wait.
+    pub fn waiting_of(&self, entry: &EntryName) -> u32 {
+        self.queue.borrow().waiting_of(entry)
+    }
+
     /// When a caller should come back that is refused for want of room.
     pub fn retry_after(&self, now: Millis) -> Duration {
         let mut queue = self.queue.borrow_mut();
--- a/src/lapisdrum/daemon/shares.rs
+++ b/src/lapisdrum/daemon/shares.rs
@@ -1,23 +1,54 @@
-//! This daemon's share of each entry's limits.
+//! Shares of the entries' limits: this daemon's for requests, its shards' for jobs.
+//!
+//! The rules are in [`crate::state::shares`]; here they are driven: the rows are read at the interval
+//! of the floors' exchange, and written only when a part changes.
 
-use super::Cx;
+use super::{Cx, grants, peers, shard::Shard};
 use crate::{
-    core::catalogue::Entry,
-    policy::admission::{self, Claim},
+    core::{
+        catalogue::{Class, Entry},
+        id::{EntryName, ShardId},
+    },
+    platform::{client::TxnOutcome, wire::Txn},
+    policy::admission::{self, Claim, Share},
+    state::{
+        ownership::Holder,
+        shares::{Allowed, Look, Party, Shares},
+    },
 };
+use indexmap::IndexMap;
+use std::cell::RefCell;
+
+/// Key prefix of the entries' rows.
+const PREFIX: &str = "shares/";
+/// What is left of a past demand at each look: a burst is remembered for some ten looks.
+const DEMAND_KEPT: f64 = 0.8;
+
+/// What this daemon and its shards may use.
+#[derive(Debug, Default)]
+pub struct Held {
+    parties: RefCell<IndexMap<(EntryName, Party), Own>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    allowed: Allowed,
+    demand: f64,
+}
+
+fn key(entry: &EntryName) -> String {
+    format!("{PREFIX}{entry}")
+}
 
 /// Whose limits a request of an entry counts against here, and how far.
 pub fn of_daemon<'a>(cx: &Cx, entry: &'a Entry) -> Claim<'a> {
-    let members = cx.members.borrow();
-    let mut names: Vec<_> = members.daemons.keys().collect();
-    names.sort();
-    let index = names.iter().position(|name| **name == cx.me.daemon);
-    let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-    let share = admission::divide(
-        &entry.limits,
-        to_u32(names.len()),
-        to_u32(index.unwrap_or_default()),
-    );
+    let party = Party::Daemon(cx.me.clone());
+    let (daemons, rank) = place_of_daemon(cx);
+    let even = admission::divide(&entry.limits, daemons, rank);
+    let share = Share {
+        concurrency: allowed(cx, entry, party),
+        ..even
+    };
     Claim {
         entry: &entry.name,
         owner: &entry.owner,
@@ -25,3 +56,217 @@
         quota: None,
     }
 }
+
+/// Jobs of an entry that may have a place in an own shard at once.
+pub fn of_shard(cx: &Cx, entry: &Entry, shard: &ShardId) -> u32 {
+    allowed(cx, entry, Party::Shard(shard.clone()))
+}
+
+fn allowed(cx: &Cx, entry: &Entry, party: Party) -> u32 {
+    let parties = cx.shares.parties.borrow();
+    let own = parties.get(&(entry.name.clone(), party));
+    let allowed = own.map_or(0, |own| own.allowed.amount());
+    allowed.min(entry.limits.concurrency)
+}
+
+fn place_of_daemon(cx: &Cx) -> (u32, u32) {
+    let members = cx.members.borrow();
+    place(members.daemons.keys(), &cx.me.daemon)
+}
+
+fn place_of_shard(cx: &Cx, shard: &ShardId) -> (u32, u32) {
+    let members = cx.members.borrow();
+    place(members.shards.keys(), shard)
+}
+
+/// How many there are with `own`, and the place of `own` among them.
+fn place<'a, T: Ord + 'a>(all: impl Iterator<Item = &'a T>, own: &T) -> (u32, u32) {
+    let others: Vec<&T> = all.filter(|other| *other != own).collect();
+    let rank = others.iter().filter(|other| **other < own).count();
+    (to_u32(others.len()) + 1, to_u32(rank))
+}
+
+fn to_u32(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+/// Looks at the rows until the process ends.
+pub async fn run(cx: Cx) -> eyre::Result<()> {
+    loop {
+        look_at_all(&cx).await;
+        tokio::time::sleep(cx.cfg.requests.grant_poll).await;
+    }
+}
+
+async fn look_at_all(cx: &Cx) {
+    let Ok(rows) = cx.platform.list(PREFIX).await else {
+        return;
+    };
+    let parsed = rows
+        .iter()
+        .filter_map(|row| Some((row.key.clone(), (row.version, row.parse::<Shares>()?))));
+    let rows: IndexMap<String, (u64, Shares)> = parsed.collect();
+    let entries: Vec<Entry> = {
+        let catalogue = cx.catalogue.borrow();
+        let names = catalogue.rows.keys();
+        names.filter_map(|name| catalogue.entry(name)).collect()
+    };
+    cx.shares
+        .parties
+        .borrow_mut()
+        .retain(|(name, _), _| entries.iter().any(|entry| entry.name == *name));
+    for entry in &entries {
+        let row = rows.get(&key(&entry.name)).cloned().unwrap_or_default();
+        for party in own_parties(cx, entry) {
+            look_at(cx, entry, &row, party).await;
+        }
+    }
+}
+
+/// Requests are the daemon's own; jobs belong to shards.
+fn own_parties(cx: &Cx, entry: &Entry) -> Vec<Party> {
+    if entry.class == Class::LatencyCritical {
+        return vec![Party::Daemon(cx.me.clone())];
+    }
+    let shards = cx.shards.borrow();
+    let serving = shards.values().filter(|shard| shard.is_serving());
+    serving
+        .map(|shard| Party::Shard(shard.id.clone()))
+        .collect()
+}
+
+/// One party's figures for a look.
+struct Figures {
+    parties: u32,
+    rank: u32,
+    running: u32,
+    waiting: u32,
+}
+
+fn figures(cx: &Cx, entry: &Entry, party: &Party) -> Option<Figures> {
+    match party {
+        Party::Daemon(_) => {
+            let (parties, rank) = place_of_daemon(cx);
+            Some(Figures {
+                parties,
+                rank,
+                running: cx.admission.borrow().running(&entry.name),
+                waiting: cx.line.waiting_of(&entry.name),
+            })
+        }
+        Party::Shard(id) => {
+            let shard = cx.shards.borrow().get(id).cloned()?;
+            Some(shard_figures(cx, entry, &shard))
+        }
+    }
+}
+
+fn shard_figures(cx: &Cx, entry: &Entry, shard: &Shard) -> Figures {
+    let (parties, rank) = place_of_shard(cx, &shard.id);
+    let state = shard.state();
+    let own = state.jobs.values().filter(|job| job.entry == entry.name);
+    let open: Vec<_> = own.filter(|job| !job.is_ended()).collect();
+    let running = open.iter().filter(|job| job.placement().is_some()).count();
+    Figures {
+        parties,
+        rank,
+        running: to_u32(running),
+        waiting: to_u32(open.len() - running),
+    }
+}
+
+async fn look_at(cx: &Cx, entry: &Entry, row: &(u64, Shares), party: Party) {
+    let (version, row) = row;
+    // Counted now, and nothing more is started beyond the new part before it is written.
+    let Some(figures) = figures(cx, entry, &party) else {
+        return;
+    };
+    let own_key = (entry.name.clone(), party);
+    let party = &own_key.1;
+    let in_row = row.part(party).map_or(0, |part| part.amount);
+    let demand = note_look(cx, &own_key, in_row, &figures);
+    let look = Look {
+        party,
+        data_centre: &cx.cfg.daemon.data_centre,
+        revision: entry.revision,
+        limit: entry.limits.concurrency,
+        parties: figures.parties,
+        rank: figures.rank,
+        running: figures.running,
+        demand,
+    };
+    let next = without_gone(cx, row).looked_at(&look);
+    let amount = next.part(party).map_or(0, |part| part.amount);
+    let is_certain = with_own(cx, &own_key, |own| own.allowed.amount() >= amount);
+    if next == *row && is_certain {
+        return;
+    }
+    with_own(cx, &own_key, |own| own.allowed.before_write(amount));
+    let txn = Txn::default()
+        .compare(key(&entry.name), *version)
+        .put(key(&entry.name), &next);
+    if let TxnOutcome::Committed(_) = cx.platform.txn(&txn).await {
+        with_own(cx, &own_key, |own| own.allowed.after_write(amount));
+        cx.line.wake();
+    }
+}
+
+/// Takes what was read into account, and returns the demand of the last while.
+fn note_look(cx: &Cx, own_key: &(EntryName, Party), in_row: u32, figures: &Figures) -> u32 {
+    let asked = f64::from(figures.running + figures.waiting);
+    with_own(cx, own_key, |own| {
+        own.allowed.after_read(in_row);
+        own.demand = asked.max(own.demand * DEMAND_KEPT);
+        own.demand as u32
+    })
+}
+
+fn with_own<T>(cx: &Cx, own_key: &(EntryName, Party), then: impl FnOnce(&mut Own) -> T) -> T {
+    let mut parties = cx.shares.parties.borrow_mut();
+    then(parties.entry(own_key.clone()).or_default())
+}
+
+/// The row without the parts of daemons that are certainly gone and whose requests are over.
+fn without_gone(cx: &Cx, row: &Shares) -> Shares {
+    let runs_on = grants::requests_run_on(cx);
+    let is_over = |holder: &Holder| peers::gone_for(cx, holder).is_some_and(|gone| gone > runs_on);
+    let mut next = row.clone();
+    for part in &row.parts {
+        if let Party::Daemon(holder) = &part.party
+            && is_over(holder)
+        {
+            next = next.without(&part.party);
+        }
+    }
+    next
+}
+
+/// Gives this daemon's parts up at a graceful end, where nothing runs under them any more.
+pub async fn give_back(cx: &Cx) {
+    let party = Party::Daemon(cx.me.clone());
+    let Ok(rows) = cx.platform.list(PREFIX).await else {
+        return;
+    };
+    for row in rows {
+        let Some(shares) = row.parse::<Shares>() else {
+            continue;
+        };
+        let entry = row.key.strip_prefix(PREFIX).map(EntryName::try_from);
+        let Some(Ok(entry)) = entry else {
+            continue;
+        };
+        let runs = cx.admission.borrow().running(&entry);
+        if shares.part(&party).is_none() || runs > 0 {
+            continue;
+        }
+        cx.shares
+            .parties
+            .borrow_mut()
+            .swap_remove(&(entry, party.clone()));
+        let txn = Txn::default()
+            .compare(row.key.clone(), row.version)
+            .put(row.key.clone(), &shares.without(&party));
+        // Without an answer the part is voided once this run is seen to be gone.
+        let _: TxnOutcome = cx.platform.txn(&txn).await;
+    }
+}
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -9,3 +9,4 @@
 pub mod grants;
 pub mod ledger;
 pub mod ownership;
+pub mod shares;
--- a/tests/testsuite/requests/mod.rs
+++ b/tests/testsuite/requests/mod.rs
@@ -4,3 +4,4 @@
 mod embedded;
 mod floors;
 mod outcomes;
+mod shares;
