--- a/tests/testsuite/requests/outcomes.rs
+++ b/tests/testsuite/requests/outcomes.rs
@@ -5,6 +5,10 @@
 use lapisdrum::core::size::Size;
 use lapisdrum_standins::worker::link::LinkSwitches;
 use std::time::{Duration, Instant};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// The size of one request of [`entry`].
 const SIZE: Size = Size {
@@ -240,6 +244,50 @@
     assert_eq!(after.expect("an answer").body, "meter 8");
 }
 
+/// A check's connection breaks, so its outcome is unknown while the worker still runs it; then the
+/// daemon is told to end. It ends only when the worker is done with it: floors that are given back
+/// earlier would be given to others on top of what runs.
+#[actix_rt::test]
+async fn a_graceful_end_waits_for_what_may_still_run() {
+    let mut site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    // Before the first connection, so that none lasts.
+    site.workers[0].link.switches.borrow_mut().closes_after_ms = 100;
+    site.serve_entry(&entry("check", false, 2_000)).await;
+    site.switch_workers(|switches| switches.request_ms = 1_800);
+    wait::until("a connection breaks", LIMIT, async || {
+        let asked = site.daemons[0].ask("check", &[], "meter 7").await;
+        outcome(&asked.expect("an answer")) == "unknown"
+    })
+    .await;
+    assert_eq!(
+        site.workers[0].worker.running_requests(),
+        1,
+        "it still runs"
+    );
+    site.daemons[0].tell_to_end();
+    site.daemons[0].ended().await;
+    assert_eq!(site.workers[0].worker.running_requests(), 0, "it is over");
+}
+
+/// A caller announces more than the entry allows and sends none of it. It is refused on the
+/// announcement, so that nobody can fill the daemon's memory with bodies that are refused later.
+#[actix_rt::test]
+async fn a_body_that_is_announced_too_large_is_not_waited_for() {
+    let site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    let mut raw = entry("check", false, 5_000);
+    raw.body_bytes = Some(2_000);
+    site.serve_entry(&raw).await;
+    let stream = TcpStream::connect(site.daemons[0].plan.callers).await;
+    let mut stream = stream.expect("the daemon listens");
+    let head = "POST /v1/run/check HTTP/1.1\r\nhost: x\r\ncontent-length: 2001\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut answer = vec![0; 64];
+    let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut answer)).await;
+    let n = read.expect("answered at once").expect("read");
+    let answer = String::from_utf8_lossy(&answer[..n]);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
+
 /// A caller sends more than the entry allows. It is refused before the body is held, and nothing is
 /// run; a body at the limit is served.
 #[actix_rt::test]
