Spill: a request without room here goes to another daemon, one hop at most

Cause: a daemon whose floor or share was used up refused its callers while the next daemon had room, and a data centre without workers refused all.

Ruled out: lending a surplus beside the floors. It would have to come out of the floors, so that with the table or the owner away, and for the longest deadline after each take-over, requests had only the smaller floors; the hop reaches the same room and costs a call between daemons.

Change: a request that would not start at once is offered to one daemon of the same data centre, then to one elsewhere; each serves at once or refuses and never passes on. A call that was never sent and a refusal leave it to be served here; a call without a reply is unknown.

--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -17,6 +17,7 @@
 pub mod router;
 pub mod shard;
 pub mod shares;
+pub mod spill;
 pub mod supervisor;
 pub mod tasks;
 
@@ -78,6 +79,8 @@
     pub floors: RefCell<Floors>,
     /// Runs of other daemons that are gone.
     pub departures: peers::Departures,
+    /// Peers that had no room lately.
+    pub full_peers: spill::FullPeers,
     /// Shares of the entries' limits.
     pub shares: shares::Held,
     /// Claims on request ids that this daemon serves, and where claims are kept.
@@ -124,6 +127,7 @@
             shards: RefCell::default(),
             floors: RefCell::default(),
             departures: peers::Departures::default(),
+            full_peers: spill::FullPeers::default(),
             shares: shares::Held::default(),
             claims: claims::Claims::default(),
             in_flight: Rc::default(),
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -1,6 +1,6 @@
 //! What this daemon answers to other daemons.
 
-use super::{Cx, catalogue, claims, grants, jobs, shard::Shard};
+use super::{Cx, catalogue, claims, grants, jobs, shard::Shard, spill};
 use crate::{
     core::{id::ShardId, outcome::Refusal, time::Millis},
     peer::wire::{PeerReply, PeerRequest},
@@ -22,6 +22,7 @@
             Ok(shard) => grants::answer(cx, &shard, round).await,
             Err(refusal) => PeerReply::Refused(refusal),
         },
+        PeerRequest::Run(run) => PeerReply::Ran(spill::answer(cx, run).await),
         PeerRequest::Claim(call) => match owned(cx, &call.shard) {
             Ok(shard) => claims::answer_claim(cx, &shard, call).await,
             Err(refusal) => PeerReply::Refused(refusal),
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -272,6 +272,11 @@
     }
 }
 
+/// Whether a request of an entry would start at once: there is room, and nobody waits for it.
+pub fn is_open_to(cx: &Cx, entry: &EntryName) -> bool {
+    cx.line.waiting_of(entry) == 0 && has_room(cx, entry)
+}
+
 fn has_room(cx: &Cx, entry: &EntryName) -> bool {
     let entry = cx.catalogue.borrow().entry(entry);
     entry.is_some_and(|entry| {
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -8,7 +8,7 @@
     Cx,
     claims::{self, Begun},
     queue::{self, Place},
-    supervisor,
+    spill, supervisor,
 };
 use crate::{
     core::{
@@ -182,13 +182,66 @@
     deadline: Millis,
     caller_gone: CallerGone,
 ) -> RunEnd {
+    let mut in_doubt = None;
+    if !queue::is_open_to(cx, &entry.name) {
+        match spill::elsewhere(cx, entry, req, &id, deadline).await {
+            Ok(end) => return end,
+            Err(doubt) => in_doubt = doubt,
+        }
+    }
     let gone = async {
         // Nothing is ever sent; this ends when the other side is dropped.
         let _ = caller_gone.await;
     };
     match queue::wait(cx, entry, req.caller, deadline, gone).await {
-        Ok(place) => send(cx, entry, req, id, deadline, place).await,
-        Err(refusal) => RunEnd::Refused(refusal),
+        Ok(place) => send(cx, entry, req, id, deadline, place, in_doubt).await,
+        Err(refusal) => refused_or_unknown(cx, id, refusal, in_doubt),
+    }
+}
+
+/// A refusal, unless the request was sent before and may have run.
+fn refused_or_unknown(
+    cx: &Cx,
+    id: RequestId,
+    refusal: Refusal,
+    in_doubt: Option<String>,
+) -> RunEnd {
+    match in_doubt {
+        Some(why) => unknown(cx, id, why),
+        None => RunEnd::Refused(refusal),
+    }
+}
+
+/// Serves a request that another daemon had no room for: at once or not at all, so that it neither
+/// overtakes this daemon's own callers nor goes on to a third daemon.
+pub async fn run_spilled(cx: &Cx, req: RunRequest, id: RequestId) -> RunEnd {
+    let (tx, rx) = oneshot::channel();
+    let owned = Rc::clone(cx);
+    // Goes on when the other daemon gives up on the call, as for a caller that goes away.
+    supervisor::spawn("spilled-request", async move {
+        let end = serve_spilled(&owned, &req, id).await;
+        let _ = tx.send(end);
+    });
+    let end = rx.await;
+    end.unwrap_or_else(|_| unreachable!("a request's task always sends its end"))
+}
+
+async fn serve_spilled(cx: &Cx, req: &RunRequest, id: RequestId) -> RunEnd {
+    let began = cx.clock.now();
+    let entry = match check(cx, req) {
+        Ok(entry) => entry,
+        Err(refusal) => return RunEnd::Refused(refusal),
+    };
+    let deadline = began + req.deadline.unwrap_or(entry.deadline).min(entry.deadline);
+    let place = match queue::is_open_to(cx, &entry.name) {
+        true => Place::take(cx, &entry),
+        false => None,
+    };
+    match place {
+        Some(place) => send(cx, &entry, req, id, deadline, place, None).await,
+        None => RunEnd::Refused(Refusal::Busy {
+            retry_after: BUSY_RETRY,
+        }),
     }
 }
 
@@ -217,7 +270,8 @@
     Ok(entry)
 }
 
-/// Sends a request until it is answered, may not be sent again, or has no place left.
+/// Sends a request until it is answered, may not be sent again, or has no place left. `in_doubt` says
+/// why an earlier send may have run it.
 async fn send(
     cx: &Cx,
     entry: &Entry,
@@ -225,10 +279,9 @@
     id: RequestId,
     deadline: Millis,
     first: Place,
+    mut in_doubt: Option<String>,
 ) -> RunEnd {
     let mut next = Some(first);
-    // Whether a send has ended without a word on whether it ran.
-    let mut in_doubt = None;
     while let Some(place) = next {
         let left = deadline.since(cx.clock.now());
         if left.is_zero() {
@@ -263,13 +316,10 @@
         let is_repeated = cx.line.try_retry(entry, failure);
         next = is_repeated.then(|| Place::take(cx, entry)).flatten();
     }
-    match in_doubt {
-        // What was sent before may have run.
-        Some(why) => unknown(cx, id, why),
-        None => RunEnd::Refused(Refusal::Busy {
-            retry_after: cx.line.retry_after(cx.clock.now()),
-        }),
-    }
+    let refusal = Refusal::Busy {
+        retry_after: cx.line.retry_after(cx.clock.now()),
+    };
+    refused_or_unknown(cx, id, refusal, in_doubt)
 }
 
 fn routing_end(end: &RequestEnd) -> End {
@@ -282,7 +332,8 @@
     }
 }
 
-fn unknown(cx: &Cx, id: RequestId, why: String) -> RunEnd {
+/// Notes an outcome that nobody knows.
+pub fn unknown(cx: &Cx, id: RequestId, why: String) -> RunEnd {
     cx.timeline.record(Happening::RequestUnknown {
         request: id.clone(),
         reason: why.clone(),
--- a/src/lapisdrum/peer/client.rs
+++ b/src/lapisdrum/peer/client.rs
@@ -15,10 +15,32 @@
 /// Largest frame between daemons, in bytes.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
-/// A call without a reply; it may have taken effect.
+/// A call without a reply; it may have taken effect unless it is known to be unsent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerError {
     what: String,
+    is_unsent: bool,
+}
+
+impl PeerError {
+    fn unsent(what: impl ToString) -> Self {
+        Self {
+            what: what.to_string(),
+            is_unsent: true,
+        }
+    }
+
+    fn unanswered(what: impl ToString) -> Self {
+        Self {
+            what: what.to_string(),
+            is_unsent: false,
+        }
+    }
+
+    /// Whether no connection was made, so that the call certainly had no effect.
+    pub fn is_unsent(&self) -> bool {
+        self.is_unsent
+    }
 }
 
 impl fmt::Display for PeerError {
@@ -48,12 +70,20 @@
 
     /// Calls the daemon at `address`.
     pub async fn call(&self, address: &str, req: PeerRequest) -> Result<PeerReply, PeerError> {
-        let exchange = self.exchange(address, req);
-        let outcome = match tokio::time::timeout(self.timeout, exchange).await {
+        self.call_within(address, req, self.timeout).await
+    }
+
+    /// Calls the daemon at `address` and waits for its reply no longer than `limit`.
+    pub async fn call_within(
+        &self,
+        address: &str,
+        req: PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let exchange = self.exchange(address, req, limit);
+        let outcome = match tokio::time::timeout(limit, exchange).await {
             Ok(outcome) => outcome,
-            Err(_) => Err(PeerError {
-                what: "timeout".to_owned(),
-            }),
+            Err(_) => Err(PeerError::unanswered("timeout")),
         };
         if outcome.is_err() {
             self.open.borrow_mut().swap_remove(address);
@@ -61,17 +91,20 @@
         outcome
     }
 
-    async fn exchange(&self, address: &str, req: PeerRequest) -> Result<PeerReply, PeerError> {
+    async fn exchange(
+        &self,
+        address: &str,
+        req: PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
         let stub = self.stub(address).await?;
         let mut cx = context::current();
-        cx.deadline = std::time::Instant::now() + self.timeout;
+        cx.deadline = std::time::Instant::now() + limit;
         let req = Stamped {
             stamp: self.timeline.stamp(),
             value: req,
         };
-        let reply = stub.call(cx, req).await.map_err(|e| PeerError {
-            what: e.to_string(),
-        })?;
+        let reply = stub.call(cx, req).await.map_err(PeerError::unanswered)?;
         self.timeline.observe(reply.stamp);
         Ok(reply.value)
     }
@@ -80,14 +113,12 @@
         if let Some(stub) = self.open.borrow().get(address) {
             return Ok(stub.clone());
         }
-        let target: SocketAddr = address.parse().map_err(|_| PeerError {
-            what: format!("`{address}` is no IP number and port"),
-        })?;
+        let target: SocketAddr = address
+            .parse()
+            .map_err(|_| PeerError::unsent(format!("`{address}` is no IP number and port")))?;
         let mut connect = tarpc::serde_transport::tcp::connect(target, Bincode::default);
         connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let transport = connect.await.map_err(|e| PeerError {
-            what: e.to_string(),
-        })?;
+        let transport = connect.await.map_err(PeerError::unsent)?;
         let new = Stub::new(client::Config::default(), transport);
         actix_rt::spawn(async move {
             let _ = new.dispatch.await;
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -13,6 +13,7 @@
     },
     timeline::event::Stamp,
 };
+use std::time::Duration;
 
 data! {
     /// A value with the sender's stamp.
@@ -48,6 +49,8 @@
         CancelJob(JobId),
         /// Report floors and ask for new ones.
         Grants(GrantRound),
+        /// Run a request that the asker has no room for.
+        Run(SpilledRun),
         /// Claim a request id in a shard that the other owns.
         Claim(ClaimCall),
         /// Tell how a claimed request ended; repeated until it is answered.
@@ -61,6 +64,39 @@
         Catalogue(Revision),
     }
 
+    /// A request on its one hop to another daemon.
+    pub struct SpilledRun {
+        /// Its id; claimed by the asker, where its caller brought it.
+        pub request: RequestId,
+        /// The entry.
+        pub entry: EntryName,
+        /// Its body.
+        pub body: Vec<u8>,
+        /// The caller's content type.
+        pub content_type: Option<String>,
+        /// Time that is left for it.
+        pub left: Duration,
+        /// Hash of who asks.
+        pub caller: u64,
+    }
+
+    /// How a spilled request ended.
+    pub enum SpilledEnd {
+        /// The worker's whole answer.
+        Done {
+            /// Its status.
+            status: u16,
+            /// Its content type.
+            content_type: Option<String>,
+            /// Its body.
+            body: Vec<u8>,
+        },
+        /// Not run.
+        Refused(Refusal),
+        /// It may have run.
+        Unknown(String),
+    }
+
     /// A claim as its two sides speak of it.
     pub struct ClaimCall {
         /// The shard.
@@ -110,6 +146,8 @@
         Job(Job),
         /// Floors.
         Grants(GrantAnswer),
+        /// A spilled request's end.
+        Ran(SpilledEnd),
         /// The id is the asker's to serve.
         Claimed,
         /// The id was claimed before, and its request is over.
--- a/tests/testsuite/requests/floors.rs
+++ b/tests/testsuite/requests/floors.rs
@@ -22,7 +22,8 @@
 /// Both daemons have as many checks running as their floors allow when one of them is killed and
 /// replaced. The new run asks for floors and is sent callers at once. It is given the dead run's
 /// floors, but only after the checks that the dead run sent have reached their deadline: the worker
-/// never has more than its share on it.
+/// never has more than its share on it. Then the other daemon dies, so that only the new run's own
+/// floors can serve its callers.
 #[actix_rt::test]
 async fn a_dead_daemons_floors_come_back_after_its_requests_are_over() {
     let mut site = Site::start(2, 1).await;
--- a/tests/testsuite/requests/mod.rs
+++ b/tests/testsuite/requests/mod.rs
@@ -5,3 +5,4 @@
 mod floors;
 mod outcomes;
 mod shares;
+mod spill;
--- /dev/null
+++ b/tests/testsuite/requests/spill.rs
@@ -0,0 +1,86 @@
+//! Requests that have no room at one daemon are served by another, and the outcome stays true.
+
+use super::embedded::{EmbeddedSite, LIMIT, entry};
+use crate::support::{http::Raw, wait};
+
+fn outcome(answer: &Raw) -> &str {
+    answer.header("lapisdrum-outcome").unwrap_or("none")
+}
+
+/// Two data centres, of which one has lost all its workers.
+async fn one_without_workers(entry_name: &str, is_idempotent: bool) -> EmbeddedSite {
+    let site = EmbeddedSite::start(&["multan", "lahore"], 1, 1).await;
+    site.serve_entry(&entry(entry_name, is_idempotent, 3_000))
+        .await;
+    let is_left = |dc: &str| dc == "multan";
+    site.platform
+        .hosts
+        .borrow_mut()
+        .retain(|host| is_left(&host.data_centre));
+    wait::until("the other data centre serves", LIMIT, async || {
+        let asked = site.daemons[1].ask(entry_name, &[], "x").await;
+        asked.is_ok_and(|answer| answer.status.is_success()) && !site.workers[0].runs().is_empty()
+    })
+    .await;
+    for worker in &site.workers {
+        worker.worker.log.borrow_mut().requests.clear();
+    }
+    site
+}
+
+/// A data centre's workers are gone from the platform's list. Its callers are served by the other
+/// data centre and get their own answers.
+#[actix_rt::test]
+async fn a_data_centre_without_workers_is_served_by_another() {
+    let site = one_without_workers("check", false).await;
+    for meter in 0..20 {
+        let body = format!("meter {meter}");
+        let answer = site.daemons[1].ask("check", &[], &body).await;
+        assert_eq!(answer.expect("an answer").body, body);
+    }
+    assert_eq!(site.workers[0].runs().len(), 20);
+    assert_eq!(site.workers[1].runs(), [""; 0]);
+}
+
+/// The other data centre's worker runs the check and its answer is lost. The caller is told that
+/// the outcome is unknown, and no daemon sends the check again.
+#[actix_rt::test]
+async fn an_answer_lost_behind_the_hop_is_unknown() {
+    let site = one_without_workers("check", false).await;
+    site.workers[0].link.switches.borrow_mut().drops_one_in = 1;
+    let answer = site.daemons[1].ask("check", &[], "meter 7").await;
+    let answer = answer.expect("an answer");
+    assert_eq!(outcome(&answer), "unknown", "{:?}", answer.json());
+    assert_eq!(site.runs().len(), 1, "one run");
+}
+
+/// The other data centre refuses what its workers refuse. The caller is told that nothing was run,
+/// which is so.
+#[actix_rt::test]
+async fn a_refusal_behind_the_hop_means_not_run() {
+    let site = one_without_workers("check", false).await;
+    site.switch_workers(|switches| switches.refuses = true);
+    let answer = site.daemons[1].ask("check", &[], "meter 7").await;
+    let answer = answer.expect("an answer");
+    assert_eq!(outcome(&answer), "refused", "{:?}", answer.json());
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(site.runs(), [""; 0]);
+}
+
+/// The balancer sends every caller to one of two daemons. Its floor has half of the worker's slots;
+/// the rest of the callers are served through the other daemon's floor, and all are answered.
+#[actix_rt::test]
+async fn a_daemon_that_gets_all_callers_uses_the_others_room() {
+    let site = EmbeddedSite::start(&["multan"], 2, 1).await;
+    site.serve_entry(&entry("check", false, 3_000)).await;
+    site.switch_workers(|switches| switches.request_ms = 400);
+    // The other daemon may not have its floor yet.
+    wait::until("both floors are used", LIMIT, async || {
+        let calls = (0..8).map(|_| site.daemons[0].ask("check", &[], "meter 7"));
+        for answer in futures::future::join_all(calls).await {
+            assert_eq!(answer.expect("an answer").body, "meter 7");
+        }
+        site.workers[0].worker.log.borrow().most_requests > 4
+    })
+    .await;
+}
