Tests of overload and of the homes of claims; an idempotent request's id is freed

An id whose idempotent request had no known outcome could not be asked again for the whole retention, though running it again does no harm. Its claim is now released, as after a refusal.

--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -130,7 +130,7 @@
         Begun::Refused(refusal) => return RunEnd::Refused(refusal),
     };
     let end = wait_and_send(cx, entry, req, key.clone(), deadline, caller_gone).await;
-    claims::end(cx, key, claim, claim_end(req, &end));
+    claims::end(cx, key, claim, claim_end(entry, req, &end));
     end
 }
 
@@ -159,7 +159,7 @@
     }
 }
 
-fn claim_end(req: &RunRequest, end: &RunEnd) -> ClaimEnd {
+fn claim_end(entry: &Entry, req: &RunRequest, end: &RunEnd) -> ClaimEnd {
     match end {
         RunEnd::Done(_, answer) => {
             let digest = xxh3_64(&req.body);
@@ -170,6 +170,8 @@
             }
         }
         RunEnd::Refused(_) => ClaimEnd::NotRun,
+        // It may run again, so its id is free to be asked again.
+        RunEnd::Unknown(..) if entry.idempotent => ClaimEnd::NotRun,
         RunEnd::DoneBefore(..) | RunEnd::Unknown(..) => ClaimEnd::Unknown,
     }
 }
--- a/tests/testsuite/requests/claims.rs
+++ b/tests/testsuite/requests/claims.rs
@@ -8,7 +8,12 @@
     wait,
 };
 use actix_http::Method;
+use lapisdrum::{
+    core::id::{RequestId, ShardId},
+    state::claims::{Homes, KEPT_BODY_BYTES, KeptAnswer},
+};
 use lapisdrum_standins::{platform::server::PlatformSwitches, worker::server::WorkerSwitches};
+use proptest::prelude::*;
 use std::time::Duration;
 
 const CHECK: &str = "certificate-check";
@@ -136,6 +141,39 @@
     assert_eq!(keyed(site.runs()), 1, "one run");
 }
 
+/// A check with an id is run and its answer lost. It is unknown, and stays so: asked again through
+/// either daemon it is not sent again. A route map, which may run twice, is served when it is asked
+/// again under its id.
+#[actix_rt::test]
+async fn an_unknown_outcome_stays_unknown_unless_the_entry_is_idempotent() {
+    let site = EmbeddedSite::start(&["multan"], 2, 1).await;
+    site.serve_entry(&entry(CHECK, false, 2_000)).await;
+    site.serve_entry(&entry("map", true, 2_000)).await;
+    claims_are_kept(&site).await;
+    let link = &site.workers[0].link.switches;
+    link.borrow_mut().drops_one_in = 1;
+    let check = site.daemons[0].ask(CHECK, &key("check-6"), "meter 7").await;
+    assert_eq!(outcome(&check.expect("an answer")), "unknown");
+    let map = site.daemons[0].ask("map", &key("map-6"), "studio 3").await;
+    assert_eq!(outcome(&map.expect("an answer")), "unknown");
+    link.borrow_mut().drops_one_in = 0;
+    for daemon in &site.daemons {
+        let again = wait::until_some("the claim is ended", LIMIT, async || {
+            let again = daemon.ask(CHECK, &key("check-6"), "meter 7").await.ok()?;
+            (outcome(&again) != "refused").then_some(again)
+        })
+        .await;
+        assert_eq!(outcome(&again), "unknown", "{:?}", again.json());
+    }
+    let of_check = |runs: Vec<String>| runs.iter().filter(|id| *id == "check-6").count();
+    assert_eq!(of_check(site.runs()), 1, "one run");
+    wait::until("the map is served", LIMIT, async || {
+        let again = site.daemons[1].ask("map", &key("map-6"), "studio 3").await;
+        again.is_ok_and(|answer| answer.body == "studio 3")
+    })
+    .await;
+}
+
 /// A daemon dies while its check runs. The caller asks again through the other daemon: first the id
 /// is in progress; once a new run of the dead daemon shows that it is gone, the outcome is unknown,
 /// and it is never run a second time.
@@ -198,3 +236,50 @@
     }
     runs
 }
+
+const OVERLAP: Duration = Duration::from_secs(100);
+
+fn shards(names: &[u8]) -> Vec<ShardId> {
+    let name = |n: &u8| ShardId::try_from(format!("dc-{n}.0").as_str());
+    names.iter().map(|n| name(n).expect("a name")).collect()
+}
+
+proptest! {
+    /// Shards come one after another. A daemon may use the row before the present one until the next
+    /// change: whichever of two rows in a row two daemons go by, they claim an id at a common home.
+    #[test]
+    fn rows_in_a_row_have_a_common_home_for_every_id(
+        growth in prop::collection::vec(prop::collection::vec(0..40_u8, 1..4), 1..6),
+        id in "[a-z0-9]{1,20}",
+    ) {
+        let id = RequestId::try_from(id.as_str()).expect("a name");
+        let mut known = shards(&growth[0]);
+        let mut row = Homes::first(&known).expect("shards are known");
+        for new in &growth[1..] {
+            known.extend(shards(new));
+            prop_assert_eq!(row.next(&known, OVERLAP / 2, OVERLAP), None, "too soon");
+            while let Some(next) = row.next(&known, OVERLAP, OVERLAP) {
+                let (before, after) = (row.of(&id), next.of(&id));
+                prop_assert!(before.iter().any(|home| after.contains(home)));
+                prop_assert_eq!(next.generation, row.generation + 1);
+                row = next;
+            }
+            prop_assert!(known.iter().all(|shard| row.shards.contains(shard)));
+        }
+    }
+
+    /// What is kept of an answer comes back as it was; a body beyond the bound is left out, and that
+    /// is told.
+    #[test]
+    fn kept_answers_come_back_as_they_were(
+        digest: u64,
+        content_type in prop::option::of("[ -~]{0,30}"),
+        body in prop::collection::vec(any::<u8>(), 0..2 * KEPT_BODY_BYTES),
+    ) {
+        let kept = KeptAnswer::new(digest, content_type, &body);
+        let back = KeptAnswer::try_from(Vec::from(&kept).as_slice());
+        prop_assert_eq!(back, Ok(kept.clone()));
+        let is_small = body.len() <= KEPT_BODY_BYTES;
+        prop_assert_eq!(kept.body, is_small.then_some(body));
+    }
+}
--- a/tests/testsuite/requests/mod.rs
+++ b/tests/testsuite/requests/mod.rs
@@ -4,5 +4,6 @@
 mod embedded;
 mod floors;
 mod outcomes;
+mod overload;
 mod shares;
 mod spill;
--- /dev/null
+++ b/tests/testsuite/requests/overload.rs
@@ -0,0 +1,76 @@
+//! Overload, judged by what callers receive.
+
+use super::embedded::{EmbeddedSite, entry};
+use crate::support::http::Raw;
+use std::time::{Duration, Instant};
+
+fn outcome(answer: &Raw) -> &str {
+    answer.header("lapisdrum-outcome").unwrap_or("none")
+}
+
+/// A burst of ten times what runs and waits arrives at once. What has no place in line is refused
+/// then and there, with a time to come back, and was not run; the rest is answered in time.
+#[actix_rt::test]
+async fn a_burst_beyond_the_queue_is_refused_at_once() {
+    let site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    let mut raw = entry("check", false, 10_000);
+    raw.queue = Some(8);
+    site.serve_entry(&raw).await;
+    site.switch_workers(|switches| switches.request_ms = 300);
+    let ask = async || {
+        let began = Instant::now();
+        let answer = site.daemons[0].ask("check", &[], "meter 7").await;
+        (answer.expect("an answer"), began.elapsed())
+    };
+    let answers = futures::future::join_all((0..160).map(|_| ask())).await;
+    let (done, refused): (Vec<_>, Vec<_>) = answers
+        .iter()
+        .partition(|(answer, _)| outcome(answer) == "done");
+    assert!(done.len() >= 8, "{} done", done.len());
+    assert!(refused.len() >= 100, "{} refused", refused.len());
+    for (answer, took) in refused {
+        assert_eq!(outcome(answer), "refused", "{:?}", answer.json());
+        assert!(answer.header("retry-after").is_some());
+        assert!(*took < Duration::from_secs(5), "answered at once: {took:?}");
+    }
+    assert_eq!(site.runs().len(), done.len(), "refused means not run");
+}
+
+/// One caller asks far more than all others together. Each of the others still gets a turn soon:
+/// callers share an entry's line evenly, however much one of them asks.
+#[actix_rt::test]
+async fn a_hot_caller_leaves_the_others_their_turn() {
+    let site = EmbeddedSite::start(&["multan"], 1, 1).await;
+    let mut raw = entry("check", false, 20_000);
+    raw.queue = Some(200);
+    site.serve_entry(&raw).await;
+    site.switch_workers(|switches| switches.request_ms = 100);
+    let ask = async |caller: &str| {
+        let headers = [("lapisdrum-caller", caller)];
+        let answer = site.daemons[0].ask("check", &headers, "meter 7").await;
+        (
+            outcome(&answer.expect("an answer")) == "done",
+            Instant::now(),
+        )
+    };
+    let hot = futures::future::join_all((0..160).map(|_| ask("hot")));
+    let others = async {
+        // Behind the hot caller's burst.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let names = ["bench-1", "bench-2", "bench-3", "bench-4"];
+        futures::future::join_all(names.map(ask)).await
+    };
+    let (hot, others) = futures::join!(hot, others);
+    let hot_done = hot.iter().filter(|(is_done, _)| *is_done).count();
+    for (is_done, at) in others {
+        assert!(is_done, "each of the others is answered");
+        let before = hot
+            .iter()
+            .filter(|(is_done, hot_at)| *is_done && *hot_at < at);
+        let before = before.count();
+        assert!(
+            before < hot_done * 3 / 4,
+            "{before} of {hot_done} went before"
+        );
+    }
+}
