--- a/tests/testsuite/requests/claims.rs
+++ b/tests/testsuite/requests/claims.rs
@@ -2,11 +2,7 @@
 //! twice.
 
 use super::embedded::{EmbeddedSite, LIMIT, entry};
-use crate::support::{
-    http::{self, Raw},
-    process::Site,
-    wait,
-};
+use crate::support::{http, process::Site, wait};
 use actix_http::Method;
 use lapisdrum::{
     core::id::{RequestId, ShardId},
@@ -18,10 +14,6 @@
 
 const CHECK: &str = "certificate-check";
 
-fn outcome(answer: &Raw) -> &str {
-    answer.header("lapisdrum-outcome").unwrap_or("none")
-}
-
 fn key(key: &str) -> [(&str, &str); 1] {
     [("idempotency-key", key)]
 }
@@ -58,12 +50,12 @@
     let (first, early) = futures::join!(first, early);
     assert_eq!(first.expect("an answer").body, "meter 7");
     let early = early.expect("an answer");
-    assert_eq!(outcome(&early), "refused", "{:?}", early.json());
+    assert_eq!(early.outcome(), "refused", "{:?}", early.json());
     assert!(early.header("retry-after").is_some());
     for daemon in &site.daemons {
         let repeat = wait::until_some("the first outcome", LIMIT, async || {
             let repeat = daemon.ask(CHECK, &id, "meter 7").await.ok()?;
-            (outcome(&repeat) == "done").then_some(repeat)
+            (repeat.outcome() == "done").then_some(repeat)
         })
         .await;
         assert_eq!(repeat.body, "meter 7");
@@ -86,7 +78,7 @@
         reused.header("retry-after").is_none().then_some(reused)
     })
     .await;
-    assert_eq!(outcome(&reused), "refused");
+    assert_eq!(reused.outcome(), "refused");
     assert_eq!(reused.status, 422, "{:?}", reused.json());
     assert_eq!(site.runs(), ["check-2"], "one run");
 }
@@ -102,7 +94,7 @@
     let id = key("check-3");
     let refused = site.daemons[0].ask(CHECK, &id, "meter 7").await;
     let refused = refused.expect("an answer");
-    assert_eq!(outcome(&refused), "refused", "{:?}", refused.json());
+    assert_eq!(refused.outcome(), "refused", "{:?}", refused.json());
     assert_eq!(site.runs(), [""; 0], "none ran");
     site.switch_workers(|switches| switches.refuses = false);
     wait::until("the same id is served", LIMIT, async || {
@@ -125,7 +117,7 @@
     for daemon in &site.daemons {
         let refused = daemon.ask(CHECK, &key("check-4"), "meter 7").await;
         let refused = refused.expect("an answer");
-        assert_eq!(outcome(&refused), "refused", "{:?}", refused.json());
+        assert_eq!(refused.outcome(), "refused", "{:?}", refused.json());
         assert!(refused.header("retry-after").is_some());
         let plain = daemon.ask(CHECK, &[], "meter 8").await;
         assert_eq!(plain.expect("an answer").body, "meter 8");
@@ -153,17 +145,17 @@
     let link = &site.workers[0].link.switches;
     link.borrow_mut().drops_one_in = 1;
     let check = site.daemons[0].ask(CHECK, &key("check-6"), "meter 7").await;
-    assert_eq!(outcome(&check.expect("an answer")), "unknown");
+    assert_eq!(check.expect("an answer").outcome(), "unknown");
     let map = site.daemons[0].ask("map", &key("map-6"), "studio 3").await;
-    assert_eq!(outcome(&map.expect("an answer")), "unknown");
+    assert_eq!(map.expect("an answer").outcome(), "unknown");
     link.borrow_mut().drops_one_in = 0;
     for daemon in &site.daemons {
         let again = wait::until_some("the claim is ended", LIMIT, async || {
             let again = daemon.ask(CHECK, &key("check-6"), "meter 7").await.ok()?;
-            (outcome(&again) != "refused").then_some(again)
+            (again.outcome() != "refused").then_some(again)
         })
         .await;
-        assert_eq!(outcome(&again), "unknown", "{:?}", again.json());
+        assert_eq!(again.outcome(), "unknown", "{:?}", again.json());
     }
     let of_check = |runs: Vec<String>| runs.iter().filter(|id| *id == "check-6").count();
     assert_eq!(of_check(site.runs()), 1, "one run");
@@ -213,17 +205,17 @@
     })
     .await;
     let early = ask(1, "check-5").await.expect("an answer");
-    assert_eq!(outcome(&early), "refused", "{:?}", early.json());
+    assert_eq!(early.outcome(), "refused", "{:?}", early.json());
     let plan = site.daemons[0].plan.clone();
     site.daemons[0].process.kill();
     let _ = running.await;
     site.daemons[0] = crate::support::process::DaemonProcess::start(plan);
     let end = wait::until_some("the claim is over", LIMIT, async || {
         let end = ask(1, "check-5").await.ok()?;
-        (outcome(&end) != "refused").then_some(end)
+        (end.outcome() != "refused").then_some(end)
     })
     .await;
-    assert_eq!(outcome(&end), "unknown", "{:?}", end.json());
+    assert_eq!(end.outcome(), "unknown", "{:?}", end.json());
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert_eq!(runs_of(&site, "check-5").await, 1, "one run");
 }
--- a/tests/testsuite/requests/outcomes.rs
+++ b/tests/testsuite/requests/outcomes.rs
@@ -1,7 +1,7 @@
 //! Truthful outcomes and whole answers: done, refused and unknown, whatever workers do.
 
 use super::embedded::{EmbeddedSite, LIMIT, SLOTS, entry};
-use crate::support::{http::Raw, wait};
+use crate::support::wait;
 use lapisdrum::core::size::Size;
 use lapisdrum_standins::worker::link::LinkSwitches;
 use std::time::{Duration, Instant};
@@ -17,10 +17,6 @@
     accelerators: 0,
 };
 
-fn outcome(answer: &Raw) -> &str {
-    answer.header("lapisdrum-outcome").unwrap_or("none")
-}
-
 /// Counts of what callers received.
 #[derive(Debug, Default)]
 struct Tally {
@@ -39,7 +35,7 @@
             // Long enough that a cut shows.
             let body = format!("{name} of caller {caller} round {round};").repeat(50);
             let answer = daemon.ask(name, &[], &body).await.expect("an answer");
-            match outcome(&answer) {
+            match answer.outcome() {
                 "done" => {
                     assert_eq!(
                         answer.body, body,
@@ -129,7 +125,7 @@
         worker.link.switches.borrow_mut().drops_one_in = 1;
     }
     let check = site.daemons[0].ask("check", &[], "meter 7").await;
-    assert_eq!(outcome(&check.expect("an answer")), "unknown");
+    assert_eq!(check.expect("an answer").outcome(), "unknown");
     assert_eq!(site.runs().len(), 1, "sent once");
     for worker in &site.workers {
         worker.link.switches.borrow_mut().drops_one_in = 2;
@@ -164,7 +160,7 @@
             let mut unknown = 0;
             for _ in 0..4 {
                 let answer = daemon.ask("check", &[], "x").await.expect("an answer");
-                unknown += u32::from(outcome(&answer) == "unknown");
+                unknown += u32::from(answer.outcome() == "unknown");
             }
             unknown
         }
@@ -189,7 +185,7 @@
     let headers = [("lapisdrum-deadline-ms", "400")];
     let answer = site.daemons[0].ask("check", &headers, "meter 7").await;
     let answer = answer.expect("an answer");
-    assert_eq!(outcome(&answer), "unknown", "{:?}", answer.json());
+    assert_eq!(answer.outcome(), "unknown", "{:?}", answer.json());
     assert!(
         began.elapsed() < Duration::from_secs(10),
         "the caller's deadline counts"
@@ -256,7 +252,7 @@
     site.switch_workers(|switches| switches.request_ms = 1_800);
     wait::until("a connection breaks", LIMIT, async || {
         let asked = site.daemons[0].ask("check", &[], "meter 7").await;
-        outcome(&asked.expect("an answer")) == "unknown"
+        asked.expect("an answer").outcome() == "unknown"
     })
     .await;
     assert_eq!(
@@ -298,7 +294,7 @@
     site.serve_entry(&raw).await;
     let long = site.daemons[0].ask("check", &[], &"x".repeat(2_001)).await;
     let long = long.expect("an answer");
-    assert_eq!((long.status.as_u16(), outcome(&long)), (413, "refused"));
+    assert_eq!((long.status.as_u16(), long.outcome()), (413, "refused"));
     assert_eq!(site.runs(), [""; 0]);
     let body = "x".repeat(2_000);
     let at_limit = site.daemons[0].ask("check", &[], &body).await;
--- a/tests/testsuite/requests/overload.rs
+++ b/tests/testsuite/requests/overload.rs
@@ -1,13 +1,8 @@
 //! Overload, judged by what callers receive.
 
 use super::embedded::{EmbeddedSite, entry};
-use crate::support::http::Raw;
 use std::time::{Duration, Instant};
 
-fn outcome(answer: &Raw) -> &str {
-    answer.header("lapisdrum-outcome").unwrap_or("none")
-}
-
 /// A burst of ten times what runs and waits arrives at once. What has no place in line is refused
 /// then and there, with a time to come back, and was not run; the rest is answered in time.
 #[actix_rt::test]
@@ -25,11 +20,11 @@
     let answers = futures::future::join_all((0..160).map(|_| ask())).await;
     let (done, refused): (Vec<_>, Vec<_>) = answers
         .iter()
-        .partition(|(answer, _)| outcome(answer) == "done");
+        .partition(|(answer, _)| answer.outcome() == "done");
     assert!(done.len() >= 8, "{} done", done.len());
     assert!(refused.len() >= 100, "{} refused", refused.len());
     for (answer, took) in refused {
-        assert_eq!(outcome(answer), "refused", "{:?}", answer.json());
+        assert_eq!(answer.outcome(), "refused", "{:?}", answer.json());
         assert!(answer.header("retry-after").is_some());
         assert!(*took < Duration::from_secs(5), "answered at once: {took:?}");
     }
@@ -49,7 +44,7 @@
         let headers = [("lapisdrum-caller", caller)];
         let answer = site.daemons[0].ask("check", &headers, "meter 7").await;
         (
-            outcome(&answer.expect("an answer")) == "done",
+            answer.expect("an answer").outcome() == "done",
             Instant::now(),
         )
     };
--- a/tests/testsuite/requests/spill.rs
+++ b/tests/testsuite/requests/spill.rs
@@ -1,11 +1,7 @@
 //! Requests that have no room at one daemon are served by another, and the outcome stays true.
 
 use super::embedded::{EmbeddedSite, LIMIT, entry};
-use crate::support::{http::Raw, wait};
-
-fn outcome(answer: &Raw) -> &str {
-    answer.header("lapisdrum-outcome").unwrap_or("none")
-}
+use crate::support::wait;
 
 /// Two data centres, of which one has lost all its workers.
 async fn one_without_workers(entry_name: &str, is_idempotent: bool) -> EmbeddedSite {
@@ -50,7 +46,7 @@
     site.workers[0].link.switches.borrow_mut().drops_one_in = 1;
     let answer = site.daemons[1].ask("check", &[], "meter 7").await;
     let answer = answer.expect("an answer");
-    assert_eq!(outcome(&answer), "unknown", "{:?}", answer.json());
+    assert_eq!(answer.outcome(), "unknown", "{:?}", answer.json());
     assert_eq!(site.runs().len(), 1, "one run");
 }
 
@@ -62,7 +58,7 @@
     site.switch_workers(|switches| switches.refuses = true);
     let answer = site.daemons[1].ask("check", &[], "meter 7").await;
     let answer = answer.expect("an answer");
-    assert_eq!(outcome(&answer), "refused", "{:?}", answer.json());
+    assert_eq!(answer.outcome(), "refused", "{:?}", answer.json());
     assert!(answer.header("retry-after").is_some());
     assert_eq!(site.runs(), [""; 0]);
 }
--- a/tests/testsuite/support/http.rs
+++ b/tests/testsuite/support/http.rs
@@ -20,6 +20,11 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// `done`, `refused` or `unknown`.
+    pub(crate) fn outcome(&self) -> &str {
+        self.header("lapisdrum-outcome").unwrap_or("none")
+    }
+
     pub(crate) fn json(&self) -> serde_json::Value {
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
