--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -179,8 +179,7 @@
 
 fn longest_deadline(cx: &Cx) -> Duration {
     let catalogue = cx.catalogue.borrow();
-    let names = catalogue.rows.keys();
-    let deadlines = names.filter_map(|name| catalogue.entry(name).map(|entry| entry.deadline));
+    let deadlines = catalogue.entries().map(|entry| entry.deadline);
     deadlines.max().unwrap_or_default()
 }
 
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -6,20 +6,28 @@
 
 pub mod catalogue;
 pub mod claims;
+pub mod evictions;
 pub mod grants;
+pub mod index;
 pub mod jobs;
 pub mod journal;
+pub mod limits;
 pub mod members;
 pub mod metrics;
+pub mod observer;
 pub mod peers;
 pub mod queue;
 pub mod registrar;
 pub mod router;
+pub mod sessions;
 pub mod shard;
 pub mod shares;
+pub mod snapshots;
 pub mod spill;
+pub mod starts;
 pub mod supervisor;
-pub mod tasks;
+pub mod upkeep;
+pub mod visits;
 
 use crate::{
     core::{
@@ -29,7 +37,7 @@
     peer::client::Peers,
     platform::client::PlatformClient,
     settings::Settings,
-    state::{catalogue::Catalogue, grants::Floors, ownership::Holder},
+    state::{grants::Floors, ownership::Holder},
     timeline::{event::Happening, ring::Timeline},
     worker::client::WorkerClient,
 };
@@ -70,7 +78,7 @@
     /// Counters and histograms.
     pub metrics: metrics::Metrics,
     /// The catalogue in force here.
-    pub catalogue: RefCell<Catalogue>,
+    pub catalogue: RefCell<catalogue::InForce>,
     /// Daemons, shards and hosts as last seen.
     pub members: RefCell<members::Members>,
     /// Shards that this daemon owns.
@@ -170,6 +178,7 @@
     let supervisor = Supervisor::new(Rc::clone(cx));
     supervisor.start("catalogue", catalogue::follow);
     supervisor.start("registrar", registrar::run);
+    supervisor.start("observer", observer::run);
     supervisor.start("grants", grants::run);
     supervisor.start("claims", claims::run);
     supervisor.start("queue", queue::run);
@@ -201,6 +210,7 @@
     {
         log::warn!("drain timeout; requests still in flight are cut off");
     }
+    supervisor.stop("observer");
     supervisor.stop("registrar");
     supervisor.stop("grants");
     supervisor.stop("claims");
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -34,14 +34,14 @@
         // The run before this one can't be answered for.
         PeerRequest::ClaimsServed(holder, _) if holder != cx.me => PeerReply::Unknown,
         PeerRequest::ClaimsServed(_, ids) => PeerReply::ClaimsServed(claims::still_served(cx, ids)),
-        PeerRequest::News(revision) => {
-            catalogue::hear(cx, revision);
+        PeerRequest::News(change) => {
+            catalogue::hear(cx, change);
             PeerReply::Ok
         }
         PeerRequest::Catalogue(known) => {
             let own = cx.catalogue.borrow();
             match own.revision > known {
-                true => PeerReply::Catalogue(own.clone()),
+                true => PeerReply::Catalogue(own.catalogue().clone()),
                 false => PeerReply::Ok,
             }
         }
--- a/src/lapisdrum/daemon/shares.rs
+++ b/src/lapisdrum/daemon/shares.rs
@@ -106,11 +106,7 @@
         .iter()
         .filter_map(|row| Some((row.key.clone(), (row.version, row.parse::<Shares>()?))));
     let rows: IndexMap<String, (u64, Shares)> = parsed.collect();
-    let entries: Vec<Entry> = {
-        let catalogue = cx.catalogue.borrow();
-        let names = catalogue.rows.keys();
-        names.filter_map(|name| catalogue.entry(name)).collect()
-    };
+    let entries: Vec<Entry> = cx.catalogue.borrow().entries().cloned().collect();
     cx.shares
         .parties
         .borrow_mut()
@@ -163,15 +159,12 @@
 
 fn shard_figures(cx: &Cx, entry: &Entry, shard: &Shard) -> Figures {
     let (parties, rank) = place_of_shard(cx, &shard.id);
-    let state = shard.state();
-    let own = state.jobs.values().filter(|job| job.entry == entry.name);
-    let open: Vec<_> = own.filter(|job| !job.is_ended()).collect();
-    let running = open.iter().filter(|job| job.placement().is_some()).count();
+    let counts = shard.journal.index().counts(&entry.name);
     Figures {
         parties,
         rank,
-        running: to_u32(running),
-        waiting: to_u32(open.len() - running),
+        running: counts.placed,
+        waiting: counts.waiting,
     }
 }
 
@@ -207,7 +200,19 @@
         .put(key(&entry.name), &next);
     if let TxnOutcome::Committed(_) = cx.platform.txn(&txn).await {
         with_own(cx, &own_key, |own| own.allowed.after_write(amount));
-        cx.line.wake();
+        tell(cx, party);
+    }
+}
+
+/// Has whatever waited for a greater part go on.
+fn tell(cx: &Cx, party: &Party) {
+    match party {
+        Party::Daemon(_) => cx.line.wake(),
+        Party::Shard(id) => {
+            if let Some(shard) = cx.shards.borrow().get(id) {
+                shard.placement.notify_one();
+            }
+        }
     }
 }
 
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -7,7 +7,7 @@
         outcome::Refusal,
     },
     state::{
-        catalogue::Catalogue,
+        catalogue::{Catalogue, ChangeRow},
         ledger::{ClaimEnd, Grant},
         ownership::Holder,
     },
@@ -58,8 +58,8 @@
         /// Ask which of these claims this run of the other still serves or has yet to report the end
         /// of.
         ClaimsServed(Holder, Vec<RequestId>),
-        /// Tell of a greater catalogue revision.
-        News(Revision),
+        /// Pass an accepted catalogue change on.
+        News(ChangeRow),
         /// Ask for the catalogue if it is newer than the asker's.
         Catalogue(Revision),
     }
