--- a/src/lapisdrum/daemon/grants.rs
+++ b/src/lapisdrum/daemon/grants.rs
@@ -8,6 +8,8 @@
 use super::{
     Cx,
     journal::{Urgency, WriteEnd},
+    peers,
+    router::LATE_MARGIN,
     shard::Shard,
 };
 use crate::{
@@ -36,6 +38,10 @@
             let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
             exchange(&cx, shard).await;
         }
+        let own: Vec<Rc<Shard>> = cx.shards.borrow().values().cloned().collect();
+        for shard in own.iter().filter(|shard| shard.is_serving()) {
+            void_gone(&cx, shard);
+        }
         tokio::time::sleep(cx.cfg.requests.grant_poll).await;
     }
 }
@@ -67,6 +73,7 @@
     {
         let (floors, targets) = (by_worker(floors), by_worker(targets));
         cx.floors.borrow_mut().adopt(epoch, &floors, &targets);
+        cx.line.wake();
     }
 }
 
@@ -107,8 +114,20 @@
     grants.into_iter().map(wire).collect()
 }
 
-/// Gives every floor back at a graceful end.
+/// Gives every floor back at a graceful end. Where the drain was cut short, workers may be running
+/// requests still; the floors are then left to be voided after the longest deadline.
 pub async fn give_back(cx: &Cx) {
+    let nothing = Grant::default();
+    let is_used = cx
+        .floors
+        .borrow()
+        .held
+        .values()
+        .any(|floor| floor.used != nothing);
+    if is_used {
+        log::warn!("requests may be running still; floors are not given back");
+        return;
+    }
     cx.floors.borrow_mut().held.clear();
     for index in 0..cx.cfg.shards.count {
         let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
@@ -133,6 +152,37 @@
     }
 }
 
+/// As owner: takes back the floors of daemons that are certainly gone.
+///
+/// A daemon that died has left requests on workers, which run on until the deadlines that they were
+/// sent with. Its floors given to others at once would load a worker beyond its size, so they stay
+/// counted for the longest deadline of any entry after the daemon was found to be gone.
+fn void_gone(cx: &Cx, shard: &Rc<Shard>) {
+    let runs_on = requests_run_on(cx);
+    let holders: Vec<Holder> = shard.state().grants.keys().cloned().collect();
+    for holder in holders {
+        if peers::gone_for(cx, &holder).is_some_and(|gone| gone > runs_on) {
+            // What can't be proposed now is proposed at the next look.
+            let voided = vec![Event::GrantsVoided { of: holder }];
+            let _ = shard.propose(cx, voided, Urgency::Batch);
+        }
+    }
+}
+
+/// How long requests of a daemon that is gone may run on.
+pub fn requests_run_on(cx: &Cx) -> Duration {
+    cx.cfg
+        .shards
+        .terms
+        .lengthened(longest_deadline(cx) + LATE_MARGIN)
+}
+
+fn longest_deadline(cx: &Cx) -> Duration {
+    let catalogue = cx.catalogue.borrow();
+    let deadlines = catalogue.entries().map(|entry| entry.deadline);
+    deadlines.max().unwrap_or_default()
+}
+
 /// The owner's side of an exchange.
 pub async fn answer(cx: &Cx, shard: &Rc<Shard>, round: GrantRound) -> PeerReply {
     if !shard.is_serving() {
--- a/src/lapisdrum/daemon/limits.rs
+++ b/src/lapisdrum/daemon/limits.rs
@@ -1,14 +1,15 @@
 //! How much of an entry's limits over the whole system one shard may use for jobs.
 //!
-//! The one place to ask: a shard's part is an even division over all shards that the table names, so
-//! that the parts add up to the limit whatever each shard's owner knows of the others.
+//! The one place to ask. What may run at once is the shard's durable share, so that the shares add up
+//! to no more than the limit whatever each owner knows of the others; what may wait is an even
+//! division over all shards that the table names.
 
-use super::{Cx, shard::Shard};
+use super::{Cx, shard::Shard, shares};
 use crate::core::{catalogue::Entry, id::ShardId};
 
 /// Jobs of an entry that may have a place in this shard at once.
 pub fn job_limit(cx: &Cx, shard: &Shard, entry: &Entry) -> u32 {
-    part(cx, shard, entry.limits.concurrency)
+    shares::of_shard(cx, entry, &shard.id)
 }
 
 /// Jobs of an entry that may wait in this shard.
