Headroom for short runs; placement and relief that pay

Ruled out: fair shares of run time for the long runs (they hold over seconds only), a lower CALM (hosts in waves stay closed), an approximate decay of certainty (a test of its age failed; the exact one costs no more).

Change: `headroom` keeps what shorter entries are about to need; placement lets batch work wait where services would be slowed beyond the limit of relief; throttles come as many as are needed, evictions only of what harms much, releases by what they would add; nothing is learned from throttled hosts.

--- a/crates/lapisdrum-load/src/policy/daemon.rs
+++ b/crates/lapisdrum-load/src/policy/daemon.rs
@@ -9,6 +9,7 @@
     core::{id::WorkerId, time::Millis},
     policy::{
         admission::{self, Admission, Claim, Share},
+        headroom::Headroom,
         queueing::{Enqueued, Item, Queue, Ticket},
         retry::{Failure, RetryBudget},
         routing::{Candidate, End, Routing},
@@ -115,6 +116,7 @@
     line: VecDeque<Request>,
     queue: Queue<Request>,
     admission: Admission,
+    headroom: Headroom,
     routing: Routing,
     budgets: Vec<RetryBudget>,
     planned_expiry: Option<Millis>,
@@ -142,6 +144,7 @@
             line: VecDeque::new(),
             queue: Queue::default(),
             admission: Admission::default(),
+            headroom: Headroom::default(),
             routing: Routing::default(),
             budgets: vec![RetryBudget::default(); trial.streams.len()],
             planned_expiry: None,
@@ -154,7 +157,9 @@
         match self.decisions.order {
             Order::Policy => {
                 let item = self.item(&request, share.queue);
-                match self.queue.enqueue(item, request, now, rng) {
+                let enqueued = self.queue.enqueue(item, request, now, rng);
+                self.note_demand(request.stream, now);
+                match enqueued {
                     Enqueued::Waiting { displaced, .. } => displaced
                         .map(|gone| Given::Refused(gone.payload, gone.retry_after))
                         .into_iter()
@@ -184,6 +189,7 @@
         let claim = claim(&self.streams[request.stream], self.shares[request.stream]);
         let started = self.admission.start(&claim);
         debug_assert!(started || self.decisions.order != Order::Policy);
+        self.note_demand(request.stream, now);
         let entry = &self.streams[request.stream].entry;
         self.routing.sent(&self.workers[worker], entry, now);
         self.outstanding[worker] += 1;
@@ -215,6 +221,8 @@
         self.outstanding[flight.worker] -= 1;
         let stream = &self.streams[request.stream];
         self.admission.finish(&stream.entry, &stream.owner);
+        self.note_demand(request.stream, now);
+        let stream = &self.streams[request.stream];
         let end = if flight.answered {
             End::Answered
         } else {
@@ -266,14 +274,25 @@
             return self.line.pop_front();
         }
         let (streams, shares, admission) = (&self.streams, &self.shares, &self.admission);
+        let (headroom, slots) = (&self.headroom, self.slots * to_u32(self.workers.len()));
         let may_start = |entry: &_, _: &_| {
             let index = streams.iter().position(|stream| stream.entry == *entry);
             index.is_some_and(|i| admission.has_room(&claim(&streams[i], shares[i])))
+                && headroom.may_start(entry, slots, now)
         };
         let taken: (Ticket, Item, Request) = self.queue.next(now, may_start)?;
         Some(taken.2)
     }
 
+    fn note_demand(&mut self, stream: usize, now: Millis) {
+        let Stream { entry, weight, .. } = &self.streams[stream];
+        let running = self.admission.running(entry);
+        let waiting = self.queue.waiting_of(entry);
+        let run = self.routing.usual_run(entry).unwrap_or_default();
+        self.headroom
+            .note(entry, running, waiting, run, *weight, now);
+    }
+
     fn choose(&mut self, now: Millis, rng: &mut impl Rng) -> Option<usize> {
         let count = self.workers.len();
         let open = |i: &usize| self.outstanding[*i] < self.slots;
@@ -310,6 +329,10 @@
     }
 }
 
+fn to_u32(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
 fn claim(stream: &Stream, share: Share) -> Claim<'_> {
     Claim {
         entry: &stream.entry,
--- /dev/null
+++ b/crates/lapisdrum-load/src/policy/decide.rs
@@ -0,0 +1,250 @@
+//! Nanoseconds a decision: each policy at 50 and at 500 workers, with its state filled.
+
+use super::load::valid;
+use lapisdrum::{
+    core::{
+        catalogue::Class,
+        id::{EntryName, OwnerName, Rack, WorkerId},
+        size::Size,
+        time::Millis,
+    },
+    policy::{
+        admission::{Admission, Claim, Share},
+        interference::{Interference, Kind, Neighbour, Report},
+        placement::{self, Resident, Room, Wanted},
+        queueing::{Item, Queue},
+        routing::{Candidate, End, Routing},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use std::{hint::black_box, time::Duration};
+use tokio::time::Instant;
+
+/// Decisions in one measured batch.
+const BATCH: u32 = 2_000;
+/// Batches; the table gives the median one and the slowest.
+const BATCHES: usize = 51;
+/// Kinds of work on a host.
+const KINDS_ON_HOST: u32 = 8;
+/// Owners, each with this many callers, that wait in the queue.
+const OWNERS: usize = 20;
+/// Callers of each owner.
+const CALLERS: u64 = 10;
+
+/// The cost of one decision.
+#[derive(Clone, Debug, Serialize)]
+pub struct DecisionRow {
+    /// The decision.
+    pub decision: String,
+    /// Workers.
+    pub workers: usize,
+    /// Nanoseconds, in the median batch.
+    pub median_ns: f64,
+    /// Nanoseconds, in the slowest batch.
+    pub slowest_ns: f64,
+}
+
+/// Measures every decision.
+pub fn run(workers: usize, seed: u64) -> Vec<DecisionRow> {
+    vec![
+        admit(workers),
+        queue(workers, seed),
+        route(workers, seed),
+        place(workers, seed),
+    ]
+}
+
+fn measure(decision: &str, workers: usize, mut decide: impl FnMut(u32)) -> DecisionRow {
+    let mut batches: Vec<f64> = (0..BATCHES)
+        .map(|_| {
+            let began = Instant::now();
+            for i in 0..BATCH {
+                decide(i);
+            }
+            began.elapsed().as_nanos() as f64 / f64::from(BATCH)
+        })
+        .collect();
+    batches.sort_by(f64::total_cmp);
+    DecisionRow {
+        decision: decision.to_owned(),
+        workers,
+        median_ns: batches[BATCHES / 2],
+        slowest_ns: batches[BATCHES - 1],
+    }
+}
+
+fn admit(workers: usize) -> DecisionRow {
+    let entries: Vec<EntryName> = (0..500)
+        .map(|i| valid(EntryName::try_from(format!("entry{i}"))))
+        .collect();
+    let owner = valid(OwnerName::try_from("owner"));
+    let share = Share {
+        concurrency: 10,
+        rate_per_s: Some(100),
+        queue: 10,
+    };
+    let mut admission = Admission::default();
+    let mut now = 0;
+    measure("admit, start, finish", workers, |i| {
+        now += 1;
+        let entry = &entries[i as usize % entries.len()];
+        let claim = Claim {
+            entry,
+            owner: &owner,
+            share,
+            quota: None,
+        };
+        let _ = black_box(admission.let_in(&claim, Millis(now)));
+        if admission.start(&claim) {
+            admission.finish(entry, &owner);
+        }
+    })
+}
+
+fn queue(workers: usize, seed: u64) -> DecisionRow {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut queue: Queue<u32> = Queue::default();
+    let item = |rng: &mut StdRng| {
+        let name = format!("owner{}", rng.random_range(0..OWNERS));
+        Item {
+            entry: valid(EntryName::try_from(name.as_str())),
+            owner: valid(OwnerName::try_from(name.as_str())),
+            caller: rng.random_range(0..CALLERS),
+            class: Class::LatencyCritical,
+            weight: 100,
+            bound: 100_000,
+            run: Duration::from_millis(20),
+            deadline: None,
+        }
+    };
+    for i in 0..1_000 {
+        let item = item(&mut rng);
+        let _ = queue.enqueue(item, i, Millis(0), &mut rng);
+    }
+    measure("enqueue and next, 1,000 wait in 200 flows", workers, |i| {
+        let item = item(&mut rng);
+        let _ = black_box(queue.enqueue(item, i, Millis(0), &mut rng));
+        black_box(queue.next(Millis(0), |_, _| true));
+    })
+}
+
+fn names(workers: usize) -> Vec<WorkerId> {
+    let name = |i| valid(WorkerId::try_from(format!("worker-{i}")));
+    (0..workers).map(name).collect()
+}
+
+fn route(workers: usize, seed: u64) -> DecisionRow {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (names, entry) = (names(workers), valid(EntryName::try_from("map")));
+    let mut routing = Routing::default();
+    for worker in &names {
+        routing.sent(worker, &entry, Millis(0));
+        routing.ended(
+            worker,
+            &entry,
+            Millis(0),
+            End::Answered,
+            workers,
+            Millis(20),
+        );
+    }
+    let mut now = 20;
+    measure("choose among candidates, sent, ended", workers, |_| {
+        now += 1;
+        let open = names.iter().map(|worker| Candidate {
+            worker,
+            outstanding: 1,
+        });
+        let open: Vec<Candidate<'_>> = open.collect();
+        if let Some(chosen) = routing.choose(&open, Millis(now), &mut rng) {
+            let worker = &names[chosen];
+            routing.sent(worker, &entry, Millis(now));
+            routing.ended(
+                worker,
+                &entry,
+                Millis(now),
+                End::Answered,
+                workers,
+                Millis(now + 20),
+            );
+        }
+    })
+}
+
+fn place(workers: usize, seed: u64) -> DecisionRow {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let names = names(workers);
+    let racks: Vec<Rack> = (0..workers)
+        .map(|i| valid(Rack::try_from(format!("rack{}", i / 8))))
+        .collect();
+    let capacity = Size {
+        millicores: 32_000,
+        memory_mb: 125_000,
+        accelerators: 1,
+    };
+    let (known, residents) = learned(workers, &mut rng);
+    let rooms: Vec<Room<'_>> = (0..workers)
+        .map(|i| Room {
+            worker: &names[i],
+            rack: &racks[i],
+            capacity,
+            free: Size {
+                millicores: rng.random_range(0..16_000),
+                ..capacity
+            },
+            residents: &residents[i],
+            same_in_rack: 1,
+        })
+        .collect();
+    let wanted = Wanted {
+        kind: Kind(0),
+        class: Class::Batch,
+        size: Size {
+            millicores: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        same_placed: 10,
+    };
+    measure("place among rooms", workers, |_| {
+        black_box(placement::choose(
+            &rooms,
+            &wanted,
+            &known,
+            Millis(1_000),
+            &mut rng,
+        ));
+    })
+}
+
+/// Interference of 40 kinds, each pair reported on, and what runs on each host.
+fn learned(workers: usize, rng: &mut StdRng) -> (Interference, Vec<Vec<Resident>>) {
+    let mut known = Interference::default();
+    for i in 0..40 {
+        known.kind(&valid(EntryName::try_from(format!("kind{i}"))));
+    }
+    for kind in (0..40).map(Kind) {
+        for other in (0..40).map(Kind) {
+            known.note(&Report {
+                kind,
+                beside: &[Neighbour {
+                    kind: other,
+                    count: 1,
+                }],
+                slowdown_permille: 1_000 + rng.random_range(0..500),
+                measured_at: Millis(0),
+            });
+        }
+    }
+    let resident = |i: u32, rng: &mut StdRng| Resident {
+        neighbour: Neighbour {
+            kind: Kind((rng.random_range(0..5) * KINDS_ON_HOST + i) % 40),
+            count: 2,
+        },
+        class: Class::Batch,
+    };
+    let on_host = |rng: &mut StdRng| (0..KINDS_ON_HOST).map(|i| resident(i, rng)).collect();
+    let residents = (0..workers).map(|_| on_host(rng)).collect();
+    (known, residents)
+}
--- a/crates/lapisdrum-load/src/policy/mod.rs
+++ b/crates/lapisdrum-load/src/policy/mod.rs
@@ -1,21 +1,27 @@
 //! `lapisdrum-load policy`: the decisions under load, with virtual time and baselines.
 //!
-//! The event loop drives the daemon's own policy modules; docs/MEASUREMENTS.md, section "Policy",
-//! holds the figures. Every run with the same seed gives the same table.
+//! The event loops drive the daemon's own policy modules; docs/MEASUREMENTS.md, section "Policy",
+//! holds the figures. Every run with the same seed gives the same tables, but for the nanoseconds.
 
 pub mod bench;
 pub mod daemon;
+pub mod decide;
 pub mod load;
+pub mod rows;
 pub mod scenario;
+pub mod tasks;
 
 use crate::table;
-use bench::Received;
 use clap::Args;
-use daemon::Decisions;
+use decide::DecisionRow;
 use eyre::Result;
-use scenario::{INDUS, MWANGAZA, Pattern, Profile};
+use rows::{RequestRow, TaskRow};
+use scenario::{INDUS, MWANGAZA, Pattern};
 use serde::Serialize;
-use std::{path::PathBuf, time::Duration};
+use std::path::PathBuf;
+
+/// Workers at which decisions are timed.
+const DECISION_WORKERS: [usize; 2] = [50, 500];
 
 /// Arguments of `policy`.
 #[derive(Debug, Args)]
@@ -23,149 +29,78 @@
     /// Seeds; one trial each.
     #[arg(long, value_delimiter = ',', default_value = "1")]
     seeds: Vec<u64>,
-    /// Virtual seconds of each trial.
+    /// Virtual seconds of each trial of requests.
     #[arg(long, default_value_t = 60)]
     seconds: u64,
-    /// Only patterns whose name contains this.
+    /// Virtual seconds of each trial of tasks.
+    #[arg(long, default_value_t = 3_600)]
+    task_seconds: u64,
+    /// Only patterns of requests whose name contains this.
     #[arg(long, default_value = "")]
     pattern: String,
+    /// Leave the trials of requests out.
+    #[arg(long)]
+    no_requests: bool,
+    /// Leave the trials of tasks out.
+    #[arg(long)]
+    no_tasks: bool,
+    /// Leave the timing of decisions out.
+    #[arg(long)]
+    no_decisions: bool,
     /// Where to write the rows as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
 }
 
-/// What the callers of one stream received in one trial.
-#[derive(Clone, Debug, Serialize)]
-pub struct PolicyRow {
-    /// Deployment.
-    pub profile: String,
-    /// Load pattern.
-    pub pattern: String,
-    /// Decisions it was run under.
-    pub decisions: String,
-    /// Seed.
-    pub seed: u64,
-    /// Entry.
-    pub entry: String,
-    /// Whole answers in time, a second.
-    pub goodput: f64,
-    /// The same relative to what all slots could run.
-    pub of_capacity: f64,
-    /// Median latency of whole answers in milliseconds.
-    pub p50_ms: f64,
-    /// 99th percentile.
-    pub p99_ms: f64,
-    /// 99.9th percentile.
-    pub p999_ms: f64,
-    /// Refused, a second.
-    pub refused_per_s: f64,
-    /// 99th percentile of the time to a refusal, in milliseconds.
-    pub refusal_p99_ms: f64,
-    /// Ended unknown.
-    pub unknown: u64,
-    /// Sends to workers for each whole answer.
-    pub sends_per_answer: f64,
+/// Everything that a run gives.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct PolicyResult {
+    /// Requests, by deployment, pattern and decisions.
+    pub requests: Vec<RequestRow>,
+    /// Tasks, by deployment and decisions.
+    pub tasks: Vec<TaskRow>,
+    /// Time of each decision.
+    pub decisions: Vec<DecisionRow>,
 }
 
-/// Runs every pattern under every set of decisions.
+/// Runs what was asked for, prints its tables and writes them as JSON.
 pub fn run(args: &PolicyArgs) -> Result<()> {
-    let mut rows = Vec::new();
-    for profile in [MWANGAZA, INDUS] {
-        for (pattern, kind) in Pattern::ALL {
-            if pattern.contains(&args.pattern) {
-                for seed in &args.seeds {
-                    rows.extend(rows_of(&profile, pattern, kind, args.seconds, *seed));
-                }
+    let mut result = PolicyResult::default();
+    for seed in &args.seeds {
+        if !args.no_requests {
+            result.requests.extend(requests(args, *seed));
+        }
+        for profile in [MWANGAZA, INDUS] {
+            if !args.no_tasks {
+                result
+                    .tasks
+                    .extend(rows::tasks(&profile, args.task_seconds, *seed));
             }
         }
     }
-    print(&rows);
+    if !args.no_decisions {
+        let timed = DECISION_WORKERS.into_iter();
+        result.decisions = timed.flat_map(|workers| decide::run(workers, 1)).collect();
+    }
+    rows::print(&result);
     match &args.json {
-        Some(path) => table::write_json(path, &rows),
+        Some(path) => table::write_json(path, &result),
         None => Ok(()),
     }
 }
 
-fn rows_of(
-    profile: &Profile,
-    pattern: &str,
-    kind: Pattern,
-    seconds: u64,
-    seed: u64,
-) -> Vec<PolicyRow> {
-    let trial = kind.trial(profile, Duration::from_secs(seconds), seed);
-    let mut rows = Vec::new();
-    for (name, decisions) in Decisions::ALL {
-        let results = bench::run(&trial, decisions);
-        for (stream, received) in trial.streams.iter().zip(results) {
-            rows.push(PolicyRow {
-                profile: profile.name.to_owned(),
-                pattern: pattern.to_owned(),
-                decisions: name.to_owned(),
+fn requests(args: &PolicyArgs, seed: u64) -> Vec<RequestRow> {
+    let mut found = Vec::new();
+    for profile in [MWANGAZA, INDUS] {
+        let chosen = Pattern::ALL.into_iter();
+        for (name, pattern) in chosen.filter(|(name, _)| name.contains(&args.pattern)) {
+            found.extend(rows::requests(
+                &profile,
+                (name, pattern),
+                args.seconds,
                 seed,
-                entry: format!("{}/{}", stream.entry, stream.callers),
-                of_capacity: received.goodput() / profile.capacity(stream.run),
-                ..row(&received)
-            });
+            ));
         }
     }
-    rows
-}
-
-fn row(received: &Received) -> PolicyRow {
-    let seconds = received.counted.as_secs_f64();
-    PolicyRow {
-        profile: String::new(),
-        pattern: String::new(),
-        decisions: String::new(),
-        seed: 0,
-        entry: String::new(),
-        goodput: received.goodput(),
-        of_capacity: 0.0,
-        p50_ms: received.quantile_ms(0.5),
-        p99_ms: received.quantile_ms(0.99),
-        p999_ms: received.quantile_ms(0.999),
-        refused_per_s: received.refused as f64 / seconds,
-        refusal_p99_ms: received.refusal.value_at_quantile(0.99) as f64 / 1e3,
-        unknown: received.unknown,
-        sends_per_answer: received.sends as f64 / received.done.max(1) as f64,
-    }
-}
-
-fn print(rows: &[PolicyRow]) {
-    let headings = [
-        "profile",
-        "pattern",
-        "decisions",
-        "seed",
-        "entry",
-        "goodput/s",
-        "of cap.",
-        "p50 ms",
-        "p99 ms",
-        "p99.9 ms",
-        "refused/s",
-        "ref. p99",
-        "unknown",
-        "sends",
-    ];
-    let cells = rows.iter().map(|row| {
-        vec![
-            row.profile.clone(),
-            row.pattern.clone(),
-            row.decisions.clone(),
-            row.seed.to_string(),
-            row.entry.clone(),
-            format!("{:.0}", row.goodput),
-            format!("{:.3}", row.of_capacity),
-            format!("{:.1}", row.p50_ms),
-            format!("{:.1}", row.p99_ms),
-            format!("{:.1}", row.p999_ms),
-            format!("{:.0}", row.refused_per_s),
-            format!("{:.1}", row.refusal_p99_ms),
-            row.unknown.to_string(),
-            format!("{:.3}", row.sends_per_answer),
-        ]
-    });
-    table::print(&headings, &cells.collect::<Vec<_>>());
+    found
 }
--- a/crates/lapisdrum-load/src/policy/scenario.rs
+++ b/crates/lapisdrum-load/src/policy/scenario.rs
@@ -20,6 +20,14 @@
     pub daemons: u32,
     /// One way to clients.
     pub client_delay: Duration,
+    /// Workers of all data centres.
+    pub all_workers: usize,
+    /// Workers of a rack.
+    pub per_rack: usize,
+    /// Cores of a worker.
+    pub cores: u64,
+    /// Memory of a worker, in megabytes.
+    pub memory_mb: u64,
 }
 
 /// A quarter of 65 workers; 1 ms to clients.
@@ -29,6 +37,10 @@
     slots: 8,
     daemons: 2,
     client_delay: Duration::from_millis(1),
+    all_workers: 65,
+    per_rack: 8,
+    cores: 32,
+    memory_mb: 125_000,
 };
 
 /// A quarter of 50 workers; 3 ms to clients.
@@ -38,6 +50,10 @@
     slots: 8,
     daemons: 2,
     client_delay: Duration::from_millis(3),
+    all_workers: 50,
+    per_rack: 6,
+    cores: 16,
+    memory_mb: 60_000,
 };
 
 /// The run time of a latency-critical request.
--- a/src/lapisdrum/policy/eviction.rs
+++ b/src/lapisdrum/policy/eviction.rs
@@ -5,14 +5,17 @@
 //! a few seconds would have kept; with no memory, the evicted task is placed back and evicted again.
 //!
 //! A host's distress is the worst slowdown of its latency-critical work, in reports that arrive
-//! late. It follows a [`Switch`](super::hysteresis): two reports in a row above [`DISTRESS`] begin
-//! relief, and each step has [`SETTLE`] to show before the next. One step a time: throttle the task
-//! that harms most for its importance, then evict a throttled one. Calm undoes throttles one by one,
-//! more slowly than they were set.
+//! late. Two reports in a row above [`DISTRESS`] begin relief, and each step has [`SETTLE`] to show
+//! before the next. First as many tasks are throttled as by what is known of them bring the host out of
+//! distress, those that harm most for their importance first; then one is evicted at a time (throttling
+//! one at a time was tried: a wave of six noisy tasks lasted longer than the steps). A throttle is undone after [`REPORTS_TO_UNDO`] reports
+//! by which the host would be out of distress also with that task at full speed, so that throttles
+//! neither last for ever on a busy host nor swing.
 //!
-//! The task to evict is the least important; among equals the one that loses least work since its
-//! checkpoint. A task that was evicted within [`SPARED`] is not evicted again, and is not put back
-//! on the same worker within [`KEPT_AWAY`].
+//! Evicted is one of the tasks that harm much: evicting another would lose work for nothing. Of these
+//! it is the least important; among equals the one that loses least work since its checkpoint. A task
+//! that was evicted within [`SPARED`] is not evicted again, and is not put back on the same worker
+//! within [`KEPT_AWAY`].
 
 use super::hysteresis::{Pace, Switch};
 use crate::core::{
@@ -26,19 +29,25 @@
 /// Slowdown of latency-critical work that calls for relief: the target is a p99 within twice the
 /// uncontended one, so relief begins at half of the way there.
 pub const DISTRESS: f64 = 1.5;
-/// Slowdown below which throttles are undone.
-pub const CALM: f64 = 1.2;
+/// Slowdown below which a host in distress takes batch tasks again.
+pub const CALM: f64 = 1.35;
 /// Time that a step needs to show: usage reports lag by some seconds.
 pub const SETTLE: Duration = Duration::from_secs(10);
 /// Time within which an evicted task is not evicted again.
 pub const SPARED: Duration = Duration::from_secs(10 * 60);
 /// Time within which an evicted task is not placed back on the worker that it was evicted from.
 pub const KEPT_AWAY: Duration = Duration::from_secs(30 * 60);
+/// Part of its harm that a throttle takes away, as a rule.
+const THROTTLE_HELPS: f64 = 0.7;
+/// Part of the slowdown that a task must add to be worth a throttle.
+const WORTH_THROTTLING: f64 = 0.1;
+/// Harm relative to the greatest on the host from which a task is worth evicting.
+const WORTH_EVICTING: f64 = 0.5;
 /// Agreeing reports that begin relief.
 const REPORTS_TO_RELIEVE: u32 = 2;
 /// Agreeing reports that undo a step: slower than relief, so that a wave with short pauses does not
 /// swing.
-const REPORTS_TO_UNDO: u32 = 4;
+pub const REPORTS_TO_UNDO: u32 = 4;
 
 /// How distress is followed.
 pub const PACE: Pace = Pace {
@@ -69,8 +78,6 @@
 /// What to do on a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Nothing.
-    Keep,
     /// Slow this task down.
     Throttle(JobId),
     /// Let this task run at full speed again.
@@ -124,7 +131,7 @@
 
 impl Distress {
     /// Takes a report of the worst slowdown of latency-critical work (1 for none), and says what to
-    /// do with the host's tasks.
+    /// do with the host's tasks; mostly nothing.
     pub fn report(
         &mut self,
         slowdown: f64,
@@ -132,9 +139,9 @@
         tenants: &[Tenant<'_>],
         memory: &EvictionMemory,
         now: Millis,
-    ) -> Step {
+    ) -> Vec<Step> {
         if !self.is_news(measured_at) {
-            return Step::Keep;
+            return Vec::new();
         }
         self.last_measured = Some(measured_at);
         self.switch
@@ -144,19 +151,18 @@
         } else {
             0
         };
-        self.low = if slowdown < CALM { self.low + 1 } else { 0 };
-        let step = if self.high >= REPORTS_TO_RELIEVE {
-            relieve(tenants, memory, now)
-        } else if self.low >= REPORTS_TO_UNDO {
-            undo(tenants)
-        } else {
-            Step::Keep
+        let undone = to_release(tenants).filter(|tenant| slowdown + tenant.harm < DISTRESS);
+        self.low = if undone.is_some() { self.low + 1 } else { 0 };
+        let steps = match undone {
+            _ if self.high >= REPORTS_TO_RELIEVE => relieve(slowdown, tenants, memory, now),
+            Some(tenant) if self.low >= REPORTS_TO_UNDO => vec![Step::Release(tenant.job.clone())],
+            _ => Vec::new(),
         };
-        if step != Step::Keep {
+        if !steps.is_empty() {
             (self.high, self.low) = (0, 0);
             self.stepped_at = Some(now);
         }
-        step
+        steps
     }
 
     /// Whether the host is in distress: no batch task should be placed there.
@@ -170,44 +176,64 @@
     }
 }
 
-fn relieve(tenants: &[Tenant<'_>], memory: &EvictionMemory, now: Millis) -> Step {
-    if let Some(tenant) = to_throttle(tenants) {
-        return Step::Throttle(tenant.job.clone());
-    }
-    match to_evict(tenants, memory, now) {
-        Some(tenant) => Step::Evict(tenant.job.clone()),
-        None => Step::Keep,
+fn relieve(
+    slowdown: f64,
+    tenants: &[Tenant<'_>],
+    memory: &EvictionMemory,
+    now: Millis,
+) -> Vec<Step> {
+    let throttled = to_throttle(slowdown, tenants);
+    if !throttled.is_empty() {
+        return throttled;
     }
+    let evicted = to_evict(tenants, memory, now);
+    evicted
+        .map(|tenant| Step::Evict(tenant.job.clone()))
+        .into_iter()
+        .collect()
 }
 
-/// The batch task that harms most for its importance and is not throttled yet.
-fn to_throttle<'a>(tenants: &'a [Tenant<'a>]) -> Option<&'a Tenant<'a>> {
+/// Throttles for the batch tasks that harm most for their importance, as many as are expected to end
+/// the distress. Where none is known to harm, one is throttled on suspicion and no other after it.
+fn to_throttle(slowdown: f64, tenants: &[Tenant<'_>]) -> Vec<Step> {
+    let least = WORTH_THROTTLING * (slowdown - 1.0);
+    let any_throttled = tenants.iter().any(|t| t.throttled);
     let open = tenants
         .iter()
         .filter(|t| t.class == Class::Batch && !t.throttled);
-    open.max_by(|a, b| {
-        let worth = |t: &Tenant<'_>| t.harm / f64::from(t.priority.max(1));
-        worth(a).total_cmp(&worth(b))
-    })
+    let mut open: Vec<&Tenant<'_>> = open.filter(|t| t.harm >= least || !any_throttled).collect();
+    let worth = |t: &Tenant<'_>| t.harm / f64::from(t.priority.max(1));
+    open.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
+    let mut expected = slowdown;
+    let mut steps = Vec::new();
+    for tenant in open {
+        if expected <= DISTRESS || (tenant.harm < least && !steps.is_empty()) {
+            break;
+        }
+        expected -= tenant.harm * THROTTLE_HELPS;
+        steps.push(Step::Throttle(tenant.job.clone()));
+    }
+    steps
 }
 
-/// The batch task whose eviction costs least: the least important, then the least work lost.
+/// Of the batch tasks that harm much, the one whose eviction costs least: the least important, then
+/// the least work lost.
 pub fn to_evict<'a>(
     tenants: &'a [Tenant<'a>],
     memory: &EvictionMemory,
     now: Millis,
 ) -> Option<&'a Tenant<'a>> {
-    let open = tenants
+    let open: Vec<&Tenant<'_>> = tenants
         .iter()
-        .filter(|t| t.class == Class::Batch && memory.may_evict(t.job, now));
-    open.min_by_key(|t| (t.priority, t.unsaved))
+        .filter(|t| t.class == Class::Batch && memory.may_evict(t.job, now))
+        .collect();
+    let most = open.iter().map(|t| t.harm).max_by(f64::total_cmp)?;
+    let harmful = open.into_iter().filter(|t| t.harm >= WORTH_EVICTING * most);
+    harmful.min_by_key(|t| (t.priority, t.unsaved))
 }
 
-/// The throttled task that matters most.
-fn undo(tenants: &[Tenant<'_>]) -> Step {
+/// The throttled task that would harm least at full speed.
+fn to_release<'a>(tenants: &'a [Tenant<'a>]) -> Option<&'a Tenant<'a>> {
     let throttled = tenants.iter().filter(|t| t.throttled);
-    match throttled.max_by_key(|t| t.priority) {
-        Some(tenant) => Step::Release(tenant.job.clone()),
-        None => Step::Keep,
-    }
+    throttled.min_by(|a, b| a.harm.total_cmp(&b.harm))
 }
--- a/src/lapisdrum/policy/interference.rs
+++ b/src/lapisdrum/policy/interference.rs
@@ -146,7 +146,7 @@
 impl Pair {
     fn reports_at(&self, now: Millis) -> f64 {
         let age = now.since(self.heard_at).as_secs_f64();
-        self.reports * 0.5_f64.powf(age / FORGET.as_secs_f64())
+        self.reports * (-age / FORGET.as_secs_f64()).exp2()
     }
 }
 
@@ -174,12 +174,22 @@
 /// What ran on one host when, so that a late report is matched with the neighbours of its time.
 #[derive(Clone, Debug, Default)]
 pub struct History {
-    changes: VecDeque<(Millis, Vec<Neighbour>)>,
+    changes: VecDeque<(Millis, Option<Vec<Neighbour>>)>,
 }
 
 impl History {
-    /// Notes what runs from `now` on.
+    /// Notes what runs from `now` on, at full speed.
     pub fn note(&mut self, neighbours: Vec<Neighbour>, now: Millis) {
+        self.push(Some(neighbours), now);
+    }
+
+    /// Notes that from `now` on something is throttled: a report from this time would make what is
+    /// throttled look harmless, and it would be let in again where it does harm.
+    pub fn note_throttled(&mut self, now: Millis) {
+        self.push(None, now);
+    }
+
+    fn push(&mut self, neighbours: Option<Vec<Neighbour>>, now: Millis) {
         if self
             .changes
             .back()
@@ -193,10 +203,12 @@
         self.changes.push_back((now, neighbours));
     }
 
-    /// What ran throughout the `span` that ends at `at`; none when it changed or is not known.
+    /// What ran throughout the `span` that ends at `at`; none when it changed, was throttled or is not
+    /// known.
     pub fn during(&self, at: Millis, span: Duration) -> Option<&[Neighbour]> {
         let index = self.changes.iter().rposition(|(from, _)| *from <= at)?;
         let (from, neighbours) = &self.changes[index];
+        let neighbours = neighbours.as_deref()?;
         (*from <= at.before(span)).then_some(neighbours)
     }
 }
--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -4,8 +4,9 @@
 //! the load pattern that it answers, what happens without it, and the grounds for its figures.
 //!
 //! A request meets them in this order: [`admission`] (rate), [`queueing`] (wait or be refused, with
-//! [`drain`] for the time to come back), [`admission`] again (concurrency, when it starts),
-//! [`routing`] with [`outliers`] (which worker), [`retry`] (whether to send again). A task meets
+//! [`drain`] for the time to come back), [`admission`] again (concurrency, when it starts) and
+//! [`headroom`] (slots kept for shorter runs), [`routing`] with [`outliers`] (which worker), [`retry`]
+//! (whether to send again). A task meets
 //! [`queueing`], [`placement`] with [`interference`] and [`health`], then [`eviction`]; [`grants`]
 //! divides a worker between the daemons. [`hysteresis`] sets the pace wherever a signal lags.
 
@@ -13,6 +14,7 @@
 pub mod drain;
 pub mod eviction;
 pub mod grants;
+pub mod headroom;
 pub mod health;
 pub mod hysteresis;
 pub mod interference;
--- a/src/lapisdrum/policy/outliers.rs
+++ b/src/lapisdrum/policy/outliers.rs
@@ -19,6 +19,9 @@
 pub const MOST_ASIDE: usize = 3;
 /// Slowness relative to the median of the pool from which a worker is an outlier.
 pub const SLOW: f64 = 3.0;
+/// Slowness relative to its entries' usual times below which a worker is compared with nobody: the
+/// usual times are themselves averages over the pool.
+const SUSPECT: f64 = SLOW / 2.0;
 /// Part of failed sends from which a worker is an outlier.
 pub const FAILING: f64 = 0.5;
 /// Sends that must have ended before a worker is judged: enough that a few slow answers by chance
@@ -80,7 +83,7 @@
             return false;
         }
         let record = *record;
-        if !self.is_outlier(worker, &record) {
+        if !record.is_suspect() || !self.is_outlier(worker, &record) {
             return false;
         }
         if (self.aside(now) + 1) * MOST_ASIDE > pool {
@@ -176,6 +179,11 @@
         self.seen = self.seen.saturating_add(1);
     }
 
+    /// Whether it is worth comparing with all the others.
+    fn is_suspect(&self) -> bool {
+        self.slowness > SUSPECT || self.failing > FAILING
+    }
+
     fn is_aside(&self, now: Millis) -> bool {
         self.back_at.is_some_and(|back| now < back)
     }
--- a/tests/testsuite/policy/eviction.rs
+++ b/tests/testsuite/policy/eviction.rs
@@ -23,45 +23,36 @@
 }
 
 /// A wave of renders slows the maps. The first reports throttle the worst of them; nothing more is
-/// done until that has had time to show, and only then, with the maps still slow, one is evicted.
+/// done until that has had time to show, and only then, with the maps still slow, the others, and at
+/// last one is evicted.
 #[test]
 fn a_task_is_throttled_before_any_is_evicted() {
     let (quiet, noisy) = (job(0), job(1));
     let mut tenants = [
         tenant(&quiet),
         Tenant {
-            harm: 2.0,
+            harm: 2.5,
             ..tenant(&noisy)
         },
     ];
     let (mut distress, memory) = (Distress::default(), EvictionMemory::default());
-    let mut steps = Vec::new();
+    let mut order: Vec<(Millis, Step)> = Vec::new();
     for second in 1..60 {
         let now = Millis(second * 1_000);
-        let step = distress.report(
-            3.0,
-            now.before(Duration::from_secs(3)),
-            &tenants,
-            &memory,
-            now,
-        );
-        if let Step::Throttle(job) = &step {
-            for tenant in tenants.iter_mut().filter(|t| t.job == job) {
-                tenant.throttled = true;
+        let measured = now.before(Duration::from_secs(3));
+        for step in distress.report(3.0, measured, &tenants, &memory, now) {
+            if let Step::Throttle(job) = &step {
+                for tenant in tenants.iter_mut().filter(|t| t.job == job) {
+                    tenant.throttled = true;
+                }
             }
-        }
-        if step != Step::Keep {
-            steps.push((now, step));
-        }
-        if steps.len() == 3 {
-            break;
+            order.push((now, step));
         }
     }
-    let order: Vec<&Step> = steps.iter().map(|(_, step)| step).collect();
-    assert_eq!(order[0], &Step::Throttle(noisy.clone()));
-    assert_eq!(order[1], &Step::Throttle(quiet.clone()));
-    assert!(matches!(order[2], Step::Evict(_)), "{order:?}");
-    for pair in steps.windows(2) {
+    assert_eq!(order[0].1, Step::Throttle(noisy.clone()));
+    assert_eq!(order[1].1, Step::Throttle(quiet.clone()));
+    assert_eq!(order[2].1, Step::Evict(noisy.clone()));
+    for pair in order.windows(2) {
         assert!(
             pair[1].0.since(pair[0].0) > SETTLE,
             "a step had time to show"
@@ -69,6 +60,58 @@
     }
 }
 
+/// Six renders are known to slow the maps by a half each. All that are needed are throttled at once:
+/// one at a time, the wave would be over first.
+#[test]
+fn a_wave_is_throttled_at_once() {
+    let jobs: Vec<JobId> = (0..6).map(job).collect();
+    let tenants: Vec<Tenant<'_>> = jobs.iter().map(tenant).collect();
+    let (mut distress, memory) = (Distress::default(), EvictionMemory::default());
+    assert!(
+        distress
+            .report(2.5, Millis(1), &tenants, &memory, Millis(5_001))
+            .is_empty()
+    );
+    let steps = distress.report(2.5, Millis(5_001), &tenants, &memory, Millis(10_001));
+    assert_eq!(
+        steps.len(),
+        3,
+        "2.5 less three times 0.35 is out of distress: {steps:?}"
+    );
+}
+
+/// A host that is busy but out of distress: a throttled task runs at full speed again when that leaves
+/// the host out of distress, and stays throttled when it would not.
+#[test]
+fn a_throttle_is_undone_only_where_there_is_room() {
+    let (mild, noisy) = (job(0), job(1));
+    let tenants = [
+        Tenant {
+            throttled: true,
+            harm: 0.1,
+            ..tenant(&mild)
+        },
+        Tenant {
+            throttled: true,
+            harm: 0.9,
+            ..tenant(&noisy)
+        },
+    ];
+    let (mut distress, memory) = (Distress::default(), EvictionMemory::default());
+    let mut steps = Vec::new();
+    for second in 1..30 {
+        let now = Millis(second * 1_000);
+        steps.extend(distress.report(1.3, now, &tenants, &memory, now));
+    }
+    assert!(!steps.is_empty());
+    assert!(
+        steps
+            .iter()
+            .all(|step| *step == Step::Release(mild.clone())),
+        "{steps:?}"
+    );
+}
+
 /// The least important goes first; among equals the one that loses least work.
 #[test]
 fn the_cheapest_task_is_evicted() {
@@ -138,26 +181,28 @@
                 .zip(throttled)
                 .map(|(job, throttled)| Tenant { throttled, ..tenant(job) })
                 .collect();
-            let step = distress.report(slowdown, now.before(lag), &tenants, &memory, now);
-            if step == Step::Keep {
+            let steps = distress.report(slowdown, now.before(lag), &tenants, &memory, now);
+            if steps.is_empty() {
                 continue;
             }
             if let Some(last) = last_step {
                 prop_assert!(now.since(last) >= SETTLE);
             }
             last_step = Some(now);
-            match step {
-                Step::Throttle(job) | Step::Release(job) => {
-                    let index = jobs.iter().position(|j| *j == job).expect("known");
-                    throttled[index] = !throttled[index];
-                }
-                Step::Evict(job) => {
-                    let recent = evicted.iter().any(|(j, at)| *j == job && now.since(*at) < SPARED);
-                    prop_assert!(!recent);
-                    memory.note(&job, &worker(0), now);
-                    evicted.push((job, now));
+            for step in steps {
+                match step {
+                    Step::Throttle(job) | Step::Release(job) => {
+                        let index = jobs.iter().position(|j| *j == job).expect("known");
+                        throttled[index] = !throttled[index];
+                    }
+                    Step::Evict(job) => {
+                        let recent =
+                            evicted.iter().any(|(j, at)| *j == job && now.since(*at) < SPARED);
+                        prop_assert!(!recent);
+                        memory.note(&job, &worker(0), now);
+                        evicted.push((job, now));
+                    }
                 }
-                Step::Keep => {}
             }
         }
     }
--- a/tests/testsuite/policy/interference.rs
+++ b/tests/testsuite/policy/interference.rs
@@ -84,3 +84,24 @@
     assert_eq!(history.during(Millis(11_000), span), None);
     assert_eq!(history.during(Millis(13_000), span), Some(after.as_slice()));
 }
+
+/// While a neighbour is throttled the service is quick. Learned from, that would call the neighbour
+/// harmless, and it would be placed beside the service at full speed.
+#[test]
+fn nothing_is_learned_while_something_is_throttled() {
+    let mut history = History::default();
+    let running = vec![neighbour(Kind(1), 1)];
+    history.note(running.clone(), Millis(0));
+    history.note_throttled(Millis(10_000));
+    history.note(running.clone(), Millis(20_000));
+    let span = Duration::from_secs(2);
+    assert_eq!(
+        history.during(Millis(9_000), span),
+        Some(running.as_slice())
+    );
+    assert_eq!(history.during(Millis(15_000), span), None);
+    assert_eq!(
+        history.during(Millis(25_000), span),
+        Some(running.as_slice())
+    );
+}
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod eviction;
 mod grants;
+mod headroom;
 mod health;
 mod hysteresis;
 mod interference;
