--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -22,6 +22,8 @@
 pub const DEADLINE_HEADER: &str = "lapisdrum-deadline-ms";
 /// Header with the caller's own id for a request or job.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// Header by which a gateway names the caller that it asks for.
+pub const CALLER_HEADER: &str = "lapisdrum-caller";
 /// Header with an operator's id for a change.
 pub const CHANGE_HEADER: &str = "lapisdrum-change";
 
@@ -133,7 +135,8 @@
         Refusal::UnknownEntry(_) | Refusal::UnknownJob(_) => StatusCode::NOT_FOUND,
         Refusal::Retired(_) => StatusCode::GONE,
         Refusal::WrongClass { .. } | Refusal::InProgress { .. } => StatusCode::CONFLICT,
-        Refusal::NeverFits { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::NeverFits { .. } | Refusal::IdReused(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        Refusal::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
         Refusal::Busy { .. }
         | Refusal::TooLate { .. }
--- a/src/lapisdrum/daemon/upkeep.rs
+++ b/src/lapisdrum/daemon/upkeep.rs
@@ -45,7 +45,6 @@
     let before = now.before(retention);
     let mut index = shard.journal.index_mut();
     let jobs = index.take_expired_jobs(before, most, MOST_AT_ONCE);
-    let claims = index.take_expired_claims(before, most, MOST_AT_ONCE);
     let abandoned = index.take_old_claims(now.before(ABANDONED_CLAIM), MOST_AT_ONCE);
     drop(index);
     let state = shard.state();
@@ -56,15 +55,12 @@
             .is_some_and(|claim| claim.end.is_none())
     };
     let forgotten = jobs.into_iter().map(|job| Event::Forgotten { job });
-    let claims = claims
-        .into_iter()
-        .map(|request| Event::ClaimForgotten { request });
     let abandoned = abandoned.into_iter().filter(is_open);
     let abandoned = abandoned.map(|request| Event::ClaimEnded {
         request,
         end: ClaimEnd::Unknown,
     });
-    forgotten.chain(claims).chain(abandoned).collect()
+    forgotten.chain(abandoned).collect()
 }
 
 /// Cancels what runs or waits under a retired long-running entry. Batch jobs that were accepted
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -4,7 +4,9 @@
 //! same functions run under the model checker and the property tests.
 
 pub mod catalogue;
+pub mod claims;
 pub mod fencing;
 pub mod grants;
 pub mod ledger;
 pub mod ownership;
+pub mod shares;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 mod daemon;
 mod policy;
 mod process;
+mod requests;
 mod support;
