Jobs: a key names one job through every data centre

Cause: the shard of a job under a caller's key was picked among the shards of the data centre that was asked, so a repeat through another data centre made a second job. Change: the key's home is the one that claims use, from the table's row of homes. Cost: a keyed job is kept and run in its home's data centre, and is refused with a time to come back while that can't be reached. Jobs without a key stay local as before. Test: a_key_names_one_job_through_every_data_centre; with the old choice it fails with 'left == right: one job a key'. The test of a lost answer waits until the loss is known before the owner may look again; before, it passed without the safeguard.

--- a/src/lapisdrum/daemon/claims.rs
+++ b/src/lapisdrum/daemon/claims.rs
@@ -203,6 +203,11 @@
     }
 }
 
+/// The first home of an id, where a job under it is kept.
+pub fn home_of(cx: &Cx, request: &RequestId) -> Option<ShardId> {
+    homes_of(cx, request)?.into_iter().next()
+}
+
 /// The homes of an id; none while the row is not known or was read too long ago.
 fn homes_of(cx: &Cx, request: &RequestId) -> Option<Vec<ShardId>> {
     let homes = cx.claims.homes.borrow();
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs from a caller's point of view: any daemon takes the call and brings it to the shard's owner.
 
 use super::{
-    Cx, grants,
+    Cx, claims, grants,
     journal::{Urgency, WriteEnd},
     limits,
     shard::Shard,
@@ -46,9 +46,11 @@
     if let Err(refusal) = check_entry(cx, entry) {
         return JobAnswer::Refused(refusal);
     }
-    let unique = key.map_or_else(rand::random, |key| xxh3_64(key.as_str().as_bytes()));
-    let index = u32::try_from(unique % u64::from(cx.cfg.shards.count)).unwrap_or_default();
-    let shard = ShardId::new(&cx.cfg.daemon.data_centre, index);
+    let Some((shard, unique)) = place_of(cx, key) else {
+        return JobAnswer::Refused(Refusal::NoOwner {
+            retry_after: NO_OWNER_RETRY,
+        });
+    };
     let job = JobId::new(&shard, unique);
     let req = PeerRequest::SubmitJob {
         shard: shard.clone(),
@@ -58,6 +60,19 @@
     at_owner(cx, &shard, job, req).await
 }
 
+/// The shard that a new job goes to, and its number there. With a key both follow from the key alone,
+/// so that a repeat through any daemon of any data centre meets the first one's job; without one the
+/// job is spread over the shards of this data centre. None while the keys' homes are not known.
+fn place_of(cx: &Cx, key: Option<&RequestId>) -> Option<(ShardId, u64)> {
+    if let Some(key) = key {
+        let home = claims::home_of(cx, key)?;
+        return Some((home, xxh3_64(key.as_str().as_bytes())));
+    }
+    let unique: u64 = rand::random();
+    let index = u32::try_from(unique % u64::from(cx.cfg.shards.count)).unwrap_or_default();
+    Some((ShardId::new(&cx.cfg.daemon.data_centre, index), unique))
+}
+
 /// Shows a job.
 pub async fn show(cx: &Cx, job: JobId) -> JobAnswer {
     let Some(shard) = job.shard() else {
--- a/tests/testsuite/daemon/journal.rs
+++ b/tests/testsuite/daemon/journal.rs
@@ -119,6 +119,10 @@
     may_act.set(false);
     let next = bench.take(2).await;
     assert_eq!(next.state().jobs.len(), 1, "the next owner has the job");
+    wait::until("the answer is known to be lost", LIMIT, async || {
+        bench.cx.metrics.platform_unknown.get() > 0
+    })
+    .await;
     // What the owner finds now that it may look again is another's epoch.
     may_act.set(true);
     assert_ne!(ticket.end().await, WriteEnd::NotWritten);
--- a/tests/testsuite/process/outages.rs
+++ b/tests/testsuite/process/outages.rs
@@ -109,3 +109,22 @@
     let renders = all.iter().filter(|run| run.task.as_str() == render);
     assert_eq!(renders.count(), 1, "{all:?}");
 }
+
+/// A caller hands a render in under a key through one data centre, gets no answer it can use, and
+/// repeats it through another. Both daemons bring it to the key's home, so there is one job.
+#[actix_rt::test]
+async fn a_key_names_one_job_through_every_data_centre() {
+    let site = Site::start_with(2, 1, |plan| {
+        if plan.name.ends_with("-1") {
+            plan.data_centre = "karen".to_owned();
+        }
+    })
+    .await;
+    runs::prepare(&site, 300).await;
+    for i in 0..6 {
+        let key = format!("render-{i}");
+        let first = submit_keyed(&site, i % 2, &key).await;
+        let again = submit_keyed(&site, (i + 1) % 2, &key).await;
+        assert_eq!(first, again, "one job a key");
+    }
+}
