Queueing: beside a hot caller the others keep their turn in a standing queue

Ruled out: exempting every flow with nothing waiting (at overload by many callers, each with one request, the queue would stand again and p99 with it). Change: a newcomer whose flow has less than the longest takes that flow's last place, as in a full queue; the item that loses it is answered at once. Before: requests::overload::a_hot_caller_leaves_the_others_their_turn failed in 3 of 3 runs; after: it and the policies' stories pass (106 tests).

--- a/src/lapisdrum/policy/queueing/mod.rs
+++ b/src/lapisdrum/policy/queueing/mod.rs
@@ -15,7 +15,9 @@
 //!   the longest flow by giving up the longest flow's last item.
 //! - While an entry's queue has not been empty for [`STANDING`], its load is beyond its capacity and
 //!   a longer queue serves nobody more: a latency-critical item is then refused unless it would start
-//!   within its entry's usual run time. A shorter burst may fill the queue up to the deadline.
+//!   within its entry's usual run time. A shorter burst may fill the queue up to the deadline. Here
+//!   too a flow that has less than the longest takes a place of the longest's: refused, every caller
+//!   beside a hot one would be turned away for the hot one's load.
 //! - An item that can't be finished by its deadline any more is given up at once.
 //!
 //! The cost of a decision grows with the flows that wait, not with the items.
@@ -175,20 +177,22 @@
         if latest_start.is_some_and(|latest| latest < now + wait || item.deadline <= Some(now)) {
             return Enqueued::Refused(self.refuse(payload, Reason::Deadline, wait, now, rng));
         }
-        if wait > self.patience(&item, now) {
-            return Enqueued::Refused(self.refuse(payload, Reason::Overload, wait, now, rng));
-        }
         let mut displaced = None;
         let waiting = self.waiting_of(&item.entry);
-        if waiting >= item.bound {
+        let is_too_long = wait > self.patience(&item, now);
+        if is_too_long || waiting >= item.bound {
+            let reason = match is_too_long {
+                true => Reason::Overload,
+                false => Reason::QueueFull,
+            };
             // Above a bound that was lowered, a place that becomes free is not given away again.
-            let place = self.displaceable(&item).filter(|_| waiting == item.bound);
+            let place = self.displaceable(&item).filter(|_| waiting <= item.bound);
             let Some(longest) = place else {
-                return Enqueued::Refused(self.refuse(payload, Reason::QueueFull, wait, now, rng));
+                return Enqueued::Refused(self.refuse(payload, reason, wait, now, rng));
             };
             displaced = self
                 .take(longest, now)
-                .map(|waiting| self.refuse(waiting.payload, Reason::QueueFull, wait, now, rng));
+                .map(|waiting| self.refuse(waiting.payload, reason, wait, now, rng));
         }
         let ticket = self.insert(item, payload, latest_start, now);
         Enqueued::Waiting { ticket, displaced }
