Visits: what has to come down is found before an answer is acted on

Change: due stops are found before the answer is acted on, and tasks that the answer says have ended are left to it.

--- a/src/lapisdrum/daemon/visits.rs
+++ b/src/lapisdrum/daemon/visits.rs
@@ -90,8 +90,11 @@
                 note_claimed(cx, shard, worker);
             }
             sessions::note_list(cx, shard, worker, &list);
+            let due = due_to_stop(cx, shard, worker, &list);
             reconcile(cx, shard, worker, address, &list, &judged);
-            stop_due(cx, shard, worker, address);
+            for task in due {
+                stop_running(cx, shard, worker, address, &task);
+            }
         }
         CommandEnd::Rejected(..) => note_refused(shard, worker),
         CommandEnd::Silent(_) => evictions::give_up_silent(cx, shard, worker, &judged),
@@ -217,18 +220,24 @@
     });
 }
 
-/// Brings down what has to come down on a worker. Its answers name changes only, so this goes by the
-/// ledger and not by the answer.
-fn stop_due(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str) {
-    for (task, placement) in sessions::placements_on(shard, worker) {
-        let sent = shard.session(worker, |session| session.sent(&task, placement.attempt));
+/// Tasks that have to come down on a worker. Its answers name changes only, so this goes by the
+/// ledger; what the answer says has ended is left to it. Asked before the answer is acted on: a
+/// checkpoint proposed by then would make the task seem unsettled at every visit.
+fn due_to_stop(cx: &Cx, shard: &Shard, worker: &WorkerId, list: &TaskList) -> Vec<JobId> {
+    let ended = list.tasks.iter().filter(|s| s.state != TaskState::Running);
+    let ended: IndexSet<&JobId> = ended.map(|status| &status.task).collect();
+    let is_due = |task: &JobId, placement: &Placement| {
+        let sent = shard.session(worker, |session| session.sent(task, placement.attempt));
         let is_reported = sent.flatten().is_some_and(|sent| sent.is_reported);
-        let is_settled = !shard.journal.is_unsettled(&task);
-        let job = shard.job(&task);
-        if is_reported && is_settled && job.is_some_and(|job| is_to_stop(cx, shard, worker, &job)) {
-            stop_running(cx, shard, worker, address, &task);
-        }
-    }
+        let is_open = is_reported && !ended.contains(task) && !shard.journal.is_unsettled(task);
+        is_open
+            && shard
+                .job(task)
+                .is_some_and(|job| is_to_stop(cx, shard, worker, &job))
+    };
+    let placed = sessions::placements_on(shard, worker).into_iter();
+    let due = placed.filter(|(task, placement)| is_due(task, placement));
+    due.map(|(task, _)| task).collect()
 }
 
 /// Whether a running task has to come down: it is cancelled, or its host leaves and its class's time
