--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -12,6 +12,7 @@
     daemon,
     ops::timeline,
     settings::Settings,
+    timeline::event::Filter,
 };
 use lapisdrum_standins::{
     platform::server::Platform,
@@ -104,7 +105,8 @@
     );
 
     println!("6. what happened, over both daemons");
-    for record in timeline::merge(&clients).await.events {
+    let everything = Filter::default();
+    for record in timeline::merge(&clients, &everything).await.events {
         println!("   {record}");
     }
     stop.send_replace(true);
--- a/src/bin/lapisdrum/cli.rs
+++ b/src/bin/lapisdrum/cli.rs
@@ -1,17 +1,34 @@
-//! The command line's definition.
+//! The command line's definition, from which help, completions and the man pages are made.
 
-use crate::commands::{catalogue, check, jobs, run, timeline};
-use clap::{Args, Parser, Subcommand};
-use lapisdrum::api::client::DaemonClient;
-use std::time::Duration;
+use crate::commands::{catalogue, check, completions, jobs, man, run, status, timeline};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use lapisdrum::{
+    api::client::DaemonClient,
+    ops::{self, output::Output},
+};
+use std::net::SocketAddr;
 
-/// Time for one call to a daemon.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const EXAMPLES: &str = "\
+Examples:
+  lapisdrum check daemon.toml
+  lapisdrum run --config daemon.toml
+  lapisdrum catalogue apply --wait catalogue.toml
+  lapisdrum status --daemon 127.0.0.1:7000
+
+Exit status:
+  0  done
+  1  failed; the message says what is known
+  2  wrong input; nothing was changed
+  3  refused; nothing was changed";
 
 /// A scheduler for latency-critical and batch work on the same hosts.
 #[derive(Debug, Parser)]
-#[command(version, about, propagate_version = true)]
+#[command(name = "lapisdrum", version, about, propagate_version = true)]
+#[command(after_help = EXAMPLES)]
 pub(crate) struct Cli {
+    /// Form of the output.
+    #[arg(long, global = true, value_enum, default_value_t = OutputArg::Text)]
+    pub(crate) output: OutputArg,
     /// What to do.
     #[command(subcommand)]
     pub(crate) command: Command,
@@ -30,21 +47,45 @@
     /// Hand in, read and cancel jobs.
     #[command(subcommand)]
     Jobs(jobs::JobsCommand),
-    /// Show what happened, merged over daemons.
+    /// Show daemons, shards, workers, the platform and the revision on each daemon.
+    Status(status::StatusArgs),
+    /// Show what happened, merged over all daemons.
     Timeline(timeline::TimelineArgs),
+    /// Print shell completions.
+    Completions(completions::CompletionsArgs),
+    /// Print the man page, or write one for each subcommand.
+    Man(man::ManArgs),
+}
+
+/// Forms of output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum OutputArg {
+    /// For people.
+    Text,
+    /// For programs: one JSON value on one line.
+    Json,
+}
+
+impl From<OutputArg> for Output {
+    fn from(arg: OutputArg) -> Self {
+        match arg {
+            OutputArg::Text => Self::Text,
+            OutputArg::Json => Self::Json,
+        }
+    }
 }
 
 /// Which daemon to ask.
 #[derive(Debug, Args)]
 pub(crate) struct DaemonArgs {
-    /// Address of any daemon, as in its `daemon.callers` setting.
+    /// IP number and port of any daemon, as in its `daemon.callers` setting.
     #[arg(long, env = "LAPISDRUM_DAEMON", default_value = "127.0.0.1:7000")]
-    daemon: String,
+    daemon: SocketAddr,
 }
 
 impl DaemonArgs {
     /// A client of that daemon.
     pub(crate) fn client(&self) -> DaemonClient {
-        DaemonClient::new(&self.daemon, CALL_TIMEOUT)
+        ops::connect(&self.daemon.to_string())
     }
 }
--- a/src/bin/lapisdrum/commands/catalogue.rs
+++ b/src/bin/lapisdrum/commands/catalogue.rs
@@ -1,26 +1,50 @@
 //! `lapisdrum catalogue`.
 
 use crate::cli::DaemonArgs;
-use clap::Subcommand;
-use lapisdrum::ops::{self, Failure, catalogue::Applied};
-use std::path::PathBuf;
+use clap::{Args, Subcommand};
+use lapisdrum::ops::{self, Failure, catalogue::ApplyOptions, output::Output};
+use std::{path::PathBuf, time::Duration};
+
+const APPLY_EXAMPLES: &str = "\
+Examples:
+  lapisdrum catalogue apply --dry-run catalogue.toml
+  lapisdrum catalogue apply --wait catalogue.toml
+
+Entries that differ from the file are added or changed; entries that the file does not name stay as
+they are. A lost answer is repeated under the same change id, so a change is made at most once. Of
+two operators who change one entry at a time, one is told of the conflict and nothing of his is lost.";
+
+const RETIRE_EXAMPLES: &str = "\
+Example:
+  lapisdrum catalogue retire catalogue-render --wait
+
+The entry takes no new work; what was accepted is finished as its class demands. Applying a file in
+which it is not retired brings it back.";
 
 /// What to do with the catalogue.
 #[derive(Debug, Subcommand)]
 pub(crate) enum CatalogueCommand {
     /// Bring the catalogue in line with a file.
+    #[command(after_help = APPLY_EXAMPLES)]
     Apply {
         /// A TOML file with `[[entry]]` tables.
         file: PathBuf,
+        /// Show the differences and change nothing.
+        #[arg(long)]
+        dry_run: bool,
+        #[command(flatten)]
+        wait: WaitArgs,
         #[command(flatten)]
         daemon: DaemonArgs,
     },
     /// Show every entry.
+    #[command(after_help = "Example:\n  lapisdrum catalogue list --daemon 127.0.0.1:7000")]
     List {
         #[command(flatten)]
         daemon: DaemonArgs,
     },
     /// Show one entry.
+    #[command(after_help = "Example:\n  lapisdrum catalogue show route-map")]
     Show {
         /// The entry's name.
         entry: String,
@@ -28,44 +52,72 @@
         daemon: DaemonArgs,
     },
     /// Take an entry out of service; what was accepted is finished.
+    #[command(after_help = RETIRE_EXAMPLES)]
     Retire {
         /// The entry's name.
         entry: String,
         #[command(flatten)]
+        wait: WaitArgs,
+        #[command(flatten)]
         daemon: DaemonArgs,
     },
+    /// Show accepted changes with their change ids, oldest first.
+    #[command(after_help = "Example:\n  lapisdrum catalogue history")]
+    History {
+        #[command(flatten)]
+        daemon: DaemonArgs,
+    },
+}
+
+/// How long to wait until a change is in force.
+#[derive(Debug, Args)]
+pub(crate) struct WaitArgs {
+    /// Wait until every daemon that answers has the change in force, at most SECONDS (30 if left
+    /// out).
+    #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "30")]
+    #[arg(require_equals = true)]
+    wait: Option<u64>,
+}
+
+impl WaitArgs {
+    fn limit(&self) -> Option<Duration> {
+        self.wait.map(Duration::from_secs)
+    }
 }
 
 /// Runs one of them.
-pub(crate) async fn run(command: CatalogueCommand) -> Result<(), Failure> {
+pub(crate) async fn run(command: CatalogueCommand, output: Output) -> Result<(), Failure> {
     match command {
-        CatalogueCommand::Apply { file, daemon } => {
-            for applied in ops::catalogue::apply(&daemon.client(), &file).await? {
-                match applied {
-                    Applied::Unchanged(entry) => println!("{entry}: unchanged"),
-                    Applied::Changed(entry, revision) => println!("{entry}: revision {revision}"),
-                }
-            }
+        CatalogueCommand::Apply {
+            file,
+            dry_run,
+            wait,
+            daemon,
+        } => {
+            let options = ApplyOptions {
+                dry_run,
+                wait: wait.limit(),
+            };
+            let applied = ops::catalogue::apply(&daemon.client(), &file, options).await?;
+            super::print_with(output, applied)
         }
         CatalogueCommand::List { daemon } => {
-            let catalogue = ops::catalogue::list(&daemon.client()).await?;
-            println!("revision {}", catalogue.revision);
-            for row in catalogue.entries {
-                let entry = row.entry;
-                println!(
-                    "{} {} {} at {}",
-                    entry.name, entry.class, entry.owner, row.revision
-                );
-            }
+            super::print(output, &ops::catalogue::list(&daemon.client()).await?)
         }
         CatalogueCommand::Show { entry, daemon } => {
-            let row = ops::catalogue::show(&daemon.client(), &entry).await?;
-            println!("{row:#?}");
+            let shown = ops::catalogue::show(&daemon.client(), &entry).await?;
+            super::print(output, &shown)
+        }
+        CatalogueCommand::Retire {
+            entry,
+            wait,
+            daemon,
+        } => {
+            let retired = ops::catalogue::retire(&daemon.client(), &entry, wait.limit()).await?;
+            super::print_with(output, retired)
         }
-        CatalogueCommand::Retire { entry, daemon } => {
-            let revision = ops::catalogue::retire(&daemon.client(), &entry).await?;
-            println!("{entry}: retired at revision {revision}");
+        CatalogueCommand::History { daemon } => {
+            super::print(output, &ops::catalogue::history(&daemon.client()).await?)
         }
     }
-    Ok(())
 }
--- a/src/bin/lapisdrum/commands/mod.rs
+++ b/src/bin/lapisdrum/commands/mod.rs
@@ -2,20 +2,50 @@
 
 pub(crate) mod catalogue;
 pub(crate) mod check;
+pub(crate) mod completions;
 pub(crate) mod jobs;
+pub(crate) mod man;
 pub(crate) mod run;
+pub(crate) mod status;
 pub(crate) mod timeline;
 
-use crate::cli::{Cli, Command};
-use lapisdrum::ops::Failure;
+use crate::cli::Command;
+use lapisdrum::ops::{Exit, Failure, output::Output};
+use serde::Serialize;
+use std::{
+    fmt::Display,
+    io::{self, Write},
+};
 
 /// Runs the subcommand that was asked for.
-pub(crate) async fn run(cli: Cli) -> Result<(), Failure> {
-    match cli.command {
+pub(crate) async fn run(command: Command, output: Output) -> Result<(), Failure> {
+    match command {
         Command::Run(args) => run::run(args).await,
-        Command::Check(args) => check::run(&args),
-        Command::Catalogue(command) => catalogue::run(command).await,
-        Command::Jobs(command) => jobs::run(command).await,
-        Command::Timeline(args) => timeline::run(args).await,
+        Command::Check(args) => check::run(&args, output),
+        Command::Catalogue(command) => catalogue::run(command, output).await,
+        Command::Jobs(command) => jobs::run(command, output).await,
+        Command::Status(args) => status::run(args, output).await,
+        Command::Timeline(args) => timeline::run(args, output).await,
+        Command::Completions(args) => completions::run(&args),
+        Command::Man(args) => man::run(&args),
     }
 }
+
+/// Prints a report. A reader that went away, such as `head`, is a failure and no panic.
+fn print<T: Display + Serialize>(output: Output, report: &T) -> Result<(), Failure> {
+    write_out(format!("{}\n", output.render(report)).as_bytes())
+}
+
+fn write_out(text: &[u8]) -> Result<(), Failure> {
+    let written = io::stdout().write_all(text);
+    written.map_err(|e| Failure::new(Exit::Failed, format!("standard output: {e}")))
+}
+
+/// Prints a report that came with a failure, and hands the failure on.
+fn print_with<T: Display + Serialize>(
+    output: Output,
+    (report, failure): (T, Option<Failure>),
+) -> Result<(), Failure> {
+    print(output, &report)?;
+    failure.map_or(Ok(()), Err)
+}
--- a/src/lapisdrum/api/jobs.rs
+++ b/src/lapisdrum/api/jobs.rs
@@ -2,13 +2,14 @@
 
 use super::{
     server::note_refusal,
-    wire::{JobBody, KEY_HEADER, OUTCOME_HEADER, error},
+    wire::{JobBody, JobsBody, KEY_HEADER, OUTCOME_HEADER, error},
 };
 use crate::{
     core::id::{EntryName, JobId, RequestId},
     daemon::{
         Cx,
         jobs::{self, JobAnswer},
+        listing::{self, JobFilter, JobState},
     },
     util::http::{HttpRequest, HttpResponse},
 };
@@ -36,6 +37,41 @@
     answer(cx, StatusCode::ACCEPTED, end)
 }
 
+/// `GET /v1/jobs?entry=&state=`.
+pub async fn list(cx: &Cx, req: &HttpRequest) -> HttpResponse {
+    match job_filter(req) {
+        Ok(filter) => {
+            let listing = listing::list(cx, &filter).await;
+            HttpResponse::json(StatusCode::OK, &JobsBody::from(listing))
+        }
+        Err(answer) => answer,
+    }
+}
+
+fn job_filter(req: &HttpRequest) -> Result<JobFilter, HttpResponse> {
+    let entry = req.query("entry").map(EntryName::try_from).transpose();
+    let entry = entry.map_err(|e| error(StatusCode::BAD_REQUEST, e, "correct `entry`"))?;
+    let state = match req.query("state") {
+        Some(word) => Some(job_state(word)?),
+        None => None,
+    };
+    Ok(JobFilter { entry, state })
+}
+
+fn job_state(word: &str) -> Result<JobState, HttpResponse> {
+    let found = JobState::ALL
+        .into_iter()
+        .find(|state| state.as_str() == word);
+    found.ok_or_else(|| {
+        let words = JobState::ALL.map(JobState::as_str).join(", ");
+        error(
+            StatusCode::BAD_REQUEST,
+            format!("`{word}` is no state of a job"),
+            format!("use one of {words}"),
+        )
+    })
+}
+
 fn answer(cx: &Cx, status: StatusCode, end: JobAnswer) -> HttpResponse {
     match end {
         JobAnswer::Job(id, job) => {
--- a/src/lapisdrum/api/mod.rs
+++ b/src/lapisdrum/api/mod.rs
@@ -4,4 +4,5 @@
 pub mod jobs;
 pub mod operators;
 pub mod server;
+pub mod status;
 pub mod wire;
--- a/src/lapisdrum/api/operators.rs
+++ b/src/lapisdrum/api/operators.rs
@@ -1,20 +1,27 @@
 //! Operators' calls: the catalogue and the time line.
 
-use super::wire::{CHANGE_HEADER, CatalogueBody, ChangeBody, EntryBody, TimelineBody, error};
+use super::wire::{
+    CHANGE_HEADER, CatalogueBody, ChangeBody, ChangeLine, EntryBody, HistoryBody, TimelineBody,
+    error,
+};
 use crate::{
     core::{
         catalogue::RawEntry,
-        id::{ChangeId, EntryName, Revision},
+        id::{ChangeId, EntryName, JobId, Revision, WorkerId},
     },
     daemon::{
         Cx,
         catalogue::{self, ChangeEnd},
     },
     state::catalogue::ChangeRefusal,
+    timeline::event::Filter,
     util::http::{HttpRequest, HttpResponse},
 };
 use actix_http::StatusCode;
 
+/// When an operator should come back while the table is away, in seconds.
+const STORE_RETRY_S: &str = "2";
+
 /// `PUT /v1/catalogue/ENTRY`: adds or changes an entry.
 pub async fn put_entry(cx: &Cx, name: EntryName, req: &HttpRequest) -> HttpResponse {
     let raw: RawEntry = match req.json() {
@@ -76,10 +83,53 @@
     )
 }
 
-/// `GET /v1/timeline`.
-pub fn timeline(cx: &Cx) -> HttpResponse {
-    let (events, dropped) = cx.timeline.read();
-    HttpResponse::json(StatusCode::OK, &TimelineBody { events, dropped })
+/// `GET /v1/timeline?job=&worker=&since=`; `since` is a stamp's time.
+pub fn timeline(cx: &Cx, req: &HttpRequest) -> HttpResponse {
+    let filter = match event_filter(req) {
+        Ok(filter) => filter,
+        Err(answer) => return answer,
+    };
+    let (mut events, dropped) = cx.timeline.read();
+    events.retain(|record| filter.matches(record));
+    let body = TimelineBody {
+        daemon: cx.me.daemon.clone(),
+        events,
+        dropped,
+    };
+    HttpResponse::json(StatusCode::OK, &body)
+}
+
+fn event_filter(req: &HttpRequest) -> Result<Filter, HttpResponse> {
+    let bad = |e: String, help: &str| error(StatusCode::BAD_REQUEST, e, help);
+    let job = req.query("job").map(JobId::try_from).transpose();
+    let worker = req.query("worker").map(WorkerId::try_from).transpose();
+    let since = req.query("since").map(str::parse::<u64>).transpose();
+    Ok(Filter {
+        job: job.map_err(|e| bad(e.to_string(), "correct `job`"))?,
+        worker: worker.map_err(|e| bad(e.to_string(), "correct `worker`"))?,
+        since: since.map_err(|e| bad(e.to_string(), "`since` is the time of a stamp"))?,
+    })
+}
+
+/// `GET /v1/history`: the accepted changes that the table still has, oldest first.
+pub async fn history(cx: &Cx) -> HttpResponse {
+    match catalogue::history(cx).await {
+        Ok(rows) => {
+            let changes = rows.into_iter().map(|row| ChangeLine {
+                revision: row.revision,
+                entry: row.entry,
+                change: row.change,
+            });
+            let changes = changes.collect();
+            HttpResponse::json(StatusCode::OK, &HistoryBody { changes })
+        }
+        Err(e) => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            e,
+            "come back after the time in retry-after",
+        )
+        .with("retry-after", STORE_RETRY_S),
+    }
 }
 
 fn no_entry(name: &EntryName) -> HttpResponse {
@@ -137,7 +187,7 @@
             "the platform's table can't be reached; nothing was changed",
             "come back after the time in retry-after",
         )
-        .with("retry-after", "2"),
+        .with("retry-after", STORE_RETRY_S),
         ChangeEnd::Unknown => error(
             StatusCode::BAD_GATEWAY,
             "the change may be in: its answer was lost",
--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -1,7 +1,7 @@
 //! Serves callers and operators: routes, and the answers that need no more than a line.
 
 use super::{
-    jobs, operators,
+    jobs, operators, status,
     wire::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused},
 };
 use crate::{
@@ -62,6 +62,7 @@
         (&Method::POST, ["v1", "jobs", entry]) => {
             with_name(entry, |entry| jobs::submit(cx, entry, &req)).await
         }
+        (&Method::GET, ["v1", "jobs"]) => jobs::list(cx, &req).await,
         (&Method::GET, ["v1", "jobs", job]) => {
             with_name(job, |job: JobId| jobs::show(cx, job)).await
         }
@@ -81,7 +82,9 @@
             with_name(entry, |entry| operators::retire_entry(cx, entry, &req)).await
         }
         (&Method::GET, ["v1", "catalogue"]) => operators::list(cx),
-        (&Method::GET, ["v1", "timeline"]) => operators::timeline(cx),
+        (&Method::GET, ["v1", "history"]) => operators::history(cx).await,
+        (&Method::GET, ["v1", "timeline"]) => operators::timeline(cx, &req),
+        (&Method::GET, ["v1", "status"]) => status::show(cx),
         (&Method::GET, ["metrics"]) => metrics(cx),
         (&Method::GET, ["healthz"]) => HttpResponse::empty(StatusCode::OK),
         (&Method::GET, ["readyz"]) => readiness(cx),
--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -3,11 +3,12 @@
 use crate::{
     core::{
         catalogue::RawEntry,
-        id::{JobId, Revision},
+        id::{ChangeId, DaemonId, EntryName, JobId, Revision, ShardId},
         job::{Job, JobEnd, JobPhase},
         outcome::Refusal,
         time::millis,
     },
+    daemon::listing::{JobState, Listing},
     state::catalogue::EntryRow,
     timeline::event::Record,
     util::http::HttpResponse,
@@ -52,6 +53,32 @@
         pub message: Option<String>,
     }
 
+    /// Jobs over all shards.
+    pub struct JobsBody {
+        /// The jobs, by shard, oldest first in each.
+        pub jobs: Vec<JobBody>,
+        /// How many more match and are left out, the oldest of each shard.
+        pub omitted: usize,
+        /// Shards whose owners did not answer; their jobs are not in the list.
+        pub missing: Vec<ShardId>,
+    }
+
+    /// An accepted change of the catalogue.
+    pub struct ChangeLine {
+        /// The revision that it made.
+        pub revision: Revision,
+        /// The entry.
+        pub entry: EntryName,
+        /// The operator's id for the change.
+        pub change: ChangeId,
+    }
+
+    /// Accepted changes, oldest first.
+    pub struct HistoryBody {
+        /// The changes that the table still has.
+        pub changes: Vec<ChangeLine>,
+    }
+
     /// A catalogue entry as operators see it.
     pub struct EntryBody {
         /// The entry as written.
@@ -76,6 +103,8 @@
 
     /// One daemon's part of the time line.
     pub struct TimelineBody {
+        /// The daemon that saw them.
+        pub daemon: DaemonId,
         /// Events, oldest first.
         pub events: Vec<Record>,
         /// How many fell out of the ring.
@@ -88,12 +117,10 @@
         let worker = job
             .placement()
             .map(|placement| placement.worker.to_string());
-        let (state, message) = match job.phase {
-            JobPhase::Waiting => ("waiting", None),
-            JobPhase::Placed(_) => ("running", None),
-            JobPhase::Ended(JobEnd::Done) => ("done", None),
-            JobPhase::Ended(JobEnd::Failed(text)) => ("failed", Some(text)),
-            JobPhase::Ended(JobEnd::Cancelled) => ("cancelled", None),
+        let state = JobState::from(&job.phase).as_str();
+        let message = match job.phase {
+            JobPhase::Ended(JobEnd::Failed(text)) => Some(text),
+            _ => None,
         };
         Self {
             job: id,
@@ -107,6 +134,18 @@
     }
 }
 
+impl From<Listing> for JobsBody {
+    fn from(listing: Listing) -> Self {
+        let omitted = listing.shards.iter().map(|shard| shard.omitted).sum();
+        let jobs = listing.shards.into_iter().flat_map(|shard| shard.jobs);
+        Self {
+            jobs: jobs.map(JobBody::from).collect(),
+            omitted,
+            missing: listing.missing,
+        }
+    }
+}
+
 impl From<&EntryRow> for EntryBody {
     fn from(row: &EntryRow) -> Self {
         Self {
--- a/src/lapisdrum/core/catalogue.rs
+++ b/src/lapisdrum/core/catalogue.rs
@@ -171,13 +171,29 @@
 pub struct EntryFaults {
     /// The entry's name as written.
     pub entry: String,
-    /// One phrase a fault: key, value and what is allowed.
-    pub faults: Vec<String>,
+    /// The faults, in the order found.
+    pub faults: Vec<KeyFault>,
+}
+
+/// What is wrong with one key of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyFault {
+    /// The key.
+    pub key: &'static str,
+    /// The value and what is allowed.
+    pub what: String,
+}
+
+impl fmt::Display for KeyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "`{}`: {}", self.key, self.what)
+    }
 }
 
 impl fmt::Display for EntryFaults {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "entry `{}`: {}", self.entry, self.faults.join("; "))
+        let faults: Vec<String> = self.faults.iter().map(ToString::to_string).collect();
+        write!(f, "entry `{}`: {}", self.entry, faults.join("; "))
     }
 }
 
@@ -262,14 +278,17 @@
 /// Collects faults, so that an operator mends all of them in one go.
 #[derive(Default)]
 struct Check {
-    faults: Vec<String>,
+    faults: Vec<KeyFault>,
 }
 
 impl Check {
-    fn name<T, E: fmt::Display>(&mut self, key: &str, parsed: Result<T, E>) -> Option<T> {
-        parsed
-            .map_err(|e| self.faults.push(format!("`{key}`: {e}")))
-            .ok()
+    fn fault(&mut self, key: &'static str, what: impl ToString) {
+        let what = what.to_string();
+        self.faults.push(KeyFault { key, what });
+    }
+
+    fn name<T, E: fmt::Display>(&mut self, key: &'static str, parsed: Result<T, E>) -> Option<T> {
+        parsed.map_err(|e| self.fault(key, e)).ok()
     }
 
     fn class(&mut self, raw: &str) -> Option<Class> {
@@ -278,18 +297,16 @@
             "batch" => Some(Class::Batch),
             "long-running" => Some(Class::LongRunning),
             _ => {
-                self.faults.push(format!(
-                    "`class`: `{raw}` is none of `latency-critical`, `batch`, `long-running`"
-                ));
+                let words = "`latency-critical`, `batch`, `long-running`";
+                self.fault("class", format!("`{raw}` is none of {words}"));
                 None
             }
         }
     }
 
-    fn range(&mut self, key: &str, value: u64, least: u64, most: u64) {
+    fn range(&mut self, key: &'static str, value: u64, least: u64, most: u64) {
         if !(least..=most).contains(&value) {
-            self.faults
-                .push(format!("`{key}`: {value} is outside {least} to {most}"));
+            self.fault(key, format!("{value} is outside {least} to {most}"));
         }
     }
 }
--- a/src/lapisdrum/daemon/catalogue.rs
+++ b/src/lapisdrum/daemon/catalogue.rs
@@ -15,7 +15,7 @@
         client::{PlatformError, TxnOutcome},
         wire::{Row, Txn},
     },
-    state::catalogue::{self, Catalogue, ChangeRefusal, EntryRow, RevisionRow},
+    state::catalogue::{self, Catalogue, ChangeRefusal, ChangeRow, EntryRow, RevisionRow},
     timeline::event::Happening,
 };
 use std::rc::Rc;
@@ -152,6 +152,25 @@
     heard && cx.catalogue.borrow().revision > Revision::default()
 }
 
+/// Accepted changes that the table still names, oldest first.
+pub async fn history(cx: &Cx) -> Result<Vec<ChangeRow>, PlatformError> {
+    let rows = cx.platform.list(ENTRY_PREFIX).await?;
+    let mut changes: Vec<ChangeRow> = rows.iter().filter_map(last_change).collect();
+    changes.sort_by_key(|change| change.revision);
+    Ok(changes)
+}
+
+/// The change that wrote an entry's row.
+fn last_change(row: &Row) -> Option<ChangeRow> {
+    let entry = EntryName::try_from(row.key.strip_prefix(ENTRY_PREFIX)?).ok()?;
+    let written = row.parse::<EntryRow>()?;
+    Some(ChangeRow {
+        entry,
+        revision: written.revision,
+        change: written.change,
+    })
+}
+
 /// Hears of a revision from a peer.
 pub fn hear(cx: &Cx, revision: Revision) {
     if revision <= cx.catalogue.borrow().revision {
--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -173,8 +173,10 @@
     };
     match ticket.end().await {
         WriteEnd::Committed => {
-            cx.timeline
-                .record(Happening::JobAccepted { job: job.clone() });
+            cx.timeline.record(Happening::JobAccepted {
+                job: job.clone(),
+                entry: entry.name,
+            });
             shard.placement.notify_one();
             shard.job(&job).map_or(PeerReply::Unknown, PeerReply::Job)
         }
--- a/src/lapisdrum/daemon/metrics.rs
+++ b/src/lapisdrum/daemon/metrics.rs
@@ -1,4 +1,9 @@
 //! Counters and histograms under the ecosystem's naming rules, written as text for `/metrics`.
+//!
+//! The users' three measures are `lapisdrum_request_seconds` (tail latency by entry),
+//! `lapisdrum_jobs_ended_total` with `lapisdrum_task_seconds_total` (batch throughput by entry) and
+//! `lapisdrum_evictions_total` (by entry and reason). Labels come from the catalogue and from closed
+//! sets, never from what a caller writes, so that nobody but an operator can make the metrics grow.
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -8,8 +13,9 @@
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
-    registry::Registry,
+    registry::{Registry, Unit},
 };
+use std::sync::atomic::AtomicU64;
 
 /// Least bound of the latency buckets, in seconds.
 const FIRST_LATENCY_BUCKET: f64 = 0.000_5;
@@ -39,6 +45,27 @@
     pub reason: &'static str,
 }
 
+/// Labels of ended jobs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// The catalogue entry.
+    pub entry: String,
+    /// `done`, `failed` or `cancelled`.
+    pub end: &'static str,
+}
+
+/// Labels of evictions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EvictionLabels {
+    /// The catalogue entry.
+    pub entry: String,
+    /// A fixed phrase, with `_` for spaces.
+    pub reason: String,
+}
+
+/// A counter of seconds.
+pub type SecondsCounter = Counter<f64, AtomicU64>;
+
 /// All metrics of a daemon.
 pub struct Metrics {
     registry: Registry,
@@ -48,12 +75,18 @@
     pub request_seconds: Family<EntryLabel, Histogram>,
     /// Refusals, by reason.
     pub refusals: Family<ReasonLabel, Counter>,
-    /// Jobs that ended well: batch throughput.
-    pub jobs_done: Counter,
+    /// Jobs that ended, by entry and how.
+    pub jobs_ended: Family<EndLabels, Counter>,
+    /// Time that tasks have spent on workers, by entry.
+    pub task_seconds: Family<EntryLabel, SecondsCounter>,
+    /// Jobs that wait for a place, by entry.
+    pub jobs_waiting: Family<EntryLabel, Gauge>,
+    /// Jobs that are placed, by entry.
+    pub jobs_running: Family<EntryLabel, Gauge>,
     /// Tasks started on workers.
     pub task_starts: Counter,
-    /// Tasks that lost their place.
-    pub evictions: Counter,
+    /// Tasks that lost their place, by entry and reason.
+    pub evictions: Family<EvictionLabels, Counter>,
     /// Ledger rows written.
     pub ledger_writes: Counter,
     /// Ledger events written.
@@ -66,6 +99,12 @@
     pub revision: Gauge,
     /// Shards owned.
     pub shards_owned: Gauge,
+    /// Shards owned under a lease that has run out.
+    pub shards_lapsed: Gauge,
+    /// Workers of owned shards that do not answer.
+    pub workers_silent: Gauge,
+    /// Daemons that are heard of, this one among them.
+    pub daemons_live: Gauge,
     /// Whether the platform answers: 1 or 0.
     pub platform_up: Gauge,
 }
@@ -78,27 +117,37 @@
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(latency_histogram),
             refusals: Family::default(),
-            jobs_done: Counter::default(),
+            jobs_ended: Family::default(),
+            task_seconds: Family::default(),
+            jobs_waiting: Family::default(),
+            jobs_running: Family::default(),
             task_starts: Counter::default(),
-            evictions: Counter::default(),
+            evictions: Family::default(),
             ledger_writes: Counter::default(),
             ledger_events: Counter::default(),
             platform_unknown: Counter::default(),
             part_restarts: Counter::default(),
             revision: Gauge::default(),
             shards_owned: Gauge::default(),
+            shards_lapsed: Gauge::default(),
+            workers_silent: Gauge::default(),
+            daemons_live: Gauge::default(),
             platform_up: Gauge::default(),
         };
-        m.register();
+        m.register_work();
+        m.register_state();
         m
     }
 
-    fn register(&mut self) {
+    /// Registers what tells how callers and their work fare. The library adds `_seconds` for the
+    /// unit and `_total` for a counter.
+    fn register_work(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests answered", self.requests.clone());
-        r.register(
-            "request_seconds",
-            "Time to the answer",
+        r.register_with_unit(
+            "request",
+            "Time from a request's arrival to its answer",
+            Unit::Seconds,
             self.request_seconds.clone(),
         );
         r.register(
@@ -106,7 +155,23 @@
             "Requests and jobs refused",
             self.refusals.clone(),
         );
-        r.register("jobs_done", "Jobs that ended well", self.jobs_done.clone());
+        r.register("jobs_ended", "Jobs that ended", self.jobs_ended.clone());
+        r.register_with_unit(
+            "task",
+            "Time that tasks have spent on workers",
+            Unit::Seconds,
+            self.task_seconds.clone(),
+        );
+        r.register(
+            "jobs_waiting",
+            "Jobs that wait for a place",
+            self.jobs_waiting.clone(),
+        );
+        r.register(
+            "jobs_running",
+            "Jobs that are placed on a worker",
+            self.jobs_running.clone(),
+        );
         r.register(
             "task_starts",
             "Tasks started on workers",
@@ -117,6 +182,11 @@
             "Tasks that lost their place",
             self.evictions.clone(),
         );
+    }
+
+    /// Registers what tells how the daemon itself fares.
+    fn register_state(&mut self) {
+        let r = &mut self.registry;
         r.register(
             "ledger_writes",
             "Ledger rows written",
@@ -143,6 +213,21 @@
             self.revision.clone(),
         );
         r.register("shards_owned", "Shards owned", self.shards_owned.clone());
+        r.register(
+            "shards_lapsed",
+            "Shards owned under a lease that has run out",
+            self.shards_lapsed.clone(),
+        );
+        r.register(
+            "workers_silent",
+            "Workers of owned shards that do not answer",
+            self.workers_silent.clone(),
+        );
+        r.register(
+            "daemons_live",
+            "Daemons that are heard of",
+            self.daemons_live.clone(),
+        );
         r.register(
             "platform_up",
             "Whether the platform answers",
@@ -150,6 +235,17 @@
         );
     }
 
+    /// Counts a task that lost its place. `reason` is a fixed phrase; what follows a colon in it
+    /// is a detail for the time line and would make labels without bound.
+    pub fn note_eviction(&self, entry: String, reason: &str) {
+        let phrase = reason.split(':').next().unwrap_or_default();
+        let labels = EvictionLabels {
+            entry,
+            reason: phrase.replace(' ', "_"),
+        };
+        self.evictions.get_or_create(&labels).inc();
+    }
+
     /// All metrics in the text form.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -8,12 +8,14 @@
 pub mod grants;
 pub mod jobs;
 pub mod journal;
+pub mod listing;
 pub mod members;
 pub mod metrics;
 pub mod peers;
 pub mod registrar;
 pub mod router;
 pub mod shard;
+pub mod status;
 pub mod supervisor;
 pub mod tasks;
 
@@ -150,6 +152,7 @@
     supervisor.start("catalogue", catalogue::follow);
     supervisor.start("registrar", registrar::run);
     supervisor.start("grants", grants::run);
+    supervisor.start("status", status::watch);
     supervisor.start_once(
         "peer-server",
         crate::peer::server::serve(Rc::clone(cx), peers),
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -1,6 +1,6 @@
 //! What this daemon answers to other daemons.
 
-use super::{Cx, catalogue, grants, jobs};
+use super::{Cx, catalogue, grants, jobs, listing};
 use crate::{
     core::outcome::Refusal,
     peer::wire::{PeerReply, PeerRequest},
@@ -16,13 +16,15 @@
         PeerRequest::SubmitJob { .. } | PeerRequest::ShowJob(_) | PeerRequest::CancelJob(_) => {
             jobs::answer(cx, req).await
         }
+        PeerRequest::ListJobs { shard, filter } => {
+            let own = listing::own_jobs(cx, &shard, &filter);
+            own.map_or_else(not_owner, PeerReply::Jobs)
+        }
         PeerRequest::Grants(round) => {
             let own = cx.shards.borrow().get(&round.shard).cloned();
             match own {
                 Some(shard) => grants::answer(cx, &shard, round).await,
-                None => PeerReply::Refused(Refusal::NoOwner {
-                    retry_after: NOT_OWNER_RETRY,
-                }),
+                None => not_owner(),
             }
         }
         PeerRequest::News(revision) => {
@@ -38,3 +40,9 @@
         }
     }
 }
+
+fn not_owner() -> PeerReply {
+    PeerReply::Refused(Refusal::NoOwner {
+        retry_after: NOT_OWNER_RETRY,
+    })
+}
--- /dev/null
+++ b/src/lapisdrum/daemon/status.rs
@@ -0,0 +1,185 @@
+//! Watches what the other parts know and tells of it only when it changes.
+//!
+//! Leases run out and peers fall silent without an event of their own: nothing happens, and that is
+//! the news. This part looks once a renewal and records the change of state, so that the time line
+//! shows when a shard could no longer act and since when a peer was not heard of.
+
+use super::{
+    Cx,
+    members::{Presence, SeenPresence},
+    metrics::EntryLabel,
+};
+use crate::{
+    core::{
+        id::{DaemonId, EntryName, ShardId},
+        job::JobPhase,
+        time::Millis,
+    },
+    timeline::event::Happening,
+};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Whether the platform answered the last time it was asked.
+pub fn platform_answers(cx: &Cx) -> bool {
+    cx.metrics.platform_up.get() == 1
+}
+
+/// Whether a daemon's presence row has changed within the time after which a shard's lease lapses.
+/// None while the platform is away: nobody's row can be read then, and silence tells nothing.
+pub fn is_live(cx: &Cx, seen: &SeenPresence, now: Millis) -> Option<bool> {
+    if seen.row.holder == cx.me {
+        return Some(true);
+    }
+    platform_answers(cx).then(|| now.since(seen.seen.since) <= patience(cx))
+}
+
+/// Time for which a row may stand unchanged: a lease, and one more read of the rows.
+fn patience(cx: &Cx) -> Duration {
+    let terms = &cx.cfg.shards.terms;
+    terms.lengthened(terms.lease) + cx.cfg.shards.renew
+}
+
+/// What was the case at the last look.
+#[derive(Debug, Default)]
+struct Seen {
+    lapsed: IndexMap<ShardId, bool>,
+    silent: IndexMap<DaemonId, bool>,
+}
+
+/// Runs until the process ends.
+pub async fn watch(cx: Cx) -> eyre::Result<()> {
+    let mut seen = Seen::default();
+    let mut measured_at = cx.clock.now();
+    loop {
+        look_at_shards(&cx, &mut seen);
+        look_at_daemons(&cx, &mut seen);
+        let now = cx.clock.now();
+        measure_jobs(&cx, now.since(measured_at));
+        measure_workers(&cx);
+        measured_at = now;
+        tokio::time::sleep(cx.cfg.shards.renew).await;
+    }
+}
+
+fn look_at_shards(cx: &Cx, seen: &mut Seen) {
+    let now = cx.clock.now();
+    let mut owned = IndexMap::new();
+    for (id, shard) in cx.shards.borrow().iter() {
+        let lapsed = !shard.may_act(now, &cx.cfg.shards.terms);
+        if changed(&seen.lapsed, id, lapsed) {
+            note_lease(cx, id, lapsed);
+        }
+        owned.insert(id.clone(), lapsed);
+    }
+    let lapsed = owned.values().filter(|lapsed| **lapsed).count();
+    cx.metrics.shards_lapsed.set(gauge(lapsed));
+    seen.lapsed = owned;
+}
+
+fn note_lease(cx: &Cx, shard: &ShardId, lapsed: bool) {
+    let shard = shard.clone();
+    if lapsed {
+        log::warn!("lease of shard {shard} has run out; nothing is accepted or started in it");
+        cx.timeline.record(Happening::LeaseLapsed { shard });
+    } else {
+        log::info!("lease of shard {shard} is renewed again");
+        cx.timeline.record(Happening::LeaseRegained { shard });
+    }
+}
+
+fn look_at_daemons(cx: &Cx, seen: &mut Seen) {
+    if !platform_answers(cx) {
+        return;
+    }
+    let now = cx.clock.now();
+    let mut daemons = IndexMap::new();
+    for (id, presence) in &cx.members.borrow().daemons {
+        let silent = is_live(cx, presence, now) == Some(false);
+        if changed(&seen.silent, id, silent) {
+            note_daemon(cx, &presence.row, silent);
+        }
+        daemons.insert(id.clone(), silent);
+    }
+    let live = daemons.values().filter(|silent| !**silent).count();
+    cx.metrics.daemons_live.set(gauge(live));
+    seen.silent = daemons;
+}
+
+fn note_daemon(cx: &Cx, row: &Presence, silent: bool) {
+    let daemon = row.holder.daemon.clone();
+    if silent {
+        log::warn!("daemon {daemon} is not heard of");
+        cx.timeline.record(Happening::DaemonSilent { daemon });
+    } else {
+        log::info!("daemon {daemon} is heard of again");
+        cx.timeline.record(Happening::DaemonHeard { daemon });
+    }
+}
+
+/// Jobs of one entry in the shards owned here.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobCount {
+    waiting: usize,
+    running: usize,
+}
+
+/// Counts waiting and placed jobs, and adds the time since the last look to what tasks have spent.
+/// Counting time a look at a time needs no note of each start, which a new owner would not have.
+fn measure_jobs(cx: &Cx, span: Duration) {
+    let mut counts: IndexMap<EntryName, JobCount> = IndexMap::new();
+    for name in cx.catalogue.borrow().rows.keys() {
+        counts.insert(name.clone(), JobCount::default());
+    }
+    for shard in cx.shards.borrow().values() {
+        for job in shard.state().jobs.values() {
+            let Some(count) = counts.get_mut(&job.entry) else {
+                continue;
+            };
+            match job.phase {
+                JobPhase::Waiting => count.waiting += 1,
+                JobPhase::Placed(_) => count.running += 1,
+                JobPhase::Ended(_) => {}
+            }
+        }
+    }
+    for (entry, count) in counts {
+        publish_jobs(cx, &entry, count, span);
+    }
+}
+
+fn publish_jobs(cx: &Cx, entry: &EntryName, count: JobCount, span: Duration) {
+    let label = EntryLabel {
+        entry: entry.to_string(),
+    };
+    let m = &cx.metrics;
+    m.jobs_waiting
+        .get_or_create(&label)
+        .set(gauge(count.waiting));
+    m.jobs_running
+        .get_or_create(&label)
+        .set(gauge(count.running));
+    let spent = span * u32::try_from(count.running).unwrap_or(u32::MAX);
+    m.task_seconds
+        .get_or_create(&label)
+        .inc_by(spent.as_secs_f64());
+}
+
+fn measure_workers(cx: &Cx) {
+    let shards = cx.shards.borrow();
+    let silent = shards.values().map(|shard| {
+        let sessions = shard.sessions.borrow();
+        let silent = sessions.values().filter(|s| s.silent_since.is_some());
+        silent.count()
+    });
+    cx.metrics.workers_silent.set(gauge(silent.sum()));
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Whether a state differs from the last one; what was never seen counts as false.
+fn changed<K: std::hash::Hash + Eq>(before: &IndexMap<K, bool>, key: &K, now: bool) -> bool {
+    before.get(key).copied().unwrap_or(false) != now
+}
--- a/src/lapisdrum/daemon/tasks.rs
+++ b/src/lapisdrum/daemon/tasks.rs
@@ -6,6 +6,8 @@
 use super::{
     Cx,
     journal::{Urgency, WriteEnd},
+    listing,
+    metrics::EndLabels,
     shard::{Session, Shard},
     supervisor,
 };
@@ -368,8 +370,10 @@
 }
 
 fn note_end(cx: &Cx, job: &JobId, end: &JobEnd) {
-    if *end == JobEnd::Done {
-        cx.metrics.jobs_done.inc();
+    if let Some(entry) = entry_of(cx, job) {
+        let end = listing::JobState::from(end).as_str();
+        let labels = EndLabels { entry, end };
+        cx.metrics.jobs_ended.get_or_create(&labels).inc();
     }
     let end = format!("{end:?}").to_lowercase();
     cx.timeline.record(Happening::JobEnded {
@@ -378,8 +382,17 @@
     });
 }
 
+/// The entry of a job in a shard that is owned here.
+fn entry_of(cx: &Cx, job: &JobId) -> Option<String> {
+    let shards = cx.shards.borrow();
+    let known = shards.get(&job.shard()?)?.job(job)?;
+    Some(known.entry.to_string())
+}
+
 fn note_eviction(cx: &Cx, job: &JobId, worker: &WorkerId, reason: &str) {
-    cx.metrics.evictions.inc();
+    if let Some(entry) = entry_of(cx, job) {
+        cx.metrics.note_eviction(entry, reason);
+    }
     cx.timeline.record(Happening::TaskEvicted {
         job: job.clone(),
         worker: worker.clone(),
--- a/src/lapisdrum/ops/check.rs
+++ b/src/lapisdrum/ops/check.rs
@@ -2,50 +2,76 @@
 
 use super::{Exit, Failure};
 use crate::{
-    core::catalogue::{CatalogueFile, Entry, RawEntry},
-    settings::Settings,
+    core::catalogue::RawEntry,
+    settings::{Settings, entries},
 };
-use std::{fs, path::Path};
+use std::{fmt, fs, path::Path};
+
+data! {
+    /// What a file without faults holds.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Content {
+        /// A daemon's settings.
+        Settings,
+        /// A catalogue.
+        Catalogue {
+            /// How many entries it has.
+            entries: usize,
+        },
+    }
+
+    /// A file without faults.
+    pub struct CheckReport {
+        /// Its name.
+        pub file: String,
+        /// What it holds.
+        pub content: Content,
+    }
+}
+
+impl fmt::Display for CheckReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.content {
+            Content::Settings => write!(f, "{}: settings without faults", self.file),
+            Content::Catalogue { entries } => write!(
+                f,
+                "{}: a catalogue of {entries} entries without faults",
+                self.file
+            ),
+        }
+    }
+}
 
 /// Checks a file and says what it is.
-pub fn check(file: &Path) -> Result<String, Failure> {
+pub fn check(file: &Path) -> Result<CheckReport, Failure> {
     let name = file.display().to_string();
     let text = read(file)?;
     let looks_like_catalogue = text
         .parse::<toml::Table>()
         .is_ok_and(|t| t.contains_key("entry"));
-    if looks_like_catalogue {
-        let entries = parse_catalogue(&name, &text)?;
-        return Ok(format!(
-            "{name}: a catalogue of {} entries without faults",
-            entries.len()
-        ));
-    }
-    Settings::parse(&name, &text).map_err(|e| Failure::new(Exit::WrongInput, e))?;
-    Ok(format!("{name}: settings without faults"))
+    let content = if looks_like_catalogue {
+        let entries = entries::parse(&name, &text).map_err(wrong)?.len();
+        Content::Catalogue { entries }
+    } else {
+        Settings::parse(&name, &text).map_err(wrong)?;
+        Content::Settings
+    };
+    Ok(CheckReport {
+        file: name,
+        content,
+    })
 }
 
 /// Reads and checks a catalogue file.
 pub fn load_catalogue(file: &Path) -> Result<Vec<RawEntry>, Failure> {
-    parse_catalogue(&file.display().to_string(), &read(file)?)
+    let text = read(file)?;
+    entries::parse(&file.display().to_string(), &text).map_err(wrong)
 }
 
 fn read(file: &Path) -> Result<String, Failure> {
-    let read = fs::read_to_string(file);
-    read.map_err(|e| Failure::new(Exit::WrongInput, format!("{}: {e}", file.display())))
+    fs::read_to_string(file).map_err(|e| wrong(format!("{}: {e}", file.display())))
 }
 
-fn parse_catalogue(name: &str, text: &str) -> Result<Vec<RawEntry>, Failure> {
-    let wrong = |what: String| Failure::new(Exit::WrongInput, what);
-    let file: CatalogueFile = toml::from_str(text).map_err(|e| wrong(format!("{name}: {e}")))?;
-    let faults: Vec<String> = file
-        .entry
-        .iter()
-        .filter_map(|raw| Entry::try_from(raw.clone()).err())
-        .map(|e| format!("{name}: {e}"))
-        .collect();
-    if faults.is_empty() {
-        return Ok(file.entry);
-    }
-    Err(wrong(faults.join("\n")))
+fn wrong(what: impl fmt::Display) -> Failure {
+    Failure::new(Exit::WrongInput, what)
 }
--- a/src/lapisdrum/ops/jobs.rs
+++ b/src/lapisdrum/ops/jobs.rs
@@ -1,11 +1,25 @@
-//! `lapisdrum jobs`: submit, show, cancel.
+//! `lapisdrum jobs`: submit, show, list, cancel.
 
-use super::Failure;
-use crate::api::{client::DaemonClient, wire::JobBody};
+use super::{Exit, Failure, output::write_lines, repeat_lost};
+use crate::{
+    api::{
+        client::DaemonClient,
+        wire::{JobBody, JobsBody},
+    },
+    core::id::RequestId,
+};
+use std::fmt;
 
-/// Hands a job in.
-pub async fn submit(client: &DaemonClient, entry: &str) -> Result<JobBody, Failure> {
-    Ok(client.submit_job(entry).await?)
+/// Hands a job in. A lost answer is repeated under the same key, so there is one job at most.
+pub async fn submit(
+    client: &DaemonClient,
+    entry: &str,
+    key: Option<&str>,
+) -> Result<JobBody, Failure> {
+    let drawn = format!("{:016x}", rand::random::<u64>());
+    let key = RequestId::try_from(key.unwrap_or(&drawn));
+    let key = key.map_err(|e| Failure::new(Exit::WrongInput, e))?;
+    Ok(repeat_lost(async || client.submit_job_as(entry, &key).await).await?)
 }
 
 /// Reads a job.
@@ -13,7 +27,49 @@
     Ok(client.job(job).await?)
 }
 
-/// Cancels a job.
+/// Lists jobs of all shards that can be reached.
+pub async fn list(
+    client: &DaemonClient,
+    entry: Option<&str>,
+    state: Option<&str>,
+) -> Result<JobsBody, Failure> {
+    Ok(client.jobs(entry, state).await?)
+}
+
+/// Cancels a job. A second cancel of the same job changes nothing, so a lost answer is repeated.
 pub async fn cancel(client: &DaemonClient, job: &str) -> Result<JobBody, Failure> {
-    Ok(client.cancel_job(job).await?)
+    Ok(repeat_lost(async || client.cancel_job(job).await).await?)
+}
+
+impl fmt::Display for JobBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} {}", self.job, self.entry, self.state)?;
+        if let Some(worker) = &self.worker {
+            write!(f, " on {worker}")?;
+        }
+        write!(f, ", attempts {}", self.attempts)?;
+        if self.progress_permille > 0 {
+            let (percent, tenth) = (self.progress_permille / 10, self.progress_permille % 10);
+            write!(f, ", saved progress {percent}.{tenth}%")?;
+        }
+        match &self.message {
+            Some(message) => write!(f, ": {message}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for JobsBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut lines: Vec<String> = self.jobs.iter().map(ToString::to_string).collect();
+        if lines.is_empty() {
+            lines.push("no jobs".to_owned());
+        }
+        if self.omitted > 0 {
+            lines.push(format!("{} older jobs are left out", self.omitted));
+        }
+        let missing = self.missing.iter();
+        lines.extend(missing.map(|shard| format!("shard {shard}: no answer from its owner")));
+        write_lines(f, lines)
+    }
 }
--- /dev/null
+++ b/src/lapisdrum/ops/status.rs
@@ -0,0 +1,178 @@
+//! `lapisdrum status`: every daemon that the one asked knows of, put together.
+
+use super::{Failure, OTHERS_TIMEOUT, output::write_lines};
+use crate::{
+    api::{
+        client::DaemonClient,
+        status::{DaemonLine, Liveness, ShardLine, StatusBody, WorkerLine},
+    },
+    core::{
+        id::{DaemonId, Revision, ShardId},
+        size::Size,
+    },
+};
+use indexmap::IndexMap;
+use std::fmt;
+
+data! {
+    /// A daemon and its own answer.
+    pub struct DaemonReport {
+        /// Its name.
+        pub daemon: DaemonId,
+        /// Its data centre.
+        pub data_centre: String,
+        /// Where it was asked.
+        pub callers: String,
+        /// Whether the daemon that was asked first takes it for live.
+        pub liveness: Liveness,
+        /// What it said; none when it did not answer.
+        pub answer: Option<DaemonAnswer>,
+    }
+
+    /// What a daemon says of itself.
+    pub struct DaemonAnswer {
+        /// The catalogue revision in force there.
+        pub revision: Revision,
+        /// Whether it takes callers.
+        pub ready: bool,
+        /// Whether the platform answers it.
+        pub platform_up: bool,
+    }
+
+    /// The whole system as far as it answers.
+    pub struct StatusReport {
+        /// Daemons by name.
+        pub daemons: Vec<DaemonReport>,
+        /// Shards by name.
+        pub shards: Vec<ShardLine>,
+        /// Workers of the shards whose owners answered.
+        pub workers: Vec<WorkerLine>,
+    }
+}
+
+impl StatusReport {
+    /// Daemons that answered.
+    pub fn answered(&self) -> impl Iterator<Item = (&DaemonReport, &DaemonAnswer)> {
+        self.daemons
+            .iter()
+            .filter_map(|daemon| Some((daemon, daemon.answer.as_ref()?)))
+    }
+
+    /// Daemons that did not answer.
+    pub fn unanswered(&self) -> impl Iterator<Item = &DaemonReport> {
+        self.daemons.iter().filter(|daemon| daemon.answer.is_none())
+    }
+}
+
+/// Asks one daemon, then every other that it names, all at once.
+pub async fn gather(client: &DaemonClient) -> Result<StatusReport, Failure> {
+    let first = client.status().await?;
+    let others = first.daemons.iter().map(|line| ask(line, &first));
+    let answers = futures::future::join_all(others).await;
+    let lines = first.daemons.iter().zip(&answers);
+    let mut daemons: Vec<DaemonReport> = lines.map(|(line, answer)| report(line, answer)).collect();
+    daemons.sort_by(|a, b| a.daemon.cmp(&b.daemon));
+    let bodies: Vec<&StatusBody> = answers.iter().flatten().collect();
+    let mut workers: Vec<WorkerLine> = bodies.iter().flat_map(|b| b.workers.clone()).collect();
+    workers.sort_by(|a, b| a.worker.cmp(&b.worker));
+    Ok(StatusReport {
+        daemons,
+        shards: freshest_shards(&bodies),
+        workers,
+    })
+}
+
+async fn ask(line: &DaemonLine, first: &StatusBody) -> Option<StatusBody> {
+    if line.daemon == first.daemon {
+        return Some(first.clone());
+    }
+    let client = DaemonClient::new(&line.callers, OTHERS_TIMEOUT);
+    client.status().await.ok()
+}
+
+fn report(line: &DaemonLine, answer: &Option<StatusBody>) -> DaemonReport {
+    DaemonReport {
+        daemon: line.daemon.clone(),
+        data_centre: line.data_centre.clone(),
+        callers: line.callers.clone(),
+        liveness: line.liveness,
+        answer: answer.as_ref().map(|body| DaemonAnswer {
+            revision: body.revision,
+            ready: body.ready,
+            platform_up: body.platform_up,
+        }),
+    }
+}
+
+/// Of each shard the row with the greatest epoch, and of those the one seen to change last: a
+/// daemon that is cut off from the platform still shows the row of long ago.
+fn freshest_shards(bodies: &[&StatusBody]) -> Vec<ShardLine> {
+    let mut freshest: IndexMap<ShardId, ShardLine> = IndexMap::new();
+    for line in bodies.iter().flat_map(|body| &body.shards) {
+        let newer = freshest.get(&line.shard).is_none_or(|known| {
+            (known.epoch, std::cmp::Reverse(known.unchanged_ms))
+                < (line.epoch, std::cmp::Reverse(line.unchanged_ms))
+        });
+        if newer {
+            freshest.insert(line.shard.clone(), line.clone());
+        }
+    }
+    freshest.sort_keys();
+    freshest.into_values().collect()
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut lines = vec!["daemons".to_owned()];
+        lines.extend(self.daemons.iter().map(daemon_text));
+        lines.push("shards".to_owned());
+        lines.extend(self.shards.iter().map(shard_text));
+        lines.push("workers".to_owned());
+        lines.extend(self.workers.iter().map(worker_text));
+        write_lines(f, lines)
+    }
+}
+
+fn daemon_text(daemon: &DaemonReport) -> String {
+    let (name, dc, callers) = (daemon.daemon.as_str(), &daemon.data_centre, &daemon.callers);
+    let state = match &daemon.answer {
+        None => format!("no answer, its row is {}", daemon.liveness),
+        Some(answer) => format!(
+            "{}, revision {}, platform {}",
+            if answer.ready { "ready" } else { "not ready" },
+            answer.revision,
+            if answer.platform_up {
+                "answers"
+            } else {
+                "away"
+            },
+        ),
+    };
+    format!("  {name:<16} {dc:<12} {callers:<21} {state}")
+}
+
+fn shard_text(shard: &ShardLine) -> String {
+    let owner = shard.owner.as_ref().map_or("nobody", DaemonId::as_str);
+    let name = shard.shard.as_str();
+    let seconds = shard.unchanged_ms / 1_000;
+    format!(
+        "  {name:<16} owner {owner:<16} epoch {}, renewed {seconds} s ago",
+        shard.epoch
+    )
+}
+
+fn worker_text(line: &WorkerLine) -> String {
+    let name = line.worker.as_str();
+    let condition = line.condition.to_string();
+    let (taken, has) = (size_text(&line.committed), size_text(&line.capacity));
+    format!(
+        "  {name:<16} {:<12} {condition:<10} committed {taken} of {has}",
+        line.rack
+    )
+}
+
+fn size_text(size: &Size) -> String {
+    let (cores, rest) = (size.millicores / 1_000, size.millicores % 1_000 / 100);
+    let (memory, accelerators) = (size.memory_mb, size.accelerators);
+    format!("{cores}.{rest} cores {memory} MB {accelerators} accelerators")
+}
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -6,6 +6,7 @@
         job::Job,
         outcome::Refusal,
     },
+    daemon::listing::{JobFilter, ShardJobs},
     state::{catalogue::Catalogue, ledger::Grant, ownership::Holder},
     timeline::event::Stamp,
 };
@@ -42,6 +43,13 @@
         ShowJob(JobId),
         /// Cancel a job.
         CancelJob(JobId),
+        /// List jobs of a shard that the other owns.
+        ListJobs {
+            /// The shard.
+            shard: ShardId,
+            /// Which jobs.
+            filter: JobFilter,
+        },
         /// Report floors and ask for new ones.
         Grants(GrantRound),
         /// Tell of a greater catalogue revision.
@@ -79,6 +87,8 @@
         Ok,
         /// A job.
         Job(Job),
+        /// Jobs of a shard.
+        Jobs(ShardJobs),
         /// Floors.
         Grants(GrantAnswer),
         /// A newer catalogue.
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -3,7 +3,10 @@
 //! Every fault is reported at once with file, key and what is allowed, so that an operator mends a
 //! file in one go. docs/SETTINGS.md lists the keys.
 
+pub mod entries;
+pub mod lines;
 pub mod reader;
+pub mod table;
 
 use crate::{
     core::id::{DaemonId, DataCentre},
@@ -146,14 +149,14 @@
         let platform = read_platform(r);
         let shards = read_shards(r);
         let catalogue = CatalogueSettings {
-            poll: r.duration("catalogue.poll_ms", 1_000, 10..=60_000),
+            poll: r.duration("catalogue.poll_ms"),
         };
         let requests = read_requests(r);
         let log = LogSettings {
-            level: r.choice("log.level", log::LevelFilter::Info, &LEVELS),
-            format: r.choice("log.format", LogFormat::Text, &FORMATS),
+            level: log_level(r.word("log.level")),
+            format: log_format(r.word("log.format")),
         };
-        let capacity = r.integer("timeline.capacity", 10_000, 100..=1_000_000);
+        let capacity = r.integer("timeline.capacity");
         Some(Self {
             daemon: daemon?,
             platform: platform?,
@@ -166,14 +169,16 @@
     }
 }
 
-const LEVELS: [(&str, log::LevelFilter); 4] = [
-    ("error", log::LevelFilter::Error),
-    ("warn", log::LevelFilter::Warn),
-    ("info", log::LevelFilter::Info),
-    ("debug", log::LevelFilter::Debug),
-];
+fn log_level(word: &str) -> log::LevelFilter {
+    word.parse().unwrap_or(log::LevelFilter::Info)
+}
 
-const FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+fn log_format(word: &str) -> LogFormat {
+    match word {
+        "json" => LogFormat::Json,
+        _ => LogFormat::Text,
+    }
+}
 
 fn read_daemon(r: &mut Reader) -> Option<DaemonSettings> {
     let name = r.required_name("daemon.name");
@@ -181,7 +186,7 @@
     let callers = r.required_address("daemon.callers");
     let peers = r.required_address("daemon.peers");
     let ask_first = r.addresses("daemon.ask_first");
-    let drain = r.duration("daemon.drain_ms", 30_000, 100..=3_600_000);
+    let drain = r.duration("daemon.drain_ms");
     Some(DaemonSettings {
         name: name?,
         data_centre: data_centre?,
@@ -194,8 +199,8 @@
 
 fn read_platform(r: &mut Reader) -> Option<PlatformSettings> {
     let address = r.required_address("platform.address");
-    let timeout = r.duration("platform.timeout_ms", 1_000, 10..=60_000);
-    let poll = r.duration("platform.poll_ms", 1_000, 10..=60_000);
+    let timeout = r.duration("platform.timeout_ms");
+    let poll = r.duration("platform.poll_ms");
     Some(PlatformSettings {
         address: address?,
         timeout,
@@ -204,11 +209,11 @@
 }
 
 fn read_shards(r: &mut Reader) -> ShardSettings {
-    let lease = r.duration("shards.lease_ms", 4_000, 100..=600_000);
-    let drift = r.integer("shards.drift_permille", 10, 0..=200);
-    let renew = r.duration("shards.renew_ms", 1_000, 10..=60_000);
-    let task_lease = r.duration("shards.task_lease_ms", 15_000, 100..=600_000);
-    let task_renew = r.duration("shards.task_renew_ms", 3_000, 10..=60_000);
+    let lease = r.duration("shards.lease_ms");
+    let drift = r.integer("shards.drift_permille");
+    let renew = r.duration("shards.renew_ms");
+    let task_lease = r.duration("shards.task_lease_ms");
+    let task_renew = r.duration("shards.task_renew_ms");
     if renew * 2 > lease {
         r.fault(
             "shards.renew_ms",
@@ -222,7 +227,7 @@
         );
     }
     ShardSettings {
-        count: small(r.integer("shards.count", 1, 1..=64)),
+        count: small(r.integer("shards.count")),
         terms: LeaseTerms {
             lease,
             drift_permille: small(drift),
@@ -230,24 +235,20 @@
         renew,
         task_lease,
         task_renew,
-        command_timeout: r.duration("shards.command_timeout_ms", 1_000, 10..=60_000),
-        linger_urgent: r.duration("shards.linger_urgent_ms", 2, 0..=1_000),
-        linger_batch: r.duration("shards.linger_batch_ms", 50, 0..=10_000),
-        snapshot_batches: r.integer("shards.snapshot_batches", 1_024, 1..=1_000_000),
-        request_share_percent: small(r.integer("shards.request_share_percent", 50, 0..=100)),
+        command_timeout: r.duration("shards.command_timeout_ms"),
+        linger_urgent: r.duration("shards.linger_urgent_ms"),
+        linger_batch: r.duration("shards.linger_batch_ms"),
+        snapshot_batches: r.integer("shards.snapshot_batches"),
+        request_share_percent: small(r.integer("shards.request_share_percent")),
     }
 }
 
 fn read_requests(r: &mut Reader) -> RequestSettings {
     RequestSettings {
-        max_body_bytes: r.integer(
-            "requests.max_body_bytes",
-            crate::core::catalogue::DEFAULT_BODY_BYTES,
-            1_024..=crate::core::catalogue::MAX_BODY_BYTES,
-        ),
-        connections: small(r.integer("requests.connections", 16, 1..=10_000)),
-        peer_timeout: r.duration("requests.peer_timeout_ms", 1_000, 10..=60_000),
-        grant_poll: r.duration("requests.grant_poll_ms", 1_000, 10..=60_000),
+        max_body_bytes: r.integer("requests.max_body_bytes"),
+        connections: small(r.integer("requests.connections")),
+        peer_timeout: r.duration("requests.peer_timeout_ms"),
+        grant_poll: r.duration("requests.grant_poll_ms"),
     }
 }
 
--- a/src/lapisdrum/settings/reader.rs
+++ b/src/lapisdrum/settings/reader.rs
@@ -2,13 +2,19 @@
 //!
 //! serde stops at the first wrong key, and an operator would mend a file one fault a try.
 
+use super::{
+    lines::{KeyLines, line_at},
+    table::{Kind, Setting},
+};
 use crate::core::id::InvalidName;
-use std::{fmt, net::SocketAddr, ops::RangeInclusive, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 use toml::{Table, Value};
 
 /// One thing that is wrong with a file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
+    /// The line of the key or of its table; none when neither is in the file.
+    pub line: Option<usize>,
     /// The key, with its tables; empty for the whole file.
     pub key: String,
     /// What is wrong and what is allowed.
@@ -25,16 +31,34 @@
 }
 
 impl Faults {
+    /// Faults of a file, by line.
+    pub fn new(file: &str, mut faults: Vec<Fault>) -> Self {
+        faults.sort_by_key(|fault| fault.line.unwrap_or(usize::MAX));
+        Self {
+            file: file.to_owned(),
+            faults,
+        }
+    }
+
+    /// A file that is no TOML: nothing else can be said about it.
+    pub fn not_toml(file: &str, text: &str, e: &toml::de::Error) -> Self {
+        let offset = e.span().map(|span| span.start);
+        let fault = Fault {
+            line: offset.map(|offset| line_at(text, offset)),
+            key: String::new(),
+            what: format!("not TOML: {}", e.message()),
+        };
+        Self::new(file, vec![fault])
+    }
+
     /// One fault that concerns the whole file.
     pub fn whole_file(file: &str, what: impl fmt::Display) -> Self {
         let fault = Fault {
+            line: None,
             key: String::new(),
             what: what.to_string(),
         };
-        Self {
-            file: file.to_owned(),
-            faults: vec![fault],
-        }
+        Self::new(file, vec![fault])
     }
 }
 
@@ -44,11 +68,14 @@
             if i > 0 {
                 f.write_str("\n")?;
             }
-            if fault.key.is_empty() {
-                write!(f, "{}: {}", self.file, fault.what)?;
-            } else {
-                write!(f, "{}: `{}`: {}", self.file, fault.key, fault.what)?;
+            write!(f, "{}:", self.file)?;
+            if let Some(line) = fault.line {
+                write!(f, "{line}:")?;
             }
+            if !fault.key.is_empty() {
+                write!(f, " `{}`:", fault.key)?;
+            }
+            write!(f, " {}", fault.what)?;
         }
         Ok(())
     }
@@ -60,6 +87,7 @@
 pub struct Reader {
     file: String,
     table: Table,
+    lines: KeyLines,
     faults: Vec<Fault>,
 }
 
@@ -68,10 +96,11 @@
     pub fn new(file: &str, text: &str) -> Result<Self, Faults> {
         let table = text
             .parse::<Table>()
-            .map_err(|e| Faults::whole_file(file, e))?;
+            .map_err(|e| Faults::not_toml(file, text, &e))?;
         Ok(Self {
             file: file.to_owned(),
             table,
+            lines: KeyLines::new(text),
             faults: Vec::new(),
         })
     }
@@ -79,6 +108,7 @@
     /// Notes a fault of `key`.
     pub fn fault(&mut self, key: &str, what: impl fmt::Display) {
         self.faults.push(Fault {
+            line: self.lines.line(key),
             key: key.to_owned(),
             what: what.to_string(),
         });
@@ -98,22 +128,27 @@
         for key in unknown {
             self.fault(&key, "unknown key; docs/SETTINGS.md lists the known ones");
         }
-        (!self.faults.is_empty()).then_some(Faults {
-            file: self.file,
-            faults: self.faults,
-        })
+        (!self.faults.is_empty()).then(|| Faults::new(&self.file, self.faults))
     }
 
-    /// A whole number within `range`.
-    pub fn integer(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
+    /// A whole number within the range that the table of settings gives.
+    pub fn integer(&mut self, key: &str) -> u64 {
+        let Kind::Number {
+            default,
+            least,
+            most,
+            ..
+        } = Setting::named(key).kind
+        else {
+            unreachable!("`{key}` is not a number in the table of settings");
+        };
         let Some(value) = self.take(key) else {
             return default;
         };
         let number = value.as_integer().and_then(|n| u64::try_from(n).ok());
         match number {
-            Some(n) if range.contains(&n) => n,
+            Some(n) if (least..=most).contains(&n) => n,
             _ => {
-                let (least, most) = (range.start(), range.end());
                 self.fault(
                     key,
                     format!("{value} is not a whole number from {least} to {most}"),
@@ -123,22 +158,24 @@
         }
     }
 
-    /// A span in whole milliseconds within `range`.
-    pub fn duration(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> Duration {
-        Duration::from_millis(self.integer(key, default, range))
+    /// A span in whole milliseconds within the range that the table of settings gives.
+    pub fn duration(&mut self, key: &str) -> Duration {
+        Duration::from_millis(self.integer(key))
     }
 
-    /// One of a closed set of words.
-    pub fn choice<T: Copy>(&mut self, key: &str, default: T, words: &[(&str, T)]) -> T {
+    /// One of the words that the table of settings gives.
+    pub fn word(&mut self, key: &str) -> &'static str {
+        let Kind::Word { default, words } = Setting::named(key).kind else {
+            unreachable!("`{key}` is not a word in the table of settings");
+        };
         let Some(value) = self.take(key) else {
             return default;
         };
-        let found = words.iter().find(|(word, _)| value.as_str() == Some(word));
-        if let Some((_, choice)) = found {
-            return *choice;
+        let found = words.iter().find(|word| value.as_str() == Some(word));
+        if let Some(word) = found {
+            return word;
         }
-        let allowed: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
-        self.fault(key, format!("{value} is none of {}", allowed.join(", ")));
+        self.fault(key, format!("{value} is none of {}", words.join(", ")));
         default
     }
 
--- /dev/null
+++ b/src/lapisdrum/settings/table.rs
@@ -0,0 +1,276 @@
+//! Every setting with its unit, default, range and meaning: the one table that the reader and
+//! docs/SETTINGS.md both follow.
+//!
+//! A range in the code and another on the page would send an operator in circles. The reader takes
+//! defaults and ranges from here, and a test holds the page against [`markdown`].
+
+use crate::core::catalogue::{DEFAULT_BODY_BYTES, MAX_BODY_BYTES};
+use std::fmt::Write;
+
+/// What a setting may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A name; required.
+    Name,
+    /// An IP number and port; required.
+    Address,
+    /// A list of IP numbers and ports; empty when absent.
+    Addresses,
+    /// A whole number.
+    Number {
+        /// What it counts.
+        unit: &'static str,
+        /// Its value when absent.
+        default: u64,
+        /// Least value.
+        least: u64,
+        /// Greatest value.
+        most: u64,
+    },
+    /// One of a closed set of words.
+    Word {
+        /// Its value when absent.
+        default: &'static str,
+        /// The words.
+        words: &'static [&'static str],
+    },
+}
+
+/// One setting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Setting {
+    /// Its key: table, dot, name.
+    pub key: &'static str,
+    /// What it may hold.
+    pub kind: Kind,
+    /// What it does, in a phrase.
+    pub about: &'static str,
+}
+
+const fn of(key: &'static str, kind: Kind, about: &'static str) -> Setting {
+    Setting { key, kind, about }
+}
+
+const fn number(unit: &'static str, default: u64, least: u64, most: u64) -> Kind {
+    Kind::Number {
+        unit,
+        default,
+        least,
+        most,
+    }
+}
+
+const fn ms(default: u64, least: u64, most: u64) -> Kind {
+    number("ms", default, least, most)
+}
+
+/// All settings, in the order of the page.
+pub const SETTINGS: &[Setting] = &[
+    of(
+        "daemon.name",
+        Kind::Name,
+        "the daemon's name, unique over all data centres",
+    ),
+    of(
+        "daemon.data_centre",
+        Kind::Name,
+        "its data centre, as in the platform's list of hosts",
+    ),
+    of(
+        "daemon.callers",
+        Kind::Address,
+        "where callers and operators reach it (HTTP)",
+    ),
+    of(
+        "daemon.peers",
+        Kind::Address,
+        "where other daemons reach it; tells its host from others",
+    ),
+    of(
+        "daemon.ask_first",
+        Kind::Addresses,
+        "`daemon.peers` of some others, asked at the start while the table is away",
+    ),
+    of(
+        "daemon.drain_ms",
+        ms(30_000, 100, 3_600_000),
+        "longest time that a graceful end waits for requests in flight",
+    ),
+    of("platform.address", Kind::Address, "the platform's service"),
+    of(
+        "platform.timeout_ms",
+        ms(1_000, 10, 60_000),
+        "time for one call to the platform",
+    ),
+    of(
+        "platform.poll_ms",
+        ms(1_000, 10, 60_000),
+        "time between two reads of the list of hosts",
+    ),
+    of(
+        "shards.count",
+        number("shards", 1, 1, 64),
+        "shards of the data centre; the same at all its daemons",
+    ),
+    of(
+        "shards.lease_ms",
+        ms(4_000, 100, 600_000),
+        "life of a shard's lease without renewal; the same at all its daemons",
+    ),
+    of(
+        "shards.drift_permille",
+        number("thousandths", 10, 0, 200),
+        "greatest difference in speed between two hosts' clocks",
+    ),
+    of(
+        "shards.renew_ms",
+        ms(1_000, 10, 60_000),
+        "time between two renewals; at most half of `shards.lease_ms`",
+    ),
+    of(
+        "shards.task_lease_ms",
+        ms(15_000, 100, 600_000),
+        "life of a task's lease without renewal",
+    ),
+    of(
+        "shards.task_renew_ms",
+        ms(3_000, 10, 60_000),
+        "time between two visits of a worker; at most half of `shards.task_lease_ms`",
+    ),
+    of(
+        "shards.command_timeout_ms",
+        ms(1_000, 10, 60_000),
+        "time for one command to a worker",
+    ),
+    of(
+        "shards.linger_urgent_ms",
+        ms(2, 0, 1_000),
+        "time that an urgent event waits for others before its ledger row is written",
+    ),
+    of(
+        "shards.linger_batch_ms",
+        ms(50, 0, 10_000),
+        "time that any other event waits",
+    ),
+    of(
+        "shards.snapshot_batches",
+        number("rows", 1_024, 1, 1_000_000),
+        "ledger rows after which a snapshot is taken",
+    ),
+    of(
+        "shards.request_share_percent",
+        number("%", 50, 0, 100),
+        "part of each worker that is kept for requests",
+    ),
+    of(
+        "catalogue.poll_ms",
+        ms(1_000, 10, 60_000),
+        "time between two reads of the catalogue's revision",
+    ),
+    of(
+        "requests.max_body_bytes",
+        number("bytes", DEFAULT_BODY_BYTES, 1_024, MAX_BODY_BYTES),
+        "largest body of any request",
+    ),
+    of(
+        "requests.connections",
+        number("connections", 16, 1, 10_000),
+        "connections to one worker",
+    ),
+    of(
+        "requests.peer_timeout_ms",
+        ms(1_000, 10, 60_000),
+        "time for one call to another daemon",
+    ),
+    of(
+        "requests.grant_poll_ms",
+        ms(1_000, 10, 60_000),
+        "time between two exchanges about floors",
+    ),
+    of(
+        "log.level",
+        Kind::Word {
+            default: "info",
+            words: &["error", "warn", "info", "debug"],
+        },
+        "least severe level that is written",
+    ),
+    of(
+        "log.format",
+        Kind::Word {
+            default: "text",
+            words: &["text", "json"],
+        },
+        "form of the lines on standard error",
+    ),
+    of(
+        "timeline.capacity",
+        number("events", 10_000, 100, 1_000_000),
+        "events that the daemon keeps for the time line",
+    ),
+];
+
+impl Setting {
+    /// The setting with this key.
+    ///
+    /// # Panics
+    ///
+    /// If the table has none: the reader asks only for keys that are in the table, and every start
+    /// of a daemon asks for all of them.
+    pub fn named(key: &str) -> &'static Self {
+        let found = SETTINGS.iter().find(|setting| setting.key == key);
+        found.unwrap_or_else(|| panic!("`{key}` is not in the table of settings"))
+    }
+
+    /// Unit, default and allowed values, as the page shows them.
+    fn columns(&self) -> (String, String, String) {
+        let required = || "required".to_owned();
+        match self.kind {
+            Kind::Name => (
+                "name".to_owned(),
+                required(),
+                "1 to 96 of a-z, 0-9, `.`, `_`, `-`".to_owned(),
+            ),
+            Kind::Address => (
+                "address".to_owned(),
+                required(),
+                "IP number and port".to_owned(),
+            ),
+            Kind::Addresses => (
+                "addresses".to_owned(),
+                "`[]`".to_owned(),
+                "IP numbers and ports".to_owned(),
+            ),
+            Kind::Number {
+                unit,
+                default,
+                least,
+                most,
+            } => (
+                unit.to_owned(),
+                default.to_string(),
+                format!("{least} to {most}"),
+            ),
+            Kind::Word { default, words } => {
+                let quoted: Vec<String> = words.iter().map(|word| format!("`{word}`")).collect();
+                ("word".to_owned(), format!("`{default}`"), quoted.join(", "))
+            }
+        }
+    }
+}
+
+/// The page's table of settings.
+pub fn markdown() -> String {
+    let mut page = String::from("| key | unit | default | allowed | what it does |\n");
+    page.push_str("|---|---|---|---|---|\n");
+    for setting in SETTINGS {
+        let (unit, default, allowed) = setting.columns();
+        let (key, about) = (setting.key, setting.about);
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            page,
+            "| `{key}` | {unit} | {default} | {allowed} | {about} |"
+        );
+    }
+    page
+}
--- a/src/lapisdrum/state/catalogue.rs
+++ b/src/lapisdrum/state/catalogue.rs
@@ -21,6 +21,16 @@
         pub change: ChangeId,
     }
 
+    /// An accepted change.
+    pub struct ChangeRow {
+        /// The entry.
+        pub entry: EntryName,
+        /// The revision that it made.
+        pub revision: Revision,
+        /// The operator's id for it.
+        pub change: ChangeId,
+    }
+
     /// The table row of the revision.
     #[derive(Default)]
     pub struct RevisionRow {
