--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -86,16 +86,22 @@
 impl Daemon {
     /// A daemon that has not begun to do anything.
     pub fn new(cfg: Settings) -> Cx {
+        Self::with_event_clock(cfg, uhlc::system_time_clock)
+    }
+
+    /// One whose time line reads another clock than the host's.
+    pub fn with_event_clock(cfg: Settings, clock: fn() -> uhlc::NTP64) -> Cx {
         let incarnation = Incarnation(rand::random::<u64>().max(1));
         let me = Holder {
             daemon: cfg.daemon.name.clone(),
             incarnation,
             address: cfg.daemon.peers.to_string(),
         };
-        let timeline = Rc::new(Timeline::new(
+        let timeline = Rc::new(Timeline::with_clock(
             &cfg.daemon.name,
             incarnation,
             cfg.timeline_capacity,
+            clock,
         ));
         let agent = format!("lapisdrum/{}", cfg.daemon.name);
         let platform_address = cfg.platform.address.to_string();
--- a/src/lapisdrum/ops/catalogue.rs
+++ b/src/lapisdrum/ops/catalogue.rs
@@ -29,9 +29,9 @@
     pub struct KeyChange {
         /// The key.
         pub key: String,
-        /// Its value before; null when the entry is new.
+        /// Its value before; null when it had none.
         pub from: Value,
-        /// Its value in the file.
+        /// Its value in the file; null when it has none.
         pub to: Value,
     }
 
@@ -205,6 +205,7 @@
     };
     let before = before.map(object).unwrap_or_default();
     let keys = object(after).into_iter();
+    // An entry serialises all of its keys, absent ones as null, so none is missed.
     let changes = keys.map(|(key, to)| KeyChange {
         from: before.get(&key).cloned().unwrap_or_default(),
         key,
@@ -298,7 +299,10 @@
             Applied::NotTried => write!(f, "{entry}: not tried")?,
         }
         for KeyChange { key, from, to } in &self.changes {
-            write!(f, "\n  {key}: {from} -> {to}")?;
+            match from {
+                Value::Null => write!(f, "\n  {key}: {to}")?,
+                _ => write!(f, "\n  {key}: {from} -> {to}")?,
+            }
         }
         Ok(())
     }
--- a/src/lapisdrum/ops/logging.rs
+++ b/src/lapisdrum/ops/logging.rs
@@ -1,6 +1,7 @@
 //! Structured logs on standard error: counters first, a line only for a change of state.
 //!
-//! Libraries are held to warnings: tarpc logs a line for every call, which says nothing about state.
+//! Libraries are held to warnings, since tarpc logs a line for every call, and the hybrid clock to
+//! errors, since it warns at every call of a peer whose clock is a day ahead.
 
 use crate::settings::{LogFormat, LogSettings};
 use logforth::{
@@ -12,7 +13,8 @@
 /// Starts logging as the settings say. Called once, before the daemon begins.
 pub fn start(cfg: &LogSettings) {
     let level = cfg.level.as_str().to_lowercase();
-    let filter = RustLogFilterBuilder::from_spec(format!("warn,lapisdrum={level}")).build();
+    let filter =
+        RustLogFilterBuilder::from_spec(format!("warn,uhlc=error,lapisdrum={level}")).build();
     let stderr = append::Stderr::default();
     let stderr = match cfg.format {
         LogFormat::Text => stderr.with_layout(TextLayout::default().no_color()),
--- a/src/lapisdrum/timeline/ring.rs
+++ b/src/lapisdrum/timeline/ring.rs
@@ -25,12 +25,23 @@
 }
 
 impl Timeline {
-    /// An empty time line that keeps the last `capacity` events.
+    /// An empty time line that keeps the last `capacity` events, by the host's clock.
     pub fn new(daemon: &DaemonId, incarnation: Incarnation, capacity: usize) -> Self {
+        Self::with_clock(daemon, incarnation, capacity, uhlc::system_time_clock)
+    }
+
+    /// One that reads another clock, such as one that runs ahead.
+    pub fn with_clock(
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        capacity: usize,
+        clock: fn() -> NTP64,
+    ) -> Self {
         let clock_id = incarnation.0.max(1);
         let id = ID::try_from(u128::from(clock_id)).unwrap_or_else(|_| ID::rand());
         let clock = HLCBuilder::new()
             .with_id(id)
+            .with_clock(clock)
             .with_max_delta(MAX_CLOCK_LEAD)
             .build();
         Self {
--- /dev/null
+++ b/tests/testsuite/cli/mod.rs
@@ -0,0 +1,1 @@
+//! The command line through the real binary.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,9 @@
 //! The one test binary: a module a subject.
 
 mod bad_input;
+mod cli;
+mod metrics;
 mod process;
+mod settings;
 mod support;
+mod timeline;
--- /dev/null
+++ b/tests/testsuite/metrics/mod.rs
@@ -0,0 +1,118 @@
+//! `/metrics`: valid OpenMetrics text, the ecosystem's names, the users' three measures.
+
+use indexmap::IndexMap;
+use lapisdrum::daemon::metrics::{EndLabels, EntryLabel, Metrics, ReasonLabel, RequestLabels};
+
+/// One family as its comment lines declare it, with its samples' names and labels.
+#[derive(Debug, Default)]
+struct Declared {
+    kind: String,
+    help: String,
+    unit: Option<String>,
+    samples: Vec<String>,
+}
+
+/// Reads OpenMetrics text as strictly as the rules that we rely on: comment lines before samples,
+/// each sample under the family declared last, the end marked.
+fn parse(text: &str) -> IndexMap<String, Declared> {
+    let mut families: IndexMap<String, Declared> = IndexMap::new();
+    let body = text.strip_suffix("# EOF\n").expect("the end is marked");
+    for line in body.lines() {
+        if let Some(comment) = line.strip_prefix("# ") {
+            let mut parts = comment.splitn(3, ' ');
+            let (what, name) = (parts.next(), parts.next().expect("a name"));
+            let rest = parts.next().unwrap_or_default().to_owned();
+            let family = families.entry(name.to_owned()).or_default();
+            assert!(family.samples.is_empty(), "comment after samples: {line}");
+            match what {
+                Some("HELP") => family.help = rest,
+                Some("TYPE") => family.kind = rest,
+                Some("UNIT") => family.unit = Some(rest),
+                other => panic!("unknown comment {other:?}: {line}"),
+            }
+            continue;
+        }
+        let (series, value) = line.rsplit_once(' ').expect("a sample has a value");
+        assert!(value.parse::<f64>().is_ok(), "no number: {line}");
+        let (name, family) = families.last_mut().expect("a sample under a family");
+        assert!(series.starts_with(name.as_str()), "{series} under {name}");
+        family.samples.push(series.to_owned());
+    }
+    families
+}
+
+fn sample_metrics() -> Metrics {
+    let m = Metrics::new();
+    let entry = || "route-map".to_owned();
+    let label = EntryLabel { entry: entry() };
+    m.request_seconds.get_or_create(&label).observe(0.004);
+    let outcome = "done";
+    let request = RequestLabels {
+        entry: entry(),
+        outcome,
+    };
+    m.requests.get_or_create(&request).inc();
+    m.refusals
+        .get_or_create(&ReasonLabel { reason: "busy" })
+        .inc();
+    let ended = EndLabels {
+        entry: entry(),
+        end: "done",
+    };
+    m.jobs_ended.get_or_create(&ended).inc();
+    m.task_seconds.get_or_create(&label).inc_by(2.5);
+    m.note_eviction(entry(), "worker rejected it: StaleEpoch");
+    m
+}
+
+/// A scraper that follows the standard must accept the text: a counter's samples end in `_total`, a
+/// unit is the end of the family's name, every family has a type and a help line.
+#[test]
+fn the_text_follows_the_ecosystem_s_conventions() {
+    let families = parse(&sample_metrics().text());
+    for (name, family) in &families {
+        assert!(name.starts_with("lapisdrum_"), "{name}");
+        assert!(!family.help.is_empty(), "{name} has no help");
+        let lower = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'_';
+        assert!(name.bytes().all(lower), "{name}");
+        if let Some(unit) = &family.unit {
+            assert!(name.ends_with(&format!("_{unit}")), "{name} without {unit}");
+        }
+        let suffixes: &[&str] = match family.kind.as_str() {
+            "counter" => &["_total"],
+            "gauge" => &[""],
+            "histogram" => &["_bucket", "_sum", "_count"],
+            other => panic!("{name} is a {other}"),
+        };
+        assert!(
+            !name.ends_with("_total"),
+            "{name}: the suffix is the sample's"
+        );
+        for sample in &family.samples {
+            let series = sample.split('{').next().unwrap_or_default();
+            let fits = suffixes
+                .iter()
+                .any(|suffix| series == format!("{name}{suffix}"));
+            assert!(fits, "{sample} in the {} {name}", family.kind);
+        }
+    }
+}
+
+/// The users judge by tail latency by entry, batch throughput and evictions; each must be there
+/// under the name that the pages give.
+#[test]
+fn the_three_measures_are_there() {
+    let text = sample_metrics().text();
+    let wanted = [
+        r#"lapisdrum_request_seconds_bucket{le="0.004",entry="route-map"} 1"#,
+        r#"lapisdrum_jobs_ended_total{entry="route-map",end="done"} 1"#,
+        r#"lapisdrum_task_seconds_total{entry="route-map"} 2.5"#,
+        r#"lapisdrum_evictions_total{entry="route-map",reason="worker_rejected_it"} 1"#,
+    ];
+    for line in wanted {
+        assert!(
+            text.lines().any(|shown| shown == line),
+            "{line} not in\n{text}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/testsuite/settings/examples.rs
@@ -0,0 +1,48 @@
+//! The shipped examples are good as they stand.
+
+use crate::support::process::lapisdrum_binary;
+use lapisdrum::{core::catalogue::Class, settings::entries};
+use std::{fs, path::Path, process::Command};
+
+const SETTINGS: [&str; 3] = [
+    "examples/local.toml",
+    "examples/mwangaza-westlands-1.toml",
+    "examples/indus-lahore-a-1.toml",
+];
+
+const CATALOGUES: [&str; 3] = [
+    "examples/catalogue.toml",
+    "examples/mwangaza-catalogue.toml",
+    "examples/indus-catalogue.toml",
+];
+
+/// Whoever copies an example begins from a file that the binary takes.
+#[test]
+fn every_example_passes_the_check() {
+    for file in SETTINGS.iter().chain(&CATALOGUES) {
+        let checked = Command::new(lapisdrum_binary())
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .args(["check", file])
+            .output()
+            .expect("it runs");
+        let shown = String::from_utf8_lossy(&checked.stderr);
+        assert!(checked.status.success(), "{shown}");
+    }
+}
+
+/// Each catalogue shows all three classes, the kinds of work that its deployment handles.
+#[test]
+fn every_example_catalogue_has_the_three_classes() {
+    for file in CATALOGUES {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(file);
+        let text = fs::read_to_string(path).expect("the example is there");
+        let entries = entries::parse(file, &text).expect("no faults");
+        for class in [Class::LatencyCritical, Class::Batch, Class::LongRunning] {
+            let named = class.to_string();
+            assert!(
+                entries.iter().any(|raw| raw.class == named),
+                "{file}: no {named}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/timeline/mod.rs
@@ -0,0 +1,4 @@
+//! The time line: causal order under skewed clocks, and the bounded ring.
+
+mod daemons;
+mod order;
