Time line: rows of the table carry stamps too

Cause: stamps went with peer calls only, but a row is a message as well: with clocks ten minutes apart a revision came into force, by the time line, before the change that made it was accepted. Ruled out: stamps in each row type (three state modules and every test that builds rows): the platform client adds one field to every row that it writes, and readers' types pass over it. Change: Txn::stamped, Row::stamp; change-accepted and shard-taken are recorded under a stamp taken before the write, since the writer learns only afterwards that the write took effect. Shown by: timeline::daemons::an_effect_of_a_row_sorts_after_its_cause, seen to fail with the stamp left out (Some(Stamp { time: .. }) not before Stamp { time: .. }).

--- a/src/bin/lapisdrum/commands/catalogue.rs
+++ b/src/bin/lapisdrum/commands/catalogue.rs
@@ -61,7 +61,7 @@
         #[command(flatten)]
         daemon: DaemonArgs,
     },
-    /// Show accepted changes with their change ids, oldest first.
+    /// Show accepted changes with their change ids, the latest first.
     #[command(after_help = "Example:\n  lapisdrum catalogue history")]
     History {
         #[command(flatten)]
--- a/src/lapisdrum/api/operators.rs
+++ b/src/lapisdrum/api/operators.rs
@@ -21,6 +21,8 @@
 
 /// When an operator should come back while the table is away, in seconds.
 const STORE_RETRY_S: &str = "2";
+/// Most changes that a history shows.
+const HISTORY_LIMIT: usize = 1_000;
 
 /// `PUT /v1/catalogue/ENTRY`: adds or changes an entry.
 pub async fn put_entry(cx: &Cx, name: EntryName, req: &HttpRequest) -> HttpResponse {
@@ -111,15 +113,11 @@
     })
 }
 
-/// `GET /v1/history`: the accepted changes that the table still has, oldest first.
+/// `GET /v1/history`: the accepted changes that the table still has, the latest first.
 pub async fn history(cx: &Cx) -> HttpResponse {
-    match catalogue::history(cx).await {
+    match catalogue::history(cx, HISTORY_LIMIT).await {
         Ok(rows) => {
-            let changes = rows.into_iter().map(|row| ChangeLine {
-                revision: row.revision,
-                entry: row.entry,
-                change: row.change,
-            });
+            let changes = rows.into_iter().map(ChangeLine::from);
             let changes = changes.collect();
             HttpResponse::json(StatusCode::OK, &HistoryBody { changes })
         }
--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -9,7 +9,7 @@
         time::millis,
     },
     daemon::listing::{JobState, Listing},
-    state::catalogue::EntryRow,
+    state::catalogue::{ChangeRow, EntryRow},
     timeline::event::Record,
     util::http::HttpResponse,
 };
@@ -71,9 +71,11 @@
         pub entry: EntryName,
         /// The operator's id for the change.
         pub change: ChangeId,
+        /// Whether the entry is retired since then.
+        pub retired: bool,
     }
 
-    /// Accepted changes, oldest first.
+    /// Accepted changes, the latest first.
     pub struct HistoryBody {
         /// The changes that the table still has.
         pub changes: Vec<ChangeLine>,
@@ -146,6 +148,17 @@
     }
 }
 
+impl From<ChangeRow> for ChangeLine {
+    fn from(change: ChangeRow) -> Self {
+        Self {
+            revision: change.revision,
+            entry: change.name,
+            change: change.row.change,
+            retired: change.row.raw.retired,
+        }
+    }
+}
+
 impl From<&EntryRow> for EntryBody {
     fn from(row: &EntryRow) -> Self {
         Self {
--- a/src/lapisdrum/daemon/catalogue.rs
+++ b/src/lapisdrum/daemon/catalogue.rs
@@ -152,22 +152,23 @@
     heard && cx.catalogue.borrow().revision > Revision::default()
 }
 
-/// Accepted changes that the table still names, oldest first.
-pub async fn history(cx: &Cx) -> Result<Vec<ChangeRow>, PlatformError> {
+/// The last `limit` changes, the latest first.
+pub async fn history(cx: &Cx, limit: usize) -> Result<Vec<ChangeRow>, PlatformError> {
     let rows = cx.platform.list(ENTRY_PREFIX).await?;
     let mut changes: Vec<ChangeRow> = rows.iter().filter_map(last_change).collect();
-    changes.sort_by_key(|change| change.revision);
+    changes.sort_by_key(|change| std::cmp::Reverse(change.revision));
+    changes.truncate(limit);
     Ok(changes)
 }
 
 /// The change that wrote an entry's row.
 fn last_change(row: &Row) -> Option<ChangeRow> {
-    let entry = EntryName::try_from(row.key.strip_prefix(ENTRY_PREFIX)?).ok()?;
-    let written = row.parse::<EntryRow>()?;
+    let name = EntryName::try_from(row.key.strip_prefix(ENTRY_PREFIX)?).ok()?;
+    let row = row.parse::<EntryRow>()?;
     Some(ChangeRow {
-        entry,
-        revision: written.revision,
-        change: written.change,
+        revision: row.revision,
+        name,
+        row,
     })
 }
 
@@ -196,13 +197,15 @@
         Err(faults) => return ChangeEnd::Invalid(faults),
     };
     for _ in 0..CHANGE_TRIES {
+        let stamp = cx.timeline.stamp();
         let end = try_change(cx, &entry.name, &raw, if_match, &change).await;
         if let Some(end) = end {
             if let ChangeEnd::Accepted(revision) = end {
-                cx.timeline.record(Happening::ChangeAccepted {
+                let accepted = Happening::ChangeAccepted {
                     entry: entry.name,
                     revision,
-                });
+                };
+                cx.timeline.record_at(stamp, accepted);
                 // The next poll finds it where this read fails.
                 let _ = fetch(cx).await;
             }
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -105,7 +105,12 @@
         ));
         let agent = format!("lapisdrum/{}", cfg.daemon.name);
         let platform_address = cfg.platform.address.to_string();
-        let platform = PlatformClient::new(&platform_address, &agent, cfg.platform.timeout);
+        let platform = PlatformClient::new(
+            &platform_address,
+            &agent,
+            cfg.platform.timeout,
+            Rc::clone(&timeline),
+        );
         let connections = usize::try_from(cfg.requests.connections).unwrap_or(usize::MAX);
         Rc::new(Self {
             me,
--- a/src/lapisdrum/daemon/registrar.rs
+++ b/src/lapisdrum/daemon/registrar.rs
@@ -259,6 +259,7 @@
 ) -> Result<(), PlatformError> {
     let new = ownership::taken(row, cx.me.clone());
     let sent_at = cx.clock.now();
+    let stamp = cx.timeline.stamp();
     let txn = Txn::default()
         .compare(shard_key(&id), version)
         .put(shard_key(&id), &new)
@@ -277,10 +278,11 @@
     let shard = Shard::new(id.clone(), new, versions[0], versions[1], tenure);
     cx.shards.borrow_mut().insert(id.clone(), Rc::clone(&shard));
     cx.metrics.shards_owned.inc();
-    cx.timeline.record(Happening::ShardTaken {
+    let taken = Happening::ShardTaken {
         shard: id.clone(),
         epoch: shard.epoch,
-    });
+    };
+    cx.timeline.record_at(stamp, taken);
     log::info!("shard {id} is taken at epoch {}", shard.epoch);
     super::shard::start(cx, shard);
     Ok(())
--- a/src/lapisdrum/ops/catalogue.rs
+++ b/src/lapisdrum/ops/catalogue.rs
@@ -373,8 +373,10 @@
         let name = self.entry.as_str();
         write!(
             f,
-            "revision {:<8} {name:<24} change {}",
-            self.revision.0, self.change
+            "revision {:<8} {name:<24} change {}{}",
+            self.revision.0,
+            self.change,
+            if self.retired { ", retired" } else { "" }
         )
     }
 }
--- a/src/lapisdrum/platform/client.rs
+++ b/src/lapisdrum/platform/client.rs
@@ -5,11 +5,12 @@
 //! failed in any way after it was sent is [`TxnOutcome::Unknown`] until its row is read back.
 
 use super::wire::{Host, HostWire, Row, Txn, TxnConflict, TxnDone};
+use crate::timeline::ring::Timeline;
 use actix_http::StatusCode;
 use awc::Client;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use std::{fmt, time::Duration};
+use std::{fmt, rc::Rc, time::Duration};
 
 /// Largest answer that is read, in bytes: a whole catalogue or a shard's ledger.
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
@@ -57,12 +58,14 @@
 pub struct PlatformClient {
     http: Client,
     base: String,
+    timeline: Rc<Timeline>,
 }
 
 impl PlatformClient {
     /// A client of the platform at `address` (IP number and port) that gives each call `timeout` and
-    /// names itself `user_agent`, so that the platform's logs tell daemons apart.
-    pub fn new(address: &str, user_agent: &str, timeout: Duration) -> Self {
+    /// names itself `user_agent`, so that the platform's logs tell daemons apart. Rows carry stamps of
+    /// `timeline`, since a row is also a message to whoever reads it.
+    pub fn new(address: &str, user_agent: &str, timeout: Duration, timeline: Rc<Timeline>) -> Self {
         let http = Client::builder()
             .timeout(timeout)
             .disable_redirects()
@@ -71,6 +74,7 @@
         Self {
             http,
             base: format!("http://{address}/v1"),
+            timeline,
         }
     }
 
@@ -87,7 +91,7 @@
         let mut answer = self
             .http
             .post(url)
-            .send_json(txn)
+            .send_json(&txn.clone().stamped(self.timeline.stamp()))
             .await
             .map_err(PlatformError::new)?;
         let body = answer
@@ -107,7 +111,9 @@
     /// Reads a row.
     pub async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         let answer = self.fetch(&format!("{}/table/{key}", self.base)).await?;
-        answer.map(|body| parse(&body)).transpose()
+        let row = answer.map(|body| parse(&body)).transpose()?;
+        row.iter().for_each(|row| self.observe(row));
+        Ok(row)
     }
 
     /// Reads all rows whose keys begin with `prefix`, in key order, as of one moment.
@@ -115,7 +121,15 @@
         let answer = self
             .fetch(&format!("{}/table?prefix={prefix}", self.base))
             .await?;
-        parse(&answer.unwrap_or_default())
+        let rows: Vec<Row> = parse(&answer.unwrap_or_default())?;
+        rows.iter().for_each(|row| self.observe(row));
+        Ok(rows)
+    }
+
+    fn observe(&self, row: &Row) {
+        if let Some(stamp) = row.stamp() {
+            self.timeline.observe(stamp);
+        }
     }
 
     /// Reads the membership list; hosts whose names break the rules are left out.
--- a/src/lapisdrum/platform/wire.rs
+++ b/src/lapisdrum/platform/wire.rs
@@ -1,12 +1,18 @@
 //! Wire types of the platform's services, JSON over HTTP/1.1.
 
-use crate::core::{
-    id::{DataCentre, InvalidName, Rack, WorkerId},
-    size::Size,
+use crate::{
+    core::{
+        id::{DataCentre, InvalidName, Rack, WorkerId},
+        size::Size,
+    },
+    timeline::event::Stamp,
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+/// Field of a row with the stamp of its writer.
+const STAMP_FIELD: &str = "stamp";
+
 data! {
     /// Asserts a row's version; 0 asserts that there is none.
     pub struct Compare {
@@ -161,7 +167,27 @@
     }
 }
 
+impl Txn {
+    /// Adds the writer's stamp to every row that is an object; readers of a row's own fields pass
+    /// over it.
+    #[must_use]
+    pub fn stamped(mut self, stamp: Stamp) -> Self {
+        let stamp = serde_json::to_value(stamp).unwrap_or_default();
+        for put in &mut self.put {
+            if let Value::Object(fields) = &mut put.value {
+                fields.insert(STAMP_FIELD.to_owned(), stamp.clone());
+            }
+        }
+        self
+    }
+}
+
 impl Row {
+    /// The stamp of the row's writer.
+    pub fn stamp(&self) -> Option<Stamp> {
+        Stamp::deserialize(self.value.get(STAMP_FIELD)?).ok()
+    }
+
     /// The value as a typed row; none when it has another form.
     pub fn parse<T: for<'de> Deserialize<'de>>(&self) -> Option<T> {
         T::deserialize(&self.value).ok()
--- a/src/lapisdrum/state/catalogue.rs
+++ b/src/lapisdrum/state/catalogue.rs
@@ -21,14 +21,14 @@
         pub change: ChangeId,
     }
 
-    /// An accepted change.
+    /// One accepted change, as kept for followers and for the history.
     pub struct ChangeRow {
-        /// The entry.
-        pub entry: EntryName,
         /// The revision that it made.
         pub revision: Revision,
-        /// The operator's id for it.
-        pub change: ChangeId,
+        /// The entry.
+        pub name: EntryName,
+        /// The entry's row since then.
+        pub row: EntryRow,
     }
 
     /// The table row of the revision.
--- a/src/lapisdrum/timeline/ring.rs
+++ b/src/lapisdrum/timeline/ring.rs
@@ -56,6 +56,14 @@
     /// Records an event under a new stamp.
     pub fn record(&self, what: Happening) -> Stamp {
         let stamp = self.stamp();
+        self.record_at(stamp, what);
+        stamp
+    }
+
+    /// Records an event under a stamp that was taken before the write that made it known to others.
+    /// The writer learns only afterwards that the write took effect; under a new stamp the event
+    /// would sort after what others did because of it.
+    pub fn record_at(&self, stamp: Stamp, what: Happening) {
         let mut ring = self.ring.borrow_mut();
         if ring.records.len() == self.capacity {
             ring.records.pop_front();
@@ -66,7 +74,6 @@
             daemon: self.daemon.clone(),
             what,
         });
-        stamp
     }
 
     /// A stamp after all that this daemon has recorded or heard of.
--- a/tests/testsuite/timeline/daemons.rs
+++ b/tests/testsuite/timeline/daemons.rs
@@ -1,21 +1,36 @@
-//! Stamps on the calls between two daemons whose clocks are minutes apart.
+//! Stamps on the calls and rows between two daemons whose clocks are minutes apart.
 
+use crate::support::wait;
 use actix_rt::net::TcpListener;
 use assert_matches::assert_matches;
 use lapisdrum::{
-    core::id::Revision,
-    daemon::{Cx, Daemon},
+    core::{
+        catalogue::RawEntry,
+        id::{ChangeId, Revision},
+    },
+    daemon::{
+        Cx, Daemon,
+        catalogue::{self, ChangeEnd},
+    },
     peer::{
         server,
         wire::{PeerReply, PeerRequest},
     },
     settings::Settings,
-    timeline::event::Happening,
+    timeline::event::{Happening, Stamp},
 };
-use lapisdrum_standins::site::{self, DaemonPlan};
-use std::{rc::Rc, time::Duration};
+use lapisdrum_standins::{
+    platform::server::Platform,
+    site::{self, DaemonPlan},
+};
+use serde_json::json;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::sync::watch;
 use uhlc::NTP64;
 
+/// Greatest time for what takes milliseconds on an idle machine.
+const LIMIT: Duration = Duration::from_secs(20);
+
 const SKEW: Duration = Duration::from_secs(300);
 
 fn ahead() -> NTP64 {
@@ -28,7 +43,11 @@
 
 /// A daemon of which only the peer server runs; it does nothing of itself.
 async fn idle_daemon(name: &str, clock: fn() -> NTP64) -> Cx {
-    let plan = DaemonPlan::new(name, "westlands", site::free_address());
+    daemon_of(site::free_address(), name, clock).await
+}
+
+async fn daemon_of(platform: SocketAddr, name: &str, clock: fn() -> NTP64) -> Cx {
+    let plan = DaemonPlan::new(name, "westlands", platform);
     let listener = TcpListener::bind(plan.peers).await.expect("a free port");
     let cfg = Settings::parse(name, &plan.settings()).expect("good settings");
     let cx = Daemon::with_event_clock(cfg, clock);
@@ -36,7 +55,7 @@
     cx
 }
 
-fn record(cx: &Cx, revision: u64) -> lapisdrum::timeline::event::Stamp {
+fn record(cx: &Cx, revision: u64) -> Stamp {
     let revision = Revision(revision);
     cx.timeline.record(Happening::RevisionApplied { revision })
 }
@@ -75,3 +94,52 @@
     let effect = record(&late, 2);
     assert!(cause < effect, "{cause:?} {effect:?}");
 }
+
+async fn platform() -> SocketAddr {
+    let listener = TcpListener::bind(site::free_address())
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (stop, stopped) = watch::channel(false);
+    actix_rt::spawn(async move {
+        Rc::new(Platform::default()).serve(listener, stopped).await;
+        drop(stop);
+    });
+    address
+}
+
+fn stamp_of(cx: &Cx, wanted: impl Fn(&Happening) -> bool) -> Option<Stamp> {
+    let (records, _) = cx.timeline.read();
+    let found = records.into_iter().find(|record| wanted(&record.what));
+    found.map(|record| record.stamp)
+}
+
+/// An operator changes an entry at a daemon whose clock is ahead. The other daemon, which no peer
+/// call reaches, finds the revision in the table. The row is then the only message between them, and
+/// its stamp has to put the revision's coming into force after the change.
+#[actix_rt::test]
+async fn an_effect_of_a_row_sorts_after_its_cause() {
+    let platform = platform().await;
+    let (early, late) = (
+        daemon_of(platform, "early", ahead).await,
+        daemon_of(platform, "late", behind).await,
+    );
+    let entry = json!({
+        "name": "map", "owner": "trail", "class": "batch", "millicores": 1, "memory_mb": 1
+    });
+    let raw: RawEntry = serde_json::from_value(entry).expect("a raw entry");
+    let change = ChangeId::try_from("change-1").expect("an id");
+    let end = catalogue::change(&early, raw, None, change).await;
+    assert_matches!(end, ChangeEnd::Accepted(Revision(1)));
+    actix_rt::spawn(catalogue::follow(Rc::clone(&late)));
+    let effect = wait::until_some("the revision is in force", LIMIT, async || {
+        stamp_of(&late, |what| {
+            matches!(what, Happening::RevisionApplied { .. })
+        })
+    })
+    .await;
+    let cause = stamp_of(&early, |what| {
+        matches!(what, Happening::ChangeAccepted { .. })
+    });
+    assert!(cause < Some(effect), "{cause:?} {effect:?}");
+}
