Tests of the command line through the binary; listing names shards that nobody has seen

Cause: a daemon that had just taken its shard listed no jobs and named nothing as missing, since it went by the shard rows that it had read; found by the new test. Ruled out: a fault in the list itself: the other daemon listed the job.

--- a/src/lapisdrum/daemon/listing.rs
+++ b/src/lapisdrum/daemon/listing.rs
@@ -10,6 +10,7 @@
     },
     peer::wire::{PeerReply, PeerRequest},
 };
+use indexmap::IndexSet;
 
 /// Most jobs that one shard lists, the newest of them: a list is for reading, and a shard may hold
 /// a hundred thousand.
@@ -114,10 +115,20 @@
     pub missing: Vec<ShardId>,
 }
 
-/// Lists the jobs of every shard that was ever seen.
-pub async fn list(cx: &Cx, filter: &JobFilter) -> Listing {
-    let mut shards: Vec<ShardId> = cx.members.borrow().shards.keys().cloned().collect();
+/// The shards of this daemon's data centre, which are known from the settings before anybody has
+/// taken them, and those of others that were seen.
+fn known_shards(cx: &Cx) -> IndexSet<ShardId> {
+    let own = 0..cx.cfg.shards.count;
+    let own = own.map(|index| ShardId::new(&cx.cfg.daemon.data_centre, index));
+    let members = cx.members.borrow();
+    let mut shards: IndexSet<ShardId> = own.chain(members.shards.keys().cloned()).collect();
     shards.sort();
+    shards
+}
+
+/// Lists the jobs of every known shard.
+pub async fn list(cx: &Cx, filter: &JobFilter) -> Listing {
+    let shards = known_shards(cx);
     let asked = shards.iter().map(|shard| list_shard(cx, shard, filter));
     let answers = futures::future::join_all(asked).await;
     let mut listing = Listing::default();
--- /dev/null
+++ b/tests/testsuite/cli/pages.rs
@@ -0,0 +1,1 @@
+//! The commands of the pages, run as printed.
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod http;
 pub(crate) mod process;
+pub(crate) mod relay;
 pub(crate) mod wait;
--- /dev/null
+++ b/tests/testsuite/support/relay.rs
@@ -0,0 +1,73 @@
+//! A connection between the command line and a daemon that goes wrong once.
+
+use lapisdrum_standins::site;
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+};
+
+/// What goes wrong with the first change that passes.
+pub(crate) enum Fault {
+    /// The daemon makes the change, and the connection breaks before its answer arrives.
+    LoseAnswer,
+    /// Somebody else's change overtakes it.
+    Overtaken(Box<dyn FnOnce() + Send>),
+}
+
+type Pending = Arc<Mutex<Option<Fault>>>;
+
+/// Listens on an address of its own and passes everything on to `daemon`.
+pub(crate) fn start(daemon: SocketAddr, fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind(site::free_address()).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let pending: Pending = Arc::new(Mutex::new(Some(fault)));
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let pending = Arc::clone(&pending);
+            thread::spawn(move || carry(client, daemon, &pending));
+        }
+    });
+    address
+}
+
+fn carry(mut client: TcpStream, daemon: SocketAddr, pending: &Pending) {
+    let Ok(mut upstream) = TcpStream::connect(daemon) else {
+        return;
+    };
+    let losing = Arc::new(AtomicBool::new(false));
+    let (Ok(mut answers), Ok(mut back)) = (upstream.try_clone(), client.try_clone()) else {
+        return;
+    };
+    let lost = Arc::clone(&losing);
+    thread::spawn(move || {
+        pass(&mut answers, &mut back, |_| !lost.load(Ordering::SeqCst));
+    });
+    pass(&mut client, &mut upstream, |chunk| {
+        if chunk.starts_with(b"PUT ") {
+            let fault = pending.lock().expect("no panic under the lock").take();
+            match fault {
+                Some(Fault::LoseAnswer) => losing.store(true, Ordering::SeqCst),
+                Some(Fault::Overtaken(other)) => other(),
+                None => {}
+            }
+        }
+        true
+    });
+}
+
+/// Copies until an end, or until `goes_on` says no to a chunk; then both ends are closed.
+fn pass(from: &mut TcpStream, to: &mut TcpStream, mut goes_on: impl FnMut(&[u8]) -> bool) {
+    let mut buf = [0; 64 * 1024];
+    while let Ok(read) = from.read(&mut buf) {
+        if read == 0 || !goes_on(&buf[..read]) || to.write_all(&buf[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
