--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -28,14 +28,15 @@
     PathBuf::from(env!("CARGO_BIN_EXE_lapisdrum"))
 }
 
+/// The folder of the examples' binaries.
+pub(crate) fn examples_folder() -> PathBuf {
+    let bin = lapisdrum_binary();
+    bin.parent().unwrap_or(Path::new(".")).join("examples")
+}
+
 /// The stand-ins' binary, which `cargo test` builds as an example.
 fn standins_binary() -> PathBuf {
-    let bin = lapisdrum_binary();
-    let path = bin
-        .parent()
-        .unwrap_or(Path::new("."))
-        .join("examples")
-        .join("standins");
+    let path = examples_folder().join("standins");
     assert!(
         path.exists(),
         "{} is missing: run `cargo build --examples`",
