--- a/tests/testsuite/cli/mod.rs
+++ b/tests/testsuite/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod definitions;
+mod logs;
 mod pages;
 mod site;
 
--- a/tests/testsuite/metrics/mod.rs
+++ b/tests/testsuite/metrics/mod.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use lapisdrum::daemon::metrics::{EndLabels, EntryLabel, Metrics, ReasonLabel, RequestLabels};
+use std::{fs, path::Path};
 
 /// One family as its comment lines declare it, with its samples' names and labels.
 #[derive(Debug, Default)]
@@ -116,3 +117,24 @@
         );
     }
 }
+
+/// An alarm on a metric that is not there never rings: every name on the page for operators is one
+/// that a daemon writes.
+#[test]
+fn the_operations_page_names_metrics_that_exist() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/OPERATIONS.md");
+    let page = fs::read_to_string(path).expect("the page is there");
+    let families = parse(&sample_metrics().text());
+    let is_part = |c: char| c.is_ascii_lowercase() || c == '_';
+    let named = page.match_indices("lapisdrum_").map(|(at, _)| {
+        let rest = &page[at..];
+        &rest[..rest.find(|c| !is_part(c)).unwrap_or(rest.len())]
+    });
+    let mut count = 0;
+    for name in named {
+        let family = name.trim_end_matches("_total").trim_end_matches("_bucket");
+        assert!(families.contains_key(family), "{name} does not exist");
+        count += 1;
+    }
+    assert!(count > 10, "the page names its metrics");
+}
