--- a/crates/lapisdrum-standins/src/process.rs
+++ b/crates/lapisdrum-standins/src/process.rs
@@ -1,5 +1,5 @@
-//! Stand-ins as processes of their own: `standins platform`, `standins worker`, and `standins site`,
-//! a platform with its workers for trying things out.
+//! Stand-ins as processes of their own: `standins platform`, `standins worker`, several workers in one
+//! process, and `standins site`, a platform with its workers for trying things out.
 //!
 //! Each prints `listening on ADDRESS` once it serves, so that a test can pick port 0.
 
@@ -33,7 +33,7 @@
     },
     /// A platform and the workers that its list of hosts names, in one process.
     Site {
-        /// Where the platform listens.
+        /// Where the platform listens; the workers take free ports of the same IP number.
         #[arg(long)]
         listen: SocketAddr,
         /// How many workers.
@@ -43,6 +43,15 @@
         #[arg(long, default_value = "local")]
         data_centre: String,
     },
+    /// Many workers in one process, each on a port of its own.
+    Workers {
+        /// Where the first listens; the others take free ports of the same IP number.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// How many.
+        #[arg(long)]
+        count: usize,
+    },
     /// A worker.
     Worker {
         /// Where to listen.
@@ -65,37 +74,44 @@
 
 /// Serves until the process is ended.
 pub async fn run(args: Args) -> Result<()> {
-    let (stop, stopped) = watch::channel(false);
-    let (Kind::Platform { listen } | Kind::Site { listen, .. } | Kind::Worker { listen, .. }) =
-        args.kind;
-    let listener = TcpListener::bind(listen).await?;
-    println!("listening on {}", listener.local_addr()?);
+    // Never sent: the process is ended from outside.
+    let (_stop, stopped) = watch::channel(false);
     match args.kind {
-        Kind::Platform { .. } => Rc::new(Platform::default()).serve(listener, stopped).await,
+        Kind::Platform { listen } => {
+            let listener = bind(listen).await?;
+            Rc::new(Platform::default()).serve(listener, stopped).await;
+        }
         Kind::Site {
+            listen,
             workers,
             data_centre,
-            ..
         } => {
+            let listener = bind(listen).await?;
             let platform = Rc::new(Platform::default());
             for i in 1..=workers {
-                let address = start_worker(&stopped).await?;
-                let host = site::host(
-                    &format!("worker-{i}"),
-                    address,
-                    &data_centre,
-                    &format!("rack-{i}"),
-                );
+                let (name, rack) = (format!("worker-{i}"), format!("rack-{i}"));
+                let worker = bind(SocketAddr::new(listen.ip(), 0)).await?;
+                let host = site::host(&name, worker.local_addr()?, &data_centre, &rack);
                 platform.hosts.borrow_mut().push(host);
+                actix_rt::spawn(usual_worker().serve(worker, stopped.clone()));
             }
             platform.serve(listener, stopped).await;
         }
+        Kind::Workers { listen, count } => {
+            let mut serving = Vec::new();
+            for i in 0..count {
+                let port = if i == 0 { listen.port() } else { 0 };
+                let listener = bind(SocketAddr::new(listen.ip(), port)).await?;
+                serving.push(usual_worker().serve(listener, stopped.clone()));
+            }
+            futures::future::join_all(serving).await;
+        }
         Kind::Worker {
+            listen,
             cores,
             memory_mb,
             accelerators,
             slots,
-            ..
         } => {
             let capacity = Size {
                 millicores: cores * 1_000,
@@ -103,23 +119,24 @@
                 accelerators,
             };
             let worker = Worker::new(capacity, slots, WorkerSwitches::default());
-            worker.serve(listener, stopped).await;
+            worker.serve(bind(listen).await?, stopped).await;
         }
     }
-    drop(stop);
     Ok(())
 }
 
-/// A worker of a site, of the size that its host entry gives.
-async fn start_worker(stopped: &watch::Receiver<bool>) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
+async fn bind(listen: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(listen).await?;
+    println!("listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+/// A worker of the size that [`site::host`] lists.
+fn usual_worker() -> Rc<Worker> {
     let capacity = Size {
         millicores: 16_000,
         memory_mb: 60_000,
         accelerators: 0,
     };
-    let worker = Worker::new(capacity, 8, WorkerSwitches::default());
-    actix_rt::spawn(worker.serve(listener, stopped.clone()));
-    Ok(address)
+    Worker::new(capacity, 8, WorkerSwitches::default())
 }
--- a/tests/testsuite/metrics/mod.rs
+++ b/tests/testsuite/metrics/mod.rs
@@ -42,6 +42,7 @@
     families
 }
 
+/// Metrics with a sample in every family: one without is left out of the text.
 fn sample_metrics() -> Metrics {
     let m = Metrics::new();
     let entry = || "route-map".to_owned();
@@ -62,6 +63,8 @@
     };
     m.jobs_ended.get_or_create(&ended).inc();
     m.task_seconds.get_or_create(&label).inc_by(2.5);
+    m.jobs_waiting.get_or_create(&label).set(1);
+    m.jobs_running.get_or_create(&label).set(1);
     m.note_eviction(entry(), "worker rejected it: StaleEpoch");
     m
 }
