--- a/src/lapisdrum/daemon/status.rs
+++ b/src/lapisdrum/daemon/status.rs
@@ -6,13 +6,13 @@
 
 use super::{
     Cx,
+    index::Counts,
     members::{Presence, SeenPresence},
     metrics::EntryLabel,
 };
 use crate::{
     core::{
         id::{DaemonId, EntryName, ShardId},
-        job::JobPhase,
         time::Millis,
     },
     timeline::event::Happening,
@@ -117,49 +117,33 @@
     }
 }
 
-/// Jobs of one entry in the shards owned here.
-#[derive(Clone, Copy, Debug, Default)]
-struct JobCount {
-    waiting: usize,
-    running: usize,
-}
-
 /// Counts waiting and placed jobs, and adds the time since the last look to what tasks have spent.
 /// Counting time a look at a time needs no note of each start, which a new owner would not have.
 fn measure_jobs(cx: &Cx, span: Duration) {
-    let mut counts: IndexMap<EntryName, JobCount> = IndexMap::new();
-    for name in cx.catalogue.borrow().rows.keys() {
-        counts.insert(name.clone(), JobCount::default());
-    }
-    for shard in cx.shards.borrow().values() {
-        for job in shard.state().jobs.values() {
-            let Some(count) = counts.get_mut(&job.entry) else {
-                continue;
-            };
-            match job.phase {
-                JobPhase::Waiting => count.waiting += 1,
-                JobPhase::Placed(_) => count.running += 1,
-                JobPhase::Ended(_) => {}
-            }
+    let shards = cx.shards.borrow();
+    for entry in cx.catalogue.borrow().rows.keys() {
+        let mut counts = Counts::default();
+        for shard in shards.values() {
+            let own = shard.journal.index().counts(entry);
+            counts.waiting += own.waiting;
+            counts.placed += own.placed;
         }
-    }
-    for (entry, count) in counts {
-        publish_jobs(cx, &entry, count, span);
+        publish_jobs(cx, entry, counts, span);
     }
 }
 
-fn publish_jobs(cx: &Cx, entry: &EntryName, count: JobCount, span: Duration) {
+fn publish_jobs(cx: &Cx, entry: &EntryName, counts: Counts, span: Duration) {
     let label = EntryLabel {
         entry: entry.to_string(),
     };
     let m = &cx.metrics;
     m.jobs_waiting
         .get_or_create(&label)
-        .set(gauge(count.waiting));
+        .set(counts.waiting.into());
     m.jobs_running
         .get_or_create(&label)
-        .set(gauge(count.running));
-    let spent = span * u32::try_from(count.running).unwrap_or(u32::MAX);
+        .set(counts.placed.into());
+    let spent = span * counts.placed;
     m.task_seconds
         .get_or_create(&label)
         .inc_by(spent.as_secs_f64());
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -7,7 +7,11 @@
         outcome::Refusal,
     },
     daemon::listing::{JobFilter, ShardJobs},
-    state::{catalogue::Catalogue, ledger::Grant, ownership::Holder},
+    state::{
+        catalogue::{Catalogue, ChangeRow},
+        ledger::Grant,
+        ownership::Holder,
+    },
     timeline::event::Stamp,
 };
 
@@ -52,8 +56,8 @@
         },
         /// Report floors and ask for new ones.
         Grants(GrantRound),
-        /// Tell of a greater catalogue revision.
-        News(Revision),
+        /// Pass an accepted catalogue change on.
+        News(ChangeRow),
         /// Ask for the catalogue if it is newer than the asker's.
         Catalogue(Revision),
     }
@@ -62,6 +66,8 @@
     pub struct GrantRound {
         /// The shard.
         pub shard: ShardId,
+        /// The epoch of the owner that it is meant for.
+        pub epoch: Epoch,
         /// The asker.
         pub holder: Holder,
         /// Raised by each exchange, so that one that arrives late is ignored.
@@ -69,6 +75,8 @@
         /// What the asker holds itself to at present. It never uses more without a new answer, so
         /// whatever the ledger has beyond it is given back.
         pub holding: Vec<WorkerGrant>,
+        /// The asker is on its way out and wants nothing new.
+        pub leaving: bool,
     }
 
     /// The owner's side of an exchange about floors.
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -81,6 +81,18 @@
     pub linger_urgent: Duration,
     /// Time that any other event waits.
     pub linger_batch: Duration,
+    /// Least time between two rows of one ledger: bounds a shard's writes under any load.
+    pub write_spacing: Duration,
+    /// Most events in one row of a ledger.
+    pub row_events: usize,
+    /// Least time between two checkpoints of one running task in the ledger.
+    pub checkpoint: Duration,
+    /// Time for which ended jobs and claims are kept.
+    pub retention: Duration,
+    /// Most ended jobs, and most ended claims, that are kept.
+    pub retained: usize,
+    /// Time for which a long-running task stays on a host that is leaving.
+    pub leaving_grace: Duration,
     /// Batches after which a snapshot is taken.
     pub snapshot_batches: u64,
     /// Hundredths of each worker that are kept for requests.
@@ -165,7 +177,7 @@
             catalogue,
             requests,
             log,
-            timeline_capacity: usize::try_from(capacity).unwrap_or(usize::MAX),
+            timeline_capacity: count(capacity),
         })
     }
 }
@@ -256,6 +268,12 @@
         command_timeout: r.duration("shards.command_timeout_ms"),
         linger_urgent: r.duration("shards.linger_urgent_ms"),
         linger_batch: r.duration("shards.linger_batch_ms"),
+        write_spacing: r.duration("shards.write_spacing_ms"),
+        row_events: count(r.integer("shards.row_events")),
+        checkpoint: r.duration("shards.checkpoint_ms"),
+        retention: r.duration("shards.retention_ms"),
+        retained: count(r.integer("shards.retained")),
+        leaving_grace: r.duration("shards.leaving_grace_ms"),
         snapshot_batches: r.integer("shards.snapshot_batches"),
         request_share_percent: small(r.integer("shards.request_share_percent")),
     }
@@ -281,6 +299,11 @@
     }
 }
 
+/// A count of things in memory.
+fn count(value: u64) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
+
 /// Narrows a value whose range was checked to lie far below the limit.
 fn small(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -144,14 +144,44 @@
     ),
     of(
         "shards.linger_urgent_ms",
-        ms(2, 0, 1_000),
+        ms(20, 0, 1_000),
         "time that an urgent event waits for others before its ledger row is written",
     ),
     of(
         "shards.linger_batch_ms",
-        ms(50, 0, 10_000),
+        ms(100, 0, 10_000),
         "time that any other event waits",
     ),
+    of(
+        "shards.write_spacing_ms",
+        ms(50, 0, 10_000),
+        "least time between two rows of one ledger; bounds a shard's writes under any load",
+    ),
+    of(
+        "shards.row_events",
+        number("events", 1_000, 1, 100_000),
+        "most events in one row of a ledger",
+    ),
+    of(
+        "shards.checkpoint_ms",
+        ms(15_000, 0, 600_000),
+        "least time between two checkpoints of one running task in the ledger",
+    ),
+    of(
+        "shards.retention_ms",
+        ms(3_600_000, 0, 86_400_000),
+        "time for which ended jobs and claims are kept",
+    ),
+    of(
+        "shards.retained",
+        number("jobs", 20_000, 1, 1_000_000),
+        "most ended jobs, and most ended claims, that are kept",
+    ),
+    of(
+        "shards.leaving_grace_ms",
+        ms(30_000, 0, 3_600_000),
+        "time for which a long-running task stays on a host that is leaving",
+    ),
     of(
         "shards.snapshot_batches",
         number("rows", 1_024, 1, 1_000_000),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod cli;
+mod daemon;
 mod metrics;
 mod process;
 mod settings;
