--- a/src/bin/lapisdrum/cli.rs
+++ b/src/bin/lapisdrum/cli.rs
@@ -6,7 +6,7 @@
     api::client::DaemonClient,
     ops::{self, output::Output},
 };
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -75,6 +75,22 @@
     }
 }
 
+/// How long to wait.
+#[derive(Debug, Args)]
+pub(crate) struct WaitArgs {
+    /// Wait for it at most SECONDS (30 if left out).
+    #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "30")]
+    #[arg(require_equals = true)]
+    wait: Option<u64>,
+}
+
+impl WaitArgs {
+    /// The longest time; none when no wait was asked for.
+    pub(crate) fn limit(&self) -> Option<Duration> {
+        self.wait.map(Duration::from_secs)
+    }
+}
+
 /// Which daemon to ask.
 #[derive(Debug, Args)]
 pub(crate) struct DaemonArgs {
--- a/src/bin/lapisdrum/commands/catalogue.rs
+++ b/src/bin/lapisdrum/commands/catalogue.rs
@@ -1,9 +1,9 @@
 //! `lapisdrum catalogue`.
 
-use crate::cli::DaemonArgs;
-use clap::{Args, Subcommand};
+use crate::cli::{DaemonArgs, WaitArgs};
+use clap::Subcommand;
 use lapisdrum::ops::{self, Failure, catalogue::ApplyOptions, output::Output};
-use std::{path::PathBuf, time::Duration};
+use std::path::PathBuf;
 
 const APPLY_EXAMPLES: &str = "\
 Examples:
@@ -11,7 +11,7 @@
   lapisdrum catalogue apply --wait catalogue.toml
 
 Entries that differ from the file are added or changed; entries that the file does not name stay as
-they are. A lost answer is repeated under the same change id, so a change is made at most once. Of
+they are. With --wait the command ends once every daemon that answers has the change. A lost answer is repeated under the same change id, so a change is made at most once. Of
 two operators who change one entry at a time, one is told of the conflict and nothing of his is lost.";
 
 const RETIRE_EXAMPLES: &str = "\
@@ -69,22 +69,6 @@
     },
 }
 
-/// How long to wait until a change is in force.
-#[derive(Debug, Args)]
-pub(crate) struct WaitArgs {
-    /// Wait until every daemon that answers has the change in force, at most SECONDS (30 if left
-    /// out).
-    #[arg(long, value_name = "SECONDS", num_args = 0..=1, default_missing_value = "30")]
-    #[arg(require_equals = true)]
-    wait: Option<u64>,
-}
-
-impl WaitArgs {
-    fn limit(&self) -> Option<Duration> {
-        self.wait.map(Duration::from_secs)
-    }
-}
-
 /// Runs one of them.
 pub(crate) async fn run(command: CatalogueCommand, output: Output) -> Result<(), Failure> {
     match command {
--- a/src/bin/lapisdrum/commands/jobs.rs
+++ b/src/bin/lapisdrum/commands/jobs.rs
@@ -1,16 +1,17 @@
 //! `lapisdrum jobs`.
 
-use crate::cli::DaemonArgs;
+use crate::cli::{DaemonArgs, WaitArgs};
 use clap::Subcommand;
 use lapisdrum::ops::{self, Failure, output::Output};
 
 const SUBMIT_EXAMPLES: &str = "\
 Examples:
   lapisdrum jobs submit catalogue-render
-  lapisdrum jobs submit catalogue-render --key opening-of-14-march
+  lapisdrum jobs submit catalogue-render --key opening-of-14-march --wait
 
 The job is durable when the command ends with status 0. A lost answer is repeated under the same key,
-so there is one job at most; with a key of your own that also holds over several calls.";
+so there is one job at most; with a key of your own that also holds over several calls. With --wait a refusal that says when to come
+back is obeyed.";
 
 const LIST_EXAMPLES: &str = "\
 Examples:
@@ -31,6 +32,8 @@
         #[arg(long)]
         key: Option<String>,
         #[command(flatten)]
+        wait: WaitArgs,
+        #[command(flatten)]
         daemon: DaemonArgs,
     },
     /// Show a job.
@@ -66,8 +69,14 @@
 /// Runs one of them.
 pub(crate) async fn run(command: JobsCommand, output: Output) -> Result<(), Failure> {
     let job = match command {
-        JobsCommand::Submit { entry, key, daemon } => {
-            ops::jobs::submit(&daemon.client(), &entry, key.as_deref()).await?
+        JobsCommand::Submit {
+            entry,
+            key,
+            wait,
+            daemon,
+        } => {
+            let wait = wait.limit().unwrap_or_default();
+            ops::jobs::submit(&daemon.client(), &entry, key.as_deref(), wait).await?
         }
         JobsCommand::Show { job, daemon } => ops::jobs::show(&daemon.client(), &job).await?,
         JobsCommand::Cancel { job, daemon } => ops::jobs::cancel(&daemon.client(), &job).await?,
--- a/src/lapisdrum/api/client.rs
+++ b/src/lapisdrum/api/client.rs
@@ -14,7 +14,10 @@
     },
     timeline::event::Filter,
 };
-use actix_http::{Method, StatusCode};
+use actix_http::{
+    Method, StatusCode,
+    header::{HeaderMap, RETRY_AFTER},
+};
 use awc::Client;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{fmt, time::Duration};
@@ -27,7 +30,7 @@
 /// A call that failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientError {
-    /// The daemon answered with a fault.
+    /// The daemon answered with a fault, and perhaps with the time to come back.
     Fault(StatusCode, ErrorBody),
     /// The daemon did not answer.
     Silent(String),
@@ -60,6 +63,14 @@
             Self::Fault(status, _) => *status == StatusCode::BAD_GATEWAY,
         }
     }
+
+    /// When the daemon, which did nothing, asks to be asked again.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Fault(_, body) => body.retry_after_s.map(Duration::from_secs),
+            Self::Silent(_) => None,
+        }
+    }
 }
 
 /// A change id that nobody else draws.
@@ -68,6 +79,11 @@
     ChangeId::try_from(text).unwrap_or_else(|e| unreachable!("a drawn id is valid: {e}"))
 }
 
+/// The whole seconds of a `retry-after` header.
+fn retry_after(headers: &HeaderMap) -> Option<u64> {
+    headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()
+}
+
 /// The query of these parameters, with its question mark; empty when all are absent. The values are
 /// names and numbers, in which nothing needs an escape.
 fn query(parameters: &[(&str, Option<&str>)]) -> String {
@@ -256,7 +272,14 @@
             return serde_json::from_slice(&bytes).map_err(|e| silent(e.to_string()));
         }
         match serde_json::from_slice(&bytes) {
-            Ok(fault) => Err(ClientError::Fault(answer.status(), fault)),
+            Ok(fault) => {
+                let retry_after_s = retry_after(answer.headers());
+                let fault = ErrorBody {
+                    retry_after_s,
+                    ..fault
+                };
+                Err(ClientError::Fault(answer.status(), fault))
+            }
             Err(_) => Err(silent(answer.status().to_string())),
         }
     }
--- a/src/lapisdrum/daemon/listing.rs
+++ b/src/lapisdrum/daemon/listing.rs
@@ -2,7 +2,7 @@
 //!
 //! A list that silently left a cut-off data centre's jobs out would read as if they were gone.
 
-use super::Cx;
+use super::{Cx, peers, shard::Shard};
 use crate::{
     core::{
         id::{EntryName, JobId, ShardId},
@@ -142,8 +142,8 @@
 }
 
 async fn list_shard(cx: &Cx, shard: &ShardId, filter: &JobFilter) -> Option<ShardJobs> {
-    if let Some(own) = own_jobs(cx, shard, filter) {
-        return Some(own);
+    if let Ok(own) = peers::owned(cx, shard) {
+        return Some(jobs_of(&own, filter));
     }
     let address = cx.members.borrow().owner_address(shard)?;
     let req = PeerRequest::ListJobs {
@@ -156,19 +156,17 @@
     }
 }
 
-/// The matching jobs of a shard that this daemon owns; none when it does not.
-pub fn own_jobs(cx: &Cx, shard: &ShardId, filter: &JobFilter) -> Option<ShardJobs> {
-    let own = cx.shards.borrow().get(shard).cloned();
-    let own = own.filter(|own| own.is_serving())?;
-    let state = own.state();
+/// The matching jobs of a shard that this daemon owns.
+pub fn jobs_of(shard: &Shard, filter: &JobFilter) -> ShardJobs {
+    let state = shard.state();
     let wanted = |(_, job): &(&JobId, &Job)| filter.matches(job);
     let matching = state.jobs.iter().filter(wanted).count();
     let newest = state.jobs.iter().rev().filter(wanted).take(MAX_LISTED);
     let mut jobs: Vec<_> = newest.map(|(id, job)| (id.clone(), job.clone())).collect();
     jobs.reverse();
-    Some(ShardJobs {
-        shard: shard.clone(),
+    ShardJobs {
+        shard: shard.id.clone(),
         omitted: matching - jobs.len(),
         jobs,
-    })
+    }
 }
--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -15,10 +15,15 @@
 };
 use crate::{
     core::{
-        id::{EntryName, JobId, WorkerId},
+        catalogue::Class,
+        id::{EntryName, JobId, Rack, WorkerId},
         job::{Attempt, Placement},
+        size::Size,
+    },
+    policy::{
+        interference::{Interference, Kind},
+        placement::{self, Room, Wanted},
     },
-    policy::placement::{self, Room},
     state::ledger::Event,
     timeline::event::Happening,
     worker::{
@@ -106,7 +111,7 @@
 }
 
 /// Places one job of an entry; false when the entry's turn is over.
-fn place_next(cx: &Cx, shard: &Rc<Shard>, turn: &mut Turn, rooms: &mut [Room]) -> bool {
+fn place_next(cx: &Cx, shard: &Rc<Shard>, turn: &mut Turn, rooms: &mut [FreeRoom]) -> bool {
     if turn.left == 0 {
         return false;
     }
@@ -123,8 +128,7 @@
     let Some((size, attempts)) = known.map(|known| (known.size, known.attempts)) else {
         return true;
     };
-    let chosen = placement::choose(rooms, &size).map(|room| room.worker.clone());
-    let Some(worker) = chosen else {
+    let Some(worker) = choose_worker(cx, rooms, size) else {
         turn.aside.push(job);
         return false;
     };
@@ -166,8 +170,39 @@
     true
 }
 
+/// What is free for tasks on a worker, while a pass places jobs.
+struct FreeRoom {
+    worker: WorkerId,
+    rack: Rack,
+    capacity: Size,
+    free: Size,
+}
+
+fn choose_worker(cx: &Cx, rooms: &[FreeRoom], size: Size) -> Option<WorkerId> {
+    let wanted = Wanted {
+        kind: Kind(0),
+        class: Class::Batch,
+        size,
+        same_placed: 0,
+    };
+    let views: Vec<Room<'_>> = rooms
+        .iter()
+        .map(|room| Room {
+            worker: &room.worker,
+            rack: &room.rack,
+            capacity: room.capacity,
+            free: room.free,
+            residents: &[],
+            same_in_rack: 0,
+        })
+        .collect();
+    let (known, now) = (Interference::default(), cx.clock.now());
+    let chosen = placement::choose(&views, &wanted, &known, now, &mut rand::rng())?;
+    Some(rooms[chosen].worker.clone())
+}
+
 /// What is free for tasks on each worker that may take one.
-fn rooms(cx: &Cx, shard: &Shard) -> Vec<Room> {
+fn rooms(cx: &Cx, shard: &Shard) -> Vec<FreeRoom> {
     let now = cx.clock.now();
     let members = cx.members.borrow();
     let sessions = shard.sessions.borrow();
@@ -185,8 +220,10 @@
             let committed = state.committed_on(&host.worker);
             let reserved = grants::unclaimed_reserve(cx, &state, host);
             let free = host.capacity.minus(&committed.size).minus(&reserved);
-            Room {
+            FreeRoom {
                 worker: host.worker.clone(),
+                rack: host.rack.clone(),
+                capacity: host.capacity,
                 free,
             }
         })
--- a/src/lapisdrum/ops/jobs.rs
+++ b/src/lapisdrum/ops/jobs.rs
@@ -3,23 +3,34 @@
 use super::{Exit, Failure, output::write_lines, repeat_lost};
 use crate::{
     api::{
-        client::DaemonClient,
+        client::{ClientError, DaemonClient},
         wire::{JobBody, JobsBody},
     },
     core::id::RequestId,
 };
-use std::fmt;
+use std::{fmt, time::Duration};
+use tokio::time::Instant;
 
-/// Hands a job in. A lost answer is repeated under the same key, so there is one job at most.
+/// Hands a job in. A lost answer is repeated under the same key, so there is one job at most. A
+/// refusal that says when to come back is obeyed for as long as `wait`; the key makes that safe too.
 pub async fn submit(
     client: &DaemonClient,
     entry: &str,
     key: Option<&str>,
+    wait: Duration,
 ) -> Result<JobBody, Failure> {
     let drawn = format!("{:016x}", rand::random::<u64>());
     let key = RequestId::try_from(key.unwrap_or(&drawn));
     let key = key.map_err(|e| Failure::new(Exit::WrongInput, e))?;
-    Ok(repeat_lost(async || client.submit_job_as(entry, &key).await).await?)
+    let end = Instant::now() + wait;
+    loop {
+        let submitted = repeat_lost(async || client.submit_job_as(entry, &key).await).await;
+        let again = submitted.as_ref().err().and_then(ClientError::retry_after);
+        match again {
+            Some(again) if Instant::now() + again <= end => tokio::time::sleep(again).await,
+            _ => return Ok(submitted?),
+        }
+    }
 }
 
 /// Reads a job.
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -117,6 +117,8 @@
     pub peer_timeout: Duration,
     /// Time between two exchanges about floors.
     pub grant_poll: Duration,
+    /// How long the outcome of a request whose caller brought an id is kept for repeats.
+    pub claim_retention: Duration,
 }
 
 /// Form of log lines.
@@ -296,6 +298,7 @@
         connections: small(r.integer("requests.connections")),
         peer_timeout: r.duration("requests.peer_timeout_ms"),
         grant_poll: r.duration("requests.grant_poll_ms"),
+        claim_retention: r.duration("requests.claim_retention_ms"),
     }
 }
 
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -217,6 +217,11 @@
         ms(1_000, 10, 60_000),
         "time between two exchanges about floors",
     ),
+    of(
+        "requests.claim_retention_ms",
+        ms(3_600_000, 1_000, 86_400_000),
+        "time for which the outcome of a request whose caller brought an id is kept for repeats",
+    ),
     of(
         "log.level",
         Kind::Word {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod metrics;
 mod process;
+mod requests;
 mod settings;
 mod support;
 mod timeline;
