--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod journal;
 pub mod limits;
+pub mod listing;
 pub mod members;
 pub mod metrics;
 pub mod observer;
@@ -26,6 +27,7 @@
 pub mod snapshots;
 pub mod spill;
 pub mod starts;
+pub mod status;
 pub mod supervisor;
 pub mod upkeep;
 pub mod visits;
@@ -109,20 +111,31 @@
 impl Daemon {
     /// A daemon that has not begun to do anything.
     pub fn new(cfg: Settings) -> Cx {
+        Self::with_event_clock(cfg, uhlc::system_time_clock)
+    }
+
+    /// One whose time line reads another clock than the host's.
+    pub fn with_event_clock(cfg: Settings, clock: fn() -> uhlc::NTP64) -> Cx {
         let incarnation = Incarnation(rand::random::<u64>().max(1));
         let me = Holder {
             daemon: cfg.daemon.name.clone(),
             incarnation,
             address: cfg.daemon.peers.to_string(),
         };
-        let timeline = Rc::new(Timeline::new(
+        let timeline = Rc::new(Timeline::with_clock(
             &cfg.daemon.name,
             incarnation,
             cfg.timeline_capacity,
+            clock,
         ));
         let agent = format!("lapisdrum/{}", cfg.daemon.name);
         let platform_address = cfg.platform.address.to_string();
-        let platform = PlatformClient::new(&platform_address, &agent, cfg.platform.timeout);
+        let platform = PlatformClient::new(
+            &platform_address,
+            &agent,
+            cfg.platform.timeout,
+            Rc::clone(&timeline),
+        );
         Rc::new(Self {
             me,
             clock: Clock::start(),
@@ -181,6 +194,7 @@
     supervisor.start("registrar", registrar::run);
     supervisor.start("observer", observer::run);
     supervisor.start("grants", grants::run);
+    supervisor.start("status", status::watch);
     supervisor.start("claims", claims::run);
     supervisor.start("queue", queue::run);
     supervisor.start("shares", shares::run);
--- a/src/lapisdrum/peer/wire.rs
+++ b/src/lapisdrum/peer/wire.rs
@@ -6,6 +6,7 @@
         job::Job,
         outcome::Refusal,
     },
+    daemon::listing::{JobFilter, ShardJobs},
     state::{
         catalogue::{Catalogue, ChangeRow},
         ledger::{ClaimEnd, Grant},
@@ -47,6 +48,13 @@
         ShowJob(JobId),
         /// Cancel a job.
         CancelJob(JobId),
+        /// List jobs of a shard that the other owns.
+        ListJobs {
+            /// The shard.
+            shard: ShardId,
+            /// Which jobs.
+            filter: JobFilter,
+        },
         /// Report floors and ask for new ones.
         Grants(GrantRound),
         /// Run a request that the asker has no room for.
@@ -144,6 +152,8 @@
         Ok,
         /// A job.
         Job(Job),
+        /// Jobs of a shard.
+        Jobs(ShardJobs),
         /// Floors.
         Grants(GrantAnswer),
         /// A spilled request's end.
--- a/src/lapisdrum/platform/client.rs
+++ b/src/lapisdrum/platform/client.rs
@@ -5,7 +5,7 @@
 //! failed in any way after it was sent is [`TxnOutcome::Unknown`] until its row is read back.
 
 use super::wire::{Host, HostWire, Row, Txn, TxnConflict, TxnDone};
-use crate::core::id::DataCentre;
+use crate::{core::id::DataCentre, timeline::ring::Timeline};
 use actix_http::{
     StatusCode,
     header::{ETAG, IF_NONE_MATCH},
@@ -13,7 +13,7 @@
 use awc::Client;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use std::{fmt, time::Duration};
+use std::{fmt, rc::Rc, time::Duration};
 
 /// Largest answer that is read, in bytes: a whole catalogue or a shard's ledger.
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
@@ -70,12 +70,14 @@
 pub struct PlatformClient {
     http: Client,
     base: String,
+    timeline: Rc<Timeline>,
 }
 
 impl PlatformClient {
     /// A client of the platform at `address` (IP number and port) that gives each call `timeout` and
-    /// names itself `user_agent`, so that the platform's logs tell daemons apart.
-    pub fn new(address: &str, user_agent: &str, timeout: Duration) -> Self {
+    /// names itself `user_agent`, so that the platform's logs tell daemons apart. Rows carry stamps of
+    /// `timeline`, since a row is also a message to whoever reads it.
+    pub fn new(address: &str, user_agent: &str, timeout: Duration, timeline: Rc<Timeline>) -> Self {
         let http = Client::builder()
             .timeout(timeout)
             .disable_redirects()
@@ -84,6 +86,7 @@
         Self {
             http,
             base: format!("http://{address}/v1"),
+            timeline,
         }
     }
 
@@ -100,7 +103,7 @@
         let mut answer = self
             .http
             .post(url)
-            .send_json(txn)
+            .send_json(&txn.clone().stamped(self.timeline.stamp()))
             .await
             .map_err(PlatformError::new)?;
         let body = answer
@@ -120,7 +123,9 @@
     /// Reads a row.
     pub async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         let answer = self.fetch(&format!("{}/table/{key}", self.base)).await?;
-        answer.map(|body| parse(&body)).transpose()
+        let row = answer.map(|body| parse(&body)).transpose()?;
+        row.iter().for_each(|row| self.observe(row));
+        Ok(row)
     }
 
     /// Reads all rows whose keys begin with `prefix`, in key order, as of one moment.
@@ -128,7 +133,15 @@
         let answer = self
             .fetch(&format!("{}/table?prefix={prefix}", self.base))
             .await?;
-        parse(&answer.unwrap_or_default())
+        let rows: Vec<Row> = parse(&answer.unwrap_or_default())?;
+        rows.iter().for_each(|row| self.observe(row));
+        Ok(rows)
+    }
+
+    fn observe(&self, row: &Row) {
+        if let Some(stamp) = row.stamp() {
+            self.timeline.observe(stamp);
+        }
     }
 
     /// Reads the membership list of a data centre, unless it still has the tag `known`; none when it
--- a/src/lapisdrum/timeline/ring.rs
+++ b/src/lapisdrum/timeline/ring.rs
@@ -25,12 +25,23 @@
 }
 
 impl Timeline {
-    /// An empty time line that keeps the last `capacity` events.
+    /// An empty time line that keeps the last `capacity` events, by the host's clock.
     pub fn new(daemon: &DaemonId, incarnation: Incarnation, capacity: usize) -> Self {
+        Self::with_clock(daemon, incarnation, capacity, uhlc::system_time_clock)
+    }
+
+    /// One that reads another clock, such as one that runs ahead.
+    pub fn with_clock(
+        daemon: &DaemonId,
+        incarnation: Incarnation,
+        capacity: usize,
+        clock: fn() -> NTP64,
+    ) -> Self {
         let clock_id = incarnation.0.max(1);
         let id = ID::try_from(u128::from(clock_id)).unwrap_or_else(|_| ID::rand());
         let clock = HLCBuilder::new()
             .with_id(id)
+            .with_clock(clock)
             .with_max_delta(MAX_CLOCK_LEAD)
             .build();
         Self {
@@ -45,6 +56,14 @@
     /// Records an event under a new stamp.
     pub fn record(&self, what: Happening) -> Stamp {
         let stamp = self.stamp();
+        self.record_at(stamp, what);
+        stamp
+    }
+
+    /// Records an event under a stamp that was taken before the write that made it known to others.
+    /// The writer learns only afterwards that the write took effect; under a new stamp the event
+    /// would sort after what others did because of it.
+    pub fn record_at(&self, stamp: Stamp, what: Happening) {
         let mut ring = self.ring.borrow_mut();
         if ring.records.len() == self.capacity {
             ring.records.pop_front();
@@ -55,7 +74,6 @@
             daemon: self.daemon.clone(),
             what,
         });
-        stamp
     }
 
     /// A stamp after all that this daemon has recorded or heard of.
