--- a/src/lapisdrum/daemon/observer.rs
+++ b/src/lapisdrum/daemon/observer.rs
@@ -16,7 +16,7 @@
         wire::{Row, Txn},
     },
     state::ownership::{self, Availability, ShardRow, Sighting, Tenure},
-    timeline::event::Happening,
+    timeline::event::{Happening, Stamp},
 };
 use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
@@ -250,6 +250,7 @@
 ) -> Result<(), PlatformError> {
     let new = ownership::taken(row, cx.me.clone());
     let sent_at = cx.clock.now();
+    let stamp = cx.timeline.stamp();
     let txn = Txn::default()
         .compare(shard_key(&id), version)
         .put(shard_key(&id), &new)
@@ -263,7 +264,7 @@
             None => return Err(e),
         },
     };
-    begin(cx, id, new, &versions, sent_at);
+    begin(cx, id, new, &versions, (sent_at, stamp));
     Ok(())
 }
 
@@ -286,7 +287,9 @@
     Ok(versions)
 }
 
-fn begin(cx: &Cx, id: ShardId, row: ShardRow, versions: &[u64], sent_at: Millis) {
+/// Begins to own a shard; `sent` is when the take-over was sent, by our clock and by the time line's.
+fn begin(cx: &Cx, id: ShardId, row: ShardRow, versions: &[u64], sent: (Millis, Stamp)) {
+    let (sent_at, stamp) = sent;
     let tenure = Tenure {
         epoch: row.epoch,
         renewed_at: sent_at,
@@ -294,10 +297,11 @@
     let shard = Shard::new(id.clone(), row, versions[0], versions[1], tenure);
     cx.shards.borrow_mut().insert(id.clone(), Rc::clone(&shard));
     cx.metrics.shards_owned.inc();
-    cx.timeline.record(Happening::ShardTaken {
+    let taken = Happening::ShardTaken {
         shard: id.clone(),
         epoch: shard.epoch,
-    });
+    };
+    cx.timeline.record_at(stamp, taken);
     log::info!("shard {id} is taken at epoch {}", shard.epoch);
     super::shard::start(cx, shard);
 }
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -1,6 +1,6 @@
 //! What this daemon answers to other daemons.
 
-use super::{Cx, catalogue, claims, grants, jobs, shard::Shard, spill};
+use super::{Cx, catalogue, claims, grants, jobs, listing, shard::Shard, spill};
 use crate::{
     core::{id::ShardId, outcome::Refusal, time::Millis},
     peer::wire::{PeerReply, PeerRequest},
@@ -18,6 +18,10 @@
         PeerRequest::SubmitJob { .. } | PeerRequest::ShowJob(_) | PeerRequest::CancelJob(_) => {
             jobs::answer(cx, req).await
         }
+        PeerRequest::ListJobs { shard, filter } => match owned(cx, &shard) {
+            Ok(shard) => PeerReply::Jobs(listing::jobs_of(&shard, &filter)),
+            Err(refusal) => PeerReply::Refused(refusal),
+        },
         PeerRequest::Grants(round) => match owned(cx, &round.shard) {
             Ok(shard) => grants::answer(cx, &shard, round).await,
             Err(refusal) => PeerReply::Refused(refusal),
