Catalogue: an accepted change is in force and passed on without reading it back

Cause: after the write the daemon read the change's row twice before it told the others; with a platform that answers 300 ms late a change was in force after 1.51 s (5 calls). Change: the row that was written is applied and sent on as it is.

--- a/src/lapisdrum/daemon/catalogue.rs
+++ b/src/lapisdrum/daemon/catalogue.rs
@@ -291,11 +291,11 @@
         Err(faults) => return ChangeEnd::Invalid(faults),
     };
     for _ in 0..CHANGE_TRIES {
-        let stamp = cx.timeline.stamp();
         let end = try_change(cx, &entry.name, &raw, if_match, &change).await;
         if let Some(end) = end {
             if let ChangeEnd::Accepted(revision) = end {
-                put_in_force(cx, entry.name, revision, stamp).await;
+                // A repeat of a change that was in already; the next poll finds it where this fails.
+                let _ = catch_up(cx, revision).await;
             }
             return end;
         }
@@ -303,16 +303,17 @@
     ChangeEnd::StoreAway
 }
 
-/// Puts an accepted change in force here and tells every other daemon of it.
-async fn put_in_force(cx: &Cx, entry: EntryName, revision: Revision, stamp: Stamp) {
-    let accepted = Happening::ChangeAccepted { entry, revision };
+/// Puts an accepted change in force here and tells every other daemon of it. Nothing is read back
+/// first: with a slow platform each read would delay it everywhere. `stamp` is from before the write,
+/// so that the time line shows the acceptance before anybody who finds it in the table.
+fn put_in_force(cx: &Cx, change: &ChangeRow, stamp: Stamp) {
+    let accepted = Happening::ChangeAccepted {
+        entry: change.name.clone(),
+        revision: change.revision,
+    };
     cx.timeline.record_at(stamp, accepted);
-    // The next poll finds it where this read fails.
-    let _ = catch_up(cx, revision).await;
-    let row = cx.platform.get(&change_key(revision)).await;
-    if let Some(change) = row.ok().flatten().and_then(|row| row.parse::<ChangeRow>()) {
-        send_news(cx, peer_addresses(cx), &change);
-    }
+    apply(cx, change);
+    send_news(cx, peer_addresses(cx), change);
 }
 
 /// One try; none when another entry's change came first and this one may be tried again.
@@ -367,10 +368,20 @@
     if let Some(old) = revision.0.checked_sub(KEPT_CHANGES) {
         txn = txn.delete(change_key(Revision(old)));
     }
+    let stamp = cx.timeline.stamp();
     match cx.platform.txn(&txn).await {
-        TxnOutcome::Committed(_) => Some(ChangeEnd::Accepted(revision)),
+        TxnOutcome::Committed(_) => {
+            put_in_force(cx, &change_row, stamp);
+            Some(ChangeEnd::Accepted(revision))
+        }
         TxnOutcome::Conflict(_) => None,
-        TxnOutcome::Unknown(_) => Some(read_back(cx, &entry_key, change).await),
+        TxnOutcome::Unknown(_) => {
+            let end = read_back(cx, &entry_key, change).await;
+            if end == ChangeEnd::Accepted(revision) {
+                put_in_force(cx, &change_row, stamp);
+            }
+            Some(end)
+        }
     }
 }
 
