Model: ownership, task leases and resumption searched whole

A specification of two daemons, two workers, one task and one table, whose steps call the project's own transition functions (ownership, fencing, ledger apply, the worker stand-in's rules). Everything reachable is searched breadth first; time, epochs and attempts are quotiented so that it is finite.

Two switches found no counterexample and are not kept as tests: a start without a claim before it (the start carries the epoch itself) and a start after a graceful end (at a lease of one tick).

start_task also asks whether the shard still serves: a start after OwnerEnded is one that the successor does not count on.

--- a/src/lapisdrum/daemon/tasks.rs
+++ b/src/lapisdrum/daemon/tasks.rs
@@ -565,6 +565,10 @@
 }
 
 async fn start_task(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: &Placement) {
+    // After the last event of a graceful end the successor counts on no further lease.
+    if !shard.is_serving() {
+        return;
+    }
     // Evicted between its proposal and its commit: by now it may have been placed elsewhere, and a
     // start would make a second copy.
     if shard.job(job).as_ref().and_then(Job::placement) != Some(placement) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The one test binary: a module a subject.
 
 mod bad_input;
+mod model;
 mod process;
 mod support;
