--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -21,7 +21,10 @@
         outcome::Refusal,
         time::Millis,
     },
-    platform::{client::TxnOutcome, wire::Txn},
+    platform::{
+        client::TxnOutcome,
+        wire::{Row, Txn},
+    },
     state::ledger::{Batch, Event, Misplaced, State},
     util::backoff::Backoff,
 };
@@ -311,19 +314,17 @@
     /// earlier owner can add a row while or after this reads.
     pub async fn recover(&self, cx: &Cx) -> eyre::Result<()> {
         let mut state = snapshots::read(cx, &self.shard).await?;
-        let rows = cx.platform.list(&self.row_prefix()).await?;
-        let mut replayed = 0;
-        let mut first_row = None;
-        for row in &rows {
+        let rows = cx
+            .platform
+            .list(&snapshots::row_prefix(&self.shard))
+            .await?;
+        let parse = |row: &Row| {
             let batch = row.parse::<Batch>();
-            let batch = batch.ok_or_else(|| eyre::eyre!("ledger row {} is malformed", row.key))?;
-            first_row.get_or_insert(batch.sequence);
-            // A snapshot whose older rows are not yet deleted covers them.
-            if batch.sequence > state.sequence {
-                state.apply_batch(&batch)?;
-                replayed += 1;
-            }
-        }
+            batch.ok_or_else(|| eyre::eyre!("ledger row {} is malformed", row.key))
+        };
+        let batches: Vec<Batch> = rows.iter().map(parse).collect::<eyre::Result<_>>()?;
+        let first_row = batches.first().map(|batch| batch.sequence);
+        let replayed = state.replay(&batches)?;
         let inner = &mut *self.inner.borrow_mut();
         if inner.standing == Standing::Lost {
             return Ok(());
@@ -445,11 +446,7 @@
 
     /// Tries a batch until it is known to be written, or never to be.
     async fn settle(&self, cx: &Cx, batch: &Batch, may_act: &impl Fn() -> bool) -> Settled {
-        let key = snapshots::row_key(&self.shard, batch.sequence);
-        let txn = Txn::default()
-            .compare(epoch_key(&self.shard), self.epoch_version)
-            .compare(&key, 0)
-            .put(&key, batch);
+        let txn = append(&self.shard, self.epoch_version, batch);
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         let mut in_doubt = false;
         loop {
@@ -556,10 +553,16 @@
     pub fn set_first_row(&self, first: Sequence) {
         self.inner.borrow_mut().first_row = first;
     }
+}
 
-    fn row_prefix(&self) -> String {
-        format!("ledger/{}/", self.shard)
-    }
+/// The transaction that appends a batch: only under the epoch whose row has `epoch_version`, and only
+/// where no batch is.
+pub fn append(shard: &ShardId, epoch_version: u64, batch: &Batch) -> Txn {
+    let row = snapshots::row_key(shard, batch.sequence);
+    Txn::default()
+        .compare(epoch_key(shard), epoch_version)
+        .compare(&row, 0)
+        .put(&row, batch)
 }
 
 fn answer(waiters: &mut Vec<oneshot::Sender<WriteEnd>>, end: WriteEnd) {
--- a/src/lapisdrum/daemon/snapshots.rs
+++ b/src/lapisdrum/daemon/snapshots.rs
@@ -39,9 +39,14 @@
     format!("snapshot/{shard}")
 }
 
-/// The key of a ledger row.
+/// Key prefix of a shard's ledger rows.
+pub fn row_prefix(shard: &ShardId) -> String {
+    format!("ledger/{shard}/")
+}
+
+/// The key of a ledger row; keys sort as sequence numbers do.
 pub fn row_key(shard: &ShardId, sequence: Sequence) -> String {
-    format!("ledger/{shard}/{:020}", sequence.0)
+    format!("{}{:020}", row_prefix(shard), sequence.0)
 }
 
 /// Reads a shard's last snapshot; an empty state when there is none.
