Stand-ins: a free address is bound and never listened on

Cause: free_address closed a listening socket, but a fork of another test that was under way had copied it and kept it open until its exec; whoever bound the port in between failed ('Address already in use', 'stand-in said ``', a daemon that never became ready). Ruled out: two tests drawing one address (a random host part and a port of the kernel's); TIME_WAIT. Change: the socket is bound with reuse and never listens, so a copy of it stands in nobody's way.

--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -1,7 +1,11 @@
 //! A small site for tests and examples: addresses on loopback, settings files, host entries.
 
 use lapisdrum::platform::wire::HostWire;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+};
+use tokio::net::TcpSocket;
 
 /// A loopback address of its own with a port that is free now. A random host part keeps two test
 /// runs on one machine, and a port that is taken again, apart.
@@ -12,9 +16,17 @@
         rand::random(),
         rand::random_range(2..=250),
     );
-    let bound = TcpListener::bind((IpAddr::V4(ip), 0));
-    let address = bound.and_then(|listener| listener.local_addr());
-    address.unwrap_or_else(|e| panic!("no free loopback port: {e}"))
+    free_port(ip).unwrap_or_else(|e| panic!("no free loopback port: {e}"))
+}
+
+/// Binds and never listens. A listening socket that another test's fork copies stays open in the
+/// child until its exec, and whoever binds the port in between finds it in use; one that was only
+/// bound, for reuse, stands in nobody's way.
+fn free_port(ip: Ipv4Addr) -> io::Result<SocketAddr> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from((ip, 0)))?;
+    socket.local_addr()
 }
 
 /// What a daemon of a test needs to know.
