--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod observer;
 pub mod peers;
+pub mod pressure;
 pub mod queue;
 pub mod registrar;
 pub mod router;
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -237,7 +237,7 @@
 
 fn refuse(refused: Refused<Waiting>) {
     let refusal = match refused.reason {
-        Reason::QueueFull => busy(refused.retry_after),
+        Reason::QueueFull | Reason::Overload => busy(refused.retry_after),
         Reason::Deadline => Refusal::TooLate {
             retry_after: refused.retry_after,
         },
--- a/src/lapisdrum/policy/queueing.rs
+++ b/src/lapisdrum/policy/queueing/mod.rs
@@ -13,11 +13,21 @@
 //! - An item is refused at once when its entry's queue is at its bound, or when the measured drain
 //!   rate says that it can't start in time. A full queue makes room for a flow that has less than
 //!   the longest flow by giving up the longest flow's last item.
+//! - While an entry's queue has not been empty for [`STANDING`], its load is beyond its capacity and
+//!   a longer queue serves nobody more: a latency-critical item is then refused unless it would start
+//!   within its entry's usual run time. A shorter burst may fill the queue up to the deadline. Here
+//!   too a flow that has less than the longest takes a place of the longest's: refused, every caller
+//!   beside a hot one would be turned away for the hot one's load.
 //! - An item that can't be finished by its deadline any more is given up at once.
 //!
 //! The cost of a decision grows with the flows that wait, not with the items.
 
-use super::drain::{DrainRate, Returns};
+mod lane;
+
+use super::{
+    drain::{DrainRate, Returns},
+    queueing::lane::Lane,
+};
 use crate::core::{
     catalogue::Class,
     id::{EntryName, OwnerName},
@@ -30,8 +40,12 @@
 /// One start in so many is the rest's while latency-critical items wait too. A tenth keeps batch
 /// work moving and takes less than a tenth from latency-critical work at full load.
 pub const REST_TURN: u32 = 10;
-/// Run time that a start is taken to cost at least, so that items of unknown cost count too.
-const LEAST_COST: Duration = Duration::from_micros(100);
+/// Time after which a queue that was never empty is a standing one. Long against the random swings of
+/// a pool at nine tenths of its capacity (tens of milliseconds), short against a deadline of a second.
+pub const STANDING: Duration = Duration::from_millis(250);
+/// Wait that is accepted of an item in a standing queue at least: below it, the queue would run empty
+/// between two answers and capacity would be lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(5);
 
 /// What the queue has to know of an item.
 #[derive(Clone, Debug)]
@@ -91,6 +105,8 @@
     QueueFull,
     /// It could not have been finished by its deadline.
     Deadline,
+    /// The entry's queue is a standing one, and it would have waited for longer than it runs.
+    Overload,
 }
 
 /// Items that wait to be started, with what each was handed in with.
@@ -119,9 +135,18 @@
 #[derive(Debug, Default)]
 struct EntryState {
     waiting: u32,
+    /// Since when it has not been empty.
+    waiting_since: Option<Millis>,
     rate: DrainRate,
 }
 
+impl EntryState {
+    fn is_standing(&self, now: Millis) -> bool {
+        self.waiting_since
+            .is_some_and(|since| now.since(since) >= STANDING)
+    }
+}
+
 impl<T> Default for Queue<T> {
     fn default() -> Self {
         Self {
@@ -153,13 +178,21 @@
             return Enqueued::Refused(self.refuse(payload, Reason::Deadline, wait, now, rng));
         }
         let mut displaced = None;
-        if self.waiting_of(&item.entry) >= item.bound {
-            let Some(longest) = self.displaceable(&item) else {
-                return Enqueued::Refused(self.refuse(payload, Reason::QueueFull, wait, now, rng));
+        let waiting = self.waiting_of(&item.entry);
+        let is_too_long = wait > self.patience(&item, now);
+        if is_too_long || waiting >= item.bound {
+            let reason = match is_too_long {
+                true => Reason::Overload,
+                false => Reason::QueueFull,
+            };
+            // Above a bound that was lowered, a place that becomes free is not given away again.
+            let place = self.displaceable(&item).filter(|_| waiting <= item.bound);
+            let Some(longest) = place else {
+                return Enqueued::Refused(self.refuse(payload, reason, wait, now, rng));
             };
             displaced = self
                 .take(longest, now)
-                .map(|waiting| self.refuse(waiting.payload, Reason::QueueFull, wait, now, rng));
+                .map(|waiting| self.refuse(waiting.payload, reason, wait, now, rng));
         }
         let ticket = self.insert(item, payload, latest_start, now);
         Enqueued::Waiting { ticket, displaced }
@@ -264,6 +297,7 @@
         self.next_ticket += 1;
         let state = self.entries.entry(item.entry.clone()).or_default();
         state.waiting += 1;
+        state.waiting_since.get_or_insert(now);
         state.rate.busy(now);
         self.rate.busy(now);
         if let Some(latest) = latest_start {
@@ -289,6 +323,7 @@
         if let Some(state) = self.entries.get_mut(&item.entry) {
             state.waiting -= 1;
             if state.waiting == 0 {
+                state.waiting_since = None;
                 state.rate.idle(now);
             }
         }
@@ -311,6 +346,16 @@
         overall.unwrap_or_default().max(own.unwrap_or_default())
     }
 
+    /// Wait that is accepted of an item besides its deadline.
+    fn patience(&self, item: &Item, now: Millis) -> Duration {
+        let state = self.entries.get(&item.entry);
+        let standing = state.is_some_and(|state| state.is_standing(now));
+        match Kind::of(item.class) {
+            Kind::Urgent if standing => item.run.max(LEAST_PATIENCE),
+            Kind::Urgent | Kind::Rest => Duration::MAX,
+        }
+    }
+
     /// The last item of the longest flow of the same entry, if that flow is longer than the item's
     /// own would be.
     fn displaceable(&self, item: &Item) -> Option<Ticket> {
@@ -367,189 +412,3 @@
         }
     }
 }
-
-impl Item {
-    fn flow(&self) -> FlowKey {
-        FlowKey {
-            entry: self.entry.clone(),
-            caller: self.caller,
-        }
-    }
-
-    /// Cost in microseconds of run time.
-    fn cost(&self) -> f64 {
-        self.run.max(LEAST_COST).as_secs_f64() * 1e6
-    }
-
-    /// Items without a deadline stand behind all that have one, in order of arrival.
-    fn rank(&self, ticket: Ticket) -> (Millis, Ticket) {
-        (self.deadline.unwrap_or(Millis(u64::MAX)), ticket)
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct FlowKey {
-    entry: EntryName,
-    caller: u64,
-}
-
-/// One class: owners that share by weight.
-#[derive(Debug, Default)]
-struct Lane {
-    owners: IndexMap<OwnerName, Owner>,
-    /// Virtual time: the start tag of the owner that was served last.
-    clock: f64,
-}
-
-#[derive(Debug)]
-struct Owner {
-    weight: u32,
-    /// Virtual time from which it may be served next.
-    tag: f64,
-    clock: f64,
-    flows: IndexMap<FlowKey, Flow>,
-    waiting: usize,
-}
-
-#[derive(Debug)]
-struct Flow {
-    tag: f64,
-    /// In order of deadline, then arrival.
-    items: BTreeMap<(Millis, Ticket), ()>,
-}
-
-impl Lane {
-    fn is_empty(&self) -> bool {
-        self.owners.values().all(|owner| owner.waiting == 0)
-    }
-
-    fn insert(&mut self, item: &Item, ticket: Ticket) {
-        let clock = self.clock;
-        let owner = self.owners.entry(item.owner.clone()).or_insert(Owner {
-            weight: 1,
-            tag: clock,
-            clock: 0.0,
-            flows: IndexMap::new(),
-            waiting: 0,
-        });
-        if owner.waiting == 0 {
-            owner.tag = owner.tag.max(clock);
-        }
-        owner.weight = item.weight.max(1);
-        owner.waiting += 1;
-        let clock = owner.clock;
-        let flow = owner.flows.entry(item.flow()).or_insert(Flow {
-            tag: clock,
-            items: BTreeMap::new(),
-        });
-        if flow.items.is_empty() {
-            flow.tag = flow.tag.max(clock);
-        }
-        flow.items.insert(item.rank(ticket), ());
-    }
-
-    fn remove(&mut self, item: &Item, ticket: Ticket) {
-        let Some(owner) = self.owners.get_mut(&item.owner) else {
-            return;
-        };
-        let key = item.flow();
-        if let Some(flow) = owner.flows.get_mut(&key)
-            && flow.items.remove(&item.rank(ticket)).is_some()
-        {
-            owner.waiting -= 1;
-            // A flow that is ahead of its share is remembered until the others have caught up.
-            if flow.items.is_empty() && flow.tag <= owner.clock {
-                owner.flows.swap_remove(&key);
-            }
-        }
-        if owner.waiting == 0 && owner.tag <= self.clock {
-            self.owners.swap_remove(&item.owner);
-        }
-    }
-
-    /// The next item by share and deadline among those that may start.
-    fn pick(&self, may_start: &impl Fn(&EntryName, &OwnerName) -> bool) -> Option<Ticket> {
-        let owners = self.owners.iter().filter(|(_, owner)| owner.waiting > 0);
-        let found = owners.filter_map(|(name, owner)| {
-            let ticket = owner.pick(|entry| may_start(entry, name))?;
-            Some((owner.tag, ticket))
-        });
-        let first = found.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        first.map(|(_, ticket)| ticket)
-    }
-
-    /// Charges a start to its owner and flow.
-    fn charge(&mut self, owner: &OwnerName, key: &FlowKey, cost: f64) {
-        let Some(owner) = self.owners.get_mut(owner) else {
-            return;
-        };
-        self.clock = self.clock.max(owner.tag);
-        owner.tag += cost / f64::from(owner.weight);
-        if let Some(flow) = owner.flows.get_mut(key) {
-            owner.clock = owner.clock.max(flow.tag);
-            flow.tag += cost;
-        }
-    }
-
-    /// Items that would be started before one more of this flow.
-    fn ahead_of(&self, name: &OwnerName, weight: u32, key: &FlowKey) -> f64 {
-        let own = self.owners.get(name);
-        let own_flow = own.and_then(|owner| owner.flows.get(key));
-        let turns = own_flow.map_or(0, |flow| flow.items.len()) as f64 + 1.0;
-        let flows = own.into_iter().flat_map(|owner| owner.flows.iter());
-        let beside: f64 = flows
-            .map(|(other, flow)| {
-                let waiting = flow.items.len() as f64;
-                if other == key {
-                    waiting
-                } else {
-                    waiting.min(turns)
-                }
-            })
-            .sum();
-        let others = self.owners.iter().filter(|(other, _)| *other != name);
-        let before: f64 = others
-            .map(|(_, owner)| {
-                let share = f64::from(owner.weight) / f64::from(weight.max(1));
-                (owner.waiting as f64).min((beside + 1.0) * share)
-            })
-            .sum();
-        beside + before
-    }
-
-    fn flow_len(&self, owner: &OwnerName, key: &FlowKey) -> usize {
-        let flow = self
-            .owners
-            .get(owner)
-            .and_then(|owner| owner.flows.get(key));
-        flow.map_or(0, |flow| flow.items.len())
-    }
-
-    /// The longest flow of an entry: its length and its last item.
-    fn longest_flow(&self, owner: &OwnerName, entry: &EntryName) -> Option<(usize, Ticket)> {
-        let flows = self.owners.get(owner)?.flows.iter();
-        let own = flows.filter(|(key, _)| key.entry == *entry);
-        let (_, flow) = own.max_by_key(|(_, flow)| flow.items.len())?;
-        let ((_, last), ()) = flow.items.last_key_value()?;
-        Some((flow.items.len(), *last))
-    }
-}
-
-impl Owner {
-    /// Of the flows that are not ahead of their share, the one with the earliest deadline.
-    fn pick(&self, may_start: impl Fn(&EntryName) -> bool) -> Option<Ticket> {
-        let ready = self
-            .flows
-            .iter()
-            .filter(|(key, flow)| !flow.items.is_empty() && may_start(&key.entry));
-        let ready: Vec<&Flow> = ready.map(|(_, flow)| flow).collect();
-        let least = ready.iter().map(|flow| flow.tag).min_by(f64::total_cmp)?;
-        let limit = least.max(self.clock);
-        let due = ready.into_iter().filter(|flow| flow.tag <= limit);
-        let heads = due.filter_map(|flow| flow.items.first_key_value());
-        heads
-            .map(|((rank, ticket), ())| (*rank, *ticket))
-            .min()
-            .map(|(_, ticket)| ticket)
-    }
-}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod daemon;
 mod metrics;
+mod policy;
 mod process;
 mod requests;
 mod settings;
