--- a/src/bin/lapisdrum/commands/catalogue.rs
+++ b/src/bin/lapisdrum/commands/catalogue.rs
@@ -11,8 +11,9 @@
   lapisdrum catalogue apply --wait catalogue.toml
 
 Entries that differ from the file are added or changed; entries that the file does not name stay as
-they are. With --wait the command ends once every daemon that answers has the change. A lost answer is repeated under the same change id, so a change is made at most once. Of
-two operators who change one entry at a time, one is told of the conflict and nothing of his is lost.";
+they are. With --wait the command ends once every daemon that answers has the change. A lost answer
+is repeated under the same change id, so a change is made at most once. Of two operators who change
+one entry at a time, one is told of the conflict and changes nothing.";
 
 const RETIRE_EXAMPLES: &str = "\
 Example:
