Index: jobs only; claims are looked after in one place

Cause: claims.rs forgets claims by their own retention; the index went on listing every claim for two hours and ended ones for ever, so its memory grew with the requests. Change: the lists are gone from the index; a claim older than twice the longest request is ended as unknown where claims are looked after.

--- a/src/lapisdrum/daemon/claims.rs
+++ b/src/lapisdrum/daemon/claims.rs
@@ -352,7 +352,10 @@
                 ended_since: None,
             });
             match claim.end {
-                None if peers::gone_for(cx, &claim.by).is_some() => {
+                // So old that nobody can still be going to report its end.
+                None if now.since(note.since) > LONGEST_REQUEST * 2
+                    || peers::gone_for(cx, &claim.by).is_some() =>
+                {
                     events.extend(end_events(request.clone(), ClaimEnd::Unknown));
                 }
                 None if now.since(note.since) > DOUBTED_AFTER => {
--- a/src/lapisdrum/daemon/index.rs
+++ b/src/lapisdrum/daemon/index.rs
@@ -1,4 +1,4 @@
-//! Jobs and claims of one shard by what the owner's loops ask for.
+//! Jobs of one shard by what the owner's loops ask for.
 //!
 //! Load pattern: 17,800 tasks and 500 workers a shard. A loop that scans all jobs for each visit of
 //! a worker or each placement pass would read millions of jobs a second. The index follows the
@@ -6,7 +6,7 @@
 
 use crate::{
     core::{
-        id::{EntryName, JobId, RequestId, WorkerId},
+        id::{EntryName, JobId, WorkerId},
         job::{Job, JobPhase},
         time::Millis,
     },
@@ -42,15 +42,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Before(IndexMap<JobId, Option<View>>);
 
-/// Jobs and claims by worker, entry and age.
+/// Jobs by worker, entry and age.
 #[derive(Debug, Default)]
 pub struct Index {
     by_worker: IndexMap<WorkerId, IndexSet<JobId>>,
     waiting: IndexMap<EntryName, VecDeque<JobId>>,
     counts: IndexMap<EntryName, Counts>,
     ended_jobs: VecDeque<(Millis, JobId)>,
-    open_claims: VecDeque<(Millis, RequestId)>,
-    ended_claims: VecDeque<(Millis, RequestId)>,
 }
 
 impl Index {
@@ -60,13 +58,6 @@
         for (id, job) in &state.jobs {
             index.enter(id, &view(job), now, Side::Back);
         }
-        for (id, claim) in &state.claims {
-            let list = match claim.end {
-                Some(_) => &mut index.ended_claims,
-                None => &mut index.open_claims,
-            };
-            list.push_back((now, id.clone()));
-        }
         index
     }
 
@@ -79,19 +70,8 @@
         )
     }
 
-    /// Follows events that were applied to `state`.
-    pub fn note(&mut self, before: Before, state: &State, events: &[Event], now: Millis) {
-        for event in events {
-            match event {
-                Event::Claimed { request, .. } => {
-                    self.open_claims.push_back((now, request.clone()));
-                }
-                Event::ClaimEnded { request, .. } => {
-                    self.ended_claims.push_back((now, request.clone()));
-                }
-                _ => {}
-            }
-        }
+    /// Follows events that were applied to `state`; `before` is of the same events.
+    pub fn note(&mut self, before: Before, state: &State, now: Millis) {
         for (id, before) in before.0 {
             let after = state.jobs.get(&id).map(view);
             if before != after {
@@ -167,21 +147,6 @@
         take_expired(&mut self.ended_jobs, before, keep, most)
     }
 
-    /// The same for ended claims.
-    pub fn take_expired_claims(
-        &mut self,
-        before: Millis,
-        keep: usize,
-        most: usize,
-    ) -> Vec<RequestId> {
-        take_expired(&mut self.ended_claims, before, keep, most)
-    }
-
-    /// Takes up to `most` claims off the list that were made before `before`.
-    pub fn take_old_claims(&mut self, before: Millis, most: usize) -> Vec<RequestId> {
-        take_expired(&mut self.open_claims, before, usize::MAX, most)
-    }
-
     fn enter(&mut self, id: &JobId, view: &View, now: Millis, side: Side) {
         match &view.stage {
             Stage::Waiting => {
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -283,7 +283,7 @@
             .state
             .apply_all(&events)
             .map_err(ProposeError::Misplaced)?;
-        inner.index.note(before, &inner.state, &events, now);
+        inner.index.note(before, &inner.state, now);
         for event in &events {
             inner.pending.add(event);
         }
--- a/src/lapisdrum/daemon/upkeep.rs
+++ b/src/lapisdrum/daemon/upkeep.rs
@@ -1,9 +1,9 @@
 //! Keeps a shard's ledger bounded and carries an entry's retirement through.
 //!
-//! Ended jobs and claims are kept for a time, so that callers who ask late find their end; without a
+//! Ended jobs are kept for a time, so that callers who ask late find their end; without a
 //! bound on time *and* number the state, its snapshots and a recovery would grow for ever. Ages
 //! count from when this owner saw the end, since the ledger holds no times: a take-over keeps an end
-//! somewhat longer and never shorter.
+//! somewhat longer and never shorter. [`super::claims`] looks after claims.
 
 use super::{Cx, journal::Urgency, shard::Shard};
 use crate::{
@@ -12,18 +12,14 @@
         id::{EntryName, JobId},
         job::{Job, JobEnd, JobPhase},
     },
-    state::ledger::{ClaimEnd, Event},
+    state::ledger::Event,
 };
 use std::{rc::Rc, time::Duration};
 
 /// Time between two looks.
 const TICK: Duration = Duration::from_secs(1);
-/// Most jobs, and most claims, that are forgotten at a time.
+/// Most jobs that are forgotten at a time.
 const MOST_AT_ONCE: usize = 1_000;
-/// Age at which a claim without an end is given one: no request may run as long as that, so nobody
-/// is still going to report its end.
-const ABANDONED_CLAIM: Duration = Duration::from_secs(2 * 3_600);
-
 /// Tends the shard until it is lost or given up.
 pub async fn run(cx: &Cx, shard: &Rc<Shard>) {
     while shard.is_serving() {
@@ -40,27 +36,12 @@
 }
 
 fn expired(cx: &Cx, shard: &Shard) -> Vec<Event> {
-    let now = cx.clock.now();
-    let (retention, most) = (cx.cfg.shards.retention, cx.cfg.shards.retained);
-    let before = now.before(retention);
+    let before = cx.clock.now().before(cx.cfg.shards.retention);
+    let most = cx.cfg.shards.retained;
     let mut index = shard.journal.index_mut();
     let jobs = index.take_expired_jobs(before, most, MOST_AT_ONCE);
-    let abandoned = index.take_old_claims(now.before(ABANDONED_CLAIM), MOST_AT_ONCE);
-    drop(index);
-    let state = shard.state();
-    let is_open = |id: &_| {
-        state
-            .claims
-            .get(id)
-            .is_some_and(|claim| claim.end.is_none())
-    };
     let forgotten = jobs.into_iter().map(|job| Event::Forgotten { job });
-    let abandoned = abandoned.into_iter().filter(is_open);
-    let abandoned = abandoned.map(|request| Event::ClaimEnded {
-        request,
-        end: ClaimEnd::Unknown,
-    });
-    forgotten.chain(abandoned).collect()
+    forgotten.collect()
 }
 
 /// Cancels what runs or waits under a retired long-running entry. Batch jobs that were accepted
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -87,9 +87,9 @@
     pub row_events: usize,
     /// Least time between two checkpoints of one running task in the ledger.
     pub checkpoint: Duration,
-    /// Time for which ended jobs and claims are kept.
+    /// Time for which ended jobs are kept.
     pub retention: Duration,
-    /// Most ended jobs, and most ended claims, that are kept.
+    /// Most ended jobs that are kept.
     pub retained: usize,
     /// Time for which a long-running task stays on a host that is leaving.
     pub leaving_grace: Duration,
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -170,12 +170,12 @@
     of(
         "shards.retention_ms",
         ms(3_600_000, 0, 86_400_000),
-        "time for which ended jobs and claims are kept",
+        "time for which ended jobs are kept",
     ),
     of(
         "shards.retained",
         number("jobs", 20_000, 1, 1_000_000),
-        "most ended jobs, and most ended claims, that are kept",
+        "most ended jobs that are kept; beyond it the oldest are forgotten early",
     ),
     of(
         "shards.leaving_grace_ms",
--- a/tests/testsuite/daemon/index.rs
+++ b/tests/testsuite/daemon/index.rs
@@ -137,7 +137,7 @@
             let events = [event(&state, n, step)];
             let before = Index::before(&state, &events);
             if state.apply_all(&events).is_ok() {
-                index.note(before, &state, &events, Millis(1));
+                index.note(before, &state, Millis(1));
             }
             assert_agrees(&mut index, &state)?;
             assert_agrees(&mut Index::build(&state, Millis(1)), &state)?;
@@ -162,7 +162,7 @@
             let events = [event(&state, n, step)];
             let before = Index::before(&state, &events);
             state.apply_all(&events).expect("the event belongs");
-            index.note(before, &state, &events, Millis(n * 1_000));
+            index.note(before, &state, Millis(n * 1_000));
         }
     }
     let beyond = index.take_expired_jobs(Millis(0), 8, 100);
