--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -12,23 +12,22 @@
 use super::{
     Cx,
     index::Index,
+    proposals::{Pending, Proposal, answer},
     registrar::epoch_key,
     snapshots::{self, Snapshot},
 };
 use crate::{
     core::{
         id::{EntryName, Epoch, JobId, Sequence, ShardId},
-        outcome::Refusal,
         time::Millis,
     },
     platform::{
         client::TxnOutcome,
         wire::{Row, Txn},
     },
-    state::ledger::{Batch, Event, Misplaced, State},
+    state::ledger::{Batch, Event, State},
     util::backoff::Backoff,
 };
-use indexmap::{IndexMap, IndexSet};
 use std::{
     cell::{Ref, RefCell, RefMut},
     collections::VecDeque,
@@ -36,75 +35,12 @@
 };
 use tokio::sync::{Notify, oneshot};
 
+pub use super::proposals::{ProposeError, Ticket, Urgency, WriteEnd};
+
 /// First wait before an unsettled write is tried again.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 /// Longest wait before an unsettled write is tried again.
 const LONGEST_RETRY: Duration = Duration::from_secs(1);
-/// When a caller should come back while the table is away.
-const STORE_AWAY_RETRY: Duration = Duration::from_secs(2);
-
-/// How soon an event must be written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Urgency {
-    /// A caller or a latency-critical start waits for it.
-    Urgent,
-    /// It can wait for company.
-    Batch,
-}
-
-/// How the write of an event ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WriteEnd {
-    /// It is durable.
-    Committed,
-    /// It was certainly not written.
-    NotWritten,
-    /// The shard was lost before it was known.
-    Unknown,
-}
-
-/// Why an event was not taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ProposeError {
-    /// The table is away, the lease has run out, or the owner is giving the shard up.
-    Stalled,
-    /// The shard is lost.
-    Lost,
-    /// An event does not belong to the state.
-    Misplaced(Misplaced),
-}
-
-impl ProposeError {
-    /// The refusal that a caller is given.
-    pub fn refusal(&self) -> Refusal {
-        match self {
-            Self::Stalled => Refusal::StoreAway {
-                retry_after: STORE_AWAY_RETRY,
-            },
-            Self::Lost | Self::Misplaced(_) => Refusal::NoOwner {
-                retry_after: STORE_AWAY_RETRY,
-            },
-        }
-    }
-}
-
-/// Completes when an event's write has ended.
-#[must_use = "effects wait for the write's end"]
-pub struct Ticket(oneshot::Receiver<WriteEnd>);
-
-impl Ticket {
-    /// The write's end.
-    pub async fn end(self) -> WriteEnd {
-        self.0.await.unwrap_or(WriteEnd::Unknown)
-    }
-
-    /// The write's end, or unknown after `limit`: a caller is answered although the table is away.
-    pub async fn end_within(self, limit: Duration) -> WriteEnd {
-        let end = tokio::time::timeout(limit, self.end()).await;
-        end.unwrap_or(WriteEnd::Unknown)
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
     Writing,
@@ -112,46 +48,6 @@
     Lost,
 }
 
-/// Events that go into one row together, and who waits for them.
-struct Proposal {
-    events: Vec<Event>,
-    waiter: oneshot::Sender<WriteEnd>,
-}
-
-/// Jobs with events that are proposed and not yet durable.
-#[derive(Default)]
-struct Pending {
-    events: IndexMap<JobId, u32>,
-    accepted: IndexSet<JobId>,
-}
-
-impl Pending {
-    fn add(&mut self, event: &Event) {
-        let Some(job) = event.job() else {
-            return;
-        };
-        *self.events.entry(job.clone()).or_default() += 1;
-        if matches!(event, Event::Accepted { .. }) {
-            self.accepted.insert(job.clone());
-        }
-    }
-
-    fn remove(&mut self, event: &Event) {
-        let Some(job) = event.job() else {
-            return;
-        };
-        if let Some(count) = self.events.get_mut(job) {
-            *count -= 1;
-            if *count == 0 {
-                self.events.swap_remove(job);
-            }
-        }
-        if matches!(event, Event::Accepted { .. }) {
-            self.accepted.swap_remove(job);
-        }
-    }
-}
-
 struct Inner {
     state: State,
     index: Index,
@@ -250,12 +146,12 @@
 
     /// Whether an event about the job has been proposed that is not yet durable.
     pub fn is_unsettled(&self, job: &JobId) -> bool {
-        self.inner.borrow().pending.events.contains_key(job)
+        self.inner.borrow().pending.has(job)
     }
 
     /// Whether the job's acceptance is not yet durable.
     pub fn is_unaccepted(&self, job: &JobId) -> bool {
-        self.inner.borrow().pending.accepted.contains(job)
+        self.inner.borrow().pending.accepts(job)
     }
 
     /// Whether the table has taken the last row without delay.
@@ -287,7 +183,7 @@
         for event in &events {
             inner.pending.add(event);
         }
-        let (waiter, ticket) = oneshot::channel();
+        let (waiter, ticket) = Ticket::new();
         inner.open.push_back(Proposal { events, waiter });
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
@@ -296,7 +192,7 @@
         let due = now + linger;
         inner.due = Some(inner.due.map_or(due, |earlier| earlier.min(due)));
         self.work.notify_one();
-        Ok(Ticket(ticket))
+        Ok(ticket)
     }
 
     /// Ends the ledger: nothing more is written by this owner. A row under way may yet be in.
@@ -564,9 +460,3 @@
         .compare(&row, 0)
         .put(&row, batch)
 }
-
-fn answer(waiters: &mut Vec<oneshot::Sender<WriteEnd>>, end: WriteEnd) {
-    for waiter in waiters.drain(..) {
-        let _ = waiter.send(end);
-    }
-}
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -18,6 +18,7 @@
 pub mod observer;
 pub mod peers;
 pub mod pressure;
+pub mod proposals;
 pub mod queue;
 pub mod registrar;
 pub mod router;
