--- a/crates/lapisdrum-load/src/args.rs
+++ b/crates/lapisdrum-load/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line: the processes that experiments start, and the experiments.
 
-use crate::{capacity, catalogue, ledger, recovery, takeover};
+use crate::{capacity, catalogue, ledger, policy, recovery, takeover};
 use clap::{Parser, Subcommand};
 use eyre::{Result, eyre};
 use std::path::PathBuf;
@@ -36,6 +36,8 @@
     Recovery(recovery::RecoveryArgs),
     /// Time until a catalogue change is in force everywhere.
     Catalogue(catalogue::CatalogueArgs),
+    /// The decisions under load, with virtual time and baselines.
+    Policy(policy::PolicyArgs),
 }
 
 /// Runs the subcommand that was asked for.
@@ -50,5 +52,6 @@
         Command::Takeover(args) => takeover::run(args).await,
         Command::Recovery(args) => recovery::run(args).await,
         Command::Catalogue(args) => catalogue::run(args).await,
+        Command::Policy(args) => policy::run(&args),
     }
 }
--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalogue;
 pub mod ledger;
 pub mod measure;
+pub mod policy;
 pub mod recovery;
 pub mod site;
 pub mod table;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod daemon;
+mod policy;
 mod process;
 mod requests;
 mod support;
