Shares by ownership, candidates from a few workers, jobs wait for a share

An own shard that was lost and taken again within a look could have gone by the share of its earlier ownership. Every request looked at every worker three times; it now looks at the first with room, and chooses among sixteen. A job of an entry whose share had not yet come was refused.

--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -243,7 +243,8 @@
     let counts = shard.journal.index().counts(&entry.name);
     let running = limits::job_limit(cx, shard, &entry);
     let room = running.saturating_sub(counts.placed) + limits::queue_limit(cx, shard, &entry);
-    if running == 0 || counts.waiting >= room {
+    // A shard without a share takes jobs in as well: that they wait is what brings it one.
+    if counts.waiting >= room {
         return Err(Refusal::OverLimit {
             entry: entry.name,
             retry_after: NO_OWNER_RETRY,
--- a/src/lapisdrum/daemon/limits.rs
+++ b/src/lapisdrum/daemon/limits.rs
@@ -9,7 +9,7 @@
 
 /// Jobs of an entry that may have a place in this shard at once.
 pub fn job_limit(cx: &Cx, shard: &Shard, entry: &Entry) -> u32 {
-    shares::of_shard(cx, entry, &shard.id)
+    shares::of_shard(cx, entry, shard)
 }
 
 /// Jobs of an entry that may wait in this shard.
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -281,7 +281,8 @@
     let entry = cx.catalogue.borrow().entry(entry);
     entry.is_some_and(|entry| {
         let share = shares::of_daemon(cx, &entry);
-        cx.admission.borrow().has_room(&share) && !candidates(cx, &entry).is_empty()
+        cx.admission.borrow().has_room(&share)
+            && with_candidates(cx, &entry, 1, |candidates| !candidates.is_empty())
     })
 }
 
@@ -330,26 +331,43 @@
     })
 }
 
-/// Workers with room for a request of an entry, and what is outstanding there.
-fn candidates(cx: &Cx, entry: &Entry) -> Vec<(WorkerId, u32)> {
+/// Workers that are looked at for one request once they have room: two are drawn from them, and some
+/// may be set aside. Looking at all of five hundred would cost more than the request is worth.
+const MOST_CANDIDATES: usize = 16;
+
+/// Hands `then` some workers with room for a request of an entry, beginning anywhere, so that over
+/// many requests each worker is as likely as the next.
+fn with_candidates<T>(
+    cx: &Cx,
+    entry: &Entry,
+    most: usize,
+    then: impl FnOnce(&[Candidate<'_>]) -> T,
+) -> T {
     let members = cx.members.borrow();
     let floors = cx.floors.borrow();
-    let daemons = u32::try_from(members.daemons.len())
-        .unwrap_or(u32::MAX)
-        .max(1);
+    let daemons = to_u32(members.daemons.len()).max(1);
     let has_room = |worker: &WorkerId, used: u32| {
-        let host = members.hosts.get(worker);
-        host.is_some_and(|host| {
-            !host.leaving && used < connection_share(cx, host.connections, daemons)
-        }) && floors.has_room(worker, &entry.size)
+        floors.has_room(worker, &entry.size)
+            && members.hosts.get(worker).is_some_and(|host| {
+                !host.leaving && used < connection_share(cx, host.connections, daemons)
+            })
     };
-    let held = floors
-        .held
-        .iter()
-        .map(|(worker, floor)| (worker, floor.used.slots));
-    held.filter(|(worker, used)| has_room(worker, *used))
-        .map(|(worker, used)| (worker.clone(), used))
-        .collect()
+    let count = floors.held.len();
+    let start = rand::random_range(0..count.max(1));
+    let round = floors.held.iter().cycle().skip(start).take(count);
+    let with_room = round.filter(|(worker, floor)| has_room(worker, floor.used.slots));
+    let candidates: Vec<Candidate<'_>> = with_room
+        .take(most)
+        .map(|(worker, floor)| Candidate {
+            worker,
+            outstanding: floor.used.slots,
+        })
+        .collect();
+    then(&candidates)
+}
+
+fn to_u32(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
 }
 
 /// Connections to one worker for requests: its limit divided over the daemons, less one for
@@ -360,18 +378,12 @@
 }
 
 fn choose_worker(cx: &Cx, entry: &Entry) -> Option<(WorkerId, String)> {
-    let with_room = candidates(cx, entry);
-    let candidates: Vec<Candidate<'_>> = with_room
-        .iter()
-        .map(|(worker, outstanding)| Candidate {
-            worker,
-            outstanding: *outstanding,
-        })
-        .collect();
-    let routing = cx.line.routing.borrow();
-    let chosen = routing.choose(&candidates, cx.clock.now(), &mut rand::rng())?;
-    let (worker, _) = &with_room[chosen];
+    let worker = with_candidates(cx, entry, MOST_CANDIDATES, |candidates| {
+        let routing = cx.line.routing.borrow();
+        let chosen = routing.choose(candidates, cx.clock.now(), &mut rand::rng())?;
+        Some(candidates[chosen].worker.clone())
+    })?;
     let members = cx.members.borrow();
-    let host = members.hosts.get(worker)?;
-    Some((worker.clone(), host.address.clone()))
+    let address = members.hosts.get(&worker)?.address.clone();
+    Some((worker, address))
 }
--- a/src/lapisdrum/daemon/shares.rs
+++ b/src/lapisdrum/daemon/shares.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::{
         catalogue::{Class, Entry},
-        id::{EntryName, ShardId},
+        id::{EntryName, Epoch, ShardId},
     },
     platform::{client::TxnOutcome, wire::Txn},
     policy::admission::{self, Claim, Share},
@@ -17,7 +17,7 @@
     },
 };
 use indexmap::IndexMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 /// Key prefix of the entries' rows.
 const PREFIX: &str = "shares/";
@@ -27,7 +27,12 @@
 /// What this daemon and its shards may use.
 #[derive(Debug, Default)]
 pub struct Held {
-    parties: RefCell<IndexMap<(EntryName, Party), Own>>,
+    requests: RefCell<IndexMap<EntryName, Own>>,
+    /// By ownership, not by shard alone: another owner in between may have lowered the part.
+    jobs: RefCell<IndexMap<(ShardId, Epoch, EntryName), Own>>,
+    /// How many daemons there are and this one's place among them, as of the last look: asked for by
+    /// every request.
+    place: Cell<(u32, u32)>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,11 +47,11 @@
 
 /// Whose limits a request of an entry counts against here, and how far.
 pub fn of_daemon<'a>(cx: &Cx, entry: &'a Entry) -> Claim<'a> {
-    let party = Party::Daemon(cx.me.clone());
-    let (daemons, rank) = place_of_daemon(cx);
+    let (daemons, rank) = cx.shares.place.get();
     let even = admission::divide(&entry.limits, daemons, rank);
+    let own = cx.shares.requests.borrow().get(&entry.name).copied();
     let share = Share {
-        concurrency: allowed(cx, entry, party),
+        concurrency: allowed(entry, own),
         ..even
     };
     Claim {
@@ -58,13 +63,13 @@
 }
 
 /// Jobs of an entry that may have a place in an own shard at once.
-pub fn of_shard(cx: &Cx, entry: &Entry, shard: &ShardId) -> u32 {
-    allowed(cx, entry, Party::Shard(shard.clone()))
+pub fn of_shard(cx: &Cx, entry: &Entry, shard: &Shard) -> u32 {
+    let own_key = (shard.id.clone(), shard.epoch, entry.name.clone());
+    let own = cx.shares.jobs.borrow().get(&own_key).copied();
+    allowed(entry, own)
 }
 
-fn allowed(cx: &Cx, entry: &Entry, party: Party) -> u32 {
-    let parties = cx.shares.parties.borrow();
-    let own = parties.get(&(entry.name.clone(), party));
+fn allowed(entry: &Entry, own: Option<Own>) -> u32 {
     let allowed = own.map_or(0, |own| own.allowed.amount());
     allowed.min(entry.limits.concurrency)
 }
@@ -107,10 +112,16 @@
         .filter_map(|row| Some((row.key.clone(), (row.version, row.parse::<Shares>()?))));
     let rows: IndexMap<String, (u64, Shares)> = parsed.collect();
     let entries: Vec<Entry> = cx.catalogue.borrow().entries().cloned().collect();
+    let is_known = |name: &EntryName| entries.iter().any(|entry| entry.name == *name);
+    cx.shares
+        .requests
+        .borrow_mut()
+        .retain(|name, _| is_known(name));
     cx.shares
-        .parties
+        .jobs
         .borrow_mut()
-        .retain(|(name, _), _| entries.iter().any(|entry| entry.name == *name));
+        .retain(|(shard, epoch, name), _| is_known(name) && epoch_of(cx, shard) == Some(*epoch));
+    cx.shares.place.set(place_of_daemon(cx));
     for entry in &entries {
         let row = rows.get(&key(&entry.name)).cloned().unwrap_or_default();
         for party in own_parties(cx, entry) {
@@ -174,10 +185,9 @@
     let Some(figures) = figures(cx, entry, &party) else {
         return;
     };
-    let own_key = (entry.name.clone(), party);
-    let party = &own_key.1;
+    let party = &party;
     let in_row = row.part(party).map_or(0, |part| part.amount);
-    let demand = note_look(cx, &own_key, in_row, &figures);
+    let demand = note_look(cx, entry, party, in_row, &figures);
     let look = Look {
         party,
         data_centre: &cx.cfg.daemon.data_centre,
@@ -190,16 +200,16 @@
     };
     let next = without_gone(cx, row).looked_at(&look);
     let amount = next.part(party).map_or(0, |part| part.amount);
-    let is_certain = with_own(cx, &own_key, |own| own.allowed.amount() >= amount);
+    let is_certain = with_own(cx, entry, party, |own| own.allowed.amount() >= amount);
     if next == *row && is_certain {
         return;
     }
-    with_own(cx, &own_key, |own| own.allowed.before_write(amount));
+    with_own(cx, entry, party, |own| own.allowed.before_write(amount));
     let txn = Txn::default()
         .compare(key(&entry.name), *version)
         .put(key(&entry.name), &next);
     if let TxnOutcome::Committed(_) = cx.platform.txn(&txn).await {
-        with_own(cx, &own_key, |own| own.allowed.after_write(amount));
+        with_own(cx, entry, party, |own| own.allowed.after_write(amount));
         tell(cx, party);
     }
 }
@@ -217,18 +227,29 @@
 }
 
 /// Takes what was read into account, and returns the demand of the last while.
-fn note_look(cx: &Cx, own_key: &(EntryName, Party), in_row: u32, figures: &Figures) -> u32 {
+fn note_look(cx: &Cx, entry: &Entry, party: &Party, in_row: u32, figures: &Figures) -> u32 {
     let asked = f64::from(figures.running + figures.waiting);
-    with_own(cx, own_key, |own| {
+    with_own(cx, entry, party, |own| {
         own.allowed.after_read(in_row);
         own.demand = asked.max(own.demand * DEMAND_KEPT);
         own.demand as u32
     })
 }
 
-fn with_own<T>(cx: &Cx, own_key: &(EntryName, Party), then: impl FnOnce(&mut Own) -> T) -> T {
-    let mut parties = cx.shares.parties.borrow_mut();
-    then(parties.entry(own_key.clone()).or_default())
+fn with_own<T>(cx: &Cx, entry: &Entry, party: &Party, then: impl FnOnce(&mut Own) -> T) -> T {
+    let name = entry.name.clone();
+    match party {
+        Party::Daemon(_) => then(cx.shares.requests.borrow_mut().entry(name).or_default()),
+        Party::Shard(shard) => {
+            let epoch = epoch_of(cx, shard).unwrap_or_default();
+            let mut jobs = cx.shares.jobs.borrow_mut();
+            then(jobs.entry((shard.clone(), epoch, name)).or_default())
+        }
+    }
+}
+
+fn epoch_of(cx: &Cx, shard: &ShardId) -> Option<Epoch> {
+    cx.shards.borrow().get(shard).map(|own| own.epoch)
 }
 
 /// The row without the parts of daemons that are certainly gone and whose requests are over.
@@ -264,10 +285,7 @@
         if shares.part(&party).is_none() || runs > 0 {
             continue;
         }
-        cx.shares
-            .parties
-            .borrow_mut()
-            .swap_remove(&(entry, party.clone()));
+        cx.shares.requests.borrow_mut().swap_remove(&entry);
         let txn = Txn::default()
             .compare(row.key.clone(), row.version)
             .put(row.key.clone(), &shares.without(&party));
