--- a/src/lapisdrum/daemon/shard.rs
+++ b/src/lapisdrum/daemon/shard.rs
@@ -3,6 +3,7 @@
 use super::{
     Cx,
     journal::{Journal, ProposeError, Ticket, Urgency, WriteEnd},
+    pressure::Pressure,
     registrar,
     sessions::Session,
     snapshots, starts, supervisor, upkeep, visits,
@@ -49,6 +50,8 @@
     pub grant_rounds: RefCell<IndexMap<Holder, u64>>,
     /// When earlier owners that did not release the shard were found to be dead.
     pub owners_gone: RefCell<IndexMap<Epoch, Millis>>,
+    /// What is learned of how tasks disturb each other and of failing workers.
+    pub pressure: RefCell<Pressure>,
     /// Rung when a job may be placed.
     pub placement: Notify,
     row: RefCell<(u64, ShardRow)>,
@@ -76,6 +79,7 @@
             sessions: RefCell::default(),
             grant_rounds: RefCell::default(),
             owners_gone: RefCell::default(),
+            pressure: RefCell::default(),
             placement: Notify::new(),
             row: RefCell::new((row_version, row)),
             doubtful: RefCell::default(),
--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -9,7 +9,7 @@
     evictions::unplace,
     grants,
     journal::{Urgency, WriteEnd},
-    limits, sessions,
+    limits, pressure, sessions,
     shard::Shard,
     supervisor,
 };
@@ -20,9 +20,10 @@
         job::{Attempt, Placement},
         size::Size,
     },
+    platform::wire::Host,
     policy::{
-        interference::{Interference, Kind},
-        placement::{self, Room, Wanted},
+        interference::Kind,
+        placement::{self, Resident, Room, Wanted},
     },
     state::ledger::Event,
     timeline::event::Happening,
@@ -57,6 +58,10 @@
 /// One entry's turn in a pass.
 struct Turn {
     entry: EntryName,
+    kind: Kind,
+    class: Class,
+    /// Jobs of it that are placed.
+    placed: u32,
     /// Jobs that its limit still allows.
     left: u32,
     /// Jobs that have to go on waiting.
@@ -71,7 +76,8 @@
     if waiting.is_empty() {
         return;
     }
-    let mut rooms = rooms(cx, shard);
+    let hosts = open_hosts(cx, shard);
+    let mut rooms: Vec<Room<'_>> = hosts.iter().map(OpenHost::room).collect();
     let mut turns: Vec<Turn> = waiting
         .into_iter()
         .map(|entry| turn(cx, shard, entry))
@@ -97,9 +103,14 @@
     let entry = cx.catalogue.borrow().entry(&name);
     let placed = shard.journal.index().counts(&name).placed;
     // An accepted job of an entry that is gone from the catalogue still finishes.
+    let class = entry.as_ref().map_or(Class::Batch, |entry| entry.class);
     let limit = entry.map_or(u32::MAX, |entry| limits::job_limit(cx, shard, &entry));
+    let kind = shard.pressure.borrow_mut().interference.kind(&name);
     Turn {
         entry: name,
+        kind,
+        class,
+        placed,
         left: limit.saturating_sub(placed),
         aside: Vec::new(),
     }
@@ -111,7 +122,7 @@
 }
 
 /// Places one job of an entry; false when the entry's turn is over.
-fn place_next(cx: &Cx, shard: &Rc<Shard>, turn: &mut Turn, rooms: &mut [FreeRoom]) -> bool {
+fn place_next(cx: &Cx, shard: &Rc<Shard>, turn: &mut Turn, rooms: &mut [Room<'_>]) -> bool {
     if turn.left == 0 {
         return false;
     }
@@ -128,10 +139,11 @@
     let Some((size, attempts)) = known.map(|known| (known.size, known.attempts)) else {
         return true;
     };
-    let Some(worker) = choose_worker(cx, rooms, size) else {
+    let Some(chosen) = choose_room(cx, shard, turn, rooms, size) else {
         turn.aside.push(job);
         return false;
     };
+    let worker = rooms[chosen].worker.clone();
     if shard.session(&worker, |session| session.stopping.contains(&job)) == Some(true) {
         turn.aside.push(job);
         return true;
@@ -147,12 +159,33 @@
         return false;
     }
     turn.left -= 1;
-    if let Some(room) = rooms.iter_mut().find(|room| room.worker == worker) {
-        room.free = room.free.minus(&size);
-    }
+    rooms[chosen].free = rooms[chosen].free.minus(&size);
     true
 }
 
+fn choose_room(
+    cx: &Cx,
+    shard: &Shard,
+    turn: &Turn,
+    rooms: &[Room<'_>],
+    size: Size,
+) -> Option<usize> {
+    let pressure = shard.pressure.borrow();
+    let wanted = Wanted {
+        kind: turn.kind,
+        class: turn.class,
+        size,
+        same_placed: turn.placed,
+    };
+    placement::choose(
+        rooms,
+        &wanted,
+        &pressure.interference,
+        cx.clock.now(),
+        &mut rand::rng(),
+    )
+}
+
 fn place(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: Placement) -> bool {
     let placed = Event::Placed {
         job: job.clone(),
@@ -170,39 +203,30 @@
     true
 }
 
-/// What is free for tasks on a worker, while a pass places jobs.
-struct FreeRoom {
+/// A worker that may take tasks, as of the beginning of a pass.
+struct OpenHost {
     worker: WorkerId,
     rack: Rack,
     capacity: Size,
     free: Size,
+    residents: Vec<Resident>,
 }
 
-fn choose_worker(cx: &Cx, rooms: &[FreeRoom], size: Size) -> Option<WorkerId> {
-    let wanted = Wanted {
-        kind: Kind(0),
-        class: Class::Batch,
-        size,
-        same_placed: 0,
-    };
-    let views: Vec<Room<'_>> = rooms
-        .iter()
-        .map(|room| Room {
-            worker: &room.worker,
-            rack: &room.rack,
-            capacity: room.capacity,
-            free: room.free,
-            residents: &[],
+impl OpenHost {
+    fn room(&self) -> Room<'_> {
+        Room {
+            worker: &self.worker,
+            rack: &self.rack,
+            capacity: self.capacity,
+            free: self.free,
+            residents: &self.residents,
             same_in_rack: 0,
-        })
-        .collect();
-    let (known, now) = (Interference::default(), cx.clock.now());
-    let chosen = placement::choose(&views, &wanted, &known, now, &mut rand::rng())?;
-    Some(rooms[chosen].worker.clone())
+        }
+    }
 }
 
-/// What is free for tasks on each worker that may take one.
-fn rooms(cx: &Cx, shard: &Shard) -> Vec<FreeRoom> {
+/// Workers that may take tasks, with what is free and what runs there.
+fn open_hosts(cx: &Cx, shard: &Shard) -> Vec<OpenHost> {
     let now = cx.clock.now();
     let members = cx.members.borrow();
     let sessions = shard.sessions.borrow();
@@ -215,19 +239,18 @@
     let hosts = hosts
         .into_iter()
         .filter(|host| !host.leaving && takes_tasks(&host.worker));
-    hosts
-        .map(|host| {
-            let committed = state.committed_on(&host.worker);
-            let reserved = grants::unclaimed_reserve(cx, &state, host);
-            let free = host.capacity.minus(&committed.size).minus(&reserved);
-            FreeRoom {
-                worker: host.worker.clone(),
-                rack: host.rack.clone(),
-                capacity: host.capacity,
-                free,
-            }
-        })
-        .collect()
+    let open = |host: &Host| {
+        let committed = state.committed_on(&host.worker);
+        let reserved = grants::unclaimed_reserve(cx, &state, host);
+        OpenHost {
+            worker: host.worker.clone(),
+            rack: host.rack.clone(),
+            capacity: host.capacity,
+            free: host.capacity.minus(&committed.size).minus(&reserved),
+            residents: pressure::residents(cx, shard, &host.worker),
+        }
+    };
+    hosts.map(open).collect()
 }
 
 async fn start_task(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: &Placement) {
