Merge owner; evidence of release and far peers go by when all rows were read

A run of a daemon of another data centre that had just come would have been taken for released, and far peers for dead between two readings.

--- a/src/lapisdrum/daemon/members.rs
+++ b/src/lapisdrum/daemon/members.rs
@@ -61,6 +61,8 @@
     pub shards: IndexMap<ShardId, SeenShard>,
     /// Hosts of this data centre by name: workers, and entry hosts with no slots.
     pub hosts: IndexMap<WorkerId, Host>,
+    /// When the presence rows of all data centres were last read; none before the first time.
+    pub all_read_at: Option<Millis>,
     /// When the list of hosts was last read; none before the first time.
     pub hosts_read_at: Option<Millis>,
     /// The tag of that list.
--- a/src/lapisdrum/daemon/observer.rs
+++ b/src/lapisdrum/daemon/observer.rs
@@ -118,6 +118,9 @@
     let was_read = |seen: &SeenPresence| others || seen.row.data_centre == *own;
     members.daemons.retain(|_, seen| !was_read(seen));
     members.daemons.extend(seen);
+    if others {
+        members.all_read_at = Some(now);
+    }
 }
 
 /// Reads the shard rows of this data centre, or of all.
--- a/src/lapisdrum/daemon/peers.rs
+++ b/src/lapisdrum/daemon/peers.rs
@@ -57,8 +57,8 @@
     })
 }
 
-/// Calls to the platform in one round of the registrar, each of which may take its timeout.
-const CALLS_A_ROUND: u32 = 5;
+/// Timeouts of the platform within which a list that was read had certainly been asked for.
+const LIST_AGE: u32 = 2;
 
 /// Other daemons' runs that this process has heard of, and since when they are gone.
 #[derive(Debug, Default)]
@@ -104,8 +104,8 @@
         let other = &seen.row.holder;
         other.address == holder.address && other != holder && seen.seen.since > heard
     });
-    let read_after = heard + cx.cfg.platform.timeout * CALLS_A_ROUND;
-    let is_read = members.hosts_read_at.is_some_and(|read| read >= read_after);
+    let read_after = heard + cx.cfg.platform.timeout * LIST_AGE;
+    let is_read = members.all_read_at.is_some_and(|read| read >= read_after);
     let is_named = members
         .daemons
         .values()
--- a/src/lapisdrum/daemon/spill.rs
+++ b/src/lapisdrum/daemon/spill.rs
@@ -125,8 +125,13 @@
     let patience = cx.cfg.shards.terms.lengthened(cx.cfg.shards.terms.lease);
     let own = &cx.cfg.daemon.data_centre;
     let members = cx.members.borrow();
-    // With the table away the rows stand still, and the daemons that were live go on being asked.
-    let read_at = members.hosts_read_at.unwrap_or(now);
+    // As of when the rows were read: with the table away they stand still, and the daemons that were
+    // live go on being asked. Rows of other data centres are read more rarely.
+    let read_at = match is_near {
+        true => members.hosts_read_at,
+        false => members.all_read_at,
+    };
+    let read_at = read_at.unwrap_or(now);
     let full = cx.full_peers.0.borrow();
     let daemons = members.daemons.iter().filter(|(name, seen)| {
         let asked = full.get(&((*name).clone(), entry.clone()));
