--- a/tests/testsuite/requests/floors.rs
+++ b/tests/testsuite/requests/floors.rs
@@ -62,12 +62,15 @@
     site.daemons[0].process.kill();
     site.daemons[0] = DaemonProcess::start(plan);
     site.daemons[0].ready().await;
-    wait::until(
-        "the new run has floors",
-        Duration::from_secs(60),
-        async || is_served(callers[0]).await,
-    )
-    .await;
+    for is_alone in [false, true] {
+        if is_alone {
+            site.daemons[1].process.kill();
+        }
+        wait::until("the new run serves", Duration::from_secs(60), async || {
+            is_served(callers[0]).await
+        })
+        .await;
+    }
     let log = site.workers[0].log().await;
     assert!(
         log.most_size.millicores <= REQUEST_SHARE,
