Homes of claims: the first row waits until no new shard comes in sight

Cause: the first daemon of a new system wrote the row with its own shard only, and a row stands for two retentions and an hour before it is changed: until then every caller's id hung on one data centre.

--- a/src/lapisdrum/daemon/claims.rs
+++ b/src/lapisdrum/daemon/claims.rs
@@ -44,6 +44,10 @@
 const POLL: Duration = Duration::from_millis(500);
 /// When to come back for a request that is being served, or whose home can't be reached.
 const RETRY: Duration = Duration::from_secs(1);
+/// Polls of the platform for which no new shard must have come in sight before the first row of homes
+/// is written: more than pass between two readings of all data centres. A row with only the writer's
+/// own shards would stand for hours, and every id would hang on that one data centre.
+const SETTLED_POLLS: u32 = 15;
 /// Longest deadline of a request, for how long its claim may stay open.
 const LONGEST_REQUEST: Duration = Duration::from_secs(3_600);
 /// Age from which the owner asks a claim's daemon whether it still serves it.
@@ -60,6 +64,8 @@
     served: RefCell<IndexMap<RequestId, u64>>,
     /// The homes as last read, and when.
     homes: RefCell<Option<SeenHomes>>,
+    /// Shards in sight, and since when they are the same.
+    in_sight: RefCell<(Vec<ShardId>, Millis)>,
     /// As owner: notes on the claims of own shards.
     notes: RefCell<IndexMap<RequestId, Note>>,
     asking: Cell<bool>,
@@ -304,7 +310,7 @@
     let now = cx.clock.now();
     let known: Vec<ShardId> = cx.members.borrow().shards.keys().cloned().collect();
     let (version, next) = match row {
-        None => (0, Homes::first(&known)),
+        None => (0, first_homes(cx, &known)),
         Some(row) => {
             let version = row.version;
             let Some(homes) = row.parse::<Homes>() else {
@@ -332,6 +338,16 @@
     }
 }
 
+fn first_homes(cx: &Cx, known: &[ShardId]) -> Option<Homes> {
+    let now = cx.clock.now();
+    let mut in_sight = cx.claims.in_sight.borrow_mut();
+    if in_sight.0 != known {
+        *in_sight = (known.to_vec(), now);
+    }
+    let is_settled = now.since(in_sight.1) >= cx.cfg.platform.poll * SETTLED_POLLS;
+    is_settled.then(|| Homes::first(known)).flatten()
+}
+
 /// Ends, releases and forgets claims of an own shard.
 fn look_after(cx: &Cx, shard: &Rc<Shard>) {
     let now = cx.clock.now();
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -1,4 +1,5 @@
-//! The request path: admit, choose a worker within the floors, send, tell the outcome truthfully.
+//! The request path: check, claim the caller's id, wait in line or go elsewhere, send, tell the
+//! outcome truthfully.
 //!
 //! `refused` is answered only where nothing was sent, or where the worker said that it did not run
 //! the request. Everything else without an answer is `unknown`, and a request that is not
--- a/tests/testsuite/requests/claims.rs
+++ b/tests/testsuite/requests/claims.rs
@@ -133,6 +133,38 @@
     assert_eq!(keyed(site.runs()), 1, "one run");
 }
 
+/// Two data centres come up together and both keep claims. Then one has no daemon any more. Ids that
+/// are at home there are refused with a time to come back, and none of them has run; the others are
+/// served as before.
+#[actix_rt::test]
+async fn ids_at_home_in_a_lost_data_centre_are_refused_and_not_run() {
+    let mut site = EmbeddedSite::start(&["multan", "lahore"], 1, 1).await;
+    site.serve_entry(&entry(CHECK, false, 5_000)).await;
+    claims_are_kept(&site).await;
+    let row = site.platform.table.borrow_mut().get("claim-homes");
+    let homes = row.and_then(|row| row.parse::<Homes>()).expect("a row");
+    assert_eq!(homes.shards.len(), 2, "both from the start: {homes:?}");
+    site.daemons[1].tell_to_end();
+    site.daemons[1].ended().await;
+    let lost = ShardId::try_from("lahore.0").expect("a name");
+    let mut refused = 0;
+    for n in 0..20 {
+        let id = format!("check-{n}");
+        let answer = site.daemons[0].ask(CHECK, &key(&id), "meter 7").await;
+        let answer = answer.expect("an answer");
+        let request = RequestId::try_from(id.as_str()).expect("a name");
+        if homes.of(&request).contains(&lost) {
+            assert_eq!(answer.outcome(), "refused", "{:?}", answer.json());
+            assert!(answer.header("retry-after").is_some());
+            assert!(!site.runs().contains(&id), "it was not run");
+            refused += 1;
+        } else {
+            assert_eq!(answer.body, "meter 7");
+        }
+    }
+    assert!((1..20).contains(&refused), "{refused} of 20 at home there");
+}
+
 /// A check with an id is run and its answer lost. It is unknown, and stays so: asked again through
 /// either daemon it is not sent again. A route map, which may run twice, is served when it is asked
 /// again under its id.
