--- a/src/lapisdrum/daemon/jobs.rs
+++ b/src/lapisdrum/daemon/jobs.rs
@@ -178,7 +178,10 @@
     shard.placement.notify_one();
     let reply = write(cx, shard, &job, accepted).await;
     if matches!(reply, PeerReply::Job(_)) {
-        cx.timeline.record(Happening::JobAccepted { job });
+        cx.timeline.record(Happening::JobAccepted {
+            job,
+            entry: entry.name,
+        });
     }
     reply
 }
