--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -55,6 +55,8 @@
     pub cuts_one_in: u32,
     /// Of this many requests one gets another request's answer; 0 for none.
     pub misnames_one_in: u32,
+    /// Requests run and get the refusal of another request.
+    pub misnames_refusals: bool,
     /// Of this many requests one takes ten times as long; 0 for none.
     pub delays_one_in: u32,
     /// What a request of an entry takes.
@@ -79,6 +81,7 @@
             fails_tasks: false,
             cuts_one_in: 0,
             misnames_one_in: 0,
+            misnames_refusals: false,
             delays_one_in: 0,
             entry_sizes: IndexMap::new(),
             usage_age_ms: 5_000,
@@ -265,8 +268,13 @@
         if !in_time.await {
             return HttpResponse::empty(StatusCode::GATEWAY_TIMEOUT).with(REQUEST_HEADER, id);
         }
+        if switches.misnames_refusals {
+            return HttpResponse::empty(StatusCode::SERVICE_UNAVAILABLE)
+                .with(REQUEST_HEADER, FOREIGN_REQUEST)
+                .with(NOT_RUN_HEADER, "true");
+        }
         let (named, body) = match is_one_in(switches.misnames_one_in) {
-            true => ("another-request".to_owned(), FOREIGN_BODY.into()),
+            true => (FOREIGN_REQUEST.to_owned(), FOREIGN_BODY.into()),
             false => (id, req.body.clone()),
         };
         let answer = HttpResponse::bytes(StatusCode::OK, body)
@@ -409,7 +417,9 @@
 /// First reading of a worker's clock: not zero, so that a reading is never mistaken for none.
 const BASE_MS: u64 = 1_000_000;
 
-/// The answer to another request.
+/// The id of another request.
+const FOREIGN_REQUEST: &str = "another-request";
+/// The answer to it.
 const FOREIGN_BODY: &str = "the answer to another request";
 /// How much longer a delayed request takes.
 const DELAY_FACTOR: u64 = 10;
--- a/src/lapisdrum/daemon/queue.rs
+++ b/src/lapisdrum/daemon/queue.rs
@@ -58,11 +58,6 @@
         self.moved.notify_one();
     }
 
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.queue.borrow().len()
-    }
-
     /// Requests of an entry that wait.
     pub fn waiting_of(&self, entry: &EntryName) -> u32 {
         self.queue.borrow().waiting_of(entry)
--- a/src/lapisdrum/state/shares.rs
+++ b/src/lapisdrum/state/shares.rs
@@ -89,12 +89,6 @@
         self.parts.iter().find(|part| part.party == *party)
     }
 
-    /// What a data centre has.
-    pub fn of_data_centre(&self, dc: &DataCentre) -> u32 {
-        let own = self.parts.iter().filter(|part| part.data_centre == *dc);
-        own.map(|part| part.amount).sum()
-    }
-
     /// The row after a party's look at it; the same where it has nothing to change.
     #[must_use]
     pub fn looked_at(&self, look: &Look<'_>) -> Self {
--- a/tests/testsuite/requests/outcomes.rs
+++ b/tests/testsuite/requests/outcomes.rs
@@ -136,6 +136,19 @@
     }
 }
 
+/// A worker runs a check, and the refusal of another request arrives in place of its answer. To
+/// believe it would have the check sent again while it runs; its outcome is unknown, and it ran once.
+#[actix_rt::test]
+async fn the_refusal_of_another_request_is_not_believed() {
+    let site = EmbeddedSite::start(&["multan"], 1, 2).await;
+    site.serve_entry(&entry("check", false, 2_000)).await;
+    site.switch_workers(|switches| switches.misnames_refusals = true);
+    let answer = site.daemons[0].ask("check", &[], "meter 7").await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.outcome(), "unknown", "{:?}", answer.json());
+    assert_eq!(site.runs().len(), 1, "sent once");
+}
+
 /// Connections break while checks run, and their callers ask again at once. The worker still runs
 /// what was given up on, so its slot and size stay counted until the deadline that it was given: it
 /// never runs more than its share for requests.
