--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -5,7 +5,11 @@
 
 pub mod args;
 pub mod capacity;
+pub mod catalogue;
+pub mod ledger;
 pub mod measure;
 pub mod policy;
+pub mod recovery;
 pub mod site;
 pub mod table;
+pub mod takeover;
--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -30,6 +30,10 @@
     pub peers: SocketAddr,
     /// The platform.
     pub platform: SocketAddr,
+    /// Peers to ask first while the platform is away.
+    pub ask_first: Vec<SocketAddr>,
+    /// Time between two reads of the membership list, in milliseconds.
+    pub poll_ms: u64,
     /// More settings as TOML tables, such as `[shards]`.
     pub more: String,
 }
@@ -43,20 +47,38 @@
             callers: free_address(),
             peers: free_address(),
             platform,
+            ask_first: Vec::new(),
+            poll_ms: QUICK_POLL_MS,
             more: QUICK.to_owned(),
         }
     }
 
     /// Its settings file.
     pub fn settings(&self) -> String {
+        let asked = self
+            .ask_first
+            .iter()
+            .map(|address| format!("\"{address}\""));
+        let asked: Vec<String> = asked.collect();
         format!(
-            "[daemon]\nname = \"{}\"\ndata_centre = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\n\
-             [platform]\naddress = \"{}\"\ntimeout_ms = 500\npoll_ms = 200\n\n{}",
-            self.name, self.data_centre, self.callers, self.peers, self.platform, self.more
+            "[daemon]\nname = \"{}\"\ndata_centre = \"{}\"\ncallers = \"{}\"\npeers = \"{}\"\n\
+             ask_first = [{}]\n\n\
+             [platform]\naddress = \"{}\"\ntimeout_ms = 500\npoll_ms = {}\n\n{}",
+            self.name,
+            self.data_centre,
+            self.callers,
+            self.peers,
+            asked.join(", "),
+            self.platform,
+            self.poll_ms,
+            self.more
         )
     }
 }
 
+/// A shorter interval than the default, for tests.
+const QUICK_POLL_MS: u64 = 200;
+
 /// Shorter intervals than the defaults, so that a test takes seconds.
 pub const QUICK: &str = "\
 [log]
@@ -67,7 +89,11 @@
 renew_ms = 250
 task_lease_ms = 3000
 task_renew_ms = 250
+linger_urgent_ms = 2
 linger_batch_ms = 10
+write_spacing_ms = 10
+checkpoint_ms = 250
+leaving_grace_ms = 1000
 
 [catalogue]
 poll_ms = 250
--- a/src/lapisdrum/daemon/journal.rs
+++ b/src/lapisdrum/daemon/journal.rs
@@ -1,29 +1,34 @@
-//! The writer of a shard's ledger: group commit, lost answers read back, snapshots.
+//! The writer of a shard's ledger: group commit and lost answers read back.
 //!
 //! Load pattern: thousands of task starts a second on a table that takes a few hundred writes a
 //! second for the whole system. A row for each event would need a write for each start. Events that
-//! arrive while a write is under way, or within a short linger, share the next row.
+//! arrive while a write is under way, within a short linger, or before the spacing of writes is
+//! over, share the next row. [`super::snapshots`] keeps the number of rows bounded.
 //!
 //! An event is applied to the state when it is proposed, so that the next decision sees it; its
 //! effects (an answer to a caller, a command to a worker) wait for [`Ticket`]. If the write can't be
 //! settled because another owner came, the whole state is dropped with the shard.
 
-use super::{Cx, registrar::epoch_key};
+use super::{
+    Cx,
+    index::Index,
+    registrar::epoch_key,
+    snapshots::{self, Snapshot},
+};
 use crate::{
     core::{
-        id::{Epoch, Sequence, ShardId},
+        id::{EntryName, Epoch, JobId, Sequence, ShardId},
         outcome::Refusal,
         time::Millis,
     },
-    platform::{
-        client::{PlatformError, TxnOutcome},
-        wire::{Row, Txn},
-    },
+    platform::{client::TxnOutcome, wire::Txn},
     state::ledger::{Batch, Event, Misplaced, State},
     util::backoff::Backoff,
 };
+use indexmap::{IndexMap, IndexSet};
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Ref, RefCell, RefMut},
+    collections::VecDeque,
     time::Duration,
 };
 use tokio::sync::{Notify, oneshot};
@@ -58,11 +63,11 @@
 /// Why an event was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ProposeError {
-    /// The table is away or the lease has run out; nothing was changed.
+    /// The table is away, the lease has run out, or the owner is giving the shard up.
     Stalled,
     /// The shard is lost.
     Lost,
-    /// The event does not belong to the state.
+    /// An event does not belong to the state.
     Misplaced(Misplaced),
 }
 
@@ -89,6 +94,12 @@
     pub async fn end(self) -> WriteEnd {
         self.0.await.unwrap_or(WriteEnd::Unknown)
     }
+
+    /// The write's end, or unknown after `limit`: a caller is answered although the table is away.
+    pub async fn end_within(self, limit: Duration) -> WriteEnd {
+        let end = tokio::time::timeout(limit, self.end()).await;
+        end.unwrap_or(WriteEnd::Unknown)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,13 +109,60 @@
     Lost,
 }
 
+/// Events that go into one row together, and who waits for them.
+struct Proposal {
+    events: Vec<Event>,
+    waiter: oneshot::Sender<WriteEnd>,
+}
+
+/// Jobs with events that are proposed and not yet durable.
+#[derive(Default)]
+struct Pending {
+    events: IndexMap<JobId, u32>,
+    accepted: IndexSet<JobId>,
+}
+
+impl Pending {
+    fn add(&mut self, event: &Event) {
+        let Some(job) = event.job() else {
+            return;
+        };
+        *self.events.entry(job.clone()).or_default() += 1;
+        if matches!(event, Event::Accepted { .. }) {
+            self.accepted.insert(job.clone());
+        }
+    }
+
+    fn remove(&mut self, event: &Event) {
+        let Some(job) = event.job() else {
+            return;
+        };
+        if let Some(count) = self.events.get_mut(job) {
+            *count -= 1;
+            if *count == 0 {
+                self.events.swap_remove(job);
+            }
+        }
+        if matches!(event, Event::Accepted { .. }) {
+            self.accepted.swap_remove(job);
+        }
+    }
+}
+
 struct Inner {
     state: State,
-    open: Vec<Event>,
-    waiters: Vec<oneshot::Sender<WriteEnd>>,
+    index: Index,
+    open: VecDeque<Proposal>,
+    /// Who waits for the row that is under way.
+    under_way: Vec<oneshot::Sender<WriteEnd>>,
+    pending: Pending,
     due: Option<Millis>,
+    written_at: Option<Millis>,
     standing: Standing,
     since_snapshot: u64,
+    is_storing: bool,
+    snapshot: Option<Snapshot>,
+    first_row: Sequence,
 }
 
 /// One shard's ledger under one owner.
@@ -114,13 +172,13 @@
     epoch_version: u64,
     inner: RefCell<Inner>,
     work: Notify,
+    snapshot_work: Notify,
 }
 
-/// A batch on its way to the table, who waits for it, and the snapshot due after it.
+/// A batch on its way to the table and the snapshot due after it.
 struct Outgoing {
     batch: Batch,
-    waiters: Vec<oneshot::Sender<WriteEnd>>,
-    snapshot: Option<Vec<u8>>,
+    snapshot: Option<Snapshot>,
 }
 
 enum Settled {
@@ -134,11 +192,17 @@
     pub fn new(shard: ShardId, epoch: Epoch, epoch_version: u64) -> Self {
         let inner = Inner {
             state: State::default(),
-            open: Vec::new(),
-            waiters: Vec::new(),
+            index: Index::default(),
+            open: VecDeque::new(),
+            under_way: Vec::new(),
+            pending: Pending::default(),
             due: None,
+            written_at: None,
             standing: Standing::Stalled,
             since_snapshot: 0,
+            is_storing: false,
+            snapshot: None,
+            first_row: Sequence::default().next(),
         };
         Self {
             shard,
@@ -146,109 +210,144 @@
             epoch_version,
             inner: RefCell::new(inner),
             work: Notify::new(),
+            snapshot_work: Notify::new(),
         }
     }
 
+    /// The shard.
+    pub fn shard(&self) -> &ShardId {
+        &self.shard
+    }
+
+    /// The epoch, and the version of its row that every write asserts.
+    pub fn guard(&self) -> (Epoch, u64) {
+        (self.epoch, self.epoch_version)
+    }
+
     /// The state, with everything proposed so far.
     pub fn state(&self) -> Ref<'_, State> {
         Ref::map(self.inner.borrow(), |inner| &inner.state)
     }
 
-    /// Applies events and has them written together. On an error nothing was changed.
+    /// The index of the state.
+    pub fn index(&self) -> Ref<'_, Index> {
+        Ref::map(self.inner.borrow(), |inner| &inner.index)
+    }
+
+    /// The index, to take from its queues and lists.
+    pub fn index_mut(&self) -> RefMut<'_, Index> {
+        RefMut::map(self.inner.borrow_mut(), |inner| &mut inner.index)
+    }
+
+    /// Takes the next waiting job of an entry off its queue; see [`Index::take_waiting`].
+    pub fn take_waiting(&self, entry: &EntryName) -> Option<JobId> {
+        let inner = &mut *self.inner.borrow_mut();
+        inner.index.take_waiting(&inner.state, entry)
+    }
+
+    /// Whether an event about the job has been proposed that is not yet durable.
+    pub fn is_unsettled(&self, job: &JobId) -> bool {
+        self.inner.borrow().pending.events.contains_key(job)
+    }
+
+    /// Whether the job's acceptance is not yet durable.
+    pub fn is_unaccepted(&self, job: &JobId) -> bool {
+        self.inner.borrow().pending.accepted.contains(job)
+    }
+
+    /// Whether the table has taken the last row without delay.
+    pub fn is_writing(&self) -> bool {
+        self.inner.borrow().standing == Standing::Writing
+    }
+
+    /// Applies events and has them written together. On an error nothing was changed. Without events
+    /// the ticket completes once everything proposed before is durable.
     pub fn propose(
         &self,
         cx: &Cx,
         events: Vec<Event>,
         urgency: Urgency,
     ) -> Result<Ticket, ProposeError> {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         match inner.standing {
             Standing::Writing => {}
             Standing::Stalled => return Err(ProposeError::Stalled),
             Standing::Lost => return Err(ProposeError::Lost),
         }
+        let now = cx.clock.now();
+        let before = Index::before(&inner.state, &events);
+        inner
+            .state
+            .apply_all(&events)
+            .map_err(ProposeError::Misplaced)?;
+        inner.index.note(before, &inner.state, &events, now);
         for event in &events {
-            inner.state.apply(event).map_err(ProposeError::Misplaced)?;
+            inner.pending.add(event);
         }
-        let (tx, rx) = oneshot::channel();
-        inner.open.extend(events);
-        inner.waiters.push(tx);
+        let (waiter, ticket) = oneshot::channel();
+        inner.open.push_back(Proposal { events, waiter });
         let linger = match urgency {
             Urgency::Urgent => cx.cfg.shards.linger_urgent,
             Urgency::Batch => cx.cfg.shards.linger_batch,
         };
-        let due = cx.clock.now() + linger;
+        let due = now + linger;
         inner.due = Some(inner.due.map_or(due, |earlier| earlier.min(due)));
         self.work.notify_one();
-        Ok(Ticket(rx))
+        Ok(Ticket(ticket))
     }
 
-    /// Whether every proposed event is durable.
-    pub fn is_settled(&self) -> bool {
-        let inner = self.inner.borrow();
-        inner.open.is_empty() && inner.due.is_none() && inner.waiters.is_empty()
-    }
-
-    /// Ends the ledger: nothing more is written by this owner.
+    /// Ends the ledger: nothing more is written by this owner. A row under way may yet be in.
     pub fn lose(&self) {
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
         inner.standing = Standing::Lost;
-        inner.open.clear();
-        for waiter in inner.waiters.drain(..) {
-            let _ = waiter.send(WriteEnd::NotWritten);
+        for proposal in inner.open.drain(..) {
+            let _ = proposal.waiter.send(WriteEnd::NotWritten);
         }
+        answer(&mut inner.under_way, WriteEnd::Unknown);
         self.work.notify_one();
     }
 
     /// Reads the last snapshot and the rows after it. The epoch row has been raised before, so no
     /// earlier owner can add a row while or after this reads.
     pub async fn recover(&self, cx: &Cx) -> eyre::Result<()> {
-        let mut state = self.read_snapshot(cx).await?;
+        let mut state = snapshots::read(cx, &self.shard).await?;
         let rows = cx.platform.list(&self.row_prefix()).await?;
         let mut replayed = 0;
+        let mut first_row = None;
         for row in &rows {
             let batch = row.parse::<Batch>();
             let batch = batch.ok_or_else(|| eyre::eyre!("ledger row {} is malformed", row.key))?;
+            first_row.get_or_insert(batch.sequence);
             // A snapshot whose older rows are not yet deleted covers them.
             if batch.sequence > state.sequence {
                 state.apply_batch(&batch)?;
                 replayed += 1;
             }
         }
-        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *self.inner.borrow_mut();
+        if inner.standing == Standing::Lost {
+            return Ok(());
+        }
+        inner.first_row = first_row.unwrap_or(state.sequence.next());
+        inner.index = Index::build(&state, cx.clock.now());
         inner.state = state;
         inner.since_snapshot = replayed;
         inner.standing = Standing::Writing;
         Ok(())
     }
 
-    async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<State> {
-        let pointer = cx.platform.get(&self.pointer_key()).await?;
-        let Some(pointer) = pointer.and_then(|row| row.parse::<SnapshotPointer>()) else {
-            return Ok(State::default());
-        };
-        let object = cx.platform.get_object(&pointer.object).await?;
-        let object = object.ok_or_else(|| eyre::eyre!("snapshot {} is gone", pointer.object))?;
-        Ok(serde_json::from_slice(&object)?)
-    }
-
     /// Writes what is proposed until the shard is lost.
     pub async fn write_all(&self, cx: &Cx, may_act: impl Fn() -> bool) {
-        while let Some(mut due) = self.next_due().await {
+        while let Some(mut due) = self.next_due(cx).await {
             while due > cx.clock.now() {
                 let wait = due.since(cx.clock.now());
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
                     () = self.work.notified() => {}
                 }
-                due = self.inner.borrow().due.unwrap_or_default();
+                due = self.effective_due(cx).unwrap_or_default();
             }
-            let Some(Outgoing {
-                batch,
-                waiters,
-                snapshot,
-            }) = self.take_batch(cx)
-            else {
+            let Some(Outgoing { batch, snapshot }) = self.take_batch(cx) else {
                 continue;
             };
             let settled = self.settle(cx, &batch, &may_act).await;
@@ -257,9 +356,7 @@
                 Settled::Refused => WriteEnd::NotWritten,
                 Settled::Lost => WriteEnd::Unknown,
             };
-            for waiter in waiters {
-                let _ = waiter.send(end);
-            }
+            self.end_batch(&batch, end);
             if end != WriteEnd::Committed {
                 self.lose();
                 return;
@@ -267,59 +364,92 @@
             cx.metrics.ledger_writes.inc();
             cx.metrics.ledger_events.inc_by(batch.events.len() as u64);
             if let Some(snapshot) = snapshot {
-                self.store_snapshot(cx, batch.sequence, snapshot).await;
+                self.inner.borrow_mut().snapshot = Some(snapshot);
+                self.snapshot_work.notify_one();
             }
         }
     }
 
-    async fn next_due(&self) -> Option<Millis> {
+    fn end_batch(&self, batch: &Batch, end: WriteEnd) {
+        let inner = &mut *self.inner.borrow_mut();
+        for event in &batch.events {
+            inner.pending.remove(event);
+        }
+        answer(&mut inner.under_way, end);
+    }
+
+    async fn next_due(&self, cx: &Cx) -> Option<Millis> {
         loop {
-            {
-                let inner = self.inner.borrow();
-                if inner.standing == Standing::Lost {
-                    return None;
-                }
-                if inner.due.is_some() {
-                    return inner.due;
-                }
+            if self.inner.borrow().standing == Standing::Lost {
+                return None;
+            }
+            if let Some(due) = self.effective_due(cx) {
+                return Some(due);
             }
             self.work.notified().await;
         }
     }
 
+    /// When the next row is due. Under load rows keep their spacing, however urgent their events;
+    /// after a quiet time an event waits for its own linger only.
+    fn effective_due(&self, cx: &Cx) -> Option<Millis> {
+        let inner = self.inner.borrow();
+        let spaced = inner.written_at.map(|at| at + cx.cfg.shards.write_spacing);
+        inner.due.map(|due| due.max(spaced.unwrap_or_default()))
+    }
+
     fn take_batch(&self, cx: &Cx) -> Option<Outgoing> {
-        let mut inner = self.inner.borrow_mut();
-        inner.due = None;
-        if inner.open.is_empty() {
+        let inner = &mut *self.inner.borrow_mut();
+        let most = cx.cfg.shards.row_events;
+        let mut events = Vec::new();
+        while let Some(proposal) = inner.open.front() {
+            if !events.is_empty() && events.len() + proposal.events.len() > most {
+                break;
+            }
+            if let Some(proposal) = inner.open.pop_front() {
+                events.extend(proposal.events);
+                inner.under_way.push(proposal.waiter);
+            }
+        }
+        // What did not fit goes as soon as the spacing allows.
+        inner.due = (!inner.open.is_empty()).then(|| cx.clock.now());
+        if events.is_empty() {
+            // One write at a time: whatever was proposed before is durable by now.
+            answer(&mut inner.under_way, WriteEnd::Committed);
             return None;
         }
         let batch = Batch {
             sequence: inner.state.sequence.next(),
             epoch: self.epoch,
             nonce: rand::random(),
-            events: std::mem::take(&mut inner.open),
+            events,
         };
+        inner.written_at = Some(cx.clock.now());
         inner.state.sequence = batch.sequence;
         inner.state.epoch = self.epoch;
         inner.since_snapshot += 1;
-        let snapshot = (inner.since_snapshot >= cx.cfg.shards.snapshot_batches).then(|| {
+        // A state that is ahead of its row must not be stored under that row's number.
+        let is_due =
+            inner.since_snapshot >= cx.cfg.shards.snapshot_batches && inner.open.is_empty();
+        let snapshot = (is_due && !inner.is_storing).then(|| {
             inner.since_snapshot = 0;
+            inner.is_storing = true;
             // The state as of this batch, before anything later is proposed.
-            serde_json::to_vec(&inner.state).unwrap_or_default()
+            Snapshot {
+                sequence: batch.sequence,
+                state: inner.state.clone(),
+            }
         });
-        Some(Outgoing {
-            batch,
-            waiters: std::mem::take(&mut inner.waiters),
-            snapshot,
-        })
+        Some(Outgoing { batch, snapshot })
     }
 
     /// Tries a batch until it is known to be written, or never to be.
     async fn settle(&self, cx: &Cx, batch: &Batch, may_act: &impl Fn() -> bool) -> Settled {
+        let key = snapshots::row_key(&self.shard, batch.sequence);
         let txn = Txn::default()
             .compare(epoch_key(&self.shard), self.epoch_version)
-            .compare(self.row_key(batch.sequence), 0)
-            .put(self.row_key(batch.sequence), batch);
+            .compare(&key, 0)
+            .put(&key, batch);
         let mut backoff = Backoff::new(FIRST_RETRY, LONGEST_RETRY);
         let mut in_doubt = false;
         loop {
@@ -330,28 +460,32 @@
                     Settled::Refused
                 };
             }
-            let outcome = match may_act() || in_doubt {
-                true => cx.platform.txn(&txn).await,
-                // A paused owner wakes here with its lease gone and must not write.
-                false => TxnOutcome::Unknown(PlatformError::lease_lapsed()),
-            };
-            match outcome {
-                TxnOutcome::Committed(_) => {
-                    self.set_standing(Standing::Writing);
-                    return Settled::Committed;
-                }
-                TxnOutcome::Conflict(conflict) => {
-                    if let Some(settled) = self.read_back(cx, batch, in_doubt, &conflict.key).await
-                    {
-                        return settled;
+            // A paused owner wakes here with its lease gone and must not write. A row that was sent
+            // may be sent again: its epoch still decides.
+            if in_doubt || may_act() {
+                match cx.platform.txn(&txn).await {
+                    TxnOutcome::Committed(_) => {
+                        self.set_standing(Standing::Writing);
+                        return Settled::Committed;
+                    }
+                    TxnOutcome::Conflict(conflict) => {
+                        let found = self.read_back(cx, batch, in_doubt, &conflict.key).await;
+                        if let Some(settled) = found {
+                            return settled;
+                        }
+                    }
+                    TxnOutcome::Unknown(_) => {
+                        cx.metrics.platform_unknown.inc();
+                        in_doubt = true;
+                        // Read rather than sent again: the next answer may be lost just as well.
+                        if self.is_in(cx, batch).await {
+                            self.set_standing(Standing::Writing);
+                            return Settled::Committed;
+                        }
                     }
-                }
-                TxnOutcome::Unknown(_) => {
-                    cx.metrics.platform_unknown.inc();
-                    in_doubt |= may_act();
-                    self.set_standing(Standing::Stalled);
                 }
             }
+            self.set_standing(Standing::Stalled);
             let wait = backoff.next_wait(&mut rand::rng());
             tokio::time::sleep(wait).await;
         }
@@ -368,8 +502,7 @@
         if !in_doubt && conflict == epoch_key(&self.shard) {
             return Some(Settled::Refused);
         }
-        let row: Option<Row> = cx.platform.get(&self.row_key(batch.sequence)).await.ok()?;
-        match row.and_then(|row| row.parse::<Batch>()) {
+        match self.row_at(cx, batch.sequence).await? {
             Some(found) if found.nonce == batch.nonce => {
                 self.set_standing(Standing::Writing);
                 Some(Settled::Committed)
@@ -380,6 +513,18 @@
         }
     }
 
+    async fn is_in(&self, cx: &Cx, batch: &Batch) -> bool {
+        let found = self.row_at(cx, batch.sequence).await.flatten();
+        found.is_some_and(|found| found.nonce == batch.nonce)
+    }
+
+    /// The batch in the table at a place, if the table answers and if there is one.
+    async fn row_at(&self, cx: &Cx, sequence: Sequence) -> Option<Option<Batch>> {
+        let key = snapshots::row_key(&self.shard, sequence);
+        let row = cx.platform.get(&key).await.ok()?;
+        Some(row.and_then(|row| row.parse::<Batch>()))
+    }
+
     fn set_standing(&self, standing: Standing) {
         let mut inner = self.inner.borrow_mut();
         if inner.standing != Standing::Lost {
@@ -387,61 +532,38 @@
         }
     }
 
-    /// Stores a snapshot, points to it, and deletes the rows that it covers. A failure leaves more
-    /// rows to replay and nothing else.
-    async fn store_snapshot(&self, cx: &Cx, sequence: Sequence, snapshot: Vec<u8>) {
-        let object = format!("snapshot/{}/{:020}-{}", self.shard, sequence.0, self.epoch);
-        if cx
-            .platform
-            .put_object(&object, snapshot.into())
-            .await
-            .is_err()
-        {
-            return;
-        }
-        let old = cx.platform.get(&self.pointer_key()).await.ok().flatten();
-        let old = old.and_then(|row| row.parse::<SnapshotPointer>());
-        let pointer = SnapshotPointer { object, sequence };
-        let txn = Txn::default()
-            .compare(epoch_key(&self.shard), self.epoch_version)
-            .put(self.pointer_key(), &pointer);
-        if !matches!(cx.platform.txn(&txn).await, TxnOutcome::Committed(_)) {
-            return;
-        }
-        let first = old
-            .as_ref()
-            .map(|old| old.sequence)
-            .unwrap_or_default()
-            .next();
-        let mut delete = Txn::default().compare(epoch_key(&self.shard), self.epoch_version);
-        for covered in first.0..=sequence.0 {
-            delete = delete.delete(self.row_key(Sequence(covered)));
-        }
-        let _ = cx.platform.txn(&delete).await;
-        if let Some(old) = old {
-            let _ = cx.platform.delete_object(&old.object).await;
+    /// Waits for the next snapshot to store.
+    pub async fn next_snapshot(&self) -> Snapshot {
+        loop {
+            if let Some(snapshot) = self.inner.borrow_mut().snapshot.take() {
+                return snapshot;
+            }
+            self.snapshot_work.notified().await;
         }
     }
 
-    fn row_prefix(&self) -> String {
-        format!("ledger/{}/", self.shard)
+    /// Notes that a snapshot was stored or given up; a failure leaves more rows to replay.
+    pub fn end_snapshot(&self) {
+        self.inner.borrow_mut().is_storing = false;
+    }
+
+    /// The first row that may not be deleted yet.
+    pub fn first_row(&self) -> Sequence {
+        self.inner.borrow().first_row
     }
 
-    fn row_key(&self, sequence: Sequence) -> String {
-        format!("ledger/{}/{:020}", self.shard, sequence.0)
+    /// Notes that all rows before this one are deleted.
+    pub fn set_first_row(&self, first: Sequence) {
+        self.inner.borrow_mut().first_row = first;
     }
 
-    fn pointer_key(&self) -> String {
-        format!("snapshot/{}", self.shard)
+    fn row_prefix(&self) -> String {
+        format!("ledger/{}/", self.shard)
     }
 }
 
-data! {
-    /// The row that names a shard's last snapshot.
-    pub struct SnapshotPointer {
-        /// The object's key.
-        pub object: String,
-        /// The last batch that it covers.
-        pub sequence: Sequence,
+fn answer(waiters: &mut Vec<oneshot::Sender<WriteEnd>>, end: WriteEnd) {
+    for waiter in waiters.drain(..) {
+        let _ = waiter.send(end);
     }
 }
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -5,17 +5,30 @@
 //! [`supervisor`] keeps the parts running; each part reaches the others through the context [`Cx`].
 
 pub mod catalogue;
+pub mod claims;
+pub mod evictions;
 pub mod grants;
+pub mod index;
 pub mod jobs;
 pub mod journal;
+pub mod limits;
 pub mod members;
 pub mod metrics;
+pub mod observer;
 pub mod peers;
+pub mod pressure;
+pub mod queue;
 pub mod registrar;
 pub mod router;
+pub mod sessions;
 pub mod shard;
+pub mod shares;
+pub mod snapshots;
+pub mod spill;
+pub mod starts;
 pub mod supervisor;
-pub mod tasks;
+pub mod upkeep;
+pub mod visits;
 
 use crate::{
     core::{
@@ -25,7 +38,7 @@
     peer::client::Peers,
     platform::client::PlatformClient,
     settings::Settings,
-    state::{catalogue::Catalogue, ownership::Holder},
+    state::{grants::Floors, ownership::Holder},
     timeline::{event::Happening, ring::Timeline},
     worker::client::WorkerClient,
 };
@@ -66,13 +79,25 @@
     /// Counters and histograms.
     pub metrics: metrics::Metrics,
     /// The catalogue in force here.
-    pub catalogue: RefCell<Catalogue>,
+    pub catalogue: RefCell<catalogue::InForce>,
     /// Daemons, shards and hosts as last seen.
     pub members: RefCell<members::Members>,
     /// Shards that this daemon owns.
     pub shards: RefCell<IndexMap<ShardId, Rc<shard::Shard>>>,
     /// What this daemon may use of workers for requests.
-    pub floors: RefCell<grants::Floors>,
+    pub floors: RefCell<Floors>,
+    /// Runs of other daemons that are gone.
+    pub departures: peers::Departures,
+    /// Peers that had no room lately.
+    pub full_peers: spill::FullPeers,
+    /// Shares of the entries' limits.
+    pub shares: shares::Held,
+    /// Claims on request ids that this daemon serves, and where claims are kept.
+    pub claims: claims::Claims,
+    /// Requests being served, also those whose callers have gone away.
+    pub in_flight: Rc<()>,
+    /// Requests that wait, and what routing has learned.
+    pub line: queue::Line,
     /// Requests let in and not yet answered.
     pub admission: RefCell<crate::policy::admission::Admission>,
     /// Whether a catalogue at least as new as any in force when this daemon started is in force.
@@ -98,12 +123,11 @@
         let agent = format!("lapisdrum/{}", cfg.daemon.name);
         let platform_address = cfg.platform.address.to_string();
         let platform = PlatformClient::new(&platform_address, &agent, cfg.platform.timeout);
-        let connections = usize::try_from(cfg.requests.connections).unwrap_or(usize::MAX);
         Rc::new(Self {
             me,
             clock: Clock::start(),
             platform,
-            workers: WorkerClient::new(connections, &agent, cfg.shards.command_timeout),
+            workers: WorkerClient::new(&agent, cfg.shards.command_timeout),
             peers: Peers::new(Rc::clone(&timeline), cfg.requests.peer_timeout),
             timeline,
             metrics: metrics::Metrics::new(),
@@ -111,6 +135,12 @@
             members: RefCell::default(),
             shards: RefCell::default(),
             floors: RefCell::default(),
+            departures: peers::Departures::default(),
+            full_peers: spill::FullPeers::default(),
+            shares: shares::Held::default(),
+            claims: claims::Claims::default(),
+            in_flight: Rc::default(),
+            line: queue::Line::default(),
             admission: RefCell::default(),
             catalogue_ready: Cell::new(false),
             draining: watch::Sender::new(false),
@@ -149,7 +179,11 @@
     let supervisor = Supervisor::new(Rc::clone(cx));
     supervisor.start("catalogue", catalogue::follow);
     supervisor.start("registrar", registrar::run);
+    supervisor.start("observer", observer::run);
     supervisor.start("grants", grants::run);
+    supervisor.start("claims", claims::run);
+    supervisor.start("queue", queue::run);
+    supervisor.start("shares", shares::run);
     supervisor.start_once(
         "peer-server",
         crate::peer::server::serve(Rc::clone(cx), peers),
@@ -167,16 +201,24 @@
     cx.timeline.record(Happening::DaemonDraining {});
     log::info!("draining");
     cx.draining.send_replace(true);
-    let answered = supervisor.finished("api-server");
+    let answered = async {
+        supervisor.finished("api-server").await;
+        router::finished(cx).await;
+    };
     if tokio::time::timeout(cx.cfg.daemon.drain, answered)
         .await
         .is_err()
     {
         log::warn!("drain timeout; requests still in flight are cut off");
     }
+    supervisor.stop("observer");
     supervisor.stop("registrar");
     supervisor.stop("grants");
+    supervisor.stop("claims");
+    supervisor.stop("queue");
+    supervisor.stop("shares");
     let give_up = async {
+        shares::give_back(cx).await;
         grants::give_back(cx).await;
         registrar::release_all(cx).await;
     };
