--- a/crates/lapisdrum-standins/src/process.rs
+++ b/crates/lapisdrum-standins/src/process.rs
@@ -1,9 +1,11 @@
-//! Stand-ins as processes of their own: `standins platform` and `standins worker`.
+//! Stand-ins as processes of their own: `standins platform`, `standins worker`, several workers in one
+//! process, and `standins site`, a platform with its workers for trying things out.
 //!
 //! Each prints `listening on ADDRESS` once it serves, so that a test can pick port 0.
 
 use crate::{
     platform::server::Platform,
+    site,
     worker::server::{Worker, WorkerSwitches},
 };
 use actix_rt::net::TcpListener;
@@ -29,6 +31,18 @@
         #[arg(long)]
         listen: SocketAddr,
     },
+    /// A platform and the workers that its list of hosts names, in one process.
+    Site {
+        /// Where the platform listens; the workers take free ports of the same IP number.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// How many workers.
+        #[arg(long, default_value_t = 2)]
+        workers: usize,
+        /// Their data centre.
+        #[arg(long, default_value = "local")]
+        data_centre: String,
+    },
     /// Many workers in one process, each on a port of its own.
     Workers {
         /// Where the first listens; the others take free ports of the same IP number.
@@ -67,6 +81,22 @@
             let listener = bind(listen).await?;
             Rc::new(Platform::default()).serve(listener, stopped).await;
         }
+        Kind::Site {
+            listen,
+            workers,
+            data_centre,
+        } => {
+            let listener = bind(listen).await?;
+            let platform = Rc::new(Platform::default());
+            for i in 1..=workers {
+                let (name, rack) = (format!("worker-{i}"), format!("rack-{i}"));
+                let worker = bind(SocketAddr::new(listen.ip(), 0)).await?;
+                let host = site::host(&name, worker.local_addr()?, &data_centre, &rack);
+                platform.hosts.borrow_mut().push(host);
+                actix_rt::spawn(usual_worker().serve(worker, stopped.clone()));
+            }
+            platform.serve(listener, stopped).await;
+        }
         Kind::Workers { listen, count } => {
             let mut serving = Vec::new();
             for i in 0..count {
@@ -101,7 +131,7 @@
     Ok(listener)
 }
 
-/// A worker of the size that [`crate::site::host`] lists.
+/// A worker of the size that [`site::host`] lists.
 fn usual_worker() -> Rc<Worker> {
     let capacity = Size {
         millicores: 16_000,
--- a/src/lapisdrum/daemon/catalogue.rs
+++ b/src/lapisdrum/daemon/catalogue.rs
@@ -18,7 +18,7 @@
         wire::{Row, Txn},
     },
     state::catalogue::{self, Catalogue, ChangeRefusal, ChangeRow, EntryRow, RevisionRow},
-    timeline::event::Happening,
+    timeline::event::{Happening, Stamp},
 };
 use indexmap::IndexMap;
 use rand::seq::SliceRandom;
@@ -291,10 +291,11 @@
         Err(faults) => return ChangeEnd::Invalid(faults),
     };
     for _ in 0..CHANGE_TRIES {
+        let stamp = cx.timeline.stamp();
         let end = try_change(cx, &entry.name, &raw, if_match, &change).await;
         if let Some(end) = end {
             if let ChangeEnd::Accepted(revision) = end {
-                put_in_force(cx, entry.name, revision).await;
+                put_in_force(cx, entry.name, revision, stamp).await;
             }
             return end;
         }
@@ -303,9 +304,9 @@
 }
 
 /// Puts an accepted change in force here and tells every other daemon of it.
-async fn put_in_force(cx: &Cx, entry: EntryName, revision: Revision) {
-    cx.timeline
-        .record(Happening::ChangeAccepted { entry, revision });
+async fn put_in_force(cx: &Cx, entry: EntryName, revision: Revision, stamp: Stamp) {
+    let accepted = Happening::ChangeAccepted { entry, revision };
+    cx.timeline.record_at(stamp, accepted);
     // The next poll finds it where this read fails.
     let _ = catch_up(cx, revision).await;
     let row = cx.platform.get(&change_key(revision)).await;
--- a/src/lapisdrum/daemon/evictions.rs
+++ b/src/lapisdrum/daemon/evictions.rs
@@ -5,6 +5,8 @@
 use super::{
     Cx,
     journal::{Urgency, WriteEnd},
+    listing::JobState,
+    metrics::EndLabels,
     sessions,
     shard::Shard,
     supervisor,
@@ -141,11 +143,15 @@
     };
     let (cx, shard, job) = (Rc::clone(cx), Rc::clone(shard), job.clone());
     let (placement, reason) = (placement.clone(), reason.to_owned());
+    let is_over = current.cancelling;
     supervisor::spawn("unplaced", async move {
         if ticket.end().await == WriteEnd::Committed {
             let worker = &placement.worker;
             shard.session(worker, |session| session.forget(&job, placement.attempt));
-            note_eviction(&cx, &job, worker, &reason);
+            match is_over {
+                true => note_end(&cx, &job, &JobEnd::Cancelled),
+                false => note_eviction(&cx, &job, worker, &reason),
+            }
             shard.placement.notify_one();
         }
     });
@@ -153,10 +159,36 @@
 
 /// Tells counters and time line of an eviction.
 pub fn note_eviction(cx: &Cx, job: &JobId, worker: &WorkerId, reason: &str) {
-    cx.metrics.evictions.inc();
+    if let Some(entry) = entry_of(cx, job) {
+        cx.metrics.note_eviction(entry, reason);
+    }
     cx.timeline.record(Happening::TaskEvicted {
         job: job.clone(),
         worker: worker.clone(),
         reason: reason.to_owned(),
     });
 }
+
+/// Tells counters and time line of a job's end.
+pub fn note_end(cx: &Cx, job: &JobId, end: &JobEnd) {
+    let word = JobState::from(end).as_str();
+    if let Some(entry) = entry_of(cx, job) {
+        let labels = EndLabels { entry, end: word };
+        cx.metrics.jobs_ended.get_or_create(&labels).inc();
+    }
+    let end = match end {
+        JobEnd::Failed(why) => format!("{word}: {why}"),
+        JobEnd::Done | JobEnd::Cancelled => word.to_owned(),
+    };
+    cx.timeline.record(Happening::JobEnded {
+        job: job.clone(),
+        end,
+    });
+}
+
+/// The entry of a job in a shard that is owned here.
+fn entry_of(cx: &Cx, job: &JobId) -> Option<String> {
+    let shards = cx.shards.borrow();
+    let known = shards.get(&job.shard()?)?.job(job)?;
+    Some(known.entry.to_string())
+}
--- a/src/lapisdrum/daemon/visits.rs
+++ b/src/lapisdrum/daemon/visits.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Cx,
-    evictions::{self, note_eviction},
+    evictions::{self, note_end, note_eviction},
     journal::{Urgency, WriteEnd},
     sessions,
     shard::Shard,
@@ -359,17 +359,6 @@
     }
 }
 
-fn note_end(cx: &Cx, job: &JobId, end: &JobEnd) {
-    if *end == JobEnd::Done {
-        cx.metrics.jobs_done.inc();
-    }
-    let end = format!("{end:?}").to_lowercase();
-    cx.timeline.record(Happening::JobEnded {
-        job: job.clone(),
-        end,
-    });
-}
-
 /// Brings a running task down after a last checkpoint, and acts on its last status at once.
 pub fn stop_running(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str, task: &JobId) {
     if !begin_stop(shard, worker, task) {
