--- a/src/lapisdrum/policy/headroom.rs
+++ b/src/lapisdrum/policy/headroom.rs
@@ -20,7 +20,7 @@
 pub const SHORTER: u32 = 4;
 /// Deviations of a Poisson demand that are kept free beside its mean. The mean lies above the true one
 /// already, since it rises faster than it falls; two deviations were tried and cost the long entry a
-/// quarter more of its throughput for nothing.
+/// fifth of its throughput for nothing.
 pub const MARGIN: f64 = 1.0;
 /// Part of its fair share that an entry gets at least.
 pub const LEAST_PART: f64 = 0.5;
