--- a/tests/testsuite/policy/placement.rs
+++ b/tests/testsuite/policy/placement.rs
@@ -208,3 +208,102 @@
     }
     assert_eq!(in_rack, [2; 4]);
 }
+
+/// Renders triple the time of route maps, and every host runs maps. A render waits rather than go
+/// there; a livestream, which has to run, is placed all the same.
+#[test]
+fn batch_waits_rather_than_slow_a_service() {
+    let mut known = Interference::default();
+    let [map, render] = ["map", "render"].map(|name| known.kind(&entry(name)));
+    for i in 0..10 {
+        known.note(&Report {
+            kind: map,
+            beside: &[Neighbour {
+                kind: render,
+                count: 1,
+            }],
+            slowdown_permille: 3_000,
+            measured_at: Millis(i * 5_000),
+        });
+    }
+    let maps = [Resident {
+        neighbour: Neighbour {
+            kind: map,
+            count: 1,
+        },
+        class: Class::LatencyCritical,
+    }];
+    let (racks, workers) = (racks(1), [worker(0)]);
+    let rooms = [Room {
+        residents: &maps,
+        ..room(&workers[0], &racks[0], CAPACITY)
+    }];
+    let want = |class| Wanted {
+        kind: render,
+        class,
+        ..wanted(size(2, 2_000, 0))
+    };
+    let now = Millis(50_000);
+    assert_eq!(
+        choose(&rooms, &want(Class::Batch), &known, now, &mut seeded(1)),
+        None
+    );
+    let stream = choose(
+        &rooms,
+        &want(Class::LongRunning),
+        &known,
+        now,
+        &mut seeded(1),
+    );
+    assert_eq!(stream, Some(0));
+}
+
+/// Renders slow route maps by a third, which is within what batch work may cause, and leave the checks
+/// alone: they still go beside the checks while there is room.
+#[test]
+fn a_mildly_noisy_task_goes_where_it_harms_less() {
+    let mut known = Interference::default();
+    let [map, render, check] = ["map", "render", "check"].map(|name| known.kind(&entry(name)));
+    for i in 0..10 {
+        for (kind, slowdown_permille) in [(map, 1_300), (check, 1_000)] {
+            known.note(&Report {
+                kind,
+                beside: &[Neighbour {
+                    kind: render,
+                    count: 1,
+                }],
+                slowdown_permille,
+                measured_at: Millis(i * 5_000),
+            });
+        }
+    }
+    let resident = |kind| Resident {
+        neighbour: Neighbour { kind, count: 1 },
+        class: Class::LatencyCritical,
+    };
+    let (maps, checks) = ([resident(map)], [resident(check)]);
+    let (racks, workers) = (racks(1), [worker(0), worker(1)]);
+    let tight = room(&workers[0], &racks[0], size(4, 4_000, 0));
+    let wide = room(&workers[1], &racks[0], size(30, 100_000, 0));
+    let want = Wanted {
+        kind: render,
+        ..wanted(size(2, 2_000, 0))
+    };
+    let both = [
+        Room {
+            residents: &maps,
+            ..tight
+        },
+        Room {
+            residents: &checks,
+            ..wide
+        },
+    ];
+    let only_maps = [both[0]];
+    let now = Millis(50_000);
+    assert_eq!(choose(&both, &want, &known, now, &mut seeded(1)), Some(1));
+    assert_eq!(
+        choose(&only_maps, &want, &known, now, &mut seeded(1)),
+        Some(0)
+    );
+}
