--- a/tests/testsuite/model/catalogue.rs
+++ b/tests/testsuite/model/catalogue.rs
@@ -312,8 +312,18 @@
     s.operators.iter().all(|op| op.end.is_some()) && s.daemons.iter().all(is_current)
 }
 
-fn search_whole(spec: &Spec) {
-    let graph = match explore(State::default(), |s| spec.next(s), is_broken) {
+/// Nothing in the catalogue, or an entry that somebody else made.
+fn starts() -> [State; 2] {
+    let mut with_entry = State::default();
+    with_entry.table = View {
+        revision: 1,
+        entry: Some(Entry { by: 2, revision: 1 }),
+    };
+    [State::default(), with_entry]
+}
+
+fn search_whole(spec: &Spec, start: State) {
+    let graph = match explore(start, |s| spec.next(s), is_broken) {
         Search::Whole(graph) => graph,
         Search::Broken(path) => panic!("broken after {} steps: {path:#?}", path.len()),
     };
@@ -330,19 +340,25 @@
 /// As the daemon does it: with the table away it starts by what a peer has.
 #[test]
 fn accepted_changes_never_revert_in_a_daemons_run_and_no_two_racing_changes_both_win() {
-    search_whole(&Spec {
-        without: None,
-        by_run: true,
-    });
+    for start in starts() {
+        let spec = Spec {
+            without: None,
+            by_run: true,
+        };
+        search_whole(&spec, start);
+    }
 }
 
 /// Were the table always asked at the start, no change would revert over a daemon's runs either.
 #[test]
 fn accepted_changes_never_revert_over_runs_that_start_by_the_table() {
-    search_whole(&Spec {
-        without: None,
-        by_run: false,
-    });
+    for start in starts() {
+        let spec = Spec {
+            without: None,
+            by_run: false,
+        };
+        search_whole(&spec, start);
+    }
 }
 
 #[test]
--- a/tests/testsuite/model/ownership/spec.rs
+++ b/tests/testsuite/model/ownership/spec.rs
@@ -116,8 +116,7 @@
         for step in steps() {
             let mut after = before.clone();
             if self.take(&mut after, step).is_some() {
-                let keeps_late = self.lacks(Without::CommandEnd) || self.lacks(Without::EpochCheck);
-                after.normalise(keeps_late);
+                after.normalise(self.without.is_none());
                 let after = after.canonical();
                 if after != *before {
                     out.push((step, after));
--- a/tests/testsuite/model/ownership/state.rs
+++ b/tests/testsuite/model/ownership/state.rs
@@ -273,11 +273,12 @@
         age_all(self.late.as_mut().map(|message| &mut message.until));
     }
 
-    /// Numbers epochs and attempts anew and forgets what no later step can look at. `keeps_late`
-    /// tells whether a command whose end has passed can still do something.
-    pub(super) fn normalise(&mut self, keeps_late: bool) {
-        if !keeps_late {
+    /// Numbers epochs and attempts anew and forgets what no later step can look at; `drops_late` as
+    /// well what comes too late to do anything, which holds only with every safeguard in place.
+    pub(super) fn normalise(&mut self, drops_late: bool) {
+        if drops_late {
             self.forget_late();
+            self.forget_late_answers();
         }
         self.forget_owners();
         self.book.forget();
@@ -337,6 +338,21 @@
         }
     }
 
+    /// An answer that tells of a renewal no newer than one that is known, or of one that gives neither
+    /// a lease nor a right any more, is as good as lost.
+    fn forget_late_answers(&mut self) {
+        for own in self
+            .daemons
+            .iter_mut()
+            .filter_map(|daemon| daemon.own.as_mut())
+        {
+            let is_vain = |sent_at: &mut u8| *sent_at <= own.renewed_at || NOW - *sent_at >= HOLD;
+            if own.awaiting.as_mut().is_some_and(is_vain) {
+                own.awaiting = None;
+            }
+        }
+    }
+
     /// Drops a late command that would be refused, or that would renew what does not run.
     fn forget_late(&mut self) {
         let Some(message) = self.late else {
