--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -1,8 +1,10 @@
 //! Serves callers and operators: routes, and the answers that need no more than a line.
 
 use super::{
-    jobs, operators,
-    wire::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused},
+    jobs, operators, status,
+    wire::{
+        CALLER_HEADER, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, REQUEST_HEADER, error, refused,
+    },
 };
 use crate::{
     core::{
@@ -21,12 +23,14 @@
 use actix_rt::net::TcpListener;
 use bytes::Bytes;
 use std::{rc::Rc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Serves until the daemon drains and the last request in flight is answered.
 pub async fn serve(cx: Cx, listener: TcpListener) {
-    let limit = usize::try_from(cx.cfg.requests.max_body_bytes).unwrap_or(usize::MAX);
     let stop = cx.draining.subscribe();
-    http::serve(listener, limit, stop, move |read| {
+    let limits = Rc::clone(&cx);
+    let limit = move |_: &Method, path: &str| body_limit(&limits, path);
+    http::serve_with(listener, limit, stop, move |read| {
         let cx = Rc::clone(&cx);
         async move {
             match read {
@@ -38,12 +42,26 @@
     .await;
 }
 
+/// The bound on a body: the entry's own for a request, so that what would be refused is not held.
+fn body_limit(cx: &Cx, path: &str) -> usize {
+    let most = cx.cfg.requests.max_body_bytes;
+    let entry = path.strip_prefix("/v1/run/").map(EntryName::try_from);
+    let own = match entry {
+        Some(Ok(name)) => {
+            let entry = cx.catalogue.borrow().entry(&name);
+            entry.map_or(most, |entry| entry.limits.body_bytes)
+        }
+        _ => most,
+    };
+    usize::try_from(own.min(most)).unwrap_or(usize::MAX)
+}
+
 fn body_fault(fault: BodyFault) -> HttpResponse {
     let answer = match fault {
         BodyFault::TooLarge { limit } => error(
             StatusCode::PAYLOAD_TOO_LARGE,
             format!("the body is larger than {limit} bytes"),
-            "send less, or ask an operator to raise `requests.max_body_bytes`",
+            "send less, or ask an operator to raise the entry's `body_bytes`",
         ),
         BodyFault::Incomplete => error(
             StatusCode::BAD_REQUEST,
@@ -62,6 +80,7 @@
         (&Method::POST, ["v1", "jobs", entry]) => {
             with_name(entry, |entry| jobs::submit(cx, entry, &req)).await
         }
+        (&Method::GET, ["v1", "jobs"]) => jobs::list(cx, &req).await,
         (&Method::GET, ["v1", "jobs", job]) => {
             with_name(job, |job: JobId| jobs::show(cx, job)).await
         }
@@ -81,7 +100,9 @@
             with_name(entry, |entry| operators::retire_entry(cx, entry, &req)).await
         }
         (&Method::GET, ["v1", "catalogue"]) => operators::list(cx),
-        (&Method::GET, ["v1", "timeline"]) => operators::timeline(cx),
+        (&Method::GET, ["v1", "history"]) => operators::history(cx).await,
+        (&Method::GET, ["v1", "timeline"]) => operators::timeline(cx, &req),
+        (&Method::GET, ["v1", "status"]) => status::show(cx),
         (&Method::GET, ["metrics"]) => metrics(cx),
         (&Method::GET, ["healthz"]) => HttpResponse::empty(StatusCode::OK),
         (&Method::GET, ["readyz"]) => readiness(cx),
@@ -167,9 +188,19 @@
         content_type: req.header("content-type").map(str::to_owned),
         deadline,
         key,
+        caller: caller_of(req),
     })
 }
 
+/// Who asks, for fairness between callers: by the name that a gateway passes on, else by address.
+fn caller_of(req: &HttpRequest) -> u64 {
+    match (req.header(CALLER_HEADER), req.peer) {
+        (Some(name), _) => xxh3_64(name.as_bytes()),
+        (None, Some(peer)) => xxh3_64(peer.to_string().as_bytes()),
+        (None, None) => 0,
+    }
+}
+
 fn run_answer(cx: &Cx, end: RunEnd) -> (HttpResponse, &'static str) {
     match end {
         RunEnd::Done(id, answer) => {
@@ -182,6 +213,16 @@
             }
             (res, "done")
         }
+        RunEnd::DoneBefore(id, status) => {
+            let res = error(
+                StatusCode::GONE,
+                format!("done before with status {status}; its answer was too large to keep"),
+                "the request was run once and is not run again",
+            )
+            .with(OUTCOME_HEADER, "done")
+            .with(REQUEST_HEADER, id.to_string());
+            (res, "done")
+        }
         RunEnd::Refused(refusal) => (note_refusal(cx, &refusal), "refused"),
         RunEnd::Unknown(id, why) => {
             let help = "it may have run; ask again only if running twice does no harm";
--- a/src/lapisdrum/platform/client.rs
+++ b/src/lapisdrum/platform/client.rs
@@ -5,11 +5,15 @@
 //! failed in any way after it was sent is [`TxnOutcome::Unknown`] until its row is read back.
 
 use super::wire::{Host, HostWire, Row, Txn, TxnConflict, TxnDone};
-use actix_http::StatusCode;
+use crate::{core::id::DataCentre, timeline::ring::Timeline};
+use actix_http::{
+    StatusCode,
+    header::{ETAG, IF_NONE_MATCH},
+};
 use awc::Client;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use std::{fmt, time::Duration};
+use std::{fmt, rc::Rc, time::Duration};
 
 /// Largest answer that is read, in bytes: a whole catalogue or a shard's ledger.
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
@@ -25,6 +29,15 @@
     Unknown(PlatformError),
 }
 
+/// The membership list as read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostList {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+    /// The list's tag, if the platform gives one.
+    pub tag: Option<String>,
+}
+
 /// A call that the platform did not answer as asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformError {
@@ -57,12 +70,14 @@
 pub struct PlatformClient {
     http: Client,
     base: String,
+    timeline: Rc<Timeline>,
 }
 
 impl PlatformClient {
     /// A client of the platform at `address` (IP number and port) that gives each call `timeout` and
-    /// names itself `user_agent`, so that the platform's logs tell daemons apart.
-    pub fn new(address: &str, user_agent: &str, timeout: Duration) -> Self {
+    /// names itself `user_agent`, so that the platform's logs tell daemons apart. Rows carry stamps of
+    /// `timeline`, since a row is also a message to whoever reads it.
+    pub fn new(address: &str, user_agent: &str, timeout: Duration, timeline: Rc<Timeline>) -> Self {
         let http = Client::builder()
             .timeout(timeout)
             .disable_redirects()
@@ -71,6 +86,7 @@
         Self {
             http,
             base: format!("http://{address}/v1"),
+            timeline,
         }
     }
 
@@ -87,7 +103,7 @@
         let mut answer = self
             .http
             .post(url)
-            .send_json(txn)
+            .send_json(&txn.clone().stamped(self.timeline.stamp()))
             .await
             .map_err(PlatformError::new)?;
         let body = answer
@@ -107,7 +123,9 @@
     /// Reads a row.
     pub async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         let answer = self.fetch(&format!("{}/table/{key}", self.base)).await?;
-        answer.map(|body| parse(&body)).transpose()
+        let row = answer.map(|body| parse(&body)).transpose()?;
+        row.iter().for_each(|row| self.observe(row));
+        Ok(row)
     }
 
     /// Reads all rows whose keys begin with `prefix`, in key order, as of one moment.
@@ -115,17 +133,43 @@
         let answer = self
             .fetch(&format!("{}/table?prefix={prefix}", self.base))
             .await?;
-        parse(&answer.unwrap_or_default())
+        let rows: Vec<Row> = parse(&answer.unwrap_or_default())?;
+        rows.iter().for_each(|row| self.observe(row));
+        Ok(rows)
     }
 
-    /// Reads the membership list; hosts whose names break the rules are left out.
-    pub async fn hosts(&self) -> Result<Vec<Host>, PlatformError> {
-        let answer = self.fetch(&format!("{}/hosts", self.base)).await?;
-        let raw: Vec<HostWire> = parse(&answer.unwrap_or_default())?;
-        Ok(raw
-            .into_iter()
-            .filter_map(|host| Host::try_from(host).ok())
-            .collect())
+    fn observe(&self, row: &Row) {
+        if let Some(stamp) = row.stamp() {
+            self.timeline.observe(stamp);
+        }
+    }
+
+    /// Reads the membership list of a data centre, unless it still has the tag `known`; none when it
+    /// is unchanged. Hosts whose names break the rules are left out. A platform that knows neither
+    /// tags nor the parameter answers with the whole list, which is as good and only larger.
+    pub async fn hosts(
+        &self,
+        dc: &DataCentre,
+        known: Option<&str>,
+    ) -> Result<Option<HostList>, PlatformError> {
+        let url = format!("{}/hosts?data_centre={dc}", self.base);
+        let mut req = self.http.get(url);
+        if let Some(tag) = known {
+            req = req.insert_header((IF_NONE_MATCH, tag));
+        }
+        let mut answer = req.send().await.map_err(PlatformError::new)?;
+        match answer.status() {
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            StatusCode::OK => {}
+            status => return Err(PlatformError::new(status)),
+        }
+        let tag = answer.headers().get(ETAG);
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+        let raw: Vec<HostWire> = parse(&body.map_err(PlatformError::new)?)?;
+        let hosts = raw.into_iter().filter_map(|host| Host::try_from(host).ok());
+        let hosts = hosts.filter(|host| host.data_centre == *dc).collect();
+        Ok(Some(HostList { hosts, tag }))
     }
 
     /// Stores an object.
--- a/src/lapisdrum/state/ledger.rs
+++ b/src/lapisdrum/state/ledger.rs
@@ -198,7 +198,7 @@
 
 impl Event {
     /// The job that it is about.
-    fn job(&self) -> Option<&JobId> {
+    pub fn job(&self) -> Option<&JobId> {
         match self {
             Self::Accepted { job, .. }
             | Self::Placed { job, .. }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,14 @@
 //! The one test binary: a module a subject.
 
 mod bad_input;
+mod cli;
+mod daemon;
+mod metrics;
 mod model;
+mod policy;
 mod process;
 mod properties;
+mod requests;
+mod settings;
 mod support;
+mod timeline;
--- a/tests/testsuite/model/ownership/spec.rs
+++ b/tests/testsuite/model/ownership/spec.rs
@@ -19,7 +19,7 @@
         ledger::Event,
         ownership::{self, Availability, Sighting},
     },
-    worker::wire::{RejectReason, RenewTasks, Renewal},
+    worker::wire::{RejectReason, RenewTasks},
 };
 
 /// A safeguard that the specification leaves out.
@@ -309,14 +309,11 @@
                 tasks.start(now, &job_id(), &start, PLAN).map(|_| ())
             }
             None => {
-                let renewal = Renewal {
-                    task: job_id(),
-                    until_ms: until.into(),
-                };
-                let tasks_renewed = vec![renewal];
                 let renew = RenewTasks {
                     epoch,
-                    tasks: tasks_renewed,
+                    until_ms: until.into(),
+                    exceptions: Vec::new(),
+                    known_ms: 0,
                 };
                 tasks.renew(now, &renew).map(|_| ())
             }
--- a/tests/testsuite/properties/placement.rs
+++ b/tests/testsuite/properties/placement.rs
@@ -3,17 +3,23 @@
 use super::events::{accepted, holder, job, worker};
 use lapisdrum::{
     core::{
-        id::Epoch,
+        catalogue::Class,
+        id::{Epoch, Rack, WorkerId},
         job::{Attempt, JobPhase, Placement},
         size::Size,
+        time::Millis,
+    },
+    policy::{
+        interference::{Interference, Kind},
+        placement::{self, Room, Wanted},
     },
-    policy::placement::{self, Room},
     state::{
         grants::{self, ByWorker},
         ledger::{Event, Grant, State},
     },
 };
 use proptest::{collection::vec, prelude::*};
+use rand::{SeedableRng, rngs::StdRng};
 
 const WORKERS: u8 = 3;
 const SHARE_PERCENT: u32 = 40;
@@ -29,17 +35,41 @@
     }
 }
 
-fn rooms(state: &State) -> Vec<Room> {
-    let room = |w: u8| {
-        let (id, whole) = (worker(w), whole(w));
-        let reserved = grants::unclaimed_reserve(state, &id, &whole, SHARE_PERCENT);
-        let committed = state.committed_on(&id).size;
-        Room {
-            free: whole.size.minus(&committed).minus(&reserved),
+/// What is free on a worker for tasks.
+fn free(state: &State, w: u8) -> Size {
+    let (id, whole) = (worker(w), whole(w));
+    let reserved = grants::unclaimed_reserve(state, &id, &whole, SHARE_PERCENT);
+    let committed = state.committed_on(&id).size;
+    whole.size.minus(&committed).minus(&reserved)
+}
+
+/// The worker that the policy picks for a size.
+fn choose(state: &State, size: Size, seed: u64) -> Option<WorkerId> {
+    let rack = Rack::try_from("rack-a").expect("a name");
+    let workers: Vec<WorkerId> = (0..WORKERS).map(worker).collect();
+    let room = |(w, id): (u8, &'_ WorkerId)| (free(state, w), whole(w).size, id.clone());
+    let hosts: Vec<_> = (0..WORKERS).zip(&workers).map(room).collect();
+    let rooms: Vec<Room<'_>> = hosts
+        .iter()
+        .map(|(free, capacity, id)| Room {
             worker: id,
-        }
+            rack: &rack,
+            capacity: *capacity,
+            free: *free,
+            residents: &[],
+            same_in_rack: 0,
+        })
+        .collect();
+    let wanted = Wanted {
+        kind: Kind(0),
+        class: Class::Batch,
+        size,
+        same_placed: 0,
     };
-    (0..WORKERS).map(room).collect()
+    let known = Interference::default();
+    let mut rng = StdRng::seed_from_u64(seed);
+    let chosen = placement::choose(&rooms, &wanted, &known, Millis::default(), &mut rng)?;
+    Some(rooms[chosen].worker.clone())
 }
 
 /// Places a waiting job where the policy puts it, if it finds a place.
@@ -51,14 +81,13 @@
     else {
         return;
     };
-    let rooms = rooms(state);
-    let Some(room) = placement::choose(&rooms, &waiting.size) else {
+    let Some(chosen) = choose(state, waiting.size, n.into()) else {
         return;
     };
     let placed = Event::Placed {
         job: job(n),
         placement: Placement {
-            worker: room.worker.clone(),
+            worker: chosen,
             epoch: Epoch(1),
             attempt: Attempt(waiting.attempts.0 + 1),
         },
--- a/tests/testsuite/properties/recovery.rs
+++ b/tests/testsuite/properties/recovery.rs
@@ -8,8 +8,9 @@
 use lapisdrum::{
     core::id::{Epoch, Sequence, ShardId},
     daemon::{
-        journal::{SnapshotPointer, append, row_key, row_prefix},
+        journal::append,
         registrar::{EpochRow, epoch_key},
+        snapshots::{SnapshotPointer, row_key, row_prefix},
     },
     platform::wire::{Row, Txn},
     state::ledger::{Batch, State},
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -28,14 +28,15 @@
     PathBuf::from(env!("CARGO_BIN_EXE_lapisdrum"))
 }
 
+/// The folder of the examples' binaries.
+pub(crate) fn examples_folder() -> PathBuf {
+    let bin = lapisdrum_binary();
+    bin.parent().unwrap_or(Path::new(".")).join("examples")
+}
+
 /// The stand-ins' binary, which `cargo test` builds as an example.
 fn standins_binary() -> PathBuf {
-    let bin = lapisdrum_binary();
-    let path = bin
-        .parent()
-        .unwrap_or(Path::new("."))
-        .join("examples")
-        .join("standins");
+    let path = examples_folder().join("standins");
     assert!(
         path.exists(),
         "{} is missing: run `cargo build --examples`",
@@ -234,4 +235,22 @@
         }
         site
     }
+
+    /// Starts one more daemon and waits until it is ready.
+    pub(crate) async fn add_daemon(&mut self, adjust: impl Fn(&mut DaemonPlan)) {
+        let name = format!("westlands-{}", self.daemons.len());
+        let mut plan = DaemonPlan::new(&name, "westlands", self.platform.address);
+        adjust(&mut plan);
+        let daemon = DaemonProcess::start(plan);
+        daemon.ready().await;
+        self.daemons.push(daemon);
+    }
+
+    /// Starts a daemon that has ended once more, at its addresses, and waits until it is ready.
+    pub(crate) async fn restart_daemon(&mut self, daemon: usize, adjust: impl Fn(&mut DaemonPlan)) {
+        let mut plan = self.daemons[daemon].plan.clone();
+        adjust(&mut plan);
+        self.daemons[daemon] = DaemonProcess::start(plan);
+        self.daemons[daemon].ready().await;
+    }
 }
