--- a/tests/testsuite/model/ownership/state.rs
+++ b/tests/testsuite/model/ownership/state.rs
@@ -33,7 +33,7 @@
 /// Life of a task's lease, in ticks.
 pub(super) const TASK_LEASE: u8 = 1;
 /// The hold, in ticks.
-pub(super) const HOLD: u8 = 3;
+pub(super) const HOLD: u8 = 4;
 /// Daemons and workers.
 pub(super) const PAIR: [u8; 2] = [0, 1];
 /// Greatest number of different owner records that matter at a time.
@@ -273,11 +273,12 @@
         age_all(self.late.as_mut().map(|message| &mut message.until));
     }
 
-    /// Numbers epochs and attempts anew and forgets what no later step can look at. `keeps_late`
-    /// tells whether a command whose end has passed can still do something.
-    pub(super) fn normalise(&mut self, keeps_late: bool) {
-        if !keeps_late {
+    /// Numbers epochs and attempts anew and forgets what no later step can look at; `drops_late` as
+    /// well what comes too late to do anything, which holds only with every safeguard in place.
+    pub(super) fn normalise(&mut self, drops_late: bool) {
+        if drops_late {
             self.forget_late();
+            self.forget_late_answers();
         }
         self.forget_owners();
         self.book.forget();
@@ -323,7 +324,8 @@
             if !own.tenure().may_act(millis(NOW), &terms()) && own.awaiting.is_none() {
                 own.to_start = None;
             }
-            let right_is_over = NOW - own.renewed_at >= HOLD && own.awaiting.is_none();
+            let right = own.tenure().right_until(span(HOLD), &terms());
+            let right_is_over = right <= millis(NOW) && own.awaiting.is_none();
             let is_renewing = own.serving && !own.ended && !right_is_over && own.renews();
             if !is_renewing && own.to_start.is_none() {
                 daemon.own = None;
@@ -336,6 +338,21 @@
         }
     }
 
+    /// An answer that tells of a renewal no newer than one that is known, or of one that gives neither
+    /// a lease nor a right any more, is as good as lost.
+    fn forget_late_answers(&mut self) {
+        for own in self
+            .daemons
+            .iter_mut()
+            .filter_map(|daemon| daemon.own.as_mut())
+        {
+            let is_vain = |sent_at: &mut u8| *sent_at <= own.renewed_at || NOW - *sent_at >= HOLD;
+            if own.awaiting.as_mut().is_some_and(is_vain) {
+                own.awaiting = None;
+            }
+        }
+    }
+
     /// Drops a late command that would be refused, or that would renew what does not run.
     fn forget_late(&mut self) {
         let Some(message) = self.late else {
@@ -343,7 +360,12 @@
         };
         let host = &self.hosts[usize::from(message.worker)];
         let is_vain = message.start.is_none() && !host.is_running();
-        if message.until <= NOW || message.epoch < host.epoch || is_vain {
+        // What the worker's own rules say of a command under this epoch and with this end.
+        let mut probe = Tasks::new(capacity());
+        probe.epoch = Epoch(host.epoch.into());
+        let start = start_task(message.epoch, 1, message.until);
+        let answer = probe.start(WorkerMillis(NOW.into()), &job_id(), &start, PLAN);
+        if answer.is_err() || is_vain {
             self.late = None;
         }
     }
