--- a/tests/testsuite/policy/placement.rs
+++ b/tests/testsuite/policy/placement.rs
@@ -55,6 +55,23 @@
     }
 }
 
+/// Ten reports each of how much one `noisy` neighbour slows these kinds, in thousandths.
+fn learn(known: &mut Interference, noisy: Kind, slowed: &[(Kind, u32)]) {
+    for i in 0..10 {
+        for (kind, slowdown_permille) in slowed {
+            known.note(&Report {
+                kind: *kind,
+                beside: &[Neighbour {
+                    kind: noisy,
+                    count: 1,
+                }],
+                slowdown_permille: *slowdown_permille,
+                measured_at: Millis(i * 5_000),
+            });
+        }
+    }
+}
+
 proptest! {
     /// A host is chosen exactly when one fits, and the chosen one fits in every dimension.
     #[test]
@@ -128,19 +145,7 @@
     };
     let now = Millis(50_000);
     assert_eq!(choose(&rooms, &want, &known, now, &mut seeded(1)), Some(0));
-    for i in 0..10 {
-        for (kind, slowdown_permille) in [(map, 3_000), (check, 1_000)] {
-            known.note(&Report {
-                kind,
-                beside: &[Neighbour {
-                    kind: render,
-                    count: 1,
-                }],
-                slowdown_permille,
-                measured_at: Millis(i * 5_000),
-            });
-        }
-    }
+    learn(&mut known, render, &[(map, 3_000), (check, 1_000)]);
     assert_eq!(choose(&rooms, &want, &known, now, &mut seeded(1)), Some(1));
 }
 
@@ -215,17 +220,7 @@
 fn batch_waits_rather_than_slow_a_service() {
     let mut known = Interference::default();
     let [map, render] = ["map", "render"].map(|name| known.kind(&entry(name)));
-    for i in 0..10 {
-        known.note(&Report {
-            kind: map,
-            beside: &[Neighbour {
-                kind: render,
-                count: 1,
-            }],
-            slowdown_permille: 3_000,
-            measured_at: Millis(i * 5_000),
-        });
-    }
+    learn(&mut known, render, &[(map, 3_000)]);
     let maps = [Resident {
         neighbour: Neighbour {
             kind: map,
@@ -264,19 +259,7 @@
 fn a_mildly_noisy_task_goes_where_it_harms_less() {
     let mut known = Interference::default();
     let [map, render, check] = ["map", "render", "check"].map(|name| known.kind(&entry(name)));
-    for i in 0..10 {
-        for (kind, slowdown_permille) in [(map, 1_300), (check, 1_000)] {
-            known.note(&Report {
-                kind,
-                beside: &[Neighbour {
-                    kind: render,
-                    count: 1,
-                }],
-                slowdown_permille,
-                measured_at: Millis(i * 5_000),
-            });
-        }
-    }
+    learn(&mut known, render, &[(map, 1_300), (check, 1_000)]);
     let resident = |kind| Resident {
         neighbour: Neighbour { kind, count: 1 },
         class: Class::LatencyCritical,
