Pressure: usage drives throttling, eviction and placement; failing workers are set aside

Cause: the policies of interference, eviction and health stood unused: nobody read usage, and a worker that fails every task drew every waiting task. Change: daemon/pressure.rs reads each worker's usage, learns from it, carries the policy's steps out (throttle, release, checkpoint and move) and holds placement to them; failures and successes feed the health policy. Shown: a_worker_that_fails_every_task_is_set_aside passes.

--- a/crates/lapisdrum-standins/src/site.rs
+++ b/crates/lapisdrum-standins/src/site.rs
@@ -101,6 +101,7 @@
 renew_ms = 250
 task_lease_ms = 3000
 task_renew_ms = 250
+usage_ms = 250
 linger_urgent_ms = 2
 linger_batch_ms = 10
 write_spacing_ms = 10
--- a/crates/lapisdrum-standins/src/worker/server.rs
+++ b/crates/lapisdrum-standins/src/worker/server.rs
@@ -12,8 +12,9 @@
     core::{id::JobId, size::Size, time::WorkerMillis},
     util::http::{self, BodyFault, HttpRequest, HttpResponse},
     worker::wire::{
-        CLOCK_HEADER, DEADLINE_HEADER, ENTRY_HEADER, NOT_RUN_HEADER, OwnerCommand, REQUEST_HEADER,
-        RejectReason, Rejected, RenewTasks, StartTask, TaskList, TaskState, ThrottleTask, Usage,
+        CLOCK_HEADER, DEADLINE_HEADER, ENTRY_HEADER, EntrySlowdown, NOT_RUN_HEADER, OwnerCommand,
+        REQUEST_HEADER, RejectReason, Rejected, RenewTasks, StartTask, TaskList, TaskState,
+        ThrottleTask, Usage,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -63,6 +64,8 @@
     pub entry_sizes: IndexMap<String, Size>,
     /// Age of usage figures, in milliseconds.
     pub usage_age_ms: u64,
+    /// Measured slowdown of an entry's requests, in thousandths of the time that they take alone.
+    pub slowdowns: IndexMap<String, u32>,
     /// Daemons, by name, that get no answer and whose calls do nothing.
     pub cut: Vec<String>,
 }
@@ -85,6 +88,7 @@
             delays_one_in: 0,
             entry_sizes: IndexMap::new(),
             usage_age_ms: 5_000,
+            slowdowns: IndexMap::new(),
             cut: Vec::new(),
         }
     }
@@ -374,11 +378,16 @@
 
     fn usage(&self) -> HttpResponse {
         self.count("usage");
+        let switches = self.switches.borrow();
+        let slowdown = |(entry, permille): (&String, &u32)| EntrySlowdown {
+            entry: entry.clone(),
+            slowdown_permille: *permille,
+        };
         let usage = Usage {
-            age_ms: self.switches.borrow().usage_age_ms,
+            age_ms: switches.usage_age_ms,
             total: self.tasks.borrow().running_size(),
             tasks: Vec::new(),
-            requests: Vec::new(),
+            requests: switches.slowdowns.iter().map(slowdown).collect(),
         };
         HttpResponse::json(StatusCode::OK, &usage)
     }
--- a/src/lapisdrum/daemon/pressure.rs
+++ b/src/lapisdrum/daemon/pressure.rs
@@ -1,20 +1,373 @@
-//! What a shard's owner learns of its workers from late measurements, and what it does about it.
+//! What a shard's owner learns of its workers from late measurements and failures, and what it does
+//! about it: slow a task down, move it away, give a worker no tasks for a while.
+//!
+//! The decisions stand in [`crate::policy`]; here usage is read, matched with what ran at the time of
+//! the measurement, and the steps are carried out. All of it is learned anew by the next owner: it is
+//! advice, and a ledger row for each measurement would cost more than the advice is worth.
 
-use super::{Cx, shard::Shard};
+use super::{Cx, sessions, shard::Shard, supervisor, visits};
 use crate::{
-    core::{catalogue::Class, id::WorkerId},
+    core::{
+        catalogue::Class,
+        id::{EntryName, JobId, WorkerId},
+        job::Placement,
+        time::Millis,
+    },
     policy::{
-        interference::{Interference, Neighbour},
+        eviction::{Distress, EvictionMemory, Step, Tenant},
+        health::{Health, Standing, Verdict},
+        interference::{History, Interference, Kind, Neighbour, Report},
         placement::Resident,
     },
+    timeline::event::Happening,
+    worker::{
+        client::CommandEnd,
+        wire::{ThrottleTask, Usage},
+    },
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use std::{rc::Rc, time::Duration};
 
-/// What is learned under one ownership. A successor learns it anew.
+/// Speed of a throttled task, in thousandths.
+const THROTTLED_PERMILLE: u32 = 300;
+/// Speed of a task that is let run, in thousandths.
+const FULL_PERMILLE: u32 = 1_000;
+/// Time before a measurement during which the host must not have changed for the measurement to be
+/// blamed on what ran there: a worker averages over about as long.
+const UNCHANGED: Duration = Duration::from_secs(1);
+/// Thousandths in a whole.
+const WHOLE_PERMILLE: f64 = 1_000.0;
+
+/// What is learned under one ownership.
 #[derive(Debug, Default)]
 pub struct Pressure {
     /// How kinds of work disturb each other.
     pub interference: Interference,
+    /// Which workers and jobs fail.
+    pub health: Health,
+    /// Evictions for relief.
+    pub memory: EvictionMemory,
+    hosts: IndexMap<WorkerId, HostPressure>,
+}
+
+#[derive(Debug, Default)]
+struct HostPressure {
+    distress: Distress,
+    history: History,
+    throttled: IndexSet<JobId>,
+    is_measuring: bool,
+}
+
+impl Pressure {
+    /// Whether a job may be given a place on a worker.
+    pub fn may_place(
+        &self,
+        job: &JobId,
+        class: Class,
+        worker: &WorkerId,
+        is_empty: bool,
+        now: Millis,
+    ) -> bool {
+        let in_distress = self
+            .hosts
+            .get(worker)
+            .is_some_and(|host| host.distress.is_on());
+        let is_standing_good = match self.health.standing(worker, now) {
+            Standing::Good => true,
+            // One task at a time shows whether the worker is sound again.
+            Standing::Trial => is_empty,
+            Standing::Aside => false,
+        };
+        is_standing_good
+            && !(in_distress && class == Class::Batch)
+            && self.memory.may_place(job, worker, now)
+    }
+}
+
+/// Reads usage and acts on it until the shard is lost or given up.
+pub async fn watch(cx: &Cx, shard: &Rc<Shard>) {
+    while shard.is_serving() {
+        for (worker, address) in measurable(shard) {
+            note_history(cx, shard, &worker);
+            let is_measuring = with_host(shard, &worker, |host| {
+                std::mem::replace(&mut host.is_measuring, true)
+            });
+            if !is_measuring {
+                let (cx, shard) = (Rc::clone(cx), Rc::clone(shard));
+                supervisor::spawn("worker-usage", async move {
+                    measure(&cx, &shard, &worker, &address).await;
+                    with_host(&shard, &worker, |host| host.is_measuring = false);
+                });
+            }
+        }
+        forget(cx, shard);
+        tokio::time::sleep(cx.cfg.shards.usage).await;
+    }
+}
+
+fn measurable(shard: &Shard) -> Vec<(WorkerId, String)> {
+    let sessions = shard.sessions.borrow();
+    let answering = sessions
+        .iter()
+        .filter(|(_, s)| s.claimed && s.silent_since.is_none());
+    answering
+        .map(|(worker, session)| (worker.clone(), session.address.clone()))
+        .collect()
+}
+
+fn with_host<T>(shard: &Shard, worker: &WorkerId, then: impl FnOnce(&mut HostPressure) -> T) -> T {
+    let mut pressure = shard.pressure.borrow_mut();
+    then(pressure.hosts.entry(worker.clone()).or_default())
+}
+
+fn forget(cx: &Cx, shard: &Shard) {
+    let (members, now) = (cx.members.borrow(), cx.clock.now());
+    let is_there = |worker: &WorkerId| members.hosts.contains_key(worker);
+    let mut pressure = shard.pressure.borrow_mut();
+    pressure.hosts.retain(|worker, _| is_there(worker));
+    pressure.health.forget(is_there, now);
+    pressure.memory.forget_old(now);
+}
+
+/// Notes what runs on a worker from now on, so that a late report is matched with its own time.
+pub fn note_history(cx: &Cx, shard: &Shard, worker: &WorkerId) {
+    let neighbours: Vec<Neighbour> = residents(cx, shard, worker)
+        .into_iter()
+        .map(|resident| resident.neighbour)
+        .collect();
+    let placed: IndexSet<JobId> = sessions::placements_on(shard, worker)
+        .into_iter()
+        .map(|(job, _)| job)
+        .collect();
+    let now = cx.clock.now();
+    with_host(shard, worker, |host| {
+        host.throttled.retain(|job| placed.contains(job));
+        match host.throttled.is_empty() {
+            true => host.history.note(neighbours, now),
+            false => host.history.note_throttled(now),
+        }
+    });
+}
+
+async fn measure(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str) {
+    let end = cx.workers.usage(address).await;
+    let CommandEnd::Done(usage, _) = end else {
+        return;
+    };
+    if !shard.is_serving() {
+        return;
+    }
+    let now = cx.clock.now();
+    let measured_at = now.before(Duration::from_millis(usage.age_ms));
+    learn(shard, worker, &usage, measured_at);
+    for step in steps(cx, shard, worker, &usage, measured_at) {
+        carry_out(cx, shard, worker, address, step).await;
+    }
+}
+
+/// Learns how kinds of work disturbed each other when the figures were taken.
+fn learn(shard: &Shard, worker: &WorkerId, usage: &Usage, measured_at: Millis) {
+    let slowed = slowdowns(shard, usage);
+    let mut pressure = shard.pressure.borrow_mut();
+    let host = pressure.hosts.get(worker);
+    let ran = host.and_then(|host| host.history.during(measured_at, UNCHANGED));
+    let Some(ran) = ran.map(<[Neighbour]>::to_vec) else {
+        return;
+    };
+    for (entry, slowdown_permille) in slowed {
+        let kind = pressure.interference.kind(&entry);
+        let beside = without_one(&ran, kind);
+        pressure.interference.note(&Report {
+            kind,
+            beside: &beside,
+            slowdown_permille,
+            measured_at,
+        });
+    }
+}
+
+/// What was measured to be slowed, by entry.
+fn slowdowns(shard: &Shard, usage: &Usage) -> Vec<(EntryName, u32)> {
+    let state = shard.state();
+    let tasks = usage.tasks.iter().filter_map(|task| {
+        let job = state.jobs.get(&task.task)?;
+        Some((job.entry.clone(), task.slowdown_permille))
+    });
+    let requests = usage.requests.iter().filter_map(|request| {
+        let entry = EntryName::try_from(request.entry.as_str()).ok()?;
+        Some((entry, request.slowdown_permille))
+    });
+    tasks.chain(requests).collect()
+}
+
+/// What ran beside one of a kind.
+fn without_one(ran: &[Neighbour], kind: Kind) -> Vec<Neighbour> {
+    let others = ran.iter().map(|neighbour| Neighbour {
+        count: neighbour.count - u32::from(neighbour.kind == kind),
+        ..*neighbour
+    });
+    others.filter(|neighbour| neighbour.count > 0).collect()
+}
+
+/// What the policy wants done on a host.
+fn steps(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    usage: &Usage,
+    measured_at: Millis,
+) -> Vec<Step> {
+    let worst = usage
+        .requests
+        .iter()
+        .map(|request| request.slowdown_permille)
+        .max();
+    let worst = f64::from(worst.unwrap_or(FULL_PERMILLE)) / WHOLE_PERMILLE;
+    let jobs = jobs_on(cx, shard, worker);
+    let mut pressure = shard.pressure.borrow_mut();
+    let harms = harms(&mut pressure, &jobs, usage, measured_at);
+    let Pressure { memory, hosts, .. } = &mut *pressure;
+    let host = hosts.entry(worker.clone()).or_default();
+    let catalogue = cx.catalogue.borrow();
+    let rank = |known: &KnownJob| {
+        let entry = catalogue.entry(&known.entry);
+        entry.map_or((Class::Batch, 0), |entry| (entry.class, entry.priority))
+    };
+    let ranks: Vec<(Class, u32)> = jobs.iter().map(rank).collect();
+    let tenants: Vec<Tenant<'_>> = jobs
+        .iter()
+        .zip(&ranks)
+        .zip(&harms)
+        .map(|((known, (class, priority)), harm)| Tenant {
+            job: &known.job,
+            class: *class,
+            priority: *priority,
+            unsaved: known.unsaved,
+            harm: *harm,
+            throttled: host.throttled.contains(&known.job),
+        })
+        .collect();
+    host.distress
+        .report(worst, measured_at, &tenants, memory, cx.clock.now())
+}
+
+/// A job that has its place on a worker.
+struct KnownJob {
+    job: JobId,
+    entry: EntryName,
+    unsaved: Duration,
+}
+
+fn jobs_on(cx: &Cx, shard: &Shard, worker: &WorkerId) -> Vec<KnownJob> {
+    let now = cx.clock.now();
+    let known = |(job, placement): (JobId, Placement)| {
+        let sent = shard.session(worker, |session| session.sent(&job, placement.attempt));
+        let saved_at = sent.flatten().and_then(|sent| sent.checkpointed_at);
+        Some(KnownJob {
+            entry: shard.job(&job)?.entry,
+            unsaved: now.since(saved_at.unwrap_or(shard.since)),
+            job,
+        })
+    };
+    sessions::placements_on(shard, worker)
+        .into_iter()
+        .filter_map(known)
+        .collect()
+}
+
+/// Slowdown that each job adds to the latency-critical work that was measured.
+fn harms(pressure: &mut Pressure, jobs: &[KnownJob], usage: &Usage, at: Millis) -> Vec<f64> {
+    let names = usage
+        .requests
+        .iter()
+        .filter_map(|r| EntryName::try_from(r.entry.as_str()).ok());
+    let services: Vec<Kind> = names
+        .map(|name| pressure.interference.kind(&name))
+        .collect();
+    let harm = |known: &KnownJob| {
+        let kind = pressure.interference.kind(&known.entry);
+        let added = services
+            .iter()
+            .map(|service| pressure.interference.added(*service, kind, at));
+        added.fold(0.0, f64::max)
+    };
+    jobs.iter().map(harm).collect()
+}
+
+async fn carry_out(cx: &Cx, shard: &Rc<Shard>, worker: &WorkerId, address: &str, step: Step) {
+    match step {
+        Step::Throttle(job) => {
+            if set_speed(cx, shard, address, &job, THROTTLED_PERMILLE).await {
+                with_host(shard, worker, |host| host.throttled.insert(job.clone()));
+                note_history(cx, shard, worker);
+                note_throttle(cx, &job, worker, THROTTLED_PERMILLE);
+            }
+        }
+        Step::Release(job) => {
+            if set_speed(cx, shard, address, &job, FULL_PERMILLE).await {
+                with_host(shard, worker, |host| host.throttled.swap_remove(&job));
+                note_throttle(cx, &job, worker, FULL_PERMILLE);
+            }
+        }
+        // A stop that the ledger can't take would leave the task down until the table is back.
+        Step::Evict(job) if shard.can_write(cx) => {
+            let now = cx.clock.now();
+            shard.pressure.borrow_mut().memory.note(&job, worker, now);
+            visits::stop_running(cx, shard, worker, address, &job);
+        }
+        Step::Evict(_) => {}
+    }
+}
+
+async fn set_speed(cx: &Cx, shard: &Shard, address: &str, job: &JobId, permille: u32) -> bool {
+    let throttle = ThrottleTask {
+        epoch: shard.epoch,
+        permille,
+    };
+    let end = cx.workers.throttle(address, job, &throttle).await;
+    matches!(end, CommandEnd::Done(..))
+}
+
+fn note_throttle(cx: &Cx, job: &JobId, worker: &WorkerId, permille: u32) {
+    cx.timeline.record(Happening::TaskThrottled {
+        job: job.clone(),
+        worker: worker.clone(),
+        permille,
+    });
+}
+
+/// Notes a failed attempt; whether the job itself is at fault, so that no other worker will help.
+pub fn note_failure(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    job: &JobId,
+    entry: &EntryName,
+) -> bool {
+    let pool = shard.sessions.borrow().len();
+    let now = cx.clock.now();
+    let verdict = shard
+        .pressure
+        .borrow_mut()
+        .health
+        .failed(worker, job, entry, pool, now);
+    if verdict == Verdict::WorkerAside {
+        cx.timeline.record(Happening::WorkerSetAside {
+            worker: worker.clone(),
+            reason: "it fails the tasks of several jobs".to_owned(),
+        });
+        log::warn!("worker {worker} fails the tasks of several jobs and gets none for a while");
+    }
+    verdict == Verdict::JobAtFault
+}
+
+/// Notes that a task ended well on a worker.
+pub fn note_success(shard: &Shard, worker: &WorkerId, job: &JobId, entry: &EntryName) {
+    shard
+        .pressure
+        .borrow_mut()
+        .health
+        .succeeded(worker, job, entry);
 }
 
 /// What runs on a worker, one line a kind.
--- a/src/lapisdrum/daemon/shard.rs
+++ b/src/lapisdrum/daemon/shard.rs
@@ -3,7 +3,7 @@
 use super::{
     Cx,
     journal::{Journal, ProposeError, Ticket, Urgency, WriteEnd},
-    pressure::Pressure,
+    pressure::{self, Pressure},
     registrar,
     sessions::Session,
     snapshots, starts, supervisor, upkeep, visits,
@@ -246,7 +246,8 @@
     futures::join!(
         visits::visit_workers(cx, shard),
         starts::place_jobs(cx, shard),
-        upkeep::run(cx, shard)
+        upkeep::run(cx, shard),
+        pressure::watch(cx, shard)
     );
     // The shard is being given up; its last event may still be on its way.
     std::future::pending().await
--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -139,7 +139,7 @@
     let Some((size, attempts)) = known.map(|known| (known.size, known.attempts)) else {
         return true;
     };
-    let Some(chosen) = choose_room(cx, shard, turn, rooms, size) else {
+    let Some(chosen) = choose_room(cx, shard, turn, rooms, (&job, size)) else {
         turn.aside.push(job);
         return false;
     };
@@ -168,22 +168,30 @@
     shard: &Shard,
     turn: &Turn,
     rooms: &[Room<'_>],
-    size: Size,
+    (job, size): (&JobId, Size),
 ) -> Option<usize> {
-    let pressure = shard.pressure.borrow();
+    let (pressure, now) = (shard.pressure.borrow(), cx.clock.now());
+    let index = shard.journal.index();
+    let is_open = |room: &Room<'_>| {
+        let is_empty = index.on_worker(room.worker).next().is_none();
+        pressure.may_place(job, turn.class, room.worker, is_empty, now)
+    };
+    let mut open: Vec<usize> = (0..rooms.len()).filter(|i| is_open(&rooms[*i])).collect();
+    let is_new = |i: &usize| !pressure.health.has_failed_on(job, rooms[*i].worker);
+    // Another try where it failed already tells little; but better there than nowhere.
+    if open.iter().any(is_new) {
+        open.retain(is_new);
+    }
     let wanted = Wanted {
         kind: turn.kind,
         class: turn.class,
         size,
         same_placed: turn.placed,
     };
-    placement::choose(
-        rooms,
-        &wanted,
-        &pressure.interference,
-        cx.clock.now(),
-        &mut rand::rng(),
-    )
+    let views: Vec<Room<'_>> = open.iter().map(|i| rooms[*i]).collect();
+    let known = &pressure.interference;
+    let chosen = placement::choose(&views, &wanted, known, now, &mut rand::rng())?;
+    Some(open[chosen])
 }
 
 fn place(cx: &Cx, shard: &Rc<Shard>, job: &JobId, placement: Placement) -> bool {
--- a/src/lapisdrum/daemon/visits.rs
+++ b/src/lapisdrum/daemon/visits.rs
@@ -8,7 +8,7 @@
     Cx,
     evictions::{self, note_end, note_eviction},
     journal::{Urgency, WriteEnd},
-    sessions,
+    pressure, sessions,
     shard::Shard,
     supervisor,
 };
@@ -289,7 +289,7 @@
                 end: JobEnd::Cancelled,
             });
         }
-        (TaskState::Failed, false) => events.push(failure_event(cx, job, status)),
+        (TaskState::Failed, false) => events.push(failure_event(cx, shard, worker, job, status)),
         (TaskState::Stopped | TaskState::Lapsed, false) => events.push(Event::Evicted {
             job: task.clone(),
             attempt: status.attempt,
@@ -318,10 +318,17 @@
     due.flatten().unwrap_or(false)
 }
 
-fn failure_event(cx: &Cx, job: &Job, status: &TaskStatus) -> Event {
+fn failure_event(
+    cx: &Cx,
+    shard: &Shard,
+    worker: &WorkerId,
+    job: &Job,
+    status: &TaskStatus,
+) -> Event {
     let entry = cx.catalogue.borrow().entry(&job.entry);
     let most = entry.map_or(1, |entry| entry.max_failures);
-    if job.failures + 1 < most {
+    let is_at_fault = pressure::note_failure(cx, shard, worker, &status.task, &job.entry);
+    if job.failures + 1 < most && !is_at_fault {
         return Event::AttemptFailed {
             job: status.task.clone(),
             attempt: status.attempt,
@@ -345,7 +352,14 @@
 ) {
     for event in events {
         match event {
-            Event::Ended { job, end } => note_end(cx, job, end),
+            Event::Ended { job, end } => {
+                if *end == JobEnd::Done
+                    && let Some(known) = shard.job(job)
+                {
+                    pressure::note_success(shard, worker, job, &known.entry);
+                }
+                note_end(cx, job, end);
+            }
             Event::Evicted { job, .. } => note_eviction(cx, job, worker, "lease or stop"),
             Event::AttemptFailed { job, .. } => note_eviction(cx, job, worker, "failed there"),
             _ => {}
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -85,6 +85,8 @@
     pub write_spacing: Duration,
     /// Most events in one row of a ledger.
     pub row_events: usize,
+    /// Time between two readings of a worker's measured use.
+    pub usage: Duration,
     /// Least time between two checkpoints of one running task in the ledger.
     pub checkpoint: Duration,
     /// Time for which ended jobs are kept.
@@ -272,6 +274,7 @@
         linger_batch: r.duration("shards.linger_batch_ms"),
         write_spacing: r.duration("shards.write_spacing_ms"),
         row_events: count(r.integer("shards.row_events")),
+        usage: r.duration("shards.usage_ms"),
         checkpoint: r.duration("shards.checkpoint_ms"),
         retention: r.duration("shards.retention_ms"),
         retained: count(r.integer("shards.retained")),
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -162,6 +162,11 @@
         number("events", 1_000, 1, 100_000),
         "most events in one row of a ledger",
     ),
+    of(
+        "shards.usage_ms",
+        ms(15_000, 100, 600_000),
+        "time between two readings of a worker's measured use",
+    ),
     of(
         "shards.checkpoint_ms",
         ms(15_000, 0, 600_000),
--- a/src/lapisdrum/timeline/event.rs
+++ b/src/lapisdrum/timeline/event.rs
@@ -138,6 +138,15 @@
             /// Why.
             reason: String,
         },
+        /// A task's speed was set.
+        TaskThrottled {
+            /// The job.
+            job: JobId,
+            /// The worker.
+            worker: WorkerId,
+            /// Its speed, in thousandths of full speed.
+            permille: u32,
+        },
         /// A job is over.
         JobEnded {
             /// The job.
@@ -202,6 +211,7 @@
             | Self::TaskPlaced { job, .. }
             | Self::TaskStarted { job, .. }
             | Self::TaskEvicted { job, .. }
+            | Self::TaskThrottled { job, .. }
             | Self::JobEnded { job, .. } => Some(job),
             _ => None,
         }
@@ -215,7 +225,8 @@
             | Self::WorkerSetAside { worker, .. }
             | Self::TaskPlaced { worker, .. }
             | Self::TaskStarted { worker, .. }
-            | Self::TaskEvicted { worker, .. } => Some(worker),
+            | Self::TaskEvicted { worker, .. }
+            | Self::TaskThrottled { worker, .. } => Some(worker),
             _ => None,
         }
     }
--- a/tests/testsuite/process/mod.rs
+++ b/tests/testsuite/process/mod.rs
@@ -4,5 +4,6 @@
 mod faults;
 mod outages;
 mod ownership;
+mod pressure;
 mod runs;
 mod thin_path;
--- /dev/null
+++ b/tests/testsuite/process/pressure.rs
@@ -0,0 +1,94 @@
+//! What the shard's owner does about workers that fail and hosts that suffer.
+
+use super::runs;
+use crate::support::{process::Site, wait};
+use lapisdrum::timeline::event::Happening;
+use lapisdrum_standins::worker::server::WorkerSwitches;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+async fn happened(site: &Site, is_it: impl Fn(&Happening) -> bool) -> bool {
+    let line = site.daemons[0].client().timeline().await;
+    line.is_ok_and(|line| line.events.iter().any(|record| is_it(&record.what)))
+}
+
+/// One of four workers fails every task that it starts, so it is always free and would draw every
+/// waiting render. Each render is failed there at most once, the worker is set aside after a few of
+/// them, and every caller's render is done.
+#[actix_rt::test]
+async fn a_worker_that_fails_every_task_is_set_aside() {
+    let site = Site::start(1, 4).await;
+    runs::prepare(&site, 300).await;
+    let failing = WorkerSwitches {
+        fails_tasks: true,
+        ..WorkerSwitches::default()
+    };
+    site.workers[0].switch_worker(&failing).await;
+    let mut renders = Vec::new();
+    for _ in 0..60 {
+        renders.push(runs::submit(&site, 0, "render").await);
+    }
+    for render in &renders {
+        runs::reaches(&site, 0, render, "done").await;
+    }
+    let is_aside = |what: &Happening| matches!(what, Happening::WorkerSetAside { .. });
+    assert!(happened(&site, is_aside).await, "the worker is set aside");
+    let failed_there = site.workers[0].log().await.tasks;
+    for render in &renders {
+        let tries = failed_there
+            .iter()
+            .filter(|run| run.task.as_str() == render);
+        assert!(
+            tries.count() <= 1,
+            "{render} was tried again where it failed"
+        );
+    }
+}
+
+/// A render runs beside a service whose requests are measured to take three times as long. Two such
+/// reports and the render is slowed down; no other render is put on that host while it suffers, and
+/// none is lost.
+#[actix_rt::test]
+async fn a_render_beside_a_suffering_service_is_throttled() {
+    let site = Site::start(1, 2).await;
+    runs::prepare(&site, 8_000).await;
+    let first = runs::submit(&site, 0, "render").await;
+    runs::reaches(&site, 0, &first, "running").await;
+    let worker = site.daemons[0]
+        .client()
+        .job(&first)
+        .await
+        .expect("a job")
+        .worker;
+    let at = site
+        .hosts
+        .iter()
+        .position(|host| Some(&host.host) == worker.as_ref());
+    let at = at.expect("a known worker");
+    let suffering = WorkerSwitches {
+        task_ms: 8_000,
+        usage_age_ms: 0,
+        slowdowns: [("map".to_owned(), 3_000)].into_iter().collect(),
+        ..WorkerSwitches::default()
+    };
+    site.workers[at].switch_worker(&suffering).await;
+    let throttled = |what: &Happening| {
+        matches!(what, Happening::TaskThrottled { job, permille, .. }
+            if job.as_str() == first && *permille < 1_000)
+    };
+    wait::until("the render is throttled", LIMIT, async || {
+        happened(&site, throttled).await
+    })
+    .await;
+    for _ in 0..4 {
+        let next = runs::submit(&site, 0, "render").await;
+        runs::reaches(&site, 0, &next, "running").await;
+    }
+    let beside = site.workers[at].log().await.tasks;
+    assert_eq!(
+        beside.len(),
+        1,
+        "no other render beside the service: {beside:?}"
+    );
+}
