Starts: none after the last event of a graceful end

A start that waits for its commit while OwnerEnded is written would run on a lease that the successor does not count on.

--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -314,7 +314,8 @@
     job: &JobId,
     placement: &Placement,
 ) -> Option<(StartTask, String)> {
-    if !shard.may_act(cx.clock.now(), &cx.cfg.shards.terms) {
+    // After the last event of a graceful end the successor counts on no further lease.
+    if !shard.is_serving() || !shard.may_act(cx.clock.now(), &cx.cfg.shards.terms) {
         return None;
     }
     let known = shard.job(job)?;
