--- a/tests/testsuite/model/catalogue.rs
+++ b/tests/testsuite/model/catalogue.rs
@@ -314,11 +314,14 @@
 
 /// Nothing in the catalogue, or an entry that somebody else made.
 fn starts() -> [State; 2] {
-    let mut with_entry = State::default();
-    with_entry.table = View {
+    let table = View {
         revision: 1,
         entry: Some(Entry { by: 2, revision: 1 }),
     };
+    let with_entry = State {
+        table,
+        ..State::default()
+    };
     [State::default(), with_entry]
 }
 
