--- a/src/lapisdrum/daemon/sessions.rs
+++ b/src/lapisdrum/daemon/sessions.rs
@@ -170,6 +170,16 @@
     worker: &WorkerId,
     judged: &IndexMap<JobId, Placement>,
 ) -> RenewTasks {
+    // Renewed while it does not answer, a worker's tasks could never be given up: each renewal that
+    // may have arrived puts the end of their leases off. So it is only asked until it answers.
+    if shard.session(worker, |session| session.silent_since.is_some()) == Some(true) {
+        return RenewTasks {
+            epoch: shard.epoch,
+            until_ms: 0,
+            exceptions: Vec::new(),
+            known_ms: 0,
+        };
+    }
     // One moment for all: a millisecond between two readings would make every task an exception.
     let now = cx.clock.now();
     let usual = usual_end(cx, shard, worker, now);
--- a/tests/testsuite/process/ownership.rs
+++ b/tests/testsuite/process/ownership.rs
@@ -131,3 +131,26 @@
     assert_eq!(all.len(), streams.len(), "none was moved: {all:?}");
     assert!(all.iter().all(|run| run.to_ms.is_none()), "{all:?}");
 }
+
+/// A worker hangs while it runs a stream: it answers nobody, and the platform goes on naming it. Its
+/// owner stops renewing, waits until the last lease is certainly over, and starts the stream on the
+/// other worker; viewers never have two.
+#[actix_rt::test]
+async fn a_hung_worker_s_stream_moves_when_its_lease_is_over() {
+    let site = Site::start(1, 2).await;
+    runs::prepare(&site, 500).await;
+    let stream = runs::submit(&site, 0, "stream").await;
+    let with = runs::worker_of(&site, &stream).await;
+    let hung = WorkerSwitches {
+        hung: true,
+        endless: vec!["stream".to_owned()],
+        ..WorkerSwitches::default()
+    };
+    site.workers[with].switch_worker(&hung).await;
+    wait::until("the stream runs elsewhere", LIMIT, async || {
+        let log = site.workers[1 - with].log().await;
+        log.tasks.iter().any(|run| run.task.as_str() == stream)
+    })
+    .await;
+    runs::assert_never_doubled(&runs::all(&site).await);
+}
