--- a/src/lapisdrum/daemon/shares.rs
+++ b/src/lapisdrum/daemon/shares.rs
@@ -21,6 +21,8 @@
 
 /// Key prefix of the entries' rows.
 const PREFIX: &str = "shares/";
+/// Looks at one row in a round, where others write it at the same time.
+const LOOK_TRIES: usize = 4;
 /// What is left of a past demand at each look: a burst is remembered for some ten looks.
 const DEMAND_KEPT: f64 = 0.8;
 
@@ -125,7 +127,7 @@
     for entry in &entries {
         let row = rows.get(&key(&entry.name)).cloned().unwrap_or_default();
         for party in own_parties(cx, entry) {
-            look_at(cx, entry, &row, party).await;
+            look_until_settled(cx, entry, row.clone(), party).await;
         }
     }
 }
@@ -179,13 +181,35 @@
     }
 }
 
-async fn look_at(cx: &Cx, entry: &Entry, row: &(u64, Shares), party: Party) {
+/// Looks at an entry's row, and again at what another party has made of it meanwhile. Daemons whose
+/// looks fall together would otherwise lose to the same one each time, and never come by a part.
+async fn look_until_settled(cx: &Cx, entry: &Entry, row: (u64, Shares), party: Party) {
+    let mut row = row;
+    for _ in 0..LOOK_TRIES {
+        if look_at(cx, entry, &row, &party).await == Looked::Settled {
+            return;
+        }
+        let Ok(read) = cx.platform.get(&key(&entry.name)).await else {
+            return;
+        };
+        let parsed = read.and_then(|read| Some((read.version, read.parse::<Shares>()?)));
+        row = parsed.unwrap_or_default();
+    }
+}
+
+/// Whether a look has to be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Looked {
+    Settled,
+    Overtaken,
+}
+
+async fn look_at(cx: &Cx, entry: &Entry, row: &(u64, Shares), party: &Party) -> Looked {
     let (version, row) = row;
     // Counted now, and nothing more is started beyond the new part before it is written.
-    let Some(figures) = figures(cx, entry, &party) else {
-        return;
+    let Some(figures) = figures(cx, entry, party) else {
+        return Looked::Settled;
     };
-    let party = &party;
     let in_row = row.part(party).map_or(0, |part| part.amount);
     let demand = note_look(cx, entry, party, in_row, &figures);
     let look = Look {
@@ -202,15 +226,21 @@
     let amount = next.part(party).map_or(0, |part| part.amount);
     let is_certain = with_own(cx, entry, party, |own| own.allowed.amount() >= amount);
     if next == *row && is_certain {
-        return;
+        return Looked::Settled;
     }
     with_own(cx, entry, party, |own| own.allowed.before_write(amount));
     let txn = Txn::default()
         .compare(key(&entry.name), *version)
         .put(key(&entry.name), &next);
-    if let TxnOutcome::Committed(_) = cx.platform.txn(&txn).await {
-        with_own(cx, entry, party, |own| own.allowed.after_write(amount));
-        tell(cx, party);
+    match cx.platform.txn(&txn).await {
+        TxnOutcome::Committed(_) => {
+            with_own(cx, entry, party, |own| own.allowed.after_write(amount));
+            tell(cx, party);
+            Looked::Settled
+        }
+        TxnOutcome::Conflict(_) => Looked::Overtaken,
+        // The next look reads what has become of it.
+        TxnOutcome::Unknown(_) => Looked::Settled,
     }
 }
 
--- a/src/lapisdrum/state/shares.rs
+++ b/src/lapisdrum/state/shares.rs
@@ -100,8 +100,12 @@
         let others_short = |part: &Part| part.is_short && part.party != *look.party;
         let is_wanted = next.parts.iter().any(others_short) || next.given() > next.limit;
         let free = next.free();
+        // A party whose presence is not yet seen here is in the row all the same. Left out of the
+        // division, it would find the whole limit given to those that know each other.
+        let listed = u32::try_from(next.parts.len()).unwrap_or(u32::MAX);
+        let parties = look.parties.max(listed);
         let own = next.own(look);
-        let even = even_part(look.limit, look.parties, look.rank);
+        let even = even_part(look.limit, parties, look.rank);
         let wanted = look.demand.max(look.running).max(even / 2);
         let wanted = if wanted >= own.amount.max(1) {
             // Some room above what is used, so that the next request does not wait for a look.
