Shares: a party starts nothing beyond its even part while others are short

Change: while others are short a party starts nothing beyond its even part, so what runs drains and the part follows it down. The property runs_never_exceed_the_limit still holds.

--- a/src/lapisdrum/daemon/shares.rs
+++ b/src/lapisdrum/daemon/shares.rs
@@ -224,17 +224,21 @@
     };
     let next = without_gone(cx, row).looked_at(&look);
     let amount = next.part(party).map_or(0, |part| part.amount);
-    let is_certain = with_own(cx, entry, party, |own| own.allowed.amount() >= amount);
+    let usable = amount.min(row.ceiling(&look));
+    let is_certain = with_own(cx, entry, party, |own| {
+        own.allowed.before_write(usable);
+        own.allowed.amount() >= usable
+    });
     if next == *row && is_certain {
         return Looked::Settled;
     }
-    with_own(cx, entry, party, |own| own.allowed.before_write(amount));
+    with_own(cx, entry, party, |own| own.allowed.before_write(usable));
     let txn = Txn::default()
         .compare(key(&entry.name), *version)
         .put(key(&entry.name), &next);
     match cx.platform.txn(&txn).await {
         TxnOutcome::Committed(_) => {
-            with_own(cx, entry, party, |own| own.allowed.after_write(amount));
+            with_own(cx, entry, party, |own| own.allowed.after_write(usable));
             tell(cx, party);
             Looked::Settled
         }
--- a/src/lapisdrum/state/shares.rs
+++ b/src/lapisdrum/state/shares.rs
@@ -100,12 +100,8 @@
         let others_short = |part: &Part| part.is_short && part.party != *look.party;
         let is_wanted = next.parts.iter().any(others_short) || next.given() > next.limit;
         let free = next.free();
-        // A party whose presence is not yet seen here is in the row all the same. Left out of the
-        // division, it would find the whole limit given to those that know each other.
-        let listed = u32::try_from(next.parts.len()).unwrap_or(u32::MAX);
-        let parties = look.parties.max(listed);
+        let even = next.even_part_of(look);
         let own = next.own(look);
-        let even = even_part(look.limit, parties, look.rank);
         let wanted = look.demand.max(look.running).max(even / 2);
         let wanted = if wanted >= own.amount.max(1) {
             // Some room above what is used, so that the next request does not wait for a look.
@@ -124,6 +120,27 @@
         next
     }
 
+    /// Up to what a party starts anything while others are short: its even part. Its part can't come
+    /// down below what runs, and where callers wait there is always as much running as the part
+    /// allows; without the ceiling it would never come down, and the others would get nothing.
+    pub fn ceiling(&self, look: &Look<'_>) -> u32 {
+        let is_short = self
+            .parts
+            .iter()
+            .any(|part| part.is_short && part.party != *look.party);
+        match is_short || self.given() > self.limit {
+            true => self.even_part_of(look),
+            false => u32::MAX,
+        }
+    }
+
+    /// A party's even part. A party whose presence is not yet seen here is in the row all the same;
+    /// left out of the division, it would find the whole limit given to those that know each other.
+    fn even_part_of(&self, look: &Look<'_>) -> u32 {
+        let listed = u32::try_from(self.parts.len()).unwrap_or(u32::MAX);
+        even_part(look.limit, look.parties.max(listed), look.rank)
+    }
+
     /// The row without a party that is certainly gone.
     #[must_use]
     pub fn without(&self, party: &Party) -> Self {
