HTTP: the answer to an unread body lingers; nothing waits for the body

A failed try, reverted here: reading the body before answering. It passed, but it held the answer back for up to 2 s. Change: the disconnect timeout is set, so the answer goes out at once and the rest of the body is read and thrown away behind it.

--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -5,7 +5,7 @@
 //! beyond the bound is refused before it is held in memory.
 
 use actix_http::{
-    HttpService, Method, Payload, Request, Response, StatusCode,
+    HttpService, Method, Request, Response, StatusCode,
     body::{BodySize, BoxBody, MessageBody},
     error::PayloadError,
     header::{CONTENT_LENGTH, HeaderMap},
@@ -31,10 +31,9 @@
 /// Time for connections to close after the last request in flight was answered. An idle keep-alive
 /// connection does not close by itself, and waiting for all of them would never end.
 const CLOSE_GRACE: Duration = Duration::from_millis(500);
-/// Most of a body beyond the bound that is read and thrown away, in bytes.
-const MOST_DISCARDED: usize = 64 * 1024 * 1024;
-/// Longest time for which that is done.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a body that was answered before its end is read on and thrown away. Without it the
+/// connection is closed at once, and a client that is still sending gets a reset in place of the answer.
+const LINGER: Duration = Duration::from_secs(2);
 /// Time between two looks at what is still open.
 const CLOSE_POLL: Duration = Duration::from_millis(5);
 /// Time for which an idle connection is kept.
@@ -188,6 +187,7 @@
     };
     let factory = HttpService::build()
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+        .client_disconnect_timeout(LINGER)
         .keep_alive(KEEP_ALIVE)
         .tcp_nodelay(true)
         .graceful_shutdown_signal(signal)
@@ -247,17 +247,14 @@
 }
 
 async fn read_request(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
-    let is_announced = declared_len(&req).is_some_and(|len| len > limit);
-    let mut payload = req.take_payload();
-    if is_announced {
-        discard(&mut payload).await;
+    if declared_len(&req).is_some_and(|len| len > limit) {
         return Err(BodyFault::TooLarge { limit });
     }
+    let mut payload = req.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_: PayloadError| BodyFault::Incomplete)?;
         if body.len() + chunk.len() > limit {
-            discard(&mut payload).await;
             return Err(BodyFault::TooLarge { limit });
         }
         body.extend_from_slice(&chunk);
@@ -272,21 +269,6 @@
     })
 }
 
-/// Reads on and keeps nothing, up to a bound. A client that is still sending when the connection is
-/// closed gets a reset and never sees the answer that says why.
-async fn discard(payload: &mut Payload) {
-    let mut left = MOST_DISCARDED;
-    let all = async {
-        while let Some(Ok(chunk)) = payload.next().await {
-            left = left.saturating_sub(chunk.len());
-            if left == 0 {
-                return;
-            }
-        }
-    };
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, all).await;
-}
-
 fn declared_len(req: &Request) -> Option<usize> {
     let declared = req.head().headers.get(CONTENT_LENGTH)?;
     declared.to_str().ok()?.parse().ok()
