--- a/crates/lapisdrum-load/src/capacity.rs
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -18,6 +18,8 @@
 
 /// The entry of tasks that run all the time.
 const STREAM: &str = "stream";
+/// The entry that is changed.
+const CHANGED: &str = "changed";
 /// The entry of short jobs.
 const RENDER: &str = "render";
 /// Time for a run's tasks to be running.
@@ -40,6 +42,9 @@
     /// Short jobs handed in each second during the window, of each run.
     #[arg(long, value_delimiter = ',', default_value = "0")]
     starts_per_s: Vec<u32>,
+    /// Catalogue changes made each second during the window, of each run.
+    #[arg(long, value_delimiter = ',', default_value = "0")]
+    changes_per_s: Vec<u32>,
     /// Daemons.
     #[arg(long, default_value_t = 1)]
     daemons: usize,
@@ -68,6 +73,8 @@
     pub entries: usize,
     /// Daemons.
     pub daemons: usize,
+    /// Catalogue changes asked for a second.
+    pub changes_per_s: u32,
     /// Tasks started a second, as measured.
     pub starts_per_s: f64,
     /// Processor time of the owner, in hundredths of a core.
@@ -95,15 +102,18 @@
         for &tasks in &args.tasks {
             for &entries in &args.entries {
                 for &starts_per_s in &args.starts_per_s {
-                    let case = Case {
-                        workers,
-                        tasks,
-                        entries,
-                        starts_per_s,
-                    };
-                    let row = run_one(&args, case).await?;
-                    eprintln!("{row:?}");
-                    rows.push(row);
+                    for &changes_per_s in &args.changes_per_s {
+                        let case = Case {
+                            workers,
+                            tasks,
+                            entries,
+                            starts_per_s,
+                            changes_per_s,
+                        };
+                        let row = run_one(&args, case).await?;
+                        eprintln!("{row:?}");
+                        rows.push(row);
+                    }
                 }
             }
         }
@@ -122,6 +132,7 @@
     tasks: usize,
     entries: usize,
     starts_per_s: u32,
+    changes_per_s: u32,
 }
 
 async fn run_one(args: &CapacityArgs, case: Case) -> Result<CapacityRow> {
@@ -153,13 +164,33 @@
             .await?;
     }
     start_tasks(&site, case.tasks).await?;
+    let changer = actix_rt::spawn(change(client.clone(), case.changes_per_s));
     let feeder = actix_rt::spawn(feed(client, case.starts_per_s));
     tokio::time::sleep(SETTLE).await;
     let row = measure_window(args, &site, case).await;
     feeder.abort();
+    changer.abort();
     row
 }
 
+/// Changes an entry at a steady rate.
+async fn change(client: DaemonClient, per_second: u32) {
+    if per_second == 0 {
+        return;
+    }
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
+    let mut entry = small_entry(CHANGED, "batch");
+    let mut seen = None;
+    loop {
+        ticks.tick().await;
+        entry.priority = Some(u32::from(entry.priority != Some(1)));
+        // A change that is refused is one fewer; the writes at the table show it.
+        if let Ok(done) = client.put_entry(&entry, seen).await {
+            seen = Some(done.revision);
+        }
+    }
+}
+
 /// Hands short jobs in at a steady rate, each by a call of its own.
 async fn feed(client: DaemonClient, per_second: u32) {
     if per_second == 0 {
@@ -249,6 +280,7 @@
         tasks: case.tasks,
         entries: case.entries,
         daemons: args.daemons,
+        changes_per_s: case.changes_per_s,
         starts_per_s: starts as f64 / seconds,
         owner_cpu_percent: (after.0.cpu - before.0.cpu).as_secs_f64() / seconds * 100.0,
         owner_resident_mb: after.0.resident_kb as f64 / 1024.0,
@@ -278,6 +310,7 @@
         "tasks",
         "entries",
         "daemons",
+        "changes/s",
         "starts/s",
         "cpu %",
         "rss MB",
@@ -294,6 +327,7 @@
             row.tasks.to_string(),
             row.entries.to_string(),
             row.daemons.to_string(),
+            row.changes_per_s.to_string(),
             format!("{:.1}", row.starts_per_s),
             format!("{:.2}", row.owner_cpu_percent),
             format!("{:.1}", row.owner_resident_mb),
