--- a/crates/lapisdrum-load/src/args.rs
+++ b/crates/lapisdrum-load/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line: the processes that experiments start, and the experiments.
 
-use crate::{capacity, catalogue, ledger, policy, recovery, takeover};
+use crate::{capacity, catalogue, ledger, policy, recovery, requests, takeover};
 use clap::{Parser, Subcommand};
 use eyre::{Result, eyre};
 use std::path::PathBuf;
@@ -34,6 +34,8 @@
     Takeover(takeover::TakeoverArgs),
     /// Time to recover a ledger against its length.
     Recovery(recovery::RecoveryArgs),
+    /// What the daemon adds to a request, over loopback.
+    Requests(requests::RequestsArgs),
     /// Time until a catalogue change is in force everywhere.
     Catalogue(catalogue::CatalogueArgs),
     /// The decisions under load, with virtual time and baselines.
@@ -51,6 +53,7 @@
         Command::Ledger(args) => ledger::run(args).await,
         Command::Takeover(args) => takeover::run(args).await,
         Command::Recovery(args) => recovery::run(args).await,
+        Command::Requests(args) => requests::run(args).await,
         Command::Catalogue(args) => catalogue::run(args).await,
         Command::Policy(args) => policy::run(&args),
     }
--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod measure;
 pub mod policy;
 pub mod recovery;
+pub mod requests;
 pub mod site;
 pub mod table;
 pub mod takeover;
--- /dev/null
+++ b/crates/lapisdrum-load/src/requests.rs
@@ -0,0 +1,209 @@
+//! `lapisdrum-load requests`: what the real daemon adds to a request, over loopback.
+//!
+//! Callers keep a steady number of requests going through one daemon, then straight to the workers;
+//! the difference is what the daemon adds. No decision is replaced and nothing is simulated but the
+//! workers' work, which is a sleep.
+
+use crate::{
+    site::{Site, until},
+    table,
+};
+use clap::Args;
+use eyre::{Result, eyre};
+use hdrhistogram::Histogram;
+use lapisdrum::core::catalogue::RawEntry;
+use lapisdrum_standins::worker::server::WorkerSwitches;
+use serde::Serialize;
+use std::{cell::RefCell, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// Time for the daemon to hold floors.
+const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest latency that is told apart, in microseconds: a minute.
+const MOST_MICROS: u64 = 60_000_000;
+/// Digits of latency that are kept.
+const DIGITS: u8 = 3;
+
+/// Arguments of `requests`.
+#[derive(Debug, Args)]
+pub struct RequestsArgs {
+    /// Workers, of eight slots each.
+    #[arg(long, default_value_t = 16)]
+    workers: usize,
+    /// Time of a request on a worker, in milliseconds.
+    #[arg(long, default_value_t = 20)]
+    request_ms: u64,
+    /// Requests that are kept going, of each run.
+    #[arg(long, value_delimiter = ',', default_value = "1,32")]
+    callers: Vec<usize>,
+    /// Length of a run in seconds.
+    #[arg(long, default_value_t = 15)]
+    window_s: u64,
+    /// Where to write the rows as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+/// One run's figures.
+#[derive(Clone, Debug, Serialize)]
+pub struct RequestsRow {
+    /// `daemon` or `worker`.
+    pub through: &'static str,
+    /// Requests kept going.
+    pub callers: usize,
+    /// Whole answers a second.
+    pub answers_per_s: f64,
+    /// Answers that were not whole answers.
+    pub others: u64,
+    /// Latency in milliseconds: half, 99th and 99.9th percentile.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The 99.9th percentile.
+    pub p999_ms: f64,
+}
+
+/// Runs each number of callers through the daemon and straight to the workers.
+pub async fn run(args: RequestsArgs) -> Result<()> {
+    let site = Site::start(1, args.workers, |plan| {
+        plan.more = "[log]\nlevel = \"warn\"\n".to_owned();
+    })
+    .await?;
+    let switches = WorkerSwitches {
+        request_ms: args.request_ms,
+        ..WorkerSwitches::default()
+    };
+    site.switch_workers(&switches).await?;
+    site.daemons[0]
+        .client()
+        .put_entry(&map_entry(), None)
+        .await?;
+    let daemon = site.daemons[0].plan.callers;
+    until("a map is answered", SETTLE_LIMIT, async || {
+        ask(daemon, "/v1/run/map").await.is_ok()
+    })
+    .await?;
+    // Floors, shares and learned run times come in over some polls.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let mut rows = Vec::new();
+    for &callers in &args.callers {
+        rows.push(one_run(&args, "daemon", &[daemon], "/v1/run/map", callers).await?);
+        rows.push(one_run(&args, "worker", &site.workers, "/v1/requests", callers).await?);
+    }
+    print(&rows);
+    if let Some(path) = &args.json {
+        table::write_json(path, &rows)?;
+    }
+    Ok(())
+}
+
+fn map_entry() -> RawEntry {
+    RawEntry {
+        name: "map".to_owned(),
+        owner: "trail".to_owned(),
+        class: "latency-critical".to_owned(),
+        millicores: 10,
+        memory_mb: 10,
+        accelerators: 0,
+        concurrency: Some(100_000),
+        rate_per_s: None,
+        queue: Some(10_000),
+        body_bytes: None,
+        idempotent: true,
+        deadline_ms: Some(5_000),
+        hold_ms: None,
+        max_failures: None,
+        priority: None,
+        retired: false,
+    }
+}
+
+async fn ask(address: SocketAddr, path: &str) -> Result<()> {
+    ask_by(
+        &awc::Client::builder().timeout(CALL_TIMEOUT).finish(),
+        address,
+        path,
+    )
+    .await
+}
+
+async fn ask_by(http: &awc::Client, address: SocketAddr, path: &str) -> Result<()> {
+    let req = http.post(format!("http://{address}{path}"));
+    let req = req.insert_header(("lapisdrum-request", "load"));
+    let mut answer = req.send_body("studio 14").await.map_err(|e| eyre!("{e}"))?;
+    answer.body().await?;
+    match answer.status().is_success() {
+        true => Ok(()),
+        false => Err(eyre!("{}", answer.status())),
+    }
+}
+
+async fn one_run(
+    args: &RequestsArgs,
+    through: &'static str,
+    addresses: &[SocketAddr],
+    path: &'static str,
+    callers: usize,
+) -> Result<RequestsRow> {
+    let latencies = Rc::new(RefCell::new(Histogram::<u64>::new_with_max(
+        MOST_MICROS,
+        DIGITS,
+    )?));
+    let others = Rc::new(RefCell::new(0_u64));
+    let end = Instant::now() + Duration::from_secs(args.window_s);
+    let caller = |index: usize| {
+        let address = addresses[index % addresses.len()];
+        let (latencies, others) = (Rc::clone(&latencies), Rc::clone(&others));
+        async move {
+            let http = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+            while Instant::now() < end {
+                let began = Instant::now();
+                match ask_by(&http, address, path).await {
+                    Ok(()) => {
+                        let micros = began.elapsed().as_micros() as u64;
+                        latencies.borrow_mut().saturating_record(micros);
+                    }
+                    Err(_) => *others.borrow_mut() += 1,
+                }
+            }
+        }
+    };
+    futures::future::join_all((0..callers).map(caller)).await;
+    let latencies = latencies.borrow();
+    let ms = |quantile: f64| latencies.value_at_quantile(quantile) as f64 / 1_000.0;
+    Ok(RequestsRow {
+        through,
+        callers,
+        answers_per_s: latencies.len() as f64 / args.window_s as f64,
+        others: *others.borrow(),
+        p50_ms: ms(0.5),
+        p99_ms: ms(0.99),
+        p999_ms: ms(0.999),
+    })
+}
+
+fn print(rows: &[RequestsRow]) {
+    let headings = [
+        "through",
+        "callers",
+        "answers/s",
+        "others",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+    ];
+    let cells = |row: &RequestsRow| {
+        vec![
+            row.through.to_owned(),
+            row.callers.to_string(),
+            format!("{:.0}", row.answers_per_s),
+            row.others.to_string(),
+            format!("{:.2}", row.p50_ms),
+            format!("{:.2}", row.p99_ms),
+            format!("{:.2}", row.p999_ms),
+        ]
+    };
+    table::print(&headings, &rows.iter().map(cells).collect::<Vec<_>>());
+}
