--- a/src/lapisdrum/daemon/starts.rs
+++ b/src/lapisdrum/daemon/starts.rs
@@ -280,6 +280,7 @@
             shard.session(worker, |session| {
                 session.note_reported(job, placement.attempt);
             });
+            pressure::note_history(cx, shard, worker);
             cx.metrics.task_starts.inc();
             cx.timeline.record(Happening::TaskStarted {
                 job: job.clone(),
--- a/src/lapisdrum/daemon/visits.rs
+++ b/src/lapisdrum/daemon/visits.rs
@@ -369,6 +369,7 @@
         shard.session(worker, |session| {
             session.forget(&status.task, status.attempt);
         });
+        pressure::note_history(cx, shard, worker);
         stop_tasks(cx, shard, worker, address, vec![status.task.clone()]);
     }
 }
--- a/src/lapisdrum/state/mod.rs
+++ b/src/lapisdrum/state/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod catalogue;
 pub mod claims;
+pub mod event;
 pub mod fencing;
 pub mod grants;
 pub mod ledger;
