--- a/crates/lapisdrum-load/src/capacity.rs
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -5,13 +5,14 @@
 //! through these points.
 
 use crate::{
+    entries,
     measure::process_use,
     site::{Site, until},
     table,
 };
 use clap::Args;
 use eyre::Result;
-use lapisdrum::{api::client::DaemonClient, core::catalogue::RawEntry};
+use lapisdrum::api::client::DaemonClient;
 use lapisdrum_standins::worker::server::WorkerSwitches;
 use serde::Serialize;
 use std::{path::PathBuf, time::Duration};
@@ -153,14 +154,14 @@
     .await?;
     let client = site.daemons[0].client();
     client
-        .put_entry(&small_entry(STREAM, "long-running"), None)
+        .put_entry(&entries::small(STREAM, "long-running"), None)
         .await?;
     client
-        .put_entry(&small_entry(RENDER, "batch"), None)
+        .put_entry(&entries::small(RENDER, "batch"), None)
         .await?;
     for i in 2..case.entries {
         client
-            .put_entry(&small_entry(&format!("entry-{i}"), "batch"), None)
+            .put_entry(&entries::small(&format!("entry-{i}"), "batch"), None)
             .await?;
     }
     start_tasks(&site, case.tasks).await?;
@@ -179,7 +180,7 @@
         return;
     }
     let mut ticks = tokio::time::interval(Duration::from_secs(1) / per_second);
-    let mut entry = small_entry(CHANGED, "batch");
+    let mut entry = entries::small(CHANGED, "batch");
     let mut seen = None;
     loop {
         ticks.tick().await;
@@ -207,27 +208,6 @@
     }
 }
 
-fn small_entry(name: &str, class: &str) -> RawEntry {
-    RawEntry {
-        name: name.to_owned(),
-        owner: "trail".to_owned(),
-        class: class.to_owned(),
-        millicores: 10,
-        memory_mb: 10,
-        accelerators: 0,
-        concurrency: Some(1_000_000),
-        rate_per_s: None,
-        queue: Some(1_000_000),
-        body_bytes: None,
-        idempotent: false,
-        deadline_ms: None,
-        hold_ms: None,
-        max_failures: None,
-        priority: None,
-        retired: false,
-    }
-}
-
 /// Hands `tasks` jobs in, some at a time, and waits until all of them run.
 async fn start_tasks(site: &Site, tasks: usize) -> Result<()> {
     const AT_ONCE: usize = 64;
--- a/crates/lapisdrum-load/src/catalogue.rs
+++ b/crates/lapisdrum-load/src/catalogue.rs
@@ -1,6 +1,6 @@
 //! `lapisdrum-load catalogue`: time from an accepted change to its being in force at every daemon.
 
-use crate::{ledger::small_batch, site::Site, table};
+use crate::{entries, site::Site, table};
 use clap::Args;
 use eyre::Result;
 use hdrhistogram::Histogram;
@@ -46,7 +46,7 @@
     let (mut all, mut last) = (Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?);
     let mut seen = None;
     for i in 0..args.changes {
-        let mut entry = small_batch("render");
+        let mut entry = entries::small("render", "batch");
         entry.millicores = 10 + i as u64 % 10;
         let client = site.daemons[i % args.daemons].client();
         // Counted from the moment when the operator sent it.
--- a/crates/lapisdrum-load/src/ledger.rs
+++ b/crates/lapisdrum-load/src/ledger.rs
@@ -4,13 +4,13 @@
 //! event into a row of its own at once; the others gather events for a linger.
 
 use crate::{
+    entries,
     site::{Site, until},
     table,
 };
 use clap::Args;
 use eyre::Result;
 use hdrhistogram::Histogram;
-use lapisdrum::core::catalogue::RawEntry;
 use lapisdrum_standins::worker::server::WorkerSwitches;
 use serde::Serialize;
 use std::{
@@ -106,7 +106,9 @@
     };
     site.switch_workers(&switches).await?;
     let client = site.daemons[0].client();
-    client.put_entry(&small_batch("render"), None).await?;
+    client
+        .put_entry(&entries::small("render", "batch"), None)
+        .await?;
     until("the first job is taken", SERVE_LIMIT, async || {
         client.submit_job("render").await.is_ok()
     })
@@ -133,28 +135,6 @@
     })
 }
 
-/// A small batch entry without practical limits.
-pub fn small_batch(name: &str) -> RawEntry {
-    RawEntry {
-        name: name.to_owned(),
-        owner: "trail".to_owned(),
-        class: "batch".to_owned(),
-        millicores: 10,
-        memory_mb: 10,
-        accelerators: 0,
-        concurrency: Some(1_000_000),
-        rate_per_s: None,
-        queue: Some(1_000_000),
-        body_bytes: None,
-        idempotent: false,
-        deadline_ms: None,
-        hold_ms: None,
-        max_failures: None,
-        priority: None,
-        retired: false,
-    }
-}
-
 /// How long acceptances took, in milliseconds, and how many failed.
 struct Latencies {
     taken: Histogram<u64>,
--- a/crates/lapisdrum-load/src/requests.rs
+++ b/crates/lapisdrum-load/src/requests.rs
@@ -5,6 +5,7 @@
 //! workers' work, which is a sleep.
 
 use crate::{
+    entries,
     site::{Site, until},
     table,
 };
@@ -76,10 +77,12 @@
         ..WorkerSwitches::default()
     };
     site.switch_workers(&switches).await?;
-    site.daemons[0]
-        .client()
-        .put_entry(&map_entry(), None)
-        .await?;
+    let map_entry = RawEntry {
+        idempotent: true,
+        deadline_ms: Some(5_000),
+        ..entries::small("map", "latency-critical")
+    };
+    site.daemons[0].client().put_entry(&map_entry, None).await?;
     let daemon = site.daemons[0].plan.callers;
     until("a map is answered", SETTLE_LIMIT, async || {
         ask(daemon, "/v1/run/map").await.is_ok()
@@ -99,27 +102,6 @@
     Ok(())
 }
 
-fn map_entry() -> RawEntry {
-    RawEntry {
-        name: "map".to_owned(),
-        owner: "trail".to_owned(),
-        class: "latency-critical".to_owned(),
-        millicores: 10,
-        memory_mb: 10,
-        accelerators: 0,
-        concurrency: Some(100_000),
-        rate_per_s: None,
-        queue: Some(10_000),
-        body_bytes: None,
-        idempotent: true,
-        deadline_ms: Some(5_000),
-        hold_ms: None,
-        max_failures: None,
-        priority: None,
-        retired: false,
-    }
-}
-
 async fn ask(address: SocketAddr, path: &str) -> Result<()> {
     ask_by(
         &awc::Client::builder().timeout(CALL_TIMEOUT).finish(),
--- a/crates/lapisdrum-load/src/takeover.rs
+++ b/crates/lapisdrum-load/src/takeover.rs
@@ -1,7 +1,7 @@
 //! `lapisdrum-load takeover`: time from an owner's death to the first task that its successor starts.
 
 use crate::{
-    ledger::small_batch,
+    entries,
     site::{Site, until},
     table,
 };
@@ -72,7 +72,9 @@
     };
     site.switch_workers(&switches).await?;
     let client = site.daemons[0].client();
-    client.put_entry(&small_batch("render"), None).await?;
+    client
+        .put_entry(&entries::small("render", "batch"), None)
+        .await?;
     let other = site.daemons[1].client();
     until("jobs are taken at both", LIMIT, async || {
         client.submit_job("render").await.is_ok() && other.submit_job("render").await.is_ok()
