Test of the hop: it waits until the hop is taken

Cause: requests::spill::a_data_centre_without_workers failed once under load (15 of 20 runs at the other data centre): its preparation waited for any run there, and the entry's first requests had run there already, while the asked daemon still had its own worker in its list. The check itself is unchanged. Change: the preparation waits for one more run there.

--- a/tests/testsuite/requests/spill.rs
+++ b/tests/testsuite/requests/spill.rs
@@ -14,8 +14,11 @@
         .borrow_mut()
         .retain(|host| is_left(&host.data_centre));
     wait::until("the other data centre serves", LIMIT, async || {
+        // The entry's first requests ran there too; only one more tells that the hop was taken.
+        let before = site.workers[0].runs().len();
         let asked = site.daemons[1].ask(entry_name, &[], "x").await;
-        asked.is_ok_and(|answer| answer.status.is_success()) && !site.workers[0].runs().is_empty()
+        let is_served = asked.is_ok_and(|answer| answer.status.is_success());
+        is_served && site.workers[0].runs().len() > before
     })
     .await;
     for worker in &site.workers {
