--- a/src/lapisdrum/platform/client.rs
+++ b/src/lapisdrum/platform/client.rs
@@ -10,7 +10,7 @@
     StatusCode,
     header::{ETAG, IF_NONE_MATCH},
 };
-use awc::Client;
+use awc::{Client, SendClientRequest};
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use std::{fmt, rc::Rc, time::Duration};
@@ -100,18 +100,9 @@
 
     async fn try_txn(&self, txn: &Txn) -> Result<TxnOutcome, PlatformError> {
         let url = format!("{}/table/txn", self.base);
-        let mut answer = self
-            .http
-            .post(url)
-            .send_json(&txn.clone().stamped(self.timeline.stamp()))
-            .await
-            .map_err(PlatformError::new)?;
-        let body = answer
-            .body()
-            .limit(MAX_ANSWER_BYTES)
-            .await
-            .map_err(PlatformError::new)?;
-        match answer.status() {
+        let txn = txn.clone().stamped(self.timeline.stamp());
+        let (status, body) = whole(self.http.post(url).send_json(&txn)).await?;
+        match status {
             StatusCode::OK => {
                 parse(&body).map(|done: TxnDone| TxnOutcome::Committed(done.versions))
             }
@@ -202,18 +193,8 @@
     }
 
     async fn fetch(&self, url: &str) -> Result<Option<Bytes>, PlatformError> {
-        let mut answer = self
-            .http
-            .get(url)
-            .send()
-            .await
-            .map_err(PlatformError::new)?;
-        let body = answer
-            .body()
-            .limit(MAX_ANSWER_BYTES)
-            .await
-            .map_err(PlatformError::new)?;
-        match answer.status() {
+        let (status, body) = whole(self.http.get(url).send()).await?;
+        match status {
             StatusCode::OK => Ok(Some(body)),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(PlatformError::new(status)),
@@ -221,6 +202,13 @@
     }
 }
 
+/// Waits for an answer and reads it whole.
+async fn whole(sent: SendClientRequest) -> Result<(StatusCode, Bytes), PlatformError> {
+    let mut answer = sent.await.map_err(PlatformError::new)?;
+    let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+    Ok((answer.status(), body.map_err(PlatformError::new)?))
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(PlatformError::new)
 }
--- a/tests/testsuite/policy/queueing.rs
+++ b/tests/testsuite/policy/queueing.rs
@@ -175,10 +175,8 @@
     assert_eq!(take(&mut queue, Millis(0)), Some("batch"));
 }
 
-/// One caller fills the entry's queue. Another caller's first request is not refused for it: the
-/// full queue gives up the hot caller's last, who is told at once.
-#[test]
-fn a_hot_caller_does_not_shut_others_out() {
+/// A queue of four places, all of them taken by the entry's caller 1.
+fn full_of_one_caller() -> Queue<u32> {
     let mut queue: Queue<u32> = Queue::default();
     for n in 0..4 {
         put(
@@ -191,6 +189,14 @@
             Millis(0),
         );
     }
+    queue
+}
+
+/// One caller fills the entry's queue. Another caller's first request is not refused for it: the
+/// full queue gives up the hot caller's last, who is told at once.
+#[test]
+fn a_hot_caller_does_not_shut_others_out() {
+    let mut queue = full_of_one_caller();
     let light = Item {
         bound: 4,
         ..item("map", 2)
@@ -213,18 +219,7 @@
 /// and no place is handed from one caller to another meanwhile.
 #[test]
 fn a_lowered_bound_holds_from_then_on() {
-    let mut queue: Queue<u32> = Queue::default();
-    for n in 0..4 {
-        put(
-            &mut queue,
-            Item {
-                bound: 4,
-                ..item("map", 1)
-            },
-            n,
-            Millis(0),
-        );
-    }
+    let mut queue = full_of_one_caller();
     let light = Item {
         bound: 2,
         ..item("map", 2)
