Left-over work goes where it presses least; loads and idle tails read right

Cause: the least tail of an image is an outlier of a rough figure, so all strains read 0.14 too high; loads took a third of the presses for their own; left-over tasks were sent where most headroom was, and took it from those that press everywhere.

Change: idle tail from a quantile; load learned where little presses; least press first, then headroom.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -20,7 +20,7 @@
 const SERVING_USE_PERCENT: u64 = 55;
 /// A left-over task is let in only if each serving task beside it stays this much below the strain at its
 /// target: the serving load rises by about as much before a tail tells of it.
-const MARGIN: f64 = 0.05;
+const MARGIN: f64 = 0.03;
 
 /// What kind of load a task is for its host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -121,6 +121,15 @@
         })
     }
 
+    /// The most that the task is expected to press on a serving task there.
+    fn press_of(&self, need: &Need, pressure: &Pressure) -> f64 {
+        let Some(presser) = self.presser(need) else {
+            return 0.0;
+        };
+        let press = |s: &Strained| pressure.cautious_press(s.victim.image, &presser);
+        self.serving.iter().map(press).fold(0.0, f64::max)
+    }
+
     /// What is left of the room below the targets of its serving tasks with the task; 1 where none serves.
     fn headroom_with(&self, need: &Need, pressure: &Pressure) -> f64 {
         let presser = self.presser(need);
@@ -188,9 +197,13 @@
     is_far: bool,
     squeezes: bool,
     strangers: usize,
+    press: u64,
     spare: u64,
 }
 
+/// Presses within this much of each other count as equal. A left-over task goes where it presses least,
+/// so that the hosts with headroom are kept for those that press everywhere.
+const PRESS_STEP: f64 = 0.03;
 /// Turns headroom into a whole number that sorts the largest first.
 const HEADROOM_SCALE: f64 = 1e6;
 
@@ -210,6 +223,7 @@
         is_far: need.data_rack.is_some() && need.data_rack != host.rack,
         squeezes: unused < need.size.millicores,
         strangers: strangers(need, host),
+        press: (host.press_of(need, pressure) / PRESS_STEP) as u64,
         spare,
     }
 }
--- a/src/lapisdrum/policy/dispatch/pressure.rs
+++ b/src/lapisdrum/policy/dispatch/pressure.rs
@@ -36,21 +36,29 @@
 const SLOPE_DRIFT: f64 = 0.0015;
 /// Variance of a measured strain: tails of tasks that ran alone scatter by 0.03, now and then by 0.1.
 const NOISE: f64 = 0.004;
-/// Variance added where something presses, from what the fit above left unexplained (0.1): presses move
-/// within seconds. A load is thereby learned from tasks that nothing presses, and not from the others.
-const PRESSED_NOISE: f64 = 0.01;
+/// Scatter of a press relative to itself: presses move within seconds, and the fit above left a strain of
+/// 0.1 unexplained where some 0.15 was added. A load is thereby learned from tasks that nothing presses
+/// much; learned from the others too, it took a third of the presses for load.
+const PRESS_SCATTER: f64 = 0.7;
+/// Steepest slope of a load that is believed, a second.
+const STEEPEST: f64 = 0.12;
 /// Loads are told within these bounds: what an extrapolation says beyond them is its error.
 const LOAD_BOUNDS: (f64, f64) = (0.1, 0.72);
 /// A tail tells of this long ago on average: it is measured over half a second and comes with a look.
 const TAIL_AGE: f64 = 0.15;
 /// A tail is at least this part of its target when nothing presses, until smaller ones were seen.
 const FIRST_BASE: f64 = 0.2;
-/// The least tail seen is this much above the base: no task is ever quite idle.
+/// Strain of a task at its idlest: no task is ever quite idle.
 const IDLE_STRAIN: f64 = 0.22;
+/// The idle tail is taken for this quantile of an image's tails. Their least is an outlier of the rough
+/// figure, at half of the idle tail, and read all loads too high by 0.14.
+const IDLE_QUANTILE: f64 = 0.04;
+/// Part by which one tail moves the estimate of that quantile: it settles within some 200 tails.
+const IDLE_STEP: f64 = 0.02;
 /// A strain beyond this reads as full; the tail no longer tells by how much.
 const FULL: f64 = 0.95;
 /// Standard deviations that are added to a press where it decides whether a task is let in.
-const CAUTION: f64 = 0.4;
+const CAUTION: f64 = 0.2;
 
 /// A mean with its variance.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -127,7 +135,7 @@
         let (level, both, slope) = self.doubt;
         let (by_level, by_slope) = (level / total, both / total);
         self.level = (self.level + by_level * unexplained).clamp(0.0, 1.0);
-        self.slope += by_slope * unexplained;
+        self.slope = (self.slope + by_slope * unexplained).clamp(-STEEPEST, STEEPEST);
         self.doubt = (
             level * (1.0 - by_level),
             both * (1.0 - by_level),
@@ -159,8 +167,8 @@
     images: IndexSet<String>,
     /// By victim, then by presser.
     pairs: Vec<Vec<Option<Pair>>>,
-    /// The least tail seen of each image, in milliseconds.
-    least_tail: Vec<Option<f64>>,
+    /// The tail of each image at its idlest, in milliseconds.
+    idle_tail: Vec<Option<f64>>,
 }
 
 impl Pressure {
@@ -208,7 +216,7 @@
 
     /// Learns from a victim's tail, measured beside these.
     pub fn note(&mut self, victim: &mut Victim, beside: &[Presser], tail_ms: f64, now: Millis) {
-        self.note_least(victim.image, tail_ms);
+        self.note_idle(victim, tail_ms);
         let Some(strain) = self.strain_of(victim, tail_ms) else {
             return;
         };
@@ -218,18 +226,15 @@
             .map(|p| self.aged_pair(victim.image, p.image, now))
             .collect();
         let pressed = beside.iter().zip(&pairs).map(|(p, g)| p.share * g.mean);
-        let unexplained = strain - victim.load.level - pressed.sum::<f64>();
+        let pressed = pressed.sum::<f64>();
+        let unexplained = strain - victim.load.level - pressed;
         if strain >= FULL && unexplained < 0.0 {
             return;
         }
         let doubt = beside.iter().zip(&pairs);
         let doubt = doubt.map(|(p, g)| p.share * p.share * g.variance);
-        let pressed_noise = if beside.is_empty() {
-            0.0
-        } else {
-            PRESSED_NOISE
-        };
-        let total = victim.load.doubt.0 + doubt.sum::<f64>() + NOISE + pressed_noise;
+        let scatter = PRESS_SCATTER * pressed;
+        let total = victim.load.doubt.0 + doubt.sum::<f64>() + NOISE + scatter * scatter;
         victim.load.correct(unexplained, total);
         for (presser, mut guess) in beside.iter().zip(pairs) {
             let gain = guess.variance * presser.share / total;
@@ -239,23 +244,27 @@
         }
     }
 
+    /// The tail of a task without any strain.
     fn base(&self, victim: &Victim) -> f64 {
-        let seen = self.least_tail.get(victim.image.0 as usize);
+        let seen = self.idle_tail.get(victim.image.0 as usize);
         let first = victim.target_ms * FIRST_BASE;
-        seen.copied().flatten().map_or(first, |least| {
-            (least * (1.0 - IDLE_STRAIN)).min(victim.target_ms / 2.0)
+        seen.copied().flatten().map_or(first, |idle| {
+            (idle * (1.0 - IDLE_STRAIN)).min(victim.target_ms / 2.0)
         })
     }
 
-    fn note_least(&mut self, image: Image, tail_ms: f64) {
-        let at = image.0 as usize;
-        if self.least_tail.len() <= at {
-            self.least_tail.resize(at + 1, None);
+    fn note_idle(&mut self, victim: &Victim, tail_ms: f64) {
+        if tail_ms <= 0.0 {
+            return;
         }
-        let least = &mut self.least_tail[at];
-        if tail_ms > 0.0 && least.is_none_or(|least| tail_ms < least) {
-            *least = Some(tail_ms);
+        let first = self.base(victim) / (1.0 - IDLE_STRAIN);
+        let at = victim.image.0 as usize;
+        if self.idle_tail.len() <= at {
+            self.idle_tail.resize(at + 1, None);
         }
+        let idle = self.idle_tail[at].get_or_insert(first);
+        let is_below = f64::from(u8::from(tail_ms < *idle));
+        *idle *= 1.0 + IDLE_STEP * (IDLE_QUANTILE - is_below);
     }
 
     fn known_pair(&self, victim: Image, presser: Image) -> Option<Pair> {
--- a/src/lapisdrum/policy/dispatch/relief.rs
+++ b/src/lapisdrum/policy/dispatch/relief.rs
@@ -13,7 +13,7 @@
 /// Relief is due this far below the strain at the target, or above it.
 const DUE_BELOW: f64 = 0.0;
 /// Relief goes on until the strain expected is this far below the one at the target.
-const DONE_BELOW: f64 = 0.05;
+const DONE_BELOW: f64 = 0.02;
 /// A pace below this, in hundredths, holds a job up more than a move does.
 const LEAST_PACE: u32 = 40;
 /// Paces are set in steps of this, so that small swings cost no orders.
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -29,7 +29,7 @@
 const SHOWN_WHOLLY: Duration = Duration::from_millis(900);
 /// A placement looks this far ahead, where the serving load rises: most left-over tasks run for a second
 /// or two, and one that came just before a peak would have to move.
-const PLACED_AHEAD: Duration = Duration::from_millis(900);
+const PLACED_AHEAD: Duration = Duration::from_millis(800);
 /// Once something gave way on a host, no other left-over task is sent there for this long: its tails
 /// still tell of before.
 const CLOSED_AFTER_RELIEF: Duration = Duration::from_millis(800);
