--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -225,7 +225,8 @@
         Ok(())
     }
 
-    /// An end of a run that isn't live is a repeat and changes nothing.
+    /// An end of a run that isn't live is a repeat and changes nothing, but for one as done: a run that was
+    /// given up on a worker that was cut off may have done its work there, and it needn't be done again.
     fn end(
         &mut self,
         run: &RunId,
@@ -242,7 +243,9 @@
             .steps
             .get(usize::from(id.step))
             .ok_or(Misplaced::Task(id))?;
-        if !job.take_live(run) {
+        let was_live = job.take_live(run);
+        let is_late_work = how == RunEnd::Done && job.is_open(run);
+        if !was_live && !is_late_work {
             return Ok(());
         }
         if let Some(checkpoint) = checkpoint {
@@ -341,6 +344,13 @@
         occurrence.steps.get_mut(usize::from(id.step))
     }
 
+    /// Whether the task of a run that was placed is still to be done.
+    fn is_open(&self, run: &RunId) -> bool {
+        let step = self.step(&run.task.step_id());
+        let task = step.and_then(|step| step.tasks.get(run.task.index as usize));
+        task.is_some_and(|task| !task.is_done && run.run <= task.last_run)
+    }
+
     /// Takes a run off the live ones; false when it was none.
     fn take_live(&mut self, run: &RunId) -> bool {
         let Some(step) = self.step_mut(&run.task.step_id()) else {
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -9,7 +9,7 @@
         Cx,
         edge::{OrderEnd, Refusal, StartOrder},
         event::{Event, Loss, RunId, WorkerLife},
-        job::{JobId, Step},
+        job::{JobId, Step, TaskId},
         journal::{AppendEnd, Ticket},
         ledger::Phase,
         settle::{LeaseBound, Order, RunKnowledge, Stop},
@@ -243,7 +243,8 @@
         let is_same_life = session.claimed_life == Some(on.born);
         let address = session.report.as_ref()?.address.clone();
         let end = session.lease_end(now)?;
-        is_same_life.then_some((address, end))
+        let is_heard = session.silent_since.is_none();
+        (is_same_life && is_heard).then_some((address, end))
     })??;
     let ledger = owner.ledger.borrow();
     let job = ledger.jobs.get(&run.task.job)?;
@@ -273,6 +274,24 @@
     }
 }
 
+/// Stops what still runs of a task that is done: copies, and runs begun after one was given up that had
+/// done its work.
+pub fn stop_copies(cx: &Cx, owner: &Rc<Owner>, task: &TaskId) {
+    let ledger = owner.ledger.borrow();
+    let done = ledger.task(task).filter(|task| task.is_done);
+    let live = done.into_iter().flat_map(|task| &task.live);
+    let runs: Vec<RunId> = live
+        .map(|live| RunId {
+            task: *task,
+            run: live.number,
+        })
+        .collect();
+    drop(ledger);
+    for run in runs {
+        order_stop(cx, owner, run, "the task is done");
+    }
+}
+
 /// Orders a run to be stopped, until the worker confirms it or the run is over.
 pub fn order_stop(cx: &Cx, owner: &Rc<Owner>, run: RunId, why: &'static str) {
     let before = owner.record(&run, |record| {
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -131,6 +131,15 @@
         }
     }
 
+    /// Up to which number the worker may forget ends. A worker that starts again under its id numbers its
+    /// ends from 1: after a silence it may be in a new life, and forget ends there that nobody has read.
+    pub fn ackable(&self) -> u64 {
+        match self.silent_since {
+            Some(_) => 0,
+            None => self.acked_upto,
+        }
+    }
+
     /// The end of a lease that is sent at `now`; none before the worker's clock was read.
     pub fn lease_end(&self, now: Millis) -> Option<WorkerMillis> {
         let (clock, read_at) = self.clock?;
@@ -142,13 +151,13 @@
         self.leased_at.is_none_or(|at| now.since(at) >= RENEW_AFTER)
     }
 
-    /// Notes a reading of its clock.
+    /// Notes a reading of its clock. An answer to an order ends no silence: a new life under the same id
+    /// answers it too.
     pub fn note_clock(&mut self, clock: WorkerMillis, now: Millis) {
         let is_newer = self.clock.is_none_or(|(known, _)| clock > known);
         if is_newer {
             self.clock = Some((clock, now));
         }
-        self.silent_since = None;
     }
 
     /// Whether tasks have failed on it lately, and only there.
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -104,7 +104,7 @@
     };
     let order = LookOrder {
         token: owner.token(),
-        acked_upto: owner.session(worker, |s| s.acked_upto).unwrap_or_default(),
+        acked_upto: owner.session(worker, |s| s.ackable()).unwrap_or_default(),
         lease_until,
         wait,
     };
@@ -219,6 +219,7 @@
         }
         let was_silent_ms = session.silent_ms(now);
         session.note_clock(lists.clock, now);
+        session.silent_since = None;
         let is_newest = lists.clock >= session.listed_at;
         if is_newest {
             session.listed_at = lists.clock;
@@ -249,13 +250,12 @@
     let at_unix_ms = cx.unix_ms();
     let mut events = Vec::new();
     for end in ended {
-        let is_here =
-            |record: &RunRecord| record.on.worker == worker && record.on.born == life.born;
+        let is_here = |record: &RunRecord| record.on.worker == worker;
         let is_known = owner.runs.borrow().get(&end.run).is_some_and(is_here);
-        if !is_known {
+        if !is_known && end.how != RunEnd::Done {
             continue;
         }
-        let record = owner.remove_run(&end.run);
+        let record = is_known.then(|| owner.remove_run(&end.run)).flatten();
         if let Some(record) = &record {
             super::strain::note_departure(owner, worker, record, now);
         }
@@ -269,6 +269,9 @@
     }
     let jobs: IndexSet<_> = events.iter().filter_map(job_of).collect();
     let ticket = owner.propose(cx, events);
+    for end in ended.iter().filter(|end| end.how == RunEnd::Done) {
+        runs::stop_copies(cx, owner, &end.run.task);
+    }
     for job in jobs {
         owner.note_if_over(cx, job);
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod process;
 mod properties;
 mod requests;
+mod sched;
 mod settings;
 mod support;
 mod timeline;
--- /dev/null
+++ b/tests/testsuite/sched/faults.rs
@@ -0,0 +1,346 @@
+//! The real owner against a store and workers that fail by script.
+
+use super::{
+    paused,
+    world::{StoreMood, WorkerMood, World, owned, step, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{
+    job::{JobId, TaskId},
+    peer::{CancelReply, JobState, SubmitReply},
+};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn task(job: u64, step: u16, index: u32) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+/// A caller hands in three steps, the last after both others. Each task runs once, in order, and the
+/// caller sees the job completed; a repeat of the hand-in finds it.
+#[test]
+fn a_graph_runs_in_order_and_once() {
+    paused(async {
+        let world = World::new(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let steps = vec![step(3, 400, &[]), step(2, 300, &[]), step(2, 200, &[0, 1])];
+        let began = Instant::now();
+        assert_matches!(
+            world.submit(&cx, 1, steps.clone()).await,
+            SubmitReply::Accepted
+        );
+        assert_matches!(world.submit(&cx, 1, steps).await, SubmitReply::Accepted);
+        until("the job is completed", LIMIT, async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        assert!(
+            began.elapsed() < Duration::from_millis(1_100),
+            "{:?}",
+            began.elapsed()
+        );
+        assert_eq!(world.starts.borrow().len(), 7);
+        world.check();
+    });
+}
+
+/// The store does what it is asked and loses its answers. A caller is told that nobody knows; the repeat is
+/// told that the job is accepted, and it runs once.
+#[test]
+fn a_hand_in_whose_answer_is_lost_is_one_job() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        world.set_store("a", StoreMood::LosesAnswers);
+        let first = world.submit(&cx, 1, vec![step(1, 100, &[])]).await;
+        world.set_store("a", StoreMood::Up);
+        assert!(
+            matches!(first, SubmitReply::Unknown | SubmitReply::Accepted),
+            "{first:?}"
+        );
+        until("the repeat is accepted", LIMIT, async || {
+            let again = world.submit(&cx, 1, vec![step(1, 100, &[])]).await;
+            matches!(again, SubmitReply::Accepted)
+        })
+        .await;
+        until("the job is completed", LIMIT, async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        assert_eq!(world.starts_of(&task(1, 0, 0)), 1);
+        world.check();
+    });
+}
+
+/// The store is away. The first caller waits for the row and is told that nobody knows; the next ones are
+/// refused within milliseconds, since their jobs were not even proposed. What runs goes on running.
+#[test]
+fn hand_ins_are_refused_at_once_while_the_store_is_away() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let long = vec![step(1, 9_000, &[])];
+        assert_matches!(world.submit(&cx, 1, long).await, SubmitReply::Accepted);
+        until("the task runs", LIMIT, async || world.running().len() == 1).await;
+        world.set_store("a", StoreMood::Away);
+        let waited = world.submit(&cx, 2, vec![step(1, 100, &[])]).await;
+        assert_matches!(waited, SubmitReply::Unknown);
+        let began = Instant::now();
+        let refused = world.submit(&cx, 3, vec![step(1, 100, &[])]).await;
+        assert_matches!(refused, SubmitReply::Busy(_));
+        assert!(began.elapsed() < Duration::from_millis(20));
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(world.running().len(), 1, "a short outage stops nothing");
+        world.set_store("a", StoreMood::Up);
+        until("the job is completed", Duration::from_secs(8), async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        until("so is the one in doubt", LIMIT, async || {
+            world.state(&cx, 2).await == Some(JobState::Completed)
+        })
+        .await;
+        assert_eq!(world.state(&cx, 3).await, None, "a refusal is final");
+        world.check();
+    });
+}
+
+/// A worker leaves an order to start unanswered and carries it out two seconds later. Meanwhile the task
+/// has been stopped there and started elsewhere; the late order must not double it.
+#[test]
+fn an_order_that_is_carried_out_late_doubles_nothing() {
+    paused(async {
+        let world = World::new(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.set_mood("w0", WorkerMood::Late(Duration::from_secs(2)));
+        world.set_mood("w1", WorkerMood::Late(Duration::from_secs(2)));
+        let submitted = world.submit(&cx, 1, vec![step(1, 4_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        sleep(Duration::from_millis(800)).await;
+        world.set_mood("w0", WorkerMood::Prompt);
+        world.set_mood("w1", WorkerMood::Prompt);
+        until("the job is completed", Duration::from_secs(9), async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// An order is on its way to a worker that crashes and starts again under its id. The new life knows
+/// neither token nor stopped runs, so the late order would be carried out there too.
+#[test]
+fn a_late_order_to_a_reborn_worker_doubles_nothing() {
+    paused(async {
+        let world = World::new(1);
+        world.orders_outlive_crashes.set(true);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.set_mood("w0", WorkerMood::Late(Duration::from_secs(3)));
+        let submitted = world.submit(&cx, 1, vec![step(1, 5_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        sleep(Duration::from_millis(100)).await;
+        world.crash("w0");
+        sleep(Duration::from_millis(900)).await;
+        world.set_mood("w0", WorkerMood::Prompt);
+        world.revive("w0");
+        world.add_worker("w1");
+        until(
+            "the job is completed",
+            Duration::from_secs(20),
+            async || world.state(&cx, 1).await == Some(JobState::Completed),
+        )
+        .await;
+        world.check();
+    });
+}
+
+/// A worker is cut off and runs on under its lease. Its task is started elsewhere only once that has run
+/// out, and not much later.
+#[test]
+fn a_task_on_a_worker_that_is_cut_off_waits_for_its_lease() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let submitted = world.submit(&cx, 1, vec![step(1, 60_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("it runs", LIMIT, async || world.running_on("w0").len() == 1).await;
+        sleep(Duration::from_secs(3)).await;
+        world.add_worker("w1");
+        let cut_at = Instant::now();
+        world.cut("w0", true);
+        until("it runs elsewhere", Duration::from_secs(12), async || {
+            world.running_on("w1").len() == 1
+        })
+        .await;
+        let took = cut_at.elapsed();
+        assert!(took < Duration::from_millis(8_500), "{took:?}");
+        world.check();
+    });
+}
+
+/// A worker crashes and starts again. Its tasks are started again as soon as its new life answers, without
+/// waiting for any lease.
+#[test]
+fn tasks_of_a_reborn_worker_start_again_at_once() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let submitted = world.submit(&cx, 1, vec![step(2, 3_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("they run", LIMIT, async || world.running().len() == 2).await;
+        sleep(Duration::from_millis(500)).await;
+        world.crash("w0");
+        sleep(Duration::from_millis(1_500)).await;
+        world.revive("w0");
+        let began = Instant::now();
+        until("they run again", LIMIT, async || world.running().len() == 2).await;
+        assert!(
+            began.elapsed() < Duration::from_millis(2_500),
+            "{:?}",
+            began.elapsed()
+        );
+        world.check();
+    });
+}
+
+/// The store turns the owner away and serves another daemon, which takes over. Running tasks run on, the
+/// earlier owner's orders are refused, and every job is completed once.
+#[test]
+fn a_take_over_interrupts_and_doubles_nothing() {
+    paused(async {
+        let world = World::new(3);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        for job in 1..=3 {
+            let submitted = world
+                .submit(&first, job, vec![step(2, 6_000, &[]), step(1, 200, &[0])])
+                .await;
+            assert_matches!(submitted, SubmitReply::Accepted);
+        }
+        until("they run", LIMIT, async || world.running().len() == 6).await;
+        world.set_store("a", StoreMood::Away);
+        owned(&second, LIMIT).await;
+        for job in 1..=3 {
+            until("it is completed", Duration::from_secs(10), async || {
+                world.state(&second, job).await == Some(JobState::Completed)
+            })
+            .await;
+        }
+        assert_eq!(world.starts.borrow().len(), 9, "nothing was started twice");
+        world.set_store("a", StoreMood::Up);
+        until("the first one knows", LIMIT, async || {
+            first.owner.borrow().is_none()
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// A caller cancels a job and is told so; the owner is turned away before its stops are sent. Whoever takes
+/// over must stop the tasks, which it would renew for ever otherwise.
+#[test]
+fn a_cancel_outlives_its_owner() {
+    paused(async {
+        let world = World::new(1);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        let submitted = world.submit(&first, 1, vec![step(2, 60_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("it runs", LIMIT, async || world.running().len() == 2).await;
+        world.cut("w0", true);
+        assert_matches!(world.cancel(&first, 1).await, CancelReply::Done);
+        world.set_store("a", StoreMood::Away);
+        owned(&second, LIMIT).await;
+        world.cut("w0", false);
+        until("the tasks are gone", LIMIT, async || {
+            world.running().is_empty()
+        })
+        .await;
+        assert_eq!(world.state(&second, 1).await, Some(JobState::Cancelled));
+        world.check();
+    });
+}
+
+/// A worker says that it is leaving: no task is sent there from a second after.
+#[test]
+fn a_leaving_worker_gets_no_task() {
+    paused(async {
+        let world = World::new(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.leave("w0");
+        sleep(Duration::from_secs(1)).await;
+        for job in 1..=4 {
+            world.submit(&cx, job, vec![step(1, 100, &[])]).await;
+        }
+        sleep(Duration::from_secs(1)).await;
+        let starts = world.starts.borrow();
+        assert_eq!(starts.len(), 4);
+        assert!(
+            starts.iter().all(|(_, _, worker)| worker == "w1"),
+            "{starts:?}"
+        );
+    });
+}
+
+/// A job whose tasks fail wherever they run is given up after as many attempts as its queue allows.
+#[test]
+fn a_job_that_can_only_fail_is_given_up() {
+    paused(async {
+        let world = World::new(3);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        world.let_fail(JobId(1));
+        world.submit(&cx, 1, vec![step(1, 200, &[])]).await;
+        until("it is failed", LIMIT, async || {
+            world.state(&cx, 1).await == Some(JobState::Failed)
+        })
+        .await;
+        assert_eq!(world.starts_of(&task(1, 0, 0)), 2);
+    });
+}
+
+/// A burst of events shares rows: a hundred jobs cost the store some fifty calls a second and not one an
+/// event.
+#[test]
+fn a_burst_shares_rows() {
+    paused(async {
+        let world = World::new(4);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let before = world.commits();
+        let began = Instant::now();
+        let submits = (1..=100).map(|job| world.submit(&cx, job, vec![step(1, 50, &[])]));
+        let replies = futures::future::join_all(submits).await;
+        assert!(replies.iter().all(|reply| *reply == SubmitReply::Accepted));
+        until("all are completed", LIMIT, async || {
+            world.state(&cx, 100).await == Some(JobState::Completed)
+        })
+        .await;
+        let (calls, took) = (world.commits() - before, began.elapsed().as_secs_f64());
+        assert!(
+            (calls as f64) < 60.0 * took + 5.0,
+            "{calls} calls in {took} s"
+        );
+        world.check();
+    });
+}
--- /dev/null
+++ b/tests/testsuite/sched/ledger.rs
@@ -0,0 +1,254 @@
+//! What a shard remembers: which events fit, and what they add up to.
+
+use super::world::{step, terms};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{
+    event::{Event, Loss, RunEnd, RunId, WorkerLife},
+    job::{Gang, InvalidJob, JobId, JobSpec, RawJob, RunNumber, Schedule, Step, TaskId},
+    ledger::{Ledger, Misplaced, Phase},
+};
+use proptest::prelude::*;
+use std::rc::Rc;
+
+fn spec(steps: Vec<Step>) -> Rc<JobSpec> {
+    let raw = RawJob {
+        payload: "work".to_owned(),
+        steps,
+        schedule: None,
+    };
+    Rc::new(JobSpec::try_from(raw).expect("a good job"))
+}
+
+fn with_job(spec: Rc<JobSpec>) -> Ledger {
+    let mut ledger = Ledger::default();
+    let accepted = Event::Accepted {
+        job: JobId(1),
+        spec,
+        terms: terms(),
+        at_unix_ms: 1_000,
+    };
+    ledger.apply(&accepted).expect("it is new");
+    assert_eq!(ledger.apply(&accepted), Err(Misplaced::Job(JobId(1))));
+    ledger
+}
+
+fn run(step: u16, index: u32, run: u32) -> RunId {
+    RunId {
+        task: TaskId {
+            job: JobId(1),
+            occurrence: 0,
+            step,
+            index,
+        },
+        run: RunNumber(run),
+    }
+}
+
+fn placed(run: RunId) -> Event {
+    Event::Placed {
+        run,
+        on: WorkerLife {
+            worker: "w0".to_owned(),
+            born: 1,
+        },
+    }
+}
+
+fn ended(run: RunId, how: RunEnd) -> Event {
+    Event::Ended {
+        run,
+        how,
+        checkpoint: None,
+        at_unix_ms: 2_000,
+    }
+}
+
+#[test]
+fn a_step_waits_for_the_ones_before_it() {
+    let mut ledger = with_job(spec(vec![step(1, 10, &[]), step(1, 10, &[0])]));
+    let early = ledger.apply(&placed(run(1, 0, 1)));
+    assert_eq!(early, Err(Misplaced::Task(run(1, 0, 1).task)));
+    ledger.apply(&placed(run(0, 0, 1))).expect("it may begin");
+    ledger
+        .apply(&ended(run(0, 0, 1), RunEnd::Done))
+        .expect("it ran");
+    ledger
+        .apply(&placed(run(1, 0, 1)))
+        .expect("its turn has come");
+    ledger
+        .apply(&ended(run(1, 0, 1), RunEnd::Done))
+        .expect("it ran");
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Completed);
+}
+
+#[test]
+fn a_task_has_one_live_run_and_rising_numbers() {
+    let mut ledger = with_job(spec(vec![step(1, 10, &[])]));
+    ledger.apply(&placed(run(0, 0, 1))).expect("the first run");
+    assert_matches!(ledger.apply(&placed(run(0, 0, 2))), Err(Misplaced::Run(_)));
+    let lost = Event::Lost {
+        run: run(0, 0, 1),
+        why: Loss::Lapsed,
+    };
+    ledger.apply(&lost).expect("it was live");
+    assert_matches!(ledger.apply(&placed(run(0, 0, 1))), Err(Misplaced::Run(_)));
+    ledger
+        .apply(&placed(run(0, 0, 2)))
+        .expect("a greater number");
+    ledger
+        .apply(&ended(run(0, 0, 2), RunEnd::Done))
+        .expect("it ran");
+    assert_matches!(ledger.apply(&placed(run(0, 0, 3))), Err(_));
+}
+
+#[test]
+fn failures_are_counted_to_the_queues_attempts() {
+    let mut ledger = with_job(spec(vec![step(1, 10, &[])]));
+    for number in 1..=2 {
+        assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Active);
+        ledger
+            .apply(&placed(run(0, 0, number)))
+            .expect("an attempt is left");
+        ledger
+            .apply(&ended(run(0, 0, number), RunEnd::Failed))
+            .expect("it ran");
+    }
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Failed);
+}
+
+#[test]
+fn a_gang_is_done_with_its_first_member() {
+    let gang = Step {
+        gang: Gang::AnyRack,
+        ..step(3, 10, &[])
+    };
+    let mut ledger = with_job(spec(vec![gang]));
+    for index in 0..3 {
+        ledger
+            .apply(&placed(run(0, index, 1)))
+            .expect("all are placed");
+    }
+    ledger
+        .apply(&ended(run(0, 1, 1), RunEnd::Done))
+        .expect("it ran");
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Completed);
+}
+
+#[test]
+fn a_long_running_task_is_never_done() {
+    let lasting = Step {
+        is_long_running: true,
+        ..step(1, 0, &[])
+    };
+    let mut ledger = with_job(spec(vec![lasting]));
+    for number in 1..=5 {
+        ledger
+            .apply(&placed(run(0, 0, number)))
+            .expect("it starts again");
+        let how = if number % 2 == 0 {
+            RunEnd::Done
+        } else {
+            RunEnd::Failed
+        };
+        ledger
+            .apply(&ended(run(0, 0, number), how))
+            .expect("it ran");
+    }
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Active);
+}
+
+#[test]
+fn raw_jobs_are_checked() {
+    let check = |steps: Vec<Step>| {
+        JobSpec::try_from(RawJob {
+            payload: String::new(),
+            steps,
+            schedule: None,
+        })
+    };
+    assert_eq!(check(vec![]), Err(InvalidJob::Steps(0)));
+    assert_matches!(
+        check(vec![step(0, 1, &[])]),
+        Err(InvalidJob::Tasks { step: 0, count: 0 })
+    );
+    assert_matches!(
+        check(vec![step(1, 1, &[0])]),
+        Err(InvalidJob::After { step: 0, names: 0 })
+    );
+    assert_matches!(
+        check(vec![step(1, 1, &[]), step(1, 1, &[3])]),
+        Err(InvalidJob::After { .. })
+    );
+}
+
+/// A graph in which thirty steps each come after all before has more chains than could be walked one by
+/// one while a caller waits.
+#[test]
+fn the_longest_chain_of_a_dense_graph_is_found_at_once() {
+    let steps = (0..30_u16).map(|at| step(1, 10, &(0..at).collect::<Vec<_>>()));
+    assert_eq!(spec(steps.collect()).longest_chain_ms(), 300);
+}
+
+#[test]
+fn occurrences_fall_due_one_interval_after_the_other() {
+    let raw = RawJob {
+        payload: String::new(),
+        steps: vec![step(1, 10, &[])],
+        schedule: Some(Schedule {
+            first_unix_ms: 5_000,
+            interval_ms: 2_000,
+            times: 3,
+        }),
+    };
+    let spec = JobSpec::try_from(raw).expect("a good job");
+    assert_eq!(spec.occurrences(), 3);
+    assert_eq!(spec.due_unix_ms(2), Some(9_000));
+}
+
+/// Any event, fitting or not.
+fn any_event() -> impl Strategy<Value = Event> {
+    let any_run = (0..2_u16, 0..2_u32, 1..5_u32).prop_map(|(s, i, r)| run(s, i, r));
+    let any_how = prop_oneof![
+        Just(RunEnd::Done),
+        Just(RunEnd::Failed),
+        Just(RunEnd::Stopped),
+        Just(RunEnd::Lapsed)
+    ];
+    prop_oneof![
+        4 => any_run.clone().prop_map(placed),
+        3 => (any_run.clone(), any_how).prop_map(|(run, how)| ended(run, how)),
+        2 => any_run.prop_map(|run| Event::Lost { run, why: Loss::NotThere }),
+    ]
+}
+
+proptest! {
+    /// Whatever is proposed in whatever order: a task never has two live runs, its numbers rise, a done
+    /// task isn't placed again, the counts of a step are those of its tasks, and a replay of what was
+    /// taken gives the same state.
+    #[test]
+    fn any_events_keep_the_invariants(events in prop::collection::vec(any_event(), 0..60)) {
+        let two = spec(vec![step(2, 10, &[]), step(2, 10, &[0])]);
+        let mut ledger = with_job(Rc::clone(&two));
+        let mut replayed = ledger.clone();
+        for event in &events {
+            let before = ledger.clone();
+            match ledger.apply(event) {
+                Ok(()) => replayed.apply(event).expect("it fits the replay too"),
+                Err(_) => prop_assert_eq!(&before.jobs[&JobId(1)].phase, &ledger.jobs[&JobId(1)].phase),
+            }
+            for occurrence in ledger.jobs[&JobId(1)].occurrences.values() {
+                for step in &occurrence.steps {
+                    let done = step.tasks.iter().filter(|t| t.is_done).count();
+                    let running = step.tasks.iter().filter(|t| !t.is_done && !t.live.is_empty());
+                    prop_assert_eq!(step.done as usize, done);
+                    prop_assert_eq!(step.running as usize, running.count());
+                    prop_assert!(step.tasks.iter().all(|t| t.live.len() <= 1));
+                }
+            }
+        }
+        prop_assert_eq!(&ledger, &replayed);
+        let text = serde_json::to_vec(&ledger).expect("a text form");
+        let read: Ledger = serde_json::from_slice(&text).expect("it is read back");
+        prop_assert_eq!(read, ledger);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/sched/mod.rs
@@ -0,0 +1,18 @@
+//! The scheduler of job graphs: its pure parts, and the real owner in a world of scripted faults.
+
+mod faults;
+mod ledger;
+mod random;
+mod settle;
+mod strain;
+mod world;
+
+/// Runs a test under a paused clock that jumps to the next timer whenever nothing else is to be done.
+fn paused(test: impl Future<Output = ()>) {
+    let runtime = || {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        builder.enable_all().start_paused(true);
+        builder.build().expect("a runtime")
+    };
+    actix_rt::System::with_tokio_rt(runtime).block_on(test);
+}
--- /dev/null
+++ b/tests/testsuite/sched/random.rs
@@ -0,0 +1,182 @@
+//! The real owner under faults drawn at random: whatever comes, no task runs twice at once, none is
+//! started after its end was taken, no worker is overcommitted, and every accepted job is completed once
+//! the faults are over.
+
+use super::{
+    paused,
+    world::{StoreMood, WorkerMood, World, owned, step, until},
+};
+use lapisdrum::sched::{
+    Cx,
+    peer::{JobState, SubmitReply},
+};
+use proptest::prelude::*;
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+/// Time for everything to be completed after the last fault.
+const AFTERWARDS: Duration = Duration::from_secs(60);
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Cut(usize),
+    Join(usize),
+    Crash(usize),
+    Revive(usize),
+    Late(usize, u64),
+    Prompt(usize),
+    TurnAway(usize),
+    LoseAnswers(usize),
+    Serve(usize),
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..3_usize).prop_map(Fault::Cut),
+        (0..3_usize).prop_map(Fault::Join),
+        (0..3_usize).prop_map(Fault::Crash),
+        (0..3_usize).prop_map(Fault::Revive),
+        (0..3_usize, 1_000..11_000_u64).prop_map(|(w, ms)| Fault::Late(w, ms)),
+        (0..3_usize).prop_map(Fault::Prompt),
+        (0..2_usize).prop_map(Fault::TurnAway),
+        (0..2_usize).prop_map(Fault::LoseAnswers),
+        (0..2_usize).prop_map(Fault::Serve),
+    ]
+}
+
+struct Play {
+    world: Rc<World>,
+    daemons: Vec<Cx>,
+    dead: [bool; 3],
+}
+
+impl Play {
+    fn strike(&mut self, fault: &Fault) {
+        let worker = |at: &usize| format!("w{at}");
+        let daemon = |at: &usize| ["a", "b"][*at];
+        match fault {
+            Fault::Cut(w) => self.world.cut(&worker(w), true),
+            Fault::Join(w) => self.world.cut(&worker(w), false),
+            Fault::Crash(w) => {
+                self.dead[*w] = true;
+                self.world.crash(&worker(w));
+            }
+            Fault::Revive(w) => self.revive(*w),
+            Fault::Late(w, ms) => {
+                let late = WorkerMood::Late(Duration::from_millis(*ms));
+                self.world.set_mood(&worker(w), late);
+            }
+            Fault::Prompt(w) => self.world.set_mood(&worker(w), WorkerMood::Prompt),
+            Fault::TurnAway(d) => self.world.set_store(daemon(d), StoreMood::Away),
+            Fault::LoseAnswers(d) => self.world.set_store(daemon(d), StoreMood::LosesAnswers),
+            Fault::Serve(d) => self.world.set_store(daemon(d), StoreMood::Up),
+        }
+    }
+
+    fn revive(&mut self, at: usize) {
+        if std::mem::take(&mut self.dead[at]) {
+            self.world.revive(&format!("w{at}"));
+        }
+    }
+
+    fn heal(&mut self) {
+        for at in 0..3 {
+            self.revive(at);
+            self.world.cut(&format!("w{at}"), false);
+            self.world.set_mood(&format!("w{at}"), WorkerMood::Prompt);
+        }
+        for daemon in ["a", "b"] {
+            self.world.set_store(daemon, StoreMood::Up);
+        }
+    }
+
+    fn owner(&self) -> Option<Cx> {
+        let is_owner = |cx: &&Cx| {
+            let owner = cx.owner.borrow();
+            owner.as_ref().is_some_and(|owner| owner.is_recovered())
+        };
+        self.daemons.iter().find(is_owner).cloned()
+    }
+}
+
+async fn play(faults: Vec<(u64, Fault)>) {
+    let world = World::new(3);
+    let daemons = vec![world.daemon("a"), world.daemon("b")];
+    let mut play = Play {
+        world: Rc::clone(&world),
+        daemons,
+        dead: [false; 3],
+    };
+    until("somebody owns the shard", AFTERWARDS, async || {
+        play.owner().is_some()
+    })
+    .await;
+    owned(&play.owner().expect("an owner"), AFTERWARDS).await;
+    let mut accepted = Vec::new();
+    for (job, (wait_ms, fault)) in faults.iter().enumerate() {
+        let job = job as u64 + 1;
+        if let Some(owner) = play.owner() {
+            let steps = vec![step(2, 700, &[]), step(1, 1_500, &[0])];
+            if world.submit(&owner, job, steps).await == SubmitReply::Accepted {
+                accepted.push(job);
+            }
+        }
+        play.strike(fault);
+        sleep(Duration::from_millis(*wait_ms)).await;
+    }
+    play.heal();
+    for job in accepted {
+        until(
+            "an accepted job is completed",
+            AFTERWARDS,
+            async || match play.owner() {
+                Some(owner) => world.state(&owner, job).await == Some(JobState::Completed),
+                None => false,
+            },
+        )
+        .await;
+    }
+    world.check();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { max_shrink_iters: 200, ..ProptestConfig::default() })]
+
+    /// See the module's head.
+    #[test]
+    fn nothing_is_doubled_or_lost(faults in prop::collection::vec((50..2_500_u64, any_fault()), 1..14)) {
+        paused(play(faults));
+    }
+}
+
+/// Both daemons are turned away by the store one after the other while a worker ends what it has, then a
+/// worker crashes: an end that was taken is not forgotten.
+#[test]
+fn ends_taken_before_two_outages_stay_taken() {
+    paused(play(vec![
+        (1_150, Fault::TurnAway(0)),
+        (1_749, Fault::TurnAway(1)),
+        (666, Fault::Crash(0)),
+    ]));
+}
+
+/// A worker is started again under its id while the owner's store loses answers. The owner's look carries
+/// the number up to which the earlier life's ends were taken; the new life numbers its ends from 1 and must
+/// not forget them by it.
+#[test]
+fn a_new_lifes_ends_are_not_forgotten_by_the_old_lifes_numbers() {
+    paused(play(vec![
+        (253, Fault::Prompt(0)),
+        (2_039, Fault::Prompt(2)),
+        (1_184, Fault::Crash(1)),
+        (2_290, Fault::Serve(1)),
+        (277, Fault::LoseAnswers(0)),
+        (487, Fault::Revive(0)),
+        (1_845, Fault::TurnAway(1)),
+        (431, Fault::LoseAnswers(0)),
+        (609, Fault::Prompt(0)),
+        (395, Fault::Revive(1)),
+        (1_382, Fault::Revive(0)),
+        (848, Fault::Crash(0)),
+    ]));
+}
--- /dev/null
+++ b/tests/testsuite/sched/settle.rs
@@ -0,0 +1,165 @@
+//! What may be concluded from which evidence.
+
+use super::world::limits;
+use lapisdrum::{
+    core::time::Millis,
+    sched::{
+        edge::{CallError, Row, TxnEnd},
+        event::Loss,
+        settle::{
+            Habit, LeaseBound, Order, RunKnowledge, RunVerdict, Sight, Stop, WriteVerdict,
+            judge_run, judge_write,
+        },
+    },
+};
+use std::time::Duration;
+
+fn row(value: &'static [u8]) -> Row {
+    Row {
+        table: "journal".to_owned(),
+        key: "7".to_owned(),
+        value: value.into(),
+        version: 9,
+    }
+}
+
+fn judge(end: &TxnEnd, holds_fence: bool) -> WriteVerdict {
+    judge_write(
+        end,
+        |_| holds_fence,
+        |rows| rows.iter().any(|row| &row.value[..] == b"own"),
+    )
+}
+
+/// A row's answer is lost and it is sent again. The row that stands at its place is ours only if its nonce
+/// is; taken for ours, the next owner's row would have callers told that jobs are accepted which are not.
+#[test]
+fn only_our_own_row_at_our_place_counts() {
+    assert_eq!(judge(&TxnEnd::Committed(3), true), WriteVerdict::Committed);
+    assert_eq!(
+        judge(&TxnEnd::Conflict(vec![row(b"own")]), false),
+        WriteVerdict::Committed
+    );
+    assert_eq!(
+        judge(&TxnEnd::Conflict(vec![row(b"other")]), true),
+        WriteVerdict::Fenced
+    );
+    assert_eq!(
+        judge(&TxnEnd::Conflict(vec![row(b"other")]), false),
+        WriteVerdict::Fenced
+    );
+    let silence = CallError::new("no answer");
+    assert_eq!(
+        judge(&TxnEnd::Unknown(silence.clone()), true),
+        WriteVerdict::SendAgain
+    );
+    assert_eq!(
+        judge(&TxnEnd::NotDone(silence), true),
+        WriteVerdict::SendAgain
+    );
+}
+
+fn verdict(
+    order: Order,
+    stop: Stop,
+    sent_at: u64,
+    is_listed: bool,
+    is_same_life: bool,
+) -> RunVerdict {
+    let sight = Sight {
+        sent_at: Millis(sent_at),
+        is_listed,
+        is_same_life,
+    };
+    judge_run(RunKnowledge { order, stop }, sight)
+}
+
+/// A look is sent, the worker answers an order to start in the same millisecond, and the look's answer,
+/// which is older, comes in after it without the run. Taken for the run's end, the task would be started a
+/// second time beside itself.
+#[test]
+fn a_look_that_may_be_older_than_the_order_settles_nothing() {
+    let answered = Order::Answered(Millis(100));
+    assert_eq!(
+        verdict(answered, Stop::No, 99, false, true),
+        RunVerdict::Wait
+    );
+    assert_eq!(
+        verdict(answered, Stop::No, 100, false, true),
+        RunVerdict::Wait
+    );
+    let later = verdict(answered, Stop::No, 101, false, true);
+    assert_eq!(later, RunVerdict::Lost(Loss::NotThere));
+}
+
+/// A start has no answer and isn't listed. It may be carried out seconds later, so only a stop settles it:
+/// once that is confirmed, the worker never runs it.
+#[test]
+fn a_silent_start_is_settled_by_a_stop_alone() {
+    for is_same_life in [true, false] {
+        assert_eq!(
+            verdict(Order::Silent, Stop::No, 500, false, is_same_life),
+            RunVerdict::OrderStop
+        );
+        assert_eq!(
+            verdict(Order::Silent, Stop::UnderWay, 500, false, is_same_life),
+            RunVerdict::Wait
+        );
+        let confirmed = Stop::Confirmed(Millis(400));
+        assert_eq!(
+            verdict(Order::Silent, confirmed, 400, false, is_same_life),
+            RunVerdict::Wait
+        );
+        assert!(matches!(
+            verdict(Order::Silent, confirmed, 401, false, is_same_life),
+            RunVerdict::Lost(_)
+        ));
+    }
+    assert_eq!(
+        verdict(Order::Silent, Stop::No, 500, true, true),
+        RunVerdict::Runs
+    );
+}
+
+/// Nothing is concluded about a run whose order is not sent or under way.
+#[test]
+fn an_order_under_way_is_waited_for() {
+    for order in [Order::NotSent, Order::UnderWay] {
+        assert_eq!(verdict(order, Stop::No, 500, false, true), RunVerdict::Wait);
+    }
+}
+
+/// A worker falls silent. Its tasks may be started elsewhere after its lease, counted from the last answer;
+/// a lease without an answer counts from its sending, and for the longest delay where workers were seen to
+/// carry orders out late.
+#[test]
+fn a_lease_is_over_when_nothing_can_extend_it() {
+    let limits = limits();
+    let at = |ms: u64| Millis(ms);
+    let mut bound = LeaseBound::inherited(at(0), &limits);
+    bound.claimed(at(1_000));
+    bound.sent();
+    assert!(
+        !bound.is_over(at(60_000), Habit::Prompt, &limits),
+        "a call is under way"
+    );
+    bound.answered(at(2_000));
+    assert!(!bound.is_over(at(8_000), Habit::Prompt, &limits));
+    assert!(bound.is_over(at(8_200), Habit::Prompt, &limits));
+    bound.sent();
+    bound.silent(at(3_000));
+    assert!(!bound.is_over(at(9_800), Habit::Prompt, &limits));
+    assert!(bound.is_over(at(9_950), Habit::Prompt, &limits));
+    assert!(!bound.is_over(at(21_000), Habit::Late, &limits));
+    assert!(bound.is_over(at(21_700), Habit::Late, &limits));
+}
+
+/// A new owner can't reach a worker. The earlier owner may have renewed it until its hold was over.
+#[test]
+fn the_hold_of_an_earlier_owner_is_waited_out() {
+    let limits = limits();
+    let bound = LeaseBound::inherited(Millis(10_000), &limits);
+    let hold = Millis(10_000) + limits.owner_hold + limits.longest;
+    assert!(!bound.is_over(hold, Habit::Prompt, &limits));
+    assert!(bound.is_over(hold + Duration::from_secs(1), Habit::Prompt, &limits));
+}
--- /dev/null
+++ b/tests/testsuite/sched/strain.rs
@@ -0,0 +1,247 @@
+//! Placement of left-over work beside serving tasks, what is learned of it, and what gives way.
+
+use lapisdrum::{
+    core::{size::Size, time::Millis},
+    policy::dispatch::{
+        order::{Prospect, Standing},
+        place::{Host, Load, Need, Strained, choose},
+        pressure::{self, Image, Presser, Pressure, Victim},
+        relief::{self, Action, Leftover, Serving, Sight},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+const TARGET_MS: f64 = 50.0;
+const BASE_MS: f64 = 10.0;
+
+fn victim(image: Image) -> Victim {
+    Victim {
+        image,
+        target_ms: TARGET_MS,
+        load: pressure::Load::default(),
+    }
+}
+
+/// The tail of a task at this strain, as a worker would report it.
+fn tail(strain: f64, rng: &mut StdRng) -> f64 {
+    let scatter = 1.0 + rng.random_range(-0.1..0.1);
+    (BASE_MS / (1.0 - strain.min(0.98)) * scatter).round()
+}
+
+/// A serving load that swings by half in seven seconds, and two left-over images of which one presses.
+/// Within ten seconds the model must tell them apart, and follow the load to a tenth.
+#[test]
+fn the_image_that_presses_is_found_out() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut pressure = Pressure::default();
+    let (serving, quiet, loud) = (
+        pressure.image("s"),
+        pressure.image("q"),
+        pressure.image("l"),
+    );
+    let (mut alone, mut pressed) = (victim(serving), victim(serving));
+    let mut worst: f64 = 0.0;
+    for round in 0..100_u64 {
+        let now = Millis(round * 100);
+        let load = 0.45 + 0.225 * (round as f64 / 10.0 * 0.45).sin();
+        pressure.note(&mut alone, &[], tail(load, &mut rng), now);
+        pressed.load = alone.load;
+        let image = if round % 20 < 10 { quiet } else { loud };
+        let share = 0.12;
+        let added = if image == loud { 1.2 * share } else { 0.0 };
+        let beside = [Presser { image, share }];
+        pressure.note(&mut pressed, &beside, tail(load + added, &mut rng), now);
+        alone.load = pressed.load;
+        if round > 30 {
+            let expected = pressure.expected(&alone, &[], now, Duration::ZERO);
+            worst = worst.max((expected - load).abs());
+        }
+    }
+    let press = |image| pressure.press(serving, &Presser { image, share: 1.0 });
+    assert!(press(quiet) < 0.3, "{}", press(quiet));
+    assert!(press(loud) > 0.7, "{}", press(loud));
+    assert!(worst < 0.12, "the load is told wrong by {worst}");
+}
+
+fn host<'a>(id: &'a str, victims: &[Victim], strain: f64) -> Host<'a> {
+    let strained = |victim: &Victim| Strained {
+        victim: *victim,
+        strain,
+    };
+    Host {
+        id,
+        rack: None,
+        labels: &[],
+        capacity: cores(32),
+        reserved: cores(6 * victims.len() as u64),
+        serving_millicores: 6_000 * victims.len() as u64,
+        leftover_millicores: 0,
+        serving: victims.iter().map(strained).collect(),
+        is_open_for_leftover: true,
+        of_step: 0,
+        is_suspect: false,
+        is_avoided: false,
+    }
+}
+
+fn cores(n: u64) -> Size {
+    Size {
+        millicores: n * 1_000,
+        memory_mb: n * 1_000,
+        accelerators: 0,
+    }
+}
+
+fn need(load: Load, image: Option<Image>) -> Need<'static> {
+    Need {
+        size: cores(4),
+        load,
+        required_label: None,
+        data_rack: None,
+        max_per_worker: None,
+        image,
+        victim: None,
+    }
+}
+
+/// Two hosts with room. One serves near its target; a left-over task goes to the other, and to none when
+/// both are near.
+#[test]
+fn left_over_work_stays_off_hosts_near_their_target() {
+    let mut pressure = Pressure::default();
+    let (serving, batch) = (pressure.image("s"), pressure.image("b"));
+    let victims = [victim(serving); 4];
+    let need = need(Load::Leftover, Some(batch));
+    let hosts = [host("near", &victims, 0.78), host("far", &victims, 0.3)];
+    assert_eq!(choose(&need, &hosts, &pressure), Some(1));
+    let hosts = [host("near", &victims, 0.78), host("too", &victims, 0.76)];
+    assert_eq!(choose(&need, &hosts, &pressure), None);
+}
+
+/// Reserving work takes no notice of left-over work: its processors are its own.
+#[test]
+fn left_over_work_is_in_nobodys_way() {
+    let pressure = Pressure::default();
+    let mut busy = host("busy", &[], 0.0);
+    busy.leftover_millicores = 32_000;
+    let chosen = choose(&need(Load::Reserving, None), &[busy], &pressure);
+    assert_eq!(chosen, Some(0));
+}
+
+/// A host is never filled beyond what it has.
+#[test]
+fn nothing_goes_where_it_does_not_fit() {
+    let pressure = Pressure::default();
+    let mut full = host("full", &[], 0.0);
+    full.reserved = cores(30);
+    assert_eq!(
+        choose(&need(Load::Reserving, None), &[full], &pressure),
+        None
+    );
+}
+
+/// Serving tasks gather by image.
+#[test]
+fn a_serving_task_joins_its_own_image() {
+    let mut pressure = Pressure::default();
+    let (a, b) = (pressure.image("a"), pressure.image("b"));
+    let hosts = [
+        host("b", &[victim(b); 4], 0.4),
+        host("a", &[victim(a); 2], 0.4),
+    ];
+    let need = Need {
+        victim: Some(victim(a)),
+        ..need(Load::Serving, Some(a))
+    };
+    assert_eq!(choose(&need, &hosts, &pressure), Some(1));
+}
+
+fn decide(
+    pressure: &Pressure,
+    tail_ms: f64,
+    serving: Image,
+    leftover: &[Leftover],
+) -> Vec<(usize, Action)> {
+    let sight = Sight {
+        pressure,
+        now: Millis(0),
+    };
+    let serving = [Serving {
+        victim: victim(serving),
+        tail_ms,
+    }];
+    relief::decide(&sight, &serving, leftover)
+}
+
+/// A tail far over its target: what saves its progress is moved away, what does not is slowed.
+#[test]
+fn a_tail_over_its_target_is_relieved() {
+    let mut pressure = Pressure::default();
+    let (serving, batch) = (pressure.image("s"), pressure.image("b"));
+    let left = |is_checkpointing| Leftover {
+        image: batch,
+        share: 0.12,
+        pace: 100,
+        is_checkpointing,
+        is_stopping: false,
+    };
+    let saving = decide(&pressure, 500.0, serving, &[left(true)]);
+    assert_eq!(saving, [(0, Action::Stop)]);
+    let plain = decide(&pressure, 500.0, serving, &[left(false)]);
+    assert_eq!(plain, [(0, Action::Pace(0))]);
+    assert_eq!(decide(&pressure, 15.0, serving, &[left(true)]), []);
+}
+
+/// A paced task is let go on once the tail is well below its target.
+#[test]
+fn a_paced_task_is_raised_again() {
+    let mut pressure = Pressure::default();
+    let (serving, batch) = (pressure.image("s"), pressure.image("b"));
+    let paced = Leftover {
+        image: batch,
+        share: 0.05,
+        pace: 40,
+        is_checkpointing: false,
+        is_stopping: false,
+    };
+    assert_eq!(
+        decide(&pressure, 15.0, serving, &[paced]),
+        [(0, Action::Pace(60))]
+    );
+}
+
+fn standing(age_ms: u64, chain_ms: u64) -> Standing {
+    Standing {
+        priority: 1,
+        is_long_running: false,
+        age_ms,
+        objective_ms: 4_000,
+        chain_ms,
+    }
+}
+
+/// A burst: one job can still be on time, one can only be late, one is beyond hope. Served oldest first,
+/// all three would be late.
+#[test]
+fn who_can_be_on_time_goes_first() {
+    let (on_time, late, hopeless) = (
+        standing(500, 3_000),
+        standing(5_000, 3_000),
+        standing(20_000, 3_000),
+    );
+    assert_eq!(on_time.prospect(), Prospect::OnTime);
+    assert_eq!(late.prospect(), Prospect::Late);
+    assert_eq!(hopeless.prospect(), Prospect::Hopeless);
+    let mut order = [hopeless, late, on_time];
+    order.sort_by_key(Standing::rank);
+    assert_eq!(order, [on_time, late, hopeless]);
+    let urgent = Standing {
+        priority: 0,
+        ..hopeless
+    };
+    assert!(
+        urgent.rank() < on_time.rank(),
+        "a class goes before the next"
+    );
+}
--- /dev/null
+++ b/tests/testsuite/sched/world.rs
@@ -0,0 +1,910 @@
+//! A store, workers and a directory in memory, with faults by script, and the scheduler's own parts on top.
+//!
+//! Time is the runtime's, paused. The workers keep the promises that the scheduler is built on (tokens,
+//! leases, ends listed until they are acknowledged) and note every breach of what must hold: two runs of a
+//! task at once, a task started again after its end was taken, a worker over its capacity, a step begun
+//! before the ones before it.
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use indexmap::{IndexMap, IndexSet};
+use lapisdrum::{
+    core::{size::Size, time::WorkerMillis},
+    sched::{
+        Cx, Node, NodeSettings,
+        edge::{
+            CallError, Catalogue, Directory, ListedEnd, ListedRun, Lists, LookOrder, OrderEnd,
+            Queue, Refusal, Row, RowKey, StartOrder, Store, Txn, TxnEnd, WorkerReport, Workers,
+        },
+        event::{RunEnd, RunId, WorkerLife},
+        job::{JobId, JobSpec, QueueTerms, RawJob, RunNumber, Step, TaskId},
+        lease,
+        peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
+        settle::LeaseLimits,
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// Time of a store call.
+const STORE_CALL: Duration = Duration::from_millis(8);
+/// Time of an order.
+const ORDER: Duration = Duration::from_millis(2);
+/// Time after which a caller of a silent store or worker gives up.
+const SILENCE: Duration = Duration::from_millis(500);
+/// Longest lease of a worker.
+const LONGEST_LEASE: Duration = Duration::from_secs(6);
+/// Time that a stop takes.
+const STOP: Duration = Duration::from_millis(300);
+/// Step of a worker that waits for an end.
+const WAIT_STEP: Duration = Duration::from_millis(10);
+
+/// What the store does with a daemon's calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreMood {
+    /// Answers.
+    Up,
+    /// Neither does anything nor answers.
+    Away,
+    /// Does what it is asked and loses the answers of writes.
+    LosesAnswers,
+}
+
+/// What a worker does with orders to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WorkerMood {
+    /// Carries them out and answers.
+    Prompt,
+    /// Leaves them unanswered and carries them out after this time.
+    Late(Duration),
+}
+
+#[derive(Default)]
+struct Rows {
+    rows: IndexMap<(String, String, String), (bytes::Bytes, u64)>,
+    version: u64,
+    objects: IndexMap<String, bytes::Bytes>,
+    /// Transactions that took effect.
+    commits: u64,
+}
+
+struct Running {
+    done_at: Instant,
+    stop_at: Option<Instant>,
+    size: Size,
+    fails: bool,
+}
+
+struct Worker {
+    born: u64,
+    born_at: Instant,
+    capacity: Size,
+    running: IndexMap<RunId, Running>,
+    ended: Vec<ListedEnd>,
+    /// When each of them was.
+    ended_at: IndexMap<u64, Instant>,
+    /// When its lease ran out last.
+    lapsed_at: Option<Instant>,
+    over: IndexMap<TaskId, RunNumber>,
+    next_end: u64,
+    token: u64,
+    lease_until: Instant,
+    /// Whether nothing reaches it; it runs on.
+    is_cut: bool,
+    /// Whether it is dead; nothing runs there.
+    is_dead: bool,
+    is_listed: bool,
+    leaving_in: Option<Duration>,
+    mood: WorkerMood,
+}
+
+/// Everything around the daemons.
+pub(crate) struct World {
+    rows: RefCell<Rows>,
+    moods: RefCell<IndexMap<String, StoreMood>>,
+    workers: RefCell<IndexMap<String, Worker>>,
+    /// Run time of tasks of each step, by job.
+    jobs: RefCell<IndexMap<JobId, Vec<Step>>>,
+    /// Tasks of which an end as done was acknowledged.
+    taken: RefCell<IndexSet<TaskId>>,
+    done: RefCell<IndexSet<TaskId>>,
+    /// Steps that fail wherever they run.
+    failing: RefCell<IndexSet<JobId>>,
+    /// Whether orders that are carried out late outlive their worker's crash, as packets on the way may;
+    /// by default they are lost with it.
+    pub(crate) orders_outlive_crashes: Cell<bool>,
+    /// Starts that were carried out.
+    pub(crate) starts: RefCell<Vec<(Instant, RunId, String)>>,
+    /// What must not happen and did.
+    pub(crate) breaches: RefCell<Vec<String>>,
+}
+
+/// The queue that all jobs of these tests go to.
+pub(crate) fn terms() -> QueueTerms {
+    QueueTerms {
+        queue: "maps".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 0,
+        attempts: 2,
+        stretch_milli: 1_500,
+        target_ms: 250,
+        needs_approval: false,
+    }
+}
+
+/// A step of so many tasks that take so long, on one core and a gigabyte each.
+pub(crate) fn step(count: u32, estimate_ms: u64, after: &[u16]) -> Step {
+    Step {
+        count,
+        size: Size {
+            millicores: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        estimate_ms,
+        after: after.to_vec(),
+        ..Step::default()
+    }
+}
+
+impl World {
+    /// A world with workers of four cores each, named `w0`, `w1` and so on.
+    pub(crate) fn new(workers: usize) -> Rc<Self> {
+        let world = Rc::new(Self {
+            rows: RefCell::default(),
+            moods: RefCell::default(),
+            workers: RefCell::default(),
+            jobs: RefCell::default(),
+            taken: RefCell::default(),
+            done: RefCell::default(),
+            failing: RefCell::default(),
+            orders_outlive_crashes: Cell::new(false),
+            starts: RefCell::default(),
+            breaches: RefCell::default(),
+        });
+        for at in 0..workers {
+            world.add_worker(&format!("w{at}"));
+        }
+        world
+    }
+
+    /// Adds a worker.
+    pub(crate) fn add_worker(&self, id: &str) {
+        let capacity = Size {
+            millicores: 4_000,
+            memory_mb: 16_000,
+            accelerators: 0,
+        };
+        let now = Instant::now();
+        let worker = Worker {
+            born: 1,
+            born_at: now,
+            capacity,
+            running: IndexMap::new(),
+            ended: Vec::new(),
+            ended_at: IndexMap::new(),
+            lapsed_at: None,
+            over: IndexMap::new(),
+            next_end: 1,
+            token: 0,
+            lease_until: now,
+            is_cut: false,
+            is_dead: false,
+            is_listed: true,
+            leaving_in: None,
+            mood: WorkerMood::Prompt,
+        };
+        self.workers.borrow_mut().insert(id.to_owned(), worker);
+    }
+
+    /// A daemon in this world that watches the lease.
+    pub(crate) fn daemon(self: &Rc<Self>, name: &str) -> Cx {
+        let cfg = NodeSettings {
+            name: name.to_owned(),
+            data_centre: "karen".to_owned(),
+            peers: "127.0.0.1:9".parse().expect("an address"),
+            shard: "main".to_owned(),
+            leases: limits(),
+            retention: Duration::from_secs(120),
+            drain: Duration::from_secs(5),
+        };
+        let store = Rc::new(StoreHandle {
+            world: Rc::clone(self),
+            daemon: name.to_owned(),
+        });
+        let edges = Rc::new(Edges {
+            world: Rc::clone(self),
+            cut: Cell::new(false),
+        });
+        let cx = Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges);
+        actix_rt::spawn(lease::run(Rc::clone(&cx)));
+        cx
+    }
+
+    /// What the store does with a daemon's calls from now on.
+    pub(crate) fn set_store(&self, daemon: &str, mood: StoreMood) {
+        self.moods.borrow_mut().insert(daemon.to_owned(), mood);
+    }
+
+    fn change(&self, worker: &str, change: impl FnOnce(&mut Worker)) {
+        change(self.workers.borrow_mut().get_mut(worker).expect("a worker"));
+    }
+
+    /// Cuts a worker off, or joins it again.
+    pub(crate) fn cut(&self, worker: &str, is_cut: bool) {
+        self.change(worker, |w| w.is_cut = is_cut);
+    }
+
+    /// Kills a worker and its tasks.
+    pub(crate) fn crash(&self, worker: &str) {
+        self.change(worker, |w| {
+            w.is_dead = true;
+            w.running.clear();
+            w.ended.clear();
+        });
+    }
+
+    /// Starts a killed worker again under its id.
+    pub(crate) fn revive(&self, worker: &str) {
+        self.change(worker, |w| {
+            w.is_dead = false;
+            w.born += 1;
+            w.born_at = Instant::now();
+            w.over.clear();
+            w.next_end = 1;
+            w.token = 0;
+        });
+    }
+
+    /// Says that a worker is leaving.
+    pub(crate) fn leave(&self, worker: &str) {
+        self.change(worker, |w| w.leaving_in = Some(Duration::from_secs(2)));
+    }
+
+    /// What a worker does with orders to start from now on.
+    pub(crate) fn set_mood(&self, worker: &str, mood: WorkerMood) {
+        self.change(worker, |w| w.mood = mood);
+    }
+
+    /// Has every task of a job fail.
+    pub(crate) fn let_fail(&self, job: JobId) {
+        self.failing.borrow_mut().insert(job);
+    }
+
+    /// The runs that a worker has now.
+    pub(crate) fn running_on(&self, worker: &str) -> Vec<RunId> {
+        self.settle_all();
+        let workers = self.workers.borrow();
+        workers[worker].running.keys().copied().collect()
+    }
+
+    /// Every run anywhere.
+    pub(crate) fn running(&self) -> Vec<RunId> {
+        self.settle_all();
+        let workers = self.workers.borrow();
+        let running = workers.values().flat_map(|w| w.running.keys().copied());
+        running.collect()
+    }
+
+    /// How many starts of a task were carried out.
+    pub(crate) fn starts_of(&self, task: &TaskId) -> usize {
+        let starts = self.starts.borrow();
+        starts
+            .iter()
+            .filter(|(_, run, _)| run.task == *task)
+            .count()
+    }
+
+    /// Transactions that took effect.
+    pub(crate) fn commits(&self) -> u64 {
+        self.rows.borrow().commits
+    }
+
+    /// Fails the test when something happened that must not.
+    pub(crate) fn check(&self) {
+        let breaches = self.breaches.borrow();
+        assert!(breaches.is_empty(), "{}", breaches.join("\n"));
+    }
+
+    fn breach(&self, what: String) {
+        self.breaches.borrow_mut().push(what);
+    }
+
+    fn settle_all(&self) {
+        let now = Instant::now();
+        let mut workers = self.workers.borrow_mut();
+        for worker in workers.values_mut() {
+            for task in worker.settle(now) {
+                self.done.borrow_mut().insert(task);
+            }
+        }
+    }
+
+    /// Carries an order to start out.
+    fn carry_out(&self, id: &str, order: &StartOrder) -> OrderEnd<WorkerMillis> {
+        self.settle_all();
+        let now = Instant::now();
+        let fails = self.failing.borrow().contains(&order.run.task.job);
+        let spec = self.jobs.borrow().get(&order.run.task.job).cloned();
+        let Some(steps) = spec else {
+            self.breach(format!("{} was never handed in", order.run.task));
+            return OrderEnd::Refused(Refusal::Malformed);
+        };
+        let step = steps[usize::from(order.run.task.step)].clone();
+        {
+            let mut workers = self.workers.borrow_mut();
+            let worker = workers.get_mut(id).expect("a worker");
+            if let Err(why) = worker.admit(order, now) {
+                return OrderEnd::Refused(why);
+            }
+            if worker.running.contains_key(&order.run) {
+                return OrderEnd::Done(worker.clock(now));
+            }
+        }
+        self.check_start(&order.run, &steps, &step, id);
+        let mut workers = self.workers.borrow_mut();
+        let worker = workers.get_mut(id).expect("a worker");
+        worker.running.insert(
+            order.run,
+            Running {
+                done_at: now + Duration::from_millis(step.estimate_ms),
+                stop_at: None,
+                size: step.size,
+                fails,
+            },
+        );
+        let used = worker
+            .running
+            .values()
+            .map(|r| r.size.millicores)
+            .sum::<u64>();
+        if used > worker.capacity.millicores {
+            self.breach(format!("{id} is over its capacity: {used} millicores"));
+        }
+        let started = (now, order.run, id.to_owned());
+        self.starts.borrow_mut().push(started);
+        OrderEnd::Done(worker.clock(now))
+    }
+
+    fn check_start(&self, run: &RunId, steps: &[Step], step: &Step, id: &str) {
+        let workers = self.workers.borrow();
+        let doubled = |(_, worker): &(&String, &Worker)| {
+            worker.running.keys().any(|other| other.task == run.task)
+        };
+        let alive = workers.iter().filter(|(_, worker)| !worker.is_dead);
+        if let Some((other, _)) = alive.into_iter().find(doubled) {
+            self.breach(format!(
+                "{} runs on {other} and is started on {id}",
+                run.task
+            ));
+        }
+        if self.taken.borrow().contains(&run.task) {
+            self.breach(format!("{} is started after its end was taken", run.task));
+        }
+        for before in &step.after {
+            for index in 0..steps[usize::from(*before)].count {
+                let task = TaskId {
+                    step: *before,
+                    index,
+                    ..run.task
+                };
+                if !self.done.borrow().contains(&task) {
+                    self.breach(format!("{} is started before {task} is done", run.task));
+                }
+            }
+        }
+    }
+}
+
+/// The bounds that the workers of this world keep.
+pub(crate) fn limits() -> LeaseLimits {
+    LeaseLimits {
+        longest: LONGEST_LEASE,
+        drift_parts: 45,
+        latest_effect: Duration::from_millis(12_500),
+        transit: Duration::from_millis(750),
+        owner_hold: Duration::from_secs(5),
+    }
+}
+
+impl Worker {
+    fn clock(&self, now: Instant) -> WorkerMillis {
+        WorkerMillis((now - self.born_at).as_millis() as u64 + 1_000)
+    }
+
+    /// Ends what is over by now; the tasks that are done.
+    fn settle(&mut self, now: Instant) -> Vec<TaskId> {
+        let mut done = Vec::new();
+        let lease_until = self.lease_until;
+        if lease_until <= now {
+            self.lapsed_at = Some(lease_until);
+        }
+        let over: Vec<(RunId, RunEnd)> = self
+            .running
+            .iter()
+            .filter_map(|(run, r)| Some((*run, r.end_at(now, lease_until)?)))
+            .collect();
+        for (run, how) in over {
+            self.running.swap_remove(&run);
+            self.over.insert(run.task, run.run);
+            if how == RunEnd::Done {
+                done.push(run.task);
+            }
+            self.ended.push(ListedEnd {
+                number: self.next_end,
+                run,
+                how,
+                checkpoint: None,
+            });
+            let at = self.next_end;
+            self.ended_at.insert(at, now.min(lease_until));
+            self.next_end += 1;
+        }
+        done
+    }
+
+    fn see_token(&mut self, token: u64) -> Result<(), Refusal> {
+        if token < self.token {
+            return Err(Refusal::NewerOwner);
+        }
+        self.token = token;
+        Ok(())
+    }
+
+    fn take_lease(&mut self, until: WorkerMillis, now: Instant) -> Result<(), Refusal> {
+        let Some(left) = until.0.checked_sub(self.clock(now).0) else {
+            return Err(Refusal::LeaseOver);
+        };
+        let left = Duration::from_millis(left).min(LONGEST_LEASE);
+        self.lease_until = self.lease_until.max(now + left);
+        Ok(())
+    }
+
+    fn admit(&mut self, order: &StartOrder, now: Instant) -> Result<(), Refusal> {
+        self.see_token(order.token)?;
+        let last = self.over.get(&order.run.task).copied();
+        self.take_lease(order.lease_until, now)?;
+        if last.is_some_and(|last| order.run.run <= last) {
+            return Err(Refusal::OldRun);
+        }
+        Ok(())
+    }
+}
+
+impl Running {
+    fn end_at(&self, now: Instant, lease_until: Instant) -> Option<RunEnd> {
+        if self.done_at <= now.min(lease_until) {
+            return Some(if self.fails {
+                RunEnd::Failed
+            } else {
+                RunEnd::Done
+            });
+        }
+        if self.stop_at.is_some_and(|at| at <= now) {
+            return Some(RunEnd::Stopped);
+        }
+        (lease_until <= now).then_some(RunEnd::Lapsed)
+    }
+}
+
+struct StoreHandle {
+    world: Rc<World>,
+    daemon: String,
+}
+
+impl StoreHandle {
+    fn mood(&self) -> StoreMood {
+        let moods = self.world.moods.borrow();
+        moods.get(&self.daemon).copied().unwrap_or(StoreMood::Up)
+    }
+
+    /// Lets a call's time pass; false when the store is away.
+    async fn reach(&self) -> bool {
+        sleep(STORE_CALL).await;
+        if self.mood() == StoreMood::Away {
+            sleep(SILENCE).await;
+            return false;
+        }
+        true
+    }
+}
+
+fn silence() -> CallError {
+    CallError::new("no answer")
+}
+
+impl Store for StoreHandle {
+    fn commit<'a>(&'a self, txn: &'a Txn) -> LocalBoxFuture<'a, TxnEnd> {
+        async move {
+            if !self.reach().await {
+                return TxnEnd::Unknown(silence());
+            }
+            let end = self.world.rows.borrow_mut().commit(txn);
+            if self.mood() == StoreMood::LosesAnswers {
+                sleep(SILENCE).await;
+                return TxnEnd::Unknown(silence());
+            }
+            end
+        }
+        .boxed_local()
+    }
+
+    fn rows<'a>(
+        &'a self,
+        table: &'a str,
+        part: &'a str,
+        from: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>, CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            let rows = self.world.rows.borrow();
+            let mut found: Vec<Row> = rows
+                .rows
+                .iter()
+                .filter(|((t, p, k), _)| t == table && p == part && k.as_str() >= from)
+                .map(|((t, _, k), (value, version))| Row {
+                    table: t.clone(),
+                    key: k.clone(),
+                    value: value.clone(),
+                    version: *version,
+                })
+                .collect();
+            found.sort_by(|a, b| a.key.cmp(&b.key));
+            Ok(found)
+        }
+        .boxed_local()
+    }
+
+    fn put_object<'a>(
+        &'a self,
+        name: &'a str,
+        body: bytes::Bytes,
+    ) -> LocalBoxFuture<'a, Result<(), CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            let mut rows = self.world.rows.borrow_mut();
+            rows.objects.insert(name.to_owned(), body);
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn get_object<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<bytes::Bytes>, CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            Ok(self.world.rows.borrow().objects.get(name).cloned())
+        }
+        .boxed_local()
+    }
+
+    fn delete_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<(), CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            self.world.rows.borrow_mut().objects.swap_remove(name);
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
+
+fn key(row: &RowKey) -> (String, String, String) {
+    (row.table.to_owned(), row.part.clone(), row.key.clone())
+}
+
+impl Rows {
+    fn commit(&mut self, txn: &Txn) -> TxnEnd {
+        let holds = txn
+            .expect
+            .iter()
+            .all(|(row, version)| self.rows.get(&key(row)).map_or(0, |(_, v)| *v) == *version);
+        if !holds {
+            let expected = txn.expect.iter();
+            let found = expected.filter_map(|(row, _)| {
+                let (value, version) = self.rows.get(&key(row))?.clone();
+                Some(Row {
+                    table: row.table.to_owned(),
+                    key: row.key.clone(),
+                    value,
+                    version,
+                })
+            });
+            return TxnEnd::Conflict(found.collect());
+        }
+        self.version += 1;
+        self.commits += 1;
+        for (row, value) in &txn.put {
+            let written = (value.clone(), self.version);
+            self.rows.insert(key(row), written);
+        }
+        for row in &txn.delete {
+            self.rows.swap_remove(&key(row));
+        }
+        TxnEnd::Committed(self.version)
+    }
+}
+
+struct Edges {
+    world: Rc<World>,
+    cut: Cell<bool>,
+}
+
+impl Edges {
+    /// Lets an order's time pass; false when the worker does not hear it.
+    async fn reach(&self, worker: &str) -> bool {
+        sleep(ORDER).await;
+        let is_reached = {
+            let workers = self.world.workers.borrow();
+            let worker = &workers[worker];
+            !worker.is_cut && !worker.is_dead && !self.cut.get()
+        };
+        if !is_reached {
+            sleep(SILENCE).await;
+        }
+        is_reached
+    }
+}
+
+impl Workers for Edges {
+    fn start<'a>(
+        &'a self,
+        _: &'a str,
+        id: &'a str,
+        order: &'a StartOrder,
+    ) -> LocalBoxFuture<'a, OrderEnd<WorkerMillis>> {
+        async move {
+            if !self.reach(id).await {
+                return OrderEnd::Silent(silence());
+            }
+            let (mood, born) = {
+                let workers = self.world.workers.borrow();
+                (workers[id].mood, workers[id].born)
+            };
+            let WorkerMood::Late(after) = mood else {
+                return self.world.carry_out(id, order);
+            };
+            let (world, id, order) = (Rc::clone(&self.world), id.to_owned(), order.clone());
+            actix_rt::spawn(async move {
+                sleep(after).await;
+                let (is_dead, born_now) = {
+                    let workers = world.workers.borrow();
+                    (workers[&id].is_dead, workers[&id].born)
+                };
+                let is_alive = born_now == born || world.orders_outlive_crashes.get();
+                if is_alive && !is_dead {
+                    world.carry_out(&id, &order);
+                }
+            });
+            sleep(SILENCE).await;
+            OrderEnd::Silent(silence())
+        }
+        .boxed_local()
+    }
+
+    fn stop<'a>(
+        &'a self,
+        _: &'a str,
+        id: &'a str,
+        run: RunId,
+        token: u64,
+    ) -> LocalBoxFuture<'a, OrderEnd<WorkerMillis>> {
+        async move {
+            if !self.reach(id).await {
+                return OrderEnd::Silent(silence());
+            }
+            self.world.settle_all();
+            let now = Instant::now();
+            let mut workers = self.world.workers.borrow_mut();
+            let worker = workers.get_mut(id).expect("a worker");
+            if let Err(why) = worker.see_token(token) {
+                return OrderEnd::Refused(why);
+            }
+            match worker.running.get_mut(&run) {
+                Some(running) => running.stop_at = Some(now + STOP),
+                None => {
+                    let last = worker.over.entry(run.task).or_default();
+                    *last = (*last).max(run.run);
+                }
+            }
+            OrderEnd::Done(worker.clock(now))
+        }
+        .boxed_local()
+    }
+
+    fn look<'a>(
+        &'a self,
+        _: &'a str,
+        id: &'a str,
+        order: &'a LookOrder,
+    ) -> LocalBoxFuture<'a, OrderEnd<Lists>> {
+        async move {
+            if !self.reach(id).await {
+                return OrderEnd::Silent(silence());
+            }
+            let began = Instant::now();
+            loop {
+                self.world.settle_all();
+                let now = Instant::now();
+                {
+                    let mut workers = self.world.workers.borrow_mut();
+                    let worker = workers.get_mut(id).expect("a worker");
+                    if worker.is_cut || worker.is_dead {
+                        drop(workers);
+                        sleep(SILENCE).await;
+                        return OrderEnd::Silent(silence());
+                    }
+                    if let Err(why) = worker.see_token(order.token) {
+                        return OrderEnd::Refused(why);
+                    }
+                    if let Some(until) = order.lease_until {
+                        // One that has passed extends nothing.
+                        let _ = worker.take_lease(until, now);
+                    }
+                    let acked = worker.ended.iter().filter(|e| e.number <= order.acked_upto);
+                    // One whose worker's lease ran out before it was taken may have been done again.
+                    let stands = |end: &&ListedEnd| {
+                        let at = worker.ended_at.get(&end.number).copied();
+                        worker.lapsed_at.is_none_or(|lapsed| Some(lapsed) <= at)
+                    };
+                    let done = acked.filter(stands).filter(|end| end.how == RunEnd::Done);
+                    self.world
+                        .taken
+                        .borrow_mut()
+                        .extend(done.map(|end| end.run.task));
+                    worker.ended.retain(|end| end.number > order.acked_upto);
+                    if !worker.ended.is_empty() || now - began >= order.wait {
+                        return OrderEnd::Done(worker.lists(now));
+                    }
+                }
+                sleep(WAIT_STEP).await;
+            }
+        }
+        .boxed_local()
+    }
+
+    fn pace<'a>(
+        &'a self,
+        _: &'a str,
+        id: &'a str,
+        _: RunId,
+        _: u32,
+        _: u64,
+    ) -> LocalBoxFuture<'a, OrderEnd<WorkerMillis>> {
+        async move {
+            match self.reach(id).await {
+                true => OrderEnd::Done(self.world.workers.borrow()[id].clock(Instant::now())),
+                false => OrderEnd::Silent(silence()),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl Worker {
+    fn lists(&self, now: Instant) -> Lists {
+        let running = self.running.keys().map(|run| ListedRun {
+            run: *run,
+            checkpoint: None,
+            percent: 50,
+            gauge: 0,
+        });
+        Lists {
+            born: Some(self.born),
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+impl Directory for Edges {
+    fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>> {
+        async move {
+            sleep(STORE_CALL).await;
+            let workers = self.world.workers.borrow();
+            let listed = workers.iter().filter(|(_, w)| w.is_listed && !w.is_dead);
+            let report = |(id, worker): (&String, &Worker)| WorkerReport {
+                life: WorkerLife {
+                    worker: id.clone(),
+                    born: worker.born,
+                },
+                pool: "pool".to_owned(),
+                address: format!("{id}:1"),
+                data_centre: "karen".to_owned(),
+                capacity: worker.capacity,
+                labels: Vec::new(),
+                rack: None,
+                leaving_in: worker.leaving_in,
+            };
+            Ok(listed.map(report).collect())
+        }
+        .boxed_local()
+    }
+
+    fn catalogue(&self) -> LocalBoxFuture<'_, Result<Option<Catalogue>, CallError>> {
+        async move {
+            let queue = Queue {
+                terms: terms(),
+                host: "maps.example".to_owned(),
+                path_prefix: "/maps/".to_owned(),
+            };
+            Ok(Some(Catalogue {
+                version: 1,
+                queues: IndexMap::from_iter([("maps".to_owned(), queue)]),
+                max_body_bytes: None,
+            }))
+        }
+        .boxed_local()
+    }
+}
+
+/// The owner's side as a caller reaches it.
+impl World {
+    /// Hands a job in at the owner.
+    pub(crate) async fn submit(&self, cx: &Cx, id: u64, steps: Vec<Step>) -> SubmitReply {
+        let job = JobId(id);
+        self.jobs.borrow_mut().insert(job, steps.clone());
+        let raw = RawJob {
+            payload: "work".to_owned(),
+            steps,
+            schedule: None,
+        };
+        let spec = JobSpec::try_from(raw).expect("a good job");
+        let ask = Ask::Submit {
+            job,
+            spec,
+            terms: terms(),
+        };
+        match peer::answer(cx, ask).await {
+            Answer::Submitted(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Cancels a job at the owner.
+    pub(crate) async fn cancel(&self, cx: &Cx, id: u64) -> CancelReply {
+        match peer::answer(cx, Ask::Cancel(JobId(id))).await {
+            Answer::Cancelled(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// A job's state as the owner shows it.
+    pub(crate) async fn state(&self, cx: &Cx, id: u64) -> Option<JobState> {
+        match peer::answer(cx, Ask::Show(JobId(id))).await {
+            Answer::Shown(ShowReply::State(state)) => Some(state),
+            _ => None,
+        }
+    }
+}
+
+/// Waits until a daemon owns the shard and knows its jobs.
+pub(crate) async fn owned(cx: &Cx, limit: Duration) {
+    let is_owner = || {
+        let owner = cx.owner.borrow();
+        owner.as_ref().is_some_and(|owner| owner.is_recovered())
+    };
+    until("the shard is owned", limit, async || is_owner()).await;
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, limit: Duration, mut holds: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !holds().await {
+        assert!(began.elapsed() < limit, "not within {limit:?}: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
