--- a/src/lapisdrum/policy/dispatch/pressure.rs
+++ b/src/lapisdrum/policy/dispatch/pressure.rs
@@ -15,6 +15,7 @@
 
 use crate::core::time::Millis;
 use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Strain that a whole host of left-over work adds, for a pair of which nothing is known. Of 45 pairs, fitted
@@ -161,6 +162,47 @@
     heard_at: Millis,
 }
 
+/// One learned pair, to be handed on.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct LearnedPair {
+    victim: u32,
+    presser: u32,
+    mean: f64,
+    variance: f64,
+}
+
+/// What was learned, to be handed on to a successor: without it each take-over begins with ten seconds in
+/// which every pair is tried again on serving tasks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    images: Vec<String>,
+    pairs: Vec<LearnedPair>,
+    idle_tails_ms: Vec<Option<f64>>,
+}
+
+impl From<&Pressure> for Learned {
+    fn from(known: &Pressure) -> Self {
+        let rows = known.pairs.iter().enumerate();
+        let pairs = rows.flat_map(|(victim, row)| {
+            let row = row.iter().enumerate();
+            row.filter_map(move |(presser, pair)| {
+                let factor = (*pair)?.factor;
+                Some(LearnedPair {
+                    victim: victim as u32,
+                    presser: presser as u32,
+                    mean: factor.mean,
+                    variance: factor.variance,
+                })
+            })
+        });
+        Self {
+            images: known.images.iter().cloned().collect(),
+            pairs: pairs.collect(),
+            idle_tails_ms: known.idle_tail.clone(),
+        }
+    }
+}
+
 /// What is known of images, and of pairs of them.
 #[derive(Clone, Debug, Default)]
 pub struct Pressure {
@@ -172,6 +214,25 @@
 }
 
 impl Pressure {
+    /// What an earlier owner learned, as of `now`. Its doubts are doubled: some time has passed.
+    pub fn resumed(learned: &Learned, now: Millis) -> Self {
+        let mut resumed = Self::default();
+        for name in &learned.images {
+            resumed.image(name);
+        }
+        let known = resumed.images.len() as u32;
+        let pairs = learned.pairs.iter();
+        for pair in pairs.filter(|p| p.victim < known && p.presser < known) {
+            let factor = Guess {
+                mean: pair.mean,
+                variance: (pair.variance * 2.0).min(PRIOR.variance),
+            };
+            resumed.set_pair(Image(pair.victim), Image(pair.presser), factor, now);
+        }
+        resumed.idle_tail.clone_from(&learned.idle_tails_ms);
+        resumed
+    }
+
     /// The number of an image.
     pub fn image(&mut self, name: &str) -> Image {
         let at = match self.images.get_index_of(name) {
--- a/src/lapisdrum/policy/dispatch/relief.rs
+++ b/src/lapisdrum/policy/dispatch/relief.rs
@@ -15,7 +15,7 @@
 /// Relief goes on until the strain expected is this far below the one at the target.
 const DONE_BELOW: f64 = 0.02;
 /// A pace below this, in hundredths, holds a job up more than a move does.
-const LEAST_PACE: u32 = 40;
+const LEAST_PACE: u32 = 20;
 /// Paces are set in steps of this, so that small swings cost no orders.
 const PACE_STEP: u32 = 20;
 /// A paced task is let go on faster once the strain expected with it is this far below the limit.
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod jobs;
+pub mod learned;
 pub mod runs;
 pub mod session;
 pub mod strain;
@@ -29,6 +30,7 @@
     daemon::supervisor,
     policy::dispatch::pressure::{Load, Pressure},
 };
+use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
 use runs::RunRecord;
 use session::Session;
@@ -252,6 +254,7 @@
     while owner.is_serving() {
         match owner.journal.recover(cx).await {
             Ok(ledger) => {
+                learned::resume(cx, owner).await;
                 adopt(cx, owner, ledger);
                 return owner.is_serving();
             }
@@ -298,22 +301,26 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let parts: [(&'static str, futures::future::LocalBoxFuture<'static, ()>); 4] = [
+    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 5] = [
         (
             "journal",
-            Box::pin(write_journal(Rc::clone(cx), Rc::clone(owner))),
+            write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
         (
             "directory",
-            Box::pin(directory::follow(Rc::clone(cx), Rc::clone(owner))),
+            directory::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
         (
             "dispatch",
-            Box::pin(dispatch::run(Rc::clone(cx), Rc::clone(owner))),
+            dispatch::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
         (
             "upkeep",
-            Box::pin(upkeep::run(Rc::clone(cx), Rc::clone(owner))),
+            upkeep::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
+        (
+            "learned",
+            learned::hand_on(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
     ];
     for (name, part) in parts {
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -64,6 +64,27 @@
     assert!(worst < 0.12, "the load is told wrong by {worst}");
 }
 
+/// What one owner has learned, the next one knows.
+#[test]
+fn a_successor_knows_what_was_learned() {
+    let mut pressure = Pressure::default();
+    let (serving, loud) = (pressure.image("s"), pressure.image("l"));
+    let beside = [Presser {
+        image: loud,
+        share: 0.3,
+    }];
+    let mut task = victim(serving);
+    for round in 0..40_u64 {
+        pressure.note(&mut task, &beside, 60.0, Millis(round * 200));
+    }
+    let learned = pressure::Learned::from(&pressure);
+    let text = serde_json::to_string(&learned).expect("a text form");
+    let read = serde_json::from_str(&text).expect("it is read back");
+    let resumed = Pressure::resumed(&read, Millis(0));
+    let press = |p: &Pressure| p.press(serving, &beside[0]);
+    assert!((press(&resumed) - press(&pressure)).abs() < 1e-9);
+}
+
 fn host<'a>(id: &'a str, victims: &[Victim], strain: f64) -> Host<'a> {
     let strained = |victim: &Victim| Strained {
         victim: *victim,
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -742,9 +742,7 @@
                     let mut workers = self.world.workers.borrow_mut();
                     let worker = workers.get_mut(id).expect("a worker");
                     if worker.is_cut || worker.is_dead {
-                        drop(workers);
-                        sleep(SILENCE).await;
-                        return OrderEnd::Silent(silence());
+                        break;
                     }
                     if let Err(why) = worker.see_token(order.token) {
                         return OrderEnd::Refused(why);
@@ -771,6 +769,8 @@
                 }
                 sleep(WAIT_STEP).await;
             }
+            sleep(SILENCE).await;
+            OrderEnd::Silent(silence())
         }
         .boxed_local()
     }
