--- a/src/lapisdrum/ops/run.rs
+++ b/src/lapisdrum/ops/run.rs
@@ -6,8 +6,11 @@
     platform::{self, settings::PlatformSettings},
     settings::{LogFormat, LogSettings, Settings},
 };
-use std::{fs, path::Path};
-use tokio::signal::unix::{SignalKind, signal};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Checks the settings and runs the daemon, behind the adapter that they choose.
 pub async fn run(config: &Path) -> Result<(), Failure> {
@@ -30,10 +33,24 @@
         level: log::Level::Info.to_level_filter(),
     });
     let stop = stop_signal().map_err(|e| Failure::new(Exit::Failed, e))?;
+    let hangups = signal(SignalKind::hangup()).map_err(|e| Failure::new(Exit::Failed, e))?;
+    actix_rt::spawn(check_again(config.to_owned(), cfg.clone(), hangups));
     let ended = platform::run(cfg, stop).await;
     ended.map_err(|e| Failure::new(Exit::Failed, format!("{e:#}")))
 }
 
+/// Reads the settings again at each SIGHUP and says what they are worth. A change takes effect at the next
+/// start: every address of the process is in use until then.
+async fn check_again(config: PathBuf, cfg: PlatformSettings, mut hangups: Signal) {
+    while hangups.recv().await.is_some() {
+        match PlatformSettings::load(&config) {
+            Ok(read) if read == cfg => log::info!("settings read again; nothing has changed"),
+            Ok(_) => log::warn!("settings have changed; they take effect at the next start"),
+            Err(e) => log::warn!(error:% = e; "settings can't be used; the present ones stay"),
+        }
+    }
+}
+
 fn stop_signal() -> std::io::Result<impl Future<Output = ()>> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -242,6 +242,31 @@
     wait::until("the path is gone", limit, async || status().await == 404).await;
 }
 
+/// The platform tells a daemon that its settings file has changed, and then stops it. It goes on serving
+/// after the first, and after the second says at once that it isn't ready, answers who still comes, and ends
+/// by itself within its grace.
+#[actix_rt::test]
+async fn a_hangup_ends_nothing_and_a_stop_ends_gracefully() {
+    let mut site = Site::start(1).await;
+    site.daemons[0].0.signal("HUP");
+    site.submit(0, "00000000000000a1", &two_steps("50")).await;
+    site.until_state(0, "00000000000000a1", "completed").await;
+    site.daemons[0].0.signal("TERM");
+    let ready = site.daemons[0].2;
+    wait::until("it isn't ready", LIMIT, async || {
+        let answer = http::send(Method::GET, ready, "/ready", &[], "").await;
+        answer.is_ok_and(|answer| answer.status == 503)
+    })
+    .await;
+    let (status, _) = site.call(0, Method::GET, "/other/", &Value::Null).await;
+    assert_eq!(status, 404, "callers are still answered");
+    let process = &mut site.daemons[0].0;
+    wait::until("it has ended", Duration::from_secs(6), async || {
+        process.ended() == Some(0)
+    })
+    .await;
+}
+
 /// A worker says that it drains: two seconds later it gets no task any more.
 #[actix_rt::test]
 async fn a_draining_worker_gets_no_task() {
