Stalled and creeping tasks go elsewhere; a leaving worker's lasting tasks move at once

Cause: a worker that takes tasks and does nothing with them held them until their lease, and tasks that last went down with a leaving worker and waited seven seconds for its lease. Ruled out: judging a stall by a multiple of the estimate (estimates are off by half, squeezed work is slow and moves).

Change: progress that stands still for 1.8 s at a pace of a fifth or more is a stall; a reserving task that takes three times its estimate counts against its worker; on the first sight of a leaving worker what lasts or saves progress is stopped there and placed elsewhere. The stand-in's workers report real progress.

--- a/crates/lapisdrum-standins/src/users/worker.rs
+++ b/crates/lapisdrum-standins/src/users/worker.rs
@@ -28,10 +28,22 @@
 struct Running {
     task: String,
     run: u64,
+    began_at: Instant,
     done_at: Option<Instant>,
     stop_at: Option<Instant>,
 }
 
+impl Running {
+    /// How much of its work is done, in hundredths; one that lasts is at work at once.
+    fn percent(&self) -> u64 {
+        let Some(done_at) = self.done_at else {
+            return 100;
+        };
+        let (whole, done) = (done_at - self.began_at, self.began_at.elapsed());
+        (done.as_secs_f64() / whole.as_secs_f64() * 100.0) as u64
+    }
+}
+
 /// A worker's state.
 #[derive(Debug)]
 pub struct UsersWorker {
@@ -166,6 +178,7 @@
         self.running.borrow_mut().push(Running {
             task: task.to_owned(),
             run,
+            began_at: Instant::now(),
             done_at,
             stop_at: None,
         });
@@ -203,7 +216,7 @@
         let running = self.running.borrow();
         let running: Vec<Value> = running
             .iter()
-            .map(|r| json!([r.task, r.run, "", 50, 0]))
+            .map(|r| json!([r.task, r.run, "", r.percent(), 0]))
             .collect();
         let ended = self.ended.borrow();
         let ended: Vec<Value> = ended
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -1,6 +1,6 @@
 //! Follows the directory's list of workers.
 
-use super::{Owner, session::Session, visit};
+use super::{Owner, runs, session::Session, visit};
 use crate::sched::{Cx, edge::WorkerReport, settle::LeaseBound};
 use indexmap::IndexSet;
 use std::{rc::Rc, time::Duration};
@@ -53,7 +53,11 @@
         log::info!(worker:% = worker, address:% = report.address, born = report.life.born, leaving_in:? = report.leaving_in; "worker registered");
     }
     session.is_registered = true;
+    let is_leaving = report.leaving_in.is_some();
     session.report = Some(Rc::new(report));
     drop(sessions);
     visit::watch(cx, owner, &worker);
+    if is_leaving {
+        runs::leave_worker(cx, owner, &worker);
+    }
 }
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -37,6 +37,10 @@
     pub progress: Option<(u32, Millis)>,
     /// Whether a stop saves its progress.
     pub is_checkpointing: bool,
+    /// Whether it runs until its job is cancelled.
+    pub is_long_running: bool,
+    /// A rough estimate of its run time, in milliseconds.
+    pub estimate_ms: u64,
     /// What it runs, if its step says so.
     pub image: Option<Image>,
     /// For a serving task the tail to stay under, in milliseconds.
@@ -92,6 +96,8 @@
             since: now,
             progress: None,
             is_checkpointing: step.is_checkpointing,
+            is_long_running: step.is_long_running,
+            estimate_ms: step.estimate_ms,
             image,
             target_ms: step.latency_target_ms,
             tail_ms: 0.0,
@@ -355,7 +361,30 @@
     });
 }
 
+/// Moves away what would be cut off when a worker leaves: what lasts, and what saves its progress. The rest
+/// is as likely done by then as it would be elsewhere.
+pub fn leave_worker(cx: &Cx, owner: &Rc<Owner>, worker: &str) {
+    let runs = owner.runs.borrow();
+    let here = runs.iter().filter(|(_, record)| record.on.worker == worker);
+    let moved = here.filter(|(_, r)| r.is_long_running || r.is_checkpointing);
+    let moved: Vec<RunId> = moved.map(|(run, _)| *run).collect();
+    drop(runs);
+    for run in moved {
+        order_stop(cx, owner, run, "its worker is leaving");
+    }
+}
+
 impl Owner {
+    /// Notes that a task failed, stood still or crept on a worker: it is tried elsewhere first, and a worker
+    /// that does so again and again is suspect.
+    pub fn note_misbehaved(&self, worker: &str, task: &TaskId, now: Millis) {
+        self.session(worker, |session| {
+            session.failures = (session.failures.0.saturating_add(1), now);
+        });
+        let mut failed_on = self.failed_on.borrow_mut();
+        failed_on.entry(*task).or_default().push(worker.to_owned());
+    }
+
     /// Where a worker answers.
     pub fn address_of(&self, worker: &str) -> Option<String> {
         let sessions = self.sessions.borrow();
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -1,18 +1,23 @@
 //! What an owner looks after by the clock: runs on silent workers whose leases are over, and jobs that
 //! were over long ago.
 
-use super::Owner;
+use super::{Owner, runs};
 use crate::sched::{
     Cx,
     event::{Event, Loss, RunId},
     job::JobId,
     ledger::Phase,
-    settle::Order,
+    settle::{Order, Stop},
 };
 use std::{rc::Rc, time::Duration};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(300);
+/// A task of which the progress stands still this long is stalled: tasks take about 2 s, so one that works
+/// moves by a hundredth every 20 ms.
+const STALLED_AFTER: Duration = Duration::from_millis(1_800);
+/// Slower paces than this, in hundredths, let a task seem stalled.
+const LEAST_PACE_JUDGED: u32 = 20;
 /// Jobs forgotten in one round, so that their events fit one row.
 const FORGET_A_ROUND: usize = 200;
 
@@ -20,6 +25,7 @@
 pub async fn run(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
         give_up_lapsed(&cx, &owner);
+        stop_stalled(&cx, &owner);
         forget_old(&cx, &owner);
         note_gauges(&cx, &owner);
         tokio::time::sleep(ROUND).await;
@@ -47,6 +53,30 @@
     }
 }
 
+/// Stops runs that stand still: their worker answers and does nothing. They go on elsewhere.
+fn stop_stalled(cx: &Cx, owner: &Rc<Owner>) {
+    let now = cx.clock.now();
+    let runs = owner.runs.borrow();
+    let stalled = runs.iter().filter(|(_, record)| {
+        let stands = record.progress.map(|(_, since)| now.since(since));
+        let is_judged = !record.is_long_running && record.pace >= LEAST_PACE_JUDGED;
+        is_judged
+            && record.known.stop == Stop::No
+            && stands.is_some_and(|for_| for_ >= STALLED_AFTER)
+    });
+    let stalled: Vec<(RunId, String)> = stalled
+        .map(|(run, record)| (*run, record.on.worker.clone()))
+        .collect();
+    drop(runs);
+    for (run, worker) in stalled {
+        // Without a newer list than the last change nothing is known of the time since.
+        if owner.session(&worker, |session| session.silent_since.is_none()) == Some(true) {
+            owner.note_misbehaved(&worker, &run.task, now);
+            runs::order_stop(cx, owner, run, "it stands still");
+        }
+    }
+}
+
 fn forget_old(cx: &Cx, owner: &Owner) {
     let now = cx.unix_ms();
     let retention_ms = cx.cfg.retention.as_millis() as u64;
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -12,6 +12,7 @@
 use crate::{
     core::time::{Millis, WorkerMillis},
     daemon::supervisor,
+    policy::dispatch::place::Load,
     sched::{
         Cx,
         edge::{ListedEnd, Lists, LookOrder, OrderEnd, Refusal},
@@ -34,6 +35,12 @@
 /// worker, and looks go on to keep its leases.
 const ACK_WAIT: Duration = Duration::from_millis(250);
 
+/// A reserving task that takes so many times its estimate has crept: estimates are off by a fifth to a half,
+/// and slow workers are slower by four to six.
+const CREEPING: u64 = 3;
+/// Added to that for short tasks, in milliseconds.
+const CREEPING_SLACK_MS: u64 = 300;
+
 /// Watches a worker until the shard is lost or nothing speaks for the worker any more.
 pub fn watch(cx: &Cx, owner: &Rc<Owner>, worker: &str) {
     let was_watched = owner.session(worker, |s| std::mem::replace(&mut s.is_watched, true));
@@ -306,24 +313,21 @@
     record: Option<RunRecord>,
     now: Millis,
 ) {
-    let ran_ms = record.map_or(0, |record| now.since(record.since).as_millis() as u64);
+    let ran_ms = record
+        .as_ref()
+        .map_or(0, |r| now.since(r.since).as_millis() as u64);
+    let crept = record.is_some_and(|record| {
+        record.load == Load::Reserving && ran_ms > record.estimate_ms * CREEPING + CREEPING_SLACK_MS
+    });
     log::info!(task:% = end.run.task, run = end.run.run.0, worker, how:? = end.how, ran_ms; "run ended");
     cx.metrics.note_end(end.how);
     match end.how {
+        RunEnd::Done if crept => owner.note_misbehaved(worker, &end.run.task, now),
         RunEnd::Done => {
             owner.session(worker, |session| session.failures = (0, now));
             owner.failed_on.borrow_mut().swap_remove(&end.run.task);
         }
-        RunEnd::Failed => {
-            owner.session(worker, |session| {
-                session.failures = (session.failures.0.saturating_add(1), now);
-            });
-            let mut failed_on = owner.failed_on.borrow_mut();
-            failed_on
-                .entry(end.run.task)
-                .or_default()
-                .push(worker.to_owned());
-        }
+        RunEnd::Failed => owner.note_misbehaved(worker, &end.run.task, now),
         RunEnd::Stopped | RunEnd::Lapsed | RunEnd::GangBroken | RunEnd::GangIncomplete => {}
     }
 }
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -6,10 +6,12 @@
 };
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
+    edge::RowKey,
     job::{JobId, TaskId},
+    journal::{AppendEnd, JOURNAL_TABLE, Journal},
     peer::{CancelReply, JobState, SubmitReply},
 };
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -363,3 +365,79 @@
         world.check();
     });
 }
+
+/// A worker takes tasks and does nothing with them. They are stopped there, done elsewhere, and the worker
+/// gets the next ones last.
+#[test]
+fn tasks_that_stand_still_go_elsewhere() {
+    paused(async {
+        let world = World::new(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.stall("w0");
+        let submitted = world.submit(&cx, 1, vec![step(4, 600, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("the job is completed", Duration::from_secs(8), async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        world.submit(&cx, 2, vec![step(2, 300, &[])]).await;
+        until("so is the next", Duration::from_secs(1), async || {
+            world.state(&cx, 2).await == Some(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// A worker says that it is leaving. A task that lasts is moved while the worker is still there, in place of
+/// lying down for the seconds until its lease is over.
+#[test]
+fn lasting_tasks_leave_a_leaving_worker() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let lasting = lapisdrum::sched::job::Step {
+            is_long_running: true,
+            ..step(1, 60_000, &[])
+        };
+        world.submit(&cx, 1, vec![lasting]).await;
+        until("it runs", LIMIT, async || world.running_on("w0").len() == 1).await;
+        world.add_worker("w1");
+        sleep(Duration::from_secs(1)).await;
+        world.leave("w0");
+        until("it runs elsewhere", Duration::from_secs(2), async || {
+            world.running_on("w1").len() == 1
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// A row's answer is lost, and by the time it is sent again another process that somehow has our fence has
+/// put its row at the place. The journal must end: taken for our own, the other's row would have callers
+/// told that jobs are accepted which no journal holds.
+#[test]
+fn anothers_row_at_our_place_ends_the_journal() {
+    paused(async {
+        let world = World::new(1);
+        world.set_store("a", StoreMood::Away);
+        let cx = world.daemon("a");
+        let place = |table, key: &str| RowKey {
+            table,
+            part: "main".to_owned(),
+            key: key.to_owned(),
+        };
+        let fence = place("owners", "fence");
+        world.write_row(&fence, b"us");
+        world.write_row(&place(JOURNAL_TABLE, "0000000000000001"), b"another's");
+        world.set_store("a", StoreMood::Up);
+        let journal = Rc::new(Journal::new("main", (fence, 1)));
+        let ticket = journal.append(&[]);
+        let (writing, writer) = (Rc::clone(&journal), Rc::clone(&cx));
+        actix_rt::spawn(async move { writing.write_all(&writer, Vec::new).await });
+        assert_eq!(ticket.end().await, AppendEnd::Lost);
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -74,6 +74,7 @@
 }
 
 struct Running {
+    began_at: Instant,
     done_at: Instant,
     stop_at: Option<Instant>,
     size: Size,
@@ -101,6 +102,7 @@
     is_listed: bool,
     leaving_in: Option<Duration>,
     mood: WorkerMood,
+    is_stalled: bool,
 }
 
 /// Everything around the daemons.
@@ -198,6 +200,7 @@
             is_listed: true,
             leaving_in: None,
             mood: WorkerMood::Prompt,
+            is_stalled: false,
         };
         self.workers.borrow_mut().insert(id.to_owned(), worker);
     }
@@ -272,6 +275,11 @@
         self.change(worker, |w| w.mood = mood);
     }
 
+    /// Has everything that a worker starts from now on stand still.
+    pub(crate) fn stall(&self, worker: &str) {
+        self.change(worker, |w| w.is_stalled = true);
+    }
+
     /// Has every task of a job fail.
     pub(crate) fn let_fail(&self, job: JobId) {
         self.failing.borrow_mut().insert(job);
@@ -301,6 +309,16 @@
             .count()
     }
 
+    /// Writes a row as another process would.
+    pub(crate) fn write_row(&self, row: &RowKey, value: &'static [u8]) {
+        let txn = Txn {
+            put: vec![(row.clone(), value.into())],
+            ..Txn::default()
+        };
+        let end = self.rows.borrow_mut().commit(&txn);
+        assert!(matches!(end, TxnEnd::Committed(_)), "{end:?}");
+    }
+
     /// Transactions that took effect.
     pub(crate) fn commits(&self) -> u64 {
         self.rows.borrow().commits
@@ -353,7 +371,11 @@
         worker.running.insert(
             order.run,
             Running {
-                done_at: now + Duration::from_millis(step.estimate_ms),
+                began_at: now,
+                done_at: match worker.is_stalled {
+                    true => now + Duration::from_secs(1_000),
+                    false => now + Duration::from_millis(step.estimate_ms),
+                },
                 stop_at: None,
                 size: step.size,
                 fails,
@@ -478,6 +500,12 @@
 }
 
 impl Running {
+    /// How much of the work is done, in hundredths.
+    fn percent(&self, now: Instant) -> u32 {
+        let (whole, done) = (self.done_at - self.began_at, now - self.began_at);
+        (done.as_secs_f64() / whole.as_secs_f64() * 100.0) as u32
+    }
+
     fn end_at(&self, now: Instant, lease_until: Instant) -> Option<RunEnd> {
         if self.done_at <= now.min(lease_until) {
             return Some(if self.fails {
@@ -801,10 +829,10 @@
 
 impl Worker {
     fn lists(&self, now: Instant) -> Lists {
-        let running = self.running.keys().map(|run| ListedRun {
+        let running = self.running.iter().map(|(run, running)| ListedRun {
             run: *run,
             checkpoint: None,
-            percent: 50,
+            percent: running.percent(now),
             gauge: 0,
         });
         Lists {
