Unused division of slots removed; names that stood twice; imports at the head

Cause: policy::grants is used by nothing but its own test; two types of one folder were called Load; paths were written out in the middle of functions. Ruled out: using policy::grants (floors are divided by state::grants). Change: module and its test removed, pressure's load is ServingLoad. Conclusion: the rest of the daemon's flat folder is still to be divided.

--- a/src/lapisdrum/policy/dispatch/pressure.rs
+++ b/src/lapisdrum/policy/dispatch/pressure.rs
@@ -84,7 +84,7 @@
 
 /// The load that all tasks of a serving step share, with its slope a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Load {
+pub struct ServingLoad {
     level: f64,
     slope: f64,
     /// Variances of level and slope, and their covariance between.
@@ -92,7 +92,7 @@
     heard_at: Option<Millis>,
 }
 
-impl Default for Load {
+impl Default for ServingLoad {
     fn default() -> Self {
         Self {
             level: FIRST_LOAD.0,
@@ -103,7 +103,7 @@
     }
 }
 
-impl Load {
+impl ServingLoad {
     /// The load when it was last measured, or what is taken for it before.
     pub fn level(&self) -> f64 {
         self.level
@@ -153,7 +153,7 @@
     /// Its target, in milliseconds.
     pub target_ms: f64,
     /// Its step's load.
-    pub load: Load,
+    pub load: ServingLoad,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -7,14 +7,13 @@
 //! [`drain`] for the time to come back), [`admission`] again (concurrency, when it starts) and
 //! [`headroom`] (slots kept for shorter runs), [`routing`] with [`outliers`] (which worker), [`retry`]
 //! (whether to send again). A task meets
-//! [`queueing`], [`placement`] with [`interference`] and [`health`], then [`eviction`]; [`grants`]
-//! divides a worker between the daemons. [`hysteresis`] sets the pace wherever a signal lags.
+//! [`queueing`], [`placement`] with [`interference`] and [`health`], then [`eviction`]. [`hysteresis`]
+//! sets the pace wherever a signal lags. Tasks of job graphs go by [`dispatch`].
 
 pub mod admission;
 pub mod dispatch;
 pub mod drain;
 pub mod eviction;
-pub mod grants;
 pub mod headroom;
 pub mod health;
 pub mod hysteresis;
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Cx,
-    edge::{Row, RowKey, Txn},
+    edge::{Row, RowKey, Txn, TxnEnd},
     event::Event,
     ledger::Ledger,
     settle::{WriteVerdict, judge_write},
@@ -305,10 +305,7 @@
         };
         // Without a certain answer the rows stay; deleting them under a pointer that isn't in would
         // lose them.
-        if !matches!(
-            cx.store.commit(&txn).await,
-            super::edge::TxnEnd::Committed(_)
-        ) {
+        if !matches!(cx.store.commit(&txn).await, TxnEnd::Committed(_)) {
             return;
         }
         let first = std::mem::replace(&mut self.inner.borrow_mut().first_row, number + 1);
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -28,7 +28,7 @@
 use crate::{
     core::time::Millis,
     daemon::supervisor,
-    policy::dispatch::pressure::{Load, Pressure},
+    policy::dispatch::pressure::{Pressure, ServingLoad},
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
@@ -86,7 +86,7 @@
     /// What disturbs what, learned anew by each owner.
     pub pressure: RefCell<Pressure>,
     /// Loads of serving steps.
-    pub loads: RefCell<IndexMap<StepId, Load>>,
+    pub loads: RefCell<IndexMap<StepId, ServingLoad>>,
     /// Unknown runs that are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -1,6 +1,6 @@
 //! Runs on workers: orders to start and stop them, and what settles each.
 
-use super::{Owner, session::Session};
+use super::{Owner, session::Session, visit};
 use crate::{
     core::{size::Size, time::Millis},
     daemon::supervisor,
@@ -194,7 +194,7 @@
             owner.set_order(&run, Order::Silent);
             // No further task goes there before the worker has answered something.
             owner.session(&worker, |s| s.silent_since = s.silent_since.or(Some(now)));
-            if super::visit::look_once(cx, owner, &worker).await {
+            if visit::look_once(cx, owner, &worker).await {
                 owner.note_late_habit(cx, &worker);
             }
         }
@@ -225,7 +225,7 @@
 fn note_refused(cx: &Cx, owner: &Rc<Owner>, worker: &str, why: Refusal) {
     let now = cx.clock.now();
     match why {
-        Refusal::NewerOwner => super::visit::note_newer_owner(cx, owner, worker),
+        Refusal::NewerOwner => visit::note_newer_owner(cx, owner, worker),
         Refusal::Unhealthy => {
             owner.session(worker, |session| session.failures = (u32::MAX, now));
         }
@@ -338,7 +338,7 @@
             true
         }
         OrderEnd::Refused(Refusal::NewerOwner) => {
-            super::visit::note_newer_owner(cx, owner, &worker);
+            visit::note_newer_owner(cx, owner, &worker);
             false
         }
         OrderEnd::Refused(_) | OrderEnd::Unsent(_) | OrderEnd::Silent(_) => false,
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -8,6 +8,7 @@
 use super::{
     Owner,
     runs::{self, RunRecord, note_lease_call, stop_unknown},
+    strain,
 };
 use crate::{
     core::time::{Millis, WorkerMillis},
@@ -17,6 +18,8 @@
         Cx,
         edge::{ListedEnd, Lists, LookOrder, OrderEnd, Refusal},
         event::{Event, Loss, RunEnd, RunId},
+        job::JobId,
+        journal::AppendEnd,
         lease,
         settle::{Order, RunVerdict, Sight, judge_run},
     },
@@ -193,7 +196,7 @@
     let acked = note_ends(cx, owner, worker, &known, &lists.ended, now);
     if known.is_newest {
         note_running(cx, owner, worker, &known, sent_at, &lists, now);
-        super::strain::note(cx, owner, worker, &lists, now);
+        strain::note(cx, owner, worker, &lists, now);
     }
     if let Some(acked) = acked {
         // On a stall the ends are listed again at the next look, which changes nothing.
@@ -264,7 +267,7 @@
         }
         let record = is_known.then(|| owner.remove_run(&end.run)).flatten();
         if let Some(record) = &record {
-            super::strain::note_departure(owner, worker, record, now);
+            strain::note_departure(owner, worker, record, now);
         }
         note_how(cx, owner, worker, end, record, now);
         events.push(Event::Ended {
@@ -284,7 +287,7 @@
     }
     let (owner, worker, born) = (Rc::clone(owner), worker.to_owned(), life.born);
     let acked = actix_rt::spawn(async move {
-        if ticket.end().await == crate::sched::journal::AppendEnd::Durable {
+        if ticket.end().await == AppendEnd::Durable {
             owner.session(&worker, |session| {
                 if session.claimed_life == Some(born) {
                     session.acked_upto = session.acked_upto.max(upto);
@@ -297,7 +300,7 @@
     })
 }
 
-fn job_of(event: &Event) -> Option<crate::sched::job::JobId> {
+fn job_of(event: &Event) -> Option<JobId> {
     match event {
         Event::Ended { run, .. } => Some(run.task.job),
         _ => None,
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -1,6 +1,6 @@
 //! The process: starts its parts, and ends them gracefully.
 
-use super::{Cx, lease, peer};
+use super::{Cx, edge::Catalogue, lease, peer};
 use crate::daemon::supervisor;
 use actix_rt::net::TcpListener;
 use eyre::WrapErr as _;
@@ -43,7 +43,7 @@
 }
 
 /// Takes a catalogue that was read; an older one, in an answer that was overtaken, is passed over.
-fn adopt(cx: &Cx, read: super::edge::Catalogue) {
+fn adopt(cx: &Cx, read: Catalogue) {
     let before = cx.catalogue.borrow().as_ref().map(|known| known.version);
     if before.is_some_and(|before| read.version <= before) {
         return;
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -3,7 +3,6 @@
 mod admission;
 mod drain;
 mod eviction;
-mod grants;
 mod headroom;
 mod health;
 mod hysteresis;
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -19,7 +19,7 @@
     Victim {
         image,
         target_ms: TARGET_MS,
-        load: pressure::Load::default(),
+        load: pressure::ServingLoad::default(),
     }
 }
 
