--- a/tests/testsuite/sched/settle.rs
+++ b/tests/testsuite/sched/settle.rs
@@ -6,6 +6,7 @@
     sched::{
         edge::{CallError, Row, TxnEnd},
         event::Loss,
+        owner::session::Session,
         settle::{
             Habit, LeaseBound, Order, RunKnowledge, RunVerdict, Sight, Stop, WriteVerdict,
             judge_run, judge_write,
@@ -163,3 +164,14 @@
     assert!(!bound.is_over(hold, Habit::Prompt, &limits));
     assert!(bound.is_over(hold + Duration::from_secs(1), Habit::Prompt, &limits));
 }
+
+/// A worker falls silent and may be in a new life when it answers next, in which it numbers its ends from 1.
+/// The number up to which the earlier life's ends were taken must not be sent to it.
+#[test]
+fn nothing_is_acknowledged_after_a_silence() {
+    let mut session = Session::new(LeaseBound::inherited(Millis(0), &limits()));
+    session.acked_upto = 7;
+    assert_eq!(session.ackable(), 7);
+    session.silent_since = Some(Millis(100));
+    assert_eq!(session.ackable(), 0);
+}
