--- a/tests/testsuite/metrics/mod.rs
+++ b/tests/testsuite/metrics/mod.rs
@@ -1,7 +1,10 @@
 //! `/metrics`: valid OpenMetrics text, the ecosystem's names, the users' three measures.
 
 use indexmap::IndexMap;
-use lapisdrum::daemon::metrics::{EndLabels, EntryLabel, Metrics, ReasonLabel, RequestLabels};
+use lapisdrum::{
+    daemon::metrics::{EndLabels, EntryLabel, Metrics, ReasonLabel, RequestLabels},
+    sched::{self, event::RunEnd, front::Outcome, ledger::Phase},
+};
 use std::{fs, path::Path};
 
 /// One family as its comment lines declare it, with its samples' names and labels.
@@ -121,13 +124,23 @@
     }
 }
 
+/// The scheduler's metrics, each with a sample.
+fn sched_metrics() -> sched::metrics::Metrics {
+    let metrics = sched::metrics::Metrics::new();
+    metrics.note_submit("maps", &Outcome::Done(()));
+    metrics.note_job("maps", Phase::Completed, 900);
+    metrics.note_end(RunEnd::Done);
+    metrics
+}
+
 /// An alarm on a metric that is not there never rings: every name on the page for operators is one
 /// that a daemon writes.
 #[test]
 fn the_operations_page_names_metrics_that_exist() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/OPERATIONS.md");
     let page = fs::read_to_string(path).expect("the page is there");
-    let families = parse(&sample_metrics().text());
+    let mut families = parse(&sample_metrics().text());
+    families.extend(parse(&sched_metrics().text()));
     let is_part = |c: char| c.is_ascii_lowercase() || c == '_';
     let named = page.match_indices("lapisdrum_").map(|(at, _)| {
         let rest = &page[at..];
