An owner that may have been replaced denies no job

Seen from the lines: cancel asked for, outcome NoSuchJob, owner_seen_ms 11330, store_up false.

Change: a job that isn't known, and a queue's count, are answered only within the life of a lease from the last renewal; else the one asked is no owner. Before: the test got UnknownJob; after: NotOwner, 51 tests pass.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -28,7 +28,7 @@
 const RENEW: Duration = Duration::from_millis(400);
 /// Life of the lease. It is the larger part of the time without an owner, in which nothing starts; a lapse
 /// under a live owner costs a recovery of 0.15 s. Workers' leases run for 6 s, so tasks live through both.
-const LEASE: Duration = Duration::from_millis(1_500);
+pub const LEASE: Duration = Duration::from_millis(1_500);
 /// A host with this part of a core leaves no shard to others.
 const ENOUGH_CPU: f64 = 0.25;
 /// Head start that a host without any processor would give: several looks of the larger ones.
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -71,13 +71,14 @@
 }
 
 /// Tells a job's state; only what is durable is told.
-pub fn show(owner: &Owner, id: JobId) -> ShowReply {
+pub fn show(cx: &Cx, owner: &Owner, id: JobId) -> ShowReply {
     if !owner.is_recovered() {
         return ShowReply::NotOwner;
     }
     let ledger = owner.ledger.borrow();
     match ledger.jobs.get(&id) {
-        None => ShowReply::Unknown,
+        None if owner.is_alone(cx) => ShowReply::Unknown,
+        None => ShowReply::NotOwner,
         Some(job) => ShowReply::State(state_of(owner, id, job)),
     }
 }
@@ -103,7 +104,8 @@
     }
     let phase = owner.ledger.borrow().jobs.get(&job).map(|job| job.phase);
     let ticket = match phase {
-        None => return CancelReply::UnknownJob,
+        None if owner.is_alone(cx) => return CancelReply::UnknownJob,
+        None => return CancelReply::NotOwner,
         Some(Phase::Active) => {
             let at_unix_ms = cx.unix_ms();
             let ticket = owner.propose(cx, vec![Event::Cancelled { job, at_unix_ms }]);
@@ -120,8 +122,8 @@
 }
 
 /// Jobs of a queue of which nothing was started.
-pub fn pending(owner: &Owner, queue: &str) -> Option<u64> {
-    if !owner.is_recovered() {
+pub fn pending(cx: &Cx, owner: &Owner, queue: &str) -> Option<u64> {
+    if !owner.is_alone(cx) {
         return None;
     }
     let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -147,6 +147,13 @@
         self.standing.get() == Standing::Serving
     }
 
+    /// Whether nobody else can have taken the shard yet: what isn't known here is known nowhere. An owner that
+    /// the store turns away goes on being asked by callers cut off with it, while another accepts jobs.
+    pub fn is_alone(&self, cx: &Cx) -> bool {
+        let unrenewed = cx.clock.now().since(self.renewed_at.get());
+        self.is_recovered() && unrenewed < lease::LEASE
+    }
+
     /// Whether leases of workers may still be renewed: within the hold that a successor waits out.
     pub fn may_renew(&self, cx: &Cx) -> bool {
         let unrenewed = cx.clock.now().since(self.renewed_at.get());
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -146,9 +146,9 @@
         (Ask::Submit { job, spec, terms }, Some(owner)) => {
             Answer::Submitted(jobs::submit(cx, &owner, job, Rc::new(spec), terms).await)
         }
-        (Ask::Show(job), Some(owner)) => Answer::Shown(jobs::show(&owner, job)),
+        (Ask::Show(job), Some(owner)) => Answer::Shown(jobs::show(cx, &owner, job)),
         (Ask::Cancel(job), Some(owner)) => Answer::Cancelled(jobs::cancel(cx, &owner, job).await),
-        (Ask::Pending(queue), Some(owner)) => Answer::Pending(jobs::pending(&owner, &queue)),
+        (Ask::Pending(queue), Some(owner)) => Answer::Pending(jobs::pending(cx, &owner, &queue)),
     }
 }
 
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -9,7 +9,7 @@
     edge::RowKey,
     job::{JobId, TaskId},
     journal::{AppendEnd, JOURNAL_TABLE, Journal},
-    peer::{CancelReply, JobState, SubmitReply},
+    peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -441,3 +441,27 @@
         assert_eq!(ticket.end().await, AppendEnd::Lost);
     });
 }
+
+/// The store turns the owner away and another daemon takes over; callers cut off with the old one still ask
+/// it. It must not say of a job that the new owner has accepted that there is none: the caller would take its
+/// cancel for done, and the job would run on.
+#[test]
+fn an_owner_that_may_be_replaced_denies_no_job() {
+    paused(async {
+        let world = World::new(1);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        world.set_store("a", StoreMood::Away);
+        owned(&second, LIMIT).await;
+        let submitted = world.submit(&second, 1, vec![step(1, 60_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        assert_matches!(world.cancel(&first, 1).await, CancelReply::NotOwner);
+        let shown = peer::answer(&first, Ask::Show(JobId(1))).await;
+        assert_matches!(shown, Answer::Shown(ShowReply::NotOwner));
+        let counted = peer::answer(&first, Ask::Pending("maps".to_owned())).await;
+        assert_matches!(counted, Answer::Pending(None));
+        assert_matches!(world.cancel(&second, 1).await, CancelReply::Done);
+        assert_matches!(world.cancel(&second, 2).await, CancelReply::UnknownJob);
+    });
+}
