Several shards: racks dealt in a layout row, jobs at home by their id

Cause: on the larger deployments one owner does all the work. Ruled out: wider spacing of passes alone (it delays short jobs and leaves the single point), workers moved between shards (needs a hand-over of tasks), jobs dealt by load (who owns a job must then be asked). Change: sched::layout. The first daemon deals whole racks to one shard per 128 workers and writes that down; it only grows. A job's home is a hash of its id, or the rack of its data; a shard's rows are in its own part of the store. Each daemon looks at one lease at a time and leaves further shards to others. Up to 128 workers there is one shard, as before.

--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -1,17 +1,17 @@
-//! Takes callers' wishes to the owner of the shard, wherever it is, and tells them how it ended.
+//! Takes callers' wishes to the owner of the job's shard, wherever it is, and tells them how it ended.
 //!
 //! A refusal is final: the job never runs. So a hand-in is refused only when it was certainly not taken;
 //! without an answer from the owner the caller is told that nobody knows, and a repeat finds the job.
 //! Whom no owner can serve is refused at once, with the time until one is likely to be there.
 
 use super::{
-    Cx,
+    Cx, Seat,
     edge::Queue,
     job::{JobId, JobSpec},
     peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use crate::core::time::{Millis, millis};
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -21,6 +21,9 @@
 /// When a caller should come back that no owner can serve: a take-over takes about three seconds from
 /// the owner's end, and on average half of that is over.
 const NO_OWNER_RETRY: Duration = Duration::from_secs(2);
+/// When a caller should come back before it is known which shard owns what: at a deployment's first start,
+/// or while the store can't be read after a restart.
+const NO_LAYOUT_RETRY: Duration = Duration::from_secs(1);
 /// Wait before the lease is read again after the one that was asked turned out not to be the owner.
 const ASK_AGAIN_WAIT: Duration = Duration::from_millis(60);
 /// Processes asked for one wish.
@@ -51,52 +54,93 @@
 
 /// Hands a job in.
 pub async fn submit(cx: &Cx, queue: &Queue, job: JobId, spec: JobSpec) -> Outcome<()> {
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return Outcome::Refused(NO_LAYOUT_RETRY);
+    };
+    let seat = cx.seat(layout.home(job, &spec));
     let terms = queue.terms.clone();
-    let outcome = match ask_owner(cx, Ask::Submit { job, spec, terms }).await {
+    let outcome = match ask_owner(cx, &seat, Ask::Submit { job, spec, terms }).await {
         Asked::Answer(Answer::Submitted(SubmitReply::Accepted)) => Outcome::Done(()),
         Asked::Answer(Answer::Submitted(SubmitReply::Busy(wait))) => Outcome::Refused(wait),
         Asked::Nobody => Outcome::Refused(NO_OWNER_RETRY),
         Asked::Answer(_) | Asked::Silence => Outcome::Unknown,
     };
     cx.metrics.note_submit(&queue.terms.queue, &outcome);
-    let (owner, owner_seen_ms) = owner_believed(cx);
-    log::info!(job:% = job, queue:% = queue.terms.queue, outcome:? = outcome, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "job handed in");
+    let (owner, owner_seen_ms) = owner_believed(cx, &seat);
+    log::info!(job:% = job, queue:% = queue.terms.queue, outcome:? = outcome, shard:% = seat.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "job handed in");
     outcome
 }
 
 /// Tells a job's state.
 pub async fn show(cx: &Cx, job: JobId) -> Outcome<JobState> {
-    match ask_owner(cx, Ask::Show(job)).await {
-        Asked::Answer(Answer::Shown(ShowReply::State(state))) => Outcome::Done(state),
-        Asked::Answer(Answer::Shown(ShowReply::Unknown)) => Outcome::NoSuchJob,
-        Asked::Nobody | Asked::Silence | Asked::Answer(_) => Outcome::Refused(NO_OWNER_RETRY),
-    }
+    at_home(cx, job, async |seat| {
+        match ask_owner(cx, &seat, Ask::Show(job)).await {
+            Asked::Answer(Answer::Shown(ShowReply::State(state))) => Outcome::Done(state),
+            Asked::Answer(Answer::Shown(ShowReply::Unknown)) => Outcome::NoSuchJob,
+            Asked::Nobody | Asked::Silence | Asked::Answer(_) => Outcome::Refused(NO_OWNER_RETRY),
+        }
+    })
+    .await
 }
 
 /// Cancels a job.
 pub async fn cancel(cx: &Cx, job: JobId) -> Outcome<()> {
-    let outcome = match ask_owner(cx, Ask::Cancel(job)).await {
+    at_home(cx, job, async |seat| cancel_at(cx, &seat, job).await).await
+}
+
+async fn cancel_at(cx: &Cx, seat: &Rc<Seat>, job: JobId) -> Outcome<()> {
+    let outcome = match ask_owner(cx, seat, Ask::Cancel(job)).await {
         Asked::Answer(Answer::Cancelled(CancelReply::Done)) => Outcome::Done(()),
         Asked::Answer(Answer::Cancelled(CancelReply::UnknownJob)) => Outcome::NoSuchJob,
         Asked::Nobody => Outcome::Refused(NO_OWNER_RETRY),
         Asked::Silence | Asked::Answer(_) => Outcome::Unknown,
     };
-    let (owner, owner_seen_ms) = owner_believed(cx);
-    log::info!(job:% = job, outcome:? = outcome, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
+    let (owner, owner_seen_ms) = owner_believed(cx, seat);
+    log::info!(job:% = job, outcome:? = outcome, shard:% = seat.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
     outcome
 }
 
-/// Counts a queue's jobs of which nothing was started.
+/// Asks the shards in which a job may be, the likeliest first. There is no such job only if every one of
+/// them says so: a job whose data has a place is at home there, and its id doesn't tell.
+async fn at_home<T>(cx: &Cx, job: JobId, ask: impl AsyncFn(Rc<Seat>) -> Outcome<T>) -> Outcome<T> {
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return Outcome::Refused(NO_LAYOUT_RETRY);
+    };
+    let mut undecided = None;
+    for shard in layout.homes(job) {
+        match ask(cx.seat(shard)).await {
+            Outcome::Done(found) => return Outcome::Done(found),
+            Outcome::NoSuchJob => {}
+            other => {
+                undecided.get_or_insert(other);
+            }
+        }
+    }
+    undecided.unwrap_or(Outcome::NoSuchJob)
+}
+
+/// Counts a queue's jobs of which nothing was started, over all shards.
 pub async fn pending(cx: &Cx, queue: &str) -> Outcome<u64> {
-    match ask_owner(cx, Ask::Pending(queue.to_owned())).await {
-        Asked::Answer(Answer::Pending(Some(count))) => Outcome::Done(count),
-        Asked::Nobody | Asked::Silence | Asked::Answer(_) => Outcome::Refused(NO_OWNER_RETRY),
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return Outcome::Refused(NO_LAYOUT_RETRY);
+    };
+    let counts = layout.all().map(|shard| {
+        let seat = cx.seat(shard);
+        async move { ask_owner(cx, &seat, Ask::Pending(queue.to_owned())).await }
+    });
+    let mut sum = 0;
+    for asked in futures::future::join_all(counts).await {
+        match asked {
+            Asked::Answer(Answer::Pending(Some(count))) => sum += count,
+            _ => return Outcome::Refused(NO_OWNER_RETRY),
+        }
     }
+    Outcome::Done(sum)
 }
 
 /// Who is taken for the owner, and how old that belief is in milliseconds, for logs.
-fn owner_believed(cx: &Cx) -> (String, u64) {
-    let (lease, now) = (cx.lease.borrow(), cx.clock.now());
+fn owner_believed(cx: &Cx, seat: &Seat) -> (String, u64) {
+    let (lease, now) = (seat.lease.borrow(), cx.clock.now());
     let owner = lease.holder(now).map(|holder| holder.daemon.clone());
     let age = lease.read_at.map_or(Duration::MAX, |at| now.since(at));
     (owner.unwrap_or_else(|| "nobody".to_owned()), millis(age))
@@ -112,15 +156,15 @@
     Silence,
 }
 
-async fn ask_owner(cx: &Cx, ask: Ask) -> Asked {
+async fn ask_owner(cx: &Cx, seat: &Rc<Seat>, ask: Ask) -> Asked {
     let mut asked = Asked::Nobody;
     for attempt in 0..TRIES {
         if attempt > 0 {
             tokio::time::sleep(ASK_AGAIN_WAIT).await;
             // What can't be read stays as last read.
-            let _ = super::lease::look(cx).await;
+            let _ = super::lease::look(cx, seat).await;
         }
-        asked = ask_once(cx, ask.clone()).await;
+        asked = ask_once(cx, seat, ask.clone()).await;
         if !matches!(asked, Asked::Nobody) {
             break;
         }
@@ -128,16 +172,16 @@
     asked
 }
 
-async fn ask_once(cx: &Cx, ask: Ask) -> Asked {
-    let is_own = cx
+async fn ask_once(cx: &Cx, seat: &Seat, ask: Ask) -> Asked {
+    let is_own = seat
         .owner
         .borrow()
         .as_ref()
         .is_some_and(|owner| owner.is_recovered());
     if is_own {
-        return of_owner(peer::answer(cx, ask).await);
+        return of_owner(peer::answer(cx, seat.shard, ask).await);
     }
-    let holder = cx.lease.borrow().holder(cx.clock.now()).cloned();
+    let holder = seat.lease.borrow().holder(cx.clock.now()).cloned();
     let Some(holder) = holder.filter(|holder| *holder != cx.me) else {
         return Asked::Nobody;
     };
@@ -145,14 +189,17 @@
     let rests = |(address, since): &(String, Millis)| {
         *address == holder.address && now.since(*since) < OWNER_REST
     };
-    if cx.silent_owner.borrow().as_ref().is_some_and(rests) {
+    if seat.silent_owner.borrow().as_ref().is_some_and(rests) {
         return Asked::Nobody;
     }
-    match cx.peers.ask(&holder.address, ask, OWNER_TIMEOUT).await {
+    let asked = cx
+        .peers
+        .ask(&holder.address, seat.shard, ask, OWNER_TIMEOUT);
+    match asked.await {
         Ok(answer) => of_owner(answer),
         Err(e) => {
-            *cx.silent_owner.borrow_mut() = Some((holder.address.clone(), cx.clock.now()));
-            log::warn!(owner:% = holder.daemon, error:% = e; "owner does not answer");
+            *seat.silent_owner.borrow_mut() = Some((holder.address.clone(), cx.clock.now()));
+            log::warn!(owner:% = holder.daemon, shard:% = seat.part, error:% = e; "owner does not answer");
             match e.is_unsent {
                 true => Asked::Nobody,
                 false => Asked::Silence,
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -1,4 +1,4 @@
-//! Who owns the shard: a lease row in the store, and a fence row beside it that only a take-over writes.
+//! Who owns a shard: a lease row in the store, and a fence row beside it that only a take-over writes.
 //!
 //! Every daemon reads both rows now and then; an owner renews the lease row. A row that stays unchanged
 //! for [`LEASE`] on the reader's own clock has lapsed, and any daemon may take the shard by a conditional
@@ -9,7 +9,7 @@
 //! at the store and by the token at the workers, so a daemon that was frozen and wakes can do no harm.
 
 use super::{
-    Cx,
+    Cx, Seat,
     edge::{CallError, Row, RowKey, Txn, TxnEnd},
     owner::Owner,
 };
@@ -23,6 +23,12 @@
 const FENCE_KEY: &str = "fence";
 /// Time between two looks at the rows: with [`LEASE`], how soon a dead owner is replaced.
 const POLL: Duration = Duration::from_millis(300);
+/// Least pause between two looks where there are several shards: four shards are each seen every 0.6 s, for
+/// twice the calls of one.
+const LEAST_PAUSE: Duration = Duration::from_millis(150);
+/// Head start that a daemon gives to others for each shard that it owns. Less than that of a host with half of
+/// [`ENOUGH_CPU`]: two shards on half a core go better than one on an eighth.
+const ANOTHER_SHARD: Duration = Duration::from_millis(400);
 /// Time between two renewals: two may be lost before the lease lapses, or one be as slow as the store is
 /// when its answers take sixty times as long.
 const RENEW: Duration = Duration::from_millis(400);
@@ -119,29 +125,41 @@
     }
 }
 
-fn key(cx: &Cx, key: &str) -> RowKey {
+fn key(seat: &Seat, key: &str) -> RowKey {
     RowKey {
         table: OWNERS_TABLE,
-        part: cx.cfg.shard.clone(),
+        part: seat.part.clone(),
         key: key.to_owned(),
     }
 }
 
-/// Looks at the lease, and takes the shard when it is free, until the process ends.
+/// Looks at the leases in turn, and takes a shard that is free, until the process ends. A daemon looks at one
+/// shard at a time, so that its calls don't grow with their number; the daemons together see a lapse as soon
+/// as one that looked at that shard alone.
 pub async fn run(cx: Cx) -> eyre::Result<()> {
-    loop {
-        if let Err(e) = look(&cx).await {
-            cx.note_store(Err(&e.0));
-        }
-        let own = cx.owner.borrow().clone();
-        if own.is_none() && !cx.is_draining() && is_free(&cx) {
-            let spread = rand::rng().random_range(Duration::ZERO..TAKE_SPREAD);
-            tokio::time::sleep(spread + head_start(cx.cfg.cpu_share)).await;
-            if let Err(e) = try_take(&cx).await {
-                log::warn!(error:% = e; "take-over failed");
-            }
-        }
-        tokio::time::sleep(POLL).await;
+    super::layout::learn(&cx).await;
+    let shards: Vec<_> = cx.layout.borrow().iter().flat_map(|l| l.all()).collect();
+    let pause = (POLL / shards.len().max(1) as u32).max(LEAST_PAUSE);
+    for shard in shards.into_iter().cycle() {
+        watch(&cx, &cx.seat(shard)).await;
+        tokio::time::sleep(pause).await;
+    }
+    Ok(())
+}
+
+async fn watch(cx: &Cx, seat: &Rc<Seat>) {
+    if let Err(e) = look(cx, seat).await {
+        cx.note_store(Err(&e.0));
+    }
+    let is_own = seat.owner.borrow().is_some();
+    if is_own || cx.is_draining() || !is_free(cx, seat) {
+        return;
+    }
+    let spread = rand::rng().random_range(Duration::ZERO..TAKE_SPREAD);
+    let burden = ANOTHER_SHARD * cx.owners().len() as u32;
+    tokio::time::sleep(spread + burden + head_start(cx.cfg.cpu_share)).await;
+    if let Err(e) = try_take(cx, seat).await {
+        log::warn!(error:% = e; "take-over failed");
     }
 }
 
@@ -152,31 +170,31 @@
     LONGEST_HEAD_START.mul_f64(missing)
 }
 
-fn is_free(cx: &Cx) -> bool {
-    cx.lease.borrow().is_free_for(&cx.me, cx.clock.now())
+fn is_free(cx: &Cx, seat: &Seat) -> bool {
+    seat.lease.borrow().is_free_for(&cx.me, cx.clock.now())
 }
 
 /// Reads the rows.
-pub async fn look(cx: &Cx) -> Result<(), CallError> {
-    let rows = cx.store.rows(OWNERS_TABLE, &cx.cfg.shard, "").await?;
+pub async fn look(cx: &Cx, seat: &Seat) -> Result<(), CallError> {
+    let rows = cx.store.rows(OWNERS_TABLE, &seat.part, "").await?;
     cx.note_store(Ok(()));
-    let before = cx.lease.borrow().fence;
-    let noted = cx.lease.borrow_mut().note(&rows, cx.clock.now());
+    let before = seat.lease.borrow().fence;
+    let noted = seat.lease.borrow_mut().note(&rows, cx.clock.now());
     noted.map_err(|e| CallError::new(format!("the lease row is malformed: {e}")))?;
-    let view = cx.lease.borrow().clone();
+    let view = seat.lease.borrow().clone();
     if view.fence != before {
         let holder = view.row.map(|row| row.holder.daemon).unwrap_or_default();
-        log::info!(shard:% = cx.cfg.shard, holder:% = holder, token = view.fence; "owner changed");
+        log::info!(shard:% = seat.part, holder:% = holder, token = view.fence; "owner changed");
     }
     Ok(())
 }
 
-async fn try_take(cx: &Cx) -> eyre::Result<()> {
-    look(cx).await?;
-    if !is_free(cx) {
+async fn try_take(cx: &Cx, seat: &Rc<Seat>) -> eyre::Result<()> {
+    look(cx, seat).await?;
+    if !is_free(cx, seat) {
         return Ok(());
     }
-    let seen = cx.lease.borrow().clone();
+    let seen = seat.lease.borrow().clone();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released: false,
@@ -184,30 +202,30 @@
     };
     let txn = Txn {
         expect: vec![
-            (key(cx, LEASE_KEY), seen.version),
-            (key(cx, FENCE_KEY), seen.fence),
+            (key(seat, LEASE_KEY), seen.version),
+            (key(seat, FENCE_KEY), seen.fence),
         ],
         put: vec![
-            (key(cx, LEASE_KEY), serde_json::to_vec(&row)?.into()),
-            (key(cx, FENCE_KEY), serde_json::to_vec(&cx.me)?.into()),
+            (key(seat, LEASE_KEY), serde_json::to_vec(&row)?.into()),
+            (key(seat, FENCE_KEY), serde_json::to_vec(&cx.me)?.into()),
         ],
         delete: Vec::new(),
     };
     let sent_at = cx.clock.now();
     let end = cx.store.commit(&txn).await;
-    log::info!(shard:% = cx.cfg.shard, end:? = end, unchanged_ms = sent_at.since(seen.since).as_millis() as u64; "take-over tried");
+    log::info!(shard:% = seat.part, end:? = end, unchanged_ms = sent_at.since(seen.since).as_millis() as u64; "take-over tried");
     if matches!(end, TxnEnd::Conflict(_) | TxnEnd::NotDone(_)) {
         return Ok(());
     }
     // Read back, whether the answer was lost or not: the token is the fence row's own version.
-    look(cx).await?;
-    let view = cx.lease.borrow().clone();
+    look(cx, seat).await?;
+    let view = seat.lease.borrow().clone();
     let is_ours = view.row.as_ref() == Some(&row) && view.fence > seen.fence;
     if !is_ours {
         return Ok(());
     }
-    let owner = Owner::take(cx, &seen, &view, key(cx, FENCE_KEY), sent_at);
-    *cx.owner.borrow_mut() = Some(Rc::clone(&owner));
+    let owner = Owner::take(seat, &seen, &view, key(seat, FENCE_KEY), sent_at);
+    *seat.owner.borrow_mut() = Some(Rc::clone(&owner));
     super::owner::start(cx, owner);
     Ok(())
 }
@@ -233,12 +251,13 @@
         is_released,
         renewals,
     };
+    let seat = &owner.seat;
     let (fence, token) = owner.fence();
     let version = owner.lease_version.get();
     let value = serde_json::to_vec(&row).unwrap_or_default();
     let txn = Txn {
-        expect: vec![(key(cx, LEASE_KEY), version), (fence, token)],
-        put: vec![(key(cx, LEASE_KEY), value.into())],
+        expect: vec![(key(seat, LEASE_KEY), version), (fence, token)],
+        put: vec![(key(seat, LEASE_KEY), value.into())],
         delete: Vec::new(),
     };
     let sent_at = cx.clock.now();
@@ -262,5 +281,5 @@
         owner.lease_version.set(view.version);
         return;
     }
-    owner.lose(cx, "another daemon has taken the shard");
+    owner.lose("another daemon has taken the shard");
 }
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -1,8 +1,8 @@
 //! The scheduler of job graphs: one process on every entry host, all alike.
 //!
-//! Every process takes callers' jobs; one of them, the *owner* of the shard, remembers the jobs, places
-//! their tasks and keeps the workers' leases. Ownership is a lease in the store that any process may take
-//! over ([`lease`]). What the owner remembers is a journal there ([`journal`], [`ledger`]).
+//! Every process takes callers' jobs. Racks and jobs are divided over shards ([`layout`]); the *owner* of a shard
+//! remembers its jobs, places their tasks and keeps its workers' leases. Ownership is a lease in the store that
+//! any process may take over ([`lease`]). What the owner remembers is a journal there ([`journal`], [`ledger`]).
 //!
 //! [`job`], [`event`], [`ledger`] and [`settle`] are pure, as is [`crate::policy::dispatch`]. [`owner`]
 //! drives them, [`front`] takes callers' wishes to the owner wherever it is ([`peer`]), and [`edge`] names
@@ -13,6 +13,7 @@
 pub mod front;
 pub mod job;
 pub mod journal;
+pub mod layout;
 pub mod lease;
 pub mod ledger;
 pub mod metrics;
@@ -23,6 +24,8 @@
 
 use crate::core::time::{Clock, Millis};
 use edge::{Catalogue, Directory, Store, Workers};
+use indexmap::IndexMap;
+use layout::{Layout, ShardId};
 use lease::{Holder, LeaseView};
 use owner::Owner;
 use settle::LeaseLimits;
@@ -46,8 +49,8 @@
     pub data_centre: String,
     /// Where other processes reach it.
     pub peers: SocketAddr,
-    /// The shard of which jobs are served.
-    pub shard: String,
+    /// Most workers of a shard when a deployment starts for the first time.
+    pub workers_a_shard: usize,
     /// What workers' leases are bounded by.
     pub leases: LeaseLimits,
     /// The part of a core that the process has.
@@ -58,6 +61,20 @@
     pub drain: Duration,
 }
 
+/// What a process knows of one shard.
+pub struct Seat {
+    /// The shard.
+    pub shard: ShardId,
+    /// The part of the store that its rows are in.
+    pub part: String,
+    /// Who owns it, as last read.
+    pub lease: RefCell<LeaseView>,
+    /// The address of an owner that left a call unanswered, and when.
+    pub silent_owner: RefCell<Option<(String, Millis)>>,
+    /// Its owner, while that is this process.
+    pub owner: RefCell<Option<Rc<Owner>>>,
+}
+
 /// What the parts of a process share.
 pub struct Node {
     /// Its settings.
@@ -78,12 +95,10 @@
     pub metrics: metrics::Metrics,
     /// The catalogue in force here; none before the first was read.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
-    /// Who owns the shard, as last read.
-    pub lease: RefCell<LeaseView>,
-    /// The address of an owner that left a call unanswered, and when.
-    pub silent_owner: RefCell<Option<(String, Millis)>>,
-    /// The shard, while this process owns it.
-    pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Which shard owns what; none before it was first read.
+    pub layout: RefCell<Option<Rc<Layout>>>,
+    /// What is known of each shard, by its number.
+    seats: RefCell<IndexMap<ShardId, Rc<Seat>>>,
     /// Whether the store answered last.
     pub store_up: Cell<bool>,
     /// Turns true when the process is to end.
@@ -112,15 +127,38 @@
             peers: peer::Peers::default(),
             metrics: metrics::Metrics::new(),
             catalogue: RefCell::default(),
-            lease: RefCell::default(),
-            silent_owner: RefCell::default(),
-            owner: RefCell::default(),
+            layout: RefCell::default(),
+            seats: RefCell::default(),
             store_up: Cell::new(true),
             draining: watch::Sender::new(false),
             cfg,
         })
     }
 
+    /// What is known of a shard.
+    pub fn seat(&self, shard: ShardId) -> Rc<Seat> {
+        let mut seats = self.seats.borrow_mut();
+        let seat = seats.entry(shard).or_insert_with(|| {
+            Rc::new(Seat {
+                shard,
+                part: shard.part(),
+                lease: RefCell::default(),
+                silent_owner: RefCell::default(),
+                owner: RefCell::default(),
+            })
+        });
+        Rc::clone(seat)
+    }
+
+    /// The owners that this process is.
+    pub fn owners(&self) -> Vec<Rc<Owner>> {
+        let seats = self.seats.borrow();
+        let owners = seats
+            .values()
+            .filter_map(|seat| seat.owner.borrow().clone());
+        owners.collect()
+    }
+
     /// Whether the process has been told to end.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -1,7 +1,12 @@
-//! Follows the directory's list of workers.
+//! Follows the directory's list of workers, for those that the shard owns.
 
 use super::{Owner, runs, session::Session, visit};
-use crate::sched::{Cx, edge::WorkerReport, settle::LeaseBound};
+use crate::sched::{
+    Cx,
+    edge::WorkerReport,
+    layout::{self, ShardId},
+    settle::LeaseBound,
+};
 use indexmap::IndexSet;
 use std::{rc::Rc, time::Duration};
 
@@ -12,13 +17,24 @@
 pub async fn follow(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
         match cx.directory.workers().await {
-            Ok(reports) => note(&cx, &owner, reports),
+            Ok(reports) => {
+                layout::extend(&cx, &reports, owner.seat.shard == ShardId(0)).await;
+                let own = of_shard(&cx, owner.seat.shard, reports);
+                note(&cx, &owner, own);
+            }
             Err(e) => cx.note_store(Err(&e.0)),
         }
         tokio::time::sleep(POLL).await;
     }
 }
 
+/// The workers that the shard owns.
+fn of_shard(cx: &Cx, shard: ShardId, mut reports: Vec<WorkerReport>) -> Vec<WorkerReport> {
+    let layout = cx.layout.borrow().clone();
+    reports.retain(|report| layout.as_ref().and_then(|l| l.owner_of(report)) == Some(shard));
+    reports
+}
+
 fn note(cx: &Cx, owner: &Rc<Owner>, reports: Vec<WorkerReport>) {
     let named: IndexSet<String> = reports.iter().map(|r| r.life.worker.clone()).collect();
     for report in reports {
--- a/src/lapisdrum/sched/owner/learned.rs
+++ b/src/lapisdrum/sched/owner/learned.rs
@@ -25,7 +25,7 @@
 pub async fn resume(cx: &Cx, owner: &Owner) {
     let rows = cx
         .store
-        .rows(LEARNED_TABLE, &cx.cfg.shard, PRESSURE_KEY)
+        .rows(LEARNED_TABLE, &owner.seat.part, PRESSURE_KEY)
         .await;
     let row = rows.ok().and_then(|rows| rows.into_iter().next());
     let learned = row.and_then(|row| serde_json::from_slice::<Learned>(&row.value).ok());
@@ -33,9 +33,9 @@
         Some(learned) => {
             let resumed = Pressure::resumed(&learned, cx.clock.now());
             *owner.pressure.borrow_mut() = resumed;
-            log::info!(shard:% = cx.cfg.shard; "learned pressure is taken over");
+            log::info!(shard:% = owner.seat.part; "learned pressure is taken over");
         }
-        None => log::info!(shard:% = cx.cfg.shard; "nothing learned to take over"),
+        None => log::info!(shard:% = owner.seat.part; "nothing learned to take over"),
     }
 }
 
@@ -56,7 +56,7 @@
 async fn write(cx: &Cx, owner: &Owner, value: &[u8]) {
     let row = RowKey {
         table: LEARNED_TABLE,
-        part: cx.cfg.shard.clone(),
+        part: owner.seat.part.clone(),
         key: PRESSURE_KEY.to_owned(),
     };
     let txn = Txn {
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -16,7 +16,7 @@
 pub mod visit;
 
 use super::{
-    Cx,
+    Cx, Seat,
     edge::RowKey,
     event::{Event, RunId},
     job::{JobId, StepId, TaskId},
@@ -59,6 +59,8 @@
 
 /// The shard under this owner.
 pub struct Owner {
+    /// The shard.
+    pub seat: Rc<Seat>,
     fence: (RowKey, u64),
     /// When the take-over was sent.
     pub taken_at: Millis,
@@ -104,7 +106,7 @@
 impl Owner {
     /// Takes the shard over; nothing is recovered yet.
     pub fn take(
-        cx: &Cx,
+        seat: &Rc<Seat>,
         seen: &LeaseView,
         now: &LeaseView,
         fence: RowKey,
@@ -112,7 +114,8 @@
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
         Rc::new(Self {
-            journal: Journal::new(&cx.cfg.shard, fence.clone()),
+            seat: Rc::clone(seat),
+            journal: Journal::new(&seat.part, fence.clone()),
             fence,
             taken_at: sent_at,
             predecessor_renewed_at: seen.since,
@@ -188,20 +191,20 @@
     }
 
     /// Ends the ownership here.
-    pub fn lose(&self, cx: &Cx, why: &str) {
+    pub fn lose(&self, why: &str) {
         if self.standing.replace(Standing::Lost) == Standing::Lost {
             return;
         }
         self.journal.lose();
         self.wake.notify_one();
-        let mut held = cx.owner.borrow_mut();
+        let mut held = self.seat.owner.borrow_mut();
         let is_held = held
             .as_ref()
             .is_some_and(|owner| owner.token() == self.token());
         if is_held {
             *held = None;
         }
-        log::warn!(shard:% = cx.cfg.shard, token = self.token(), why; "shard is lost");
+        log::warn!(shard:% = self.seat.part, token = self.token(), why; "shard is lost");
     }
 
     /// Applies events and appends those that fit; one that doesn't is a decision on stale knowledge, and
@@ -314,7 +317,7 @@
     }
     stop_left_over(cx, owner);
     let took_ms = cx.clock.now().since(owner.taken_at).as_millis() as u64;
-    log::info!(shard:% = cx.cfg.shard, token = owner.token(), jobs, runs, took_ms; "shard recovered");
+    log::info!(shard:% = owner.seat.part, token = owner.token(), jobs, runs, took_ms; "shard recovered");
 }
 
 /// Stops runs of jobs that are over: the owner before may have ended between a job's end and its stops.
@@ -362,5 +365,5 @@
 async fn write_journal(cx: Cx, owner: Rc<Owner>) {
     let state = || serde_json::to_vec(&*owner.ledger.borrow()).unwrap_or_default();
     owner.journal.write_all(&cx, state).await;
-    owner.lose(&cx, "the journal was fenced");
+    owner.lose("the journal was fenced");
 }
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -27,7 +27,7 @@
         give_up_lapsed(&cx, &owner);
         stop_stalled(&cx, &owner);
         forget_old(&cx, &owner);
-        note_gauges(&cx, &owner);
+        note_gauges(&cx);
         tokio::time::sleep(ROUND).await;
     }
 }
@@ -93,9 +93,10 @@
     drop(owner.propose(cx, events.collect()));
 }
 
-fn note_gauges(cx: &Cx, owner: &Owner) {
-    cx.metrics
-        .jobs_active
-        .set(owner.active.borrow().len() as i64);
-    cx.metrics.runs_live.set(owner.runs.borrow().len() as i64);
+/// A process may own several shards; the gauges tell of all of them.
+fn note_gauges(cx: &Cx) {
+    let owners = cx.owners();
+    let sum = |count: fn(&Owner) -> usize| owners.iter().map(|o| count(o)).sum::<usize>() as i64;
+    cx.metrics.jobs_active.set(sum(|o| o.active.borrow().len()));
+    cx.metrics.runs_live.set(sum(|o| o.runs.borrow().len()));
 }
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -181,9 +181,9 @@
     log::warn!(worker, token = owner.token(); "worker refuses our token");
     let (cx, owner) = (Rc::clone(cx), Rc::clone(owner));
     supervisor::spawn("check-lease", async move {
-        let looked = lease::look(&cx).await;
-        if looked.is_ok() && cx.lease.borrow().fence != owner.token() {
-            owner.lose(&cx, "a worker has seen a newer owner");
+        let looked = lease::look(&cx, &owner.seat).await;
+        if looked.is_ok() && owner.seat.lease.borrow().fence != owner.token() {
+            owner.lose("a worker has seen a newer owner");
         }
     });
 }
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -3,6 +3,7 @@
 use super::{
     Cx,
     job::{JobId, JobSpec, QueueTerms},
+    layout::ShardId,
     owner::jobs,
 };
 use actix_rt::net::TcpListener;
@@ -120,8 +121,8 @@
 /// The service between processes.
 #[tarpc::service]
 pub trait OwnerService {
-    /// Asks one thing of the owner.
-    async fn ask(ask: Ask) -> Answer;
+    /// Asks one thing of a shard's owner.
+    async fn ask(shard: ShardId, ask: Ask) -> Answer;
 }
 
 #[derive(Clone)]
@@ -130,14 +131,14 @@
 }
 
 impl OwnerService for Server {
-    async fn ask(self, _: context::Context, ask: Ask) -> Answer {
-        answer(&self.cx, ask).await
+    async fn ask(self, _: context::Context, shard: ShardId, ask: Ask) -> Answer {
+        answer(&self.cx, shard, ask).await
     }
 }
 
 /// Answers as far as this process owns the shard.
-pub async fn answer(cx: &Cx, ask: Ask) -> Answer {
-    let owner = cx.owner.borrow().clone();
+pub async fn answer(cx: &Cx, shard: ShardId, ask: Ask) -> Answer {
+    let owner = cx.seat(shard).owner.borrow().clone();
     match (ask, owner) {
         (Ask::Submit { .. }, None) => Answer::Submitted(SubmitReply::NotOwner),
         (Ask::Show(_), None) => Answer::Shown(ShowReply::NotOwner),
@@ -181,8 +182,15 @@
 impl Peers {
     /// Asks the process at `address` and waits no longer than `limit`. A connection on which an answer
     /// failed to come is given up: it may have gone silent for good.
-    pub async fn ask(&self, address: &str, ask: Ask, limit: Duration) -> Result<Answer, PeerError> {
-        let asked = tokio::time::timeout(limit, self.exchange(address, ask, limit)).await;
+    pub async fn ask(
+        &self,
+        address: &str,
+        shard: ShardId,
+        ask: Ask,
+        limit: Duration,
+    ) -> Result<Answer, PeerError> {
+        let exchange = self.exchange(address, shard, ask, limit);
+        let asked = tokio::time::timeout(limit, exchange).await;
         let outcome = asked.unwrap_or_else(|_| {
             Err(PeerError {
                 what: "timeout".to_owned(),
@@ -198,13 +206,14 @@
     async fn exchange(
         &self,
         address: &str,
+        shard: ShardId,
         ask: Ask,
         limit: Duration,
     ) -> Result<Answer, PeerError> {
         let client = self.client(address).await?;
         let mut cx = context::current();
         cx.deadline = std::time::Instant::now() + limit;
-        client.ask(cx, ask).await.map_err(|e| PeerError {
+        client.ask(cx, shard, ask).await.map_err(|e| PeerError {
             what: e.to_string(),
             is_unsent: false,
         })
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -52,10 +52,9 @@
     *cx.catalogue.borrow_mut() = Some(Rc::new(read));
 }
 
-/// Gives the shard up, after the last caller was answered.
+/// Gives its shards up, after the last caller was answered.
 pub async fn give_up(cx: &Cx) {
-    let owner = cx.owner.borrow().clone();
-    if let Some(owner) = owner {
+    let owners = cx.owners().into_iter().map(async |owner| {
         let released = lease::release(cx, &owner);
         if tokio::time::timeout(RELEASE_TIMEOUT, released)
             .await
@@ -63,6 +62,7 @@
         {
             log::warn!("store does not answer; the lease is left to lapse");
         }
-        owner.lose(cx, "the daemon ends");
-    }
+        owner.lose("the daemon ends");
+    });
+    futures::future::join_all(owners).await;
 }
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -307,7 +307,7 @@
     assert_eq!(status, 200);
     let lease = site
         .store
-        .value("owners", "main", "lease")
+        .value("owners", "shard-0", "lease")
         .expect("a lease");
     let holder = lease["holder"]["daemon"]
         .as_str()
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -9,6 +9,7 @@
     edge::RowKey,
     job::{JobId, TaskId},
     journal::{AppendEnd, JOURNAL_TABLE, Journal},
+    layout::ShardId,
     peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
@@ -248,7 +249,7 @@
         assert_eq!(world.starts.borrow().len(), 9, "nothing was started twice");
         world.set_store("a", StoreMood::Up);
         until("the first one knows", LIMIT, async || {
-            first.owner.borrow().is_none()
+            first.seat(ShardId(0)).owner.borrow().is_none()
         })
         .await;
         world.check();
@@ -457,9 +458,9 @@
         let submitted = world.submit(&second, 1, vec![step(1, 60_000, &[])]).await;
         assert_matches!(submitted, SubmitReply::Accepted);
         assert_matches!(world.cancel(&first, 1).await, CancelReply::NotOwner);
-        let shown = peer::answer(&first, Ask::Show(JobId(1))).await;
+        let shown = peer::answer(&first, ShardId(0), Ask::Show(JobId(1))).await;
         assert_matches!(shown, Answer::Shown(ShowReply::NotOwner));
-        let counted = peer::answer(&first, Ask::Pending("maps".to_owned())).await;
+        let counted = peer::answer(&first, ShardId(0), Ask::Pending("maps".to_owned())).await;
         assert_matches!(counted, Answer::Pending(None));
         assert_matches!(world.cancel(&second, 1).await, CancelReply::Done);
         assert_matches!(world.cancel(&second, 2).await, CancelReply::UnknownJob);
--- /dev/null
+++ b/tests/testsuite/sched/layout.rs
@@ -0,0 +1,297 @@
+//! Several shards: who owns which racks, where jobs are at home, and what happens when one owner is gone.
+
+use super::{
+    paused,
+    world::{StoreMood, World, home, owns, step, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::{
+    core::size::Size,
+    sched::{
+        Cx,
+        edge::WorkerReport,
+        event::WorkerLife,
+        front::{self, Outcome},
+        job::{JobId, JobSpec, RawJob, Step},
+        layout::{Layout, ShardId},
+        lease,
+        peer::{self, Answer, Ask, JobState, SubmitReply},
+    },
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(8);
+
+fn worker(id: usize, pool: &str, rack: &str) -> WorkerReport {
+    WorkerReport {
+        life: WorkerLife {
+            worker: format!("i{id}"),
+            born: 1,
+        },
+        pool: pool.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "karen".to_owned(),
+        capacity: Size::default(),
+        labels: Vec::new(),
+        rack: (!rack.is_empty()).then(|| rack.to_owned()),
+        leaving_in: None,
+    }
+}
+
+fn racks_of(count: usize, size: usize) -> Vec<WorkerReport> {
+    let one = |id| worker(id, "pool", &format!("r{}", id / size));
+    (0..count * size).map(one).collect()
+}
+
+fn near(rack: &str) -> JobSpec {
+    let step = Step {
+        data_rack: Some(rack.to_owned()),
+        ..step(1, 100, &[])
+    };
+    let raw = RawJob {
+        payload: String::new(),
+        steps: vec![step],
+        schedule: None,
+    };
+    JobSpec::try_from(raw).expect("a good job")
+}
+
+/// 490 workers in racks of twelve make four shards of about as many workers; 66 make one.
+#[test]
+fn shards_are_as_many_as_the_workers_need() {
+    let layout = Layout::first(&racks_of(41, 12), 128);
+    assert_eq!(layout.shards, 4);
+    for shard in layout.all() {
+        let racks = layout.racks.values().filter(|of| **of == shard).count();
+        assert!((10..=11).contains(&racks), "{racks} racks in one shard");
+    }
+    assert_eq!(Layout::first(&racks_of(9, 8), 128).shards, 1);
+    assert_eq!(Layout::first(&[], 128).shards, 1);
+}
+
+/// A pool with a single rack beside a large one: with more than one shard, jobs of the small pool would be at
+/// home where none of its workers is, and never run.
+#[test]
+fn every_shard_has_a_rack_of_each_pool() {
+    let mut workers = racks_of(41, 12);
+    workers.push(worker(1_000, "small", "s0"));
+    assert_eq!(Layout::first(&workers, 128).shards, 1);
+    workers.push(worker(1_001, "small", "s1"));
+    let layout = Layout::first(&workers, 128);
+    assert_eq!(layout.shards, 2);
+    assert_ne!(layout.racks["s0"], layout.racks["s1"]);
+}
+
+/// A worker that says nothing of its rack is owned too.
+#[test]
+fn a_worker_without_a_rack_has_an_owner() {
+    let workers = [worker(1, "pool", "")];
+    let layout = Layout::first(&workers, 128);
+    assert_eq!(layout.owner_of(&workers[0]), Some(ShardId(0)));
+}
+
+proptest! {
+    /// Racks come in any order while daemons know layouts of different ages: a rack that was dealt stays where
+    /// it is, and a job's home is the same for all of them, near its data or not.
+    #[test]
+    fn what_was_dealt_stays(
+        first in 1_usize..40,
+        later in proptest::collection::vec(0_usize..60, 0..6),
+        id: u64,
+        rack in 0_usize..60,
+    ) {
+        let old = Layout::first(&racks_of(first, 3), 9);
+        let mut new = old.clone();
+        for count in later {
+            new.deal(&racks_of(count, 3));
+        }
+        for (rack, shard) in &old.racks {
+            prop_assert_eq!(new.racks.get(rack), Some(shard));
+        }
+        let spec = near(&format!("r{rack}"));
+        prop_assert_eq!(old.home(JobId(id), &spec), new.home(JobId(id), &spec));
+        prop_assert!(new.homes(JobId(id)).contains(&new.home(JobId(id), &spec)));
+        prop_assert!(!new.deal(&racks_of(first, 3)), "nothing is left to deal");
+    }
+}
+
+/// Whoever of the daemons owns a shard.
+fn owner_of(daemons: &[Cx], shard: ShardId) -> Option<Cx> {
+    daemons.iter().find(|cx| owns(cx, shard)).cloned()
+}
+
+async fn all_owned(daemons: &[Cx], shards: u16) {
+    until("every shard is owned", LIMIT, async || {
+        (0..shards).all(|shard| owner_of(daemons, ShardId(shard)).is_some())
+    })
+    .await;
+}
+
+async fn submit_at_home(world: &World, daemons: &[Cx], job: u64, steps: Vec<Step>) {
+    let cx = owner_of(daemons, home(&daemons[0], job)).expect("an owner");
+    let submitted = world.submit(&cx, job, steps).await;
+    assert_matches!(submitted, SubmitReply::Accepted);
+}
+
+async fn completed(world: &World, daemons: &[Cx], job: u64) {
+    until("it is completed", Duration::from_secs(20), async || {
+        let Some(cx) = owner_of(daemons, home(&daemons[0], job)) else {
+            return false;
+        };
+        world.state(&cx, job).await == Some(JobState::Completed)
+    })
+    .await;
+}
+
+/// Two shards, two daemons. Each daemon comes to own one, jobs run in both, and no worker is started on by both
+/// owners: the later claim would have the earlier owner's orders refused, and its tasks stopped as unknown.
+#[test]
+fn daemons_share_the_shards() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_a_shard.set(2);
+        let daemons = [world.daemon("a"), world.daemon("b")];
+        until("the layout is known", LIMIT, async || {
+            daemons.iter().all(|cx| cx.layout.borrow().is_some())
+        })
+        .await;
+        all_owned(&daemons, 2).await;
+        assert!(
+            daemons.iter().all(|cx| cx.owners().len() == 1),
+            "a daemon that owns one leaves the other to the next"
+        );
+        for job in 1..=12 {
+            submit_at_home(
+                &world,
+                &daemons,
+                job,
+                vec![step(2, 500, &[]), step(1, 200, &[0])],
+            )
+            .await;
+        }
+        for job in 1..=12 {
+            completed(&world, &daemons, job).await;
+        }
+        let layout = daemons[0].layout.borrow().clone().expect("a layout");
+        for (_, run, worker) in world.starts.borrow().iter() {
+            let at = layout.home_by_id(run.task.job);
+            assert_eq!(
+                layout.racks.get(worker),
+                Some(&at),
+                "{worker} is another shard's"
+            );
+        }
+        world.check();
+    });
+}
+
+/// The store turns one of two owners away. Callers of its shard wait for a take-over; the other shard's jobs are
+/// taken and run meanwhile, and afterwards the one daemon that is left owns both and completes everything once.
+#[test]
+fn a_lost_owner_stops_its_own_shard_only() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_a_shard.set(2);
+        let daemons = [world.daemon("a"), world.daemon("b")];
+        until("the layout is known", LIMIT, async || {
+            daemons.iter().all(|cx| cx.layout.borrow().is_some())
+        })
+        .await;
+        all_owned(&daemons, 2).await;
+        for job in 1..=8 {
+            submit_at_home(
+                &world,
+                &daemons,
+                job,
+                vec![step(2, 3_000, &[]), step(1, 200, &[0])],
+            )
+            .await;
+        }
+        world.set_store("a", StoreMood::Away);
+        let left = &daemons[1..];
+        let its_own = left[0].owners()[0].seat.shard;
+        let job = (100..).find(|id| home(&left[0], *id) == its_own);
+        let job = job.expect("a job of the shard that is left");
+        submit_at_home(&world, left, job, vec![step(1, 100, &[])]).await;
+        completed(&world, left, job).await;
+        all_owned(left, 2).await;
+        for job in 1..=8 {
+            completed(&world, left, job).await;
+        }
+        assert_eq!(
+            world.starts.borrow().len(),
+            8 * 3 + 1,
+            "nothing was started twice"
+        );
+        world.check();
+    });
+}
+
+/// Empty workers on a new rack join while jobs wait. The owner of the first shard deals the rack, the shard that
+/// it falls to takes it in, and what waited runs there.
+#[test]
+fn a_new_rack_is_dealt_and_used() {
+    paused(async {
+        let world = World::new(2);
+        world.workers_a_shard.set(1);
+        let daemons = [world.daemon("a"), world.daemon("b")];
+        until("the layout is known", LIMIT, async || {
+            daemons.iter().all(|cx| cx.layout.borrow().is_some())
+        })
+        .await;
+        all_owned(&daemons, 2).await;
+        world.add_worker("w2");
+        world.add_worker("w3");
+        for job in 1..=6 {
+            submit_at_home(&world, &daemons, job, vec![step(4, 2_000, &[])]).await;
+        }
+        until("the new workers have work", LIMIT, async || {
+            !world.running_on("w2").is_empty() && !world.running_on("w3").is_empty()
+        })
+        .await;
+        for job in 1..=6 {
+            completed(&world, &daemons, job).await;
+        }
+        world.check();
+    });
+}
+
+/// A job whose data has a place is at home with that rack, which its id doesn't tell. Whoever asks for it by its
+/// id finds it all the same, and an id that nobody handed in is unknown only if every shard says so.
+#[test]
+fn a_job_near_its_data_is_found_by_its_id() {
+    paused(async {
+        let world = World::new(2);
+        world.workers_a_shard.set(1);
+        let cx = world.daemon("a");
+        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
+        all_owned(std::slice::from_ref(&cx), 2).await;
+        let layout = cx.layout.borrow().clone().expect("a layout");
+        let spec = near("w1");
+        let at = layout.racks["w1"];
+        let id = (1..).map(JobId).find(|id| layout.home_by_id(*id) != at);
+        let job = id.expect("an id at home elsewhere");
+        let queue = cx.directory.catalogue().await.expect("an answer");
+        let queue = queue.expect("a catalogue").queues["maps"].clone();
+        let handed_in = front::submit(&cx, &queue, job, spec.clone()).await;
+        assert_eq!(handed_in, Outcome::Done(()));
+        let again = front::submit(&cx, &queue, job, spec).await;
+        assert_eq!(again, Outcome::Done(()), "a repeat finds it");
+        let elsewhere = layout.home_by_id(job);
+        let asked = peer::answer(&cx, elsewhere, Ask::Pending("maps".to_owned())).await;
+        assert_matches!(asked, Answer::Pending(Some(0)));
+        assert_matches!(front::show(&cx, job).await, Outcome::Done(_));
+        assert_eq!(front::cancel(&cx, job).await, Outcome::Done(()));
+        assert_eq!(front::cancel(&cx, JobId(99)).await, Outcome::NoSuchJob);
+        let seat = cx.seat(at);
+        let owner = seat.owner.borrow().clone().expect("an owner");
+        owner.lose("the test says so");
+        assert_matches!(
+            front::show(&cx, JobId(99)).await,
+            Outcome::Refused(_),
+            "a shard without an owner may know it"
+        );
+        assert!(lease::look(&cx, &seat).await.is_ok());
+    });
+}
--- a/tests/testsuite/sched/random.rs
+++ b/tests/testsuite/sched/random.rs
@@ -4,10 +4,11 @@
 
 use super::{
     paused,
-    world::{StoreMood, WorkerMood, World, owned, step, until},
+    world::{StoreMood, WorkerMood, World, owned, owns, step, until},
 };
 use lapisdrum::sched::{
     Cx,
+    layout::ShardId,
     peer::{JobState, SubmitReply},
 };
 use proptest::prelude::*;
@@ -91,10 +92,7 @@
     }
 
     fn owner(&self) -> Option<Cx> {
-        let is_owner = |cx: &&Cx| {
-            let owner = cx.owner.borrow();
-            owner.as_ref().is_some_and(|owner| owner.is_recovered())
-        };
+        let is_owner = |cx: &&Cx| owns(cx, ShardId(0));
         self.daemons.iter().find(is_owner).cloned()
     }
 }
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -17,6 +17,7 @@
         },
         event::{RunEnd, RunId, WorkerLife},
         job::{JobId, JobSpec, QueueTerms, RawJob, RunNumber, Step, TaskId},
+        layout::ShardId,
         lease,
         peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
         settle::LeaseLimits,
@@ -120,6 +121,8 @@
     /// Whether orders that are carried out late outlive their worker's crash, as packets on the way may;
     /// by default they are lost with it.
     pub(crate) orders_outlive_crashes: Cell<bool>,
+    /// Most workers of a shard, for daemons made from now on; all in one at first.
+    pub(crate) workers_a_shard: Cell<usize>,
     /// Starts that were carried out.
     pub(crate) starts: RefCell<Vec<(Instant, RunId, String)>>,
     /// What must not happen and did.
@@ -155,7 +158,7 @@
 }
 
 impl World {
-    /// A world with workers of four cores each, named `w0`, `w1` and so on.
+    /// A world with workers of four cores each, one a rack, named `w0`, `w1` and so on.
     pub(crate) fn new(workers: usize) -> Rc<Self> {
         let world = Rc::new(Self {
             rows: RefCell::default(),
@@ -166,6 +169,7 @@
             done: RefCell::default(),
             failing: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
+            workers_a_shard: Cell::new(usize::MAX),
             starts: RefCell::default(),
             breaches: RefCell::default(),
         });
@@ -211,7 +215,7 @@
             name: name.to_owned(),
             data_centre: "karen".to_owned(),
             peers: "127.0.0.1:9".parse().expect("an address"),
-            shard: "main".to_owned(),
+            workers_a_shard: self.workers_a_shard.get(),
             leases: limits(),
             cpu_share: 0.25,
             retention: Duration::from_secs(120),
@@ -860,7 +864,7 @@
                 data_centre: "karen".to_owned(),
                 capacity: worker.capacity,
                 labels: Vec::new(),
-                rack: None,
+                rack: Some(id.clone()),
                 leaving_in: worker.leaving_in,
             };
             Ok(listed.map(report).collect())
@@ -902,7 +906,7 @@
             spec,
             terms: terms(),
         };
-        match peer::answer(cx, ask).await {
+        match peer::answer(cx, home(cx, id), ask).await {
             Answer::Submitted(reply) => reply,
             other => panic!("{other:?}"),
         }
@@ -910,7 +914,7 @@
 
     /// Cancels a job at the owner.
     pub(crate) async fn cancel(&self, cx: &Cx, id: u64) -> CancelReply {
-        match peer::answer(cx, Ask::Cancel(JobId(id))).await {
+        match peer::answer(cx, home(cx, id), Ask::Cancel(JobId(id))).await {
             Answer::Cancelled(reply) => reply,
             other => panic!("{other:?}"),
         }
@@ -918,20 +922,30 @@
 
     /// A job's state as the owner shows it.
     pub(crate) async fn state(&self, cx: &Cx, id: u64) -> Option<JobState> {
-        match peer::answer(cx, Ask::Show(JobId(id))).await {
+        match peer::answer(cx, home(cx, id), Ask::Show(JobId(id))).await {
             Answer::Shown(ShowReply::State(state)) => Some(state),
             _ => None,
         }
     }
 }
 
-/// Waits until a daemon owns the shard and knows its jobs.
+/// The shard that is a job's home.
+pub(crate) fn home(cx: &Cx, id: u64) -> ShardId {
+    let layout = cx.layout.borrow();
+    let layout = layout.as_ref().expect("the layout is known");
+    layout.home_by_id(JobId(id))
+}
+
+/// Whether a daemon owns a shard and knows its jobs.
+pub(crate) fn owns(cx: &Cx, shard: ShardId) -> bool {
+    let seat = cx.seat(shard);
+    let owner = seat.owner.borrow();
+    owner.as_ref().is_some_and(|owner| owner.is_recovered())
+}
+
+/// Waits until a daemon owns the first shard and knows its jobs.
 pub(crate) async fn owned(cx: &Cx, limit: Duration) {
-    let is_owner = || {
-        let owner = cx.owner.borrow();
-        owner.as_ref().is_some_and(|owner| owner.is_recovered())
-    };
-    until("the shard is owned", limit, async || is_owner()).await;
+    until("the shard is owned", limit, async || owns(cx, ShardId(0))).await;
 }
 
 /// Waits until a condition holds.
