An owner that is certainly gone is not waited for

Its successor can't know that nobody renews the seven workers' leases and waits for the hold of 5 s, the transit and a lease: 36.57 s, where the rule's bound was 36.04 s. A shorter hold would stop tasks in outages of the store. Change: a new owner asks at the address of the one before which run answers there. Another run proves that the old one sends nothing more. Since the one before that may still be within its own hold, the proof counts no earlier than the last take-over and a hold.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -77,6 +77,8 @@
     pub version: u64,
     /// The fence row's version.
     pub fence: u64,
+    /// Since when it is known to have this version: the shard's owner took it no later.
+    pub fence_since: Millis,
     /// Since when the row is known with this version.
     pub since: Millis,
     /// When the rows were last read.
@@ -96,7 +98,11 @@
             .transpose()?;
         self.version = version;
         let fence = rows.iter().find(|row| row.key == FENCE_KEY);
-        self.fence = fence.map_or(0, |row| row.version);
+        let fence = fence.map_or(0, |row| row.version);
+        if fence != self.fence || self.read_at.is_none() {
+            self.fence_since = now;
+        }
+        self.fence = fence;
         self.read_at = Some(now);
         Ok(())
     }
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -5,7 +5,6 @@
     Cx,
     edge::WorkerReport,
     layout::{self, ShardId},
-    settle::LeaseBound,
 };
 use indexmap::IndexSet;
 use std::{rc::Rc, time::Duration};
@@ -55,12 +54,9 @@
 fn note_one(cx: &Cx, owner: &Rc<Owner>, report: WorkerReport) {
     let worker = report.life.worker.clone();
     let mut sessions = owner.sessions.borrow_mut();
-    let session = sessions.entry(worker.clone()).or_insert_with(|| {
-        Session::new(LeaseBound::inherited(
-            owner.predecessor_renewed_at,
-            &cx.cfg.leases,
-        ))
-    });
+    let session = sessions
+        .entry(worker.clone())
+        .or_insert_with(|| Session::new(owner.inherited_bound(cx)));
     let was_leaving = session
         .report
         .as_ref()
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod jobs;
 pub mod learned;
+pub mod predecessor;
 pub mod runs;
 pub mod session;
 pub mod strain;
@@ -21,9 +22,9 @@
     event::{Event, RunId},
     job::{JobId, StepId, TaskId},
     journal::{AppendEnd, Journal, Ticket},
-    lease::{self, LeaseView},
+    lease::{self, Holder, LeaseView},
     ledger::{Ledger, Phase},
-    settle::Habit,
+    settle::{Habit, LeaseBound},
 };
 use crate::{
     core::time::{Millis, millis},
@@ -64,8 +65,14 @@
     fence: (RowKey, u64),
     /// When the take-over was sent.
     pub taken_at: Millis,
-    /// The owner before renewed its lease no later than this.
+    /// The owner before, if there was one.
+    pub predecessor: Option<Holder>,
+    /// It renewed its lease no later than this.
     pub predecessor_renewed_at: Millis,
+    /// It took the shard no later than this.
+    pub predecessor_took_at: Millis,
+    /// From when on nobody before us can have sent a lease, once it was found to be gone for good.
+    pub predecessor_gone_at: Cell<Option<Millis>>,
     /// When a worker was last seen to leave an order unanswered and to answer a later call.
     late_habit_at: Cell<Option<Millis>>,
     /// The version of the lease row as last written.
@@ -118,7 +125,10 @@
             journal: Journal::new(&seat.part, fence.clone()),
             fence,
             taken_at: sent_at,
+            predecessor: seen.row.as_ref().map(|row| row.holder.clone()),
             predecessor_renewed_at: seen.since,
+            predecessor_took_at: seen.fence_since,
+            predecessor_gone_at: Cell::new(None),
             late_habit_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
@@ -172,6 +182,15 @@
         self.is_serving() && unrenewed < cx.cfg.leases.owner_hold
     }
 
+    /// Until when anything may run on a worker of which nothing was heard.
+    fn inherited_bound(&self, cx: &Cx) -> LeaseBound {
+        let mut bound = LeaseBound::inherited(self.predecessor_renewed_at, &cx.cfg.leases);
+        if let Some(at) = self.predecessor_gone_at.get() {
+            bound.predecessor_gone(at);
+        }
+        bound
+    }
+
     /// What workers do with orders that they don't answer.
     pub fn habit(&self, now: Millis) -> Habit {
         let is_recent = |at| now.since(at) < HABIT_REMEMBERED;
@@ -335,7 +354,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 5] = [
+    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 6] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -352,6 +371,10 @@
             "upkeep",
             upkeep::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "predecessor",
+            predecessor::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
         (
             "learned",
             learned::hand_on(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -12,7 +12,7 @@
         job::{JobId, Step, TaskId},
         journal::{AppendEnd, Ticket},
         ledger::Phase,
-        settle::{LeaseBound, Order, RunKnowledge, Stop},
+        settle::{Order, RunKnowledge, Stop},
     },
 };
 use std::{rc::Rc, time::Duration};
@@ -104,12 +104,9 @@
             pace: 100,
         };
         let mut sessions = self.sessions.borrow_mut();
-        let session = sessions.entry(on.worker.clone()).or_insert_with(|| {
-            Session::new(LeaseBound::inherited(
-                self.predecessor_renewed_at,
-                &cx.cfg.leases,
-            ))
-        });
+        let session = sessions
+            .entry(on.worker.clone())
+            .or_insert_with(|| Session::new(self.inherited_bound(cx)));
         session.tally.add(&record.size, record.load);
         session.runs.insert(run);
         self.runs.borrow_mut().insert(run, record);
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -4,6 +4,7 @@
     Cx,
     job::{JobId, JobSpec, QueueTerms},
     layout::ShardId,
+    lease::Holder,
     owner::jobs,
 };
 use actix_rt::net::TcpListener;
@@ -11,7 +12,8 @@
 use indexmap::IndexMap;
 use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration};
 use tarpc::{
-    client, context,
+    client::{self, RpcError},
+    context,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
     tokio_util::codec::{Decoder, LengthDelimitedCodec},
@@ -123,6 +125,8 @@
 pub trait OwnerService {
     /// Asks one thing of a shard's owner.
     async fn ask(shard: ShardId, ask: Ask) -> Answer;
+    /// Tells which run of which daemon this is.
+    async fn who() -> Holder;
 }
 
 #[derive(Clone)]
@@ -134,6 +138,10 @@
     async fn ask(self, _: context::Context, shard: ShardId, ask: Ask) -> Answer {
         answer(&self.cx, shard, ask).await
     }
+
+    async fn who(self, _: context::Context) -> Holder {
+        self.cx.me.clone()
+    }
 }
 
 /// Answers as far as this process owns the shard.
@@ -180,8 +188,7 @@
 }
 
 impl Peers {
-    /// Asks the process at `address` and waits no longer than `limit`. A connection on which an answer
-    /// failed to come is given up: it may have gone silent for good.
+    /// Asks the process at `address` about a shard and waits no longer than `limit`.
     pub async fn ask(
         &self,
         address: &str,
@@ -189,34 +196,43 @@
         ask: Ask,
         limit: Duration,
     ) -> Result<Answer, PeerError> {
-        let exchange = self.exchange(address, shard, ask, limit);
-        let asked = tokio::time::timeout(limit, exchange).await;
-        let outcome = asked.unwrap_or_else(|_| {
-            Err(PeerError {
-                what: "timeout".to_owned(),
-                is_unsent: false,
-            })
-        });
-        if outcome.is_err() {
-            self.open.borrow_mut().swap_remove(address);
-        }
-        outcome
+        let call = async |client: OwnerServiceClient, cx| client.ask(cx, shard, ask).await;
+        self.exchange(address, limit, call).await
+    }
+
+    /// Asks the process at `address` which run of which daemon it is.
+    pub async fn who(&self, address: &str, limit: Duration) -> Result<Holder, PeerError> {
+        let call = async |client: OwnerServiceClient, cx| client.who(cx).await;
+        self.exchange(address, limit, call).await
     }
 
-    async fn exchange(
+    /// One call. A connection on which an answer failed to come is given up: it may have gone silent for good.
+    async fn exchange<T>(
         &self,
         address: &str,
-        shard: ShardId,
-        ask: Ask,
         limit: Duration,
-    ) -> Result<Answer, PeerError> {
-        let client = self.client(address).await?;
-        let mut cx = context::current();
-        cx.deadline = std::time::Instant::now() + limit;
-        client.ask(cx, shard, ask).await.map_err(|e| PeerError {
-            what: e.to_string(),
+        call: impl AsyncFnOnce(OwnerServiceClient, context::Context) -> Result<T, RpcError>,
+    ) -> Result<T, PeerError> {
+        let exchange = async {
+            let client = self.client(address).await?;
+            let mut cx = context::current();
+            cx.deadline = std::time::Instant::now() + limit;
+            let answered = call(client, cx).await;
+            answered.map_err(|e| PeerError {
+                what: e.to_string(),
+                is_unsent: false,
+            })
+        };
+        let timeout = PeerError {
+            what: "timeout".to_owned(),
             is_unsent: false,
-        })
+        };
+        let outcome = tokio::time::timeout(limit, exchange).await;
+        let outcome = outcome.unwrap_or(Err(timeout));
+        if outcome.is_err() {
+            self.open.borrow_mut().swap_remove(address);
+        }
+        outcome
     }
 
     async fn client(&self, address: &str) -> Result<OwnerServiceClient, PeerError> {
--- a/src/lapisdrum/sched/settle.rs
+++ b/src/lapisdrum/sched/settle.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Notes that the owner before was gone for good by `at`, so that it sent nothing later.
+    pub fn predecessor_gone(&mut self, at: Millis) {
+        self.inherited_until = self.inherited_until.map(|until| until.min(at));
+    }
+
     /// Notes that a call with a lease is sent.
     pub fn sent(&mut self) {
         self.under_way += 1;
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -466,3 +466,58 @@
         assert_matches!(world.cancel(&second, 2).await, CancelReply::UnknownJob);
     });
 }
+
+/// Time from the loss of a worker and of its owner at once to the next run of what ran there.
+async fn restarted_after(world: &Rc<World>, is_gone_known: bool, took_long_ago: bool) -> Duration {
+    let first = world.daemon("a");
+    owned(&first, LIMIT).await;
+    let second = world.daemon("b");
+    if took_long_ago {
+        sleep(Duration::from_secs(10)).await;
+    }
+    let submitted = world.submit(&first, 1, vec![step(1, 60_000, &[])]).await;
+    assert_matches!(submitted, SubmitReply::Accepted);
+    until("it runs", LIMIT, async || world.running().len() == 1).await;
+    let on = world.starts.borrow()[0].2.clone();
+    let lost_at = Instant::now();
+    world.cut(&on, true);
+    world.set_store("a", StoreMood::Away);
+    owned(&second, LIMIT).await;
+    if is_gone_known {
+        let owner = second.owners().remove(0);
+        owner.note_predecessor_gone(&second, second.clock.now());
+    }
+    let limit = Duration::from_secs(20);
+    until("it runs again", limit, async || {
+        world.starts_of(&task(1, 0, 0)) == 2
+    })
+    .await;
+    world.check();
+    lost_at.elapsed()
+}
+
+/// A worker is cut off and its owner's daemon killed with it. The successor must wait for as long as the owner may
+/// go on renewing; a daemon that answers as a new run at the owner's address proves that it does not, and what
+/// ran there is started again that much sooner.
+#[test]
+fn an_owner_known_to_be_gone_is_not_waited_for() {
+    paused(async {
+        let silent = restarted_after(&World::new(2), false, true).await;
+        let known = restarted_after(&World::new(2), true, true).await;
+        let gained = silent.checked_sub(known);
+        let gained = gained.expect("knowing gains time");
+        assert!(gained > Duration::from_secs(2), "{silent:?}, {known:?}");
+    });
+}
+
+/// The same, but the owner that is gone had only just taken the shard: the one before it may still be renewing
+/// within its hold, so knowing the last one gone allows nothing sooner than that.
+#[test]
+fn the_owner_before_the_last_may_still_renew() {
+    paused(async {
+        let silent = restarted_after(&World::new(2), false, false).await;
+        let known = restarted_after(&World::new(2), true, false).await;
+        let gained = silent.saturating_sub(known);
+        assert!(gained < Duration::from_secs(1), "{silent:?}, {known:?}");
+    });
+}
