Lasting jobs go to the emptier of two shards; a host is kept free for one that lost its place

The shard of edge-kilimani-1 is the fullest, since lasting jobs were dealt by a hash of their ids; its lasting tasks find no place from 22.9 s to beyond 42 s, while other shards have room. Within a shard, smaller tasks take each core as it comes free. Ruled out: new racks without a shard (none), new workers not claimed (registered in the same second). Change: the home of a lasting job asks one other shard, drawn at random, for its load and hands the job there if that one is emptier. A lasting task that ran before and finds no host has one kept free of tasks that reserve, at most one host of sixteen. With many shards a daemon watches eight of them closely (lease::rota): by turns over all of 79 it would see a lapse after 12 s.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -22,6 +22,8 @@
 /// what is left. Tasks of 3.5 cores that must find them whole left 3 of a host's 37 cores unused under a
 /// backlog; at a half instead of four fifths tasks slowed each other so much that fewer jobs were on time.
 const LEAST_FILL_PERCENT: u64 = 80;
+/// One of so many hosts may be kept free.
+const HOSTS_A_KEPT_ONE: usize = 16;
 /// A left-over task is let in only if each serving task beside it stays this much below the strain at its
 /// target: the serving load rises by about as much before a tail tells of it.
 const MARGIN: f64 = 0.03;
@@ -94,6 +96,17 @@
     pub is_suspect: bool,
     /// Whether this very task has failed on it.
     pub is_avoided: bool,
+    /// What is kept free on it for a task that goes before all that come after it.
+    pub kept: Option<Kept>,
+}
+
+/// What a host is kept free of until a waiting task fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// Of tasks that reserve processors.
+    Processors,
+    /// Of every task: its memory is short too.
+    All,
 }
 
 impl Strained {
@@ -192,7 +205,13 @@
 pub fn admits(need: &Need, host: &Host, pressure: &Pressure) -> bool {
     let has = |label: &str| host.labels.iter().any(|have| have == label);
     let is_room = reserved_by(&need.size, need.load).fits(&host.free());
+    let is_kept = match host.kept {
+        None => false,
+        Some(Kept::Processors) => need.load != Load::Leftover,
+        Some(Kept::All) => true,
+    };
     is_room
+        && !is_kept
         && need.required_label.is_none_or(has)
         && need.max_per_worker.is_none_or(|most| host.of_step < most)
         && (need.load != Load::Leftover || admits_leftover(need, host, pressure))
@@ -252,6 +271,35 @@
     others.count()
 }
 
+/// Keeps a host free for a task that found none, so that it is not passed by for ever: smaller tasks would take
+/// each core as it comes free, and a livestream of eight cores stood still for 18 s on hosts that are
+/// reserved to 97 hundredths. The host with the most free processors is kept, which is the first to have enough;
+/// at most so many of the hosts are, since what is kept lies idle.
+pub fn keep_for(need: &Need, hosts: &mut [Host]) {
+    let most = (hosts.len() / HOSTS_A_KEPT_ONE).max(1);
+    let kept = hosts.iter().filter(|host| host.kept.is_some()).count();
+    if kept >= most {
+        return;
+    }
+    let may_fit = |host: &&mut Host| {
+        let has = |label: &str| host.labels.iter().any(|have| have == label);
+        host.kept.is_none()
+            && !host.is_suspect
+            && !host.is_avoided
+            && reserved_by(&need.size, need.load).fits(&host.capacity)
+            && need.required_label.is_none_or(has)
+            && need.max_per_worker.is_none_or(|most| host.of_step < most)
+    };
+    let able = hosts.iter_mut().filter(may_fit);
+    let best = able.max_by_key(|host| host.free().millicores);
+    if let Some(host) = best {
+        host.kept = Some(match need.size.memory_mb > host.free().memory_mb {
+            true => Kept::All,
+            false => Kept::Processors,
+        });
+    }
+}
+
 /// The best host for a task, by its place in `hosts`; none when no host admits it.
 pub fn choose(need: &Need, hosts: &[Host], pressure: &Pressure) -> Option<usize> {
     let admitted = hosts.iter().enumerate();
--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -1,6 +1,9 @@
 //! What a shard remembers of its jobs, as events. The journal is a list of these in order.
 
-use super::job::{JobId, JobSpec, QueueTerms, RunNumber, TaskId};
+use super::{
+    job::{JobId, JobSpec, QueueTerms, RunNumber, TaskId},
+    layout::ShardId,
+};
 use std::rc::Rc;
 
 data! {
@@ -97,7 +100,16 @@
             /// When, in Unix milliseconds.
             at_unix_ms: u64,
         },
-        /// A job that is over is no longer remembered.
+        /// A job at home here is handed to another shard, which has more room for what lasts.
+        Sent {
+            /// The job.
+            job: JobId,
+            /// The shard that takes it.
+            to: ShardId,
+            /// When, in Unix milliseconds.
+            at_unix_ms: u64,
+        },
+        /// A job that is over, or was sent on long ago, is no longer remembered.
         Forgotten {
             /// The job.
             job: JobId,
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -11,6 +11,7 @@
     peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use crate::core::time::{Millis, millis};
+use futures::FutureExt;
 use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
@@ -57,9 +58,19 @@
     let Some(layout) = cx.layout.borrow().clone() else {
         return Outcome::Refused(NO_LAYOUT_RETRY);
     };
-    let seat = cx.seat(layout.home(job, &spec));
-    let terms = queue.terms.clone();
-    let outcome = match ask_owner(cx, &seat, Ask::Submit { job, spec, terms }).await {
+    let mut seat = cx.seat(layout.home(job, &spec));
+    let ask = |is_sent| Ask::Submit {
+        job,
+        spec: spec.clone(),
+        terms: queue.terms.clone(),
+        is_sent,
+    };
+    let mut asked = ask_owner(cx, &seat, ask(false)).await;
+    if let Asked::Answer(Answer::Submitted(SubmitReply::Elsewhere(to))) = asked {
+        seat = cx.seat(to);
+        asked = ask_owner(cx, &seat, ask(true)).await;
+    }
+    let outcome = match asked {
         Asked::Answer(Answer::Submitted(SubmitReply::Accepted)) => Outcome::Done(()),
         Asked::Answer(Answer::Submitted(SubmitReply::Busy(wait))) => Outcome::Refused(wait),
         Asked::Nobody => Outcome::Refused(NO_OWNER_RETRY),
@@ -138,6 +149,14 @@
     Outcome::Done(sum)
 }
 
+/// How much of a shard is taken by what lasts, in thousandths; none without an answer from its owner.
+pub async fn load_of(cx: &Cx, seat: &Rc<Seat>) -> Option<u32> {
+    match ask_owner(cx, seat, Ask::Load).await {
+        Asked::Answer(Answer::Load(load)) => load,
+        _ => None,
+    }
+}
+
 /// Who is taken for the owner, and how old that belief is in milliseconds, for logs.
 fn owner_believed(cx: &Cx, seat: &Seat) -> (String, u64) {
     let (lease, now) = (seat.lease.borrow(), cx.clock.now());
@@ -179,7 +198,8 @@
         .as_ref()
         .is_some_and(|owner| owner.is_recovered());
     if is_own {
-        return of_owner(peer::answer(cx, seat.shard, ask).await);
+        // A hand-in may ask another shard's owner in turn, which is then a call of its own.
+        return of_owner(peer::answer(cx, seat.shard, ask).boxed_local().await);
     }
     let holder = seat.lease.borrow().holder(cx.clock.now()).cloned();
     let Some(holder) = holder.filter(|holder| *holder != cx.me) else {
@@ -213,7 +233,8 @@
         Answer::Submitted(SubmitReply::NotOwner)
         | Answer::Shown(ShowReply::NotOwner)
         | Answer::Cancelled(CancelReply::NotOwner)
-        | Answer::Pending(None) => Asked::Nobody,
+        | Answer::Pending(None)
+        | Answer::Load(None) => Asked::Nobody,
         answer => Asked::Answer(answer),
     }
 }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -11,6 +11,7 @@
 use super::{
     Cx, Seat,
     edge::{CallError, Row, RowKey, Txn, TxnEnd},
+    layout::ShardId,
     owner::Owner,
 };
 use crate::core::time::Millis;
@@ -26,6 +27,9 @@
 /// Least pause between two looks where there are several shards: four shards are each seen every 0.6 s, for
 /// twice the calls of one.
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
+/// Shards that a daemon looks at in every round: with [`LEAST_PAUSE`], and one other, each is seen again after
+/// 1.35 s, within a [`LEASE`].
+const MOST_WATCHED: usize = 8;
 /// Head start that a daemon gives to others for each shard that it owns. Less than that of a host with half of
 /// [`ENOUGH_CPU`]: two shards on half a core go better than one on an eighth.
 const ANOTHER_SHARD: Duration = Duration::from_millis(400);
@@ -140,19 +144,34 @@
 }
 
 /// Looks at the leases in turn, and takes a shard that is free, until the process ends. A daemon looks at one
-/// shard at a time, so that its calls don't grow with their number; the daemons together see a lapse as soon
-/// as one that looked at that shard alone.
+/// shard at a time, so that its calls don't grow with their number.
 pub async fn run(cx: Cx) -> eyre::Result<()> {
     super::layout::learn(&cx).await;
     let shards: Vec<_> = cx.layout.borrow().iter().flat_map(|l| l.all()).collect();
     let pause = (POLL / shards.len().max(1) as u32).max(LEAST_PAUSE);
-    for shard in shards.into_iter().cycle() {
+    for shard in rota(&shards, cx.me.incarnation).into_iter().cycle() {
         watch(&cx, &cx.seat(shard)).await;
         tokio::time::sleep(pause).await;
     }
     Ok(())
 }
 
+/// In which order a run of a daemon looks at shards. To see a lapse it must see the same row twice within
+/// about a lease, so with many shards it keeps to a few that its run draws, and each of them has several daemons
+/// that do; the others come in between, for a shard that too few have drawn.
+pub fn rota(shards: &[ShardId], incarnation: u64) -> Vec<ShardId> {
+    let mut drawn = shards.to_vec();
+    drawn.sort_by_cached_key(|shard| {
+        xxhash_rust::xxh3::xxh3_64_with_seed(&shard.0.to_be_bytes(), incarnation)
+    });
+    let (own, others) = drawn.split_at(drawn.len().min(MOST_WATCHED));
+    if others.is_empty() {
+        return own.to_vec();
+    }
+    let round = |other: &ShardId| [own, std::slice::from_ref(other)].concat();
+    others.iter().flat_map(round).collect()
+}
+
 async fn watch(cx: &Cx, seat: &Rc<Seat>) {
     if let Err(e) = look(cx, seat).await {
         cx.note_store(Err(&e.0));
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -7,6 +7,7 @@
 use super::{
     event::{Event, Loss, RunEnd, RunId, WorkerLife},
     job::{Gang, JobId, JobSpec, QueueTerms, RunNumber, StepId, TaskId},
+    layout::ShardId,
 };
 use indexmap::IndexMap;
 use std::{collections::BTreeMap, fmt, rc::Rc};
@@ -87,6 +88,17 @@
     }
 }
 
+data! {
+    /// A job that was handed to another shard.
+    #[derive(Copy)]
+    pub struct SentJob {
+        /// The shard that takes it.
+        pub to: ShardId,
+        /// When it was decided, in Unix milliseconds.
+        pub at_unix_ms: u64,
+    }
+}
+
 /// An event that doesn't fit the state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Misplaced {
@@ -123,6 +135,10 @@
     /// Jobs by id, in the order of their acceptance.
     #[serde(with = "indexmap::map::serde_seq")]
     pub jobs: IndexMap<JobId, Job>,
+    /// Jobs at home here that were handed to another shard. A repeat of the hand-in is told the same shard:
+    /// chosen anew by load, it would be accepted in two.
+    #[serde(with = "indexmap::map::serde_seq", default)]
+    pub sent: IndexMap<JobId, SentJob>,
 }
 
 impl Ledger {
@@ -162,6 +178,11 @@
             } => self.end(run, *how, checkpoint.as_deref(), *at_unix_ms),
             Event::Lost { run, why } => self.lose(run, *why),
             Event::Cancelled { job, at_unix_ms } => self.cancel(*job, *at_unix_ms),
+            Event::Sent {
+                job,
+                to,
+                at_unix_ms,
+            } => self.send(*job, *to, *at_unix_ms),
             Event::Forgotten { job } => self.forget(*job),
         }
     }
@@ -173,7 +194,7 @@
         terms: &QueueTerms,
         at_unix_ms: u64,
     ) -> Result<(), Misplaced> {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
             return Err(Misplaced::Job(id));
         }
         let job = Job {
@@ -190,6 +211,14 @@
         Ok(())
     }
 
+    fn send(&mut self, id: JobId, to: ShardId, at_unix_ms: u64) -> Result<(), Misplaced> {
+        if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
+            return Err(Misplaced::Job(id));
+        }
+        self.sent.insert(id, SentJob { to, at_unix_ms });
+        Ok(())
+    }
+
     fn job_mut(&mut self, id: JobId) -> Result<&mut Job, Misplaced> {
         self.jobs.get_mut(&id).ok_or(Misplaced::Job(id))
     }
@@ -279,6 +308,9 @@
     }
 
     fn forget(&mut self, id: JobId) -> Result<(), Misplaced> {
+        if self.sent.shift_remove(&id).is_some() {
+            return Ok(());
+        }
         let job = self.jobs.get(&id).ok_or(Misplaced::Job(id))?;
         if job.phase == Phase::Active {
             return Err(Misplaced::NotOver(id));
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -10,7 +10,7 @@
     policy::dispatch::{
         forecast::Forecast,
         order::{Rank, Standing},
-        place::{Host, Load, Need, choose},
+        place::{Host, Load, Need, choose, keep_for},
         pressure::{Pressure, Victim},
     },
     sched::{
@@ -186,6 +186,7 @@
             of_step: 0,
             is_suspect: session.is_suspect(now),
             is_avoided: false,
+            kept: None,
         }
     };
     reports.iter().map(host).collect()
@@ -242,6 +243,11 @@
         mark_avoided(owner, &task, hosts);
         let chosen = choose_in_pool(&need, hosts, reports, &job.terms.pool, &pressure);
         let Some(at) = chosen else {
+            // One that ran before goes first; a new one may wait for room like the others.
+            let ran_before = number(*index) > RunNumber::default().next();
+            if spec.is_long_running && ran_before {
+                keep_in_pool(&need, hosts, reports, &job.terms.pool);
+            }
             break;
         };
         hosts[at].take(&need, &pressure);
@@ -271,6 +277,17 @@
         .filter(|_| load_of(spec) == Load::Leftover)
 }
 
+fn keep_in_pool(need: &Need, hosts: &mut [Host], reports: &[Rc<WorkerReport>], pool: &str) {
+    let in_pool: Vec<usize> = (0..hosts.len())
+        .filter(|at| reports[*at].pool == pool)
+        .collect();
+    let mut some: Vec<Host> = in_pool.iter().map(|at| hosts[*at].clone()).collect();
+    keep_for(need, &mut some);
+    for (at, host) in in_pool.into_iter().zip(some) {
+        hosts[at].kept = host.kept;
+    }
+}
+
 fn choose_in_pool(
     need: &Need,
     hosts: &mut [Host],
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,6 +1,6 @@
 //! What the owner answers about jobs: hand-in, state, cancel, and how many wait.
 
-use super::Owner;
+use super::{Owner, send};
 use crate::{
     daemon::supervisor,
     sched::{
@@ -28,10 +28,14 @@
     job: JobId,
     spec: Rc<JobSpec>,
     terms: QueueTerms,
+    is_sent: bool,
 ) -> SubmitReply {
     if !owner.is_recovered() {
         return SubmitReply::NotOwner;
     }
+    if !is_sent && let Some(to) = send::elsewhere(cx, owner, job, &spec).await {
+        return to;
+    }
     let is_known = owner.ledger.borrow().jobs.contains_key(&job);
     if !is_known && !owner.journal.is_flowing(cx.clock.now()) {
         return SubmitReply::Busy(STORE_AWAY_RETRY);
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -11,6 +11,7 @@
 pub mod learned;
 pub mod predecessor;
 pub mod runs;
+pub mod send;
 pub mod session;
 pub mod strain;
 pub mod upkeep;
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -6,7 +6,7 @@
     Cx,
     event::{Event, Loss, RunId},
     job::JobId,
-    ledger::Phase,
+    ledger::{Phase, SentJob},
     settle::{Order, Stop},
 };
 use std::{rc::Rc, time::Duration};
@@ -84,7 +84,10 @@
     let old = ledger.jobs.iter().filter(|(_, job)| {
         job.phase != Phase::Active && now.saturating_sub(job.over_unix_ms) > retention_ms
     });
-    let old: Vec<JobId> = old.map(|(id, _)| *id).take(FORGET_A_ROUND).collect();
+    let is_old = |sent: &SentJob| now.saturating_sub(sent.at_unix_ms) > retention_ms;
+    let sent = ledger.sent.iter().filter(|(_, sent)| is_old(sent));
+    let old = old.map(|(id, _)| *id).chain(sent.map(|(id, _)| *id));
+    let old: Vec<JobId> = old.take(FORGET_A_ROUND).collect();
     drop(ledger);
     if old.is_empty() || !owner.journal.is_flowing(cx.clock.now()) {
         return;
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -35,6 +35,8 @@
             spec: JobSpec,
             /// What the asker's catalogue says of its queue.
             terms: QueueTerms,
+            /// Whether the job's home has handed it to this shard.
+            is_sent: bool,
         },
         /// Tell a job's state.
         Show(JobId),
@@ -42,6 +44,8 @@
         Cancel(JobId),
         /// Count a queue's jobs of which nothing was started.
         Pending(String),
+        /// Tell how much of the shard is taken by what lasts.
+        Load,
     }
 
     /// What the owner answers.
@@ -54,12 +58,16 @@
         Cancelled(CancelReply),
         /// To [`Ask::Pending`]; none where the one asked isn't the owner.
         Pending(Option<u64>),
+        /// To [`Ask::Load`], in thousandths; none where the one asked isn't the owner.
+        Load(Option<u32>),
     }
 
     /// How a hand-in ended.
     pub enum SubmitReply {
         /// It is durable.
         Accepted,
+        /// It is for another shard, which must be asked instead.
+        Elsewhere(ShardId),
         /// It was not taken and never will be; come back after this time.
         Busy(Duration),
         /// The one asked doesn't own the shard; nothing was done.
@@ -152,8 +160,19 @@
         (Ask::Show(_), None) => Answer::Shown(ShowReply::NotOwner),
         (Ask::Cancel(_), None) => Answer::Cancelled(CancelReply::NotOwner),
         (Ask::Pending(_), None) => Answer::Pending(None),
-        (Ask::Submit { job, spec, terms }, Some(owner)) => {
-            Answer::Submitted(jobs::submit(cx, &owner, job, Rc::new(spec), terms).await)
+        (Ask::Load, None) => Answer::Load(None),
+        (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load()),
+        (
+            Ask::Submit {
+                job,
+                spec,
+                terms,
+                is_sent,
+            },
+            Some(owner),
+        ) => {
+            let submitted = jobs::submit(cx, &owner, job, Rc::new(spec), terms, is_sent);
+            Answer::Submitted(submitted.await)
         }
         (Ask::Show(job), Some(owner)) => Answer::Shown(jobs::show(cx, &owner, job)),
         (Ask::Cancel(job), Some(owner)) => Answer::Cancelled(jobs::cancel(cx, &owner, job).await),
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -10,16 +10,19 @@
     sched::{
         Cx,
         edge::WorkerReport,
-        event::WorkerLife,
+        event::{Event, WorkerLife},
         front::{self, Outcome},
         job::{JobId, JobSpec, RawJob, Step},
         layout::{Layout, ShardId},
         lease,
+        ledger::{Ledger, Misplaced},
+        owner::Owner,
         peer::{self, Answer, Ask, JobState, SubmitReply},
     },
 };
 use proptest::prelude::*;
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
 
 const LIMIT: Duration = Duration::from_secs(8);
 
@@ -116,6 +119,27 @@
     }
 }
 
+/// 79 shards and 140 daemons, as many as are designed for. Each shard has daemons that see its lease again within
+/// one lease, or its owner's end would go unseen for twelve seconds; and no shard is passed over by anybody.
+#[test]
+fn every_shard_is_watched_by_several_daemons() {
+    let shards: Vec<ShardId> = (0..79).map(ShardId).collect();
+    let rotas: Vec<_> = (0..140).map(|run| lease::rota(&shards, run)).collect();
+    for shard in &shards {
+        let sees_often =
+            |rota: &&Vec<ShardId>| rota[..9].contains(shard) && rota[9..18].contains(shard);
+        let watchers = rotas.iter().filter(sees_often).count();
+        assert!(watchers >= 3, "{watchers} daemons watch {shard:?}");
+        assert!(rotas.iter().all(|rota| rota.contains(shard)));
+    }
+    assert_eq!(lease::rota(&shards[..1], 7), [ShardId(0)]);
+    assert_eq!(
+        lease::rota(&shards[..4], 7).len(),
+        4,
+        "few shards are all watched alike"
+    );
+}
+
 /// Whoever of the daemons owns a shard.
 fn owner_of(daemons: &[Cx], shard: ShardId) -> Option<Cx> {
     daemons.iter().find(|cx| owns(cx, shard)).cloned()
@@ -128,6 +152,19 @@
     .await;
 }
 
+/// A world of so many workers in two shards, each with an owner of two daemons.
+async fn two_shards(workers: usize) -> (Rc<World>, [Cx; 2]) {
+    let world = World::new(workers);
+    world.workers_a_shard.set(workers / 2);
+    let daemons = [world.daemon("a"), world.daemon("b")];
+    until("the layout is known", LIMIT, async || {
+        daemons.iter().all(|cx| cx.layout.borrow().is_some())
+    })
+    .await;
+    all_owned(&daemons, 2).await;
+    (world, daemons)
+}
+
 async fn submit_at_home(world: &World, daemons: &[Cx], job: u64, steps: Vec<Step>) {
     let cx = owner_of(daemons, home(&daemons[0], job)).expect("an owner");
     let submitted = world.submit(&cx, job, steps).await;
@@ -149,14 +186,7 @@
 #[test]
 fn daemons_share_the_shards() {
     paused(async {
-        let world = World::new(4);
-        world.workers_a_shard.set(2);
-        let daemons = [world.daemon("a"), world.daemon("b")];
-        until("the layout is known", LIMIT, async || {
-            daemons.iter().all(|cx| cx.layout.borrow().is_some())
-        })
-        .await;
-        all_owned(&daemons, 2).await;
+        let (world, daemons) = two_shards(4).await;
         assert!(
             daemons.iter().all(|cx| cx.owners().len() == 1),
             "a daemon that owns one leaves the other to the next"
@@ -191,14 +221,7 @@
 #[test]
 fn a_lost_owner_stops_its_own_shard_only() {
     paused(async {
-        let world = World::new(4);
-        world.workers_a_shard.set(2);
-        let daemons = [world.daemon("a"), world.daemon("b")];
-        until("the layout is known", LIMIT, async || {
-            daemons.iter().all(|cx| cx.layout.borrow().is_some())
-        })
-        .await;
-        all_owned(&daemons, 2).await;
+        let (world, daemons) = two_shards(4).await;
         for job in 1..=8 {
             submit_at_home(
                 &world,
@@ -233,14 +256,7 @@
 #[test]
 fn a_new_rack_is_dealt_and_used() {
     paused(async {
-        let world = World::new(2);
-        world.workers_a_shard.set(1);
-        let daemons = [world.daemon("a"), world.daemon("b")];
-        until("the layout is known", LIMIT, async || {
-            daemons.iter().all(|cx| cx.layout.borrow().is_some())
-        })
-        .await;
-        all_owned(&daemons, 2).await;
+        let (world, daemons) = two_shards(2).await;
         world.add_worker("w2");
         world.add_worker("w3");
         for job in 1..=6 {
@@ -295,3 +311,132 @@
         assert!(lease::look(&cx, &seat).await.is_ok());
     });
 }
+
+fn lasting(count: u32) -> Vec<Step> {
+    vec![Step {
+        is_long_running: true,
+        ..step(count, 600_000, &[])
+    }]
+}
+
+fn spec_of(steps: Vec<Step>) -> JobSpec {
+    let raw = RawJob {
+        payload: "work".to_owned(),
+        steps,
+        schedule: None,
+    };
+    JobSpec::try_from(raw).expect("a good job")
+}
+
+/// Livestreams whose ids all fall to one shard. Dealt by their ids alone, half of them would wait for room there
+/// while the other shard is empty; handed on by load all of them run. Each caller that repeats its hand-in is sent to
+/// the same shard, though the loads have changed since, and finds its job by its id.
+#[test]
+fn lasting_jobs_go_where_there_is_room() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_a_shard.set(2);
+        let cx = world.daemon("a");
+        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
+        all_owned(std::slice::from_ref(&cx), 2).await;
+        until("the workers are claimed", LIMIT, async || {
+            cx.owners()
+                .iter()
+                .all(|owner| owner.lasting_load().is_some())
+        })
+        .await;
+        let queue = cx.directory.catalogue().await.expect("an answer");
+        let queue = queue.expect("a catalogue").queues["maps"].clone();
+        let crowded = (1..).filter(|id| home(&cx, *id) == ShardId(0));
+        let ids: Vec<u64> = crowded.take(8).collect();
+        for id in &ids {
+            world.expect(*id, lasting(2));
+            let handed_in = front::submit(&cx, &queue, JobId(*id), spec_of(lasting(2))).await;
+            assert_eq!(handed_in, Outcome::Done(()));
+        }
+        until("all of them run", LIMIT, async || {
+            world.running().len() == 16
+        })
+        .await;
+        for id in &ids {
+            let again = front::submit(&cx, &queue, JobId(*id), spec_of(lasting(2))).await;
+            assert_eq!(again, Outcome::Done(()));
+            assert_matches!(
+                front::show(&cx, JobId(*id)).await,
+                Outcome::Done(JobState::Running)
+            );
+        }
+        sleep(Duration::from_secs(2)).await;
+        let jobs = |owner: &Rc<Owner>| owner.ledger.borrow().jobs.len();
+        let accepted: usize = cx.owners().iter().map(jobs).sum();
+        assert_eq!(accepted, ids.len(), "each is accepted once");
+        assert_eq!(world.running().len(), 16);
+        world.check();
+    });
+}
+
+/// The same hand-in comes twice at once, over two connections, to the job's home. Both callers are sent to the same
+/// shard or find the job here; two decisions would run it twice.
+#[test]
+fn two_hand_ins_at_once_are_decided_once() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_a_shard.set(2);
+        let cx = world.daemon("a");
+        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
+        all_owned(std::slice::from_ref(&cx), 2).await;
+        let queue = cx.directory.catalogue().await.expect("an answer");
+        let queue = queue.expect("a catalogue").queues["maps"].clone();
+        for id in 1..=20 {
+            world.expect(id, lasting(1));
+            let twice =
+                [(); 3].map(|()| front::submit(&cx, &queue, JobId(id), spec_of(lasting(1))));
+            for handed_in in futures::future::join_all(twice).await {
+                assert_eq!(handed_in, Outcome::Done(()));
+            }
+        }
+        let jobs = |owner: &Rc<Owner>| owner.ledger.borrow().jobs.len();
+        let accepted: usize = cx.owners().iter().map(jobs).sum();
+        assert_eq!(accepted, 20, "each is accepted once");
+        world.check();
+    });
+}
+
+/// A job is sent to another shard, and the store turns its home's owner away. The next owner reads the decision from
+/// the journal and sends a repeat to the same shard.
+#[test]
+fn a_decision_outlives_its_owner() {
+    let mut ledger = Ledger::default();
+    let sent = Event::Sent {
+        job: JobId(1),
+        to: ShardId(1),
+        at_unix_ms: 5,
+    };
+    ledger.apply(&sent).expect("it fits");
+    let text = serde_json::to_vec(&ledger).expect("a text form");
+    let mut read: Ledger = serde_json::from_slice(&text).expect("it is read back");
+    assert_eq!(
+        read.sent.get(&JobId(1)).map(|sent| sent.to),
+        Some(ShardId(1))
+    );
+    let accepted = Event::Accepted {
+        job: JobId(1),
+        spec: Rc::new(spec_of(lasting(1))),
+        terms: super::world::terms(),
+        at_unix_ms: 6,
+    };
+    assert_matches!(
+        read.apply(&accepted),
+        Err(Misplaced::Job(_)),
+        "it is elsewhere"
+    );
+    let other = Event::Sent {
+        job: JobId(1),
+        to: ShardId(2),
+        at_unix_ms: 7,
+    };
+    assert_matches!(read.apply(&other), Err(Misplaced::Job(_)), "decided once");
+    read.apply(&Event::Forgotten { job: JobId(1) })
+        .expect("it fits");
+    assert!(read.sent.is_empty());
+}
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -3,7 +3,7 @@
 use lapisdrum::{
     core::{size::Size, time::Millis},
     policy::dispatch::{
-        place::{Host, Load, Need, Strained, choose},
+        place::{Host, Kept, Load, Need, Strained, choose, keep_for},
         pressure::{self, Image, Presser, Pressure, Victim},
         relief::{self, Action, Leftover, Serving, Sight},
     },
@@ -103,6 +103,7 @@
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
+        kept: None,
     }
 }
 
@@ -265,3 +266,47 @@
     assert_eq!(choose(&render, &[idle], &pressure), Some(0));
     assert_eq!(choose(&render, &[busy], &pressure), None);
 }
+
+/// A livestream of eight cores waits on hosts that are nearly full, while maps of two cores come all the time. Each
+/// core that comes free went to a map, and the stream stood still. With the host that has the most room kept free of
+/// them the stream is placed as soon as that host has eight cores; left-over work goes on there.
+#[test]
+fn smaller_tasks_do_not_pass_a_livestream_for_ever() {
+    let mut pressure = Pressure::default();
+    let serving = pressure.image("s");
+    let full = |id, free: u64| {
+        let mut host = host(id, &[victim(serving); 4], 0.3);
+        host.reserved.millicores = (32 - free) * 1_000;
+        host.reserved.memory_mb = 16_000;
+        host
+    };
+    let stream = Need {
+        size: cores(8),
+        victim: Some(victim(serving)),
+        ..need(Load::Serving, Some(serving))
+    };
+    let map = Need {
+        size: cores(2),
+        ..need(Load::Reserving, None)
+    };
+    let render = Need {
+        size: cores(1),
+        ..need(Load::Leftover, None)
+    };
+    let mut hosts = [full("a", 3), full("b", 6), full("c", 2)];
+    assert_eq!(choose(&stream, &hosts, &pressure), None);
+    keep_for(&stream, &mut hosts);
+    assert_eq!(hosts[1].kept, Some(Kept::Processors));
+    assert_eq!(choose(&map, &hosts[1..2], &pressure), None);
+    assert_eq!(choose(&map, &hosts[..1], &pressure), Some(0));
+    assert_eq!(choose(&render, &hosts[1..2], &pressure), Some(0));
+    keep_for(&stream, &mut hosts);
+    let kept = hosts.iter().filter(|host| host.kept.is_some()).count();
+    assert_eq!(kept, 1, "one of sixteen hosts at most");
+    let freed = [full("b", 8)];
+    assert_eq!(choose(&stream, &freed, &pressure), Some(0));
+    let mut short = [full("d", 9)];
+    short[0].reserved.memory_mb = 31_000;
+    keep_for(&stream, &mut short);
+    assert_eq!(short[0].kept, Some(Kept::All), "memory is short too");
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -891,6 +891,11 @@
 
 /// The owner's side as a caller reaches it.
 impl World {
+    /// Lets workers know the steps of a job that is handed in by other ways than [`World::submit`].
+    pub(crate) fn expect(&self, id: u64, steps: Vec<Step>) {
+        self.jobs.borrow_mut().insert(JobId(id), steps);
+    }
+
     /// Hands a job in at the owner.
     pub(crate) async fn submit(&self, cx: &Cx, id: u64, steps: Vec<Step>) -> SubmitReply {
         let job = JobId(id);
@@ -905,6 +910,7 @@
             job,
             spec,
             terms: terms(),
+            is_sent: false,
         };
         match peer::answer(cx, home(cx, id), ask).await {
             Answer::Submitted(reply) => reply,
