--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -9,7 +9,7 @@
     core::size::Size,
     sched::{
         Cx,
-        edge::WorkerReport,
+        edge::{Queue, WorkerReport},
         event::{Event, WorkerLife},
         front::{self, Outcome},
         job::{JobId, JobSpec, RawJob, Step},
@@ -165,6 +165,18 @@
     (world, daemons)
 }
 
+/// A world of so many workers in two shards, both owned by its one daemon, and the queue that jobs go to.
+async fn sole_owner(workers: usize) -> (Rc<World>, Cx, Queue) {
+    let world = World::new(workers);
+    world.workers_a_shard.set(workers / 2);
+    let cx = world.daemon("a");
+    until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
+    all_owned(std::slice::from_ref(&cx), 2).await;
+    let catalogue = cx.directory.catalogue().await.expect("an answer");
+    let queue = catalogue.expect("a catalogue").queues["maps"].clone();
+    (world, cx, queue)
+}
+
 async fn submit_at_home(world: &World, daemons: &[Cx], job: u64, steps: Vec<Step>) {
     let cx = owner_of(daemons, home(&daemons[0], job)).expect("an owner");
     let submitted = world.submit(&cx, job, steps).await;
@@ -278,18 +290,12 @@
 #[test]
 fn a_job_near_its_data_is_found_by_its_id() {
     paused(async {
-        let world = World::new(2);
-        world.workers_a_shard.set(1);
-        let cx = world.daemon("a");
-        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
-        all_owned(std::slice::from_ref(&cx), 2).await;
+        let (_world, cx, queue) = sole_owner(2).await;
         let layout = cx.layout.borrow().clone().expect("a layout");
         let spec = near("w1");
         let at = layout.racks["w1"];
         let id = (1..).map(JobId).find(|id| layout.home_by_id(*id) != at);
         let job = id.expect("an id at home elsewhere");
-        let queue = cx.directory.catalogue().await.expect("an answer");
-        let queue = queue.expect("a catalogue").queues["maps"].clone();
         let handed_in = front::submit(&cx, &queue, job, spec.clone()).await;
         assert_eq!(handed_in, Outcome::Done(()));
         let again = front::submit(&cx, &queue, job, spec).await;
@@ -334,19 +340,13 @@
 #[test]
 fn lasting_jobs_go_where_there_is_room() {
     paused(async {
-        let world = World::new(4);
-        world.workers_a_shard.set(2);
-        let cx = world.daemon("a");
-        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
-        all_owned(std::slice::from_ref(&cx), 2).await;
+        let (world, cx, queue) = sole_owner(4).await;
         until("the workers are claimed", LIMIT, async || {
             cx.owners()
                 .iter()
                 .all(|owner| owner.lasting_load().is_some())
         })
         .await;
-        let queue = cx.directory.catalogue().await.expect("an answer");
-        let queue = queue.expect("a catalogue").queues["maps"].clone();
         let crowded = (1..).filter(|id| home(&cx, *id) == ShardId(0));
         let ids: Vec<u64> = crowded.take(8).collect();
         for id in &ids {
@@ -380,13 +380,7 @@
 #[test]
 fn two_hand_ins_at_once_are_decided_once() {
     paused(async {
-        let world = World::new(4);
-        world.workers_a_shard.set(2);
-        let cx = world.daemon("a");
-        until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
-        all_owned(std::slice::from_ref(&cx), 2).await;
-        let queue = cx.directory.catalogue().await.expect("an answer");
-        let queue = queue.expect("a catalogue").queues["maps"].clone();
+        let (world, cx, queue) = sole_owner(4).await;
         for id in 1..=20 {
             world.expect(id, lasting(1));
             let twice =
--- /dev/null
+++ b/tests/testsuite/sched/world/store.rs
@@ -0,0 +1,154 @@
+//! The store of the world: rows with one version counter, objects, and what it does with a daemon's calls.
+
+use super::{ROW_BYTES, Rows, SILENCE, STORE_CALL, StoreMood, World, silence};
+use futures::{FutureExt, future::LocalBoxFuture};
+use lapisdrum::sched::edge::{CallError, Row, RowKey, Store, Txn, TxnEnd};
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// The store as one daemon reaches it.
+pub(super) struct StoreHandle {
+    pub(super) world: Rc<World>,
+    pub(super) daemon: String,
+}
+
+impl StoreHandle {
+    fn mood(&self) -> StoreMood {
+        let moods = self.world.moods.borrow();
+        moods.get(&self.daemon).copied().unwrap_or(StoreMood::Up)
+    }
+
+    /// Lets a call's time pass; false when the store is away.
+    async fn reach(&self) -> bool {
+        sleep(STORE_CALL).await;
+        if self.mood() == StoreMood::Away {
+            sleep(SILENCE).await;
+            return false;
+        }
+        true
+    }
+}
+
+impl Store for StoreHandle {
+    fn commit<'a>(&'a self, txn: &'a Txn) -> LocalBoxFuture<'a, TxnEnd> {
+        async move {
+            if !self.reach().await {
+                return TxnEnd::Unknown(silence());
+            }
+            let end = self.world.rows.borrow_mut().commit(txn);
+            if self.mood() == StoreMood::LosesAnswers {
+                sleep(SILENCE).await;
+                return TxnEnd::Unknown(silence());
+            }
+            end
+        }
+        .boxed_local()
+    }
+
+    fn rows<'a>(
+        &'a self,
+        table: &'a str,
+        part: &'a str,
+        from: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>, CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            let rows = self.world.rows.borrow();
+            let mut found: Vec<Row> = rows
+                .rows
+                .iter()
+                .filter(|((t, p, k), _)| t == table && p == part && k.as_str() >= from)
+                .map(|((t, _, k), (value, version))| Row {
+                    table: t.clone(),
+                    key: k.clone(),
+                    value: value.clone(),
+                    version: *version,
+                })
+                .collect();
+            found.sort_by(|a, b| a.key.cmp(&b.key));
+            Ok(found)
+        }
+        .boxed_local()
+    }
+
+    fn put_object<'a>(
+        &'a self,
+        name: &'a str,
+        body: bytes::Bytes,
+    ) -> LocalBoxFuture<'a, Result<(), CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            let mut rows = self.world.rows.borrow_mut();
+            rows.objects.insert(name.to_owned(), body);
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn get_object<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Option<bytes::Bytes>, CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            Ok(self.world.rows.borrow().objects.get(name).cloned())
+        }
+        .boxed_local()
+    }
+
+    fn delete_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<(), CallError>> {
+        async move {
+            if !self.reach().await {
+                return Err(silence());
+            }
+            self.world.rows.borrow_mut().objects.swap_remove(name);
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
+
+fn key(row: &RowKey) -> (String, String, String) {
+    (row.table.to_owned(), row.part.clone(), row.key.clone())
+}
+
+impl Rows {
+    pub(super) fn commit(&mut self, txn: &Txn) -> TxnEnd {
+        let holds = txn
+            .expect
+            .iter()
+            .all(|(row, version)| self.rows.get(&key(row)).map_or(0, |(_, v)| *v) == *version);
+        if txn.put.iter().any(|(_, value)| value.len() > ROW_BYTES) {
+            return TxnEnd::NotDone(CallError::new("a value is too long"));
+        }
+        if !holds {
+            let expected = txn.expect.iter();
+            let found = expected.filter_map(|(row, _)| {
+                let (value, version) = self.rows.get(&key(row))?.clone();
+                Some(Row {
+                    table: row.table.to_owned(),
+                    key: row.key.clone(),
+                    value,
+                    version,
+                })
+            });
+            return TxnEnd::Conflict(found.collect());
+        }
+        self.version += 1;
+        self.commits += 1;
+        for (row, value) in &txn.put {
+            let written = (value.clone(), self.version);
+            self.rows.insert(key(row), written);
+        }
+        for row in &txn.delete {
+            self.rows.swap_remove(&key(row));
+        }
+        TxnEnd::Committed(self.version)
+    }
+}
