A kept host is open to other lasting tasks

A host that is kept for a larger lasting task was closed to it, and that host's own lasting tasks never make the room. Ruled out: take-overs (none), workers not claimed (none left unclaimed), stops that weren't confirmed (its end is in the lines). Change: what is kept is kept from tasks that reserve and serve nobody, and from left-over ones where memory is short. The test fails without the change.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -103,9 +103,9 @@
 /// What a host is kept free of until a waiting task fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kept {
-    /// Of tasks that reserve processors.
+    /// Of tasks that reserve processors and serve nobody.
     Processors,
-    /// Of every task: its memory is short too.
+    /// Of every task that doesn't serve: its memory is short too.
     All,
 }
 
@@ -207,8 +207,8 @@
     let is_room = reserved_by(&need.size, need.load).fits(&host.free());
     let is_kept = match host.kept {
         None => false,
-        Some(Kept::Processors) => need.load != Load::Leftover,
-        Some(Kept::All) => true,
+        Some(Kept::Processors) => need.load == Load::Reserving,
+        Some(Kept::All) => need.load != Load::Serving,
     };
     is_room
         && !is_kept
@@ -274,7 +274,9 @@
 /// Keeps a host free for a task that found none, so that it is not passed by for ever: smaller tasks would take
 /// each core as it comes free, and a livestream of eight cores stood still for 18 s on hosts that are
 /// reserved to 97 hundredths. The host with the most free processors is kept, which is the first to have enough;
-/// at most so many of the hosts are, since what is kept lies idle.
+/// at most so many of the hosts are, since what is kept lies idle. Other serving tasks may go there: a task of
+/// four cores stood still for 10 s beside seven that were kept for one of eight, on a host that lasting
+/// tasks filled for good.
 pub fn keep_for(need: &Need, hosts: &mut [Host]) {
     let most = (hosts.len() / HOSTS_A_KEPT_ONE).max(1);
     let kept = hosts.iter().filter(|host| host.kept.is_some()).count();
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -298,6 +298,15 @@
     keep_for(&stream, &mut hosts);
     assert_eq!(hosts[1].kept, Some(Kept::Processors));
     assert_eq!(choose(&map, &hosts[1..2], &pressure), None);
+    let small_stream = Need {
+        size: cores(4),
+        ..stream
+    };
+    assert_eq!(
+        choose(&small_stream, &hosts[1..2], &pressure),
+        Some(0),
+        "a smaller stream doesn't wait for a larger one"
+    );
     assert_eq!(choose(&map, &hosts[..1], &pressure), Some(0));
     assert_eq!(choose(&render, &hosts[1..2], &pressure), Some(0));
     keep_for(&stream, &mut hosts);
