--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -246,10 +246,10 @@
     if is_kept {
         return Some(Unfit::Kept);
     }
-    if !need.required_label.is_none_or(has) {
+    if need.required_label.is_some_and(|label| !has(label)) {
         return Some(Unfit::Label);
     }
-    if !need.max_per_worker.is_none_or(|most| host.of_step < most) {
+    if need.max_per_worker.is_some_and(|most| host.of_step >= most) {
         return Some(Unfit::StepLimit);
     }
     match need.load {
