--- a/src/lapisdrum/attribution/story.rs
+++ b/src/lapisdrum/attribution/story.rs
@@ -107,51 +107,17 @@
 
     fn note(&mut self, at_ms: i64, what: Happening) {
         match what {
-            Happening::HandedIn {
-                job,
-                queue,
-                data_centre,
-                outcome,
-                took_ms,
-            } => {
-                let story = self.jobs.entry(job).or_default();
-                story.queue = queue;
-                story.sent_ms = story.sent_ms.or(Some(at_ms - took_ms));
-                if outcome == HandIn::Accepted && story.data_centre.is_empty() {
-                    story.accepted_ms = story.accepted_ms.or(Some(at_ms));
-                }
-                story.data_centre = data_centre;
-            }
-            Happening::Accepted {
-                job,
-                queue,
-                shard,
-                shape,
-                objective_ms,
-            } => {
-                let story = self.jobs.entry(job).or_default();
-                story.queue = queue;
-                story.shard = shard;
-                story.shape = Some(shape);
-                story.objective_ms = objective_ms;
-                story.accepted_ms = Some(at_ms);
+            Happening::HandedIn { job, .. } | Happening::Accepted { job, .. } => {
+                self.jobs.entry(job).or_default().note_begin(at_ms, what);
             }
             Happening::Waits { step, why } => {
                 let story = self.jobs.entry(step.job).or_default();
-                story.waits.push(Wait {
-                    step,
-                    from_ms: at_ms,
-                    why,
-                });
+                let from_ms = at_ms;
+                story.waits.push(Wait { step, from_ms, why });
             }
-            Happening::Ordered {
-                run,
-                waited_ms,
-                took_ms,
-                token,
-            } => {
+            Happening::Ordered { run, token, .. } => {
                 let story = self.jobs.entry(run.task.job).or_default();
-                story.add_run(run, at_ms, waited_ms, took_ms);
+                story.note_ordered(at_ms, &what);
                 for line in self.shards.values_mut().filter(|l| l.token == token) {
                     line.heard_ms = at_ms;
                 }
@@ -164,26 +130,62 @@
                 let story = self.jobs.entry(job).or_default();
                 story.over = story.over.or(Some((at_ms, is_completed)));
             }
-            Happening::TakenOver { shard, token } => {
-                let line = self.shards.entry(shard).or_default();
-                line.taken_over(at_ms, token);
-            }
-            Happening::Recovered { shard, token } => {
-                let line = self.shards.entry(shard).or_default();
-                line.recovered(at_ms, token);
-            }
-            Happening::ShardLost { shard, token } => {
-                let line = self.shards.entry(shard).or_default();
-                if line.token == token {
-                    line.changes.push((at_ms, Service::NoOwner));
-                }
-            }
+            Happening::TakenOver { shard, token } => self.line(shard).taken_over(at_ms, token),
+            Happening::Recovered { shard, token } => self.line(shard).recovered(at_ms, token),
+            Happening::ShardLost { shard, token } => self.line(shard).lost(at_ms, token),
         }
     }
+
+    fn line(&mut self, shard: String) -> &mut ServiceLine {
+        self.shards.entry(shard).or_default()
+    }
 }
 
 impl Story {
-    fn add_run(&mut self, run: RunId, at_ms: i64, waited_ms: i64, took_ms: i64) {
+    /// Notes a hand-in or an acceptance.
+    fn note_begin(&mut self, at_ms: i64, what: Happening) {
+        match what {
+            Happening::HandedIn {
+                queue,
+                data_centre,
+                outcome,
+                took_ms,
+                ..
+            } => {
+                self.queue = queue;
+                self.data_centre = data_centre;
+                self.sent_ms = self.sent_ms.or(Some(at_ms - took_ms));
+                if outcome == HandIn::Accepted {
+                    self.accepted_ms = self.accepted_ms.or(Some(at_ms));
+                }
+            }
+            Happening::Accepted {
+                queue,
+                shard,
+                shape,
+                objective_ms,
+                ..
+            } => {
+                self.queue = queue;
+                self.shard = shard;
+                self.shape = Some(shape);
+                self.objective_ms = objective_ms;
+                self.accepted_ms = Some(at_ms);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_ordered(&mut self, at_ms: i64, what: &Happening) {
+        let Happening::Ordered {
+            run,
+            waited_ms,
+            took_ms,
+            ..
+        } = what
+        else {
+            return;
+        };
         let span = RunSpan {
             run: run.run,
             placed_ms: at_ms - took_ms - waited_ms,
@@ -235,6 +237,12 @@
         self.changes.push((at_ms, Service::Recovering));
     }
 
+    fn lost(&mut self, at_ms: i64, token: u64) {
+        if self.token == token {
+            self.changes.push((at_ms, Service::NoOwner));
+        }
+    }
+
     fn recovered(&mut self, at_ms: i64, token: u64) {
         // The line of the take-over may be missing, or name an earlier version.
         if token < self.token {
@@ -243,15 +251,4 @@
         self.token = token;
         self.changes.push((at_ms, Service::Serving));
     }
-
-    /// How long the shard was in a state between two moments, in milliseconds.
-    pub fn time_in(&self, service: Service, from_ms: i64, to_ms: i64) -> i64 {
-        let ends = self.changes.iter().skip(1).map(|(at, _)| *at);
-        let spans = self.changes.iter().zip(ends.chain([i64::MAX]));
-        let overlap = |((begin, of), end): (&(i64, Service), i64)| match *of == service {
-            true => (end.min(to_ms) - (*begin).max(from_ms)).max(0),
-            false => 0,
-        };
-        spans.map(overlap).sum()
-    }
 }
--- a/src/lapisdrum/attribution/totals.rs
+++ b/src/lapisdrum/attribution/totals.rs
@@ -4,6 +4,7 @@
     path::{self, Spent},
     story::{Stories, Story},
 };
+use crate::sched::job::JobId;
 use indexmap::IndexMap;
 use serde::Serialize;
 use std::{cmp::Reverse, fmt};
@@ -24,7 +25,7 @@
 
 /// How a job came out for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Result {
+pub enum Outcome {
     /// In time.
     OnTime,
     /// Late, within three times its objective.
@@ -61,22 +62,22 @@
 }
 
 /// How a job came out, as of the last line.
-pub fn result(story: &Story, stories: &Stories) -> Result {
+pub fn outcome(story: &Story, stories: &Stories) -> Outcome {
     let Some(sent_ms) = story.sent_ms.or(story.accepted_ms) else {
-        return Result::Open;
+        return Outcome::Open;
     };
     let is_completed = match story.over {
-        Some((_, false)) => return Result::Open,
+        Some((_, false)) => return Outcome::Open,
         Some((_, true)) => true,
         None => false,
     };
     let end_ms = story.over.map_or(stories.last_ms, |(at, _)| at);
     let objective_ms = story.objective_ms.max(1);
     match (is_completed, end_ms - sent_ms) {
-        (true, took) if took <= objective_ms => Result::OnTime,
-        (true, took) if took <= objective_ms * LATE_FACTOR => Result::Late,
-        (false, took) if took <= objective_ms => Result::Open,
-        _ => Result::Missed,
+        (true, took) if took <= objective_ms => Outcome::OnTime,
+        (true, took) if took <= objective_ms * LATE_FACTOR => Outcome::Late,
+        (false, took) if took <= objective_ms => Outcome::Open,
+        _ => Outcome::Missed,
     }
 }
 
@@ -119,7 +120,7 @@
 }
 
 impl Row {
-    fn add(&mut self, id: crate::sched::job::JobId, story: &Story, stories: &Stories) {
+    fn add(&mut self, id: JobId, story: &Story, stories: &Stories) {
         let shape = story.shape.as_ref();
         let lasts = shape.is_some_and(|shape| shape.0.iter().any(|step| step.is_long_running));
         self.jobs += 1;
@@ -133,11 +134,11 @@
             }
             return;
         }
-        match result(story, stories) {
-            Result::OnTime => self.on_time += 1,
-            Result::Late => self.late += 1,
-            Result::Missed => self.missed += 1,
-            Result::Open => {}
+        match outcome(story, stories) {
+            Outcome::OnTime => self.on_time += 1,
+            Outcome::Late => self.late += 1,
+            Outcome::Missed => self.missed += 1,
+            Outcome::Open => {}
         }
         self.chain_ms += shape.map_or(0, |shape| shape.longest_chain_ms());
         for span in path::critical(id, story, stories).unwrap_or_default() {
