Profiles of images, and owners that tell each other what they learned

Ruled out: a prior by queue (a queue's images differ as much as any); one row in the store for all shards (late, and a write for each change).

Change: evidence of pairs as sums that add up over owners; factors of images fitted to all pairs, so that an image that has met three others is known towards the rest; each owner asks one other every 400 ms for what is new.

--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -8,6 +8,7 @@
     Cx, Seat,
     edge::Queue,
     job::{JobId, JobSpec},
+    owner::learned::{HeardUpto, Told},
     peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use crate::core::time::{Millis, millis};
@@ -159,6 +160,14 @@
     }
 }
 
+/// What the owner of a shard has learned of pressure since it was last asked; none without an answer.
+pub async fn learned_of(cx: &Cx, seat: &Rc<Seat>, upto: Option<HeardUpto>) -> Option<Told> {
+    match ask_owner(cx, seat, Ask::Learned(upto)).await {
+        Asked::Answer(Answer::Learned(told)) => told,
+        _ => None,
+    }
+}
+
 /// Who is taken for the owner, and how old that belief is in milliseconds, for logs.
 fn owner_believed(cx: &Cx, seat: &Seat) -> (String, u64) {
     let (lease, now) = (seat.lease.borrow(), cx.clock.now());
@@ -242,7 +251,8 @@
         | Answer::Shown(ShowReply::NotOwner)
         | Answer::Cancelled(CancelReply::NotOwner)
         | Answer::Pending(None)
-        | Answer::Load(None) => Asked::Nobody,
+        | Answer::Load(None)
+        | Answer::Learned(None) => Asked::Nobody,
         answer => Asked::Answer(answer),
     }
 }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -360,7 +360,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 6] = [
+    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 7] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -385,6 +385,10 @@
             "learned",
             learned::hand_on(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "learned-by-others",
+            learned::hear(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
     ];
     for (name, part) in parts {
         supervisor::spawn(name, part);
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -80,6 +80,7 @@
     let beside = shown_pressers(owner, worker, now);
     let mut runs = owner.runs.borrow_mut();
     let mut pressure = owner.pressure.borrow_mut();
+    pressure.refit_if_due(now);
     for listed in &lists.running {
         let Some(record) = runs.get_mut(&listed.run) else {
             continue;
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -5,7 +5,10 @@
     job::{JobId, JobSpec, QueueTerms},
     layout::ShardId,
     lease::Holder,
-    owner::jobs,
+    owner::{
+        jobs,
+        learned::{self, HeardUpto, Told},
+    },
 };
 use actix_rt::net::TcpListener;
 use futures::StreamExt;
@@ -46,6 +49,8 @@
         Pending(String),
         /// Tell how much of the shard is taken by what lasts.
         Load,
+        /// Tell what was learned of pressure since the last answer.
+        Learned(Option<HeardUpto>),
     }
 
     /// What the owner answers.
@@ -60,6 +65,8 @@
         Pending(Option<u64>),
         /// To [`Ask::Load`], in thousandths; none where the one asked isn't the owner.
         Load(Option<u32>),
+        /// To [`Ask::Learned`]; none where the one asked isn't the owner.
+        Learned(Option<Told>),
     }
 
     /// How a hand-in ended.
@@ -174,6 +181,8 @@
         (Ask::Cancel(_), None) => Answer::Cancelled(CancelReply::NotOwner),
         (Ask::Pending(_), None) => Answer::Pending(None),
         (Ask::Load, None) => Answer::Load(None),
+        (Ask::Learned(_), None) => Answer::Learned(None),
+        (Ask::Learned(upto), Some(owner)) => Answer::Learned(learned::tell(cx, &owner, upto)),
         (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load()),
         (
             Ask::Submit {
