The tails of a step on one host are one measurement

Cause: tasks of a step on a host share their load, what presses on them and a part of the noise; five tails counted as five measurements made an owner five times too sure.

Ruled out: a smaller precision for each (hosts hold one to six such tasks).

Change: the mean of a step's tails on a host is noted once, with the shared part of the noise left whole.

--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -37,7 +37,9 @@
     variance: 0.3,
 };
 /// Variance of a measured strain: tails of tasks that ran alone scatter by 0.03, now and then by 0.1.
-const NOISE: f64 = 0.004;
+const NOISE: f64 = 0.003;
+/// The part of it that all tasks of a step on one host have in common.
+const SHARED_NOISE: f64 = 0.001;
 /// Scatter of a press relative to itself: presses move within seconds. A load is thereby learned from tasks that
 /// nothing presses much; learned from the others too, it took a third of the presses for load.
 const PRESS_SCATTER: f64 = 0.7;
@@ -211,12 +213,18 @@
         (guess.mean + guess.variance.sqrt() * CAUTION) * presser.share
     }
 
-    /// Learns from a victim's tail, measured beside these.
-    pub fn note(&mut self, victim: &mut Victim, beside: &[Presser], tail_ms: f64, now: Millis) {
-        self.note_idle(victim, tail_ms);
-        let Some(strain) = self.strain_of(victim, tail_ms) else {
+    /// Learns from the tails of a step's tasks on one host, measured beside these. They share their load and what
+    /// presses on them, so they are one measurement, less rough than each of them.
+    pub fn note(&mut self, victim: &mut Victim, beside: &[Presser], tails_ms: &[f64], now: Millis) {
+        for tail_ms in tails_ms {
+            self.note_idle(victim, *tail_ms);
+        }
+        let strains = tails_ms.iter().filter_map(|t| self.strain_of(victim, *t));
+        let strains: Vec<f64> = strains.collect();
+        if strains.is_empty() {
             return;
-        };
+        }
+        let strain = strains.iter().sum::<f64>() / strains.len() as f64;
         victim.load.carry(now);
         let guesses: Vec<Guess> = beside
             .iter()
@@ -231,7 +239,8 @@
         let doubt = beside.iter().zip(&guesses);
         let doubt = doubt.map(|(p, g)| p.share * p.share * g.variance);
         let scatter = PRESS_SCATTER * pressed;
-        let total = victim.load.variance() + doubt.sum::<f64>() + NOISE + scatter * scatter;
+        let noise = SHARED_NOISE + NOISE / strains.len() as f64;
+        let total = victim.load.variance() + doubt.sum::<f64>() + noise + scatter * scatter;
         victim.load.correct(unexplained, total);
         for (presser, guess) in beside.iter().zip(guesses) {
             let of_others = total - presser.share * presser.share * guess.variance;
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -17,9 +17,11 @@
         Cx,
         edge::{Lists, OrderEnd},
         event::RunId,
+        job::StepId,
         settle::{Order, Stop},
     },
 };
+use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
 
 /// A task's effect on a tail begins to show this long after the task began or ended, and shows wholly
@@ -81,20 +83,41 @@
     let mut runs = owner.runs.borrow_mut();
     let mut pressure = owner.pressure.borrow_mut();
     pressure.refit_if_due(now);
+    let mut by_step: IndexMap<StepId, Tails> = IndexMap::new();
     for listed in &lists.running {
         let Some(record) = runs.get_mut(&listed.run) else {
             continue;
         };
-        let Some(mut victim) = owner.victim(&listed.run, record) else {
+        let Some(victim) = owner.victim(&listed.run, record) else {
             continue;
         };
         let tail_ms = listed.gauge as f64;
         // The same figure again tells nothing new.
-        if record.tail_ms != tail_ms {
-            pressure.note(&mut victim, &beside, tail_ms, now);
-            record.tail_ms = tail_ms;
-            let step = listed.run.task.step_id();
-            owner.loads.borrow_mut().insert(step, victim.load);
+        let is_new = std::mem::replace(&mut record.tail_ms, tail_ms) != tail_ms;
+        let step = by_step.entry(listed.run.task.step_id());
+        let tails = step.or_insert_with(|| Tails::of(victim));
+        tails.is_new |= is_new;
+        tails.all_ms.push(tail_ms);
+    }
+    for (step, mut tails) in by_step.into_iter().filter(|(_, tails)| tails.is_new) {
+        pressure.note(&mut tails.victim, &beside, &tails.all_ms, now);
+        owner.loads.borrow_mut().insert(step, tails.victim.load);
+    }
+}
+
+/// What a worker says of the tails of one step's tasks.
+struct Tails {
+    victim: Victim,
+    all_ms: Vec<f64>,
+    is_new: bool,
+}
+
+impl Tails {
+    fn of(victim: Victim) -> Self {
+        Self {
+            victim,
+            all_ms: Vec::new(),
+            is_new: false,
         }
     }
 }
