Left-over tasks press by the processors that they use

Cause: tasks use 0.66 to 1.0 of the processors that they ask for, and press by what they use; the share asked for made pairs look milder than they are, by a third for some.

Change: the processors last seen in use at full pace are the share, once a run has settled.

--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -50,6 +50,8 @@
     pub target_ms: Option<u32>,
     /// Its newest tail, in milliseconds; 0 before there is one.
     pub tail_ms: f64,
+    /// The processors that it was last seen to use at full pace, in thousandths, if it uses left-over ones.
+    pub used_millicores: Option<u64>,
     /// The share of its processors that it works at, in hundredths.
     pub pace: u32,
 }
@@ -104,6 +106,7 @@
             image,
             target_ms: step.latency_target_ms,
             tail_ms: 0.0,
+            used_millicores: None,
             pace: 100,
         };
         let mut sessions = self.sessions.borrow_mut();
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -88,6 +88,7 @@
         let Some(record) = runs.get_mut(&listed.run) else {
             continue;
         };
+        record.note_use(listed.gauge, now);
         let Some(victim) = owner.victim(&listed.run, record) else {
             continue;
         };
@@ -172,11 +173,25 @@
 }
 
 impl RunRecord {
+    /// Notes the processors that a left-over task was last seen to use. Tasks use from two thirds of what they ask
+    /// for upwards, and press by what they use.
+    fn note_use(&mut self, millicores: u64, now: Millis) {
+        let is_settled = self.pace == 100 && now.since(self.since) >= SHOWN_WHOLLY;
+        if self.load == Load::Leftover && is_settled && millicores > 0 {
+            self.used_millicores = Some(millicores);
+        }
+    }
+
+    /// The processors that it uses at full pace, as far as known.
+    fn full_use_millicores(&self) -> u64 {
+        self.used_millicores.unwrap_or(self.size.millicores)
+    }
+
     /// What the run presses with, if it uses left-over processors, on a host with this many.
     pub fn presser(&self, millicores: u64) -> Option<Presser> {
         let image = self.image.filter(|_| self.load == Load::Leftover)?;
         let is_there = !matches!(self.known.order, Order::NotSent);
-        let used = self.size.millicores as f64 * f64::from(self.pace) / 100.0;
+        let used = self.full_use_millicores() as f64 * f64::from(self.pace) / 100.0;
         is_there.then(|| Presser {
             image,
             share: used / millicores.max(1) as f64,
@@ -203,7 +218,7 @@
         ids.push(*run);
         leftover.push(Leftover {
             image,
-            share: record.size.millicores as f64 / capacity.max(1) as f64,
+            share: record.full_use_millicores() as f64 / capacity.max(1) as f64,
             pace: record.pace,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
@@ -244,7 +259,7 @@
         let image = self.image.filter(|_| self.load == Load::Leftover)?;
         Some(Presser {
             image,
-            share: self.size.millicores as f64 / millicores.max(1) as f64,
+            share: self.full_use_millicores() as f64 / millicores.max(1) as f64,
         })
     }
 }
