The period of serving loads is found, and loads are told ahead by it

Cause: a slope tells a swinging load one second ahead to a tenth of a host and two seconds ahead not at all; left-over tasks run for 1.7 s and longer.

Change: least squares over up to 16 steps find the common period, if one explains enough; a mean and a wave are then followed for each step. Loads without a period are followed as before.

--- a/src/lapisdrum/policy/dispatch/pressure/load.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/load.rs
@@ -1,11 +1,13 @@
 //! The load of serving tasks, followed from measured strain.
 //!
 //! All tasks of a step share their load, so one that nothing presses tells it for the others. A tail is
-//! [`TAIL_AGE`] old when it is read and the load swings by half within seconds, so level and slope are followed
-//! together, each with its doubt.
+//! [`TAIL_AGE`] old when it is read and the load swings by half within seconds. While no period is known
+//! ([`super::season`]) level and slope are followed; with one, a mean and a wave around it, which tells the load
+//! for as long as a left-over task runs.
 
 use crate::core::time::Millis;
-use std::time::Duration;
+use nalgebra::{Matrix3, RowVector3, Vector3};
+use std::{f64::consts::TAU, time::Duration};
 
 /// A serving task's own load before anything is measured, and its variance.
 const FIRST_LOAD: (f64, f64) = (0.45, 0.03);
@@ -20,23 +22,47 @@
 const LOAD_BOUNDS: (f64, f64) = (0.1, 0.72);
 /// A tail tells of this long ago on average: it is measured over half a second and comes with a look.
 const TAIL_AGE: f64 = 0.15;
+/// Variance of a mean and of both parts of a wave before they are measured.
+const FIRST_WAVE_VARIANCE: (f64, f64) = (0.01, 0.03);
+/// Growth of these variances a second: waves differ from each other.
+const WAVE_DRIFT: (f64, f64) = (0.0002, 0.001);
 
-/// The load that all tasks of a serving step share, with its slope a second.
+/// The load that all tasks of a serving step share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServingLoad {
+    trend: Trend,
+    wave: Option<Wave>,
+    heard_at: Option<Millis>,
+}
+
+/// Level and slope a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Trend {
     level: f64,
     slope: f64,
     /// Variances of level and slope, and their covariance between.
     doubt: (f64, f64, f64),
-    heard_at: Option<Millis>,
+}
+
+/// A mean and a wave around it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Wave {
+    period_s: f64,
+    /// The mean, what the wave adds now, and what it adds a quarter of a period from now.
+    state: Vector3<f64>,
+    doubt: Matrix3<f64>,
 }
 
 impl Default for ServingLoad {
     fn default() -> Self {
-        Self {
+        let trend = Trend {
             level: FIRST_LOAD.0,
             slope: 0.0,
             doubt: (FIRST_LOAD.1, 0.0, FIRST_SLOPE_VARIANCE),
+        };
+        Self {
+            trend,
+            wave: None,
             heard_at: None,
         }
     }
@@ -45,40 +71,66 @@
 impl ServingLoad {
     /// The load when it was last measured, or what is taken for it before.
     pub fn level(&self) -> f64 {
-        self.level
+        self.wave
+            .map_or(self.trend.level, |wave| wave.level_in(0.0))
     }
 
     /// The load expected so long after `now`.
     pub(super) fn ahead(&self, now: Millis, ahead: Duration) -> f64 {
         let Some(heard_at) = self.heard_at else {
-            return self.level;
+            return self.level();
         };
         let since = now.since(heard_at) + ahead;
-        let told = self.level + self.slope * (since.as_secs_f64() + TAIL_AGE);
+        let since_s = since.as_secs_f64() + TAIL_AGE;
+        let told = match self.wave {
+            Some(wave) => wave.level_in(since_s),
+            None => self.trend.level + self.trend.slope * since_s,
+        };
         told.clamp(LOAD_BOUNDS.0, LOAD_BOUNDS.1)
     }
 
     /// Variance of the level.
     pub(super) fn variance(&self) -> f64 {
-        self.doubt.0
+        self.wave
+            .map_or(self.trend.doubt.0, |wave| wave.level_variance())
     }
 
-    /// Carries level and doubt on to `now`.
-    pub(super) fn carry(&mut self, now: Millis) {
-        let aged = self.heard_at.map_or(0.0, |at| now.since(at).as_secs_f64());
+    /// Carries what is known on to `now`. With a period, the wave begins where the trend is.
+    pub(super) fn carry(&mut self, now: Millis, period_s: Option<f64>) {
+        let aged_s = self.heard_at.map_or(0.0, |at| now.since(at).as_secs_f64());
         self.heard_at = Some(now);
+        self.trend.carry(aged_s);
+        let before = self.wave;
+        self.wave = period_s.map(|period_s| match before {
+            Some(wave) => wave.carried(aged_s, period_s),
+            None => Wave::from_trend(&self.trend, period_s),
+        });
+    }
+
+    /// Corrects what is known by a load that was measured with this variance.
+    pub(super) fn correct(&mut self, measured: f64, variance: f64) {
+        self.trend.correct(measured, variance);
+        if let Some(wave) = &mut self.wave {
+            wave.correct(measured, variance);
+        }
+    }
+}
+
+impl Trend {
+    fn carry(&mut self, aged_s: f64) {
         let (level, both, slope) = self.doubt;
-        self.level += self.slope * aged;
+        self.level += self.slope * aged_s;
         self.doubt = (
-            (level + 2.0 * aged * both + aged * aged * slope).min(FIRST_LOAD.1),
-            both + aged * slope,
-            (slope + aged * SLOPE_DRIFT).min(FIRST_SLOPE_VARIANCE),
+            (level + 2.0 * aged_s * both + aged_s * aged_s * slope).min(FIRST_LOAD.1),
+            both + aged_s * slope,
+            (slope + aged_s * SLOPE_DRIFT).min(FIRST_SLOPE_VARIANCE),
         );
     }
 
-    /// Corrects level and slope by what a measurement of this total variance leaves unexplained.
-    pub(super) fn correct(&mut self, unexplained: f64, total: f64) {
+    fn correct(&mut self, measured: f64, variance: f64) {
         let (level, both, slope) = self.doubt;
+        let total = level + variance;
+        let unexplained = measured - self.level;
         let (by_level, by_slope) = (level / total, both / total);
         self.level = (self.level + by_level * unexplained).clamp(0.0, 1.0);
         self.slope = (self.slope + by_slope * unexplained).clamp(-STEEPEST, STEEPEST);
@@ -89,3 +141,52 @@
         );
     }
 }
+
+impl Wave {
+    fn from_trend(trend: &Trend, period_s: f64) -> Self {
+        let swing = trend.level - FIRST_LOAD.0;
+        let turn_s = TAU / period_s;
+        let (mean, wave) = FIRST_WAVE_VARIANCE;
+        Self {
+            period_s,
+            state: Vector3::new(FIRST_LOAD.0, swing, trend.slope / turn_s),
+            doubt: Matrix3::from_diagonal(&Vector3::new(mean, wave, wave)),
+        }
+    }
+
+    /// What each part of the state is after this time.
+    fn turned(&self, after_s: f64) -> Matrix3<f64> {
+        let (sin, cos) = (TAU * after_s / self.period_s).sin_cos();
+        Matrix3::new(1.0, 0.0, 0.0, 0.0, cos, sin, 0.0, -sin, cos)
+    }
+
+    fn level_in(&self, after_s: f64) -> f64 {
+        let state = self.turned(after_s) * self.state;
+        state.x + state.y
+    }
+
+    fn level_variance(&self) -> f64 {
+        (SEEN * self.doubt * SEEN.transpose()).x
+    }
+
+    fn carried(mut self, aged_s: f64, period_s: f64) -> Self {
+        self.period_s = period_s;
+        let turned = self.turned(aged_s);
+        self.state = turned * self.state;
+        let (mean, wave) = WAVE_DRIFT;
+        let drift = Vector3::new(mean, wave, wave) * aged_s;
+        self.doubt = turned * self.doubt * turned.transpose() + Matrix3::from_diagonal(&drift);
+        self
+    }
+
+    fn correct(&mut self, measured: f64, variance: f64) {
+        let seen = self.doubt * SEEN.transpose();
+        let gain = seen / (self.level_variance() + variance);
+        let unexplained = measured - self.level_in(0.0);
+        self.state += gain * unexplained;
+        self.doubt -= gain * seen.transpose();
+    }
+}
+
+/// The load is the mean and what the wave adds now.
+const SEEN: RowVector3<f64> = RowVector3::new(1.0, 1.0, 0.0);
--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -16,6 +16,7 @@
 pub mod learned;
 pub mod load;
 pub mod profile;
+pub mod season;
 
 use crate::core::time::Millis;
 use evidence::Evidence;
@@ -23,6 +24,7 @@
 use learned::Learned;
 pub use load::ServingLoad;
 use profile::{Cell, Profiles};
+use season::Season;
 use std::time::Duration;
 
 /// Time between two fits of the profiles.
@@ -57,6 +59,9 @@
 /// Standard deviations that are added to a press where it decides whether a task is let in.
 const CAUTION: f64 = 0.2;
 
+/// Strain below which a task tells its own load well enough for the season.
+const HARDLY_PRESSED: f64 = 0.08;
+
 /// A mean with its variance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Guess {
@@ -91,6 +96,8 @@
 pub struct Victim {
     /// Its image.
     pub image: Image,
+    /// Its step, by its job's id.
+    pub step: u64,
     /// Its target, in milliseconds.
     pub target_ms: f64,
     /// Its step's load.
@@ -135,6 +142,7 @@
     /// What each other owner has told of pairs.
     told: IndexMap<(Origin, Image, Image), Evidence>,
     profiles: Profiles,
+    season: Season<u64>,
     refitted_at: Option<Millis>,
     /// The tail of each image at its idlest, in milliseconds.
     idle_tails_ms: Vec<Option<f64>>,
@@ -225,7 +233,7 @@
             return;
         }
         let strain = strains.iter().sum::<f64>() / strains.len() as f64;
-        victim.load.carry(now);
+        victim.load.carry(now, self.season.period_s());
         let guesses: Vec<Guess> = beside
             .iter()
             .map(|p| self.believed(victim.image, p.image))
@@ -240,8 +248,12 @@
         let doubt = doubt.map(|(p, g)| p.share * p.share * g.variance);
         let scatter = PRESS_SCATTER * pressed;
         let noise = SHARED_NOISE + NOISE / strains.len() as f64;
-        let total = victim.load.variance() + doubt.sum::<f64>() + noise + scatter * scatter;
-        victim.load.correct(unexplained, total);
+        let of_presses = doubt.sum::<f64>() + noise + scatter * scatter;
+        let total = of_presses + victim.load.variance();
+        victim.load.correct(strain - pressed, of_presses);
+        if pressed < HARDLY_PRESSED {
+            self.season.note(victim.step, strain - pressed, now);
+        }
         for (presser, guess) in beside.iter().zip(guesses) {
             let of_others = total - presser.share * presser.share * guess.variance;
             let press = unexplained + presser.share * guess.mean;
@@ -258,6 +270,9 @@
             return;
         }
         self.refitted_at = Some(now);
+        if self.season.search_if_due(now) {
+            log::info!(period_s:? = self.season.period_s(); "period of serving loads");
+        }
         self.fade(since.unwrap_or_default());
         let cells: Vec<Cell> = self.cells().collect();
         self.profiles.refit(self.images.len(), &cells);
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -259,6 +259,7 @@
             .zip(spec.latency_target_ms)
             .map(|(image, target_ms)| Victim {
                 image,
+                step: waiting.step.job.0,
                 target_ms: f64::from(target_ms),
                 load: owner
                     .loads
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -166,6 +166,7 @@
         let load = self.loads.borrow().get(&run.task.step_id()).copied();
         Some(Victim {
             image: record.image?,
+            step: run.task.job.0,
             target_ms,
             load: load.unwrap_or_default(),
         })
