The period of loads is told to other owners and to successors

Cause: each shard needs some ten seconds to find it, and each next owner again.

Change: it is part of what owners tell each other and of the row for the successor.

--- a/src/lapisdrum/policy/dispatch/pressure/learned.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/learned.rs
@@ -26,6 +26,8 @@
         images: Vec<String>,
         pairs: Vec<LearnedPair>,
         idle_tails_us: Vec<Option<u32>>,
+        /// The period in which serving loads swing.
+        period_ms: Option<u32>,
     }
 }
 
@@ -65,6 +67,7 @@
             images: known.images.iter().cloned().collect(),
             pairs,
             idle_tails_us: known.idle_tails_ms.iter().map(to_us).collect(),
+            period_ms: known.season.period_s().map(to_milli),
         }
     }
 
@@ -83,6 +86,11 @@
             .collect()
     }
 
+    /// The period in which serving loads swing, in seconds.
+    pub(super) fn period_s(&self) -> Option<f64> {
+        self.period_ms.map(|ms| f64::from(ms) / MILLI)
+    }
+
     /// Idle tails by image, in milliseconds.
     pub(super) fn idle_tails_in(&self, known: &mut Pressure) -> Vec<(Image, f64)> {
         let tails = self.images.iter().zip(&self.idle_tails_us);
--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -156,7 +156,7 @@
             evidence.fade(0.5);
             resumed.pair_mut(victim, presser).own = evidence;
         }
-        resumed.adopt_idle_tails(learned);
+        resumed.adopt_loads(learned);
         resumed
     }
 
@@ -169,11 +169,14 @@
             pair.others.precision += evidence.precision - before.precision;
             pair.others.weighted += evidence.weighted - before.weighted;
         }
-        self.adopt_idle_tails(learned);
+        self.adopt_loads(learned);
     }
 
-    /// An idle tail that was measured here counts more than one that was told.
-    fn adopt_idle_tails(&mut self, learned: &Learned) {
+    /// What was measured here counts more than what was told.
+    fn adopt_loads(&mut self, learned: &Learned) {
+        if let Some(period_s) = learned.period_s() {
+            self.season.adopt(period_s);
+        }
         for (image, tail_ms) in learned.idle_tails_in(self) {
             self.idle_tail_mut(image).get_or_insert(tail_ms);
         }
--- a/src/lapisdrum/policy/dispatch/pressure/season.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/season.rs
@@ -44,13 +44,14 @@
 pub struct Season<K> {
     steps: IndexMap<K, Figures>,
     searched_at: Millis,
-    period_s: Option<f64>,
+    found_s: Option<f64>,
+    told_s: Option<f64>,
 }
 
 impl<K: std::hash::Hash + Eq> Season<K> {
-    /// The period in seconds; none while none was found.
+    /// The period in seconds, as found here or else by another owner; none while none was found.
     pub fn period_s(&self) -> Option<f64> {
-        self.period_s
+        self.found_s.or(self.told_s)
     }
 
     /// Notes a step's load as measured.
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Takes a period that another owner found, while none was found here.
+    pub fn adopt(&mut self, period_s: f64) {
+        self.told_s = Some(period_s);
+    }
+
     /// Looks for the period anew, if it is time to; true when it changed.
     pub fn search_if_due(&mut self, now: Millis) -> bool {
         if now.since(self.searched_at) < SEARCH_EVERY {
@@ -81,23 +87,28 @@
         let is_fresh = |figures: &Figures| figures.all.back().is_some_and(|(at, _)| *at >= first);
         self.steps.retain(|_, figures| is_fresh(figures));
         let found = self.search();
-        let has_changed = found != self.period_s;
-        self.period_s = found;
+        let has_changed = found != self.found_s;
+        self.found_s = found;
         has_changed
     }
 
+    /// The best period, if a longer one was looked at and is worse: what was seen for a short time only is
+    /// explained best by the longest period that it can tell of.
     fn search(&self) -> Option<f64> {
         let mut best: Option<(f64, f64)> = None;
+        let mut longest = 0.0;
         let mut period_s = PERIODS.0;
         while period_s <= PERIODS.1 {
-            let left = self.unexplained(period_s);
-            if left.is_some_and(|left| best.is_none_or(|(_, least)| left < least)) {
-                best = left.map(|left| (period_s, left));
+            if let Some(left) = self.unexplained(period_s) {
+                longest = period_s;
+                if best.is_none_or(|(_, least)| left < least) {
+                    best = Some((period_s, left));
+                }
             }
             period_s *= PERIOD_STEP;
         }
-        best.filter(|(_, left)| *left <= MOST_LEFT)
-            .map(|(period_s, _)| period_s)
+        let (period_s, left) = best?;
+        (period_s < longest && left <= MOST_LEFT).then_some(period_s)
     }
 
     /// The part of the loads' variance that waves of this period leave; none where too little was seen.
