Relief and placement are decided by what they cost

Cause: relief stopped whatever pressed most, tasks that were all but done and had saved nothing among them; a step of 39 tasks waits for each. What a stop loses had no part in it, and bounds that differ by deployment were constants.

Change: the strain of the next 2.4 s with those gone that will have ended; every pace or a stop is weighed by what it costs the task against what the serving tasks' misses cost; a left-over task is let in only where it adds nothing. What a stop and a restore take and what overload is borne is read from the deployment's settings.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -9,6 +9,8 @@
 
 pub mod forecast;
 pub mod order;
+pub mod outlook;
 pub mod place;
 pub mod pressure;
 pub mod relief;
+pub mod terms;
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -12,9 +12,13 @@
 //! same image: each image bears about half of the left-over images, so five images on a host bear almost
 //! none in common, and one bears half.
 
-use super::pressure::{Image, Presser, Pressure, Victim};
+use super::{
+    outlook::{self, Outlook},
+    pressure::{Image, Presser, Pressure, Victim},
+};
 use crate::core::size::Size;
 use indexmap::IndexMap;
+use std::time::Duration;
 
 /// Added to the load expected of a serving task before its processors count as left over, as a part of what
 /// it reserves: loads are told wrong by up to a tenth while they swing.
@@ -25,10 +29,6 @@
 const LEAST_FILL_PERCENT: u64 = 80;
 /// One of so many hosts may be kept free.
 const HOSTS_A_KEPT_ONE: usize = 16;
-/// A left-over task is let in only if each serving task beside it stays this much below the strain at its
-/// target: the serving load rises by about as much before a tail tells of it.
-const MARGIN: f64 = 0.03;
-
 /// What kind of load a task is for its host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Load {
@@ -57,19 +57,21 @@
     pub image: Option<Image>,
     /// What is known of it as a serving task.
     pub victim: Option<Victim>,
+    /// How long it is expected to run.
+    pub duration: Duration,
 }
 
-/// A serving task on a host, and the strain expected of it.
+/// The serving tasks of one step on a host, and what is expected of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Strained {
-    /// What is known of it.
+    /// What is known of them.
     pub victim: Victim,
-    /// What it reserves, in thousandths of a core.
+    /// What they reserve, in thousandths of a core.
     pub millicores: u64,
-    /// The load expected of it, as a part of that.
+    /// The load expected of them, as a part of that.
     pub load: f64,
-    /// The strain expected with all that runs beside it.
-    pub strain: f64,
+    /// The strain expected with all that runs beside them.
+    pub outlook: Outlook,
 }
 
 /// A worker that may take tasks.
@@ -112,21 +114,31 @@
 
 impl Strained {
     /// A serving task that is only just placed.
-    fn unmeasured(victim: Victim, millicores: u64) -> Self {
+    fn unmeasured(victim: Victim, millicores: u64, pressure: &Pressure) -> Self {
         let load = victim.load.level();
+        let limit = pressure.limit(&victim);
         Self {
             victim,
             millicores,
             load,
-            strain: load,
+            outlook: Outlook::unpressed(1, limit, [load; outlook::MOMENTS]),
         }
     }
 
-    /// What it reserves and is not expected to use, in thousandths of a core.
+    /// What they reserve and are not expected to use, in thousandths of a core.
     fn idle_millicores(&self) -> u64 {
         let used = (self.load + LOAD_SLACK).min(1.0);
         (self.millicores as f64 * (1.0 - used)) as u64
     }
+
+    /// The same beside one more that presses.
+    fn pressed(&self, presser: &Presser, moments: usize, pressure: &Pressure) -> Outlook {
+        let press = pressure.press(self.victim.image, presser);
+        let variance = pressure.press_variance(self.victim.image, presser);
+        let mut outlook = self.outlook;
+        outlook.add(press, variance, moments);
+        outlook
+    }
 }
 
 impl Host<'_> {
@@ -150,22 +162,28 @@
         })
     }
 
+    /// What the task is expected to cost the serving tasks there, in seconds of a left-over task.
+    fn cost_of(&self, need: &Need, pressure: &Pressure) -> f64 {
+        let Some(presser) = self.presser(need) else {
+            return 0.0;
+        };
+        let moments = outlook::moments_within(need.duration);
+        let cost = |s: &Strained| s.pressed(&presser, moments, pressure).cost() - s.outlook.cost();
+        self.serving.iter().map(cost).sum()
+    }
+
     /// The most that the task is expected to press on a serving task there.
     fn press_of(&self, need: &Need, pressure: &Pressure) -> f64 {
         let Some(presser) = self.presser(need) else {
             return 0.0;
         };
-        let press = |s: &Strained| pressure.cautious_press(s.victim.image, &presser);
+        let press = |s: &Strained| pressure.press(s.victim.image, &presser);
         self.serving.iter().map(press).fold(0.0, f64::max)
     }
 
-    /// What is left of the room below the targets of its serving tasks with the task; 1 where none serves.
-    fn headroom_with(&self, need: &Need, pressure: &Pressure) -> f64 {
-        let presser = self.presser(need);
-        let headroom = |s: &Strained| {
-            let press = presser.map(|p| pressure.cautious_press(s.victim.image, &p));
-            pressure.limit(&s.victim) - s.strain - press.unwrap_or_default()
-        };
+    /// What is left of the room below the targets of its serving tasks; 1 where none serves.
+    fn headroom(&self) -> f64 {
+        let headroom = |s: &Strained| s.outlook.limit - s.outlook.worst();
         self.serving.iter().map(headroom).fold(1.0, f64::min)
     }
 
@@ -175,14 +193,15 @@
         match need.load {
             Load::Reserving => {}
             Load::Serving => {
-                let placed = |victim| Strained::unmeasured(victim, need.size.millicores);
+                let placed = |victim| Strained::unmeasured(victim, need.size.millicores, pressure);
                 self.serving.extend(need.victim.map(placed));
             }
             Load::Leftover => {
                 self.leftover_millicores += need.size.millicores;
                 if let Some(presser) = self.presser(need) {
+                    let moments = outlook::moments_within(need.duration);
                     for s in &mut self.serving {
-                        s.strain += pressure.press(s.victim.image, &presser);
+                        s.outlook = s.pressed(&presser, moments, pressure);
                     }
                 }
             }
@@ -265,8 +284,9 @@
     if need.size.millicores * LEAST_FILL_PERCENT / 100 > host.unused_millicores() {
         return Some(Unfit::Busy);
     }
-    let is_clear = host.serving.is_empty() || host.headroom_with(need, pressure) >= MARGIN;
-    (!is_clear).then_some(Unfit::Pressure)
+    // It may as well wait where it would cost anything.
+    let is_dear = host.cost_of(need, pressure) > 0.0;
+    is_dear.then_some(Unfit::Pressure)
 }
 
 /// What keeps most of the hosts from taking a task; none when there is no host at all.
@@ -304,10 +324,7 @@
 fn fit(need: &Need, host: &Host, pressure: &Pressure) -> Fit {
     let unused = host.unused_millicores();
     let spare = match need.load {
-        Load::Leftover => {
-            let headroom = host.headroom_with(need, pressure);
-            ((1.0 - headroom) * HEADROOM_SCALE) as u64
-        }
+        Load::Leftover => ((1.0 - host.headroom()).max(0.0) * HEADROOM_SCALE) as u64,
         Load::Reserving => unused.saturating_sub(need.size.millicores),
         Load::Serving => host.free().millicores.saturating_sub(need.size.millicores),
     };
@@ -328,7 +345,7 @@
         return 0;
     };
     let others = host.serving.iter().filter(|s| s.victim.image != own);
-    others.count()
+    others.map(|s| s.outlook.tasks as usize).sum()
 }
 
 /// Keeps a host free for a task that found none, so that it is not passed by for ever: smaller tasks would take
--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -18,6 +18,7 @@
 pub mod profile;
 pub mod season;
 
+use super::outlook::{self, Path};
 use crate::core::time::Millis;
 use evidence::Evidence;
 use indexmap::{IndexMap, IndexSet};
@@ -56,9 +57,6 @@
 const IDLE_STEP: f64 = 0.02;
 /// A strain beyond this reads as full; the tail no longer tells by how much.
 const FULL: f64 = 0.95;
-/// Standard deviations that are added to a press where it decides whether a task is let in.
-const CAUTION: f64 = 0.2;
-
 /// Strain below which a task tells its own load well enough for the season.
 const HARDLY_PRESSED: f64 = 0.08;
 
@@ -213,27 +211,38 @@
         victim.load.ahead(now, ahead) + presses.sum::<f64>()
     }
 
+    /// The load expected of a victim over the next moments.
+    pub fn load_path(&self, victim: &Victim, now: Millis) -> Path {
+        std::array::from_fn(|at| victim.load.ahead(now, outlook::moment(at)))
+    }
+
     /// The strain that a presser is expected to add.
     pub fn press(&self, victim: Image, presser: &Presser) -> f64 {
         self.believed(victim, presser.image).mean * presser.share
     }
 
-    /// The same, on the safe side of what is doubtful.
-    pub fn cautious_press(&self, victim: Image, presser: &Presser) -> f64 {
-        let guess = self.believed(victim, presser.image);
-        (guess.mean + guess.variance.sqrt() * CAUTION) * presser.share
+    /// Variance of that, by what is not known of the pair.
+    pub fn press_variance(&self, victim: Image, presser: &Presser) -> f64 {
+        self.believed(victim, presser.image).variance * presser.share * presser.share
     }
 
     /// Learns from the tails of a step's tasks on one host, measured beside these. They share their load and what
-    /// presses on them, so they are one measurement, less rough than each of them.
-    pub fn note(&mut self, victim: &mut Victim, beside: &[Presser], tails_ms: &[f64], now: Millis) {
+    /// presses on them, so they are one measurement, less rough than each of them. Returns the strain that is
+    /// measured beyond what is then believed; none where the tails tell nothing.
+    pub fn note(
+        &mut self,
+        victim: &mut Victim,
+        beside: &[Presser],
+        tails_ms: &[f64],
+        now: Millis,
+    ) -> Option<f64> {
         for tail_ms in tails_ms {
             self.note_idle(victim, *tail_ms);
         }
         let strains = tails_ms.iter().filter_map(|t| self.strain_of(victim, *t));
         let strains: Vec<f64> = strains.collect();
         if strains.is_empty() {
-            return;
+            return None;
         }
         let strain = strains.iter().sum::<f64>() / strains.len() as f64;
         victim.load.carry(now, self.season.period_s());
@@ -245,7 +254,7 @@
         let pressed = pressed.sum::<f64>();
         let unexplained = strain - victim.load.level() - pressed;
         if strain >= FULL && unexplained < 0.0 {
-            return;
+            return Some(0.0);
         }
         let doubt = beside.iter().zip(&guesses);
         let doubt = doubt.map(|(p, g)| p.share * p.share * g.variance);
@@ -264,6 +273,8 @@
             pair.own.note(presser.share, press, of_others);
             pair.heard_at = now;
         }
+        let pressed = beside.iter().map(|p| self.press(victim.image, p));
+        Some(strain - victim.load.level() - pressed.sum::<f64>())
     }
 
     /// Fits what is expected of pairs to what was measured, if it is time to.
--- a/src/lapisdrum/policy/dispatch/pressure/season.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/season.rs
@@ -114,7 +114,11 @@
     /// The part of the loads' variance that waves of this period leave; none where too little was seen.
     fn unexplained(&self, period_s: f64) -> Option<f64> {
         let enough = |figures: &&Figures| figures.tell_of(period_s);
-        let fits = self.steps.values().filter(enough).filter_map(|f| f.fit(period_s));
+        let fits = self
+            .steps
+            .values()
+            .filter(enough)
+            .filter_map(|f| f.fit(period_s));
         let (mut steps, mut left, mut all) = (0, 0.0, 0.0);
         for (of_step, variance) in fits {
             steps += 1;
--- a/src/lapisdrum/policy/dispatch/relief.rs
+++ b/src/lapisdrum/policy/dispatch/relief.rs
@@ -1,35 +1,37 @@
-//! Which left-over task gives way when a serving task's tail nears its target.
+//! Which left-over task gives way when a serving task's tail nears its target, and how far.
 //!
 //! Load pattern: the serving load swings up under left-over tasks that were harmless when they came, or a
 //! pair turns out worse than it was thought. Tails tell it half a second late. Without relief a tail stays
-//! at ten times its target for as long as the batch task runs, some four seconds. What presses most on
-//! those in danger goes first: it is slowed where a slower pace is enough, else stopped; it saves its
-//! progress then and goes on elsewhere, for a quarter second of work.
-
-use super::pressure::{Image, Presser, Pressure, Victim};
+//! at ten times its target for as long as the batch task runs, some four seconds. With relief by what presses
+//! most, tasks were stopped that had all but ended, and whole steps waited for them.
+//!
+//! So each change is weighed by what it costs: a stop the time until the task works again elsewhere and what it
+//! had not saved, a slower pace the work not done meanwhile, and nothing at all the serving tasks' misses until
+//! the task ends by itself ([`super::outlook`]). What gains most is done first; letting a slowed task go on
+//! faster is weighed in the same way.
+
+use super::{
+    outlook::{self, MOMENTS, Outlook, Path},
+    pressure::{Image, Presser, Pressure, Victim},
+    terms::Terms,
+};
 use crate::core::time::Millis;
 use std::time::Duration;
 
-/// Relief is due this far below the strain at the target, or above it.
-const DUE_BELOW: f64 = 0.0;
-/// Relief goes on until the strain expected is this far below the one at the target.
-const DONE_BELOW: f64 = 0.02;
-/// A pace below this, in hundredths, holds a job up more than a move does.
-const LEAST_PACE: u32 = 20;
-/// Paces are set in steps of this, so that small swings cost no orders.
-const PACE_STEP: u32 = 20;
-/// A paced task is let go on faster once the strain expected with it is this far below the limit.
-const RAISE_BELOW: f64 = 0.06;
-/// Strain is looked at this far ahead: about what a stop takes to tell.
-const AHEAD: Duration = Duration::from_millis(300);
-
-/// A serving task and its newest tail.
+/// Paces that are set, in hundredths.
+const PACES: [u32; 6] = [0, 20, 40, 60, 80, 100];
+/// A change must gain this much, in seconds of a left-over task: each is an order to a worker.
+const LEAST_GAIN: f64 = 0.1;
+
+/// The serving tasks of one step on a host.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Serving {
-    /// What is known of it.
+    /// What is known of them.
     pub victim: Victim,
-    /// Its tail in milliseconds; 0 when there is none.
-    pub tail_ms: f64,
+    /// How many.
+    pub tasks: u32,
+    /// Strain that their tails tell beyond what is expected of what presses there.
+    pub surprise: f64,
 }
 
 /// A left-over task on the same host.
@@ -45,6 +47,10 @@
     pub is_checkpointing: bool,
     /// Whether it is being stopped.
     pub is_stopping: bool,
+    /// How long it has run.
+    pub ran: Duration,
+    /// How much longer it would run at full pace.
+    pub left: Duration,
 }
 
 /// What is to be done with a left-over task.
@@ -63,137 +69,164 @@
     pub pressure: &'a Pressure,
     /// The moment.
     pub now: Millis,
+    /// What holds here for stops.
+    pub terms: &'a Terms,
+}
+
+/// What gives way on a host, by the places in `leftover`.
+pub fn decide(sight: &Sight, serving: &[Serving], leftover: &[Leftover]) -> Vec<(usize, Action)> {
+    let loads: Vec<Path> = serving.iter().map(|s| sight.load_path(s)).collect();
+    let host = Host {
+        sight,
+        serving,
+        loads: &loads,
+    };
+    let mut after: Vec<Leftover> = leftover.to_vec();
+    let mut actions = Vec::new();
+    while let Some((at, action)) = host.best_change(&after, &actions) {
+        after[at].apply(action);
+        actions.push((at, action));
+    }
+    actions
 }
 
 impl Sight<'_> {
-    fn expected(&self, s: &Serving, leftover: &[Leftover]) -> f64 {
-        let beside = pressers(leftover);
-        self.pressure.expected(&s.victim, &beside, self.now, AHEAD)
+    /// The strain that is there whatever presses.
+    fn load_path(&self, s: &Serving) -> Path {
+        let load = self.pressure.load_path(&s.victim, self.now);
+        load.map(|load| load + s.surprise)
     }
 }
 
-/// What gives way on a host, by the places in `leftover`.
-pub fn decide(sight: &Sight, serving: &[Serving], leftover: &[Leftover]) -> Vec<(usize, Action)> {
-    let mut after: Vec<Leftover> = leftover.to_vec();
-    let mut is_touched = vec![false; after.len()];
-    while let Some(at) = next_to_yield(sight, serving, &after, &is_touched) {
-        let excess = excess(sight, serving, &after);
-        let action = yield_by(sight, serving, &after[at], excess);
+impl Leftover {
+    fn apply(&mut self, action: Action) {
         match action {
-            Action::Pace(pace) => after[at].pace = pace,
-            Action::Stop => after[at].is_stopping = true,
+            Action::Pace(pace) => self.pace = pace,
+            Action::Stop => self.is_stopping = true,
         }
-        is_touched[at] = true;
     }
-    let changed = after.iter().zip(leftover).enumerate();
-    let mut actions: Vec<_> = changed
-        .filter_map(|(at, (now, before))| action_of(at, now, before))
-        .collect();
-    if actions.is_empty() {
-        actions.extend(raise(sight, serving, leftover));
+
+    fn with(&self, action: Action) -> Self {
+        let mut after = *self;
+        after.apply(action);
+        after
     }
-    actions
-}
 
-fn action_of(at: usize, now: &Leftover, before: &Leftover) -> Option<(usize, Action)> {
-    if now.is_stopping && !before.is_stopping {
-        return Some((at, Action::Stop));
+    /// How much longer it runs at its pace.
+    fn left_at_pace(&self) -> Duration {
+        match self.pace {
+            0 => Duration::MAX,
+            pace => self.left * 100 / pace,
+        }
     }
-    (now.pace != before.pace).then_some((at, Action::Pace(now.pace)))
-}
 
-/// The one that presses most on those in danger; none when nobody is.
-fn next_to_yield(
-    sight: &Sight,
-    serving: &[Serving],
-    leftover: &[Leftover],
-    is_touched: &[bool],
-) -> Option<usize> {
-    let is_first = !is_touched.contains(&true);
-    let strain = |s: &Serving| strain(sight, s, leftover, is_first);
-    let bound = match is_first {
-        true => DUE_BELOW,
-        false => DONE_BELOW,
-    };
-    let endangered = |s: &&Serving| strain(s) > sight.pressure.limit(&s.victim) - bound;
-    let endangered: Vec<&Serving> = serving.iter().filter(endangered).collect();
-    if endangered.is_empty() {
-        return None;
+    fn presser(&self) -> Option<Presser> {
+        let is_working = !self.is_stopping && self.pace > 0;
+        is_working.then(|| Presser {
+            image: self.image,
+            share: self.share * f64::from(self.pace) / 100.0,
+        })
     }
-    let press = |l: &Leftover| {
-        let on = endangered
-            .iter()
-            .map(|s| sight.pressure.press(s.victim.image, &presser(l)));
-        on.sum::<f64>()
-    };
-    let able = leftover.iter().enumerate();
-    let able = able.filter(|(at, l)| !is_touched[*at] && !l.is_stopping && l.pace > 0);
-    let most = able.max_by(|(_, a), (_, b)| press(a).total_cmp(&press(b)));
-    most.map(|(at, _)| at)
-}
 
-/// The strain of a serving task: as expected, or as its tail tells if that is more and nothing was done yet.
-fn strain(sight: &Sight, s: &Serving, leftover: &[Leftover], by_tail: bool) -> f64 {
-    let expected = sight.expected(s, leftover);
-    let measured = sight.pressure.strain_of(&s.victim, s.tail_ms);
-    match by_tail && leftover.iter().any(|l| !l.is_stopping) {
-        true => expected.max(measured.unwrap_or_default()),
-        false => expected,
+    /// What may be done with it.
+    fn choices(&self) -> impl Iterator<Item = Action> {
+        let pace = self.pace;
+        let paces = PACES.into_iter().filter(move |p| *p != pace);
+        paces.map(Action::Pace).chain([Action::Stop])
     }
 }
 
-fn pressers(leftover: &[Leftover]) -> Vec<Presser> {
-    let active = leftover.iter().filter(|l| !l.is_stopping);
-    active.map(presser).collect()
+/// What is known of a host.
+struct Host<'a> {
+    sight: &'a Sight<'a>,
+    serving: &'a [Serving],
+    loads: &'a [Path],
 }
 
-fn presser(l: &Leftover) -> Presser {
-    Presser {
-        image: l.image,
-        share: l.share * f64::from(l.pace) / 100.0,
+impl Host<'_> {
+    /// The change that gains most of those to tasks that aren't changed yet; none where none gains enough.
+    fn best_change(
+        &self,
+        leftover: &[Leftover],
+        changed: &[(usize, Action)],
+    ) -> Option<(usize, Action)> {
+        let outlooks = self.outlooks(leftover);
+        let before: f64 = outlooks.iter().map(Outlook::cost).sum();
+        let missed_for = missed_for(&outlooks);
+        let open = leftover.iter().enumerate();
+        let open = open
+            .filter(|(at, l)| !l.is_stopping && changed.iter().all(|(changed, _)| changed != at));
+        let mut best: Option<(usize, Action, f64)> = None;
+        for (at, l) in open {
+            let most = before - self.cost_without(leftover, at);
+            for action in l.choices() {
+                let own = self.cost_of(l, action, missed_for);
+                let is_hopeless = most - own < LEAST_GAIN;
+                if is_hopeless {
+                    continue;
+                }
+                let gain = before - self.cost_with(leftover, at, action) - own;
+                if gain >= LEAST_GAIN && best.is_none_or(|(.., most)| gain > most) {
+                    best = Some((at, action, gain));
+                }
+            }
+        }
+        best.map(|(at, action, _)| (at, action))
     }
-}
 
-/// The most by which the strain of a serving task is above where relief ends.
-fn excess(sight: &Sight, serving: &[Serving], leftover: &[Leftover]) -> f64 {
-    let over = |s: &Serving| {
-        strain(sight, s, leftover, true) - (sight.pressure.limit(&s.victim) - DONE_BELOW)
-    };
-    serving.iter().map(over).fold(0.0, f64::max)
-}
+    fn outlooks(&self, leftover: &[Leftover]) -> Vec<Outlook> {
+        let all = self.serving.iter().zip(self.loads);
+        let all = all.map(|(s, load)| {
+            let limit = self.sight.pressure.limit(&s.victim);
+            let mut outlook = Outlook::unpressed(s.tasks, limit, *load);
+            for l in leftover {
+                let Some(presser) = l.presser() else {
+                    continue;
+                };
+                let press = self.sight.pressure.press(s.victim.image, &presser);
+                // How far tasks that run are off what is expected of them is in the surprise.
+                outlook.add_known(press, outlook::moments_within(l.left_at_pace()));
+            }
+            outlook
+        });
+        all.collect()
+    }
 
-/// How far one yields: to a slower pace if that takes enough strain away, else wholly.
-fn yield_by(sight: &Sight, serving: &[Serving], l: &Leftover, excess: f64) -> Action {
-    let press = |s: &Serving| sight.pressure.press(s.victim.image, &presser(l));
-    let most = serving.iter().map(press).fold(0.0, f64::max);
-    let keep = match most > 0.0 {
-        true => (1.0 - excess / most).max(0.0),
-        false => 0.0,
-    };
-    let pace = (f64::from(l.pace) * keep) as u32 / PACE_STEP * PACE_STEP;
-    match (pace >= LEAST_PACE, l.is_checkpointing) {
-        (true, _) => Action::Pace(pace),
-        (false, true) => Action::Stop,
-        (false, false) => Action::Pace(pace),
+    fn cost(&self, leftover: &[Leftover]) -> f64 {
+        self.outlooks(leftover).iter().map(Outlook::cost).sum()
+    }
+
+    fn cost_without(&self, leftover: &[Leftover], at: usize) -> f64 {
+        self.cost_with(leftover, at, Action::Stop)
+    }
+
+    fn cost_with(&self, leftover: &[Leftover], at: usize, action: Action) -> f64 {
+        let mut after = leftover.to_vec();
+        after[at] = after[at].with(action);
+        self.cost(&after)
+    }
+
+    /// What a change costs the task itself, in seconds; less than nothing where it works faster.
+    fn cost_of(&self, l: &Leftover, action: Action, missed_for: f64) -> f64 {
+        let left = l.left.as_secs_f64();
+        let restart = self.sight.terms.restart_takes().as_secs_f64();
+        match action {
+            Action::Stop if l.is_checkpointing => restart,
+            Action::Stop => restart + l.ran.as_secs_f64(),
+            Action::Pace(pace) if pace < l.pace => {
+                f64::from(l.pace - pace) / 100.0 * left.min(missed_for)
+            }
+            Action::Pace(pace) => {
+                let within = outlook::seconds(MOMENTS);
+                -f64::from(pace - l.pace) / 100.0 * left.min(within)
+            }
+        }
     }
 }
 
-/// One paced task that may go faster.
-fn raise(sight: &Sight, serving: &[Serving], leftover: &[Leftover]) -> Option<(usize, Action)> {
-    let paced = leftover.iter().enumerate();
-    let (at, slowed) = paced
-        .filter(|(_, l)| l.pace < 100 && !l.is_stopping)
-        .min_by_key(|(_, l)| l.pace)?;
-    let mut after = leftover.to_vec();
-    after[at].pace = (slowed.pace + PACE_STEP).min(100);
-    let is_clear = |s: &Serving| {
-        let measured = sight
-            .pressure
-            .strain_of(&s.victim, s.tail_ms)
-            .unwrap_or_default();
-        let expected = sight.expected(s, &after);
-        expected.max(measured) <= sight.pressure.limit(&s.victim) - RAISE_BELOW
-    };
-    let action = Action::Pace(after[at].pace);
-    serving.iter().all(is_clear).then_some((at, action))
+/// For how long from now targets are missed, in seconds.
+fn missed_for(outlooks: &[Outlook]) -> f64 {
+    let is_missed = |at: &usize| outlooks.iter().any(|o| o.strain[*at] > o.limit);
+    let last = (0..MOMENTS).rev().find(is_missed);
+    outlook::seconds(last.map_or(1, |at| at + 1))
 }
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -24,7 +24,10 @@
 pub mod settle;
 pub mod shape;
 
-use crate::core::time::{Clock, Millis};
+use crate::{
+    core::time::{Clock, Millis},
+    policy::dispatch::terms::Terms,
+};
 use edge::{Catalogue, Directory, Store, Workers};
 use indexmap::IndexMap;
 use layout::{Layout, ShardId};
@@ -57,6 +60,8 @@
     pub workers_a_shard: usize,
     /// What workers' leases are bounded by.
     pub leases: LeaseLimits,
+    /// What holds for stops, restores and tails.
+    pub work: Terms,
     /// The part of a core that the process has.
     pub cpu_share: f64,
     /// How long a job that is over is remembered.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -255,6 +255,7 @@
         data_rack: spec.data_rack.as_deref(),
         max_per_worker: spec.max_per_worker,
         image,
+        duration: strain::usual_length(spec.estimate_ms),
         victim: image
             .zip(spec.latency_target_ms)
             .map(|(image, target_ms)| Victim {
--- a/src/lapisdrum/sched/owner/learned.rs
+++ b/src/lapisdrum/sched/owner/learned.rs
@@ -82,7 +82,10 @@
             continue;
         };
         heard.insert(shard, told.upto);
-        owner.pressure.borrow_mut().adopt(u32::from(shard.0), &told.learned);
+        owner
+            .pressure
+            .borrow_mut()
+            .adopt(u32::from(shard.0), &told.learned);
         log::debug!(shard:% = owner.seat.part, from:% = shard.part(), pairs = told.learned.pairs(); "learned pressure heard");
     }
 }
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -38,6 +38,8 @@
     pub since: Millis,
     /// How much of its work was done when last seen, in hundredths, and since when it stands there.
     pub progress: Option<(u32, Millis)>,
+    /// The first that was seen of it, and when.
+    pub first_progress: Option<(u32, Millis)>,
     /// Whether a stop saves its progress.
     pub is_checkpointing: bool,
     /// Whether it runs until its job is cancelled.
@@ -54,6 +56,8 @@
     pub used_millicores: Option<u64>,
     /// The share of its processors that it works at, in hundredths.
     pub pace: u32,
+    /// The same before it was changed last, and when that was.
+    pub paced_from: (u32, Millis),
 }
 
 /// The kind of load that a step's tasks are.
@@ -100,6 +104,7 @@
             known,
             since: now,
             progress: None,
+            first_progress: None,
             is_checkpointing: step.is_checkpointing,
             is_long_running: step.is_long_running,
             estimate_ms: step.estimate_ms,
@@ -108,6 +113,7 @@
             tail_ms: 0.0,
             used_millicores: None,
             pace: 100,
+            paced_from: (100, now),
         };
         let mut sessions = self.sessions.borrow_mut();
         let session = sessions
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -9,9 +9,9 @@
         place::{Load, reserved_by},
         pressure::Presser,
     },
-    sched::{edge::WorkerReport, event::RunId, settle::LeaseBound},
+    sched::{edge::WorkerReport, event::RunId, job::StepId, settle::LeaseBound},
 };
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
 
 /// A lease is renewed when this much of it is over. With looks that take up to 2 s, of the shortest lease of 6 s
@@ -22,6 +22,11 @@
 /// A suspect worker is tried again after this long.
 const SUSPECT_FOR: Duration = Duration::from_secs(8);
 
+/// Part by which one measurement moves a surprise.
+const SURPRISE_STEP: f64 = 0.5;
+/// A surprise beyond this is an outlier, in strain.
+const MOST_SURPRISE: f64 = 0.2;
+
 /// What runs on a worker, added up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -93,6 +98,8 @@
     pub runs: IndexSet<RunId>,
     /// The same, added up.
     pub tally: Tally,
+    /// Strain that the tails of each step here tell beyond what is believed.
+    pub surprises: IndexMap<StepId, f64>,
     /// What has left and still shows in tails.
     pub departed: Vec<Departed>,
     /// Until when no left-over task is sent there.
@@ -120,6 +127,7 @@
             silent_since: None,
             runs: IndexSet::new(),
             tally: Tally::default(),
+            surprises: IndexMap::new(),
             departed: Vec::new(),
             leftover_closed_until: Millis::default(),
             over_since: None,
@@ -128,6 +136,17 @@
         }
     }
 
+    /// Notes what the tails of a step's tasks told beyond what was believed.
+    pub fn note_surprise(&mut self, step: StepId, strain: f64) {
+        let known = self.surprises.entry(step).or_default();
+        *known += (strain.clamp(-MOST_SURPRISE, MOST_SURPRISE) - *known) * SURPRISE_STEP;
+    }
+
+    /// Strain of a step's tasks here beyond what is believed.
+    pub fn surprise(&self, step: &StepId) -> f64 {
+        self.surprises.get(step).copied().unwrap_or_default()
+    }
+
     /// Up to which number the worker may forget ends. A worker that starts again under its id numbers its
     /// ends from 1: after a silence it may be in a new life, and forget ends there that nobody has read.
     pub fn ackable(&self) -> u64 {
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -9,6 +9,7 @@
     core::time::Millis,
     daemon::supervisor,
     policy::dispatch::{
+        outlook::{self, Outlook},
         place::{Load, Strained},
         pressure::{Presser, Victim},
         relief::{self, Action, Leftover, Serving, Sight},
@@ -29,38 +30,43 @@
 const SHOWN_FIRST: Duration = Duration::from_millis(200);
 /// See [`SHOWN_FIRST`].
 const SHOWN_WHOLLY: Duration = Duration::from_millis(900);
-/// A placement looks this far ahead, where the serving load rises: most left-over tasks run for a second
-/// or two, and one that came just before a peak would have to move.
-const PLACED_AHEAD: Duration = Duration::from_millis(800);
+/// A tail that was over its target is taken to be so down to this part of it.
+const STILL_OVER: f64 = 0.94;
+/// A left-over task takes so many times its estimate, as long as nothing else is known of it.
+const USUAL_LENGTH: f64 = 1.3;
+/// Progress that tells how long the rest takes, in hundredths.
+const LEAST_PROGRESS: f64 = 5.0;
+/// The load of a serving task is taken for the greatest of so many moments where it decides what is left over.
+const LOAD_MOMENTS: usize = 3;
 /// Once something gave way on a host, no other left-over task is sent there for this long: its tails
 /// still tell of before. Half of that time, since a placement weighs what is expected and not the tail alone: 0.8 s
 /// kept hosts empty that had room. Worth over three heavy days with twelve seeds each: 0.8 s 0.709, 0.4 s 0.720;
 /// with seven other seeds 0.744, 0.750, and 0.746 with 0.15 s.
 const CLOSED_AFTER_RELIEF: Duration = Duration::from_millis(400);
-/// A tail that stays over its target this long, whatever gave way, clears the host of left-over tasks.
-/// The users bear 4 s; a stop takes up to 0.9 s and the tail half a second to come down.
-const LONGEST_OVER: Duration = Duration::from_millis(1_500);
 /// How long a host stays clear of left-over tasks then.
 const CLOSED_AFTER_CLEARING: Duration = Duration::from_millis(3_000);
 
 /// Learns from a worker's lists, and acts on them.
 pub fn note(cx: &Cx, owner: &Rc<Owner>, worker: &str, lists: &Lists, now: Millis) {
     note_tails(owner, worker, lists, now);
-    let (runs, leftover, serving) = on_host(owner, worker);
+    let (runs, leftover, serving) = on_host(owner, worker, now);
     if leftover.is_empty() || serving.is_empty() {
         owner.session(worker, |session| session.over_since = None);
         return;
     }
-    let is_over = |s: &Serving| s.tail_ms > s.victim.target_ms;
+    let before = owner
+        .session(worker, |session| session.over_since)
+        .flatten();
+    let is_over = is_over_target(owner, worker, before.is_some());
     let over_since = owner.session(worker, |session| {
-        session.over_since = match serving.iter().any(is_over) {
+        session.over_since = match is_over {
             true => session.over_since.or(Some(now)),
             false => None,
         };
         session.over_since
     });
     let over_for = over_since.flatten().map(|since| now.since(since));
-    if over_for.is_some_and(|over| over >= LONGEST_OVER) {
+    if over_for.is_some_and(|over| over >= cx.cfg.work.longest_over()) {
         clear(cx, owner, worker, &runs, &leftover, now);
         return;
     }
@@ -69,6 +75,7 @@
         let sight = Sight {
             pressure: &pressure,
             now,
+            terms: &cx.cfg.work,
         };
         relief::decide(&sight, &serving, &leftover)
     };
@@ -77,6 +84,22 @@
     }
 }
 
+/// Whether a tail there is over its target. One that was is so until it is well below: the figure is rough, and a
+/// single one just below would begin the time that is borne anew.
+fn is_over_target(owner: &Owner, worker: &str, was_over: bool) -> bool {
+    let part = match was_over {
+        true => STILL_OVER,
+        false => 1.0,
+    };
+    let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
+    let here = sessions.get(worker).into_iter().flat_map(|s| &s.runs);
+    here.filter_map(|run| runs.get(run)).any(|record| {
+        record
+            .target_ms
+            .is_some_and(|target_ms| record.tail_ms > f64::from(target_ms) * part)
+    })
+}
+
 /// Takes the newest tails in, and learns from them what disturbs what.
 fn note_tails(owner: &Owner, worker: &str, lists: &Lists, now: Millis) {
     let beside = shown_pressers(owner, worker, now);
@@ -101,7 +124,10 @@
         tails.all_ms.push(tail_ms);
     }
     for (step, mut tails) in by_step.into_iter().filter(|(_, tails)| tails.is_new) {
-        pressure.note(&mut tails.victim, &beside, &tails.all_ms, now);
+        let surprise = pressure.note(&mut tails.victim, &beside, &tails.all_ms, now);
+        if let Some(surprise) = surprise {
+            owner.session(worker, |session| session.note_surprise(step, surprise));
+        }
         owner.loads.borrow_mut().insert(step, tails.victim.load);
     }
 }
@@ -123,6 +149,11 @@
     }
 }
 
+/// How long a left-over task runs, by its estimate.
+pub fn usual_length(estimate_ms: u64) -> Duration {
+    Duration::from_millis(estimate_ms).mul_f64(USUAL_LENGTH)
+}
+
 /// How much of something that changed at `since` shows in a tail at `now`.
 fn shown(since: Millis, now: Millis) -> f64 {
     let age = now.since(since).saturating_sub(SHOWN_FIRST).as_secs_f64();
@@ -145,11 +176,7 @@
     let mut beside: Vec<Presser> = departed.collect();
     let runs = owner.runs.borrow();
     let here = session.runs.iter().filter_map(|run| runs.get(run));
-    let active = here.filter_map(|record| Some((record, record.presser(capacity)?)));
-    beside.extend(active.map(|(record, presser)| Presser {
-        share: presser.share * shown(record.since, now),
-        ..presser
-    }));
+    beside.extend(here.filter_map(|record| record.shown_presser(capacity, now)));
     beside
 }
 
@@ -183,6 +210,23 @@
         }
     }
 
+    /// How much longer it works at full pace: by what it did so far, else by what is usual.
+    fn left(&self, now: Millis) -> Duration {
+        let usual = usual_length(self.estimate_ms);
+        let seen = self.first_progress.zip(self.progress);
+        let Some(((first, began_at), (done, at))) = seen else {
+            return usual.saturating_sub(now.since(self.since));
+        };
+        let todo = f64::from(100_u32.saturating_sub(done));
+        let worked = f64::from(done.saturating_sub(first));
+        let took = at.since(began_at);
+        let left = match worked >= LEAST_PROGRESS {
+            true => took.mul_f64(todo / worked),
+            false => usual.mul_f64(todo / 100.0),
+        };
+        left.saturating_sub(now.since(at))
+    }
+
     /// The processors that it uses at full pace, as far as known.
     fn full_use_millicores(&self) -> u64 {
         self.used_millicores.unwrap_or(self.size.millicores)
@@ -190,9 +234,13 @@
 
     /// What the run presses with, if it uses left-over processors, on a host with this many.
     pub fn presser(&self, millicores: u64) -> Option<Presser> {
+        self.presser_at(millicores, self.pace)
+    }
+
+    fn presser_at(&self, millicores: u64, pace: u32) -> Option<Presser> {
         let image = self.image.filter(|_| self.load == Load::Leftover)?;
         let is_there = !matches!(self.known.order, Order::NotSent);
-        let used = self.full_use_millicores() as f64 * f64::from(self.pace) / 100.0;
+        let used = self.full_use_millicores() as f64 * f64::from(pace) / 100.0;
         is_there.then(|| Presser {
             image,
             share: used / millicores.max(1) as f64,
@@ -200,18 +248,42 @@
     }
 }
 
-/// The left-over runs on a host, and the serving ones that have a tail.
-fn on_host(owner: &Owner, worker: &str) -> (Vec<RunId>, Vec<Leftover>, Vec<Serving>) {
+impl RunRecord {
+    /// What the run presses with as far as tails tell of it by now.
+    fn shown_presser(&self, millicores: u64, now: Millis) -> Option<Presser> {
+        let at_full = self.presser_at(millicores, 100)?;
+        let (before, at) = self.paced_from;
+        let changed = shown(at, now);
+        let pace = f64::from(before) * (1.0 - changed) + f64::from(self.pace) * changed;
+        Some(Presser {
+            share: at_full.share * pace / 100.0 * shown(self.since, now),
+            ..at_full
+        })
+    }
+}
+
+/// The left-over runs on a host, and the serving ones by their steps.
+fn on_host(owner: &Owner, worker: &str, now: Millis) -> (Vec<RunId>, Vec<Leftover>, Vec<Serving>) {
     let capacity = capacity_of(owner, worker);
     let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
-    let (mut ids, mut leftover, mut serving) = (Vec::new(), Vec::new(), Vec::new());
-    let here = sessions.get(worker).into_iter().flat_map(|s| &s.runs);
-    for (run, record) in here.filter_map(|run| Some((run, runs.get(run)?))) {
+    let Some(session) = sessions.get(worker) else {
+        return Default::default();
+    };
+    let (mut ids, mut leftover) = (Vec::new(), Vec::new());
+    let mut serving: IndexMap<StepId, Serving> = IndexMap::new();
+    for (run, record) in session
+        .runs
+        .iter()
+        .filter_map(|run| Some((run, runs.get(run)?)))
+    {
         if let Some(victim) = owner.victim(run, record) {
-            serving.push(Serving {
+            let step = run.task.step_id();
+            let like = serving.entry(step).or_insert_with(|| Serving {
                 victim,
-                tail_ms: record.tail_ms,
+                tasks: 0,
+                surprise: session.surprise(&step),
             });
+            like.tasks += 1;
         }
         let Some(image) = record.image.filter(|_| record.load == Load::Leftover) else {
             continue;
@@ -223,35 +295,55 @@
             pace: record.pace,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
+            ran: now.since(record.since),
+            left: record.left(now),
         });
     }
-    (ids, leftover, serving)
+    (ids, leftover, serving.into_values().collect())
 }
 
 /// Serving tasks on a host with the strain expected of them, for the placing of further tasks.
 pub fn strained(owner: &Owner, worker: &str, millicores: u64, now: Millis) -> Vec<Strained> {
     let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
+    let Some(session) = sessions.get(worker) else {
+        return Vec::new();
+    };
     let pressure = owner.pressure.borrow();
-    let here = sessions.get(worker).into_iter().flat_map(|s| &s.runs);
-    let here: Vec<_> = here.filter_map(|run| Some((run, runs.get(run)?))).collect();
-    let beside = here
-        .iter()
-        .filter_map(|(_, r)| r.planned_presser(millicores));
-    let beside: Vec<Presser> = beside.collect();
-    let victims = here
+    let here = session
+        .runs
         .iter()
-        .filter_map(|(run, record)| Some((owner.victim(run, record)?, record.size.millicores)));
-    let worse = |beside: &[Presser], victim: &Victim| {
-        let soon = pressure.expected(victim, beside, now, Duration::ZERO);
-        soon.max(pressure.expected(victim, beside, now, PLACED_AHEAD))
-    };
-    let strained = victims.map(|(victim, millicores)| Strained {
-        strain: worse(&beside, &victim),
-        load: worse(&[], &victim),
-        victim,
-        millicores,
-    });
-    strained.collect()
+        .filter_map(|run| Some((run, runs.get(run)?)));
+    let mut serving: IndexMap<StepId, Strained> = IndexMap::new();
+    let mut beside: Vec<(Presser, usize)> = Vec::new();
+    for (run, record) in here {
+        if let Some(presser) = record.planned_presser(millicores) {
+            beside.push((presser, outlook::moments_within(record.left(now))));
+        }
+        let Some(victim) = owner.victim(run, record) else {
+            continue;
+        };
+        let step = run.task.step_id();
+        let like = serving.entry(step).or_insert_with(|| {
+            let load = pressure.load_path(&victim, now);
+            let surprise = session.surprise(&step);
+            let limit = pressure.limit(&victim);
+            Strained {
+                victim,
+                millicores: 0,
+                load: load[..LOAD_MOMENTS].iter().copied().fold(0.0, f64::max),
+                outlook: Outlook::unpressed(0, limit, load.map(|load| load + surprise)),
+            }
+        });
+        like.millicores += record.size.millicores;
+        like.outlook.tasks += 1;
+    }
+    for like in serving.values_mut() {
+        for (presser, moments) in &beside {
+            let press = pressure.press(like.victim.image, presser);
+            like.outlook.add_known(press, *moments);
+        }
+    }
+    serving.into_values().collect()
 }
 
 impl RunRecord {
@@ -302,11 +394,10 @@
 }
 
 fn pace(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
-    let before = owner
-        .runs
-        .borrow_mut()
-        .get_mut(&run)
-        .map(|record| std::mem::replace(&mut record.pace, percent));
+    let before = owner.runs.borrow_mut().get_mut(&run).map(|record| {
+        record.paced_from = (record.pace, cx.clock.now());
+        std::mem::replace(&mut record.pace, percent)
+    });
     let (Some(address), Some(before)) = (owner.address_of(worker), before) else {
         return;
     };
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -31,7 +31,7 @@
 /// progress fresh enough to see a stalled task within three looks.
 const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// The same where left-over tasks run beside serving ones, whose tails are fresh every half second.
-const LOOK_WAIT_SHARED: Duration = Duration::from_millis(350);
+const LOOK_WAIT_SHARED: Duration = Duration::from_millis(500);
 /// Wait before a worker that didn't answer is looked at again.
 const SILENT_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for ends to be durable before the next look; with the store away ends pile up at the
@@ -389,5 +389,6 @@
     }
     if record.progress.is_none_or(|(before, _)| before != percent) {
         record.progress = Some((percent, now));
+        record.first_progress = record.first_progress.or(record.progress);
     }
 }
