--- a/src/lapisdrum/policy/dispatch/forecast.rs
+++ b/src/lapisdrum/policy/dispatch/forecast.rs
@@ -1,15 +1,14 @@
 //! How long a queue's jobs really take, against the work that is estimated on their longest chain.
 //!
 //! Load pattern: batch graphs of wide steps at more than the hosts can do. A step is over when the slowest
-//! of its tasks is, left-over tasks run slower than alone, and some move; so on the larger deployment's
-//! calm day a render took 1.75 times the estimate of its chain from first start to end (the middle of 128
-//! jobs), a map 1.3 times. A scheduler that goes by the estimate begins jobs that can't be on time any more: after
-//! a burst 10 of 281 renders were. Each queue's factor follows what its jobs took lately, so that it also
-//! tells of hosts that have become slow or crowded.
+//! of its tasks is, left-over tasks run slower than alone, and some move; so even on a calm day a job may take
+//! almost twice the estimate of its chain from first start to end. A scheduler that goes by the estimate begins
+//! jobs after a burst that can't be on time any more. Each queue's factor follows what its jobs took lately, so
+//! that it also tells of hosts that have become slow or crowded.
 
 use indexmap::IndexMap;
 
-/// The factor of a queue of which no job has ended: between the two measured above.
+/// The factor of a queue of which no job has ended.
 const FIRST_FACTOR: f64 = 1.5;
 /// Part by which one job moves its queue's factor: some twenty jobs, a second or two of traffic.
 const STEP: f64 = 0.05;
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -1,23 +1,22 @@
 //! The order in which steps with startable tasks are served.
 //!
-//! Load pattern: a burst of 1.4 to 2.6 times the batch rate for some seconds. First come first served
+//! Load pattern: a burst of up to twice the batch rate and more for some seconds. First come first served
 //! then makes every job late by the length of the queue. Here a class goes before the next, and within a
-//! class jobs that can still meet their objective go before those that can only be late, which earn 0.15
-//! of their worth, and those before the hopeless.
+//! class jobs that can still meet their objective go before those that can only be late, which earn a
+//! part of their worth, and those before the hopeless.
 //!
 //! A job that has begun goes before one that has not, and a new one that has time to spare before one that
 //! would miss its end by any wait. Without that, a backlog is worked on from all sides: each job is begun when it
-//! is all but late and waits between its steps. With twice the work that there is room for, 0.03 of the
-//! jobs were on time; with it 0.49 (a minute in virtual time, tasks that take up to 1.8 times what is said).
+//! is all but late and waits between its steps, and with twice the work that there is room for hardly any job is
+//! on time, instead of half of them.
 //! A job's size has no part in it, so wide jobs are served as often as narrow ones.
 
 use std::cmp::Reverse;
 
 /// A job is worth something, if little, up to so many times its objective.
 const LATE_FACTOR: u64 = 3;
-/// A job that has not begun is safe while its slack is this part of its chain, in hundredths. In the load of the
-/// module's head 10 served 0.27 of the jobs, 25 served 0.46, 40 and more 0.49; the more, the less it helps
-/// those who wait out a short burst.
+/// A job that has not begun is safe while its slack is this part of its chain, in hundredths. With less, jobs under a
+/// backlog are begun that others' work makes late; the more, the less it helps those who wait out a short burst.
 const SPARE_PERCENT: u64 = 40;
 
 /// What decides a step's rank.
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -21,11 +21,11 @@
 use std::time::Duration;
 
 /// Added to the load expected of a serving task before its processors count as left over, as a part of what
-/// it reserves: loads are told wrong by up to a tenth while they swing.
+/// it reserves: loads are told somewhat wrong while they swing.
 const LOAD_SLACK: f64 = 0.05;
 /// A left-over task is let in where it finds this part of its processors, in hundredths: those on a host share
-/// what is left. Tasks of 3.5 cores that must find them whole left 3 of a host's 37 cores unused under a
-/// backlog; at a half instead of four fifths tasks slowed each other so much that fewer jobs were on time.
+/// what is left. Tasks that must find them whole leave the rest of each host unused under a backlog; with much
+/// less they slow each other so much that fewer jobs are on time.
 const LEAST_FILL_PERCENT: u64 = 80;
 /// One of so many hosts may be kept free.
 const HOSTS_A_KEPT_ONE: usize = 16;
@@ -348,12 +348,11 @@
     others.map(|s| s.outlook.tasks as usize).sum()
 }
 
-/// Keeps a host free for a task that found none, so that it is not passed by for ever: smaller tasks would take
-/// each core as it comes free, and a livestream of eight cores stood still for 18 s on hosts that are
-/// reserved to 97 hundredths. The host with the most free processors is kept, which is the first to have enough;
-/// at most so many of the hosts are, since what is kept lies idle. Other serving tasks may go there: a task of
-/// four cores stood still for 10 s beside seven that were kept for one of eight, on a host that lasting
-/// tasks filled for good.
+/// Keeps a host free for a task that found none, so that it is not passed by for ever: on hosts that are all but
+/// reserved smaller tasks would take each core as it comes free. The host with the most free processors is kept,
+/// which is the first to have enough; at most so many of the hosts are, since what is kept lies idle. Other serving
+/// tasks may go there: a smaller one would else stand still beside free processors that lasting tasks never leave
+/// to the wider one.
 pub fn keep_for(need: &Need, hosts: &mut [Host]) {
     let most = (hosts.len() / HOSTS_A_KEPT_ONE).max(1);
     let kept = hosts.iter().filter(|host| host.kept.is_some()).count();
--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -39,19 +39,19 @@
     mean: 0.5,
     variance: 0.3,
 };
-/// Variance of a measured strain: tails of tasks that ran alone scatter by 0.03, now and then by 0.1.
+/// Variance of a strain that one tail tells: tails of tasks that run alone scatter too.
 const NOISE: f64 = 0.003;
 /// The part of it that all tasks of a step on one host have in common.
 const SHARED_NOISE: f64 = 0.001;
 /// Scatter of a press relative to itself: presses move within seconds. A load is thereby learned from tasks that
-/// nothing presses much; learned from the others too, it took a third of the presses for load.
+/// nothing presses much; learned from the others alike, it takes a part of the presses for load.
 const PRESS_SCATTER: f64 = 0.7;
 /// A tail is at least this part of its target when nothing presses, until smaller ones were seen.
 const FIRST_BASE: f64 = 0.2;
 /// Strain of a task at its idlest: no task is ever quite idle.
 const IDLE_STRAIN: f64 = 0.22;
-/// The idle tail is taken for this quantile of an image's tails. Their least is an outlier of the rough
-/// figure, at half of the idle tail, and read all loads too high by 0.14.
+/// The idle tail is taken for this quantile of an image's tails. Their least is an outlier of the rough figure, and
+/// makes all loads read too high.
 const IDLE_QUANTILE: f64 = 0.04;
 /// Part by which one tail moves the estimate of that quantile: it settles within some 200 tails.
 const IDLE_STEP: f64 = 0.02;
@@ -89,13 +89,16 @@
     pub share: f64,
 }
 
+/// Names a step: its job, the occurrence and its place in it.
+pub type StepKey = (u64, u32, u16);
+
 /// A serving task.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Victim {
     /// Its image.
     pub image: Image,
-    /// Its step, by its job's id.
-    pub step: u64,
+    /// Its step.
+    pub step: StepKey,
     /// Its target, in milliseconds.
     pub target_ms: f64,
     /// Its step's load.
@@ -140,7 +143,7 @@
     /// What each other owner has told of pairs.
     told: IndexMap<(Origin, Image, Image), Evidence>,
     profiles: Profiles,
-    season: Season<u64>,
+    season: Season<StepKey>,
     refitted_at: Option<Millis>,
     /// The tail of each image at its idlest, in milliseconds.
     idle_tails_ms: Vec<Option<f64>>,
@@ -277,16 +280,19 @@
         Some(strain - victim.load.level() - pressed.sum::<f64>())
     }
 
-    /// Fits what is expected of pairs to what was measured, if it is time to.
-    pub fn refit_if_due(&mut self, now: Millis) {
+    /// The period of the serving loads in seconds, if they have one.
+    pub fn period_s(&self) -> Option<f64> {
+        self.season.period_s()
+    }
+
+    /// Fits what is expected of pairs to what was measured, if it is time to; true when another period is believed.
+    pub fn refit_if_due(&mut self, now: Millis) -> bool {
         let since = self.refitted_at.map(|at| now.since(at));
         if since.is_some_and(|since| since < REFIT_EVERY) {
-            return;
+            return false;
         }
         self.refitted_at = Some(now);
-        if self.season.search_if_due(now) {
-            log::info!(period_s:? = self.season.period_s(); "period of serving loads");
-        }
+        let has_new_period = self.season.search_if_due(now);
         self.fade(since.unwrap_or_default());
         let cells: Vec<Cell> = self.cells().collect();
         self.profiles.refit(self.images.len(), &cells);
@@ -295,6 +301,7 @@
                 pair.expected = self.profiles.expected(victim, presser);
             }
         }
+        has_new_period
     }
 
     fn fade(&mut self, since: Duration) {
--- a/src/lapisdrum/sched/job.rs
+++ b/src/lapisdrum/sched/job.rs
@@ -3,7 +3,7 @@
 //! The edges turn raw input into [`JobSpec`] by `TryFrom` on [`RawJob`]; past them nothing is checked
 //! again. Everything here is durable, so fields are only ever added, with a default.
 
-use crate::core::size::Size;
+use crate::{core::size::Size, policy::dispatch::pressure::StepKey};
 use std::{fmt, str::FromStr};
 
 /// Most steps of one job; a larger graph would not fit one journal row.
@@ -140,6 +140,11 @@
 }
 
 impl StepId {
+    /// The step as policies name it.
+    pub fn key(&self) -> StepKey {
+        (self.job.0, self.occurrence, self.step)
+    }
+
     /// The task at this place of the step.
     pub fn task(&self, index: u32) -> TaskId {
         TaskId {
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -24,8 +24,7 @@
 const FENCE_KEY: &str = "fence";
 /// Time between two looks at the rows: with [`LEASE`], how soon a dead owner is replaced.
 const POLL: Duration = Duration::from_millis(300);
-/// Least pause between two looks where there are several shards: four shards are each seen every 0.6 s, for
-/// twice the calls of one.
+/// Least pause between two looks where there are several shards.
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
 /// Shards that a daemon looks at in every round: with [`LEAST_PAUSE`], and one other, each is seen again after
 /// 1.35 s, within a [`LEASE`].
@@ -47,15 +46,15 @@
 const BLIND_AFTER: Duration = Duration::from_millis(1_900);
 /// A row that stood still for this long is doubted: one renewal is missing. Its holder is then asked whether
 /// it is still there, since a killed owner would else be waited for during the rest of its lease, of which
-/// this is less than half. The next owner is there within 1.3 s of the end (by test).
+/// this is less than half.
 const DOUBTED_AFTER: Duration = Duration::from_millis(600);
 /// Longest wait for a doubted holder's answer: many round trips between data centres.
 const DOUBT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A daemon that started this much after the one that gave a shard up was started since.
 const STARTED_SINCE: Duration = Duration::from_secs(1);
 /// Head start that those give which run for as long as the one that gave the shard up: an end that was asked for
-/// is often one of a series, and who hasn't had its turn would give the shard up again. In a series over six
-/// daemons the shard changed hands three times in 8 s. Longer than a look and its pause take the others.
+/// is often one of a series, and who hasn't had its turn would give the shard up again. Longer than a look and its
+/// pause take the others.
 const SERIES_HEAD_START: Duration = Duration::from_millis(350);
 /// Spread of the daemons' tries after a lapse, so that most find it taken when they look.
 const TAKE_SPREAD: Duration = Duration::from_millis(150);
@@ -274,8 +273,8 @@
     }
 }
 
-/// How long a host leaves a free shard to larger ones. An owner of 200 starts a second uses 0.06 of a core
-/// (measured); one on a host with 0.12 falls behind in every burst.
+/// How long a host leaves a free shard to larger ones: an owner on one with a small part of a core falls behind in
+/// every burst.
 fn head_start(cpu_share: f64) -> Duration {
     let missing = (ENOUGH_CPU - cpu_share).max(0.0) / ENOUGH_CPU;
     LONGEST_HEAD_START.mul_f64(missing)
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -260,7 +260,7 @@
             .zip(spec.latency_target_ms)
             .map(|(image, target_ms)| Victim {
                 image,
-                step: waiting.step.job.0,
+                step: waiting.step.key(),
                 target_ms: f64::from(target_ms),
                 load: owner
                     .loads
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -142,6 +142,11 @@
         *known += (strain.clamp(-MOST_SURPRISE, MOST_SURPRISE) - *known) * SURPRISE_STEP;
     }
 
+    /// Forgets the surprises of steps that no longer run here.
+    pub fn forget_surprises(&mut self, is_here: impl Fn(&StepId) -> bool) {
+        self.surprises.retain(|step, _| is_here(step));
+    }
+
     /// Strain of a step's tasks here beyond what is believed.
     pub fn surprise(&self, step: &StepId) -> f64 {
         self.surprises.get(step).copied().unwrap_or_default()
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -38,10 +38,9 @@
 const LEAST_PROGRESS: f64 = 5.0;
 /// The load of a serving task is taken for the greatest of so many moments where it decides what is left over.
 const LOAD_MOMENTS: usize = 3;
-/// Once something gave way on a host, no other left-over task is sent there for this long: its tails
-/// still tell of before. Half of that time, since a placement weighs what is expected and not the tail alone: 0.8 s
-/// kept hosts empty that had room. Worth over three heavy days with twelve seeds each: 0.8 s 0.709, 0.4 s 0.720;
-/// with seven other seeds 0.744, 0.750, and 0.746 with 0.15 s.
+/// Once something gave way on a host, no other left-over task is sent there for this long: its tails still tell of
+/// before. A part of that time is enough, since a placement weighs what is expected and not the tail alone; longer
+/// keeps hosts empty that have room.
 const CLOSED_AFTER_RELIEF: Duration = Duration::from_millis(400);
 /// How long a host stays clear of left-over tasks then.
 const CLOSED_AFTER_CLEARING: Duration = Duration::from_millis(3_000);
@@ -105,7 +104,9 @@
     let beside = shown_pressers(owner, worker, now);
     let mut runs = owner.runs.borrow_mut();
     let mut pressure = owner.pressure.borrow_mut();
-    pressure.refit_if_due(now);
+    if pressure.refit_if_due(now) {
+        log::info!(shard:% = owner.seat.part, period_s:? = pressure.period_s(); "period of serving loads");
+    }
     let mut by_step: IndexMap<StepId, Tails> = IndexMap::new();
     for listed in &lists.running {
         let Some(record) = runs.get_mut(&listed.run) else {
@@ -123,6 +124,9 @@
         tails.is_new |= is_new;
         tails.all_ms.push(tail_ms);
     }
+    owner.session(worker, |session| {
+        session.forget_surprises(|step| by_step.contains_key(step))
+    });
     for (step, mut tails) in by_step.into_iter().filter(|(_, tails)| tails.is_new) {
         let surprise = pressure.note(&mut tails.victim, &beside, &tails.all_ms, now);
         if let Some(surprise) = surprise {
@@ -193,7 +197,7 @@
         let load = self.loads.borrow().get(&run.task.step_id()).copied();
         Some(Victim {
             image: record.image?,
-            step: run.task.job.0,
+            step: run.task.step_id().key(),
             target_ms,
             load: load.unwrap_or_default(),
         })
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -27,6 +27,14 @@
 const LIMIT: Duration = Duration::from_secs(20);
 const HOST: (&str, &str) = ("host", "trail.example");
 
+/// The template's section of a bound that may be missing, filled in.
+fn with_bound(settings: &str, name: &str, value: &str) -> String {
+    settings
+        .replace(&format!("{{{{#bounds.{name}}}}}"), "")
+        .replace(&format!("{{{{/bounds.{name}}}}}"), "")
+        .replace(&format!("{{{{bounds.{name}}}}}"), value)
+}
+
 /// A store, workers and daemons.
 struct Site {
     store: Rc<RowStore>,
@@ -100,6 +108,11 @@
             .replace("{{bounds.holdMaxMs}}", "6000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.graceS}}", "6");
+        let settings = ["stopTimeoutMs", "restoreMs", "harmMs"]
+            .iter()
+            .fold(settings, |settings, name| {
+                with_bound(&settings, name, "900")
+            });
         let path = self.dir.path().join(&name);
         fs::write(&path, settings).expect("settings");
         let process = Process::spawn(
--- /dev/null
+++ b/tests/testsuite/sched/learning.rs
@@ -0,0 +1,187 @@
+//! What is learned of images beyond the pairs that met, of loads beyond the present, and what owners tell each other.
+
+use lapisdrum::{
+    core::time::Millis,
+    policy::dispatch::pressure::{
+        Image, Presser, Pressure, ServingLoad, Victim, learned::Learned, season::Season,
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{f64::consts::TAU, time::Duration};
+
+const TARGET_MS: f64 = 50.0;
+const BASE_MS: f64 = 10.0;
+const VICTIMS: usize = 9;
+const PRESSERS: usize = 18;
+
+fn victim(image: Image, step: u64, load: ServingLoad) -> Victim {
+    Victim {
+        image,
+        step: (step, 0, 0),
+        target_ms: TARGET_MS,
+        load,
+    }
+}
+
+/// Images contend for three things; each left-over image uses one of them or none, each serving image suffers from
+/// one.
+fn presses(victim: usize, presser: usize) -> bool {
+    presser % 4 == victim % 3
+}
+
+fn images(pressure: &mut Pressure) -> (Vec<Image>, Vec<Image>) {
+    let victims = (0..VICTIMS).map(|at| pressure.image(&format!("s{at}")));
+    let victims = victims.collect();
+    let pressers = (0..PRESSERS).map(|at| pressure.image(&format!("l{at}")));
+    (victims, pressers.collect())
+}
+
+/// Shows an owner every pair for which `has_met`.
+fn show(pressure: &mut Pressure, has_met: impl Fn(usize, usize) -> bool, rng: &mut StdRng) {
+    let (victims, pressers) = images(pressure);
+    for round in 0..8_u64 {
+        for v in 0..VICTIMS {
+            for p in (0..PRESSERS).filter(|p| has_met(v, *p)) {
+                let beside = [Presser {
+                    image: pressers[p],
+                    share: 0.15,
+                }];
+                let factor = if presses(v, p) { 1.4 } else { 0.1 };
+                let strain = 0.45 + factor * 0.15 + rng.random_range(-0.03..0.03);
+                let mut task = victim(victims[v], 1, ServingLoad::default());
+                let tails = [BASE_MS / (1.0 - strain)];
+                pressure.note(&mut task, &beside, &tails, Millis(round * 500));
+            }
+        }
+        pressure.refit_if_due(Millis(round * 500 + 499));
+    }
+}
+
+/// The part of the pairs for which `counts` that are told rightly: those that press from those that don't.
+fn told_rightly(pressure: &mut Pressure, counts: impl Fn(usize, usize) -> bool) -> f64 {
+    let (victims, pressers) = images(pressure);
+    let (mut right, mut all) = (0, 0);
+    for v in 0..VICTIMS {
+        for p in (0..PRESSERS).filter(|p| counts(v, *p)) {
+            let share = Presser {
+                image: pressers[p],
+                share: 1.0,
+            };
+            let told = pressure.press(victims[v], &share) > 0.6;
+            right += u32::from(told == presses(v, p));
+            all += 1;
+        }
+    }
+    f64::from(right) / f64::from(all)
+}
+
+/// A third of the pairs has met; the rest would be tried on tasks that serve users, and a fifth of the left-over
+/// tasks would have to give way again. From what images have in common the others are told.
+#[test]
+fn pairs_that_never_met_are_told_from_those_that_did() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut pressure = Pressure::default();
+    let met: Vec<bool> = (0..VICTIMS * PRESSERS).map(|_| rng.random_bool(0.33)).collect();
+    let has_met = |v: usize, p: usize| met[v * PRESSERS + p];
+    show(&mut pressure, has_met, &mut rng);
+    let right = told_rightly(&mut pressure, |v, p| !has_met(v, p));
+    assert!(right >= 0.85, "{right} of the pairs that never met");
+}
+
+/// Two shards, each of which has seen the other half of the pairs. Each tells the other; told again, the same
+/// evidence must not count twice, or an owner grows sure of what was measured once.
+#[test]
+fn what_one_owner_learned_another_knows() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let is_even = |v: usize, p: usize| (v + p) % 2 == 0;
+    let (mut one, mut other) = (Pressure::default(), Pressure::default());
+    show(&mut one, is_even, &mut rng);
+    show(&mut other, |v, p| !is_even(v, p), &mut rng);
+    one.adopt(2, &Learned::from(&other));
+    one.refit_if_due(Millis(5_000));
+    let right = told_rightly(&mut one, |v, p| !is_even(v, p));
+    assert!(right >= 0.95, "{right} of the pairs that the other saw");
+    let (victims, pressers) = images(&mut one);
+    let presser = Presser {
+        image: pressers[1],
+        share: 1.0,
+    };
+    let doubt = one.press_variance(victims[0], &presser);
+    one.adopt(2, &Learned::from(&other));
+    let again = one.press_variance(victims[0], &presser);
+    assert!((doubt - again).abs() < 1e-9, "{doubt} {again}");
+}
+
+/// Only what is new is told again: an answer stays small however much is known.
+#[test]
+fn what_was_told_is_not_told_again() {
+    let mut pressure = Pressure::default();
+    show(&mut pressure, |_, _| true, &mut StdRng::seed_from_u64(5));
+    let all = Learned::since(&pressure, Millis(0));
+    assert_eq!(all.pairs(), VICTIMS * PRESSERS);
+    let (victims, pressers) = images(&mut pressure);
+    let beside = [Presser {
+        image: pressers[3],
+        share: 0.2,
+    }];
+    let mut task = victim(victims[2], 1, ServingLoad::default());
+    pressure.note(&mut task, &beside, &[30.0], Millis(9_000));
+    assert_eq!(Learned::since(&pressure, Millis(8_000)).pairs(), 1);
+}
+
+fn wave(step: u64, at_s: f64, period_s: f64) -> f64 {
+    0.45 + 0.22 * (TAU * (at_s / period_s + step as f64 * 0.29)).sin()
+}
+
+/// Loads swing in waves of one length. Told ahead by their slope, a load at its turn is wrong by half the swing within
+/// two seconds, and left-over tasks are let in that must give way; told by the wave it is right.
+#[test]
+fn a_load_that_swings_is_told_ahead() {
+    let mut rng = StdRng::seed_from_u64(6);
+    for period_s in [9.0, 14.0, 20.0] {
+        let mut pressure = Pressure::default();
+        let image = pressure.image("s");
+        let mut tasks: Vec<Victim> = (0..6)
+            .map(|step| victim(image, step, ServingLoad::default()))
+            .collect();
+        let (mut wrong, mut told) = (0.0, 0);
+        for round in 0..160_u64 {
+            let (now, at_s) = (Millis(round * 250), round as f64 * 0.25);
+            for task in &mut tasks {
+                let load = wave(task.step.0, at_s - 0.15, period_s) + rng.random_range(-0.02..0.02);
+                pressure.note(task, &[], &[BASE_MS / (1.0 - load)], now);
+                let ahead = pressure.expected(task, &[], now, Duration::from_secs(2));
+                if at_s > 1.6 * period_s {
+                    wrong += (ahead - wave(task.step.0, at_s + 2.0, period_s)).abs();
+                    told += 1;
+                }
+            }
+            pressure.refit_if_due(now);
+        }
+        let found = pressure.period_s().expect("a period");
+        assert!(
+            (found / period_s - 1.0).abs() < 0.06,
+            "{found} of {period_s}"
+        );
+        let wrong = wrong / f64::from(told);
+        assert!(wrong < 0.06, "wrong by {wrong} with a period of {period_s}");
+    }
+}
+
+/// Loads that only scatter have no period: a wave that isn't there would be told ahead.
+#[test]
+fn a_load_that_only_scatters_has_no_period() {
+    let mut rng = StdRng::seed_from_u64(8);
+    let mut season = Season::default();
+    for round in 0..160_u64 {
+        for step in 0..6_u64 {
+            season.note(
+                step,
+                0.45 + rng.random_range(-0.1..0.1),
+                Millis(round * 250),
+            );
+        }
+        season.search_if_due(Millis(round * 250));
+        assert_eq!(season.period_s(), None);
+    }
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod layout;
+mod learning;
 mod ledger;
 mod order;
 mod ownership;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -13,6 +13,7 @@
 use indexmap::{IndexMap, IndexSet};
 use lapisdrum::{
     core::{size::Size, time::WorkerMillis},
+    policy::dispatch::terms::Terms,
     sched::{
         Cx, Node, NodeSettings,
         edge::{
@@ -270,6 +271,7 @@
             seeds: Vec::new(),
             workers_a_shard: self.workers_a_shard.get(),
             leases: limits(),
+            work: work_terms(),
             cpu_share: 0.25,
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
@@ -481,6 +483,15 @@
     }
 }
 
+/// What this world promises of stops, restores and tails.
+fn work_terms() -> Terms {
+    Terms {
+        stop_takes: Duration::from_millis(900),
+        restore_takes: Duration::from_millis(600),
+        overload_borne: Duration::from_secs(4),
+    }
+}
+
 /// The bounds that the workers of this world keep.
 pub(crate) fn limits() -> LeaseLimits {
     LeaseLimits {
