--- a/tests/testsuite/sched/learning.rs
+++ b/tests/testsuite/sched/learning.rs
@@ -11,8 +11,8 @@
 
 const TARGET_MS: f64 = 50.0;
 const BASE_MS: f64 = 10.0;
-const VICTIMS: usize = 9;
-const PRESSERS: usize = 18;
+const VICTIMS: usize = 15;
+const PRESSERS: usize = 32;
 
 fn victim(image: Image, step: u64, load: ServingLoad) -> Victim {
     Victim {
@@ -40,15 +40,16 @@
 fn show(pressure: &mut Pressure, has_met: impl Fn(usize, usize) -> bool, rng: &mut StdRng) {
     let (victims, pressers) = images(pressure);
     for round in 0..8_u64 {
-        for v in 0..VICTIMS {
-            for p in (0..PRESSERS).filter(|p| has_met(v, *p)) {
+        for (v, image) in victims.iter().enumerate() {
+            let met = pressers.iter().enumerate();
+            for (p, presser) in met.filter(|(p, _)| has_met(v, *p)) {
                 let beside = [Presser {
-                    image: pressers[p],
+                    image: *presser,
                     share: 0.15,
                 }];
                 let factor = if presses(v, p) { 1.4 } else { 0.1 };
                 let strain = 0.45 + factor * 0.15 + rng.random_range(-0.03..0.03);
-                let mut task = victim(victims[v], 1, ServingLoad::default());
+                let mut task = victim(*image, 1, ServingLoad::default());
                 let tails = [BASE_MS / (1.0 - strain)];
                 pressure.note(&mut task, &beside, &tails, Millis(round * 500));
             }
@@ -61,13 +62,14 @@
 fn told_rightly(pressure: &mut Pressure, counts: impl Fn(usize, usize) -> bool) -> f64 {
     let (victims, pressers) = images(pressure);
     let (mut right, mut all) = (0, 0);
-    for v in 0..VICTIMS {
-        for p in (0..PRESSERS).filter(|p| counts(v, *p)) {
-            let share = Presser {
-                image: pressers[p],
+    for (v, image) in victims.iter().enumerate() {
+        let counted = pressers.iter().enumerate();
+        for (p, presser) in counted.filter(|(p, _)| counts(v, *p)) {
+            let whole = Presser {
+                image: *presser,
                 share: 1.0,
             };
-            let told = pressure.press(victims[v], &share) > 0.6;
+            let told = pressure.press(*image, &whole) > 0.6;
             right += u32::from(told == presses(v, p));
             all += 1;
         }
@@ -81,7 +83,9 @@
 fn pairs_that_never_met_are_told_from_those_that_did() {
     let mut rng = StdRng::seed_from_u64(3);
     let mut pressure = Pressure::default();
-    let met: Vec<bool> = (0..VICTIMS * PRESSERS).map(|_| rng.random_bool(0.33)).collect();
+    let met: Vec<bool> = (0..VICTIMS * PRESSERS)
+        .map(|_| rng.random_bool(0.33))
+        .collect();
     let has_met = |v: usize, p: usize| met[v * PRESSERS + p];
     show(&mut pressure, has_met, &mut rng);
     let right = told_rightly(&mut pressure, |v, p| !has_met(v, p));
@@ -93,7 +97,7 @@
 #[test]
 fn what_one_owner_learned_another_knows() {
     let mut rng = StdRng::seed_from_u64(4);
-    let is_even = |v: usize, p: usize| (v + p) % 2 == 0;
+    let is_even = |v: usize, p: usize| (v + p).is_multiple_of(2);
     let (mut one, mut other) = (Pressure::default(), Pressure::default());
     show(&mut one, is_even, &mut rng);
     show(&mut other, |v, p| !is_even(v, p), &mut rng);
--- a/tests/testsuite/settings/mod.rs
+++ b/tests/testsuite/settings/mod.rs
@@ -3,3 +3,4 @@
 mod examples;
 mod faults;
 mod page;
+mod platform;
--- /dev/null
+++ b/tests/testsuite/settings/platform.rs
@@ -0,0 +1,53 @@
+//! The settings on the users' platform: what a deployment says of stops, restores and tails reaches the policies.
+
+use lapisdrum::platform::settings::PlatformSettings;
+use std::time::Duration;
+
+fn settings(bounds: &str) -> String {
+    format!(
+        r#"
+adapter = "platform"
+[daemon]
+name = "edge-1"
+data_centre = "karen"
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+seeds = "127.0.0.1:3"
+cpu_share = 0.25
+[store]
+address = "127.0.0.1:5"
+[bounds]
+longest_lease_ms = 6000
+remember_jobs_s = 120
+killed_after_s = 6
+{bounds}
+"#
+    )
+}
+
+/// A deployment whose tails must be down within 5 s, and one that says nothing of it. The first is kept to what it
+/// says; the second gets the shortest of what is usual, so that no promise is broken that it may have made.
+#[test]
+fn what_a_deployment_bears_is_read() {
+    let said = "stop_takes_ms = 200\nrestore_takes_ms = 250\noverload_borne_ms = 5000";
+    let read = |bounds| PlatformSettings::try_from(settings(bounds).as_str());
+    let terms = read(said).expect("settings").node.work;
+    assert_eq!(terms.stop_takes, Duration::from_millis(200));
+    assert_eq!(terms.restore_takes, Duration::from_millis(250));
+    assert_eq!(terms.longest_over(), Duration::from_millis(3_300));
+    let usual = read("").expect("settings").node.work;
+    assert_eq!(usual.overload_borne, Duration::from_secs(4));
+}
+
+/// A bound in another unit: with hours of overload borne nothing would ever give way, and tails stay up unseen.
+#[test]
+fn a_bound_in_another_unit_is_refused() {
+    let refused = PlatformSettings::try_from(settings("overload_borne_ms = 4000000").as_str());
+    let error = refused.expect_err("a fault").to_string();
+    assert_eq!(
+        error,
+        "`bounds.overload_borne_ms` must be at most 60000 ms, not 4000000"
+    );
+}
