--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -1,12 +1,14 @@
 //! The writer of a shard's journal: group commit into rows of one part of the store.
 //!
 //! Load pattern: some 400 events a second from one shard (1,500 on the larger deployments) on a store
-//! that takes 200 transactions a second a part, 10 ms each. A row for each event would need more than
-//! the part gives; events that come while a row is under way share the next one. Spacing rows by
-//! [`WRITE_SPACING`] bounds a shard to 50 calls a second and adds half of it to a start on average.
+//! that takes 200 transactions a second a part, 10 ms each, one after another. A row for each event would need
+//! more than the part gives; events that come while a transaction is under way share the next one. Spacing
+//! transactions by [`WRITE_SPACING`] bounds a shard to 50 calls a second and adds half of it to a start on average.
+//! A store that is slow by sixty times takes three transactions a second, so each carries as many rows as
+//! have gathered: with one row in each, starts stand still behind the ends that come meanwhile.
 //!
-//! A row is written under three conditions in one transaction: the fence row has the version that it got
-//! when we took the shard, and no row stands at the sequence number. [`settle`](super::settle) judges
+//! Rows are written under conditions in one transaction: the fence row has the version that it got
+//! when we took the shard, and no row stands at their sequence numbers. [`settle`](super::settle) judges
 //! the answers. Events change the owner's state when they are appended; whatever an event allows (an
 //! answer to a caller, an order to a worker) waits for its [`Ticket`].
 
@@ -20,6 +22,7 @@
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
 use eyre::WrapErr as _;
+use futures::FutureExt;
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
 use tokio::sync::{Notify, oneshot};
@@ -35,6 +38,8 @@
 /// Most bytes of one row: the store takes 64 KiB, and an event goes in whole, a job of 64 steps with its
 /// payload up to 20 KiB.
 const ROW_BYTES: usize = 40 * 1024;
+/// Most rows of one transaction: with their text form they stay below the store's 1 MB.
+const ROWS_A_TXN: usize = 16;
 /// A row that has been under way for this long means that the store is away, and new jobs are refused until it is
 /// settled. A store that is slow by sixty times its usual answer is not away: a transaction of 6 ms takes 360
 /// there, and a bound below that would have every hand-in refused that it would take.
@@ -43,6 +48,11 @@
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 /// Rows between two snapshots: a new owner then reads at most two pages of rows.
 const SNAPSHOT_ROWS: u64 = 400;
+/// A store that takes longer than this for a transaction is slow, and snapshots wait: one costs the part seven
+/// transactions, which rows need then.
+const QUICK_TXN: Duration = Duration::from_millis(100);
+/// Rows after which a snapshot is stored however slow the store is: reading more would cost the next owner longer.
+const MOST_ROWS: u64 = 4 * SNAPSHOT_ROWS;
 /// Rows deleted in one transaction; the store takes 100 entries.
 const DELETES_A_TXN: usize = 95;
 
@@ -88,10 +98,27 @@
     tx: Option<oneshot::Sender<AppendEnd>>,
 }
 
+/// Rows that go in one transaction, and who waits for them.
+struct Batch {
+    waiting: Vec<oneshot::Sender<AppendEnd>>,
+    rows: Vec<Bytes>,
+}
+
+/// A state to store, and the last row that it covers.
+struct Snapshot {
+    row: u64,
+    state: Bytes,
+}
+
 #[derive(Default)]
 struct Inner {
     open: VecDeque<Open>,
     under_way_since: Option<Millis>,
+    /// How long the last transaction took.
+    last_took: Duration,
+    /// A snapshot that waits to be stored, or is being stored.
+    snapshot: Option<Snapshot>,
+    is_storing_snapshot: bool,
     is_lost: bool,
     last_row: u64,
     first_row: u64,
@@ -104,6 +131,7 @@
     fence: (RowKey, u64),
     inner: RefCell<Inner>,
     work: Notify,
+    snapshot_work: Notify,
 }
 
 impl Journal {
@@ -114,6 +142,7 @@
             fence,
             inner: RefCell::default(),
             work: Notify::new(),
+            snapshot_work: Notify::new(),
         }
     }
 
@@ -147,12 +176,18 @@
         !inner.is_lost && waited.is_none_or(|waited| waited < STALL_AFTER)
     }
 
+    /// Whether the store took the last rows without delay, so that it can do more than the journal needs.
+    pub fn is_quick(&self) -> bool {
+        self.inner.borrow().last_took < QUICK_TXN
+    }
+
     /// Ends the journal: nothing more is written by this owner.
     pub fn lose(&self) {
         let mut inner = self.inner.borrow_mut();
         inner.is_lost = true;
         inner.open.clear();
         self.work.notify_one();
+        self.snapshot_work.notify_one();
     }
 
     /// Reads what earlier owners have written. The fence has been raised before, so nobody adds to it.
@@ -202,29 +237,38 @@
     /// Writes what is appended until the shard is lost. `state` gives the state for snapshots, with
     /// everything that was appended so far.
     pub async fn write_all(&self, cx: &Cx, state: impl Fn() -> Vec<u8>) {
-        while let Some((batch, body)) = self.next_batch().await {
+        // Side by side: a snapshot takes as long as several transactions, in which nothing would be started.
+        let rows = self.write_rows(cx, state).boxed_local();
+        let snapshots = self.store_snapshots(cx).boxed_local();
+        // Whatever ends first, the shard is lost; a snapshot that was not finished is nobody's.
+        futures::future::select(rows, snapshots).await;
+    }
+
+    async fn write_rows(&self, cx: &Cx, state: impl Fn() -> Vec<u8>) {
+        while let Some(batch) = self.next_batch().await {
             let began = cx.clock.now();
             self.inner.borrow_mut().under_way_since = Some(began);
-            let number = self.inner.borrow().last_row + 1;
-            if self.write_row(cx, number, body).await == WriteVerdict::Fenced {
+            let first = self.inner.borrow().last_row + 1;
+            if self.write_batch(cx, first, &batch.rows).await == WriteVerdict::Fenced {
                 self.lose();
                 return;
             }
-            let waited = cx.clock.now().since(began);
-            cx.metrics.row_seconds.observe(waited.as_secs_f64());
-            let is_snapshot_due = self.note_written(number);
-            for tx in batch.into_iter().filter_map(|open| open.tx) {
+            let took = cx.clock.now().since(began);
+            cx.metrics.row_seconds.observe(took.as_secs_f64());
+            let last = first + batch.rows.len() as u64 - 1;
+            let is_snapshot_due = self.note_written(last, took);
+            for tx in batch.waiting {
                 // Whoever gave up waiting has dropped the other half.
                 let _ = tx.send(AppendEnd::Durable);
             }
             if is_snapshot_due {
-                self.store_snapshot(cx, number, state().into()).await;
+                self.plan_snapshot(last, state().into());
             }
-            tokio::time::sleep(WRITE_SPACING.saturating_sub(waited)).await;
+            tokio::time::sleep(WRITE_SPACING.saturating_sub(took)).await;
         }
     }
 
-    async fn next_batch(&self) -> Option<(Vec<Open>, Bytes)> {
+    async fn next_batch(&self) -> Option<Batch> {
         loop {
             if self.inner.borrow().is_lost {
                 return None;
@@ -236,38 +280,39 @@
         }
     }
 
-    fn take_batch(&self) -> Option<(Vec<Open>, Bytes)> {
+    fn take_batch(&self) -> Option<Batch> {
         let mut inner = self.inner.borrow_mut();
         inner.open.front()?;
-        let head = RowHead {
-            nonce: rand::random(),
+        let mut batch = Batch {
+            waiting: Vec::new(),
+            rows: Vec::new(),
         };
-        let mut body = serde_json::to_vec(&head).unwrap_or_default();
-        let mut batch = Vec::new();
-        while let Some(open) = inner.open.front() {
-            if !batch.is_empty() && body.len() + open.lines.len() > ROW_BYTES {
-                break;
-            }
-            body.extend_from_slice(&open.lines);
-            batch.extend(inner.open.pop_front());
+        while batch.rows.len() < ROWS_A_TXN && !inner.open.is_empty() {
+            let row = take_row(&mut inner.open, &mut batch.waiting);
+            batch.rows.push(row);
         }
-        Some((batch, body.into()))
+        Some(batch)
     }
 
-    /// Notes that a row is in; true when a snapshot is due and the state holds nothing that is not.
-    fn note_written(&self, number: u64) -> bool {
+    /// Notes that the rows up to `last` are in; true when a snapshot is due and the state holds nothing that is not.
+    fn note_written(&self, last: u64, took: Duration) -> bool {
         let mut inner = self.inner.borrow_mut();
         inner.under_way_since = None;
-        inner.last_row = number;
-        inner.rows_since_snapshot += 1;
-        inner.rows_since_snapshot >= SNAPSHOT_ROWS && inner.open.is_empty()
+        inner.last_took = took;
+        inner.rows_since_snapshot += last - inner.last_row;
+        inner.last_row = last;
+        let rows = inner.rows_since_snapshot;
+        let is_due = rows >= MOST_ROWS || (rows >= SNAPSHOT_ROWS && took < QUICK_TXN);
+        is_due && inner.open.is_empty() && !inner.is_storing_snapshot
     }
 
-    async fn write_row(&self, cx: &Cx, number: u64, body: Bytes) -> WriteVerdict {
-        let key = self.key(JOURNAL_TABLE, &row_key(number));
+    async fn write_batch(&self, cx: &Cx, first: u64, rows: &[Bytes]) -> WriteVerdict {
+        let keys = (first..).map(|number| self.key(JOURNAL_TABLE, &row_key(number)));
+        let put: Vec<(RowKey, Bytes)> = keys.zip(rows.iter().cloned()).collect();
+        let absent = put.iter().map(|(key, _)| (key.clone(), 0));
         let txn = Txn {
-            expect: vec![self.fence.clone(), (key.clone(), 0)],
-            put: vec![(key, body.clone())],
+            expect: std::iter::once(self.fence.clone()).chain(absent).collect(),
+            put,
             delete: Vec::new(),
         };
         let (fence, version) = &self.fence;
@@ -275,16 +320,17 @@
             let mut fences = rows.iter().filter(|row| row.table == fence.table);
             fences.any(|row| row.key == fence.key && row.version == *version)
         };
-        let is_own = |rows: &[Row]| {
-            let mut journal = rows.iter().filter(|row| row.table == JOURNAL_TABLE);
-            journal.any(|row| row.value == body)
+        // All rows of a transaction are in or none, so one that is ours tells of all.
+        let is_own = |found: &[Row]| {
+            let mut journal = found.iter().filter(|row| row.table == JOURNAL_TABLE);
+            journal.any(|row| rows.contains(&row.value))
         };
         let mut backoff = Backoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
         loop {
             let end = cx.store.commit(&txn).await;
             let verdict = judge_write(&end, holds_fence, is_own);
             if verdict != WriteVerdict::SendAgain {
-                cx.metrics.rows_written.inc();
+                cx.metrics.rows_written.inc_by(rows.len() as u64);
                 return verdict;
             }
             cx.note_store(Err(&format!("{end:?}")));
@@ -295,6 +341,26 @@
         }
     }
 
+    fn plan_snapshot(&self, row: u64, state: Bytes) {
+        let mut inner = self.inner.borrow_mut();
+        inner.snapshot = Some(Snapshot { row, state });
+        inner.is_storing_snapshot = true;
+        self.snapshot_work.notify_one();
+    }
+
+    /// Stores snapshots as they are planned, until the shard is lost.
+    async fn store_snapshots(&self, cx: &Cx) {
+        while !self.inner.borrow().is_lost {
+            let planned = self.inner.borrow_mut().snapshot.take();
+            let Some(snapshot) = planned else {
+                self.snapshot_work.notified().await;
+                continue;
+            };
+            self.store_snapshot(cx, snapshot.row, snapshot.state).await;
+            self.inner.borrow_mut().is_storing_snapshot = false;
+        }
+    }
+
     /// Stores the state as of row `number`, and deletes the rows that it covers. What fails here is
     /// tried again with the next snapshot; rows that a snapshot covers are passed over at recovery.
     async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
@@ -319,8 +385,12 @@
         if !matches!(cx.store.commit(&txn).await, TxnEnd::Committed(_)) {
             return;
         }
-        let first = std::mem::replace(&mut self.inner.borrow_mut().first_row, number + 1);
-        self.inner.borrow_mut().rows_since_snapshot = 0;
+        let first = {
+            let mut inner = self.inner.borrow_mut();
+            // Rows may have been written since.
+            inner.rows_since_snapshot = inner.last_row - number;
+            std::mem::replace(&mut inner.first_row, number + 1)
+        };
         self.delete_rows(cx, first, number).await;
         if let Ok(Some(before)) = before {
             // An object that stays costs room only.
@@ -352,6 +422,24 @@
     }
 }
 
+/// Takes as many appends as one row holds, and tells who waits for them.
+fn take_row(open: &mut VecDeque<Open>, waiting: &mut Vec<oneshot::Sender<AppendEnd>>) -> Bytes {
+    let head = RowHead {
+        nonce: rand::random(),
+    };
+    let mut body = serde_json::to_vec(&head).unwrap_or_default();
+    let mut is_first = true;
+    while let Some(next) = open.front() {
+        if !is_first && body.len() + next.lines.len() > ROW_BYTES {
+            break;
+        }
+        is_first = false;
+        body.extend_from_slice(&next.lines);
+        waiting.extend(open.pop_front().and_then(|open| open.tx));
+    }
+    body.into()
+}
+
 async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
     let bytes = cx.store.get_object(object).await?;
     let bytes = bytes.ok_or_else(|| eyre::eyre!("snapshot {object} is missing"))?;
--- a/src/lapisdrum/sched/owner/learned.rs
+++ b/src/lapisdrum/sched/owner/learned.rs
@@ -119,6 +119,10 @@
     let mut written = Vec::new();
     while owner.is_serving() {
         tokio::time::sleep(WRITE_EVERY).await;
+        // On a slow store the journal needs the part's few transactions.
+        if !owner.journal.is_quick() {
+            continue;
+        }
         let learned = Learned::from(&*owner.pressure.borrow());
         let value = serde_json::to_vec(&learned).unwrap_or_default();
         if value != written && value.len() <= MOST_BYTES {
