--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -16,7 +16,7 @@
 use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// An owner that left a call unanswered is not asked again for this long, or until another has taken over:
 /// callers would wait in vain for the seconds until its lease lapses, and are told at once instead.
 const OWNER_REST: Duration = Duration::from_millis(700);
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -17,7 +17,7 @@
     edge::{Row, RowKey, Txn, TxnEnd},
     event::Event,
     ledger::Ledger,
-    settle::{WriteVerdict, judge_write},
+    settle::{WriteVerdict, is_rider_stale, judge_write},
 };
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
@@ -40,10 +40,12 @@
 const ROW_BYTES: usize = 40 * 1024;
 /// Most rows of one transaction: with their text form they stay below the store's 1 MB.
 const ROWS_A_TXN: usize = 16;
-/// A row that has been under way for this long means that the store is away, and new jobs are refused until it is
-/// settled. A store that is slow by sixty times its usual answer is not away: a transaction of 6 ms takes 360
-/// there, and a bound below that would have every hand-in refused that it would take.
+/// A transaction that has been under way for this long means that the store is away, and new jobs are refused until
+/// it is settled, unless the last one took about as long. A store that is slow by sixty times its usual answer is
+/// not away, and a bound below that would have every hand-in refused that it would take.
 const STALL_AFTER: Duration = Duration::from_millis(800);
+/// However slow the last transaction was, callers are not kept waiting for the next one longer than this.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(1_400);
 /// First and longest wait before an unsettled row is sent again.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 /// Rows between two snapshots: a new owner then reads at most two pages of rows.
@@ -98,6 +100,35 @@
     tx: Option<oneshot::Sender<AppendEnd>>,
 }
 
+/// A row that changes in the same transaction as the next journal rows: the part of a slow store does three
+/// transactions a second, and a renewal of the lease of its own would take one of them from the journal.
+pub struct Rider {
+    /// The row.
+    pub row: RowKey,
+    /// The version that it must have.
+    pub version: u64,
+    /// Its new value.
+    pub value: Bytes,
+}
+
+/// How the transaction with a rider ended.
+pub struct RiderEnd {
+    /// The end.
+    pub end: TxnEnd,
+    /// When it was first sent.
+    pub sent_at: Millis,
+}
+
+/// What came of a row that was to ride along.
+pub enum Ride {
+    /// Its transaction ended.
+    Ended(RiderEnd),
+    /// Its transaction is under way.
+    UnderWay,
+    /// No transaction took it; here it is back.
+    NotTaken(Rider),
+}
+
 /// Rows that go in one transaction, and who waits for them.
 struct Batch {
     waiting: Vec<oneshot::Sender<AppendEnd>>,
@@ -119,6 +150,7 @@
     /// A snapshot that waits to be stored, or is being stored.
     snapshot: Option<Snapshot>,
     is_storing_snapshot: bool,
+    rider: Option<(Rider, oneshot::Sender<RiderEnd>)>,
     is_lost: bool,
     last_row: u64,
     first_row: u64,
@@ -171,9 +203,40 @@
 
     /// Whether rows are settled without delay, so that new work may be begun.
     pub fn is_flowing(&self, now: Millis) -> bool {
+        let patience = self.patience();
         let inner = self.inner.borrow();
         let waited = inner.under_way_since.map(|since| now.since(since));
-        !inner.is_lost && waited.is_none_or(|waited| waited < STALL_AFTER)
+        !inner.is_lost && waited.is_none_or(|waited| waited < patience)
+    }
+
+    /// How long an append may take before the store counts as away: longer where it has been slow and has answered.
+    pub fn patience(&self) -> Duration {
+        let slow = self.inner.borrow().last_took * 2;
+        slow.clamp(STALL_AFTER, LONGEST_PATIENCE)
+    }
+
+    /// Notes how long another transaction in the same part took.
+    pub fn note_answer(&self, took: Duration) {
+        self.inner.borrow_mut().last_took = took;
+    }
+
+    /// Whether rows are under way or wait.
+    pub fn is_busy(&self) -> bool {
+        let inner = self.inner.borrow();
+        inner.under_way_since.is_some() || !inner.open.is_empty()
+    }
+
+    /// Has a row changed with the next journal rows, and waits no longer than `limit`.
+    pub async fn carry(&self, rider: Rider, limit: Duration) -> Ride {
+        let (tx, rx) = oneshot::channel();
+        self.inner.borrow_mut().rider = Some((rider, tx));
+        let end = tokio::time::timeout(limit, rx).await;
+        let waiting = self.inner.borrow_mut().rider.take();
+        match (end, waiting) {
+            (Ok(Ok(end)), _) => Ride::Ended(end),
+            (_, Some((rider, _))) => Ride::NotTaken(rider),
+            (_, None) => Ride::UnderWay,
+        }
     }
 
     /// Whether the store took the last rows without delay, so that it can do more than the journal needs.
@@ -307,14 +370,9 @@
     }
 
     async fn write_batch(&self, cx: &Cx, first: u64, rows: &[Bytes]) -> WriteVerdict {
-        let keys = (first..).map(|number| self.key(JOURNAL_TABLE, &row_key(number)));
-        let put: Vec<(RowKey, Bytes)> = keys.zip(rows.iter().cloned()).collect();
-        let absent = put.iter().map(|(key, _)| (key.clone(), 0));
-        let txn = Txn {
-            expect: std::iter::once(self.fence.clone()).chain(absent).collect(),
-            put,
-            delete: Vec::new(),
-        };
+        let mut rider = self.inner.borrow_mut().rider.take();
+        let mut sent_at = cx.clock.now();
+        let mut txn = self.txn(first, rows, rider.as_ref().map(|(rider, _)| rider));
         let (fence, version) = &self.fence;
         let holds_fence = |rows: &[Row]| {
             let mut fences = rows.iter().filter(|row| row.table == fence.table);
@@ -325,11 +383,24 @@
             let mut journal = found.iter().filter(|row| row.table == JOURNAL_TABLE);
             journal.any(|row| rows.contains(&row.value))
         };
+        let is_place_free = |found: &[Row]| found.iter().all(|row| row.table != JOURNAL_TABLE);
         let mut backoff = Backoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
         loop {
             let end = cx.store.commit(&txn).await;
+            if is_rider_stale(&end, holds_fence, is_place_free)
+                && let Some((_, tx)) = rider.take()
+            {
+                // Whoever gave up waiting has dropped the other half.
+                let _ = tx.send(RiderEnd { end, sent_at });
+                txn = self.txn(first, rows, None);
+                sent_at = cx.clock.now();
+                continue;
+            }
             let verdict = judge_write(&end, holds_fence, is_own);
             if verdict != WriteVerdict::SendAgain {
+                if let Some((_, tx)) = rider {
+                    let _ = tx.send(RiderEnd { end, sent_at });
+                }
                 cx.metrics.rows_written.inc_by(rows.len() as u64);
                 return verdict;
             }
@@ -341,6 +412,23 @@
         }
     }
 
+    fn txn(&self, first: u64, rows: &[Bytes], rider: Option<&Rider>) -> Txn {
+        let keys = (first..).map(|number| self.key(JOURNAL_TABLE, &row_key(number)));
+        let mut put: Vec<(RowKey, Bytes)> = keys.zip(rows.iter().cloned()).collect();
+        let absent = put.iter().map(|(key, _)| (key.clone(), 0));
+        let mut expect: Vec<(RowKey, u64)> =
+            std::iter::once(self.fence.clone()).chain(absent).collect();
+        if let Some(rider) = rider {
+            expect.push((rider.row.clone(), rider.version));
+            put.push((rider.row.clone(), rider.value.clone()));
+        }
+        Txn {
+            expect,
+            put,
+            delete: Vec::new(),
+        }
+    }
+
     fn plan_snapshot(&self, row: u64, state: Bytes) {
         let mut inner = self.inner.borrow_mut();
         inner.snapshot = Some(Snapshot { row, state });
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -11,6 +11,7 @@
 use super::{
     Cx, Seat,
     edge::{CallError, Row, RowKey, Txn, TxnEnd},
+    journal::{Ride, Rider, RiderEnd},
     layout::ShardId,
     owner::Owner,
 };
@@ -58,6 +59,17 @@
 const SERIES_HEAD_START: Duration = Duration::from_millis(350);
 /// Spread of the daemons' tries after a lapse, so that most find it taken when they look.
 const TAKE_SPREAD: Duration = Duration::from_millis(150);
+/// A renewal on a slow store takes up to so many times as long as a read: it waits for a transaction with journal
+/// rows and goes with the next.
+const ANSWERS_A_RENEWAL: u32 = 5;
+/// Tries to take over are spread over so many times an answer: each shows to the others after two.
+const ANSWERS_A_SPREAD: u32 = 10;
+/// Most that is allowed for a slow store.
+const MOST_ALLOWANCE: Duration = Duration::from_millis(3_000);
+/// A renewal that the journal hasn't carried within this time is sent by itself.
+const RIDE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Tries to give a lease up.
+const RELEASE_TRIES: usize = 3;
 /// Daemons of which the lease was last released are given this head start over the one that gave it up.
 const RELEASED_GRACE: Duration = Duration::from_secs(3);
 
@@ -109,6 +121,8 @@
     pub since: Millis,
     /// When the rows were last read.
     pub read_at: Option<Millis>,
+    /// How long the answer took then.
+    pub answer_took: Duration,
     /// The lease row's version whose holder was found to be gone.
     pub gone_version: Option<u64>,
 }
@@ -140,10 +154,27 @@
     pub fn holder(&self, now: Millis) -> Option<&Holder> {
         let row = self.row.as_ref().filter(|row| !row.is_released)?;
         let is_blind = self.read_at.is_none_or(|at| now.since(at) > BLIND_AFTER);
-        let is_held = now.since(self.since) < LEASE && !self.is_gone();
+        let is_held = now.since(self.since) < self.lapses_after() && !self.is_gone();
         (is_held || is_blind).then_some(&row.holder)
     }
 
+    /// How long the row may stand still. A store that answers late does renewals late too, and a lapse under a live
+    /// owner has every daemon try to take over in the same part, which holds up the renewals still more.
+    fn lapses_after(&self) -> Duration {
+        LEASE + (self.answer_took * ANSWERS_A_RENEWAL).min(MOST_ALLOWANCE)
+    }
+
+    /// Over what time the daemons' tries are spread: on a slow store others' tries show late. What was given up is
+    /// free for certain, and is taken sooner.
+    fn take_spread(&self, is_first_in_line: bool) -> Duration {
+        let (least, answers) = match (is_first_in_line, self.is_released()) {
+            (true, _) => (Duration::ZERO, 1),
+            (false, true) => (TAKE_SPREAD, 2),
+            (false, false) => (TAKE_SPREAD, ANSWERS_A_SPREAD),
+        };
+        least + (self.answer_took * answers).min(MOST_ALLOWANCE)
+    }
+
     fn is_released(&self) -> bool {
         self.row.as_ref().is_some_and(|row| row.is_released)
     }
@@ -157,7 +188,9 @@
     pub fn doubted(&self, now: Millis) -> Option<&Holder> {
         let row = self.row.as_ref().filter(|row| !row.is_released)?;
         let unchanged = now.since(self.since);
-        let is_doubted = unchanged >= DOUBTED_AFTER && unchanged < LEASE && !self.is_gone();
+        let doubted_after = DOUBTED_AFTER + self.answer_took * 2;
+        let is_overdue = unchanged >= doubted_after && unchanged < self.lapses_after();
+        let is_doubted = is_overdue && !self.is_gone();
         is_doubted.then_some(&row.holder)
     }
 
@@ -182,7 +215,7 @@
             // A take-over of our own whose answer was lost: nobody has acted under it.
             Some(row) if row.holder == *me => true,
             Some(row) if row.holder.is_other_run_of(me) => true,
-            Some(_) => self.is_gone() || now.since(self.since) >= LEASE,
+            Some(_) => self.is_gone() || now.since(self.since) >= self.lapses_after(),
         }
     }
 }
@@ -239,13 +272,16 @@
     let up = Duration::from_millis(cx.clock.now().0);
     let series = seat.lease.borrow().series_head_start(up);
     let is_first_in_line = series == Duration::ZERO && seat.lease.borrow().is_released();
-    let spread = match is_first_in_line {
-        true => Duration::ZERO,
-        false => rand::rng().random_range(Duration::ZERO..TAKE_SPREAD),
-    };
+    let spread = seat.lease.borrow().take_spread(is_first_in_line);
+    let spread = rand::rng().random_range(Duration::ZERO..=spread);
     let burden = ANOTHER_SHARD * cx.owners().len() as u32;
     let waits = [spread, burden, series, head_start(cx.cfg.cpu_share)];
-    tokio::time::sleep(waits.into_iter().sum()).await;
+    let wait: Duration = waits.into_iter().sum();
+    tokio::time::sleep(wait).await;
+    // Another may have taken it meanwhile; a try in vain would hold its first rows up.
+    if wait >= POLL && look(cx, seat).await.is_err() {
+        return;
+    }
     if let Err(e) = try_take(cx, seat).await {
         log::warn!(error:% = e; "take-over failed");
     }
@@ -286,10 +322,13 @@
 
 /// Reads the rows.
 pub async fn look(cx: &Cx, seat: &Seat) -> Result<(), CallError> {
+    let asked_at = cx.clock.now();
     let rows = cx.store.rows(OWNERS_TABLE, &seat.part, "").await?;
     cx.note_store(Ok(()));
     let before = seat.lease.borrow().fence;
-    let noted = seat.lease.borrow_mut().note(&rows, cx.clock.now());
+    let now = cx.clock.now();
+    seat.lease.borrow_mut().answer_took = now.since(asked_at);
+    let noted = seat.lease.borrow_mut().note(&rows, now);
     noted.map_err(|e| CallError::new(format!("the lease row is malformed: {e}")))?;
     let view = seat.lease.borrow().clone();
     if view.fence != before {
@@ -346,42 +385,74 @@
     let mut renewals = 0;
     while owner.is_serving() {
         renewals += 1;
-        renew_once(cx, owner, renewals, false).await;
+        let renewing = owner.renewing.lock().await;
+        // It may have been given up meanwhile.
+        if owner.is_serving() {
+            renew_once(cx, owner, renewals, false).await;
+        }
+        drop(renewing);
         tokio::time::sleep(RENEW).await;
     }
 }
 
-/// Gives the lease up, so that another daemon takes over at its next look.
+/// Gives the lease up, so that another daemon takes over at its next look. A renewal that is under way would have it
+/// fail and the lease left to lapse, so none is begun any more, and after a lost answer it is tried again.
 pub async fn release(cx: &Cx, owner: &Rc<Owner>) {
-    renew_once(cx, owner, u64::MAX, true).await;
+    let _renewing = owner.renewing.lock().await;
+    for _ in 0..RELEASE_TRIES {
+        if !owner.is_serving() || renew_once(cx, owner, u64::MAX, true).await {
+            return;
+        }
+    }
 }
 
-async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) {
+/// Writes the lease row; true once it is in.
+async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released,
         renewals,
         up_ms: cx.clock.now().0,
     };
-    let seat = &owner.seat;
-    let (fence, token) = owner.fence();
-    let version = owner.lease_version.get();
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    let txn = Txn {
-        expect: vec![(key(seat, LEASE_KEY), version), (fence, token)],
-        put: vec![(key(seat, LEASE_KEY), value.into())],
-        delete: Vec::new(),
+    let rider = Rider {
+        row: key(&owner.seat, LEASE_KEY),
+        version: owner.lease_version.get(),
+        value: serde_json::to_vec(&row).unwrap_or_default().into(),
     };
-    let sent_at = cx.clock.now();
-    match cx.store.commit(&txn).await {
+    let ride = match owner.journal.is_busy() && !is_released {
+        true => owner.journal.carry(rider, RIDE_LIMIT).await,
+        false => Ride::NotTaken(rider),
+    };
+    let RiderEnd { end, sent_at } = match ride {
+        Ride::Ended(end) => end,
+        Ride::UnderWay => return false,
+        Ride::NotTaken(rider) => renew_alone(cx, owner, rider).await,
+    };
+    match end {
         TxnEnd::Committed(newest) => {
             cx.note_store(Ok(()));
             owner.lease_version.set(newest);
             owner.renewed_at.set(sent_at);
+            return true;
         }
         TxnEnd::Conflict(rows) => adopt_or_lose(cx, owner, &rows),
         TxnEnd::NotDone(e) | TxnEnd::Unknown(e) => cx.note_store(Err(&e.0)),
     }
+    false
+}
+
+async fn renew_alone(cx: &Cx, owner: &Rc<Owner>, rider: Rider) -> RiderEnd {
+    let txn = Txn {
+        expect: vec![(rider.row.clone(), rider.version), owner.fence()],
+        put: vec![(rider.row, rider.value)],
+        delete: Vec::new(),
+    };
+    let sent_at = cx.clock.now();
+    let end = cx.store.commit(&txn).await;
+    if matches!(end, TxnEnd::Committed(_) | TxnEnd::Conflict(_)) {
+        owner.journal.note_answer(cx.clock.now().since(sent_at));
+    }
+    RiderEnd { end, sent_at }
 }
 
 /// After a conflict: an earlier renewal whose answer was lost, or another owner?
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -16,9 +16,6 @@
 use std::{rc::Rc, time::Duration};
 use tokio::sync::watch;
 
-/// Longest wait for a journal row before a caller is told that nobody knows: forty times a row's usual
-/// time, and early enough for another try within a caller's 3 s.
-const DURABLE_WAIT: Duration = Duration::from_millis(800);
 /// When a caller should come back that is refused while the store doesn't take rows.
 const STORE_AWAY_RETRY: Duration = Duration::from_secs(1);
 
@@ -49,7 +46,7 @@
         return SubmitReply::Accepted;
     };
     let settled = accepting.wait_for(Option::is_some);
-    match tokio::time::timeout(DURABLE_WAIT, settled).await {
+    match tokio::time::timeout(owner.journal.patience(), settled).await {
         Ok(Ok(end)) if *end == Some(AppendEnd::Durable) => SubmitReply::Accepted,
         _ => SubmitReply::Unknown,
     }
@@ -132,7 +129,7 @@
         // Durable once everything before is: an earlier cancel may not be yet.
         Some(_) => owner.journal.append(&[]),
     };
-    match tokio::time::timeout(DURABLE_WAIT, ticket.end()).await {
+    match tokio::time::timeout(owner.journal.patience(), ticket.end()).await {
         Ok(AppendEnd::Durable) => CancelReply::Done,
         Ok(AppendEnd::Lost) | Err(_) => CancelReply::Unknown,
     }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -45,7 +45,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 
 /// Wait before a recovery that failed is tried again.
 const RECOVERY_RETRY: Duration = Duration::from_millis(200);
@@ -81,6 +81,8 @@
     pub lease_version: Cell<u64>,
     /// When the last renewal that took effect was sent.
     pub renewed_at: Cell<Millis>,
+    /// Held while the lease row is being written.
+    pub renewing: Mutex<()>,
     /// The journal.
     pub journal: Journal,
     /// What the shard remembers, with everything appended so far.
@@ -136,6 +138,7 @@
             late_habit_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
+            renewing: Mutex::new(()),
             ledger: RefCell::default(),
             runs: RefCell::default(),
             sessions: RefCell::default(),
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -9,8 +9,8 @@
 /// Time between two reads of the catalogue: a change is in force within half of the bound of 2 s, with
 /// one read lost.
 const CATALOGUE_POLL: Duration = Duration::from_millis(600);
-/// Time for the lease to be given up; with the store away it lapses instead.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for the lease to be given up, enough for a store that is slow; with the store away it lapses instead.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Starts everything but the edge to callers.
 pub async fn start(cx: &Cx) -> eyre::Result<()> {
--- a/src/lapisdrum/sched/settle.rs
+++ b/src/lapisdrum/sched/settle.rs
@@ -44,6 +44,20 @@
     }
 }
 
+/// Whether a conflict is only about a row that rode along: the fence is ours and nothing stands at our place, so the
+/// journal rows are not in and may be sent again without it. That row was changed by an earlier try of ours whose
+/// answer was lost; taken for another owner's work, it would end an ownership that holds.
+pub fn is_rider_stale(
+    end: &TxnEnd,
+    holds_fence: impl Fn(&[Row]) -> bool,
+    is_place_free: impl Fn(&[Row]) -> bool,
+) -> bool {
+    match end {
+        TxnEnd::Conflict(rows) => holds_fence(rows) && is_place_free(rows),
+        TxnEnd::Committed(_) | TxnEnd::NotDone(_) | TxnEnd::Unknown(_) => false,
+    }
+}
+
 /// How far an order to start a run has got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Order {
--- /dev/null
+++ b/tests/testsuite/sched/journal.rs
@@ -0,0 +1,118 @@
+//! The journal under load, on a store that is quick and on one that is slow.
+
+use super::{
+    paused,
+    world::{StoreMood, World, spec, terms},
+};
+use lapisdrum::{
+    core::time::Millis,
+    sched::{
+        Cx,
+        edge::{Txn, TxnEnd},
+        event::Event,
+        job::JobId,
+        journal::{AppendEnd, Journal},
+    },
+};
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const PART: &str = "shard-0";
+
+/// A daemon that watches nothing, and a journal of its that writes.
+async fn journal(world: &Rc<World>) -> (Cx, Rc<Journal>) {
+    let cx = world.idle_daemon("a");
+    let (fence, _) = world.fence(PART);
+    let raised = Txn {
+        expect: vec![(fence.clone(), 0)],
+        put: vec![(fence.clone(), "a".into())],
+        delete: Vec::new(),
+    };
+    let TxnEnd::Committed(version) = cx.store.commit(&raised).await else {
+        panic!("the fence is not raised");
+    };
+    let journal = Rc::new(Journal::new(PART, (fence, version)));
+    let (writer, on) = (Rc::clone(&journal), Rc::clone(&cx));
+    actix_rt::spawn(async move { writer.write_all(&on, || b"{}".to_vec()).await });
+    (cx, journal)
+}
+
+/// An event of some three kilobytes.
+fn event(job: u64) -> Event {
+    Event::Accepted {
+        job: JobId(job),
+        spec: Rc::new(spec(&"x".repeat(3_000))),
+        terms: terms(),
+        at_unix_ms: 0,
+    }
+}
+
+/// 200 KB of events a second on a store that takes 300 ms for each transaction. With one row in each the events
+/// queued up behind each other: a hand-in at the end waited for several seconds, its caller was told that nobody
+/// knows, and nothing was started. With all that has gathered in one, each waits for two transactions at most.
+#[test]
+fn a_slow_store_keeps_pace_with_many_events() {
+    paused(async {
+        let world = World::new(0);
+        let (_cx, journal) = journal(&world).await;
+        world.set_store("a", StoreMood::Slow);
+        let longest = Rc::new(Cell::new(Duration::ZERO));
+        for job in 0..400 {
+            let (began, ticket) = (Instant::now(), journal.append(&[event(job)]));
+            let longest = Rc::clone(&longest);
+            actix_rt::spawn(async move {
+                assert_eq!(ticket.end().await, AppendEnd::Durable);
+                longest.set(longest.get().max(began.elapsed()));
+            });
+            sleep(Duration::from_millis(15)).await;
+        }
+        sleep(Duration::from_secs(2)).await;
+        let longest = longest.get();
+        assert!(longest < Duration::from_millis(900), "{longest:?}");
+    });
+}
+
+/// A snapshot is due, and the store turns slow while it is stored. Rows waited for the object, its pointer and the
+/// deletion of the rows that it covers, which take seconds there; now they are written beside it.
+#[test]
+fn rows_do_not_wait_for_a_snapshot() {
+    paused(async {
+        let world = World::new(0);
+        let (cx, journal) = journal(&world).await;
+        for job in 0..400 {
+            assert_eq!(
+                journal.append(&[event(job)]).end().await,
+                AppendEnd::Durable
+            );
+        }
+        world.set_store("a", StoreMood::Slow);
+        let began = Instant::now();
+        assert_eq!(
+            journal.append(&[event(400)]).end().await,
+            AppendEnd::Durable
+        );
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(1_000), "{took:?}");
+        assert!(journal.is_flowing(cx.clock.now()));
+    });
+}
+
+/// What was written in one transaction is read back whole and in order, with a snapshot in between.
+#[test]
+fn rows_of_one_transaction_are_recovered_in_order() {
+    paused(async {
+        let world = World::new(0);
+        let (cx, journal) = journal(&world).await;
+        world.set_store("a", StoreMood::Slow);
+        let tickets: Vec<_> = (0..200).map(|job| journal.append(&[event(job)])).collect();
+        for ticket in tickets {
+            assert_eq!(ticket.end().await, AppendEnd::Durable);
+        }
+        journal.lose();
+        let next = Journal::new(PART, world.fence(PART));
+        let ledger = next.recover(&cx).await.expect("a ledger");
+        let jobs: Vec<u64> = ledger.jobs.keys().map(|id| id.0).collect();
+        assert_eq!(jobs, (0..200).collect::<Vec<u64>>());
+        assert!(next.is_flowing(Millis(0)));
+    });
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler of job graphs: its pure parts, and the real owner in a world of scripted faults.
 
 mod faults;
+mod journal;
 mod layout;
 mod learning;
 mod ledger;
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -2,20 +2,20 @@
 
 use super::{
     paused,
-    world::{StoreMood, World, owned, owns, step, until},
+    world::{StoreMood, World, owned, owns, spec, step, until},
 };
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
     Cx,
     edge::Queue,
     front::{self, Outcome},
-    job::{JobId, JobSpec, RawJob},
+    job::JobId,
     layout::ShardId,
     lease::LEASE,
     peer::{JobState, SubmitReply},
     process, reach,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -139,6 +139,50 @@
     });
 }
 
+/// The store's answers take sixty times as long for twelve seconds, on a shard that starts some hundred tasks a second
+/// and takes a job each 100 ms. Renewals queued up behind journal rows and calls that were given up; the lease
+/// lapsed under a live owner, all daemons tried to take over in the same part of the store, and nothing was
+/// started until the store was quick again. Now the owner stays, and every hand-in is accepted.
+#[test]
+fn a_busy_owner_keeps_its_shard_while_the_store_is_slow() {
+    paused(async {
+        let world = World::new(6);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let others = ["b", "c", "d", "e"].map(|name| world.daemon(name));
+        sleep(Duration::from_secs(1)).await;
+        let (_, fence) = world.fence("shard-0");
+        for name in ["a", "b", "c", "d", "e"] {
+            world.set_store(name, StoreMood::Slow);
+        }
+        sleep(Duration::from_secs(1)).await;
+        let accepted = Rc::new(Cell::new(0));
+        for job in 0..100 {
+            let (world, first) = (Rc::clone(&world), Rc::clone(&first));
+            let accepted = Rc::clone(&accepted);
+            actix_rt::spawn(async move {
+                let submitted = world.submit(&first, job, vec![step(10, 200, &[])]).await;
+                let is_accepted = matches!(submitted, SubmitReply::Accepted);
+                accepted.set(accepted.get() + u32::from(is_accepted));
+            });
+            sleep(Duration::from_millis(100)).await;
+        }
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(
+            world.fence("shard-0").1,
+            fence,
+            "another has taken the shard"
+        );
+        assert!(others.iter().all(|other| !owns(other, ShardId(0))));
+        assert_eq!(accepted.get(), 100);
+        until("all are over", LIMIT * 4, async || {
+            world.state(&first, 99).await == Some(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
+
 fn queue() -> Queue {
     Queue {
         terms: super::world::terms(),
@@ -147,15 +191,6 @@
     }
 }
 
-fn spec() -> JobSpec {
-    let raw = RawJob {
-        payload: "work".to_owned(),
-        steps: vec![step(1, 100, &[])],
-        schedule: None,
-    };
-    JobSpec::try_from(raw).expect("a good job")
-}
-
 /// A data centre is cut off with its entry hosts, and callers still reach them. A daemon there finds within a
 /// second or so that neither the store nor anybody outside answers, turns not ready, and refuses at once, where each
 /// caller had waited a second for an owner that can't be asked. Once the store answers it is ready again.
@@ -178,7 +213,7 @@
         )
         .await;
         let began = Instant::now();
-        let outcome = front::submit(&cut_off, &queue(), JobId(1), spec()).await;
+        let outcome = front::submit(&cut_off, &queue(), JobId(1), spec("work")).await;
         assert_matches!(outcome, Outcome::Refused(_));
         assert!(began.elapsed() < Duration::from_millis(20));
         world.set_store("b", StoreMood::Up);
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -42,6 +42,12 @@
 const STORE_CALL: Duration = Duration::from_millis(8);
 /// The same in [`StoreMood::Slow`], beyond it.
 const SLOW_STORE_CALL: Duration = Duration::from_millis(360);
+/// Time of a transaction there, in which its part does no other.
+const SLOW_TXN: Duration = Duration::from_millis(300);
+/// Longest time that transactions wait for their turn.
+const LONGEST_QUEUE: Duration = Duration::from_secs(1);
+/// Time after which a daemon gives a call up.
+const CALLER_PATIENCE: Duration = Duration::from_secs(1);
 /// Time of an order.
 const ORDER: Duration = Duration::from_millis(2);
 /// Time after which a caller of a silent store or worker gives up.
@@ -64,7 +70,7 @@
     Away,
     /// Does what it is asked and loses the answers of writes.
     LosesAnswers,
-    /// Takes sixty times as long as usual for everything.
+    /// Takes sixty times as long as usual for everything, and does the transactions of a part one after another.
     Slow,
 }
 
@@ -82,6 +88,8 @@
     rows: IndexMap<(String, String, String), (bytes::Bytes, u64)>,
     version: u64,
     objects: IndexMap<String, bytes::Bytes>,
+    /// Until when a part of a slow store has transactions to do.
+    busy_until: IndexMap<String, Instant>,
     /// Transactions that took effect.
     commits: u64,
 }
@@ -166,6 +174,16 @@
     }
 }
 
+/// A job of one short task with this payload.
+pub(crate) fn spec(payload: &str) -> JobSpec {
+    let raw = RawJob {
+        payload: payload.to_owned(),
+        steps: vec![step(1, 100, &[])],
+        schedule: None,
+    };
+    JobSpec::try_from(raw).expect("a good job")
+}
+
 /// A step of so many tasks that take so long, on one core and a gigabyte each.
 pub(crate) fn step(count: u32, estimate_ms: u64, after: &[u16]) -> Step {
     Step {
@@ -263,7 +281,18 @@
         self.make_daemon(name, DATA_CENTRE, address)
     }
 
+    /// A daemon that does nothing by itself.
+    pub(crate) fn idle_daemon(self: &Rc<Self>, name: &str) -> Cx {
+        self.node(name, DATA_CENTRE, listen().1)
+    }
+
     fn make_daemon(self: &Rc<Self>, name: &str, data_centre: &str, address: SocketAddr) -> Cx {
+        let cx = self.node(name, data_centre, address);
+        actix_rt::spawn(lease::run(Rc::clone(&cx)));
+        cx
+    }
+
+    fn node(self: &Rc<Self>, name: &str, data_centre: &str, address: SocketAddr) -> Cx {
         let cfg = NodeSettings {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
@@ -284,9 +313,24 @@
             world: Rc::clone(self),
             cut: Cell::new(false),
         });
-        let cx = Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges);
-        actix_rt::spawn(lease::run(Rc::clone(&cx)));
-        cx
+        Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges)
+    }
+
+    /// The fence row of a part and its version.
+    pub(crate) fn fence(&self, part: &str) -> (RowKey, u64) {
+        let fence = RowKey {
+            table: "owners",
+            part: part.to_owned(),
+            key: "fence".to_owned(),
+        };
+        let rows = self.rows.borrow();
+        let key = (
+            fence.table.to_owned(),
+            fence.part.clone(),
+            fence.key.clone(),
+        );
+        let version = rows.rows.get(&key).map_or(0, |(_, version)| *version);
+        (fence, version)
     }
 
     /// What the store does with a daemon's calls from now on.
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,10 +1,13 @@
 //! The store of the world: rows with one version counter, objects, and what it does with a daemon's calls.
 
-use super::{ROW_BYTES, Rows, SILENCE, SLOW_STORE_CALL, STORE_CALL, StoreMood, World, silence};
+use super::{
+    CALLER_PATIENCE, LONGEST_QUEUE, ROW_BYTES, Rows, SILENCE, SLOW_STORE_CALL, SLOW_TXN,
+    STORE_CALL, StoreMood, World, silence,
+};
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::edge::{CallError, Row, RowKey, Store, Txn, TxnEnd};
 use std::rc::Rc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The store as one daemon reaches it.
 pub(super) struct StoreHandle {
@@ -20,25 +23,56 @@
 
     /// Lets a call's time pass; false when the store is away.
     async fn reach(&self) -> bool {
+        let is_there = self.is_there().await;
+        if is_there && self.mood() == StoreMood::Slow {
+            sleep(SLOW_STORE_CALL).await;
+        }
+        is_there
+    }
+
+    async fn is_there(&self) -> bool {
         sleep(STORE_CALL).await;
-        match self.mood() {
-            StoreMood::Away => {
-                sleep(SILENCE).await;
-                return false;
-            }
-            StoreMood::Slow => sleep(SLOW_STORE_CALL).await,
-            StoreMood::Up | StoreMood::LosesAnswers => {}
+        let is_away = self.mood() == StoreMood::Away;
+        if is_away {
+            sleep(SILENCE).await;
+        }
+        !is_away
+    }
+
+    /// A transaction on a slow store: those of a part go one after another, and who waits too long for its turn is
+    /// turned away. A caller that has given up is told nothing; what it sent takes effect all the same.
+    async fn commit_slowly(&self, txn: &Txn) -> TxnEnd {
+        let now = Instant::now();
+        let turn = self.world.rows.borrow().turn_of(txn).max(now);
+        if turn - now > LONGEST_QUEUE {
+            sleep(SLOW_TXN).await;
+            return TxnEnd::NotDone(CallError::new("too many wait"));
+        }
+        let done_at = turn + SLOW_TXN;
+        self.world.rows.borrow_mut().take_turn(txn, done_at);
+        if done_at - now <= CALLER_PATIENCE {
+            tokio::time::sleep_until(done_at).await;
+            return self.world.rows.borrow_mut().commit(txn);
         }
-        true
+        let (world, late) = (Rc::clone(&self.world), txn.clone());
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(done_at).await;
+            world.rows.borrow_mut().commit(&late);
+        });
+        sleep(CALLER_PATIENCE).await;
+        TxnEnd::Unknown(silence())
     }
 }
 
 impl Store for StoreHandle {
     fn commit<'a>(&'a self, txn: &'a Txn) -> LocalBoxFuture<'a, TxnEnd> {
         async move {
-            if !self.reach().await {
+            if !self.is_there().await {
                 return TxnEnd::Unknown(silence());
             }
+            if self.mood() == StoreMood::Slow {
+                return self.commit_slowly(txn).await;
+            }
             let end = self.world.rows.borrow_mut().commit(txn);
             if self.mood() == StoreMood::LosesAnswers {
                 sleep(SILENCE).await;
@@ -122,7 +156,21 @@
     (row.table.to_owned(), row.part.clone(), row.key.clone())
 }
 
+fn part_of(txn: &Txn) -> &str {
+    txn.expect.first().map_or("", |(row, _)| &row.part)
+}
+
 impl Rows {
+    /// When the transactions before this one are done.
+    fn turn_of(&self, txn: &Txn) -> Instant {
+        let busy = self.busy_until.get(part_of(txn));
+        busy.copied().unwrap_or_else(Instant::now)
+    }
+
+    fn take_turn(&mut self, txn: &Txn, done_at: Instant) {
+        self.busy_until.insert(part_of(txn).to_owned(), done_at);
+    }
+
     pub(super) fn commit(&mut self, txn: &Txn) -> TxnEnd {
         let holds = txn
             .expect
