A rider's end is always heard

Cause: a renewal that had waited 1.2 s for its transaction was given up while that was under way; its row's new version stayed unknown and every second transaction was a conflict, 0.8 to 1.0 s each.

Ruled out: reading the version back (another call to the same slow store).

Change: the limit is for being taken along; once taken, the end is waited for.

--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -123,8 +123,8 @@
 pub enum Ride {
     /// Its transaction ended.
     Ended(RiderEnd),
-    /// Its transaction is under way.
-    UnderWay,
+    /// The shard is lost.
+    Lost,
     /// No transaction took it; here it is back.
     NotTaken(Rider),
 }
@@ -226,17 +226,19 @@
         inner.under_way_since.is_some() || !inner.open.is_empty()
     }
 
-    /// Has a row changed with the next journal rows, and waits no longer than `limit`.
+    /// Has a row changed with the next journal rows, if there are any within `limit`.
     pub async fn carry(&self, rider: Rider, limit: Duration) -> Ride {
-        let (tx, rx) = oneshot::channel();
+        let (tx, mut rx) = oneshot::channel();
         self.inner.borrow_mut().rider = Some((rider, tx));
-        let end = tokio::time::timeout(limit, rx).await;
+        if let Ok(end) = tokio::time::timeout(limit, &mut rx).await {
+            return end.map_or(Ride::Lost, Ride::Ended);
+        }
         let waiting = self.inner.borrow_mut().rider.take();
-        match (end, waiting) {
-            (Ok(Ok(end)), _) => Ride::Ended(end),
-            (_, Some((rider, _))) => Ride::NotTaken(rider),
-            (_, None) => Ride::UnderWay,
+        if let Some((rider, _)) = waiting {
+            return Ride::NotTaken(rider);
         }
+        // Without its end the row's version would be unknown, and the next rider would be in vain.
+        rx.await.map_or(Ride::Lost, Ride::Ended)
     }
 
     /// Whether the store took the last rows without delay, so that it can do more than the journal needs.
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -425,7 +425,7 @@
     };
     let RiderEnd { end, sent_at } = match ride {
         Ride::Ended(end) => end,
-        Ride::UnderWay => return false,
+        Ride::Lost => return false,
         Ride::NotTaken(rider) => renew_alone(cx, owner, rider).await,
     };
     match end {
