Hand-ins that are under way are waited for, and a silent owner is known for it

Cause: a row takes up to 0.9 s on the slow store and a hand-in may wait for the one before it too; owners answered "nobody knows" after 0.8 s, and 60 hand-ins that were accepted a moment later were asked for again.

Ruled out: a longer wait for every answer (callers of a frozen owner would wait as long).

--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -16,7 +16,9 @@
 use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for an owner that says that a hand-in is under way: early enough for another try within a caller's 3 s.
+const UNDER_WAY_LIMIT: Duration = Duration::from_millis(2_200);
 /// An owner that left a call unanswered is not asked again for this long, or until another has taken over:
 /// callers would wait in vain for the seconds until its lease lapses, and are told at once instead.
 const OWNER_REST: Duration = Duration::from_millis(700);
@@ -67,10 +69,19 @@
         terms: queue.terms.clone(),
         is_sent,
     };
-    let mut asked = ask_owner(cx, &seat, ask(false)).await;
+    let mut is_sent = false;
+    let mut asked = ask_owner(cx, &seat, ask(is_sent)).await;
     if let Asked::Answer(Answer::Submitted(SubmitReply::Elsewhere(to))) = asked {
         seat = cx.seat(to);
-        asked = ask_owner(cx, &seat, ask(true)).await;
+        is_sent = true;
+        asked = ask_owner(cx, &seat, ask(is_sent)).await;
+    }
+    while matches!(
+        asked,
+        Asked::Answer(Answer::Submitted(SubmitReply::UnderWay))
+    ) && cx.clock.now().since(began) + OWNER_TIMEOUT <= UNDER_WAY_LIMIT
+    {
+        asked = ask_owner(cx, &seat, ask(is_sent)).await;
     }
     let outcome = match asked {
         Asked::Answer(Answer::Submitted(SubmitReply::Accepted)) => Outcome::Done(()),
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -45,7 +45,7 @@
 /// not away, and a bound below that would have every hand-in refused that it would take.
 const STALL_AFTER: Duration = Duration::from_millis(800);
 /// However slow the last transaction was, callers are not kept waiting for the next one longer than this.
-const LONGEST_PATIENCE: Duration = Duration::from_millis(1_400);
+const LONGEST_PATIENCE: Duration = Duration::from_millis(2_000);
 /// First and longest wait before an unsettled row is sent again.
 const RETRY_WAITS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 /// Rows between two snapshots: a new owner then reads at most two pages of rows.
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -16,6 +16,8 @@
 use std::{rc::Rc, time::Duration};
 use tokio::sync::watch;
 
+/// Whoever asks hears from the owner within this time, so that one that is silent is known for it.
+pub(super) const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// When a caller should come back that is refused while the store doesn't take rows.
 const STORE_AWAY_RETRY: Duration = Duration::from_secs(1);
 
@@ -46,8 +48,9 @@
         return SubmitReply::Accepted;
     };
     let settled = accepting.wait_for(Option::is_some);
-    match tokio::time::timeout(owner.journal.patience(), settled).await {
+    match tokio::time::timeout(ANSWER_WITHIN, settled).await {
         Ok(Ok(end)) if *end == Some(AppendEnd::Durable) => SubmitReply::Accepted,
+        Err(_) if owner.journal.is_flowing(cx.clock.now()) => SubmitReply::UnderWay,
         _ => SubmitReply::Unknown,
     }
 }
--- a/src/lapisdrum/sched/owner/send.rs
+++ b/src/lapisdrum/sched/owner/send.rs
@@ -9,7 +9,7 @@
 //! The home decides once and remembers it, durably and before anybody is told: a repeat of the hand-in, at any
 //! daemon and any owner, is sent to the same shard, so the job is accepted in one only.
 
-use super::Owner;
+use super::{Owner, jobs::ANSWER_WITHIN};
 use crate::sched::{
     Cx,
     event::Event,
@@ -27,8 +27,6 @@
 const EMPTIER_BY: u32 = 25;
 /// Longest wait for the other shard's answer; without one the job stays. Many round trips.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest wait for the decision to be durable, as for an acceptance.
-const DURABLE_WAIT: Duration = Duration::from_millis(800);
 
 /// Whether a shard with this load leaves a lasting job to one with that load, both in thousandths.
 pub fn is_emptier(own: u32, other: u32) -> bool {
@@ -59,8 +57,9 @@
     let to = owner.ledger.borrow().sent.get(&job).map(|sent| sent.to)?;
     // An empty append is durable once everything before it is, the decision included.
     let settled = owner.journal.append(&[]).end();
-    match tokio::time::timeout(DURABLE_WAIT, settled).await {
+    match tokio::time::timeout(ANSWER_WITHIN, settled).await {
         Ok(AppendEnd::Durable) => Some(SubmitReply::Elsewhere(to)),
+        Err(_) if owner.journal.is_flowing(cx.clock.now()) => Some(SubmitReply::UnderWay),
         Ok(AppendEnd::Lost) | Err(_) => Some(SubmitReply::Unknown),
     }
 }
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -79,6 +79,8 @@
         Busy(Duration),
         /// The one asked doesn't own the shard; nothing was done.
         NotOwner,
+        /// It is being made durable on a store that is slow; asked again, the owner goes on waiting for it.
+        UnderWay,
         /// It may have been taken.
         Unknown,
     }
