--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -17,8 +17,8 @@
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest wait for an owner that says that a hand-in is under way: early enough for another try within a caller's 3 s.
-const UNDER_WAY_LIMIT: Duration = Duration::from_millis(2_200);
+/// Longest wait for an owner that says that a hand-in is under way: it ends within a caller's 3 s.
+const UNDER_WAY_LIMIT: Duration = Duration::from_millis(2_500);
 /// An owner that left a call unanswered is not asked again for this long, or until another has taken over:
 /// callers would wait in vain for the seconds until its lease lapses, and are told at once instead.
 const OWNER_REST: Duration = Duration::from_millis(700);
