--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -5,15 +5,18 @@
     world::{StoreMood, World, owned, owns, spec, step, until},
 };
 use assert_matches::assert_matches;
-use lapisdrum::sched::{
-    Cx,
-    edge::Queue,
-    front::{self, Outcome},
-    job::JobId,
-    layout::ShardId,
-    lease::LEASE,
-    peer::{JobState, SubmitReply},
-    process, reach,
+use lapisdrum::{
+    core::time::Millis,
+    sched::{
+        Cx,
+        edge::{Queue, Row},
+        front::{self, Outcome},
+        job::JobId,
+        layout::ShardId,
+        lease::{Holder, LEASE, LeaseRow, LeaseView},
+        peer::{JobState, SubmitReply},
+        process, reach,
+    },
 };
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -184,6 +187,50 @@
     });
 }
 
+/// A row stands still for longer than a lease. Read from a quick store that is a lapse; read from one whose answers
+/// take sixty times as long it is a renewal under way, and 97 daemons that try to take over would hold it up.
+#[test]
+fn a_lease_lapses_later_on_a_store_that_answers_late() {
+    let row = LeaseRow {
+        holder: holder("a"),
+        is_released: false,
+        renewals: 7,
+        up_ms: 0,
+    };
+    let read = |answer_took| {
+        let mut view = LeaseView {
+            answer_took,
+            ..LeaseView::default()
+        };
+        let value = serde_json::to_vec(&row).expect("a text form").into();
+        let row = Row {
+            table: "owners".to_owned(),
+            key: "lease".to_owned(),
+            value,
+            version: 9,
+        };
+        view.note(&[row], Millis(0)).expect("a good row");
+        view
+    };
+    let is_free = |view: &LeaseView, ms| view.is_free_for(&holder("b"), Millis(ms));
+    let quick = read(Duration::from_millis(4));
+    assert!(!is_free(&quick, 1_400));
+    assert!(is_free(&quick, 1_600));
+    assert!(quick.doubted(Millis(700)).is_some());
+    let slow = read(Duration::from_millis(360));
+    assert!(!is_free(&slow, 3_000));
+    assert!(slow.holder(Millis(3_000)).is_some());
+    assert!(is_free(&slow, 4_600), "an owner that is gone is replaced");
+}
+
+fn holder(daemon: &str) -> Holder {
+    Holder {
+        daemon: daemon.to_owned(),
+        address: format!("{daemon}.example:1"),
+        incarnation: 1,
+    }
+}
+
 /// The answer to a renewal is lost; the next renewal goes with journal rows and expects a version that is gone. The
 /// conflict is about that row alone: taken for another owner's work it would end an ownership that holds.
 #[test]
