--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -13,6 +13,7 @@
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
+use tokio::sync::Notify;
 
 /// A lease is renewed when this much of it is over. With looks that take up to 2 s, of the shortest lease of 6 s
 /// at least 2 s are left for a new owner to come.
@@ -88,6 +89,10 @@
     pub listed_at: WorkerMillis,
     /// Its ends up to here are durable in the journal.
     pub acked_upto: u64,
+    /// The same up to which the journal has them, durably or not yet.
+    pub taken_upto: u64,
+    /// Told whenever ends become durable.
+    pub acked: Rc<Notify>,
     /// Until when anything may run there.
     pub bound: LeaseBound,
     /// When the last lease that it took was sent.
@@ -122,6 +127,8 @@
             clock: None,
             listed_at: WorkerMillis::default(),
             acked_upto: 0,
+            taken_upto: 0,
+            acked: Rc::default(),
             bound,
             leased_at: None,
             silent_since: None,
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -24,6 +24,7 @@
         settle::{Order, RunVerdict, Sight, judge_run},
     },
 };
+use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
 
@@ -199,7 +200,7 @@
         strain::note(cx, owner, worker, &lists, now);
     }
     if let Some(acked) = acked {
-        // On a stall the ends are listed again at the next look, which changes nothing.
+        // On a stall the ends are listed again at the next look and passed over.
         let _ = tokio::time::timeout(ACK_WAIT, acked).await;
     }
 }
@@ -222,6 +223,7 @@
         if before != Some(born) {
             session.claimed_life = Some(born);
             session.acked_upto = 0;
+            session.taken_upto = 0;
             session.listed_at = WorkerMillis::default();
             session.clock = None;
             session.leased_at = None;
@@ -255,11 +257,18 @@
     life: &Life,
     ended: &[ListedEnd],
     now: Millis,
-) -> Option<impl Future<Output = ()> + use<>> {
+) -> Option<LocalBoxFuture<'static, ()>> {
+    // A worker lists an end until it is acknowledged, which may be many looks later.
     let upto = ended.iter().map(|end| end.number).max()?;
+    let taken_upto = owner.session(worker, |session| session.taken_upto)?;
+    let ended: Vec<&ListedEnd> = ended.iter().filter(|e| e.number > taken_upto).collect();
+    if ended.is_empty() {
+        return Some(acknowledged(owner, worker, upto).boxed_local());
+    }
+    owner.session(worker, |session| session.taken_upto = upto);
     let at_unix_ms = cx.unix_ms();
     let mut events = Vec::new();
-    for end in ended {
+    for end in &ended {
         let is_here = |record: &RunRecord| record.on.worker == worker;
         let is_known = owner.runs.borrow().get(&end.run).is_some_and(is_here);
         if !is_known && end.how != RunEnd::Done {
@@ -292,12 +301,25 @@
                 if session.claimed_life == Some(born) {
                     session.acked_upto = session.acked_upto.max(upto);
                 }
+                session.acked.notify_waiters();
             });
         }
     });
-    Some(async move {
-        let _ = acked.await;
-    })
+    let acked = acked.map(|_| ());
+    Some(acked.boxed_local())
+}
+
+/// Completes when ends that were taken before are acknowledged. Looked at again at once, a worker would list them anew.
+fn acknowledged(owner: &Owner, worker: &str, upto: u64) -> impl Future<Output = ()> + use<> {
+    let pending = owner.session(worker, |session| {
+        let is_pending = session.acked_upto < upto;
+        is_pending.then(|| Rc::clone(&session.acked))
+    });
+    async move {
+        if let Some(acked) = pending.flatten() {
+            acked.notified().await;
+        }
+    }
 }
 
 fn job_of(event: &Event) -> Option<JobId> {
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -26,6 +26,35 @@
     }
 }
 
+/// Tasks end while the store takes a third of a second for each row. A worker lists an end until it is acknowledged, and
+/// is looked at again before that. Taken anew at each look, every end went into the journal several times, just
+/// when it could take the least; hand-ins waited for these rows, and the counters told of ends that never were.
+#[test]
+fn an_end_is_taken_once_however_late_it_is_acknowledged() {
+    paused(async {
+        let world = World::new(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        world.set_slow_txn(Duration::from_millis(900), Duration::ZERO);
+        world.set_store("a", StoreMood::Slow);
+        for job in 0..6 {
+            assert_matches!(
+                world.submit(&cx, job, vec![step(4, 150, &[])]).await,
+                SubmitReply::Accepted | SubmitReply::Unknown
+            );
+        }
+        until("all are over", LIMIT * 4, async || {
+            world.state(&cx, 5).await == Some(JobState::Completed)
+        })
+        .await;
+        let text = cx.metrics.text();
+        let line = text.lines().find(|line| line.contains("outcome=\"done\""));
+        let count = line.and_then(|line| line.rsplit(' ').next());
+        assert_eq!(count, Some("24"), "{line:?}");
+        world.check();
+    });
+}
+
 /// A caller hands in three steps, the last after both others. Each task runs once, in order, and the
 /// caller sees the job completed; a repeat of the hand-in finds it.
 #[test]
