--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -188,7 +188,7 @@
 }
 
 /// A row stands still for longer than a lease. Read from a quick store that is a lapse; read from one whose answers
-/// take sixty times as long it is a renewal under way, and 97 daemons that try to take over would hold it up.
+/// take sixty times as long it is a renewal under way, which all the daemons that try to take over would hold up.
 #[test]
 fn a_lease_lapses_later_on_a_store_that_answers_late() {
     let row = LeaseRow {
