Left-over tasks stay off hosts that miss their targets already; overload is timed by host

Where a target was missed for certain one more task made the cost no worse, so it seemed to be free and was let in; and the time over the target was counted anew whenever no left-over task was there for a moment.

Ruled out: late stops (they took 0.2 s of 0.2 s allowed).

Change: what adds to a certain miss is told by a figure that goes on growing (`Outlook::overload`); the time runs by host whatever runs there (`policy::dispatch::overload`). Both have a test that failed first, or could not be written before.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -10,6 +10,7 @@
 pub mod forecast;
 pub mod order;
 pub mod outlook;
+pub mod overload;
 pub mod place;
 pub mod pressure;
 pub mod relief;
--- a/src/lapisdrum/policy/dispatch/outlook.rs
+++ b/src/lapisdrum/policy/dispatch/outlook.rs
@@ -86,9 +86,27 @@
 
     /// What its targets' misses cost over the moments, in seconds of a left-over task.
     pub fn cost(&self) -> f64 {
-        let width = 2.0 * DOUBT * self.variance.sqrt();
-        let missed = |strain: &f64| ((strain - self.limit) / width + 0.5).clamp(0.0, 1.0);
-        let missed: f64 = self.strain.iter().map(missed).sum();
+        let certain = 2.0 * self.margin();
+        let missed: f64 = self.beyond().map(|b| (b / certain).min(1.0)).sum();
         OVER_COST * f64::from(self.tasks) * missed * seconds(1)
     }
+
+    /// How far its targets may be missed, summed over the moments. Unlike the cost it goes on growing where they are
+    /// missed for certain: what adds to that must not seem to be free.
+    pub fn overload(&self) -> f64 {
+        self.beyond().sum()
+    }
+
+    /// Strain beyond which a target may be missed is this much below the limit, and certainly missed as much above.
+    fn margin(&self) -> f64 {
+        DOUBT * self.variance.sqrt()
+    }
+
+    /// Of each moment, how far the strain is beyond where a miss begins to be likely.
+    fn beyond(&self) -> impl Iterator<Item = f64> {
+        let likely = self.limit - self.margin();
+        self.strain
+            .iter()
+            .map(move |strain| (strain - likely).max(0.0))
+    }
 }
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -162,14 +162,16 @@
         })
     }
 
-    /// What the task is expected to cost the serving tasks there, in seconds of a left-over task.
-    fn cost_of(&self, need: &Need, pressure: &Pressure) -> f64 {
+    /// Whether the task is expected to have a serving task there miss its target, or miss it by more.
+    fn is_overloaded_by(&self, need: &Need, pressure: &Pressure) -> bool {
         let Some(presser) = self.presser(need) else {
-            return 0.0;
+            return false;
         };
         let moments = outlook::moments_within(need.duration);
-        let cost = |s: &Strained| s.pressed(&presser, moments, pressure).cost() - s.outlook.cost();
-        self.serving.iter().map(cost).sum()
+        self.serving.iter().any(|s| {
+            let pressed = s.pressed(&presser, moments, pressure);
+            pressed.overload() > s.outlook.overload()
+        })
     }
 
     /// The most that the task is expected to press on a serving task there.
@@ -285,7 +287,7 @@
         return Some(Unfit::Busy);
     }
     // It may as well wait where it would cost anything.
-    let is_dear = host.cost_of(need, pressure) > 0.0;
+    let is_dear = host.is_overloaded_by(need, pressure);
     is_dear.then_some(Unfit::Pressure)
 }
 
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -6,6 +6,7 @@
         time::{Millis, WorkerMillis, millis},
     },
     policy::dispatch::{
+        overload::Overload,
         place::{Load, reserved_by},
         pressure::Presser,
     },
@@ -109,8 +110,8 @@
     pub departed: Vec<Departed>,
     /// Until when no left-over task is sent there.
     pub leftover_closed_until: Millis,
-    /// Since when a serving task there is over its target beside left-over ones.
-    pub over_since: Option<Millis>,
+    /// For how long serving tasks there are over their targets.
+    pub overload: Overload,
     /// Failures in a row, and when the last was.
     pub failures: (u32, Millis),
     /// Whether it is being watched.
@@ -137,7 +138,7 @@
             surprises: IndexMap::new(),
             departed: Vec::new(),
             leftover_closed_until: Millis::default(),
-            over_since: None,
+            overload: Overload::default(),
             failures: (0, Millis::default()),
             is_watched: false,
         }
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -30,8 +30,6 @@
 const SHOWN_FIRST: Duration = Duration::from_millis(200);
 /// See [`SHOWN_FIRST`].
 const SHOWN_WHOLLY: Duration = Duration::from_millis(900);
-/// A tail that was over its target is taken to be so down to this part of it.
-const STILL_OVER: f64 = 0.94;
 /// A left-over task takes so many times its estimate, as long as nothing else is known of it.
 const USUAL_LENGTH: f64 = 1.3;
 /// Progress that tells how long the rest takes, in hundredths.
@@ -48,23 +46,11 @@
 /// Learns from a worker's lists, and acts on them.
 pub fn note(cx: &Cx, owner: &Rc<Owner>, worker: &str, lists: &Lists, now: Millis) {
     note_tails(owner, worker, lists, now);
+    let over_for = note_overload(owner, worker, now);
     let (runs, leftover, serving) = on_host(owner, worker, now);
     if leftover.is_empty() || serving.is_empty() {
-        owner.session(worker, |session| session.over_since = None);
         return;
     }
-    let before = owner
-        .session(worker, |session| session.over_since)
-        .flatten();
-    let is_over = is_over_target(owner, worker, before.is_some());
-    let over_since = owner.session(worker, |session| {
-        session.over_since = match is_over {
-            true => session.over_since.or(Some(now)),
-            false => None,
-        };
-        session.over_since
-    });
-    let over_for = over_since.flatten().map(|since| now.since(since));
     if over_for.is_some_and(|over| over >= cx.cfg.work.longest_over()) {
         clear(cx, owner, worker, &runs, &leftover, now);
         return;
@@ -83,20 +69,13 @@
     }
 }
 
-/// Whether a tail there is over its target. One that was is so until it is well below: the figure is rough, and a
-/// single one just below would begin the time that is borne anew.
-fn is_over_target(owner: &Owner, worker: &str, was_over: bool) -> bool {
-    let part = match was_over {
-        true => STILL_OVER,
-        false => 1.0,
-    };
-    let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
-    let here = sessions.get(worker).into_iter().flat_map(|s| &s.runs);
-    here.filter_map(|run| runs.get(run)).any(|record| {
-        record
-            .target_ms
-            .is_some_and(|target_ms| record.tail_ms > f64::from(target_ms) * part)
-    })
+/// For how long a serving task there has been over its target.
+fn note_overload(owner: &Owner, worker: &str, now: Millis) -> Option<Duration> {
+    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
+    let session = sessions.get_mut(worker)?;
+    let here = session.runs.iter().filter_map(|run| runs.get(run));
+    let tails = here.filter_map(|record| Some(record.tail_ms / f64::from(record.target_ms?)));
+    session.overload.note(tails, now)
 }
 
 /// Takes the newest tails in, and learns from them what disturbs what.
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -4,6 +4,7 @@
     core::{size::Size, time::Millis},
     policy::dispatch::{
         outlook::{MOMENTS, Outlook},
+        overload::Overload,
         place::{Host, Kept, Load, Need, Strained, choose, keep_for},
         pressure::{self, Image, Presser, Pressure, Victim, learned::Learned},
         relief::{self, Action, Leftover, Serving, Sight},
@@ -153,6 +154,17 @@
     assert_eq!(choose(&need, &hosts, &pressure), None);
 }
 
+/// A host whose serving tasks miss their targets for certain, whatever comes. One more left-over task made the figure no
+/// worse, seemed to be free and was let in; tails stayed over for as long as such tasks came.
+#[test]
+fn left_over_work_stays_off_hosts_that_miss_their_targets_already() {
+    let mut pressure = Pressure::default();
+    let (serving, batch) = (pressure.image("s"), pressure.image("b"));
+    let need = need(Load::Leftover, Some(batch));
+    let hosts = [host("over", &[victim(serving); 4], 1.4)];
+    assert_eq!(choose(&need, &hosts, &pressure), None);
+}
+
 /// Reserving work takes no notice of left-over work: its processors are its own.
 #[test]
 fn left_over_work_is_in_nobodys_way() {
@@ -302,6 +314,20 @@
     );
 }
 
+/// A tail is over its target while one left-over task ends and the next one comes, with a moment without any and with
+/// a figure just below in between. Counted anew each time, the bound for all of it was passed unnoticed.
+#[test]
+fn the_time_over_a_target_runs_on_between_left_over_tasks() {
+    let mut overload = Overload::default();
+    assert_eq!(overload.note([0.8, 0.9], Millis(0)), None);
+    let tails = [1.2, 1.0, 0.96, 1.3, 0.95];
+    for (tail, at) in tails.iter().zip(1_u64..) {
+        let over_for = overload.note([0.5, *tail], Millis(at * 500));
+        assert_eq!(over_for, Some(Duration::from_millis((at - 1) * 500)));
+    }
+    assert_eq!(overload.note([0.5, 0.9], Millis(3_000)), None);
+}
+
 /// A tail is over its target and nothing helps by itself: hosts are cleared. Seen late, stopped late and shown late,
 /// the tails must be down before the time that a deployment bears is over; a deployment that bears next to
 /// nothing still gives them a second to come down by themselves.
