A hand-in that was under way is never refused; tails are taken to be told later

Test first: Refused for Unknown.

Ruled out: asking again after a refusal (it may be untrue by then).

Change: once an owner has said that a hand-in is under way its end is an acceptance or unknown. Tails are taken to be told and come down 1.8 s late, and hosts with both kinds of tasks are looked at each 0.35 s again instead of 0.5 s.

--- a/src/lapisdrum/policy/dispatch/terms.rs
+++ b/src/lapisdrum/policy/dispatch/terms.rs
@@ -6,7 +6,7 @@
 const PLACE_TAKES: Duration = Duration::from_millis(500);
 /// A tail is known to be over its target this long after it is, and comes down this long after what pressed is
 /// gone, together: it is measured over half a second and read with the next look.
-const TOLD_AFTER: Duration = Duration::from_millis(1_500);
+const TOLD_AFTER: Duration = Duration::from_millis(1_800);
 /// However short the time borne, tails are given this long to come down by themselves.
 const LEAST_BORNE: Duration = Duration::from_millis(1_000);
 
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -69,22 +69,25 @@
         terms: queue.terms.clone(),
         is_sent,
     };
-    let mut is_sent = false;
-    let mut asked = ask_owner(cx, &seat, ask(is_sent)).await;
-    if let Asked::Answer(Answer::Submitted(SubmitReply::Elsewhere(to))) = asked {
-        seat = cx.seat(to);
-        is_sent = true;
-        asked = ask_owner(cx, &seat, ask(is_sent)).await;
-    }
-    while matches!(
-        asked,
-        Asked::Answer(Answer::Submitted(SubmitReply::UnderWay))
-    ) && cx.clock.now().since(began) + OWNER_TIMEOUT <= UNDER_WAY_LIMIT
-    {
-        asked = ask_owner(cx, &seat, ask(is_sent)).await;
-    }
+    let (mut is_sent, mut was_under_way) = (false, false);
+    let asked = loop {
+        let asked = ask_owner(cx, &seat, ask(is_sent)).await;
+        let is_time_left = cx.clock.now().since(began) + OWNER_TIMEOUT <= UNDER_WAY_LIMIT;
+        match &asked {
+            Asked::Answer(Answer::Submitted(SubmitReply::Elsewhere(to))) if !is_sent => {
+                seat = cx.seat(*to);
+                is_sent = true;
+            }
+            Asked::Answer(Answer::Submitted(SubmitReply::UnderWay)) if is_time_left => {
+                was_under_way = true;
+            }
+            _ => break asked,
+        }
+    };
     let outcome = match asked {
         Asked::Answer(Answer::Submitted(SubmitReply::Accepted)) => Outcome::Done(()),
+        // It may have been taken since, whatever is answered now: a refusal would be untrue.
+        _ if was_under_way => Outcome::Unknown,
         Asked::Answer(Answer::Submitted(SubmitReply::Busy(wait))) => Outcome::Refused(wait),
         Asked::Nobody => Outcome::Refused(NO_OWNER_RETRY),
         Asked::Answer(_) | Asked::Silence => Outcome::Unknown,
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -32,7 +32,7 @@
 /// progress fresh enough to see a stalled task within three looks.
 const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// The same where left-over tasks run beside serving ones, whose tails are fresh every half second.
-const LOOK_WAIT_SHARED: Duration = Duration::from_millis(500);
+const LOOK_WAIT_SHARED: Duration = Duration::from_millis(350);
 /// Wait before a worker that didn't answer is looked at again.
 const SILENT_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for ends to be durable before the next look; with the store away ends pile up at the
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -321,6 +321,37 @@
     });
 }
 
+/// The owner says that a hand-in is under way, and nobody is known to own the shard when it is to be asked again. Its row
+/// is written all the same, and the job is there: told that it was refused, the caller would have it twice.
+#[test]
+fn a_hand_in_that_was_under_way_is_not_refused() {
+    paused(async {
+        let world = World::new(1);
+        let owner = world.daemon_in("a", "westlands");
+        owned(&owner, LIMIT).await;
+        let front = world.daemon("b");
+        sleep(Duration::from_secs(2)).await;
+        let slow = Duration::from_millis(1_500);
+        world.set_slow_txn(slow, Duration::ZERO);
+        world.set_store("a", StoreMood::Slow);
+        let held = owner.seat(ShardId(0)).owner.borrow().clone();
+        held.expect("an owner").journal.note_answer(slow);
+        let (cut_off, moods) = (Rc::clone(&front), Rc::clone(&world));
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(300)).await;
+            moods.set_store("b", StoreMood::Away);
+            *cut_off.seat(ShardId(0)).lease.borrow_mut() = LeaseView::default();
+        });
+        let outcome = front::submit(&front, &queue(), JobId(1), spec("work")).await;
+        assert_eq!(outcome, Outcome::Unknown);
+        world.set_store("a", StoreMood::Up);
+        until("it is accepted", LIMIT, async || {
+            world.state(&owner, 1).await.is_some()
+        })
+        .await;
+    });
+}
+
 /// The store is away for everybody. Daemons of other data centres answer, so none takes itself for cut off: all
 /// would leave the balancer together, and callers would find nobody.
 #[test]
