Evacuation of a data centre: nothing new is started on its workers

Ruled out: one daemon that reads for all (a frozen one leaves all with an old belief); moving what runs there (lasting tasks would be down for nothing that callers get). Change: the catalogue's read also brings the evacuations, so no call more; owners ask sched::evacuation when they place and again when they send a start; a belief older than the bound less an order's transit starts nothing; load told to other shards counts open workers; submissions are refused while everything is evacuated.

--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -151,12 +151,21 @@
     pub max_body_bytes: Option<u64>,
 }
 
+/// What operators have asked for, as of one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OperatorState {
+    /// The newest catalogue; none before the first.
+    pub catalogue: Option<Catalogue>,
+    /// The data centres that are evacuated, each with the version of the request.
+    pub evacuated: IndexMap<String, u64>,
+}
+
 /// Names workers and queues.
 pub trait Directory {
     /// The workers that are registered now.
     fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>>;
-    /// The newest catalogue; none before the first.
-    fn catalogue(&self) -> LocalBoxFuture<'_, Result<Option<Catalogue>, CallError>>;
+    /// The catalogue and the evacuated data centres.
+    fn operator_state(&self) -> LocalBoxFuture<'_, Result<OperatorState, CallError>>;
 }
 
 /// An order to start a run.
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -58,6 +58,8 @@
     pub jobs_active: Gauge,
     /// Runs that may be alive.
     pub runs_live: Gauge,
+    /// Runs that are left in evacuated data centres.
+    pub runs_in_evacuated: Gauge,
     submits: Family<OutcomeLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
     job_seconds: Histogram,
@@ -81,6 +83,7 @@
             takeovers: Counter::default(),
             jobs_active: Gauge::default(),
             runs_live: Gauge::default(),
+            runs_in_evacuated: Gauge::default(),
             submits: Family::default(),
             jobs: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(FIRST_JOB_BUCKET, 2.0, BUCKETS)),
@@ -124,6 +127,12 @@
         r.register("jobs_active", "Jobs that are not over", active);
         let live = self.runs_live.clone();
         r.register("runs_live", "Runs that may be alive", live);
+        let evacuated = self.runs_in_evacuated.clone();
+        r.register(
+            "runs_in_evacuated",
+            "Runs left in evacuated data centres",
+            evacuated,
+        );
         r.register("submits", "Jobs handed in", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -9,6 +9,7 @@
 //! what is asked of the world. Everything runs on one thread; state is never borrowed across an `await`.
 
 pub mod edge;
+pub mod evacuation;
 pub mod event;
 pub mod front;
 pub mod job;
@@ -17,6 +18,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod metrics;
+pub mod operators;
 pub mod owner;
 pub mod peer;
 pub mod process;
@@ -62,6 +64,8 @@
     pub leases: LeaseLimits,
     /// What holds for stops, restores and tails.
     pub work: Terms,
+    /// How long after its acknowledgement an evacuation must be in force.
+    pub evacuated_within: Duration,
     /// The part of a core that the process has.
     pub cpu_share: f64,
     /// How long a job that is over is remembered.
@@ -106,6 +110,8 @@
     pub metrics: metrics::Metrics,
     /// The catalogue in force here; none before the first was read.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// Which data centres are evacuated.
+    pub evacuations: RefCell<evacuation::Evacuations>,
     /// Which shard owns what; none before it was first read.
     pub layout: RefCell<Option<Rc<Layout>>>,
     /// What is known of each shard, by its number.
@@ -139,6 +145,7 @@
             reach: reach::Reach::default(),
             metrics: metrics::Metrics::new(),
             catalogue: RefCell::default(),
+            evacuations: RefCell::default(),
             layout: RefCell::default(),
             seats: RefCell::default(),
             store_up: Cell::new(true),
@@ -171,6 +178,13 @@
         owners.collect()
     }
 
+    /// Whether tasks may be started in a data centre.
+    pub fn allows_starts_in(&self, data_centre: &str) -> bool {
+        let (bound, transit) = (self.cfg.evacuated_within, self.cfg.leases.transit);
+        let evacuations = self.evacuations.borrow();
+        evacuations.allows_starts(data_centre, self.clock.now(), bound, transit)
+    }
+
     /// Whether the process has been told to end.
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- /dev/null
+++ b/src/lapisdrum/sched/operators.rs
@@ -0,0 +1,71 @@
+//! Follows what operators ask for: the catalogue, and which data centres are evacuated.
+//!
+//! Every daemon polls for itself, so that a change is in force everywhere without a call between daemons, and a
+//! daemon that takes a shard over already knows it.
+
+use super::{
+    Cx,
+    edge::{Catalogue, OperatorState},
+    evacuation::Change,
+};
+use crate::core::time::Millis;
+use std::{rc::Rc, time::Duration};
+
+/// Time between two reads: a change is in force within half of the bound of 2 s, with one read lost.
+const POLL: Duration = Duration::from_millis(600);
+
+/// Polls until the process ends.
+pub async fn follow(cx: Cx) {
+    loop {
+        let asked_at = cx.clock.now();
+        match cx.directory.operator_state().await {
+            Ok(read) => {
+                cx.note_store(Ok(()));
+                adopt(&cx, read, asked_at);
+            }
+            Err(e) => cx.note_store(Err(&e.0)),
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn adopt(cx: &Cx, read: OperatorState, asked_at: Millis) {
+    if let Some(catalogue) = read.catalogue {
+        adopt_catalogue(cx, catalogue);
+    }
+    let changes = cx
+        .evacuations
+        .borrow_mut()
+        .note(&read.evacuated, asked_at, cx.clock.now());
+    for change in &changes {
+        log_change(change);
+    }
+    if !changes.is_empty() {
+        cx.owners().iter().for_each(|owner| owner.wake.notify_one());
+    }
+}
+
+/// Adopts a catalogue that was read; an older one, in an answer that was overtaken, is passed over.
+fn adopt_catalogue(cx: &Cx, read: Catalogue) {
+    let before = cx.catalogue.borrow().as_ref().map(|known| known.version);
+    if before.is_some_and(|before| read.version <= before) {
+        return;
+    }
+    log::info!(version = read.version, before:? = before, queues = read.queues.len(); "catalogue in force");
+    *cx.catalogue.borrow_mut() = Some(Rc::new(read));
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::Evacuated {
+            data_centre,
+            version,
+            read_took,
+        } => {
+            log::warn!(data_centre:%, version, read_took_ms = read_took.as_millis() as u64; "data centre is evacuated");
+        }
+        Change::Restored { data_centre, after } => {
+            log::warn!(data_centre:%, after_ms = after.as_millis() as u64; "data centre is restored");
+        }
+    }
+}
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -4,6 +4,7 @@
 use super::{
     Owner,
     runs::{self, load_of},
+    session::Session,
     strain,
 };
 use crate::{
@@ -56,6 +57,26 @@
     pub fn may_place(&self, cx: &Cx) -> bool {
         self.is_recovered() && self.journal.is_flowing(cx.clock.now())
     }
+
+    /// The workers to which new tasks may be sent.
+    pub fn open_workers(&self, cx: &Cx) -> Vec<Rc<WorkerReport>> {
+        let sessions = self.sessions.borrow();
+        let open = sessions.values().filter_map(Session::open_for_tasks);
+        let open = open.filter(|report| cx.allows_starts_in(&report.data_centre));
+        open.cloned().collect()
+    }
+
+    /// Whether all workers of the shard are in evacuated data centres, so that nothing can be started.
+    pub fn is_evacuated(&self, cx: &Cx) -> bool {
+        let (sessions, evacuations) = (self.sessions.borrow(), cx.evacuations.borrow());
+        let mut registered = sessions
+            .values()
+            .filter(|session| session.is_registered)
+            .filter_map(|session| session.report.as_ref())
+            .peekable();
+        registered.peek().is_some()
+            && registered.all(|report| evacuations.is_evacuated(&report.data_centre))
+    }
 }
 
 /// How the placing of a step's tasks ended.
@@ -92,7 +113,7 @@
         return;
     }
     waiting.sort_by_key(|waiting| waiting.rank);
-    let reports = open_workers(owner);
+    let reports = owner.open_workers(cx);
     let mut hosts = hosts_of(cx, owner, &reports);
     let mut placed = Vec::new();
     let mut without_room: IndexMap<String, Option<Unfit>> = IndexMap::new();
@@ -203,12 +224,6 @@
     free
 }
 
-fn open_workers(owner: &Owner) -> Vec<Rc<WorkerReport>> {
-    let sessions = owner.sessions.borrow();
-    let open = sessions.values().filter_map(|s| s.open_for_tasks());
-    open.cloned().collect()
-}
-
 fn hosts_of<'a>(cx: &Cx, owner: &Owner, reports: &'a [Rc<WorkerReport>]) -> Vec<Host<'a>> {
     let now = cx.clock.now();
     let sessions = owner.sessions.borrow();
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -21,6 +21,9 @@
 /// When a caller should come back that is refused while the store doesn't take rows.
 const STORE_AWAY_RETRY: Duration = Duration::from_secs(1);
 
+/// The same while every data centre is evacuated: operators take one back within seconds at the soonest.
+const EVACUATED_RETRY: Duration = Duration::from_secs(5);
+
 /// Takes a job in. A repeat of an id finds the job that is there.
 pub async fn submit(
     cx: &Cx,
@@ -40,6 +43,10 @@
     if !is_known && !owner.journal.is_flowing(cx.clock.now()) {
         return SubmitReply::Busy(STORE_AWAY_RETRY);
     }
+    if !is_known && owner.is_evacuated(cx) {
+        log::info!(job:% = job, shard:% = owner.seat.part; "submission refused: every data centre is evacuated");
+        return SubmitReply::Busy(EVACUATED_RETRY);
+    }
     if !is_known {
         accept(cx, owner, job, spec, terms);
     }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -109,6 +109,8 @@
     pub begun_at: RefCell<IndexMap<JobId, Millis>>,
     /// What steps wait for, and when that was last looked at.
     pub waits: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
+    /// How many runs are left in each evacuated data centre.
+    left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Unknown runs that are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -151,6 +153,7 @@
             forecast: RefCell::default(),
             begun_at: RefCell::default(),
             waits: RefCell::default(),
+            left_in_evacuated: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             standing: Cell::new(Standing::Recovering),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -258,10 +258,12 @@
     let now = cx.clock.now();
     let (address, lease_until) = owner.session(&on.worker, |session| {
         let is_same_life = session.claimed_life == Some(on.born);
-        let address = session.report.as_ref()?.address.clone();
+        let report = session.report.as_ref()?;
         let end = session.lease_end(now, cx.cfg.leases.sent())?;
         let is_heard = session.silent_since.is_none();
-        (is_same_life && is_heard).then_some((address, end))
+        // Its data centre may have been evacuated since the run was placed.
+        let is_open = cx.allows_starts_in(&report.data_centre);
+        (is_same_life && is_heard && is_open).then(|| (report.address.clone(), end))
     })??;
     let ledger = owner.ledger.borrow();
     let job = ledger.jobs.get(&run.task.job)?;
--- a/src/lapisdrum/sched/owner/send.rs
+++ b/src/lapisdrum/sched/owner/send.rs
@@ -41,7 +41,7 @@
     spec: &JobSpec,
 ) -> Option<SubmitReply> {
     if let Some(other) = candidate(cx, owner, job, spec) {
-        let own = owner.lasting_load();
+        let own = owner.lasting_load(cx);
         let seat = cx.seat(other);
         let asked = tokio::time::timeout(LOAD_TIMEOUT, front::load_of(cx, &seat)).await;
         let theirs = asked.ok().flatten();
@@ -98,13 +98,12 @@
 
 impl Owner {
     /// What lasting jobs ask for of the shard's processors, in thousandths; none before its workers are known.
-    pub fn lasting_load(&self) -> Option<u32> {
+    pub fn lasting_load(&self, cx: &Cx) -> Option<u32> {
         if !self.is_recovered() {
             return None;
         }
-        let sessions = self.sessions.borrow();
-        let open = sessions.values().filter_map(|s| s.open_for_tasks());
-        let capacity: u64 = open.map(|report| report.capacity.millicores).sum();
+        let open = self.open_workers(cx);
+        let capacity: u64 = open.iter().map(|report| report.capacity.millicores).sum();
         let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
         let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
         let jobs = jobs.filter(|job| job.phase == Phase::Active);
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -9,6 +9,7 @@
     ledger::{Phase, SentJob},
     settle::{Order, Stop},
 };
+use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
 
 /// Time between two rounds.
@@ -27,6 +28,7 @@
         give_up_lapsed(&cx, &owner);
         stop_stalled(&cx, &owner);
         forget_old(&cx, &owner);
+        note_evacuated(&cx, &owner);
         note_gauges(&cx);
         tokio::time::sleep(ROUND).await;
     }
@@ -96,10 +98,42 @@
     drop(owner.propose(cx, events.collect()));
 }
 
+/// Counts the runs that are left in each evacuated data centre, and says when the last of the shard's has ended.
+fn note_evacuated(cx: &Cx, owner: &Owner) {
+    let evacuations = cx.evacuations.borrow();
+    let mut left: IndexMap<String, usize> = evacuations
+        .evacuated()
+        .map(|data_centre| (data_centre.to_owned(), 0))
+        .collect();
+    for session in owner.sessions.borrow().values() {
+        let data_centre = session.report.as_ref().map(|report| &report.data_centre);
+        if let Some(count) = data_centre.and_then(|name| left.get_mut(name)) {
+            *count += session.runs.len();
+        }
+    }
+    let before = owner.left_in_evacuated.replace(left);
+    for (data_centre, count) in &*owner.left_in_evacuated.borrow() {
+        let had_some = before.get(data_centre).is_none_or(|before| *before > 0);
+        if *count == 0 && had_some {
+            log::info!(data_centre:%, shard:% = owner.seat.part; "nothing of the shard runs in the evacuated data centre");
+        }
+    }
+}
+
 /// A process may own several shards; the gauges tell of all of them.
 fn note_gauges(cx: &Cx) {
     let owners = cx.owners();
     let sum = |count: fn(&Owner) -> usize| owners.iter().map(|o| count(o)).sum::<usize>() as i64;
     cx.metrics.jobs_active.set(sum(|o| o.active.borrow().len()));
     cx.metrics.runs_live.set(sum(|o| o.runs.borrow().len()));
+    cx.metrics
+        .runs_in_evacuated
+        .set(sum(Owner::runs_in_evacuated));
+}
+
+impl Owner {
+    /// Runs that are left in evacuated data centres, as of the last round.
+    fn runs_in_evacuated(&self) -> usize {
+        self.left_in_evacuated.borrow().values().sum()
+    }
 }
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -185,7 +185,7 @@
         (Ask::Load, None) => Answer::Load(None),
         (Ask::Learned(_), None) => Answer::Learned(None),
         (Ask::Learned(upto), Some(owner)) => Answer::Learned(learned::tell(cx, &owner, upto)),
-        (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load()),
+        (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load(cx)),
         (
             Ask::Submit {
                 job,
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -108,7 +108,7 @@
             .replace("{{bounds.holdMaxMs}}", "6000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.graceS}}", "6");
-        let settings = ["stopTimeoutMs", "restoreMs", "harmMs"]
+        let settings = ["stopTimeoutMs", "restoreMs", "harmMs", "evacuateMs"]
             .iter()
             .fold(settings, |settings, name| {
                 with_bound(&settings, name, "900")
@@ -300,6 +300,29 @@
     assert_eq!(leaving.started.borrow().len(), before);
 }
 
+/// Guards against evacuations that don't reach a daemon over the platform's wire, and against ones that never end.
+#[actix_rt::test]
+async fn an_evacuated_data_centre_gets_no_task_until_it_is_taken_back() {
+    let site = Site::start(1).await;
+    site.submit(0, "00000000000000a1", &two_steps("50")).await;
+    site.until_state(0, "00000000000000a1", "completed").await;
+    site.store.put("op", "evacuate/karen", &json!({}));
+    let (body, front) = (two_steps("50").to_string(), site.daemons[0].1);
+    let mut ids = 0xd1..;
+    wait::until("a new job is refused", LIMIT, async || {
+        let path = format!("/maps/{:016x}", ids.next().unwrap_or_default());
+        let refused = http::send(Method::POST, front, &path, &[HOST], body.clone()).await;
+        refused.is_ok_and(|a| a.status == 503 && a.header("retry-after").is_some())
+    })
+    .await;
+    let before = site.started();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.started(), before);
+    site.store.remove("op", "evacuate/karen");
+    site.submit(0, "0000000000000fff", &two_steps("50")).await;
+    site.until_state(0, "0000000000000fff", "completed").await;
+}
+
 /// The owner is killed while tasks run. The other daemon takes over: the tasks run on, nothing starts
 /// twice, and the job is completed.
 #[actix_rt::test]
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -172,8 +172,8 @@
     let cx = world.daemon("a");
     until("it owns both", LIMIT, async || cx.owners().len() == 2).await;
     all_owned(std::slice::from_ref(&cx), 2).await;
-    let catalogue = cx.directory.catalogue().await.expect("an answer");
-    let queue = catalogue.expect("a catalogue").queues["maps"].clone();
+    let asked = cx.directory.operator_state().await.expect("an answer");
+    let queue = asked.catalogue.expect("a catalogue").queues["maps"].clone();
     (world, cx, queue)
 }
 
@@ -344,7 +344,7 @@
         until("the workers are claimed", LIMIT, async || {
             cx.owners()
                 .iter()
-                .all(|owner| owner.lasting_load().is_some())
+                .all(|owner| owner.lasting_load(&cx).is_some())
         })
         .await;
         let crowded = (1..).filter(|id| home(&cx, *id) == ShardId(0));
--- a/tests/testsuite/sched/random.rs
+++ b/tests/testsuite/sched/random.rs
@@ -1,6 +1,6 @@
 //! The real owner under faults drawn at random: whatever comes, no task runs twice at once, none is
-//! started after its end was taken, no worker is overcommitted, and every accepted job is completed once
-//! the faults are over.
+//! started after its end was taken, no worker is overcommitted, nothing is sent to a data centre that was evacuated,
+//! and every accepted job is completed once the faults are over.
 
 use super::{
     paused,
@@ -18,6 +18,9 @@
 /// Time for everything to be completed after the last fault.
 const AFTERWARDS: Duration = Duration::from_secs(60);
 
+/// Where each worker is.
+const DATA_CENTRES: [&str; 3] = ["westlands", "karen", "kilimani"];
+
 #[derive(Clone, Debug)]
 enum Fault {
     Cut(usize),
@@ -29,6 +32,8 @@
     TurnAway(usize),
     LoseAnswers(usize),
     Serve(usize),
+    Evacuate(usize),
+    Restore(usize),
 }
 
 fn any_fault() -> impl Strategy<Value = Fault> {
@@ -42,6 +47,8 @@
         (0..2_usize).prop_map(Fault::TurnAway),
         (0..2_usize).prop_map(Fault::LoseAnswers),
         (0..2_usize).prop_map(Fault::Serve),
+        (0..3_usize).prop_map(Fault::Evacuate),
+        (0..3_usize).prop_map(Fault::Restore),
     ]
 }
 
@@ -71,6 +78,8 @@
             Fault::TurnAway(d) => self.world.set_store(daemon(d), StoreMood::Away),
             Fault::LoseAnswers(d) => self.world.set_store(daemon(d), StoreMood::LosesAnswers),
             Fault::Serve(d) => self.world.set_store(daemon(d), StoreMood::Up),
+            Fault::Evacuate(at) => self.world.evacuate(DATA_CENTRES[*at]),
+            Fault::Restore(at) => self.world.restore(DATA_CENTRES[*at]),
         }
     }
 
@@ -85,6 +94,7 @@
             self.revive(at);
             self.world.cut(&format!("w{at}"), false);
             self.world.set_mood(&format!("w{at}"), WorkerMood::Prompt);
+            self.world.restore(DATA_CENTRES[at]);
         }
         for daemon in ["a", "b"] {
             self.world.set_store(daemon, StoreMood::Up);
@@ -99,6 +109,9 @@
 
 async fn play(faults: Vec<(u64, Fault)>) {
     let world = World::new(3);
+    for (at, data_centre) in DATA_CENTRES.iter().enumerate() {
+        world.put_in(&format!("w{at}"), data_centre);
+    }
     let daemons = vec![world.daemon("a"), world.daemon("b")];
     let mut play = Play {
         world: Rc::clone(&world),
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -17,13 +17,13 @@
     sched::{
         Cx, Node, NodeSettings,
         edge::{
-            CallError, Catalogue, Directory, ListedEnd, ListedRun, Lists, LookOrder, OrderEnd,
-            Queue, Refusal, RowKey, StartOrder, Txn, TxnEnd, WorkerReport, Workers,
+            CallError, Catalogue, Directory, ListedEnd, ListedRun, Lists, LookOrder, OperatorState,
+            OrderEnd, Queue, Refusal, RowKey, StartOrder, Txn, TxnEnd, WorkerReport, Workers,
         },
         event::{RunEnd, RunId, WorkerLife},
         job::{JobId, JobSpec, QueueTerms, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
-        lease,
+        lease, operators,
         peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
         settle::LeaseLimits,
     },
@@ -58,6 +58,8 @@
 const LONGEST_LEASE: Duration = Duration::from_secs(6);
 /// Time that a stop takes.
 const STOP: Duration = Duration::from_millis(300);
+/// Time after which an evacuation must be in force.
+const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
 /// Step of a worker that waits for an end.
 const WAIT_STEP: Duration = Duration::from_millis(10);
 
@@ -121,6 +123,7 @@
     /// Whether it is dead; nothing runs there.
     is_dead: bool,
     is_listed: bool,
+    data_centre: String,
     leaving_in: Option<Duration>,
     mood: WorkerMood,
     is_stalled: bool,
@@ -136,6 +139,8 @@
     /// How long a slow store works on a transaction, and how much later its answer comes.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
+    /// Since when data centres are evacuated, by the store's acknowledgement.
+    evacuated: RefCell<IndexMap<String, Instant>>,
     /// Run time of tasks of each step, by job.
     jobs: RefCell<IndexMap<JobId, Vec<Step>>>,
     /// Tasks of which an end as done was acknowledged.
@@ -146,6 +151,8 @@
     /// Whether orders that are carried out late outlive their worker's crash, as packets on the way may;
     /// by default they are lost with it.
     pub(crate) orders_outlive_crashes: Cell<bool>,
+    /// Whether nobody can read what operators ask for.
+    pub(crate) operators_are_silent: Cell<bool>,
     /// Most workers of a shard, for daemons made from now on; all in one at first.
     pub(crate) workers_a_shard: Cell<usize>,
     /// Starts that were carried out.
@@ -209,11 +216,13 @@
             moods: RefCell::default(),
             slow_txn: Cell::new((SLOW_TXN, Duration::ZERO)),
             workers: RefCell::default(),
+            evacuated: RefCell::default(),
             jobs: RefCell::default(),
             taken: RefCell::default(),
             done: RefCell::default(),
             failing: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
+            operators_are_silent: Cell::new(false),
             workers_a_shard: Cell::new(usize::MAX),
             starts: RefCell::default(),
             breaches: RefCell::default(),
@@ -247,6 +256,7 @@
             is_cut: false,
             is_dead: false,
             is_listed: true,
+            data_centre: DATA_CENTRE.to_owned(),
             leaving_in: None,
             mood: WorkerMood::Prompt,
             is_stalled: false,
@@ -292,6 +302,7 @@
     fn make_daemon(self: &Rc<Self>, name: &str, data_centre: &str, address: SocketAddr) -> Cx {
         let cx = self.node(name, data_centre, address);
         actix_rt::spawn(lease::run(Rc::clone(&cx)));
+        actix_rt::spawn(operators::follow(Rc::clone(&cx)));
         cx
     }
 
@@ -304,6 +315,7 @@
             workers_a_shard: self.workers_a_shard.get(),
             leases: limits(),
             work: work_terms(),
+            evacuated_within: EVACUATED_WITHIN,
             cpu_share: 0.25,
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
@@ -314,6 +326,7 @@
         });
         let edges = Rc::new(Edges {
             world: Rc::clone(self),
+            daemon: name.to_owned(),
             cut: Cell::new(false),
         });
         Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges)
@@ -346,6 +359,11 @@
         self.moods.borrow_mut().insert(daemon.to_owned(), mood);
     }
 
+    fn mood_of(&self, daemon: &str) -> StoreMood {
+        let moods = self.moods.borrow();
+        moods.get(daemon).copied().unwrap_or(StoreMood::Up)
+    }
+
     fn change(&self, worker: &str, change: impl FnOnce(&mut Worker)) {
         change(self.workers.borrow_mut().get_mut(worker).expect("a worker"));
     }
@@ -381,6 +399,36 @@
         self.change(worker, |w| w.leaving_in = Some(Duration::from_secs(2)));
     }
 
+    /// Puts a worker into another data centre.
+    pub(crate) fn put_in(&self, worker: &str, data_centre: &str) {
+        self.change(worker, |w| w.data_centre = data_centre.to_owned());
+    }
+
+    /// Has a data centre evacuated, as its operator is told by the store.
+    pub(crate) fn evacuate(&self, data_centre: &str) {
+        let mut evacuated = self.evacuated.borrow_mut();
+        evacuated
+            .entry(data_centre.to_owned())
+            .or_insert_with(Instant::now);
+    }
+
+    /// Takes a data centre back.
+    pub(crate) fn restore(&self, data_centre: &str) {
+        self.evacuated.borrow_mut().swap_remove(data_centre);
+    }
+
+    /// Notes a start that arrives in a data centre that was evacuated too long ago.
+    fn check_evacuation(&self, id: &str, run: &RunId) {
+        let data_centre = self.workers.borrow()[id].data_centre.clone();
+        let since = self.evacuated.borrow().get(&data_centre).copied();
+        let ago = since.map(|since| since.elapsed());
+        if ago.is_some_and(|ago| ago > EVACUATED_WITHIN) {
+            self.breach(format!(
+                "{run:?} is sent to {data_centre} {ago:?} after it was evacuated"
+            ));
+        }
+    }
+
     /// What a worker does with orders to start from now on.
     pub(crate) fn set_mood(&self, worker: &str, mood: WorkerMood) {
         self.change(worker, |w| w.mood = mood);
@@ -647,6 +695,7 @@
 
 struct Edges {
     world: Rc<World>,
+    daemon: String,
     cut: Cell<bool>,
 }
 
@@ -677,6 +726,7 @@
             if !self.reach(id).await {
                 return OrderEnd::Silent(silence());
             }
+            self.world.check_evacuation(id, &order.run);
             let (mood, born) = {
                 let workers = self.world.workers.borrow();
                 (workers[id].mood, workers[id].born)
@@ -831,7 +881,7 @@
                 },
                 pool: "pool".to_owned(),
                 address: format!("{id}:1"),
-                data_centre: "karen".to_owned(),
+                data_centre: worker.data_centre.clone(),
                 capacity: worker.capacity,
                 labels: Vec::new(),
                 rack: Some(id.clone()),
@@ -842,18 +892,29 @@
         .boxed_local()
     }
 
-    fn catalogue(&self) -> LocalBoxFuture<'_, Result<Option<Catalogue>, CallError>> {
+    fn operator_state(&self) -> LocalBoxFuture<'_, Result<OperatorState, CallError>> {
         async move {
+            sleep(STORE_CALL).await;
+            let mood = self.world.mood_of(&self.daemon);
+            if mood == StoreMood::Away || self.world.operators_are_silent.get() {
+                sleep(SILENCE).await;
+                return Err(silence());
+            }
             let queue = Queue {
                 terms: terms(),
                 host: "maps.example".to_owned(),
                 path_prefix: "/maps/".to_owned(),
             };
-            Ok(Some(Catalogue {
+            let catalogue = Catalogue {
                 version: 1,
                 queues: IndexMap::from_iter([("maps".to_owned(), queue)]),
                 max_body_bytes: None,
-            }))
+            };
+            let evacuated = self.world.evacuated.borrow();
+            Ok(OperatorState {
+                catalogue: Some(catalogue),
+                evacuated: evacuated.keys().map(|name| (name.clone(), 1)).collect(),
+            })
         }
         .boxed_local()
     }
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -17,8 +17,7 @@
 
 impl StoreHandle {
     fn mood(&self) -> StoreMood {
-        let moods = self.world.moods.borrow();
-        moods.get(&self.daemon).copied().unwrap_or(StoreMood::Up)
+        self.world.mood_of(&self.daemon)
     }
 
     /// Lets a call's time pass; false when the store is away.
