--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -11,6 +11,7 @@
 mod random;
 mod settle;
 mod strain;
+mod takeover;
 mod world;
 
 /// Runs a test under a paused clock that jumps to the next timer whenever nothing else is to be done.
--- /dev/null
+++ b/tests/testsuite/sched/takeover.rs
@@ -0,0 +1,184 @@
+//! What an owner that was replaced may still do, and what its successor may conclude.
+
+use super::{
+    paused,
+    world::{StoreMood, World, owned, owns, spec, step, terms, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{
+    edge::{RowKey, Txn, TxnEnd},
+    event::Event,
+    job::JobId,
+    journal::{AppendEnd, JOURNAL_TABLE, Journal},
+    layout::ShardId,
+    lease::LEASE,
+    ledger::Ledger,
+    peer::{CancelReply, JobState, SubmitReply},
+    reach,
+};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Guards against a task that runs twice: its worker hears only the owner that the store turns away, whose renewals
+/// must be over before the successor starts the task elsewhere.
+#[test]
+fn a_replaced_owner_stops_renewing_before_its_successor_starts_anew() {
+    paused(async {
+        let world = World::new(2);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        let steps = vec![step(1, 60_000, &[])];
+        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+        until("it runs", LIMIT, async || world.running().len() == 1).await;
+        let on_first = ["w0", "w1"].map(|w| !world.running_on(w).is_empty());
+        world.cut_from("b", if on_first[0] { "w0" } else { "w1" });
+        world.set_store("a", StoreMood::Away);
+        owned(&second, LIMIT).await;
+        until("it is started anew", LIMIT * 6, async || {
+            world.starts.borrow().len() == 2
+        })
+        .await;
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against a cancel that is confirmed and then forgotten: the first one's row is not durable yet.
+#[test]
+fn a_second_cancel_is_confirmed_no_sooner_than_the_first() {
+    paused(async {
+        let world = World::new(1);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        let steps = vec![step(1, 60_000, &[])];
+        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+        until("it runs", LIMIT, async || world.running().len() == 1).await;
+        world.set_store("a", StoreMood::Away);
+        assert_matches!(world.cancel(&first, 1).await, CancelReply::Unknown);
+        let again = world.cancel(&first, 1).await;
+        assert_ne!(again, CancelReply::Done);
+        owned(&second, LIMIT).await;
+        assert_eq!(world.state(&second, 1).await, Some(JobState::Running));
+    });
+}
+
+/// An address that accepts connections and never answers, as that of a frozen process.
+fn frozen_address() -> (std::net::TcpListener, SocketAddr) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Guards against a frozen or slow owner that is replaced at its first missing renewal.
+#[test]
+fn an_owner_that_does_not_answer_keeps_its_lease() {
+    paused(async {
+        let world = World::new(1);
+        let (_listener, address) = frozen_address();
+        let first = world.daemon_at("a", address);
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        sleep(Duration::from_secs(1)).await;
+        world.set_store("a", StoreMood::Away);
+        sleep(LEASE - Duration::from_millis(450)).await;
+        assert!(!owns(&second, ShardId(0)));
+        owned(&second, LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against an owner found gone whose successors are then taken for gone too.
+#[test]
+fn a_successor_of_an_owner_that_was_gone_keeps_the_shard() {
+    paused(async {
+        let world = World::new(1);
+        let (listener, address) = frozen_address();
+        let first = world.daemon_at("a", address);
+        drop(listener);
+        owned(&first, LIMIT).await;
+        let others = ["b", "c"].map(|name| world.daemon(name));
+        sleep(Duration::from_secs(1)).await;
+        world.set_store("a", StoreMood::Away);
+        until("one has taken over", LIMIT, async || {
+            others.iter().any(|cx| owns(cx, ShardId(0)))
+        })
+        .await;
+        let (_, fence) = world.fence("shard-0");
+        sleep(LIMIT * 2).await;
+        assert_eq!(world.fence("shard-0").1, fence);
+    });
+}
+
+/// Guards against a daemon that leaves the balancer while the store answers it: others' silence alone is no cut.
+#[test]
+fn a_daemon_that_reaches_the_store_stays_ready() {
+    paused(async {
+        let world = World::new(1);
+        let (owner, relay) = world.daemon_behind_relay("a", "westlands");
+        owned(&owner, LIMIT).await;
+        let other = world.daemon("b");
+        actix_rt::spawn(reach::follow(Rc::clone(&other)));
+        sleep(Duration::from_secs(3)).await;
+        relay.cut();
+        for _ in 0..40 {
+            sleep(Duration::from_millis(100)).await;
+            assert!(!other.reach.is_alone());
+        }
+    });
+}
+
+/// Guards against a shard that is never recovered again: an owner ended after its snapshot was stored and before the rows
+/// that it covers were deleted.
+#[test]
+fn rows_that_a_snapshot_covers_are_passed_over() {
+    paused(async {
+        let world = World::new(0);
+        let cx = world.idle_daemon("a");
+        let (fence, _) = world.fence("shard-0");
+        let raise = Txn {
+            put: vec![(fence.clone(), "a".into())],
+            ..Txn::default()
+        };
+        let TxnEnd::Committed(version) = cx.store.commit(&raise).await else {
+            panic!("the fence is not raised");
+        };
+        let journal = Rc::new(Journal::new("shard-0", (fence, version)));
+        let (writer, on) = (Rc::clone(&journal), Rc::clone(&cx));
+        let state = || serde_json::to_vec(&Ledger::default()).expect("a text form");
+        actix_rt::spawn(async move { writer.write_all(&on, state).await });
+        let accepted = |job| Event::Accepted {
+            job: JobId(job),
+            spec: Rc::new(spec("work")),
+            terms: terms(),
+            at_unix_ms: 0,
+        };
+        let mut covered = None;
+        for job in 0..500 {
+            let ticket = journal.append(&[accepted(job)]);
+            assert_eq!(ticket.end().await, AppendEnd::Durable);
+            let rows = cx.store.rows(JOURNAL_TABLE, "shard-0", "").await;
+            covered = covered.or(rows.expect("rows").into_iter().next());
+        }
+        sleep(LIMIT).await;
+        let first = covered.expect("the first row");
+        let left = cx.store.rows(JOURNAL_TABLE, "shard-0", "").await;
+        let left = left.expect("rows");
+        assert!(left.first().is_some_and(|row| row.key > first.key));
+        let again = RowKey {
+            table: JOURNAL_TABLE,
+            part: "shard-0".to_owned(),
+            key: first.key,
+        };
+        let put = Txn {
+            put: vec![(again, first.value)],
+            ..Txn::default()
+        };
+        assert_matches!(cx.store.commit(&put).await, TxnEnd::Committed(_));
+        let ledger = journal.recover(&cx).await.expect("a ledger");
+        assert_eq!(ledger.jobs.len(), left.len());
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -151,6 +151,8 @@
     /// Whether orders that are carried out late outlive their worker's crash, as packets on the way may;
     /// by default they are lost with it.
     pub(crate) orders_outlive_crashes: Cell<bool>,
+    /// Workers that one daemon can't reach.
+    paths_cut: RefCell<IndexSet<(String, String)>>,
     /// Whether nobody can read what operators ask for.
     pub(crate) operators_are_silent: Cell<bool>,
     /// Most workers of a shard, for daemons made from now on; all in one at first.
@@ -222,6 +224,7 @@
             done: RefCell::default(),
             failing: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
+            paths_cut: RefCell::default(),
             operators_are_silent: Cell::new(false),
             workers_a_shard: Cell::new(usize::MAX),
             starts: RefCell::default(),
@@ -327,7 +330,6 @@
         let edges = Rc::new(Edges {
             world: Rc::clone(self),
             daemon: name.to_owned(),
-            cut: Cell::new(false),
         });
         Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges)
     }
@@ -373,6 +375,12 @@
         self.change(worker, |w| w.is_cut = is_cut);
     }
 
+    /// Cuts a worker off from one daemon.
+    pub(crate) fn cut_from(&self, daemon: &str, worker: &str) {
+        let path = (daemon.to_owned(), worker.to_owned());
+        self.paths_cut.borrow_mut().insert(path);
+    }
+
     /// Kills a worker and its tasks.
     pub(crate) fn crash(&self, worker: &str) {
         self.change(worker, |w| {
@@ -696,7 +704,6 @@
 struct Edges {
     world: Rc<World>,
     daemon: String,
-    cut: Cell<bool>,
 }
 
 impl Edges {
@@ -704,9 +711,11 @@
     async fn reach(&self, worker: &str) -> bool {
         sleep(ORDER).await;
         let is_reached = {
+            let path = (self.daemon.clone(), worker.to_owned());
+            let is_path_cut = self.world.paths_cut.borrow().contains(&path);
             let workers = self.world.workers.borrow();
             let worker = &workers[worker];
-            !worker.is_cut && !worker.is_dead && !self.cut.get()
+            !worker.is_cut && !worker.is_dead && !is_path_cut
         };
         if !is_reached {
             sleep(SILENCE).await;
