--- a/src/lapisdrum/core/size.rs
+++ b/src/lapisdrum/core/size.rs
@@ -2,7 +2,7 @@
 
 data! {
     /// Processors, memory and accelerators, taken or offered.
-    #[derive(Copy, Default)]
+    #[derive(Copy, Default, Hash)]
     pub struct Size {
         /// Processors, in thousandths of a core.
         pub millicores: u64,
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -1,8 +1,8 @@
 //! The order in which steps with startable tasks are served.
 //!
 //! Load pattern: a burst of up to twice the batch rate and more for some seconds. First come first served
-//! then makes every job late by the length of the queue. Here a class goes before the next, and within a
-//! class jobs that can still meet their objective go before those that can only be late, which earn a
+//! then makes every job late by the length of the queue. Here long-running tasks that were interrupted go before
+//! everything, since their users are without them; then a class goes before the next, and within a class jobs that can still meet their objective go before those that can only be late, which earn a
 //! part of their worth, and those before the hopeless.
 //!
 //! A job that has begun goes before one that has not, and a new one that has time to spare before one that
@@ -26,6 +26,8 @@
     pub priority: u32,
     /// Whether it runs until it is cancelled: it earns for each moment that it is up.
     pub is_long_running: bool,
+    /// Whether it is long-running and some of its tasks that ran do not run any more: users are without them.
+    pub is_interrupted: bool,
     /// Since the job was due, in milliseconds.
     pub age_ms: u64,
     /// Time from due within which the job is on time, in milliseconds.
@@ -61,6 +63,7 @@
 /// Sorts steps: the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    is_uninterrupted: bool,
     priority: u32,
     is_batch: bool,
     prospect: Prospect,
@@ -100,6 +103,7 @@
         };
         let slack_ms = end.saturating_sub(self.age_ms + self.chain_ms);
         Rank {
+            is_uninterrupted: !self.is_interrupted,
             priority: self.priority,
             is_batch: !self.is_long_running,
             prospect,
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -43,6 +43,8 @@
 /// A task to place.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
+    /// The pool whose hosts may run it.
+    pub pool: &'a str,
     /// What it takes.
     pub size: Size,
     /// Its kind.
@@ -79,6 +81,8 @@
 pub struct Host<'a> {
     /// Its id.
     pub id: &'a str,
+    /// The pool that it belongs to.
+    pub pool: &'a str,
     /// Its rack.
     pub rack: Option<&'a str>,
     /// Its labels.
@@ -101,6 +105,8 @@
     pub is_avoided: bool,
     /// What is kept free on it for a task that goes before all that come after it.
     pub kept: Option<Kept>,
+    /// Processors of the tasks that it is kept free for, in thousandths.
+    pub kept_millicores: u64,
 }
 
 /// What a host is kept free of until a waiting task fits.
@@ -155,6 +161,12 @@
         self.capacity.millicores.saturating_sub(used)
     }
 
+    /// Processors that its serving tasks don't reserve, in thousandths.
+    pub fn unserving_millicores(&self) -> u64 {
+        let serving = self.serving.iter().map(|s| s.millicores);
+        self.capacity.millicores.saturating_sub(serving.sum())
+    }
+
     fn presser(&self, need: &Need) -> Option<Presser> {
         Some(Presser {
             image: need.image?,
@@ -291,14 +303,11 @@
     is_dear.then_some(Unfit::Pressure)
 }
 
-/// What keeps most of the hosts from taking a task; none when there is no host at all.
-pub fn mostly_unfit<'a>(
-    need: &Need,
-    hosts: impl Iterator<Item = &'a Host<'a>>,
-    pressure: &Pressure,
-) -> Option<Unfit> {
+/// What keeps most of the pool's hosts from taking a task; none when there is no host at all.
+pub fn mostly_unfit(need: &Need, hosts: &[Host], pressure: &Pressure) -> Option<Unfit> {
     let mut counts: IndexMap<Unfit, usize> = IndexMap::new();
-    for why in hosts.filter_map(|host| unfit(need, host, pressure)) {
+    let in_pool = hosts.iter().filter(|host| host.pool == need.pool);
+    for why in in_pool.filter_map(|host| unfit(need, host, pressure)) {
         *counts.entry(why).or_default() += 1;
     }
     let most = counts.into_iter().max_by_key(|(_, count)| *count);
@@ -350,40 +359,78 @@
     others.map(|s| s.outlook.tasks as usize).sum()
 }
 
-/// Keeps a host free for a task that found none, so that it is not passed by for ever: on hosts that are all but
-/// reserved smaller tasks would take each core as it comes free. The host with the most free processors is kept,
-/// which is the first to have enough; at most so many of the hosts are, since what is kept lies idle. Other serving
-/// tasks may go there: a smaller one would else stand still beside free processors that lasting tasks never leave
-/// to the wider one.
-pub fn keep_for(need: &Need, hosts: &mut [Host]) {
-    let most = (hosts.len() / HOSTS_A_KEPT_ONE).max(1);
-    let kept = hosts.iter().filter(|host| host.kept.is_some()).count();
-    if kept >= most {
-        return;
-    }
+/// Keeps a host free for a task that found none, so that it is not starved: on hosts that are all but reserved, smaller
+/// tasks would take each core as it comes free. Kept is a host that has room for the task once everything but its
+/// serving tasks has ended, and of these the one that has the most free, which is the first to have enough. At most so
+/// many of the hosts are kept, since what is kept lies idle. Other serving tasks may go there: a smaller one would else
+/// stand still beside free processors that lasting tasks never leave to the wider one. False when none can be kept.
+pub fn keep_for(need: &Need, hosts: &mut [Host]) -> bool {
+    let in_pool = hosts.iter().filter(|host| host.pool == need.pool);
+    let (all, kept) = in_pool.fold((0, 0), |(all, kept), host| {
+        (all + 1, kept + usize::from(host.kept.is_some()))
+    });
+    let may_keep_another = kept < (all / HOSTS_A_KEPT_ONE).max(1);
     let may_fit = |host: &&mut Host| {
         let has = |label: &str| host.labels.iter().any(|have| have == label);
-        host.kept.is_none()
+        host.pool == need.pool
+            && (host.kept.is_some() || may_keep_another)
             && !host.is_suspect
             && !host.is_avoided
             && reserved_by(&need.size, need.load).fits(&host.capacity)
+            && host.kept_millicores + need.size.millicores <= host.unserving_millicores()
             && need.required_label.is_none_or(has)
             && need.max_per_worker.is_none_or(|most| host.of_step < most)
     };
     let able = hosts.iter_mut().filter(may_fit);
-    let best = able.max_by_key(|host| host.free().millicores);
-    if let Some(host) = best {
-        host.kept = Some(match need.size.memory_mb > host.free().memory_mb {
-            true => Kept::All,
-            false => Kept::Processors,
-        });
+    let best = able.max_by_key(|host| (host.kept.is_some(), host.free().millicores));
+    let Some(host) = best else {
+        return false;
+    };
+    host.kept = Some(match need.size.memory_mb > host.free().memory_mb {
+        true => Kept::All,
+        false => Kept::Processors,
+    });
+    host.kept_millicores += need.size.millicores;
+    true
+}
+
+/// How full a shard's hosts are, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// How many hosts there are.
+    pub hosts: usize,
+    /// What serving tasks reserve of the processors, in thousandths.
+    pub serving_permille: u64,
+    /// What nobody reserves of them, in thousandths.
+    pub free_permille: u64,
+    /// The most that is free on one host, in thousandths of a core.
+    pub widest_free_millicores: u64,
+    /// Hosts that are kept free for a waiting task.
+    pub kept: usize,
+}
+
+impl Room {
+    /// The room of these hosts.
+    pub fn of(hosts: &[Host]) -> Self {
+        let sum = |of: fn(&Host) -> u64| hosts.iter().map(of).sum::<u64>();
+        let capacity = sum(|host| host.capacity.millicores).max(1);
+        let unserving = sum(|host| host.unserving_millicores());
+        let free: fn(&Host) -> u64 = |host| host.free().millicores;
+        Self {
+            hosts: hosts.len(),
+            serving_permille: capacity.saturating_sub(unserving) * 1_000 / capacity,
+            free_permille: sum(free) * 1_000 / capacity,
+            widest_free_millicores: hosts.iter().map(free).max().unwrap_or_default(),
+            kept: hosts.iter().filter(|host| host.kept.is_some()).count(),
+        }
     }
 }
 
 /// The best host for a task, by its place in `hosts`; none when no host admits it.
 pub fn choose(need: &Need, hosts: &[Host], pressure: &Pressure) -> Option<usize> {
     let admitted = hosts.iter().enumerate();
-    let admitted = admitted.filter(|(_, host)| admits(need, host, pressure));
+    let admitted =
+        admitted.filter(|(_, host)| host.pool == need.pool && admits(need, host, pressure));
     let best = admitted.min_by_key(|(_, host)| fit(need, host, pressure));
     best.map(|(at, _)| at)
 }
--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -109,6 +109,28 @@
             /// When, in Unix milliseconds.
             at_unix_ms: u64,
         },
+        /// A long-running task is handed to another shard, which has room for it.
+        Delegated {
+            /// The task.
+            task: TaskId,
+            /// The shard that runs it from now on.
+            to: ShardId,
+        },
+        /// Tasks of another shard's job are run here.
+        Adopted {
+            /// The job.
+            job: JobId,
+            /// What was submitted.
+            spec: Rc<JobSpec>,
+            /// What the catalogue said of its queue.
+            terms: QueueTerms,
+            /// The shard that owns the job.
+            from: ShardId,
+            /// Its tasks that are run here, each with the number of its last run.
+            tasks: Vec<(TaskId, RunNumber)>,
+            /// When, in Unix milliseconds.
+            at_unix_ms: u64,
+        },
         /// A job that is over, or was sent on long ago, is no longer remembered.
         Forgotten {
             /// The job.
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -8,8 +8,11 @@
     Cx, Seat,
     edge::Queue,
     job::{JobId, JobSpec},
-    owner::learned::{HeardUpto, Told},
-    peer::{self, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
+    owner::{
+        delegate::{GuestTasks, TaskNeed},
+        learned::{HeardUpto, Told},
+    },
+    peer::{self, AdoptReply, Answer, Ask, CancelReply, JobState, ShowReply, SubmitReply},
 };
 use crate::core::time::{Millis, millis};
 use futures::FutureExt;
@@ -182,6 +185,20 @@
     }
 }
 
+/// For how many more such tasks a shard has room; none without an answer from its owner.
+pub async fn room_of(cx: &Cx, seat: &Rc<Seat>, need: &TaskNeed) -> Option<u32> {
+    match ask_owner(cx, seat, Ask::Room(need.clone())).await {
+        Asked::Answer(Answer::Room(room)) => room,
+        _ => None,
+    }
+}
+
+/// Asks a shard to run tasks of another shard's job; true once that is durable there.
+pub async fn adopt(cx: &Cx, seat: &Rc<Seat>, tasks: GuestTasks) -> bool {
+    let asked = ask_owner(cx, seat, Ask::Adopt(tasks)).await;
+    matches!(asked, Asked::Answer(Answer::Adopted(AdoptReply::Adopted)))
+}
+
 /// Who is taken for the owner, and how old that belief is in milliseconds, for logs.
 fn owner_believed(cx: &Cx, seat: &Seat) -> (String, u64) {
     let (lease, now) = (seat.lease.borrow(), cx.clock.now());
@@ -266,7 +283,9 @@
         | Answer::Cancelled(CancelReply::NotOwner)
         | Answer::Pending(None)
         | Answer::Load(None)
-        | Answer::Learned(None) => Asked::Nobody,
+        | Answer::Learned(None)
+        | Answer::Room(None)
+        | Answer::Adopted(AdoptReply::NotOwner) => Asked::Nobody,
         answer => Asked::Answer(answer),
     }
 }
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -6,7 +6,7 @@
 
 use super::{
     event::{Event, Loss, RunEnd, RunId, WorkerLife},
-    job::{Gang, JobId, JobSpec, QueueTerms, RunNumber, StepId, TaskId},
+    job::{Gang, JobId, JobSpec, QueueTerms, RunNumber, Step, StepId, TaskId},
     layout::ShardId,
 };
 use indexmap::IndexMap;
@@ -47,6 +47,9 @@
         pub failures: u32,
         /// Its last saved progress.
         pub checkpoint: Option<String>,
+        /// The shard that runs it, where that is another one.
+        #[serde(default)]
+        pub elsewhere: Option<ShardId>,
     }
 
     /// A step of one occurrence.
@@ -85,6 +88,9 @@
         pub phase: Phase,
         /// When it was over, in Unix milliseconds.
         pub over_unix_ms: u64,
+        /// Whether another shard owns the job and only some of its tasks are run here.
+        #[serde(default)]
+        pub is_guest: bool,
     }
 }
 
@@ -183,6 +189,18 @@
                 to,
                 at_unix_ms,
             } => self.send(*job, *to, *at_unix_ms),
+            Event::Delegated { task, to } => self.delegate(task, *to),
+            Event::Adopted {
+                job,
+                spec,
+                terms,
+                from,
+                tasks,
+                at_unix_ms,
+            } => {
+                let new = || Job::guest(spec, terms, *from, *at_unix_ms);
+                self.adopt(*job, new, tasks)
+            }
             Event::Forgotten { job } => self.forget(*job),
         }
     }
@@ -197,17 +215,43 @@
         if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
             return Err(Misplaced::Job(id));
         }
-        let job = Job {
-            spec: Rc::clone(spec),
-            terms: terms.clone(),
-            accepted_unix_ms: at_unix_ms,
-            occurrences: BTreeMap::new(),
-            occurrences_done: 0,
-            has_started: false,
-            phase: Phase::Active,
-            over_unix_ms: 0,
-        };
-        self.jobs.insert(id, job);
+        self.jobs.insert(id, Job::new(spec, terms, at_unix_ms));
+        Ok(())
+    }
+
+    /// Hands a task on that nothing of is alive. There is no way back: the other shard may take it at any later time.
+    fn delegate(&mut self, id: &TaskId, to: ShardId) -> Result<(), Misplaced> {
+        let job = self.job_mut(id.job)?;
+        let step = job.spec.steps.get(usize::from(id.step));
+        let is_lasting = step.is_some_and(|step| step.is_long_running && step.gang == Gang::No);
+        if job.phase != Phase::Active || job.is_guest || !is_lasting {
+            return Err(Misplaced::Task(*id));
+        }
+        let task = job.task_mut(id).ok_or(Misplaced::Task(*id))?;
+        if !task.live.is_empty() || task.elsewhere.is_some() {
+            return Err(Misplaced::Task(*id));
+        }
+        task.elsewhere = Some(to);
+        Ok(())
+    }
+
+    /// Takes tasks of another shard's job. A repeat changes nothing, nor does one that comes after the job was cancelled.
+    fn adopt(
+        &mut self,
+        id: JobId,
+        new: impl FnOnce() -> Job,
+        tasks: &[(TaskId, RunNumber)],
+    ) -> Result<(), Misplaced> {
+        let job = self.jobs.entry(id).or_insert_with(new);
+        if !job.is_guest {
+            return Err(Misplaced::Job(id));
+        }
+        for (task, last_run) in tasks {
+            let task = job.task_mut(task).ok_or(Misplaced::Task(*task))?;
+            if task.elsewhere.take().is_some() {
+                task.last_run = *last_run;
+            }
+        }
         Ok(())
     }
 
@@ -239,7 +283,7 @@
             .get_mut(id.index as usize)
             .ok_or(Misplaced::Task(id))?;
         let is_free = task.live.is_empty() || is_speculative;
-        if task.is_done || !is_free || run.run <= task.last_run {
+        if task.is_done || task.elsewhere.is_some() || !is_free || run.run <= task.last_run {
             return Err(Misplaced::Run(*run));
         }
         if task.live.is_empty() {
@@ -321,6 +365,94 @@
 }
 
 impl Job {
+    fn new(spec: &Rc<JobSpec>, terms: &QueueTerms, at_unix_ms: u64) -> Self {
+        Self {
+            spec: Rc::clone(spec),
+            terms: terms.clone(),
+            accepted_unix_ms: at_unix_ms,
+            occurrences: BTreeMap::new(),
+            occurrences_done: 0,
+            has_started: false,
+            phase: Phase::Active,
+            over_unix_ms: 0,
+            is_guest: false,
+        }
+    }
+
+    /// Another shard's job, of which no task is run here yet.
+    fn guest(spec: &Rc<JobSpec>, terms: &QueueTerms, from: ShardId, at_unix_ms: u64) -> Self {
+        let mut job = Self::new(spec, terms, at_unix_ms);
+        let tasks = |step: &Step| StepState {
+            tasks: vec![Task::elsewhere(from); step.count as usize],
+            done: 0,
+            running: 0,
+        };
+        let occurrence = Occurrence {
+            steps: spec.steps.iter().map(tasks).collect(),
+            is_done: false,
+        };
+        job.occurrences.insert(0, occurrence);
+        job.has_started = true;
+        job.is_guest = true;
+        job
+    }
+
+    fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        let step = self.step_mut(&id.step_id())?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// The tasks of a job of this shard that other shards run, with the numbers of their last runs here, by shard.
+    pub fn delegated(&self, id: JobId) -> IndexMap<ShardId, Vec<(TaskId, RunNumber)>> {
+        let mut by_shard: IndexMap<ShardId, Vec<(TaskId, RunNumber)>> = IndexMap::new();
+        if self.is_guest {
+            return by_shard;
+        }
+        for (occurrence, state) in &self.occurrences {
+            for (step, state) in state.steps.iter().enumerate() {
+                for (index, task) in state.tasks.iter().enumerate() {
+                    let task_id = TaskId {
+                        job: id,
+                        occurrence: *occurrence,
+                        step: step as u16,
+                        index: index as u32,
+                    };
+                    if let Some(to) = task.elsewhere {
+                        by_shard
+                            .entry(to)
+                            .or_default()
+                            .push((task_id, task.last_run));
+                    }
+                }
+            }
+        }
+        by_shard
+    }
+
+    /// How many tasks of a step this shard is to run, in the first occurrence.
+    pub fn tasks_here(&self, step: usize) -> u64 {
+        self.tasks_but(step, |task| task.elsewhere.is_some())
+    }
+
+    /// How many of its long-running tasks this shard is to run and doesn't, in the first occurrence.
+    pub fn waiting_long_running(&self) -> u64 {
+        let steps = self.spec.steps.iter().enumerate();
+        let lasting = steps.filter(|(_, step)| step.is_long_running);
+        let is_placed = |task: &Task| task.elsewhere.is_some() || !task.live.is_empty();
+        lasting.map(|(at, _)| self.tasks_but(at, is_placed)).sum()
+    }
+
+    /// The tasks of a step in the first occurrence, but those that are left out.
+    fn tasks_but(&self, step: usize, is_left_out: impl Fn(&Task) -> bool) -> u64 {
+        let state = self.occurrences.get(&0).and_then(|o| o.steps.get(step));
+        let left_out = |state: &StepState| {
+            let tasks = state.tasks.iter();
+            tasks.filter(|task| is_left_out(task)).count() as u64
+        };
+        let count = self.spec.steps.get(step).map_or(0, |step| step.count);
+        u64::from(count) - state.map_or(0, left_out)
+    }
+
     /// A step's state, if anything of its occurrence was started.
     pub fn step(&self, id: &StepId) -> Option<&StepState> {
         let occurrence = self.occurrences.get(&id.occurrence)?;
@@ -468,6 +600,15 @@
     }
 }
 
+impl Task {
+    fn elsewhere(shard: ShardId) -> Self {
+        Self {
+            elsewhere: Some(shard),
+            ..Self::default()
+        }
+    }
+}
+
 impl StepState {
     fn new(count: u32) -> Self {
         Self {
--- /dev/null
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -0,0 +1,348 @@
+//! Hands interrupted long-running tasks to shards that have room for them.
+//!
+//! Load pattern: long-running tasks reserve more than nine tenths of a shard. When workers go, their tasks find no room in
+//! their own shard, where small free pieces are all that is left, while another shard has whole hosts for them.
+//!
+//! A task that nothing of is alive is marked as delegated in the owner's journal before the other shard hears of it, and
+//! there is no way back: the other owner is asked again until it has the task in its own journal, so a call
+//! that arrives late, or the end of either owner in between, leaves the task with exactly one shard. A job stays with its
+//! shard: callers are answered there, and its end is passed on until it is confirmed. That call carries the
+//! tasks too, so a shard that never heard of them, or has forgotten them since, starts none.
+
+use super::Owner;
+use crate::{
+    core::{size::Size, time::Millis},
+    policy::dispatch::place::Host,
+    sched::{
+        Cx,
+        event::Event,
+        front,
+        job::{Gang, JobId, JobSpec, QueueTerms, RunNumber, Step, TaskId},
+        journal::AppendEnd,
+        layout::ShardId,
+        ledger::{Job, Phase},
+        peer::AdoptReply,
+    },
+};
+use indexmap::{IndexMap, IndexSet};
+use std::{rc::Rc, time::Duration};
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+/// A task is handed on once it has waited for room this long: most find some as short tasks end.
+const STRANDED_AFTER: Duration = Duration::from_millis(800);
+/// Longest wait for another shard's answer about its room: many round trips between data centres.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(150);
+/// Of the room that a shard tells, one part in so many is used at once: others may be told the same.
+const ROOM_PART: u32 = 4;
+
+/// What is known of the tasks that an owner hands on.
+#[derive(Default)]
+pub struct Delegations {
+    /// Since when interrupted tasks wait for room.
+    stranded_since: IndexMap<TaskId, Millis>,
+    /// Jobs with delegated tasks that other shards have not confirmed, or whose cancel they have not.
+    open: IndexSet<JobId>,
+    /// Tasks that the other shard has confirmed.
+    confirmed: IndexSet<TaskId>,
+}
+
+/// What a task needs of another shard.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct TaskNeed {
+    /// The pool whose workers may run it.
+    pub pool: String,
+    /// What it takes.
+    pub size: Size,
+    /// A label that its worker must have.
+    pub required_label: Option<String>,
+}
+
+data! {
+    /// Tasks of another shard's job.
+    pub struct GuestTasks {
+        /// The job.
+        pub job: JobId,
+        /// What was submitted.
+        pub spec: JobSpec,
+        /// What its queue's catalogue entry says.
+        pub terms: QueueTerms,
+        /// The shard that owns the job.
+        pub from: ShardId,
+        /// The tasks, each with the number of its last run.
+        pub tasks: Vec<(TaskId, RunNumber)>,
+        /// Whether the job is over, so that nothing of them may run any more.
+        pub is_over: bool,
+    }
+}
+
+/// Hands tasks on until the shard is lost.
+pub async fn run(cx: Cx, owner: Rc<Owner>) {
+    reopen(&owner);
+    while owner.is_serving() {
+        tokio::time::sleep(ROUND).await;
+        if owner.may_place(&cx) {
+            delegate_stranded(&cx, &owner).await;
+        }
+        settle_open(&cx, &owner).await;
+    }
+}
+
+/// An earlier owner may have ended before the other shards confirmed.
+fn reopen(owner: &Owner) {
+    let ledger = owner.ledger.borrow();
+    let jobs = ledger.jobs.iter();
+    let with_delegated = jobs.filter(|(id, job)| !job.delegated(**id).is_empty());
+    let open = &mut owner.delegations.borrow_mut().open;
+    open.extend(with_delegated.map(|(id, _)| *id));
+}
+
+async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
+    let stranded = stranded(owner, cx.clock.now());
+    for (need, tasks) in stranded {
+        let Some((to, room)) = roomiest(cx, owner, &need).await else {
+            continue;
+        };
+        let count = room.div_ceil(ROOM_PART) as usize;
+        delegate(cx, owner, to, &tasks[..count.min(tasks.len())]).await;
+    }
+}
+
+/// Interrupted long-running tasks that have waited for room too long, by what they need.
+fn stranded(owner: &Owner, now: Millis) -> IndexMap<TaskNeed, Vec<TaskId>> {
+    let waiting = interrupted_tasks(owner);
+    let mut delegations = owner.delegations.borrow_mut();
+    let since = &mut delegations.stranded_since;
+    since.retain(|task, _| waiting.contains_key(task));
+    let mut stranded: IndexMap<TaskNeed, Vec<TaskId>> = IndexMap::new();
+    for (task, need) in waiting {
+        let waits = now.since(*since.entry(task).or_insert(now));
+        if waits >= STRANDED_AFTER {
+            stranded.entry(need).or_default().push(task);
+        }
+    }
+    stranded
+}
+
+fn interrupted_tasks(owner: &Owner) -> IndexMap<TaskId, TaskNeed> {
+    let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
+    let mut tasks = IndexMap::new();
+    for id in active.iter() {
+        let job = ledger.jobs.get(id).filter(|job| !job.is_guest);
+        if let Some(job) = job {
+            collect_interrupted(*id, job, &mut tasks);
+        }
+    }
+    tasks
+}
+
+fn collect_interrupted(id: JobId, job: &Job, tasks: &mut IndexMap<TaskId, TaskNeed>) {
+    for (occurrence, state) in &job.occurrences {
+        for (at, spec) in job.spec.steps.iter().enumerate() {
+            if !may_delegate(spec) {
+                continue;
+            }
+            for (index, task) in state.steps[at].tasks.iter().enumerate() {
+                let has_run = task.last_run > RunNumber::default();
+                if !has_run || !task.live.is_empty() || task.elsewhere.is_some() {
+                    continue;
+                }
+                let id = TaskId {
+                    job: id,
+                    occurrence: *occurrence,
+                    step: at as u16,
+                    index: index as u32,
+                };
+                tasks.insert(id, need_of(job, spec));
+            }
+        }
+    }
+}
+
+fn may_delegate(step: &Step) -> bool {
+    step.is_long_running && step.gang == Gang::No && step.data_rack.is_none()
+}
+
+fn need_of(job: &Job, step: &Step) -> TaskNeed {
+    TaskNeed {
+        pool: job.terms.pool.clone(),
+        size: step.size,
+        required_label: step.required_label.clone(),
+    }
+}
+
+/// The shard that says that it has room for most such tasks.
+async fn roomiest(cx: &Cx, owner: &Owner, need: &TaskNeed) -> Option<(ShardId, u32)> {
+    let layout = cx.layout.borrow().clone()?;
+    let others = layout.all().filter(|shard| *shard != owner.seat.shard);
+    let asked = others.map(async |shard| {
+        let seat = cx.seat(shard);
+        let room = front::room_of(cx, &seat, need);
+        let told = tokio::time::timeout(ROOM_TIMEOUT, room).await;
+        (shard, told.ok().flatten().unwrap_or_default())
+    });
+    let told = futures::future::join_all(asked).await;
+    let roomiest = told.into_iter().max_by_key(|(_, room)| *room);
+    roomiest.filter(|(_, room)| *room > 0)
+}
+
+async fn delegate(cx: &Cx, owner: &Rc<Owner>, to: ShardId, tasks: &[TaskId]) {
+    // Some may have been placed while others were asked.
+    let still = interrupted_tasks(owner);
+    let tasks: Vec<TaskId> = tasks
+        .iter()
+        .copied()
+        .filter(|t| still.contains_key(t))
+        .collect();
+    for task in &tasks {
+        log::info!(task:% = task, from:% = owner.seat.part, to = to.0; "task is delegated");
+    }
+    let events = tasks
+        .iter()
+        .map(|task| Event::Delegated { task: *task, to });
+    let ticket = owner.propose(cx, events.collect());
+    if ticket.end().await == AppendEnd::Durable {
+        let open = &mut owner.delegations.borrow_mut().open;
+        open.extend(tasks.iter().map(|task| task.job));
+    }
+}
+
+/// Asks other shards for what they have not confirmed yet.
+async fn settle_open(cx: &Cx, owner: &Rc<Owner>) {
+    let open: Vec<JobId> = owner.delegations.borrow().open.iter().copied().collect();
+    for job in open {
+        if settle_job(cx, owner, job).await {
+            owner.delegations.borrow_mut().open.swap_remove(&job);
+        }
+    }
+}
+
+/// One round for a job; true when nothing is left to be confirmed.
+async fn settle_job(cx: &Cx, owner: &Rc<Owner>, id: JobId) -> bool {
+    let mut is_settled = true;
+    for (shard, tasks) in unconfirmed(owner, id) {
+        let ids: Vec<TaskId> = tasks.tasks.iter().map(|(task, _)| *task).collect();
+        let is_adopted = front::adopt(cx, &cx.seat(shard), tasks).await;
+        if is_adopted {
+            owner.delegations.borrow_mut().confirmed.extend(ids);
+        }
+        is_settled &= is_adopted;
+    }
+    is_settled
+}
+
+/// What other shards have yet to confirm of a job, by shard.
+fn unconfirmed(owner: &Owner, id: JobId) -> Vec<(ShardId, GuestTasks)> {
+    let ledger = owner.ledger.borrow();
+    let Some(job) = ledger.jobs.get(&id) else {
+        return Vec::new();
+    };
+    // An end that is not durable yet must have no effect elsewhere.
+    let is_over = job.phase != Phase::Active && !owner.ending.borrow().contains(&id);
+    let delegations = owner.delegations.borrow();
+    let is_open = |tasks: &[(TaskId, RunNumber)]| {
+        let mut ids = tasks.iter().map(|(task, _)| task);
+        is_over || !ids.all(|task| delegations.confirmed.contains(task))
+    };
+    let by_shard = job.delegated(id).into_iter();
+    let open = by_shard.filter(|(_, tasks)| is_open(tasks));
+    let ask = |(shard, tasks)| {
+        let tasks = GuestTasks {
+            job: id,
+            spec: JobSpec::clone(&job.spec),
+            terms: job.terms.clone(),
+            from: owner.seat.shard,
+            tasks,
+            is_over,
+        };
+        (shard, tasks)
+    };
+    open.map(ask).collect()
+}
+
+impl Owner {
+    /// Whether other shards have yet to confirm something of a job.
+    pub fn is_delegation_open(&self, job: &JobId) -> bool {
+        self.delegations.borrow().open.contains(job)
+    }
+
+    /// Has a job's end passed on to the shards that run tasks of it.
+    pub fn pass_end_on(&self, job: JobId) {
+        let ledger = self.ledger.borrow();
+        let job_state = ledger.jobs.get(&job);
+        if job_state.is_some_and(|state| !state.delegated(job).is_empty()) {
+            self.delegations.borrow_mut().open.insert(job);
+        }
+    }
+
+    /// Long-running tasks that wait for room here, guests among them.
+    fn waiting_long_running(&self) -> u64 {
+        let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
+        let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
+        jobs.map(Job::waiting_long_running).sum()
+    }
+
+    /// For how many more such tasks there is room beside the shard's own long-running ones.
+    pub fn room_for(&self, cx: &Cx, need: &TaskNeed) -> Option<u32> {
+        if !self.may_place(cx) {
+            return None;
+        }
+        let reports = self.open_workers(cx);
+        let hosts = super::dispatch::hosts_of(cx, self, &reports);
+        let fitting = hosts.iter().filter(|host| {
+            let label = need.required_label.as_ref();
+            host.pool == need.pool
+                && !host.is_suspect
+                && label.is_none_or(|label| host.labels.contains(label))
+        });
+        let room: u64 = fitting.map(|host| room_on(host, &need.size)).sum();
+        let room = room.saturating_sub(self.waiting_long_running());
+        Some(u32::try_from(room).unwrap_or(u32::MAX))
+    }
+}
+
+/// How many tasks of this size a host has room for once its short tasks have ended.
+fn room_on(host: &Host, size: &Size) -> u64 {
+    let room = Size {
+        millicores: host.unserving_millicores(),
+        ..host.free()
+    };
+    size.count_in(&room)
+}
+
+/// Takes tasks of another shard's job; a repeat is confirmed as the first.
+pub async fn adopt(cx: &Cx, owner: &Rc<Owner>, tasks: GuestTasks) -> AdoptReply {
+    if !owner.is_recovered() {
+        return AdoptReply::NotOwner;
+    }
+    let (job, is_over, at_unix_ms) = (tasks.job, tasks.is_over, cx.unix_ms());
+    log::info!(job:% = job, shard:% = owner.seat.part, from = tasks.from.0, tasks = tasks.tasks.len(), is_over; "tasks are adopted");
+    let mut events = vec![Event::Adopted {
+        job,
+        spec: Rc::new(tasks.spec),
+        terms: tasks.terms,
+        from: tasks.from,
+        tasks: tasks.tasks,
+        at_unix_ms,
+    }];
+    if is_over {
+        events.push(Event::Cancelled { job, at_unix_ms });
+    }
+    let ticket = owner.propose(cx, events);
+    let phase = guest_phase(owner, job);
+    if phase == Some(Phase::Active) && !is_over {
+        owner.active.borrow_mut().insert(job);
+        owner.wake.notify_one();
+    }
+    owner.note_if_over(cx, job);
+    match ticket.end().await {
+        AppendEnd::Durable if phase.is_some() => AdoptReply::Adopted,
+        AppendEnd::Durable | AppendEnd::Lost => AdoptReply::NotOwner,
+    }
+}
+
+fn guest_phase(owner: &Owner, job: JobId) -> Option<Phase> {
+    let ledger = owner.ledger.borrow();
+    let job = ledger.jobs.get(&job).filter(|job| job.is_guest);
+    job.map(|job| job.phase)
+}
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -12,8 +12,8 @@
     policy::dispatch::{
         forecast::Forecast,
         order::{Rank, Standing},
-        place::{Host, Load, Need, Unfit, choose, keep_for, mostly_unfit},
-        pressure::{Pressure, Victim},
+        place::{Host, Load, Need, Room, Unfit, choose, keep_for, mostly_unfit},
+        pressure::Victim,
     },
     sched::{
         Cx,
@@ -95,15 +95,23 @@
         .is_none_or(|(_, said_at)| now.since(*said_at) >= WHY_EVERY)
 }
 
-/// Says what a step waits for, where that is new.
-fn note_wait(owner: &Owner, waiting: &Waiting, why: Option<Unfit>, now: Millis) {
+/// Logs what a step waits for, where that is new, and how full the hosts are.
+fn note_wait(
+    owner: &Owner,
+    waiting: &Waiting,
+    why: Option<Unfit>,
+    room: impl FnOnce() -> Room,
+    now: Millis,
+) {
     let (Some(why), true) = (why, is_why_due(owner, &waiting.step, now)) else {
         return;
     };
     let before = owner.waits.borrow_mut().insert(waiting.step, (why, now));
-    if before.is_none_or(|(before, _)| before != why) {
-        log::info!(step:% = waiting.step, tasks = waiting.tasks.len(), why:? = why; "step waits");
+    if before.is_some_and(|(before, _)| before == why) {
+        return;
     }
+    let room = room();
+    log::info!(step:% = waiting.step, tasks = waiting.tasks.len(), why:? = why, hosts = room.hosts, serving_permille = room.serving_permille, free_permille = room.free_permille, widest_free_millicores = room.widest_free_millicores, kept = room.kept; "step waits");
 }
 
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
@@ -121,7 +129,7 @@
         let image = leftover_image(owner, &waiting.step);
         let known = image.as_ref().and_then(|image| without_room.get(image));
         if let Some(why) = known {
-            note_wait(owner, waiting, *why, now);
+            note_wait(owner, waiting, *why, || Room::of(&hosts), now);
             continue;
         }
         let is_why_due = is_why_due(owner, &waiting.step, now);
@@ -134,7 +142,7 @@
             is_why_due,
         );
         if let PlaceEnd::Short(why) = end {
-            note_wait(owner, waiting, why, now);
+            note_wait(owner, waiting, why, || Room::of(&hosts), now);
             without_room.extend(image.map(|image| (image, why)));
         }
     }
@@ -192,6 +200,7 @@
             let standing = Standing {
                 priority: job.terms.priority,
                 is_long_running: spec.is_long_running,
+                is_interrupted: interrupted(job, &step, spec, &tasks) > 0,
                 age_ms: now_unix_ms.saturating_sub(due),
                 objective_ms: job.terms.objective_ms(chain_ms),
                 chain_ms: forecast.expected_ms(&job.terms.queue, chains[at]),
@@ -214,7 +223,7 @@
     if state.done + state.running >= spec.count {
         return Vec::new();
     }
-    let is_free = |task: &Task| !task.is_done && task.live.is_empty();
+    let is_free = |task: &Task| !task.is_done && task.live.is_empty() && task.elsewhere.is_none();
     let free = state.tasks.iter().enumerate().filter(|(_, t)| is_free(t));
     let free: Vec<u32> = free.map(|(at, _)| at as u32).collect();
     // A gang starts whole, once nothing of its last run is alive.
@@ -224,13 +233,18 @@
     free
 }
 
-fn hosts_of<'a>(cx: &Cx, owner: &Owner, reports: &'a [Rc<WorkerReport>]) -> Vec<Host<'a>> {
+pub(super) fn hosts_of<'a>(
+    cx: &Cx,
+    owner: &Owner,
+    reports: &'a [Rc<WorkerReport>],
+) -> Vec<Host<'a>> {
     let now = cx.clock.now();
     let sessions = owner.sessions.borrow();
     let host = |report: &'a Rc<WorkerReport>| {
         let session = &sessions[&report.life.worker];
         Host {
             id: &report.life.worker,
+            pool: &report.pool,
             rack: report.rack.as_deref(),
             labels: &report.labels,
             capacity: report.capacity,
@@ -242,6 +256,7 @@
             is_suspect: session.is_suspect(now),
             is_avoided: false,
             kept: None,
+            kept_millicores: 0,
         }
     };
     reports.iter().map(host).collect()
@@ -264,6 +279,7 @@
     let name = spec.image.as_ref();
     let image = name.map(|name| owner.pressure.borrow_mut().image(name));
     let need = Need {
+        pool: &job.terms.pool,
         size: spec.size,
         load: load_of(spec),
         required_label: spec.required_label.as_deref(),
@@ -292,20 +308,15 @@
     let before = is_gang.then(|| (hosts.clone(), placed.len()));
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
     let mut why = None;
-    for index in &waiting.tasks {
+    for (nth, index) in waiting.tasks.iter().enumerate() {
         let task = waiting.step.task(*index);
         mark_avoided(owner, &task, hosts);
-        let chosen = choose_in_pool(&need, hosts, reports, &job.terms.pool, &pressure);
-        let Some(at) = chosen else {
-            // One that ran before goes first; a new one may wait for room like the others.
-            let ran_before = number(*index) > RunNumber::default().next();
-            if spec.is_long_running && ran_before {
-                keep_in_pool(&need, hosts, reports, &job.terms.pool);
-            }
+        let Some(at) = choose(&need, hosts, &pressure) else {
+            let unplaced = &waiting.tasks[nth..];
+            let interrupted = interrupted(job, &waiting.step, spec, unplaced);
+            keep_for_all(&need, interrupted, hosts);
             if is_why_due {
-                let in_pool = hosts.iter().zip(reports);
-                let in_pool = in_pool.filter(|(_, report)| report.pool == job.terms.pool);
-                why = mostly_unfit(&need, in_pool.map(|(host, _)| host), &pressure);
+                why = mostly_unfit(&need, hosts, &pressure);
             }
             break;
         };
@@ -339,33 +350,23 @@
         .filter(|_| load_of(spec) == Load::Leftover)
 }
 
-fn keep_in_pool(need: &Need, hosts: &mut [Host], reports: &[Rc<WorkerReport>], pool: &str) {
-    let in_pool: Vec<usize> = (0..hosts.len())
-        .filter(|at| reports[*at].pool == pool)
-        .collect();
-    let mut some: Vec<Host> = in_pool.iter().map(|at| hosts[*at].clone()).collect();
-    keep_for(need, &mut some);
-    for (at, host) in in_pool.into_iter().zip(some) {
-        hosts[at].kept = host.kept;
+/// The long-running tasks among these that have run before: their users are without them.
+fn interrupted(job: &Job, step: &StepId, spec: &Step, tasks: &[u32]) -> usize {
+    if !spec.is_long_running {
+        return 0;
     }
+    let first = RunNumber::default().next();
+    let has_run = |index: &&u32| next_run(job, step, spec, **index) > first;
+    tasks.iter().filter(has_run).count()
 }
 
-fn choose_in_pool(
-    need: &Need,
-    hosts: &mut [Host],
-    reports: &[Rc<WorkerReport>],
-    pool: &str,
-    pressure: &Pressure,
-) -> Option<usize> {
-    let is_one_pool = reports.iter().all(|report| report.pool == pool);
-    if is_one_pool {
-        return choose(need, hosts, pressure);
+/// Keeps hosts free for so many tasks, as far as that is allowed.
+fn keep_for_all(need: &Need, tasks: usize, hosts: &mut [Host]) {
+    for _ in 0..tasks {
+        if !keep_for(need, hosts) {
+            return;
+        }
     }
-    let in_pool: Vec<usize> = (0..hosts.len())
-        .filter(|at| reports[*at].pool == pool)
-        .collect();
-    let some: Vec<Host> = in_pool.iter().map(|at| hosts[*at].clone()).collect();
-    choose(need, &some, pressure).map(|at| in_pool[at])
 }
 
 /// The number of a task's next run; all members of a gang share theirs.
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -100,7 +100,7 @@
         return ShowReply::NotOwner;
     }
     let ledger = owner.ledger.borrow();
-    match ledger.jobs.get(&id) {
+    match ledger.jobs.get(&id).filter(|job| !job.is_guest) {
         None if owner.is_alone(cx) => ShowReply::Unknown,
         None => ShowReply::NotOwner,
         Some(job) => ShowReply::State(state_of(owner, id, job)),
@@ -121,12 +121,19 @@
     }
 }
 
+/// The phase of a job that this shard owns.
+fn own_phase(owner: &Owner, job: JobId) -> Option<Phase> {
+    let ledger = owner.ledger.borrow();
+    let job = ledger.jobs.get(&job).filter(|job| !job.is_guest);
+    job.map(|job| job.phase)
+}
+
 /// Cancels a job.
 pub async fn cancel(cx: &Cx, owner: &Rc<Owner>, job: JobId) -> CancelReply {
     if !owner.is_recovered() {
         return CancelReply::NotOwner;
     }
-    let phase = owner.ledger.borrow().jobs.get(&job).map(|job| job.phase);
+    let phase = own_phase(owner, job);
     let ticket = match phase {
         None if owner.is_alone(cx) => return CancelReply::UnknownJob,
         None => return CancelReply::NotOwner,
@@ -152,6 +159,6 @@
     }
     let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
     let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-    let waiting = jobs.filter(|job| job.terms.queue == queue && !job.has_started);
+    let waiting = jobs.filter(|job| job.terms.queue == queue && !job.has_started && !job.is_guest);
     Some(waiting.count() as u64)
 }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -5,6 +5,7 @@
 //! It starts nothing on a worker before that. [`directory`] follows the list of workers, [`visit`] looks
 //! at each of them, [`runs`] sends and settles orders, [`dispatch`] places, [`jobs`] serves callers.
 
+pub mod delegate;
 pub mod directory;
 pub mod dispatch;
 pub mod jobs;
@@ -111,6 +112,8 @@
     pub waits: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
     /// How many runs are left in each evacuated data centre.
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
+    /// Tasks that are handed to other shards.
+    delegations: RefCell<delegate::Delegations>,
     /// Unknown runs that are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -154,6 +157,7 @@
             begun_at: RefCell::default(),
             waits: RefCell::default(),
             left_in_evacuated: RefCell::default(),
+            delegations: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             standing: Cell::new(Standing::Recovering),
@@ -271,6 +275,7 @@
             owner.ending.borrow_mut().swap_remove(&job);
             owner.loads.borrow_mut().retain(|step, _| step.job != job);
             owner.waits.borrow_mut().retain(|step, _| step.job != job);
+            owner.pass_end_on(job);
             owner.note_over(&cx, job);
             runs::stop_all_of(&cx, &owner, job);
         });
@@ -292,7 +297,7 @@
 
     fn note_over(&self, cx: &Cx, id: JobId) {
         let ledger = self.ledger.borrow();
-        let Some(job) = ledger.jobs.get(&id) else {
+        let Some(job) = ledger.jobs.get(&id).filter(|job| !job.is_guest) else {
             return;
         };
         let took_ms = job.over_unix_ms.saturating_sub(job.accepted_unix_ms);
@@ -366,7 +371,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 7] = [
+    let parts: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -383,6 +388,10 @@
             "upkeep",
             upkeep::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "delegate",
+            delegate::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
         (
             "predecessor",
             predecessor::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
--- a/src/lapisdrum/sched/owner/send.rs
+++ b/src/lapisdrum/sched/owner/send.rs
@@ -17,7 +17,7 @@
     job::{JobId, JobSpec},
     journal::AppendEnd,
     layout::{Layout, ShardId},
-    ledger::Phase,
+    ledger::{Job, Phase},
     peer::SubmitReply,
 };
 use rand::Rng;
@@ -96,6 +96,15 @@
     Some(others[rand::rng().random_range(0..others.len())])
 }
 
+/// What a job's long-running tasks reserve in this shard, in thousandths of a core.
+fn lasting_millicores(job: &Job) -> u64 {
+    let steps = job.spec.steps.iter().enumerate();
+    let lasting = steps.filter(|(_, step)| step.is_long_running);
+    lasting
+        .map(|(at, step)| step.size.millicores * job.tasks_here(at))
+        .sum()
+}
+
 impl Owner {
     /// What lasting jobs ask for of the shard's processors, in thousandths; none before its workers are known.
     pub fn lasting_load(&self, cx: &Cx) -> Option<u32> {
@@ -107,11 +116,7 @@
         let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
         let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
         let jobs = jobs.filter(|job| job.phase == Phase::Active);
-        let steps = jobs.flat_map(|job| &job.spec.steps);
-        let lasting = steps.filter(|step| step.is_long_running);
-        let asked: u64 = lasting
-            .map(|s| s.size.millicores * u64::from(s.count))
-            .sum();
+        let asked: u64 = jobs.map(lasting_millicores).sum();
         (capacity > 0).then(|| u32::try_from(asked * 1_000 / capacity).unwrap_or(u32::MAX))
     }
 }
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -86,6 +86,7 @@
     let old = ledger.jobs.iter().filter(|(_, job)| {
         job.phase != Phase::Active && now.saturating_sub(job.over_unix_ms) > retention_ms
     });
+    let old = old.filter(|(id, _)| !owner.is_delegation_open(id));
     let is_old = |sent: &SentJob| now.saturating_sub(sent.at_unix_ms) > retention_ms;
     let sent = ledger.sent.iter().filter(|(_, sent)| is_old(sent));
     let old = old.map(|(id, _)| *id).chain(sent.map(|(id, _)| *id));
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -6,6 +6,7 @@
     layout::ShardId,
     lease::Holder,
     owner::{
+        delegate::{self, GuestTasks, TaskNeed},
         jobs,
         learned::{self, HeardUpto, Told},
     },
@@ -51,6 +52,10 @@
         Load,
         /// Tell what was learned of pressure since the last answer.
         Learned(Option<HeardUpto>),
+        /// Tell for how many more such tasks there is room.
+        Room(TaskNeed),
+        /// Run tasks of another shard's job.
+        Adopt(GuestTasks),
     }
 
     /// What the owner answers.
@@ -67,6 +72,19 @@
         Load(Option<u32>),
         /// To [`Ask::Learned`]; none where the one asked isn't the owner.
         Learned(Option<Told>),
+        /// To [`Ask::Room`]; none where the one asked isn't the owner or places nothing.
+        Room(Option<u32>),
+        /// To [`Ask::Adopt`].
+        Adopted(AdoptReply),
+    }
+
+    /// How a request to run another shard's tasks ended.
+    #[derive(Copy)]
+    pub enum AdoptReply {
+        /// It is durable that they are run here.
+        Adopted,
+        /// The one asked doesn't own the shard, or no longer does.
+        NotOwner,
     }
 
     /// How a hand-in ended.
@@ -184,6 +202,8 @@
         (Ask::Pending(_), None) => Answer::Pending(None),
         (Ask::Load, None) => Answer::Load(None),
         (Ask::Learned(_), None) => Answer::Learned(None),
+        (Ask::Room(_), None) => Answer::Room(None),
+        (Ask::Adopt(_), None) => Answer::Adopted(AdoptReply::NotOwner),
         (Ask::Learned(upto), Some(owner)) => Answer::Learned(learned::tell(cx, &owner, upto)),
         (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load(cx)),
         (
@@ -198,6 +218,10 @@
             let submitted = jobs::submit(cx, &owner, job, Rc::new(spec), terms, is_sent);
             Answer::Submitted(submitted.await)
         }
+        (Ask::Room(need), Some(owner)) => Answer::Room(owner.room_for(cx, &need)),
+        (Ask::Adopt(tasks), Some(owner)) => {
+            Answer::Adopted(delegate::adopt(cx, &owner, tasks).await)
+        }
         (Ask::Show(job), Some(owner)) => Answer::Shown(jobs::show(cx, &owner, job)),
         (Ask::Cancel(job), Some(owner)) => Answer::Cancelled(jobs::cancel(cx, &owner, job).await),
         (Ask::Pending(queue), Some(owner)) => Answer::Pending(jobs::pending(cx, &owner, &queue)),
--- /dev/null
+++ b/tests/testsuite/sched/delegate.rs
@@ -0,0 +1,216 @@
+//! Interrupted long-running tasks that go to a shard with room for them.
+
+use super::{
+    paused,
+    world::{StoreMood, World, home, owns, step, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{
+    Cx,
+    job::{JobId, Step, TaskId},
+    layout::ShardId,
+    peer::{CancelReply, JobState, SubmitReply},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const SHARDS: [ShardId; 2] = [ShardId(0), ShardId(1)];
+
+/// Tasks of two cores that run until they are cancelled: two fill a worker.
+fn lasting(count: u32) -> Vec<Step> {
+    let mut step = step(count, 600_000, &[]);
+    step.size.millicores = 2_000;
+    step.is_long_running = true;
+    vec![step]
+}
+
+/// Eight workers in two shards, and daemons that own one each.
+struct Site {
+    world: Rc<World>,
+    daemons: Vec<Cx>,
+}
+
+impl Site {
+    async fn start(names: &[&str]) -> Self {
+        let world = World::new(8);
+        world.workers_a_shard.set(4);
+        let daemons: Vec<Cx> = names.iter().map(|name| world.daemon(name)).collect();
+        let site = Self { world, daemons };
+        for shard in SHARDS {
+            until("the shard is owned", LIMIT, async || {
+                site.owner_of(shard).is_some()
+            })
+            .await;
+        }
+        // Its owner claims the workers.
+        sleep(Duration::from_secs(2)).await;
+        site
+    }
+
+    fn owner_of(&self, shard: ShardId) -> Option<&Cx> {
+        self.daemons.iter().find(|cx| owns(cx, shard))
+    }
+
+    fn workers_of(&self, shard: ShardId) -> Vec<String> {
+        let layout = self.daemons[0].layout.borrow().clone().expect("a layout");
+        let racks = layout.racks.iter().filter(|(_, of)| **of == shard);
+        racks.map(|(rack, _)| rack.clone()).collect()
+    }
+
+    /// Ids of jobs that are at home in a shard.
+    fn ids(&self, shard: ShardId) -> impl Iterator<Item = u64> {
+        let cx = Rc::clone(&self.daemons[0]);
+        (1..).filter(move |id| home(&cx, *id) == shard)
+    }
+
+    /// Fills three of the first shard's four workers with a job, and has two of these fail for good. The tasks
+    /// of one find room in the shard; the others find none. The job's id.
+    async fn strand(&self) -> u64 {
+        let id = self.ids(SHARDS[0]).next().expect("an id");
+        let owner = self.owner_of(SHARDS[0]).expect("an owner").clone();
+        let submitted = self.world.submit(&owner, id, lasting(6)).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("all run", LIMIT, async || self.world.running().len() == 6).await;
+        let workers = self.workers_of(SHARDS[0]);
+        let occupied = workers
+            .iter()
+            .filter(|w| !self.world.running_on(w).is_empty());
+        for worker in occupied.take(2) {
+            self.world.crash(worker);
+        }
+        id
+    }
+
+    fn running_in(&self, shard: ShardId) -> usize {
+        let workers = self.workers_of(shard);
+        workers.iter().map(|w| self.world.running_on(w).len()).sum()
+    }
+}
+
+/// Guards against long-running tasks that wait for ever beside another shard's free hosts.
+#[test]
+fn a_task_without_room_goes_to_a_shard_that_has_some() {
+    paused(async {
+        let site = Site::start(&["a", "b"]).await;
+        let id = site.strand().await;
+        until("all run again", LIMIT * 2, async || {
+            site.world.running().len() == 6
+        })
+        .await;
+        assert_eq!(site.running_in(SHARDS[0]), 4);
+        assert_eq!(site.running_in(SHARDS[1]), 2);
+        let owner = site.owner_of(SHARDS[0]).expect("an owner").clone();
+        let shown = site.world.state(&owner, id).await;
+        assert_eq!(shown, Some(JobState::Running));
+        site.world.check();
+    });
+}
+
+/// Guards against a guest that is shown, counted or cancelled as a job of its host shard's.
+#[test]
+fn the_other_shard_does_not_answer_for_the_job() {
+    paused(async {
+        let site = Site::start(&["a", "b"]).await;
+        let id = site.strand().await;
+        until("tasks are adopted", LIMIT * 2, async || {
+            site.running_in(SHARDS[1]) == 2
+        })
+        .await;
+        let other = site.owner_of(SHARDS[1]).expect("an owner").clone();
+        let seat = other.seat(SHARDS[1]);
+        let owner = seat.owner.borrow().clone().expect("an owner");
+        let shown = lapisdrum::sched::owner::jobs::show(&other, &owner, JobId(id));
+        assert_eq!(shown, lapisdrum::sched::peer::ShowReply::Unknown);
+        let cancelled = lapisdrum::sched::owner::jobs::cancel(&other, &owner, JobId(id)).await;
+        assert_eq!(cancelled, CancelReply::UnknownJob);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(site.running_in(SHARDS[1]), 2);
+    });
+}
+
+/// Guards against tasks that run on after their job was cancelled, since another shard runs them.
+#[test]
+fn a_cancel_reaches_the_shard_that_runs_the_tasks() {
+    paused(async {
+        let site = Site::start(&["a", "b"]).await;
+        let id = site.strand().await;
+        until("tasks are adopted", LIMIT * 2, async || {
+            site.running_in(SHARDS[1]) == 2
+        })
+        .await;
+        let owner = site.owner_of(SHARDS[0]).expect("an owner").clone();
+        let cancelled = site.world.cancel(&owner, id).await;
+        assert_eq!(cancelled, CancelReply::Done);
+        until("nothing runs", Duration::from_secs(2), async || {
+            site.world.running().is_empty()
+        })
+        .await;
+        sleep(LIMIT).await;
+        assert!(site.world.running().is_empty());
+        site.world.check();
+    });
+}
+
+/// Guards against tasks that nobody runs, or two shards do: the owner ends between its decision and the hand-over.
+#[test]
+fn a_successor_completes_a_hand_over() {
+    paused(async {
+        let site = Site::start(&["a", "b", "c"]).await;
+        site.strand().await;
+        let owner = site.owner_of(SHARDS[0]).expect("an owner").clone();
+        until("the decision is made", LIMIT * 2, async || {
+            is_delegated(&owner, SHARDS[0])
+        })
+        .await;
+        site.world.set_store(&owner.cfg.name, StoreMood::Away);
+        until("all run again", LIMIT * 3, async || {
+            site.world.running().len() == 6
+        })
+        .await;
+        sleep(LIMIT).await;
+        assert_eq!(site.world.running().len(), 6);
+        site.world.check();
+    });
+}
+
+fn is_delegated(cx: &Cx, shard: ShardId) -> bool {
+    let seat = cx.seat(shard);
+    let owner = seat.owner.borrow().clone();
+    owner.is_some_and(|owner| {
+        let ledger = owner.ledger.borrow();
+        let mut jobs = ledger.jobs.iter();
+        jobs.any(|(id, job)| !job.delegated(*id).is_empty())
+    })
+}
+
+/// Guards against adopted tasks that are forgotten with the owner that adopted them.
+#[test]
+fn adopted_tasks_outlive_their_owner() {
+    paused(async {
+        let site = Site::start(&["a", "b", "c"]).await;
+        let id = site.strand().await;
+        until("tasks are adopted", LIMIT * 2, async || {
+            site.running_in(SHARDS[1]) == 2
+        })
+        .await;
+        let adopter = site.owner_of(SHARDS[1]).expect("an owner").clone();
+        site.world.set_store(&adopter.cfg.name, StoreMood::Away);
+        until("another owns the shards", LIMIT * 2, async || {
+            let others = site.daemons.iter().filter(|cx| !Rc::ptr_eq(cx, &adopter));
+            let owned = |shard| others.clone().any(|cx| owns(cx, shard));
+            SHARDS.into_iter().all(owned)
+        })
+        .await;
+        sleep(LIMIT).await;
+        assert_eq!(site.world.running().len(), 6);
+        let task = TaskId {
+            job: JobId(id),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        assert!(site.world.starts_of(&task) <= 2);
+        site.world.check();
+    });
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler of job graphs: its pure parts, and the real owner in a world of scripted faults.
 
+mod delegate;
 mod evacuation;
 mod faults;
 mod journal;
--- a/tests/testsuite/sched/order.rs
+++ b/tests/testsuite/sched/order.rs
@@ -10,6 +10,7 @@
     Standing {
         priority: 1,
         is_long_running: false,
+        is_interrupted: false,
         age_ms,
         objective_ms: 4_000,
         chain_ms,
@@ -89,6 +90,7 @@
         let standing = Standing {
             priority: 2,
             is_long_running: false,
+            is_interrupted: false,
             age_ms: now_ms - self.arrived_ms,
             objective_ms: 5_000,
             chain_ms: forecast.map_or(chain_ms, |f| f.expected_ms("renders", chain_ms)),
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -105,6 +105,7 @@
     };
     Host {
         id,
+        pool: "pool",
         rack: None,
         labels: &[],
         capacity: cores(32),
@@ -116,6 +117,7 @@
         is_suspect: false,
         is_avoided: false,
         kept: None,
+        kept_millicores: 0,
     }
 }
 
@@ -129,6 +131,7 @@
 
 fn need(load: Load, image: Option<Image>) -> Need<'static> {
     Need {
+        pool: "pool",
         size: cores(4),
         load,
         required_label: None,
