--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -99,13 +99,13 @@
 
 async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
     let stranded = stranded(owner, cx.clock.now());
-    for (need, tasks) in stranded {
-        let Some((to, room)) = roomiest(cx, owner, &need).await else {
-            continue;
-        };
-        let count = room.div_ceil(ROOM_PART) as usize;
-        delegate(cx, owner, to, &tasks[..count.min(tasks.len())]).await;
-    }
+    let delegating = stranded.into_iter().map(async |(need, tasks)| {
+        if let Some((to, room)) = roomiest(cx, owner, &need).await {
+            let count = room.div_ceil(ROOM_PART) as usize;
+            delegate(cx, owner, to, &tasks[..count.min(tasks.len())]).await;
+        }
+    });
+    futures::future::join_all(delegating).await;
 }
 
 /// Interrupted long-running tasks that have waited for room too long, by what they need.
@@ -210,11 +210,12 @@
 /// Asks other shards for what they have not confirmed yet.
 async fn settle_open(cx: &Cx, owner: &Rc<Owner>) {
     let open: Vec<JobId> = owner.delegations.borrow().open.iter().copied().collect();
-    for job in open {
+    let settling = open.into_iter().map(async |job| {
         if settle_job(cx, owner, job).await {
             owner.delegations.borrow_mut().open.swap_remove(&job);
         }
-    }
+    });
+    futures::future::join_all(settling).await;
 }
 
 /// One round for a job; true when nothing is left to be confirmed.
--- a/tests/testsuite/model/mod.rs
+++ b/tests/testsuite/model/mod.rs
@@ -2,4 +2,5 @@
 
 mod catalogue;
 mod explore;
+mod handover;
 mod ownership;
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -13,7 +13,7 @@
 mod settle;
 mod strain;
 mod takeover;
-mod world;
+pub(crate) mod world;
 
 /// Runs a test under a paused clock that jumps to the next timer whenever nothing else is to be done.
 fn paused(test: impl Future<Output = ()>) {
--- a/tests/testsuite/sched/order.rs
+++ b/tests/testsuite/sched/order.rs
@@ -43,6 +43,27 @@
     );
 }
 
+/// Guards against livestreams that stay down while more urgent short work takes each core that comes free.
+#[test]
+fn interrupted_long_running_tasks_go_before_everything() {
+    let interrupted = Standing {
+        priority: 2,
+        is_long_running: true,
+        is_interrupted: true,
+        ..standing(100, 1_000)
+    };
+    let urgent = Standing {
+        priority: 0,
+        ..standing(100, 1_000)
+    };
+    let new = Standing {
+        is_interrupted: false,
+        ..interrupted
+    };
+    assert!(interrupted.rank() < urgent.rank());
+    assert!(urgent.rank() < new.rank());
+}
+
 /// Of two jobs with the same prospect, the one that has begun goes first, however little time the other has.
 #[test]
 fn a_job_that_has_begun_goes_before_new_ones() {
--- a/tests/testsuite/sched/random.rs
+++ b/tests/testsuite/sched/random.rs
@@ -90,11 +90,11 @@
     }
 
     fn heal(&mut self) {
-        for at in 0..3 {
+        for (at, data_centre) in DATA_CENTRES.iter().enumerate() {
             self.revive(at);
             self.world.cut(&format!("w{at}"), false);
             self.world.set_mood(&format!("w{at}"), WorkerMood::Prompt);
-            self.world.restore(DATA_CENTRES[at]);
+            self.world.restore(data_centre);
         }
         for daemon in ["a", "b"] {
             self.world.set_store(daemon, StoreMood::Up);
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -386,6 +386,28 @@
     assert_eq!(choose(&render, &[busy], &pressure), None);
 }
 
+/// Guards against a host that is kept free in vain: what long-running tasks leave of it is never enough.
+#[test]
+fn a_host_is_kept_where_the_task_will_fit() {
+    let mut pressure = Pressure::default();
+    let serving = pressure.image("s");
+    let with = |id, streams: usize, free: u64| {
+        let mut host = host(id, &vec![victim(serving); streams], 0.3);
+        host.reserved.millicores = (32 - free) * 1_000;
+        host
+    };
+    let stream = Need {
+        size: cores(8),
+        victim: Some(victim(serving)),
+        ..need(Load::Serving, Some(serving))
+    };
+    let mut hosts = [with("never", 5, 2), with("soon", 3, 1)];
+    assert!(keep_for(&stream, &mut hosts));
+    assert_eq!(hosts[0].kept, None);
+    assert_eq!(hosts[1].kept, Some(Kept::Processors));
+    assert!(!keep_for(&stream, &mut hosts), "it has room for one only");
+}
+
 /// A livestream of eight cores waits on hosts that are nearly full, while maps of two cores come all the time. Each
 /// core that comes free went to a map, and the stream stood still. With the host that has the most room kept free of
 /// them the stream is placed as soon as that host has eight cores; left-over work goes on there.
