Offers of room hold for a second

Change: the shard that is asked offers a quarter of its room, and counts what it offered in the last second as taken.

--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -185,10 +185,10 @@
     }
 }
 
-/// For how many more such tasks a shard has room; none without an answer from its owner.
-pub async fn room_of(cx: &Cx, seat: &Rc<Seat>, need: &TaskNeed) -> Option<u32> {
-    match ask_owner(cx, seat, Ask::Room(need.clone())).await {
-        Asked::Answer(Answer::Room(room)) => room,
+/// For how many of the tasks that are wanted a shard offers room; none without an answer from its owner.
+pub async fn offer_of(cx: &Cx, seat: &Rc<Seat>, need: &TaskNeed, wanted: u32) -> Option<u32> {
+    match ask_owner(cx, seat, Ask::Room(need.clone(), wanted)).await {
+        Asked::Answer(Answer::Room(offer)) => offer,
         _ => None,
     }
 }
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -33,8 +33,10 @@
 const STRANDED_AFTER: Duration = Duration::from_millis(800);
 /// Longest wait for another shard's answer about its room: many round trips between data centres.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(150);
-/// Of the room that a shard tells, one part in so many is used at once: others may be told the same.
-const ROOM_PART: u32 = 4;
+/// A shard offers one part in so many of its room at once: its own tasks may need the rest.
+const ROOM_PART: u64 = 4;
+/// An offer holds this long: the decision is journaled and the tasks are adopted within it, on a store that is well.
+const OFFER_HOLDS: Duration = Duration::from_millis(1_000);
 
 /// What is known of the tasks that an owner hands on.
 #[derive(Default)]
@@ -45,6 +47,8 @@
     open: IndexSet<JobId>,
     /// Tasks that the other shard has confirmed.
     confirmed: IndexSet<TaskId>,
+    /// Tasks for which room was offered to other shards, and when.
+    offered: Vec<(u64, Millis)>,
 }
 
 /// What a task needs of another shard.
@@ -100,9 +104,9 @@
 async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
     let stranded = stranded(owner, cx.clock.now());
     let delegating = stranded.into_iter().map(async |(need, tasks)| {
-        if let Some((to, room)) = roomiest(cx, owner, &need).await {
-            let count = room.div_ceil(ROOM_PART) as usize;
-            delegate(cx, owner, to, &tasks[..count.min(tasks.len())]).await;
+        if let Some((to, room)) = roomiest(cx, owner, &need, tasks.len()).await {
+            let count = tasks.len().min(room as usize);
+            delegate(cx, owner, to, &tasks[..count]).await;
         }
     });
     futures::future::join_all(delegating).await;
@@ -171,14 +175,15 @@
     }
 }
 
-/// The shard that says that it has room for most such tasks.
-async fn roomiest(cx: &Cx, owner: &Owner, need: &TaskNeed) -> Option<(ShardId, u32)> {
+/// The shard that offers room for most such tasks, and for how many.
+async fn roomiest(cx: &Cx, owner: &Owner, need: &TaskNeed, tasks: usize) -> Option<(ShardId, u32)> {
     let layout = cx.layout.borrow().clone()?;
+    let wanted = u32::try_from(tasks).unwrap_or(u32::MAX);
     let others = layout.all().filter(|shard| *shard != owner.seat.shard);
     let asked = others.map(async |shard| {
         let seat = cx.seat(shard);
-        let room = front::room_of(cx, &seat, need);
-        let told = tokio::time::timeout(ROOM_TIMEOUT, room).await;
+        let offer = front::offer_of(cx, &seat, need, wanted);
+        let told = tokio::time::timeout(ROOM_TIMEOUT, offer).await;
         (shard, told.ok().flatten().unwrap_or_default())
     });
     let told = futures::future::join_all(asked).await;
@@ -283,8 +288,21 @@
         jobs.map(Job::waiting_long_running).sum()
     }
 
-    /// For how many more such tasks there is room beside the shard's own long-running ones.
-    pub fn room_for(&self, cx: &Cx, need: &TaskNeed) -> Option<u32> {
+    /// For how many more such tasks there is room beside the shard's own long-running ones. What is offered counts as taken
+    /// for a while, or several shards would hand their tasks to the same few hosts.
+    pub fn offer_room(&self, cx: &Cx, need: &TaskNeed, wanted: u32) -> Option<u32> {
+        let room = self.room_for(cx, need)?;
+        let now = cx.clock.now();
+        let offered = &mut self.delegations.borrow_mut().offered;
+        offered.retain(|(_, at)| now.since(*at) < OFFER_HOLDS);
+        let taken: u64 = offered.iter().map(|(count, _)| count).sum();
+        let offer = room.saturating_sub(taken).div_ceil(ROOM_PART);
+        let offer = offer.min(u64::from(wanted));
+        offered.push((offer, now));
+        Some(u32::try_from(offer).unwrap_or(u32::MAX))
+    }
+
+    fn room_for(&self, cx: &Cx, need: &TaskNeed) -> Option<u64> {
         if !self.may_place(cx) {
             return None;
         }
@@ -297,8 +315,7 @@
                 && label.is_none_or(|label| host.labels.contains(label))
         });
         let room: u64 = fitting.map(|host| room_on(host, &need.size)).sum();
-        let room = room.saturating_sub(self.waiting_long_running());
-        Some(u32::try_from(room).unwrap_or(u32::MAX))
+        Some(room.saturating_sub(self.waiting_long_running()))
     }
 }
 
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -52,8 +52,8 @@
         Load,
         /// Tell what was learned of pressure since the last answer.
         Learned(Option<HeardUpto>),
-        /// Tell for how many more such tasks there is room.
-        Room(TaskNeed),
+        /// Offer room for so many such tasks.
+        Room(TaskNeed, u32),
         /// Run tasks of another shard's job.
         Adopt(GuestTasks),
     }
@@ -202,7 +202,7 @@
         (Ask::Pending(_), None) => Answer::Pending(None),
         (Ask::Load, None) => Answer::Load(None),
         (Ask::Learned(_), None) => Answer::Learned(None),
-        (Ask::Room(_), None) => Answer::Room(None),
+        (Ask::Room(..), None) => Answer::Room(None),
         (Ask::Adopt(_), None) => Answer::Adopted(AdoptReply::NotOwner),
         (Ask::Learned(upto), Some(owner)) => Answer::Learned(learned::tell(cx, &owner, upto)),
         (Ask::Load, Some(owner)) => Answer::Load(owner.lasting_load(cx)),
@@ -218,7 +218,7 @@
             let submitted = jobs::submit(cx, &owner, job, Rc::new(spec), terms, is_sent);
             Answer::Submitted(submitted.await)
         }
-        (Ask::Room(need), Some(owner)) => Answer::Room(owner.room_for(cx, &need)),
+        (Ask::Room(need, wanted), Some(owner)) => Answer::Room(owner.offer_room(cx, &need, wanted)),
         (Ask::Adopt(tasks), Some(owner)) => {
             Answer::Adopted(delegate::adopt(cx, &owner, tasks).await)
         }
