--- a/crates/lapisdrum-load/src/capacity.rs
+++ b/crates/lapisdrum-load/src/capacity.rs
@@ -40,7 +40,7 @@
     /// Catalogue entries of each run.
     #[arg(long, value_delimiter = ',', default_value = "3")]
     entries: Vec<usize>,
-    /// Short jobs handed in each second during the window, of each run.
+    /// Short jobs submitted each second during the window, of each run.
     #[arg(long, value_delimiter = ',', default_value = "0")]
     starts_per_s: Vec<u32>,
     /// Catalogue changes made each second during the window, of each run.
--- a/crates/lapisdrum-load/src/ledger.rs
+++ b/crates/lapisdrum-load/src/ledger.rs
@@ -1,6 +1,6 @@
 //! `lapisdrum-load ledger`: table writes and reads a second against tasks started a second.
 //!
-//! Jobs are handed in at a fixed rate, whatever the daemon answers. The first setting writes each
+//! Jobs are submitted at a fixed rate, whatever the daemon answers. The first setting writes each
 //! event into a row of its own at once; the others gather events for a linger.
 
 use crate::{
@@ -25,13 +25,13 @@
 const SERVE_LIMIT: Duration = Duration::from_secs(30);
 /// Load before the window, so that it shows the steady state.
 const WARM_UP: Duration = Duration::from_secs(4);
-/// Time between two lots of jobs handed in.
+/// Time between two lots of jobs submitted.
 const LOT: Duration = Duration::from_millis(20);
 
 /// Arguments of `ledger`.
 #[derive(Debug, Args)]
 pub struct LedgerArgs {
-    /// Jobs handed in a second.
+    /// Jobs submitted a second.
     #[arg(long, default_value_t = 200)]
     rate: u64,
     /// Workers.
@@ -56,7 +56,7 @@
 pub struct LedgerRow {
     /// How rows are written.
     pub writing: String,
-    /// Jobs handed in a second.
+    /// Jobs submitted a second.
     pub rate: u64,
     /// Tasks started a second.
     pub starts_per_s: f64,
--- a/src/bin/lapisdrum/commands/explain.rs
+++ b/src/bin/lapisdrum/commands/explain.rs
@@ -14,7 +14,7 @@
   cat *.log | lapisdrum explain
 
 Reads the JSON lines that daemons write to standard output, of all of them and in any order, and follows
-each job's critical path from its end back to its hand-in. Of tasks that last it tells for how long they
+each job's critical path from its end back to its submission. Of tasks that last it tells for how long they
 were away. What stands before a line's first brace is passed over.";
 
 /// Arguments of `explain`.
@@ -36,9 +36,9 @@
 enum ByArg {
     /// The entry.
     Entry,
-    /// The data centre that jobs were handed in at.
+    /// The data centre that jobs were submitted at.
     DataCentre,
-    /// The second of their hand-in.
+    /// The second of their submission.
     Second,
 }
 
--- a/src/lapisdrum/attribution/line.rs
+++ b/src/lapisdrum/attribution/line.rs
@@ -21,7 +21,7 @@
     pub what: Happening,
 }
 
-/// How a hand-in ended.
+/// How a submission ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HandIn {
     /// It is durable.
@@ -48,7 +48,7 @@
 /// What a line tells of.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Happening {
-    /// A daemon answered a hand-in.
+    /// A daemon answered a submission.
     HandedIn {
         /// The job.
         job: JobId,
@@ -188,7 +188,7 @@
 
 fn happening(message: &str, fields: &Fields) -> Option<Happening> {
     match message {
-        "job handed in" => handed_in(fields),
+        "job submitted" => submitted(fields),
         "job accepted" => accepted(fields),
         "step waits" => Some(Happening::Waits {
             step: fields.step()?,
@@ -233,7 +233,7 @@
     }
 }
 
-fn handed_in(fields: &Fields) -> Option<Happening> {
+fn submitted(fields: &Fields) -> Option<Happening> {
     Some(Happening::HandedIn {
         job: fields.job()?,
         queue: fields.owned("queue")?,
--- a/src/lapisdrum/attribution/story.rs
+++ b/src/lapisdrum/attribution/story.rs
@@ -40,7 +40,7 @@
 pub struct Story {
     /// Its queue.
     pub queue: String,
-    /// Where it was handed in.
+    /// Where it was submitted.
     pub data_centre: String,
     /// Its shard.
     pub shard: String,
@@ -142,7 +142,7 @@
 }
 
 impl Story {
-    /// Notes a hand-in or an acceptance.
+    /// Notes a submission or an acceptance.
     fn note_begin(&mut self, at_ms: i64, what: Happening) {
         match what {
             Happening::HandedIn {
--- a/src/lapisdrum/attribution/totals.rs
+++ b/src/lapisdrum/attribution/totals.rs
@@ -1,4 +1,4 @@
-//! Sums of many jobs' time, by entry, by data centre or by the second of their hand-in.
+//! Sums of many jobs' time, by entry, by data centre or by the second of their submission.
 
 use super::{
     path::{self, Spent},
@@ -17,9 +17,9 @@
 pub enum By {
     /// The entry, as its queue is named in the lines.
     Entry,
-    /// The data centre that they were handed in at.
+    /// The data centre that they were submitted at.
     DataCentre,
-    /// The second of their hand-in, from the first job's.
+    /// The second of their submission, from the first job's.
     Second,
 }
 
@@ -49,7 +49,7 @@
     pub late: u64,
     /// Of these, later than that or not done.
     pub missed: u64,
-    /// Hand-ins that were never accepted.
+    /// Submissions that were never accepted.
     pub never_accepted: u64,
     /// Estimated work on the longest chains, alone.
     pub chain_ms: u64,
--- a/src/lapisdrum/ops/explain.rs
+++ b/src/lapisdrum/ops/explain.rs
@@ -34,7 +34,7 @@
     pub job: String,
     /// Its queue.
     pub queue: String,
-    /// Where it was handed in.
+    /// Where it was submitted.
     pub data_centre: String,
     /// Time within which it is on time, in milliseconds.
     pub objective_ms: i64,
@@ -125,7 +125,7 @@
         let seconds = |ms: i64| ms as f64 / 1e3;
         writeln!(
             f,
-            "job {} of {}, handed in at {}: {:.3} s, on time within {:.3} s",
+            "job {} of {}, submitted at {}: {:.3} s, on time within {:.3} s",
             self.job,
             self.queue,
             self.data_centre,
--- a/src/lapisdrum/policy/dispatch/forecast.rs
+++ b/src/lapisdrum/policy/dispatch/forecast.rs
@@ -1,7 +1,7 @@
 //! How long a queue's jobs really take, against the work that is estimated on their longest chain.
 //!
 //! Load pattern: batch graphs of wide steps at more than the hosts can do. A step is over when the slowest
-//! of its tasks is, left-over tasks run slower than alone, and some move; so even on a calm day a job may take
+//! of its tasks is, best-effort tasks run slower than alone, and some move; so even on a calm day a job may take
 //! almost twice the estimate of its chain from first start to end. A scheduler that goes by the estimate begins
 //! jobs after a burst that can't be on time any more. Each queue's factor follows what its jobs took lately, so
 //! that it also tells of hosts that have become slow or crowded.
--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -3,7 +3,7 @@
 //! Load pattern: short urgent graphs of a few steps among wide batch graphs and tasks that last, on hosts
 //! that are two thirds full before any burst. Without an order by what can still be on time, a burst of
 //! batch work makes every job behind it late, the urgent ones too. Without separating tasks that use
-//! left-over processors from tasks that serve users, the latter's tails break their targets within a
+//! best-effort processors from tasks that serve users, the latter's tails break their targets within a
 //! second. [`order`] ranks steps by what [`forecast`] expects of them, [`place`] chooses workers,
 //! [`pressure`] learns what disturbs what and [`relief`] decides what gives way; all are pure.
 
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -5,8 +5,8 @@
 //! everything, since their users are without them; then a class goes before the next, and within a class jobs that can still meet their objective go before those that can only be late, which earn a
 //! part of their worth, and those before the hopeless.
 //!
-//! A job that has begun goes before one that has not, and a new one that has time to spare before one that
-//! would miss its end by any wait. Without that, a backlog is worked on from all sides: each job is begun when it
+//! A job in progress goes before a new one, and a new one that has time to spare before one that
+//! would miss its end by any wait. Without that, a backlog is worked on from all sides: each job starts when it
 //! is all but late and waits between its steps, and with twice the work that there is room for hardly any job is
 //! on time, instead of half of them.
 //! A job's size has no part in it, so wide jobs are served as often as narrow ones.
@@ -15,8 +15,8 @@
 
 /// A job is worth something, if little, up to so many times its objective.
 const LATE_FACTOR: u64 = 3;
-/// A job that has not begun is safe while its slack is this part of its chain, in hundredths. With less, jobs under a
-/// backlog are begun that others' work makes late; the more, the less it helps those who wait out a short burst.
+/// A new job is safe while its slack is this part of its chain, in hundredths. With less, jobs under a
+/// backlog start that others' work makes late; the more, the less it helps those who wait out a short burst.
 const SPARE_PERCENT: u64 = 40;
 
 /// What decides a step's rank.
@@ -35,7 +35,7 @@
     /// Time that the chain that begins with this step is expected to take, in milliseconds.
     pub chain_ms: u64,
     /// Whether anything of the job's occurrence was started.
-    pub has_begun: bool,
+    pub is_in_progress: bool,
 }
 
 /// What a job can still reach.
@@ -52,8 +52,8 @@
 /// Whose turn it is among jobs with the same prospect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
-    /// It has begun, or runs until it is cancelled: the one with the least slack first.
-    Begun,
+    /// It is in progress, or runs until it is cancelled: the one with the least slack first.
+    InProgress,
     /// It has slack to spare: the one with the least first.
     Safe,
     /// Any wait would make it miss its end: the one with the most slack first.
@@ -87,8 +87,8 @@
 
     fn turn(&self, slack_ms: u64) -> Turn {
         let spare_ms = self.chain_ms * SPARE_PERCENT / 100;
-        match self.has_begun || self.is_long_running {
-            true => Turn::Begun,
+        match self.is_in_progress || self.is_long_running {
+            true => Turn::InProgress,
             false if slack_ms >= spare_ms => Turn::Safe,
             false => Turn::Tight(Reverse(slack_ms)),
         }
--- a/src/lapisdrum/policy/dispatch/outlook.rs
+++ b/src/lapisdrum/policy/dispatch/outlook.rs
@@ -1,9 +1,9 @@
 //! What is expected of a serving task over the next moments, and what it costs when it misses its target.
 //!
-//! Load pattern: serving loads rise and fall by half while left-over tasks come, run for a second or two and end.
+//! Load pattern: serving loads rise and fall by half while best-effort tasks come, run for a second or two and end.
 //! A decision by the present strain alone stops a task that is all but done, or lets one in at the foot of a
 //! rise. So strain is told for some moments ahead, with those gone that will be gone, and every decision is
-//! weighed in one unit: what a second of one left-over task is worth.
+//! weighed in one unit: what a second of one best-effort task is worth.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 const FIRST: Duration = Duration::from_millis(200);
 /// Time between two, for which each of them stands.
 const SPACING: Duration = Duration::from_millis(400);
-/// Cost of a serving task that is over its target for a second, in seconds of a left-over task. The serving tasks
+/// Cost of a serving task that is over its target for a second, in seconds of a best-effort task. The serving tasks
 /// beside it are over together, so a host's misses cost a few times this.
 const OVER_COST: f64 = 0.4;
 /// A target is taken for missed in part within so many standard deviations around it.
@@ -84,7 +84,7 @@
         self.strain.iter().copied().fold(0.0, f64::max)
     }
 
-    /// What its targets' misses cost over the moments, in seconds of a left-over task.
+    /// What its targets' misses cost over the moments, in seconds of a best-effort task.
     pub fn cost(&self) -> f64 {
         let certain = 2.0 * self.margin();
         let missed: f64 = self.beyond().map(|b| (b / certain).min(1.0)).sum();
--- a/src/lapisdrum/policy/dispatch/overload.rs
+++ b/src/lapisdrum/policy/dispatch/overload.rs
@@ -1,6 +1,6 @@
 //! For how long the serving tasks of a host have been over their targets.
 //!
-//! Load pattern: a tail stays over its target while one left-over task after another works beside it. Counted by
+//! Load pattern: a tail stays over its target while one best-effort task after another works beside it. Counted by
 //! task, or only while there is one, the time begins anew with each, and the bound that a deployment sets for all
 //! of it is passed unnoticed. So the time runs from the first tail over its target until all are well below,
 //! whatever runs there. A single rough figure just below doesn't end it.
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -2,14 +2,14 @@
 //!
 //! Load pattern: tasks of three kinds on the same hosts. *Reserving* tasks take their processors and
 //! memory out of the host's; *serving* ones do too and must keep their users' latency tail under a
-//! target; *left-over* ones take memory, and the processors that the others leave. A left-over task
+//! target; *best-effort* ones take memory, and the processors that the others leave. A best-effort task
 //! presses on serving ones beside it by amounts that differ by image and change within seconds, and its
-//! effect is seen half a second late. So a left-over task goes only where every serving task is expected
+//! effect is seen half a second late. So a best-effort task goes only where every serving task is expected
 //! to stay clear of its target with it ([`super::pressure`]), and first where most of that room is left.
 //!
-//! Hosts are filled from the fullest that still fits, so that wide tasks find room, but for left-over
+//! Hosts are filled from the fullest that still fits, so that wide tasks find room, but for best-effort
 //! tasks, which run as fast as what they find. Serving tasks go first to hosts whose serving tasks run the
-//! same image: each image bears about half of the left-over images, so five images on a host bear almost
+//! same image: each image bears about half of the best-effort images, so five images on a host bear almost
 //! none in common, and one bears half.
 
 use super::{
@@ -23,7 +23,7 @@
 /// Added to the load expected of a serving task before its processors count as left over, as a part of what
 /// it reserves: loads are told somewhat wrong while they swing.
 const LOAD_SLACK: f64 = 0.05;
-/// A left-over task is let in where it finds this part of its processors, in hundredths: those on a host share
+/// A best-effort task is let in where it finds this part of its processors, in hundredths: those on a host share
 /// what is left. Tasks that must find them whole leave the rest of each host unused under a backlog; with much
 /// less they slow each other so much that fewer jobs are on time.
 const LEAST_FILL_PERCENT: u64 = 80;
@@ -37,7 +37,7 @@
     /// Like [`Load::Reserving`], with a latency tail to keep.
     Serving,
     /// Takes memory, and the processors that are left.
-    Leftover,
+    BestEffort,
 }
 
 /// A task to place.
@@ -89,14 +89,14 @@
     pub labels: &'a [String],
     /// What it has.
     pub capacity: Size,
-    /// What is taken for good: processors of left-over tasks are not in it, their memory is.
+    /// What is taken for good: processors of best-effort tasks are not in it, their memory is.
     pub reserved: Size,
-    /// Processors of its left-over tasks, in thousandths.
-    pub leftover_millicores: u64,
+    /// Processors of its best-effort tasks, in thousandths.
+    pub best_effort_millicores: u64,
     /// Serving tasks on it.
     pub serving: Vec<Strained>,
-    /// Whether it takes left-over tasks at all just now.
-    pub is_open_for_leftover: bool,
+    /// Whether it takes best-effort tasks at all just now.
+    pub is_open_for_best_effort: bool,
     /// Tasks on it of the step that is being placed.
     pub of_step: u32,
     /// Whether tasks have failed or stalled on it lately.
@@ -157,7 +157,7 @@
     fn unused_millicores(&self) -> u64 {
         let idle = self.serving.iter().map(Strained::idle_millicores);
         let used = self.reserved.millicores.saturating_sub(idle.sum());
-        let used = used + self.leftover_millicores;
+        let used = used + self.best_effort_millicores;
         self.capacity.millicores.saturating_sub(used)
     }
 
@@ -210,8 +210,8 @@
                 let placed = |victim| Strained::unmeasured(victim, need.size.millicores, pressure);
                 self.serving.extend(need.victim.map(placed));
             }
-            Load::Leftover => {
-                self.leftover_millicores += need.size.millicores;
+            Load::BestEffort => {
+                self.best_effort_millicores += need.size.millicores;
                 if let Some(presser) = self.presser(need) {
                     let moments = outlook::moments_within(need.duration);
                     for s in &mut self.serving {
@@ -227,7 +227,7 @@
 pub fn reserved_by(size: &Size, load: Load) -> Size {
     let millicores = match load {
         Load::Reserving | Load::Serving => size.millicores,
-        Load::Leftover => 0,
+        Load::BestEffort => 0,
     };
     Size {
         millicores,
@@ -250,7 +250,7 @@
     StepLimit,
     /// Something has just given way there, and its tails still tell of before.
     Closed,
-    /// The processors that others leave are too few for a left-over task.
+    /// The processors that others leave are too few for a best-effort task.
     Busy,
     /// A serving task there would come too near its target.
     Pressure,
@@ -287,12 +287,12 @@
     }
     match need.load {
         Load::Reserving | Load::Serving => None,
-        Load::Leftover => unfit_leftover(need, host, pressure),
+        Load::BestEffort => unfit_best_effort(need, host, pressure),
     }
 }
 
-fn unfit_leftover(need: &Need, host: &Host, pressure: &Pressure) -> Option<Unfit> {
-    if !host.is_open_for_leftover {
+fn unfit_best_effort(need: &Need, host: &Host, pressure: &Pressure) -> Option<Unfit> {
+    if !host.is_open_for_best_effort {
         return Some(Unfit::Closed);
     }
     if need.size.millicores * LEAST_FILL_PERCENT / 100 > host.unused_millicores() {
@@ -326,7 +326,7 @@
     spare: u64,
 }
 
-/// Presses within this much of each other count as equal. A left-over task goes where it presses least,
+/// Amounts of interference within this much of each other count as equal. A best-effort task goes where it disturbs least,
 /// so that the hosts with headroom are kept for those that press everywhere.
 const PRESS_STEP: f64 = 0.03;
 /// Turns headroom into a whole number that sorts the largest first.
@@ -335,7 +335,7 @@
 fn fit(need: &Need, host: &Host, pressure: &Pressure) -> Fit {
     let unused = host.unused_millicores();
     let spare = match need.load {
-        Load::Leftover => ((1.0 - host.headroom()).max(0.0) * HEADROOM_SCALE) as u64,
+        Load::BestEffort => ((1.0 - host.headroom()).max(0.0) * HEADROOM_SCALE) as u64,
         Load::Reserving => unused.saturating_sub(need.size.millicores),
         Load::Serving => host.free().millicores.saturating_sub(need.size.millicores),
     };
--- a/src/lapisdrum/policy/dispatch/pressure/load.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/load.rs
@@ -3,7 +3,7 @@
 //! All tasks of a step share their load, so one that nothing presses tells it for the others. A tail is
 //! [`TAIL_AGE`] old when it is read and the load swings by half within seconds. While no period is known
 //! ([`super::season`]) level and slope are followed; with one, a mean and a wave around it, which tells the load
-//! for as long as a left-over task runs.
+//! for as long as a best-effort task runs.
 
 use crate::core::time::Millis;
 use nalgebra::{Matrix3, RowVector3, Vector3};
--- a/src/lapisdrum/policy/dispatch/pressure/mod.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/mod.rs
@@ -1,4 +1,4 @@
-//! How much tasks that use left-over processors press on tasks that serve users beside them, learned
+//! How much tasks that use best-effort processors press on tasks that serve users beside them, learned
 //! from late and rough latency tails.
 //!
 //! Load pattern: hosts whose processors are mostly reserved by serving tasks which use half of them, and
@@ -7,7 +7,7 @@
 //! of the room or drives tails to ten times their target.
 //!
 //! A tail behaves like a queue's: `base / (1 - strain)`. Strain adds up: the serving task's own load
-//! ([`load`]), and for each left-over task beside it that task's share of the host's processors times a factor of
+//! ([`load`]), and for each best-effort task beside it that task's share of the host's processors times a factor of
 //! the two images. A measurement corrects each unknown in proportion to its doubt (a Kalman filter; the unknowns
 //! are taken as independent of each other). What pairs have shown is kept as [`evidence`], to which other owners
 //! add theirs; what is expected of a pair that has hardly met comes from the others ([`profile`]).
--- a/src/lapisdrum/policy/dispatch/pressure/profile.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/profile.rs
@@ -1,9 +1,9 @@
 //! Tells from the pairs of images that have met how much others would press on each other.
 //!
-//! Load pattern: some hundreds of pairs of serving and left-over images, of which a deployment's first seconds
+//! Load pattern: some hundreds of pairs of serving and best-effort images, of which a deployment's first seconds
 //! show a few dozen, one owner still fewer. Learned pair by pair, each unknown one is tried on tasks that
-//! serve users, and a fifth of the left-over tasks has to give way again. But images contend for few
-//! things: caches, memory bandwidth, disks, links. Each left-over image uses some of them and each serving
+//! serve users, and a fifth of the best-effort tasks has to give way again. But images contend for few
+//! things: caches, memory bandwidth, disks, links. Each best-effort image uses some of them and each serving
 //! image suffers from some, so the presses are nearly a product of two narrow matrices, and an image that has met
 //! three others is known towards the rest.
 //!
--- a/src/lapisdrum/policy/dispatch/pressure/season.rs
+++ b/src/lapisdrum/policy/dispatch/pressure/season.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: users come in waves, each service in its own, of one length that differs by deployment. A
 //! straight line tells such a load a second ahead to a tenth of a host and two seconds ahead not at all: a
-//! left-over task is let in at the foot of a rise that it will not live through. With the period known, level and
+//! best-effort task is let in at the foot of a rise that it will not live through. With the period known, level and
 //! swing of each service follow within a part of a wave and the rest of it is told to a few hundredths.
 //!
 //! The period is the one whose waves leave the least unexplained in what some steps have shown lately. Loads that
--- a/src/lapisdrum/policy/dispatch/relief.rs
+++ b/src/lapisdrum/policy/dispatch/relief.rs
@@ -1,6 +1,6 @@
-//! Which left-over task gives way when a serving task's tail nears its target, and how far.
+//! Which best-effort task gives way when a serving task's tail nears its target, and how far.
 //!
-//! Load pattern: the serving load swings up under left-over tasks that were harmless when they came, or a
+//! Load pattern: the serving load swings up under best-effort tasks that were harmless when they came, or a
 //! pair turns out worse than it was thought. Tails tell it half a second late. Without relief a tail stays
 //! at ten times its target for as long as the batch task runs, some four seconds. With relief by what presses
 //! most, tasks were stopped that had all but ended, and whole steps waited for them.
@@ -20,7 +20,7 @@
 
 /// Paces that are set, in hundredths.
 const PACES: [u32; 6] = [0, 20, 40, 60, 80, 100];
-/// A change must gain this much, in seconds of a left-over task: each is an order to a worker.
+/// A change must gain this much, in seconds of a best-effort task: each is an order to a worker.
 const LEAST_GAIN: f64 = 0.1;
 
 /// The serving tasks of one step on a host.
@@ -34,9 +34,9 @@
     pub surprise: f64,
 }
 
-/// A left-over task on the same host.
+/// A best-effort task on the same host.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Leftover {
+pub struct BestEffort {
     /// Its image.
     pub image: Image,
     /// Processors it may use at full pace, as a part of the host's.
@@ -53,7 +53,7 @@
     pub left: Duration,
 }
 
-/// What is to be done with a left-over task.
+/// What is to be done with a best-effort task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Let it work at this pace.
@@ -74,14 +74,14 @@
 }
 
 /// What gives way on a host, by the places in `leftover`.
-pub fn decide(sight: &Sight, serving: &[Serving], leftover: &[Leftover]) -> Vec<(usize, Action)> {
+pub fn decide(sight: &Sight, serving: &[Serving], leftover: &[BestEffort]) -> Vec<(usize, Action)> {
     let loads: Vec<Path> = serving.iter().map(|s| sight.load_path(s)).collect();
     let host = Host {
         sight,
         serving,
         loads: &loads,
     };
-    let mut after: Vec<Leftover> = leftover.to_vec();
+    let mut after: Vec<BestEffort> = leftover.to_vec();
     let mut actions = Vec::new();
     while let Some((at, action)) = host.best_change(&after, &actions) {
         after[at].apply(action);
@@ -98,7 +98,7 @@
     }
 }
 
-impl Leftover {
+impl BestEffort {
     fn apply(&mut self, action: Action) {
         match action {
             Action::Pace(pace) => self.pace = pace,
@@ -147,7 +147,7 @@
     /// The change that gains most of those to tasks that aren't changed yet; none where none gains enough.
     fn best_change(
         &self,
-        leftover: &[Leftover],
+        leftover: &[BestEffort],
         changed: &[(usize, Action)],
     ) -> Option<(usize, Action)> {
         let outlooks = self.outlooks(leftover);
@@ -174,7 +174,7 @@
         best.map(|(at, action, _)| (at, action))
     }
 
-    fn outlooks(&self, leftover: &[Leftover]) -> Vec<Outlook> {
+    fn outlooks(&self, leftover: &[BestEffort]) -> Vec<Outlook> {
         let all = self.serving.iter().zip(self.loads);
         let all = all.map(|(s, load)| {
             let limit = self.sight.pressure.limit(&s.victim);
@@ -192,22 +192,22 @@
         all.collect()
     }
 
-    fn cost(&self, leftover: &[Leftover]) -> f64 {
+    fn cost(&self, leftover: &[BestEffort]) -> f64 {
         self.outlooks(leftover).iter().map(Outlook::cost).sum()
     }
 
-    fn cost_without(&self, leftover: &[Leftover], at: usize) -> f64 {
+    fn cost_without(&self, leftover: &[BestEffort], at: usize) -> f64 {
         self.cost_with(leftover, at, Action::Stop)
     }
 
-    fn cost_with(&self, leftover: &[Leftover], at: usize, action: Action) -> f64 {
+    fn cost_with(&self, leftover: &[BestEffort], at: usize, action: Action) -> f64 {
         let mut after = leftover.to_vec();
         after[at] = after[at].with(action);
         self.cost(&after)
     }
 
     /// What a change costs the task itself, in seconds; less than nothing where it works faster.
-    fn cost_of(&self, l: &Leftover, action: Action, missed_for: f64) -> f64 {
+    fn cost_of(&self, l: &BestEffort, action: Action, missed_for: f64) -> f64 {
         let left = l.left.as_secs_f64();
         let restart = self.sight.terms.restart_takes().as_secs_f64();
         match action {
--- a/src/lapisdrum/policy/dispatch/terms.rs
+++ b/src/lapisdrum/policy/dispatch/terms.rs
@@ -17,7 +17,7 @@
     pub stop_takes: Duration,
     /// Time that a task takes to resume from its saved progress.
     pub restore_takes: Duration,
-    /// How long a serving task may be over its target through what uses left-over processors beside it.
+    /// How long a serving task may be over its target through what uses best-effort processors beside it.
     pub overload_borne: Duration,
 }
 
--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -1,5 +1,5 @@
 //! What the scheduler needs of the world around it: a store, workers, and a directory that names
-//! workers and queues. One trait each; whoever implements them decodes a wire into these types.
+//! workers and queues. One trait each; an implementation decodes a wire format into these types.
 //!
 //! Every call that changes something ends in one of three ways that must be told apart: it took effect,
 //! it certainly did not and never will, or nobody knows. A call of the third kind may be carried out
--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -47,7 +47,7 @@
     pub enum Loss {
         /// The worker answered, under a claim that refuses earlier orders, that it doesn't run.
         NotThere,
-        /// The worker has begun a new life.
+        /// The worker was restarted.
         Reborn,
         /// The worker is silent, and every lease that it may hold has run out.
         Lapsed,
@@ -61,7 +61,7 @@
         Accepted {
             /// The job.
             job: JobId,
-            /// What was handed in.
+            /// What was submitted.
             spec: Rc<JobSpec>,
             /// What the catalogue said of its queue.
             terms: QueueTerms,
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -1,11 +1,11 @@
-//! Takes callers' wishes to the owner of the job's shard, wherever it is, and tells them how it ended.
+//! Forwards callers' requests to the leaseholder of the job's shard and returns the outcome.
 //!
-//! A refusal is final: the job never runs. So a hand-in is refused only when it was certainly not taken;
+//! A refusal is final: the job never runs. So a submission is refused only when it was certainly not taken;
 //! without an answer from the owner the caller is told that nobody knows, and a repeat finds the job.
-//! Whom no owner can serve is refused at once, with the time until one is likely to be there.
+//! Without a reachable owner a request is refused at once, with the time until one is expected.
 
 use super::{
-    Cx, Seat,
+    Cx, ShardHandle,
     edge::Queue,
     job::{JobId, JobSpec},
     owner::{
@@ -20,7 +20,7 @@
 
 /// Longest wait for the owner; it gives up on its store a little sooner and says so.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Longest wait for an owner that says that a hand-in is under way: it ends within a caller's 3 s.
+/// Longest wait for an owner that says that a submission is under way: it ends within a caller's 3 s.
 const UNDER_WAY_LIMIT: Duration = Duration::from_millis(2_500);
 /// An owner that left a call unanswered is not asked again for this long, or until another has taken over:
 /// callers would wait in vain for the seconds until its lease lapses, and are told at once instead.
@@ -33,10 +33,10 @@
 const NO_LAYOUT_RETRY: Duration = Duration::from_secs(1);
 /// Wait before the lease is read again after the one that was asked turned out not to be the owner.
 const ASK_AGAIN_WAIT: Duration = Duration::from_millis(60);
-/// Processes asked for one wish.
+/// Processes asked for one request.
 const TRIES: usize = 2;
 
-/// How a caller's wish ended.
+/// How a caller's request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome<T> {
     /// Done.
@@ -65,7 +65,7 @@
     let Some(layout) = cx.layout.borrow().clone() else {
         return Outcome::Refused(NO_LAYOUT_RETRY);
     };
-    let mut seat = cx.seat(layout.home(job, &spec));
+    let mut handle = cx.handle(layout.home(job, &spec));
     let ask = |is_sent| Ask::Submit {
         job,
         spec: spec.clone(),
@@ -74,11 +74,11 @@
     };
     let (mut is_sent, mut was_under_way) = (false, false);
     let asked = loop {
-        let asked = ask_owner(cx, &seat, ask(is_sent)).await;
+        let asked = ask_owner(cx, &handle, ask(is_sent)).await;
         let is_time_left = cx.clock.now().since(began) + OWNER_TIMEOUT <= UNDER_WAY_LIMIT;
         match &asked {
             Asked::Answer(Answer::Submitted(SubmitReply::Elsewhere(to))) if !is_sent => {
-                seat = cx.seat(*to);
+                handle = cx.handle(*to);
                 is_sent = true;
             }
             Asked::Answer(Answer::Submitted(SubmitReply::UnderWay)) if is_time_left => {
@@ -96,16 +96,16 @@
         Asked::Answer(_) | Asked::Silence => Outcome::Unknown,
     };
     cx.metrics.note_submit(&queue.terms.queue, &outcome);
-    let (owner, owner_seen_ms) = owner_believed(cx, &seat);
+    let (owner, owner_seen_ms) = owner_believed(cx, &handle);
     let (data_centre, took_ms) = (&cx.cfg.data_centre, millis(cx.clock.now().since(began)));
-    log::info!(job:% = job, queue:% = queue.terms.queue, data_centre:%, outcome:? = outcome, took_ms, shard:% = seat.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "job handed in");
+    log::info!(job:% = job, queue:% = queue.terms.queue, data_centre:%, outcome:? = outcome, took_ms, shard:% = handle.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "job submitted");
     outcome
 }
 
 /// Tells a job's state.
 pub async fn show(cx: &Cx, job: JobId) -> Outcome<JobState> {
-    at_home(cx, job, async |seat| {
-        match ask_owner(cx, &seat, Ask::Show(job)).await {
+    at_home(cx, job, async |handle| {
+        match ask_owner(cx, &handle, Ask::Show(job)).await {
             Asked::Answer(Answer::Shown(ShowReply::State(state))) => Outcome::Done(state),
             Asked::Answer(Answer::Shown(ShowReply::Unknown)) => Outcome::NoSuchJob,
             Asked::Nobody | Asked::Silence | Asked::Answer(_) => Outcome::Refused(NO_OWNER_RETRY),
@@ -116,30 +116,34 @@
 
 /// Cancels a job.
 pub async fn cancel(cx: &Cx, job: JobId) -> Outcome<()> {
-    at_home(cx, job, async |seat| cancel_at(cx, &seat, job).await).await
+    at_home(cx, job, async |handle| cancel_at(cx, &handle, job).await).await
 }
 
-async fn cancel_at(cx: &Cx, seat: &Rc<Seat>, job: JobId) -> Outcome<()> {
-    let outcome = match ask_owner(cx, seat, Ask::Cancel(job)).await {
+async fn cancel_at(cx: &Cx, handle: &Rc<ShardHandle>, job: JobId) -> Outcome<()> {
+    let outcome = match ask_owner(cx, handle, Ask::Cancel(job)).await {
         Asked::Answer(Answer::Cancelled(CancelReply::Done)) => Outcome::Done(()),
         Asked::Answer(Answer::Cancelled(CancelReply::UnknownJob)) => Outcome::NoSuchJob,
         Asked::Nobody => Outcome::Refused(NO_OWNER_RETRY),
         Asked::Silence | Asked::Answer(_) => Outcome::Unknown,
     };
-    let (owner, owner_seen_ms) = owner_believed(cx, seat);
-    log::info!(job:% = job, outcome:? = outcome, shard:% = seat.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
+    let (owner, owner_seen_ms) = owner_believed(cx, handle);
+    log::info!(job:% = job, outcome:? = outcome, shard:% = handle.part, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
     outcome
 }
 
 /// Asks the shards in which a job may be, the likeliest first. There is no such job only if every one of
 /// them says so: a job whose data has a place is at home there, and its id doesn't tell.
-async fn at_home<T>(cx: &Cx, job: JobId, ask: impl AsyncFn(Rc<Seat>) -> Outcome<T>) -> Outcome<T> {
+async fn at_home<T>(
+    cx: &Cx,
+    job: JobId,
+    ask: impl AsyncFn(Rc<ShardHandle>) -> Outcome<T>,
+) -> Outcome<T> {
     let Some(layout) = cx.layout.borrow().clone() else {
         return Outcome::Refused(NO_LAYOUT_RETRY);
     };
     let mut undecided = None;
     for shard in layout.homes(job) {
-        match ask(cx.seat(shard)).await {
+        match ask(cx.handle(shard)).await {
             Outcome::Done(found) => return Outcome::Done(found),
             Outcome::NoSuchJob => {}
             other => {
@@ -156,8 +160,8 @@
         return Outcome::Refused(NO_LAYOUT_RETRY);
     };
     let counts = layout.all().map(|shard| {
-        let seat = cx.seat(shard);
-        async move { ask_owner(cx, &seat, Ask::Pending(queue.to_owned())).await }
+        let handle = cx.handle(shard);
+        async move { ask_owner(cx, &handle, Ask::Pending(queue.to_owned())).await }
     });
     let mut sum = 0;
     for asked in futures::future::join_all(counts).await {
@@ -170,38 +174,47 @@
 }
 
 /// How much of a shard is taken by what lasts, in thousandths; none without an answer from its owner.
-pub async fn load_of(cx: &Cx, seat: &Rc<Seat>) -> Option<u32> {
-    match ask_owner(cx, seat, Ask::Load).await {
+pub async fn load_of(cx: &Cx, handle: &Rc<ShardHandle>) -> Option<u32> {
+    match ask_owner(cx, handle, Ask::Load).await {
         Asked::Answer(Answer::Load(load)) => load,
         _ => None,
     }
 }
 
 /// What the owner of a shard has learned of pressure since it was last asked; none without an answer.
-pub async fn learned_of(cx: &Cx, seat: &Rc<Seat>, upto: Option<HeardUpto>) -> Option<Told> {
-    match ask_owner(cx, seat, Ask::Learned(upto)).await {
+pub async fn learned_of(
+    cx: &Cx,
+    handle: &Rc<ShardHandle>,
+    upto: Option<HeardUpto>,
+) -> Option<Told> {
+    match ask_owner(cx, handle, Ask::Learned(upto)).await {
         Asked::Answer(Answer::Learned(told)) => told,
         _ => None,
     }
 }
 
 /// For how many of the tasks that are wanted a shard offers room; none without an answer from its owner.
-pub async fn offer_of(cx: &Cx, seat: &Rc<Seat>, need: &TaskNeed, wanted: u32) -> Option<u32> {
-    match ask_owner(cx, seat, Ask::Room(need.clone(), wanted)).await {
+pub async fn offer_of(
+    cx: &Cx,
+    handle: &Rc<ShardHandle>,
+    need: &TaskNeed,
+    wanted: u32,
+) -> Option<u32> {
+    match ask_owner(cx, handle, Ask::Room(need.clone(), wanted)).await {
         Asked::Answer(Answer::Room(offer)) => offer,
         _ => None,
     }
 }
 
 /// Asks a shard to run tasks of another shard's job; true once that is durable there.
-pub async fn adopt(cx: &Cx, seat: &Rc<Seat>, tasks: GuestTasks) -> bool {
-    let asked = ask_owner(cx, seat, Ask::Adopt(tasks)).await;
+pub async fn adopt(cx: &Cx, handle: &Rc<ShardHandle>, tasks: GuestTasks) -> bool {
+    let asked = ask_owner(cx, handle, Ask::Adopt(tasks)).await;
     matches!(asked, Asked::Answer(Answer::Adopted(AdoptReply::Adopted)))
 }
 
 /// Who is taken for the owner, and how old that belief is in milliseconds, for logs.
-fn owner_believed(cx: &Cx, seat: &Seat) -> (String, u64) {
-    let (lease, now) = (seat.lease.borrow(), cx.clock.now());
+fn owner_believed(cx: &Cx, handle: &ShardHandle) -> (String, u64) {
+    let (lease, now) = (handle.lease.borrow(), cx.clock.now());
     let owner = lease.holder(now).map(|holder| holder.daemon.clone());
     let age = lease.read_at.map_or(Duration::MAX, |at| now.since(at));
     (owner.unwrap_or_else(|| "nobody".to_owned()), millis(age))
@@ -217,18 +230,18 @@
     Silence,
 }
 
-async fn ask_owner(cx: &Cx, seat: &Rc<Seat>, ask: Ask) -> Asked {
+async fn ask_owner(cx: &Cx, handle: &Rc<ShardHandle>, ask: Ask) -> Asked {
     let mut asked = Asked::Nobody;
     for attempt in 0..TRIES {
         if attempt > 0 {
-            if cx.reach.is_alone() {
+            if cx.reach.is_isolated() {
                 break;
             }
             tokio::time::sleep(ASK_AGAIN_WAIT).await;
             // What can't be read stays as last read.
-            let _ = super::lease::look(cx, seat).await;
+            let _ = super::lease::look(cx, handle).await;
         }
-        asked = ask_once(cx, seat, ask.clone()).await;
+        asked = ask_once(cx, handle, ask.clone()).await;
         if !matches!(asked, Asked::Nobody) {
             break;
         }
@@ -236,38 +249,38 @@
     asked
 }
 
-async fn ask_once(cx: &Cx, seat: &Seat, ask: Ask) -> Asked {
-    let is_own = seat
+async fn ask_once(cx: &Cx, handle: &ShardHandle, ask: Ask) -> Asked {
+    let is_own = handle
         .owner
         .borrow()
         .as_ref()
         .is_some_and(|owner| owner.is_recovered());
     if is_own {
-        // A hand-in may ask another shard's owner in turn, which is then a call of its own.
-        return of_owner(peer::answer(cx, seat.shard, ask).boxed_local().await);
+        // A submission may ask another shard's owner in turn, which is then a call of its own.
+        return of_owner(peer::answer(cx, handle.shard, ask).boxed_local().await);
     }
-    let holder = seat.lease.borrow().holder(cx.clock.now()).cloned();
+    let holder = handle.lease.borrow().holder(cx.clock.now()).cloned();
     let Some(holder) = holder.filter(|holder| *holder != cx.me) else {
         return Asked::Nobody;
     };
-    if cx.reach.is_alone() {
+    if cx.reach.is_isolated() {
         return Asked::Nobody;
     }
     let now = cx.clock.now();
     let rests = |(address, since): &(String, Millis)| {
         *address == holder.address && now.since(*since) < OWNER_REST
     };
-    if seat.silent_owner.borrow().as_ref().is_some_and(rests) {
+    if handle.silent_owner.borrow().as_ref().is_some_and(rests) {
         return Asked::Nobody;
     }
     let asked = cx
         .peers
-        .ask(&holder.address, seat.shard, ask, OWNER_TIMEOUT);
+        .ask(&holder.address, handle.shard, ask, OWNER_TIMEOUT);
     match asked.await {
         Ok(answer) => of_owner(answer),
         Err(e) => {
-            *seat.silent_owner.borrow_mut() = Some((holder.address.clone(), cx.clock.now()));
-            log::warn!(owner:% = holder.daemon, shard:% = seat.part, error:% = e; "owner does not answer");
+            *handle.silent_owner.borrow_mut() = Some((holder.address.clone(), cx.clock.now()));
+            log::warn!(owner:% = holder.daemon, shard:% = handle.part, error:% = e; "owner does not answer");
             match e.is_unsent {
                 true => Asked::Nobody,
                 false => Asked::Silence,
--- a/src/lapisdrum/sched/job.rs
+++ b/src/lapisdrum/sched/job.rs
@@ -209,7 +209,7 @@
         pub times: u32,
     }
 
-    /// A job as handed in.
+    /// A job as submitted.
     pub struct JobSpec {
         /// Handed to each task as it is.
         pub payload: String,
@@ -372,7 +372,7 @@
 }
 
 impl QueueTerms {
-    /// Time from hand-in within which a job of this chain is on time, in milliseconds.
+    /// Time from submission within which a job of this chain is on time, in milliseconds.
     pub fn objective_ms(&self, chain_ms: u64) -> u64 {
         chain_ms * self.stretch_milli / 1_000 + self.target_ms
     }
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -17,7 +17,7 @@
     edge::{Row, RowKey, Txn, TxnEnd},
     event::Event,
     ledger::Ledger,
-    settle::{WriteVerdict, is_rider_stale, judge_write},
+    settle::{WriteVerdict, is_piggyback_stale, judge_write},
 };
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
@@ -42,7 +42,7 @@
 const ROWS_A_TXN: usize = 16;
 /// A transaction that has been under way for this long means that the store is away, and new jobs are refused until
 /// it is settled, unless the last one took about as long. A store that is slow by sixty times its usual answer is
-/// not away, and a bound below that would have every hand-in refused that it would take.
+/// not away, and a bound below that would have every submission refused that it would take.
 const STALL_AFTER: Duration = Duration::from_millis(800);
 /// However slow the last transaction was, callers are not kept waiting for the next one longer than this.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(2_000);
@@ -102,7 +102,7 @@
 
 /// A row that changes in the same transaction as the next journal rows: the part of a slow store does three
 /// transactions a second, and a renewal of the lease of its own would take one of them from the journal.
-pub struct Rider {
+pub struct Piggyback {
     /// The row.
     pub row: RowKey,
     /// The version that it must have.
@@ -111,8 +111,8 @@
     pub value: Bytes,
 }
 
-/// How the transaction with a rider ended.
-pub struct RiderEnd {
+/// How the transaction with a piggyback ended.
+pub struct PiggybackEnd {
     /// The end.
     pub end: TxnEnd,
     /// When it was first sent.
@@ -120,13 +120,13 @@
 }
 
 /// What came of a row that was to ride along.
-pub enum Ride {
+pub enum PiggybackOutcome {
     /// Its transaction ended.
-    Ended(RiderEnd),
+    Ended(PiggybackEnd),
     /// The shard is lost.
     Lost,
     /// No transaction took it; here it is back.
-    NotTaken(Rider),
+    NotTaken(Piggyback),
 }
 
 /// Rows that go in one transaction, and who waits for them.
@@ -150,7 +150,7 @@
     /// A snapshot that waits to be stored, or is being stored.
     snapshot: Option<Snapshot>,
     is_storing_snapshot: bool,
-    rider: Option<(Rider, oneshot::Sender<RiderEnd>)>,
+    piggyback: Option<(Piggyback, oneshot::Sender<PiggybackEnd>)>,
     is_lost: bool,
     last_row: u64,
     first_row: u64,
@@ -201,7 +201,7 @@
         Ticket(rx)
     }
 
-    /// Whether rows are settled without delay, so that new work may be begun.
+    /// Whether rows are settled without delay, so that new work may start.
     pub fn is_flowing(&self, now: Millis) -> bool {
         let patience = self.patience();
         let inner = self.inner.borrow();
@@ -227,18 +227,19 @@
     }
 
     /// Has a row changed with the next journal rows, if there are any within `limit`.
-    pub async fn carry(&self, rider: Rider, limit: Duration) -> Ride {
+    pub async fn carry(&self, piggyback: Piggyback, limit: Duration) -> PiggybackOutcome {
         let (tx, mut rx) = oneshot::channel();
-        self.inner.borrow_mut().rider = Some((rider, tx));
+        self.inner.borrow_mut().piggyback = Some((piggyback, tx));
         if let Ok(end) = tokio::time::timeout(limit, &mut rx).await {
-            return end.map_or(Ride::Lost, Ride::Ended);
+            return end.map_or(PiggybackOutcome::Lost, PiggybackOutcome::Ended);
         }
-        let waiting = self.inner.borrow_mut().rider.take();
-        if let Some((rider, _)) = waiting {
-            return Ride::NotTaken(rider);
+        let waiting = self.inner.borrow_mut().piggyback.take();
+        if let Some((piggyback, _)) = waiting {
+            return PiggybackOutcome::NotTaken(piggyback);
         }
-        // Without its end the row's version would be unknown, and the next rider would be in vain.
-        rx.await.map_or(Ride::Lost, Ride::Ended)
+        // Without its end the row's version would be unknown, and the next piggyback would be in vain.
+        rx.await
+            .map_or(PiggybackOutcome::Lost, PiggybackOutcome::Ended)
     }
 
     /// Whether the store took the last rows without delay, so that it can do more than the journal needs.
@@ -323,7 +324,7 @@
             let last = first + batch.rows.len() as u64 - 1;
             let is_snapshot_due = self.note_written(last, took);
             for tx in batch.waiting {
-                // Whoever gave up waiting has dropped the other half.
+                // The receiver may have timed out and dropped its half.
                 let _ = tx.send(AppendEnd::Durable);
             }
             if is_snapshot_due {
@@ -372,9 +373,13 @@
     }
 
     async fn write_batch(&self, cx: &Cx, first: u64, rows: &[Bytes]) -> WriteVerdict {
-        let mut rider = self.inner.borrow_mut().rider.take();
+        let mut piggyback = self.inner.borrow_mut().piggyback.take();
         let mut sent_at = cx.clock.now();
-        let mut txn = self.txn(first, rows, rider.as_ref().map(|(rider, _)| rider));
+        let mut txn = self.txn(
+            first,
+            rows,
+            piggyback.as_ref().map(|(piggyback, _)| piggyback),
+        );
         let (fence, version) = &self.fence;
         let holds_fence = |rows: &[Row]| {
             let mut fences = rows.iter().filter(|row| row.table == fence.table);
@@ -389,19 +394,19 @@
         let mut backoff = Backoff::new(RETRY_WAITS.0, RETRY_WAITS.1);
         loop {
             let end = cx.store.commit(&txn).await;
-            if is_rider_stale(&end, holds_fence, is_place_free)
-                && let Some((_, tx)) = rider.take()
+            if is_piggyback_stale(&end, holds_fence, is_place_free)
+                && let Some((_, tx)) = piggyback.take()
             {
-                // Whoever gave up waiting has dropped the other half.
-                let _ = tx.send(RiderEnd { end, sent_at });
+                // The receiver may have timed out and dropped its half.
+                let _ = tx.send(PiggybackEnd { end, sent_at });
                 txn = self.txn(first, rows, None);
                 sent_at = cx.clock.now();
                 continue;
             }
             let verdict = judge_write(&end, holds_fence, is_own);
             if verdict != WriteVerdict::SendAgain {
-                if let Some((_, tx)) = rider {
-                    let _ = tx.send(RiderEnd { end, sent_at });
+                if let Some((_, tx)) = piggyback {
+                    let _ = tx.send(PiggybackEnd { end, sent_at });
                 }
                 cx.metrics.rows_written.inc_by(rows.len() as u64);
                 return verdict;
@@ -414,15 +419,15 @@
         }
     }
 
-    fn txn(&self, first: u64, rows: &[Bytes], rider: Option<&Rider>) -> Txn {
+    fn txn(&self, first: u64, rows: &[Bytes], piggyback: Option<&Piggyback>) -> Txn {
         let keys = (first..).map(|number| self.key(JOURNAL_TABLE, &row_key(number)));
         let mut put: Vec<(RowKey, Bytes)> = keys.zip(rows.iter().cloned()).collect();
         let absent = put.iter().map(|(key, _)| (key.clone(), 0));
         let mut expect: Vec<(RowKey, u64)> =
             std::iter::once(self.fence.clone()).chain(absent).collect();
-        if let Some(rider) = rider {
-            expect.push((rider.row.clone(), rider.version));
-            put.push((rider.row.clone(), rider.value.clone()));
+        if let Some(piggyback) = piggyback {
+            expect.push((piggyback.row.clone(), piggyback.version));
+            put.push((piggyback.row.clone(), piggyback.value.clone()));
         }
         Txn {
             expect,
--- a/src/lapisdrum/sched/layout.rs
+++ b/src/lapisdrum/sched/layout.rs
@@ -129,8 +129,8 @@
         ShardId((mixed % u64::from(self.shards.max(1))) as u16)
     }
 
-    /// The home of a job that is handed in: near its data, where it has any. Only racks of the first layout
-    /// count: two daemons may know different later ones, and a repeat of the same hand-in would find another
+    /// The home of a job that is submitted: near its data, where it has any. Only racks of the first layout
+    /// count: two daemons may know different later ones, and a repeat of the same submission would find another
     /// home and run a second time.
     pub fn home(&self, job: JobId, spec: &JobSpec) -> ShardId {
         let mut racks = spec
@@ -172,7 +172,7 @@
     Ok(Some((layout, row.version)))
 }
 
-/// Writes a layout in place of the one with this version, 0 for none; whoever comes second reads the first's.
+/// Writes a layout in place of the one with this version, 0 for none; the loser of a race reads the winner's.
 async fn write(cx: &Cx, layout: &Layout, version: u64) -> eyre::Result<()> {
     let txn = Txn {
         expect: vec![(key(), version)],
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -9,9 +9,9 @@
 //! at the store and by the token at the workers, so a daemon that was frozen and wakes can do no harm.
 
 use super::{
-    Cx, Seat,
+    Cx, ShardHandle,
     edge::{CallError, Row, RowKey, Txn, TxnEnd},
-    journal::{Ride, Rider, RiderEnd},
+    journal::{Piggyback, PiggybackEnd, PiggybackOutcome},
     layout::ShardId,
     owner::Owner,
 };
@@ -45,12 +45,12 @@
 const LONGEST_HEAD_START: Duration = Duration::from_millis(1_500);
 /// Rows that were not read for this long tell nothing of a lapse: two looks, and a call's time limit.
 const BLIND_AFTER: Duration = Duration::from_millis(1_900);
-/// A row that stood still for this long is doubted: one renewal is missing. Its holder is then asked whether
+/// A row that stood still for this long is suspected: one renewal is missing. Its holder is then asked whether
 /// it is still there, since a killed owner would else be waited for during the rest of its lease, of which
 /// this is less than half.
-const DOUBTED_AFTER: Duration = Duration::from_millis(600);
-/// Longest wait for a doubted holder's answer: many round trips between data centres.
-const DOUBT_TIMEOUT: Duration = Duration::from_millis(250);
+const SUSPECTED_AFTER: Duration = Duration::from_millis(600);
+/// Longest wait for a suspected holder's answer: many round trips between data centres.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// A daemon that started this much after the one that gave a shard up was started since.
 const STARTED_SINCE: Duration = Duration::from_secs(1);
 /// Head start that those give which run for as long as the one that gave the shard up: an end that was asked for
@@ -67,7 +67,7 @@
 /// Most that is allowed for a slow store.
 const MOST_ALLOWANCE: Duration = Duration::from_millis(3_000);
 /// A renewal that the journal hasn't carried within this time is sent by itself.
-const RIDE_LIMIT: Duration = Duration::from_millis(1_200);
+const PIGGYBACK_LIMIT: Duration = Duration::from_millis(1_200);
 /// Tries to give a lease up.
 const RELEASE_TRIES: usize = 3;
 /// Daemons of which the lease was last released are given this head start over the one that gave it up.
@@ -100,7 +100,7 @@
 
 impl Holder {
     /// Whether this is another run of the same daemon at the same address. Only one process at a time can
-    /// listen there, so whoever says so of itself knows that the other run is over.
+    /// listen there, so a process that finds this of itself knows that the other run is over.
     pub fn is_other_run_of(&self, me: &Self) -> bool {
         self.address == me.address && self.incarnation != me.incarnation
     }
@@ -149,7 +149,7 @@
         Ok(())
     }
 
-    /// The holder, unless the lease was given up or has lapsed at `now`. Whoever can't read the rows goes by
+    /// The holder, unless the lease was given up or has lapsed at `now`. A daemon that can't read the rows goes by
     /// the last holder: the store may turn this host away alone, and a holder that is none says so itself.
     pub fn holder(&self, now: Millis) -> Option<&Holder> {
         let row = self.row.as_ref().filter(|row| !row.is_released)?;
@@ -185,13 +185,13 @@
     }
 
     /// The holder, if its lease runs at `now` and is overdue to be renewed, so that it is to be asked.
-    pub fn doubted(&self, now: Millis) -> Option<&Holder> {
+    pub fn suspected(&self, now: Millis) -> Option<&Holder> {
         let row = self.row.as_ref().filter(|row| !row.is_released)?;
         let unchanged = now.since(self.since);
-        let doubted_after = DOUBTED_AFTER + self.answer_took * 2;
-        let is_overdue = unchanged >= doubted_after && unchanged < self.lapses_after();
-        let is_doubted = is_overdue && !self.is_gone();
-        is_doubted.then_some(&row.holder)
+        let suspected_after = SUSPECTED_AFTER + self.answer_took * 2;
+        let is_overdue = unchanged >= suspected_after && unchanged < self.lapses_after();
+        let is_suspected = is_overdue && !self.is_gone();
+        is_suspected.then_some(&row.holder)
     }
 
     /// How long a daemon that has run for `up` leaves a shard to others that was given up.
@@ -220,10 +220,10 @@
     }
 }
 
-fn key(seat: &Seat, key: &str) -> RowKey {
+fn key(handle: &ShardHandle, key: &str) -> RowKey {
     RowKey {
         table: OWNERS_TABLE,
-        part: seat.part.clone(),
+        part: handle.part.clone(),
         key: key.to_owned(),
     }
 }
@@ -235,7 +235,7 @@
     let shards: Vec<_> = cx.layout.borrow().iter().flat_map(|l| l.all()).collect();
     let pause = (POLL / shards.len().max(1) as u32).max(LEAST_PAUSE);
     for shard in rota(&shards, cx.me.incarnation).into_iter().cycle() {
-        watch(&cx, &cx.seat(shard)).await;
+        watch(&cx, &cx.handle(shard)).await;
         tokio::time::sleep(pause).await;
     }
     Ok(())
@@ -257,32 +257,32 @@
     others.iter().flat_map(round).collect()
 }
 
-async fn watch(cx: &Cx, seat: &Rc<Seat>) {
-    if let Err(e) = look(cx, seat).await {
+async fn watch(cx: &Cx, handle: &Rc<ShardHandle>) {
+    if let Err(e) = look(cx, handle).await {
         cx.note_store(Err(&e.0));
     }
-    let is_own = seat.owner.borrow().is_some();
+    let is_own = handle.owner.borrow().is_some();
     if is_own || cx.is_draining() {
         return;
     }
-    ask_doubted(cx, seat).await;
-    if !is_free(cx, seat) {
+    probe_suspected(cx, handle).await;
+    if !is_free(cx, handle) {
         return;
     }
     let up = Duration::from_millis(cx.clock.now().0);
-    let series = seat.lease.borrow().series_head_start(up);
-    let is_first_in_line = series == Duration::ZERO && seat.lease.borrow().is_released();
-    let spread = seat.lease.borrow().take_spread(is_first_in_line);
+    let series = handle.lease.borrow().series_head_start(up);
+    let is_first_in_line = series == Duration::ZERO && handle.lease.borrow().is_released();
+    let spread = handle.lease.borrow().take_spread(is_first_in_line);
     let spread = rand::rng().random_range(Duration::ZERO..=spread);
     let burden = ANOTHER_SHARD * cx.owners().len() as u32;
     let waits = [spread, burden, series, head_start(cx.cfg.cpu_share)];
     let wait: Duration = waits.into_iter().sum();
     tokio::time::sleep(wait).await;
     // Another may have taken it meanwhile; a try in vain would hold its first rows up.
-    if wait >= POLL && look(cx, seat).await.is_err() {
+    if wait >= POLL && look(cx, handle).await.is_err() {
         return;
     }
-    if let Err(e) = try_take(cx, seat).await {
+    if let Err(e) = try_take(cx, handle).await {
         log::warn!(error:% = e; "take-over failed");
     }
 }
@@ -290,22 +290,22 @@
 /// Asks a holder that is overdue whether it is there. One that isn't, or is another run, has no use of the rest
 /// of its lease. A refused connection may also come from a network that is cut, while the holder goes on: then
 /// the take-over is one too many and does no harm, since the fence and the tokens don't go by what is found here.
-async fn ask_doubted(cx: &Cx, seat: &Seat) {
-    let (doubted, version) = {
-        let lease = seat.lease.borrow();
-        let doubted = lease.doubted(cx.clock.now()).cloned();
-        (doubted.filter(|holder| *holder != cx.me), lease.version)
+async fn probe_suspected(cx: &Cx, handle: &ShardHandle) {
+    let (suspected, version) = {
+        let lease = handle.lease.borrow();
+        let suspected = lease.suspected(cx.clock.now()).cloned();
+        (suspected.filter(|holder| *holder != cx.me), lease.version)
     };
-    let Some(holder) = doubted else {
+    let Some(holder) = suspected else {
         return;
     };
-    let is_gone = match cx.peers.who(&holder.address, DOUBT_TIMEOUT).await {
+    let is_gone = match cx.peers.who(&holder.address, PROBE_TIMEOUT).await {
         Ok(now) => now.run.incarnation != holder.incarnation,
         Err(e) => e.is_refused,
     };
     if is_gone {
-        log::info!(shard:% = seat.part, holder:% = holder.daemon; "owner is not there any more");
-        seat.lease.borrow_mut().gone_version = Some(version);
+        log::info!(shard:% = handle.part, holder:% = holder.daemon; "owner is not there any more");
+        handle.lease.borrow_mut().gone_version = Some(version);
     }
 }
 
@@ -316,34 +316,34 @@
     LONGEST_HEAD_START.mul_f64(missing)
 }
 
-fn is_free(cx: &Cx, seat: &Seat) -> bool {
-    seat.lease.borrow().is_free_for(&cx.me, cx.clock.now())
+fn is_free(cx: &Cx, handle: &ShardHandle) -> bool {
+    handle.lease.borrow().is_free_for(&cx.me, cx.clock.now())
 }
 
 /// Reads the rows.
-pub async fn look(cx: &Cx, seat: &Seat) -> Result<(), CallError> {
+pub async fn look(cx: &Cx, handle: &ShardHandle) -> Result<(), CallError> {
     let asked_at = cx.clock.now();
-    let rows = cx.store.rows(OWNERS_TABLE, &seat.part, "").await?;
+    let rows = cx.store.rows(OWNERS_TABLE, &handle.part, "").await?;
     cx.note_store(Ok(()));
-    let before = seat.lease.borrow().fence;
+    let before = handle.lease.borrow().fence;
     let now = cx.clock.now();
-    seat.lease.borrow_mut().answer_took = now.since(asked_at);
-    let noted = seat.lease.borrow_mut().note(&rows, now);
+    handle.lease.borrow_mut().answer_took = now.since(asked_at);
+    let noted = handle.lease.borrow_mut().note(&rows, now);
     noted.map_err(|e| CallError::new(format!("the lease row is malformed: {e}")))?;
-    let view = seat.lease.borrow().clone();
+    let view = handle.lease.borrow().clone();
     if view.fence != before {
         let holder = view.row.map(|row| row.holder.daemon).unwrap_or_default();
-        log::info!(shard:% = seat.part, holder:% = holder, token = view.fence; "owner changed");
+        log::info!(shard:% = handle.part, holder:% = holder, token = view.fence; "owner changed");
     }
     Ok(())
 }
 
-async fn try_take(cx: &Cx, seat: &Rc<Seat>) -> eyre::Result<()> {
+async fn try_take(cx: &Cx, handle: &Rc<ShardHandle>) -> eyre::Result<()> {
     // What was read a moment ago is good enough: the write is conditional on it.
-    if !is_free(cx, seat) {
+    if !is_free(cx, handle) {
         return Ok(());
     }
-    let seen = seat.lease.borrow().clone();
+    let seen = handle.lease.borrow().clone();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released: false,
@@ -352,30 +352,30 @@
     };
     let txn = Txn {
         expect: vec![
-            (key(seat, LEASE_KEY), seen.version),
-            (key(seat, FENCE_KEY), seen.fence),
+            (key(handle, LEASE_KEY), seen.version),
+            (key(handle, FENCE_KEY), seen.fence),
         ],
         put: vec![
-            (key(seat, LEASE_KEY), serde_json::to_vec(&row)?.into()),
-            (key(seat, FENCE_KEY), serde_json::to_vec(&cx.me)?.into()),
+            (key(handle, LEASE_KEY), serde_json::to_vec(&row)?.into()),
+            (key(handle, FENCE_KEY), serde_json::to_vec(&cx.me)?.into()),
         ],
         delete: Vec::new(),
     };
     let sent_at = cx.clock.now();
     let end = cx.store.commit(&txn).await;
-    log::info!(shard:% = seat.part, end:? = end, unchanged_ms = sent_at.since(seen.since).as_millis() as u64; "take-over tried");
+    log::info!(shard:% = handle.part, end:? = end, unchanged_ms = sent_at.since(seen.since).as_millis() as u64; "take-over tried");
     if matches!(end, TxnEnd::Conflict(_) | TxnEnd::NotDone(_)) {
         return Ok(());
     }
     // Read back, whether the answer was lost or not: the token is the fence row's own version.
-    look(cx, seat).await?;
-    let view = seat.lease.borrow().clone();
+    look(cx, handle).await?;
+    let view = handle.lease.borrow().clone();
     let is_ours = view.row.as_ref() == Some(&row) && view.fence > seen.fence;
     if !is_ours {
         return Ok(());
     }
-    let owner = Owner::take(seat, &seen, &view, key(seat, FENCE_KEY), sent_at);
-    *seat.owner.borrow_mut() = Some(Rc::clone(&owner));
+    let owner = Owner::take(handle, &seen, &view, key(handle, FENCE_KEY), sent_at);
+    *handle.owner.borrow_mut() = Some(Rc::clone(&owner));
     super::owner::start(cx, owner);
     Ok(())
 }
@@ -396,7 +396,7 @@
 }
 
 /// Gives the lease up, so that another daemon takes over at its next look. A renewal that is under way would have it
-/// fail and the lease left to lapse, so none is begun any more, and after a lost answer it is tried again.
+/// fail and the lease left to lapse, so none is sent any more, and after a lost answer it is tried again.
 pub async fn release(cx: &Cx, owner: &Rc<Owner>) {
     let _renewing = owner.renewing.lock().await;
     for _ in 0..RELEASE_TRIES {
@@ -414,19 +414,19 @@
         renewals,
         up_ms: cx.clock.now().0,
     };
-    let rider = Rider {
-        row: key(&owner.seat, LEASE_KEY),
+    let piggyback = Piggyback {
+        row: key(&owner.handle, LEASE_KEY),
         version: owner.lease_version.get(),
         value: serde_json::to_vec(&row).unwrap_or_default().into(),
     };
     let ride = match owner.journal.is_busy() && !is_released {
-        true => owner.journal.carry(rider, RIDE_LIMIT).await,
-        false => Ride::NotTaken(rider),
+        true => owner.journal.carry(piggyback, PIGGYBACK_LIMIT).await,
+        false => PiggybackOutcome::NotTaken(piggyback),
     };
-    let RiderEnd { end, sent_at } = match ride {
-        Ride::Ended(end) => end,
-        Ride::Lost => return false,
-        Ride::NotTaken(rider) => renew_alone(cx, owner, rider).await,
+    let PiggybackEnd { end, sent_at } = match ride {
+        PiggybackOutcome::Ended(end) => end,
+        PiggybackOutcome::Lost => return false,
+        PiggybackOutcome::NotTaken(piggyback) => renew_alone(cx, owner, piggyback).await,
     };
     match end {
         TxnEnd::Committed(newest) => {
@@ -441,10 +441,10 @@
     false
 }
 
-async fn renew_alone(cx: &Cx, owner: &Rc<Owner>, rider: Rider) -> RiderEnd {
+async fn renew_alone(cx: &Cx, owner: &Rc<Owner>, piggyback: Piggyback) -> PiggybackEnd {
     let txn = Txn {
-        expect: vec![(rider.row.clone(), rider.version), owner.fence()],
-        put: vec![(rider.row, rider.value)],
+        expect: vec![(piggyback.row.clone(), piggyback.version), owner.fence()],
+        put: vec![(piggyback.row, piggyback.value)],
         delete: Vec::new(),
     };
     let sent_at = cx.clock.now();
@@ -452,7 +452,7 @@
     if matches!(end, TxnEnd::Committed(_) | TxnEnd::Conflict(_)) {
         owner.journal.note_answer(cx.clock.now().since(sent_at));
     }
-    RiderEnd { end, sent_at }
+    PiggybackEnd { end, sent_at }
 }
 
 /// After a conflict: an earlier renewal whose answer was lost, or another owner?
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -72,7 +72,7 @@
 
     /// A job.
     pub struct Job {
-        /// What was handed in.
+        /// What was submitted.
         pub spec: Rc<JobSpec>,
         /// What the catalogue said of its queue.
         pub terms: QueueTerms,
@@ -141,7 +141,7 @@
     /// Jobs by id, in the order of their acceptance.
     #[serde(with = "indexmap::map::serde_seq")]
     pub jobs: IndexMap<JobId, Job>,
-    /// Jobs at home here that were handed to another shard. A repeat of the hand-in is told the same shard:
+    /// Jobs at home here that were handed to another shard. A repeated submission is sent to the same shard:
     /// chosen anew by load, it would be accepted in two.
     #[serde(with = "indexmap::map::serde_seq", default)]
     pub sent: IndexMap<JobId, SentJob>,
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -133,7 +133,7 @@
             "Runs left in evacuated data centres",
             evacuated,
         );
-        r.register("submits", "Jobs handed in", self.submits.clone());
+        r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
         r.register(
@@ -144,7 +144,7 @@
         r.register("run_ends", "Ends of runs", self.ends.clone());
     }
 
-    /// Counts a hand-in.
+    /// Counts a submission.
     pub fn note_submit(&self, queue: &str, outcome: &Outcome<()>) {
         let outcome = match outcome {
             Outcome::Done(()) => "accepted",
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -5,8 +5,8 @@
 //! any process may take over ([`lease`]). What the owner remembers is a journal there ([`journal`], [`ledger`]).
 //!
 //! [`job`], [`event`], [`ledger`] and [`settle`] are pure, as is [`crate::policy::dispatch`]. [`owner`]
-//! drives them, [`front`] takes callers' wishes to the owner wherever it is ([`peer`]), and [`edge`] names
-//! what is asked of the world. Everything runs on one thread; state is never borrowed across an `await`.
+//! drives them, [`front`] forwards callers' requests to the shard's leaseholder ([`peer`]), and [`edge`] is the
+//! interface to store, workers and directory. Everything runs on one thread; state is never borrowed across an `await`.
 
 pub mod edge;
 pub mod evacuation;
@@ -75,7 +75,7 @@
 }
 
 /// What a process knows of one shard.
-pub struct Seat {
+pub struct ShardHandle {
     /// The shard.
     pub shard: ShardId,
     /// The part of the store that its rows are in.
@@ -115,7 +115,7 @@
     /// Which shard owns what; none before it was first read.
     pub layout: RefCell<Option<Rc<Layout>>>,
     /// What is known of each shard, by its number.
-    seats: RefCell<IndexMap<ShardId, Rc<Seat>>>,
+    handles: RefCell<IndexMap<ShardId, Rc<ShardHandle>>>,
     /// Whether the store answered last.
     pub store_up: Cell<bool>,
     /// Turns true when the process is to end.
@@ -123,7 +123,7 @@
 }
 
 impl Node {
-    /// A process that has not begun to do anything.
+    /// A process with no task running yet.
     pub fn new(
         cfg: NodeSettings,
         store: Rc<dyn Store>,
@@ -147,7 +147,7 @@
             catalogue: RefCell::default(),
             evacuations: RefCell::default(),
             layout: RefCell::default(),
-            seats: RefCell::default(),
+            handles: RefCell::default(),
             store_up: Cell::new(true),
             draining: watch::Sender::new(false),
             cfg,
@@ -155,10 +155,10 @@
     }
 
     /// What is known of a shard.
-    pub fn seat(&self, shard: ShardId) -> Rc<Seat> {
-        let mut seats = self.seats.borrow_mut();
-        let seat = seats.entry(shard).or_insert_with(|| {
-            Rc::new(Seat {
+    pub fn handle(&self, shard: ShardId) -> Rc<ShardHandle> {
+        let mut handles = self.handles.borrow_mut();
+        let handle = handles.entry(shard).or_insert_with(|| {
+            Rc::new(ShardHandle {
                 shard,
                 part: shard.part(),
                 lease: RefCell::default(),
@@ -166,15 +166,15 @@
                 owner: RefCell::default(),
             })
         });
-        Rc::clone(seat)
+        Rc::clone(handle)
     }
 
     /// The owners that this process is.
     pub fn owners(&self) -> Vec<Rc<Owner>> {
-        let seats = self.seats.borrow();
-        let owners = seats
+        let handles = self.handles.borrow();
+        let owners = handles
             .values()
-            .filter_map(|seat| seat.owner.borrow().clone());
+            .filter_map(|handle| handle.owner.borrow().clone());
         owners.collect()
     }
 
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -179,10 +179,10 @@
 async fn roomiest(cx: &Cx, owner: &Owner, need: &TaskNeed, tasks: usize) -> Option<(ShardId, u32)> {
     let layout = cx.layout.borrow().clone()?;
     let wanted = u32::try_from(tasks).unwrap_or(u32::MAX);
-    let others = layout.all().filter(|shard| *shard != owner.seat.shard);
+    let others = layout.all().filter(|shard| *shard != owner.handle.shard);
     let asked = others.map(async |shard| {
-        let seat = cx.seat(shard);
-        let offer = front::offer_of(cx, &seat, need, wanted);
+        let handle = cx.handle(shard);
+        let offer = front::offer_of(cx, &handle, need, wanted);
         let told = tokio::time::timeout(ROOM_TIMEOUT, offer).await;
         (shard, told.ok().flatten().unwrap_or_default())
     });
@@ -200,7 +200,7 @@
         .filter(|t| still.contains_key(t))
         .collect();
     for task in &tasks {
-        log::info!(task:% = task, from:% = owner.seat.part, to = to.0; "task is delegated");
+        log::info!(task:% = task, from:% = owner.handle.part, to = to.0; "task is delegated");
     }
     let events = tasks
         .iter()
@@ -228,7 +228,7 @@
     let mut is_settled = true;
     for (shard, tasks) in unconfirmed(owner, id) {
         let ids: Vec<TaskId> = tasks.tasks.iter().map(|(task, _)| *task).collect();
-        let is_adopted = front::adopt(cx, &cx.seat(shard), tasks).await;
+        let is_adopted = front::adopt(cx, &cx.handle(shard), tasks).await;
         if is_adopted {
             owner.delegations.borrow_mut().confirmed.extend(ids);
         }
@@ -257,7 +257,7 @@
             job: id,
             spec: JobSpec::clone(&job.spec),
             terms: job.terms.clone(),
-            from: owner.seat.shard,
+            from: owner.handle.shard,
             tasks,
             is_over,
         };
@@ -334,7 +334,7 @@
         return AdoptReply::NotOwner;
     }
     let (job, is_over, at_unix_ms) = (tasks.job, tasks.is_over, cx.unix_ms());
-    log::info!(job:% = job, shard:% = owner.seat.part, from = tasks.from.0, tasks = tasks.tasks.len(), is_over; "tasks are adopted");
+    log::info!(job:% = job, shard:% = owner.handle.part, from = tasks.from.0, tasks = tasks.tasks.len(), is_over; "tasks are adopted");
     let mut events = vec![Event::Adopted {
         job,
         spec: Rc::new(tasks.spec),
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -17,8 +17,8 @@
     while owner.is_serving() {
         match cx.directory.workers().await {
             Ok(reports) => {
-                layout::extend(&cx, &reports, owner.seat.shard == ShardId(0)).await;
-                let own = of_shard(&cx, owner.seat.shard, reports);
+                layout::extend(&cx, &reports, owner.handle.shard == ShardId(0)).await;
+                let own = of_shard(&cx, owner.handle.shard, reports);
                 note(&cx, &owner, own);
             }
             Err(e) => cx.note_store(Err(&e.0)),
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -126,7 +126,7 @@
     let mut placed = Vec::new();
     let mut without_room: IndexMap<String, Option<Unfit>> = IndexMap::new();
     for waiting in &waiting {
-        let image = leftover_image(owner, &waiting.step);
+        let image = best_effort_image(owner, &waiting.step);
         let known = image.as_ref().and_then(|image| without_room.get(image));
         if let Some(why) = known {
             note_wait(owner, waiting, *why, || Room::of(&hosts), now);
@@ -204,7 +204,7 @@
                 age_ms: now_unix_ms.saturating_sub(due),
                 objective_ms: job.terms.objective_ms(chain_ms),
                 chain_ms: forecast.expected_ms(&job.terms.queue, chains[at]),
-                has_begun: job.occurrences.contains_key(&occurrence),
+                is_in_progress: job.occurrences.contains_key(&occurrence),
             };
             waiting.push(Waiting {
                 rank: standing.rank(),
@@ -249,9 +249,9 @@
             labels: &report.labels,
             capacity: report.capacity,
             reserved: session.tally.reserved,
-            leftover_millicores: session.tally.leftover_millicores,
+            best_effort_millicores: session.tally.best_effort_millicores,
             serving: strain::strained(owner, &report.life.worker, report.capacity.millicores, now),
-            is_open_for_leftover: now >= session.leftover_closed_until,
+            is_open_for_best_effort: now >= session.best_effort_closed_until,
             of_step: 0,
             is_suspect: session.is_suspect(now),
             is_avoided: false,
@@ -340,14 +340,14 @@
     }
 }
 
-/// The image of a step that uses left-over processors. What is in the way of one such step is in the way
+/// The image of a step that uses best-effort processors. What is in the way of one such step is in the way
 /// of the next with its image, so a pass looks at every host once an image and not once a step.
-fn leftover_image(owner: &Owner, step: &StepId) -> Option<String> {
+fn best_effort_image(owner: &Owner, step: &StepId) -> Option<String> {
     let ledger = owner.ledger.borrow();
     let spec = &ledger.jobs[&step.job].spec.steps[usize::from(step.step)];
     spec.image
         .clone()
-        .filter(|_| load_of(spec) == Load::Leftover)
+        .filter(|_| load_of(spec) == Load::BestEffort)
 }
 
 /// The long-running tasks among these that have run before: their users are without them.
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,4 +1,4 @@
-//! What the owner answers about jobs: hand-in, state, cancel, and how many wait.
+//! What the owner answers about jobs: submission, state, cancel, and how many wait.
 
 use super::{Owner, send};
 use crate::{
@@ -16,7 +16,7 @@
 use std::{rc::Rc, time::Duration};
 use tokio::sync::watch;
 
-/// Whoever asks hears from the owner within this time, so that one that is silent is known for it.
+/// Longest time until an answer: a caller takes an owner that is silent for longer for unreachable.
 pub(super) const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// When a caller should come back that is refused while the store doesn't take rows.
 const STORE_AWAY_RETRY: Duration = Duration::from_secs(1);
@@ -44,7 +44,7 @@
         return SubmitReply::Busy(STORE_AWAY_RETRY);
     }
     if !is_known && owner.is_evacuated(cx) {
-        log::info!(job:% = job, shard:% = owner.seat.part; "submission refused: every data centre is evacuated");
+        log::info!(job:% = job, shard:% = owner.handle.part; "submission refused: every data centre is evacuated");
         return SubmitReply::Busy(EVACUATED_RETRY);
     }
     if !is_known {
@@ -91,7 +91,7 @@
         return;
     };
     let objective_ms = job.terms.objective_ms(job.spec.longest_chain_ms());
-    log::info!(job:% = id, queue:% = job.terms.queue, shard:% = owner.seat.part, steps:% = Shape::from(&*job.spec), objective_ms; "job accepted");
+    log::info!(job:% = id, queue:% = job.terms.queue, shard:% = owner.handle.part, steps:% = Shape::from(&*job.spec), objective_ms; "job accepted");
 }
 
 /// Tells a job's state; only what is durable is told.
@@ -101,7 +101,7 @@
     }
     let ledger = owner.ledger.borrow();
     match ledger.jobs.get(&id).filter(|job| !job.is_guest) {
-        None if owner.is_alone(cx) => ShowReply::Unknown,
+        None if owner.is_sole_owner(cx) => ShowReply::Unknown,
         None => ShowReply::NotOwner,
         Some(job) => ShowReply::State(state_of(owner, id, job)),
     }
@@ -135,7 +135,7 @@
     }
     let phase = own_phase(owner, job);
     let ticket = match phase {
-        None if owner.is_alone(cx) => return CancelReply::UnknownJob,
+        None if owner.is_sole_owner(cx) => return CancelReply::UnknownJob,
         None => return CancelReply::NotOwner,
         Some(Phase::Active) => {
             let at_unix_ms = cx.unix_ms();
@@ -154,7 +154,7 @@
 
 /// Jobs of a queue of which nothing was started.
 pub fn pending(cx: &Cx, owner: &Owner, queue: &str) -> Option<u64> {
-    if !owner.is_alone(cx) {
+    if !owner.is_sole_owner(cx) {
         return None;
     }
     let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
--- a/src/lapisdrum/sched/owner/learned.rs
+++ b/src/lapisdrum/sched/owner/learned.rs
@@ -78,7 +78,7 @@
         };
         turn += 1;
         let upto = heard.get(&shard).copied();
-        let Some(told) = front::learned_of(&cx, &cx.seat(shard), upto).await else {
+        let Some(told) = front::learned_of(&cx, &cx.handle(shard), upto).await else {
             continue;
         };
         heard.insert(shard, told.upto);
@@ -86,13 +86,13 @@
             .pressure
             .borrow_mut()
             .adopt(u32::from(shard.0), &told.learned);
-        log::debug!(shard:% = owner.seat.part, from:% = shard.part(), pairs = told.learned.pairs(); "learned pressure heard");
+        log::debug!(shard:% = owner.handle.part, from:% = shard.part(), pairs = told.learned.pairs(); "learned pressure heard");
     }
 }
 
 fn other_shard(cx: &Cx, owner: &Owner, turn: usize) -> Option<ShardId> {
     let layout = cx.layout.borrow().clone()?;
-    let others: Vec<ShardId> = layout.all().filter(|s| *s != owner.seat.shard).collect();
+    let others: Vec<ShardId> = layout.all().filter(|s| *s != owner.handle.shard).collect();
     (!others.is_empty()).then(|| others[turn % others.len()])
 }
 
@@ -100,7 +100,7 @@
 pub async fn resume(cx: &Cx, owner: &Owner) {
     let rows = cx
         .store
-        .rows(LEARNED_TABLE, &owner.seat.part, PRESSURE_KEY)
+        .rows(LEARNED_TABLE, &owner.handle.part, PRESSURE_KEY)
         .await;
     let row = rows.ok().and_then(|rows| rows.into_iter().next());
     let learned = row.and_then(|row| serde_json::from_slice::<Learned>(&row.value).ok());
@@ -108,9 +108,9 @@
         Some(learned) => {
             let resumed = Pressure::resumed(&learned);
             *owner.pressure.borrow_mut() = resumed;
-            log::info!(shard:% = owner.seat.part; "learned pressure is taken over");
+            log::info!(shard:% = owner.handle.part; "learned pressure is taken over");
         }
-        None => log::info!(shard:% = owner.seat.part; "nothing learned to take over"),
+        None => log::info!(shard:% = owner.handle.part; "nothing learned to take over"),
     }
 }
 
@@ -135,7 +135,7 @@
 async fn write(cx: &Cx, owner: &Owner, value: &[u8]) {
     let row = RowKey {
         table: LEARNED_TABLE,
-        part: owner.seat.part.clone(),
+        part: owner.handle.part.clone(),
         key: PRESSURE_KEY.to_owned(),
     };
     let txn = Txn {
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -19,7 +19,7 @@
 pub mod visit;
 
 use super::{
-    Cx, Seat,
+    Cx, ShardHandle,
     edge::RowKey,
     event::{Event, RunId},
     job::{JobId, StepId, TaskId},
@@ -64,7 +64,7 @@
 /// The shard under this owner.
 pub struct Owner {
     /// The shard.
-    pub seat: Rc<Seat>,
+    pub handle: Rc<ShardHandle>,
     fence: (RowKey, u64),
     /// When the take-over was sent.
     pub taken_at: Millis,
@@ -94,7 +94,7 @@
     pub sessions: RefCell<IndexMap<String, Session>>,
     /// Jobs that are not over.
     pub active: RefCell<IndexSet<JobId>>,
-    /// Jobs of which the acceptance is not durable, with whoever waits for it.
+    /// Jobs of which the acceptance is not durable yet, with its outcome.
     pub accepting: RefCell<IndexMap<JobId, watch::Receiver<Option<AppendEnd>>>>,
     /// Jobs of which the end is not durable, and so not shown.
     pub ending: RefCell<IndexSet<JobId>>,
@@ -124,7 +124,7 @@
 impl Owner {
     /// Takes the shard over; nothing is recovered yet.
     pub fn take(
-        seat: &Rc<Seat>,
+        handle: &Rc<ShardHandle>,
         seen: &LeaseView,
         now: &LeaseView,
         fence: RowKey,
@@ -132,8 +132,8 @@
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
         Rc::new(Self {
-            seat: Rc::clone(seat),
-            journal: Journal::new(&seat.part, fence.clone()),
+            handle: Rc::clone(handle),
+            journal: Journal::new(&handle.part, fence.clone()),
             fence,
             taken_at: sent_at,
             predecessor: seen.row.as_ref().map(|row| row.holder.clone()),
@@ -186,7 +186,7 @@
 
     /// Whether nobody else can have taken the shard yet: what isn't known here is known nowhere. An owner that
     /// the store turns away goes on being asked by callers cut off with it, while another accepts jobs.
-    pub fn is_alone(&self, cx: &Cx) -> bool {
+    pub fn is_sole_owner(&self, cx: &Cx) -> bool {
         let unrenewed = cx.clock.now().since(self.renewed_at.get());
         self.is_recovered() && unrenewed < lease::LEASE
     }
@@ -231,14 +231,14 @@
         }
         self.journal.lose();
         self.wake.notify_one();
-        let mut held = self.seat.owner.borrow_mut();
+        let mut held = self.handle.owner.borrow_mut();
         let is_held = held
             .as_ref()
             .is_some_and(|owner| owner.token() == self.token());
         if is_held {
             *held = None;
         }
-        log::warn!(shard:% = self.seat.part, token = self.token(), why; "shard is lost");
+        log::warn!(shard:% = self.handle.part, token = self.token(), why; "shard is lost");
     }
 
     /// Applies events and appends those that fit; one that doesn't is a decision on stale knowledge, and
@@ -353,7 +353,7 @@
     }
     stop_left_over(cx, owner);
     let took_ms = cx.clock.now().since(owner.taken_at).as_millis() as u64;
-    log::info!(shard:% = owner.seat.part, token = owner.token(), jobs, runs, took_ms; "shard recovered");
+    log::info!(shard:% = owner.handle.part, token = owner.token(), jobs, runs, took_ms; "shard recovered");
 }
 
 /// Stops runs of jobs that are over: the owner before may have ended between a job's end and its stops.
--- a/src/lapisdrum/sched/owner/predecessor.rs
+++ b/src/lapisdrum/sched/owner/predecessor.rs
@@ -3,7 +3,7 @@
 //! An owner that the store turns away goes on renewing workers' leases for its hold, so its successor waits
 //! that long, and a lease more, before it gives up runs on workers that don't answer. With an owner and a
 //! worker lost together, the worker's tasks that last stood still for 12 s after the owner's end. A daemon that
-//! was killed is started again within a second under its address: whoever answers there as another run proves
+//! was killed is started again within a second under its address: an answer from another run there proves
 //! that the old one sends nothing any more, and the tasks are back 3 s sooner. From silence nothing follows.
 
 use super::Owner;
@@ -39,7 +39,7 @@
     pub fn note_predecessor_gone(&self, cx: &Cx, at: Millis) {
         let at = at.max(self.predecessor_took_at + cx.cfg.leases.owner_hold);
         let before = self.predecessor.as_ref().map(|before| &before.daemon);
-        log::info!(shard:% = self.seat.part, daemon:? = before, nothing_sent_after = at.0; "owner before is gone");
+        log::info!(shard:% = self.handle.part, daemon:? = before, nothing_sent_after = at.0; "owner before is gone");
         self.predecessor_gone_at.set(Some(at));
         for session in self.sessions.borrow_mut().values_mut() {
             session.bound.predecessor_gone(at);
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -52,7 +52,7 @@
     pub target_ms: Option<u32>,
     /// Its newest tail, in milliseconds; 0 before there is one.
     pub tail_ms: f64,
-    /// The processors that it was last seen to use at full pace, in thousandths, if it uses left-over ones.
+    /// The processors that it was last seen to use at full pace, in thousandths, if it uses best-effort ones.
     pub used_millicores: Option<u64>,
     /// The share of its processors that it works at, in hundredths.
     pub pace: u32,
@@ -63,7 +63,7 @@
 /// The kind of load that a step's tasks are.
 pub fn load_of(step: &Step) -> Load {
     match (step.uses_leftover_cpu, step.latency_target_ms) {
-        (true, _) => Load::Leftover,
+        (true, _) => Load::BestEffort,
         (false, Some(_)) => Load::Serving,
         (false, None) => Load::Reserving,
     }
@@ -293,7 +293,7 @@
     }
 }
 
-/// Stops what still runs of a task that is done: copies, and runs begun after one was given up that had
+/// Stops what still runs of a task that is done: copies, and runs started after one was given up that had
 /// done its work.
 pub fn stop_copies(cx: &Cx, owner: &Rc<Owner>, task: &TaskId) {
     let ledger = owner.ledger.borrow();
--- a/src/lapisdrum/sched/owner/send.rs
+++ b/src/lapisdrum/sched/owner/send.rs
@@ -6,7 +6,7 @@
 //! job that lasts goes to the emptier of two shards, its home and one drawn at random, which is nearly as good
 //! as the emptiest of all and costs one call.
 //!
-//! The home decides once and remembers it, durably and before anybody is told: a repeat of the hand-in, at any
+//! The home decides once and remembers it, durably and before anybody is told: a repeat of the submission, at any
 //! daemon and any owner, is sent to the same shard, so the job is accepted in one only.
 
 use super::{Owner, jobs::ANSWER_WITHIN};
@@ -33,7 +33,7 @@
     other.saturating_add(EMPTIER_BY) < own
 }
 
-/// What to answer to a hand-in that is for another shard; none where it is for this one.
+/// What to answer to a submission that is for another shard; none where it is for this one.
 pub async fn elsewhere(
     cx: &Cx,
     owner: &Rc<Owner>,
@@ -42,15 +42,15 @@
 ) -> Option<SubmitReply> {
     if let Some(other) = candidate(cx, owner, job, spec) {
         let own = owner.lasting_load(cx);
-        let seat = cx.seat(other);
-        let asked = tokio::time::timeout(LOAD_TIMEOUT, front::load_of(cx, &seat)).await;
+        let handle = cx.handle(other);
+        let asked = tokio::time::timeout(LOAD_TIMEOUT, front::load_of(cx, &handle)).await;
         let theirs = asked.ok().flatten();
         let is_decided = !is_new(owner, job);
         if let (false, Some(own), Some(theirs)) = (is_decided, own, theirs)
             && is_emptier(own, theirs)
             && owner.journal.is_flowing(cx.clock.now())
         {
-            log::info!(job:% = job, from:% = owner.seat.part, to:% = seat.part, own, theirs; "job is sent to another shard");
+            log::info!(job:% = job, from:% = owner.handle.part, to:% = handle.part, own, theirs; "job is sent to another shard");
             drop(owner.propose(cx, vec![sent(cx, job, other)]));
         }
     }
@@ -85,7 +85,7 @@
     if !lasts || is_bound || !is_new(owner, job) {
         return None;
     }
-    draw(&layout, owner.seat.shard)
+    draw(&layout, owner.handle.shard)
 }
 
 fn draw(layout: &Layout, own: ShardId) -> Option<ShardId> {
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -34,13 +34,13 @@
 pub struct Tally {
     /// Taken for good.
     pub reserved: Size,
-    /// Processors of left-over tasks, in thousandths.
-    pub leftover_millicores: u64,
+    /// Processors of best-effort tasks, in thousandths.
+    pub best_effort_millicores: u64,
     /// What serving tasks reserve of that, in thousandths of a core.
     pub serving_millicores: u64,
 }
 
-/// A left-over task that is no longer there but still shows in tails.
+/// A best-effort task that is no longer there but still shows in tails.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Departed {
     /// What it pressed with.
@@ -56,7 +56,7 @@
         match load {
             Load::Reserving => {}
             Load::Serving => self.serving_millicores += size.millicores,
-            Load::Leftover => self.leftover_millicores += size.millicores,
+            Load::BestEffort => self.best_effort_millicores += size.millicores,
         }
     }
 
@@ -68,8 +68,9 @@
             Load::Serving => {
                 self.serving_millicores = self.serving_millicores.saturating_sub(size.millicores);
             }
-            Load::Leftover => {
-                self.leftover_millicores = self.leftover_millicores.saturating_sub(size.millicores);
+            Load::BestEffort => {
+                self.best_effort_millicores =
+                    self.best_effort_millicores.saturating_sub(size.millicores);
             }
         }
     }
@@ -108,8 +109,8 @@
     pub surprises: IndexMap<StepId, f64>,
     /// What has left and still shows in tails.
     pub departed: Vec<Departed>,
-    /// Until when no left-over task is sent there.
-    pub leftover_closed_until: Millis,
+    /// Until when no best-effort task is sent there.
+    pub best_effort_closed_until: Millis,
     /// For how long serving tasks there are over their targets.
     pub overload: Overload,
     /// Failures in a row, and when the last was.
@@ -137,7 +138,7 @@
             tally: Tally::default(),
             surprises: IndexMap::new(),
             departed: Vec::new(),
-            leftover_closed_until: Millis::default(),
+            best_effort_closed_until: Millis::default(),
             overload: Overload::default(),
             failures: (0, Millis::default()),
             is_watched: false,
--- a/src/lapisdrum/sched/owner/strain.rs
+++ b/src/lapisdrum/sched/owner/strain.rs
@@ -1,4 +1,4 @@
-//! Watches the tails of serving tasks, and has left-over tasks beside them give way.
+//! Watches the tails of serving tasks, and has best-effort tasks beside them give way.
 
 use super::{
     Owner,
@@ -12,7 +12,7 @@
         outlook::{self, Outlook},
         place::{Load, Strained},
         pressure::{Presser, Victim},
-        relief::{self, Action, Leftover, Serving, Sight},
+        relief::{self, Action, BestEffort, Serving, Sight},
     },
     sched::{
         Cx,
@@ -30,17 +30,17 @@
 const SHOWN_FIRST: Duration = Duration::from_millis(200);
 /// See [`SHOWN_FIRST`].
 const SHOWN_WHOLLY: Duration = Duration::from_millis(900);
-/// A left-over task takes so many times its estimate, as long as nothing else is known of it.
+/// A best-effort task takes so many times its estimate, as long as nothing else is known of it.
 const USUAL_LENGTH: f64 = 1.3;
 /// Progress that tells how long the rest takes, in hundredths.
 const LEAST_PROGRESS: f64 = 5.0;
 /// The load of a serving task is taken for the greatest of so many moments where it decides what is left over.
 const LOAD_MOMENTS: usize = 3;
-/// Once something gave way on a host, no other left-over task is sent there for this long: its tails still tell of
+/// Once something gave way on a host, no other best-effort task is sent there for this long: its tails still tell of
 /// before. A part of that time is enough, since a placement weighs what is expected and not the tail alone; longer
 /// keeps hosts empty that have room.
 const CLOSED_AFTER_RELIEF: Duration = Duration::from_millis(400);
-/// How long a host stays clear of left-over tasks then.
+/// How long a host stays clear of best-effort tasks then.
 const CLOSED_AFTER_CLEARING: Duration = Duration::from_millis(3_000);
 
 /// Learns from a worker's lists, and acts on them.
@@ -84,7 +84,7 @@
     let mut runs = owner.runs.borrow_mut();
     let mut pressure = owner.pressure.borrow_mut();
     if pressure.refit_if_due(now) {
-        log::info!(shard:% = owner.seat.part, period_s:? = pressure.period_s(); "period of serving loads");
+        log::info!(shard:% = owner.handle.part, period_s:? = pressure.period_s(); "period of serving loads");
     }
     let mut by_step: IndexMap<StepId, Tails> = IndexMap::new();
     for listed in &lists.running {
@@ -132,7 +132,7 @@
     }
 }
 
-/// How long a left-over task runs, by its estimate.
+/// How long a best-effort task runs, by its estimate.
 pub fn usual_length(estimate_ms: u64) -> Duration {
     Duration::from_millis(estimate_ms).mul_f64(USUAL_LENGTH)
 }
@@ -184,11 +184,11 @@
 }
 
 impl RunRecord {
-    /// Notes the processors that a left-over task was last seen to use. Tasks use from two thirds of what they ask
+    /// Notes the processors that a best-effort task was last seen to use. Tasks use from two thirds of what they ask
     /// for upwards, and press by what they use.
     fn note_use(&mut self, millicores: u64, now: Millis) {
         let is_settled = self.pace == 100 && now.since(self.since) >= SHOWN_WHOLLY;
-        if self.load == Load::Leftover && is_settled && millicores > 0 {
+        if self.load == Load::BestEffort && is_settled && millicores > 0 {
             self.used_millicores = Some(millicores);
         }
     }
@@ -215,13 +215,13 @@
         self.used_millicores.unwrap_or(self.size.millicores)
     }
 
-    /// What the run presses with, if it uses left-over processors, on a host with this many.
+    /// The interference that the run causes on a host with this many processors, if it is best-effort.
     pub fn presser(&self, millicores: u64) -> Option<Presser> {
         self.presser_at(millicores, self.pace)
     }
 
     fn presser_at(&self, millicores: u64, pace: u32) -> Option<Presser> {
-        let image = self.image.filter(|_| self.load == Load::Leftover)?;
+        let image = self.image.filter(|_| self.load == Load::BestEffort)?;
         let is_there = !matches!(self.known.order, Order::NotSent);
         let used = self.full_use_millicores() as f64 * f64::from(pace) / 100.0;
         is_there.then(|| Presser {
@@ -245,8 +245,12 @@
     }
 }
 
-/// The left-over runs on a host, and the serving ones by their steps.
-fn on_host(owner: &Owner, worker: &str, now: Millis) -> (Vec<RunId>, Vec<Leftover>, Vec<Serving>) {
+/// The best-effort runs on a host, and the serving ones by their steps.
+fn on_host(
+    owner: &Owner,
+    worker: &str,
+    now: Millis,
+) -> (Vec<RunId>, Vec<BestEffort>, Vec<Serving>) {
     let capacity = capacity_of(owner, worker);
     let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
     let Some(session) = sessions.get(worker) else {
@@ -268,11 +272,11 @@
             });
             like.tasks += 1;
         }
-        let Some(image) = record.image.filter(|_| record.load == Load::Leftover) else {
+        let Some(image) = record.image.filter(|_| record.load == Load::BestEffort) else {
             continue;
         };
         ids.push(*run);
-        leftover.push(Leftover {
+        leftover.push(BestEffort {
             image,
             share: record.full_use_millicores() as f64 / capacity.max(1) as f64,
             pace: record.pace,
@@ -332,7 +336,7 @@
 impl RunRecord {
     /// Like [`RunRecord::presser`], for a run that is placed but not started too.
     fn planned_presser(&self, millicores: u64) -> Option<Presser> {
-        let image = self.image.filter(|_| self.load == Load::Leftover)?;
+        let image = self.image.filter(|_| self.load == Load::BestEffort)?;
         Some(Presser {
             image,
             share: self.full_use_millicores() as f64 / millicores.max(1) as f64,
@@ -362,7 +366,7 @@
 
 fn close(owner: &Owner, worker: &str, until: Millis) {
     owner.session(worker, |session| {
-        session.leftover_closed_until = session.leftover_closed_until.max(until);
+        session.best_effort_closed_until = session.best_effort_closed_until.max(until);
     });
 }
 
@@ -402,16 +406,16 @@
     });
 }
 
-/// Clears a host of left-over tasks for a while.
+/// Clears a host of best-effort tasks for a while.
 fn clear(
     cx: &Cx,
     owner: &Rc<Owner>,
     worker: &str,
     runs: &[RunId],
-    leftover: &[Leftover],
+    leftover: &[BestEffort],
     now: Millis,
 ) {
-    log::warn!(worker, leftover = leftover.len(); "a tail stays over its target; left-over tasks are moved away");
+    log::warn!(worker, leftover = leftover.len(); "a tail stays over its target; best-effort tasks are moved away");
     close(owner, worker, now + CLOSED_AFTER_CLEARING);
     for (run, left) in runs.iter().zip(leftover) {
         if !left.is_stopping {
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -116,7 +116,7 @@
     for (data_centre, count) in &*owner.left_in_evacuated.borrow() {
         let had_some = before.get(data_centre).is_none_or(|before| *before > 0);
         if *count == 0 && had_some {
-            log::info!(data_centre:%, shard:% = owner.seat.part; "nothing of the shard runs in the evacuated data centre");
+            log::info!(data_centre:%, shard:% = owner.handle.part; "nothing of the shard runs in the evacuated data centre");
         }
     }
 }
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -31,7 +31,7 @@
 /// How long a look waits at the worker for an end; the platform allows 2 s. A second keeps usage and
 /// progress fresh enough to see a stalled task within three looks.
 const LOOK_WAIT: Duration = Duration::from_millis(1_000);
-/// The same where left-over tasks run beside serving ones, whose tails are fresh every half second.
+/// The same where best-effort tasks run beside serving ones, whose tails are fresh every half second.
 const LOOK_WAIT_SHARED: Duration = Duration::from_millis(350);
 /// Wait before a worker that didn't answer is looked at again.
 const SILENT_WAIT: Duration = Duration::from_millis(200);
@@ -84,7 +84,7 @@
             .then(|| session.lease_end(now, cx.cfg.leases.sent()))
             .flatten();
         let is_shared =
-            session.tally.leftover_millicores > 0 && session.tally.serving_millicores > 0;
+            session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
         (is_claimed, lease, is_shared)
     });
     let Some((is_claimed, lease_until, is_shared)) = planned else {
@@ -98,7 +98,7 @@
     look(cx, owner, worker, lease_until, wait).await
 }
 
-/// A look that doesn't wait, for whoever needs to know what runs there now.
+/// A look that doesn't wait, to learn what runs there now.
 pub async fn look_once(cx: &Cx, owner: &Rc<Owner>, worker: &str) -> bool {
     look(cx, owner, worker, None, Duration::ZERO).await
 }
@@ -182,8 +182,8 @@
     log::warn!(worker, token = owner.token(); "worker refuses our token");
     let (cx, owner) = (Rc::clone(cx), Rc::clone(owner));
     supervisor::spawn("check-lease", async move {
-        let looked = lease::look(&cx, &owner.seat).await;
-        if looked.is_ok() && owner.seat.lease.borrow().fence != owner.token() {
+        let looked = lease::look(&cx, &owner.handle).await;
+        if looked.is_ok() && owner.handle.lease.borrow().fence != owner.token() {
             owner.lose("a worker has seen a newer owner");
         }
     });
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -1,4 +1,4 @@
-//! Calls between processes: whoever was asked by a caller asks the owner of the shard.
+//! Calls between processes: a daemon forwards requests to the shard's leaseholder.
 
 use super::{
     Cx,
@@ -35,7 +35,7 @@
         Submit {
             /// The job.
             job: JobId,
-            /// What was handed in.
+            /// What was submitted.
             spec: JobSpec,
             /// What the asker's catalogue says of its queue.
             terms: QueueTerms,
@@ -87,7 +87,7 @@
         NotOwner,
     }
 
-    /// How a hand-in ended.
+    /// How a submission ended.
     pub enum SubmitReply {
         /// It is durable.
         Accepted,
@@ -138,7 +138,7 @@
     pub enum JobState {
         /// Nothing of it was started.
         Queued,
-        /// It has begun.
+        /// Some of it was started.
         Running,
         /// Every task is done.
         Completed,
@@ -194,7 +194,7 @@
 
 /// Answers as far as this process owns the shard.
 pub async fn answer(cx: &Cx, shard: ShardId, ask: Ask) -> Answer {
-    let owner = cx.seat(shard).owner.borrow().clone();
+    let owner = cx.handle(shard).owner.borrow().clone();
     match (ask, owner) {
         (Ask::Submit { .. }, None) => Answer::Submitted(SubmitReply::NotOwner),
         (Ask::Show(_), None) => Answer::Shown(ShowReply::NotOwner),
--- a/src/lapisdrum/sched/reach.rs
+++ b/src/lapisdrum/sched/reach.rs
@@ -1,13 +1,13 @@
 //! Whether this process reaches anybody who could serve a caller: the store, or daemons of other data centres.
 //!
-//! Failure: a data centre is cut off from all the others, and callers still reach its entry hosts. No hand-in can
+//! Failure: a data centre is cut off from all the others, and callers still reach its entry hosts. No submission can
 //! be made durable there, yet the balancer goes on sending callers to it, and each waits in vain for an owner
 //! that can't be asked. A process that finds itself alone says that it is not ready, so that the balancer
 //! uses the entry hosts of other data centres, and refuses at once meanwhile.
 //!
 //! A store that is away for everybody is no reason: other daemons answer then, and all would leave the balancer
 //! together. So it takes both, a silent store and silent daemons of every other data centre; a process that knows of
-//! no such daemon never takes itself for alone.
+//! no such daemon never takes itself for isolated.
 
 use super::{Cx, layout::ShardId, lease::Holder};
 use crate::core::time::Millis;
@@ -38,14 +38,14 @@
     others_heard_at: Cell<Option<Millis>>,
     /// Data centres of daemons by their address.
     known: RefCell<IndexMap<String, String>>,
-    is_alone: Cell<bool>,
+    is_isolated: Cell<bool>,
 }
 
 impl Reach {
     /// Notes an answer of the store.
     pub fn note_store(&self, now: Millis) {
         self.store_heard_at.set(now);
-        self.is_alone.set(false);
+        self.is_isolated.set(false);
     }
 
     /// Notes an answer of a daemon at this address in this data centre.
@@ -70,8 +70,8 @@
     }
 
     /// Whether the process can serve no caller, since it reaches nobody.
-    pub fn is_alone(&self) -> bool {
-        self.is_alone.get()
+    pub fn is_isolated(&self) -> bool {
+        self.is_isolated.get()
     }
 }
 
@@ -89,9 +89,9 @@
             ask_all(&cx).await;
             learned_at = Some(now);
         }
-        let is_alone = cx.reach.judge(cx.clock.now());
-        if cx.reach.is_alone.replace(is_alone) != is_alone {
-            log::warn!(is_alone; "whether anybody is reached has changed");
+        let is_isolated = cx.reach.judge(cx.clock.now());
+        if cx.reach.is_isolated.replace(is_isolated) != is_isolated {
+            log::warn!(is_isolated; "isolation changed");
         }
         tokio::time::sleep(EVERY).await;
     }
@@ -110,14 +110,14 @@
     }
 }
 
-/// Addresses at which daemons are, or were: those of the settings, owners of shards, and whoever answered before.
+/// Addresses at which daemons are, or were: those of the settings, owners of shards, and those that answered before.
 fn addresses(cx: &Cx) -> IndexSet<String> {
     let mut all: IndexSet<String> = cx.cfg.seeds.iter().map(ToString::to_string).collect();
     let shards = cx.layout.borrow().as_ref().map(|layout| layout.all());
     let shards: Vec<ShardId> = shards.into_iter().flatten().collect();
     for shard in shards {
-        let seat = cx.seat(shard);
-        let lease = seat.lease.borrow();
+        let handle = cx.handle(shard);
+        let lease = handle.lease.borrow();
         let holder: Option<&Holder> = lease.row.as_ref().map(|row| &row.holder);
         all.extend(holder.map(|holder| holder.address.clone()));
     }
--- a/src/lapisdrum/sched/settle.rs
+++ b/src/lapisdrum/sched/settle.rs
@@ -47,7 +47,7 @@
 /// Whether a conflict is only about a row that rode along: the fence is ours and nothing stands at our place, so the
 /// journal rows are not in and may be sent again without it. That row was changed by an earlier try of ours whose
 /// answer was lost; taken for another owner's work, it would end an ownership that holds.
-pub fn is_rider_stale(
+pub fn is_piggyback_stale(
     end: &TxnEnd,
     holds_fence: impl Fn(&[Row]) -> bool,
     is_place_free: impl Fn(&[Row]) -> bool,
@@ -168,10 +168,8 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
 impl LeaseLimits {
-    /// The lease that owners send. As long as workers take it, since nothing is started elsewhere before the longest
-    /// lease is over: with 5.9 s where 10 are taken, tasks of workers behind a cut ended, stood still for the rest
-    /// and were begun again. Of three lengths over twenty days of a load with a cut in each, worth: 9.9 s
-    /// 0.702, 5.9 s 0.686, 3.9 s with a bound as short 0.676.
+    /// The lease that owners send: as long as workers take it, since nothing is started elsewhere before the longest lease
+    /// is over. With a shorter one, tasks of a worker behind a cut would end early and be down for the rest.
     pub fn sent(&self) -> Duration {
         self.longest.saturating_sub(LEASE_MARGIN)
     }
--- a/tests/testsuite/attribution.rs
+++ b/tests/testsuite/attribution.rs
@@ -48,8 +48,8 @@
             &format!("{shard},\"end\":\"Committed(7)\""),
         ),
         line_at(100, "shard recovered", &format!("{shard},\"token\":7")),
-        line_at(1_010, "job handed in", &handed("Refused(1s)")),
-        line_at(2_010, "job handed in", &handed("Done(())")),
+        line_at(1_010, "job submitted", &handed("Refused(1s)")),
+        line_at(2_010, "job submitted", &handed("Done(())")),
         line_at(
             2_005,
             "job accepted",
@@ -130,7 +130,7 @@
     let shown = answer(&stories, &Question::Job(JOB.to_owned())).expect("an answer");
     let shown = shown.to_string();
     assert!(
-        shown.contains("renders, handed in at karen: 6.110 s, on time within 5.000 s"),
+        shown.contains("renders, submitted at karen: 6.110 s, on time within 5.000 s"),
         "{shown}"
     );
     assert!(shown.contains("waiting for a place: Pressure"), "{shown}");
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -118,8 +118,8 @@
         })
         .await;
         let other = site.owner_of(SHARDS[1]).expect("an owner").clone();
-        let seat = other.seat(SHARDS[1]);
-        let owner = seat.owner.borrow().clone().expect("an owner");
+        let handle = other.handle(SHARDS[1]);
+        let owner = handle.owner.borrow().clone().expect("an owner");
         let shown = lapisdrum::sched::owner::jobs::show(&other, &owner, JobId(id));
         assert_eq!(shown, lapisdrum::sched::peer::ShowReply::Unknown);
         let cancelled = lapisdrum::sched::owner::jobs::cancel(&other, &owner, JobId(id)).await;
@@ -175,8 +175,8 @@
 }
 
 fn is_delegated(cx: &Cx, shard: ShardId) -> bool {
-    let seat = cx.seat(shard);
-    let owner = seat.owner.borrow().clone();
+    let handle = cx.handle(shard);
+    let owner = handle.owner.borrow().clone();
     owner.is_some_and(|owner| {
         let ledger = owner.ledger.borrow();
         let mut jobs = ledger.jobs.iter();
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -28,7 +28,7 @@
 
 /// Tasks end while the store takes a third of a second for each row. A worker lists an end until it is acknowledged, and
 /// is looked at again before that. Taken anew at each look, every end went into the journal several times, just
-/// when it could take the least; hand-ins waited for these rows, and the counters told of ends that never were.
+/// when it could take the least; submissions waited for these rows, and the counters told of ends that never were.
 #[test]
 fn an_end_is_taken_once_however_late_it_is_acknowledged() {
     paused(async {
@@ -56,7 +56,7 @@
 }
 
 /// A caller hands in three steps, the last after both others. Each task runs once, in order, and the
-/// caller sees the job completed; a repeat of the hand-in finds it.
+/// caller sees the job completed; a repeat of the submission finds it.
 #[test]
 fn a_graph_runs_in_order_and_once() {
     paused(async {
@@ -278,7 +278,7 @@
         assert_eq!(world.starts.borrow().len(), 9, "nothing was started twice");
         world.set_store("a", StoreMood::Up);
         until("the first one knows", LIMIT, async || {
-            first.seat(ShardId(0)).owner.borrow().is_none()
+            first.handle(ShardId(0)).owner.borrow().is_none()
         })
         .await;
         world.check();
--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -48,7 +48,7 @@
 }
 
 /// 200 KB of events a second on a store that takes 300 ms for each transaction. With one row in each the events
-/// queued up behind each other: a hand-in at the end waited for several seconds, its caller was told that nobody
+/// queued up behind each other: a submission at the end waited for several seconds, its caller was told that nobody
 /// knows, and nothing was started. With all that has gathered in one, each waits for two transactions at most.
 #[test]
 fn a_slow_store_keeps_pace_with_many_events() {
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -245,7 +245,7 @@
         }
         world.set_store("a", StoreMood::Away);
         let left = &daemons[1..];
-        let its_own = left[0].owners()[0].seat.shard;
+        let its_own = left[0].owners()[0].handle.shard;
         let job = (100..).find(|id| home(&left[0], *id) == its_own);
         let job = job.expect("a job of the shard that is left");
         submit_at_home(&world, left, job, vec![step(1, 100, &[])]).await;
@@ -286,7 +286,7 @@
 }
 
 /// A job whose data has a place is at home with that rack, which its id doesn't tell. Whoever asks for it by its
-/// id finds it all the same, and an id that nobody handed in is unknown only if every shard says so.
+/// id finds it all the same, and an id that nobody submitted is unknown only if every shard says so.
 #[test]
 fn a_job_near_its_data_is_found_by_its_id() {
     paused(async {
@@ -296,8 +296,8 @@
         let at = layout.racks["w1"];
         let id = (1..).map(JobId).find(|id| layout.home_by_id(*id) != at);
         let job = id.expect("an id at home elsewhere");
-        let handed_in = front::submit(&cx, &queue, job, spec.clone()).await;
-        assert_eq!(handed_in, Outcome::Done(()));
+        let submitted = front::submit(&cx, &queue, job, spec.clone()).await;
+        assert_eq!(submitted, Outcome::Done(()));
         let again = front::submit(&cx, &queue, job, spec).await;
         assert_eq!(again, Outcome::Done(()), "a repeat finds it");
         let elsewhere = layout.home_by_id(job);
@@ -306,15 +306,15 @@
         assert_matches!(front::show(&cx, job).await, Outcome::Done(_));
         assert_eq!(front::cancel(&cx, job).await, Outcome::Done(()));
         assert_eq!(front::cancel(&cx, JobId(99)).await, Outcome::NoSuchJob);
-        let seat = cx.seat(at);
-        let owner = seat.owner.borrow().clone().expect("an owner");
+        let handle = cx.handle(at);
+        let owner = handle.owner.borrow().clone().expect("an owner");
         owner.lose("the test says so");
         assert_matches!(
             front::show(&cx, JobId(99)).await,
             Outcome::Refused(_),
             "a shard without an owner may know it"
         );
-        assert!(lease::look(&cx, &seat).await.is_ok());
+        assert!(lease::look(&cx, &handle).await.is_ok());
     });
 }
 
@@ -335,7 +335,7 @@
 }
 
 /// Livestreams whose ids all fall to one shard. Dealt by their ids alone, half of them would wait for room there
-/// while the other shard is empty; handed on by load all of them run. Each caller that repeats its hand-in is sent to
+/// while the other shard is empty; handed on by load all of them run. Each caller that repeats its submission is sent to
 /// the same shard, though the loads have changed since, and finds its job by its id.
 #[test]
 fn lasting_jobs_go_where_there_is_room() {
@@ -351,8 +351,8 @@
         let ids: Vec<u64> = crowded.take(8).collect();
         for id in &ids {
             world.expect(*id, lasting(2));
-            let handed_in = front::submit(&cx, &queue, JobId(*id), spec_of(lasting(2))).await;
-            assert_eq!(handed_in, Outcome::Done(()));
+            let submitted = front::submit(&cx, &queue, JobId(*id), spec_of(lasting(2))).await;
+            assert_eq!(submitted, Outcome::Done(()));
         }
         until("all of them run", LIMIT, async || {
             world.running().len() == 16
@@ -375,7 +375,7 @@
     });
 }
 
-/// The same hand-in comes twice at once, over two connections, to the job's home. Both callers are sent to the same
+/// The same submission comes twice at once, over two connections, to the job's home. Both callers are sent to the same
 /// shard or find the job here; two decisions would run it twice.
 #[test]
 fn two_hand_ins_at_once_are_decided_once() {
@@ -385,8 +385,8 @@
             world.expect(id, lasting(1));
             let twice =
                 [(); 3].map(|()| front::submit(&cx, &queue, JobId(id), spec_of(lasting(1))));
-            for handed_in in futures::future::join_all(twice).await {
-                assert_eq!(handed_in, Outcome::Done(()));
+            for submitted in futures::future::join_all(twice).await {
+                assert_eq!(submitted, Outcome::Done(()));
             }
         }
         let jobs = |owner: &Rc<Owner>| owner.ledger.borrow().jobs.len();
--- a/tests/testsuite/sched/learning.rs
+++ b/tests/testsuite/sched/learning.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// Images contend for three things; each left-over image uses one of them or none, each serving image suffers from
+/// Images contend for three things; each best-effort image uses one of them or none, each serving image suffers from
 /// one.
 fn presses(victim: usize, presser: usize) -> bool {
     presser % 4 == victim % 3
@@ -77,7 +77,7 @@
     f64::from(right) / f64::from(all)
 }
 
-/// A third of the pairs has met; the rest would be tried on tasks that serve users, and a fifth of the left-over
+/// A third of the pairs has met; the rest would be tried on tasks that serve users, and a fifth of the best-effort
 /// tasks would have to give way again. From what images have in common the others are told.
 #[test]
 fn pairs_that_never_met_are_told_from_those_that_did() {
@@ -138,7 +138,7 @@
 }
 
 /// Loads swing in waves of one length. Told ahead by their slope, a load at its turn is wrong by half the swing within
-/// two seconds, and left-over tasks are let in that must give way; told by the wave it is right.
+/// two seconds, and best-effort tasks are let in that must give way; told by the wave it is right.
 #[test]
 fn a_load_that_swings_is_told_ahead() {
     let mut rng = StdRng::seed_from_u64(6);
--- a/tests/testsuite/sched/order.rs
+++ b/tests/testsuite/sched/order.rs
@@ -14,7 +14,7 @@
         age_ms,
         objective_ms: 4_000,
         chain_ms,
-        has_begun: false,
+        is_in_progress: false,
     }
 }
 
@@ -68,13 +68,13 @@
 #[test]
 fn a_job_that_has_begun_goes_before_new_ones() {
     let begun = Standing {
-        has_begun: true,
+        is_in_progress: true,
         ..standing(100, 1_000)
     };
     let new = standing(900, 3_000);
     assert!(begun.rank() < new.rank());
     let too_late = Standing {
-        has_begun: true,
+        is_in_progress: true,
         ..standing(5_000, 3_000)
     };
     assert!(
@@ -115,7 +115,7 @@
             age_ms: now_ms - self.arrived_ms,
             objective_ms: 5_000,
             chain_ms: forecast.map_or(chain_ms, |f| f.expected_ms("renders", chain_ms)),
-            has_begun: self.begun_ms.is_some() && forecast.is_some(),
+            is_in_progress: self.begun_ms.is_some() && forecast.is_some(),
         };
         Some((step, standing))
     }
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -145,7 +145,7 @@
 /// The store's answers take sixty times as long for twelve seconds, on a shard that starts some hundred tasks a second
 /// and takes a job each 100 ms. Renewals queued up behind journal rows and calls that were given up; the lease
 /// lapsed under a live owner, all daemons tried to take over in the same part of the store, and nothing was
-/// started until the store was quick again. Now the owner stays, and every hand-in is accepted.
+/// started until the store was quick again. Now the owner stays, and every submission is accepted.
 #[test]
 fn a_busy_owner_keeps_its_shard_while_the_store_is_slow() {
     paused(async {
@@ -216,7 +216,7 @@
     let quick = read(Duration::from_millis(4));
     assert!(!is_free(&quick, 1_400));
     assert!(is_free(&quick, 1_600));
-    assert!(quick.doubted(Millis(700)).is_some());
+    assert!(quick.suspected(Millis(700)).is_some());
     let slow = read(Duration::from_millis(360));
     assert!(!is_free(&slow, 3_000));
     assert!(slow.holder(Millis(3_000)).is_some());
@@ -300,13 +300,13 @@
         let cut_off = world.daemon("b");
         actix_rt::spawn(reach::follow(Rc::clone(&cut_off)));
         sleep(Duration::from_secs(3)).await;
-        assert!(!cut_off.reach.is_alone());
+        assert!(!cut_off.reach.is_isolated());
         world.set_store("b", StoreMood::Away);
         relay.cut();
         until(
             "it finds itself alone",
             Duration::from_millis(1_800),
-            async || cut_off.reach.is_alone(),
+            async || cut_off.reach.is_isolated(),
         )
         .await;
         let began = Instant::now();
@@ -315,13 +315,13 @@
         assert!(began.elapsed() < Duration::from_millis(20));
         world.set_store("b", StoreMood::Up);
         until("it is ready again", LIMIT, async || {
-            !cut_off.reach.is_alone()
+            !cut_off.reach.is_isolated()
         })
         .await;
     });
 }
 
-/// The owner says that a hand-in is under way, and nobody is known to own the shard when it is to be asked again. Its row
+/// The owner says that a submission is under way, and nobody is known to own the shard when it is to be asked again. Its row
 /// is written all the same, and the job is there: told that it was refused, the caller would have it twice.
 #[test]
 fn a_hand_in_that_was_under_way_is_not_refused() {
@@ -334,13 +334,13 @@
         let slow = Duration::from_millis(1_500);
         world.set_slow_txn(slow, Duration::ZERO);
         world.set_store("a", StoreMood::Slow);
-        let held = owner.seat(ShardId(0)).owner.borrow().clone();
+        let held = owner.handle(ShardId(0)).owner.borrow().clone();
         held.expect("an owner").journal.note_answer(slow);
         let (cut_off, moods) = (Rc::clone(&front), Rc::clone(&world));
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(300)).await;
             moods.set_store("b", StoreMood::Away);
-            *cut_off.seat(ShardId(0)).lease.borrow_mut() = LeaseView::default();
+            *cut_off.handle(ShardId(0)).lease.borrow_mut() = LeaseView::default();
         });
         let outcome = front::submit(&front, &queue(), JobId(1), spec("work")).await;
         assert_eq!(outcome, Outcome::Unknown);
@@ -367,7 +367,7 @@
         world.set_store("b", StoreMood::Away);
         for _ in 0..40 {
             sleep(Duration::from_millis(100)).await;
-            assert!(!other.reach.is_alone());
+            assert!(!other.reach.is_isolated());
         }
     });
 }
--- a/tests/testsuite/sched/settle.rs
+++ b/tests/testsuite/sched/settle.rs
@@ -9,7 +9,7 @@
         owner::session::Session,
         settle::{
             Habit, LeaseBound, Order, RunKnowledge, RunVerdict, Sight, Stop, WriteVerdict,
-            is_rider_stale, judge_run, judge_write,
+            is_piggyback_stale, judge_run, judge_write,
         },
     },
 };
@@ -181,7 +181,7 @@
 #[test]
 fn a_conflict_is_about_the_rider_only_with_our_fence_and_a_free_place() {
     let judge = |end: &TxnEnd, holds_fence, is_place_free| {
-        is_rider_stale(end, |_| holds_fence, |_| is_place_free)
+        is_piggyback_stale(end, |_| holds_fence, |_| is_place_free)
     };
     let conflict = TxnEnd::Conflict(vec![row(b"lease")]);
     assert!(judge(&conflict, true, true));
--- a/tests/testsuite/sched/strain.rs
+++ b/tests/testsuite/sched/strain.rs
@@ -1,4 +1,4 @@
-//! Placement of left-over work beside serving tasks, what is learned of it, and what gives way.
+//! Placement of best-effort work beside serving tasks, what is learned of it, and what gives way.
 
 use lapisdrum::{
     core::{size::Size, time::Millis},
@@ -7,7 +7,7 @@
         overload::Overload,
         place::{Host, Kept, Load, Need, Strained, choose, keep_for},
         pressure::{self, Image, Presser, Pressure, Victim, learned::Learned},
-        relief::{self, Action, Leftover, Serving, Sight},
+        relief::{self, Action, BestEffort, Serving, Sight},
         terms::Terms,
     },
 };
@@ -32,7 +32,7 @@
     (BASE_MS / (1.0 - strain.min(0.98)) * scatter).round()
 }
 
-/// A serving load that swings by half in seven seconds, and two left-over images of which one presses.
+/// A serving load that swings by half in seven seconds, and two best-effort images of which one presses.
 /// Within ten seconds the model must tell them apart, and follow the load to a tenth.
 #[test]
 fn the_image_that_presses_is_found_out() {
@@ -110,9 +110,9 @@
         labels: &[],
         capacity: cores(32),
         reserved: cores(6 * victims.len() as u64),
-        leftover_millicores: 0,
+        best_effort_millicores: 0,
         serving: victims.iter().map(strained).collect(),
-        is_open_for_leftover: true,
+        is_open_for_best_effort: true,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
@@ -143,37 +143,37 @@
     }
 }
 
-/// Two hosts with room. One serves near its target; a left-over task goes to the other, and to none when
+/// Two hosts with room. One serves near its target; a best-effort task goes to the other, and to none when
 /// both are near.
 #[test]
 fn left_over_work_stays_off_hosts_near_their_target() {
     let mut pressure = Pressure::default();
     let (serving, batch) = (pressure.image("s"), pressure.image("b"));
     let victims = [victim(serving); 4];
-    let need = need(Load::Leftover, Some(batch));
+    let need = need(Load::BestEffort, Some(batch));
     let hosts = [host("near", &victims, 0.78), host("far", &victims, 0.3)];
     assert_eq!(choose(&need, &hosts, &pressure), Some(1));
     let hosts = [host("near", &victims, 0.78), host("too", &victims, 0.76)];
     assert_eq!(choose(&need, &hosts, &pressure), None);
 }
 
-/// A host whose serving tasks miss their targets for certain, whatever comes. One more left-over task made the figure no
+/// A host whose serving tasks miss their targets for certain, whatever comes. One more best-effort task made the figure no
 /// worse, seemed to be free and was let in; tails stayed over for as long as such tasks came.
 #[test]
 fn left_over_work_stays_off_hosts_that_miss_their_targets_already() {
     let mut pressure = Pressure::default();
     let (serving, batch) = (pressure.image("s"), pressure.image("b"));
-    let need = need(Load::Leftover, Some(batch));
+    let need = need(Load::BestEffort, Some(batch));
     let hosts = [host("over", &[victim(serving); 4], 1.4)];
     assert_eq!(choose(&need, &hosts, &pressure), None);
 }
 
-/// Reserving work takes no notice of left-over work: its processors are its own.
+/// Reserving work takes no notice of best-effort work: its processors are its own.
 #[test]
 fn left_over_work_is_in_nobodys_way() {
     let pressure = Pressure::default();
     let mut busy = host("busy", &[], 0.0);
-    busy.leftover_millicores = 32_000;
+    busy.best_effort_millicores = 32_000;
     let chosen = choose(&need(Load::Reserving, None), &[busy], &pressure);
     assert_eq!(chosen, Some(0));
 }
@@ -212,7 +212,7 @@
     overload_borne: Duration::from_secs(4),
 };
 
-/// A serving image, and a left-over one that presses on it with twice its share of the host.
+/// A serving image, and a best-effort one that presses on it with twice its share of the host.
 fn loud_pair() -> (Pressure, Image, Image) {
     let mut pressure = Pressure::default();
     let (serving, loud) = (pressure.image("s"), pressure.image("l"));
@@ -229,9 +229,9 @@
     (pressure, serving, loud)
 }
 
-/// A left-over task that has run for two seconds and would go on for ten, with this share of the host.
-fn leftover(image: Image, share: f64) -> Leftover {
-    Leftover {
+/// A best-effort task that has run for two seconds and would go on for ten, with this share of the host.
+fn leftover(image: Image, share: f64) -> BestEffort {
+    BestEffort {
         image,
         share,
         pace: 100,
@@ -242,7 +242,7 @@
     }
 }
 
-fn decide(pressure: &Pressure, serving: Image, leftover: &[Leftover]) -> Vec<(usize, Action)> {
+fn decide(pressure: &Pressure, serving: Image, leftover: &[BestEffort]) -> Vec<(usize, Action)> {
     let sight = Sight {
         pressure,
         now: Millis(0),
@@ -256,14 +256,14 @@
     relief::decide(&sight, &serving, leftover)
 }
 
-/// A tail that a left-over task drives far over its target. What saves its progress is moved away; what doesn't is
+/// A tail that a best-effort task drives far over its target. What saves its progress is moved away; what doesn't is
 /// slowed until the tail is clear. A task that presses little is left alone.
 #[test]
 fn a_tail_over_its_target_is_relieved() {
     let (mut pressure, serving, loud) = loud_pair();
     let saving = leftover(loud, 0.5);
     assert_eq!(decide(&pressure, serving, &[saving]), [(0, Action::Stop)]);
-    let plain = Leftover {
+    let plain = BestEffort {
         is_checkpointing: false,
         ..saving
     };
@@ -290,7 +290,7 @@
 #[test]
 fn a_task_that_is_all_but_done_is_not_stopped() {
     let (pressure, serving, loud) = loud_pair();
-    let nearly = Leftover {
+    let nearly = BestEffort {
         left: Duration::from_millis(300),
         ..leftover(loud, 0.5)
     };
@@ -306,7 +306,7 @@
 fn a_paced_task_is_raised_again() {
     let mut pressure = Pressure::default();
     let (serving, batch) = (pressure.image("s"), pressure.image("b"));
-    let paced = Leftover {
+    let paced = BestEffort {
         pace: 40,
         is_checkpointing: false,
         ..leftover(batch, 0.05)
@@ -317,7 +317,7 @@
     );
 }
 
-/// A tail is over its target while one left-over task ends and the next one comes, with a moment without any and with
+/// A tail is over its target while one best-effort task ends and the next one comes, with a moment without any and with
 /// a figure just below in between. Counted anew each time, the bound for all of it was passed unnoticed.
 #[test]
 fn the_time_over_a_target_runs_on_between_left_over_tasks() {
@@ -377,7 +377,7 @@
     for s in &mut busy.serving {
         s.load = 0.7;
     }
-    let mut render = need(Load::Leftover, Some(render));
+    let mut render = need(Load::BestEffort, Some(render));
     render.size = Size {
         memory_mb: 1,
         ..cores(12)
@@ -410,7 +410,7 @@
 
 /// A livestream of eight cores waits on hosts that are nearly full, while maps of two cores come all the time. Each
 /// core that comes free went to a map, and the stream stood still. With the host that has the most room kept free of
-/// them the stream is placed as soon as that host has eight cores; left-over work goes on there.
+/// them the stream is placed as soon as that host has eight cores; best-effort work goes on there.
 #[test]
 fn smaller_tasks_do_not_pass_a_livestream_for_ever() {
     let mut pressure = Pressure::default();
@@ -432,7 +432,7 @@
     };
     let render = Need {
         size: cores(1),
-        ..need(Load::Leftover, None)
+        ..need(Load::BestEffort, None)
     };
     let mut hosts = [full("a", 3), full("b", 6), full("c", 2)];
     assert_eq!(choose(&stream, &hosts, &pressure), None);
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -126,7 +126,7 @@
         relay.cut();
         for _ in 0..40 {
             sleep(Duration::from_millis(100)).await;
-            assert!(!other.reach.is_alone());
+            assert!(!other.reach.is_isolated());
         }
     });
 }
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -518,7 +518,7 @@
         let fails = self.failing.borrow().contains(&order.run.task.job);
         let spec = self.jobs.borrow().get(&order.run.task.job).cloned();
         let Some(steps) = spec else {
-            self.breach(format!("{} was never handed in", order.run.task));
+            self.breach(format!("{} was never submitted", order.run.task));
             return OrderEnd::Refused(Refusal::Malformed);
         };
         let step = steps[usize::from(order.run.task.step)].clone();
@@ -931,7 +931,7 @@
 
 /// The owner's side as a caller reaches it.
 impl World {
-    /// Lets workers know the steps of a job that is handed in by other ways than [`World::submit`].
+    /// Lets workers know the steps of a job that is submitted by other ways than [`World::submit`].
     pub(crate) fn expect(&self, id: u64, steps: Vec<Step>) {
         self.jobs.borrow_mut().insert(JobId(id), steps);
     }
@@ -990,8 +990,8 @@
 
 /// Whether a daemon owns a shard and knows its jobs.
 pub(crate) fn owns(cx: &Cx, shard: ShardId) -> bool {
-    let seat = cx.seat(shard);
-    let owner = seat.owner.borrow();
+    let handle = cx.handle(shard);
+    let owner = handle.owner.borrow();
     owner.as_ref().is_some_and(|owner| owner.is_recovered())
 }
 
