The end of a job is passed on, also when it comes while its tasks are being adopted

Cause: found by reading. A job that was cancelled while the other shard was adopting its tasks was taken off the open ones by the answer to the earlier call, and its tasks ran on there for good (UNASKED). Ruled out: a search finding it: model::handover has no memory of what was confirmed, which is where it was. Change: ends are confirmed by shard; a job is taken off only when nothing is left to be confirmed. A job of the shard itself is not adopted. Figures: delegate::a_cancel_during_a_hand_over_reaches_the_other_shard fails before, passes after.

--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -3,9 +3,9 @@
 //! Load pattern: long-running tasks reserve more than nine tenths of a shard. When workers go, their tasks find no room in
 //! their own shard, where small free pieces are all that is left, while another shard has whole hosts for them.
 //!
-//! A task that nothing of is alive is marked as delegated in the owner's journal before the other shard hears of it, and
+//! A task without a live run is marked as delegated in the owner's journal before the other shard hears of it, and
 //! there is no way back: the other owner is asked again until it has the task in its own journal, so a call
-//! that arrives late, or the end of either owner in between, leaves the task with exactly one shard. A job stays with its
+//! that arrives late, or a crash of either owner in between, leaves the task with exactly one shard. A job stays with its
 //! shard: callers are answered there, and its end is passed on until it is confirmed. That call carries the
 //! tasks too, so a shard that never heard of them, or has forgotten them since, starts none.
 
@@ -43,10 +43,12 @@
 pub struct Delegations {
     /// Since when interrupted tasks wait for room.
     stranded_since: IndexMap<TaskId, Millis>,
-    /// Jobs with delegated tasks that other shards have not confirmed, or whose cancel they have not.
+    /// Jobs of which other shards may have something to confirm.
     open: IndexSet<JobId>,
     /// Tasks that the other shard has confirmed.
     confirmed: IndexSet<TaskId>,
+    /// Ends of jobs that a shard has confirmed.
+    ended: IndexSet<(JobId, ShardId)>,
     /// Tasks for which room was offered to other shards, and when.
     offered: Vec<(u64, Millis)>,
 }
@@ -183,11 +185,12 @@
     let asked = others.map(async |shard| {
         let handle = cx.handle(shard);
         let offer = front::offer_of(cx, &handle, need, wanted);
-        let told = tokio::time::timeout(ROOM_TIMEOUT, offer).await;
-        (shard, told.ok().flatten().unwrap_or_default())
+        let offered = tokio::time::timeout(ROOM_TIMEOUT, offer).await;
+        // A shard that doesn't answer offers nothing this time.
+        (shard, offered.ok().flatten().unwrap_or_default())
     });
-    let told = futures::future::join_all(asked).await;
-    let roomiest = told.into_iter().max_by_key(|(_, room)| *room);
+    let offers = futures::future::join_all(asked).await;
+    let roomiest = offers.into_iter().max_by_key(|(_, room)| *room);
     roomiest.filter(|(_, room)| *room > 0)
 }
 
@@ -215,26 +218,29 @@
 /// Asks other shards for what they have not confirmed yet.
 async fn settle_open(cx: &Cx, owner: &Rc<Owner>) {
     let open: Vec<JobId> = owner.delegations.borrow().open.iter().copied().collect();
-    let settling = open.into_iter().map(async |job| {
-        if settle_job(cx, owner, job).await {
+    let settling = open.iter().map(|job| settle_job(cx, owner, *job));
+    futures::future::join_all(settling).await;
+    for job in open {
+        // The job may have ended while its tasks were being adopted.
+        if unconfirmed(owner, job).is_empty() {
             owner.delegations.borrow_mut().open.swap_remove(&job);
         }
-    });
-    futures::future::join_all(settling).await;
+    }
 }
 
-/// One round for a job; true when nothing is left to be confirmed.
-async fn settle_job(cx: &Cx, owner: &Rc<Owner>, id: JobId) -> bool {
-    let mut is_settled = true;
+async fn settle_job(cx: &Cx, owner: &Rc<Owner>, id: JobId) {
     for (shard, tasks) in unconfirmed(owner, id) {
         let ids: Vec<TaskId> = tasks.tasks.iter().map(|(task, _)| *task).collect();
-        let is_adopted = front::adopt(cx, &cx.handle(shard), tasks).await;
-        if is_adopted {
-            owner.delegations.borrow_mut().confirmed.extend(ids);
+        let is_over = tasks.is_over;
+        if !front::adopt(cx, &cx.handle(shard), tasks).await {
+            continue;
+        }
+        let mut delegations = owner.delegations.borrow_mut();
+        delegations.confirmed.extend(ids);
+        if is_over {
+            delegations.ended.insert((id, shard));
         }
-        is_settled &= is_adopted;
     }
-    is_settled
 }
 
 /// What other shards have yet to confirm of a job, by shard.
@@ -246,12 +252,15 @@
     // An end that is not durable yet must have no effect elsewhere.
     let is_over = job.phase != Phase::Active && !owner.ending.borrow().contains(&id);
     let delegations = owner.delegations.borrow();
-    let is_open = |tasks: &[(TaskId, RunNumber)]| {
-        let mut ids = tasks.iter().map(|(task, _)| task);
-        is_over || !ids.all(|task| delegations.confirmed.contains(task))
+    let is_open = |shard: ShardId, tasks: &[(TaskId, RunNumber)]| match is_over {
+        true => !delegations.ended.contains(&(id, shard)),
+        false => {
+            let mut ids = tasks.iter().map(|(task, _)| task);
+            !ids.all(|task| delegations.confirmed.contains(task))
+        }
     };
     let by_shard = job.delegated(id).into_iter();
-    let open = by_shard.filter(|(_, tasks)| is_open(tasks));
+    let open = by_shard.filter(|(shard, tasks)| is_open(*shard, tasks));
     let ask = |(shard, tasks)| {
         let tasks = GuestTasks {
             job: id,
@@ -272,6 +281,12 @@
         self.delegations.borrow().open.contains(job)
     }
 
+    /// Whether a job is this shard's own.
+    fn owns_job(&self, job: JobId) -> bool {
+        let ledger = self.ledger.borrow();
+        ledger.jobs.get(&job).is_some_and(|job| !job.is_guest)
+    }
+
     /// Has a job's end passed on to the shards that run tasks of it.
     pub fn pass_end_on(&self, job: JobId) {
         let ledger = self.ledger.borrow();
@@ -334,6 +349,10 @@
         return AdoptReply::NotOwner;
     }
     let (job, is_over, at_unix_ms) = (tasks.job, tasks.is_over, cx.unix_ms());
+    if owner.owns_job(job) {
+        log::error!(job:% = job, shard:% = owner.handle.part, from = tasks.from.0; "a job of this shard is handed to it");
+        return AdoptReply::NotOwner;
+    }
     log::info!(job:% = job, shard:% = owner.handle.part, from = tasks.from.0, tasks = tasks.tasks.len(), is_over; "tasks are adopted");
     let mut events = vec![Event::Adopted {
         job,
@@ -347,20 +366,14 @@
         events.push(Event::Cancelled { job, at_unix_ms });
     }
     let ticket = owner.propose(cx, events);
-    let phase = guest_phase(owner, job);
-    if phase == Some(Phase::Active) && !is_over {
+    let phase = owner.ledger.borrow().jobs.get(&job).map(|job| job.phase);
+    if phase == Some(Phase::Active) {
         owner.active.borrow_mut().insert(job);
         owner.wake.notify_one();
     }
     owner.note_if_over(cx, job);
     match ticket.end().await {
-        AppendEnd::Durable if phase.is_some() => AdoptReply::Adopted,
-        AppendEnd::Durable | AppendEnd::Lost => AdoptReply::NotOwner,
+        AppendEnd::Durable => AdoptReply::Adopted,
+        AppendEnd::Lost => AdoptReply::NotOwner,
     }
 }
-
-fn guest_phase(owner: &Owner, job: JobId) -> Option<Phase> {
-    let ledger = owner.ledger.borrow();
-    let job = ledger.jobs.get(&job).filter(|job| job.is_guest);
-    job.map(|job| job.phase)
-}
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -152,6 +152,30 @@
     });
 }
 
+/// Guards against an end that is lost since the job is cancelled while its tasks are being adopted.
+#[test]
+fn a_cancel_during_a_hand_over_reaches_the_other_shard() {
+    paused(async {
+        let site = Site::start(&["a", "b"]).await;
+        let id = site.strand().await;
+        let owner = site.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = site.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("the decision is made", LIMIT * 2, async || {
+            is_delegated(&owner, SHARDS[0])
+        })
+        .await;
+        site.world
+            .set_slow_txn(Duration::from_millis(700), Duration::ZERO);
+        site.world.set_store(&other.cfg.name, StoreMood::Slow);
+        sleep(Duration::from_millis(300)).await;
+        let cancelled = site.world.cancel(&owner, id).await;
+        assert_eq!(cancelled, CancelReply::Done);
+        sleep(Duration::from_secs(5)).await;
+        assert!(site.world.running().is_empty());
+        site.world.check();
+    });
+}
+
 /// Guards against tasks that nobody runs, or two shards do: the owner ends between its decision and the hand-over.
 #[test]
 fn a_successor_completes_a_hand_over() {
