--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -9,7 +9,8 @@
     Cx,
     job::{JobId, Step, TaskId},
     layout::ShardId,
-    peer::{CancelReply, JobState, SubmitReply},
+    owner::jobs,
+    peer::{CancelReply, JobState, ShowReply, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -82,6 +83,16 @@
         id
     }
 
+    /// The same, until the other shard runs two of its tasks.
+    async fn hand_over(&self) -> u64 {
+        let id = self.strand().await;
+        until("tasks are adopted", LIMIT * 2, async || {
+            self.running_in(SHARDS[1]) == 2
+        })
+        .await;
+        id
+    }
+
     fn running_in(&self, shard: ShardId) -> usize {
         let workers = self.workers_of(shard);
         workers.iter().map(|w| self.world.running_on(w).len()).sum()
@@ -112,17 +123,13 @@
 fn the_other_shard_does_not_answer_for_the_job() {
     paused(async {
         let site = Site::start(&["a", "b"]).await;
-        let id = site.strand().await;
-        until("tasks are adopted", LIMIT * 2, async || {
-            site.running_in(SHARDS[1]) == 2
-        })
-        .await;
+        let id = site.hand_over().await;
         let other = site.owner_of(SHARDS[1]).expect("an owner").clone();
         let handle = other.handle(SHARDS[1]);
         let owner = handle.owner.borrow().clone().expect("an owner");
-        let shown = lapisdrum::sched::owner::jobs::show(&other, &owner, JobId(id));
-        assert_eq!(shown, lapisdrum::sched::peer::ShowReply::Unknown);
-        let cancelled = lapisdrum::sched::owner::jobs::cancel(&other, &owner, JobId(id)).await;
+        let shown = jobs::show(&other, &owner, JobId(id));
+        assert_eq!(shown, ShowReply::Unknown);
+        let cancelled = jobs::cancel(&other, &owner, JobId(id)).await;
         assert_eq!(cancelled, CancelReply::UnknownJob);
         sleep(Duration::from_secs(1)).await;
         assert_eq!(site.running_in(SHARDS[1]), 2);
@@ -134,11 +141,7 @@
 fn a_cancel_reaches_the_shard_that_runs_the_tasks() {
     paused(async {
         let site = Site::start(&["a", "b"]).await;
-        let id = site.strand().await;
-        until("tasks are adopted", LIMIT * 2, async || {
-            site.running_in(SHARDS[1]) == 2
-        })
-        .await;
+        let id = site.hand_over().await;
         let owner = site.owner_of(SHARDS[0]).expect("an owner").clone();
         let cancelled = site.world.cancel(&owner, id).await;
         assert_eq!(cancelled, CancelReply::Done);
@@ -213,11 +216,7 @@
 fn adopted_tasks_outlive_their_owner() {
     paused(async {
         let site = Site::start(&["a", "b", "c"]).await;
-        let id = site.strand().await;
-        until("tasks are adopted", LIMIT * 2, async || {
-            site.running_in(SHARDS[1]) == 2
-        })
-        .await;
+        let id = site.hand_over().await;
         let adopter = site.owner_of(SHARDS[1]).expect("an owner").clone();
         site.world.set_store(&adopter.cfg.name, StoreMood::Away);
         until("another owns the shards", LIMIT * 2, async || {
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -6,6 +6,7 @@
 };
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
+    Cx,
     edge::{RowKey, Txn, TxnEnd},
     event::Event,
     job::JobId,
@@ -21,18 +22,24 @@
 
 const LIMIT: Duration = Duration::from_secs(5);
 
+/// The owner of a shard with one long task, and another daemon.
+async fn pair_with_a_long_task(world: &Rc<World>) -> [Cx; 2] {
+    let first = world.daemon("a");
+    owned(&first, LIMIT).await;
+    let second = world.daemon("b");
+    let steps = vec![step(1, 60_000, &[])];
+    assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+    until("it runs", LIMIT, async || world.running().len() == 1).await;
+    [first, second]
+}
+
 /// Guards against a task that runs twice: its worker hears only the owner that the store turns away, whose renewals
 /// must be over before the successor starts the task elsewhere.
 #[test]
 fn a_replaced_owner_stops_renewing_before_its_successor_starts_anew() {
     paused(async {
         let world = World::new(2);
-        let first = world.daemon("a");
-        owned(&first, LIMIT).await;
-        let second = world.daemon("b");
-        let steps = vec![step(1, 60_000, &[])];
-        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
-        until("it runs", LIMIT, async || world.running().len() == 1).await;
+        let [first, second] = pair_with_a_long_task(&world).await;
         let on_first = ["w0", "w1"].map(|w| !world.running_on(w).is_empty());
         world.cut_from("b", if on_first[0] { "w0" } else { "w1" });
         world.set_store("a", StoreMood::Away);
@@ -51,12 +58,7 @@
 fn a_second_cancel_is_confirmed_no_sooner_than_the_first() {
     paused(async {
         let world = World::new(1);
-        let first = world.daemon("a");
-        owned(&first, LIMIT).await;
-        let second = world.daemon("b");
-        let steps = vec![step(1, 60_000, &[])];
-        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
-        until("it runs", LIMIT, async || world.running().len() == 1).await;
+        let [first, second] = pair_with_a_long_task(&world).await;
         world.set_store("a", StoreMood::Away);
         assert_matches!(world.cancel(&first, 1).await, CancelReply::Unknown);
         let again = world.cancel(&first, 1).await;
