--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -39,7 +39,7 @@
 fn a_replaced_owner_stops_renewing_before_its_successor_starts_anew() {
     paused(async {
         let world = World::new(2);
-        let [first, second] = pair_with_a_long_task(&world).await;
+        let [_first, second] = pair_with_a_long_task(&world).await;
         let on_first = ["w0", "w1"].map(|w| !world.running_on(w).is_empty());
         world.cut_from("b", if on_first[0] { "w0" } else { "w1" });
         world.set_store("a", StoreMood::Away);
