--- a/tests/testsuite/cli/logs.rs
+++ b/tests/testsuite/cli/logs.rs
@@ -59,7 +59,14 @@
     platform.switch_platform(&PlatformSwitches::default()).await;
     wait::until("the platform is back", LIMIT, async || up(true).await).await;
 
-    let text = fs::read_to_string(&log).expect("the log is there");
+    // A thread of its own writes the lines, so that logging blocks nothing; the last one may come after the status.
+    let read = || fs::read_to_string(&log).expect("the log is there");
+    wait::until("the log says so", LIMIT, async || {
+        let text = read();
+        text.contains("platform answers again") && text.ends_with('\n')
+    })
+    .await;
+    let text = read();
     let lines: Vec<Value> = text
         .lines()
         .map(|line| serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}")))
