Log lines that tell full hosts, room in pieces and starvation apart

No decision changes.

step waits: the task's size, all reasons with their hosts, how many such tasks the free room would hold on one host, who reserves the rest, what is expected to be unused. tasks wait for room: at most once a second and shard, what waits and what was placed by kind of load.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -14,4 +14,5 @@
 pub mod place;
 pub mod pressure;
 pub mod relief;
+pub mod room;
 pub mod terms;
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -17,7 +17,6 @@
     pressure::{Image, Presser, Pressure, Victim},
 };
 use crate::core::size::Size;
-use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Added to the load expected of a serving task before its processors count as left over, as a part of what
@@ -154,7 +153,7 @@
     }
 
     /// Processors that nobody uses, in thousandths.
-    fn unused_millicores(&self) -> u64 {
+    pub fn unused_millicores(&self) -> u64 {
         let idle = self.serving.iter().map(Strained::idle_millicores);
         let used = self.reserved.millicores.saturating_sub(idle.sum());
         let used = used + self.best_effort_millicores;
@@ -163,8 +162,13 @@
 
     /// Processors that its serving tasks don't reserve, in thousandths.
     pub fn unserving_millicores(&self) -> u64 {
-        let serving = self.serving.iter().map(|s| s.millicores);
-        self.capacity.millicores.saturating_sub(serving.sum())
+        let serving = self.serving_millicores();
+        self.capacity.millicores.saturating_sub(serving)
+    }
+
+    /// Processors that its serving tasks reserve, in thousandths.
+    pub fn serving_millicores(&self) -> u64 {
+        self.serving.iter().map(|s| s.millicores).sum()
     }
 
     fn presser(&self, need: &Need) -> Option<Presser> {
@@ -303,17 +307,6 @@
     is_dear.then_some(Unfit::Pressure)
 }
 
-/// What keeps most of the pool's hosts from taking a task; none when there is no host at all.
-pub fn mostly_unfit(need: &Need, hosts: &[Host], pressure: &Pressure) -> Option<Unfit> {
-    let mut counts: IndexMap<Unfit, usize> = IndexMap::new();
-    let in_pool = hosts.iter().filter(|host| host.pool == need.pool);
-    for why in in_pool.filter_map(|host| unfit(need, host, pressure)) {
-        *counts.entry(why).or_default() += 1;
-    }
-    let most = counts.into_iter().max_by_key(|(_, count)| *count);
-    most.map(|(why, _)| why)
-}
-
 /// How well a host suits a task: the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -394,38 +387,6 @@
     true
 }
 
-/// How full a shard's hosts are, for logs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Room {
-    /// How many hosts there are.
-    pub hosts: usize,
-    /// What serving tasks reserve of the processors, in thousandths.
-    pub serving_permille: u64,
-    /// What nobody reserves of them, in thousandths.
-    pub free_permille: u64,
-    /// The most that is free on one host, in thousandths of a core.
-    pub widest_free_millicores: u64,
-    /// Hosts that are kept free for a waiting task.
-    pub kept: usize,
-}
-
-impl Room {
-    /// The room of these hosts.
-    pub fn of(hosts: &[Host]) -> Self {
-        let sum = |of: fn(&Host) -> u64| hosts.iter().map(of).sum::<u64>();
-        let capacity = sum(|host| host.capacity.millicores).max(1);
-        let unserving = sum(|host| host.unserving_millicores());
-        let free: fn(&Host) -> u64 = |host| host.free().millicores;
-        Self {
-            hosts: hosts.len(),
-            serving_permille: capacity.saturating_sub(unserving) * 1_000 / capacity,
-            free_permille: sum(free) * 1_000 / capacity,
-            widest_free_millicores: hosts.iter().map(free).max().unwrap_or_default(),
-            kept: hosts.iter().filter(|host| host.kept.is_some()).count(),
-        }
-    }
-}
-
 /// The best host for a task, by its place in `hosts`; none when no host admits it.
 pub fn choose(need: &Need, hosts: &[Host], pressure: &Pressure) -> Option<usize> {
     let admitted = hosts.iter().enumerate();
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -12,8 +12,9 @@
     policy::dispatch::{
         forecast::Forecast,
         order::{Rank, Standing},
-        place::{Host, Load, Need, Room, Unfit, choose, keep_for, mostly_unfit},
+        place::{Host, Load, Need, choose, keep_for},
         pressure::Victim,
+        room::{Room, Shortage},
     },
     sched::{
         Cx,
@@ -39,6 +40,8 @@
     rank: Rank,
     step: StepId,
     tasks: Vec<u32>,
+    load: Load,
+    age_ms: u64,
 }
 
 /// Places until the shard is lost.
@@ -83,8 +86,8 @@
 enum PlaceEnd {
     /// All of them have a place.
     Whole,
-    /// Some have none; what refuses most, where that was looked for.
-    Short(Option<Unfit>),
+    /// Some have none; what keeps hosts from taking them, where that was looked for.
+    Short(Option<Shortage>),
 }
 
 /// Whether it is time to say again what a step waits for.
@@ -99,11 +102,14 @@
 fn note_wait(
     owner: &Owner,
     waiting: &Waiting,
-    why: Option<Unfit>,
+    shortage: Option<&Shortage>,
     room: impl FnOnce() -> Room,
     now: Millis,
 ) {
-    let (Some(why), true) = (why, is_why_due(owner, &waiting.step, now)) else {
+    let (Some(shortage), true) = (shortage, is_why_due(owner, &waiting.step, now)) else {
+        return;
+    };
+    let Some(why) = shortage.main() else {
         return;
     };
     let before = owner.waits.borrow_mut().insert(waiting.step, (why, now));
@@ -111,11 +117,27 @@
         return;
     }
     let room = room();
-    log::info!(step:% = waiting.step, tasks = waiting.tasks.len(), why:? = why, hosts = room.hosts, serving_permille = room.serving_permille, free_permille = room.free_permille, widest_free_millicores = room.widest_free_millicores, kept = room.kept; "step waits");
+    log::info!(
+        step:% = waiting.step,
+        tasks = waiting.tasks.len(),
+        why:? = why,
+        refused:% = shortage.refusals_text(),
+        load:? = waiting.load,
+        millicores = shortage.size.millicores,
+        memory_mb = shortage.size.memory_mb,
+        fitting_in_sum = shortage.fitting_in_sum,
+        hosts = room.hosts,
+        serving_permille = room.serving_permille,
+        reserving_permille = room.reserving_permille,
+        free_permille = room.free_permille,
+        unused_permille = room.unused_permille,
+        widest_free_millicores = room.widest_free_millicores,
+        kept = room.kept;
+        "step waits"
+    );
 }
 
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
-    let now = cx.clock.now();
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
         return;
@@ -123,33 +145,52 @@
     waiting.sort_by_key(|waiting| waiting.rank);
     let reports = owner.open_workers(cx);
     let mut hosts = hosts_of(cx, owner, &reports);
+    let placed = place_all(cx, owner, &waiting, &reports, &mut hosts);
+    let mut backlog = owner.backlog.borrow_mut();
+    backlog.end(cx, owner, || Room::of(&hosts));
+    drop(backlog);
+    if placed.is_empty() {
+        return;
+    }
+    commit(cx, owner, placed);
+}
+
+/// Places what it can of the waiting steps, in their order.
+fn place_all(
+    cx: &Cx,
+    owner: &Owner,
+    waiting: &[Waiting],
+    reports: &[Rc<WorkerReport>],
+    hosts: &mut Vec<Host>,
+) -> Vec<Placed> {
+    let now = cx.clock.now();
     let mut placed = Vec::new();
-    let mut without_room: IndexMap<String, Option<Unfit>> = IndexMap::new();
-    for waiting in &waiting {
+    let mut without_room: IndexMap<String, Option<Shortage>> = IndexMap::new();
+    owner.backlog.borrow_mut().begin();
+    for waiting in waiting {
+        let len_before = placed.len();
         let image = best_effort_image(owner, &waiting.step);
         let known = image.as_ref().and_then(|image| without_room.get(image));
-        if let Some(why) = known {
-            note_wait(owner, waiting, *why, || Room::of(&hosts), now);
-            continue;
+        if let Some(shortage) = known {
+            note_wait(owner, waiting, shortage.as_ref(), || Room::of(hosts), now);
+        } else {
+            let is_why_due = is_why_due(owner, &waiting.step, now);
+            let end = place_step(owner, waiting, reports, hosts, &mut placed, is_why_due);
+            if let PlaceEnd::Short(shortage) = end {
+                note_wait(owner, waiting, shortage.as_ref(), || Room::of(hosts), now);
+                without_room.extend(image.map(|image| (image, shortage)));
+            }
         }
-        let is_why_due = is_why_due(owner, &waiting.step, now);
-        let end = place_step(
-            owner,
-            waiting,
-            &reports,
-            &mut hosts,
-            &mut placed,
-            is_why_due,
+        let done = placed.len() - len_before;
+        let mut backlog = owner.backlog.borrow_mut();
+        backlog.note(
+            waiting.load,
+            done,
+            waiting.tasks.len() - done,
+            waiting.age_ms,
         );
-        if let PlaceEnd::Short(why) = end {
-            note_wait(owner, waiting, why, || Room::of(&hosts), now);
-            without_room.extend(image.map(|image| (image, why)));
-        }
     }
-    if placed.is_empty() {
-        return;
-    }
-    commit(cx, owner, placed);
+    placed
 }
 
 fn collect(cx: &Cx, owner: &Owner) -> Vec<Waiting> {
@@ -210,6 +251,8 @@
                 rank: standing.rank(),
                 step,
                 tasks,
+                load: load_of(spec),
+                age_ms: standing.age_ms,
             });
         }
     }
@@ -316,7 +359,7 @@
             let interrupted = interrupted(job, &waiting.step, spec, unplaced);
             keep_for_all(&need, interrupted, hosts);
             if is_why_due {
-                why = mostly_unfit(&need, hosts, &pressure);
+                why = Shortage::of(&need, hosts, &pressure);
             }
             break;
         };
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -5,6 +5,7 @@
 //! It starts nothing on a worker before that. [`directory`] follows the list of workers, [`visit`] looks
 //! at each of them, [`runs`] sends and settles orders, [`dispatch`] places, [`jobs`] serves callers.
 
+pub mod backlog;
 pub mod delegate;
 pub mod directory;
 pub mod dispatch;
@@ -37,6 +38,7 @@
         pressure::{Pressure, ServingLoad},
     },
 };
+use backlog::Backlog;
 use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
 use runs::RunRecord;
@@ -110,6 +112,8 @@
     pub begun_at: RefCell<IndexMap<JobId, Millis>>,
     /// What steps wait for, and when that was last looked at.
     pub waits: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
+    /// What waits for room in sum.
+    backlog: RefCell<Backlog>,
     /// How many runs are left in each evacuated data centre.
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks that are handed to other shards.
@@ -156,6 +160,7 @@
             forecast: RefCell::default(),
             begun_at: RefCell::default(),
             waits: RefCell::default(),
+            backlog: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
             stopping_unknown: RefCell::default(),
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -10,6 +10,7 @@
 mod order;
 mod ownership;
 mod random;
+mod room;
 mod settle;
 mod strain;
 mod takeover;
--- /dev/null
+++ b/tests/testsuite/sched/room.rs
@@ -0,0 +1,83 @@
+//! What log lines say of how full hosts are, and of what keeps them from taking a task.
+
+use lapisdrum::{
+    core::size::Size,
+    policy::dispatch::{
+        place::{Host, Load, Need, Unfit},
+        pressure::Pressure,
+        room::{Room, Shortage},
+    },
+};
+use std::time::Duration;
+
+fn cores(n: u64) -> Size {
+    Size {
+        millicores: n * 1_000,
+        memory_mb: n * 1_000,
+        accelerators: 0,
+    }
+}
+
+/// A host of ten cores of which so many are reserved, none by serving tasks.
+fn host(reserved: u64) -> Host<'static> {
+    Host {
+        id: "host",
+        pool: "pool",
+        rack: None,
+        labels: &[],
+        capacity: cores(10),
+        reserved: cores(reserved),
+        best_effort_millicores: 0,
+        serving: Vec::new(),
+        is_open_for_best_effort: true,
+        of_step: 0,
+        is_suspect: false,
+        is_avoided: false,
+        kept: None,
+        kept_millicores: 0,
+    }
+}
+
+fn need(size: Size) -> Need<'static> {
+    Need {
+        pool: "pool",
+        size,
+        load: Load::Reserving,
+        required_label: None,
+        data_rack: None,
+        max_per_worker: None,
+        image: None,
+        victim: None,
+        duration: Duration::from_secs(1),
+    }
+}
+
+/// Guards against lines that read alike whether hosts are full or what is free lies in pieces.
+#[test]
+fn free_room_in_pieces_is_told_from_full_hosts() {
+    let pressure = Pressure::default();
+    let need = need(cores(3));
+    let in_pieces = vec![host(8); 6];
+    let full = [vec![host(10); 5], vec![host(8)]].concat();
+    let shortage = |hosts: &[Host]| Shortage::of(&need, hosts, &pressure).expect("hosts");
+    assert_eq!(shortage(&in_pieces).fitting_in_sum, 4);
+    assert_eq!(shortage(&full).fitting_in_sum, 0);
+    let widest = |hosts: &[Host]| Room::of(hosts).widest_free_millicores;
+    assert_eq!((widest(&in_pieces), widest(&full)), (2_000, 2_000));
+    assert_eq!(Room::of(&in_pieces).free_permille, 200);
+    assert_eq!(Room::of(&in_pieces).reserving_permille, 800);
+}
+
+#[test]
+fn every_reason_is_counted_the_most_frequent_first() {
+    let mut small = need(cores(3));
+    small.size.memory_mb = 9_000;
+    let mut labelled = host(0);
+    labelled.of_step = 1;
+    small.max_per_worker = Some(1);
+    let hosts = [host(2), labelled, host(2)];
+    let shortage = Shortage::of(&small, &hosts, &Pressure::default()).expect("hosts");
+    assert_eq!(shortage.main(), Some(Unfit::Memory));
+    assert_eq!(shortage.refusals_text().to_string(), "Memory:2 StepLimit:1");
+    assert_eq!(Shortage::of(&small, &[], &Pressure::default()), None);
+}
