--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -12,6 +12,7 @@
 mod random;
 mod room;
 mod settle;
+mod short_work;
 mod strain;
 mod takeover;
 pub(crate) mod world;
--- /dev/null
+++ b/tests/testsuite/sched/short_work.rs
@@ -0,0 +1,112 @@
+//! Short tasks beside long-running ones of their priority: what callers of each get while both ask for the same room.
+
+use super::{
+    paused,
+    world::{World, owned, step, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{
+    Cx,
+    job::Step,
+    peer::{JobState, SubmitReply},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const LIMIT: Duration = Duration::from_secs(5);
+/// Ids of short jobs begin here.
+const FIRST_SHORT: u64 = 100;
+
+fn long_running(count: u32, cores: u64) -> Vec<Step> {
+    let mut step = step(count, 600_000, &[]);
+    step.size.millicores = cores * 1_000;
+    step.is_long_running = true;
+    vec![step]
+}
+
+/// Four workers of four cores, of which a long-running job holds three each.
+async fn nearly_full() -> (Rc<World>, Cx) {
+    let world = World::new(4);
+    let cx = world.daemon("a");
+    owned(&cx, LIMIT).await;
+    submit(&world, &cx, 1, long_running(4, 3)).await;
+    until("the long-running job runs", LIMIT, async || {
+        world.running().len() == 4
+    })
+    .await;
+    (world, cx)
+}
+
+async fn submit(world: &World, cx: &Cx, id: u64, steps: Vec<Step>) {
+    assert_matches!(world.submit(cx, id, steps).await, SubmitReply::Accepted);
+}
+
+async fn is_completed(world: &World, cx: &Cx, id: u64) -> bool {
+    world.state(cx, id).await == Some(JobState::Completed)
+}
+
+/// Guards against short tasks that wait for as long as long-running ones of their priority take each core that comes free.
+#[test]
+fn new_long_running_tasks_are_placed_after_short_ones_that_wait() {
+    paused(async {
+        let (world, cx) = nearly_full().await;
+        let short = FIRST_SHORT..FIRST_SHORT + 12;
+        for id in short.clone() {
+            submit(&world, &cx, id, vec![step(1, 400, &[])]).await;
+        }
+        submit(&world, &cx, 2, long_running(4, 1)).await;
+        // Three rounds of four tasks each, and as much again for orders and looks.
+        until(
+            "the short jobs are completed",
+            Duration::from_millis(2_400),
+            async || {
+                let mut completed = 0;
+                for id in short.clone() {
+                    completed += usize::from(is_completed(&world, &cx, id).await);
+                }
+                completed == 12
+            },
+        )
+        .await;
+        world.check();
+    });
+}
+
+/// Guards against a short lull in which long-running tasks take the room that short ones need again a moment later.
+#[test]
+fn a_lull_gives_no_room_of_short_tasks_to_long_running_ones() {
+    paused(async {
+        let (world, cx) = nearly_full().await;
+        let mut late = 0;
+        for round in 0..20 {
+            let (id, due) = (FIRST_SHORT + round, Instant::now());
+            submit(&world, &cx, id, vec![step(2, 200, &[])]).await;
+            until("the short job is completed", LIMIT, async || {
+                is_completed(&world, &cx, id).await
+            })
+            .await;
+            late += usize::from(due.elapsed() > Duration::from_millis(600));
+            if round == 3 {
+                submit(&world, &cx, 2, long_running(4, 1)).await;
+            }
+            sleep(Duration::from_millis(300)).await;
+        }
+        assert_eq!(late, 0, "short jobs that waited for room");
+        world.check();
+    });
+}
+
+/// Guards against room that is kept for short tasks that have stopped coming.
+#[test]
+fn long_running_tasks_get_the_room_once_no_short_ones_come() {
+    paused(async {
+        let (world, cx) = nearly_full().await;
+        submit(&world, &cx, FIRST_SHORT, vec![step(4, 200, &[])]).await;
+        submit(&world, &cx, 2, long_running(4, 1)).await;
+        until("all long-running tasks run", LIMIT * 2, async || {
+            world.running().len() == 8
+        })
+        .await;
+        world.check();
+    });
+}
