Short tasks are placed before new long-running ones of their priority

What callers saw: short urgent jobs waited for 15 to 26 s while long-running jobs of the same priority, handed in later, were started.

Cause: within a priority long-running tasks went first. They hold their processors for minutes and a short task for a second, so once both ask for more than there is, each core that comes free goes to one that never gives it back. Ruled out: kept hosts (0 on all lines), a missing owner, faults.

Change: within a priority short tasks go first; interrupted long-running tasks go before everything as before.

Conclusion: one of two causes; room still goes over in lulls.

--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -2,8 +2,10 @@
 //!
 //! Load pattern: a burst of up to twice the batch rate and more for some seconds. First come first served
 //! then makes every job late by the length of the queue. Here long-running tasks that were interrupted go before
-//! everything, since their users are without them; then a class goes before the next, and within a class jobs that can still meet their objective go before those that can only be late, which earn a
-//! part of their worth, and those before the hopeless.
+//! everything, since their users are without them; then a class goes before the next. Within a class short tasks go
+//! before long-running ones, which hold for minutes what a short one gives back within seconds; jobs that can still
+//! meet their objective go before those that can only be late, which earn a part of their worth, and those before the
+//! hopeless.
 //!
 //! A job in progress goes before a new one, and a new one that has time to spare before one that
 //! would miss its end by any wait. Without that, a backlog is worked on from all sides: each job starts when it
@@ -65,7 +67,7 @@
 pub struct Rank {
     is_uninterrupted: bool,
     priority: u32,
-    is_batch: bool,
+    is_long_running: bool,
     prospect: Prospect,
     turn: Turn,
     slack_ms: u64,
@@ -105,7 +107,7 @@
         Rank {
             is_uninterrupted: !self.is_interrupted,
             priority: self.priority,
-            is_batch: !self.is_long_running,
+            is_long_running: self.is_long_running,
             prospect,
             turn: self.turn(slack_ms),
             slack_ms,
--- a/tests/testsuite/sched/order.rs
+++ b/tests/testsuite/sched/order.rs
@@ -64,6 +64,23 @@
     assert!(urgent.rank() < new.rank());
 }
 
+/// Guards against short tasks that wait behind long-running ones of their class for room that these keep for minutes.
+#[test]
+fn short_tasks_go_before_new_long_running_ones_of_their_class() {
+    let long_running = Standing {
+        is_long_running: true,
+        ..standing(100, 1_000)
+    };
+    for short in [standing(500, 3_000), standing(20_000, 3_000)] {
+        assert!(short.rank() < long_running.rank());
+        let less_urgent = Standing {
+            priority: 2,
+            ..short
+        };
+        assert!(long_running.rank() < less_urgent.rank());
+    }
+}
+
 /// Of two jobs with the same prospect, the one that has begun goes first, however little time the other has.
 #[test]
 fn a_job_that_has_begun_goes_before_new_ones() {
