New long-running tasks leave what short ones took lately

What callers saw: short urgent jobs queue up without bound from the moment long-running tasks reserve some 93 hundredths of the shard.

Cause: a place that lasts for minutes was given by what is free at one instant. In each lull between two short tasks a waiting long-running one took their room. Ruled out: the order alone.

Change: policy::dispatch::short_work remembers what short tasks of each pool and priority held and waited for within 10 s; a new long-running task is placed only while it leaves that, at most an eighth of the pool. Interrupted ones are exempt. step waits says LeftToShort.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -15,4 +15,5 @@
 pub mod pressure;
 pub mod relief;
 pub mod room;
+pub mod short_work;
 pub mod terms;
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -248,6 +248,8 @@
     Processors,
     /// It is kept free for another task.
     Kept,
+    /// What is free in the pool is left to short tasks.
+    LeftToShort,
     /// It lacks the label.
     Label,
     /// It has as many tasks of the step as may be.
--- a/src/lapisdrum/policy/dispatch/room.rs
+++ b/src/lapisdrum/policy/dispatch/room.rs
@@ -88,6 +88,16 @@
         shortage.main().map(|_| shortage)
     }
 
+    /// The same where all hosts' free room is left to short tasks.
+    pub fn left_to_short(need: &Need, hosts: &[Host]) -> Self {
+        let in_pool = hosts.iter().filter(|host| host.pool == need.pool);
+        Self {
+            size: need.size,
+            fitting_in_sum: 0,
+            refusals: IndexMap::from([(Unfit::LeftToShort, in_pool.count())]),
+        }
+    }
+
     /// What keeps most of the hosts from taking it.
     pub fn main(&self) -> Option<Unfit> {
         self.refusals.first().map(|(why, _)| *why)
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -12,9 +12,10 @@
     policy::dispatch::{
         forecast::Forecast,
         order::{Rank, Standing},
-        place::{Host, Load, Need, choose, keep_for},
+        place::{Host, Load, Need, choose, keep_for, reserved_by},
         pressure::Victim,
         room::{Room, Shortage},
+        short_work::Class,
     },
     sched::{
         Cx,
@@ -41,6 +42,8 @@
     step: StepId,
     tasks: Vec<u32>,
     load: Load,
+    /// The class that its tasks are counted in and what they take, if they are short work.
+    short: Option<(Class, u64)>,
     age_ms: u64,
 }
 
@@ -167,6 +170,7 @@
     let mut placed = Vec::new();
     let mut without_room: IndexMap<String, Option<Shortage>> = IndexMap::new();
     owner.backlog.borrow_mut().begin();
+    note_short_work(owner, waiting, now);
     for waiting in waiting {
         let len_before = placed.len();
         let image = best_effort_image(owner, &waiting.step);
@@ -193,6 +197,24 @@
     placed
 }
 
+/// Notes what short tasks wait for.
+fn note_short_work(owner: &Owner, waiting: &[Waiting], now: Millis) {
+    let mut by_class: IndexMap<Class, u64> = IndexMap::new();
+    for (class, millicores) in waiting.iter().filter_map(|waiting| waiting.short.as_ref()) {
+        *by_class.entry(class.clone()).or_default() += millicores;
+    }
+    owner.short_work.borrow_mut().note_waiting(&by_class, now);
+}
+
+/// How much of what is free a long-running task of this class may take, in thousandths of a core.
+fn free_for_long_running(owner: &Owner, class: &Class, hosts: &[Host]) -> u64 {
+    let in_pool = || hosts.iter().filter(|host| host.pool == class.pool);
+    let capacity = in_pool().map(|host| host.capacity.millicores).sum();
+    let free: u64 = in_pool().map(|host| host.free().millicores).sum();
+    let short_work = owner.short_work.borrow();
+    (free + short_work.held(&class.pool)).saturating_sub(short_work.headroom(class, capacity))
+}
+
 fn collect(cx: &Cx, owner: &Owner) -> Vec<Waiting> {
     let now_unix_ms = cx.unix_ms();
     let ledger = owner.ledger.borrow();
@@ -247,11 +269,14 @@
                 chain_ms: forecast.expected_ms(&job.terms.queue, chains[at]),
                 is_in_progress: job.occurrences.contains_key(&occurrence),
             };
+            let millicores = spec.size.millicores * tasks.len() as u64;
+            let class = runs::short_class(&job.terms, spec);
             waiting.push(Waiting {
                 rank: standing.rank(),
                 step,
                 tasks,
                 load: load_of(spec),
+                short: class.map(|class| (class, millicores)),
                 age_ms: standing.age_ms,
             });
         }
@@ -351,8 +376,17 @@
     let before = is_gang.then(|| (hosts.clone(), placed.len()));
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
     let mut why = None;
+    let mut may_take = spec
+        .is_long_running
+        .then(|| free_for_long_running(owner, &runs::class_of(&job.terms), hosts));
     for (nth, index) in waiting.tasks.iter().enumerate() {
         let task = waiting.step.task(*index);
+        let is_new = interrupted(job, &waiting.step, spec, &[*index]) == 0;
+        let wanted = reserved_by(&need.size, need.load).millicores;
+        if is_new && may_take.is_some_and(|left| left < wanted) {
+            why = Some(Shortage::left_to_short(&need, hosts));
+            continue;
+        }
         mark_avoided(owner, &task, hosts);
         let Some(at) = choose(&need, hosts, &pressure) else {
             let unplaced = &waiting.tasks[nth..];
@@ -365,6 +399,7 @@
         };
         hosts[at].take(&need, &pressure);
         hosts[at].of_step += 1;
+        may_take = may_take.map(|left| left.saturating_sub(wanted));
         let run = RunId {
             task,
             run: number(*index),
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -36,6 +36,7 @@
         forecast::Forecast,
         place::Unfit,
         pressure::{Pressure, ServingLoad},
+        short_work::ShortWork,
     },
 };
 use backlog::Backlog;
@@ -112,6 +113,8 @@
     pub begun_at: RefCell<IndexMap<JobId, Millis>>,
     /// What steps wait for, and when that was last looked at.
     pub waits: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
+    /// What short tasks take.
+    pub short_work: RefCell<ShortWork>,
     /// What waits for room in sum.
     backlog: RefCell<Backlog>,
     /// How many runs are left in each evacuated data centre.
@@ -160,6 +163,7 @@
             forecast: RefCell::default(),
             begun_at: RefCell::default(),
             waits: RefCell::default(),
+            short_work: RefCell::default(),
             backlog: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -7,12 +7,12 @@
         time::{Millis, millis},
     },
     daemon::supervisor,
-    policy::dispatch::{place::Load, pressure::Image},
+    policy::dispatch::{place::Load, pressure::Image, short_work::Class},
     sched::{
         Cx,
         edge::{OrderEnd, Refusal, StartOrder},
         event::{Event, Loss, RunId, WorkerLife},
-        job::{JobId, Step, TaskId},
+        job::{JobId, QueueTerms, Step, TaskId},
         journal::{AppendEnd, Ticket},
         ledger::Phase,
         settle::{Order, RunKnowledge, Stop},
@@ -32,6 +32,8 @@
     pub size: Size,
     /// Its kind of load.
     pub load: Load,
+    /// The class that it is counted in, if it is a short task that reserves processors.
+    pub short_class: Option<Class>,
     /// How far its orders have got.
     pub known: RunKnowledge,
     /// When it was placed, or found.
@@ -69,6 +71,20 @@
     }
 }
 
+/// The class in which a step's tasks are counted as short work; none for long-running and best-effort ones.
+pub fn short_class(terms: &QueueTerms, step: &Step) -> Option<Class> {
+    let is_short = !step.is_long_running && load_of(step) != Load::BestEffort;
+    is_short.then(|| class_of(terms))
+}
+
+/// The class of a queue's tasks.
+pub fn class_of(terms: &QueueTerms) -> Class {
+    Class {
+        pool: terms.pool.clone(),
+        priority: terms.priority,
+    }
+}
+
 impl Owner {
     /// Adds a run that the journal names.
     pub fn add_inherited(&self, cx: &Cx, run: RunId, on: &WorkerLife) {
@@ -90,8 +106,10 @@
 
     fn add_run(&self, cx: &Cx, run: RunId, on: &WorkerLife, known: RunKnowledge) {
         let ledger = self.ledger.borrow();
-        let job = ledger.jobs.get(&run.task.job);
-        let Some(step) = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step))) else {
+        let Some(job) = ledger.jobs.get(&run.task.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(usize::from(run.task.step)) else {
             return;
         };
         let now = cx.clock.now();
@@ -101,6 +119,7 @@
             on: on.clone(),
             size: step.size,
             load: load_of(step),
+            short_class: short_class(&job.terms, step),
             known,
             since: now,
             progress: None,
@@ -121,6 +140,10 @@
             .or_insert_with(|| Session::new(self.inherited_bound(cx)));
         session.tally.add(&record.size, record.load);
         session.runs.insert(run);
+        if let Some(class) = &record.short_class {
+            let mut short_work = self.short_work.borrow_mut();
+            short_work.placed(class, record.size.millicores);
+        }
         self.runs.borrow_mut().insert(run, record);
     }
 
@@ -131,6 +154,10 @@
             session.tally.remove(&record.size, record.load);
             session.runs.swap_remove(run);
         }
+        if let Some(class) = &record.short_class {
+            let mut short_work = self.short_work.borrow_mut();
+            short_work.over(class, record.size.millicores);
+        }
         self.wake.notify_one();
         Some(record)
     }
--- a/tests/testsuite/sched/short_work.rs
+++ b/tests/testsuite/sched/short_work.rs
@@ -5,10 +5,15 @@
     world::{World, owned, step, until},
 };
 use assert_matches::assert_matches;
-use lapisdrum::sched::{
-    Cx,
-    job::Step,
-    peer::{JobState, SubmitReply},
+use indexmap::IndexMap;
+use lapisdrum::{
+    core::time::Millis,
+    policy::dispatch::short_work::{Class, ShortWork},
+    sched::{
+        Cx,
+        job::Step,
+        peer::{JobState, SubmitReply},
+    },
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -110,3 +115,49 @@
         world.check();
     });
 }
+
+fn class(pool: &str, priority: u32) -> Class {
+    Class {
+        pool: pool.to_owned(),
+        priority,
+    }
+}
+
+/// Short tasks of this class wait for so many thousandths of a core at this second.
+fn note(work: &mut ShortWork, class: &Class, waiting: u64, second: u64) {
+    let waiting = IndexMap::from([(class.clone(), waiting)]);
+    work.note_waiting(&waiting, Millis(second * 1_000));
+}
+
+/// Guards against urgent long-running tasks that wait for the sake of less urgent short ones, or of another pool's.
+#[test]
+fn only_short_tasks_of_the_pool_that_are_as_urgent_count() {
+    let mut work = ShortWork::default();
+    note(&mut work, &class("a", 1), 2_000, 0);
+    assert_eq!(work.headroom(&class("a", 1), 100_000), 2_000);
+    assert_eq!(work.headroom(&class("a", 2), 100_000), 2_000);
+    assert_eq!(work.headroom(&class("a", 0), 100_000), 0);
+    assert_eq!(work.headroom(&class("b", 1), 100_000), 0);
+}
+
+/// Guards against a backlog of short tasks that shuts long-running ones out.
+#[test]
+fn a_backlog_leaves_most_of_the_pool_to_long_running_tasks() {
+    let mut work = ShortWork::default();
+    note(&mut work, &class("a", 0), 1_000_000, 0);
+    assert_eq!(work.headroom(&class("a", 0), 100_000), 12_500);
+}
+
+#[test]
+fn what_short_tasks_held_is_remembered_beyond_a_lull_and_then_forgotten() {
+    let mut work = ShortWork::default();
+    let class = class("a", 0);
+    work.placed(&class, 3_000);
+    note(&mut work, &class, 1_000, 0);
+    work.over(&class, 3_000);
+    note(&mut work, &class, 0, 5);
+    assert_eq!(work.held("a"), 0);
+    assert_eq!(work.headroom(&class, 100_000), 4_000);
+    note(&mut work, &class, 0, 30);
+    assert_eq!(work.headroom(&class, 100_000), 0);
+}
