Reads of leases slow down while the store refuses reads beyond its rate

Cause: each daemon reads leases up to 6.7 times a second and what operators ask for 1.7 times, whatever their number. 300 daemons ask for more than the store's 2,000 reads a second; it refuses (429 in the daemons' lines, 468 changes between 'does not answer' and 'answers again' on eleven daemons in 18 s), and a refused read of the catalogue waited for its next turn like any other. Ruled out: a slow store (acknowledged within 132 ms), changes that are lost (each daemon adopts them).

Class: calls that grow with the number of processes against a fixed shared rate.

Change: policy::polling. A refusal halves the pace of reads that can wait, an answer adds a fortieth; urgent reads are repeated after 0.1 to 0.2 s. A refusal is no longer taken for a store that is away.

Before: the model of 300 processes on 1,300 reads a second with fixed pauses reads the catalogue after over 3 s; after: under 2 s.

--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -8,7 +8,7 @@
 //! [`headroom`] (slots kept for shorter runs), [`routing`] with [`outliers`] (which worker), [`retry`]
 //! (whether to send again). A task meets
 //! [`queueing`], [`placement`] with [`interference`] and [`health`], then [`eviction`]. [`hysteresis`]
-//! sets the pace wherever a signal lags. Tasks of job graphs go by [`dispatch`].
+//! sets the pace wherever a signal lags. Tasks of job graphs go by [`dispatch`], reads of the shared store by [`polling`].
 
 pub mod admission;
 pub mod dispatch;
@@ -20,6 +20,7 @@
 pub mod interference;
 pub mod outliers;
 pub mod placement;
+pub mod polling;
 pub mod queueing;
 pub mod retry;
 pub mod routing;
--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -15,20 +15,36 @@
 use indexmap::IndexMap;
 use std::{fmt, time::Duration};
 
-/// Why a call had no useful answer, for logs.
+/// Why a call had no useful answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallError(pub String);
+pub struct CallError {
+    /// For logs.
+    pub message: String,
+    /// Whether it was refused since there are too many calls.
+    pub is_rate_limited: bool,
+}
 
 impl CallError {
     /// An error that says `what`.
     pub fn new(what: impl fmt::Display) -> Self {
-        Self(what.to_string())
+        Self {
+            message: what.to_string(),
+            is_rate_limited: false,
+        }
+    }
+
+    /// A refusal since there are too many calls.
+    pub fn rate_limited(what: impl fmt::Display) -> Self {
+        Self {
+            is_rate_limited: true,
+            ..Self::new(what)
+        }
     }
 }
 
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.message)
     }
 }
 
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Cx,
-    edge::{Row, RowKey, Txn, TxnEnd},
+    edge::{CallError, Row, RowKey, Txn, TxnEnd},
     event::Event,
     ledger::Ledger,
     settle::{WriteVerdict, is_piggyback_stale, judge_write},
@@ -411,7 +411,7 @@
                 cx.metrics.rows_written.inc_by(rows.len() as u64);
                 return verdict;
             }
-            cx.note_store(Err(&format!("{end:?}")));
+            cx.note_store(Err(&CallError::new(format!("{end:?}"))));
             if self.inner.borrow().is_lost {
                 return WriteVerdict::Fenced;
             }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -236,7 +236,7 @@
     let pause = (POLL / shards.len().max(1) as u32).max(LEAST_PAUSE);
     for shard in rota(&shards, cx.me.incarnation).into_iter().cycle() {
         watch(&cx, &cx.handle(shard)).await;
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(cx.read_pace.get().pause(pause)).await;
     }
     Ok(())
 }
@@ -259,7 +259,7 @@
 
 async fn watch(cx: &Cx, handle: &Rc<ShardHandle>) {
     if let Err(e) = look(cx, handle).await {
-        cx.note_store(Err(&e.0));
+        cx.note_store(Err(&e));
     }
     let is_own = handle.owner.borrow().is_some();
     if is_own || cx.is_draining() {
@@ -436,7 +436,7 @@
             return true;
         }
         TxnEnd::Conflict(rows) => adopt_or_lose(cx, owner, &rows),
-        TxnEnd::NotDone(e) | TxnEnd::Unknown(e) => cx.note_store(Err(&e.0)),
+        TxnEnd::NotDone(e) | TxnEnd::Unknown(e) => cx.note_store(Err(&e)),
     }
     false
 }
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -28,9 +28,9 @@
 
 use crate::{
     core::time::{Clock, Millis},
-    policy::dispatch::terms::Terms,
+    policy::{dispatch::terms::Terms, polling::Pace},
 };
-use edge::{Catalogue, Directory, Store, Workers};
+use edge::{CallError, Catalogue, Directory, Store, Workers};
 use indexmap::IndexMap;
 use layout::{Layout, ShardId};
 use lease::{Holder, LeaseView};
@@ -118,6 +118,8 @@
     handles: RefCell<IndexMap<ShardId, Rc<ShardHandle>>>,
     /// Whether the store answered last.
     pub store_up: Cell<bool>,
+    /// The pace of reads that can wait.
+    pub read_pace: Cell<Pace>,
     /// Turns true when the process is to end.
     pub draining: watch::Sender<bool>,
 }
@@ -149,6 +151,7 @@
             layout: RefCell::default(),
             handles: RefCell::default(),
             store_up: Cell::new(true),
+            read_pace: Cell::default(),
             draining: watch::Sender::new(false),
             cfg,
         })
@@ -198,12 +201,16 @@
     }
 
     /// Notes whether the store answered; a change is a line in the log.
-    pub fn note_store(&self, answered: Result<(), &str>) {
+    pub fn note_store(&self, answered: Result<(), &CallError>) {
+        self.note_read_pace(answered);
         match answered {
             Ok(()) => self.reach.note_store(self.clock.now()),
             Err(e) => {
                 self.metrics.store_errors.inc();
-                log::debug!(error = e; "store call failed");
+                log::debug!(error:% = e; "store call failed");
+                if e.is_rate_limited {
+                    return;
+                }
             }
         }
         if self.store_up.replace(answered.is_ok()) == answered.is_ok() {
@@ -211,7 +218,23 @@
         }
         match answered {
             Ok(()) => log::info!("store answers again"),
-            Err(e) => log::warn!(error = e; "store does not answer"),
+            Err(e) => log::warn!(error:% = e; "store does not answer"),
+        }
+    }
+
+    fn note_read_pace(&self, answered: Result<(), &CallError>) {
+        let before = self.read_pace.get();
+        let mut pace = before;
+        match answered {
+            Ok(()) => pace.answered(),
+            Err(e) if e.is_rate_limited => pace.refused(),
+            Err(_) => {}
+        }
+        self.read_pace.set(pace);
+        match (before.is_slowed(), pace.is_slowed()) {
+            (false, true) => log::warn!("store refuses calls beyond its rate; reads slow down"),
+            (true, false) => log::info!("reads are back at their pace"),
+            _ => {}
         }
     }
 }
--- a/src/lapisdrum/sched/operators.rs
+++ b/src/lapisdrum/sched/operators.rs
@@ -8,7 +8,7 @@
     edge::{Catalogue, OperatorState},
     evacuation::Change,
 };
-use crate::core::time::Millis;
+use crate::{core::time::Millis, policy::polling};
 use std::{rc::Rc, time::Duration};
 
 /// Time between two reads: a change is in force within half of the bound of 2 s, with one read lost.
@@ -18,14 +18,14 @@
 pub async fn follow(cx: Cx) {
     loop {
         let asked_at = cx.clock.now();
-        match cx.directory.operator_state().await {
-            Ok(read) => {
-                cx.note_store(Ok(()));
-                adopt(&cx, read, asked_at);
-            }
-            Err(e) => cx.note_store(Err(&e.0)),
+        let read = cx.directory.operator_state().await;
+        cx.note_store(read.as_ref().map(|_| ()));
+        let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
+        let pause = polling::urgent_pause(POLL, was_refused, &mut rand::rng());
+        if let Ok(read) = read {
+            adopt(&cx, read, asked_at);
         }
-        tokio::time::sleep(POLL).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -1,10 +1,13 @@
 //! Follows the directory's list of workers, for those that the shard owns.
 
 use super::{Owner, runs, session::Session, visit};
-use crate::sched::{
-    Cx,
-    edge::WorkerReport,
-    layout::{self, ShardId},
+use crate::{
+    policy::polling,
+    sched::{
+        Cx,
+        edge::WorkerReport,
+        layout::{self, ShardId},
+    },
 };
 use indexmap::IndexSet;
 use std::{rc::Rc, time::Duration};
@@ -15,15 +18,16 @@
 /// Follows the list until the shard is lost.
 pub async fn follow(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
-        match cx.directory.workers().await {
-            Ok(reports) => {
-                layout::extend(&cx, &reports, owner.handle.shard == ShardId(0)).await;
-                let own = of_shard(&cx, owner.handle.shard, reports);
-                note(&cx, &owner, own);
-            }
-            Err(e) => cx.note_store(Err(&e.0)),
+        let read = cx.directory.workers().await;
+        cx.note_store(read.as_ref().map(|_| ()));
+        let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
+        let pause = polling::urgent_pause(POLL, was_refused, &mut rand::rng());
+        if let Ok(reports) = read {
+            layout::extend(&cx, &reports, owner.handle.shard == ShardId(0)).await;
+            let own = of_shard(&cx, owner.handle.shard, reports);
+            note(&cx, &owner, own);
         }
-        tokio::time::sleep(POLL).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/lapisdrum/sched/owner/visit.rs
+++ b/src/lapisdrum/sched/owner/visit.rs
@@ -149,7 +149,7 @@
             false
         }
         OrderEnd::Unsent(e) | OrderEnd::Silent(e) => {
-            note_silent(cx, owner, worker, &e.0);
+            note_silent(cx, owner, worker, &e.message);
             false
         }
     }
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -9,6 +9,7 @@
 mod interference;
 mod outliers;
 mod placement;
+mod polling;
 mod queueing;
 mod retry;
 mod routing;
