Reports of what waits and the count of short work in modules of their own

dispatch.rs had grown by three jobs: it decides and orders; backlog.rs reports, headroom.rs counts for policy::dispatch::short_work. What a task needs is worked out in a function of its own.

--- a/src/lapisdrum/sched/owner/backlog.rs
+++ b/src/lapisdrum/sched/owner/backlog.rs
@@ -1,17 +1,23 @@
 //! Reports what waits for room in the shard, who holds that room and who was placed meanwhile.
 //!
-//! A line for each waiting step says why that step waits. Whether other tasks were placed past it shows only in sums
-//! over all of them: one line a second while anything waits.
+//! A line for each waiting step says why that step waits, whenever that changes. Whether other tasks were placed past it
+//! shows only in sums over all of them: one line a second while anything waits.
 
 use super::Owner;
 use crate::{
     core::time::{Millis, millis},
-    policy::dispatch::{place::Load, room::Room},
-    sched::Cx,
+    policy::dispatch::{
+        place::Load,
+        room::{Room, Shortage},
+    },
+    sched::{Cx, job::StepId},
 };
 use std::time::Duration;
 
-/// Time between two reports.
+/// Time between two looks at what keeps a step waiting: with hundreds of steps waiting a line for each is said
+/// at most twice a second, and only when it changes.
+const WHY_EVERY: Duration = Duration::from_millis(500);
+/// Time between two reports in sum.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
 /// Tasks of one kind of load.
@@ -105,3 +111,57 @@
         );
     }
 }
+
+/// A step of which tasks have no place.
+pub struct WaitingStep {
+    /// The step.
+    pub step: StepId,
+    /// How many of its tasks wait.
+    pub tasks: usize,
+    /// Their kind of load.
+    pub load: Load,
+}
+
+/// Whether it is time to say again what a step waits for.
+pub fn is_why_due(owner: &Owner, step: &StepId, now: Millis) -> bool {
+    let waits = owner.waits.borrow();
+    waits
+        .get(step)
+        .is_none_or(|(_, said_at)| now.since(*said_at) >= WHY_EVERY)
+}
+
+/// Logs what a step waits for, where that is new, and how full the hosts are.
+pub fn note_wait(
+    owner: &Owner,
+    waiting: &WaitingStep,
+    shortage: &Shortage,
+    room: impl FnOnce() -> Room,
+    now: Millis,
+) {
+    let (Some(why), true) = (shortage.main(), is_why_due(owner, &waiting.step, now)) else {
+        return;
+    };
+    let before = owner.waits.borrow_mut().insert(waiting.step, (why, now));
+    if before.is_some_and(|(before, _)| before == why) {
+        return;
+    }
+    let room = room();
+    log::info!(
+        step:% = waiting.step,
+        tasks = waiting.tasks,
+        why:? = why,
+        refused:% = shortage.refusals_text(),
+        load:? = waiting.load,
+        millicores = shortage.size.millicores,
+        memory_mb = shortage.size.memory_mb,
+        fitting_in_sum = shortage.fitting_in_sum,
+        hosts = room.hosts,
+        serving_permille = room.serving_permille,
+        reserving_permille = room.reserving_permille,
+        free_permille = room.free_permille,
+        unused_permille = room.unused_permille,
+        widest_free_millicores = room.widest_free_millicores,
+        kept = room.kept;
+        "step waits"
+    );
+}
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -3,6 +3,8 @@
 
 use super::{
     Owner,
+    backlog::{self, WaitingStep},
+    headroom,
     runs::{self, load_of},
     session::Session,
     strain,
@@ -32,9 +34,6 @@
 const PASS_SPACING: Duration = Duration::from_millis(5);
 /// Longest time between two passes, for occurrences that fall due and objectives that pass.
 const LONGEST_PAUSE: Duration = Duration::from_millis(100);
-/// Time between two looks at what keeps a step waiting: with hundreds of steps waiting a line for each is said
-/// at most twice a second, and only when it changes.
-const WHY_EVERY: Duration = Duration::from_millis(500);
 
 /// A step with tasks that may start.
 struct Waiting {
@@ -47,6 +46,21 @@
     age_ms: u64,
 }
 
+impl Waiting {
+    /// Reports what keeps the hosts from taking its tasks, where that was looked for.
+    fn note_wait(&self, owner: &Owner, shortage: Option<&Shortage>, hosts: &[Host], now: Millis) {
+        let Some(shortage) = shortage else {
+            return;
+        };
+        let step = WaitingStep {
+            step: self.step,
+            tasks: self.tasks.len(),
+            load: self.load,
+        };
+        backlog::note_wait(owner, &step, shortage, || Room::of(hosts), now);
+    }
+}
+
 /// Places until the shard is lost.
 pub async fn run(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
@@ -93,53 +107,6 @@
     Short(Option<Shortage>),
 }
 
-/// Whether it is time to say again what a step waits for.
-fn is_why_due(owner: &Owner, step: &StepId, now: Millis) -> bool {
-    let waits = owner.waits.borrow();
-    waits
-        .get(step)
-        .is_none_or(|(_, said_at)| now.since(*said_at) >= WHY_EVERY)
-}
-
-/// Logs what a step waits for, where that is new, and how full the hosts are.
-fn note_wait(
-    owner: &Owner,
-    waiting: &Waiting,
-    shortage: Option<&Shortage>,
-    room: impl FnOnce() -> Room,
-    now: Millis,
-) {
-    let (Some(shortage), true) = (shortage, is_why_due(owner, &waiting.step, now)) else {
-        return;
-    };
-    let Some(why) = shortage.main() else {
-        return;
-    };
-    let before = owner.waits.borrow_mut().insert(waiting.step, (why, now));
-    if before.is_some_and(|(before, _)| before == why) {
-        return;
-    }
-    let room = room();
-    log::info!(
-        step:% = waiting.step,
-        tasks = waiting.tasks.len(),
-        why:? = why,
-        refused:% = shortage.refusals_text(),
-        load:? = waiting.load,
-        millicores = shortage.size.millicores,
-        memory_mb = shortage.size.memory_mb,
-        fitting_in_sum = shortage.fitting_in_sum,
-        hosts = room.hosts,
-        serving_permille = room.serving_permille,
-        reserving_permille = room.reserving_permille,
-        free_permille = room.free_permille,
-        unused_permille = room.unused_permille,
-        widest_free_millicores = room.widest_free_millicores,
-        kept = room.kept;
-        "step waits"
-    );
-}
-
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
@@ -170,18 +137,19 @@
     let mut placed = Vec::new();
     let mut without_room: IndexMap<String, Option<Shortage>> = IndexMap::new();
     owner.backlog.borrow_mut().begin();
-    note_short_work(owner, waiting, now);
+    let short = waiting.iter().filter_map(|waiting| waiting.short.as_ref());
+    headroom::note_waiting(owner, short, now);
     for waiting in waiting {
         let len_before = placed.len();
         let image = best_effort_image(owner, &waiting.step);
         let known = image.as_ref().and_then(|image| without_room.get(image));
         if let Some(shortage) = known {
-            note_wait(owner, waiting, shortage.as_ref(), || Room::of(hosts), now);
+            waiting.note_wait(owner, shortage.as_ref(), hosts, now);
         } else {
-            let is_why_due = is_why_due(owner, &waiting.step, now);
+            let is_why_due = backlog::is_why_due(owner, &waiting.step, now);
             let end = place_step(owner, waiting, reports, hosts, &mut placed, is_why_due);
             if let PlaceEnd::Short(shortage) = end {
-                note_wait(owner, waiting, shortage.as_ref(), || Room::of(hosts), now);
+                waiting.note_wait(owner, shortage.as_ref(), hosts, now);
                 without_room.extend(image.map(|image| (image, shortage)));
             }
         }
@@ -197,24 +165,6 @@
     placed
 }
 
-/// Notes what short tasks wait for.
-fn note_short_work(owner: &Owner, waiting: &[Waiting], now: Millis) {
-    let mut by_class: IndexMap<Class, u64> = IndexMap::new();
-    for (class, millicores) in waiting.iter().filter_map(|waiting| waiting.short.as_ref()) {
-        *by_class.entry(class.clone()).or_default() += millicores;
-    }
-    owner.short_work.borrow_mut().note_waiting(&by_class, now);
-}
-
-/// How much of what is free a long-running task of this class may take, in thousandths of a core.
-fn free_for_long_running(owner: &Owner, class: &Class, hosts: &[Host]) -> u64 {
-    let in_pool = || hosts.iter().filter(|host| host.pool == class.pool);
-    let capacity = in_pool().map(|host| host.capacity.millicores).sum();
-    let free: u64 = in_pool().map(|host| host.free().millicores).sum();
-    let short_work = owner.short_work.borrow();
-    (free + short_work.held(&class.pool)).saturating_sub(short_work.headroom(class, capacity))
-}
-
 fn collect(cx: &Cx, owner: &Owner) -> Vec<Waiting> {
     let now_unix_ms = cx.unix_ms();
     let ledger = owner.ledger.borrow();
@@ -270,7 +220,7 @@
                 is_in_progress: job.occurrences.contains_key(&occurrence),
             };
             let millicores = spec.size.millicores * tasks.len() as u64;
-            let class = runs::short_class(&job.terms, spec);
+            let class = headroom::short_class(&job.terms, spec);
             waiting.push(Waiting {
                 rank: standing.rank(),
                 step,
@@ -333,20 +283,11 @@
 /// A run and where it goes.
 type Placed = (RunId, WorkerLife);
 
-fn place_step(
-    owner: &Owner,
-    waiting: &Waiting,
-    reports: &[Rc<WorkerReport>],
-    hosts: &mut Vec<Host>,
-    placed: &mut Vec<Placed>,
-    is_why_due: bool,
-) -> PlaceEnd {
-    let ledger = owner.ledger.borrow();
-    let job = &ledger.jobs[&waiting.step.job];
-    let spec = &job.spec.steps[usize::from(waiting.step.step)];
+/// What a task of the step needs.
+fn need_of<'a>(owner: &Owner, job: &'a Job, spec: &'a Step, step: &StepId) -> Need<'a> {
     let name = spec.image.as_ref();
     let image = name.map(|name| owner.pressure.borrow_mut().image(name));
-    let need = Need {
+    Need {
         pool: &job.terms.pool,
         size: spec.size,
         load: load_of(spec),
@@ -359,16 +300,25 @@
             .zip(spec.latency_target_ms)
             .map(|(image, target_ms)| Victim {
                 image,
-                step: waiting.step.key(),
+                step: step.key(),
                 target_ms: f64::from(target_ms),
-                load: owner
-                    .loads
-                    .borrow()
-                    .get(&waiting.step)
-                    .copied()
-                    .unwrap_or_default(),
+                load: owner.loads.borrow().get(step).copied().unwrap_or_default(),
             }),
-    };
+    }
+}
+
+fn place_step(
+    owner: &Owner,
+    waiting: &Waiting,
+    reports: &[Rc<WorkerReport>],
+    hosts: &mut Vec<Host>,
+    placed: &mut Vec<Placed>,
+    is_why_due: bool,
+) -> PlaceEnd {
+    let ledger = owner.ledger.borrow();
+    let job = &ledger.jobs[&waiting.step.job];
+    let spec = &job.spec.steps[usize::from(waiting.step.step)];
+    let need = need_of(owner, job, spec, &waiting.step);
     let pressure = owner.pressure.borrow();
     let len_before = placed.len();
     count_step(job, &waiting.step, spec, hosts);
@@ -378,7 +328,7 @@
     let mut why = None;
     let mut may_take = spec
         .is_long_running
-        .then(|| free_for_long_running(owner, &runs::class_of(&job.terms), hosts));
+        .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
     for (nth, index) in waiting.tasks.iter().enumerate() {
         let task = waiting.step.task(*index);
         let is_new = interrupted(job, &waiting.step, spec, &[*index]) == 0;
--- /dev/null
+++ b/src/lapisdrum/sched/owner/headroom.rs
@@ -0,0 +1,69 @@
+//! Counts what short tasks hold and wait for in the shard, and what that leaves to new long-running tasks
+//! ([`crate::policy::dispatch::short_work`]).
+
+use super::{
+    Owner,
+    runs::{RunRecord, load_of},
+};
+use crate::{
+    core::time::Millis,
+    policy::dispatch::{
+        place::{Host, Load},
+        short_work::Class,
+    },
+    sched::job::{QueueTerms, Step},
+};
+use indexmap::IndexMap;
+
+fn class_of(terms: &QueueTerms) -> Class {
+    Class {
+        pool: terms.pool.clone(),
+        priority: terms.priority,
+    }
+}
+
+/// The class in which a step's tasks are counted as short work; none for long-running and best-effort ones.
+pub fn short_class(terms: &QueueTerms, step: &Step) -> Option<Class> {
+    let is_short = !step.is_long_running && load_of(step) != Load::BestEffort;
+    is_short.then(|| class_of(terms))
+}
+
+/// Notes a run that takes room from now on.
+pub fn note_placed(owner: &Owner, record: &RunRecord) {
+    if let Some(class) = &record.short_class {
+        let mut short_work = owner.short_work.borrow_mut();
+        short_work.placed(class, record.size.millicores);
+    }
+}
+
+/// Notes a run that takes none any more.
+pub fn note_over(owner: &Owner, record: &RunRecord) {
+    if let Some(class) = &record.short_class {
+        let mut short_work = owner.short_work.borrow_mut();
+        short_work.over(class, record.size.millicores);
+    }
+}
+
+/// Notes what short tasks wait for: a class and thousandths of a core for each step.
+pub fn note_waiting<'a>(
+    owner: &Owner,
+    waiting: impl Iterator<Item = &'a (Class, u64)>,
+    now: Millis,
+) {
+    let mut by_class: IndexMap<Class, u64> = IndexMap::new();
+    for (class, millicores) in waiting {
+        *by_class.entry(class.clone()).or_default() += millicores;
+    }
+    owner.short_work.borrow_mut().note_waiting(&by_class, now);
+}
+
+/// How much of what is free a new long-running task of a queue may take, in thousandths of a core.
+pub fn free_for_long_running(owner: &Owner, terms: &QueueTerms, hosts: &[Host]) -> u64 {
+    let class = class_of(terms);
+    let in_pool = || hosts.iter().filter(|host| host.pool == class.pool);
+    let capacity = in_pool().map(|host| host.capacity.millicores).sum();
+    let free: u64 = in_pool().map(|host| host.free().millicores).sum();
+    let short_work = owner.short_work.borrow();
+    let not_long_running = free + short_work.held(&class.pool);
+    not_long_running.saturating_sub(short_work.headroom(&class, capacity))
+}
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -9,6 +9,7 @@
 pub mod delegate;
 pub mod directory;
 pub mod dispatch;
+pub mod headroom;
 pub mod jobs;
 pub mod learned;
 pub mod predecessor;
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -1,6 +1,6 @@
 //! Runs on workers: orders to start and stop them, and what settles each.
 
-use super::{Owner, session::Session, visit};
+use super::{Owner, headroom, session::Session, visit};
 use crate::{
     core::{
         size::Size,
@@ -12,7 +12,7 @@
         Cx,
         edge::{OrderEnd, Refusal, StartOrder},
         event::{Event, Loss, RunId, WorkerLife},
-        job::{JobId, QueueTerms, Step, TaskId},
+        job::{JobId, Step, TaskId},
         journal::{AppendEnd, Ticket},
         ledger::Phase,
         settle::{Order, RunKnowledge, Stop},
@@ -71,20 +71,6 @@
     }
 }
 
-/// The class in which a step's tasks are counted as short work; none for long-running and best-effort ones.
-pub fn short_class(terms: &QueueTerms, step: &Step) -> Option<Class> {
-    let is_short = !step.is_long_running && load_of(step) != Load::BestEffort;
-    is_short.then(|| class_of(terms))
-}
-
-/// The class of a queue's tasks.
-pub fn class_of(terms: &QueueTerms) -> Class {
-    Class {
-        pool: terms.pool.clone(),
-        priority: terms.priority,
-    }
-}
-
 impl Owner {
     /// Adds a run that the journal names.
     pub fn add_inherited(&self, cx: &Cx, run: RunId, on: &WorkerLife) {
@@ -119,7 +105,7 @@
             on: on.clone(),
             size: step.size,
             load: load_of(step),
-            short_class: short_class(&job.terms, step),
+            short_class: headroom::short_class(&job.terms, step),
             known,
             since: now,
             progress: None,
@@ -140,10 +126,7 @@
             .or_insert_with(|| Session::new(self.inherited_bound(cx)));
         session.tally.add(&record.size, record.load);
         session.runs.insert(run);
-        if let Some(class) = &record.short_class {
-            let mut short_work = self.short_work.borrow_mut();
-            short_work.placed(class, record.size.millicores);
-        }
+        headroom::note_placed(self, &record);
         self.runs.borrow_mut().insert(run, record);
     }
 
@@ -154,10 +137,7 @@
             session.tally.remove(&record.size, record.load);
             session.runs.swap_remove(run);
         }
-        if let Some(class) = &record.short_class {
-            let mut short_work = self.short_work.borrow_mut();
-            short_work.over(class, record.size.millicores);
-        }
+        headroom::note_over(self, &record);
         self.wake.notify_one();
         Some(record)
     }
