A test that refused reads slow down in the real daemon and urgent ones are repeated

The model of policy::polling showed the rule; nothing showed that the lease watch and the operators' reads go by it. The world's store learns to refuse reads. Six seconds of refusals: lease reads under a third of the usual, the catalogue's over twice, the store not taken for away, the usual rate again within 20 s.

--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -9,6 +9,7 @@
 mod ledger;
 mod order;
 mod ownership;
+mod polling;
 mod random;
 mod room;
 mod settle;
--- /dev/null
+++ b/tests/testsuite/sched/polling.rs
@@ -0,0 +1,44 @@
+//! A daemon whose reads the store refuses since there are too many.
+
+use super::{
+    paused,
+    world::{StoreMood, World, owned},
+};
+use std::{cell::Cell, time::Duration};
+use tokio::time::sleep;
+
+const LIMIT: Duration = Duration::from_secs(5);
+const WHILE: Duration = Duration::from_secs(6);
+
+/// How many reads are made within some seconds.
+async fn count(reads: &Cell<usize>) -> usize {
+    let before = reads.get();
+    sleep(WHILE).await;
+    reads.get() - before
+}
+
+/// Guards against reads of leases that use up the rate which reads of the catalogue need on hundreds of daemons.
+#[test]
+fn refused_reads_of_leases_slow_down_and_those_of_the_catalogue_are_repeated() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let leases = count(&world.lease_reads).await;
+        let catalogue = count(&world.operator_reads).await;
+        world.set_store("a", StoreMood::RefusesReads);
+        sleep(LIMIT).await;
+        let refused_leases = count(&world.lease_reads).await;
+        let refused_catalogue = count(&world.operator_reads).await;
+        assert!(refused_leases * 3 < leases, "{refused_leases} of {leases}");
+        assert!(
+            refused_catalogue > catalogue * 2,
+            "{refused_catalogue} for {catalogue}"
+        );
+        assert!(cx.store_up.get(), "a refusal is an answer");
+        world.set_store("a", StoreMood::Up);
+        sleep(LIMIT * 4).await;
+        assert_eq!(count(&world.lease_reads).await, leases);
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -74,6 +74,8 @@
     LosesAnswers,
     /// Takes sixty times as long as usual for everything, and does the transactions of a part one after another.
     Slow,
+    /// Refuses reads, since there are too many of them.
+    RefusesReads,
 }
 
 /// What a worker does with orders to start.
@@ -153,6 +155,9 @@
     pub(crate) orders_outlive_crashes: Cell<bool>,
     /// Workers that one daemon can't reach.
     paths_cut: RefCell<IndexSet<(String, String)>>,
+    /// Reads of leases and of what operators ask for, answered or refused.
+    pub(crate) lease_reads: Cell<usize>,
+    pub(crate) operator_reads: Cell<usize>,
     /// Whether nobody can read what operators ask for.
     pub(crate) operators_are_silent: Cell<bool>,
     /// Most workers of a shard, for daemons made from now on; all in one at first.
@@ -225,6 +230,8 @@
             failing: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
             paths_cut: RefCell::default(),
+            lease_reads: Cell::default(),
+            operator_reads: Cell::default(),
             operators_are_silent: Cell::new(false),
             workers_a_shard: Cell::new(usize::MAX),
             starts: RefCell::default(),
@@ -697,6 +704,10 @@
     }
 }
 
+fn too_many_reads() -> CallError {
+    CallError::rate_limited("too many reads")
+}
+
 fn silence() -> CallError {
     CallError::new("no answer")
 }
@@ -909,6 +920,11 @@
                 sleep(SILENCE).await;
                 return Err(silence());
             }
+            let reads = &self.world.operator_reads;
+            reads.set(reads.get() + 1);
+            if mood == StoreMood::RefusesReads {
+                return Err(too_many_reads());
+            }
             let queue = Queue {
                 terms: terms(),
                 host: "maps.example".to_owned(),
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -2,10 +2,13 @@
 
 use super::{
     CALLER_PATIENCE, LONGEST_QUEUE, ROW_BYTES, Rows, SILENCE, SLOW_STORE_CALL, STORE_CALL,
-    StoreMood, World, silence,
+    StoreMood, World, silence, too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
-use lapisdrum::sched::edge::{CallError, Row, RowKey, Store, Txn, TxnEnd};
+use lapisdrum::sched::{
+    edge::{CallError, Row, RowKey, Store, Txn, TxnEnd},
+    lease::OWNERS_TABLE,
+};
 use std::rc::Rc;
 use tokio::time::{Instant, sleep};
 
@@ -95,6 +98,13 @@
             if !self.reach().await {
                 return Err(silence());
             }
+            if table == OWNERS_TABLE {
+                let reads = &self.world.lease_reads;
+                reads.set(reads.get() + 1);
+            }
+            if self.mood() == StoreMood::RefusesReads {
+                return Err(too_many_reads());
+            }
             let rows = self.world.rows.borrow();
             let mut found: Vec<Row> = rows
                 .rows
