A count of reads in a window differs by one by where the window begins

A read takes 0.3 s and the call, so 6 s hold 19.7 of them and the window's beginning decides; the usual pace is the claim, and a difference of one is what the same pace gives. The bound on the slowed pace stays.

--- a/tests/testsuite/sched/polling.rs
+++ b/tests/testsuite/sched/polling.rs
@@ -38,7 +38,9 @@
         assert!(cx.store_up.get(), "a refusal is an answer");
         world.set_store("a", StoreMood::Up);
         sleep(LIMIT * 4).await;
-        assert_eq!(count(&world.lease_reads).await, leases);
+        // A window of this length holds one read more or less by where it begins.
+        let after = count(&world.lease_reads).await;
+        assert!(after.abs_diff(leases) <= 1, "{after} for {leases}");
         world.check();
     });
 }
