Offers of room count only interrupted tasks that wait, not new ones

Cause: a shard offers what its long-running tasks leave, less all long-running tasks that wait there. New ones now wait longer, behind short tasks and for headroom; while any do, no shard offered room to interrupted tasks, which go before them anyway.

Change: only interrupted ones are taken off.

Before: delegate::new_tasks_that_wait_take_no_room_... failed (tasks not adopted within 20 s); after: passes, with the rest of sched::delegate and model::handover.

--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -434,12 +434,19 @@
         self.tasks_but(step, |task| task.elsewhere.is_some())
     }
 
-    /// How many of its long-running tasks this shard is to run and doesn't, in the first occurrence.
-    pub fn waiting_long_running(&self) -> u64 {
+    /// How many of its long-running tasks this shard is to run again and doesn't, in the first occurrence. New ones are
+    /// not counted: they wait for interrupted ones of any shard.
+    pub fn interrupted_long_running(&self) -> u64 {
         let steps = self.spec.steps.iter().enumerate();
-        let lasting = steps.filter(|(_, step)| step.is_long_running);
-        let is_placed = |task: &Task| task.elsewhere.is_some() || !task.live.is_empty();
-        lasting.map(|(at, _)| self.tasks_but(at, is_placed)).sum()
+        let long_running = steps.filter(|(_, step)| step.is_long_running);
+        let is_interrupted = |task: &Task| {
+            let has_run = task.last_run > RunNumber::default();
+            has_run && task.live.is_empty() && task.elsewhere.is_none()
+        };
+        let others = |at| self.tasks_but(at, is_interrupted);
+        long_running
+            .map(|(at, step)| u64::from(step.count) - others(at))
+            .sum()
     }
 
     /// The tasks of a step in the first occurrence, but those that are left out.
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -296,11 +296,11 @@
         }
     }
 
-    /// Long-running tasks that wait for room here, guests among them.
-    fn waiting_long_running(&self) -> u64 {
+    /// Interrupted long-running tasks that wait for room here, guests among them.
+    fn interrupted_long_running(&self) -> u64 {
         let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
         let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-        jobs.map(Job::waiting_long_running).sum()
+        jobs.map(Job::interrupted_long_running).sum()
     }
 
     /// For how many more such tasks there is room beside the shard's own long-running ones. What is offered counts as taken
@@ -330,7 +330,7 @@
                 && label.is_none_or(|label| host.labels.contains(label))
         });
         let room: u64 = fitting.map(|host| room_on(host, &need.size)).sum();
-        Some(room.saturating_sub(self.waiting_long_running()))
+        Some(room.saturating_sub(self.interrupted_long_running()))
     }
 }
 
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -118,6 +118,22 @@
     });
 }
 
+/// Guards against interrupted tasks that wait for ever since new ones wait in every shard that has room for them.
+#[test]
+fn new_tasks_that_wait_take_no_room_from_interrupted_ones() {
+    paused(async {
+        let site = Site::start(&["a", "b"]).await;
+        let owner = site.owner_of(SHARDS[1]).expect("an owner").clone();
+        let id = site.ids(SHARDS[1]).next().expect("an id");
+        let mut wide = lasting(8);
+        wide[0].size.millicores = 5_000;
+        let submitted = site.world.submit(&owner, id, wide).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        site.hand_over().await;
+        site.world.check();
+    });
+}
+
 /// Guards against a guest that is shown, counted or cancelled as a job of its host shard's.
 #[test]
 fn the_other_shard_does_not_answer_for_the_job() {
