--- a/src/lapisdrum/policy/dispatch/short_work.rs
+++ b/src/lapisdrum/policy/dispatch/short_work.rs
@@ -12,7 +12,7 @@
 
 /// What short tasks took is remembered for this long: lulls between them are shorter.
 const REMEMBERED: Duration = Duration::from_secs(10);
-/// Peaks are told apart by this much time.
+/// Peaks are kept by slots of this length.
 const SLOT: Duration = Duration::from_secs(1);
 /// Most of a pool's processors that is left to short tasks, in thousandths.
 const MOST_LEFT_PERMILLE: u64 = 125;
