Log lines: what offers of capacity counted and what came of requests for them

An offer of 0 tasks and a shard that did not answer looked the same, and nothing said what was taken off an offer.

- `capacity is offered` (asked shard) and `interrupted tasks wait for offers` (asking shard): totals, at most one line a second each and owner.
- `step waits` and `tasks wait for room` give the free memory of the host with the widest free processors.

The offering side moves unchanged from delegate.rs to offers.rs.

--- a/src/lapisdrum/policy/dispatch/room.rs
+++ b/src/lapisdrum/policy/dispatch/room.rs
@@ -26,6 +26,8 @@
     pub unused_permille: u64,
     /// Most unreserved processors on any one host, in thousandths of a core.
     pub widest_free_millicores: u64,
+    /// Free memory of the host with the most unreserved processors, in MB.
+    pub widest_free_memory_mb: u64,
     /// Number of hosts that are kept free for a waiting task.
     pub kept: usize,
 }
@@ -39,6 +41,9 @@
             sum * 1_000 / capacity.max(1)
         };
         let free: fn(&Host) -> u64 = |host| host.free().millicores;
+        let widest = hosts.iter().map(Host::free);
+        let widest = widest.max_by_key(|free| (free.millicores, free.memory_mb));
+        let widest = widest.unwrap_or(Size::ZERO);
         Self {
             hosts: hosts.len(),
             serving_permille: permille(|host| host.serving_millicores()),
@@ -48,7 +53,8 @@
             }),
             free_permille: permille(free),
             unused_permille: permille(|host| host.unused_millicores()),
-            widest_free_millicores: hosts.iter().map(free).max().unwrap_or_default(),
+            widest_free_millicores: widest.millicores,
+            widest_free_memory_mb: widest.memory_mb,
             kept: hosts.iter().filter(|host| host.kept.is_some()).count(),
         }
     }
--- a/src/lapisdrum/sched/owner/backlog.rs
+++ b/src/lapisdrum/sched/owner/backlog.rs
@@ -106,6 +106,7 @@
             free_permille = room.free_permille,
             unused_permille = room.unused_permille,
             widest_free_millicores = room.widest_free_millicores,
+            widest_free_memory_mb = room.widest_free_memory_mb,
             kept = room.kept;
             "tasks wait for room"
         );
@@ -167,6 +168,7 @@
         free_permille = room.free_permille,
         unused_permille = room.unused_permille,
         widest_free_millicores = room.widest_free_millicores,
+        widest_free_memory_mb = room.widest_free_memory_mb,
         kept = room.kept;
         "step waits"
     );
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -13,8 +13,10 @@
 
 use super::Owner;
 use crate::{
-    core::{size::Size, time::Millis},
-    policy::dispatch::place::Host,
+    core::{
+        size::Size,
+        time::{Millis, millis},
+    },
     sched::{
         Cx,
         event::Event,
@@ -35,11 +37,8 @@
 const STRANDED_AFTER: Duration = Duration::from_millis(800);
 /// Timeout of a call that asks a shard for an offer: many round trips between data centres.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(150);
-/// A shard offers its free capacity divided by this at a time: its own tasks may need the rest.
-const OFFER_DIVISOR: u64 = 4;
-/// How long an offer counts as taken. On a healthy store the tasks are journaled and adopted within
-/// this time.
-const OFFER_VALIDITY: Duration = Duration::from_millis(1_000);
+/// Time between two lines with totals.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// State of the tasks that an owner delegates.
 #[derive(Default)]
@@ -52,8 +51,62 @@
     confirmed: IndexSet<TaskId>,
     /// Ends of jobs that a shard has confirmed.
     ended: IndexSet<(JobId, ShardId)>,
-    /// How many tasks were offered capacity, and when.
-    offered: Vec<(u64, Millis)>,
+    requests: Requests,
+}
+
+/// Requests for offers since the last line with totals.
+#[derive(Default)]
+struct Requests {
+    /// Number of requests.
+    asks: u64,
+    /// Number of requests without an answer in time, or to a shard that places no tasks.
+    unanswered: u64,
+    /// Number of offers of more than 0 tasks.
+    offers: u64,
+    /// Number of tasks that were delegated.
+    delegated: usize,
+    reported_at: Option<Millis>,
+}
+
+impl Requests {
+    fn note(&mut self, offered: Option<u32>) {
+        self.asks += 1;
+        self.unanswered += u64::from(offered.is_none());
+        self.offers += u64::from(offered.is_some_and(|room| room > 0));
+    }
+
+    /// Logs the totals of a round that found stranded tasks, if that is due.
+    fn report(
+        &mut self,
+        owner: &Owner,
+        stranded: &IndexMap<TaskNeed, Vec<TaskId>>,
+        shards: usize,
+        now: Millis,
+    ) {
+        let since_ms = self.reported_at.map(|at| millis(now.since(at)));
+        let Some(smallest) = stranded.keys().min_by_key(|need| need.size.millicores) else {
+            return;
+        };
+        if since_ms.is_some_and(|since| since < millis(REPORT_INTERVAL)) {
+            return;
+        }
+        let totals = std::mem::take(self);
+        self.reported_at = Some(now);
+        log::info!(
+            shard:% = owner.handle.partition,
+            since_ms = since_ms.unwrap_or_default(),
+            tasks = stranded.values().map(Vec::len).sum::<usize>(),
+            needs = stranded.len(),
+            smallest_millicores = smallest.size.millicores,
+            smallest_memory_mb = smallest.size.memory_mb,
+            shards,
+            asks = totals.asks,
+            unanswered = totals.unanswered,
+            offers = totals.offers,
+            delegated = totals.delegated;
+            "interrupted tasks wait for offers"
+        );
+    }
 }
 
 /// What a delegated task requires of a worker.
@@ -109,13 +162,16 @@
 
 async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
     let stranded = stranded(owner, cx.clock.now());
-    let delegating = stranded.into_iter().map(async |(need, tasks)| {
-        if let Some((to, room)) = best_offer(cx, owner, &need, tasks.len()).await {
+    let delegating = stranded.iter().map(async |(need, tasks)| {
+        if let Some((to, room)) = best_offer(cx, owner, need, tasks.len()).await {
             let count = tasks.len().min(room as usize);
             delegate(cx, owner, to, &tasks[..count]).await;
         }
     });
     futures::future::join_all(delegating).await;
+    let shards = cx.layout.borrow().as_ref().map_or(0, |l| l.all().count());
+    let requests = &mut owner.delegations.borrow_mut().requests;
+    requests.report(owner, &stranded, shards.saturating_sub(1), cx.clock.now());
 }
 
 /// Interrupted long-running tasks that have waited for [`STRANDED_AFTER`], by what they need.
@@ -195,8 +251,10 @@
         let handle = cx.handle(shard);
         let offer = front::free_capacity_offer(cx, &handle, need, wanted);
         let offered = tokio::time::timeout(OFFER_TIMEOUT, offer).await;
+        let offered = offered.ok().flatten();
+        owner.delegations.borrow_mut().requests.note(offered);
         // A shard that does not answer in time offers nothing in this round.
-        (shard, offered.ok().flatten().unwrap_or_default())
+        (shard, offered.unwrap_or_default())
     });
     let offers = futures::future::join_all(requests).await;
     let best_offer = offers.into_iter().max_by_key(|(_, room)| *room);
@@ -219,8 +277,9 @@
         .map(|task| Event::Delegated { task: *task, to });
     let ticket = owner.propose(cx, events.collect());
     if ticket.outcome().await == AppendOutcome::Durable {
-        let open = &mut owner.delegations.borrow_mut().open;
-        open.extend(tasks.iter().map(|task| task.job));
+        let mut delegations = owner.delegations.borrow_mut();
+        delegations.requests.delegated += tasks.len();
+        delegations.open.extend(tasks.iter().map(|task| task.job));
     }
 }
 
@@ -304,54 +363,6 @@
             self.delegations.borrow_mut().open.insert(job);
         }
     }
-
-    /// How many interrupted long-running tasks wait in this shard, including those of guest jobs.
-    fn interrupted_long_running(&self) -> u64 {
-        let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
-        let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-        jobs.map(Job::interrupted_long_running).sum()
-    }
-
-    /// Offers capacity for up to `wanted` tasks, beyond what the shard's own interrupted tasks
-    /// need. An offer counts as taken for a second, else several shards would delegate tasks to the
-    /// same few hosts. None while the shard cannot place tasks.
-    pub fn offer_capacity(&self, cx: &Cx, need: &TaskNeed, wanted: u32) -> Option<u32> {
-        let room = self.capacity_for(cx, need)?;
-        let now = cx.clock.now();
-        let offered = &mut self.delegations.borrow_mut().offered;
-        offered.retain(|(_, at)| now.since(*at) < OFFER_VALIDITY);
-        let taken: u64 = offered.iter().map(|(count, _)| count).sum();
-        let offer = room.saturating_sub(taken).div_ceil(OFFER_DIVISOR);
-        let offer = offer.min(u64::from(wanted));
-        offered.push((offer, now));
-        Some(u32::try_from(offer).unwrap_or(u32::MAX))
-    }
-
-    fn capacity_for(&self, cx: &Cx, need: &TaskNeed) -> Option<u64> {
-        if !self.may_place(cx) {
-            return None;
-        }
-        let reports = self.open_workers(cx);
-        let hosts = super::dispatch::hosts_of(cx, self, &reports);
-        let eligible = hosts.iter().filter(|host| {
-            let label = need.required_label.as_ref();
-            host.pool == need.pool
-                && !host.is_suspect
-                && label.is_none_or(|label| host.labels.contains(label))
-        });
-        let room: u64 = eligible.map(|host| capacity_on(host, &need.size)).sum();
-        Some(room.saturating_sub(self.interrupted_long_running()))
-    }
-}
-
-/// How many tasks of this size fit on a host once its short tasks have ended: of its processors,
-/// only those that serving tasks reserve count as taken.
-fn capacity_on(host: &Host, size: &Size) -> u64 {
-    let room = Size {
-        millicores: host.not_serving_millicores(),
-        ..host.free()
-    };
-    size.count_in(&room)
 }
 
 /// Adopts tasks of another shard's job. A repeated call is confirmed like the first.
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -16,6 +16,7 @@
 pub mod headroom;
 pub mod interference;
 pub mod jobs;
+pub mod offers;
 pub mod poll;
 pub mod previous_owner;
 pub mod runs;
@@ -125,6 +126,8 @@
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks delegated to other shards.
     delegations: RefCell<delegate::Delegations>,
+    /// Capacity offered to other shards.
+    offers: RefCell<offers::Offers>,
     /// Runs that a worker lists but the journal does not have there, while they are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -171,6 +174,7 @@
             backlog: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
+            offers: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             status: Cell::new(Status::Recovering),
