--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -26,21 +26,36 @@
     vec![step]
 }
 
-/// Eight workers in two shards, and daemons, of which two own one shard each.
+/// Long-running tasks that serve users.
+fn serving(count: u32, millicores: u64) -> Vec<Step> {
+    let mut step = step(count, 600_000, &[]);
+    step.size.millicores = millicores;
+    step.is_long_running = true;
+    step.image = Some("maps".to_owned());
+    step.latency_target_ms = Some(100);
+    vec![step]
+}
+
+/// Four workers in each shard, and daemons, of which each owns one shard at most.
 struct Cluster {
     world: Rc<World>,
     daemons: Vec<Cx>,
 }
 
 impl Cluster {
+    /// A cluster of two shards.
     async fn start(names: &[&str]) -> Self {
-        let world = World::new(8);
+        Self::with_shards(&SHARDS, names).await
+    }
+
+    async fn with_shards(shards: &[ShardId], names: &[&str]) -> Self {
+        let world = World::new(4 * shards.len());
         world.workers_per_shard.set(4);
         let daemons: Vec<Cx> = names.iter().map(|name| world.daemon(name)).collect();
         let cluster = Self { world, daemons };
-        for shard in SHARDS {
+        for shard in shards {
             until("the shard is owned", LIMIT, async || {
-                cluster.owner_of(shard).is_some()
+                cluster.owner_of(*shard).is_some()
             })
             .await;
         }
@@ -65,6 +80,37 @@
         (1..).filter(move |id| home(&cx, *id) == shard)
     }
 
+    /// Submits a job to a shard, and waits until all of its tasks run. Returns its id.
+    async fn run_job(&self, shard: ShardId, steps: Vec<Step>) -> JobId {
+        let known = self.world.running();
+        let is_new = |id: &u64| known.iter().all(|run| run.task.job != JobId(*id));
+        let id = self.ids(shard).find(is_new).expect("an id");
+        let tasks = steps[0].count as usize;
+        let owner = self.owner_of(shard).expect("an owner").clone();
+        let submitted = self.world.submit(&owner, id, steps).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("its tasks run", LIMIT, async || {
+            self.running_of(JobId(id)) == tasks
+        })
+        .await;
+        JobId(id)
+    }
+
+    fn running_of(&self, job: JobId) -> usize {
+        let running = self.world.running();
+        running.iter().filter(|run| run.task.job == job).count()
+    }
+
+    /// Crashes the workers that run a job's tasks.
+    fn crash_workers_of(&self, job: JobId, shard: ShardId) {
+        for worker in self.workers_of(shard) {
+            let runs = self.world.running_on(&worker);
+            if runs.iter().any(|run| run.task.job == job) {
+                self.world.crash(&worker);
+            }
+        }
+    }
+
     /// Fills three of the first shard's four workers with a job, and crashes two of them for good. The shard has free
     /// capacity for two of the four interrupted tasks. Returns the job's id.
     async fn interrupt_job(&self) -> u64 {
@@ -134,6 +180,55 @@
     });
 }
 
+/// Guards against a task that waits for ever because larger interrupted tasks wait in the shard that has free capacity for it.
+#[test]
+fn interrupted_tasks_that_fit_nowhere_take_nothing_off_an_offer() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let small = cluster.run_job(SHARDS[0], serving(1, 1_500)).await;
+        let wide = cluster.run_job(SHARDS[1], serving(2, 4_000)).await;
+        cluster.run_job(SHARDS[0], serving(3, 4_000)).await;
+        cluster.run_job(SHARDS[1], serving(2, 2_500)).await;
+        cluster.crash_workers_of(wide, SHARDS[1]);
+        sleep(Duration::from_secs(3)).await;
+        cluster.crash_workers_of(small, SHARDS[0]);
+        until("the small task runs again", LIMIT * 2, async || {
+            cluster.running_of(small) == 1
+        })
+        .await;
+        assert_eq!(cluster.running_of(wide), 0);
+        cluster.world.check();
+    });
+}
+
+/// Guards against tasks that wait because capacity was offered to another task that took a different offer.
+#[test]
+fn an_offer_that_was_not_taken_is_released() {
+    paused(async {
+        let shards = [ShardId(0), ShardId(1), ShardId(2)];
+        let cluster = Cluster::with_shards(&shards, &["a", "b", "c"]).await;
+        for shard in shards {
+            cluster.run_job(shard, serving(3, 4_000)).await;
+        }
+        let first = cluster.run_job(shards[0], serving(1, 1_400)).await;
+        for shard in &shards[1..] {
+            cluster.run_job(*shard, serving(1, 2_500)).await;
+        }
+        let second = cluster.run_job(shards[0], serving(1, 1_500)).await;
+        cluster.crash_workers_of(first, shards[0]);
+        assert_eq!(cluster.running_of(second), 0);
+        until("both run again", LIMIT * 2, async || {
+            cluster.running_of(first) + cluster.running_of(second) == 2
+        })
+        .await;
+        let starts = cluster.world.starts.borrow();
+        let (last, before) = (starts[starts.len() - 1].0, starts[starts.len() - 2].0);
+        let apart = last - before;
+        assert!(apart < Duration::from_millis(700), "{apart:?} apart");
+        cluster.world.check();
+    });
+}
+
 /// Guards against a delegated job that is shown or cancelled as one of the shard that adopted its tasks.
 #[test]
 fn the_other_shard_does_not_answer_for_the_job() {
