Log for which waiting task a host is kept free

The lines gave the number of kept hosts only. 'host is kept' gives the worker, the step and size it is kept for, since when, its free processors and memory, and what its long-running tasks don't reserve; 'host is released' ends it. Compared once a second at most, one line a change. Host and Tally get the resources of long-running tasks for that line; no decision reads them yet. keep_for returns the host's index, and a test's two assertions ask is_some() and is_none() in place of true and false.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -52,6 +52,8 @@
     pub size: Size,
     /// How it uses them.
     pub load: Load,
+    /// Whether it runs until its job is cancelled.
+    pub is_long_running: bool,
     /// A label that the worker must have.
     pub required_label: Option<&'a str>,
     /// The rack where its data is.
@@ -95,6 +97,8 @@
     /// Resources reserved by its tasks: includes the memory of best-effort tasks, but not their
     /// processors.
     pub reserved: Size,
+    /// Resources reserved by its long-running tasks, which aren't expected to end.
+    pub long_running: Size,
     /// Processors that its best-effort tasks ask for, in thousandths of a core.
     pub best_effort_millicores: u64,
     /// Its serving tasks, one entry per step or newly placed task.
@@ -109,8 +113,8 @@
     pub is_avoided: bool,
     /// Which tasks it refuses while it is kept free for a task of higher rank.
     pub kept: Option<Kept>,
-    /// Processors of the tasks that it is kept free for, in thousandths of a core.
-    pub kept_millicores: u64,
+    /// Resources that the tasks that it is kept free for will reserve.
+    pub kept_for: Size,
 }
 
 /// The tasks that a host refuses until a waiting task fits.
@@ -167,6 +171,11 @@
         self.capacity.minus(&self.reserved)
     }
 
+    /// Its resources without those that its long-running tasks reserve.
+    pub fn not_long_running(&self) -> Size {
+        self.capacity.minus(&self.long_running)
+    }
+
     /// Processors expected to be idle, in thousandths of a core.
     pub fn unused_millicores(&self) -> u64 {
         let idle = self.serving.iter().map(ServingGroup::idle_millicores);
@@ -224,7 +233,11 @@
 
     /// Accounts for the task as placed on this host.
     pub fn take(&mut self, need: &Need, model: &InterferenceModel) {
-        self.reserved = self.reserved.plus(&reserved_by(&need.size, need.load));
+        let reserved = reserved_by(&need.size, need.load);
+        self.reserved = self.reserved.plus(&reserved);
+        if need.is_long_running {
+            self.long_running = self.long_running.plus(&reserved);
+        }
         match need.load {
             Load::Reserving => {}
             Load::Serving => {
@@ -374,7 +387,8 @@
     others.map(|s| s.forecast.tasks as usize).sum()
 }
 
-/// Keeps a host free for a task that found none; false when none can be kept.
+/// Keeps a host free for a task that found none; returns its index in `hosts`, or `None` when none
+/// can be kept.
 ///
 /// Prevents starvation: on hosts that are almost fully reserved, smaller tasks would take each core
 /// as it is freed. A host qualifies if the task fits once everything but the serving tasks has
@@ -382,34 +396,33 @@
 /// which will fit the task first. Kept capacity lies idle, so only few hosts are kept. Other
 /// serving tasks may still go there: otherwise a smaller one would wait beside free processors that
 /// long-running tasks never release to the wider one.
-pub fn keep_for(need: &Need, hosts: &mut [Host]) -> bool {
+pub fn keep_for(need: &Need, hosts: &mut [Host]) -> Option<usize> {
     let in_pool = hosts.iter().filter(|host| host.pool == need.pool);
     let (all, kept) = in_pool.fold((0, 0), |(all, kept), host| {
         (all + 1, kept + usize::from(host.kept.is_some()))
     });
     let may_keep_another = kept < (all / HOSTS_PER_KEPT_HOST).max(1);
-    let may_fit = |host: &&mut Host| {
+    let may_fit = |host: &Host| {
         let has = |label: &str| host.labels.iter().any(|have| have == label);
         host.pool == need.pool
             && (host.kept.is_some() || may_keep_another)
             && !host.is_suspect
             && !host.is_avoided
             && reserved_by(&need.size, need.load).fits(&host.capacity)
-            && host.kept_millicores + need.size.millicores <= host.not_serving_millicores()
+            && host.kept_for.millicores + need.size.millicores <= host.not_serving_millicores()
             && need.required_label.is_none_or(has)
             && need.max_per_worker.is_none_or(|max| host.of_step < max)
     };
-    let able = hosts.iter_mut().filter(may_fit);
-    let best = able.max_by_key(|host| (host.kept.is_some(), host.free().millicores));
-    let Some(host) = best else {
-        return false;
-    };
+    let able = hosts.iter().enumerate().filter(|(_, host)| may_fit(host));
+    let best = able.max_by_key(|(_, host)| (host.kept.is_some(), host.free().millicores));
+    let (at, _) = best?;
+    let host = &mut hosts[at];
     host.kept = Some(match need.size.memory_mb > host.free().memory_mb {
         true => Kept::All,
         false => Kept::Processors,
     });
-    host.kept_millicores += need.size.millicores;
-    true
+    host.kept_for = host.kept_for.plus(&need.size);
+    Some(at)
 }
 
 /// Returns the index in `hosts` of the preferred host for a task; `None` when no host of its pool
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -5,12 +5,12 @@
 use super::{
     Owner,
     backlog::{self, WaitingStep},
-    headroom, interference,
+    headroom, interference, kept_hosts,
     runs::{self, load_of},
     session::Session,
 };
 use crate::{
-    core::time::Millis,
+    core::{size::Size, time::Millis},
     policy::dispatch::{
         duration::DurationEstimates,
         interference::Victim,
@@ -111,6 +111,7 @@
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
+        kept_hosts::note(owner, &[], cx.clock.now());
         return;
     }
     waiting.sort_by_key(|waiting| waiting.rank);
@@ -120,6 +121,7 @@
     let mut backlog = owner.backlog.borrow_mut();
     backlog.end(cx, owner, || Room::of(&hosts));
     drop(backlog);
+    kept_hosts::note(owner, &hosts, cx.clock.now());
     if placed.is_empty() {
         return;
     }
@@ -268,6 +270,7 @@
             labels: &report.labels,
             capacity: report.capacity,
             reserved: session.tally.reserved,
+            long_running: session.tally.long_running,
             best_effort_millicores: session.tally.best_effort_millicores,
             serving: interference::serving_groups(
                 owner,
@@ -280,7 +283,7 @@
             is_suspect: session.is_suspect(now),
             is_avoided: false,
             kept: None,
-            kept_millicores: 0,
+            kept_for: Size::ZERO,
         }
     };
     reports.iter().map(host).collect()
@@ -296,6 +299,7 @@
         pool: &job.terms.pool,
         size: spec.size,
         load: load_of(spec),
+        is_long_running: spec.is_long_running,
         required_label: spec.required_label.as_deref(),
         data_rack: spec.data_rack.as_deref(),
         max_per_worker: spec.max_per_worker,
@@ -346,7 +350,7 @@
         let Some(at) = choose(&need, hosts, &model) else {
             let unplaced = &waiting.tasks[nth..];
             let interrupted = interrupted(job, &waiting.step, spec, unplaced);
-            keep_hosts(&need, interrupted, hosts);
+            keep_hosts(owner, &need, &waiting.step, interrupted, hosts);
             if is_reason_due {
                 why = Shortage::of(&need, hosts, &model);
             }
@@ -395,11 +399,13 @@
 }
 
 /// Keeps hosts free for this many tasks, up to the limit of [`keep_for`].
-fn keep_hosts(need: &Need, tasks: usize, hosts: &mut [Host]) {
+fn keep_hosts(owner: &Owner, need: &Need, step: &StepId, tasks: usize, hosts: &mut [Host]) {
     for _ in 0..tasks {
-        if !keep_for(need, hosts) {
+        let Some(at) = keep_for(need, hosts) else {
             return;
-        }
+        };
+        let mut kept_hosts = owner.kept_hosts.borrow_mut();
+        kept_hosts.keep(hosts[at].id, *step, need.size);
     }
 }
 
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -16,6 +16,7 @@
 pub mod headroom;
 pub mod interference;
 pub mod jobs;
+pub mod kept_hosts;
 pub mod poll;
 pub mod previous_owner;
 pub mod runs;
@@ -45,6 +46,7 @@
 use backlog::Backlog;
 use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
+use kept_hosts::KeptHosts;
 use runs::RunRecord;
 use session::Session;
 use std::{
@@ -121,6 +123,8 @@
     pub short_work: RefCell<ShortWork>,
     /// Totals of the tasks that wait for free capacity, for the log.
     backlog: RefCell<Backlog>,
+    /// Hosts that are kept free for waiting tasks, for the log.
+    kept_hosts: RefCell<KeptHosts>,
     /// Number of runs that are still in each evacuated data centre.
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks delegated to other shards.
@@ -169,6 +173,7 @@
             wait_reasons: RefCell::default(),
             short_work: RefCell::default(),
             backlog: RefCell::default(),
+            kept_hosts: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
             stopping_unknown: RefCell::default(),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -124,7 +124,9 @@
         let session = sessions
             .entry(on.worker.clone())
             .or_insert_with(|| Session::new(self.inherited_bound(cx)));
-        session.tally.add(&record.size, record.load);
+        session
+            .tally
+            .add(&record.size, record.load, record.is_long_running);
         session.runs.insert(run);
         headroom::note_placed(self, &record);
         self.runs.borrow_mut().insert(run, record);
@@ -134,7 +136,9 @@
     pub fn remove_run(&self, run: &RunId) -> Option<RunRecord> {
         let record = self.runs.borrow_mut().swap_remove(run)?;
         if let Some(session) = self.sessions.borrow_mut().get_mut(&record.on.worker) {
-            session.tally.remove(&record.size, record.load);
+            session
+                .tally
+                .remove(&record.size, record.load, record.is_long_running);
             session.runs.swap_remove(run);
         }
         headroom::note_ended(self, &record);
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -38,6 +38,8 @@
     pub best_effort_millicores: u64,
     /// Processors reserved by serving tasks, in thousandths of a core.
     pub serving_millicores: u64,
+    /// Capacity reserved by long-running tasks.
+    pub long_running: Size,
 }
 
 /// A best-effort task that has ended but still affects the reported latency tails.
@@ -51,8 +53,12 @@
 
 impl Tally {
     /// Adds a run of this size and load.
-    pub fn add(&mut self, size: &Size, load: Load) {
-        self.reserved = self.reserved.plus(&reserved_by(size, load));
+    pub fn add(&mut self, size: &Size, load: Load, is_long_running: bool) {
+        let reserved = reserved_by(size, load);
+        self.reserved = self.reserved.plus(&reserved);
+        if is_long_running {
+            self.long_running = self.long_running.plus(&reserved);
+        }
         match load {
             Load::Reserving => {}
             Load::Serving => self.serving_millicores += size.millicores,
@@ -60,9 +66,13 @@
         }
     }
 
-    /// Subtracts a run that was added with the same size and load.
-    pub fn remove(&mut self, size: &Size, load: Load) {
-        self.reserved = self.reserved.minus(&reserved_by(size, load));
+    /// Subtracts a run that was added with the same arguments.
+    pub fn remove(&mut self, size: &Size, load: Load, is_long_running: bool) {
+        let reserved = reserved_by(size, load);
+        self.reserved = self.reserved.minus(&reserved);
+        if is_long_running {
+            self.long_running = self.long_running.minus(&reserved);
+        }
         match load {
             Load::Reserving => {}
             Load::Serving => {
--- a/tests/testsuite/sched/interference.rs
+++ b/tests/testsuite/sched/interference.rs
@@ -137,6 +137,7 @@
         labels: &[],
         capacity: cores(32),
         reserved: cores(6 * victims.len() as u64),
+        long_running: cores(6 * victims.len() as u64),
         best_effort_millicores: 0,
         serving: victims.iter().map(serving_group).collect(),
         is_open_for_best_effort: true,
@@ -144,7 +145,7 @@
         is_suspect: false,
         is_avoided: false,
         kept: None,
-        kept_millicores: 0,
+        kept_for: Size::ZERO,
     }
 }
 
@@ -161,6 +162,7 @@
         pool: "pool",
         size: cores(4),
         load,
+        is_long_running: load == Load::Serving,
         required_label: None,
         data_rack: None,
         max_per_worker: None,
@@ -436,11 +438,11 @@
         ..need(Load::Serving, Some(serving))
     };
     let mut hosts = [with("never", 5, 2), with("soon", 3, 1)];
-    assert!(keep_for(&stream, &mut hosts));
+    assert!(keep_for(&stream, &mut hosts).is_some());
     assert_eq!(hosts[0].kept, None);
     assert_eq!(hosts[1].kept, Some(Kept::Processors));
     assert!(
-        !keep_for(&stream, &mut hosts),
+        keep_for(&stream, &mut hosts).is_none(),
         "the host has capacity for one such task only"
     );
 }
--- a/tests/testsuite/sched/room.rs
+++ b/tests/testsuite/sched/room.rs
@@ -27,6 +27,7 @@
         labels: &[],
         capacity: cores(10),
         reserved: cores(reserved),
+        long_running: Size::ZERO,
         best_effort_millicores: 0,
         serving: Vec::new(),
         is_open_for_best_effort: true,
@@ -34,7 +35,7 @@
         is_suspect: false,
         is_avoided: false,
         kept: None,
-        kept_millicores: 0,
+        kept_for: Size::ZERO,
     }
 }
 
@@ -43,6 +44,7 @@
         pool: "pool",
         size,
         load: Load::Reserving,
+        is_long_running: false,
         required_label: None,
         data_rack: None,
         max_per_worker: None,
