--- a/tests/testsuite/sched/interference.rs
+++ b/tests/testsuite/sched/interference.rs
@@ -447,6 +447,66 @@
     );
 }
 
+/// Guards against a waiting task that has no host kept free, because the one kept lacks memory or accelerators that
+/// long-running tasks hold.
+#[test]
+fn a_host_whose_long_running_tasks_hold_the_memory_is_not_kept() {
+    let mut model = InterferenceModel::default();
+    let serving = model.image("s");
+    let full = |id, free: u64| {
+        let mut host = host(id, &[victim(serving); 3], 0.3);
+        host.reserved.millicores = (32 - free) * 1_000;
+        host
+    };
+    let stream = Need {
+        size: cores(8),
+        victim: Some(victim(serving)),
+        ..need(Load::Serving, Some(serving))
+    };
+    let mut short_of_memory = full("memory", 9);
+    short_of_memory.long_running.memory_mb = 25_000;
+    short_of_memory.reserved.memory_mb = 25_000;
+    let mut hosts = [short_of_memory, full("soon", 1)];
+    assert_eq!(keep_for(&stream, &mut hosts), Some(1));
+    let accelerated = Need {
+        size: Size {
+            accelerators: 2,
+            ..cores(8)
+        },
+        ..stream
+    };
+    let with_accelerators = |id, free, held| {
+        let mut host = full(id, free);
+        host.capacity.accelerators = 2;
+        host.reserved.accelerators = 2;
+        host.long_running.accelerators = held;
+        host
+    };
+    let mut hosts = [
+        with_accelerators("accelerators", 9, 1),
+        with_accelerators("soon", 1, 0),
+    ];
+    assert_eq!(keep_for(&accelerated, &mut hosts), Some(1));
+}
+
+/// Guards against keeping one host free for more tasks than its memory will fit.
+#[test]
+fn a_host_is_kept_for_as_many_tasks_as_its_memory_will_fit() {
+    let mut model = InterferenceModel::default();
+    let serving = model.image("s");
+    let stream = Need {
+        size: Size {
+            memory_mb: 12_000,
+            ..cores(4)
+        },
+        victim: Some(victim(serving)),
+        ..need(Load::Serving, Some(serving))
+    };
+    let mut hosts = [host("a", &[victim(serving); 2], 0.3)];
+    assert_eq!(keep_for(&stream, &mut hosts), Some(0));
+    assert_eq!(keep_for(&stream, &mut hosts), None);
+}
+
 /// Guards against a livestream that starves: it needs eight cores on nearly full hosts, and every core that becomes
 /// free goes to one of the two-core maps that arrive all the time. The host with the most free cores is kept free of
 /// them until the stream fits; best-effort tasks are still placed there.
