Keep hosts free only where memory and accelerators come free too

Callers saw nothing of it by itself: a waiting long-running task had its one kept host where it never fits. keep_for compared processors with what serving tasks leave, and memory with the whole host.

A host now qualifies if all that it is kept for fits beside its long-running tasks, in processors, memory and accelerators. Long-running tasks count whether or not they have a latency target.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -391,8 +391,8 @@
 /// can be kept.
 ///
 /// Prevents starvation: on hosts that are almost fully reserved, smaller tasks would take each core
-/// as it is freed. A host qualifies if the task fits once everything but the serving tasks has
-/// ended. A host that is already kept is preferred, then the one with the most free processors,
+/// as it is freed. A host qualifies if the task fits, beside the other tasks that it is kept for,
+/// once everything but the long-running tasks has ended. A host that is already kept is preferred, then the one with the most free processors,
 /// which will fit the task first. Kept capacity lies idle, so only few hosts are kept. Other
 /// serving tasks may still go there: otherwise a smaller one would wait beside free processors that
 /// long-running tasks never release to the wider one.
@@ -402,14 +402,14 @@
         (all + 1, kept + usize::from(host.kept.is_some()))
     });
     let may_keep_another = kept < (all / HOSTS_PER_KEPT_HOST).max(1);
+    let wanted = reserved_by(&need.size, need.load);
     let may_fit = |host: &Host| {
         let has = |label: &str| host.labels.iter().any(|have| have == label);
         host.pool == need.pool
             && (host.kept.is_some() || may_keep_another)
             && !host.is_suspect
             && !host.is_avoided
-            && reserved_by(&need.size, need.load).fits(&host.capacity)
-            && host.kept_for.millicores + need.size.millicores <= host.not_serving_millicores()
+            && host.kept_for.plus(&wanted).fits(&host.not_long_running())
             && need.required_label.is_none_or(has)
             && need.max_per_worker.is_none_or(|max| host.of_step < max)
     };
@@ -421,7 +421,7 @@
         true => Kept::All,
         false => Kept::Processors,
     });
-    host.kept_for = host.kept_for.plus(&need.size);
+    host.kept_for = host.kept_for.plus(&wanted);
     Some(at)
 }
 
