Log which leases bound a run's loss, and what an owner believes of earlier owners

The lines could not tell which part of the bound ended last: a lease of an earlier owner, an order of this owner without a reply, or an answered lease.

One line for each take-over with the evidence on earlier owners and its age, one for each silent worker when its leases have ended, and earlier_for_ms on 'owner before is gone'. has_ended is computed from latest_end; no decision changes. At most one line a take-over and one a worker and loss.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -396,6 +396,7 @@
         return Ok(());
     }
     let owner = Owner::take(handle, &seen, &view, key(handle, FENCE_KEY), sent_at);
+    owner.log_earlier_owners(cx, &seen);
     *handle.owner.borrow_mut() = Some(Rc::clone(&owner));
     super::owner::start(cx, owner);
     Ok(())
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -8,7 +8,10 @@
 //! run again 3 s sooner. A missing reply proves nothing.
 
 use super::Owner;
-use crate::{core::time::Millis, sched::Cx};
+use crate::{
+    core::time::{Millis, millis},
+    sched::{Cx, lease::LeaseView},
+};
 use std::{rc::Rc, time::Duration};
 
 /// Time between two probes; a daemon takes about half a second to restart.
@@ -40,12 +43,30 @@
 }
 
 impl Owner {
+    /// Logs until when earlier owners may send leases, as inferred from the rows that were `seen`
+    /// before the take-over.
+    pub fn log_earlier_owners(&self, cx: &Cx, seen: &LeaseView) {
+        let Some(before) = &seen.row else {
+            return;
+        };
+        let shard = &self.handle.partition;
+        let daemon = &before.holder.daemon;
+        let is_released = before.is_released;
+        let unchanged_ms = millis(self.taken_at.since(seen.since));
+        let owned_ms = millis(self.taken_at.since(seen.fence_since));
+        let until = self.previous_owner_renewed_at + cx.cfg.leases.owner_hold;
+        let may_send_ms = millis(until.since(self.taken_at));
+        log::info!(shard:%, token = self.token(), daemon:%, is_released, unchanged_ms, owned_ms, may_send_ms; "earlier owners may send leases");
+    }
+
     /// Notes that the previous owner had ended by `at`. The owner before that one may still renew
     /// leases within its own hold, which started before its successor took the shard.
     pub fn note_previous_owner_ended(&self, cx: &Cx, at: Millis) {
+        let ended_at = at;
         let at = at.max(self.previous_owner_took_at + cx.cfg.leases.owner_hold);
         let before = self.previous_owner.as_ref().map(|before| &before.daemon);
-        log::info!(shard:% = self.handle.partition, daemon:? = before, nothing_sent_after = at.0; "owner before is gone");
+        let earlier_for_ms = millis(at.since(ended_at));
+        log::info!(shard:% = self.handle.partition, daemon:? = before, nothing_sent_after = at.0, earlier_for_ms; "owner before is gone");
         self.previous_owner_ended_at.set(Some(at));
         for session in self.sessions.borrow_mut().values_mut() {
             session.bound.previous_owner_ended(at);
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -2,12 +2,15 @@
 //! stalled runs, removes jobs past their retention, and updates gauges.
 
 use super::{Owner, runs};
-use crate::sched::{
-    Cx,
-    event::{Event, Loss, RunId},
-    job::JobId,
-    ledger::{Phase, SentJob},
-    resolution::{Order, Stop},
+use crate::{
+    core::time::millis,
+    sched::{
+        Cx,
+        event::{Event, Loss, RunId},
+        job::JobId,
+        ledger::{Phase, SentJob},
+        resolution::{LateExecution, Order, Stop},
+    },
 };
 use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
@@ -52,11 +55,30 @@
     let runs: Vec<RunId> = owner.runs.borrow().keys().copied().collect();
     let lapsed: Vec<RunId> = runs.into_iter().filter(is_lapsed).collect();
     drop(sessions);
+    log_ended_leases(cx, owner, &lapsed, late_execution);
     for run in lapsed {
         owner.note_lost(cx, run, Loss::Lapsed);
     }
 }
 
+/// Logs for each worker which leases ended last, and how long the worker was unresponsive.
+fn log_ended_leases(cx: &Cx, owner: &Owner, lapsed: &[RunId], late_execution: LateExecution) {
+    let now = cx.clock.now();
+    let runs = owner.runs.borrow();
+    let mut counts: IndexMap<&str, usize> = IndexMap::new();
+    for run in lapsed {
+        *counts.entry(&runs[run].on.worker).or_default() += 1;
+    }
+    for (worker, runs) in counts {
+        let session = &owner.sessions.borrow()[worker];
+        let (last, ended_at) = session.bound.latest_end(late_execution, &cx.cfg.leases);
+        let late_ms = millis(now.since(ended_at));
+        let silent_ms = session.unresponsive_ms(now);
+        let is_claimed = session.claimed_incarnation.is_some();
+        log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed, late_execution:?; "leases of a silent worker have ended");
+    }
+}
+
 /// Stops runs without progress on workers that answer; their tasks are restarted elsewhere.
 fn stop_stalled(cx: &Cx, owner: &Rc<Owner>) {
     let now = cx.clock.now();
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -211,6 +211,17 @@
     Seen,
 }
 
+/// Leases that a worker may hold, by who sent them and what is known of the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LeaseKind {
+    /// Sent by this owner, with a reply.
+    Answered,
+    /// Sent by this owner, without a reply.
+    Unanswered,
+    /// Sent by an earlier owner.
+    Inherited,
+}
+
 /// Bound on the time until which runs may be alive on a worker under the leases that were sent to
 /// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -281,11 +292,29 @@
         late_execution: LateExecution,
         limits: &LeaseLimits,
     ) -> bool {
-        let lateness = limits.lateness(late_execution);
-        let late = [self.inherited_until, self.unanswered_at];
-        let late = late.into_iter().flatten().map(|at| at + lateness);
-        let ends = late.chain(self.answered_at);
-        let latest = ends.max().unwrap_or_default() + limits.longest_on_own_clock();
+        let (_, latest) = self.latest_end(late_execution, limits);
         self.in_flight == 0 && now > latest
     }
+
+    /// Time at which the last lease ends if no call is in flight, and which leases end last.
+    pub fn latest_end(
+        &self,
+        late_execution: LateExecution,
+        limits: &LeaseLimits,
+    ) -> (LeaseKind, Millis) {
+        let lateness = limits.lateness(late_execution);
+        let inherited = self.inherited_until.map(|until| until + lateness);
+        let unanswered = self.unanswered_at.map(|at| at + lateness);
+        let taken_effect = [
+            (LeaseKind::Answered, self.answered_at),
+            (LeaseKind::Unanswered, unanswered),
+            (LeaseKind::Inherited, inherited),
+        ];
+        let taken_effect = taken_effect
+            .into_iter()
+            .map(|(kind, at)| (kind, at.unwrap_or_default()));
+        let latest = taken_effect.max_by_key(|(_, at)| *at);
+        let (kind, at) = latest.unwrap_or((LeaseKind::Answered, Millis::default()));
+        (kind, at + limits.longest_on_own_clock())
+    }
 }
