Log guest tasks that wait without capacity in the shard that adopted them

A task that was delegated once stays with the other shard. Whether it waits there, and for how long, was in no line: `step waits` names one step and not the shard that owns the job. No decision changes. `Job::tasks` is the iteration that `Job::delegated` had inline.

--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -410,6 +410,26 @@
         step.tasks.get_mut(id.index as usize)
     }
 
+    /// Iterates over the tasks of all occurrences that have state; `id` is the job's own id.
+    pub fn tasks(&self, id: JobId) -> impl Iterator<Item = (TaskId, &Task)> {
+        let steps = self.occurrences.iter().flat_map(|(number, occurrence)| {
+            let steps = occurrence.steps.iter().enumerate();
+            steps.map(move |(step, state)| (*number, step, state))
+        });
+        steps.flat_map(move |(occurrence, step, state)| {
+            let tasks = state.tasks.iter().enumerate();
+            tasks.map(move |(index, task)| {
+                let task_id = TaskId {
+                    job: id,
+                    occurrence,
+                    step: step as u16,
+                    index: index as u32,
+                };
+                (task_id, task)
+            })
+        })
+    }
+
     /// Tasks that are delegated to other shards, by shard, with the numbers of their last runs in
     /// this one. Empty for a guest.
     pub fn delegated(&self, id: JobId) -> IndexMap<ShardId, Vec<(TaskId, RunNumber)>> {
@@ -417,22 +437,10 @@
         if self.is_guest {
             return by_shard;
         }
-        for (occurrence, state) in &self.occurrences {
-            for (step, state) in state.steps.iter().enumerate() {
-                for (index, task) in state.tasks.iter().enumerate() {
-                    let task_id = TaskId {
-                        job: id,
-                        occurrence: *occurrence,
-                        step: step as u16,
-                        index: index as u32,
-                    };
-                    if let Some(to) = task.elsewhere {
-                        by_shard
-                            .entry(to)
-                            .or_default()
-                            .push((task_id, task.last_run));
-                    }
-                }
+        for (task_id, task) in self.tasks(id) {
+            if let Some(to) = task.elsewhere {
+                let tasks = by_shard.entry(to).or_default();
+                tasks.push((task_id, task.last_run));
             }
         }
         by_shard
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -18,6 +18,7 @@
 pub mod jobs;
 pub mod poll;
 pub mod previous_owner;
+pub mod returns;
 pub mod runs;
 pub mod session;
 pub mod upkeep;
@@ -125,6 +126,8 @@
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks delegated to other shards.
     delegations: RefCell<delegate::Delegations>,
+    /// Tasks of other shards that wait here.
+    returns: RefCell<returns::Returns>,
     /// Runs that a worker lists but the journal does not have there, while they are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -171,6 +174,7 @@
             backlog: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
+            returns: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             status: Cell::new(Status::Recovering),
@@ -391,7 +395,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -412,6 +416,10 @@
             "delegate",
             delegate::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "returns",
+            returns::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
         (
             "predecessor",
             previous_owner::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
