Tests of a delegated task that waits again in the other shard; both fail

An accepted long-running task that is delegated is never given back: when its worker in the other shard is lost and that shard is full, or when the offered capacity is gone before it ran there, it waits while its own shard has room. Read in the code before; these tests show it with real daemons.

--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -16,6 +16,9 @@
 use tokio::time::sleep;
 
 const LIMIT: Duration = Duration::from_secs(10);
+/// Longest time from the loss of a worker until its tasks run in another shard: the lapse of its lease and a few
+/// seconds.
+const RETURN_LIMIT: Duration = Duration::from_secs(15);
 const SHARDS: [ShardId; 2] = [ShardId(0), ShardId(1)];
 
 /// Tasks of two cores that run until they are cancelled; a worker has room for two.
@@ -93,6 +96,46 @@
         id
     }
 
+    /// Crashes the workers of the second shard that run tasks of this job, after filling the others there. Restarts the
+    /// first shard's workers, which have room for these tasks.
+    async fn interrupt_delegated_tasks(&self, id: u64) {
+        let owner = self.owner_of(SHARDS[1]).expect("an owner").clone();
+        let other = self.ids(SHARDS[1]).next().expect("an id");
+        let submitted = self.world.submit(&owner, other, long_running(6)).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("the other shard is full", LIMIT, async || {
+            self.running_in(SHARDS[1]) == 8
+        })
+        .await;
+        self.restart_workers(SHARDS[0]);
+        let workers = self.workers_of(SHARDS[1]);
+        let runs_job = |worker: &&String| {
+            let runs = self.world.running_on(worker);
+            runs.iter().any(|run| run.task.job == JobId(id))
+        };
+        for worker in workers.iter().filter(runs_job) {
+            self.world.crash(worker);
+        }
+    }
+
+    /// Restarts the crashed workers of a shard, which are the ones that run nothing.
+    fn restart_workers(&self, shard: ShardId) {
+        for worker in self.workers_of(shard) {
+            if self.world.running_on(&worker).is_empty() {
+                self.world.restart(&worker);
+            }
+        }
+    }
+
+    /// Number of running tasks of a job, over all shards.
+    fn running_tasks(&self, id: u64) -> usize {
+        let running = self.world.running();
+        running
+            .iter()
+            .filter(|run| run.task.job == JobId(id))
+            .count()
+    }
+
     fn running_in(&self, shard: ShardId) -> usize {
         let workers = self.workers_of(shard);
         workers.iter().map(|w| self.world.running_on(w).len()).sum()
@@ -263,3 +306,53 @@
         cluster.world.check();
     });
 }
+
+/// Guards against a delegated task that waits for ever after it is interrupted in a shard that has no other capacity.
+#[test]
+fn a_delegated_task_that_is_interrupted_again_runs_where_there_is_capacity() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.delegate_tasks().await;
+        cluster.interrupt_delegated_tasks(id).await;
+        until("all tasks of the job run again", RETURN_LIMIT, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        sleep(LIMIT).await;
+        assert_eq!(cluster.running_tasks(id), 6);
+        cluster.world.check();
+    });
+}
+
+/// Guards against an adopted task that waits for ever because the offered capacity was gone before the task ran.
+#[test]
+fn an_adopted_task_without_its_capacity_runs_where_there_is_some() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.interrupt_job().await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("the delegation is decided", LIMIT * 2, async || {
+            is_delegated(&owner, SHARDS[0])
+        })
+        .await;
+        cluster
+            .world
+            .set_slow_txn(Duration::from_millis(700), Duration::ZERO);
+        cluster
+            .world
+            .set_store(&other.cfg.name, StoreBehaviour::Slow);
+        for worker in cluster.workers_of(SHARDS[1]) {
+            cluster.world.crash(&worker);
+        }
+        sleep(Duration::from_secs(2)).await;
+        cluster.world.set_store(&other.cfg.name, StoreBehaviour::Up);
+        cluster.restart_workers(SHARDS[0]);
+        until("all tasks of the job run again", RETURN_LIMIT, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        assert_eq!(cluster.running_in(SHARDS[0]), 6);
+        cluster.world.check();
+    });
+}
