--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -20,6 +20,7 @@
 pub mod offers;
 pub mod poll;
 pub mod previous_owner;
+pub mod returns;
 pub mod runs;
 pub mod session;
 pub mod upkeep;
@@ -132,6 +133,8 @@
     delegations: RefCell<delegate::Delegations>,
     /// Capacity offered to other shards.
     offers: RefCell<offers::Offers>,
+    /// Tasks of other shards that wait here.
+    returns: RefCell<returns::Returns>,
     /// Runs that a worker lists but the journal does not have there, while they are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -180,6 +183,7 @@
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
             offers: RefCell::default(),
+            returns: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             status: Cell::new(Status::Recovering),
@@ -400,7 +404,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -421,6 +425,10 @@
             "delegate",
             delegate::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "returns",
+            returns::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
         (
             "predecessor",
             previous_owner::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
