Random test: no interrupted long-running task waits beside free capacity

No test of ours has several shards, hosts nearly full of tasks of different sizes and lost workers at once.

The test: three shards, four daemons, twelve workers; 12 to 23 jobs of long-running tasks of random processors and memory; then 2 to 11 faults (workers crash, restart, are cut off, reconnect, leave; daemons lose the store, release their shards, are killed and restarted under their address). After a calm of take-over + the owner's hold + an order's longest transit (the latest effect, where a worker reconnected) + the longest lease + delegation, no interrupted task may wait while two open workers, of any shard, have processors and memory for it; World::check must hold.

World gains restart_daemon, open_capacity, and relays that can be redirected to a new process.

--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -298,6 +298,19 @@
         (cx, Relay::start(relayed, target))
     }
 
+    /// Kills a daemon behind a relay and starts a new process under its name and address.
+    pub(crate) fn restart_daemon(self: &Rc<Self>, killed: &Cx, relay: &Relay) -> Cx {
+        killed.draining.send_replace(true);
+        for owner in killed.owners() {
+            owner.mark_lost("the process is killed");
+        }
+        let (listener, target) = listen();
+        relay.redirect(target);
+        let cx = self.make_daemon(&killed.cfg.name, &killed.cfg.data_centre, killed.cfg.peers);
+        actix_rt::spawn(peer::serve(Rc::clone(&cx), listener));
+        cx
+    }
+
     /// Starts a daemon that polls leases, but does not serve the address under which other daemons know it.
     pub(crate) fn daemon_at(self: &Rc<Self>, name: &str, address: SocketAddr) -> Cx {
         self.make_daemon(name, DATA_CENTRE, address)
@@ -479,6 +492,14 @@
         running.collect()
     }
 
+    /// Free capacity of each worker that answers, is listed and isn't leaving.
+    pub(crate) fn open_capacity(&self) -> IndexMap<String, Size> {
+        self.end_all_due_runs();
+        let workers = self.workers.borrow();
+        let open = workers.iter().filter(|(_, w)| w.is_open());
+        open.map(|(id, w)| (id.clone(), w.free())).collect()
+    }
+
     /// Number of executed start orders of a task.
     pub(crate) fn starts_of(&self, task: &TaskId) -> usize {
         let starts = self.starts.borrow();
@@ -631,6 +652,16 @@
         WorkerMillis((now - self.started_at).as_millis() as u64 + 1_000)
     }
 
+    fn is_open(&self) -> bool {
+        self.is_listed && !self.is_dead && !self.is_cut && self.leaving_in.is_none()
+    }
+
+    fn free(&self) -> Size {
+        let sizes = self.running.values().map(|running| running.size);
+        let used = sizes.fold(Size::default(), |used, size| used.plus(&size));
+        self.capacity.minus(&used)
+    }
+
     /// Ends the runs that are due by now; returns the tasks that were completed.
     fn end_due_runs(&mut self, now: Instant) -> Vec<TaskId> {
         let mut done = Vec::new();
