Offers of capacity are what is left on the hosts, not a difference of task counts

Cause: a shard took the number of its own interrupted tasks off the number of tasks that would fit, whatever their sizes. After a loss of a fifth of the workers each shard has a hundred interrupted tasks of two to five cores that fit on no host of it, and these voided every offer to the smaller tasks of the other shards.

Change: policy::dispatch::spare places the own interrupted tasks that fit, in the order of the dispatcher, and the outstanding offers on a copy of the hosts, each with its own size; an offer is a part of what is left. Tasks that fit nowhere occupy nothing there. Own tasks that will fit once short tasks have ended still come first. The hosts are computed at most every 100 ms, from each worker's totals instead of from its interference groups, and counted per request. So serving tasks without an image now count as occupying their processors, too.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -6,8 +6,8 @@
 //! Unless best-effort tasks are kept apart from tasks that serve users, the latency tails of the
 //! latter exceed their targets within a second. [`order`] ranks steps by the durations that
 //! [`duration`] estimates, [`place`] chooses workers, [`interference`] models the interference
-//! between tasks and [`mitigation`] decides which best-effort tasks are throttled or stopped. All
-//! are pure.
+//! between tasks, [`mitigation`] decides which best-effort tasks are throttled or stopped, and
+//! [`spare`] computes what can be offered to other shards. All are pure.
 
 pub mod duration;
 pub mod interference;
@@ -17,5 +17,6 @@
 pub mod place;
 pub mod room;
 pub mod short_work;
+pub mod spare;
 pub mod timings;
 pub mod utilisation;
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -443,22 +443,6 @@
         self.count_tasks_except(step, |task| task.elsewhere.is_some())
     }
 
-    /// Number of long-running tasks in the first occurrence that have run before, have no live run
-    /// and are not delegated. Tasks that have never run are not counted: they wait for interrupted
-    /// ones of any shard.
-    pub fn interrupted_long_running(&self) -> u64 {
-        let steps = self.spec.steps.iter().enumerate();
-        let long_running = steps.filter(|(_, step)| step.is_long_running);
-        let is_interrupted = |task: &Task| {
-            let has_run = task.last_run > RunNumber::default();
-            has_run && task.live.is_empty() && task.elsewhere.is_none()
-        };
-        let others = |at| self.count_tasks_except(at, is_interrupted);
-        long_running
-            .map(|(at, step)| u64::from(step.count) - others(at))
-            .sum()
-    }
-
     /// Number of tasks of a step in the first occurrence that `is_excluded` does not match.
     fn count_tasks_except(&self, step: usize, is_excluded: impl Fn(&Task) -> bool) -> u64 {
         let state = self.occurrences.get(&0).and_then(|o| o.steps.get(step));
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -166,6 +166,23 @@
     placed
 }
 
+/// Steps with interrupted long-running tasks that may start, in the order in which passes place
+/// them, and the number of these tasks.
+pub(super) fn interrupted_steps(cx: &Cx, owner: &Owner) -> Vec<(StepId, u64)> {
+    let ledger = owner.ledger.borrow();
+    let count = |waiting: StartableStep| {
+        let job = &ledger.jobs[&waiting.step.job];
+        let spec = &job.spec.steps[usize::from(waiting.step.step)];
+        let tasks = interrupted(job, &waiting.step, spec, &waiting.tasks);
+        (waiting.rank, waiting.step, tasks as u64)
+    };
+    let mut steps: Vec<_> = collect(cx, owner).into_iter().map(count).collect();
+    steps.retain(|(_, _, tasks)| *tasks > 0);
+    steps.sort_by_key(|(rank, _, _)| *rank);
+    let steps = steps.into_iter();
+    steps.map(|(_, step, tasks)| (step, tasks)).collect()
+}
+
 fn collect(cx: &Cx, owner: &Owner) -> Vec<StartableStep> {
     let now_unix_ms = cx.unix_ms();
     let ledger = owner.ledger.borrow();
@@ -252,11 +269,7 @@
     free
 }
 
-pub(super) fn hosts_of<'a>(
-    cx: &Cx,
-    owner: &Owner,
-    reports: &'a [Rc<WorkerReport>],
-) -> Vec<Host<'a>> {
+fn hosts_of<'a>(cx: &Cx, owner: &Owner, reports: &'a [Rc<WorkerReport>]) -> Vec<Host<'a>> {
     let now = cx.clock.now();
     let sessions = owner.sessions.borrow();
     let host = |report: &'a Rc<WorkerReport>| {
--- a/src/lapisdrum/sched/owner/offers.rs
+++ b/src/lapisdrum/sched/owner/offers.rs
@@ -1,4 +1,7 @@
 //! Offers free capacity of the shard to interrupted long-running tasks of other shards.
+//!
+//! An offer is what [`crate::policy::dispatch::spare`] finds left on the hosts after the shard's own
+//! interrupted tasks and the outstanding offers.
 
 use super::{Owner, delegate::TaskNeed, dispatch};
 use crate::{
@@ -6,9 +9,14 @@
         size::Size,
         time::{Millis, millis},
     },
-    policy::dispatch::place::Host,
-    sched::{Cx, ledger::Job},
+    policy::dispatch::spare::{SpareHost, SpareHosts, SpareNeed, StepLimit},
+    sched::{
+        Cx,
+        job::{Step, StepId},
+        ledger::Job,
+    },
 };
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// A shard offers its free capacity divided by this at a time: its own tasks may need the rest.
@@ -16,18 +24,39 @@
 /// How long an offer counts as taken. On a healthy store the tasks are journaled and adopted within
 /// this time.
 const OFFER_VALIDITY: Duration = Duration::from_millis(1_000);
+/// Age from which the spare capacity is computed again. Other shards ask for dozens of kinds of
+/// tasks in the same round.
+const SPARE_VALIDITY: Duration = Duration::from_millis(100);
 /// Time between two lines with totals.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Offers of a shard to other shards.
 #[derive(Default)]
 pub struct Offers {
-    /// How many tasks were offered capacity, and when.
-    made: Vec<(u64, Millis)>,
+    made: Vec<Offer>,
+    spare: Option<Spare>,
     totals: Totals,
     reported_at: Option<Millis>,
 }
 
+/// Capacity offered for a number of tasks.
+struct Offer {
+    need: TaskNeed,
+    tasks: u64,
+    at: Millis,
+}
+
+/// Spare capacity of the shard.
+struct Spare {
+    computed_at: Millis,
+    /// Once all but the serving tasks have ended.
+    hosts: SpareHosts,
+    /// What the shard's interrupted tasks leave of `hosts`.
+    after_interrupted: SpareHosts,
+    /// What the outstanding offers leave of `after_interrupted`.
+    after_offers: SpareHosts,
+}
+
 /// How offers were computed, over all requests since the last line with totals.
 #[derive(Default)]
 struct Totals {
@@ -49,28 +78,87 @@
     offered: u64,
 }
 
-/// Free capacity for tasks of one kind, in tasks.
-struct Capacity {
-    hosts: usize,
-    fitting: u64,
-    interrupted: u64,
-}
-
 impl Totals {
-    fn note(&mut self, capacity: &Capacity, taken: u64, offer: u64) {
-        let left = capacity.fitting.saturating_sub(capacity.interrupted);
+    fn note(&mut self, spare: &Spare, need: &SpareNeed, offer: u64) {
+        let fitting = spare.hosts.count(need);
+        let uninterrupted = spare.after_interrupted.count(need);
+        let left = spare.after_offers.count(need);
         self.asks += 1;
-        self.fitting_asks += u64::from(capacity.fitting > 0);
+        self.fitting_asks += u64::from(fitting > 0);
         self.offered_asks += u64::from(offer > 0);
-        self.hosts = self.hosts.max(capacity.hosts);
-        self.fitting += capacity.fitting;
-        self.for_interrupted += capacity.fitting - left;
-        self.for_offers += taken.min(left);
+        self.hosts = self.hosts.max(spare.hosts.eligible(need));
+        self.fitting += fitting;
+        self.for_interrupted += fitting.saturating_sub(uninterrupted);
+        self.for_offers += uninterrupted.saturating_sub(left);
         self.offered += offer;
     }
 }
 
+impl TaskNeed {
+    fn spare_need(&self) -> SpareNeed<'_> {
+        SpareNeed {
+            pool: &self.pool,
+            size: self.size,
+            required_label: self.required_label.as_deref(),
+            limit: None,
+        }
+    }
+}
+
+impl Spare {
+    fn new(hosts: SpareHosts, after_interrupted: SpareHosts, computed_at: Millis) -> Self {
+        Self {
+            computed_at,
+            hosts,
+            after_offers: after_interrupted.clone(),
+            after_interrupted,
+        }
+    }
+
+    /// Takes the outstanding offers off.
+    fn place_offers(&mut self, made: &[Offer]) {
+        self.after_offers = self.after_interrupted.clone();
+        for offer in made {
+            let need = offer.need.spare_need();
+            self.after_offers.place(&need, offer.tasks);
+        }
+    }
+}
+
 impl Offers {
+    fn is_spare_valid(&self, now: Millis) -> bool {
+        let spare = self.spare.as_ref();
+        spare.is_some_and(|spare| now.since(spare.computed_at) < SPARE_VALIDITY)
+    }
+
+    fn set_spare(&mut self, mut spare: Spare) {
+        let now = spare.computed_at;
+        self.made
+            .retain(|offer| now.since(offer.at) < OFFER_VALIDITY);
+        spare.place_offers(&self.made);
+        self.spare = Some(spare);
+    }
+
+    /// Makes an offer for up to `wanted` tasks.
+    fn make(&mut self, need: &TaskNeed, wanted: u32, now: Millis) -> u64 {
+        let Some(spare) = &mut self.spare else {
+            return 0;
+        };
+        let spare_need = need.spare_need();
+        let left = spare.after_offers.count(&spare_need);
+        let tasks = left.div_ceil(OFFER_DIVISOR).min(u64::from(wanted));
+        self.totals.note(spare, &spare_need, tasks);
+        if tasks > 0 {
+            spare.after_offers.place(&spare_need, tasks);
+            self.made.push(Offer {
+                need: need.clone(),
+                tasks,
+                at: now,
+            });
+        }
+        tasks
+    }
+
     /// Logs the totals if that is due.
     fn report(&mut self, owner: &Owner, now: Millis) {
         let since_ms = self.reported_at.map(|at| millis(now.since(at)));
@@ -97,58 +185,74 @@
 
 impl Owner {
     /// Offers capacity for up to `wanted` tasks, beyond what the shard's own interrupted tasks
-    /// need. An offer counts as taken for a second, else several shards would delegate tasks to the
-    /// same few hosts. None while the shard cannot place tasks.
+    /// can use. An offer counts as taken for a second, else several shards would delegate tasks to
+    /// the same few hosts. None while the shard cannot place tasks.
     pub fn offer_capacity(&self, cx: &Cx, need: &TaskNeed, wanted: u32) -> Option<u32> {
-        let capacity = self.capacity_for(cx, need)?;
-        let room = capacity.fitting.saturating_sub(capacity.interrupted);
+        if !self.may_place(cx) {
+            return None;
+        }
         let now = cx.clock.now();
-        let offers = &mut self.offers.borrow_mut();
-        offers
-            .made
-            .retain(|(_, at)| now.since(*at) < OFFER_VALIDITY);
-        let taken: u64 = offers.made.iter().map(|(count, _)| count).sum();
-        let offer = room.saturating_sub(taken).div_ceil(OFFER_DIVISOR);
-        let offer = offer.min(u64::from(wanted));
-        offers.made.push((offer, now));
-        offers.totals.note(&capacity, taken, offer);
+        let mut offers = self.offers.borrow_mut();
+        if !offers.is_spare_valid(now) {
+            offers.set_spare(self.spare(cx, now));
+        }
+        let tasks = offers.make(need, wanted, now);
         offers.report(self, now);
-        Some(u32::try_from(offer).unwrap_or(u32::MAX))
+        Some(u32::try_from(tasks).unwrap_or(u32::MAX))
     }
 
-    fn capacity_for(&self, cx: &Cx, need: &TaskNeed) -> Option<Capacity> {
-        if !self.may_place(cx) {
-            return None;
+    fn spare(&self, cx: &Cx, now: Millis) -> Spare {
+        let hosts = self.spare_hosts(cx, now);
+        let mut after_interrupted = hosts.clone();
+        let ledger = self.ledger.borrow();
+        for (step, tasks) in dispatch::interrupted_steps(cx, self) {
+            let job = &ledger.jobs[&step.job];
+            let need = need_of(job, &step);
+            after_interrupted.place(&need, tasks);
         }
-        let reports = self.open_workers(cx);
-        let hosts = dispatch::hosts_of(cx, self, &reports);
-        let eligible = hosts.iter().filter(|host| {
-            let label = need.required_label.as_ref();
-            host.pool == need.pool
-                && !host.is_suspect
-                && label.is_none_or(|label| host.labels.contains(label))
-        });
-        Some(Capacity {
-            hosts: eligible.clone().count(),
-            fitting: eligible.map(|host| capacity_on(host, &need.size)).sum(),
-            interrupted: self.interrupted_long_running(),
-        })
+        Spare::new(hosts, after_interrupted, now)
     }
 
-    /// How many interrupted long-running tasks wait in this shard, including those of guest jobs.
-    fn interrupted_long_running(&self) -> u64 {
-        let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
-        let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-        jobs.map(Job::interrupted_long_running).sum()
+    fn spare_hosts(&self, cx: &Cx, now: Millis) -> SpareHosts {
+        let sessions = self.sessions.borrow();
+        let mut hosts = Vec::new();
+        for report in self.open_workers(cx) {
+            let session = &sessions[&report.incarnation.worker];
+            if session.is_suspect(now) {
+                continue;
+            }
+            let (capacity, tally) = (report.capacity, &session.tally);
+            let serving = tally.serving_millicores;
+            hosts.push(SpareHost {
+                id: report.incarnation.worker.clone(),
+                pool: report.pool.clone(),
+                labels: report.labels.clone(),
+                free: Size {
+                    millicores: capacity.millicores.saturating_sub(serving),
+                    ..capacity.minus(&tally.reserved)
+                },
+            });
+        }
+        hosts.into()
     }
 }
 
-/// How many tasks of this size fit on a host once its short tasks have ended: of its processors,
-/// only those that serving tasks reserve count as taken.
-fn capacity_on(host: &Host, size: &Size) -> u64 {
-    let room = Size {
-        millicores: host.not_serving_millicores(),
-        ..host.free()
-    };
-    size.count_in(&room)
+fn need_of<'a>(job: &'a Job, step: &StepId) -> SpareNeed<'a> {
+    let spec = &job.spec.steps[usize::from(step.step)];
+    SpareNeed {
+        pool: &job.terms.pool,
+        size: spec.size,
+        required_label: spec.required_label.as_deref(),
+        limit: limit_of(job, step, spec),
+    }
+}
+
+fn limit_of<'a>(job: &'a Job, step: &StepId, spec: &Step) -> Option<StepLimit<'a>> {
+    let max = spec.max_per_worker?;
+    let mut running: IndexMap<&str, u32> = IndexMap::new();
+    let tasks = job.step(step).into_iter().flat_map(|state| &state.tasks);
+    for live in tasks.flat_map(|task| &task.live) {
+        *running.entry(&live.on.worker).or_default() += 1;
+    }
+    Some(StepLimit { max, running })
 }
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -13,6 +13,7 @@
 mod retry;
 mod routing;
 mod slowdown;
+mod spare;
 mod stories;
 
 use lapisdrum::core::id::{EntryName, JobId, OwnerName, WorkerId};
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -2,14 +2,14 @@
 
 use super::{
     paused,
-    world::{StoreBehaviour, World, home, owns, step, until},
+    world::{StoreBehaviour, World, home, owns, step, terms, until},
 };
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
     Cx,
     job::{JobId, Step, TaskId},
     layout::ShardId,
-    owner::jobs,
+    owner::{delegate::TaskNeed, jobs},
     peer::{CancelReply, JobState, ShowReply, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
@@ -36,6 +36,15 @@
     vec![step]
 }
 
+/// What one of these tasks requires.
+fn need(millicores: u64) -> TaskNeed {
+    TaskNeed {
+        pool: terms().pool,
+        size: serving(1, millicores)[0].size,
+        required_label: None,
+    }
+}
+
 /// Four workers in each shard, and daemons, of which each owns one shard at most.
 struct Cluster {
     world: Rc<World>,
@@ -101,6 +110,13 @@
         running.iter().filter(|run| run.task.job == job).count()
     }
 
+    /// Asks the owner of a shard for an offer, as another shard does.
+    fn offer(&self, shard: ShardId, need: &TaskNeed, wanted: u32) -> Option<u32> {
+        let cx = self.owner_of(shard).expect("an owner");
+        let owner = cx.handle(shard).owner.borrow().clone();
+        owner.expect("an owner").offer_capacity(cx, need, wanted)
+    }
+
     /// Crashes the workers that run a job's tasks.
     fn crash_workers_of(&self, job: JobId, shard: ShardId) {
         for worker in self.workers_of(shard) {
@@ -201,6 +217,28 @@
     });
 }
 
+/// Guards against capacity that is offered to another shard although an interrupted task of its own waits for it.
+#[test]
+fn own_interrupted_tasks_that_fit_come_before_offers() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        cluster.run_job(SHARDS[0], serving(4, 4_000)).await;
+        cluster.run_job(SHARDS[1], serving(2, 4_000)).await;
+        cluster.run_job(SHARDS[1], serving(1, 2_500)).await;
+        let mut short = vec![step(1, 60_000, &[])];
+        short[0].size.millicores = 1_500;
+        cluster.run_job(SHARDS[1], short).await;
+        let own = cluster.run_job(SHARDS[1], serving(1, 1_500)).await;
+        let smaller = need(1_000);
+        assert_eq!(cluster.offer(SHARDS[1], &smaller, 1), Some(1));
+        cluster.crash_workers_of(own, SHARDS[1]);
+        sleep(LIMIT).await;
+        assert_eq!(cluster.running_of(own), 0);
+        assert_eq!(cluster.offer(SHARDS[1], &smaller, 1), Some(0));
+        cluster.world.check();
+    });
+}
+
 /// Guards against tasks that wait because capacity was offered to another task that took a different offer.
 #[test]
 fn an_offer_that_was_not_taken_is_released() {
