An offer of capacity that is not taken is released at once

Cause: each asked shard counts its offer as taken for a second, though the shard that asks uses one offer.

Change: the shard that asks sends a request for 0 tasks of the same kind to the shards that it did not choose, while it delegates. The messages between daemons are unchanged.

Not done: that an offer replaces every earlier one for the same kind. A request does not name the shard that asks, so two shards with equal tasks would be offered the same host, and an adopted task can't be delegated on. For the same reason a release takes back the offer of the fewest tasks, of several for one kind. An offer to a shard that did not get the answer in time still ends after a second.

New: a_release_leaves_an_equal_offer_to_another_shard. sched::delegate and policy::spare: 15 passed.

--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -163,10 +163,13 @@
 async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
     let stranded = stranded(owner, cx.clock.now());
     let delegating = stranded.iter().map(async |(need, tasks)| {
-        if let Some((to, room)) = best_offer(cx, owner, need, tasks.len()).await {
-            let count = tasks.len().min(room as usize);
-            delegate(cx, owner, to, &tasks[..count]).await;
-        }
+        let offers = offers(cx, owner, need, tasks.len()).await;
+        let Some((to, room)) = best_offer(&offers) else {
+            return;
+        };
+        let count = tasks.len().min(room as usize);
+        let unused = release_unused(cx, need, &offers, to);
+        futures::join!(delegate(cx, owner, to, &tasks[..count]), unused);
     });
     futures::future::join_all(delegating).await;
     let shards = cx.layout.borrow().as_ref().map_or(0, |l| l.all().count());
@@ -237,28 +240,42 @@
     }
 }
 
-/// The shard that offers capacity for most of these tasks, and for how many.
-async fn best_offer(
-    cx: &Cx,
-    owner: &Owner,
-    need: &TaskNeed,
-    tasks: usize,
-) -> Option<(ShardId, u32)> {
-    let layout = cx.layout.borrow().clone()?;
+/// The number of these tasks for which each of the other shards offers capacity.
+async fn offers(cx: &Cx, owner: &Owner, need: &TaskNeed, tasks: usize) -> Vec<(ShardId, u32)> {
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return Vec::new();
+    };
     let wanted = u32::try_from(tasks).unwrap_or(u32::MAX);
     let others = layout.all().filter(|shard| *shard != owner.handle.shard);
     let requests = others.map(async |shard| {
-        let handle = cx.handle(shard);
-        let offer = front::free_capacity_offer(cx, &handle, need, wanted);
-        let offered = tokio::time::timeout(OFFER_TIMEOUT, offer).await;
-        let offered = offered.ok().flatten();
+        let offered = ask(cx, shard, need, wanted).await;
         owner.delegations.borrow_mut().requests.note(offered);
         // A shard that does not answer in time offers nothing in this round.
         (shard, offered.unwrap_or_default())
     });
-    let offers = futures::future::join_all(requests).await;
-    let best_offer = offers.into_iter().max_by_key(|(_, room)| *room);
-    best_offer.filter(|(_, room)| *room > 0)
+    futures::future::join_all(requests).await
+}
+
+async fn ask(cx: &Cx, shard: ShardId, need: &TaskNeed, wanted: u32) -> Option<u32> {
+    let handle = cx.handle(shard);
+    let offer = front::free_capacity_offer(cx, &handle, need, wanted);
+    let offered = tokio::time::timeout(OFFER_TIMEOUT, offer).await;
+    offered.ok().flatten()
+}
+
+/// The offer for most tasks.
+fn best_offer(offers: &[(ShardId, u32)]) -> Option<(ShardId, u32)> {
+    let best = offers.iter().copied().max_by_key(|(_, room)| *room);
+    best.filter(|(_, room)| *room > 0)
+}
+
+/// Releases the offers of all shards but `to`, so that they can be made for other tasks.
+async fn release_unused(cx: &Cx, need: &TaskNeed, offers: &[(ShardId, u32)], to: ShardId) {
+    let unused = offers
+        .iter()
+        .filter(|(shard, room)| *shard != to && *room > 0);
+    let releases = unused.map(|(shard, _)| ask(cx, *shard, need, 0));
+    futures::future::join_all(releases).await;
 }
 
 async fn delegate(cx: &Cx, owner: &Rc<Owner>, to: ShardId, tasks: &[TaskId]) {
--- a/src/lapisdrum/sched/owner/offers.rs
+++ b/src/lapisdrum/sched/owner/offers.rs
@@ -159,6 +159,20 @@
         tasks
     }
 
+    /// Releases an offer for such tasks that was not taken: of several, that of the fewest tasks.
+    /// Requests do not name the shard that asks, and what another shard may still use stays taken.
+    fn release(&mut self, need: &TaskNeed) {
+        let made = self.made.iter().enumerate();
+        let of_need = made.filter(|(_, offer)| offer.need == *need);
+        let Some((at, _)) = of_need.min_by_key(|(_, offer)| offer.tasks) else {
+            return;
+        };
+        self.made.remove(at);
+        if let Some(spare) = &mut self.spare {
+            spare.place_offers(&self.made);
+        }
+    }
+
     /// Logs the totals if that is due.
     fn report(&mut self, owner: &Owner, now: Millis) {
         let since_ms = self.reported_at.map(|at| millis(now.since(at)));
@@ -186,13 +200,18 @@
 impl Owner {
     /// Offers capacity for up to `wanted` tasks, beyond what the shard's own interrupted tasks
     /// can use. An offer counts as taken for a second, else several shards would delegate tasks to
-    /// the same few hosts. None while the shard cannot place tasks.
+    /// the same few hosts; a request for 0 tasks releases it before. None while the shard cannot
+    /// place tasks.
     pub fn offer_capacity(&self, cx: &Cx, need: &TaskNeed, wanted: u32) -> Option<u32> {
         if !self.may_place(cx) {
             return None;
         }
         let now = cx.clock.now();
         let mut offers = self.offers.borrow_mut();
+        if wanted == 0 {
+            offers.release(need);
+            return Some(0);
+        }
         if !offers.is_spare_valid(now) {
             offers.set_spare(self.spare(cx, now));
         }
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -267,6 +267,22 @@
     });
 }
 
+/// Guards against capacity that is offered again while a shard may still use an equal offer.
+#[test]
+fn a_release_leaves_an_equal_offer_to_another_shard() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        cluster.run_job(SHARDS[0], serving(4, 4_000)).await;
+        cluster.run_job(SHARDS[1], serving(2, 4_000)).await;
+        cluster.run_job(SHARDS[1], serving(2, 2_500)).await;
+        let need = need(1_500);
+        let offers = |wanted: [u32; 5]| wanted.map(|n| cluster.offer(SHARDS[1], &need, n));
+        let offered = offers([1, 1, 1, 0, 1]);
+        assert_eq!(offered, [Some(1), Some(1), Some(0), Some(0), Some(1)]);
+        assert_eq!(offers([1; 5]), [Some(0); 5]);
+    });
+}
+
 /// Guards against a delegated job that is shown or cancelled as one of the shard that adopted its tasks.
 #[test]
 fn the_other_shard_does_not_answer_for_the_job() {
