--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -15,12 +15,15 @@
     lease::LEASE,
     ledger::Ledger,
     peer::{CancelReply, JobState, SubmitReply},
-    reachability,
+    process, reachability,
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const LIMIT: Duration = Duration::from_secs(5);
+/// Upper bound of the time from the last lease that can have been sent until its task runs elsewhere: the longest lease,
+/// its transit, clock drift and a maintenance round.
+const LEASE_ENDED: Duration = Duration::from_millis(7_500);
 
 /// The owner of a shard with one long task, and another daemon.
 async fn pair_with_a_long_task(world: &Rc<World>) -> [Cx; 2] {
@@ -186,3 +189,91 @@
         assert_eq!(ledger.jobs.len(), remaining.len());
     });
 }
+
+/// The owner releases the shard in a planned restart.
+async fn release(cx: &Cx) {
+    cx.draining.send_replace(true);
+    process::release_shards(cx).await;
+}
+
+/// Cuts the worker of the only task off, and adds another one.
+fn lose_the_worker(world: &World) {
+    let worker = world.starts.borrow()[0].2.clone();
+    world.cut(&worker, true);
+    world.add_worker("spare");
+}
+
+/// Time from now until the task runs elsewhere.
+async fn restarted(world: &World) -> Duration {
+    let started_at = Instant::now();
+    until("the task is started again", LIMIT * 6, async || {
+        world.starts.borrow().len() == 2
+    })
+    .await;
+    started_at.elapsed()
+}
+
+/// Guards against a hold waited out for an owner that released the shard, and so renews no lease.
+#[test]
+fn a_task_lost_in_a_release_runs_again_when_its_lease_has_ended() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        release(&first).await;
+        owned(&second, LIMIT).await;
+        let took = restarted(&world).await;
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against a hold waited out for the owners before the last one in a rolling restart.
+#[test]
+fn a_second_release_does_not_extend_the_bound_on_the_first_owner() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        release(&first).await;
+        owned(&second, LIMIT).await;
+        sleep(Duration::from_secs(3)).await;
+        let third = world.daemon("c");
+        release(&second).await;
+        owned(&third, LIMIT).await;
+        let took = restarted(&world).await;
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against a hold of an owner that ended earlier and is counted from its successor's successor.
+#[test]
+fn kills_in_series_do_not_extend_the_bound_on_the_first_owner() {
+    paused(async {
+        let world = World::new(1);
+        let [_first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        let note_ended = |cx: &Cx| {
+            let owner = cx.owners().remove(0);
+            owner.note_previous_owner_ended(cx, cx.clock.now());
+        };
+        note_ended(&second);
+        sleep(Duration::from_secs(2)).await;
+        world.set_store("b", StoreBehaviour::Unavailable);
+        let third = world.daemon("c");
+        owned(&third, LIMIT).await;
+        note_ended(&third);
+        let took = restarted(&world).await;
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
