Bound earlier owners' leases by what each owner wrote, and stop leases before a release

Cause: a released shard was treated like one that lapsed, since a releasing owner went on sending leases; and owners before the last one were bounded by the time at which a process first read its take-over, so each take-over by a fresh process started their hold again.

Change: an owner sends no lease and places nothing from before it writes the release row. Each lease row says for how long after its writing owners before the holder may still send leases; the next owner counts that from when it first read the row, with clock drift. A row without the field (earlier build) is treated as before. It is safe since a row is read no earlier than it is written, a late renewal included, and since a release that fails is never followed by leases of the same owner.

The LeaseRow literal in ownership.rs got the new field, its checks are as before.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -15,8 +15,9 @@
     journal::{Piggyback, PiggybackOutcome, PiggybackReply},
     layout::ShardId,
     owner::Owner,
+    resolution::{EarlierOwners, LeaseLimits},
 };
-use crate::core::time::Millis;
+use crate::core::time::{Millis, millis};
 use rand::Rng;
 use std::{rc::Rc, time::Duration};
 
@@ -103,6 +104,11 @@
         /// Uptime of the holder when it wrote the row, in milliseconds.
         #[serde(default)]
         pub up_ms: u64,
+        /// Time after the writing of the row during which owners before the holder may send leases
+        /// to workers, in milliseconds. A holder that writes it sends none itself after a release;
+        /// one that does not write it may.
+        #[serde(default)]
+        pub earlier_may_send_ms: Option<u64>,
     }
 }
 
@@ -206,6 +212,20 @@
         is_suspected.then_some(&row.holder)
     }
 
+    /// Until when earlier owners may send leases to workers, for a daemon that takes the shard over.
+    pub fn earlier_owners(&self, limits: &LeaseLimits) -> EarlierOwners {
+        let mut earlier = EarlierOwners::held(self.fence_since, self.since, limits);
+        let row = self.row.as_ref();
+        let Some((row, left_ms)) = row.and_then(|row| Some((row, row.earlier_may_send_ms?))) else {
+            return earlier;
+        };
+        earlier.note_before(self.since, Duration::from_millis(left_ms), limits);
+        if row.is_released {
+            earlier.note_previous_stopped(self.since);
+        }
+        earlier
+    }
+
     /// Delay before a daemon with uptime `up` takes over a released shard; see
     /// [`ROLLING_RESTART_DELAY`].
     fn rolling_restart_delay(&self, up: Duration) -> Duration {
@@ -365,11 +385,14 @@
         return Ok(());
     }
     let seen = handle.lease.borrow().clone();
+    let now = cx.clock.now();
+    let may_send_until = seen.earlier_owners(&cx.cfg.leases).until();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released: false,
         renewals: 0,
-        up_ms: cx.clock.now().0,
+        up_ms: now.0,
+        earlier_may_send_ms: Some(millis(may_send_until.since(now))),
     };
     let txn = Txn {
         expect: vec![
@@ -395,8 +418,9 @@
     if !is_ours {
         return Ok(());
     }
-    let owner = Owner::take(handle, &seen, &view, key(handle, FENCE_KEY), sent_at);
-    owner.log_earlier_owners(cx, &seen);
+    let fence = key(handle, FENCE_KEY);
+    let owner = Owner::take(handle, &cx.cfg.leases, &seen, &view, fence, sent_at);
+    owner.log_earlier_owners(&seen);
     *handle.owner.borrow_mut() = Some(Rc::clone(&owner));
     super::owner::start(cx, owner);
     Ok(())
@@ -422,6 +446,7 @@
 /// attempt is repeated.
 pub async fn release(cx: &Cx, owner: &Rc<Owner>) {
     let _renewing = owner.renewing.lock().await;
+    owner.stop_sending_leases();
     for _ in 0..RELEASE_ATTEMPTS {
         if !owner.is_serving() || renew_once(cx, owner, u64::MAX, true).await {
             return;
@@ -431,11 +456,14 @@
 
 /// Writes the lease row; returns whether the write is known to be committed.
 async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
+    let now = cx.clock.now();
+    let may_send_until = owner.earlier_owners.get().until();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released,
         renewals,
-        up_ms: cx.clock.now().0,
+        up_ms: now.0,
+        earlier_may_send_ms: Some(millis(may_send_until.since(now))),
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -74,9 +74,10 @@
 }
 
 impl Owner {
-    /// Whether tasks may be placed: the shard is recovered and its journal keeps up with appends.
+    /// Whether tasks may be placed: the shard is recovered, it is not being released, and its
+    /// journal keeps up with appends.
     pub fn may_place(&self, cx: &Cx) -> bool {
-        self.is_recovered() && self.journal.accepts_work(cx.clock.now())
+        self.is_recovered() && !self.is_releasing() && self.journal.accepts_work(cx.clock.now())
     }
 
     /// The workers to which new tasks may be sent.
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -30,7 +30,7 @@
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LeaseView},
     ledger::{Ledger, Phase},
-    resolution::{LateExecution, LeaseBound},
+    resolution::{EarlierOwners, LateExecution, LeaseBound, LeaseLimits},
 };
 use crate::{
     core::time::{Millis, millis},
@@ -76,13 +76,10 @@
     pub taken_at: Millis,
     /// The previous owner; none for the first one.
     pub previous_owner: Option<Holder>,
-    /// Latest time at which the previous owner can have renewed its lease.
-    pub previous_owner_renewed_at: Millis,
-    /// Latest time at which the previous owner can have taken the shard.
-    pub previous_owner_took_at: Millis,
-    /// No earlier owner sent a lease after this time; set once the previous owner is known to have
-    /// ended.
-    pub previous_owner_ended_at: Cell<Option<Millis>>,
+    /// Until when earlier owners may send leases.
+    pub earlier_owners: Cell<EarlierOwners>,
+    /// Whether the lease is being released, so that no more leases are sent to workers.
+    is_releasing: Cell<bool>,
     /// When a worker last left an order unanswered and answered a later call.
     late_execution_at: Cell<Option<Millis>>,
     /// Version of the lease row that this owner last wrote.
@@ -136,6 +133,7 @@
     /// Creates the owner after a successful take-over; its state is not recovered yet.
     pub fn take(
         handle: &Rc<ShardHandle>,
+        limits: &LeaseLimits,
         seen: &LeaseView,
         now: &LeaseView,
         fence: RowKey,
@@ -148,9 +146,8 @@
             fence,
             taken_at: sent_at,
             previous_owner: seen.row.as_ref().map(|row| row.holder.clone()),
-            previous_owner_renewed_at: seen.since,
-            previous_owner_took_at: seen.fence_since,
-            previous_owner_ended_at: Cell::new(None),
+            earlier_owners: Cell::new(seen.earlier_owners(limits)),
+            is_releasing: Cell::new(false),
             late_execution_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
@@ -206,20 +203,28 @@
     }
 
     /// Whether workers' leases may still be renewed: only within the hold time that the next owner
-    /// waits out.
+    /// waits out, and not once the lease is being released.
     pub fn may_renew(&self, cx: &Cx) -> bool {
         let since_renewal = cx.clock.now().since(self.renewed_at.get());
-        self.is_serving() && since_renewal < cx.cfg.leases.owner_hold
+        let is_held = self.is_serving() && since_renewal < cx.cfg.leases.owner_hold;
+        is_held && !self.is_releasing()
+    }
+
+    /// Whether the lease is being released.
+    pub fn is_releasing(&self) -> bool {
+        self.is_releasing.get()
+    }
+
+    /// Stops sending leases to workers for good. A release row proves to the next owner that none
+    /// is sent after it, also if its write takes effect late.
+    pub fn stop_sending_leases(&self) {
+        self.is_releasing.set(true);
     }
 
     /// Until when runs of earlier owners may be alive on a worker that has not answered this owner
     /// yet.
-    fn inherited_bound(&self, cx: &Cx) -> LeaseBound {
-        let mut bound = LeaseBound::inherited(self.previous_owner_renewed_at, &cx.cfg.leases);
-        if let Some(at) = self.previous_owner_ended_at.get() {
-            bound.previous_owner_ended(at);
-        }
-        bound
+    fn inherited_bound(&self) -> LeaseBound {
+        LeaseBound::inherited_until(self.earlier_owners.get().until())
     }
 
     /// Whether workers have recently carried out unanswered orders late.
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -29,7 +29,7 @@
     else {
         return;
     };
-    let until = owner.previous_owner_renewed_at + cx.cfg.leases.owner_hold;
+    let until = owner.earlier_owners.get().previous_until();
     while owner.is_serving() && cx.clock.now() < until {
         match cx.peers.who(&before.address, PROBE_TIMEOUT).await {
             Ok(now) if now.run.incarnation != before.incarnation => {
@@ -45,7 +45,7 @@
 impl Owner {
     /// Logs until when earlier owners may send leases, as inferred from the rows that were `seen`
     /// before the take-over.
-    pub fn log_earlier_owners(&self, cx: &Cx, seen: &LeaseView) {
+    pub fn log_earlier_owners(&self, seen: &LeaseView) {
         let Some(before) = &seen.row else {
             return;
         };
@@ -54,22 +54,24 @@
         let is_released = before.is_released;
         let unchanged_ms = millis(self.taken_at.since(seen.since));
         let owned_ms = millis(self.taken_at.since(seen.fence_since));
-        let until = self.previous_owner_renewed_at + cx.cfg.leases.owner_hold;
+        let until = self.earlier_owners.get().until();
         let may_send_ms = millis(until.since(self.taken_at));
-        log::info!(shard:%, token = self.token(), daemon:%, is_released, unchanged_ms, owned_ms, may_send_ms; "earlier owners may send leases");
+        let before_ms = before.earlier_may_send_ms;
+        log::info!(shard:%, token = self.token(), daemon:%, is_released, unchanged_ms, owned_ms, before_ms:?, may_send_ms; "earlier owners may send leases");
     }
 
-    /// Notes that the previous owner had ended by `at`. The owner before that one may still renew
-    /// leases within its own hold, which started before its successor took the shard.
-    pub fn note_previous_owner_ended(&self, cx: &Cx, at: Millis) {
-        let ended_at = at;
-        let at = at.max(self.previous_owner_took_at + cx.cfg.leases.owner_hold);
+    /// Notes that the previous owner had ended by `at`. The owners before that one may still renew
+    /// leases.
+    pub fn note_previous_owner_ended(&self, _: &Cx, at: Millis) {
+        let mut earlier = self.earlier_owners.get();
+        earlier.note_previous_stopped(at);
+        self.earlier_owners.set(earlier);
+        let until = earlier.until();
         let before = self.previous_owner.as_ref().map(|before| &before.daemon);
-        let earlier_for_ms = millis(at.since(ended_at));
-        log::info!(shard:% = self.handle.partition, daemon:? = before, nothing_sent_after = at.0, earlier_for_ms; "owner before is gone");
-        self.previous_owner_ended_at.set(Some(at));
+        let earlier_for_ms = millis(until.since(at));
+        log::info!(shard:% = self.handle.partition, daemon:? = before, nothing_sent_after = until.0, earlier_for_ms; "owner before is gone");
         for session in self.sessions.borrow_mut().values_mut() {
-            session.bound.previous_owner_ended(at);
+            session.bound.previous_owner_ended(until);
         }
     }
 }
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -123,7 +123,7 @@
         let mut sessions = self.sessions.borrow_mut();
         let session = sessions
             .entry(on.worker.clone())
-            .or_insert_with(|| Session::new(self.inherited_bound(cx)));
+            .or_insert_with(|| Session::new(self.inherited_bound()));
         session.tally.add(&record.size, record.load);
         session.runs.insert(run);
         headroom::note_placed(self, &record);
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -185,7 +185,12 @@
 
     /// Longest lease on the owner's clock.
     fn longest_on_own_clock(&self) -> Duration {
-        self.longest + self.longest / self.drift_parts
+        self.measured_elsewhere(self.longest)
+    }
+
+    /// Upper bound, on the own clock, of a time that another daemon measured.
+    fn measured_elsewhere(&self, time: Duration) -> Duration {
+        time + time / self.drift_parts
     }
 
     /// Longest time after sending at which an unanswered order may take effect.
@@ -222,6 +227,48 @@
     Inherited,
 }
 
+/// Until when earlier owners of a shard may send leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct EarlierOwners {
+    /// Until when the previous owner may.
+    previous_until: Millis,
+    /// Until when the owners before the previous one may.
+    before_until: Millis,
+}
+
+impl EarlierOwners {
+    /// Bounds for a previous owner that took the shard at `took_at` or earlier and last renewed its
+    /// lease in the store at `renewed_at` or earlier. Each owner sends leases for
+    /// [`LeaseLimits::owner_hold`] after its last renewal.
+    pub fn held(took_at: Millis, renewed_at: Millis, limits: &LeaseLimits) -> Self {
+        Self {
+            previous_until: renewed_at + limits.owner_hold,
+            before_until: took_at + limits.owner_hold,
+        }
+    }
+
+    /// Records that the previous owner wrote at `at` or earlier that owners before it send no lease
+    /// after `left`.
+    pub fn note_before(&mut self, at: Millis, left: Duration, limits: &LeaseLimits) {
+        self.before_until = at + limits.measured_elsewhere(left);
+    }
+
+    /// Records that the previous owner sends no lease after `at`.
+    pub fn note_previous_stopped(&mut self, at: Millis) {
+        self.previous_until = self.previous_until.min(at);
+    }
+
+    /// Until when the previous owner may send leases.
+    pub fn previous_until(&self) -> Millis {
+        self.previous_until
+    }
+
+    /// Until when any earlier owner may send leases.
+    pub fn until(&self) -> Millis {
+        self.previous_until.max(self.before_until)
+    }
+}
+
 /// Bound on the time until which runs may be alive on a worker under the leases that were sent to
 /// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -241,8 +288,14 @@
     /// lease in the store at `renewed_at` or earlier, and may have renewed the workers' leases for
     /// [`LeaseLimits::owner_hold`] after that.
     pub fn inherited(renewed_at: Millis, limits: &LeaseLimits) -> Self {
+        Self::inherited_until(renewed_at + limits.owner_hold)
+    }
+
+    /// Bound for a worker without contact to this owner so far; no earlier owner sends a lease
+    /// after `until`.
+    pub fn inherited_until(until: Millis) -> Self {
         Self {
-            inherited_until: Some(renewed_at + limits.owner_hold),
+            inherited_until: Some(until),
             answered_at: None,
             unanswered_at: None,
             in_flight: 0,
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -195,6 +195,7 @@
         is_released: false,
         renewals: 7,
         up_ms: 0,
+        earlier_may_send_ms: None,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
