--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -9,7 +9,7 @@
     Cx,
     job::{JobId, Step, TaskId},
     layout::ShardId,
-    owner::jobs,
+    owner::{delegate::TaskNeed, jobs},
     peer::{CancelReply, JobState, ShowReply, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
@@ -99,6 +99,34 @@
     }
 }
 
+/// Guards against tasks that are delegated to a shard whose capacity is held by long-running tasks, and wait there for
+/// ever.
+#[test]
+fn a_shard_full_of_long_running_tasks_offers_no_capacity() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let cx = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        let id = cluster.ids(SHARDS[1]).next().expect("an id");
+        let steps = long_running(8);
+        let need = TaskNeed {
+            pool: "pool".to_owned(),
+            size: steps[0].size,
+            required_label: None,
+        };
+        let offer = || {
+            let owner = cx.handle(SHARDS[1]).owner.borrow().clone();
+            owner.expect("an owner").offer_capacity(&cx, &need, 8)
+        };
+        let submitted = cluster.world.submit(&cx, id, steps.clone()).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("all run", LIMIT, async || {
+            cluster.running_in(SHARDS[1]) == 8
+        })
+        .await;
+        assert_eq!(offer(), Some(0));
+    });
+}
+
 /// Guards against long-running tasks that wait for ever while another shard has free hosts.
 #[test]
 fn a_task_without_capacity_is_delegated_to_another_shard() {
