Offers count no capacity that long-running tasks hold

Callers would see a long-running task wait for ever: an offer took the processors of long-running tasks without a latency target for free, the task was delegated there, and a guest isn't delegated again. An offer now leaves out what long-running tasks reserve, with or without a target, as keep_for does; Host::not_serving_millicores has no caller left and goes.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -184,12 +184,6 @@
         self.capacity.millicores.saturating_sub(used)
     }
 
-    /// Processors that its serving tasks don't reserve, in thousandths of a core.
-    pub fn not_serving_millicores(&self) -> u64 {
-        let serving = self.serving_millicores();
-        self.capacity.millicores.saturating_sub(serving)
-    }
-
     /// Processors that its serving tasks reserve, in thousandths of a core.
     pub fn serving_millicores(&self) -> u64 {
         self.serving.iter().map(|s| s.millicores).sum()
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -345,10 +345,10 @@
 }
 
 /// How many tasks of this size fit on a host once its short tasks have ended: of its processors,
-/// only those that serving tasks reserve count as taken.
+/// only those that long-running tasks reserve count as taken.
 fn capacity_on(host: &Host, size: &Size) -> u64 {
     let room = Size {
-        millicores: host.not_serving_millicores(),
+        millicores: host.not_long_running().millicores,
         ..host.free()
     };
     size.count_in(&room)
