--- a/src/lapisdrum/policy/dispatch/spare.rs
+++ b/src/lapisdrum/policy/dispatch/spare.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use std::rc::Rc;
 
-/// A worker that may take tasks, with its capacity once all but its serving tasks have ended.
+/// A worker that may take tasks, with its capacity once all but its long-running tasks have ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SpareHost {
     /// The id of its worker.
--- a/src/lapisdrum/sched/owner/offers.rs
+++ b/src/lapisdrum/sched/owner/offers.rs
@@ -49,7 +49,7 @@
 /// Spare capacity of the shard.
 struct Spare {
     computed_at: Millis,
-    /// Once all but the serving tasks have ended.
+    /// Once all but the long-running tasks have ended.
     hosts: SpareHosts,
     /// What the shard's interrupted tasks leave of `hosts`.
     after_interrupted: SpareHosts,
@@ -241,13 +241,13 @@
                 continue;
             }
             let (capacity, tally) = (report.capacity, &session.tally);
-            let serving = tally.serving_millicores;
+            let held = tally.long_running.millicores;
             hosts.push(SpareHost {
                 id: report.incarnation.worker.clone(),
                 pool: report.pool.clone(),
                 labels: report.labels.clone(),
                 free: Size {
-                    millicores: capacity.millicores.saturating_sub(serving),
+                    millicores: capacity.millicores.saturating_sub(held),
                     ..capacity.minus(&tally.reserved)
                 },
             });
