Check the bounds on earlier owners for owners in series, and that a releasing owner sends no lease

A proptest over the real LeaseView and EarlierOwners: owners that release, are killed or cut, among them one of the earlier build, with slow writes and late first reads; no lease is sent after the inferred time. One test in the paused world for the release itself.

--- /dev/null
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -0,0 +1,111 @@
+//! Owners of a shard in series, over the project's own bounds on earlier owners: whatever ends them, none sends a lease
+//! after the time that the next one infers from the rows.
+
+use crate::sched::world::limits;
+use lapisdrum::{
+    core::time::{Millis, millis},
+    sched::{
+        edge::Row,
+        lease::{Holder, LeaseRow, LeaseView},
+    },
+};
+use proptest::{collection::vec, prelude::*};
+use std::time::Duration;
+
+/// How long a releasing owner of the build before goes on sending leases.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How an owner ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Released,
+    /// By a build that writes nothing about earlier owners and sends leases until the answer.
+    ReleasedByOldBuild,
+    /// Killed, and the next owner knows it.
+    Killed,
+    /// Cut off from the store, and unknown to the next owner.
+    Cut,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    end: End,
+    stays_ms: u64,
+    /// Time from the composition of a row until it takes effect.
+    write_ms: u64,
+    /// Time from the last row until the next owner first reads the rows.
+    read_ms: u64,
+}
+
+fn tenure() -> impl Strategy<Value = Tenure> {
+    let end = prop_oneof![
+        Just(End::Released),
+        Just(End::ReleasedByOldBuild),
+        Just(End::Killed),
+        Just(End::Cut),
+    ];
+    (end, 0..9_000_u64, 0..1_500_u64, 0..4_000_u64).prop_map(
+        |(end, stays_ms, write_ms, read_ms)| Tenure {
+            end,
+            stays_ms,
+            write_ms,
+            read_ms,
+        },
+    )
+}
+
+fn rows(version: u64, row: &LeaseRow) -> [Row; 2] {
+    let value = |key: &str, value: Vec<u8>| Row {
+        table: "owners".to_owned(),
+        key: key.to_owned(),
+        value: value.into(),
+        version,
+    };
+    let lease = serde_json::to_vec(row).expect("a serialisable row");
+    [value("lease", lease), value("fence", Vec::new())]
+}
+
+proptest! {
+    /// Guards against a run that is given up while an owner before the last one still renews its lease.
+    #[test]
+    fn no_owner_sends_a_lease_after_the_inferred_time(tenures in vec(tenure(), 2..6)) {
+        let limits = limits();
+        let mut now = Millis(1_000);
+        let mut last_sent = Millis(0);
+        let mut view = LeaseView::default();
+        let mut ended_at = None;
+        for (version, tenure) in (1..).zip(tenures) {
+            let mut earlier = view.earlier_owners(&limits);
+            if let Some(at) = ended_at {
+                earlier.note_previous_stopped(at);
+            }
+            prop_assert!(earlier.until() >= last_sent, "{:?} < {last_sent:?}", earlier.until());
+            let composed_at = now + Duration::from_millis(tenure.stays_ms);
+            let written_at = composed_at + Duration::from_millis(tenure.write_ms);
+            let is_old = matches!(tenure.end, End::ReleasedByOldBuild);
+            let left_ms = millis(earlier.until().since(composed_at));
+            let row = LeaseRow {
+                holder: Holder {
+                    daemon: "a".to_owned(),
+                    address: "a.example:1".to_owned(),
+                    incarnation: version,
+                },
+                is_released: matches!(tenure.end, End::Released | End::ReleasedByOldBuild),
+                renewals: 1,
+                up_ms: 0,
+                earlier_may_send_ms: (!is_old).then_some(left_ms),
+            };
+            let (sent, read_after) = match tenure.end {
+                End::Released => (composed_at, written_at),
+                End::ReleasedByOldBuild => (composed_at + RELEASE_TIMEOUT, written_at),
+                End::Killed => (written_at, written_at),
+                End::Cut => (composed_at + limits.owner_hold, written_at),
+            };
+            last_sent = last_sent.max(sent);
+            now = read_after + Duration::from_millis(tenure.read_ms);
+            ended_at = matches!(tenure.end, End::Killed).then_some(now);
+            view = LeaseView::default();
+            view.note(&rows(version, &row), now).expect("a valid row");
+        }
+    }
+}
--- a/tests/testsuite/model/mod.rs
+++ b/tests/testsuite/model/mod.rs
@@ -1,6 +1,7 @@
 //! Specifications of the core protocols, explored exhaustively over the project's own functions.
 
 mod catalogue;
+mod earlier_owners;
 mod explore;
 mod handover;
 mod ownership;
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -277,3 +277,20 @@
         world.check();
     });
 }
+
+/// Guards against a lease that is sent after the release row, which the next owner takes for the end of all leases.
+#[test]
+fn a_releasing_owner_sends_no_lease_and_places_nothing() {
+    paused(async {
+        let world = World::new(1);
+        let [first, _second] = pair_with_a_long_task(&world).await;
+        let owner = first.owners().remove(0);
+        assert!(owner.may_renew(&first) && owner.may_place(&first));
+        world.set_store("a", StoreBehaviour::Unavailable);
+        let releasing = Rc::clone(&first);
+        actix_rt::spawn(async move { release(&releasing).await });
+        sleep(Duration::from_millis(100)).await;
+        assert!(owner.is_serving(), "the release has no answer yet");
+        assert!(!owner.may_renew(&first) && !owner.may_place(&first));
+    });
+}
