Delegated tasks that wait in the other shard are returned to the job's shard

An accepted long-running task that was delegated stays with the other shard for ever. When its worker there is lost too and that shard is full, or when the offered capacity is gone before the task ran, it waits although its own shard has room.

Cause: `Task::elsewhere` of the job's shard was never cleared, and a guest may not be delegated.

Ruled out: delegating on from the guest. The job's shard could not be a target, and the job's end would have to follow a chain.

Change: `sched::owner::returns`. A guest task without a live run for 1.5 s is returned: journaled there first (`Returned`), then called until the job's shard confirms (`TakenBack`); from there it is placed or delegated as usual. The return uses up a run number. `adopt` takes a task only with a number not below its own, `take_back` only with a greater one and from the shard that has the task, so late and repeated calls of an earlier stay change nothing. `Job::returned_by` keeps the shards that still have to learn the end. A confirmed delegation is kept with its number: kept by task alone, the second delegation to the same shard was never sent (seen, below).

Wire and stored data: `TakeBack`/`TakenBack` are appended to the requests and replies. The lease row says `accepts_returns`; no task is returned while the row of the job's shard lacks it, since an earlier owner drops the connection on an unknown call. Existing kinds were weighed: an invalid event ends a replay too, and one without effect would have the old guest run the task a second time. docs/DESIGN.md says what remains.

New: second delegation to the same shard, cancel after and during a return, a successor of the job's owner, three of the ledger, a lease row without the key. `LeaseRow` in `sched::ownership` has the new field.

Not seen by any test: the call repeated until confirmed (taken out before `a_return_reaches_the_successor_of_an_owner` was made stricter; not tried again), the check in `returns::take_back` (the ledger repeats it) and the wake of the dispatcher.

--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -138,5 +138,24 @@
             /// The dropped job.
             job: JobId,
         },
+        /// This shard, which adopted a task, returns it to the job's shard.
+        Returned {
+            /// The returned task.
+            task: TaskId,
+            /// The shard that owns the job.
+            to: ShardId,
+            /// Number that the return uses up: greater than that of every run here.
+            last_run: RunNumber,
+        },
+        /// This shard, which owns the job, took a task back from the shard to which it was
+        /// delegated.
+        TakenBack {
+            /// The returned task.
+            task: TaskId,
+            /// The shard that returned it.
+            from: ShardId,
+            /// Number of the return; runs and delegations from now on have greater ones.
+            last_run: RunNumber,
+        },
     }
 }
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -12,9 +12,11 @@
     owner::{
         delegate::{GuestTasks, TaskNeed},
         estimates::{LearnedUpdate, ReceivedVersions},
+        returns::ReturnedTasks,
     },
     peer::{
         self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply,
+        TakeBackReply,
     },
 };
 use crate::core::time::{Millis, millis};
@@ -231,6 +233,15 @@
     )
 }
 
+/// Returns tasks to the shard that delegated them; true once that shard has confirmed this.
+pub async fn take_back(cx: &Cx, handle: &Rc<ShardHandle>, tasks: ReturnedTasks) -> bool {
+    let reply = call_owner(cx, handle, OwnerRequest::TakeBack(tasks)).await;
+    matches!(
+        reply,
+        OwnerCall::Answered(OwnerReply::TakenBack(TakeBackReply::Confirmed))
+    )
+}
+
 /// The owner by the last read of the lease, and the age of that read in milliseconds; for logs.
 fn last_known_owner(cx: &Cx, handle: &ShardHandle) -> (String, u64) {
     let (lease, now) = (handle.lease.borrow(), cx.clock.now());
@@ -323,7 +334,8 @@
         | OwnerReply::Load(None)
         | OwnerReply::Learned(None)
         | OwnerReply::Room(None)
-        | OwnerReply::Adopted(AdoptReply::NotOwner) => OwnerCall::NotReached,
+        | OwnerReply::Adopted(AdoptReply::NotOwner)
+        | OwnerReply::TakenBack(TakeBackReply::NotOwner) => OwnerCall::NotReached,
         answer => OwnerCall::Answered(answer),
     }
 }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -103,6 +103,10 @@
         /// Uptime of the holder when it wrote the row, in milliseconds.
         #[serde(default)]
         pub up_ms: u64,
+        /// Whether the holder takes back tasks that it delegated; an earlier version does not know
+        /// the call.
+        #[serde(default)]
+        pub accepts_returns: bool,
     }
 }
 
@@ -370,6 +374,7 @@
         is_released: false,
         renewals: 0,
         up_ms: cx.clock.now().0,
+        accepts_returns: true,
     };
     let txn = Txn {
         expect: vec![
@@ -435,6 +440,7 @@
         is_released,
         renewals,
         up_ms: cx.clock.now().0,
+        accepts_returns: true,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -10,7 +10,7 @@
     job::{Gang, JobId, JobSpec, QueueConfig, RunNumber, Step, StepId, TaskId},
     layout::ShardId,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{collections::BTreeMap, fmt, rc::Rc};
 
 data! {
@@ -93,6 +93,12 @@
         /// Whether the job belongs to another shard, which delegated some of its tasks to this one.
         #[serde(default)]
         pub is_guest: bool,
+        /// The shard that owns the job, for a guest; `None` for one recorded by an earlier version.
+        #[serde(default)]
+        pub home: Option<ShardId>,
+        /// Shards that adopted and returned tasks: each one still has to learn the job's end.
+        #[serde(default)]
+        pub returned_by: IndexSet<ShardId>,
     }
 }
 
@@ -204,9 +210,15 @@
                 at_unix_ms,
             } => {
                 let new = || Job::guest(spec, terms, *from, *at_unix_ms);
-                self.adopt(*job, new, tasks)
+                self.adopt(*job, new, *from, tasks)
             }
             Event::Forgotten { job } => self.forget(*job),
+            Event::Returned { task, to, last_run } => self.give_back(task, *to, *last_run),
+            Event::TakenBack {
+                task,
+                from,
+                last_run,
+            } => self.take_back(task, *from, *last_run),
         }
     }
 
@@ -224,8 +236,8 @@
         Ok(())
     }
 
-    /// Delegates a long-running task without a live run. This is not reversible: the other shard
-    /// may adopt the task at any later time.
+    /// Delegates a long-running task without a live run. Only the other shard can return it, since
+    /// it may adopt the task at any later time.
     fn delegate(&mut self, id: &TaskId, to: ShardId) -> Result<(), InvalidEvent> {
         let job = self.job_mut(id.job)?;
         let step = job.spec.steps.get(usize::from(id.step));
@@ -242,26 +254,72 @@
     }
 
     /// Takes tasks of another shard's job. A repeat changes nothing, nor does one that comes after
-    /// the job was cancelled.
+    /// the job was cancelled or the task was returned: a return uses up a greater number.
     fn adopt(
         &mut self,
         id: JobId,
         new: impl FnOnce() -> Job,
+        from: ShardId,
         tasks: &[(TaskId, RunNumber)],
     ) -> Result<(), InvalidEvent> {
         let job = self.jobs.entry(id).or_insert_with(new);
         if !job.is_guest {
             return Err(InvalidEvent::Job(id));
         }
+        job.home = Some(from);
         for (task, last_run) in tasks {
             let task = job.task_mut(task).ok_or(InvalidEvent::Task(*task))?;
-            if task.elsewhere.take().is_some() {
+            if task.elsewhere.is_some() && *last_run >= task.last_run {
+                task.elsewhere = None;
                 task.last_run = *last_run;
             }
         }
         Ok(())
     }
 
+    /// Returns an adopted task without a live run to the shard that owns the job.
+    fn give_back(
+        &mut self,
+        id: &TaskId,
+        to: ShardId,
+        last_run: RunNumber,
+    ) -> Result<(), InvalidEvent> {
+        let job = self.job_mut(id.job)?;
+        if !job.is_guest || job.phase != Phase::Active {
+            return Err(InvalidEvent::Job(id.job));
+        }
+        let task = job.task_mut(id).ok_or(InvalidEvent::Task(*id))?;
+        let is_here = task.elsewhere.is_none();
+        if !is_here || !task.live.is_empty() || last_run <= task.last_run {
+            return Err(InvalidEvent::Task(*id));
+        }
+        task.elsewhere = Some(to);
+        task.last_run = last_run;
+        Ok(())
+    }
+
+    /// Takes a delegated task back. A repeated or late return is invalid: its number is not greater
+    /// than that of the return before, from which each later delegation starts.
+    fn take_back(
+        &mut self,
+        id: &TaskId,
+        from: ShardId,
+        last_run: RunNumber,
+    ) -> Result<(), InvalidEvent> {
+        let job = self.job_mut(id.job)?;
+        if job.is_guest || job.phase != Phase::Active {
+            return Err(InvalidEvent::Job(id.job));
+        }
+        let task = job.task_mut(id).ok_or(InvalidEvent::Task(*id))?;
+        if task.elsewhere != Some(from) || last_run <= task.last_run {
+            return Err(InvalidEvent::Task(*id));
+        }
+        task.elsewhere = None;
+        task.last_run = last_run;
+        job.returned_by.insert(from);
+        Ok(())
+    }
+
     fn send(&mut self, id: JobId, to: ShardId, at_unix_ms: u64) -> Result<(), InvalidEvent> {
         if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
             return Err(InvalidEvent::Job(id));
@@ -384,6 +442,8 @@
             phase: Phase::Active,
             over_unix_ms: 0,
             is_guest: false,
+            home: None,
+            returned_by: IndexSet::new(),
         }
     }
 
@@ -402,6 +462,7 @@
         job.occurrences.insert(0, occurrence);
         job.has_started = true;
         job.is_guest = true;
+        job.home = Some(from);
         job
     }
 
@@ -431,12 +492,15 @@
     }
 
     /// Tasks that are delegated to other shards, by shard, with the numbers of their last runs in
-    /// this one. Empty for a guest.
+    /// this one. A shard that has returned all of its tasks has none. Empty for a guest.
     pub fn delegated(&self, id: JobId) -> IndexMap<ShardId, Vec<(TaskId, RunNumber)>> {
         let mut by_shard: IndexMap<ShardId, Vec<(TaskId, RunNumber)>> = IndexMap::new();
         if self.is_guest {
             return by_shard;
         }
+        for shard in &self.returned_by {
+            by_shard.entry(*shard).or_default();
+        }
         for (task_id, task) in self.tasks(id) {
             if let Some(to) = task.elsewhere {
                 let tasks = by_shard.entry(to).or_default();
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -4,9 +4,10 @@
 //! lost, the free capacity of their shard is too fragmented for the interrupted tasks, while
 //! another shard has whole hosts free.
 //!
-//! A task without a live run is journaled as delegated before the other shard receives it, and this
-//! is never undone: the call is repeated until the other owner has journaled the task. So a late
-//! call, or a crash of either owner, leaves the task with exactly one shard. The job stays with its
+//! A task without a live run is journaled as delegated before the other shard receives it, and only
+//! that shard may undo this ([`returns`](super::returns)): the call is repeated until the other
+//! owner has journaled the task. So a late call, or a crash of either owner, leaves the task with
+//! exactly one shard. The job stays with its
 //! shard, which answers callers and sends the job's end to the other shard until that confirms it.
 //! This call lists the tasks too, so a shard that never received them, or has forgotten them since,
 //! starts none.
@@ -48,8 +49,9 @@
     stranded_since: IndexMap<TaskId, Millis>,
     /// Jobs with tasks or an end that another shard may not have confirmed.
     open: IndexSet<JobId>,
-    /// Tasks that the other shard has confirmed.
-    confirmed: IndexSet<TaskId>,
+    /// Tasks that the other shard has confirmed, with the number from which it started: a returned
+    /// task is delegated again with a greater one.
+    confirmed: IndexSet<(TaskId, RunNumber)>,
     /// Ends of jobs that a shard has confirmed.
     ended: IndexSet<(JobId, ShardId)>,
     /// How many tasks were offered capacity, and when.
@@ -239,13 +241,13 @@
 
 async fn confirm_job(cx: &Cx, owner: &Rc<Owner>, id: JobId) {
     for (shard, tasks) in unconfirmed(owner, id) {
-        let ids: Vec<TaskId> = tasks.tasks.iter().map(|(task, _)| *task).collect();
+        let sent = tasks.tasks.clone();
         let is_over = tasks.is_over;
         if !front::adopt(cx, &cx.handle(shard), tasks).await {
             continue;
         }
         let mut delegations = owner.delegations.borrow_mut();
-        delegations.confirmed.extend(ids);
+        delegations.confirmed.extend(sent);
         if is_over {
             delegations.ended.insert((id, shard));
         }
@@ -264,8 +266,8 @@
     let is_open = |shard: ShardId, tasks: &[(TaskId, RunNumber)]| match is_over {
         true => !delegations.ended.contains(&(id, shard)),
         false => {
-            let mut ids = tasks.iter().map(|(task, _)| task);
-            !ids.all(|task| delegations.confirmed.contains(task))
+            let mut tasks = tasks.iter();
+            !tasks.all(|task| delegations.confirmed.contains(task))
         }
     };
     let by_shard = job.delegated(id).into_iter();
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -9,6 +9,7 @@
         delegate::{self, GuestTasks, TaskNeed},
         estimates::{self, LearnedUpdate, ReceivedVersions},
         jobs,
+        returns::{self, ReturnedTasks},
     },
 };
 use actix_rt::net::TcpListener;
@@ -57,6 +58,8 @@
         Room(TaskNeed, u32),
         /// Run tasks that another shard delegates.
         Adopt(GuestTasks),
+        /// Take tasks back that were delegated.
+        TakeBack(ReturnedTasks),
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -81,6 +84,17 @@
         Room(Option<u32>),
         /// Reply to [`OwnerRequest::Adopt`].
         Adopted(AdoptReply),
+        /// Reply to [`OwnerRequest::TakeBack`].
+        TakenBack(TakeBackReply),
+    }
+
+    /// Outcome of [`OwnerRequest::TakeBack`].
+    #[derive(Copy)]
+    pub enum TakeBackReply {
+        /// The tasks are with the callee, or a repeated call had no effect; both are durable.
+        Confirmed,
+        /// The callee does not own the shard, or lost it during the call.
+        NotOwner,
     }
 
     /// Outcome of [`OwnerRequest::Adopt`].
@@ -212,6 +226,7 @@
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
         (OwnerRequest::Adopt(_), None) => OwnerReply::Adopted(AdoptReply::NotOwner),
+        (OwnerRequest::TakeBack(_), None) => OwnerReply::TakenBack(TakeBackReply::NotOwner),
         (OwnerRequest::Learned(upto), Some(owner)) => {
             OwnerReply::Learned(estimates::updates_since(cx, &owner, upto))
         }
@@ -234,6 +249,9 @@
         (OwnerRequest::Adopt(tasks), Some(owner)) => {
             OwnerReply::Adopted(delegate::adopt(cx, &owner, tasks).await)
         }
+        (OwnerRequest::TakeBack(tasks), Some(owner)) => {
+            OwnerReply::TakenBack(returns::take_back(cx, &owner, tasks).await)
+        }
         (OwnerRequest::Show(job), Some(owner)) => OwnerReply::Shown(jobs::show(cx, &owner, job)),
         (OwnerRequest::Cancel(job), Some(owner)) => {
             OwnerReply::Cancelled(jobs::cancel(cx, &owner, job).await)
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -7,8 +7,9 @@
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
     Cx,
-    job::{JobId, Step, TaskId},
+    job::{JobId, RunNumber, Step, TaskId},
     layout::ShardId,
+    ledger::Phase,
     owner::jobs,
     peer::{CancelReply, JobState, ShowReply, SubmitReply},
 };
@@ -96,8 +97,7 @@
         id
     }
 
-    /// Crashes the workers of the second shard that run tasks of this job, after filling the others there. Restarts the
-    /// first shard's workers, which have room for these tasks.
+    /// Crashes the workers of the second shard that run tasks of this job, after filling the others there.
     async fn interrupt_delegated_tasks(&self, id: u64) {
         let owner = self.owner_of(SHARDS[1]).expect("an owner").clone();
         let other = self.ids(SHARDS[1]).next().expect("an id");
@@ -107,7 +107,6 @@
             self.running_in(SHARDS[1]) == 8
         })
         .await;
-        self.restart_workers(SHARDS[0]);
         let workers = self.workers_of(SHARDS[1]);
         let runs_job = |worker: &&String| {
             let runs = self.world.running_on(worker);
@@ -127,6 +126,19 @@
         }
     }
 
+    /// Like [`Self::delegate_tasks`], and waits until the second shard has journaled the return of both tasks, which
+    /// were interrupted there.
+    async fn return_tasks(&self) -> u64 {
+        let id = self.delegate_tasks().await;
+        self.interrupt_delegated_tasks(id).await;
+        let owner = self.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("the tasks are returned", LIMIT * 2, async || {
+            returned_tasks(&owner, SHARDS[1], id) == 2
+        })
+        .await;
+        id
+    }
+
     /// Number of running tasks of a job, over all shards.
     fn running_tasks(&self, id: u64) -> usize {
         let running = self.world.running();
@@ -265,6 +277,38 @@
     });
 }
 
+/// Number of tasks of a job that this shard adopted and that have no live run.
+fn waiting_tasks(cx: &Cx, shard: ShardId, id: u64) -> usize {
+    let handle = cx.handle(shard);
+    let owner = handle.owner.borrow().clone().expect("an owner");
+    let ledger = owner.ledger.borrow();
+    let job = &ledger.jobs[&JobId(id)];
+    let waiting = job
+        .tasks(JobId(id))
+        .filter(|(_, task)| task.elsewhere.is_none() && task.live.is_empty());
+    waiting.count()
+}
+
+/// Number of tasks of a job that this shard adopted and returned.
+fn returned_tasks(cx: &Cx, shard: ShardId, id: u64) -> usize {
+    let handle = cx.handle(shard);
+    let owner = handle.owner.borrow().clone().expect("an owner");
+    let ledger = owner.ledger.borrow();
+    let job = &ledger.jobs[&JobId(id)];
+    let returned = job
+        .tasks(JobId(id))
+        .filter(|(_, task)| task.elsewhere.is_some() && task.last_run > RunNumber::default());
+    returned.count()
+}
+
+/// The phase of a job in this shard.
+fn phase_in(cx: &Cx, shard: ShardId, id: u64) -> Option<Phase> {
+    let handle = cx.handle(shard);
+    let owner = handle.owner.borrow().clone()?;
+    let ledger = owner.ledger.borrow();
+    ledger.jobs.get(&JobId(id)).map(|job| job.phase)
+}
+
 fn is_delegated(cx: &Cx, shard: ShardId) -> bool {
     let handle = cx.handle(shard);
     let owner = handle.owner.borrow().clone();
@@ -314,6 +358,7 @@
         let cluster = Cluster::start(&["a", "b"]).await;
         let id = cluster.delegate_tasks().await;
         cluster.interrupt_delegated_tasks(id).await;
+        cluster.restart_workers(SHARDS[0]);
         until("all tasks of the job run again", RETURN_LIMIT, async || {
             cluster.running_tasks(id) == 6
         })
@@ -356,3 +401,90 @@
         cluster.world.check();
     });
 }
+
+/// Guards against a returned task that waits for ever because its second delegation to a shard counts as confirmed.
+#[test]
+fn a_returned_task_is_delegated_to_the_same_shard_again() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.return_tasks().await;
+        sleep(Duration::from_secs(1)).await;
+        cluster.restart_workers(SHARDS[1]);
+        until("all tasks of the job run again", RETURN_LIMIT, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        assert_eq!(cluster.running_in(SHARDS[1]), 8);
+        cluster.world.check();
+    });
+}
+
+/// Guards against a job that stays active in a shard which has returned its tasks.
+#[test]
+fn a_cancel_reaches_the_shard_that_returned_the_tasks() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.return_tasks().await;
+        cluster.restart_workers(SHARDS[0]);
+        until("all tasks of the job run again", RETURN_LIMIT, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        let cancelled = cluster.world.cancel(&owner, id).await;
+        assert_eq!(cancelled, CancelReply::Done);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(cluster.running_tasks(id), 0);
+        assert_eq!(phase_in(&other, SHARDS[1], id), Some(Phase::Cancelled));
+        cluster.world.check();
+    });
+}
+
+/// Guards against a task that runs although its job was cancelled while the task was on its way back.
+#[test]
+fn a_cancel_during_a_return_reaches_the_other_shard() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.return_tasks().await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        let cancelled = cluster.world.cancel(&owner, id).await;
+        assert_eq!(cancelled, CancelReply::Done);
+        cluster.restart_workers(SHARDS[0]);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(cluster.running_tasks(id), 0);
+        assert_eq!(phase_in(&other, SHARDS[1], id), Some(Phase::Cancelled));
+        cluster.world.check();
+    });
+}
+
+/// Guards against a returned task that no shard runs, or two: the owner of the job's shard ends before it takes the
+/// task back.
+#[test]
+fn a_return_reaches_the_successor_of_an_owner() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b", "c"]).await;
+        let id = cluster.delegate_tasks().await;
+        cluster.interrupt_delegated_tasks(id).await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("the tasks wait again", LIMIT * 2, async || {
+            waiting_tasks(&other, SHARDS[1], id) == 2
+        })
+        .await;
+        // The owner still holds its shard when the tasks are returned, but can't journal this.
+        sleep(Duration::from_millis(900)).await;
+        cluster
+            .world
+            .set_store(&owner.cfg.name, StoreBehaviour::Unavailable);
+        cluster.restart_workers(SHARDS[0]);
+        until("all tasks of the job run again", LIMIT * 3, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        sleep(LIMIT).await;
+        assert_eq!(cluster.running_tasks(id), 6);
+        cluster.world.check();
+    });
+}
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -5,6 +5,7 @@
 use lapisdrum::sched::{
     event::{Event, Loss, RunEnd, RunId, WorkerIncarnation},
     job::{Gang, InvalidJob, JobId, JobSpec, RawJob, RunNumber, Schedule, Step, TaskId},
+    layout::ShardId,
     ledger::{InvalidEvent, Ledger, Phase},
 };
 use proptest::prelude::*;
@@ -213,6 +214,75 @@
     assert_eq!(spec.due_unix_ms(2), Some(9_000));
 }
 
+fn long_running() -> Rc<JobSpec> {
+    spec(vec![Step {
+        is_long_running: true,
+        ..step(1, 0, &[])
+    }])
+}
+
+/// A shard that adopted a task whose last run has this number.
+fn with_guest(last_run: u32) -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.apply(&adopted(last_run)).expect("it is new");
+    ledger
+}
+
+fn adopted(last_run: u32) -> Event {
+    Event::Adopted {
+        job: JobId(1),
+        spec: long_running(),
+        terms: terms(),
+        from: ShardId(0),
+        tasks: vec![(run(0, 0, 1).task, RunNumber(last_run))],
+        at_unix_ms: 1_000,
+    }
+}
+
+fn returned(last_run: u32) -> Event {
+    Event::Returned {
+        task: run(0, 0, 1).task,
+        to: ShardId(0),
+        last_run: RunNumber(last_run),
+    }
+}
+
+/// Guards against a returned task that two shards run: a late delegation revives it in the shard that returned it.
+#[test]
+fn a_returned_task_is_adopted_by_a_later_delegation_only() {
+    let task = run(0, 0, 1).task;
+    let mut ledger = with_guest(1);
+    ledger.apply(&returned(2)).expect("it has no live run");
+    ledger.apply(&adopted(1)).expect("a late call is valid");
+    assert_eq!(
+        ledger.task(&task).expect("the task").elsewhere,
+        Some(ShardId(0))
+    );
+    assert_matches!(ledger.apply(&placed(run(0, 0, 3))), Err(_));
+    ledger.apply(&adopted(2)).expect("a later delegation");
+    ledger
+        .apply(&placed(run(0, 0, 3)))
+        .expect("it is here again");
+}
+
+/// Guards against a task that two shards run: it is returned while a run of it may be alive.
+#[test]
+fn a_task_with_a_live_run_is_not_returned() {
+    let mut ledger = with_guest(1);
+    ledger
+        .apply(&placed(run(0, 0, 2)))
+        .expect("a greater number");
+    assert_matches!(ledger.apply(&returned(3)), Err(InvalidEvent::Task(_)));
+}
+
+/// Guards against a return without a number of its own, which a repeated call shares with the next delegation.
+#[test]
+fn a_return_uses_up_a_number() {
+    let mut ledger = with_guest(1);
+    assert_matches!(ledger.apply(&returned(1)), Err(InvalidEvent::Task(_)));
+    ledger.apply(&returned(2)).expect("a greater number");
+}
+
 /// Any event of a run, valid or not.
 fn any_event() -> impl Strategy<Value = Event> {
     let any_run =
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -195,6 +195,7 @@
         is_released: false,
         renewals: 7,
         up_ms: 0,
+        accepts_returns: true,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
@@ -373,3 +374,11 @@
         }
     });
 }
+
+/// Guards against a call that drops the connections to an owner of an earlier version, whose lease row lacks the key.
+#[test]
+fn an_owner_of_an_earlier_version_accepts_no_returns() {
+    let row = r#"{"holder":{"daemon":"a","address":"a:1","incarnation":1},"is_released":false,"renewals":1}"#;
+    let row: LeaseRow = serde_json::from_str(row).expect("a valid row");
+    assert!(!row.accepts_returns);
+}
