--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -109,6 +109,10 @@
         /// one that does not write it may.
         #[serde(default)]
         pub earlier_may_send_ms: Option<u64>,
+        /// Whether the holder takes back tasks that it delegated; an earlier version does not know
+        /// the call.
+        #[serde(default)]
+        pub accepts_returns: bool,
     }
 }
 
@@ -393,6 +397,7 @@
         renewals: 0,
         up_ms: now.0,
         earlier_may_send_ms: Some(millis(may_send_until.since(now))),
+        accepts_returns: true,
     };
     let txn = Txn {
         expect: vec![
@@ -464,6 +469,7 @@
         renewals,
         up_ms: now.0,
         earlier_may_send_ms: Some(millis(may_send_until.since(now))),
+        accepts_returns: true,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -94,6 +94,7 @@
                 renewals: 1,
                 up_ms: 0,
                 earlier_may_send_ms: (!is_old).then_some(left_ms),
+                accepts_returns: true,
             };
             let (sent, read_after) = match tenure.end {
                 End::Released => (composed_at, written_at),
