A process sends at most 128 start orders at a time

Cause: after a take-over during a store outage the owner placed what had gathered and sent 562 start orders at once. On a quarter of a core the daemon completes some 450 calls a second, so 334 of them timed out within it after 0.5 s. Their workers answered the next poll, so the owner took them for workers that carry orders out late, and added that lateness (12.5 s) to the leases of every silent worker.

Change: a semaphore of the process, held while a start order is in flight. A run's order is built after the wait, with fresh clocks, and given up if its worker fell silent meanwhile. 128 in flight take 0.3 s at that pace.

Not changed: one worker's lateness still counts for all of them for 30 s.

--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -45,7 +45,12 @@
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
+
+/// Maximum number of start orders that a process sends at a time. On a fraction of a core more of
+/// them would exceed their timeout within the process, and then count as orders that workers left
+/// unanswered.
+const MAX_STARTS_IN_FLIGHT: usize = 128;
 
 /// Shared context, passed to every component of the process.
 pub type Cx = Rc<Node>;
@@ -124,6 +129,8 @@
     pub store_up: Cell<bool>,
     /// Slows down reads that are not urgent while the store limits the rate of calls.
     pub read_rate: Cell<PollRate>,
+    /// Bounds the start orders in flight; one permit is held for each.
+    pub start_slots: Semaphore,
     /// Set to true when the process shall shut down.
     pub draining: watch::Sender<bool>,
 }
@@ -156,6 +163,7 @@
             handles: RefCell::default(),
             store_up: Cell::new(true),
             read_rate: Cell::default(),
+            start_slots: Semaphore::new(MAX_STARTS_IN_FLIGHT),
             draining: watch::Sender::new(false),
             cfg,
         })
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -184,6 +184,8 @@
 }
 
 async fn start(cx: &Cx, owner: &Rc<Owner>, run: RunId) {
+    // An error is impossible, since the semaphore is never closed.
+    let slot = cx.start_slots.acquire().await.ok();
     let Some((address, worker, order)) = prepare(cx, owner, run) else {
         owner.note_lost(cx, run, Loss::NotStarted);
         return;
@@ -195,6 +197,7 @@
     let waited_ms = millis(sent_at.since(placed_at.unwrap_or(sent_at)));
     cx.metrics.starts.inc();
     let outcome = cx.workers.start(&address, &worker, &order).await;
+    drop(slot);
     let now = cx.clock.now();
     let took_ms = now.since(sent_at).as_millis() as u64;
     log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, outcome:? = outcome; "start ordered");
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -11,6 +11,7 @@
     journal::{AppendOutcome, JOURNAL_TABLE, Journal},
     layout::ShardId,
     peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
+    resolution::LateExecution,
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -55,6 +56,28 @@
     });
 }
 
+/// Guards against start orders that time out in the daemon itself and are taken for orders that workers left unanswered.
+#[test]
+fn a_slow_daemon_does_not_take_its_own_delay_for_silent_workers() {
+    paused(async {
+        let world = World::new(100);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.start_takes.set(Duration::from_millis(2));
+        let submitted = world.submit(&cx, 1, vec![step(400, 3_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("all tasks run", LIMIT, async || {
+            world.running().len() == 400
+        })
+        .await;
+        assert_eq!(cx.metrics.orders_unanswered.get(), 0);
+        let owner = cx.owners().remove(0);
+        assert_eq!(owner.late_execution(cx.clock.now()), LateExecution::NotSeen);
+        world.check();
+    });
+}
+
 /// A job of three steps, the last after both others: each task runs once and in order, and a repeated submission finds
 /// the job.
 #[test]
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -150,6 +150,10 @@
     done: RefCell<IndexSet<TaskId>>,
     /// Jobs whose tasks fail on every worker.
     failing: RefCell<IndexSet<JobId>>,
+    /// Time that a daemon needs to send a start order; it sends them one after another.
+    pub(crate) start_takes: Cell<Duration>,
+    /// When each daemon has sent the start orders that wait in it.
+    sending_until: RefCell<IndexMap<String, Instant>>,
     /// Whether delayed orders outlive a crash of their worker, as packets in flight may; by default they are lost.
     pub(crate) orders_outlive_crashes: Cell<bool>,
     /// Pairs of a daemon and a worker that it cannot reach.
@@ -228,6 +232,8 @@
             acknowledged: RefCell::default(),
             done: RefCell::default(),
             failing: RefCell::default(),
+            start_takes: Cell::default(),
+            sending_until: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
             paths_cut: RefCell::default(),
             lease_reads: Cell::default(),
@@ -757,6 +763,19 @@
 }
 
 impl Edges {
+    /// Waits until the daemon has sent a start order, or for its timeout; returns whether it was sent.
+    async fn send_start(&self) -> bool {
+        let now = Instant::now();
+        let sent_at = {
+            let mut sending_until = self.world.sending_until.borrow_mut();
+            let until = sending_until.entry(self.daemon.clone()).or_insert(now);
+            *until = now.max(*until) + self.world.start_takes.get();
+            *until
+        };
+        sleep((sent_at - now).min(CALL_TIMEOUT)).await;
+        sent_at - now < CALL_TIMEOUT
+    }
+
     /// Waits for the latency of an order, or its timeout; returns whether the worker is reachable.
     async fn reach(&self, worker: &str) -> bool {
         sleep(ORDER_LATENCY).await;
@@ -782,7 +801,7 @@
         order: &'a StartOrder,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
         async move {
-            if !self.reach(id).await {
+            if !self.send_start().await || !self.reach(id).await {
                 return OrderOutcome::Silent(no_answer());
             }
             self.world.check_evacuation(id, &order.run);
