Random test: stranded tasks with and without a latency target

A long-running task without a latency target counts as one that will end where hosts are kept for a waiting task (keep_for takes only what serving tasks reserve as taken), so the two kinds wait for different reasons. Half of the jobs of the random test now have a target. The check is the same.

--- a/tests/testsuite/sched/stranded.rs
+++ b/tests/testsuite/sched/stranded.rs
@@ -23,6 +23,8 @@
 use std::{env, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
+/// Latency target of the tasks that have one, in milliseconds.
+const LATENCY_TARGET_MS: u32 = 50;
 const SHARDS: u16 = 3;
 const DAEMONS: usize = 4;
 const WORKERS: usize = 12;
@@ -42,6 +44,7 @@
     count: u32,
     millicores: u64,
     memory_mb: u64,
+    has_latency_target: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -58,10 +61,14 @@
 }
 
 fn any_tasks() -> impl Strategy<Value = Tasks> {
-    (1..6_u32, 3..15_u64, 1..24_u64).prop_map(|(count, quarters, memory)| Tasks {
-        count,
-        millicores: quarters * 250,
-        memory_mb: memory * 500,
+    let size = (3..15_u64, 1..24_u64);
+    (1..6_u32, size, any::<bool>()).prop_map(|(count, (quarters, memory), has_latency_target)| {
+        Tasks {
+            count,
+            millicores: quarters * 250,
+            memory_mb: memory * 500,
+            has_latency_target,
+        }
     })
 }
 
@@ -157,6 +164,7 @@
         step.size.millicores = tasks.millicores;
         step.size.memory_mb = tasks.memory_mb;
         step.is_long_running = true;
+        step.latency_target_ms = tasks.has_latency_target.then_some(LATENCY_TARGET_MS);
         let size = step.size;
         let Some(owner) = self.owner_of_job(id) else {
             return;
