Check a late answer to a release, slower clocks and unequal offers; mutants for earlier owners and offers

Three were seen by no test: the drift in note_before, the minimum in note_previous_stopped, and the choice of the smaller offer in a release. A releasing owner that goes on sending leases was seen by an assertion on its state only, not by two runs at once.

The row is written and answered 1.95 s later, the releasing owner can't read its successor, and its lease falls due at any of 25 times. Without the unreadable store it passed with the safeguard out, since the owner stops once it reads its successor. a_time_of_a_slower_clock_is_waited_out fails without the drift, an_end_noted_late_does_not_extend_the_hold without the minimum, a_release_takes_back_the_smaller_of_two_offers with the larger one.

No change of logic.

--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -7,6 +7,7 @@
     sched::{
         edge::Row,
         lease::{Holder, LeaseRow, LeaseView},
+        resolution::EarlierOwners,
     },
 };
 use proptest::{collection::vec, prelude::*};
@@ -110,3 +111,27 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against a run that is given up while an owner whose clock is slower still renews its lease.
+    #[test]
+    fn a_time_of_a_slower_clock_is_waited_out(at in 0..100_000_u64, left_ms in 0..10_000_u64) {
+        let limits = limits();
+        let parts = u64::from(limits.drift_parts);
+        let mut earlier = EarlierOwners::held(Millis(0), Millis(0), &limits);
+        earlier.note_previous_stopped(Millis(0));
+        earlier.note_before(Millis(at), Duration::from_millis(left_ms), &limits);
+        let on_own_clock = left_ms + left_ms / parts;
+        prop_assert!(earlier.until() >= Millis(at + on_own_clock), "{:?}", earlier.until());
+    }
+
+    /// Guards against an answer of the next process after the hold of the previous one that extends the bound on its leases.
+    #[test]
+    fn an_end_noted_late_does_not_extend_the_hold(renewed_at in 0..10_000_u64, noted_at in 0..30_000_u64) {
+        let renewed_at = Millis(renewed_at);
+        let mut earlier = EarlierOwners::held(Millis(0), renewed_at, &limits());
+        let held_until = earlier.previous_until();
+        earlier.note_previous_stopped(Millis(noted_at));
+        prop_assert_eq!(earlier.previous_until(), held_until.min(Millis(noted_at)));
+    }
+}
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -366,6 +366,19 @@
     });
 }
 
+/// Guards against capacity that is offered again while a shard may still use the larger of two offers.
+#[test]
+fn a_release_takes_back_the_smaller_of_two_offers() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let need = need(1_500);
+        let offer = |wanted| cluster.offer(SHARDS[1], &need, wanted);
+        assert_eq!([2, 1, 0].map(offer), [Some(2), Some(1), Some(0)]);
+        let left = (0..8).filter(|_| offer(1) == Some(1)).count();
+        assert_eq!(left, 6);
+    });
+}
+
 /// Guards against a delegated job that is shown or cancelled as one of the shard that adopted its tasks.
 #[test]
 fn the_other_shard_does_not_answer_for_the_job() {
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -294,3 +294,29 @@
         assert!(!owner.may_renew(&first) && !owner.may_place(&first));
     });
 }
+
+/// Guards against a task that runs twice at once: its worker's lease is renewed while the answer to the release is late.
+#[test]
+fn a_releasing_owner_renews_no_lease_while_the_answer_is_late() {
+    // The worker's lease is due at any time before the answer.
+    for waited_ms in (0..2_500).step_by(100) {
+        paused(async {
+            let world = World::new(2);
+            let [first, second] = pair_with_a_long_task(&world).await;
+            sleep(LIMIT + Duration::from_millis(waited_ms)).await;
+            let worker = world.starts.borrow()[0].2.clone();
+            world.cut_from("b", &worker);
+            world.set_slow_txn(Duration::from_millis(10), Duration::from_millis(1_950));
+            world.set_store("a", StoreBehaviour::Slow);
+            let releasing = Rc::clone(&first);
+            actix_rt::spawn(async move { release(&releasing).await });
+            sleep(Duration::from_millis(50)).await;
+            // The row is written, and its writer reads nothing of its successor.
+            world.set_store("a", StoreBehaviour::Unavailable);
+            owned(&second, LIMIT).await;
+            restarted(&world).await;
+            sleep(LIMIT).await;
+            world.check();
+        });
+    }
+}
