Red tests: a take-over starts the count anew for a worker that was silent before

Callers see a long-running task down for a hold and a lease after the take-over although every lease on its worker ended earlier: nothing of the previous owner's bound on a silent worker reaches the next one, and nothing proves that a replaced owner that lives has stopped.

--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -24,6 +24,8 @@
 /// Upper bound of the time from the last lease that can have been sent until its task runs elsewhere: the longest lease,
 /// its transit, clock drift and a maintenance round.
 const LEASE_ENDED: Duration = Duration::from_millis(7_500);
+/// Upper bound of the time from what an owner writes when it stops until its successor has read it.
+const NOTE_READ: Duration = Duration::from_millis(700);
 
 /// The owner of a shard with one long task, and another daemon.
 async fn pair_with_a_long_task(world: &Rc<World>) -> [Cx; 2] {
@@ -278,6 +280,52 @@
     });
 }
 
+/// Guards against a hold waited out for a replaced owner that lives and has stopped, for a worker that was silent before.
+#[test]
+fn a_stopped_owner_does_not_extend_the_bound_on_a_silent_worker() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        let lost_at = Instant::now();
+        sleep(Duration::from_secs(2)).await;
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        world.set_store("a", StoreBehaviour::Up);
+        restarted(&world).await;
+        let took = lost_at.elapsed();
+        assert!(took < LEASE_ENDED + NOTE_READ, "{took:?}");
+        assert!(!owns(&first, ShardId(0)));
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against a count that starts again at each release for a worker that was silent before.
+#[test]
+fn releases_in_series_do_not_extend_the_bound_on_a_silent_worker() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        let lost_at = Instant::now();
+        sleep(Duration::from_secs(2)).await;
+        release(&first).await;
+        owned(&second, LIMIT).await;
+        sleep(Duration::from_secs(2)).await;
+        let third = world.daemon("c");
+        release(&second).await;
+        owned(&third, LIMIT).await;
+        restarted(&world).await;
+        let took = lost_at.elapsed();
+        assert!(took < LEASE_ENDED + NOTE_READ, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
 /// Guards against a lease that is sent after the release row, which the next owner takes for the end of all leases.
 #[test]
 fn a_releasing_owner_sends_no_lease_and_places_nothing() {
