Guest tasks stay where they fit once short tasks have ended

Callers saw a long-running task that stays interrupted while a shard has a host for it.

Cause: the owner of the adopting shard returned a guest task after 1.5 s without a run, whether or not it fits there. An offer counts the capacity that short tasks hold, and the dispatcher keeps a host for the task, so with short tasks of a few seconds the task went home just before it could start, was offered the same capacity and began its wait from zero.

Change: the placement of interrupted tasks that offers are computed from also says how many tasks of each step fit. A guest task that fits is returned after 10 s, others after 1.5 s as before. The line `guest task waits without capacity` has `fits`.

Why it works: the same computation that made the offer decides about the stay, in the dispatcher's order and with the limits of steps, so a task that lost its capacity to a task of higher rank still goes home early.

The test failed before with `left: RunNumber(3) right: RunNumber(2)`, a run after one return, and so it does with `guest.fits = true` taken out.

--- a/src/lapisdrum/sched/owner/offers.rs
+++ b/src/lapisdrum/sched/owner/offers.rs
@@ -51,6 +51,8 @@
     computed_at: Millis,
     /// Once all but the long-running tasks have ended.
     hosts: SpareHosts,
+    /// The number of the shard's interrupted tasks that fit on `hosts`, by step.
+    fitting: IndexMap<StepId, u64>,
     /// What the shard's interrupted tasks leave of `hosts`.
     after_interrupted: SpareHosts,
     /// What the outstanding offers leave of `after_interrupted`.
@@ -106,15 +108,6 @@
 }
 
 impl Spare {
-    fn new(hosts: SpareHosts, after_interrupted: SpareHosts, computed_at: Millis) -> Self {
-        Self {
-            computed_at,
-            hosts,
-            after_offers: after_interrupted.clone(),
-            after_interrupted,
-        }
-    }
-
     /// Takes the outstanding offers off.
     fn place_offers(&mut self, made: &[Offer]) {
         self.after_offers = self.after_interrupted.clone();
@@ -212,24 +205,45 @@
             offers.release(need);
             return Some(0);
         }
-        if !offers.is_spare_valid(now) {
-            offers.set_spare(self.spare(cx, now));
-        }
+        self.refresh_spare(cx, &mut offers, now);
         let tasks = offers.make(need, wanted, now);
         offers.report(self, now);
         Some(u32::try_from(tasks).unwrap_or(u32::MAX))
     }
 
+    /// The number of the shard's interrupted tasks that fit once all but the long-running tasks have
+    /// ended, by step.
+    pub(super) fn fitting_interrupted(&self, cx: &Cx, now: Millis) -> IndexMap<StepId, u64> {
+        let mut offers = self.offers.borrow_mut();
+        self.refresh_spare(cx, &mut offers, now);
+        let spare = offers.spare.as_ref();
+        spare.map_or_else(IndexMap::new, |spare| spare.fitting.clone())
+    }
+
+    fn refresh_spare(&self, cx: &Cx, offers: &mut Offers, now: Millis) {
+        if !offers.is_spare_valid(now) {
+            offers.set_spare(self.spare(cx, now));
+        }
+    }
+
     fn spare(&self, cx: &Cx, now: Millis) -> Spare {
         let hosts = self.spare_hosts(cx, now);
         let mut after_interrupted = hosts.clone();
+        let mut fitting = IndexMap::new();
         let ledger = self.ledger.borrow();
         for (step, tasks) in dispatch::interrupted_steps(cx, self) {
             let job = &ledger.jobs[&step.job];
             let need = need_of(job, &step);
-            after_interrupted.place(&need, tasks);
+            let placed = after_interrupted.place(&need, tasks);
+            fitting.insert(step, placed);
+        }
+        Spare {
+            computed_at: now,
+            hosts,
+            fitting,
+            after_offers: after_interrupted.clone(),
+            after_interrupted,
         }
-        Spare::new(hosts, after_interrupted, now)
     }
 
     fn spare_hosts(&self, cx: &Cx, now: Millis) -> SpareHosts {
--- a/src/lapisdrum/sched/owner/returns.rs
+++ b/src/lapisdrum/sched/owner/returns.rs
@@ -31,6 +31,9 @@
 /// Guest tasks that have waited this long are returned: longer than the time after which a task is
 /// delegated, so that most are placed before.
 const RETURN_AFTER: Duration = Duration::from_millis(1_500);
+/// Guest tasks that fit once short tasks have ended are returned after this long: longer than short
+/// tasks run. A return would lose their rank here, and the same capacity would be offered again.
+const RETURN_FITTING_AFTER: Duration = Duration::from_secs(10);
 /// Time between two calls to a shard that has not confirmed a return.
 const CALL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum number of tasks that are returned or logged in one round, and of those in one call.
@@ -49,6 +52,15 @@
     called_at: IndexMap<ShardId, Millis>,
 }
 
+/// A guest task that has waited for [`RETURN_AFTER`].
+struct Stranded {
+    task: TaskId,
+    last_run: RunNumber,
+    waited: Duration,
+    /// Whether it fits in this shard once short tasks have ended.
+    fits: bool,
+}
+
 /// A journaled return of a task.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct Return {
@@ -71,8 +83,8 @@
     reopen(&owner);
     while owner.is_serving() {
         tokio::time::sleep(ROUND_INTERVAL).await;
-        let stranded = stranded(&owner, cx.clock.now());
-        log_waiting(&owner, &stranded, cx.clock.now());
+        let stranded = stranded(&cx, &owner);
+        log_waiting(&owner, &stranded);
         if owner.may_place(&cx) {
             give_back(&cx, &owner, &stranded).await;
         }
@@ -89,8 +101,31 @@
     owner.returns.borrow_mut().open.extend(returned);
 }
 
-/// Guest tasks that have waited for [`RETURN_AFTER`], with the numbers of their last runs.
-fn stranded(owner: &Owner, now: Millis) -> Vec<(TaskId, RunNumber)> {
+impl Stranded {
+    fn is_return_due(&self) -> bool {
+        !self.fits || self.waited >= RETURN_FITTING_AFTER
+    }
+}
+
+/// Guest tasks that have waited for [`RETURN_AFTER`].
+fn stranded(cx: &Cx, owner: &Owner) -> Vec<Stranded> {
+    let now = cx.clock.now();
+    let mut stranded = waiting_long(owner, now);
+    if stranded.is_empty() {
+        return stranded;
+    }
+    let mut fitting = owner.fitting_interrupted(cx, now);
+    for guest in &mut stranded {
+        let left = fitting.get_mut(&guest.task.step_id());
+        if let Some(left) = left.filter(|left| **left > 0) {
+            *left -= 1;
+            guest.fits = true;
+        }
+    }
+    stranded
+}
+
+fn waiting_long(owner: &Owner, now: Millis) -> Vec<Stranded> {
     let waiting = waiting_guests(owner);
     let mut returns = owner.returns.borrow_mut();
     let Returns {
@@ -100,11 +135,13 @@
     } = &mut *returns;
     waiting_since.retain(|task, _| waiting.contains_key(task));
     logged.retain(|task| waiting.contains_key(task));
-    let mut is_stranded = |task: &TaskId| {
-        let since = *waiting_since.entry(*task).or_insert(now);
-        now.since(since) >= RETURN_AFTER
-    };
-    let stranded = waiting.into_iter().filter(|(task, _)| is_stranded(task));
+    let guests = waiting.into_iter().map(|(task, last_run)| Stranded {
+        task,
+        last_run,
+        waited: now.since(*waiting_since.entry(task).or_insert(now)),
+        fits: false,
+    });
+    let stranded = guests.filter(|guest| guest.waited >= RETURN_AFTER);
     stranded.collect()
 }
 
@@ -142,26 +179,25 @@
     })
 }
 
-fn log_waiting(owner: &Owner, stranded: &[(TaskId, RunNumber)], now: Millis) {
+fn log_waiting(owner: &Owner, stranded: &[Stranded]) {
     let mut returns = owner.returns.borrow_mut();
-    let is_new = |(task, _): &&(TaskId, RunNumber)| !returns.logged.contains(task);
+    let is_new = |guest: &&Stranded| !returns.logged.contains(&guest.task);
     let new = stranded.iter().filter(is_new);
     let new: Vec<_> = new.take(MAX_RETURNED_PER_ROUND).collect();
-    for (task, last_run) in new {
-        returns.logged.insert(*task);
-        let waited_ms = millis(now.since(returns.waiting_since[task]));
-        log::info!(task:% = task, shard:% = owner.handle.partition, last_run = last_run.0, waited_ms; "guest task waits without capacity");
+    for guest in new {
+        returns.logged.insert(guest.task);
+        log::info!(task:% = guest.task, shard:% = owner.handle.partition, last_run = guest.last_run.0, waited_ms = millis(guest.waited), fits = guest.fits; "guest task waits without capacity");
     }
 }
 
-/// Journals the return of waiting tasks whose shard takes tasks back.
-async fn give_back(cx: &Cx, owner: &Rc<Owner>, stranded: &[(TaskId, RunNumber)]) {
-    let returned: Vec<(TaskId, Return)> = stranded
-        .iter()
-        .filter_map(|(task, last_run)| {
-            let to = home_of(owner, task.job)?;
-            let last_run = last_run.next();
-            accepts_returns(cx, to).then_some((*task, Return { to, last_run }))
+/// Journals the return of tasks for which it is due and whose shard takes tasks back.
+async fn give_back(cx: &Cx, owner: &Rc<Owner>, stranded: &[Stranded]) {
+    let due = stranded.iter().filter(|guest| guest.is_return_due());
+    let returned: Vec<(TaskId, Return)> = due
+        .filter_map(|guest| {
+            let to = home_of(owner, guest.task.job)?;
+            let last_run = guest.last_run.next();
+            accepts_returns(cx, to).then_some((guest.task, Return { to, last_run }))
         })
         .take(MAX_RETURNED_PER_ROUND)
         .collect();
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -478,6 +478,16 @@
     returned.count()
 }
 
+/// The highest number of a run of a job that was started.
+fn last_run_of(cluster: &Cluster, id: u64) -> RunNumber {
+    let starts = cluster.world.starts.borrow();
+    let of_job = starts
+        .iter()
+        .filter(|(_, run, _)| run.task.job == JobId(id));
+    let numbers = of_job.map(|(_, run, _)| run.run);
+    numbers.max().unwrap_or_default()
+}
+
 /// The phase of a job in this shard.
 fn phase_in(cx: &Cx, shard: ShardId, id: u64) -> Option<Phase> {
     let handle = cx.handle(shard);
@@ -579,6 +589,31 @@
     });
 }
 
+/// Guards against a delegated task that is returned again and again although short tasks free its capacity in seconds.
+#[test]
+fn a_delegated_task_waits_where_short_tasks_end() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.interrupt_job().await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("tasks wait", LIMIT * 2, async || {
+            waiting_tasks(&owner, SHARDS[0], id) > 0
+        })
+        .await;
+        let backlog = cluster.ids(SHARDS[1]).next().expect("an id");
+        let short = vec![step(100, 4_000, &[])];
+        let submitted = cluster.world.submit(&other, backlog, short).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("all tasks of the job run", LIMIT * 2, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        assert_eq!(last_run_of(&cluster, id), RunNumber(2));
+        cluster.world.check();
+    });
+}
+
 /// Guards against a returned task that waits for ever because its second delegation to a shard counts as confirmed.
 #[test]
 fn a_returned_task_is_delegated_to_the_same_shard_again() {
