A returned task goes first to another shard that offers capacity

Callers saw an interrupted long-running task that stays without a run while a shard has room for it.

Cause: an offer doesn't state every reason for which the adopting shard may refuse the task (a limit of its step on each worker, a kept host), and the job's shard didn't remember who returned a task. With equal offers it delegated the task to the same shard for ever.

Change: the owner of the job's shard notes which shard returned a task and when. For 10 s, several cycles of delegation and return, offers of that shard are taken for the task only if no other shard offers. Tasks returned by different shards ask for offers separately. The line `task is delegated` has `returned_by`.

Kept hosts are still counted in offers: a request doesn't say whether the task has a latency target, and such tasks may run on kept hosts.

The test failed before with `not within 30s: both run again`, and passes after.

--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -38,6 +38,9 @@
 const STRANDED_AFTER: Duration = Duration::from_millis(800);
 /// Timeout of a call that asks a shard for an offer: many round trips between data centres.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(150);
+/// A task is delegated for this long to the shard that returned it only if no other shard offers
+/// capacity: an offer does not state every reason for which that shard may refuse the task.
+const AVOID_AFTER_RETURN: Duration = Duration::from_secs(10);
 /// Time between two lines with totals.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,6 +49,8 @@
 pub struct Delegations {
     /// When each interrupted task was first seen waiting.
     stranded_since: IndexMap<TaskId, Millis>,
+    /// The shard that last returned each task, and when.
+    returned_by: IndexMap<TaskId, (ShardId, Millis)>,
     /// Jobs with tasks or an end that another shard may not have confirmed.
     open: IndexSet<JobId>,
     /// Tasks that the other shard has confirmed, with the number from which it started: a returned
@@ -81,12 +86,13 @@
     fn report(
         &mut self,
         owner: &Owner,
-        stranded: &IndexMap<TaskNeed, Vec<TaskId>>,
+        stranded: &IndexMap<Kind, Vec<TaskId>>,
         shards: usize,
         now: Millis,
     ) {
         let since_ms = self.reported_at.map(|at| millis(now.since(at)));
-        let Some(smallest) = stranded.keys().min_by_key(|need| need.size.millicores) else {
+        let needs = stranded.keys().map(|kind| &kind.need);
+        let Some(smallest) = needs.min_by_key(|need| need.size.millicores) else {
             return;
         };
         if since_ms.is_some_and(|since| since < millis(REPORT_INTERVAL)) {
@@ -122,6 +128,14 @@
     pub required_label: Option<String>,
 }
 
+/// Tasks that can use the same offers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Kind {
+    need: TaskNeed,
+    /// The shard that returned them within [`AVOID_AFTER_RETURN`].
+    returned_by: Option<ShardId>,
+}
+
 data! {
     /// Tasks of another shard's job.
     pub struct GuestTasks {
@@ -164,14 +178,16 @@
 
 async fn delegate_stranded(cx: &Cx, owner: &Rc<Owner>) {
     let stranded = stranded(owner, cx.clock.now());
-    let delegating = stranded.iter().map(async |(need, tasks)| {
+    let delegating = stranded.iter().map(async |(kind, tasks)| {
+        let need = &kind.need;
         let offers = offers(cx, owner, need, tasks.len()).await;
-        let Some((to, room)) = best_offer(&offers) else {
+        let Some((to, room)) = best_offer(&offers, kind.returned_by) else {
             return;
         };
         let count = tasks.len().min(room as usize);
         let unused = release_unused(cx, need, &offers, to);
-        futures::join!(delegate(cx, owner, to, &tasks[..count]), unused);
+        let delegated = delegate(cx, owner, to, &tasks[..count], kind.returned_by);
+        futures::join!(delegated, unused);
     });
     futures::future::join_all(delegating).await;
     let shards = cx.layout.borrow().as_ref().map_or(0, |l| l.all().count());
@@ -179,17 +195,25 @@
     requests.report(owner, &stranded, shards.saturating_sub(1), cx.clock.now());
 }
 
-/// Interrupted long-running tasks that have waited for [`STRANDED_AFTER`], by what they need.
-fn stranded(owner: &Owner, now: Millis) -> IndexMap<TaskNeed, Vec<TaskId>> {
+/// Interrupted long-running tasks that have waited for [`STRANDED_AFTER`], by which offers they can
+/// use.
+fn stranded(owner: &Owner, now: Millis) -> IndexMap<Kind, Vec<TaskId>> {
     let waiting = interrupted_tasks(owner);
     let mut delegations = owner.delegations.borrow_mut();
-    let since = &mut delegations.stranded_since;
+    let Delegations {
+        stranded_since: since,
+        returned_by,
+        ..
+    } = &mut *delegations;
     since.retain(|task, _| waiting.contains_key(task));
-    let mut stranded: IndexMap<TaskNeed, Vec<TaskId>> = IndexMap::new();
+    returned_by.retain(|_, (_, at)| now.since(*at) < AVOID_AFTER_RETURN);
+    let mut stranded: IndexMap<Kind, Vec<TaskId>> = IndexMap::new();
     for (task, need) in waiting {
         let waits = now.since(*since.entry(task).or_insert(now));
         if waits >= STRANDED_AFTER {
-            stranded.entry(need).or_default().push(task);
+            let returned_by = returned_by.get(&task).map(|(shard, _)| *shard);
+            let kind = Kind { need, returned_by };
+            stranded.entry(kind).or_default().push(task);
         }
     }
     stranded
@@ -265,10 +289,10 @@
     offered.ok().flatten()
 }
 
-/// The offer for most tasks.
-fn best_offer(offers: &[(ShardId, u32)]) -> Option<(ShardId, u32)> {
-    let best = offers.iter().copied().max_by_key(|(_, room)| *room);
-    best.filter(|(_, room)| *room > 0)
+/// The offer for most tasks; that of the shard that returned them only if no other shard offers.
+fn best_offer(offers: &[(ShardId, u32)], returned_by: Option<ShardId>) -> Option<(ShardId, u32)> {
+    let made = offers.iter().copied().filter(|(_, room)| *room > 0);
+    made.max_by_key(|(shard, room)| (Some(*shard) != returned_by, *room))
 }
 
 /// Releases the offers of all shards but `to`, so that they can be made for other tasks.
@@ -280,7 +304,13 @@
     futures::future::join_all(releases).await;
 }
 
-async fn delegate(cx: &Cx, owner: &Rc<Owner>, to: ShardId, tasks: &[TaskId]) {
+async fn delegate(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    to: ShardId,
+    tasks: &[TaskId],
+    returned_by: Option<ShardId>,
+) {
     // Some may have been placed while the shards were asked.
     let still = interrupted_tasks(owner);
     let tasks: Vec<TaskId> = tasks
@@ -289,7 +319,7 @@
         .filter(|t| still.contains_key(t))
         .collect();
     for task in &tasks {
-        log::info!(task:% = task, from:% = owner.handle.partition, to = to.0; "task is delegated");
+        log::info!(task:% = task, from:% = owner.handle.partition, to = to.0, returned_by = returned_by.map(|shard| shard.0); "task is delegated");
     }
     let events = tasks
         .iter()
@@ -362,6 +392,13 @@
     open.map(to_request).collect()
 }
 
+impl Delegations {
+    /// Notes that a shard has returned a task.
+    pub fn note_return(&mut self, task: TaskId, by: ShardId, now: Millis) {
+        self.returned_by.insert(task, (by, now));
+    }
+}
+
 impl Owner {
     /// Whether a shard may not have confirmed tasks or the end of a job.
     pub fn is_delegation_open(&self, job: &JobId) -> bool {
--- a/src/lapisdrum/sched/owner/returns.rs
+++ b/src/lapisdrum/sched/owner/returns.rs
@@ -304,6 +304,8 @@
         let is_taken = is_delegated_to(owner, &task, from, last_run);
         log::info!(task:% = task, shard:% = owner.handle.partition, from = from.0, last_run = last_run.0, is_taken; "delegated task comes back");
         if is_taken {
+            let mut delegations = owner.delegations.borrow_mut();
+            delegations.note_return(task, from, cx.clock.now());
             events.push(Event::TakenBack {
                 task,
                 from,
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -631,6 +631,35 @@
     });
 }
 
+/// Guards against a task that is delegated for ever to a shard which offers capacity and can't use it, while another
+/// shard has room.
+#[test]
+fn a_returned_task_goes_to_another_shard_that_offers() {
+    // Equal offers are taken in the order of the shards.
+    for (wrong, right) in [(1, 2), (2, 1)] {
+        paused(run_beside_wrong_offer(ShardId(wrong), ShardId(right)));
+    }
+}
+
+/// Interrupts two tasks that can't share a worker. One shard has a single worker with room and offers it to both tasks.
+async fn run_beside_wrong_offer(wrong: ShardId, right: ShardId) {
+    let home = ShardId(0);
+    let cluster = Cluster::with_shards(&[home, wrong, right], &["a", "b", "c"]).await;
+    cluster.run_job(wrong, serving(3, 4_000)).await;
+    cluster.run_job(right, serving(4, 3_000)).await;
+    cluster.run_job(home, serving(2, 4_000)).await;
+    let mut limited = long_running(2);
+    limited[0].size.millicores = 1_000;
+    limited[0].max_per_worker = Some(1);
+    let job = cluster.run_job(home, limited).await;
+    cluster.crash_workers_of(job, home);
+    until("both run again", RETURN_LIMIT * 2, async || {
+        cluster.running_of(job) == 2
+    })
+    .await;
+    cluster.world.check();
+}
+
 /// Guards against a job that stays active in a shard which has returned its tasks.
 #[test]
 fn a_cancel_reaches_the_shard_that_returned_the_tasks() {
