--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -54,7 +54,8 @@
         /// Return the interference estimates that are newer than the given versions, or all of them
         /// if none are given.
         Learned(Option<ReceivedVersions>),
-        /// Offer free capacity for up to this number of tasks of a kind.
+        /// Offer free capacity for up to this number of tasks of a kind; 0 releases an offer for such
+        /// tasks that is not used.
         Room(TaskNeed, u32),
         /// Run tasks that another shard delegates.
         Adopt(GuestTasks),
