--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -362,6 +362,31 @@
     });
 }
 
+/// Guards against tasks that wait because capacity counts as offered after the task that it was offered to was adopted.
+#[test]
+fn an_offer_ends_when_its_task_is_adopted() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let job = cluster.run_job(SHARDS[0], long_running(6)).await;
+        cluster.run_job(SHARDS[1], serving(3, 4_000)).await;
+        for worker in cluster.workers_of(SHARDS[0]).iter().take(2) {
+            cluster.world.crash(worker);
+        }
+        until("all run again", LIMIT * 2, async || {
+            cluster.running_of(job) == 6
+        })
+        .await;
+        assert_eq!(cluster.running_in(SHARDS[1]), 5);
+        let starts = cluster.world.starts.borrow();
+        let of_job = starts.iter().rev();
+        let of_job = of_job.filter(|(_, run, _)| run.task.job == job);
+        let delegated: Vec<_> = of_job.take(2).collect();
+        let apart = delegated[0].0 - delegated[1].0;
+        assert!(apart < Duration::from_millis(700), "{apart:?} apart");
+        cluster.world.check();
+    });
+}
+
 /// Guards against capacity that is offered again while a shard may still use an equal offer.
 #[test]
 fn a_release_leaves_an_equal_offer_to_another_shard() {
@@ -503,6 +528,16 @@
     returned.count()
 }
 
+/// The highest number of a run of a job that was started.
+fn last_run_of(cluster: &Cluster, id: u64) -> RunNumber {
+    let starts = cluster.world.starts.borrow();
+    let of_job = starts
+        .iter()
+        .filter(|(_, run, _)| run.task.job == JobId(id));
+    let numbers = of_job.map(|(_, run, _)| run.run);
+    numbers.max().unwrap_or_default()
+}
+
 /// The phase of a job in this shard.
 fn phase_in(cx: &Cx, shard: ShardId, id: u64) -> Option<Phase> {
     let handle = cx.handle(shard);
@@ -604,6 +639,31 @@
     });
 }
 
+/// Guards against a delegated task that is returned again and again although short tasks free its capacity in seconds.
+#[test]
+fn a_delegated_task_waits_where_short_tasks_end() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let id = cluster.interrupt_job().await;
+        let owner = cluster.owner_of(SHARDS[0]).expect("an owner").clone();
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
+        until("tasks wait", LIMIT * 2, async || {
+            waiting_tasks(&owner, SHARDS[0], id) > 0
+        })
+        .await;
+        let backlog = cluster.ids(SHARDS[1]).next().expect("an id");
+        let short = vec![step(100, 4_000, &[])];
+        let submitted = cluster.world.submit(&other, backlog, short).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("all tasks of the job run", LIMIT * 2, async || {
+            cluster.running_tasks(id) == 6
+        })
+        .await;
+        assert_eq!(last_run_of(&cluster, id), RunNumber(2));
+        cluster.world.check();
+    });
+}
+
 /// Guards against a returned task that waits for ever because its second delegation to a shard counts as confirmed.
 #[test]
 fn a_returned_task_is_delegated_to_the_same_shard_again() {
@@ -621,6 +681,35 @@
     });
 }
 
+/// Guards against a task that is delegated for ever to a shard which offers capacity and can't use it, while another
+/// shard has room.
+#[test]
+fn a_returned_task_goes_to_another_shard_that_offers() {
+    // Equal offers are taken in the order of the shards.
+    for (wrong, right) in [(1, 2), (2, 1)] {
+        paused(run_beside_wrong_offer(ShardId(wrong), ShardId(right)));
+    }
+}
+
+/// Interrupts two tasks that can't share a worker. One shard has a single worker with room and offers it to both tasks.
+async fn run_beside_wrong_offer(wrong: ShardId, right: ShardId) {
+    let home = ShardId(0);
+    let cluster = Cluster::with_shards(&[home, wrong, right], &["a", "b", "c"]).await;
+    cluster.run_job(wrong, serving(3, 4_000)).await;
+    cluster.run_job(right, serving(4, 3_000)).await;
+    cluster.run_job(home, serving(2, 4_000)).await;
+    let mut limited = long_running(2);
+    limited[0].size.millicores = 1_000;
+    limited[0].max_per_worker = Some(1);
+    let job = cluster.run_job(home, limited).await;
+    cluster.crash_workers_of(job, home);
+    until("both run again", RETURN_LIMIT * 2, async || {
+        cluster.running_of(job) == 2
+    })
+    .await;
+    cluster.world.check();
+}
+
 /// Guards against a job that stays active in a shard which has returned its tasks.
 #[test]
 fn a_cancel_reaches_the_shard_that_returned_the_tasks() {
