An owner that sends no more leases notes when those of silent workers end

Cause: the store was busy for two seconds, so all shards changed owner while the owners before lived. Only another process at its address proved that an owner had ended, so the successors waited out its hold; and what it knew of workers that were silent for long was lost with it, so the count of one longest lease began again.

Ruled out: offers, kept hosts (room was there, the tasks started 0.05 s after `run lost`).

Change: a row in a table of its own, with the token of the owner that stopped and, for each silent worker with runs and no call in flight, the time until its last lease ends. It goes with the release of the shard, or is written once the owner knows that it was replaced; a later owner's note is never overwritten. Only a new owner reads it, until the hold ends, and accepts it for the token that it replaced; it only ever lowers a bound.

Why it is safe: after the release began or the shard was lost no call with a lease is sent; those in flight keep their worker off the list or count with their transit; lateness that this owner sees is added. A frozen owner writes nothing before it knows of its loss.

Not run: its safeguards taken out one at a time, a mixed deployment (earlier builds don't read the table).

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -14,7 +14,10 @@
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
     journal::{Piggyback, PiggybackOutcome, PiggybackReply},
     layout::ShardId,
-    owner::Owner,
+    owner::{
+        Owner,
+        stop_note::{self, StopNote},
+    },
     resolution::{EarlierOwners, LeaseLimits},
 };
 use crate::core::time::{Millis, millis};
@@ -483,7 +486,10 @@
     let PiggybackReply { outcome, sent_at } = match carry_outcome {
         PiggybackOutcome::Carried(reply) => reply,
         PiggybackOutcome::Lost => return false,
-        PiggybackOutcome::NotTaken(piggyback) => renew_separately(cx, owner, piggyback).await,
+        PiggybackOutcome::NotTaken(piggyback) => {
+            let note = is_released.then(|| owner.stop_note(cx));
+            renew_separately(cx, owner, piggyback, note).await
+        }
     };
     match outcome {
         TxnOutcome::Committed(newest) => {
@@ -498,10 +504,17 @@
     false
 }
 
-async fn renew_separately(cx: &Cx, owner: &Rc<Owner>, piggyback: Piggyback) -> PiggybackReply {
+async fn renew_separately(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    piggyback: Piggyback,
+    note: Option<StopNote>,
+) -> PiggybackReply {
+    let note = note.map(|note| stop_note::row_of(owner, &note));
+    let lease = (piggyback.row.clone(), piggyback.value);
     let txn = Txn {
-        expect: vec![(piggyback.row.clone(), piggyback.version), owner.fence()],
-        put: vec![(piggyback.row, piggyback.value)],
+        expect: vec![(piggyback.row, piggyback.version), owner.fence()],
+        put: std::iter::once(lease).chain(note).collect(),
         delete: Vec::new(),
     };
     let sent_at = cx.clock.now();
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -63,7 +63,7 @@
     let mut sessions = owner.sessions.borrow_mut();
     let session = sessions
         .entry(worker.clone())
-        .or_insert_with(|| Session::new(owner.inherited_bound()));
+        .or_insert_with(|| Session::new(owner.inherited_bound(&worker)));
     let was_leaving = session
         .report
         .as_ref()
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -23,6 +23,7 @@
 pub mod returns;
 pub mod runs;
 pub mod session;
+pub mod stop_note;
 pub mod upkeep;
 
 use super::{
@@ -80,8 +81,12 @@
     pub taken_at: Millis,
     /// The previous owner; none for the first one.
     pub previous_owner: Option<Holder>,
+    /// Fencing token of the previous owner, as expected by the take-over; 0 for the first owner.
+    pub replaced_token: u64,
     /// Until when earlier owners may send leases.
     pub earlier_owners: Cell<EarlierOwners>,
+    /// Workers that did not answer the previous owner, and when the leases there have ended.
+    silent_before: RefCell<IndexMap<String, Millis>>,
     /// Whether the lease is being released, so that no more leases are sent to workers.
     is_releasing: Cell<bool>,
     /// When a worker last left an order unanswered and answered a later call.
@@ -136,6 +141,8 @@
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
     pub wake: Notify,
+    /// Notified once the shard is lost.
+    lost: Notify,
     status: Cell<Status>,
 }
 
@@ -156,7 +163,9 @@
             fence,
             taken_at: sent_at,
             previous_owner: seen.row.as_ref().map(|row| row.holder.clone()),
+            replaced_token: seen.fence,
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
+            silent_before: RefCell::default(),
             is_releasing: Cell::new(false),
             late_execution_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
@@ -183,6 +192,7 @@
             returns: RefCell::default(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
+            lost: Notify::new(),
             status: Cell::new(Status::Recovering),
         })
     }
@@ -236,8 +246,12 @@
 
     /// Until when runs of earlier owners may be alive on a worker that has not answered this owner
     /// yet.
-    fn inherited_bound(&self) -> LeaseBound {
-        LeaseBound::inherited_until(self.earlier_owners.get().until())
+    fn inherited_bound(&self, worker: &str) -> LeaseBound {
+        let mut bound = LeaseBound::inherited_until(self.earlier_owners.get().until());
+        if let Some(ends_at) = self.silent_before.borrow().get(worker) {
+            bound.note_inherited_end(*ends_at);
+        }
+        bound
     }
 
     /// Whether workers have recently carried out unanswered orders late.
@@ -265,6 +279,7 @@
         }
         self.journal.stop();
         self.wake.notify_one();
+        self.lost.notify_one();
         let mut held = self.handle.owner.borrow_mut();
         let is_held = held
             .as_ref()
@@ -349,6 +364,8 @@
     cx.metrics.takeovers.inc();
     let (renewing, held) = (Rc::clone(cx), Rc::clone(&owner));
     supervisor::spawn("lease", async move { lease::renew(&renewing, &held).await });
+    let noted = stop_note::write_when_lost(Rc::clone(cx), Rc::clone(&owner));
+    supervisor::spawn("stop-note", noted);
     let cx = Rc::clone(cx);
     supervisor::spawn("owner", async move {
         if recover(&cx, &owner).await {
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -1,4 +1,4 @@
-//! Detects that the previous owner's process has ended.
+//! Detects that the previous owner's process has ended, or that the owner has noted its stop.
 //!
 //! An owner that the store rejects continues to renew workers' leases for `owner_hold`, so the next
 //! owner waits that long plus one lease before it gives up runs on workers that do not answer. When
@@ -7,10 +7,13 @@
 //! reply from another incarnation proves that the previous one sends nothing more, and the tasks
 //! run again 3 s sooner. A missing reply proves nothing.
 
-use super::Owner;
+use super::{Owner, stop_note};
 use crate::{
     core::time::{Millis, millis},
-    sched::{Cx, lease::LeaseView},
+    sched::{
+        Cx,
+        lease::{Holder, LeaseView},
+    },
 };
 use std::{rc::Rc, time::Duration};
 
@@ -19,27 +22,34 @@
 /// Timeout of a probe: many round trips between data centres.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Probes the previous owner's address until that owner has ended, or its hold has passed and the
-/// result is irrelevant.
+/// Reads the previous owner's note and probes its address until that owner has stopped, or its hold
+/// has passed and the result is irrelevant.
 pub async fn follow(cx: Cx, owner: Rc<Owner>) {
-    let Some(before) = owner
-        .previous_owner
-        .clone()
-        .filter(|before| *before != cx.me)
-    else {
+    let Some(before) = &owner.previous_owner else {
         return;
     };
     let until = owner.earlier_owners.get().previous_until();
-    while owner.is_serving() && cx.clock.now() < until {
-        match cx.peers.who(&before.address, PROBE_TIMEOUT).await {
-            Ok(now) if now.run.incarnation != before.incarnation => {
-                owner.note_previous_owner_ended(&cx, cx.clock.now());
-                return;
-            }
-            // The same incarnation still runs, or there is no reply.
-            Ok(_) | Err(_) => tokio::time::sleep(PROBE_INTERVAL).await,
+    // A released shard has a note, and no hold to wait out.
+    while !stop_note::accept(&cx, &owner).await {
+        if !owner.is_serving() || cx.clock.now() >= until {
+            return;
+        }
+        if has_ended(&cx, before).await {
+            owner.note_previous_owner_ended(&cx, cx.clock.now());
+            return;
         }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Whether another incarnation answers at the previous owner's address. If the same one does, or
+/// none, nothing is known.
+async fn has_ended(cx: &Cx, before: &Holder) -> bool {
+    if *before == cx.me {
+        return false;
     }
+    let answer = cx.peers.who(&before.address, PROBE_TIMEOUT).await;
+    answer.is_ok_and(|now| now.run.incarnation != before.incarnation)
 }
 
 impl Owner {
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -123,7 +123,7 @@
         let mut sessions = self.sessions.borrow_mut();
         let session = sessions
             .entry(on.worker.clone())
-            .or_insert_with(|| Session::new(self.inherited_bound()));
+            .or_insert_with(|| Session::new(self.inherited_bound(&on.worker)));
         session
             .tally
             .add(&record.size, record.load, record.is_long_running);
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -218,6 +218,11 @@
         (is_open && self.unresponsive_since.is_none()).then_some(report)
     }
 
+    /// Whether it does not answer, or has not answered this owner yet.
+    pub fn is_silent(&self) -> bool {
+        self.unresponsive_since.is_some() || self.claimed_incarnation.is_none()
+    }
+
     /// Milliseconds since it stopped answering, for logs; 0 while it answers.
     pub fn unresponsive_ms(&self, now: Millis) -> u64 {
         self.unresponsive_since
--- /dev/null
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -0,0 +1,162 @@
+//! What an owner that sends no more leases writes for the next one.
+//!
+//! A worker that is lost shortly before its owner is silent to the next owner too, which knows
+//! neither when the worker last got a lease nor whether a replaced owner still renews it. Without
+//! the note it waits out the hold and one lease from its own take-over.
+//!
+//! The row is in a table of its own, which only a new owner reads: every daemon polls the rows of
+//! the lease.
+
+use super::Owner;
+use crate::{
+    core::time::millis,
+    sched::{
+        Cx,
+        edge::{CallError, Row, RowKey, Txn, TxnOutcome},
+    },
+};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use std::rc::Rc;
+
+/// Store table of the notes.
+pub const STOPPED_TABLE: &str = "stopped";
+const NOTE_KEY: &str = "latest";
+/// Maximum number of workers in a note, so that it fits into a row.
+const MAX_WORKERS: usize = 500;
+/// Maximum attempts to write a note.
+const ATTEMPTS: usize = 2;
+
+data! {
+    /// Written by an owner that sends no lease after the writing.
+    pub struct StopNote {
+        /// The owner's fencing token.
+        pub token: u64,
+        /// Workers with runs that do not answer the owner: time after the writing until which the
+        /// leases of this owner and earlier ones last, in milliseconds.
+        #[serde(default)]
+        pub ends_in_ms: IndexMap<String, u64>,
+    }
+}
+
+/// Waits until the shard is lost, and writes the note. A daemon that drains has written it with the
+/// release.
+pub async fn write_when_lost(cx: Cx, owner: Rc<Owner>) {
+    owner.lost.notified().await;
+    if cx.is_draining() {
+        return;
+    }
+    for _ in 0..ATTEMPTS {
+        if write(&cx, &owner).await {
+            return;
+        }
+    }
+}
+
+/// Writes the note, unless there is one of the same or a later owner; returns false if the store did
+/// not answer.
+async fn write(cx: &Cx, owner: &Owner) -> bool {
+    let Ok(rows) = read_rows(cx, owner).await else {
+        return false;
+    };
+    let before = rows.first();
+    if before.is_some_and(|row| !is_earlier(row, owner.token())) {
+        return true;
+    }
+    let note = owner.stop_note(cx);
+    let (key, value) = row_of(owner, &note);
+    let txn = Txn {
+        expect: vec![(key.clone(), before.map_or(0, |row| row.version))],
+        put: vec![(key, value)],
+        delete: Vec::new(),
+    };
+    let outcome = cx.store.commit(&txn).await;
+    if !matches!(outcome, TxnOutcome::Committed(_)) {
+        log::warn!(shard:% = owner.handle.partition, token = note.token, end:? = outcome; "end of leases could not be noted");
+    }
+    matches!(outcome, TxnOutcome::Committed(_) | TxnOutcome::Conflict(_))
+}
+
+async fn read_rows(cx: &Cx, owner: &Owner) -> Result<Vec<Row>, CallError> {
+    let partition = &owner.handle.partition;
+    cx.store.rows(STOPPED_TABLE, partition, NOTE_KEY).await
+}
+
+/// Whether a row is the note of an owner before that with `token`.
+fn is_earlier(row: &Row, token: u64) -> bool {
+    let note = serde_json::from_slice::<StopNote>(&row.value);
+    note.is_ok_and(|note| note.token < token)
+}
+
+/// The row of a note. A transaction that expects the owner's fence may write it unread, since there
+/// is no later owner then.
+pub fn row_of(owner: &Owner, note: &StopNote) -> (RowKey, Bytes) {
+    let key = RowKey {
+        table: STOPPED_TABLE,
+        partition: owner.handle.partition.clone(),
+        key: NOTE_KEY.to_owned(),
+    };
+    (key, serde_json::to_vec(note).unwrap_or_default().into())
+}
+
+/// Reads the previous owner's note, and accepts it; returns whether there is one.
+pub async fn accept(cx: &Cx, owner: &Owner) -> bool {
+    let Ok(rows) = read_rows(cx, owner).await else {
+        return false;
+    };
+    let note = rows
+        .first()
+        .and_then(|row| serde_json::from_slice::<StopNote>(&row.value).ok());
+    let note = note.filter(|note| note.token == owner.replaced_token);
+    match note {
+        Some(note) => {
+            owner.accept_stop_note(cx, &note);
+            true
+        }
+        None => false,
+    }
+}
+
+impl Owner {
+    /// What this owner writes once it sends no more leases.
+    pub fn stop_note(&self, cx: &Cx) -> StopNote {
+        let now = cx.clock.now();
+        let late_execution = self.late_execution(now);
+        let sessions = self.sessions.borrow();
+        let listed = sessions
+            .iter()
+            .filter(|(_, session)| session.is_silent() && !session.runs.is_empty());
+        let listed = listed.filter_map(|(worker, session)| {
+            let ends_in_ms = session
+                .bound
+                .ends_in_ms(now, late_execution, &cx.cfg.leases)?;
+            Some((worker.clone(), ends_in_ms))
+        });
+        let ends_in_ms: IndexMap<_, _> = listed.take(MAX_WORKERS).collect();
+        let (token, workers) = (self.token(), ends_in_ms.len());
+        log::info!(shard:% = self.handle.partition, token, workers; "end of leases is noted");
+        StopNote { token, ends_in_ms }
+    }
+
+    /// Lowers the bounds on earlier owners by the note of the previous one, which was read just now.
+    fn accept_stop_note(&self, cx: &Cx, note: &StopNote) {
+        let now = cx.clock.now();
+        let mut earlier = self.earlier_owners.get();
+        earlier.note_previous_stopped(now);
+        self.earlier_owners.set(earlier);
+        let ends_at = |ends_in_ms: &u64| cx.cfg.leases.end_by_note(now, *ends_in_ms);
+        let silent = note.ends_in_ms.iter();
+        let silent = silent.map(|(worker, ends)| (worker.clone(), ends_at(ends)));
+        *self.silent_before.borrow_mut() = silent.collect();
+        for (worker, session) in &mut *self.sessions.borrow_mut() {
+            session.bound.previous_owner_ended(earlier.until());
+            if let Some(ends_at) = self.silent_before.borrow().get(worker) {
+                session.bound.note_inherited_end(*ends_at);
+            }
+        }
+        let since_takeover_ms = millis(now.since(self.taken_at));
+        let earlier_for_ms = millis(earlier.until().since(now));
+        let daemon = self.previous_owner.as_ref().map(|before| &before.daemon);
+        log::info!(shard:% = self.handle.partition, daemon:?, workers = note.ends_in_ms.len(), since_takeover_ms, earlier_for_ms; "owner before has stopped");
+    }
+}
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -47,10 +47,10 @@
         let runs = owner.runs.borrow();
         let record = &runs[run];
         let session = &sessions[&record.on.worker];
-        let is_unresponsive =
-            session.unresponsive_since.is_some() || session.claimed_incarnation.is_none();
         let is_sent = record.known.order != Order::NotSent;
-        is_sent && is_unresponsive && session.bound.has_ended(now, late_execution, &cx.cfg.leases)
+        is_sent
+            && session.is_silent()
+            && session.bound.has_ended(now, late_execution, &cx.cfg.leases)
     };
     let runs: Vec<RunId> = owner.runs.borrow().keys().copied().collect();
     let lapsed: Vec<RunId> = runs.into_iter().filter(is_lapsed).collect();
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -10,7 +10,7 @@
     edge::{Row, TxnOutcome},
     event::Loss,
 };
-use crate::core::time::Millis;
+use crate::core::time::{Millis, millis};
 use std::time::Duration;
 
 /// Outcome of sending a transaction with journal rows.
@@ -193,6 +193,12 @@
         time + time / self.drift_parts
     }
 
+    /// Time at which leases have ended by a note that was read at `read_at` and says that they end
+    /// `ends_in_ms` after its writing.
+    pub fn end_by_note(&self, read_at: Millis, ends_in_ms: u64) -> Millis {
+        read_at + self.measured_elsewhere(Duration::from_millis(ends_in_ms))
+    }
+
     /// Longest time after sending at which an unanswered order may take effect.
     fn lateness(&self, late_execution: LateExecution) -> Duration {
         match late_execution {
@@ -276,6 +282,9 @@
     /// Time until which an earlier owner may have sent leases; `None` once the worker has answered
     /// under this owner's token.
     inherited_until: Option<Millis>,
+    /// Time at which the leases of earlier owners have ended, as the previous owner wrote, unless
+    /// orders are carried out late.
+    inherited_end: Option<Millis>,
     /// Time of the last reply to a lease of this owner.
     answered_at: Option<Millis>,
     /// Time at which the last lease without a reply was sent.
@@ -296,6 +305,7 @@
     pub fn inherited_until(until: Millis) -> Self {
         Self {
             inherited_until: Some(until),
+            inherited_end: None,
             answered_at: None,
             unanswered_at: None,
             in_flight: 0,
@@ -307,6 +317,13 @@
         self.inherited_until = self.inherited_until.map(|until| until.min(at));
     }
 
+    /// Records that the leases of earlier owners have ended by `at`, unless orders are carried out
+    /// late. A later time than a known one is ignored.
+    pub fn note_inherited_end(&mut self, at: Millis) {
+        let known = self.inherited_end.unwrap_or(at);
+        self.inherited_end = Some(known.min(at));
+    }
+
     /// Records that a call with a lease is sent.
     pub fn note_sent(&mut self) {
         self.in_flight += 1;
@@ -349,6 +366,27 @@
         self.in_flight == 0 && now > latest
     }
 
+    /// Time from `now` until the last lease ends, in milliseconds, rounded up; `None` while calls are
+    /// in flight.
+    pub fn ends_in_ms(
+        &self,
+        now: Millis,
+        late_execution: LateExecution,
+        limits: &LeaseLimits,
+    ) -> Option<u64> {
+        let (_, latest) = self.latest_end(late_execution, limits);
+        (self.in_flight == 0).then(|| millis(latest.since(now)) + 1)
+    }
+
+    /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
+    fn inherited_end(&self, lateness: Duration, limits: &LeaseLimits) -> Option<Millis> {
+        let inferred = self.inherited_until? + lateness + limits.longest_on_own_clock();
+        let noted = self.inherited_end.unwrap_or(inferred);
+        // The previous owner may not have seen that orders are carried out late.
+        let noted = noted + lateness.saturating_sub(limits.transit);
+        Some(noted.min(inferred))
+    }
+
     /// Time at which the last lease ends if no call is in flight, and which leases end last.
     pub fn latest_end(
         &self,
@@ -356,18 +394,18 @@
         limits: &LeaseLimits,
     ) -> (LeaseKind, Millis) {
         let lateness = limits.lateness(late_execution);
-        let inherited = self.inherited_until.map(|until| until + lateness);
-        let unanswered = self.unanswered_at.map(|at| at + lateness);
-        let taken_effect = [
-            (LeaseKind::Answered, self.answered_at),
+        let longest = limits.longest_on_own_clock();
+        let answered = self.answered_at.map(|at| at + longest);
+        let unanswered = self.unanswered_at.map(|at| at + lateness + longest);
+        let ends = [
+            (LeaseKind::Answered, answered),
             (LeaseKind::Unanswered, unanswered),
-            (LeaseKind::Inherited, inherited),
+            (LeaseKind::Inherited, self.inherited_end(lateness, limits)),
         ];
-        let taken_effect = taken_effect
+        let ends = ends
             .into_iter()
-            .map(|(kind, at)| (kind, at.unwrap_or_default()));
-        let latest = taken_effect.max_by_key(|(_, at)| *at);
-        let (kind, at) = latest.unwrap_or((LeaseKind::Answered, Millis::default()));
-        (kind, at + limits.longest_on_own_clock())
+            .filter_map(|(kind, end)| Some((kind, end?)));
+        let latest = ends.max_by_key(|(_, end)| *end);
+        latest.unwrap_or((LeaseKind::Answered, Millis::default() + longest))
     }
 }
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -7,10 +7,10 @@
     sched::{
         edge::Row,
         lease::{Holder, LeaseRow, LeaseView},
-        resolution::EarlierOwners,
+        resolution::{EarlierOwners, LateExecution, LeaseBound},
     },
 };
-use proptest::{collection::vec, prelude::*};
+use proptest::{collection::vec, option, prelude::*};
 use std::time::Duration;
 
 /// How long a releasing owner of the build before goes on sending leases.
@@ -66,7 +66,73 @@
     [value("lease", lease), value("fence", Vec::new())]
 }
 
+/// What an owner does on one worker before it stops, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// Time after the take-over at which the worker answers and a lease is sent, if it does.
+    sent: Option<u64>,
+    /// Time until the lease takes effect.
+    transit: u64,
+    is_answered: bool,
+    stays: u64,
+    /// Time from the writing of the note until the next owner reads it; `None` if it never does.
+    note_read: Option<u64>,
+}
+
+fn contact() -> impl Strategy<Value = Contact> {
+    let times = (option::of(0..9_000_u64), 0..=750_u64, 0..9_000_u64);
+    (times, any::<bool>(), option::of(0..4_000_u64)).prop_map(
+        |((sent, transit, stays), is_answered, note_read)| Contact {
+            sent,
+            transit,
+            is_answered,
+            stays,
+            note_read,
+        },
+    )
+}
+
 proptest! {
+    /// Guards against a run that is given up by an earlier owner's note while a lease on its worker lasts.
+    #[test]
+    fn a_noted_end_is_no_earlier_than_the_last_lease(contacts in vec(contact(), 2..6)) {
+        let limits = limits();
+        let longest = limits.longest + limits.longest / limits.drift_parts;
+        let mut now = Millis(1_000);
+        let mut lasts_until = Millis(0);
+        let mut bound = LeaseBound::inherited_until(now);
+        for contact in contacts {
+            let stops_at = now + Duration::from_millis(contact.stays);
+            let sent_at = contact.sent.map(|sent| now + Duration::from_millis(sent));
+            if let Some(sent_at) = sent_at.filter(|at| *at <= stops_at) {
+                let effective_at = sent_at + Duration::from_millis(contact.transit);
+                bound.note_claimed(sent_at);
+                bound.note_sent();
+                if contact.is_answered {
+                    bound.note_answered(effective_at);
+                } else {
+                    bound.note_unanswered(sent_at);
+                }
+                lasts_until = effective_at + longest;
+            }
+            let noted = bound.ends_in_ms(stops_at, LateExecution::NotSeen, &limits);
+            let read_after = Duration::from_millis(contact.note_read.unwrap_or_default());
+            now = stops_at + read_after;
+            bound = match contact.note_read {
+                Some(_) => LeaseBound::inherited_until(now),
+                None => LeaseBound::inherited(now, &limits),
+            };
+            if let Some(noted) = noted.filter(|_| contact.note_read.is_some()) {
+                bound.note_inherited_end(limits.end_by_note(now, noted));
+            }
+            let (_, latest) = bound.latest_end(LateExecution::NotSeen, &limits);
+            prop_assert!(latest >= lasts_until, "{latest:?} < {lasts_until:?}");
+            let (_, late) = bound.latest_end(LateExecution::Seen, &limits);
+            let lateness = limits.latest_effect - limits.transit;
+            prop_assert!(late >= lasts_until + lateness || contact.note_read.is_none());
+        }
+    }
+
     /// Guards against a run that is given up while an owner before the last one still renews its lease.
     #[test]
     fn no_owner_sends_a_lease_after_the_inferred_time(tenures in vec(tenure(), 2..6)) {
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -189,6 +189,21 @@
     ));
 }
 
+/// Guards against a bound on earlier owners that a later note raises, or that ignores late execution.
+#[test]
+fn a_noted_end_only_lowers_the_bound() {
+    let limits = limits();
+    let mut bound = LeaseBound::inherited_until(Millis(10_000));
+    let end = |bound: &LeaseBound, late| bound.latest_end(late, &limits).1;
+    let inferred = end(&bound, LateExecution::NotSeen);
+    bound.note_inherited_end(inferred + Duration::from_secs(1));
+    assert_eq!(end(&bound, LateExecution::NotSeen), inferred);
+    bound.note_inherited_end(Millis(12_000));
+    bound.note_inherited_end(Millis(13_000));
+    assert_eq!(end(&bound, LateExecution::NotSeen), Millis(12_000));
+    assert_eq!(end(&bound, LateExecution::Seen), Millis(23_750));
+}
+
 /// Guards against acknowledging ends that were never received: a worker that did not answer may be in a new
 /// incarnation, which numbers its ends from 1 again.
 #[test]
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -5,6 +5,7 @@
     world::{StoreBehaviour, World, owned, owns, spec, step, terms, until},
 };
 use assert_matches::assert_matches;
+use indexmap::IndexMap;
 use lapisdrum::sched::{
     Cx,
     edge::{RowKey, Txn, TxnOutcome},
@@ -14,6 +15,7 @@
     layout::ShardId,
     lease::LEASE,
     ledger::Ledger,
+    owner::stop_note::{StopNote, row_of},
     peer::{CancelReply, JobState, SubmitReply},
     process, reachability,
 };
@@ -302,6 +304,32 @@
     });
 }
 
+/// Guards against a note of another owner than the previous one, which still renews its leases, taken for its note.
+#[test]
+fn a_note_of_another_owner_is_ignored() {
+    paused(async {
+        let world = World::new(2);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        let on = world.starts.borrow()[0].2.clone();
+        let note = StopNote {
+            token: first.owners()[0].token() - 1,
+            ends_in_ms: IndexMap::from_iter([(on.clone(), 0)]),
+        };
+        let row = row_of(&first.owners()[0], &note);
+        let put = Txn {
+            put: vec![row],
+            ..Txn::default()
+        };
+        assert_matches!(first.store.commit(&put).await, TxnOutcome::Committed(_));
+        world.cut_from("b", &on);
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        restarted(&world).await;
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
 /// Guards against a count that starts again at each release for a worker that was silent before.
 #[test]
 fn releases_in_series_do_not_extend_the_bound_on_a_silent_worker() {
