--- a/src/lapisdrum/sched/owner/returns.rs
+++ b/src/lapisdrum/sched/owner/returns.rs
@@ -31,9 +31,10 @@
 /// Guest tasks that have waited this long are returned: longer than the time after which a task is
 /// delegated, so that most are placed before.
 const RETURN_AFTER: Duration = Duration::from_millis(1_500);
-/// Guest tasks that fit once short tasks have ended are returned after this long: longer than short
-/// tasks run. A return would lose their rank here, and the same capacity would be offered again.
-const RETURN_FITTING_AFTER: Duration = Duration::from_secs(10);
+/// Guest tasks that fit once short tasks have ended are returned after this long: longer than most
+/// short tasks run, and soon enough for capacity that another shard has at once. An earlier return
+/// would lose their rank here, and the same capacity would be offered again.
+const RETURN_FITTING_AFTER: Duration = Duration::from_secs(5);
 /// Time between two calls to a shard that has not confirmed a return.
 const CALL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum number of tasks that are returned or logged in one round, and of those in one call.
