--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 cd "$here/../.." || exit 2
 bash review/build.sh >&2 || exit 2
 export TROUBLE=${TROUBLE:-1}
-exec timeout --signal=KILL 115 target/review/release/review-standin late-pointer "$here/record.txt"
+exec timeout --signal=TERM --kill-after=2 112 target/review/release/review-standin late-pointer "$here/record.txt"
--- a/review/standin/src/late_pointer.rs
+++ b/review/standin/src/late_pointer.rs
@@ -1,28 +1,21 @@
 //! A write to the store gets no answer and is performed three seconds later; then the process that last
 //! wrote to the store is killed.
 
-use crate::{Verdict, record::Record, site::Site, store::LateWrite};
-use futures::StreamExt;
-use std::{
-    cell::{Cell, RefCell},
-    path::Path,
-    rc::Rc,
-    time::Duration,
+use crate::{
+    Verdict,
+    record::Record,
+    site::Site,
+    store::LateWrite,
+    traffic::{Traffic, ask_all},
 };
+use std::{path::Path, rc::Rc, time::Duration};
 
-/// Pause between two submissions.
-const PACE: Duration = Duration::from_millis(22);
 /// Delay until the unanswered write is performed.
 const LATE: Duration = Duration::from_millis(3_000);
 /// Time for which callers go on after the kill.
 const TRAFFIC_AFTER: Duration = Duration::from_secs(10);
 /// `finish_s`: after this the callers ask for all jobs.
 const FINISH: Duration = Duration::from_secs(14);
-/// Longest time for which a caller asks for one job again and again.
-const ASKED_FOR: Duration = Duration::from_secs(12);
-
-/// One task of 150 ms.
-const SHORT: &str = r#"{"spec":"150","steps":[{"count":1,"cpu":200,"memMb":64,"estimateMs":150}]}"#;
 /// Four tasks that last.
 const LASTING: &str = r#"{"spec":"lasts","steps":[{"count":4,"cpu":500,"memMb":64,"estimateMs":200,"longRunning":true}]}"#;
 
@@ -47,15 +40,12 @@
     if is_late {
         *site.store.late.borrow_mut() = Some(LateWrite { table: "snapshots", after: LATE });
     }
-    let accepted: Rc<RefCell<Vec<String>>> = Rc::default();
-    let goes_on = Rc::new(Cell::new(true));
     let lasting = "aaaaaaaaaaaaaaaa".to_owned();
     if site.submit(&lasting, LASTING, 10).await != Some(200) {
         return Verdict::CouldNotRun("the first job was not accepted".to_owned());
     }
     record.note(&format!("caller: POST {lasting}, four tasks that last: 200"));
-    accepted.borrow_mut().push(lasting.clone());
-    let traffic = actix_rt::spawn(traffic(Rc::clone(site), Rc::clone(&accepted), Rc::clone(&goes_on)));
+    let traffic = Traffic::start(site);
 
     // The first snapshot is stored after 400 journal rows.
     for _ in 0..400 {
@@ -81,9 +71,8 @@
         owner.kill();
     }
     tokio::time::sleep(TRAFFIC_AFTER).await;
-    goes_on.set(false);
-    let _ = traffic.await;
-    let jobs = accepted.borrow().clone();
+    let mut jobs = traffic.end().await;
+    jobs.push(lasting.clone());
     record.say(&format!("the traffic ends; {} jobs were accepted", jobs.len()));
     tokio::time::sleep(FINISH).await;
     let lost = ask_all(site, &jobs).await;
@@ -94,46 +83,3 @@
         false => Verdict::Broken,
     }
 }
-
-async fn traffic(site: Rc<Site>, accepted: Rc<RefCell<Vec<String>>>, goes_on: Rc<Cell<bool>>) {
-    let mut number = 0_u64;
-    while goes_on.get() {
-        number += 1;
-        let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let (site, accepted) = (Rc::clone(&site), Rc::clone(&accepted));
-        actix_rt::spawn(async move {
-            let status = site.submit(&id, SHORT, 1).await;
-            site.record.note(&format!("caller: POST {id}: {}", shown(status)));
-            if status == Some(200) {
-                accepted.borrow_mut().push(id);
-            }
-        });
-        tokio::time::sleep(PACE).await;
-    }
-}
-
-/// Asks for each job until it is answered with its state; returns those that weren't.
-async fn ask_all(site: &Rc<Site>, jobs: &[String]) -> Vec<String> {
-    let asked = futures::stream::iter(jobs.to_vec()).map(|id| {
-        let site = Rc::clone(site);
-        async move {
-            let until = std::time::Instant::now() + ASKED_FOR;
-            loop {
-                let answer = site.call("GET", &id, "").await;
-                let status = answer.as_ref().map(|answer| answer.status);
-                let is_known = status == Some(200);
-                if is_known || std::time::Instant::now() > until {
-                    let state = answer.map(|answer| answer.body.to_string()).unwrap_or_default();
-                    site.record.note(&format!("caller: GET {id}: {} {state}", shown(status)));
-                    return (!is_known).then_some(id);
-                }
-                tokio::time::sleep(Duration::from_millis(1_000)).await;
-            }
-        }
-    });
-    asked.buffer_unordered(2_000).filter_map(async |lost| lost).collect().await
-}
-
-fn shown(status: Option<u16>) -> String {
-    status.map_or_else(|| "no answer".to_owned(), |status| status.to_string())
-}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,8 +2,14 @@
 //! it held, 2 if the scenario couldn't run. `TROUBLE=0` leaves the disruption out.
 
 mod caller;
+mod clock_back;
 mod daemons;
+mod ends;
+mod large_job;
 mod late_pointer;
+mod pending;
+mod schedule;
+mod traffic;
 mod record;
 mod site;
 mod store;
@@ -38,6 +44,11 @@
     let run = async {
         match scenario.as_str() {
             "late-pointer" => late_pointer::run(&dir, &record, &trouble).await,
+            "ends" => ends::run(&dir, &record, &trouble).await,
+            "pending" => pending::run(&dir, &record, &trouble).await,
+            "clock-back" => clock_back::run(&dir, &record, &trouble).await,
+            "schedule" => schedule::run(&dir, &record, &trouble).await,
+            "large-job" => large_job::run(&dir, &record, &trouble).await,
             _ => Verdict::CouldNotRun("no such scenario".to_owned()),
         }
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -20,6 +20,7 @@
     pub record: Rc<Record>,
     pub store: Rc<Store>,
     pub runs: Runs,
+    pub workers: Vec<Rc<Worker>>,
     pub daemons: Vec<Rc<Daemon>>,
     next: Cell<usize>,
     _stop: watch::Sender<bool>,
@@ -35,11 +36,13 @@
         actix_rt::spawn(Rc::clone(&store).serve(listener, stop.subscribe()));
         store.put("op", "config", &config());
         let runs = Runs::default();
+        let mut started = Vec::new();
         for nth in 0..workers {
-            let worker = Worker::new(&format!("i-{nth}"), &format!("r1-{}", nth / 4), 32_000, &runs, &record);
+            let worker = Worker::new(&format!("i-{nth}"), &format!("r1-{}", nth / 3), 32_000, &runs, &record);
             let listener = TcpListener::bind("127.0.0.1:0").await.ok()?;
             let address = listener.local_addr().ok()?.to_string();
-            actix_rt::spawn(Rc::clone(&worker).serve(listener, stop.subscribe()));
+            actix_rt::spawn(Rc::clone(&worker).serve(listener));
+            started.push(Rc::clone(&worker));
             actix_rt::spawn(beat(worker, Rc::clone(&store), address));
         }
         let ports = Ports::pick();
@@ -51,7 +54,7 @@
             daemon.start();
             actix_rt::spawn(Rc::clone(daemon).supervise(Rc::clone(&record)));
         }
-        let site = Self { record, store, runs, daemons, next: Cell::new(0), _stop: stop };
+        let site = Self { record, store, runs, workers: started, daemons, next: Cell::new(0), _stop: stop };
         for _ in 0..100 {
             tokio::time::sleep(Duration::from_millis(100)).await;
             if site.are_ready().await && site.owner().is_some() {
@@ -111,10 +114,19 @@
 
 /// A worker writes its entry about every `heartbeatMs`.
 async fn beat(worker: Rc<Worker>, store: Rc<Store>, address: String) {
-    let mut seq = 0;
+    let (mut seq, mut silent) = (0, 0);
     loop {
         seq += 1;
-        store.put("servers", &worker.id, &worker.entry(&address, seq));
+        // After three heartbeat intervals of silence the platform removes the entry.
+        match worker.is_down.get() || worker.is_cut.get() {
+            true => silent += 1,
+            false => silent = 0,
+        }
+        match silent {
+            0 => store.put("servers", &worker.id, &worker.entry(&address, seq)),
+            3 => store.remove("servers", &worker.id),
+            _ => {}
+        }
         worker.end_due_runs();
         tokio::time::sleep(Duration::from_millis(1_100)).await;
     }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -91,6 +91,13 @@
         self.rows.borrow_mut().insert(at, row);
     }
 
+    /// Removes a row as the platform does.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.version.set(self.version.get() + 1);
+        let at = (table.to_owned(), String::new(), key.to_owned());
+        self.rows.borrow_mut().remove(&at);
+    }
+
     /// Value of a row, if it is JSON.
     pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
         let at = (table.to_owned(), part.to_owned(), key.to_owned());
