--- a/review/standin/src/late_pointer.rs
+++ b/review/standin/src/late_pointer.rs
@@ -6,7 +6,7 @@
     record::Record,
     site::Site,
     store::LateWrite,
-    traffic::{Traffic, ask_all},
+    traffic::{SHORT, Traffic, ask_all},
 };
 use std::{path::Path, rc::Rc, time::Duration};
 
@@ -45,7 +45,7 @@
         return Verdict::CouldNotRun("the first job was not accepted".to_owned());
     }
     record.note(&format!("caller: POST {lasting}, four tasks that last: 200"));
-    let traffic = Traffic::start(site);
+    let traffic = Traffic::start(site, SHORT);
 
     // The first snapshot is stored after 400 journal rows.
     for _ in 0..400 {
@@ -71,7 +71,7 @@
         owner.kill();
     }
     tokio::time::sleep(TRAFFIC_AFTER).await;
-    let mut jobs = traffic.end().await;
+    let mut jobs: Vec<String> = traffic.end().await.into_iter().map(|(id, _)| id).collect();
     jobs.push(lasting.clone());
     record.say(&format!("the traffic ends; {} jobs were accepted", jobs.len()));
     tokio::time::sleep(FINISH).await;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod clock_back;
 mod daemons;
 mod ends;
+mod handover;
 mod large_job;
 mod late_pointer;
 mod pending;
@@ -44,6 +45,7 @@
     let run = async {
         match scenario.as_str() {
             "late-pointer" => late_pointer::run(&dir, &record, &trouble).await,
+            "handover" => handover::run(&dir, &record, &trouble).await,
             "ends" => ends::run(&dir, &record, &trouble).await,
             "pending" => pending::run(&dir, &record, &trouble).await,
             "clock-back" => clock_back::run(&dir, &record, &trouble).await,
--- a/review/standin/src/schedule.rs
+++ b/review/standin/src/schedule.rs
@@ -5,7 +5,7 @@
     Verdict,
     record::Record,
     site::Site,
-    traffic::{Traffic, ask_all, shown},
+    traffic::{SHORT, Traffic, ask_all, shown},
 };
 use std::{path::Path, rc::Rc, time::Duration};
 
@@ -28,14 +28,14 @@
 
 async fn play(site: &Rc<Site>, is_troubled: bool) -> Verdict {
     let record = &site.record;
-    let traffic = Traffic::start(site);
+    let traffic = Traffic::start(site, SHORT);
     tokio::time::sleep(TRAFFIC_BEFORE).await;
     if is_troubled {
         let status = site.submit("dddddddddddddddd", MINUTELY, 3).await;
         record.say(&format!("caller: POST dddddddddddddddd, every minute: {}", shown(status)));
     }
     tokio::time::sleep(TRAFFIC_AFTER).await;
-    let jobs = traffic.end().await;
+    let jobs: Vec<String> = traffic.end().await.into_iter().map(|(id, _)| id).collect();
     record.say(&format!("the traffic ends; {} jobs were accepted", jobs.len()));
     tokio::time::sleep(FINISH).await;
     let lost = ask_all(site, &jobs).await;
--- a/review/standin/src/traffic.rs
+++ b/review/standin/src/traffic.rs
@@ -15,23 +15,27 @@
 /// One task of 150 ms.
 pub const SHORT: &str = r#"{"spec":"150","steps":[{"count":1,"cpu":200,"memMb":64,"estimateMs":150}]}"#;
 
+/// Jobs that were accepted, and when.
+type Accepted = Rc<RefCell<Vec<(String, f64)>>>;
+
 /// Callers that submit small jobs.
 pub struct Traffic {
-    accepted: Rc<RefCell<Vec<String>>>,
+    accepted: Accepted,
     goes_on: Rc<Cell<bool>>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
 impl Traffic {
-    pub fn start(site: &Rc<Site>) -> Self {
-        let accepted: Rc<RefCell<Vec<String>>> = Rc::default();
+    /// Submits `body` again and again, each time under another id.
+    pub fn start(site: &Rc<Site>, body: &'static str) -> Self {
+        let accepted = Accepted::default();
         let goes_on = Rc::new(Cell::new(true));
-        let task = actix_rt::spawn(submit_all(Rc::clone(site), Rc::clone(&accepted), Rc::clone(&goes_on)));
+        let task = actix_rt::spawn(submit_all(Rc::clone(site), body, Rc::clone(&accepted), Rc::clone(&goes_on)));
         Self { accepted, goes_on, task }
     }
 
-    /// Ends the traffic; returns the jobs that were accepted.
-    pub async fn end(self) -> Vec<String> {
+    /// Ends the traffic; returns the jobs that were accepted, and when each was.
+    pub async fn end(self) -> Vec<(String, f64)> {
         self.goes_on.set(false);
         let _ = self.task.await;
         tokio::time::sleep(Duration::from_secs(3)).await;
@@ -39,17 +43,17 @@
     }
 }
 
-async fn submit_all(site: Rc<Site>, accepted: Rc<RefCell<Vec<String>>>, goes_on: Rc<Cell<bool>>) {
+async fn submit_all(site: Rc<Site>, body: &'static str, accepted: Accepted, goes_on: Rc<Cell<bool>>) {
     let mut number = 0_u64;
     while goes_on.get() {
         number += 1;
         let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let (site, accepted) = (Rc::clone(&site), Rc::clone(&accepted));
         actix_rt::spawn(async move {
-            let status = site.submit(&id, SHORT, 1).await;
+            let status = site.submit(&id, body, 1).await;
             site.record.note(&format!("caller: POST {id}: {}", shown(status)));
             if status == Some(200) {
-                accepted.borrow_mut().push(id);
+                accepted.borrow_mut().push((id, site.record.now()));
             }
         });
         tokio::time::sleep(PACE).await;
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -120,7 +120,15 @@
         for run in runs.iter_mut().filter(|run| run.worker == self.id && run.end.is_none()) {
             run.end = Some(("crashed", self.record.now()));
         }
-        self.life.send_modify(|life| *life += 1);
+        if !self.is_cut.get() {
+            self.life.send_modify(|life| *life += 1);
+        }
+    }
+
+    /// Crashes and is silent from then on: channels to it hang.
+    pub fn crash_dark(&self) {
+        self.is_cut.set(true);
+        self.crash();
     }
 
     /// Starts again under the same id; it knows nothing of before. Its time of day is ahead by this
@@ -140,7 +148,7 @@
 
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
-            if self.is_down.get() {
+            if self.is_down.get() && !self.is_cut.get() {
                 continue;
             }
             let _ = stream.set_nodelay(true);
