--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the scheduler, in the text format that is served on the metrics address.
 
-use super::{event::RunEnd, front::Outcome, ledger::Phase};
+use super::{event::RunEnd, front::Outcome, ledger::Phase, owner::outages::WaitsFor};
+use indexmap::IndexMap;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -31,6 +32,12 @@
     outcome: String,
 }
 
+/// Label of metrics by what a task waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WaitLabel {
+    waits_for: String,
+}
+
 /// Metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -61,6 +68,9 @@
     pub runs_live: Gauge,
     /// Live runs in evacuated data centres.
     pub runs_in_evacuated: Gauge,
+    /// Interrupted long-running tasks that did not run again within three seconds.
+    pub long_running_outages: Counter,
+    long_running_overdue: Family<WaitLabel, Gauge>,
     submits: Family<OutcomeLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
     job_seconds: Histogram,
@@ -85,12 +95,15 @@
             jobs_active: Gauge::default(),
             runs_live: Gauge::default(),
             runs_in_evacuated: Gauge::default(),
+            long_running_outages: Counter::default(),
+            long_running_overdue: Family::default(),
             submits: Family::default(),
             jobs: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(FIRST_JOB_BUCKET, 2.0, BUCKETS)),
             ends: Family::default(),
         };
         new.register();
+        new.note_overdue(&IndexMap::new());
         new
     }
 
@@ -138,6 +151,18 @@
             "Runs left in evacuated data centres",
             evacuated,
         );
+        let outages = self.long_running_outages.clone();
+        r.register(
+            "long_running_outages",
+            "Interrupted long-running tasks that were down for three seconds",
+            outages,
+        );
+        let overdue = self.long_running_overdue.clone();
+        r.register(
+            "long_running_overdue",
+            "Interrupted long-running tasks that have been down for three seconds",
+            overdue,
+        );
         r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
@@ -175,6 +200,16 @@
         self.ends.get_or_create(&EndLabel { outcome }).inc();
     }
 
+    /// Sets the number of overdue long-running tasks by what they wait for.
+    pub fn note_overdue(&self, overdue: &IndexMap<WaitsFor, i64>) {
+        for waits_for in WaitsFor::ALL {
+            let tasks = overdue.get(&waits_for).copied().unwrap_or_default();
+            let waits_for = format!("{waits_for:?}");
+            let label = WaitLabel { waits_for };
+            self.long_running_overdue.get_or_create(&label).set(tasks);
+        }
+    }
+
     /// Encodes all metrics in the text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -18,6 +18,7 @@
 pub mod jobs;
 pub mod kept_hosts;
 pub mod offers;
+pub mod outages;
 pub mod poll;
 pub mod previous_owner;
 pub mod returns;
@@ -129,6 +130,8 @@
     backlog: RefCell<Backlog>,
     /// Hosts that are kept free for waiting tasks, for the log.
     kept_hosts: RefCell<KeptHosts>,
+    /// Long-running tasks that do not run.
+    outages: RefCell<outages::Outages>,
     /// Number of runs that are still in each evacuated data centre.
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks delegated to other shards.
@@ -186,6 +189,7 @@
             short_work: RefCell::default(),
             backlog: RefCell::default(),
             kept_hosts: RefCell::default(),
+            outages: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
             offers: RefCell::default(),
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -1,7 +1,11 @@
 //! Periodic maintenance: gives up runs on unresponsive workers whose leases have expired, stops
 //! stalled runs, removes jobs past their retention, and updates gauges.
 
-use super::{Owner, runs};
+use super::{
+    Owner,
+    outages::{self, WaitsFor},
+    runs,
+};
 use crate::{
     core::time::millis,
     sched::{
@@ -33,9 +37,12 @@
         stop_stalled(&cx, &owner);
         forget_old(&cx, &owner);
         note_evacuated(&cx, &owner);
+        outages::note(&cx, &owner);
         note_gauges(&cx);
         tokio::time::sleep(INTERVAL).await;
     }
+    // A process without a shard has no other round that would reset them.
+    note_gauges(&cx);
 }
 
 /// Gives up runs on unresponsive or unclaimed workers once every lease there has certainly expired.
@@ -156,6 +163,13 @@
     cx.metrics
         .runs_in_evacuated
         .set(sum(Owner::runs_in_evacuated));
+    let mut overdue: IndexMap<WaitsFor, i64> = IndexMap::new();
+    for owner in &owners {
+        for (waits_for, tasks) in owner.outages.borrow().overdue(cx.clock.now()) {
+            *overdue.entry(waits_for).or_default() += tasks;
+        }
+    }
+    cx.metrics.note_overdue(&overdue);
 }
 
 impl Owner {
