A lease ends when its call says, however late the call takes effect

Cause: the bound on a silent worker's leases counted from the time at which a call may take effect: 12.5 s after its sending, once any worker of the shard had left an order unanswered and answered the next poll within 30 s. But a lease ends at a time on the worker's clock that the call names, and a start that arrives after that time is refused; so a call that is executed late extends nothing. The same was added to leases of earlier owners and to their notes. A lost reply, which is no lateness at all, set it off as well. Class: a guard against one uncertainty (when an order is executed) kept for another value (when a lease ends) that doesn't depend on it, and evidence from one worker that counted for all.

Ruled out: capacity (tasks were started within 0.05 to 0.6 s of `run lost`), offers (one shard).

Change: each lease counts from its sending, answered or not; those of earlier owners from the time until which they may send any. With that the belief in late execution has no use left and goes, with its setting. A worker's clock may be 2 % slow, so a lease is sent only by a reading of it that is at most 4.5 s old: LEASE_MARGIN covers the difference. What a late order may start is resolved as before, by a stop that its worker confirms.

Why it is safe: model::leases holds the real session and bound against a worker with a clock 0 to 2 % slow and calls that are lost or executed up to 12.5 s late, 4,096 cases a run. A later incarnation, whose clock starts anew, gets no call that was sent to an earlier one, since the connection ended with it (docs/DESIGN.md, What is asked of workers).

--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -35,7 +35,7 @@
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LeaseView},
     ledger::{Ledger, Phase},
-    resolution::{EarlierOwners, LateExecution, LeaseBound, LeaseLimits},
+    resolution::{EarlierOwners, LeaseBound, LeaseLimits},
 };
 use crate::{
     core::time::{Millis, millis},
@@ -63,9 +63,6 @@
 /// Delay before a failed recovery is retried.
 const RECOVERY_RETRY: Duration = Duration::from_millis(200);
 
-/// How long late execution of an order is remembered: longer than such an execution can be delayed.
-const LATE_EXECUTION_MEMORY: Duration = Duration::from_secs(30);
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Status {
     Recovering,
@@ -90,8 +87,6 @@
     silent_before: RefCell<IndexMap<String, Millis>>,
     /// Whether the lease is being released, so that no more leases are sent to workers.
     is_releasing: Cell<bool>,
-    /// When a worker last left an order unanswered and answered a later call.
-    late_execution_at: Cell<Option<Millis>>,
     /// Version of the lease row that this owner last wrote.
     pub lease_version: Cell<u64>,
     /// When the last successful renewal of the shard's lease was sent.
@@ -170,7 +165,6 @@
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
             silent_before: RefCell::default(),
             is_releasing: Cell::new(false),
-            late_execution_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
             renewing: Mutex::new(()),
@@ -258,24 +252,6 @@
         bound
     }
 
-    /// Whether workers have recently carried out unanswered orders late.
-    pub fn late_execution(&self, now: Millis) -> LateExecution {
-        let is_recent = |at| now.since(at) < LATE_EXECUTION_MEMORY;
-        match self.late_execution_at.get().is_some_and(is_recent) {
-            true => LateExecution::Seen,
-            false => LateExecution::NotSeen,
-        }
-    }
-
-    /// Notes that a worker left an order unanswered and answered a later call.
-    pub fn note_late_execution(&self, cx: &Cx, worker: &str) {
-        let now = cx.clock.now();
-        if self.late_execution(now) == LateExecution::NotSeen {
-            log::warn!(worker; "orders may be carried out late");
-        }
-        self.late_execution_at.set(Some(now));
-    }
-
     /// Ends the ownership: stops journal writes and dispatch, and removes the owner from the shard.
     pub fn mark_lost(&self, why: &str) {
         if self.status.replace(Status::Lost) == Status::Lost {
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -146,15 +146,13 @@
 
 fn log_outage(cx: &Cx, owner: &Owner, found: &Down, down: Duration) {
     let now = cx.clock.now();
-    let late_execution = owner.late_execution(now);
     let runs = owner.runs.borrow();
     let record = found.run.and_then(|run| runs.get(&run));
     let worker = record.map(|record| record.on.worker.as_str());
     let sessions = owner.sessions.borrow();
     let session = worker.and_then(|worker| sessions.get(worker));
     let silent_ms = session.map(|session| session.unresponsive_ms(now));
-    let bound = session.map(|session| session.bound);
-    let latest = bound.map(|bound| bound.latest_end(late_execution, &cx.cfg.leases));
+    let latest = session.map(|session| session.bound.latest_end(&cx.cfg.leases));
     let last_lease = latest.map(|(kind, _)| kind);
     let ends_in_ms = latest.map(|(_, end)| millis(end.since(now)));
     let refused = refusal(owner, &found.task.step_id());
@@ -172,7 +170,6 @@
         silent_ms,
         last_lease:?,
         ends_in_ms,
-        late_execution:?,
         refused:?;
         "long-running task does not run"
     );
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -2,8 +2,8 @@
 //!
 //! Each worker nearly always has one open long poll that returns when a run ends, so the owner
 //! knows of an end within a millisecond, at one call per end. Only a poll that directly follows an
-//! answer carries a lease: a renewal sent to an unresponsive worker may be carried out late, and
-//! would triple the time before its tasks can be started elsewhere.
+//! answer carries a lease: a renewal sent to an unresponsive worker may reach it without a reply, and
+//! would extend the time before its tasks can be started elsewhere.
 
 use super::{
     Owner, interference,
@@ -84,7 +84,7 @@
         let answers = is_claimed && session.unresponsive_since.is_none();
         let is_due = session.is_renewal_due(now) && may_renew;
         let lease = (answers && is_due)
-            .then(|| session.lease_end(now, cx.cfg.leases.sent()))
+            .then(|| session.lease_end(now, &cx.cfg.leases))
             .flatten();
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
@@ -129,7 +129,7 @@
     cx.metrics.polls.inc();
     let outcome = cx.workers.poll(&address, worker, &order).await;
     if lease_until.is_some() {
-        note_lease_call(cx, owner, worker, sent_at, &outcome);
+        note_lease_call(owner, worker, sent_at, &outcome);
     }
     if !owner.is_serving() {
         return false;
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -201,7 +201,7 @@
     let now = cx.clock.now();
     let took_ms = now.since(sent_at).as_millis() as u64;
     log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, outcome:? = outcome; "start ordered");
-    note_lease_call(cx, owner, &worker, sent_at, &outcome);
+    note_lease_call(owner, &worker, sent_at, &outcome);
     match outcome {
         OrderOutcome::Done(clock) => {
             owner.session(&worker, |session| session.note_clock(clock, now));
@@ -224,29 +224,20 @@
             owner.session(&worker, |s| {
                 s.unresponsive_since = s.unresponsive_since.or(Some(now))
             });
-            if poll::poll_now(cx, owner, &worker).await {
-                owner.note_late_execution(cx, &worker);
-            }
+            poll::poll_now(cx, owner, &worker).await;
         }
     }
 }
 
 /// Updates the worker's lease bound by the outcome of a call that carried a lease.
-pub fn note_lease_call<T>(
-    cx: &Cx,
-    owner: &Owner,
-    worker: &str,
-    sent_at: Millis,
-    outcome: &OrderOutcome<T>,
-) {
-    let now = cx.clock.now();
+pub fn note_lease_call<T>(owner: &Owner, worker: &str, sent_at: Millis, outcome: &OrderOutcome<T>) {
     owner.session(worker, |session| match outcome {
         OrderOutcome::Done(_) => {
-            session.bound.note_answered(now);
+            session.bound.note_answered(sent_at);
             session.leased_at = session.leased_at.max(Some(sent_at));
         }
         // A worker may refuse an order and accept its lease all the same.
-        OrderOutcome::Refused(_) => session.bound.note_answered(now),
+        OrderOutcome::Refused(_) => session.bound.note_answered(sent_at),
         OrderOutcome::Unsent(_) => session.bound.note_no_effect(),
         OrderOutcome::Silent(_) => session.bound.note_unanswered(sent_at),
     });
@@ -278,7 +269,7 @@
     let (address, lease_until) = owner.session(&on.worker, |session| {
         let is_same_incarnation = session.claimed_incarnation == Some(on.started_unix_ms);
         let report = session.report.as_ref()?;
-        let lease_until = session.lease_end(now, cx.cfg.leases.sent())?;
+        let lease_until = session.lease_end(now, &cx.cfg.leases)?;
         let is_responsive = session.unresponsive_since.is_none();
         // The data centre may have been evacuated after the run was placed.
         let may_start = cx.allows_starts_in(&report.data_centre);
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -10,7 +10,12 @@
         overload::Overload,
         place::{Load, reserved_by},
     },
-    sched::{edge::WorkerReport, event::RunId, job::StepId, resolution::LeaseBound},
+    sched::{
+        edge::WorkerReport,
+        event::RunId,
+        job::StepId,
+        resolution::{LeaseBound, LeaseLimits},
+    },
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
@@ -182,11 +187,12 @@
         }
     }
 
-    /// End, on the worker's clock, of a lease of this length sent at `now`; none before the clock
-    /// was read.
-    pub fn lease_end(&self, now: Millis, lease: Duration) -> Option<WorkerMillis> {
+    /// End, on the worker's clock, of a lease sent at `now`; none if the clock was not read
+    /// recently.
+    pub fn lease_end(&self, now: Millis, limits: &LeaseLimits) -> Option<WorkerMillis> {
         let (clock, read_at) = self.clock?;
-        Some(clock + now.since(read_at) + lease)
+        let age = now.since(read_at);
+        (age <= limits.max_clock_age()).then(|| clock + age + limits.sent())
     }
 
     /// Whether the last accepted lease is old enough to be renewed, or there is none.
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -121,15 +121,12 @@
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
         let now = cx.clock.now();
-        let late_execution = self.late_execution(now);
         let sessions = self.sessions.borrow();
         let listed = sessions
             .iter()
             .filter(|(_, session)| session.is_silent() && !session.runs.is_empty());
         let listed = listed.filter_map(|(worker, session)| {
-            let ends_in_ms = session
-                .bound
-                .ends_in_ms(now, late_execution, &cx.cfg.leases)?;
+            let ends_in_ms = session.bound.ends_in_ms(now, &cx.cfg.leases)?;
             Some((worker.clone(), ends_in_ms))
         });
         let ends_in_ms: IndexMap<_, _> = listed.take(MAX_WORKERS).collect();
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -13,7 +13,7 @@
         event::{Event, Loss, RunId},
         job::JobId,
         ledger::{Phase, SentJob},
-        resolution::{LateExecution, Order, Stop},
+        resolution::{Order, Stop},
     },
 };
 use indexmap::IndexMap;
@@ -48,28 +48,25 @@
 /// Gives up runs on unresponsive or unclaimed workers once every lease there has certainly expired.
 fn give_up_lapsed(cx: &Cx, owner: &Rc<Owner>) {
     let now = cx.clock.now();
-    let late_execution = owner.late_execution(now);
     let sessions = owner.sessions.borrow();
     let is_lapsed = |run: &RunId| {
         let runs = owner.runs.borrow();
         let record = &runs[run];
         let session = &sessions[&record.on.worker];
         let is_sent = record.known.order != Order::NotSent;
-        is_sent
-            && session.is_silent()
-            && session.bound.has_ended(now, late_execution, &cx.cfg.leases)
+        is_sent && session.is_silent() && session.bound.has_ended(now, &cx.cfg.leases)
     };
     let runs: Vec<RunId> = owner.runs.borrow().keys().copied().collect();
     let lapsed: Vec<RunId> = runs.into_iter().filter(is_lapsed).collect();
     drop(sessions);
-    log_ended_leases(cx, owner, &lapsed, late_execution);
+    log_ended_leases(cx, owner, &lapsed);
     for run in lapsed {
         owner.note_lost(cx, run, Loss::Lapsed);
     }
 }
 
 /// Logs for each worker which leases ended last, and how long the worker was unresponsive.
-fn log_ended_leases(cx: &Cx, owner: &Owner, lapsed: &[RunId], late_execution: LateExecution) {
+fn log_ended_leases(cx: &Cx, owner: &Owner, lapsed: &[RunId]) {
     let now = cx.clock.now();
     let runs = owner.runs.borrow();
     let mut counts: IndexMap<&str, usize> = IndexMap::new();
@@ -78,11 +75,11 @@
     }
     for (worker, runs) in counts {
         let session = &owner.sessions.borrow()[worker];
-        let (last, ended_at) = session.bound.latest_end(late_execution, &cx.cfg.leases);
+        let (last, ended_at) = session.bound.latest_end(&cx.cfg.leases);
         let late_ms = millis(now.since(ended_at));
         let silent_ms = session.unresponsive_ms(now);
         let is_claimed = session.claimed_incarnation.is_some();
-        log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed, late_execution:?; "leases of a silent worker have ended");
+        log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed; "leases of a silent worker have ended");
     }
 }
 
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -161,9 +161,6 @@
     pub longest: Duration,
     /// The worker's clock may be slower than the owner's by one part in this many.
     pub drift_parts: u32,
-    /// Latest time after sending at which an unanswered order may be carried out, if workers
-    /// execute late.
-    pub latest_effect: Duration,
     /// Longest time in flight of an order to a worker that carries out orders on arrival.
     pub transit: Duration,
     /// Time for which an owner continues to renew workers' leases after its last successful renewal
@@ -183,6 +180,13 @@
         self.longest.saturating_sub(LEASE_MARGIN)
     }
 
+    /// Maximum age of a reading of a worker's clock by which a lease is sent. The worker's clock may
+    /// have been slower since the reading, so that the lease ends later on the owner's clock; within
+    /// this age [`LEASE_MARGIN`] covers the difference.
+    pub fn max_clock_age(&self) -> Duration {
+        LEASE_MARGIN * self.drift_parts
+    }
+
     /// Longest lease on the owner's clock.
     fn longest_on_own_clock(&self) -> Duration {
         self.measured_elsewhere(self.longest)
@@ -198,28 +202,6 @@
     pub fn end_by_note(&self, read_at: Millis, ends_in_ms: u64) -> Millis {
         read_at + self.measured_elsewhere(Duration::from_millis(ends_in_ms))
     }
-
-    /// Longest time after sending at which an unanswered order may take effect.
-    fn lateness(&self, late_execution: LateExecution) -> Duration {
-        match late_execution {
-            LateExecution::NotSeen => self.transit,
-            LateExecution::Seen => self.latest_effect,
-        }
-    }
-}
-
-/// Whether workers were observed to carry out unanswered orders late.
-///
-/// A worker that answers no call has crashed or is partitioned; orders in flight are lost with the
-/// connection. A worker that leaves an order unanswered and answers the next call may carry the
-/// order out late. To wait for that after every crash would keep tasks down for 18 s instead of
-/// 7 s.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum LateExecution {
-    /// No worker left an order unanswered and answered a later call.
-    NotSeen,
-    /// A worker left an order unanswered and answered a later call.
-    Seen,
 }
 
 /// Leases that a worker may hold, by who sent them and what is known of the call.
@@ -277,15 +259,19 @@
 
 /// Bound on the time until which runs may be alive on a worker under the leases that were sent to
 /// it.
+///
+/// A lease ends at a time on the worker's clock that the call names, however late the call takes
+/// effect, and a start order that arrives after that time is refused. So each lease counts from its
+/// sending. A later incarnation of the worker, whose clock starts anew, receives no call that was
+/// sent to an earlier one: the connection ended with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseBound {
     /// Time until which an earlier owner may have sent leases; `None` once the worker has answered
     /// under this owner's token.
     inherited_until: Option<Millis>,
-    /// Time at which the leases of earlier owners have ended, as the previous owner wrote, unless
-    /// orders are carried out late.
+    /// Time at which the leases of earlier owners have ended, as the previous owner wrote.
     inherited_end: Option<Millis>,
-    /// Time of the last reply to a lease of this owner.
+    /// Time at which the last lease with a reply was sent, or of the first reply to this owner.
     answered_at: Option<Millis>,
     /// Time at which the last lease without a reply was sent.
     unanswered_at: Option<Millis>,
@@ -317,8 +303,8 @@
         self.inherited_until = self.inherited_until.map(|until| until.min(at));
     }
 
-    /// Records that the leases of earlier owners have ended by `at`, unless orders are carried out
-    /// late. A later time than a known one is ignored.
+    /// Records that the leases of earlier owners have ended by `at`. A later time than a known one
+    /// is ignored.
     pub fn note_inherited_end(&mut self, at: Millis) {
         let known = self.inherited_end.unwrap_or(at);
         self.inherited_end = Some(known.min(at));
@@ -329,11 +315,10 @@
         self.in_flight += 1;
     }
 
-    /// Records that a call with a lease was answered at `at`, so that it does not take effect
-    /// later.
-    pub fn note_answered(&mut self, at: Millis) {
+    /// Records that a call with a lease, sent at `sent_at`, was answered.
+    pub fn note_answered(&mut self, sent_at: Millis) {
         self.note_no_effect();
-        self.answered_at = self.answered_at.max(Some(at));
+        self.answered_at = self.answered_at.max(Some(sent_at));
     }
 
     /// Records that a call with a lease certainly had no effect.
@@ -356,51 +341,34 @@
     }
 
     /// Whether no run can be alive on the worker any more.
-    pub fn has_ended(
-        &self,
-        now: Millis,
-        late_execution: LateExecution,
-        limits: &LeaseLimits,
-    ) -> bool {
-        let (_, latest) = self.latest_end(late_execution, limits);
+    pub fn has_ended(&self, now: Millis, limits: &LeaseLimits) -> bool {
+        let (_, latest) = self.latest_end(limits);
         self.in_flight == 0 && now > latest
     }
 
     /// Time from `now` until the last lease ends, in milliseconds, rounded up; `None` while calls are
     /// in flight.
-    pub fn ends_in_ms(
-        &self,
-        now: Millis,
-        late_execution: LateExecution,
-        limits: &LeaseLimits,
-    ) -> Option<u64> {
-        let (_, latest) = self.latest_end(late_execution, limits);
+    pub fn ends_in_ms(&self, now: Millis, limits: &LeaseLimits) -> Option<u64> {
+        let (_, latest) = self.latest_end(limits);
         (self.in_flight == 0).then(|| millis(latest.since(now)) + 1)
     }
 
     /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
-    fn inherited_end(&self, lateness: Duration, limits: &LeaseLimits) -> Option<Millis> {
-        let inferred = self.inherited_until? + lateness + limits.longest_on_own_clock();
+    fn inherited_end(&self, limits: &LeaseLimits) -> Option<Millis> {
+        let inferred = self.inherited_until? + limits.longest_on_own_clock();
         let noted = self.inherited_end.unwrap_or(inferred);
-        // The previous owner may not have seen that orders are carried out late.
-        let noted = noted + lateness.saturating_sub(limits.transit);
         Some(noted.min(inferred))
     }
 
     /// Time at which the last lease ends if no call is in flight, and which leases end last.
-    pub fn latest_end(
-        &self,
-        late_execution: LateExecution,
-        limits: &LeaseLimits,
-    ) -> (LeaseKind, Millis) {
-        let lateness = limits.lateness(late_execution);
+    pub fn latest_end(&self, limits: &LeaseLimits) -> (LeaseKind, Millis) {
         let longest = limits.longest_on_own_clock();
         let answered = self.answered_at.map(|at| at + longest);
-        let unanswered = self.unanswered_at.map(|at| at + lateness + longest);
+        let unanswered = self.unanswered_at.map(|at| at + longest);
         let ends = [
             (LeaseKind::Answered, answered),
             (LeaseKind::Unanswered, unanswered),
-            (LeaseKind::Inherited, self.inherited_end(lateness, limits)),
+            (LeaseKind::Inherited, self.inherited_end(limits)),
         ];
         let ends = ends
             .into_iter()
--- /dev/null
+++ b/tests/testsuite/model/leases.rs
@@ -0,0 +1,101 @@
+//! Leases on one worker against the owner's bound on them, over the real session and bound: whatever calls are lost or
+//! executed late, and however slow the worker's clock is, no lease lasts longer than the owner believes.
+
+use crate::sched::world::limits;
+use lapisdrum::{
+    core::time::{Millis, WorkerMillis},
+    sched::{owner::session::Session, resolution::LeaseBound},
+};
+use proptest::{collection::vec, prelude::*};
+use std::time::Duration;
+
+/// Reading of the worker's clock when the owner's shows 0.
+const CLOCK_START: f64 = 5_000.0;
+/// The slowest clock of a worker: 2 % slower than the owner's.
+const MAX_SLOWNESS: f64 = 0.02;
+
+/// A call with a lease, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    /// Time since the call before.
+    after: u64,
+    /// Time from the reading of the worker's clock until its arrival.
+    reading_took: u64,
+    /// Whether the worker's clock is read at the same time.
+    reads_clock: bool,
+    /// Time until the call takes effect; never if it is `None`.
+    takes_effect: Option<u64>,
+    is_answered: bool,
+}
+
+fn call() -> impl Strategy<Value = Call> {
+    let effect = prop_oneof![Just(None), (0..12_500_u64).prop_map(Some)];
+    let times = (0..7_000_u64, 0..700_u64);
+    (times, any::<bool>(), effect, any::<bool>()).prop_map(
+        |((after, reading_took), reads_clock, takes_effect, is_answered)| Call {
+            after,
+            reading_took,
+            reads_clock,
+            takes_effect,
+            is_answered,
+        },
+    )
+}
+
+/// The worker's side: its clock, and the end of its lease on that clock.
+struct Lease {
+    speed: f64,
+    until: f64,
+}
+
+impl Lease {
+    fn clock(&self, at: u64) -> f64 {
+        CLOCK_START + at as f64 * self.speed
+    }
+
+    fn extend(&mut self, until: WorkerMillis, at: u64, longest: Duration) {
+        let clock = self.clock(at);
+        let longest = longest.as_millis() as f64;
+        self.until = self.until.max((until.0 as f64).min(clock + longest));
+    }
+
+    /// Time on the owner's clock at which the lease ends.
+    fn ends_at(&self) -> f64 {
+        (self.until - CLOCK_START) / self.speed
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_096, ..ProptestConfig::default() })]
+
+    /// Guards against a run that is given up while a lease lasts that was sent by an old reading of a slow clock, or
+    /// executed late.
+    #[test]
+    fn no_lease_outlasts_its_bound(calls in vec(call(), 1..8), slowness in 0.0..MAX_SLOWNESS) {
+        let limits = limits();
+        let mut session = Session::new(LeaseBound::inherited_until(Millis(0)));
+        session.bound.note_claimed(Millis(0));
+        let mut lease = Lease { speed: 1.0 - slowness, until: CLOCK_START };
+        let mut now = 0;
+        for call in calls {
+            now += call.after;
+            if call.reads_clock {
+                let read_at = now.saturating_sub(call.reading_took);
+                session.note_clock(WorkerMillis(lease.clock(read_at) as u64), Millis(now));
+            }
+            let Some(until) = session.lease_end(Millis(now), &limits) else {
+                continue;
+            };
+            session.bound.note_sent();
+            if let Some(after) = call.takes_effect {
+                lease.extend(until, now + after, limits.longest);
+            }
+            match call.is_answered {
+                true => session.bound.note_answered(Millis(now)),
+                false => session.bound.note_unanswered(Millis(now)),
+            }
+            let (_, latest) = session.bound.latest_end(&limits);
+            prop_assert!(latest.0 as f64 + 1.0 >= lease.ends_at(), "{latest:?} < {}", lease.ends_at());
+        }
+    }
+}
--- a/tests/testsuite/model/mod.rs
+++ b/tests/testsuite/model/mod.rs
@@ -4,4 +4,5 @@
 mod earlier_owners;
 mod explore;
 mod handover;
+mod leases;
 mod ownership;
