A run counts as lost only by a response that lists all ends of its worker

A worker with many ends lists the first 500; a new owner took the runs that were neither running nor among these for lost, placed their tasks again and started them before it had read their ends. So did an owner whose store was down while more ends waited than the worker lists. A `failed` end that was read after its run was given up didn't count as an attempt, so the task ran more often than its queue allows.

Cause: `judge_run` took the absence of a run from a response as proof that the run isn't there, though the list of ends may be cut. `prepare` sent a start although the task was known to be done.

Ruled out: to count ends and gaps of their numbers (a worker's numbers say nothing of how many follow); to stop the runs in question (a stop doesn't tell `done` from never started); to judge by the ends that were read after this response (they may be listed only once the store is back).

Change: a poll response says whether it lists all ends. The observation of a run carries it, and a run of the same incarnation that isn't listed waits while ends may follow. So its end is read as that of a known run: it is done, or an attempt. In another incarnation nothing of before is left, so that `Reborn` stands. A start is not sent once its task is done. The stand-in of the platform's worker and the simulated world have the limit too.

Why it works: the list begins after the last acknowledged end, all of which were read before. A list that isn't full therefore holds every end that was not read, however often the same first ends are listed while the store is down. Responses that overtake each other are held off by the worker's clock, as before.

--- a/crates/lapisdrum-standins/src/users/worker.rs
+++ b/crates/lapisdrum-standins/src/users/worker.rs
@@ -21,6 +21,8 @@
 const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Time from a stop order to the end of the task.
 const STOP_DURATION: Duration = Duration::from_millis(100);
+/// Maximum number of ended runs in an answer; the first ones are listed.
+const MAX_LISTED_ENDS: usize = 500;
 /// Interval at which a long poll checks for ended tasks.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -225,6 +227,7 @@
         let ended = self.ended.borrow();
         let ended: Vec<Value> = ended
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
             .collect();
         let answer = json!({
--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -252,8 +252,13 @@
     pub clock: WorkerMillis,
     /// The runs on the worker.
     pub running: Vec<ListedRun>,
-    /// Ended runs that the worker has not dropped yet, oldest first.
+    /// Ended runs that the worker has not dropped yet, oldest first. A worker may list only the
+    /// first of them.
     pub ended: Vec<ListedEnd>,
+    /// Whether `ended` certainly holds every end that the worker has not dropped. If not, a run
+    /// that is in neither list may have ended, and its end is listed once earlier ones are
+    /// acknowledged.
+    pub lists_all_ends: bool,
 }
 
 /// Why a worker refused an order.
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -204,7 +204,7 @@
     let Some(incarnation) = note_incarnation(owner, worker, &response, now) else {
         return;
     };
-    let acked = note_ends(cx, owner, worker, &incarnation, &response.ended, now);
+    let acked = note_ends(cx, owner, worker, &incarnation, &response, now);
     if incarnation.is_newest {
         note_running(cx, owner, worker, &incarnation, sent_at, &response, now);
         interference::note_poll_response(cx, owner, worker, &response, now);
@@ -280,9 +280,10 @@
     owner: &Rc<Owner>,
     worker: &str,
     incarnation: &Incarnation,
-    ended: &[ListedEnd],
+    response: &PollResponse,
     now: Millis,
 ) -> Option<LocalBoxFuture<'static, ()>> {
+    let ended = &response.ended;
     // A worker lists an end until it is acknowledged, which may take many polls.
     let upto = ended.iter().map(|end| end.number).max()?;
     let appended_upto = owner.session(worker, |session| session.appended_upto)?;
@@ -291,6 +292,9 @@
         return Some(acknowledged(owner, worker, upto).boxed_local());
     }
     owner.session(worker, |session| session.appended_upto = upto);
+    if !response.lists_all_ends {
+        log::info!(worker, born = incarnation.started_unix_ms, upto, ends = ended.len(), running = response.running.len(); "worker may have more ends than it lists");
+    }
     let at_unix_ms = cx.unix_ms();
     let mut events = Vec::new();
     for end in &ended {
@@ -409,6 +413,7 @@
             sent_at,
             is_listed: percent.is_some(),
             is_same_incarnation: record.on.started_unix_ms == incarnation.started_unix_ms,
+            are_ends_complete: response.lists_all_ends,
         };
         match judge_run(record.known, observation) {
             RunVerdict::Runs => note_progress(owner, &run, percent.unwrap_or_default(), now),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -290,7 +290,8 @@
     if job.phase != Phase::Active || !owner.may_renew(cx) {
         return None;
     }
-    let task = ledger.task(&run.task)?;
+    // The end of an earlier run may have been listed after this one was placed.
+    let task = ledger.task(&run.task).filter(|task| !task.is_done)?;
     let order = StartOrder {
         run,
         payload: job.spec.payload.clone(),
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -107,6 +107,9 @@
     pub is_listed: bool,
     /// Whether the worker still has the incarnation that the run was placed on.
     pub is_same_incarnation: bool,
+    /// Whether all ends on the worker are known, so that a run that is not listed has no end that
+    /// is yet to be read.
+    pub are_ends_complete: bool,
 }
 
 /// What a poll response implies for a run.
@@ -128,6 +131,8 @@
         return RunVerdict::Runs;
     }
     let loss = match observation.is_same_incarnation {
+        // The run may be among the ends that are listed only after earlier ones are acknowledged.
+        true if !observation.are_ends_complete => return RunVerdict::Wait,
         true => Loss::NotThere,
         false => Loss::Reborn,
     };
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -9,6 +9,15 @@
 use actix_http::Method;
 use actix_rt::net::TcpListener;
 use indexmap::IndexMap;
+use lapisdrum::{
+    core::time::WorkerMillis,
+    platform::{client::PlatformClient, workers::HttpWorkers},
+    sched::{
+        edge::{OrderOutcome, PollOrder, PollResponse, StartOrder, Workers},
+        event::RunId,
+        job::{JobId, RunNumber, TaskId},
+    },
+};
 use lapisdrum_standins::{
     site,
     users::{rows::RowStore, worker::UsersWorker},
@@ -382,3 +391,53 @@
     site.until_state(0, "00000000000000d3", "completed").await;
     assert_eq!(site.started(), 2 + 5 + 5);
 }
+
+/// Polls a worker with many ended runs, of which those up to `acked_upto` are acknowledged.
+async fn poll_ends(workers: &HttpWorkers, address: &str, acked_upto: u64) -> PollResponse {
+    let order = PollOrder {
+        token: 1,
+        acked_upto,
+        lease_until: None,
+        wait: Duration::ZERO,
+    };
+    match workers.poll(address, "i-0", &order).await {
+        OrderOutcome::Done(response) => response,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a poll response that counts as complete although the worker lists only the first of its ends.
+#[actix_rt::test]
+async fn a_full_list_of_ends_is_not_complete() {
+    let (_stop, stopped) = watch::channel(false);
+    let worker = UsersWorker::new("i-0", 1_000);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    actix_rt::spawn(Rc::clone(&worker).serve(listener, stopped));
+    let workers = HttpWorkers::new(PlatformClient::new());
+    for index in 0..501 {
+        let order = StartOrder {
+            run: RunId {
+                task: TaskId {
+                    job: JobId(1),
+                    occurrence: 0,
+                    step: 0,
+                    index,
+                },
+                run: RunNumber(1),
+            },
+            payload: "0".to_owned(),
+            token: 1,
+            lease_until: WorkerMillis(60_000),
+            checkpoint: None,
+            ticket: None,
+        };
+        let started = workers.start(&address, "i-0", &order).await;
+        assert!(matches!(started, OrderOutcome::Done(_)), "{started:?}");
+    }
+    for (acked_upto, listed, is_complete) in [(0, 500, false), (1, 500, false), (2, 499, true)] {
+        let response = poll_ends(&workers, &address, acked_upto).await;
+        assert_eq!(response.ended.len(), listed);
+        assert_eq!(response.lists_all_ends, is_complete);
+    }
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -9,6 +9,7 @@
 mod layout;
 mod learning;
 mod ledger;
+mod listed_ends;
 mod order;
 mod ownership;
 mod polling;
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -75,6 +75,7 @@
         sent_at: Millis(sent_at),
         is_listed,
         is_same_incarnation,
+        are_ends_complete: true,
     };
     judge_run(RunKnowledge { order, stop }, observation)
 }
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -166,6 +166,8 @@
     pub(crate) operators_are_silent: Cell<bool>,
     /// Target number of workers per shard, for daemons created from now on; unlimited by default.
     pub(crate) workers_per_shard: Cell<usize>,
+    /// Maximum number of ends in a poll response.
+    pub(crate) max_listed_ends: Cell<usize>,
     /// Executed start orders: when, which run, on which worker.
     pub(crate) starts: RefCell<Vec<(Instant, RunId, String)>>,
     /// Violated invariants.
@@ -240,6 +242,7 @@
             operator_reads: Cell::default(),
             operators_are_silent: Cell::new(false),
             workers_per_shard: Cell::new(usize::MAX),
+            max_listed_ends: Cell::new(500),
             starts: RefCell::default(),
             violations: RefCell::default(),
         });
@@ -900,7 +903,8 @@
                         .extend(done.map(|end| end.run.task));
                     worker.ended.retain(|end| end.number > order.acked_upto);
                     if !worker.ended.is_empty() || now - started_at >= order.wait {
-                        return OrderOutcome::Done(worker.poll_response(now));
+                        let max_ends = self.world.max_listed_ends.get();
+                        return OrderOutcome::Done(worker.poll_response(now, max_ends));
                     }
                 }
                 sleep(CHECK_INTERVAL).await;
@@ -930,7 +934,7 @@
 }
 
 impl Worker {
-    fn poll_response(&self, now: Instant) -> PollResponse {
+    fn poll_response(&self, now: Instant, max_ends: usize) -> PollResponse {
         let running = self.running.iter().map(|(run, running)| ListedRun {
             run: *run,
             checkpoint: None,
@@ -941,7 +945,9 @@
             started_unix_ms: Some(self.incarnation),
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(max_ends).cloned().collect(),
+            // Like the platform's workers, this one doesn't say whether more follow.
+            lists_all_ends: self.ended.len() < max_ends,
         }
     }
 }
