Incarnations of a worker are ordered by polls and responses, not by their start times

The worker had started again under its id with a `born` below the one before, since its time of day was set back in between. The owner passed over all its responses for good.

Cause: `note_incarnation` took a lower start time for that of an earlier incarnation.

Ruled out: to order by the numbers of ends or the worker's clock (both start anew); to accept any other start time (a late response of the earlier incarnation would be claimed again, and the numbers of its ends taken for those of the later one); to go by the directory's entry (it lags and may come back).

Change: a claim carries the time at which it was first known. A response with another start time is that of a later incarnation if its poll was sent after that; else it decides nothing, and the next poll does. The claim's time also stays when a start is refused by another incarnation, so that a response on its way doesn't restore the claim. A poll refused at an address (`OtherLife`) loses the worker's runs only if it was sent after the present incarnation was known.

Why it works: incarnations of one worker follow each other. One that answers a poll sent after a response of another arrived was alive later. Polls are sent for as long as the worker is worth it, so an unclear response delays a claim by one poll. `judge_run` compares only for equality, and only responses of the known or a later incarnation reach it. `open_for_tasks` and `prepare` compare for equality with the directory's entry, which is written again with each heartbeat.

Not changed: an entry of the directory without `born` counts as started at 0, as before.

--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -10,7 +10,7 @@
     runs::{self, RunRecord, note_lease_call, stop_unknown},
 };
 use crate::{
-    core::time::{Millis, WorkerMillis},
+    core::time::{Millis, WorkerMillis, millis},
     daemon::supervisor,
     policy::dispatch::place::Load,
     sched::{
@@ -20,7 +20,10 @@
         job::JobId,
         journal::AppendOutcome,
         lease,
-        resolution::{Observation, Order, RunVerdict, judge_run},
+        resolution::{
+            IncarnationVerdict, KnownIncarnation, Observation, Order, RunVerdict,
+            judge_incarnation, judge_run,
+        },
     },
 };
 use futures::{FutureExt, future::LocalBoxFuture};
@@ -80,7 +83,7 @@
     let now = cx.clock.now();
     let may_renew = owner.may_renew(cx);
     let planned = owner.session(worker, |session| {
-        let is_claimed = session.claimed_incarnation.is_some();
+        let is_claimed = session.is_claimed();
         let answers = is_claimed && session.unresponsive_since.is_none();
         let is_due = session.is_renewal_due(now) && may_renew;
         let lease = (answers && is_due)
@@ -144,7 +147,7 @@
             false
         }
         OrderOutcome::Refused(Refusal::OtherLife) => {
-            note_replaced(cx, owner, worker);
+            note_replaced(cx, owner, worker, sent_at);
             false
         }
         OrderOutcome::Refused(why) => {
@@ -159,7 +162,12 @@
 }
 
 /// Another worker answers at the address: the known one has ended, and its runs with it.
-fn note_replaced(cx: &Cx, owner: &Rc<Owner>, worker: &str) {
+fn note_replaced(cx: &Cx, owner: &Rc<Owner>, worker: &str, sent_at: Millis) {
+    // The refusal of a call to the address of an earlier incarnation says nothing about a later one.
+    let since = owner.session(worker, |session| session.claimed.since);
+    if since.flatten().is_some_and(|since| sent_at <= since) {
+        return;
+    }
     note_unresponsive(cx, owner, worker, "another worker answers at its address");
     for (run, record) in runs_on(owner, worker) {
         if record.known.order != Order::NotSent {
@@ -201,7 +209,7 @@
     response: PollResponse,
 ) {
     let now = cx.clock.now();
-    let Some(incarnation) = note_incarnation(owner, worker, &response, now) else {
+    let Some(incarnation) = note_incarnation(owner, worker, sent_at, &response, now) else {
         return;
     };
     let acked = note_ends(cx, owner, worker, &incarnation, &response, now);
@@ -225,6 +233,7 @@
 fn note_incarnation(
     owner: &Rc<Owner>,
     worker: &str,
+    sent_at: Millis,
     response: &PollResponse,
     now: Millis,
 ) -> Option<Incarnation> {
@@ -234,12 +243,17 @@
             .as_ref()
             .map_or(0, |report| report.incarnation.started_unix_ms);
         let started_unix_ms = response.started_unix_ms.unwrap_or(reported);
-        let before = session.claimed_incarnation;
-        if before.is_some_and(|before| started_unix_ms < before) {
+        let before = session.claimed.started_unix_ms;
+        let verdict = judge_incarnation(session.claimed, started_unix_ms, sent_at);
+        if verdict == IncarnationVerdict::Unclear {
+            log::info!(worker, born = started_unix_ms, known:? = before, took_ms = millis(now.since(sent_at)); "response may come from an earlier incarnation");
             return None;
         }
-        if before != Some(started_unix_ms) {
-            session.claimed_incarnation = Some(started_unix_ms);
+        if verdict == IncarnationVerdict::Later {
+            session.claimed = KnownIncarnation {
+                started_unix_ms: Some(started_unix_ms),
+                since: Some(now),
+            };
             session.acked_upto = 0;
             session.appended_upto = 0;
             session.response_clock = WorkerMillis::default();
@@ -331,7 +345,7 @@
     let acked = actix_rt::spawn(async move {
         if ticket.outcome().await == AppendOutcome::Durable {
             owner.session(&worker, |session| {
-                if session.claimed_incarnation == Some(started_unix_ms) {
+                if session.claimed.started_unix_ms == Some(started_unix_ms) {
                     session.acked_upto = session.acked_upto.max(upto);
                 }
                 session.acked.notify_waiters();
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -15,7 +15,7 @@
         job::{JobId, Step, TaskId},
         journal::{AppendOutcome, Ticket},
         ledger::Phase,
-        resolution::{Order, RunKnowledge, Stop},
+        resolution::{KnownIncarnation, Order, RunKnowledge, Stop},
     },
 };
 use std::{rc::Rc, time::Duration};
@@ -261,7 +261,12 @@
         }
         // The next poll finds the new incarnation and claims it.
         Refusal::OtherLife => {
-            owner.session(worker, |session| session.claimed_incarnation = None);
+            owner.session(worker, |session| {
+                session.claimed = KnownIncarnation {
+                    started_unix_ms: None,
+                    since: Some(now),
+                };
+            });
         }
         Refusal::OldRun
         | Refusal::LeaseOver
@@ -276,7 +281,7 @@
     let on = owner.runs.borrow().get(&run)?.on.clone();
     let now = cx.clock.now();
     let (address, lease_until) = owner.session(&on.worker, |session| {
-        let is_same_incarnation = session.claimed_incarnation == Some(on.started_unix_ms);
+        let is_same_incarnation = session.claimed.started_unix_ms == Some(on.started_unix_ms);
         let report = session.report.as_ref()?;
         let lease_until = session.lease_end(now, cx.cfg.leases.sent())?;
         let is_responsive = session.unresponsive_since.is_none();
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -10,7 +10,12 @@
         overload::Overload,
         place::{Load, reserved_by},
     },
-    sched::{edge::WorkerReport, event::RunId, job::StepId, resolution::LeaseBound},
+    sched::{
+        edge::WorkerReport,
+        event::RunId,
+        job::StepId,
+        resolution::{KnownIncarnation, LeaseBound},
+    },
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
@@ -93,8 +98,8 @@
     pub report: Option<Rc<WorkerReport>>,
     /// Whether the last read of the directory listed it.
     pub is_registered: bool,
-    /// Incarnation, as its start in Unix milliseconds, that answered under this owner's token.
-    pub claimed_incarnation: Option<u64>,
+    /// Incarnation that answered under this owner's token.
+    pub claimed: KnownIncarnation,
     /// Latest reading of its clock, and the local time of that reading.
     pub clock: Option<(WorkerMillis, Millis)>,
     /// Its clock in the newest poll response that was handled.
@@ -136,7 +141,7 @@
         Self {
             report: None,
             is_registered: false,
-            claimed_incarnation: None,
+            claimed: KnownIncarnation::default(),
             clock: None,
             response_clock: WorkerMillis::default(),
             acked_upto: 0,
@@ -212,15 +217,20 @@
     /// The worker's report if new tasks may be placed on it.
     pub fn open_for_tasks(&self) -> Option<&Rc<WorkerReport>> {
         let report = self.report.as_ref()?;
-        let is_claimed = self.claimed_incarnation == Some(report.incarnation.started_unix_ms);
+        let is_claimed = self.claimed.started_unix_ms == Some(report.incarnation.started_unix_ms);
         let is_staying = report.leaving_in.is_none();
         let is_open = is_claimed && is_staying && self.is_registered;
         (is_open && self.unresponsive_since.is_none()).then_some(report)
     }
 
+    /// Whether an incarnation has answered this owner, and none has refused an order since.
+    pub fn is_claimed(&self) -> bool {
+        self.claimed.started_unix_ms.is_some()
+    }
+
     /// Whether it does not answer, or has not answered this owner yet.
     pub fn is_silent(&self) -> bool {
-        self.unresponsive_since.is_some() || self.claimed_incarnation.is_none()
+        self.unresponsive_since.is_some() || !self.is_claimed()
     }
 
     /// Milliseconds since it stopped answering, for logs; 0 while it answers.
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -74,7 +74,7 @@
         let (last, ended_at) = session.bound.latest_end(late_execution, &cx.cfg.leases);
         let late_ms = millis(now.since(ended_at));
         let silent_ms = session.unresponsive_ms(now);
-        let is_claimed = session.claimed_incarnation.is_some();
+        let is_claimed = session.is_claimed();
         log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed, late_execution:?; "leases of a silent worker have ended");
     }
 }
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -98,6 +98,48 @@
     pub stop: Stop,
 }
 
+/// The incarnation that a worker is known to have, or to have had last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct KnownIncarnation {
+    /// Its start in Unix milliseconds; none before the worker has answered, and after another
+    /// incarnation than the one expected refused an order.
+    pub started_unix_ms: Option<u64>,
+    /// Time of the response that first showed this.
+    pub since: Option<Millis>,
+}
+
+/// What the start time in a poll response implies for the worker's incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum IncarnationVerdict {
+    /// The response comes from the known incarnation.
+    Known,
+    /// The response comes from a later incarnation.
+    Later,
+    /// The response may come from an earlier incarnation; a later poll resolves it.
+    Unclear,
+}
+
+/// Resolves which incarnation of a worker sent a poll response with this start time, to a poll that
+/// was sent at `sent_at`.
+///
+/// The start times give no order, since a worker's time of day may be set back between two starts.
+/// Incarnations of one worker follow each other, so one that answers a poll sent after a response
+/// of another is the later one. Responses may overtake each other, so one to an earlier poll gives
+/// no order; nor does one to a poll that was sent in the same millisecond.
+pub fn judge_incarnation(
+    known: KnownIncarnation,
+    started_unix_ms: u64,
+    sent_at: Millis,
+) -> IncarnationVerdict {
+    if known.started_unix_ms == Some(started_unix_ms) {
+        return IncarnationVerdict::Known;
+    }
+    match known.since {
+        Some(since) if sent_at <= since => IncarnationVerdict::Unclear,
+        Some(_) | None => IncarnationVerdict::Later,
+    }
+}
+
 /// What a poll response of a worker shows about a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Observation {
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -166,6 +166,8 @@
     pub(crate) operators_are_silent: Cell<bool>,
     /// Target number of workers per shard, for daemons created from now on; unlimited by default.
     pub(crate) workers_per_shard: Cell<usize>,
+    /// Time that a poll response is under way after it was made.
+    pub(crate) response_delay: Cell<Duration>,
     /// Maximum number of ends in a poll response.
     pub(crate) max_listed_ends: Cell<usize>,
     /// Executed start orders: when, which run, on which worker.
@@ -242,6 +244,7 @@
             operator_reads: Cell::default(),
             operators_are_silent: Cell::new(false),
             workers_per_shard: Cell::new(usize::MAX),
+            response_delay: Cell::default(),
             max_listed_ends: Cell::new(500),
             starts: RefCell::default(),
             violations: RefCell::default(),
@@ -426,9 +429,15 @@
 
     /// Restarts a crashed worker under its id.
     pub(crate) fn restart(&self, worker: &str) {
+        let last = self.workers.borrow()[worker].incarnation;
+        self.restart_as(worker, last + 1);
+    }
+
+    /// Like [`Self::restart`], with the start time that the worker reports.
+    pub(crate) fn restart_as(&self, worker: &str, incarnation: u64) {
         self.change(worker, |w| {
             w.is_dead = false;
-            w.incarnation += 1;
+            w.incarnation = incarnation;
             w.started_at = Instant::now();
             w.last_ended.clear();
             w.next_end = 1;
@@ -877,7 +886,7 @@
             loop {
                 self.world.end_all_due_runs();
                 let now = Instant::now();
-                {
+                let response = {
                     let mut workers = self.world.workers.borrow_mut();
                     let worker = workers.get_mut(id).expect("a worker");
                     if worker.is_cut || worker.is_dead {
@@ -902,10 +911,13 @@
                         .borrow_mut()
                         .extend(done.map(|end| end.run.task));
                     worker.ended.retain(|end| end.number > order.acked_upto);
-                    if !worker.ended.is_empty() || now - started_at >= order.wait {
-                        let max_ends = self.world.max_listed_ends.get();
-                        return OrderOutcome::Done(worker.poll_response(now, max_ends));
-                    }
+                    let is_due = !worker.ended.is_empty() || now - started_at >= order.wait;
+                    let max_ends = self.world.max_listed_ends.get();
+                    is_due.then(|| worker.poll_response(now, max_ends))
+                };
+                if let Some(response) = response {
+                    sleep(self.world.response_delay.get()).await;
+                    return OrderOutcome::Done(response);
                 }
                 sleep(CHECK_INTERVAL).await;
             }
