--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -78,7 +78,7 @@
         let (last, ended_at) = session.bound.latest_end(&cx.cfg.leases);
         let late_ms = millis(now.since(ended_at));
         let silent_ms = session.unresponsive_ms(now);
-        let is_claimed = session.claimed_incarnation.is_some();
+        let is_claimed = session.is_claimed();
         log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed; "leases of a silent worker have ended");
     }
 }
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -4,11 +4,13 @@
 mod delegate;
 mod evacuation;
 mod faults;
+mod incarnations;
 mod interference;
 mod journal;
 mod layout;
 mod learning;
 mod ledger;
+mod listed_ends;
 mod order;
 mod outage_lines;
 mod ownership;
