A replaced owner denies no job of the next one

GET and `pending` came from the same ledger.

Cause: an owner took itself for the only one for a lease (1.5 s) after its last renewal, whatever it had done since. A release ends that premise when it is sent; so does a probe of a suspected holder that is refused, after 0.6 s, which nobody had noticed.

Change: from the sending of a release on, an owner answers for nothing (peer::answer). Without one it concludes from time alone only for less than the time after which it may be suspected, less drift (lease::exclusive_for); from then to the end of the lease an append under its fence has to be durable first; after that it doesn't conclude. A read of a newer fence ends the own ownership, so that the front of a stopping daemon asks the next owner, or refuses at once.

Each use and answer was gone through. cancel, show of an unknown job and pending: above. submit, adopt, take_back, and the cancel of a known job rest on a row that is durable only under the fence; offers, loads and estimates commit to nothing. The state of a known job that a lapsed owner shows may be old; it isn't refused, as without the store nobody has a newer one for callers cut off with it.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -260,6 +260,14 @@
     }
 }
 
+/// Time from the sending of a renewal during which no other daemon takes the shard over, unless the
+/// lease is released: a live holder whose address refuses connections, as in a network partition,
+/// may be replaced once it is suspected. On the holder's clock, which may be slower than that of
+/// the other daemon.
+pub fn exclusive_for(limits: &LeaseLimits) -> Duration {
+    SUSPECTED_AFTER - SUSPECTED_AFTER / limits.drift_parts
+}
+
 fn key(handle: &ShardHandle, key: &str) -> RowKey {
     RowKey {
         table: OWNERS_TABLE,
@@ -383,6 +391,10 @@
         let holder = view.row.map(|row| row.holder.daemon).unwrap_or_default();
         log::info!(shard:% = handle.partition, holder:% = holder, token = view.fence; "owner changed");
     }
+    let own = handle.owner.borrow().clone();
+    if let Some(own) = own.filter(|own| view.fence > own.token()) {
+        own.mark_lost("another daemon has taken the shard");
+    }
     Ok(())
 }
 
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -96,14 +96,16 @@
 }
 
 /// Returns a job's state; an acceptance or end that is not durable yet is not shown.
-pub fn show(cx: &Cx, owner: &Owner, id: JobId) -> ShowReply {
+pub async fn show(cx: &Cx, owner: &Owner, id: JobId) -> ShowReply {
     if !owner.is_recovered() {
         return ShowReply::NotOwner;
     }
+    if own_phase(owner, id).is_none() && !owner.is_sole_owner(cx).await {
+        return ShowReply::NotOwner;
+    }
     let ledger = owner.ledger.borrow();
     match ledger.jobs.get(&id).filter(|job| !job.is_guest) {
-        None if owner.is_sole_owner(cx) => ShowReply::Unknown,
-        None => ShowReply::NotOwner,
+        None => ShowReply::Unknown,
         Some(job) => ShowReply::State(state_of(owner, id, job)),
     }
 }
@@ -134,10 +136,11 @@
     if !owner.is_recovered() {
         return CancelReply::NotOwner;
     }
-    let phase = own_phase(owner, job);
-    let ticket = match phase {
-        None if owner.is_sole_owner(cx) => return CancelReply::UnknownJob,
-        None => return CancelReply::NotOwner,
+    if own_phase(owner, job).is_none() && !owner.is_sole_owner(cx).await {
+        return CancelReply::NotOwner;
+    }
+    let ticket = match own_phase(owner, job) {
+        None => return CancelReply::UnknownJob,
         Some(Phase::Active) => {
             let at_unix_ms = cx.unix_ms();
             let ticket = owner.propose(cx, vec![Event::Cancelled { job, at_unix_ms }]);
@@ -155,8 +158,8 @@
 }
 
 /// Number of a queue's jobs that have not started; none unless this is certainly the only owner.
-pub fn pending(cx: &Cx, owner: &Owner, queue: &str) -> Option<u64> {
-    if !owner.is_sole_owner(cx) {
+pub async fn pending(cx: &Cx, owner: &Owner, queue: &str) -> Option<u64> {
+    if !owner.is_sole_owner(cx).await {
         return None;
     }
     let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -217,12 +217,23 @@
         self.status.get() == Status::Serving
     }
 
-    /// Whether no other daemon can have taken the shard yet, so that a job unknown here is unknown
-    /// everywhere. An owner that is cut off from the store still receives requests from callers
-    /// that are cut off with it, while another owner accepts jobs.
-    pub fn is_sole_owner(&self, cx: &Cx) -> bool {
+    /// Whether no other daemon owned the shard when this was called, so that a job unknown here is
+    /// unknown everywhere. A frozen, isolated or releasing owner still receives requests from
+    /// callers, while the next one accepts jobs. Beyond the time in which nobody takes the shard,
+    /// only the store can say: an append is durable only under this owner's fence.
+    pub async fn is_sole_owner(&self, cx: &Cx) -> bool {
         let since_renewal = cx.clock.now().since(self.renewed_at.get());
-        self.is_recovered() && since_renewal < lease::LEASE
+        if !self.is_recovered() || self.is_releasing() || since_renewal >= lease::LEASE {
+            return false;
+        }
+        if since_renewal < lease::exclusive_for(&cx.cfg.leases) {
+            return true;
+        }
+        let outcome = self.journal.append(&[]).outcome();
+        let outcome = tokio::time::timeout(jobs::ANSWER_WITHIN, outcome).await;
+        let since_renewal_ms = millis(since_renewal);
+        log::info!(shard:% = self.handle.partition, token = self.token(), since_renewal_ms, outcome:?; "renewal is overdue; ownership is checked in the store");
+        outcome == Ok(AppendOutcome::Durable)
     }
 
     /// Whether workers' leases may still be renewed: only within the hold time that the next owner
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -215,9 +215,12 @@
     }
 }
 
-/// Executes a request if this process owns the shard; otherwise the reply says that it does not.
+/// Executes a request if this process owns the shard; otherwise the reply says that it does not. An
+/// owner that releases the shard answers for nothing, since the next one may own it already: the
+/// caller asks that one.
 pub async fn answer(cx: &Cx, shard: ShardId, ask: OwnerRequest) -> OwnerReply {
     let owner = cx.handle(shard).owner.borrow().clone();
+    let owner = owner.filter(|owner| !owner.is_releasing());
     match (ask, owner) {
         (OwnerRequest::Submit { .. }, None) => OwnerReply::Submitted(SubmitReply::NotOwner),
         (OwnerRequest::Show(_), None) => OwnerReply::Shown(ShowReply::NotOwner),
@@ -253,12 +256,14 @@
         (OwnerRequest::TakeBack(tasks), Some(owner)) => {
             OwnerReply::TakenBack(returns::take_back(cx, &owner, tasks).await)
         }
-        (OwnerRequest::Show(job), Some(owner)) => OwnerReply::Shown(jobs::show(cx, &owner, job)),
+        (OwnerRequest::Show(job), Some(owner)) => {
+            OwnerReply::Shown(jobs::show(cx, &owner, job).await)
+        }
         (OwnerRequest::Cancel(job), Some(owner)) => {
             OwnerReply::Cancelled(jobs::cancel(cx, &owner, job).await)
         }
         (OwnerRequest::Pending(queue), Some(owner)) => {
-            OwnerReply::Pending(jobs::pending(cx, &owner, &queue))
+            OwnerReply::Pending(jobs::pending(cx, &owner, &queue).await)
         }
     }
 }
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -425,7 +425,7 @@
         let other = cluster.owner_of(SHARDS[1]).expect("an owner").clone();
         let handle = other.handle(SHARDS[1]);
         let owner = handle.owner.borrow().clone().expect("an owner");
-        let shown = jobs::show(&other, &owner, JobId(id));
+        let shown = jobs::show(&other, &owner, JobId(id)).await;
         assert_eq!(shown, ShowReply::Unknown);
         let cancelled = jobs::cancel(&other, &owner, JobId(id)).await;
         assert_eq!(cancelled, CancelReply::UnknownJob);
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -17,6 +17,7 @@
 mod room;
 mod short_work;
 mod stranded;
+mod superseded;
 mod takeover;
 pub(crate) mod world;
 
