An owner that has sent no lease is not waited for

What callers saw: after a take-over whose reply was lost, long-running tasks of a worker that was lost before stayed down for a hold (5 s) more than their leases last: 11.7 s after the same daemon took the shard again and 10.2 s after another one did (simulated world), where the longest lease and its transit end 6.9 s after the release.

Cause: the row of a take-over proves only that somebody may send leases. The next owner counted a hold for its holder, and looked for the stop note of that holder, which has none, instead of the note of the owner that did send leases.

Change: an owner sends its first lease, and places its first task, only once the store has confirmed a renewal; the renewal goes out with the start of the recovery. Until then its rows name the last owner that may have sent any, with the bounds on those before it (LeaseRow::last_sender). Who takes over from such a row waits for that owner only, reads that owner's note and asks that owner's address. An owner that ends before it has sent a lease leaves the older note in place.

Why it is safe: a take-over expects the version of the row that it read, so a renewal that isn't in that row takes effect never. Builds before write no such field, and ignore it: then the hold is waited out as before.

New guards: an_owner_cut_off_after_its_takeover_is_waited_for (60 times of the cut), and idle owners in model::earlier_owners, where an_idle_owner_adds_no_hold holds the bound by itself: with it out, the tests of sched::takeover still passed, by the note.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -96,6 +96,17 @@
         pub incarnation: u64,
     }
 
+    /// An owner that may have sent leases to workers.
+    pub struct LastSender {
+        /// Its process.
+        pub holder: Holder,
+        /// Its fencing token.
+        pub token: u64,
+        /// Time after the writing of the row during which owners before it may send leases to
+        /// workers, in milliseconds.
+        pub earlier_may_send_ms: u64,
+    }
+
     /// Content of the lease row.
     pub struct LeaseRow {
         /// The current or last holder.
@@ -112,6 +123,11 @@
         /// one that does not write it may.
         #[serde(default)]
         pub earlier_may_send_ms: Option<u64>,
+        /// The last owner that may have sent leases, if the holder has sent none. A holder sends
+        /// none until a row without it is known to be written: one whose take-over got no reply, or
+        /// that ends before, needs no hold.
+        #[serde(default)]
+        pub last_sender: Option<LastSender>,
         /// Whether the holder takes back tasks that it delegated; an earlier version does not know
         /// the call.
         #[serde(default)]
@@ -226,13 +242,45 @@
         let Some((row, left_ms)) = row.and_then(|row| Some((row, row.earlier_may_send_ms?))) else {
             return earlier;
         };
-        earlier.note_before(self.since, Duration::from_millis(left_ms), limits);
+        let left = Duration::from_millis(left_ms);
+        if let Some(sender) = &row.last_sender {
+            let before_left = Duration::from_millis(sender.earlier_may_send_ms);
+            return EarlierOwners::noted(self.since, left, before_left, limits);
+        }
+        earlier.note_before(self.since, left, limits);
         if row.is_released {
             earlier.note_previous_stopped(self.since);
         }
         earlier
     }
 
+    /// The last owner that may have sent leases, and its fencing token.
+    pub fn last_sender(&self) -> Option<(&Holder, u64)> {
+        let row = self.row.as_ref()?;
+        Some(match &row.last_sender {
+            Some(sender) => (&sender.holder, sender.token),
+            None => (&row.holder, self.fence),
+        })
+    }
+
+    /// The row of a take-over by `me` at `now`, after these rows were read.
+    pub fn takeover_row(&self, me: &Holder, now: Millis, limits: &LeaseLimits) -> LeaseRow {
+        let earlier = self.earlier_owners(limits);
+        LeaseRow {
+            holder: me.clone(),
+            is_released: false,
+            renewals: 0,
+            up_ms: now.0,
+            earlier_may_send_ms: Some(millis(earlier.until().since(now))),
+            last_sender: self.last_sender().map(|(holder, token)| LastSender {
+                holder: holder.clone(),
+                token,
+                earlier_may_send_ms: millis(earlier.before_until().since(now)),
+            }),
+            accepts_returns: true,
+        }
+    }
+
     /// Delay before a daemon with uptime `up` takes over a released shard; see
     /// [`ROLLING_RESTART_DELAY`].
     fn rolling_restart_delay(&self, up: Duration) -> Duration {
@@ -404,16 +452,7 @@
         return Ok(());
     }
     let seen = handle.lease.borrow().clone();
-    let now = cx.clock.now();
-    let may_send_until = seen.earlier_owners(&cx.cfg.leases).until();
-    let row = LeaseRow {
-        holder: cx.me.clone(),
-        is_released: false,
-        renewals: 0,
-        up_ms: now.0,
-        earlier_may_send_ms: Some(millis(may_send_until.since(now))),
-        accepts_returns: true,
-    };
+    let row = seen.takeover_row(&cx.me, cx.clock.now(), &cx.cfg.leases);
     let txn = Txn {
         expect: vec![
             (key(handle, LEASE_KEY), seen.version),
@@ -477,13 +516,14 @@
 /// Writes the lease row; returns whether the write is known to be committed.
 async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
     let now = cx.clock.now();
-    let may_send_until = owner.earlier_owners.get().until();
+    let earlier = owner.earlier_owners.get();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released,
         renewals,
         up_ms: now.0,
-        earlier_may_send_ms: Some(millis(may_send_until.since(now))),
+        earlier_may_send_ms: Some(millis(earlier.until().since(now))),
+        last_sender: is_released.then(|| owner.sender_before(now)).flatten(),
         accepts_returns: true,
     };
     let piggyback = Piggyback {
@@ -499,7 +539,8 @@
         PiggybackOutcome::Carried(reply) => reply,
         PiggybackOutcome::Lost => return false,
         PiggybackOutcome::NotTaken(piggyback) => {
-            let note = is_released.then(|| owner.stop_note(cx));
+            let is_noted = is_released && owner.may_have_sent_leases();
+            let note = is_noted.then(|| owner.stop_note(cx));
             renew_separately(cx, owner, piggyback, note).await
         }
     };
@@ -508,6 +549,7 @@
             cx.note_store(Ok(()));
             owner.lease_version.set(newest);
             owner.renewed_at.set(sent_at);
+            owner.start_sending_leases();
             return true;
         }
         TxnOutcome::Conflict(rows) => adopt_version_or_mark_lost(cx, owner, &rows),
@@ -542,9 +584,14 @@
 fn adopt_version_or_mark_lost(cx: &Cx, owner: &Rc<Owner>, rows: &[Row]) {
     let mut view = LeaseView::default();
     let is_read = view.note(rows, cx.clock.now()).is_ok();
-    let is_ours = view.row.is_some_and(|row| row.holder == cx.me) && view.fence == owner.token();
-    if is_read && is_ours {
+    let row = view
+        .row
+        .filter(|row| row.holder == cx.me && view.fence == owner.token());
+    if let Some(row) = row.filter(|_| is_read) {
         owner.lease_version.set(view.version);
+        if row.last_sender.is_none() {
+            owner.start_sending_leases();
+        }
         return;
     }
     owner.mark_lost("another daemon has taken the shard");
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -74,10 +74,11 @@
 }
 
 impl Owner {
-    /// Whether tasks may be placed: the shard is recovered, it is not being released, and its
-    /// journal keeps up with appends.
+    /// Whether tasks may be placed: the shard is recovered, leases may be sent, the shard is not
+    /// being released, and its journal keeps up with appends.
     pub fn may_place(&self, cx: &Cx) -> bool {
-        self.is_recovered() && !self.is_releasing() && self.journal.accepts_work(cx.clock.now())
+        let is_sending = self.may_have_sent_leases() && !self.is_releasing();
+        self.is_recovered() && is_sending && self.journal.accepts_work(cx.clock.now())
     }
 
     /// The workers to which new tasks may be sent.
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -32,7 +32,7 @@
     event::{Event, RunId},
     job::{JobId, StepId, TaskId},
     journal::{AppendOutcome, Journal, Ticket},
-    lease::{self, Holder, LeaseView},
+    lease::{self, Holder, LastSender, LeaseView},
     ledger::{Ledger, Phase},
     resolution::{EarlierOwners, LateExecution, LeaseBound, LeaseLimits},
 };
@@ -79,14 +79,17 @@
     fence: (RowKey, u64),
     /// When the take-over transaction was sent.
     pub taken_at: Millis,
-    /// The previous owner; none for the first one.
+    /// The last earlier owner that may have sent leases; none for the first one.
     pub previous_owner: Option<Holder>,
-    /// Fencing token of the previous owner, as expected by the take-over; 0 for the first owner.
+    /// Fencing token of that owner; 0 for the first owner.
     pub replaced_token: u64,
     /// Until when earlier owners may send leases.
     pub earlier_owners: Cell<EarlierOwners>,
     /// Workers that did not answer the previous owner, and when the leases there have ended.
     silent_before: RefCell<IndexMap<String, Millis>>,
+    /// Whether a lease row is known to be written by which this owner may send leases; see
+    /// [`LeaseRow::last_sender`](lease::LeaseRow::last_sender).
+    may_have_sent_leases: Cell<bool>,
     /// Whether the lease is being released, so that no more leases are sent to workers.
     is_releasing: Cell<bool>,
     /// When a worker last left an order unanswered and answered a later call.
@@ -157,15 +160,18 @@
         sent_at: Millis,
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
+        let last_sender = seen.last_sender();
+        let is_first = last_sender.is_none();
         Rc::new(Self {
             handle: Rc::clone(handle),
             journal: Journal::new(&handle.partition, fence.clone()),
             fence,
             taken_at: sent_at,
-            previous_owner: seen.row.as_ref().map(|row| row.holder.clone()),
-            replaced_token: seen.fence,
+            previous_owner: last_sender.map(|(holder, _)| holder.clone()),
+            replaced_token: last_sender.map_or(0, |(_, token)| token),
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
             silent_before: RefCell::default(),
+            may_have_sent_leases: Cell::new(is_first),
             is_releasing: Cell::new(false),
             late_execution_at: Cell::new(None),
             lease_version: Cell::new(lease_version),
@@ -236,12 +242,37 @@
         outcome == Ok(AppendOutcome::Durable)
     }
 
-    /// Whether workers' leases may still be renewed: only within the hold time that the next owner
-    /// waits out, and not once the lease is being released.
+    /// Whether leases may be sent to workers: only within the hold time that the next owner waits
+    /// out, not before the store holds a row that says so, and not once the lease is being released.
     pub fn may_renew(&self, cx: &Cx) -> bool {
         let since_renewal = cx.clock.now().since(self.renewed_at.get());
         let is_held = self.is_serving() && since_renewal < cx.cfg.leases.owner_hold;
-        is_held && !self.is_releasing()
+        is_held && self.may_have_sent_leases() && !self.is_releasing()
+    }
+
+    /// Whether leases may have been sent to workers.
+    pub fn may_have_sent_leases(&self) -> bool {
+        self.may_have_sent_leases.get()
+    }
+
+    /// Allows leases to be sent, as a row of this owner without a last sender is in the store.
+    pub fn start_sending_leases(&self) {
+        if !self.may_have_sent_leases.replace(true) {
+            let version = self.lease_version.get();
+            log::info!(shard:% = self.handle.partition, token = self.token(), version; "leases may be sent");
+            self.wake.notify_one();
+        }
+    }
+
+    /// The last owner that may have sent leases, if this one has sent none.
+    pub fn sender_before(&self, now: Millis) -> Option<LastSender> {
+        let holder = self.previous_owner.clone()?;
+        let before_until = self.earlier_owners.get().before_until();
+        (!self.may_have_sent_leases()).then(|| LastSender {
+            holder,
+            token: self.replaced_token,
+            earlier_may_send_ms: millis(before_until.since(now)),
+        })
     }
 
     /// Whether the lease is being released.
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -62,12 +62,13 @@
         let shard = &self.handle.partition;
         let daemon = &before.holder.daemon;
         let is_released = before.is_released;
+        let is_idle = before.last_sender.is_some();
         let unchanged_ms = millis(self.taken_at.since(seen.since));
         let owned_ms = millis(self.taken_at.since(seen.fence_since));
         let until = self.earlier_owners.get().until();
         let may_send_ms = millis(until.since(self.taken_at));
         let before_ms = before.earlier_may_send_ms;
-        log::info!(shard:%, token = self.token(), daemon:%, is_released, unchanged_ms, owned_ms, before_ms:?, may_send_ms; "earlier owners may send leases");
+        log::info!(shard:%, token = self.token(), daemon:%, is_released, is_idle, unchanged_ms, owned_ms, before_ms:?, may_send_ms; "earlier owners may send leases");
     }
 
     /// Notes that the previous owner had ended by `at`. The owners before that one may still renew
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -43,7 +43,8 @@
 /// release.
 pub async fn write_when_lost(cx: Cx, owner: Rc<Owner>) {
     owner.lost.notified().await;
-    if cx.is_draining() {
+    // Without leases of this owner, the note of the last one that sent any stays.
+    if cx.is_draining() || !owner.may_have_sent_leases() {
         return;
     }
     for _ in 0..ATTEMPTS {
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -253,6 +253,21 @@
         }
     }
 
+    /// Bounds from a row that was written at `at` or earlier by an owner that has sent no lease: the
+    /// last owner that has sends none after `previous_left`, and those before that one none after
+    /// `before_left`.
+    pub fn noted(
+        at: Millis,
+        previous_left: Duration,
+        before_left: Duration,
+        limits: &LeaseLimits,
+    ) -> Self {
+        Self {
+            previous_until: at + limits.measured_elsewhere(previous_left),
+            before_until: at + limits.measured_elsewhere(before_left),
+        }
+    }
+
     /// Records that the previous owner wrote at `at` or earlier that owners before it send no lease
     /// after `left`.
     pub fn note_before(&mut self, at: Millis, left: Duration, limits: &LeaseLimits) {
@@ -269,6 +284,11 @@
         self.previous_until
     }
 
+    /// Until when the owners before the previous one may send leases.
+    pub fn before_until(&self) -> Millis {
+        self.before_until
+    }
+
     /// Until when any earlier owner may send leases.
     pub fn until(&self) -> Millis {
         self.previous_until.max(self.before_until)
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -26,6 +26,10 @@
     Killed,
     /// Cut off from the store, and unknown to the next owner.
     Cut,
+    /// Its take-over got no reply, or it ended before the next renewal, so that it has sent no lease.
+    Idle,
+    /// Released before it has sent a lease.
+    IdleReleased,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +48,8 @@
         Just(End::ReleasedByOldBuild),
         Just(End::Killed),
         Just(End::Cut),
+        Just(End::Idle),
+        Just(End::IdleReleased),
     ];
     (end, 0..9_000_u64, 0..1_500_u64, 0..4_000_u64).prop_map(
         |(end, stays_ms, write_ms, read_ms)| Tenure {
@@ -140,38 +146,52 @@
         let mut now = Millis(1_000);
         let mut last_sent = Millis(0);
         let mut view = LeaseView::default();
-        let mut ended_at = None;
+        let mut has_sender_ended = false;
         for (version, tenure) in (1..).zip(tenures) {
             let mut earlier = view.earlier_owners(&limits);
-            if let Some(at) = ended_at {
-                earlier.note_previous_stopped(at);
+            if has_sender_ended {
+                earlier.note_previous_stopped(now);
             }
             prop_assert!(earlier.until() >= last_sent, "{:?} < {last_sent:?}", earlier.until());
             let composed_at = now + Duration::from_millis(tenure.stays_ms);
             let written_at = composed_at + Duration::from_millis(tenure.write_ms);
             let is_old = matches!(tenure.end, End::ReleasedByOldBuild);
             let left_ms = millis(earlier.until().since(composed_at));
+            let holder = Holder {
+                daemon: "a".to_owned(),
+                address: "a.example:1".to_owned(),
+                incarnation: version,
+            };
+            let taken = view.takeover_row(&holder, now, &limits);
             let row = LeaseRow {
-                holder: Holder {
-                    daemon: "a".to_owned(),
-                    address: "a.example:1".to_owned(),
-                    incarnation: version,
-                },
+                holder,
                 is_released: matches!(tenure.end, End::Released | End::ReleasedByOldBuild),
                 renewals: 1,
                 up_ms: 0,
                 earlier_may_send_ms: (!is_old).then_some(left_ms),
+                last_sender: None,
                 accepts_returns: true,
             };
-            let (sent, read_after) = match tenure.end {
-                End::Released => (composed_at, written_at),
-                End::ReleasedByOldBuild => (composed_at + RELEASE_TIMEOUT, written_at),
-                End::Killed => (written_at, written_at),
-                End::Cut => (composed_at + limits.owner_hold, written_at),
+            let row = match tenure.end {
+                End::Idle => taken,
+                End::IdleReleased => LeaseRow {
+                    is_released: true,
+                    ..view.takeover_row(&row.holder, composed_at, &limits)
+                },
+                _ => row,
             };
-            last_sent = last_sent.max(sent);
-            now = read_after + Duration::from_millis(tenure.read_ms);
-            ended_at = matches!(tenure.end, End::Killed).then_some(now);
+            let has_sent = row.last_sender.is_none();
+            let sent = match tenure.end {
+                End::Released => composed_at,
+                End::ReleasedByOldBuild => composed_at + RELEASE_TIMEOUT,
+                End::Killed | End::Idle | End::IdleReleased => written_at,
+                End::Cut => composed_at + limits.owner_hold,
+            };
+            if has_sent {
+                last_sent = last_sent.max(sent);
+                has_sender_ended = matches!(tenure.end, End::Killed);
+            }
+            now = written_at + Duration::from_millis(tenure.read_ms);
             view = LeaseView::default();
             view.note(&rows(version, &row), now).expect("a valid row");
         }
@@ -201,3 +221,29 @@
         prop_assert_eq!(earlier.previous_until(), held_until.min(Millis(noted_at)));
     }
 }
+
+/// Guards against a hold counted for an owner that has sent no lease.
+#[test]
+fn an_idle_owner_adds_no_hold() {
+    let limits = limits();
+    let holder = |incarnation| Holder {
+        daemon: "a".to_owned(),
+        address: "a.example:1".to_owned(),
+        incarnation,
+    };
+    let row = LeaseRow {
+        earlier_may_send_ms: Some(0),
+        last_sender: None,
+        ..LeaseView::default().takeover_row(&holder(1), Millis(0), &limits)
+    };
+    let (renewed_at, taken_at, read_at) = (Millis(1_000), Millis(3_000), Millis(3_500));
+    let mut view = LeaseView::default();
+    view.note(&rows(1, &row), renewed_at).expect("a valid row");
+    let row = view.takeover_row(&holder(2), taken_at, &limits);
+    let mut next = LeaseView::default();
+    next.note(&rows(2, &row), read_at).expect("a valid row");
+    let left = (renewed_at + limits.owner_hold).since(taken_at);
+    let on_own_clock = left + left / limits.drift_parts;
+    assert_eq!(next.earlier_owners(&limits).until(), read_at + on_own_clock);
+    assert_eq!(next.last_sender(), Some((&holder(1), 1)));
+}
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -196,6 +196,7 @@
         renewals: 7,
         up_ms: 0,
         earlier_may_send_ms: None,
+        last_sender: None,
         accepts_returns: true,
     };
     let read = |answer_took| {
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -396,3 +396,112 @@
         });
     }
 }
+
+/// Has a daemon lose the reply to its next take-over and everything that it asks the store afterwards.
+async fn lose_the_takeover(world: &World, daemon: &str) {
+    let (_, before) = world.fence("shard-0");
+    until("a take-over is performed", LIMIT, async || {
+        world.fence("shard-0").1 > before
+    })
+    .await;
+    world.set_store(daemon, StoreBehaviour::Unavailable);
+}
+
+/// Guards against a hold waited out for the daemon's own take-over whose reply was lost.
+#[test]
+fn a_repeated_takeover_counts_no_hold_for_the_first() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        world.set_store("b", StoreBehaviour::LosesAnswers);
+        release(&first).await;
+        lose_the_takeover(&world, "b").await;
+        sleep(Duration::from_secs(1)).await;
+        assert!(second.owners().is_empty());
+        world.set_store("b", StoreBehaviour::Up);
+        owned(&second, LIMIT).await;
+        let took = restarted(&world).await;
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against a hold waited out for another daemon whose take-over got no reply, and so sent no lease.
+#[test]
+fn a_takeover_without_a_reply_counts_no_hold_for_the_next_owner() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        world.set_store("b", StoreBehaviour::LosesAnswers);
+        release(&first).await;
+        lose_the_takeover(&world, "b").await;
+        let third = world.daemon("c");
+        owned(&third, LIMIT).await;
+        assert!(second.owners().is_empty());
+        let took = restarted(&world).await;
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
+/// Guards against leases of an owner that the next one takes for idle: it sends none before its row is known to be
+/// written.
+#[test]
+fn an_owner_without_answers_of_the_store_sends_no_lease() {
+    paused(async {
+        let world = World::new(2);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT).await;
+        world.set_store("b", StoreBehaviour::LosesAnswers);
+        release(&first).await;
+        owned(&second, LIMIT).await;
+        let owner = second.owners().remove(0);
+        let started_at = Instant::now();
+        while owner.is_serving() && started_at.elapsed() < LIMIT {
+            assert!(!owner.may_renew(&second) && !owner.may_place(&second));
+            sleep(Duration::from_millis(20)).await;
+        }
+        world.set_store("b", StoreBehaviour::Up);
+        until("leases are sent again", LIMIT, async || {
+            let owners = second.owners();
+            owners.first().is_some_and(|owner| owner.may_renew(&second))
+        })
+        .await;
+        sleep(LIMIT * 2).await;
+        world.check();
+    });
+}
+
+/// Guards against a task that runs twice at once: an owner that is cut off from the store right after its take-over, and
+/// renews leases, is taken for one that has sent none.
+#[test]
+fn an_owner_cut_off_after_its_takeover_is_waited_for() {
+    for waited_ms in (0..600).step_by(10) {
+        paused(async {
+            let world = World::new(2);
+            let [first, _second] = pair_with_a_long_task(&world).await;
+            sleep(LIMIT).await;
+            let worker = world.starts.borrow()[0].2.clone();
+            let (_, before) = world.fence("shard-0");
+            release(&first).await;
+            until("the shard is taken", LIMIT, async || {
+                world.fence("shard-0").1 > before
+            })
+            .await;
+            world.cut_from("c", &worker);
+            let third = world.daemon("c");
+            sleep(Duration::from_millis(waited_ms)).await;
+            world.set_store("b", StoreBehaviour::Unavailable);
+            owned(&third, LIMIT).await;
+            restarted(&world).await;
+            sleep(LIMIT).await;
+            world.check();
+        });
+    }
+}
