The previous owner's address is asked during the recovery

Cause: the probe and the read of the stop note started once the shard was recovered. The time at which the previous owner is known to have ended starts the leases' bound.

Change: they start with the recovery.

--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -408,6 +408,10 @@
     supervisor::spawn("lease", async move { lease::renew(&renewing, &held).await });
     let noted = stop_note::write_when_lost(Rc::clone(cx), Rc::clone(&owner));
     supervisor::spawn("stop-note", noted);
+    // On a slow store recovery takes seconds, in which the previous owner's process may prove to have
+    // ended.
+    let followed = previous_owner::follow(Rc::clone(cx), Rc::clone(&owner));
+    supervisor::spawn("predecessor", followed);
     let cx = Rc::clone(cx);
     supervisor::spawn("owner", async move {
         if recover(&cx, &owner).await {
@@ -468,7 +472,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -493,10 +497,6 @@
             "returns",
             returns::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
-        (
-            "predecessor",
-            previous_owner::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
-        ),
         (
             "learned",
             estimates::store_estimates(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -478,6 +478,40 @@
     });
 }
 
+/// Guards against a hold waited out for an owner whose process has ended, because its address is asked only after a
+/// recovery that takes seconds.
+#[test]
+fn an_ended_owner_is_noticed_during_the_recovery() {
+    paused(async {
+        let world = World::new(1);
+        let (first, relay) = world.daemon_behind_relay("a", "karen");
+        owned(&first, LIMIT).await;
+        let second = world.daemon("b");
+        let steps = vec![step(1, 60_000, &[])];
+        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+        until("the task runs", LIMIT, async || world.running().len() == 1).await;
+        sleep(LIMIT * 2).await;
+        lose_the_worker(&world);
+        world.set_store("a", StoreBehaviour::Unavailable);
+        let _restarted = world.restart_daemon(&first, &relay);
+        world.set_store("b", StoreBehaviour::Slow);
+        until("the shard is taken", LIMIT * 2, async || {
+            !second.owners().is_empty()
+        })
+        .await;
+        world.set_store("b", StoreBehaviour::RefusesReads);
+        let taken_at = Instant::now();
+        sleep(Duration::from_secs(4)).await;
+        assert!(!owns(&second, ShardId(0)), "the recovery still takes");
+        world.set_store("b", StoreBehaviour::Up);
+        restarted(&world).await;
+        let took = taken_at.elapsed();
+        assert!(took < LEASE_ENDED, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
 /// Guards against a task that runs twice at once: an owner that is cut off from the store right after its take-over, and
 /// renews leases, is taken for one that has sent none.
 #[test]
