--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -33,7 +33,7 @@
     event::{Event, RunId},
     job::{JobId, StepId, TaskId},
     journal::{AppendOutcome, Journal, Ticket},
-    lease::{self, Holder, LeaseView},
+    lease::{self, Holder, LastSender, LeaseView},
     ledger::{Ledger, Phase},
     resolution::{EarlierOwners, LeaseBound, LeaseLimits},
 };
@@ -77,14 +77,17 @@
     fence: (RowKey, u64),
     /// When the take-over transaction was sent.
     pub taken_at: Millis,
-    /// The previous owner; none for the first one.
+    /// The last earlier owner that may have sent leases; none for the first one.
     pub previous_owner: Option<Holder>,
-    /// Fencing token of the previous owner, as expected by the take-over; 0 for the first owner.
+    /// Fencing token of that owner; 0 for the first owner.
     pub replaced_token: u64,
     /// Until when earlier owners may send leases.
     pub earlier_owners: Cell<EarlierOwners>,
     /// Workers that did not answer the previous owner, and when the leases there have ended.
     silent_before: RefCell<IndexMap<String, Millis>>,
+    /// Whether a lease row is known to be written by which this owner may send leases; see
+    /// [`LeaseRow::last_sender`](lease::LeaseRow::last_sender).
+    may_have_sent_leases: Cell<bool>,
     /// Whether the lease is being released, so that no more leases are sent to workers.
     is_releasing: Cell<bool>,
     /// Version of the lease row that this owner last wrote.
@@ -155,15 +158,18 @@
         sent_at: Millis,
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
+        let last_sender = seen.last_sender();
+        let is_first = last_sender.is_none();
         Rc::new(Self {
             handle: Rc::clone(handle),
             journal: Journal::new(&handle.partition, fence.clone()),
             fence,
             taken_at: sent_at,
-            previous_owner: seen.row.as_ref().map(|row| row.holder.clone()),
-            replaced_token: seen.fence,
+            previous_owner: last_sender.map(|(holder, _)| holder.clone()),
+            replaced_token: last_sender.map_or(0, |(_, token)| token),
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
             silent_before: RefCell::default(),
+            may_have_sent_leases: Cell::new(is_first),
             is_releasing: Cell::new(false),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
@@ -215,20 +221,56 @@
         self.status.get() == Status::Serving
     }
 
-    /// Whether no other daemon can have taken the shard yet, so that a job unknown here is unknown
-    /// everywhere. An owner that is cut off from the store still receives requests from callers
-    /// that are cut off with it, while another owner accepts jobs.
-    pub fn is_sole_owner(&self, cx: &Cx) -> bool {
+    /// Whether no other daemon owned the shard when this was called, so that a job unknown here is
+    /// unknown everywhere. A frozen, isolated or releasing owner still receives requests from
+    /// callers, while the next one accepts jobs. Beyond the time in which nobody takes the shard,
+    /// only the store can say: an append is durable only under this owner's fence.
+    pub async fn is_sole_owner(&self, cx: &Cx) -> bool {
         let since_renewal = cx.clock.now().since(self.renewed_at.get());
-        self.is_recovered() && since_renewal < lease::LEASE
+        if !self.is_recovered() || self.is_releasing() || since_renewal >= lease::LEASE {
+            return false;
+        }
+        if since_renewal < lease::exclusive_for(&cx.cfg.leases) {
+            return true;
+        }
+        let outcome = self.journal.append(&[]).outcome();
+        let outcome = tokio::time::timeout(jobs::ANSWER_WITHIN, outcome).await;
+        let since_renewal_ms = millis(since_renewal);
+        log::info!(shard:% = self.handle.partition, token = self.token(), since_renewal_ms, outcome:?; "renewal is overdue; ownership is checked in the store");
+        outcome == Ok(AppendOutcome::Durable)
     }
 
-    /// Whether workers' leases may still be renewed: only within the hold time that the next owner
-    /// waits out, and not once the lease is being released.
+    /// Whether leases may be sent to workers: only within the hold time that the next owner waits
+    /// out, not before the store holds a row that says so, and not once the lease is being released.
     pub fn may_renew(&self, cx: &Cx) -> bool {
         let since_renewal = cx.clock.now().since(self.renewed_at.get());
         let is_held = self.is_serving() && since_renewal < cx.cfg.leases.owner_hold;
-        is_held && !self.is_releasing()
+        is_held && self.may_have_sent_leases() && !self.is_releasing()
+    }
+
+    /// Whether leases may have been sent to workers.
+    pub fn may_have_sent_leases(&self) -> bool {
+        self.may_have_sent_leases.get()
+    }
+
+    /// Allows leases to be sent, as a row of this owner without a last sender is in the store.
+    pub fn start_sending_leases(&self) {
+        if !self.may_have_sent_leases.replace(true) {
+            let version = self.lease_version.get();
+            log::info!(shard:% = self.handle.partition, token = self.token(), version; "leases may be sent");
+            self.wake.notify_one();
+        }
+    }
+
+    /// The last owner that may have sent leases, if this one has sent none.
+    pub fn sender_before(&self, now: Millis) -> Option<LastSender> {
+        let holder = self.previous_owner.clone()?;
+        let before_until = self.earlier_owners.get().before_until();
+        (!self.may_have_sent_leases()).then(|| LastSender {
+            holder,
+            token: self.replaced_token,
+            earlier_may_send_ms: millis(before_until.since(now)),
+        })
     }
 
     /// Whether the lease is being released.
@@ -346,6 +388,10 @@
     supervisor::spawn("lease", async move { lease::renew(&renewing, &held).await });
     let noted = stop_note::write_when_lost(Rc::clone(cx), Rc::clone(&owner));
     supervisor::spawn("stop-note", noted);
+    // On a slow store recovery takes seconds, in which the previous owner's process may prove to have
+    // ended.
+    let followed = previous_owner::follow(Rc::clone(cx), Rc::clone(&owner));
+    supervisor::spawn("predecessor", followed);
     let cx = Rc::clone(cx);
     supervisor::spawn("owner", async move {
         if recover(&cx, &owner).await {
@@ -406,7 +452,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
@@ -431,10 +477,6 @@
             "returns",
             returns::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
-        (
-            "predecessor",
-            previous_owner::follow(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
-        ),
         (
             "learned",
             estimates::store_estimates(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
