--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -13,13 +13,20 @@
 //! [`resolution`](super::resolution) interprets the replies. Events change the owner's state when
 //! they are appended; their external effects (a reply to a caller, an order to a worker) wait for
 //! the [`Ticket`].
+//!
+//! The pointer to the latest snapshot only moves forward: its write expects the version of the
+//! pointer that was read before, so a write that takes effect late cannot follow a later one. With
+//! the fence as the only condition, it would move the pointer back behind rows that are deleted,
+//! and the shard could not be recovered. Rows and objects are deleted only once the pointer is
+//! known to have left them behind. A late deletion then does no harm: the numbers of rows and the
+//! names of objects are never used again.
 
 use super::{
     Cx,
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
     event::Event,
     ledger::Ledger,
-    resolution::{WriteVerdict, is_piggyback_stale, judge_write},
+    resolution::{PointerVerdict, WriteVerdict, is_piggyback_stale, judge_pointer, judge_write},
 };
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
@@ -79,6 +86,9 @@
     }
 }
 
+/// The pointer row as read: the pointer and the version of the row.
+type ReadPointer = (SnapshotPointer, u64);
+
 /// Outcome of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -303,16 +313,16 @@
     /// Reads the newest snapshot and the number of the last row that it covers.
     async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
         match self.read_pointer(cx).await? {
-            Some(pointer) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
+            Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
             None => Ok((Ledger::default(), 0)),
         }
     }
 
-    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<SnapshotPointer>> {
+    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<ReadPointer>> {
         let rows = cx.store.rows(SNAPSHOT_TABLE, &self.partition, SNAPSHOT_KEY);
         let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
-        let parse = |row: &Row| serde_json::from_slice(&row.value);
-        let pointer = rows.first().map(parse).transpose();
+        let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
+        let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
         pointer.wrap_err("the snapshot pointer is malformed")
     }
 
@@ -478,25 +488,26 @@
     /// Stores the state as of row `number` and deletes the rows that it covers. Failures are left
     /// to the next snapshot; recovery skips covered rows that were not deleted.
     async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
-        let before = self.read_pointer(cx).await;
+        let before = match self.read_pointer(cx).await {
+            Ok(before) => before,
+            Err(e) => {
+                log::warn!(shard:% = self.partition, row = number, error:% = format!("{e:#}"); "snapshot failed");
+                return;
+            }
+        };
+        let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
         let pointer = SnapshotPointer {
             row: number,
             object: format!("{}-{number}-{:x}", self.partition, self.fence.1),
         };
         let stored = cx.store.put_object(&pointer.object, state).await;
         if let Err(e) = stored {
-            log::warn!(row = number, error:% = e; "snapshot failed");
+            log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
             return;
         }
-        let value = serde_json::to_vec(&pointer).unwrap_or_default();
-        let txn = Txn {
-            expect: vec![self.fence.clone()],
-            put: vec![(self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY), value.into())],
-            delete: Vec::new(),
-        };
-        // Unless the commit is confirmed, the rows are kept: without the new pointer, deleting them
-        // would lose events.
-        if !matches!(cx.store.commit(&txn).await, TxnOutcome::Committed(_)) {
+        let verdict = self.write_pointer(cx, &pointer, version).await;
+        if verdict != PointerVerdict::Committed {
+            log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
             return;
         }
         let first = {
@@ -506,11 +517,40 @@
             std::mem::replace(&mut inner.first_row, number + 1)
         };
         self.delete_rows(cx, first, number).await;
-        if let Ok(Some(before)) = before {
+        if let Some(before) = before {
             // On failure, the old object only takes up space.
             let _ = cx.store.delete_object(&before.object).await;
         }
-        log::info!(row = number; "snapshot stored");
+        log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
+    }
+
+    /// Replaces the pointer row of this version, 0 for none, and resolves the outcome.
+    async fn write_pointer(
+        &self,
+        cx: &Cx,
+        pointer: &SnapshotPointer,
+        version: u64,
+    ) -> PointerVerdict {
+        let key = self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY);
+        let value = Bytes::from(serde_json::to_vec(pointer).unwrap_or_default());
+        let txn = Txn {
+            expect: vec![self.fence.clone(), (key.clone(), version)],
+            put: vec![(key, value.clone())],
+            delete: Vec::new(),
+        };
+        let is_own = |found: &[Row]| {
+            let mut pointers = found.iter().filter(|row| row.table == SNAPSHOT_TABLE);
+            pointers.any(|row| row.value == value)
+        };
+        let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+        loop {
+            let outcome = cx.store.commit(&txn).await;
+            let verdict = judge_pointer(&outcome, is_own);
+            if verdict != PointerVerdict::SendAgain || self.inner.borrow().is_lost {
+                return verdict;
+            }
+            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
+        }
     }
 
     async fn delete_rows(&self, cx: &Cx, first: u64, last: u64) {
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -47,6 +47,33 @@
     }
 }
 
+/// Outcome of sending a transaction that replaces the pointer to a shard's snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PointerVerdict {
+    /// The pointer is in the store; the one that it replaced never returns.
+    Committed,
+    /// The pointer is not in the store and never will be.
+    Superseded,
+    /// Send the same transaction again. This is safe even if an earlier attempt is still in flight:
+    /// each one expects the same version of the row, so at most one takes effect.
+    SendAgain,
+}
+
+/// Resolves the reply to the write of a snapshot pointer, which expects the fence and the version
+/// of the pointer row. `is_own` gets the rows that were found and returns whether the pointer row
+/// is the one that was sent.
+///
+/// A conflict is conclusive for all attempts: a row never returns to an earlier version, and
+/// neither does the fence.
+pub fn judge_pointer(outcome: &TxnOutcome, is_own: impl Fn(&[Row]) -> bool) -> PointerVerdict {
+    match outcome {
+        TxnOutcome::Committed(_) => PointerVerdict::Committed,
+        TxnOutcome::Conflict(rows) if is_own(rows) => PointerVerdict::Committed,
+        TxnOutcome::Conflict(_) => PointerVerdict::Superseded,
+        TxnOutcome::NotDone(_) | TxnOutcome::Unknown(_) => PointerVerdict::SendAgain,
+    }
+}
+
 /// Whether a conflict is caused by the piggybacked row only: the fence is held and no row exists at
 /// the journal keys, so the journal rows are not in the store and may be sent again without the
 /// piggyback. The piggybacked row was changed by an earlier attempt of this owner whose reply was
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -16,6 +16,7 @@
 mod resolution;
 mod room;
 mod short_work;
+mod snapshots;
 mod stranded;
 mod takeover;
 pub(crate) mod world;
--- /dev/null
+++ b/tests/testsuite/sched/snapshots.rs
@@ -0,0 +1,178 @@
+//! Snapshots of the real journal under writes that are late, lost or doubled: whenever the owner ends, the next one
+//! recovers every durable event.
+
+use super::{
+    paused,
+    world::{CommitFate, CommitKind, StoreBehaviour, World},
+};
+use lapisdrum::sched::{
+    Cx,
+    edge::{Txn, TxnOutcome},
+    event::Event,
+    job::JobId,
+    journal::{AppendOutcome, JOURNAL_TABLE, Journal, SNAPSHOT_TABLE},
+    layout::ShardId,
+    ledger::Ledger,
+};
+use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::time::sleep;
+
+const PARTITION: &str = "shard-0";
+/// Rows until the first snapshot, as the journal stores them.
+const SNAPSHOT_ROWS: u64 = 400;
+/// Within the time in which a pointer without an answer is sent again.
+const SOON: Duration = Duration::from_secs(2);
+/// After the next snapshot.
+const MUCH_LATER: Duration = Duration::from_secs(10);
+const FATES: [CommitFate; 6] = [
+    CommitFate::Answered,
+    CommitFate::AnswerLost,
+    CommitFate::Lost,
+    CommitFate::Late(SOON),
+    CommitFate::Late(MUCH_LATER),
+    CommitFate::Repeated(MUCH_LATER),
+];
+
+/// An owner's journal whose writer runs, with the state that it has applied.
+struct Writer {
+    world: Rc<World>,
+    journal: Rc<Journal>,
+    ledger: Rc<RefCell<Ledger>>,
+}
+
+impl Writer {
+    /// Takes the shard and recovers it.
+    async fn take_over(world: &Rc<World>, name: &str) -> eyre::Result<Self> {
+        let cx = world.idle_daemon(name);
+        raise_fence(world, &cx).await;
+        let journal = Rc::new(Journal::new(PARTITION, world.fence(PARTITION)));
+        let ledger = Rc::new(RefCell::new(journal.recover(&cx).await?));
+        let (writer, state) = (Rc::clone(&journal), Rc::clone(&ledger));
+        actix_rt::spawn(async move {
+            let state = || serde_json::to_vec(&*state.borrow()).expect("a serialised state");
+            writer.write_all(&cx, state).await;
+        });
+        let world = Rc::clone(world);
+        Ok(Self {
+            world,
+            journal,
+            ledger,
+        })
+    }
+
+    /// Writes rows of one event each.
+    async fn write_rows(&self, count: u64) {
+        for _ in 0..count {
+            let event = Event::Sent {
+                job: JobId(self.ledger.borrow().sent.len() as u64),
+                to: ShardId(1),
+                at_unix_ms: 0,
+            };
+            self.ledger.borrow_mut().apply(&event).expect("valid");
+            let ticket = self.journal.append(&[event]);
+            assert_eq!(ticket.outcome().await, AppendOutcome::Durable);
+        }
+    }
+
+    /// Recovers the shard from a copy of the store, as an owner would that takes over now.
+    async fn check(&self) -> Result<(), String> {
+        let copy = self.world.copy_of_store();
+        let cx = copy.idle_daemon("next");
+        raise_fence(&copy, &cx).await;
+        let next = Journal::new(PARTITION, copy.fence(PARTITION));
+        let recovered = next.recover(&cx).await.map_err(|e| format!("{e:#}"))?;
+        match recovered == *self.ledger.borrow() {
+            true => Ok(()),
+            false => Err(format!("{} events recovered", recovered.sent.len())),
+        }
+    }
+}
+
+async fn raise_fence(world: &World, cx: &Cx) {
+    let (fence, version) = world.fence(PARTITION);
+    let txn = Txn {
+        expect: vec![(fence.clone(), version)],
+        put: vec![(fence, "a".into())],
+        delete: Vec::new(),
+    };
+    let outcome = cx.store.commit(&txn).await;
+    assert!(matches!(outcome, TxnOutcome::Committed(_)), "{outcome:?}");
+}
+
+/// Guards against a snapshot pointer that is written late and moves back behind rows that were deleted: no owner could
+/// recover the shard afterwards.
+#[test]
+fn a_pointer_that_is_written_late_does_not_move_back() {
+    paused(async {
+        let world = World::new(0);
+        let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+        let late = CommitFate::Late(Duration::from_secs(3));
+        world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), [late]);
+        writer.write_rows(SNAPSHOT_ROWS + 200).await;
+        assert_eq!(writer.check().await, Ok(()));
+        writer.journal.stop();
+        let next = Writer::take_over(&world, "b").await;
+        assert!(next.is_ok());
+    });
+}
+
+/// Guards against lost events and shards that can't be recovered, over all orders in which the writes of three pointers
+/// and the deletions of rows are late, lost or doubled, and whenever the owner ends.
+#[test]
+fn every_order_of_pointer_writes_and_deletions_can_be_recovered() {
+    paused(async {
+        for deletions in [CommitFate::Answered, CommitFate::Late(MUCH_LATER)] {
+            for first in FATES {
+                for second in FATES {
+                    for third in [
+                        CommitFate::Answered,
+                        CommitFate::AnswerLost,
+                        CommitFate::Late(MUCH_LATER),
+                    ] {
+                        let pointers = [first, second, third];
+                        let outcome = play(pointers, deletions).await;
+                        assert_eq!(outcome, Ok(()), "{pointers:?}, deletions {deletions:?}");
+                    }
+                }
+            }
+        }
+    });
+}
+
+/// Two snapshots and more, with an owner that ends at any of the checks.
+async fn play(pointers: [CommitFate; 3], deletions: CommitFate) -> Result<(), String> {
+    let world = World::new(0);
+    let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+    world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), pointers);
+    world.script_commits(CommitKind::Deletes(JOURNAL_TABLE), vec![deletions; 10]);
+    writer.write_rows(SNAPSHOT_ROWS).await;
+    for _ in 0..3 {
+        writer.write_rows(SNAPSHOT_ROWS / 2).await;
+        writer.check().await?;
+    }
+    for _ in 0..2 {
+        sleep(MUCH_LATER / 2).await;
+        writer.check().await?;
+    }
+    writer.journal.stop();
+    Ok(())
+}
+
+/// Guards against a shard whose pointer can't be read when a snapshot is due: the pointer is not written unread.
+#[test]
+fn a_snapshot_waits_for_a_pointer_that_can_be_read() {
+    paused(async {
+        let world = World::new(0);
+        let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+        writer.write_rows(SNAPSHOT_ROWS - 1).await;
+        world.set_store("a", StoreBehaviour::RefusesReads);
+        writer.write_rows(100).await;
+        assert_eq!(world.row_count(SNAPSHOT_TABLE), 0);
+        world.set_store("a", StoreBehaviour::Up);
+        writer.write_rows(100).await;
+        assert_eq!(world.row_count(SNAPSHOT_TABLE), 1);
+        let rows = world.row_count(JOURNAL_TABLE);
+        assert!(rows < SNAPSHOT_ROWS as usize, "{rows}");
+        assert_eq!(writer.check().await, Ok(()));
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -32,6 +32,7 @@
 pub(crate) use relay::Relay;
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -76,6 +77,30 @@
     RefusesReads,
 }
 
+/// What happens to one commit, instead of what [`StoreBehaviour`] says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommitFate {
+    /// It is executed and answered.
+    Answered,
+    /// It is executed, but the answer is lost.
+    AnswerLost,
+    /// It is never executed, and there is no answer.
+    Lost,
+    /// There is no answer, and it is executed after this time if its condition still holds.
+    Late(Duration),
+    /// It is executed and answered, and executed again after this time if its condition still holds.
+    Repeated(Duration),
+}
+
+/// Commits that [`World::script_commits`] matches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CommitKind {
+    /// Those that write a row of this table.
+    Puts(&'static str),
+    /// Those that delete a row of this table.
+    Deletes(&'static str),
+}
+
 /// How a worker responds to start orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkerBehaviour {
@@ -85,7 +110,7 @@
     Late(Duration),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     rows: IndexMap<(String, String, String), (bytes::Bytes, u64)>,
     version: u64,
@@ -138,6 +163,8 @@
 pub(crate) struct World {
     rows: RefCell<Rows>,
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
+    /// What happens to the next commits of each kind.
+    commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CommitFate>>>,
     /// Time that a transaction occupies its partition of a slow store, and additional latency of its answer.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
@@ -225,6 +252,7 @@
         let world = Rc::new(Self {
             rows: RefCell::default(),
             behaviours: RefCell::default(),
+            commit_fates: RefCell::default(),
             slow_txn: Cell::new((SLOW_TXN_TIME, Duration::ZERO)),
             workers: RefCell::default(),
             evacuated: RefCell::default(),
@@ -389,6 +417,23 @@
             .insert(daemon.to_owned(), behaviour);
     }
 
+    /// Sets what happens to the next commits of a kind; later ones are as [`StoreBehaviour`] says.
+    pub(crate) fn script_commits(
+        &self,
+        kind: CommitKind,
+        fates: impl IntoIterator<Item = CommitFate>,
+    ) {
+        let mut scripted = self.commit_fates.borrow_mut();
+        scripted.insert(kind, fates.into_iter().collect());
+    }
+
+    /// A world without workers whose store has a copy of the rows and objects of this one.
+    pub(crate) fn copy_of_store(&self) -> Rc<Self> {
+        let copy = Self::new(0);
+        *copy.rows.borrow_mut() = self.rows.borrow().clone();
+        copy
+    }
+
     fn store_behaviour(&self, daemon: &str) -> StoreBehaviour {
         let behaviours = self.behaviours.borrow();
         behaviours
@@ -525,6 +570,12 @@
         assert!(matches!(end, TxnOutcome::Committed(_)), "{end:?}");
     }
 
+    /// Number of rows of a table.
+    pub(crate) fn row_count(&self, table: &str) -> usize {
+        let rows = self.rows.borrow();
+        rows.rows.keys().filter(|(t, _, _)| t == table).count()
+    }
+
     /// Number of committed transactions.
     pub(crate) fn commits(&self) -> u64 {
         self.rows.borrow().commits
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,8 +1,8 @@
 //! The simulated store: rows with one version counter, objects, and scripted faults for each daemon.
 
 use super::{
-    CALL_TIMEOUT, MAX_QUEUE_TIME, MAX_ROW_BYTES, Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT,
-    STORE_LATENCY, StoreBehaviour, World, no_answer, too_many_reads,
+    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, Rows, SLOW_STORE_LATENCY,
+    SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer, too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::{
@@ -23,6 +23,36 @@
         self.world.store_behaviour(&self.daemon)
     }
 
+    /// Takes the scripted fate of a commit, if there is one.
+    fn scripted_fate(&self, txn: &Txn) -> Option<CommitFate> {
+        let mut scripted = self.world.commit_fates.borrow_mut();
+        let (_, fates) = scripted.iter_mut().find(|(kind, _)| kind.matches(txn))?;
+        fates.pop_front()
+    }
+
+    async fn commit_as(&self, fate: CommitFate, txn: &Txn) -> TxnOutcome {
+        let outcome = match fate {
+            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::AnswerLost => {
+                self.world.rows.borrow_mut().commit(txn)
+            }
+            CommitFate::Lost | CommitFate::Late(_) => TxnOutcome::Unknown(no_answer()),
+        };
+        if let CommitFate::Late(after) | CommitFate::Repeated(after) = fate {
+            let (world, txn) = (Rc::clone(&self.world), txn.clone());
+            actix_rt::spawn(async move {
+                sleep(after).await;
+                world.rows.borrow_mut().commit(&txn);
+            });
+        }
+        match fate {
+            CommitFate::Answered | CommitFate::Repeated(_) => outcome,
+            CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
+                sleep(CALL_TIMEOUT).await;
+                TxnOutcome::Unknown(no_answer())
+            }
+        }
+    }
+
     /// Waits for the latency of a call other than a commit, or its timeout; returns whether the store is available.
     async fn reach(&self) -> bool {
         let is_available = self.is_available().await;
@@ -69,12 +99,24 @@
     }
 }
 
+impl CommitKind {
+    fn matches(self, txn: &Txn) -> bool {
+        match self {
+            Self::Puts(table) => txn.put.iter().any(|(row, _)| row.table == table),
+            Self::Deletes(table) => txn.delete.iter().any(|row| row.table == table),
+        }
+    }
+}
+
 impl Store for StoreHandle {
     fn commit<'a>(&'a self, txn: &'a Txn) -> LocalBoxFuture<'a, TxnOutcome> {
         async move {
             if !self.is_available().await {
                 return TxnOutcome::Unknown(no_answer());
             }
+            if let Some(fate) = self.scripted_fate(txn) {
+                return self.commit_as(fate, txn).await;
+            }
             if self.behaviour() == StoreBehaviour::Slow {
                 return self.commit_slowly(txn).await;
             }
