--- a/crates/lapisdrum-standins/src/platform/server.rs
+++ b/crates/lapisdrum-standins/src/platform/server.rs
@@ -56,6 +56,8 @@
 pub struct Platform {
     /// The transactional table.
     pub table: RefCell<Table>,
+    /// Committed transactions, in order, once a test has set it.
+    pub committed: RefCell<Option<Vec<Txn>>>,
     /// Contents of the object store, by key.
     pub objects: RefCell<IndexMap<String, Bytes>>,
     /// Hosts in the membership list.
@@ -162,7 +164,12 @@
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
         };
         match self.table.borrow_mut().txn(&txn) {
-            Ok(done) => HttpResponse::json(StatusCode::OK, &done),
+            Ok(done) => {
+                if let Some(committed) = &mut *self.committed.borrow_mut() {
+                    committed.push(txn);
+                }
+                HttpResponse::json(StatusCode::OK, &done)
+            }
             Err(conflict) => HttpResponse::json(StatusCode::CONFLICT, &conflict),
         }
     }
--- a/src/lapisdrum/daemon/snapshots.rs
+++ b/src/lapisdrum/daemon/snapshots.rs
@@ -92,10 +92,14 @@
     let Ok(previous) = cx.platform.get(&pointer_key(shard)).await else {
         return false;
     };
+    // With the epoch alone, a write that takes effect after the next snapshot would move the pointer
+    // back behind rows that are deleted.
+    let version = previous.as_ref().map_or(0, |row| row.version);
     let previous = previous.and_then(|row| row.parse::<SnapshotPointer>());
     let pointer = SnapshotPointer { object, sequence };
     let txn = Txn::default()
         .compare(epoch_key(shard), epoch_version)
+        .compare(pointer_key(shard), version)
         .put(pointer_key(shard), &pointer);
     let is_pointed_to = match cx.platform.txn(&txn).await {
         TxnOutcome::Committed(_) => true,
--- a/tests/testsuite/daemon/journal.rs
+++ b/tests/testsuite/daemon/journal.rs
@@ -179,6 +179,34 @@
     .await;
 }
 
+/// Guards against a write that takes effect after later ones and moves the snapshot pointer back behind deleted rows.
+#[actix_rt::test]
+async fn transactions_that_take_effect_again_lose_no_job() {
+    let bench = Bench::start().await;
+    let journal = bench.take(1).await;
+    *bench.platform.committed.borrow_mut() = Some(Vec::new());
+    bench.write(&journal, &Rc::new(Cell::new(true)));
+    let prefix = format!("ledger/{}/", bench.shard);
+    for n in 0..10 {
+        let events = vec![bench.accepted(n)];
+        let ticket = journal.propose(&bench.cx, events, Urgency::Urgent);
+        let outcome = ticket.expect("taken").outcome().await;
+        assert_eq!(outcome, WriteOutcome::Committed);
+        wait::until("covered rows are deleted", LIMIT, async || {
+            bench.platform.table.borrow_mut().list(&prefix).len() < 3
+        })
+        .await;
+    }
+    let committed = bench.platform.committed.take().expect("recorded");
+    assert!(committed.len() > 10, "{}", committed.len());
+    for txn in &committed {
+        let copy = bench.copy().await;
+        let _ = copy.platform.table.borrow_mut().txn(txn);
+        let successor = copy.take(2).await;
+        assert_eq!(successor.state().jobs.len(), 10);
+    }
+}
+
 /// Guards against a malformed snapshot pointer that is taken for no snapshot: the shard would start
 /// empty and silently lose every job.
 #[actix_rt::test]
