Divide events beyond a row, and refuse jobs that no event can hold

Cause: an event was never split.

Change: - An event beyond 40 KB is written as several rows of one transaction. The head of a row says whether it continues the event before (`continues`); recovery joins them. A transaction has at most 16 rows as before (below 1 MB as base64), so an event has at most 640 KiB, and no owner finds a part of one. - A job above 320 KiB as journaled is invalid (InvalidJob::Size): 400 with the sizes, before anything is applied. With maxBodyBytes 262,144 no job should get there (by reading; not measured). - Adopted is divided by its tasks, 1,000 an event; a repeat adds nothing, so parts are safe. The spec is within the bound. - Ended with a checkpoint that no event can hold loses the checkpoint, with a warning (task, run, worker, bytes); the next run starts from an earlier one. Placed, Lost and the rest are small, and many of them share rows as before. - Rows that the store doesn't take are logged as an error every 10 s (shard, row, rows, bytes, last outcome).

Ruled out: giving up the shard on a 400. It would lose the lease over each error of a proxy, and a row that can't be written is no longer made.

Tests, first seen to fail: an_event_larger_than_a_row_is_durable_and_recovered (today's code: left: Err(Elapsed(())), right: Ok(Durable)). The simulated store now refuses transactions above 1 MB.

--- a/src/lapisdrum/sched/job.rs
+++ b/src/lapisdrum/sched/job.rs
@@ -4,16 +4,21 @@
 //! on that and doesn't validate again. All these types are persisted, so fields are only ever
 //! added, with a default.
 
+use super::journal::MAX_EVENT_BYTES;
 use crate::{core::size::Size, policy::dispatch::interference::StepKey};
 use std::{fmt, str::FromStr};
 
-/// Maximum number of steps of a job; a larger graph would not fit in one journal row.
+/// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
 /// Maximum number of tasks of a step.
 pub const MAX_TASKS_PER_STEP: u32 = 10_000;
 /// Maximum length of a job's payload; workers accept no longer one.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// Maximum size of a job as it is persisted: half of a journal event, of which the queue's settings
+/// and adopted tasks take the rest. A larger one could never be accepted.
+pub const MAX_SPEC_BYTES: usize = MAX_EVENT_BYTES / 2;
+
 scalar! {
     /// Id of a job, chosen by its caller so that a repeated submission is recognised. As text, 16
     /// hexadecimal digits.
@@ -276,6 +281,8 @@
     },
     /// The length in bytes of a payload that is too long.
     Payload(usize),
+    /// The size in bytes, as persisted, of a job that is too large.
+    Size(usize),
 }
 
 impl fmt::Display for InvalidJob {
@@ -298,6 +305,12 @@
                     "the payload has {len} bytes; at most {MAX_PAYLOAD_BYTES} are allowed"
                 )
             }
+            Self::Size(len) => {
+                write!(
+                    f,
+                    "the job takes {len} bytes; at most {MAX_SPEC_BYTES} are allowed"
+                )
+            }
         }
     }
 }
@@ -328,11 +341,15 @@
                 });
             }
         }
-        Ok(Self {
+        let spec = Self {
             payload: raw.payload,
             steps: raw.steps,
             schedule: raw.schedule.filter(|schedule| schedule.times > 0),
-        })
+        };
+        match serde_json::to_vec(&spec).map_or(usize::MAX, |bytes| bytes.len()) {
+            len if len > MAX_SPEC_BYTES => Err(InvalidJob::Size(len)),
+            _ => Ok(spec),
+        }
     }
 }
 
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -43,11 +43,17 @@
 const SNAPSHOT_KEY: &str = "latest";
 /// Minimum time between the starts of two transactions; see the module documentation.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum size of a row with several events. The store takes 64 KiB, and events are not split: a
-/// job of 64 steps with its payload has up to 20 KiB.
+/// Maximum size of a row's events; the store takes rows of 64 KiB. A larger event is divided over
+/// several rows.
 const MAX_ROW_BYTES: usize = 40 * 1024;
 /// Maximum rows per transaction: encoded as text, they stay below the store's limit of 1 MB.
 const MAX_ROWS_PER_TXN: usize = 16;
+/// Maximum size of an event: all of its rows are written by one transaction, so that no owner finds
+/// a part of an event. Larger ones are refused before they are applied; see
+/// [`fits`].
+pub const MAX_EVENT_BYTES: usize = MAX_ROWS_PER_TXN * MAX_ROW_BYTES;
+/// Time between two log lines about rows that the store does not take.
+const STUCK_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time that a transaction may be in flight before the store counts as unavailable and new
 /// jobs are refused. The limit grows with the duration of the last transaction: a store that is 60
 /// times slower than usual is still available, and a lower limit would refuse submissions that it
@@ -74,6 +80,9 @@
 struct RowHead {
     /// Distinguishes this owner's row from another owner's after a lost reply.
     nonce: u64,
+    /// Whether the row continues the last event of the row before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    continues: bool,
 }
 
 data! {
@@ -110,6 +119,7 @@
 }
 
 struct PendingAppend {
+    /// More than [`MAX_ROW_BYTES`] only for a single event.
     lines: Vec<u8>,
     /// Receives the outcome; `None` except in the last chunk of an append.
     tx: Option<oneshot::Sender<AppendOutcome>>,
@@ -288,6 +298,7 @@
         let (mut ledger, covered) = snapshot?;
         let rows = rows.wrap_err("failed to read the journal")?;
         let mut last = covered;
+        let mut body = Vec::new();
         for row in &rows {
             let number = row
                 .key
@@ -299,10 +310,13 @@
             }
             eyre::ensure!(number == last + 1, "journal row {} is missing", last + 1);
             last = number;
-            for event in events_of(row)? {
-                ledger.apply(&event)?;
+            let (continues, part) = body_of(row)?;
+            if !continues {
+                replay(&mut ledger, &std::mem::take(&mut body), number - 1)?;
             }
+            body.extend_from_slice(part);
         }
+        replay(&mut ledger, &body, last)?;
         let mut inner = self.inner.borrow_mut();
         inner.last_row = last;
         inner.first_row = covered + 1;
@@ -380,9 +394,13 @@
             waiting: Vec::new(),
             rows: Vec::new(),
         };
-        while batch.rows.len() < MAX_ROWS_PER_TXN && !inner.pending.is_empty() {
-            let row = take_row(&mut inner.pending, &mut batch.waiting);
-            batch.rows.push(row);
+        while let Some(next) = inner.pending.front() {
+            let is_full = batch.rows.len() + next.row_count() > MAX_ROWS_PER_TXN;
+            if is_full && !batch.rows.is_empty() {
+                break;
+            }
+            let body = take_body(&mut inner.pending, &mut batch.waiting);
+            batch.rows.extend(rows_of(&body));
         }
         Some(batch)
     }
@@ -421,6 +439,7 @@
         };
         let are_keys_free = |found: &[Row]| found.iter().all(|row| row.table != JOURNAL_TABLE);
         let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+        let mut stuck_at = cx.clock.now();
         loop {
             let outcome = cx.store.commit(&txn).await;
             if is_piggyback_stale(&outcome, holds_fence, are_keys_free)
@@ -441,6 +460,11 @@
                 return verdict;
             }
             cx.note_store(Err(&CallError::new(format!("{outcome:?}"))));
+            if cx.clock.now().since(stuck_at) >= STUCK_LOG_INTERVAL {
+                stuck_at = cx.clock.now();
+                let bytes: usize = rows.iter().map(Bytes::len).sum();
+                log::error!(shard:% = self.partition, row = first, rows = rows.len(), bytes, end:? = outcome; "the store does not take journal rows");
+            }
             if self.inner.borrow().is_lost {
                 return WriteVerdict::Fenced;
             }
@@ -576,16 +600,20 @@
     }
 }
 
-/// Removes as many appends as fit into one row, adds their senders to `waiting` and returns the
-/// encoded row.
-fn take_row(
+impl PendingAppend {
+    /// Number of rows that the append alone takes.
+    fn row_count(&self) -> usize {
+        self.lines.len().div_ceil(MAX_ROW_BYTES).max(1)
+    }
+}
+
+/// Removes as many appends as fit into one row, or a single larger one, adds their senders to
+/// `waiting` and returns their lines.
+fn take_body(
     pending: &mut VecDeque<PendingAppend>,
     waiting: &mut Vec<oneshot::Sender<AppendOutcome>>,
-) -> Bytes {
-    let head = RowHead {
-        nonce: rand::random(),
-    };
-    let mut body = serde_json::to_vec(&head).unwrap_or_default();
+) -> Vec<u8> {
+    let mut body = Vec::new();
     let mut is_first = true;
     while let Some(next) = pending.front() {
         if !is_first && body.len() + next.lines.len() > MAX_ROW_BYTES {
@@ -595,7 +623,37 @@
         body.extend_from_slice(&next.lines);
         waiting.extend(pending.pop_front().and_then(|pending| pending.tx));
     }
-    body.into()
+    body
+}
+
+/// Encodes lines as one row, or as several if they are a single event beyond the maximum of one.
+fn rows_of(body: &[u8]) -> Vec<Bytes> {
+    // A row without lines is written too, since an append without events is durable once it is.
+    let (first, rest) = body.split_at(body.len().min(MAX_ROW_BYTES));
+    let rest = rest.chunks(MAX_ROW_BYTES).map(|part| row_of(true, part));
+    std::iter::once(row_of(false, first)).chain(rest).collect()
+}
+
+fn row_of(continues: bool, part: &[u8]) -> Bytes {
+    let head = RowHead {
+        nonce: rand::random(),
+        continues,
+    };
+    let mut row = serde_json::to_vec(&head).unwrap_or_default();
+    if continues {
+        row.push(b'\n');
+    }
+    row.extend_from_slice(part);
+    row.into()
+}
+
+/// Applies the events of rows that end with row `last`.
+fn replay(ledger: &mut Ledger, body: &[u8], last: u64) -> eyre::Result<()> {
+    let events = events_of(body);
+    for event in events.wrap_err_with(|| format!("journal row {last} is malformed"))? {
+        ledger.apply(&event)?;
+    }
+    Ok(())
 }
 
 async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
@@ -615,9 +673,22 @@
     format!("{number:016}")
 }
 
-fn events_of(row: &Row) -> eyre::Result<Vec<Event>> {
-    let lines = row.value.split(|byte| *byte == b'\n').skip(1);
-    let parse = |line: &[u8]| serde_json::from_slice(line);
-    let events: Result<Vec<Event>, _> = lines.map(parse).collect();
-    events.wrap_err_with(|| format!("journal row {} is malformed", row.key))
+/// The lines of a row, and whether the first one continues the row before.
+fn body_of(row: &Row) -> eyre::Result<(bool, &[u8])> {
+    let end = row.value.iter().position(|byte| *byte == b'\n');
+    let (head, body) = row.value.split_at(end.unwrap_or(row.value.len()));
+    let head: RowHead = serde_json::from_slice(head)
+        .wrap_err_with(|| format!("the head of journal row {} is malformed", row.key))?;
+    let skipped = usize::from(head.continues && !body.is_empty());
+    Ok((head.continues, &body[skipped..]))
+}
+
+fn events_of(body: &[u8]) -> Result<Vec<Event>, serde_json::Error> {
+    let lines = body.split(|byte| *byte == b'\n').skip(1);
+    lines.map(serde_json::from_slice).collect()
+}
+
+/// Whether an event is small enough for the journal.
+pub fn fits(event: &Event) -> bool {
+    line_of(event).len() <= MAX_EVENT_BYTES
 }
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -117,6 +117,10 @@
     }
 }
 
+/// Maximum number of tasks of an adoption event; with the job's specification they stay below the
+/// journal's limit.
+const MAX_ADOPTED_PER_EVENT: usize = 1_000;
+
 /// What a delegated task requires of a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct TaskNeed {
@@ -437,6 +441,27 @@
     adopted
 }
 
+/// One event for each part of the tasks, at least one; their number is not bounded, but the size of
+/// an event is.
+fn adoptions(guests: GuestTasks, at_unix_ms: u64) -> Vec<Event> {
+    let spec = Rc::new(guests.spec);
+    let adopted = |tasks: &[(TaskId, RunNumber)]| Event::Adopted {
+        job: guests.job,
+        spec: Rc::clone(&spec),
+        terms: guests.terms.clone(),
+        from: guests.from,
+        tasks: tasks.to_vec(),
+        at_unix_ms,
+    };
+    match guests.tasks.is_empty() {
+        true => vec![adopted(&[])],
+        false => {
+            let parts = guests.tasks.chunks(MAX_ADOPTED_PER_EVENT);
+            parts.map(adopted).collect()
+        }
+    }
+}
+
 /// Adopts tasks of another shard's job. A repeated call is confirmed like the first.
 pub async fn adopt(cx: &Cx, owner: &Rc<Owner>, tasks: GuestTasks) -> AdoptReply {
     if !owner.is_recovered() {
@@ -449,14 +474,7 @@
     }
     log::info!(job:% = job, shard:% = owner.handle.partition, from = tasks.from.0, tasks = tasks.tasks.len(), is_over; "tasks are adopted");
     let adopted = newly_adopted(owner, &tasks);
-    let mut events = vec![Event::Adopted {
-        job,
-        spec: Rc::new(tasks.spec),
-        terms: tasks.terms,
-        from: tasks.from,
-        tasks: tasks.tasks,
-        at_unix_ms,
-    }];
+    let mut events = adoptions(tasks, at_unix_ms);
     if is_over {
         events.push(Event::Cancelled { job, at_unix_ms });
     }
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -18,7 +18,7 @@
         edge::{ListedEnd, OrderOutcome, PollOrder, PollResponse, Refusal},
         event::{Event, Loss, RunEnd, RunId},
         job::JobId,
-        journal::AppendOutcome,
+        journal::{self, AppendOutcome},
         lease,
         resolution::{Observation, Order, RunVerdict, judge_run},
     },
@@ -304,12 +304,7 @@
             interference::note_departure(owner, worker, record, now);
         }
         note_outcome(cx, owner, worker, end, record, now);
-        events.push(Event::Ended {
-            run: end.run,
-            how: end.how,
-            checkpoint: end.checkpoint.clone(),
-            at_unix_ms,
-        });
+        events.push(ended_event(worker, end, at_unix_ms));
     }
     let jobs: IndexSet<_> = events.iter().filter_map(job_of).collect();
     let ticket = owner.propose(cx, events);
@@ -352,6 +347,24 @@
     }
 }
 
+/// The event of an end. A checkpoint that the journal can't take is dropped, so that the task's next
+/// run starts from an earlier one.
+fn ended_event(worker: &str, end: &ListedEnd, at_unix_ms: u64) -> Event {
+    let event = |checkpoint| Event::Ended {
+        run: end.run,
+        how: end.how,
+        checkpoint,
+        at_unix_ms,
+    };
+    let full = event(end.checkpoint.clone());
+    if journal::fits(&full) {
+        return full;
+    }
+    let bytes = end.checkpoint.as_ref().map_or(0, String::len);
+    log::warn!(task:% = end.run.task, run = end.run.run.0, worker, bytes; "checkpoint dropped: too large for the journal");
+    event(None)
+}
+
 fn job_of(event: &Event) -> Option<JobId> {
     match event {
         Event::Ended { run, .. } => Some(run.task.job),
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -7,14 +7,19 @@
 use assert_matches::assert_matches;
 use lapisdrum::sched::{
     Cx, front,
-    job::{JobId, RunNumber, Step, TaskId},
+    job::{JobId, JobSpec, RawJob, RunNumber, Step, TaskId},
     layout::ShardId,
     ledger::Phase,
-    owner::{delegate::TaskNeed, jobs},
-    peer::{CancelReply, JobState, ShowReply, SubmitReply},
+    owner::{
+        delegate::{GuestTasks, TaskNeed},
+        jobs,
+    },
+    peer::{
+        self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply,
+    },
 };
 use std::{rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const LIMIT: Duration = Duration::from_secs(10);
 /// Longest time from the loss of a worker until its tasks run in another shard: the lapse of its lease and a few
@@ -779,3 +784,38 @@
         cluster.world.check();
     });
 }
+
+/// Guards against an adoption of more tasks than a journal event holds, which the store would refuse for good.
+#[test]
+fn an_adoption_of_many_tasks_is_durable() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let to = SHARDS[1];
+        let job = JobId(cluster.ids(SHARDS[0]).next().expect("an id"));
+        let steps: Vec<Step> = (0..2).flat_map(|_| long_running(10_000)).collect();
+        let task = |at: u32| TaskId {
+            job,
+            occurrence: 0,
+            step: (at / 10_000) as u16,
+            index: at % 10_000,
+        };
+        cluster.world.register_steps(job.0, steps.clone());
+        let raw = RawJob {
+            payload: String::new(),
+            steps,
+            schedule: None,
+        };
+        let guests = GuestTasks {
+            job,
+            spec: JobSpec::try_from(raw).expect("a valid job"),
+            terms: terms(),
+            from: SHARDS[0],
+            tasks: (0..20_000).map(|at| (task(at), RunNumber(1))).collect(),
+            is_over: false,
+        };
+        let cx = cluster.owner_of(to).expect("an owner");
+        let adopting = peer::answer(cx, to, OwnerRequest::Adopt(guests));
+        let reply = timeout(LIMIT, adopting).await;
+        assert_matches!(reply, Ok(OwnerReply::Adopted(AdoptReply::Adopted)));
+    });
+}
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -598,3 +598,21 @@
         assert!(gained < Duration::from_secs(1), "{unknown:?}, {known:?}");
     });
 }
+
+/// Guards against an end whose checkpoint is larger than a journal event, which the store would refuse for good.
+#[test]
+fn a_checkpoint_that_no_journal_event_can_hold_is_dropped() {
+    paused(async {
+        let world = World::new(1);
+        world.set_checkpoint("w0", &"x".repeat(800_000));
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let reply = world.submit(&cx, 1, vec![step(1, 100, &[])]).await;
+        assert_eq!(reply, SubmitReply::Accepted);
+        until("the job is completed", LIMIT, async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -2,20 +2,22 @@
 
 use super::{
     paused,
-    world::{StoreBehaviour, World, spec, terms},
+    world::{StoreBehaviour, World, spec, step, terms},
 };
+use assert_matches::assert_matches;
 use lapisdrum::{
     core::time::Millis,
     sched::{
         Cx,
         edge::{Txn, TxnOutcome},
         event::Event,
-        job::JobId,
+        job::{InvalidJob, JobId, JobSpec, MAX_SPEC_BYTES, MAX_STEPS, RawJob, Step},
         journal::{AppendOutcome, Journal},
+        ledger::Ledger,
     },
 };
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const PARTITION: &str = "shard-0";
 
@@ -116,3 +118,69 @@
         assert!(next.accepts_work(Millis(0)));
     });
 }
+
+/// An event of this many bytes and somewhat more.
+fn large_event(job: u64, bytes: usize) -> Event {
+    let raw = RawJob {
+        payload: String::new(),
+        steps: (0..MAX_STEPS).map(|at| with_image(at, bytes)).collect(),
+        schedule: None,
+    };
+    Event::Accepted {
+        job: JobId(job),
+        spec: Rc::new(JobSpec::try_from(raw).expect("a valid job")),
+        terms: terms(),
+        at_unix_ms: 0,
+    }
+}
+
+/// A step whose image name takes its part of `bytes`; the names differ.
+fn with_image(at: usize, bytes: usize) -> Step {
+    let name = char::from(b'!' + at as u8).to_string();
+    Step {
+        image: Some(name.repeat(bytes / MAX_STEPS)),
+        ..step(1, 100, &[])
+    }
+}
+
+/// Guards against an event that takes more than a row of the store: the store refused the row for good, and nothing
+/// else of the shard was written.
+#[test]
+fn an_event_larger_than_a_row_is_durable_and_recovered() {
+    paused(async {
+        let world = World::new(0);
+        let (cx, journal) = journal(&world).await;
+        let sizes = [0, 100_000, 290_000, 290_000, 40_000, 290_000, 0];
+        let events: Vec<Event> = (0..)
+            .zip(sizes)
+            .map(|(job, size)| large_event(job, size))
+            .collect();
+        let tickets: Vec<_> = events
+            .iter()
+            .map(|event| journal.append(std::slice::from_ref(event)))
+            .collect();
+        for ticket in tickets {
+            let outcome = timeout(Duration::from_secs(5), ticket.outcome()).await;
+            assert_eq!(outcome, Ok(AppendOutcome::Durable));
+        }
+        journal.stop();
+        let next = Journal::new(PARTITION, world.fence(PARTITION));
+        let ledger = next.recover(&cx).await.expect("a ledger");
+        let mut expected = Ledger::default();
+        for event in &events {
+            expected.apply(event).expect("valid");
+        }
+        assert_eq!(ledger, expected);
+    });
+}
+
+/// Guards against a job that the journal can never take: it is refused before it is applied.
+#[test]
+fn a_job_that_no_journal_event_can_hold_is_invalid() {
+    let raw = RawJob {
+        payload: String::new(),
+        steps: vec![with_image(0, MAX_STEPS * (MAX_SPEC_BYTES + 1))],
+        schedule: None,
+    };
+    assert_matches!(JobSpec::try_from(raw), Err(InvalidJob::Size(len)) if len > MAX_SPEC_BYTES);
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -53,6 +53,8 @@
 /// Timeout of a call to the store or a worker.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_ROW_BYTES: usize = 64 * 1024;
+/// Maximum size of the values of a transaction: 1 MB as base64.
+const MAX_TXN_BYTES: usize = 750_000;
 /// Longest lease that a worker accepts.
 const MAX_WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Time from a stop order until the run ends.
@@ -136,6 +138,8 @@
     capacity: Size,
     running: IndexMap<RunId, Running>,
     ended: Vec<ListedEnd>,
+    /// Checkpoint that its ends carry.
+    checkpoint: Option<String>,
     /// Times of the ends, by number.
     ended_at: IndexMap<u64, Instant>,
     /// Time at which its lease last ended.
@@ -290,6 +294,7 @@
             capacity,
             running: IndexMap::new(),
             ended: Vec::new(),
+            checkpoint: None,
             ended_at: IndexMap::new(),
             lapsed_at: None,
             last_ended: IndexMap::new(),
@@ -518,6 +523,11 @@
         self.change(worker, |w| w.behaviour = behaviour);
     }
 
+    /// Sets the checkpoint that a worker's ends carry from now on.
+    pub(crate) fn set_checkpoint(&self, worker: &str, checkpoint: &str) {
+        self.change(worker, |w| w.checkpoint = Some(checkpoint.to_owned()));
+    }
+
     /// Makes tasks that a worker starts from now on make no progress.
     pub(crate) fn stall(&self, worker: &str) {
         self.change(worker, |w| w.is_stalled = true);
@@ -741,7 +751,7 @@
                 number: self.next_end,
                 run,
                 how,
-                checkpoint: None,
+                checkpoint: self.checkpoint.clone(),
             });
             let at = self.next_end;
             self.ended_at.insert(at, now.min(lease_until));
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,8 +1,9 @@
 //! The simulated store: rows with one version counter, objects, and scripted faults for each daemon.
 
 use super::{
-    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, Rows, SLOW_STORE_LATENCY,
-    SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer, too_many_reads,
+    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, Rows,
+    SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer,
+    too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::{
@@ -234,6 +235,10 @@
         if txn.put.iter().any(|(_, value)| value.len() > MAX_ROW_BYTES) {
             return TxnOutcome::NotDone(CallError::new("a value is too long"));
         }
+        let bytes: usize = txn.put.iter().map(|(_, value)| value.len()).sum();
+        if bytes > MAX_TXN_BYTES {
+            return TxnOutcome::NotDone(CallError::new("the transaction is too long"));
+        }
         if !holds {
             let expected = txn.expect.iter();
             let found = expected.filter_map(|(row, _)| {
