Bound what a dispatch pass and the ledger hold of a schedule

Callers: a job with `times` 40,000,000 and no first run is accepted, and the shard's owner, and each next one, is killed for its memory, for good; every other accepted job of the shard is without an answer (review, schedule).

Cause: all occurrences since 1970 are due, and each pass of dispatch::collect_job listed every one of them with its tasks.

Change: - A pass considers Job::startable_occurrences: all due occurrences that run, wherever they are, and of the others the first ones until they have 10,000 tasks together (MAX_TASKS_PER_STEP, what a single step may have), at least one. What runs is bounded by the workers; so are started occurrences, by both together. Occurrences overlap as before. - An occurrence of a schedule that is done and without live runs is dropped from the ledger; its number is kept in a set of ranges (NumberSet), one range and one more for each unfinished one behind. Late reports and placements of a dropped occurrence change nothing. Jobs without a schedule are kept as they were. - Due times no longer overflow; the number of due occurrences is computed, not counted.

Why every occurrence is still run: the first unfinished ones are always in the window, and one beyond has the same steps as those before it, which wait for the same workers. What is new: one that can't go on (no worker for a later step) holds up later ones, once 10,000 tasks wait like it.

Older daemons would run dropped occurrences again. So the count is stored in another form when there are some, which they can't read; they retry until a newer daemon takes over, as for returned tasks (docs/DESIGN.md).

Looked at: pending (counts jobs), chains (steps only), live_runs and tasks (state that is left), interrupted_steps and the lines on waiting steps (by the same window). Left: per-step records of the owner (wait_reasons, loads, failed_on) are dropped with the job only, so they grow with the occurrences of it that waited or failed.

Tests: sched::schedules.

--- a/src/lapisdrum/sched/job.rs
+++ b/src/lapisdrum/sched/job.rs
@@ -362,7 +362,21 @@
     /// Scheduled time of an occurrence, in Unix milliseconds; none without a schedule.
     pub fn due_unix_ms(&self, occurrence: u32) -> Option<u64> {
         let schedule = self.schedule?;
-        Some(schedule.first_unix_ms + u64::from(occurrence) * schedule.interval_ms)
+        let after_ms = u64::from(occurrence).saturating_mul(schedule.interval_ms);
+        Some(schedule.first_unix_ms.saturating_add(after_ms))
+    }
+
+    /// Number of occurrences that are due; without a schedule the only one is.
+    pub fn due_occurrences(&self, now_unix_ms: u64) -> u32 {
+        let Some(schedule) = self.schedule else {
+            return 1;
+        };
+        let Some(since_ms) = now_unix_ms.checked_sub(schedule.first_unix_ms) else {
+            return 0;
+        };
+        let later = since_ms.checked_div(schedule.interval_ms);
+        let due = later.map_or(u64::MAX, |later| later.saturating_add(1));
+        due.min(u64::from(schedule.times)) as u32
     }
 
     /// For each step, the estimated work on the longest chain that starts with it, in milliseconds.
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -7,12 +7,17 @@
 
 use super::{
     event::{Event, Loss, RunEnd, RunId, WorkerIncarnation},
-    job::{Gang, JobId, JobSpec, QueueConfig, RunNumber, Step, StepId, TaskId},
+    job::{Gang, JobId, JobSpec, MAX_TASKS_PER_STEP, QueueConfig, RunNumber, Step, StepId, TaskId},
     layout::ShardId,
+    numbers::NumberSet,
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{collections::BTreeMap, fmt, rc::Rc};
 
+/// Tasks of waiting occurrences of one job that a dispatch pass considers: as many as a single step
+/// may have.
+const WINDOW_TASKS: u64 = MAX_TASKS_PER_STEP as u64;
+
 data! {
     /// State of a job; every variant but [`Active`](Self::Active) is final.
     #[derive(Copy)]
@@ -80,10 +85,11 @@
         pub terms: QueueConfig,
         /// Time of acceptance, in Unix milliseconds.
         pub accepted_unix_ms: u64,
-        /// By number; an occurrence is added when one of its tasks is first placed or adopted.
+        /// By number; an occurrence is added when one of its tasks is first placed or adopted, and
+        /// removed when it is done and none of its runs may be alive.
         pub occurrences: BTreeMap<u32, Occurrence>,
-        /// Number of occurrences that are done.
-        pub occurrences_done: u32,
+        /// Occurrences that are done.
+        pub occurrences_done: DoneOccurrences,
         /// Whether any task was ever placed; always true if `is_guest`.
         pub has_started: bool,
         /// Whether and how the job has ended.
@@ -102,6 +108,47 @@
     }
 }
 
+data! {
+    /// Occurrences of a job that are done.
+    #[derive(Default)]
+    #[serde(from = "StoredDone", into = "StoredDone")]
+    pub struct DoneOccurrences {
+        /// How many there are.
+        pub count: u32,
+        /// Those of a schedule that have no state any more: their number is not bounded, and each
+        /// snapshot has the state of the others.
+        pub dropped: NumberSet,
+    }
+
+    /// [`DoneOccurrences`] as stored. A process of an earlier version, which would run dropped
+    /// occurrences again, reads the count only and fails to read the other form.
+    #[serde(untagged)]
+    enum StoredDone {
+        Count(u32),
+        WithDropped { count: u32, dropped: NumberSet },
+    }
+}
+
+impl From<StoredDone> for DoneOccurrences {
+    fn from(stored: StoredDone) -> Self {
+        let (count, dropped) = match stored {
+            StoredDone::Count(count) => (count, NumberSet::default()),
+            StoredDone::WithDropped { count, dropped } => (count, dropped),
+        };
+        Self { count, dropped }
+    }
+}
+
+impl From<DoneOccurrences> for StoredDone {
+    fn from(done: DoneOccurrences) -> Self {
+        let DoneOccurrences { count, dropped } = done;
+        match dropped.is_empty() {
+            true => Self::Count(count),
+            false => Self::WithDropped { count, dropped },
+        }
+    }
+}
+
 data! {
     /// A job that was transferred to another shard.
     #[derive(Copy)]
@@ -399,12 +446,14 @@
             }
             _ => {}
         }
+        job.drop_if_over(id.occurrence);
         Ok(())
     }
 
     fn lose(&mut self, run: &RunId, _: Loss) -> Result<(), InvalidEvent> {
         if let Some(job) = self.jobs.get_mut(&run.task.job) {
             job.take_live(run);
+            job.drop_if_over(run.task.occurrence);
         }
         Ok(())
     }
@@ -437,7 +486,7 @@
             terms: terms.clone(),
             accepted_unix_ms: at_unix_ms,
             occurrences: BTreeMap::new(),
-            occurrences_done: 0,
+            occurrences_done: DoneOccurrences::default(),
             has_started: false,
             phase: Phase::Active,
             over_unix_ms: 0,
@@ -569,7 +618,49 @@
             })
     }
 
+    /// Occurrences that are due and not done, in order, as far as a dispatch pass looks: all that
+    /// run, and of the others as many as have [`WINDOW_TASKS`] tasks. An occurrence beyond waits for
+    /// one before it, which the same workers would run. Without the limit, a schedule that started
+    /// long ago would have more occurrences than a process can list.
+    pub fn startable_occurrences(&self, now_unix_ms: u64) -> Vec<u32> {
+        let due = self.spec.due_occurrences(now_unix_ms);
+        let tasks_each: u64 = self.spec.steps.iter().map(|s| u64::from(s.count)).sum();
+        let (mut listed, mut tasks, mut next) = (Vec::new(), 0, 0);
+        while next < due && tasks < WINDOW_TASKS {
+            if let Some(end) = self.occurrences_done.dropped.end_of_range(next) {
+                next = end;
+                continue;
+            }
+            let state = self.occurrences.get(&next);
+            if state.is_none_or(|state| !state.is_done) {
+                listed.push(next);
+            }
+            if state.is_none_or(|state| !state.is_done && !state.is_running()) {
+                tasks += tasks_each;
+            }
+            next += 1;
+        }
+        let beyond = self.occurrences.range(next.min(due)..due);
+        let running = beyond.filter(|(_, state)| !state.is_done && state.is_running());
+        listed.extend(running.map(|(number, _)| *number));
+        listed
+    }
+
+    /// Drops the state of a scheduled occurrence that is done and has no live run. Later reports of
+    /// its runs change nothing.
+    fn drop_if_over(&mut self, number: u32) {
+        let state = self.occurrences.get(&number);
+        let is_over = state.is_some_and(|state| state.is_done && !state.has_live_run());
+        if is_over && self.spec.schedule.is_some() {
+            self.occurrences.remove(&number);
+            self.occurrences_done.dropped.insert(number);
+        }
+    }
+
     fn step_mut(&mut self, id: &StepId) -> Option<&mut StepState> {
+        if self.occurrences_done.dropped.contains(id.occurrence) {
+            return None;
+        }
         let spec = &self.spec;
         let occurrence = self
             .occurrences
@@ -640,9 +731,9 @@
         let is_done = |step: &StepState| step.done as usize == step.tasks.len();
         if !occurrence.is_done && occurrence.steps.iter().all(is_done) {
             occurrence.is_done = true;
-            self.occurrences_done += 1;
+            self.occurrences_done.count += 1;
         }
-        let all_done = self.occurrences_done == self.spec.occurrences();
+        let all_done = self.occurrences_done.count == self.spec.occurrences();
         if all_done && self.phase == Phase::Active {
             self.finish(Phase::Completed, at_unix_ms);
         }
@@ -683,6 +774,20 @@
     }
 }
 
+impl Occurrence {
+    fn has_live_run(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        tasks.any(|task| !task.live.is_empty())
+    }
+
+    /// Whether a task that is not done has a live run or is in another shard.
+    fn is_running(&self) -> bool {
+        let is_elsewhere = |task: &Task| task.elsewhere.is_some() && !task.is_done;
+        let mut steps = self.steps.iter();
+        steps.any(|step| step.running > 0 || step.tasks.iter().any(is_elsewhere))
+    }
+}
+
 impl StepState {
     fn new(count: u32) -> Self {
         Self {
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod metrics;
+pub mod numbers;
 pub mod operators;
 pub mod owner;
 pub mod peer;
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -212,15 +212,9 @@
 ) {
     let chains = job.spec.chains_ms();
     let chain_ms = chains.iter().copied().max().unwrap_or_default();
-    for occurrence in 0..job.spec.occurrences() {
+    for occurrence in job.startable_occurrences(now_unix_ms) {
         let due = job.spec.due_unix_ms(occurrence);
         let due = due.unwrap_or(job.accepted_unix_ms);
-        if job.spec.schedule.is_some() && due > now_unix_ms {
-            break;
-        }
-        if job.occurrences.get(&occurrence).is_some_and(|o| o.is_done) {
-            continue;
-        }
         for (at, spec) in job.spec.steps.iter().enumerate() {
             let step = StepId {
                 job: id,
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -15,6 +15,7 @@
 mod random;
 mod resolution;
 mod room;
+mod schedules;
 mod short_work;
 mod snapshots;
 mod stranded;
