--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -13,13 +13,20 @@
 //! [`resolution`](super::resolution) interprets the replies. Events change the owner's state when
 //! they are appended; their external effects (a reply to a caller, an order to a worker) wait for
 //! the [`Ticket`].
+//!
+//! The pointer to the latest snapshot only moves forward: its write expects the version of the
+//! pointer that was read before, so a write that takes effect late cannot follow a later one. With
+//! the fence as the only condition, it would move the pointer back behind rows that are deleted,
+//! and the shard could not be recovered. Rows and objects are deleted only once the pointer is
+//! known to have left them behind. A late deletion then does no harm: the numbers of rows and the
+//! names of objects are never used again.
 
 use super::{
     Cx,
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
     event::Event,
     ledger::Ledger,
-    resolution::{WriteVerdict, is_piggyback_stale, judge_write},
+    resolution::{PointerVerdict, WriteVerdict, is_piggyback_stale, judge_pointer, judge_write},
 };
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
@@ -36,11 +43,17 @@
 const SNAPSHOT_KEY: &str = "latest";
 /// Minimum time between the starts of two transactions; see the module documentation.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum size of a row with several events. The store takes 64 KiB, and events are not split: a
-/// job of 64 steps with its payload has up to 20 KiB.
+/// Maximum size of a row's events; the store takes rows of 64 KiB. A larger event is divided over
+/// several rows.
 const MAX_ROW_BYTES: usize = 40 * 1024;
 /// Maximum rows per transaction: encoded as text, they stay below the store's limit of 1 MB.
 const MAX_ROWS_PER_TXN: usize = 16;
+/// Maximum size of an event: all of its rows are written by one transaction, so that no owner finds
+/// a part of an event. Larger ones are refused before they are applied; see
+/// [`fits`].
+pub const MAX_EVENT_BYTES: usize = MAX_ROWS_PER_TXN * MAX_ROW_BYTES;
+/// Time between two log lines about rows that the store does not take.
+const STUCK_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time that a transaction may be in flight before the store counts as unavailable and new
 /// jobs are refused. The limit grows with the duration of the last transaction: a store that is 60
 /// times slower than usual is still available, and a lower limit would refuse submissions that it
@@ -67,6 +80,9 @@
 struct RowHead {
     /// Distinguishes this owner's row from another owner's after a lost reply.
     nonce: u64,
+    /// Whether the row continues the last event of the row before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    continues: bool,
 }
 
 data! {
@@ -79,6 +95,9 @@
     }
 }
 
+/// The pointer row as read: the pointer and the version of the row.
+type ReadPointer = (SnapshotPointer, u64);
+
 /// Outcome of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -100,6 +119,7 @@
 }
 
 struct PendingAppend {
+    /// More than [`MAX_ROW_BYTES`] only for a single event.
     lines: Vec<u8>,
     /// Receives the outcome; `None` except in the last chunk of an append.
     tx: Option<oneshot::Sender<AppendOutcome>>,
@@ -278,6 +298,7 @@
         let (mut ledger, covered) = snapshot?;
         let rows = rows.wrap_err("failed to read the journal")?;
         let mut last = covered;
+        let mut body = Vec::new();
         for row in &rows {
             let number = row
                 .key
@@ -289,10 +310,13 @@
             }
             eyre::ensure!(number == last + 1, "journal row {} is missing", last + 1);
             last = number;
-            for event in events_of(row)? {
-                ledger.apply(&event)?;
+            let (continues, part) = body_of(row)?;
+            if !continues {
+                replay(&mut ledger, &std::mem::take(&mut body), number - 1)?;
             }
+            body.extend_from_slice(part);
         }
+        replay(&mut ledger, &body, last)?;
         let mut inner = self.inner.borrow_mut();
         inner.last_row = last;
         inner.first_row = covered + 1;
@@ -303,16 +327,16 @@
     /// Reads the newest snapshot and the number of the last row that it covers.
     async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
         match self.read_pointer(cx).await? {
-            Some(pointer) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
+            Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
             None => Ok((Ledger::default(), 0)),
         }
     }
 
-    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<SnapshotPointer>> {
+    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<ReadPointer>> {
         let rows = cx.store.rows(SNAPSHOT_TABLE, &self.partition, SNAPSHOT_KEY);
         let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
-        let parse = |row: &Row| serde_json::from_slice(&row.value);
-        let pointer = rows.first().map(parse).transpose();
+        let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
+        let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
         pointer.wrap_err("the snapshot pointer is malformed")
     }
 
@@ -370,9 +394,13 @@
             waiting: Vec::new(),
             rows: Vec::new(),
         };
-        while batch.rows.len() < MAX_ROWS_PER_TXN && !inner.pending.is_empty() {
-            let row = take_row(&mut inner.pending, &mut batch.waiting);
-            batch.rows.push(row);
+        while let Some(next) = inner.pending.front() {
+            let is_full = batch.rows.len() + next.row_count() > MAX_ROWS_PER_TXN;
+            if is_full && !batch.rows.is_empty() {
+                break;
+            }
+            let body = take_body(&mut inner.pending, &mut batch.waiting);
+            batch.rows.extend(rows_of(&body));
         }
         Some(batch)
     }
@@ -411,6 +439,7 @@
         };
         let are_keys_free = |found: &[Row]| found.iter().all(|row| row.table != JOURNAL_TABLE);
         let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+        let mut stuck_at = cx.clock.now();
         loop {
             let outcome = cx.store.commit(&txn).await;
             if is_piggyback_stale(&outcome, holds_fence, are_keys_free)
@@ -431,6 +460,11 @@
                 return verdict;
             }
             cx.note_store(Err(&CallError::new(format!("{outcome:?}"))));
+            if cx.clock.now().since(stuck_at) >= STUCK_LOG_INTERVAL {
+                stuck_at = cx.clock.now();
+                let bytes: usize = rows.iter().map(Bytes::len).sum();
+                log::error!(shard:% = self.partition, row = first, rows = rows.len(), bytes, end:? = outcome; "the store does not take journal rows");
+            }
             if self.inner.borrow().is_lost {
                 return WriteVerdict::Fenced;
             }
@@ -478,25 +512,26 @@
     /// Stores the state as of row `number` and deletes the rows that it covers. Failures are left
     /// to the next snapshot; recovery skips covered rows that were not deleted.
     async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
-        let before = self.read_pointer(cx).await;
+        let before = match self.read_pointer(cx).await {
+            Ok(before) => before,
+            Err(e) => {
+                log::warn!(shard:% = self.partition, row = number, error:% = format!("{e:#}"); "snapshot failed");
+                return;
+            }
+        };
+        let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
         let pointer = SnapshotPointer {
             row: number,
             object: format!("{}-{number}-{:x}", self.partition, self.fence.1),
         };
         let stored = cx.store.put_object(&pointer.object, state).await;
         if let Err(e) = stored {
-            log::warn!(row = number, error:% = e; "snapshot failed");
+            log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
             return;
         }
-        let value = serde_json::to_vec(&pointer).unwrap_or_default();
-        let txn = Txn {
-            expect: vec![self.fence.clone()],
-            put: vec![(self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY), value.into())],
-            delete: Vec::new(),
-        };
-        // Unless the commit is confirmed, the rows are kept: without the new pointer, deleting them
-        // would lose events.
-        if !matches!(cx.store.commit(&txn).await, TxnOutcome::Committed(_)) {
+        let verdict = self.write_pointer(cx, &pointer, version).await;
+        if verdict != PointerVerdict::Committed {
+            log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
             return;
         }
         let first = {
@@ -506,11 +541,40 @@
             std::mem::replace(&mut inner.first_row, number + 1)
         };
         self.delete_rows(cx, first, number).await;
-        if let Ok(Some(before)) = before {
+        if let Some(before) = before {
             // On failure, the old object only takes up space.
             let _ = cx.store.delete_object(&before.object).await;
         }
-        log::info!(row = number; "snapshot stored");
+        log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
+    }
+
+    /// Replaces the pointer row of this version, 0 for none, and resolves the outcome.
+    async fn write_pointer(
+        &self,
+        cx: &Cx,
+        pointer: &SnapshotPointer,
+        version: u64,
+    ) -> PointerVerdict {
+        let key = self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY);
+        let value = Bytes::from(serde_json::to_vec(pointer).unwrap_or_default());
+        let txn = Txn {
+            expect: vec![self.fence.clone(), (key.clone(), version)],
+            put: vec![(key, value.clone())],
+            delete: Vec::new(),
+        };
+        let is_own = |found: &[Row]| {
+            let mut pointers = found.iter().filter(|row| row.table == SNAPSHOT_TABLE);
+            pointers.any(|row| row.value == value)
+        };
+        let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+        loop {
+            let outcome = cx.store.commit(&txn).await;
+            let verdict = judge_pointer(&outcome, is_own);
+            if verdict != PointerVerdict::SendAgain || self.inner.borrow().is_lost {
+                return verdict;
+            }
+            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
+        }
     }
 
     async fn delete_rows(&self, cx: &Cx, first: u64, last: u64) {
@@ -536,16 +600,20 @@
     }
 }
 
-/// Removes as many appends as fit into one row, adds their senders to `waiting` and returns the
-/// encoded row.
-fn take_row(
+impl PendingAppend {
+    /// Number of rows that the append alone takes.
+    fn row_count(&self) -> usize {
+        self.lines.len().div_ceil(MAX_ROW_BYTES).max(1)
+    }
+}
+
+/// Removes as many appends as fit into one row, or a single larger one, adds their senders to
+/// `waiting` and returns their lines.
+fn take_body(
     pending: &mut VecDeque<PendingAppend>,
     waiting: &mut Vec<oneshot::Sender<AppendOutcome>>,
-) -> Bytes {
-    let head = RowHead {
-        nonce: rand::random(),
-    };
-    let mut body = serde_json::to_vec(&head).unwrap_or_default();
+) -> Vec<u8> {
+    let mut body = Vec::new();
     let mut is_first = true;
     while let Some(next) = pending.front() {
         if !is_first && body.len() + next.lines.len() > MAX_ROW_BYTES {
@@ -555,7 +623,37 @@
         body.extend_from_slice(&next.lines);
         waiting.extend(pending.pop_front().and_then(|pending| pending.tx));
     }
-    body.into()
+    body
+}
+
+/// Encodes lines as one row, or as several if they are a single event beyond the maximum of one.
+fn rows_of(body: &[u8]) -> Vec<Bytes> {
+    // A row without lines is written too, since an append without events is durable once it is.
+    let (first, rest) = body.split_at(body.len().min(MAX_ROW_BYTES));
+    let rest = rest.chunks(MAX_ROW_BYTES).map(|part| row_of(true, part));
+    std::iter::once(row_of(false, first)).chain(rest).collect()
+}
+
+fn row_of(continues: bool, part: &[u8]) -> Bytes {
+    let head = RowHead {
+        nonce: rand::random(),
+        continues,
+    };
+    let mut row = serde_json::to_vec(&head).unwrap_or_default();
+    if continues {
+        row.push(b'\n');
+    }
+    row.extend_from_slice(part);
+    row.into()
+}
+
+/// Applies the events of rows that end with row `last`.
+fn replay(ledger: &mut Ledger, body: &[u8], last: u64) -> eyre::Result<()> {
+    let events = events_of(body);
+    for event in events.wrap_err_with(|| format!("journal row {last} is malformed"))? {
+        ledger.apply(&event)?;
+    }
+    Ok(())
 }
 
 async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
@@ -575,9 +673,22 @@
     format!("{number:016}")
 }
 
-fn events_of(row: &Row) -> eyre::Result<Vec<Event>> {
-    let lines = row.value.split(|byte| *byte == b'\n').skip(1);
-    let parse = |line: &[u8]| serde_json::from_slice(line);
-    let events: Result<Vec<Event>, _> = lines.map(parse).collect();
-    events.wrap_err_with(|| format!("journal row {} is malformed", row.key))
+/// The lines of a row, and whether the first one continues the row before.
+fn body_of(row: &Row) -> eyre::Result<(bool, &[u8])> {
+    let end = row.value.iter().position(|byte| *byte == b'\n');
+    let (head, body) = row.value.split_at(end.unwrap_or(row.value.len()));
+    let head: RowHead = serde_json::from_slice(head)
+        .wrap_err_with(|| format!("the head of journal row {} is malformed", row.key))?;
+    let skipped = usize::from(head.continues && !body.is_empty());
+    Ok((head.continues, &body[skipped..]))
+}
+
+fn events_of(body: &[u8]) -> Result<Vec<Event>, serde_json::Error> {
+    let lines = body.split(|byte| *byte == b'\n').skip(1);
+    lines.map(serde_json::from_slice).collect()
+}
+
+/// Whether an event is small enough for the journal.
+pub fn fits(event: &Event) -> bool {
+    line_of(event).len() <= MAX_EVENT_BYTES
 }
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -633,3 +633,21 @@
         world.check();
     });
 }
+
+/// Guards against an end whose checkpoint is larger than a journal event, which the store would refuse for good.
+#[test]
+fn a_checkpoint_that_no_journal_event_can_hold_is_dropped() {
+    paused(async {
+        let world = World::new(1);
+        world.set_checkpoint("w0", &"x".repeat(800_000));
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let reply = world.submit(&cx, 1, vec![step(1, 100, &[])]).await;
+        assert_eq!(reply, SubmitReply::Accepted);
+        until("the job is completed", LIMIT, async || {
+            world.state(&cx, 1).await == Some(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -32,6 +32,7 @@
 pub(crate) use relay::Relay;
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -52,6 +53,8 @@
 /// Timeout of a call to the store or a worker.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 const MAX_ROW_BYTES: usize = 64 * 1024;
+/// Maximum size of the values of a transaction: 1 MB as base64.
+const MAX_TXN_BYTES: usize = 750_000;
 /// Longest lease that a worker accepts.
 const MAX_WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Time from a stop order until the run ends.
@@ -76,6 +79,30 @@
     RefusesReads,
 }
 
+/// What happens to one commit, instead of what [`StoreBehaviour`] says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommitFate {
+    /// It is executed and answered.
+    Answered,
+    /// It is executed, but the answer is lost.
+    AnswerLost,
+    /// It is never executed, and there is no answer.
+    Lost,
+    /// There is no answer, and it is executed after this time if its condition still holds.
+    Late(Duration),
+    /// It is executed and answered, and executed again after this time if its condition still holds.
+    Repeated(Duration),
+}
+
+/// Commits that [`World::script_commits`] matches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CommitKind {
+    /// Those that write a row of this table.
+    Puts(&'static str),
+    /// Those that delete a row of this table.
+    Deletes(&'static str),
+}
+
 /// How a worker responds to start orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkerBehaviour {
@@ -85,7 +112,7 @@
     Late(Duration),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     rows: IndexMap<(String, String, String), (bytes::Bytes, u64)>,
     version: u64,
@@ -111,6 +138,8 @@
     capacity: Size,
     running: IndexMap<RunId, Running>,
     ended: Vec<ListedEnd>,
+    /// Checkpoint that its ends carry.
+    checkpoint: Option<String>,
     /// Times of the ends, by number.
     ended_at: IndexMap<u64, Instant>,
     /// Time at which its lease last ended.
@@ -138,6 +167,8 @@
 pub(crate) struct World {
     rows: RefCell<Rows>,
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
+    /// What happens to the next commits of each kind.
+    commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CommitFate>>>,
     /// Time that a transaction occupies its partition of a slow store, and additional latency of its answer.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
@@ -229,6 +260,7 @@
         let world = Rc::new(Self {
             rows: RefCell::default(),
             behaviours: RefCell::default(),
+            commit_fates: RefCell::default(),
             slow_txn: Cell::new((SLOW_TXN_TIME, Duration::ZERO)),
             workers: RefCell::default(),
             evacuated: RefCell::default(),
@@ -268,6 +300,7 @@
             capacity,
             running: IndexMap::new(),
             ended: Vec::new(),
+            checkpoint: None,
             ended_at: IndexMap::new(),
             lapsed_at: None,
             last_ended: IndexMap::new(),
@@ -395,6 +428,23 @@
             .insert(daemon.to_owned(), behaviour);
     }
 
+    /// Sets what happens to the next commits of a kind; later ones are as [`StoreBehaviour`] says.
+    pub(crate) fn script_commits(
+        &self,
+        kind: CommitKind,
+        fates: impl IntoIterator<Item = CommitFate>,
+    ) {
+        let mut scripted = self.commit_fates.borrow_mut();
+        scripted.insert(kind, fates.into_iter().collect());
+    }
+
+    /// A world without workers whose store has a copy of the rows and objects of this one.
+    pub(crate) fn copy_of_store(&self) -> Rc<Self> {
+        let copy = Self::new(0);
+        *copy.rows.borrow_mut() = self.rows.borrow().clone();
+        copy
+    }
+
     fn store_behaviour(&self, daemon: &str) -> StoreBehaviour {
         let behaviours = self.behaviours.borrow();
         behaviours
@@ -485,6 +535,11 @@
         self.change(worker, |w| w.behaviour = behaviour);
     }
 
+    /// Sets the checkpoint that a worker's ends carry from now on.
+    pub(crate) fn set_checkpoint(&self, worker: &str, checkpoint: &str) {
+        self.change(worker, |w| w.checkpoint = Some(checkpoint.to_owned()));
+    }
+
     /// Makes tasks that a worker starts from now on make no progress.
     pub(crate) fn stall(&self, worker: &str) {
         self.change(worker, |w| w.is_stalled = true);
@@ -537,6 +592,12 @@
         assert!(matches!(end, TxnOutcome::Committed(_)), "{end:?}");
     }
 
+    /// Number of rows of a table.
+    pub(crate) fn row_count(&self, table: &str) -> usize {
+        let rows = self.rows.borrow();
+        rows.rows.keys().filter(|(t, _, _)| t == table).count()
+    }
+
     /// Number of committed transactions.
     pub(crate) fn commits(&self) -> u64 {
         self.rows.borrow().commits
@@ -701,7 +762,7 @@
                 number: self.next_end,
                 run,
                 how,
-                checkpoint: None,
+                checkpoint: self.checkpoint.clone(),
             });
             let at = self.next_end;
             self.ended_at.insert(at, now.min(lease_until));
