Tests: long-running tasks under outages of workers, the directory, the store and daemons

What was missing: no test in the simulated cluster asserted that a long-running task with free capacity runs.

Change: sched::outages has a random test of one shard (5 workers, 3 daemons, up to 13 overlapping faults). In calm, from 4 s after the last fault and 6 s after its last run, a task may wait for less than 3 s while open workers have free capacity for two of it. Time in which an unanswered order may still be carried out counts as a fault, a worker's notice to leave and the restart of a daemon do, too. A task that has never run may leave an eighth of the processors to short ones, as docs say of the headroom; whether the users' rule allows that is a question for them. OUTAGE_CASES and OUTAGE_SEED set the number of cases and the seed; take-over jitter is random, so a seed doesn't repeat a run exactly.

world: workers may lose orders, answers or polls only, and refuse starts as unhealthy; the directory may be silent or outdated, and leave workers out.

--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -10,6 +10,7 @@
 mod learning;
 mod ledger;
 mod order;
+mod outages;
 mod ownership;
 mod polling;
 mod random;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -83,6 +83,12 @@
     Prompt,
     /// Leaves them unanswered and executes them after this time.
     Late(Duration),
+    /// Executes them, but the answers are lost.
+    LosesAnswers,
+    /// Does not get them.
+    LosesOrders,
+    /// Refuses them as unhealthy.
+    Unhealthy,
 }
 
 #[derive(Default)]
@@ -128,7 +134,10 @@
     data_centre: String,
     leaving_in: Option<Duration>,
     behaviour: WorkerBehaviour,
+    /// Whether polls get no answer, although other orders do.
+    loses_polls: bool,
     is_stalled: bool,
+    labels: Vec<String>,
 }
 
 /// Default data centre of daemons and workers.
@@ -164,6 +173,10 @@
     pub(crate) operator_reads: Cell<usize>,
     /// Whether reads of the operators' state get no answer.
     pub(crate) operators_are_silent: Cell<bool>,
+    /// Whether reads of the directory get no answer.
+    pub(crate) directory_is_silent: Cell<bool>,
+    /// Outdated content that reads of the directory return.
+    outdated_directory: RefCell<Option<Vec<WorkerReport>>>,
     /// Target number of workers per shard, for daemons created from now on; unlimited by default.
     pub(crate) workers_per_shard: Cell<usize>,
     /// Executed start orders: when, which run, on which worker.
@@ -239,6 +252,8 @@
             lease_reads: Cell::default(),
             operator_reads: Cell::default(),
             operators_are_silent: Cell::new(false),
+            directory_is_silent: Cell::new(false),
+            outdated_directory: RefCell::default(),
             workers_per_shard: Cell::new(usize::MAX),
             starts: RefCell::default(),
             violations: RefCell::default(),
@@ -274,7 +289,9 @@
             data_centre: DATA_CENTRE.to_owned(),
             leaving_in: None,
             behaviour: WorkerBehaviour::Prompt,
+            loses_polls: false,
             is_stalled: false,
+            labels: Vec::new(),
         };
         self.workers.borrow_mut().insert(id.to_owned(), worker);
     }
@@ -412,6 +429,44 @@
         self.paths_cut.borrow_mut().insert(path);
     }
 
+    /// Makes a worker reachable again for one daemon.
+    pub(crate) fn reconnect_to(&self, daemon: &str, worker: &str) {
+        let path = (daemon.to_owned(), worker.to_owned());
+        self.paths_cut.borrow_mut().swap_remove(&path);
+    }
+
+    /// Makes a worker leave polls unanswered, or answer them again.
+    pub(crate) fn lose_polls(&self, worker: &str, loses_polls: bool) {
+        self.change(worker, |w| w.loses_polls = loses_polls);
+    }
+
+    /// Sets whether the directory lists a worker.
+    pub(crate) fn list(&self, worker: &str, is_listed: bool) {
+        self.change(worker, |w| w.is_listed = is_listed);
+    }
+
+    /// Sets the labels of a worker.
+    pub(crate) fn set_labels(&self, worker: &str, labels: &[&str]) {
+        let labels = labels.iter().map(|label| (*label).to_owned()).collect();
+        self.change(worker, |w| w.labels = labels);
+    }
+
+    /// Makes the directory return its present content from now on, or its current content again.
+    pub(crate) fn freeze_directory(&self, is_frozen: bool) {
+        *self.outdated_directory.borrow_mut() = is_frozen.then(|| self.reports());
+    }
+
+    /// Makes all tasks that run on a worker fail now.
+    pub(crate) fn fail_runs(&self, worker: &str) {
+        let now = Instant::now();
+        self.change(worker, |w| {
+            for running in w.running.values_mut() {
+                running.fails = true;
+                running.done_at = running.done_at.min(now);
+            }
+        });
+    }
+
     /// Crashes a worker with its tasks.
     pub(crate) fn crash(&self, worker: &str) {
         self.change(worker, |w| {
@@ -498,6 +553,26 @@
         running.collect()
     }
 
+    /// What the directory lists.
+    fn reports(&self) -> Vec<WorkerReport> {
+        let workers = self.workers.borrow();
+        let listed = workers.iter().filter(|(_, w)| w.is_listed && !w.is_dead);
+        let report = |(id, worker): (&String, &Worker)| WorkerReport {
+            incarnation: WorkerIncarnation {
+                worker: id.clone(),
+                started_unix_ms: worker.incarnation,
+            },
+            pool: "pool".to_owned(),
+            address: format!("{id}:1"),
+            data_centre: worker.data_centre.clone(),
+            capacity: worker.capacity,
+            labels: worker.labels.clone(),
+            rack: Some(id.clone()),
+            leaving_in: worker.leaving_in,
+        };
+        listed.map(report).collect()
+    }
+
     /// Free capacity of each worker that answers, is listed and isn't leaving.
     pub(crate) fn open_capacity(&self) -> IndexMap<String, Size> {
         self.end_all_due_runs();
@@ -809,8 +884,17 @@
                 let workers = self.world.workers.borrow();
                 (workers[id].behaviour, workers[id].incarnation)
             };
-            let WorkerBehaviour::Late(after) = behaviour else {
-                return self.world.execute_start(id, order);
+            let after = match behaviour {
+                WorkerBehaviour::Prompt => return self.world.execute_start(id, order),
+                WorkerBehaviour::Unhealthy => return OrderOutcome::Refused(Refusal::Unhealthy),
+                WorkerBehaviour::LosesOrders | WorkerBehaviour::LosesAnswers => {
+                    if behaviour == WorkerBehaviour::LosesAnswers {
+                        self.world.execute_start(id, order);
+                    }
+                    sleep(CALL_TIMEOUT).await;
+                    return OrderOutcome::Silent(no_answer());
+                }
+                WorkerBehaviour::Late(after) => after,
             };
             let (world, id, order) = (Rc::clone(&self.world), id.to_owned(), order.clone());
             actix_rt::spawn(async move {
@@ -877,7 +961,7 @@
                 {
                     let mut workers = self.world.workers.borrow_mut();
                     let worker = workers.get_mut(id).expect("a worker");
-                    if worker.is_cut || worker.is_dead {
+                    if worker.is_cut || worker.is_dead || worker.loses_polls {
                         break;
                     }
                     if let Err(why) = worker.check_token(order.token) {
@@ -950,22 +1034,12 @@
     fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>> {
         async move {
             sleep(STORE_LATENCY).await;
-            let workers = self.world.workers.borrow();
-            let listed = workers.iter().filter(|(_, w)| w.is_listed && !w.is_dead);
-            let report = |(id, worker): (&String, &Worker)| WorkerReport {
-                incarnation: WorkerIncarnation {
-                    worker: id.clone(),
-                    started_unix_ms: worker.incarnation,
-                },
-                pool: "pool".to_owned(),
-                address: format!("{id}:1"),
-                data_centre: worker.data_centre.clone(),
-                capacity: worker.capacity,
-                labels: Vec::new(),
-                rack: Some(id.clone()),
-                leaving_in: worker.leaving_in,
-            };
-            Ok(listed.map(report).collect())
+            if self.world.directory_is_silent.get() {
+                sleep(CALL_TIMEOUT).await;
+                return Err(no_answer());
+            }
+            let outdated = self.world.outdated_directory.borrow().clone();
+            Ok(outdated.unwrap_or_else(|| self.world.reports()))
         }
         .boxed_local()
     }
