--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -13,6 +13,7 @@
 mod listed_ends;
 mod order;
 mod outage_lines;
+mod outages;
 mod ownership;
 mod polling;
 mod random;
