Outage lines: log each change, and only delegations that aren't confirmed

A change of what a task waits for within a second of the last line was forgotten, since it was compared with the round before and not with what was logged. All delegated tasks of a job counted as waiting for the other shard while one of them was unconfirmed, and steps that wait for earlier ones as waiting for a host.

--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -405,6 +405,12 @@
         self.delegations.borrow().open.contains(job)
     }
 
+    /// Whether another shard has not confirmed yet that it has a delegated task of this shard's job.
+    pub fn is_delegation_unconfirmed(&self, job: &Job, task: TaskId, last_run: RunNumber) -> bool {
+        let delegations = self.delegations.borrow();
+        !job.is_guest && !delegations.confirmed.contains(&(task, last_run))
+    }
+
     /// Whether a job belongs to this shard, and is not a guest.
     fn owns_job(&self, job: JobId) -> bool {
         let ledger = self.ledger.borrow();
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -66,8 +66,8 @@
     waits_for: WaitsFor,
     /// Whether the task has run before.
     has_run: bool,
-    /// When the last line about it was logged.
-    logged_at: Option<Millis>,
+    /// What the last line said that it waits for, and when it was logged.
+    logged: Option<(WaitsFor, Millis)>,
 }
 
 impl Outage {
@@ -76,11 +76,10 @@
     }
 
     fn is_line_due(&self, waits_for: WaitsFor, now: Millis) -> bool {
-        let is_changed = self.waits_for != waits_for;
-        self.is_overdue(now)
-            && self
-                .logged_at
-                .is_none_or(|at| is_changed && now.since(at) >= LINE_INTERVAL)
+        let is_news = |(logged, at): (WaitsFor, Millis)| {
+            logged != waits_for && now.since(at) >= LINE_INTERVAL
+        };
+        self.is_overdue(now) && self.logged.is_none_or(is_news)
     }
 }
 
@@ -123,22 +122,20 @@
             since: now,
             waits_for: found.waits_for,
             has_run: found.has_run,
-            logged_at: None,
+            logged: None,
         });
         if lines_left > 0 && outage.is_line_due(found.waits_for, now) {
             lines_left -= 1;
-            if outage.logged_at.is_none() && found.has_run {
+            if outage.logged.is_none() && found.has_run {
                 cx.metrics.long_running_outages.inc();
             }
-            outage.logged_at = Some(now);
+            outage.logged = Some((found.waits_for, now));
             log_outage(cx, owner, &found, now.since(outage.since));
         }
         outage.waits_for = found.waits_for;
         outages.tasks.insert(found.task, outage);
     }
-    let ended = before
-        .iter()
-        .filter(|(_, outage)| outage.logged_at.is_some());
+    let ended = before.iter().filter(|(_, outage)| outage.logged.is_some());
     for (task, outage) in ended.take(lines_left) {
         log_end(owner, task, outage, now);
     }
@@ -204,11 +201,15 @@
     if !job.spec.steps.iter().any(|step| step.is_long_running) {
         return Vec::new();
     }
-    let is_confirming = owner.is_delegation_open(&id);
-    let placed = job.tasks(id).filter(|(task, _)| is_long_running(task.step));
+    let placed = job.tasks(id).filter(|(task, _)| {
+        is_long_running(task.step) && job.may_start(task.occurrence, usize::from(task.step))
+    });
     let placed = placed.filter_map(|(task_id, task)| {
         let (waits_for, run) = match (task.elsewhere, task.live.first()) {
-            (Some(_), _) => (is_confirming.then_some(WaitsFor::OtherShard)?, None),
+            (Some(_), _) => {
+                let is_open = owner.is_delegation_unconfirmed(job, task_id, task.last_run);
+                (is_open.then_some(WaitsFor::OtherShard)?, None)
+            }
             (None, None) => (waiting_for(may_place), None),
             (None, Some(live)) => {
                 let run = RunId {
