Lease bounds: a call in transit may reach a restarted worker

Callers could have seen a task run twice: the bound of an unanswered lease counted from its sending. Cause: a worker that was restarted while the call was in transit has a clock that starts anew, so the end that the call names lies far ahead, and the worker gives the longest lease from the call's arrival.

Only lateness beyond the transit is gone: such a call ended with its connection.

Checks: sched::resolution has its bounds of 9.8 and 9.95 s again, model::earlier_owners its transit, and model::leases a worker that is restarted while a call is in transit.

--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -129,7 +129,7 @@
     cx.metrics.polls.inc();
     let outcome = cx.workers.poll(&address, worker, &order).await;
     if lease_until.is_some() {
-        note_lease_call(owner, worker, sent_at, &outcome);
+        note_lease_call(cx, owner, worker, sent_at, &outcome);
     }
     if !owner.is_serving() {
         return false;
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -201,7 +201,7 @@
     let now = cx.clock.now();
     let took_ms = now.since(sent_at).as_millis() as u64;
     log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, outcome:? = outcome; "start ordered");
-    note_lease_call(owner, &worker, sent_at, &outcome);
+    note_lease_call(cx, owner, &worker, sent_at, &outcome);
     match outcome {
         OrderOutcome::Done(clock) => {
             owner.session(&worker, |session| session.note_clock(clock, now));
@@ -230,14 +230,21 @@
 }
 
 /// Updates the worker's lease bound by the outcome of a call that carried a lease.
-pub fn note_lease_call<T>(owner: &Owner, worker: &str, sent_at: Millis, outcome: &OrderOutcome<T>) {
+pub fn note_lease_call<T>(
+    cx: &Cx,
+    owner: &Owner,
+    worker: &str,
+    sent_at: Millis,
+    outcome: &OrderOutcome<T>,
+) {
+    let now = cx.clock.now();
     owner.session(worker, |session| match outcome {
         OrderOutcome::Done(_) => {
-            session.bound.note_answered(sent_at);
+            session.bound.note_answered(now);
             session.leased_at = session.leased_at.max(Some(sent_at));
         }
         // A worker may refuse an order and accept its lease all the same.
-        OrderOutcome::Refused(_) => session.bound.note_answered(sent_at),
+        OrderOutcome::Refused(_) => session.bound.note_answered(now),
         OrderOutcome::Unsent(_) => session.bound.note_no_effect(),
         OrderOutcome::Silent(_) => session.bound.note_unanswered(sent_at),
     });
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -261,9 +261,10 @@
 /// it.
 ///
 /// A lease ends at a time on the worker's clock that the call names, however late the call takes
-/// effect, and a start order that arrives after that time is refused. So each lease counts from its
-/// sending. A later incarnation of the worker, whose clock starts anew, receives no call that was
-/// sent to an earlier one: the connection ended with it.
+/// effect, and a start order that arrives after that time is refused. So a call that is executed
+/// late extends nothing. A later incarnation of the worker, whose clock starts anew, may receive a
+/// call while that is in transit, and then counts the lease from its arrival; later calls ended with
+/// the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseBound {
     /// Time until which an earlier owner may have sent leases; `None` once the worker has answered
@@ -271,7 +272,7 @@
     inherited_until: Option<Millis>,
     /// Time at which the leases of earlier owners have ended, as the previous owner wrote.
     inherited_end: Option<Millis>,
-    /// Time at which the last lease with a reply was sent, or of the first reply to this owner.
+    /// Time of the last reply to a lease of this owner.
     answered_at: Option<Millis>,
     /// Time at which the last lease without a reply was sent.
     unanswered_at: Option<Millis>,
@@ -315,10 +316,11 @@
         self.in_flight += 1;
     }
 
-    /// Records that a call with a lease, sent at `sent_at`, was answered.
-    pub fn note_answered(&mut self, sent_at: Millis) {
+    /// Records that a call with a lease was answered at `at`, so that it does not take effect
+    /// later.
+    pub fn note_answered(&mut self, at: Millis) {
         self.note_no_effect();
-        self.answered_at = self.answered_at.max(Some(sent_at));
+        self.answered_at = self.answered_at.max(Some(at));
     }
 
     /// Records that a call with a lease certainly had no effect.
@@ -355,7 +357,7 @@
 
     /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
     fn inherited_end(&self, limits: &LeaseLimits) -> Option<Millis> {
-        let inferred = self.inherited_until? + limits.longest_on_own_clock();
+        let inferred = self.inherited_until? + limits.transit + limits.longest_on_own_clock();
         let noted = self.inherited_end.unwrap_or(inferred);
         Some(noted.min(inferred))
     }
@@ -364,7 +366,7 @@
     pub fn latest_end(&self, limits: &LeaseLimits) -> (LeaseKind, Millis) {
         let longest = limits.longest_on_own_clock();
         let answered = self.answered_at.map(|at| at + longest);
-        let unanswered = self.unanswered_at.map(|at| at + longest);
+        let unanswered = self.unanswered_at.map(|at| at + limits.transit + longest);
         let ends = [
             (LeaseKind::Answered, answered),
             (LeaseKind::Unanswered, unanswered),
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -71,6 +71,8 @@
 struct Contact {
     /// Time after the take-over at which the worker answers and a lease is sent, if it does.
     sent: Option<u64>,
+    /// Time until the call takes effect, on a worker whose clock may have started anew meanwhile.
+    transit: u64,
     is_answered: bool,
     stays: u64,
     /// Time from the writing of the note until the next owner reads it; `None` if it never does.
@@ -78,10 +80,11 @@
 }
 
 fn contact() -> impl Strategy<Value = Contact> {
-    let times = (option::of(0..9_000_u64), 0..9_000_u64);
+    let times = (option::of(0..9_000_u64), 0..=750_u64, 0..9_000_u64);
     (times, any::<bool>(), option::of(0..4_000_u64)).prop_map(
-        |((sent, stays), is_answered, note_read)| Contact {
+        |((sent, transit, stays), is_answered, note_read)| Contact {
             sent,
+            transit,
             is_answered,
             stays,
             note_read,
@@ -102,14 +105,15 @@
             let stops_at = now + Duration::from_millis(contact.stays);
             let sent_at = contact.sent.map(|sent| now + Duration::from_millis(sent));
             if let Some(sent_at) = sent_at.filter(|at| *at <= stops_at) {
+                let effective_at = sent_at + Duration::from_millis(contact.transit);
                 bound.note_claimed(sent_at);
                 bound.note_sent();
                 if contact.is_answered {
-                    bound.note_answered(sent_at);
+                    bound.note_answered(effective_at);
                 } else {
                     bound.note_unanswered(sent_at);
                 }
-                lasts_until = sent_at + longest;
+                lasts_until = effective_at + longest;
             }
             let noted = bound.ends_in_ms(stops_at, &limits);
             let read_after = Duration::from_millis(contact.note_read.unwrap_or_default());
--- a/tests/testsuite/model/leases.rs
+++ b/tests/testsuite/model/leases.rs
@@ -25,18 +25,22 @@
     reads_clock: bool,
     /// Time until the call takes effect; never if it is `None`.
     takes_effect: Option<u64>,
+    /// Whether the worker is restarted while the call is in transit, and its clock starts anew.
+    meets_restart: bool,
     is_answered: bool,
 }
 
 fn call() -> impl Strategy<Value = Call> {
     let effect = prop_oneof![Just(None), (0..12_500_u64).prop_map(Some)];
     let times = (0..7_000_u64, 0..700_u64);
-    (times, any::<bool>(), effect, any::<bool>()).prop_map(
-        |((after, reading_took), reads_clock, takes_effect, is_answered)| Call {
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>());
+    (times, effect, flags).prop_map(
+        |((after, reading_took), takes_effect, (reads_clock, meets_restart, is_answered))| Call {
             after,
             reading_took,
             reads_clock,
             takes_effect,
+            meets_restart,
             is_answered,
         },
     )
@@ -46,6 +50,8 @@
 struct Lease {
     speed: f64,
     until: f64,
+    /// Latest end, on the owner's clock, of a lease that was given after a restart.
+    after_restart: f64,
 }
 
 impl Lease {
@@ -59,9 +65,15 @@
         self.until = self.until.max((until.0 as f64).min(clock + longest));
     }
 
-    /// Time on the owner's clock at which the lease ends.
+    /// The end that the call names lies far ahead on a clock that started anew, so the lease is as long as possible.
+    fn extend_after_restart(&mut self, at: u64, longest: Duration) {
+        let ends_at = at as f64 + longest.as_millis() as f64 / self.speed;
+        self.after_restart = self.after_restart.max(ends_at);
+    }
+
+    /// Time on the owner's clock at which the last lease ends.
     fn ends_at(&self) -> f64 {
-        (self.until - CLOCK_START) / self.speed
+        ((self.until - CLOCK_START) / self.speed).max(self.after_restart)
     }
 }
 
@@ -75,7 +87,7 @@
         let limits = limits();
         let mut session = Session::new(LeaseBound::inherited_until(Millis(0)));
         session.bound.note_claimed(Millis(0));
-        let mut lease = Lease { speed: 1.0 - slowness, until: CLOCK_START };
+        let mut lease = Lease { speed: 1.0 - slowness, until: CLOCK_START, after_restart: 0.0 };
         let mut now = 0;
         for call in calls {
             now += call.after;
@@ -87,12 +99,17 @@
                 continue;
             };
             session.bound.note_sent();
-            if let Some(after) = call.takes_effect {
-                lease.extend(until, now + after, limits.longest);
+            let transit = limits.transit.as_millis() as u64;
+            match call.takes_effect {
+                Some(after) if call.meets_restart && after <= transit => {
+                    lease.extend_after_restart(now + after, limits.longest);
+                }
+                Some(after) => lease.extend(until, now + after, limits.longest),
+                None => {}
             }
-            match call.is_answered {
-                true => session.bound.note_answered(Millis(now)),
-                false => session.bound.note_unanswered(Millis(now)),
+            match call.takes_effect.filter(|after| call.is_answered && *after <= transit) {
+                Some(after) => session.bound.note_answered(Millis(now + after)),
+                None => session.bound.note_unanswered(Millis(now)),
             }
             let (_, latest) = session.bound.latest_end(&limits);
             prop_assert!(latest.0 as f64 + 1.0 >= lease.ends_at(), "{latest:?} < {}", lease.ends_at());
--- a/tests/testsuite/sched/faults.rs
+++ b/tests/testsuite/sched/faults.rs
@@ -627,7 +627,8 @@
         .await;
         let took = lost_at.elapsed();
         let limits = limits();
-        let last_lease = limits.owner_hold + limits.longest + limits.longest / limits.drift_parts;
+        let longest = limits.longest + limits.longest / limits.drift_parts;
+        let last_lease = limits.owner_hold + limits.transit + longest;
         let restart = Duration::from_secs(1);
         assert!(took < last_lease + restart, "{took:?}");
         world.check();
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -151,8 +151,8 @@
     }
 }
 
-/// When the tasks of an unresponsive worker may be started elsewhere: after the last lease, counted from its sending,
-/// whether it was answered or not.
+/// When the tasks of an unresponsive worker may be started elsewhere: after its lease, counted from the last answer. An
+/// unanswered lease counts from its sending, plus the longest transit.
 #[test]
 fn a_lease_has_ended_when_nothing_can_extend_it() {
     let limits = limits();
@@ -166,8 +166,8 @@
     assert!(bound.has_ended(at(8_200), &limits));
     bound.note_sent();
     bound.note_unanswered(at(3_000));
-    assert!(!bound.has_ended(at(9_000), &limits));
-    assert!(bound.has_ended(at(9_200), &limits));
+    assert!(!bound.has_ended(at(9_800), &limits));
+    assert!(bound.has_ended(at(9_950), &limits));
 }
 
 /// A new owner cannot reach a worker, whose lease the previous owner may have renewed until the end of its hold time.
