--- a/tests/testsuite/sched/outages.rs
+++ b/tests/testsuite/sched/outages.rs
@@ -547,3 +547,29 @@
     let found = TestRunner::new_with_rng(config, rng).run(&any_story(), run);
     found.unwrap_or_else(|e| panic!("{e}"));
 }
+
+/// Guards against an owner that waits again for leases whose end the previous owner had established, but not yet
+/// journaled, when the store lost its answers.
+#[test]
+fn a_new_owner_does_not_wait_again_for_leases_that_have_ended() {
+    let tasks = |count, max_per_worker| Tasks {
+        count,
+        cores: 1,
+        short_ms: None,
+        max_per_worker,
+        needs_label: false,
+        has_latency_target: false,
+    };
+    paused(run_story(Story {
+        jobs: vec![tasks(4, Some(1)), tasks(1, None)],
+        faults: vec![
+            (6, Fault::StoreForAll(StoreBehaviour::LosesAnswers)),
+            (919, Fault::Crash(0)),
+            (1_355, Fault::CrashAndRestart(3)),
+            (2_100, Fault::Recover(2)),
+            (37, Fault::Unhealthy(3)),
+            (1_509, Fault::CutFromDaemon(1, 0)),
+            (0, Fault::Cut(4)),
+        ],
+    }));
+}
