--- a/tests/testsuite/sched/outages.rs
+++ b/tests/testsuite/sched/outages.rs
@@ -39,6 +39,8 @@
 /// Time in calm for which tasks are watched.
 const WATCHED: Duration = Duration::from_secs(25);
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Repetitions of a story whose outcome depends on the order in which daemons own the shard.
+const TAKEOVER_ORDERS: usize = 20;
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Estimate of long-running tasks, which does not end within a test.
 const LONG_MS: u64 = 600_000;
@@ -560,7 +562,7 @@
         needs_label: false,
         has_latency_target: false,
     };
-    paused(run_story(Story {
+    let story = Story {
         jobs: vec![tasks(4, Some(1)), tasks(1, None)],
         faults: vec![
             (6, Fault::StoreForAll(StoreBehaviour::LosesAnswers)),
@@ -571,5 +573,9 @@
             (1_509, Fault::CutFromDaemon(1, 0)),
             (0, Fault::Cut(4)),
         ],
-    }));
+    };
+    // Which daemons own the shard is random.
+    for _ in 0..TAKEOVER_ORDERS {
+        paused(run_story(story.clone()));
+    }
 }
