--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -93,6 +93,9 @@
             run: RunId,
             /// Evidence that the run ended.
             why: Loss,
+            /// Whether there is no evidence that the run started; not in rows of earlier versions.
+            #[serde(default)]
+            is_unstarted: bool,
         },
         /// A caller cancelled a job.
         Cancelled {
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -6,7 +6,7 @@
 //! checks.
 
 use super::{
-    event::{Event, Loss, RunEnd, RunId, WorkerIncarnation},
+    event::{Event, RunEnd, RunId, WorkerIncarnation},
     job::{Gang, JobId, JobSpec, QueueConfig, RunNumber, Step, StepId, TaskId},
     layout::ShardId,
 };
@@ -84,7 +84,8 @@
         pub occurrences: BTreeMap<u32, Occurrence>,
         /// Number of occurrences that are done.
         pub occurrences_done: u32,
-        /// Whether any task was ever placed; always true if `is_guest`.
+        /// Whether a run that has ended had started, or a task was delegated; always true if
+        /// `is_guest`. A placement is no evidence that the run starts.
         pub has_started: bool,
         /// Whether and how the job has ended.
         pub phase: Phase,
@@ -193,7 +194,9 @@
                 checkpoint,
                 at_unix_ms,
             } => self.end(run, *how, checkpoint.as_deref(), *at_unix_ms),
-            Event::Lost { run, why } => self.lose(run, *why),
+            Event::Lost {
+                run, is_unstarted, ..
+            } => self.lose(run, *is_unstarted),
             Event::Cancelled { job, at_unix_ms } => self.cancel(*job, *at_unix_ms),
             Event::Sent {
                 job,
@@ -250,6 +253,8 @@
             return Err(InvalidEvent::Task(*id));
         }
         task.elsewhere = Some(to);
+        // The other shard does not report when the task starts there.
+        job.has_started = true;
         Ok(())
     }
 
@@ -359,7 +364,6 @@
             number: run.run,
             on: on.clone(),
         });
-        job.has_started = true;
         Ok(())
     }
 
@@ -387,6 +391,7 @@
         if !was_live && !is_late_completion {
             return Ok(());
         }
+        job.has_started = true;
         if let Some(checkpoint) = checkpoint {
             job.note_checkpoint(run, step_spec.gang, checkpoint);
         }
@@ -402,9 +407,10 @@
         Ok(())
     }
 
-    fn lose(&mut self, run: &RunId, _: Loss) -> Result<(), InvalidEvent> {
+    fn lose(&mut self, run: &RunId, is_unstarted: bool) -> Result<(), InvalidEvent> {
         if let Some(job) = self.jobs.get_mut(&run.task.job) {
-            job.take_live(run);
+            let was_live = job.take_live(run);
+            job.has_started |= was_live && !is_unstarted;
         }
         Ok(())
     }
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -114,7 +114,7 @@
         false => job.phase,
     };
     match phase {
-        Phase::Active if job.has_started => JobState::Running,
+        Phase::Active if has_started(owner, id, job) => JobState::Running,
         Phase::Active => JobState::Queued,
         Phase::Completed => JobState::Completed,
         Phase::Failed => JobState::Failed,
@@ -122,6 +122,13 @@
     }
 }
 
+/// Whether a task of the job has started, as far as known.
+fn has_started(owner: &Owner, id: JobId, job: &Job) -> bool {
+    let runs = owner.runs.borrow();
+    let is_started = |run| runs.get(&run).is_some_and(|r| r.known.has_started());
+    job.has_started || job.live_runs(id).any(|(run, _)| is_started(run))
+}
+
 /// The phase of a job that this shard owns.
 fn own_phase(owner: &Owner, job: JobId) -> Option<Phase> {
     let ledger = owner.ledger.borrow();
@@ -160,7 +167,11 @@
         return None;
     }
     let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
-    let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-    let waiting = jobs.filter(|job| job.terms.queue == queue && !job.has_started && !job.is_guest);
+    let jobs = active
+        .iter()
+        .filter_map(|id| Some((*id, ledger.jobs.get(id)?)));
+    let waiting = jobs.filter(|(id, job)| {
+        job.terms.queue == queue && !job.is_guest && !has_started(owner, *id, job)
+    });
     Some(waiting.count() as u64)
 }
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -165,9 +165,15 @@
         let Some(record) = self.remove_run(&run) else {
             return;
         };
-        log::info!(task:% = run.task, run = run.run.0, worker:% = record.on.worker, why:? = why; "run lost");
+        let is_unstarted = record.known.is_unstarted(why);
+        log::info!(task:% = run.task, run = run.run.0, worker:% = record.on.worker, why:? = why, is_unstarted; "run lost");
         cx.metrics.runs_lost.inc();
-        drop(self.propose(cx, vec![Event::Lost { run, why }]));
+        let lost = Event::Lost {
+            run,
+            why,
+            is_unstarted,
+        };
+        drop(self.propose(cx, vec![lost]));
     }
 }
 
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -98,6 +98,24 @@
     pub stop: Stop,
 }
 
+impl RunKnowledge {
+    /// Whether the run has started, as far as known. An earlier owner's run counts as started until
+    /// its worker answers: most are, and the earlier owner may have reported it so.
+    pub fn has_started(&self) -> bool {
+        matches!(self.order, Order::Answered(_) | Order::Inherited)
+    }
+
+    /// Whether there is no evidence that the run, which was lost, had started.
+    pub fn is_unstarted(&self, why: Loss) -> bool {
+        match self.order {
+            Order::NotSent | Order::InFlight | Order::Unanswered => true,
+            Order::Answered(_) => false,
+            // Its worker has no end of it, and the journal neither.
+            Order::Inherited => why == Loss::NotThere,
+        }
+    }
+}
+
 /// The incarnation that a worker is known to have, or to have had last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct KnownIncarnation {
--- a/tests/testsuite/model/handover.rs
+++ b/tests/testsuite/model/handover.rs
@@ -393,6 +393,7 @@
     let lost = Event::Lost {
         run,
         why: Loss::Lapsed,
+        is_unstarted: false,
     };
     let is_alive = state.is_alive(shard);
     let after = is_alive.then(|| state.after(shard, &[lost])).flatten()?;
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -95,6 +95,7 @@
     let lost = Event::Lost {
         run: run(0, 0, 1),
         why: Loss::Lapsed,
+        is_unstarted: false,
     };
     ledger.apply(&lost).expect("the run was live");
     assert_matches!(
@@ -296,7 +297,7 @@
     prop_oneof![
         4 => any_run.clone().prop_map(placed),
         3 => (any_run.clone(), any_end).prop_map(|(run, how)| ended(run, how)),
-        2 => any_run.prop_map(|run| Event::Lost { run, why: Loss::NotThere }),
+        2 => any_run.prop_map(|run| Event::Lost { run, why: Loss::NotThere, is_unstarted: false }),
     ]
 }
 
@@ -330,3 +331,44 @@
         prop_assert_eq!(read, ledger);
     }
 }
+
+/// Guards against rows of earlier versions that can't be read, or that make a started job one that waits.
+#[test]
+fn a_loss_without_evidence_of_a_start_reads_as_before() {
+    let new = Event::Lost {
+        run: run(0, 0, 1),
+        why: Loss::Lapsed,
+        is_unstarted: false,
+    };
+    let mut earlier = serde_json::to_value(&new).expect("a serialisable event");
+    let fields = earlier
+        .as_object_mut()
+        .and_then(|event| event.values_mut().next());
+    let fields = fields.and_then(|fields| fields.as_object_mut());
+    let fields = fields.expect("the fields of the event");
+    assert!(fields.remove("is_unstarted").is_some());
+    let read: Event = serde_json::from_value(earlier).expect("an event of an earlier version");
+    assert_eq!(read, new);
+}
+
+/// Guards against a job that counts as started because a run was placed that never started.
+#[test]
+fn a_job_has_started_once_a_run_has() {
+    let has_started = |events: &[Event]| {
+        let mut ledger = with_job(spec(vec![step(1, 10, &[])]));
+        for event in events {
+            ledger.apply(event).expect("a valid event");
+        }
+        ledger.jobs[&JobId(1)].has_started
+    };
+    let lost = |is_unstarted| Event::Lost {
+        run: run(0, 0, 1),
+        why: Loss::Lapsed,
+        is_unstarted,
+    };
+    let first = || placed(run(0, 0, 1));
+    assert!(!has_started(&[first()]));
+    assert!(!has_started(&[first(), lost(true)]));
+    assert!(has_started(&[first(), lost(false)]));
+    assert!(has_started(&[first(), ended(run(0, 0, 1), RunEnd::Failed)]));
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -13,6 +13,7 @@
 mod listed_ends;
 mod order;
 mod ownership;
+mod pending;
 mod polling;
 mod random;
 mod resolution;
