--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -6,7 +6,7 @@
 //! checks.
 
 use super::{
-    event::{Event, Loss, RunEnd, RunId, WorkerIncarnation},
+    event::{Event, RunEnd, RunId, WorkerIncarnation},
     job::{Gang, JobId, JobSpec, MAX_TASKS_PER_STEP, QueueConfig, RunNumber, Step, StepId, TaskId},
     layout::ShardId,
     numbers::NumberSet,
@@ -90,7 +90,8 @@
         pub occurrences: BTreeMap<u32, Occurrence>,
         /// Occurrences that are done.
         pub occurrences_done: DoneOccurrences,
-        /// Whether any task was ever placed; always true if `is_guest`.
+        /// Whether a run that has ended had started, or a task was delegated; always true if
+        /// `is_guest`. A placement is no evidence that the run starts.
         pub has_started: bool,
         /// Whether and how the job has ended.
         pub phase: Phase,
@@ -240,7 +241,9 @@
                 checkpoint,
                 at_unix_ms,
             } => self.end(run, *how, checkpoint.as_deref(), *at_unix_ms),
-            Event::Lost { run, why } => self.lose(run, *why),
+            Event::Lost {
+                run, is_unstarted, ..
+            } => self.lose(run, *is_unstarted),
             Event::Cancelled { job, at_unix_ms } => self.cancel(*job, *at_unix_ms),
             Event::Sent {
                 job,
@@ -297,6 +300,8 @@
             return Err(InvalidEvent::Task(*id));
         }
         task.elsewhere = Some(to);
+        // The other shard does not report when the task starts there.
+        job.has_started = true;
         Ok(())
     }
 
@@ -406,7 +411,6 @@
             number: run.run,
             on: on.clone(),
         });
-        job.has_started = true;
         Ok(())
     }
 
@@ -434,6 +438,7 @@
         if !was_live && !is_late_completion {
             return Ok(());
         }
+        job.has_started = true;
         if let Some(checkpoint) = checkpoint {
             job.note_checkpoint(run, step_spec.gang, checkpoint);
         }
@@ -450,9 +455,10 @@
         Ok(())
     }
 
-    fn lose(&mut self, run: &RunId, _: Loss) -> Result<(), InvalidEvent> {
+    fn lose(&mut self, run: &RunId, is_unstarted: bool) -> Result<(), InvalidEvent> {
         if let Some(job) = self.jobs.get_mut(&run.task.job) {
-            job.take_live(run);
+            let was_live = job.take_live(run);
+            job.has_started |= was_live && !is_unstarted;
             job.drop_if_over(run.task.occurrence);
         }
         Ok(())
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -15,6 +15,7 @@
 mod outage_lines;
 mod outages;
 mod ownership;
+mod pending;
 mod polling;
 mod random;
 mod resolution;
