A poll response replaces the reading of its worker's clock

Callers would have seen tasks on a worker lapse and start nowhere else for hours. Cause: a reply to an order names no incarnation, and of two readings the greater was kept. A late reply of an earlier incarnation, whose clock was far ahead, left a reading that none of the present one replaced. Since a lease is sent only by a reading of at most 4.5 s, the worker then got none, and each task that was placed there counted as not started.

Change: the newest poll response, whose incarnation is known, replaces the reading. Why it is safe: a reading that is too low makes leases shorter, and one that is too high is shortened by the worker.

Test: incarnations::a_clock_reading_of_an_earlier_incarnation_is_replaced failed before ("not within 10s: the job is completed").

--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -262,11 +262,11 @@
             session.bound.note_claimed(now);
         }
         let was_silent_ms = session.unresponsive_ms(now);
-        session.note_clock(response.clock, now);
         session.unresponsive_since = None;
         let is_newest = response.clock >= session.response_clock;
         if is_newest {
             session.response_clock = response.clock;
+            session.set_clock(response.clock, now);
         }
         Some((
             Incarnation {
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -200,7 +200,14 @@
         self.leased_at.is_none_or(|at| now.since(at) >= RENEW_AFTER)
     }
 
-    /// Notes a reading of its clock. An answer to an order does not reset `unresponsive_since`: a
+    /// Replaces the reading of its clock by that of its newest poll response. A reply to an order
+    /// may be of an earlier incarnation and have left a reading that is too high; one that is too
+    /// low only makes leases shorter.
+    pub fn set_clock(&mut self, clock: WorkerMillis, now: Millis) {
+        self.clock = Some((clock, now));
+    }
+
+    /// Notes a reading of its clock in a reply to an order. An answer to an order does not reset `unresponsive_since`: a
     /// new incarnation under the same id answers it too.
     pub fn note_clock(&mut self, clock: WorkerMillis, now: Millis) {
         let is_newer = self.clock.is_none_or(|(known, _)| clock > known);
--- a/tests/testsuite/sched/incarnations.rs
+++ b/tests/testsuite/sched/incarnations.rs
@@ -6,7 +6,7 @@
 };
 use assert_matches::assert_matches;
 use lapisdrum::{
-    core::time::Millis,
+    core::time::{Millis, WorkerMillis},
     sched::{
         Cx,
         layout::ShardId,
@@ -55,6 +55,25 @@
     });
 }
 
+/// Guards against a worker that gets no lease any more after a late reply to an order, by an earlier incarnation whose
+/// clock was far ahead.
+#[test]
+fn a_clock_reading_of_an_earlier_incarnation_is_replaced() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        check_completed(&world, &cx, 1).await;
+        let owner = owner_of(&cx);
+        owner.session("w0", |session| {
+            session.note_clock(WorkerMillis(10_000_000), cx.clock.now());
+        });
+        sleep(LIMIT).await;
+        check_completed(&world, &cx, 2).await;
+        world.check();
+    });
+}
+
 /// Guards against a response of an earlier incarnation that arrives late and is taken for the worker's present state:
 /// ends on the later one would be taken for those of the earlier one, which have the same numbers.
 #[test]
