Report workers with more ends than they list, and the runs that wait for these

Cause: a line told that a worker's list of ends was full, but nothing told for how long, nor which runs wait for the ends that aren't listed. Whether such a wait is short, lasts as long as a store outage, or hides a run that was never there could not be told apart.

Change: `judge_run` names this wait (`AwaitEnds`). No decision changes.

Ruled out: a line for each list of 500, as before: 40 a worker at 20,000 ends, and none for the end.

Test: `ends_that_are_not_listed_yet_are_shown_by_gauges`; the gauges did not exist before.

--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -68,6 +68,10 @@
     pub runs_live: Gauge,
     /// Live runs in evacuated data centres.
     pub runs_in_evacuated: Gauge,
+    /// Runs whose end may be among those that their worker has not listed yet.
+    pub runs_awaiting_ends: Gauge,
+    /// Workers that answer and may have more ends than they list.
+    pub workers_with_cut_ends: Gauge,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
     long_running_overdue: Family<WaitLabel, Gauge>,
@@ -95,6 +99,8 @@
             jobs_active: Gauge::default(),
             runs_live: Gauge::default(),
             runs_in_evacuated: Gauge::default(),
+            runs_awaiting_ends: Gauge::default(),
+            workers_with_cut_ends: Gauge::default(),
             long_running_outages: Counter::default(),
             long_running_overdue: Family::default(),
             submits: Family::default(),
@@ -151,6 +157,18 @@
             "Runs left in evacuated data centres",
             evacuated,
         );
+        let awaiting = self.runs_awaiting_ends.clone();
+        r.register(
+            "runs_awaiting_ends",
+            "Runs whose end may be among those that their worker has not listed yet",
+            awaiting,
+        );
+        let cut = self.workers_with_cut_ends.clone();
+        r.register(
+            "workers_with_cut_ends",
+            "Workers that may have more ends than they list",
+            cut,
+        );
         let outages = self.long_running_outages.clone();
         r.register(
             "long_running_outages",
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -37,6 +37,8 @@
     Start,
     /// The end of a run that is being stopped.
     Stop,
+    /// Ends that its worker has not listed yet, one of which may be its own.
+    Ends,
     /// A host that admits it.
     Host,
     /// The next pass of the dispatcher, which places nothing at present.
@@ -47,11 +49,12 @@
 
 impl WaitsFor {
     /// All values, for metrics that show a zero for each.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::LeaseEnd,
         Self::Journal,
         Self::Start,
         Self::Stop,
+        Self::Ends,
         Self::Host,
         Self::Dispatcher,
         Self::OtherShard,
@@ -270,6 +273,7 @@
     match (record.known.order, record.known.stop) {
         (Order::NotSent, _) => Some(WaitsFor::Journal),
         _ if is_silent => Some(WaitsFor::LeaseEnd),
+        _ if record.awaits_ends => Some(WaitsFor::Ends),
         (_, Stop::InFlight | Stop::Confirmed(_)) => Some(WaitsFor::Stop),
         (Order::InFlight | Order::Unanswered | Order::Inherited, Stop::No) => Some(WaitsFor::Start),
         (Order::Answered(_), Stop::No) => None,
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -256,6 +256,7 @@
             };
             session.acked_upto = 0;
             session.appended_upto = 0;
+            session.ends_cut_since = None;
             session.response_clock = WorkerMillis::default();
             session.clock = None;
             session.leased_at = None;
@@ -306,9 +307,6 @@
         return Some(acknowledged(owner, worker, upto).boxed_local());
     }
     owner.session(worker, |session| session.appended_upto = upto);
-    if !response.lists_all_ends {
-        log::info!(worker, born = incarnation.started_unix_ms, upto, ends = ended.len(), running = response.running.len(); "worker may have more ends than it lists");
-    }
     let at_unix_ms = cx.unix_ms();
     let mut events = Vec::new();
     for end in &ended {
@@ -434,6 +432,7 @@
         .iter()
         .map(|listed| (listed.run, listed.percent))
         .collect();
+    let mut awaiting = 0;
     for (run, record) in runs_on(owner, worker) {
         let percent = listed.get(&run).copied();
         let observation = Observation {
@@ -442,15 +441,22 @@
             is_same_incarnation: record.on.started_unix_ms == incarnation.started_unix_ms,
             are_ends_complete: response.lists_all_ends,
         };
-        match judge_run(record.known, observation) {
+        let verdict = judge_run(record.known, observation);
+        let awaits_ends = verdict == RunVerdict::AwaitEnds && record.known.order != Order::NotSent;
+        awaiting += usize::from(awaits_ends);
+        if awaits_ends != record.awaits_ends {
+            owner.set_awaits_ends(&run, awaits_ends);
+        }
+        match verdict {
             RunVerdict::Runs => note_progress(owner, &run, percent.unwrap_or_default(), now),
-            RunVerdict::Wait => {}
+            RunVerdict::Wait | RunVerdict::AwaitEnds => {}
             RunVerdict::OrderStop => {
                 runs::order_stop(cx, owner, run, "its start order was not answered")
             }
             RunVerdict::Lost(why) => owner.note_lost(cx, run, why),
         }
     }
+    note_cut_ends(owner, worker, incarnation, response, awaiting, now);
     for run in listed.keys() {
         let is_ours = |record: &RunRecord| record.on.worker == worker;
         if !owner.runs.borrow().get(run).is_some_and(is_ours) {
@@ -459,6 +465,33 @@
     }
 }
 
+/// Logs when a worker starts to have more ends than it may list, and when it lists all of them again.
+fn note_cut_ends(
+    owner: &Owner,
+    worker: &str,
+    incarnation: &Incarnation,
+    response: &PollResponse,
+    awaiting: usize,
+    now: Millis,
+) {
+    let cut_since = owner.session(worker, |session| {
+        let since = session.ends_cut_since.unwrap_or(now);
+        let is_cut = !response.lists_all_ends;
+        std::mem::replace(&mut session.ends_cut_since, is_cut.then_some(since))
+    });
+    let (born, running) = (incarnation.started_unix_ms, response.running.len());
+    match (cut_since.flatten(), response.lists_all_ends) {
+        (None, false) => {
+            log::info!(worker, born, ends = response.ended.len(), running, awaiting; "worker may have more ends than it lists");
+        }
+        (Some(since), true) => {
+            let took_ms = millis(now.since(since));
+            log::info!(worker, born, took_ms, running; "worker lists all its ends again");
+        }
+        (None, true) | (Some(_), false) => {}
+    }
+}
+
 fn runs_on(owner: &Owner, worker: &str) -> Vec<(RunId, RunRecord)> {
     let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
     let here = sessions.get(worker).into_iter().flat_map(|s| &s.runs);
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -38,6 +38,8 @@
     pub known: RunKnowledge,
     /// When this owner placed it, or read it from the journal.
     pub since: Millis,
+    /// Whether its end may be among those that its worker has not listed yet.
+    pub awaits_ends: bool,
     /// Last reported progress in percent, and when that value was first reported.
     pub progress: Option<(u32, Millis)>,
     /// First reported progress in percent, and when.
@@ -108,6 +110,7 @@
             short_class: headroom::short_class(&job.terms, step),
             known,
             since: now,
+            awaits_ends: false,
             progress: None,
             first_progress: None,
             is_checkpointing: step.is_checkpointing,
@@ -155,6 +158,11 @@
         self.runs.borrow_mut().get_mut(run).map(change)
     }
 
+    /// Records whether a run's end may be among those that its worker has not listed yet.
+    pub fn set_awaits_ends(&self, run: &RunId, awaits_ends: bool) {
+        self.record(run, |record| record.awaits_ends = awaits_ends);
+    }
+
     fn set_order(&self, run: &RunId, order: Order) {
         self.record(run, |record| record.known.order = order);
     }
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -110,6 +110,8 @@
     pub appended_upto: u64,
     /// Notified whenever ends become durable.
     pub acked: Rc<Notify>,
+    /// Since when it may have more ends than it lists; none while it lists all.
+    pub ends_cut_since: Option<Millis>,
     /// Bounds the time until which runs may be alive on it.
     pub bound: LeaseBound,
     /// When the last lease that it accepted was sent.
@@ -147,6 +149,7 @@
             acked_upto: 0,
             appended_upto: 0,
             acked: Rc::default(),
+            ends_cut_since: None,
             bound,
             leased_at: None,
             unresponsive_since: None,
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -160,6 +160,12 @@
     cx.metrics
         .runs_in_evacuated
         .set(sum(Owner::runs_in_evacuated));
+    cx.metrics
+        .runs_awaiting_ends
+        .set(sum(Owner::runs_awaiting_ends));
+    cx.metrics
+        .workers_with_cut_ends
+        .set(sum(Owner::workers_with_cut_ends));
     let mut overdue: IndexMap<WaitsFor, i64> = IndexMap::new();
     for owner in &owners {
         for (waits_for, tasks) in owner.outages.borrow().overdue(cx.clock.now()) {
@@ -170,6 +176,19 @@
 }
 
 impl Owner {
+    /// Number of runs whose end may be among those that their worker has not listed yet.
+    fn runs_awaiting_ends(&self) -> usize {
+        let runs = self.runs.borrow();
+        runs.values().filter(|record| record.awaits_ends).count()
+    }
+
+    /// Number of workers that answer and may have more ends than they list.
+    fn workers_with_cut_ends(&self) -> usize {
+        let sessions = self.sessions.borrow();
+        let answering = sessions.values().filter(|session| !session.is_silent());
+        answering.filter(|s| s.ends_cut_since.is_some()).count()
+    }
+
     /// Number of runs in evacuated data centres, as of the last round.
     fn runs_in_evacuated(&self) -> usize {
         self.left_in_evacuated.borrow().values().sum()
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -206,6 +206,8 @@
     Runs,
     /// Inconclusive; wait for a later poll or reply.
     Wait,
+    /// Inconclusive; the run's end may be among those that the worker has not listed yet.
+    AwaitEnds,
     /// Inconclusive; order a stop, whose confirmation resolves the run.
     OrderStop,
     /// The run has ended or never started.
@@ -219,7 +221,7 @@
     }
     let loss = match observation.is_same_incarnation {
         // The run may be among the ends that are listed only after earlier ones are acknowledged.
-        true if !observation.are_ends_complete => return RunVerdict::Wait,
+        true if !observation.are_ends_complete => return RunVerdict::AwaitEnds,
         true => Loss::NotThere,
         false => Loss::Reborn,
     };
--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -82,6 +82,35 @@
     });
 }
 
+/// Guards against a worker with more ends than it lists, and runs that wait for these, that no metric shows.
+#[test]
+fn ends_that_are_not_listed_yet_are_shown_by_gauges() {
+    paused(async {
+        let world = World::new(1);
+        world.max_listed_ends.set(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let submitted = world.submit(&cx, 1, vec![small_step(24, 1_000)]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("the tasks run", LIMIT, async || world.running().len() == 24).await;
+        let shows = |name: &str, value: u32| {
+            let line = format!("lapisdrum_sched_{name} {value}\n");
+            cx.metrics.text().contains(&line)
+        };
+        sleep(Duration::from_millis(500)).await;
+        world.set_store("a", StoreBehaviour::Unavailable);
+        sleep(Duration::from_millis(1_500)).await;
+        assert!(shows("workers_with_cut_ends", 1));
+        assert!(shows("runs_awaiting_ends", 22));
+        world.set_store("a", StoreBehaviour::Up);
+        completed(&world, &cx, 1).await;
+        until("no ends are missing", LIMIT, async || {
+            shows("workers_with_cut_ends", 0) && shows("runs_awaiting_ends", 0)
+        })
+        .await;
+    });
+}
+
 /// Guards against a failed run that is not counted as an attempt because its end is not among those listed first.
 #[test]
 fn a_failed_end_that_is_listed_later_counts_as_an_attempt() {
