A read of rows that cannot be continued is an error

What callers saw: nothing; the platform's pages hold at least eleven rows of the greatest size.

Cause: a page begins with the last row of the page before. If it held nothing else although more rows follow, the reader returned what it had as if it were all.

Ruled out: to begin the next page behind the last key; no page of the platform says which key is next.

The store's stand-in can be given a page size (and a time for transactions, which the experiment on take-overs needs).

--- a/crates/lapisdrum-standins/src/users/rows.rs
+++ b/crates/lapisdrum-standins/src/users/rows.rs
@@ -11,12 +11,14 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 use tokio::sync::watch;
 
 /// Largest body accepted, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Default maximum number of rows in a response to a read.
+const MAX_PAGE_ROWS: usize = 500;
 
 #[derive(Clone, Debug)]
 struct RowValue {
@@ -34,6 +36,10 @@
     started_at: Instant,
     /// Whether calls have no effect and are answered with 503.
     pub is_down: Cell<bool>,
+    /// Maximum number of rows in a response to a read.
+    pub max_page_rows: Cell<usize>,
+    /// Time until a transaction is answered.
+    pub txn_time: Cell<Duration>,
     /// Number of calls by path, without those answered with 503.
     pub calls: RefCell<IndexMap<String, u64>>,
 }
@@ -46,6 +52,8 @@
             version: Cell::new(0),
             started_at: Instant::now(),
             is_down: Cell::new(false),
+            max_page_rows: Cell::new(MAX_PAGE_ROWS),
+            txn_time: Cell::default(),
             calls: RefCell::default(),
         }
     }
@@ -68,7 +76,14 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: watch::Receiver<bool>) {
         http::serve(listener, MAX_BODY_BYTES, stop, move |read| {
             let store = Rc::clone(&self);
-            async move { store.answer(read) }
+            async move {
+                let is_txn = read.as_ref().is_ok_and(|req| req.path == "/rows-tx");
+                let response = store.answer(read);
+                if is_txn {
+                    tokio::time::sleep(store.txn_time.get()).await;
+                }
+                response
+            }
         })
         .await;
     }
@@ -190,7 +205,8 @@
     fn get(&self, req: &HttpRequest) -> HttpResponse {
         let query = |name: &str| req.query(name).unwrap_or_default().to_owned();
         let (table, part, from) = (query("table"), query("part"), query("from"));
-        let limit: usize = query("limit").parse().unwrap_or(500).min(500);
+        let limit: usize = query("limit").parse().unwrap_or(MAX_PAGE_ROWS);
+        let limit = limit.min(self.max_page_rows.get());
         let rows = self.rows.borrow();
         let mut found: Vec<Value> = rows
             .iter()
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -11,9 +11,9 @@
 use indexmap::IndexMap;
 use lapisdrum::{
     core::time::WorkerMillis,
-    platform::{client::PlatformClient, workers::HttpWorkers},
+    platform::{client::PlatformClient, store::TableStore, workers::HttpWorkers},
     sched::{
-        edge::{OrderOutcome, PollOrder, PollResponse, StartOrder, Workers},
+        edge::{OrderOutcome, PollOrder, PollResponse, StartOrder, Store, Workers},
         event::RunId,
         job::{JobId, RunNumber, TaskId},
     },
@@ -441,3 +441,26 @@
         assert_eq!(response.lists_all_ends, is_complete);
     }
 }
+
+/// Guards against a read of several pages that returns the first of them as if they were all, when a page leads no further.
+#[actix_rt::test]
+async fn rows_of_which_only_the_first_pages_can_be_read_are_an_error() {
+    let (_stop, stopped) = watch::channel(false);
+    let rows = Rc::new(RowStore::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(Rc::clone(&rows).serve(listener, stopped));
+    for at in 0..5 {
+        rows.put("status", &format!("row-{at}"), &json!(at));
+    }
+    let store = TableStore::new(PlatformClient::new(), &address);
+    for (page_rows, read) in [(500, Some(5)), (2, Some(5)), (1, None)] {
+        rows.max_page_rows.set(page_rows);
+        let found = store.rows("status", "", "").await;
+        assert_eq!(
+            found.ok().map(|rows| rows.len()),
+            read,
+            "pages of {page_rows}"
+        );
+    }
+}
