An owner that lost its shard while it balanced a submission accepts nothing

What callers saw: nothing yet; a long-running job that is reported as accepted and isn't stored (LOST).

Cause: an answer from old state taken as present. If the owner loses the shard meanwhile, a job that an earlier submission of the same id had proposed is still in the ledger and no longer waits for its row, which looks like one that is durable.

Change: after the wait the owner looks whether it still holds the shard, and answers `NotOwner` if not, so that the caller's daemon asks the next owner.

Failed before: `a_repeated_submission_is_not_accepted_by_an_owner_that_lost_the_shard_meanwhile`, left Accepted, right NotOwner. After: sched::superseded passes.

--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -40,6 +40,11 @@
     if !is_sent && let Some(to) = balance::reply_if_sent(cx, owner, job, &spec).await {
         return to;
     }
+    // If the shard was lost meanwhile, a job in the ledger may not be durable.
+    let is_lost = !owner.is_recovered();
+    if is_lost {
+        return SubmitReply::NotOwner;
+    }
     let is_known = owner.ledger.borrow().jobs.contains_key(&job);
     if !is_known && !owner.journal.accepts_work(cx.clock.now()) {
         return SubmitReply::Busy(STORE_UNAVAILABLE_RETRY);
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -2,7 +2,7 @@
 
 use super::{
     paused,
-    world::{StoreBehaviour, World, owned, spec, step, terms, until},
+    world::{StoreBehaviour, World, home, owned, owns, spec, step, terms, until},
 };
 use assert_matches::assert_matches;
 use lapisdrum::{
@@ -11,8 +11,9 @@
         Cx,
         edge::Queue,
         front::{self, Outcome},
-        job::JobId,
+        job::{JobId, JobSpec},
         layout::ShardId,
+        owner::jobs,
         peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
         process,
     },
@@ -239,3 +240,58 @@
         }
     });
 }
+
+/// A long-running job, which may be sent to another shard.
+fn long_running_spec() -> JobSpec {
+    let mut spec = spec("work");
+    spec.steps[0].is_long_running = true;
+    spec
+}
+
+/// Guards against a repeated submission that is reported as accepted although the owner lost the shard before the first
+/// one was durable, while the repeated one waited for the load of another shard.
+#[test]
+fn a_repeated_submission_is_not_accepted_by_an_owner_that_lost_the_shard_meanwhile() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_per_shard.set(2);
+        // Accepts connections and answers nothing, so that each call lasts until its time limit.
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let first = world.daemon("a");
+        let second = world.daemon_at("b", silent.local_addr().expect("an address"));
+        let shards = [ShardId(0), ShardId(1)];
+        until("each daemon owns a shard", LIMIT * 2, async || {
+            [&first, &second]
+                .iter()
+                .all(|cx| shards.iter().any(|shard| owns(cx, *shard)))
+        })
+        .await;
+        let shard = shards.into_iter().find(|shard| owns(&first, *shard));
+        let shard = shard.expect("a shard");
+        let id = (1..).find(|id| home(&first, *id) == shard).expect("an id");
+        let owner = first
+            .handle(shard)
+            .owner
+            .borrow()
+            .clone()
+            .expect("an owner");
+        let submit = || {
+            let (cx, owner) = (Rc::clone(&first), Rc::clone(&owner));
+            actix_rt::spawn(async move {
+                let spec = Rc::new(long_running_spec());
+                jobs::submit(&cx, &owner, JobId(id), spec, terms(), false).await
+            })
+        };
+        let original = submit();
+        sleep(Duration::from_millis(100)).await;
+        let repeated = submit();
+        world.set_store("a", StoreBehaviour::Unavailable);
+        until("the job is proposed", LIMIT, async || {
+            owner.ledger.borrow().jobs.contains_key(&JobId(id))
+        })
+        .await;
+        owner.mark_lost("another daemon has taken it over");
+        assert_eq!(original.await.expect("a reply"), SubmitReply::Unknown);
+        assert_eq!(repeated.await.expect("a reply"), SubmitReply::NotOwner);
+    });
+}
