Owners that come and go while the store loses answers pass on when leases have ended

What callers saw: an interrupted long-running task waits for over 7 s in calm with room for it (LOST).

Cause, by the lines of one story (owners d2, d0, d1, d2 within 4.6 s, the store executes and answers nothing; w0 crashed before the first change): d0 read d2's note of w0's leases. Its first row without a last sender was written, but the answer was lost, so it sent no lease, and as an owner without leases it wrote no note. d1 found a row that doesn't tell this and waited for a note of d0 that never came: `may_send_ms` 3305, then `LeaseEnd`, `Inherited`, 5.0 s to go. Besides, an owner whose loss of the runs isn't durable left their worker out of its note, since no run was left there.

Lateness of orders: no order was unanswered.

Change: an owner without leases writes a note too if no earlier owner sends leases any more, and names the last sender, for which it holds as well (`stopped_token`). A note lists silent workers whose runs were given up until that is durable. Older daemons ignore the new field.

Why it works: such a note says when leases of all owners up to its writer end, so it holds whether the next owner takes the writer or the last sender for the previous one. While an earlier owner may still send, the old note stays.

--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -32,8 +32,13 @@
     pub struct StopNote {
         /// The owner's fencing token.
         pub token: u64,
-        /// Workers with runs that do not answer the owner: time after the writing until which the
-        /// leases of this owner and earlier ones last, in milliseconds.
+        /// Fencing token of the last earlier owner that may have sent leases, if it is known to
+        /// send none any more. The next owner may not know that this owner came between.
+        #[serde(default)]
+        pub stopped_token: Option<u64>,
+        /// Workers that do not answer the owner and have runs, or had some when the owner gave these up without that
+        /// being durable: time after the writing until which the leases of this owner and earlier ones last, in
+        /// milliseconds.
         #[serde(default)]
         pub ends_in_ms: IndexMap<String, u64>,
     }
@@ -43,8 +48,10 @@
 /// release.
 pub async fn write_when_lost(cx: Cx, owner: Rc<Owner>) {
     owner.lost.notified().await;
-    // Without leases of this owner, the note of the last one that sent any stays.
-    if cx.is_draining() || !owner.may_have_sent_leases() {
+    // Without leases of this owner, the note of the last one that sent any stays, unless this
+    // owner's note holds for that one too.
+    let is_needed = owner.may_have_sent_leases() || owner.stopped_token(&cx).is_some();
+    if cx.is_draining() || !is_needed {
         return;
     }
     for _ in 0..ATTEMPTS {
@@ -108,7 +115,10 @@
     let note = rows
         .first()
         .and_then(|row| serde_json::from_slice::<StopNote>(&row.value).ok());
-    let note = note.filter(|note| note.token == owner.replaced_token);
+    let note = note.filter(|note| {
+        let replaced = owner.replaced_token;
+        note.token == replaced || note.stopped_token == Some(replaced)
+    });
     match note {
         Some(note) => {
             owner.accept_stop_note(cx, &note);
@@ -122,18 +132,36 @@
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
         let now = cx.clock.now();
-        let sessions = self.sessions.borrow();
-        let listed = sessions
-            .iter()
-            .filter(|(_, session)| session.is_silent() && !session.runs.is_empty());
+        let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
+        let listed = sessions.iter().filter(|(worker, session)| {
+            let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
+            session.is_silent() && has_runs
+        });
         let listed = listed.filter_map(|(worker, session)| {
             let ends_in_ms = session.bound.ends_in_ms(now, &cx.cfg.leases)?;
             Some((worker.clone(), ends_in_ms))
         });
-        let ends_in_ms: IndexMap<_, _> = listed.take(MAX_WORKERS).collect();
+        // The next owner finds their runs in the journal.
+        let forgotten = given_up
+            .iter()
+            .filter(|(worker, _)| !sessions.contains_key(*worker));
+        let forgotten =
+            forgotten.map(|(worker, ended_at)| (worker.clone(), millis(ended_at.since(now)) + 1));
+        let ends_in_ms: IndexMap<_, _> = listed.chain(forgotten).take(MAX_WORKERS).collect();
         let (token, workers) = (self.token(), ends_in_ms.len());
         log::info!(shard:% = self.handle.partition, token, workers; "end of leases is noted");
-        StopNote { token, ends_in_ms }
+        StopNote {
+            token,
+            stopped_token: self.stopped_token(cx),
+            ends_in_ms,
+        }
+    }
+
+    /// Fencing token of the last earlier owner that may have sent leases, if no earlier owner sends
+    /// any more.
+    fn stopped_token(&self, cx: &Cx) -> Option<u64> {
+        let have_stopped = self.earlier_owners.get().until() <= cx.clock.now();
+        (have_stopped && self.previous_owner.is_some()).then_some(self.replaced_token)
     }
 
     /// Lowers the bounds on earlier owners by the note of the previous one, which was read just now.
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -312,6 +312,7 @@
         let [first, second] = pair_with_a_long_task(&world).await;
         let on = world.starts.borrow()[0].2.clone();
         let note = StopNote {
+            stopped_token: None,
             token: first.owners()[0].token() - 1,
             ends_in_ms: IndexMap::from_iter([(on.clone(), 0)]),
         };
