A run whose end is not listed yet is not taken for stalled

What callers saw: nothing yet; a healthy worker with many ends counts as failing, so that new tasks avoid it for a while, and its tasks avoid it when they start again.

Cause: a run that waits for ends beyond a full list keeps the progress that it had when it was last listed. After 1.8 s, with the store away or slow, it was stopped as stalled, and each such stop counted as a failure of the worker.

Evidence: the lines of a take-over with 20,000 ends on a store of 400 ms (`lapisdrum-load ends`): `stop ordered` with "it makes no progress" for runs that had ended.

Change: a run that awaits ends is not judged by its progress.

Failed before: `a_run_whose_end_is_not_listed_yet_is_not_taken_for_stalled`, left (22, 22, Some(22)), right (22, 0, Some(0)): runs that wait, of which stopped, failures of the worker.

--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -122,6 +122,7 @@
         let is_judged =
             !record.is_long_running && record.cpu_limit_percent >= MIN_JUDGED_CPU_LIMIT_PERCENT;
         is_judged
+            && !record.awaits_ends
             && record.known.stop == Stop::No
             && unchanged_for.is_some_and(|duration| duration >= STALLED_AFTER)
     });
--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -82,6 +82,42 @@
     });
 }
 
+/// Guards against runs that are stopped as stalled, and a worker that counts as failing, while it has not listed their
+/// ends yet.
+#[test]
+fn a_run_whose_end_is_not_listed_yet_is_not_taken_for_stalled() {
+    paused(async {
+        let world = World::new(1);
+        world.max_listed_ends.set(2);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        let submitted = world.submit(&cx, 1, vec![small_step(24, 2_500)]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        sleep(Duration::from_secs(2)).await;
+        world.set_store("a", StoreBehaviour::Unavailable);
+        sleep(Duration::from_secs(3)).await;
+        let owner = cx.handle(ShardId(0)).owner.borrow().clone();
+        let owner = owner.expect("the owner");
+        let awaiting = owner
+            .runs
+            .borrow()
+            .values()
+            .filter(|r| r.awaits_ends)
+            .count();
+        let stopped = owner
+            .runs
+            .borrow()
+            .values()
+            .filter(|r| r.known.stop != Stop::No)
+            .count();
+        let failures = owner.session("w0", |session| session.failures.0);
+        assert_eq!((awaiting, stopped, failures), (22, 0, Some(0)));
+        world.set_store("a", StoreBehaviour::Up);
+        completed(&world, &cx, 1).await;
+        world.check();
+    });
+}
+
 /// Guards against tasks that are started again although a worker that was restarted under its id has carried out their
 /// start orders, which were meant for the incarnation before, and lists their ends later.
 #[test]
