Experiment: a take-over with more ends on a worker than it lists at once

Question: does the time until the last end is acknowledged grow linearly with the ends, what does new work wait for meanwhile, and is any task started again?

`lapisdrum-load ends` runs two daemons against the stand-ins of the users' store and worker, kills the owner while all tasks end, and times the next owner's polls. The worker's stand-in can complete all its tasks and tells its token and acknowledgements.

--- a/crates/lapisdrum-load/src/args.rs
+++ b/crates/lapisdrum-load/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line: the experiments, and the processes that they start.
 
-use crate::{capacity, catalogue, ledger, policy, recovery, requests, takeover};
+use crate::{capacity, catalogue, ends, ledger, policy, recovery, requests, takeover};
 use clap::{Parser, Subcommand};
 use eyre::{Result, eyre};
 use std::path::PathBuf;
@@ -32,6 +32,8 @@
     Ledger(ledger::LedgerArgs),
     /// Measure the time from the kill of a shard's owner to the next task start.
     Takeover(takeover::TakeoverArgs),
+    /// Measure a take-over with more ended tasks on a worker than it lists at once.
+    Ends(ends::EndsArgs),
     /// Measure the time to recover a ledger by its length.
     Recovery(recovery::RecoveryArgs),
     /// Measure the latency that the daemon adds to a request, over loopback.
@@ -52,6 +54,7 @@
         Command::Capacity(args) => capacity::run(args).await,
         Command::Ledger(args) => ledger::run(args).await,
         Command::Takeover(args) => takeover::run(args).await,
+        Command::Ends(args) => ends::run(args).await,
         Command::Recovery(args) => recovery::run(args).await,
         Command::Requests(args) => requests::run(args).await,
         Command::Catalogue(args) => catalogue::run(args).await,
--- a/crates/lapisdrum-load/src/lib.rs
+++ b/crates/lapisdrum-load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod args;
 pub mod capacity;
 pub mod catalogue;
+pub mod ends;
 pub mod entries;
 pub mod ledger;
 pub mod measure;
--- a/crates/lapisdrum-load/src/site.rs
+++ b/crates/lapisdrum-load/src/site.rs
@@ -1,5 +1,6 @@
 //! Processes of an experiment: a platform, workers and daemons, killed when their handle is dropped.
 
+use actix_http::{Method, StatusCode, header};
 use eyre::{Result, WrapErr as _, bail, ensure, eyre};
 use lapisdrum::{api::client::DaemonClient, store::wire::HostWire};
 use lapisdrum_standins::{
@@ -8,11 +9,12 @@
     worker::server::WorkerSwitches,
 };
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::Value;
 use std::{
     env, fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
 };
@@ -80,8 +82,7 @@
         );
         let config = env::temp_dir().join(name);
         fs::write(&config, plan.settings())?;
-        let path = config.display().to_string();
-        let process = Process::start(&["daemon", "--config", &path], Stdio::null())?;
+        let process = Self::process(&config, Stdio::null())?;
         Ok(Self {
             process,
             plan,
@@ -89,6 +90,12 @@
         })
     }
 
+    /// Starts a daemon process with a settings file; its log goes to `log`.
+    pub fn process(config: &Path, log: Stdio) -> Result<Process> {
+        let path = config.display().to_string();
+        Process::start(&["daemon", "--config", &path], log)
+    }
+
     /// A new client of the daemon's address for callers.
     pub fn client(&self) -> DaemonClient {
         DaemonClient::new(&self.plan.callers.to_string(), CALL_TIMEOUT)
@@ -270,6 +277,24 @@
     awc::Client::builder().timeout(CALL_TIMEOUT).finish()
 }
 
+/// Sends a request, with a host name and a JSON body if there is one, and returns the status of the response.
+pub async fn status(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Option<(&str, &Value)>,
+) -> Result<StatusCode> {
+    let mut req = client().request(method, format!("http://{address}{path}"));
+    if let Some((host, _)) = body {
+        req = req.insert_header((header::HOST, host));
+    }
+    let sent = match body {
+        Some((_, body)) => req.send_json(body).await,
+        None => req.send().await,
+    };
+    Ok(sent.map_err(|e| eyre!("{e}"))?.status())
+}
+
 /// Sends a JSON value to a stand-in; fails unless the answer has a success status.
 pub async fn put(address: SocketAddr, path: &str, value: &impl Serialize) -> Result<()> {
     let sent = client()
--- a/crates/lapisdrum-standins/src/users/worker.rs
+++ b/crates/lapisdrum-standins/src/users/worker.rs
@@ -58,6 +58,7 @@
     /// Ended runs not yet acknowledged: sequence number, task, run number and outcome.
     ended: RefCell<Vec<(u64, String, u64, &'static str)>>,
     next_end_number: Cell<u64>,
+    acked_upto: Cell<u64>,
     /// By task, the last run that ended or was stopped before it started; starts up to it are refused.
     last_ended_run: RefCell<IndexMap<String, u64>>,
     /// Starts that were carried out, in order: task and run number.
@@ -77,6 +78,7 @@
             running: RefCell::default(),
             ended: RefCell::default(),
             next_end_number: Cell::new(1),
+            acked_upto: Cell::new(0),
             last_ended_run: RefCell::default(),
             started: RefCell::default(),
         })
@@ -106,6 +108,25 @@
         self.running.borrow().len()
     }
 
+    /// Completes all running tasks.
+    pub fn complete_all(&self) {
+        let now = Instant::now();
+        for running in self.running.borrow_mut().iter_mut() {
+            running.finishes_at = Some(now);
+        }
+        self.end_due_runs();
+    }
+
+    /// Greatest fencing token seen.
+    pub fn token(&self) -> u64 {
+        self.token.get()
+    }
+
+    /// Greatest number up to which ends were acknowledged.
+    pub fn acked_upto(&self) -> u64 {
+        self.acked_upto.get()
+    }
+
     fn clock_ms(&self) -> u64 {
         self.created_at.elapsed().as_millis() as u64 + 1_000
     }
@@ -210,6 +231,7 @@
             self.lease(until);
         }
         let acked = body["ackedUpto"].as_u64().unwrap_or_default();
+        self.acked_upto.set(acked.max(self.acked_upto.get()));
         self.ended
             .borrow_mut()
             .retain(|(number, ..)| *number > acked);
