--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -85,7 +85,8 @@
     pub earlier_owners: Cell<EarlierOwners>,
     /// Workers that did not answer the previous owner, and when the leases there have ended.
     silent_before: RefCell<IndexMap<String, Millis>>,
-    /// Workers with runs that were given up while that is not durable yet, and when the leases there ended.
+    /// Workers with runs that were given up while that is not durable yet, and when the leases
+    /// there ended.
     given_up: RefCell<IndexMap<String, Millis>>,
     /// Whether a lease row is known to be written by which this owner may send leases; see
     /// [`LeaseRow::last_sender`](lease::LeaseRow::last_sender).
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -468,7 +468,8 @@
     }
 }
 
-/// Logs when a worker starts to have more ends than it may list, and when it lists all of them again.
+/// Logs when a worker starts to have more ends than it may list, and when it lists all of them
+/// again.
 fn note_cut_ends(
     owner: &Owner,
     worker: &str,
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -36,9 +36,9 @@
         /// send none any more. The next owner may not know that this owner came between.
         #[serde(default)]
         pub stopped_token: Option<u64>,
-        /// Workers that do not answer the owner and have runs, or had some when the owner gave these up without that
-        /// being durable: time after the writing until which the leases of this owner and earlier ones last, in
-        /// milliseconds.
+        /// Workers that do not answer the owner and have runs, or had some that the owner gave up
+        /// without that being durable: time after the writing until which the leases of this owner
+        /// and earlier ones last, in milliseconds.
         #[serde(default)]
         pub ends_in_ms: IndexMap<String, u64>,
     }
