--- a/crates/lapisdrum-load/src/ends.rs
+++ b/crates/lapisdrum-load/src/ends.rs
@@ -14,9 +14,9 @@
 use eyre::{Result, ensure, eyre};
 use lapisdrum_standins::{
     site::free_address,
-    users::{rows::RowStore, worker::UsersWorker},
+    users::{catalogue, rows::RowStore, worker::UsersWorker},
 };
-use serde_json::{Value, json};
+use serde_json::json;
 use std::{
     env,
     fs::{self, File},
@@ -105,7 +105,7 @@
     )
     .await?;
     let polled_at = Instant::now();
-    let transactions = site.transactions();
+    let transactions = site.store.transactions();
     let late = site.submit(1 - owner, LATE_JOB, 1);
     let started = async {
         late.await?;
@@ -124,7 +124,10 @@
             site.worker.acked_upto() >= ends as u64
         })
         .await?;
-        Ok::<_, eyre::Report>((polled_at.elapsed(), site.transactions() - transactions))
+        Ok::<_, eyre::Report>((
+            polled_at.elapsed(),
+            site.store.transactions() - transactions,
+        ))
     };
     let (started, acknowledged) = futures::future::try_join(started, acknowledged).await?;
     let again = site.worker.started.borrow().len() - ends - 1;
@@ -155,7 +158,7 @@
         entry["capacity"] = json!({ "cpu": tasks + 1, "memMb": tasks + 1, "gpu": 0 });
         actix_rt::spawn(Rc::clone(&worker).serve(listener, stopped));
         store.put("servers", "i-0", &entry);
-        store.put("op", "config", &config());
+        store.put("op", "config", &catalogue("maps", HOST, "/maps/"));
         let mut site = Self {
             store,
             worker,
@@ -240,15 +243,6 @@
         ensure!(tasks <= TASKS_PER_JOB, "too many tasks in a job");
         Ok(())
     }
-
-    fn transactions(&self) -> u64 {
-        self.store
-            .calls
-            .borrow()
-            .get("/rows-tx")
-            .copied()
-            .unwrap_or_default()
-    }
 }
 
 impl Drop for UsersSite {
@@ -258,15 +252,3 @@
         }
     }
 }
-
-fn config() -> Value {
-    json!({
-        "version": 1,
-        "routes": [{
-            "name": "maps", "host": HOST, "prefix": "/maps/", "service": "trail", "priority": 0,
-            "attempts": 2, "stretch": 2.0, "targetCompletionMs": 1000,
-        }],
-        "services": [{ "name": "trail" }],
-        "limits": { "maxBodyBytes": 262_144 },
-    })
-}
--- a/crates/lapisdrum-standins/src/users/mod.rs
+++ b/crates/lapisdrum-standins/src/users/mod.rs
@@ -4,3 +4,18 @@
 
 pub mod rows;
 pub mod worker;
+
+use serde_json::{Value, json};
+
+/// A catalogue with one queue, whose jobs run on the workers of this stand-in.
+pub fn catalogue(queue: &str, host: &str, prefix: &str) -> Value {
+    json!({
+        "version": 1,
+        "routes": [{
+            "name": queue, "host": host, "prefix": prefix, "service": "trail", "priority": 0,
+            "attempts": 2, "stretch": 2.0, "targetCompletionMs": 1000,
+        }],
+        "services": [{ "name": "trail" }],
+        "limits": { "maxBodyBytes": 262_144 },
+    })
+}
--- a/crates/lapisdrum-standins/src/users/rows.rs
+++ b/crates/lapisdrum-standins/src/users/rows.rs
@@ -115,6 +115,12 @@
         serde_json::from_slice(&raw).ok()
     }
 
+    /// Number of transactions so far, without those answered with 503.
+    pub fn transactions(&self) -> u64 {
+        let calls = self.calls.borrow();
+        calls.get("/rows-tx").copied().unwrap_or_default()
+    }
+
     fn answer(&self, read: Result<HttpRequest, BodyFault>) -> HttpResponse {
         let Ok(req) = read else {
             return HttpResponse::empty(StatusCode::BAD_REQUEST);
