--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -304,6 +304,39 @@
     });
 }
 
+/// Guards against leases that are waited for again because the next owner ignores the note of an owner without leases
+/// that came after the last sender.
+#[test]
+fn a_note_that_holds_for_the_previous_owner_too_is_accepted() {
+    paused(async {
+        let world = World::new(1);
+        let [first, second] = pair_with_a_long_task(&world).await;
+        sleep(LIMIT * 2).await;
+        let on = world.starts.borrow()[0].2.clone();
+        lose_the_worker(&world);
+        let lost_at = Instant::now();
+        sleep(Duration::from_secs(2)).await;
+        let owner = Rc::clone(&first.owners()[0]);
+        let note = StopNote {
+            token: owner.token() + 1,
+            stopped_token: Some(owner.token()),
+            ends_in_ms: IndexMap::from_iter([(on, 2_500)]),
+        };
+        let put = Txn {
+            put: vec![row_of(&owner, &note)],
+            ..Txn::default()
+        };
+        assert_matches!(first.store.commit(&put).await, TxnOutcome::Committed(_));
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        restarted(&world).await;
+        let took = lost_at.elapsed();
+        assert!(took < LEASE_ENDED + NOTE_READ, "{took:?}");
+        sleep(LIMIT).await;
+        world.check();
+    });
+}
+
 /// Guards against a note of another owner than the previous one, which still renews its leases, taken for its note.
 #[test]
 fn a_note_of_another_owner_is_ignored() {
