--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -85,6 +85,9 @@
     pub earlier_owners: Cell<EarlierOwners>,
     /// Workers that did not answer the previous owner, and when the leases there have ended.
     silent_before: RefCell<IndexMap<String, Millis>>,
+    /// Workers with runs that were given up while that is not durable yet, and when the leases
+    /// there ended.
+    given_up: RefCell<IndexMap<String, Millis>>,
     /// Whether a lease row is known to be written by which this owner may send leases; see
     /// [`LeaseRow::last_sender`](lease::LeaseRow::last_sender).
     may_have_sent_leases: Cell<bool>,
@@ -169,6 +172,7 @@
             replaced_token: last_sender.map_or(0, |(_, token)| token),
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
             silent_before: RefCell::default(),
+            given_up: RefCell::default(),
             may_have_sent_leases: Cell::new(is_first),
             is_releasing: Cell::new(false),
             lease_version: Cell::new(lease_version),
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -36,8 +36,9 @@
         /// send none any more. The next owner may not know that this owner came between.
         #[serde(default)]
         pub stopped_token: Option<u64>,
-        /// Workers with runs that do not answer the owner: time after the writing until which the
-        /// leases of this owner and earlier ones last, in milliseconds.
+        /// Workers that do not answer the owner and have runs, or had some that the owner gave up
+        /// without that being durable: time after the writing until which the leases of this owner
+        /// and earlier ones last, in milliseconds.
         #[serde(default)]
         pub ends_in_ms: IndexMap<String, u64>,
     }
@@ -131,15 +132,22 @@
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
         let now = cx.clock.now();
-        let sessions = self.sessions.borrow();
-        let listed = sessions
-            .iter()
-            .filter(|(_, session)| session.is_silent() && !session.runs.is_empty());
+        let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
+        let listed = sessions.iter().filter(|(worker, session)| {
+            let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
+            session.is_silent() && has_runs
+        });
         let listed = listed.filter_map(|(worker, session)| {
             let ends_in_ms = session.bound.ends_in_ms(now, &cx.cfg.leases)?;
             Some((worker.clone(), ends_in_ms))
         });
-        let ends_in_ms: IndexMap<_, _> = listed.take(MAX_WORKERS).collect();
+        // The next owner finds their runs in the journal.
+        let forgotten = given_up
+            .iter()
+            .filter(|(worker, _)| !sessions.contains_key(*worker));
+        let forgotten =
+            forgotten.map(|(worker, ended_at)| (worker.clone(), millis(ended_at.since(now)) + 1));
+        let ends_in_ms: IndexMap<_, _> = listed.chain(forgotten).take(MAX_WORKERS).collect();
         let (token, workers) = (self.token(), ends_in_ms.len());
         log::info!(shard:% = self.handle.partition, token, workers; "end of leases is noted");
         StopNote {
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -7,11 +7,13 @@
     runs,
 };
 use crate::{
-    core::time::millis,
+    core::time::{Millis, millis},
+    daemon::supervisor,
     sched::{
         Cx,
         event::{Event, Loss, RunId},
         job::JobId,
+        journal::AppendOutcome,
         ledger::{Phase, SentJob},
         resolution::{Order, Stop},
     },
@@ -60,9 +62,37 @@
     let lapsed: Vec<RunId> = runs.into_iter().filter(is_lapsed).collect();
     drop(sessions);
     log_ended_leases(cx, owner, &lapsed);
+    let workers: IndexMap<String, Millis> = lapsed
+        .iter()
+        .map(|run| {
+            let worker = owner.runs.borrow()[run].on.worker.clone();
+            let (_, ended_at) = owner.sessions.borrow()[&worker]
+                .bound
+                .latest_end(&cx.cfg.leases);
+            (worker, ended_at)
+        })
+        .collect();
     for run in lapsed {
         owner.note_lost(cx, run, Loss::Lapsed);
     }
+    note_given_up(owner, workers);
+}
+
+/// Records the workers with runs that were just given up until that is durable.
+fn note_given_up(owner: &Rc<Owner>, workers: IndexMap<String, Millis>) {
+    if workers.is_empty() {
+        return;
+    }
+    owner.given_up.borrow_mut().extend(workers.clone());
+    // An empty append is durable once everything before it is.
+    let ticket = owner.journal.append(&[]);
+    let owner = Rc::clone(owner);
+    supervisor::spawn("given-up", async move {
+        if ticket.outcome().await == AppendOutcome::Durable {
+            let mut given_up = owner.given_up.borrow_mut();
+            given_up.retain(|worker, ended_at| workers.get(worker) != Some(ended_at));
+        }
+    });
 }
 
 /// Logs for each worker which leases ended last, and how long the worker was unresponsive.
--- a/tests/testsuite/sched/outages.rs
+++ b/tests/testsuite/sched/outages.rs
@@ -579,3 +579,49 @@
         paused(run_story(story.clone()));
     }
 }
+
+/// Guards against an owner that waits again for leases of a worker whose runs the previous owner had given up, with that not
+/// yet journaled, when the store lost its answers.
+#[test]
+fn a_new_owner_does_not_wait_again_for_runs_that_were_given_up() {
+    let tasks = |count, cores, short_ms| Tasks {
+        count,
+        cores,
+        short_ms,
+        max_per_worker: None,
+        needs_label: false,
+        has_latency_target: false,
+    };
+    let story = Story {
+        jobs: vec![
+            tasks(3, 2, Some(4_306)),
+            tasks(3, 3, None),
+            tasks(1, 3, None),
+            tasks(3, 3, None),
+            Tasks {
+                max_per_worker: Some(1),
+                ..tasks(2, 2, None)
+            },
+            Tasks {
+                has_latency_target: true,
+                ..tasks(1, 1, None)
+            },
+        ],
+        faults: vec![
+            (32, Fault::Store(1, StoreBehaviour::LosesAnswers)),
+            (2_451, Fault::Unlist(2)),
+            (1_912, Fault::Release(2)),
+            (1_265, Fault::Crash(2)),
+            (1_011, Fault::Unhealthy(4)),
+            (680, Fault::StoreForAll(StoreBehaviour::LosesAnswers)),
+            (2_272, Fault::Cut(4)),
+            (623, Fault::Store(1, StoreBehaviour::Unavailable)),
+            (31, Fault::Unlist(4)),
+            (1_640, Fault::Crash(1)),
+        ],
+    };
+    // Which daemons own the shard is random.
+    for _ in 0..TAKEOVER_ORDERS {
+        paused(run_story(story.clone()));
+    }
+}
