--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -71,7 +71,7 @@
     /// Runs whose end may be among those that their worker has not listed yet.
     pub runs_awaiting_ends: Gauge,
     /// Workers that answer and may have more ends than they list.
-    pub workers_with_cut_ends: Gauge,
+    pub workers_with_truncated_ends: Gauge,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
     long_running_overdue: Family<WaitLabel, Gauge>,
@@ -100,7 +100,7 @@
             runs_live: Gauge::default(),
             runs_in_evacuated: Gauge::default(),
             runs_awaiting_ends: Gauge::default(),
-            workers_with_cut_ends: Gauge::default(),
+            workers_with_truncated_ends: Gauge::default(),
             long_running_outages: Counter::default(),
             long_running_overdue: Family::default(),
             submits: Family::default(),
@@ -163,11 +163,11 @@
             "Runs whose end may be among those that their worker has not listed yet",
             awaiting,
         );
-        let cut = self.workers_with_cut_ends.clone();
+        let truncated = self.workers_with_truncated_ends.clone();
         r.register(
-            "workers_with_cut_ends",
+            "workers_with_truncated_ends",
             "Workers that may have more ends than they list",
-            cut,
+            truncated,
         );
         let outages = self.long_running_outages.clone();
         r.register(
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -93,7 +93,7 @@
             .flatten();
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
-        let lists_all_ends = session.ends_cut_since.is_none();
+        let lists_all_ends = session.ends_truncated_since.is_none();
         (is_claimed && lists_all_ends, lease, is_shared)
     });
     let Some((may_wait, lease_until, is_shared)) = planned else {
@@ -259,7 +259,7 @@
             };
             session.acked_upto = 0;
             session.appended_upto = 0;
-            session.ends_cut_since = None;
+            session.ends_truncated_since = None;
             session.response_clock = WorkerMillis::default();
             session.clock = None;
             session.leased_at = None;
@@ -459,7 +459,7 @@
             RunVerdict::Lost(why) => owner.note_lost(cx, run, why),
         }
     }
-    note_cut_ends(owner, worker, incarnation, response, awaiting, now);
+    note_truncated_ends(owner, worker, incarnation, response, awaiting, now);
     for run in listed.keys() {
         let is_ours = |record: &RunRecord| record.on.worker == worker;
         if !owner.runs.borrow().get(run).is_some_and(is_ours) {
@@ -470,7 +470,7 @@
 
 /// Logs when a worker starts to have more ends than it may list, and when it lists all of them
 /// again.
-fn note_cut_ends(
+fn note_truncated_ends(
     owner: &Owner,
     worker: &str,
     incarnation: &Incarnation,
@@ -478,13 +478,16 @@
     awaiting: usize,
     now: Millis,
 ) {
-    let cut_since = owner.session(worker, |session| {
-        let since = session.ends_cut_since.unwrap_or(now);
-        let is_cut = !response.lists_all_ends;
-        std::mem::replace(&mut session.ends_cut_since, is_cut.then_some(since))
+    let truncated_since = owner.session(worker, |session| {
+        let since = session.ends_truncated_since.unwrap_or(now);
+        let is_truncated = !response.lists_all_ends;
+        std::mem::replace(
+            &mut session.ends_truncated_since,
+            is_truncated.then_some(since),
+        )
     });
     let (born, running) = (incarnation.started_unix_ms, response.running.len());
-    match (cut_since.flatten(), response.lists_all_ends) {
+    match (truncated_since.flatten(), response.lists_all_ends) {
         (None, false) => {
             log::info!(worker, born, ends = response.ended.len(), running, awaiting; "worker may have more ends than it lists");
         }
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -111,7 +111,7 @@
     /// Notified whenever ends become durable.
     pub acked: Rc<Notify>,
     /// Since when it may have more ends than it lists; none while it lists all.
-    pub ends_cut_since: Option<Millis>,
+    pub ends_truncated_since: Option<Millis>,
     /// Bounds the time until which runs may be alive on it.
     pub bound: LeaseBound,
     /// When the last lease that it accepted was sent.
@@ -149,7 +149,7 @@
             acked_upto: 0,
             appended_upto: 0,
             acked: Rc::default(),
-            ends_cut_since: None,
+            ends_truncated_since: None,
             bound,
             leased_at: None,
             unresponsive_since: None,
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -195,8 +195,8 @@
         .runs_awaiting_ends
         .set(sum(Owner::runs_awaiting_ends));
     cx.metrics
-        .workers_with_cut_ends
-        .set(sum(Owner::workers_with_cut_ends));
+        .workers_with_truncated_ends
+        .set(sum(Owner::workers_with_truncated_ends));
     let mut overdue: IndexMap<WaitsFor, i64> = IndexMap::new();
     for owner in &owners {
         for (waits_for, tasks) in owner.outages.borrow().overdue(cx.clock.now()) {
@@ -214,10 +214,12 @@
     }
 
     /// Number of workers that answer and may have more ends than they list.
-    fn workers_with_cut_ends(&self) -> usize {
+    fn workers_with_truncated_ends(&self) -> usize {
         let sessions = self.sessions.borrow();
         let answering = sessions.values().filter(|session| !session.is_silent());
-        answering.filter(|s| s.ends_cut_since.is_some()).count()
+        answering
+            .filter(|s| s.ends_truncated_since.is_some())
+            .count()
     }
 
     /// Number of runs in evacuated data centres, as of the last round.
--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -170,13 +170,13 @@
         sleep(Duration::from_millis(500)).await;
         world.set_store("a", StoreBehaviour::Unavailable);
         sleep(Duration::from_millis(1_500)).await;
-        assert!(shows("workers_with_cut_ends", 1));
+        assert!(shows("workers_with_truncated_ends", 1));
         assert!(shows("runs_awaiting_ends", 22));
         world.set_store("a", StoreBehaviour::Up);
         completed(&world, &cx, 1).await;
         // Less than a long poll takes.
         sleep(Duration::from_millis(500)).await;
-        assert!(shows("workers_with_cut_ends", 0));
+        assert!(shows("workers_with_truncated_ends", 0));
         assert!(shows("runs_awaiting_ends", 0));
     });
 }
