--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -8,6 +8,7 @@
 use lapisdrum::{
     core::{size::Size, time::Millis},
     sched::{
+        Cx,
         event::{Loss, RunId},
         job::{JobId, RunNumber, Step, TaskId},
         layout::ShardId,
@@ -32,7 +33,18 @@
     }
 }
 
-async fn completed(world: &Rc<World>, cx: &lapisdrum::sched::Cx, job: u64) {
+/// A job of 24 tasks with this run time on a worker that lists two ends at once, and its owner.
+async fn small_tasks(run_ms: u64) -> (Rc<World>, Cx) {
+    let world = World::new(1);
+    world.max_listed_ends.set(2);
+    let cx = world.daemon("a");
+    owned(&cx, LIMIT).await;
+    let submitted = world.submit(&cx, 1, vec![small_step(24, run_ms)]).await;
+    assert_matches!(submitted, SubmitReply::Accepted);
+    (world, cx)
+}
+
+async fn completed(world: &Rc<World>, cx: &Cx, job: u64) {
     until("the job is completed", LIMIT * 4, async || {
         world.state(cx, job).await == Some(JobState::Completed)
     })
@@ -65,12 +77,7 @@
 #[test]
 fn a_store_outage_starts_no_task_whose_end_is_listed_later() {
     paused(async {
-        let world = World::new(1);
-        world.max_listed_ends.set(2);
-        let cx = world.daemon("a");
-        owned(&cx, LIMIT).await;
-        let submitted = world.submit(&cx, 1, vec![small_step(24, 1_000)]).await;
-        assert_matches!(submitted, SubmitReply::Accepted);
+        let (world, cx) = small_tasks(1_000).await;
         until("the tasks run", LIMIT, async || world.running().len() == 24).await;
         sleep(Duration::from_millis(500)).await;
         world.set_store("a", StoreBehaviour::Unavailable);
@@ -87,12 +94,7 @@
 #[test]
 fn a_run_whose_end_is_not_listed_yet_is_not_taken_for_stalled() {
     paused(async {
-        let world = World::new(1);
-        world.max_listed_ends.set(2);
-        let cx = world.daemon("a");
-        owned(&cx, LIMIT).await;
-        let submitted = world.submit(&cx, 1, vec![small_step(24, 2_500)]).await;
-        assert_matches!(submitted, SubmitReply::Accepted);
+        let (world, cx) = small_tasks(2_500).await;
         sleep(Duration::from_secs(2)).await;
         world.set_store("a", StoreBehaviour::Unavailable);
         sleep(Duration::from_secs(3)).await;
@@ -156,12 +158,7 @@
 #[test]
 fn ends_that_are_not_listed_yet_are_shown_by_gauges() {
     paused(async {
-        let world = World::new(1);
-        world.max_listed_ends.set(2);
-        let cx = world.daemon("a");
-        owned(&cx, LIMIT).await;
-        let submitted = world.submit(&cx, 1, vec![small_step(24, 1_000)]).await;
-        assert_matches!(submitted, SubmitReply::Accepted);
+        let (world, cx) = small_tasks(1_000).await;
         until("the tasks run", LIMIT, async || world.running().len() == 24).await;
         let shows = |name: &str, value: u32| {
             let line = format!("lapisdrum_sched_{name} {value}\n");
