Test: the simulated world records when a run ended, not when that was noticed

Cause, from its lines: the world, not the scheduler. A task on a worker that is cut off ended at 1.5 s of its run; the worker's lease ended 4.4 s later; nobody called any worker for 5 s, so the world noticed both a second after that, and recorded the end of the lease as the end of the run. The rule leaves out ends between which and their acknowledgement the lease lapsed, so the start was allowed. The owner had waited for the lease (`Lapsed`).

Change: an end carries the time at which the run was done, was stopped or lost its lease. No check changes; the ends that the checks see are earlier or the same.

--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -862,12 +862,15 @@
         if lease_until <= now {
             self.lapsed_at = Some(lease_until);
         }
-        let due: Vec<(RunId, RunEnd)> = self
+        let due: Vec<(RunId, RunEnd, Instant)> = self
             .running
             .iter()
-            .filter_map(|(run, r)| Some((*run, r.end_at(now, lease_until)?)))
+            .filter_map(|(run, r)| {
+                let how = r.end_at(now, lease_until)?;
+                Some((*run, how, r.ended_at(how, lease_until)))
+            })
             .collect();
-        for (run, how) in due {
+        for (run, how, ended_at) in due {
             self.running.swap_remove(&run);
             self.last_ended.insert(run.task, run.run);
             if how == RunEnd::Done {
@@ -880,7 +883,7 @@
                 checkpoint: self.checkpoint.clone(),
             });
             let at = self.next_end;
-            self.ended_at.insert(at, now.min(lease_until));
+            self.ended_at.insert(at, ended_at);
             self.next_end += 1;
         }
         done
@@ -921,6 +924,15 @@
         (elapsed.as_secs_f64() / total.as_secs_f64() * 100.0) as u32
     }
 
+    /// When the run ended, which may be noticed later.
+    fn ended_at(&self, how: RunEnd, lease_until: Instant) -> Instant {
+        match how {
+            RunEnd::Done | RunEnd::Failed => self.done_at,
+            RunEnd::Stopped => self.stop_at.unwrap_or(lease_until),
+            RunEnd::Lapsed | RunEnd::GangBroken | RunEnd::GangIncomplete => lease_until,
+        }
+    }
+
     fn end_at(&self, now: Instant, lease_until: Instant) -> Option<RunEnd> {
         if self.done_at <= now.min(lease_until) {
             return Some(if self.fails {
