--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -13,26 +13,22 @@
 //! [`resolution`](super::resolution) interprets the replies. Events change the owner's state when
 //! they are appended; their external effects (a reply to a caller, an order to a worker) wait for
 //! the [`Ticket`].
-//!
-//! The pointer to the latest snapshot only moves forward: its write expects the version of the
-//! pointer that was read before, so a write that takes effect late cannot follow a later one. With
-//! the fence as the only condition, it would move the pointer back behind rows that are deleted,
-//! and the shard could not be recovered. Rows and objects are deleted only once the pointer is
-//! known to have left them behind. A late deletion then does no harm: the numbers of rows and the
-//! names of objects are never used again.
+
+mod snapshots;
 
 use super::{
     Cx,
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
     event::Event,
     ledger::Ledger,
-    resolution::{PointerVerdict, WriteVerdict, is_piggyback_stale, judge_pointer, judge_write},
+    resolution::{WriteVerdict, is_piggyback_stale, judge_write},
 };
 use crate::{core::time::Millis, util::backoff::Backoff};
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use futures::FutureExt;
 use serde::{Deserialize, Serialize};
+use snapshots::Snapshot;
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
 use tokio::sync::{Notify, oneshot};
 
@@ -40,7 +36,6 @@
 pub const JOURNAL_TABLE: &str = "journal";
 /// Store table of the pointers to the latest snapshots.
 pub const SNAPSHOT_TABLE: &str = "snapshots";
-const SNAPSHOT_KEY: &str = "latest";
 /// Minimum time between the starts of two transactions; see the module documentation.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum size of a row's events; the store takes rows of 64 KiB. A larger event is divided over
@@ -72,8 +67,6 @@
 /// Rows after which a snapshot is stored even if the store is slow: reading more would delay the
 /// next owner longer.
 const MAX_ROWS_SINCE_SNAPSHOT: u64 = 4 * SNAPSHOT_INTERVAL_ROWS;
-/// Maximum rows deleted per transaction; the store takes 100 entries.
-const MAX_DELETES_PER_TXN: usize = 95;
 
 /// First line of a row.
 #[derive(Serialize, Deserialize)]
@@ -85,19 +78,6 @@
     continues: bool,
 }
 
-data! {
-    /// Location of a snapshot.
-    struct SnapshotPointer {
-        /// Number of the last row that the snapshot covers.
-        row: u64,
-        /// Name of the object in the store.
-        object: String,
-    }
-}
-
-/// The pointer row as read: the pointer and the version of the row.
-type ReadPointer = (SnapshotPointer, u64);
-
 /// Outcome of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -161,12 +141,6 @@
     rows: Vec<Bytes>,
 }
 
-/// Serialised state, with the number of the last row that it covers.
-struct Snapshot {
-    row: u64,
-    state: Bytes,
-}
-
 #[derive(Default)]
 struct Inner {
     pending: VecDeque<PendingAppend>,
@@ -324,22 +298,6 @@
         Ok(ledger)
     }
 
-    /// Reads the newest snapshot and the number of the last row that it covers.
-    async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
-        match self.read_pointer(cx).await? {
-            Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
-            None => Ok((Ledger::default(), 0)),
-        }
-    }
-
-    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<ReadPointer>> {
-        let rows = cx.store.rows(SNAPSHOT_TABLE, &self.partition, SNAPSHOT_KEY);
-        let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
-        let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
-        let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
-        pointer.wrap_err("the snapshot pointer is malformed")
-    }
-
     /// Writes appended events and snapshots until the shard is lost. `state` returns the serialised
     /// state after all events that were appended so far.
     pub async fn write_all(&self, cx: &Cx, state: impl Fn() -> Vec<u8>) {
@@ -496,101 +454,6 @@
         self.snapshot_work.notify_one();
     }
 
-    /// Stores planned snapshots until the shard is lost.
-    async fn store_snapshots(&self, cx: &Cx) {
-        while !self.inner.borrow().is_lost {
-            let planned = self.inner.borrow_mut().snapshot.take();
-            let Some(snapshot) = planned else {
-                self.snapshot_work.notified().await;
-                continue;
-            };
-            self.store_snapshot(cx, snapshot.row, snapshot.state).await;
-            self.inner.borrow_mut().is_storing_snapshot = false;
-        }
-    }
-
-    /// Stores the state as of row `number` and deletes the rows that it covers. Failures are left
-    /// to the next snapshot; recovery skips covered rows that were not deleted.
-    async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
-        let before = match self.read_pointer(cx).await {
-            Ok(before) => before,
-            Err(e) => {
-                log::warn!(shard:% = self.partition, row = number, error:% = format!("{e:#}"); "snapshot failed");
-                return;
-            }
-        };
-        let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
-        let pointer = SnapshotPointer {
-            row: number,
-            object: format!("{}-{number}-{:x}", self.partition, self.fence.1),
-        };
-        let stored = cx.store.put_object(&pointer.object, state).await;
-        if let Err(e) = stored {
-            log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
-            return;
-        }
-        let verdict = self.write_pointer(cx, &pointer, version).await;
-        if verdict != PointerVerdict::Committed {
-            log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
-            return;
-        }
-        let first = {
-            let mut inner = self.inner.borrow_mut();
-            // Rows may have been written while the snapshot was stored.
-            inner.rows_since_snapshot = inner.last_row - number;
-            std::mem::replace(&mut inner.first_row, number + 1)
-        };
-        self.delete_rows(cx, first, number).await;
-        if let Some(before) = before {
-            // On failure, the old object only takes up space.
-            let _ = cx.store.delete_object(&before.object).await;
-        }
-        log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
-    }
-
-    /// Replaces the pointer row of this version, 0 for none, and resolves the outcome.
-    async fn write_pointer(
-        &self,
-        cx: &Cx,
-        pointer: &SnapshotPointer,
-        version: u64,
-    ) -> PointerVerdict {
-        let key = self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY);
-        let value = Bytes::from(serde_json::to_vec(pointer).unwrap_or_default());
-        let txn = Txn {
-            expect: vec![self.fence.clone(), (key.clone(), version)],
-            put: vec![(key, value.clone())],
-            delete: Vec::new(),
-        };
-        let is_own = |found: &[Row]| {
-            let mut pointers = found.iter().filter(|row| row.table == SNAPSHOT_TABLE);
-            pointers.any(|row| row.value == value)
-        };
-        let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
-        loop {
-            let outcome = cx.store.commit(&txn).await;
-            let verdict = judge_pointer(&outcome, is_own);
-            if verdict != PointerVerdict::SendAgain || self.inner.borrow().is_lost {
-                return verdict;
-            }
-            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
-        }
-    }
-
-    async fn delete_rows(&self, cx: &Cx, first: u64, last: u64) {
-        let numbers: Vec<u64> = (first..=last).collect();
-        for some in numbers.chunks(MAX_DELETES_PER_TXN) {
-            let delete = some.iter().map(|n| self.key(JOURNAL_TABLE, &row_key(*n)));
-            let txn = Txn {
-                expect: vec![self.fence.clone()],
-                put: Vec::new(),
-                delete: delete.collect(),
-            };
-            let outcome = cx.store.commit(&txn).await;
-            log::debug!(first, last, end:? = outcome; "covered rows deleted");
-        }
-    }
-
     fn key(&self, table: &'static str, key: &str) -> RowKey {
         RowKey {
             table,
@@ -656,12 +519,6 @@
     Ok(())
 }
 
-async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
-    let bytes = cx.store.get_object(object).await?;
-    let bytes = bytes.ok_or_else(|| eyre::eyre!("snapshot {object} is missing"))?;
-    serde_json::from_slice(&bytes).wrap_err("the snapshot is malformed")
-}
-
 fn line_of(event: &Event) -> Vec<u8> {
     let mut line = vec![b'\n'];
     serde_json::to_writer(&mut line, event)
--- /dev/null
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -0,0 +1,166 @@
+//! Stores snapshots of a shard's state, and deletes the rows and objects that they make obsolete.
+//!
+//! Load pattern: one snapshot in 400 rows, each an object of up to some MB beside a few transactions.
+//! Snapshots are stored beside the rows, which do not wait for them.
+//!
+//! The pointer to the latest snapshot only moves forward: its write expects the version of the
+//! pointer that was read before, so a write that takes effect late cannot follow a later one. With
+//! the fence as the only condition, it would move the pointer back behind rows that are deleted,
+//! and the shard could not be recovered. Rows and objects are deleted only once the pointer is
+//! known to have left them behind. A late deletion then does no harm: the numbers of rows and the
+//! names of objects are never used again.
+
+use super::{JOURNAL_TABLE, Journal, RETRY_DELAYS, SNAPSHOT_TABLE, row_key};
+use crate::{
+    sched::{
+        Cx,
+        edge::{Row, Txn},
+        ledger::Ledger,
+        resolution::{PointerVerdict, judge_pointer},
+    },
+    util::backoff::Backoff,
+};
+use bytes::Bytes;
+use eyre::WrapErr as _;
+
+const SNAPSHOT_KEY: &str = "latest";
+/// Maximum rows deleted per transaction; the store takes 100 entries.
+const MAX_DELETES_PER_TXN: usize = 95;
+
+data! {
+    /// Location of a snapshot.
+    struct SnapshotPointer {
+        /// Number of the last row that the snapshot covers.
+        row: u64,
+        /// Name of the object in the store.
+        object: String,
+    }
+}
+
+/// The pointer row as read: the pointer and the version of the row.
+type ReadPointer = (SnapshotPointer, u64);
+
+/// Serialised state, with the number of the last row that it covers.
+pub(super) struct Snapshot {
+    pub(super) row: u64,
+    pub(super) state: Bytes,
+}
+
+impl Journal {
+    /// Reads the newest snapshot and the number of the last row that it covers.
+    pub(super) async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
+        match self.read_pointer(cx).await? {
+            Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
+            None => Ok((Ledger::default(), 0)),
+        }
+    }
+
+    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<ReadPointer>> {
+        let rows = cx.store.rows(SNAPSHOT_TABLE, &self.partition, SNAPSHOT_KEY);
+        let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
+        let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
+        let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
+        pointer.wrap_err("the snapshot pointer is malformed")
+    }
+
+    /// Stores planned snapshots until the shard is lost.
+    pub(super) async fn store_snapshots(&self, cx: &Cx) {
+        while !self.inner.borrow().is_lost {
+            let planned = self.inner.borrow_mut().snapshot.take();
+            let Some(snapshot) = planned else {
+                self.snapshot_work.notified().await;
+                continue;
+            };
+            self.store_snapshot(cx, snapshot.row, snapshot.state).await;
+            self.inner.borrow_mut().is_storing_snapshot = false;
+        }
+    }
+
+    /// Stores the state as of row `number` and deletes the rows that it covers. Failures are left
+    /// to the next snapshot; recovery skips covered rows that were not deleted.
+    async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
+        let before = match self.read_pointer(cx).await {
+            Ok(before) => before,
+            Err(e) => {
+                log::warn!(shard:% = self.partition, row = number, error:% = format!("{e:#}"); "snapshot failed");
+                return;
+            }
+        };
+        let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
+        let pointer = SnapshotPointer {
+            row: number,
+            object: format!("{}-{number}-{:x}", self.partition, self.fence.1),
+        };
+        let stored = cx.store.put_object(&pointer.object, state).await;
+        if let Err(e) = stored {
+            log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
+            return;
+        }
+        let verdict = self.write_pointer(cx, &pointer, version).await;
+        if verdict != PointerVerdict::Committed {
+            log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
+            return;
+        }
+        let first = {
+            let mut inner = self.inner.borrow_mut();
+            // Rows may have been written while the snapshot was stored.
+            inner.rows_since_snapshot = inner.last_row - number;
+            std::mem::replace(&mut inner.first_row, number + 1)
+        };
+        self.delete_rows(cx, first, number).await;
+        if let Some(before) = before {
+            // On failure, the old object only takes up space.
+            let _ = cx.store.delete_object(&before.object).await;
+        }
+        log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
+    }
+
+    /// Replaces the pointer row of this version, 0 for none, and resolves the outcome.
+    async fn write_pointer(
+        &self,
+        cx: &Cx,
+        pointer: &SnapshotPointer,
+        version: u64,
+    ) -> PointerVerdict {
+        let key = self.key(SNAPSHOT_TABLE, SNAPSHOT_KEY);
+        let value = Bytes::from(serde_json::to_vec(pointer).unwrap_or_default());
+        let txn = Txn {
+            expect: vec![self.fence.clone(), (key.clone(), version)],
+            put: vec![(key, value.clone())],
+            delete: Vec::new(),
+        };
+        let is_own = |found: &[Row]| {
+            let mut pointers = found.iter().filter(|row| row.table == SNAPSHOT_TABLE);
+            pointers.any(|row| row.value == value)
+        };
+        let mut backoff = Backoff::new(RETRY_DELAYS.0, RETRY_DELAYS.1);
+        loop {
+            let outcome = cx.store.commit(&txn).await;
+            let verdict = judge_pointer(&outcome, is_own);
+            if verdict != PointerVerdict::SendAgain || self.inner.borrow().is_lost {
+                return verdict;
+            }
+            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
+        }
+    }
+
+    async fn delete_rows(&self, cx: &Cx, first: u64, last: u64) {
+        let numbers: Vec<u64> = (first..=last).collect();
+        for some in numbers.chunks(MAX_DELETES_PER_TXN) {
+            let delete = some.iter().map(|n| self.key(JOURNAL_TABLE, &row_key(*n)));
+            let txn = Txn {
+                expect: vec![self.fence.clone()],
+                put: Vec::new(),
+                delete: delete.collect(),
+            };
+            let outcome = cx.store.commit(&txn).await;
+            log::debug!(first, last, end:? = outcome; "covered rows deleted");
+        }
+    }
+}
+
+async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
+    let bytes = cx.store.get_object(object).await?;
+    let bytes = bytes.ok_or_else(|| eyre::eyre!("snapshot {object} is missing"))?;
+    serde_json::from_slice(&bytes).wrap_err("the snapshot is malformed")
+}
