--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -28,7 +28,7 @@
 use eyre::WrapErr as _;
 use futures::FutureExt;
 use serde::{Deserialize, Serialize};
-use snapshots::Snapshot;
+use snapshots::{Obsolete, Snapshot};
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
 use tokio::sync::{Notify, oneshot};
 
@@ -153,7 +153,9 @@
     piggyback: Option<(Piggyback, oneshot::Sender<PiggybackReply>)>,
     is_lost: bool,
     last_row: u64,
-    first_row: u64,
+    /// Number of the last row that the latest snapshot covers.
+    covered_upto: u64,
+    obsolete: Obsolete,
     rows_since_snapshot: u64,
 }
 
@@ -272,6 +274,7 @@
         let (mut ledger, covered) = snapshot?;
         let rows = rows.wrap_err("failed to read the journal")?;
         let mut last = covered;
+        let mut left = VecDeque::new();
         let mut body = Vec::new();
         for row in &rows {
             let number = row
@@ -280,6 +283,7 @@
                 .wrap_err("a journal row key is not a number")?;
             // Rows that the snapshot covers may not be deleted yet.
             if number <= covered {
+                left.push_back(number);
                 continue;
             }
             eyre::ensure!(number == last + 1, "journal row {} is missing", last + 1);
@@ -293,7 +297,8 @@
         replay(&mut ledger, &body, last)?;
         let mut inner = self.inner.borrow_mut();
         inner.last_row = last;
-        inner.first_row = covered + 1;
+        inner.covered_upto = covered;
+        inner.obsolete = Obsolete::left_by_earlier_owners(left, cx.clock.now());
         inner.rows_since_snapshot = last - covered;
         Ok(ledger)
     }
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -9,12 +9,16 @@
 //! and the shard could not be recovered. Rows and objects are deleted only once the pointer is
 //! known to have left them behind. A late deletion then does no harm: the numbers of rows and the
 //! names of objects are never used again.
+//!
+//! A deletion without a confirmation is tried again until it has one: nothing in the store expires,
+//! and each recovery reads the rows that are left. An owner also deletes what earlier ones left.
 
 use super::{JOURNAL_TABLE, Journal, RETRY_DELAYS, SNAPSHOT_TABLE, row_key};
 use crate::{
+    core::time::Millis,
     sched::{
         Cx,
-        edge::{Row, Txn},
+        edge::{Row, Txn, TxnOutcome},
         ledger::Ledger,
         resolution::{PointerVerdict, judge_pointer},
     },
@@ -22,10 +26,16 @@
 };
 use bytes::Bytes;
 use eyre::WrapErr as _;
+use std::{collections::VecDeque, future::pending, time::Duration};
 
 const SNAPSHOT_KEY: &str = "latest";
 /// Maximum rows deleted per transaction; the store takes 100 entries.
 const MAX_DELETES_PER_TXN: usize = 95;
+/// First and longest delay before a deletion without a confirmation is tried again.
+const DELETION_RETRIES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+/// Delay before an owner deletes what earlier ones left: calls of those may take effect seconds
+/// after they were sent, and a take-over comes first.
+const DELAY_AFTER_TAKEOVER: Duration = Duration::from_secs(10);
 
 data! {
     /// Location of a snapshot.
@@ -46,6 +56,38 @@
     pub(super) state: Bytes,
 }
 
+/// What snapshots made obsolete and is not known to be deleted.
+pub(super) struct Obsolete {
+    /// Numbers of covered rows, ascending.
+    rows: VecDeque<u64>,
+    /// When the next attempt to delete them is due; none if it waits for the next snapshot.
+    due_at: Option<Millis>,
+    backoff: Backoff,
+}
+
+impl Default for Obsolete {
+    fn default() -> Self {
+        let (first, cap) = DELETION_RETRIES;
+        Self {
+            rows: VecDeque::new(),
+            due_at: None,
+            backoff: Backoff::new(first, cap),
+        }
+    }
+}
+
+impl Obsolete {
+    /// What earlier owners left, by the rows that were read at `now`.
+    pub(super) fn left_by_earlier_owners(rows: VecDeque<u64>, now: Millis) -> Self {
+        let due_at = (!rows.is_empty()).then_some(now + DELAY_AFTER_TAKEOVER);
+        Self {
+            rows,
+            due_at,
+            ..Self::default()
+        }
+    }
+}
+
 impl Journal {
     /// Reads the newest snapshot and the number of the last row that it covers.
     pub(super) async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
@@ -63,21 +105,32 @@
         pointer.wrap_err("the snapshot pointer is malformed")
     }
 
-    /// Stores planned snapshots until the shard is lost.
+    /// Stores planned snapshots and deletes what they make obsolete, until the shard is lost.
     pub(super) async fn store_snapshots(&self, cx: &Cx) {
         while !self.inner.borrow().is_lost {
             let planned = self.inner.borrow_mut().snapshot.take();
-            let Some(snapshot) = planned else {
-                self.snapshot_work.notified().await;
+            if let Some(snapshot) = planned {
+                self.store_snapshot(cx, snapshot.row, snapshot.state).await;
+                self.inner.borrow_mut().is_storing_snapshot = false;
                 continue;
-            };
-            self.store_snapshot(cx, snapshot.row, snapshot.state).await;
-            self.inner.borrow_mut().is_storing_snapshot = false;
+            }
+            tokio::select! {
+                () = self.snapshot_work.notified() => {}
+                () = self.until_deletion_is_due(cx) => self.delete_obsolete(cx).await,
+            }
         }
     }
 
-    /// Stores the state as of row `number` and deletes the rows that it covers. Failures are left
-    /// to the next snapshot; recovery skips covered rows that were not deleted.
+    async fn until_deletion_is_due(&self, cx: &Cx) {
+        let due_at = self.inner.borrow().obsolete.due_at;
+        match due_at {
+            Some(due_at) => tokio::time::sleep(due_at.since(cx.clock.now())).await,
+            None => pending().await,
+        }
+    }
+
+    /// Stores the state as of row `number` and deletes the rows that it covers. A snapshot that
+    /// fails is left to the next one; recovery skips covered rows that are not deleted.
     async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
         let before = match self.read_pointer(cx).await {
             Ok(before) => before,
@@ -101,13 +154,8 @@
             log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
             return;
         }
-        let first = {
-            let mut inner = self.inner.borrow_mut();
-            // Rows may have been written while the snapshot was stored.
-            inner.rows_since_snapshot = inner.last_row - number;
-            std::mem::replace(&mut inner.first_row, number + 1)
-        };
-        self.delete_rows(cx, first, number).await;
+        self.note_covered(number);
+        self.delete_obsolete(cx).await;
         if let Some(before) = before {
             // On failure, the old object only takes up space.
             let _ = cx.store.delete_object(&before.object).await;
@@ -144,17 +192,52 @@
         }
     }
 
-    async fn delete_rows(&self, cx: &Cx, first: u64, last: u64) {
-        let numbers: Vec<u64> = (first..=last).collect();
-        for some in numbers.chunks(MAX_DELETES_PER_TXN) {
+    /// Records that the pointer names a snapshot that covers the rows up to `number`.
+    fn note_covered(&self, number: u64) {
+        let mut inner = self.inner.borrow_mut();
+        // Rows may have been written while the snapshot was stored.
+        inner.rows_since_snapshot = inner.last_row - number;
+        let first = std::mem::replace(&mut inner.covered_upto, number) + 1;
+        inner.obsolete.rows.extend(first..=number);
+    }
+
+    /// Deletes what is obsolete, and plans another attempt if a deletion is not confirmed.
+    async fn delete_obsolete(&self, cx: &Cx) {
+        self.inner.borrow_mut().obsolete.due_at = None;
+        let failed = self.delete_rows(cx).await.err();
+        let mut inner = self.inner.borrow_mut();
+        let Some(outcome) = failed else {
+            inner.obsolete.backoff.reset();
+            return;
+        };
+        let rows = inner.obsolete.rows.len();
+        let retry_in = inner.obsolete.backoff.next_wait(&mut rand::rng());
+        inner.obsolete.due_at = Some(cx.clock.now() + retry_in);
+        log::warn!(shard:% = self.partition, rows, outcome:?, retry_in:?; "deletion of covered rows is not confirmed");
+    }
+
+    /// Deletes covered rows up to the first transaction that is not confirmed, and returns that
+    /// transaction's outcome. An attempt that takes effect late does no harm, nor does a repetition.
+    async fn delete_rows(&self, cx: &Cx) -> Result<(), TxnOutcome> {
+        loop {
+            let some: Vec<u64> = {
+                let rows = &self.inner.borrow().obsolete.rows;
+                rows.iter().take(MAX_DELETES_PER_TXN).copied().collect()
+            };
+            if some.is_empty() {
+                return Ok(());
+            }
             let delete = some.iter().map(|n| self.key(JOURNAL_TABLE, &row_key(*n)));
             let txn = Txn {
                 expect: vec![self.fence.clone()],
                 put: Vec::new(),
                 delete: delete.collect(),
             };
-            let outcome = cx.store.commit(&txn).await;
-            log::debug!(first, last, end:? = outcome; "covered rows deleted");
+            match cx.store.commit(&txn).await {
+                TxnOutcome::Committed(_) => {}
+                outcome => return Err(outcome),
+            }
+            self.inner.borrow_mut().obsolete.rows.drain(..some.len());
         }
     }
 }
--- a/tests/testsuite/sched/snapshots.rs
+++ b/tests/testsuite/sched/snapshots.rs
@@ -22,6 +22,8 @@
 const SNAPSHOT_ROWS: u64 = 400;
 /// Within the time in which a pointer without an answer is sent again.
 const SOON: Duration = Duration::from_secs(2);
+/// Time within which what a snapshot makes obsolete is deleted, once the store answers again.
+const COLLECTED_WITHIN: Duration = Duration::from_secs(60);
 /// After the next snapshot.
 const MUCH_LATER: Duration = Duration::from_secs(10);
 const FATES: [CommitFate; 6] = [
@@ -176,3 +178,40 @@
         assert_eq!(writer.check().await, Ok(()));
     });
 }
+
+/// Guards against covered rows that stay in the store, and are read by each recovery, because the call that deletes them
+/// got no answer.
+#[test]
+fn rows_whose_deletion_gets_no_answer_are_deleted_later() {
+    for fate in [CommitFate::Lost, CommitFate::AnswerLost] {
+        paused(async {
+            let world = World::new(0);
+            let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+            world.script_commits(CommitKind::Deletes(JOURNAL_TABLE), vec![fate; 3]);
+            writer.write_rows(SNAPSHOT_ROWS + 30).await;
+            sleep(COLLECTED_WITHIN).await;
+            assert_eq!(world.row_count(JOURNAL_TABLE), 30);
+            assert_eq!(writer.check().await, Ok(()));
+        });
+    }
+}
+
+/// Guards against covered rows that no later owner deletes because the one that stored the snapshot ended before.
+#[test]
+fn rows_that_an_earlier_owner_left_are_deleted() {
+    paused(async {
+        let world = World::new(0);
+        let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+        let deletions = vec![CommitFate::Lost; 100];
+        world.script_commits(CommitKind::Deletes(JOURNAL_TABLE), deletions);
+        writer.write_rows(SNAPSHOT_ROWS + 30).await;
+        sleep(SOON).await;
+        assert_eq!(world.row_count(JOURNAL_TABLE), SNAPSHOT_ROWS as usize + 30);
+        writer.journal.stop();
+        world.script_commits(CommitKind::Deletes(JOURNAL_TABLE), []);
+        let next = Writer::take_over(&world, "b").await.expect("a shard");
+        sleep(COLLECTED_WITHIN).await;
+        assert_eq!(world.row_count(JOURNAL_TABLE), 30);
+        assert_eq!(next.check().await, Ok(()));
+    });
+}
