--- a/crates/lapisdrum-standins/src/users/rows.rs
+++ b/crates/lapisdrum-standins/src/users/rows.rs
@@ -19,6 +19,8 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Default maximum number of rows in a response to a read.
 const MAX_PAGE_ROWS: usize = 500;
+/// Default maximum number of names in a list of objects.
+const MAX_PAGE_NAMES: usize = 1_000;
 
 #[derive(Clone, Debug)]
 struct RowValue {
@@ -38,6 +40,8 @@
     pub is_down: Cell<bool>,
     /// Maximum number of rows in a response to a read.
     pub max_page_rows: Cell<usize>,
+    /// Maximum number of names in a list of objects.
+    pub max_page_names: Cell<usize>,
     /// Time until a transaction is answered.
     pub txn_time: Cell<Duration>,
     /// Number of calls by path, without those answered with 503.
@@ -53,6 +57,7 @@
             started_at: Instant::now(),
             is_down: Cell::new(false),
             max_page_rows: Cell::new(MAX_PAGE_ROWS),
+            max_page_names: Cell::new(MAX_PAGE_NAMES),
             txn_time: Cell::default(),
             calls: RefCell::default(),
         }
@@ -145,6 +150,7 @@
                     None => HttpResponse::empty(StatusCode::NOT_FOUND),
                 }
             }
+            (&Method::GET, "/blob-list") => self.list(&req),
             (&Method::DELETE, _) if object("/blob-drop/").is_some() => {
                 let name = object("/blob-drop/").unwrap_or_default();
                 self.objects.borrow_mut().swap_remove(&name);
@@ -208,6 +214,22 @@
         HttpResponse::json(StatusCode::OK, &answer)
     }
 
+    fn list(&self, req: &HttpRequest) -> HttpResponse {
+        let (prefix, after) = (req.query("prefix"), req.query("after"));
+        let (prefix, after) = (prefix.unwrap_or_default(), after.unwrap_or_default());
+        let objects = self.objects.borrow();
+        let mut names: Vec<&String> = objects
+            .keys()
+            .filter(|name| name.starts_with(prefix) && name.as_str() > after)
+            .collect();
+        names.sort();
+        let limit = self.max_page_names.get();
+        let has_more = names.len() > limit;
+        names.truncate(limit);
+        let answer = json!({ "names": names, "hasMore": has_more });
+        HttpResponse::json(StatusCode::OK, &answer)
+    }
+
     fn get(&self, req: &HttpRequest) -> HttpResponse {
         let query = |name: &str| req.query(name).unwrap_or_default().to_owned();
         let (table, part, from) = (query("table"), query("part"), query("from"));
--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -122,7 +122,12 @@
         &'a self,
         name: &'a str,
     ) -> LocalBoxFuture<'a, Result<Option<Bytes>, CallError>>;
-    /// Deletes an object.
+    /// Returns the names of all objects that begin with `prefix`.
+    fn list_objects<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<String>, CallError>>;
+    /// Deletes an object; succeeds too if it does not exist.
     fn delete_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<(), CallError>>;
 }
 
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -14,7 +14,7 @@
 //! they are appended; their external effects (a reply to a caller, an order to a worker) wait for
 //! the [`Ticket`].
 
-mod snapshots;
+pub mod snapshots;
 
 use super::{
     Cx,
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -11,7 +11,9 @@
 //! names of objects are never used again.
 //!
 //! A deletion without a confirmation is tried again until it has one: nothing in the store expires,
-//! and each recovery reads the rows that are left. An owner also deletes what earlier ones left.
+//! and each recovery reads the rows that are left. An owner also deletes what earlier ones left. An
+//! object's name holds the fencing token of the owner that stored it. Deletions of objects have no
+//! condition, so an owner that has been replaced spares objects with a greater token than its own.
 
 use super::{JOURNAL_TABLE, Journal, RETRY_DELAYS, SNAPSHOT_TABLE, row_key};
 use crate::{
@@ -33,9 +35,11 @@
 const MAX_DELETES_PER_TXN: usize = 95;
 /// First and longest delay before a deletion without a confirmation is tried again.
 const DELETION_RETRIES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
-/// Delay before an owner deletes what earlier ones left: calls of those may take effect seconds
-/// after they were sent, and a take-over comes first.
-const DELAY_AFTER_TAKEOVER: Duration = Duration::from_secs(10);
+/// Delay before objects are listed that no pointer names: calls without an answer may take effect
+/// seconds after they were sent.
+const LATE_CALL_TIME: Duration = Duration::from_secs(10);
+/// Maximum objects deleted in one attempt, so that the next snapshot does not wait for thousands.
+const MAX_DELETED_OBJECTS: usize = 40;
 
 data! {
     /// Location of a snapshot.
@@ -60,30 +64,46 @@
 pub(super) struct Obsolete {
     /// Numbers of covered rows, ascending.
     rows: VecDeque<u64>,
-    /// When the next attempt to delete them is due; none if it waits for the next snapshot.
-    due_at: Option<Millis>,
+    /// When the next attempt to delete the rows is due; none if it waits for the next snapshot.
+    rows_due_at: Option<Millis>,
+    /// When objects that no pointer names are to be listed and deleted; none if there are none.
+    objects_due_at: Option<Millis>,
     backoff: Backoff,
 }
 
-impl Default for Obsolete {
-    fn default() -> Self {
-        let (first, cap) = DELETION_RETRIES;
+impl Obsolete {
+    /// What earlier owners left, with these rows, as read at `now`.
+    pub(super) fn left_by_earlier_owners(rows: VecDeque<u64>, now: Millis) -> Self {
+        let due_at = Some(now + LATE_CALL_TIME);
         Self {
-            rows: VecDeque::new(),
-            due_at: None,
-            backoff: Backoff::new(first, cap),
+            rows_due_at: due_at.filter(|_| !rows.is_empty()),
+            rows,
+            objects_due_at: due_at,
+            ..Self::default()
         }
     }
+
+    /// Records at `now` that there may be objects that no pointer names.
+    fn note_objects(&mut self, now: Millis) {
+        self.objects_due_at = Some(now + LATE_CALL_TIME);
+    }
+
+    fn due_at(&self) -> Option<Millis> {
+        [self.rows_due_at, self.objects_due_at]
+            .into_iter()
+            .flatten()
+            .min()
+    }
 }
 
-impl Obsolete {
-    /// What earlier owners left, by the rows that were read at `now`.
-    pub(super) fn left_by_earlier_owners(rows: VecDeque<u64>, now: Millis) -> Self {
-        let due_at = (!rows.is_empty()).then_some(now + DELAY_AFTER_TAKEOVER);
+impl Default for Obsolete {
+    fn default() -> Self {
+        let (first, cap) = DELETION_RETRIES;
         Self {
-            rows,
-            due_at,
-            ..Self::default()
+            rows: VecDeque::new(),
+            rows_due_at: None,
+            objects_due_at: None,
+            backoff: Backoff::new(first, cap),
         }
     }
 }
@@ -122,7 +142,7 @@
     }
 
     async fn until_deletion_is_due(&self, cx: &Cx) {
-        let due_at = self.inner.borrow().obsolete.due_at;
+        let due_at = self.inner.borrow().obsolete.due_at();
         match due_at {
             Some(due_at) => tokio::time::sleep(due_at.since(cx.clock.now())).await,
             None => pending().await,
@@ -142,10 +162,12 @@
         let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
         let pointer = SnapshotPointer {
             row: number,
-            object: format!("{}-{number}-{:x}", self.partition, self.fence.1),
+            object: format!("{}{number}-{:x}", prefix_of(&self.partition), self.fence.1),
         };
         let stored = cx.store.put_object(&pointer.object, state).await;
         if let Err(e) = stored {
+            let now = cx.clock.now();
+            self.inner.borrow_mut().obsolete.note_objects(now);
             log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
             return;
         }
@@ -157,8 +179,7 @@
         self.note_covered(number);
         self.delete_obsolete(cx).await;
         if let Some(before) = before {
-            // On failure, the old object only takes up space.
-            let _ = cx.store.delete_object(&before.object).await;
+            self.delete_replaced(cx, &before.object).await;
         }
         log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
     }
@@ -201,24 +222,41 @@
         inner.obsolete.rows.extend(first..=number);
     }
 
-    /// Deletes what is obsolete, and plans another attempt if a deletion is not confirmed.
+    /// Deletes the object that the pointer named before; on failure it is found in the list later.
+    async fn delete_replaced(&self, cx: &Cx, object: &str) {
+        if let Err(e) = cx.store.delete_object(object).await {
+            log::warn!(shard:% = self.partition, object, error:% = e; "deletion of a replaced snapshot is not confirmed");
+            let now = cx.clock.now();
+            self.inner.borrow_mut().obsolete.note_objects(now);
+        }
+    }
+
+    /// Deletes what is obsolete, and plans another attempt if something is left.
     async fn delete_obsolete(&self, cx: &Cx) {
-        self.inner.borrow_mut().obsolete.due_at = None;
-        let failed = self.delete_rows(cx).await.err();
+        let rows_left = self.delete_rows(cx).await.err();
+        let objects_left = self.delete_unnamed_objects(cx).await.err();
         let mut inner = self.inner.borrow_mut();
-        let Some(outcome) = failed else {
-            inner.obsolete.backoff.reset();
+        let obsolete = &mut inner.obsolete;
+        obsolete.rows_due_at = None;
+        if rows_left.is_none() && objects_left.is_none() {
+            obsolete.backoff.reset();
             return;
-        };
-        let rows = inner.obsolete.rows.len();
-        let retry_in = inner.obsolete.backoff.next_wait(&mut rand::rng());
-        inner.obsolete.due_at = Some(cx.clock.now() + retry_in);
-        log::warn!(shard:% = self.partition, rows, outcome:?, retry_in:?; "deletion of covered rows is not confirmed");
+        }
+        let retry_in = obsolete.backoff.next_wait(&mut rand::rng());
+        let retry_at = Some(cx.clock.now() + retry_in);
+        obsolete.rows_due_at = retry_at.filter(|_| rows_left.is_some());
+        if objects_left.is_some() {
+            obsolete.objects_due_at = retry_at;
+        }
+        let rows = obsolete.rows.len();
+        for e in rows_left.into_iter().chain(objects_left) {
+            log::warn!(shard:% = self.partition, rows, error:% = format!("{e:#}"), retry_in:?; "obsolete rows or objects are left in the store");
+        }
     }
 
-    /// Deletes covered rows up to the first transaction that is not confirmed, and returns that
-    /// transaction's outcome. An attempt that takes effect late does no harm, nor does a repetition.
-    async fn delete_rows(&self, cx: &Cx) -> Result<(), TxnOutcome> {
+    /// Deletes covered rows up to the first transaction that is not confirmed. An attempt that takes
+    /// effect late does no harm, nor does a repetition.
+    async fn delete_rows(&self, cx: &Cx) -> eyre::Result<()> {
         loop {
             let some: Vec<u64> = {
                 let rows = &self.inner.borrow().obsolete.rows;
@@ -235,11 +273,60 @@
             };
             match cx.store.commit(&txn).await {
                 TxnOutcome::Committed(_) => {}
-                outcome => return Err(outcome),
+                outcome => eyre::bail!("the deletion of covered rows ended {outcome:?}"),
             }
             self.inner.borrow_mut().obsolete.rows.drain(..some.len());
         }
     }
+
+    /// Deletes the objects of the shard that no pointer names and none will. The pointer is read
+    /// under the fence, or names an object of a later owner, so it never moves to one of these.
+    async fn delete_unnamed_objects(&self, cx: &Cx) -> eyre::Result<()> {
+        let due_at = self.inner.borrow().obsolete.objects_due_at;
+        if due_at.is_none_or(|due_at| due_at > cx.clock.now()) {
+            return Ok(());
+        }
+        let pointer = self.read_pointer(cx).await?;
+        let named = pointer.as_ref().map(|(pointer, _)| pointer.object.as_str());
+        let names = cx.store.list_objects(&prefix_of(&self.partition)).await;
+        let names = names.wrap_err("failed to list snapshots")?;
+        let unnamed = unnamed_objects(&names, &self.partition, named, self.fence.1);
+        for name in unnamed.iter().take(MAX_DELETED_OBJECTS) {
+            let deleted = cx.store.delete_object(name).await;
+            deleted.wrap_err_with(|| format!("failed to delete snapshot {name}"))?;
+            log::info!(shard:% = self.partition, object = *name, named; "snapshot without a pointer deleted");
+        }
+        let left = unnamed.len().saturating_sub(MAX_DELETED_OBJECTS);
+        eyre::ensure!(left == 0, "{left} more are to be deleted");
+        self.inner.borrow_mut().obsolete.objects_due_at = None;
+        Ok(())
+    }
+}
+
+/// Prefix of the names of a shard's objects.
+fn prefix_of(partition: &str) -> String {
+    format!("{partition}-")
+}
+
+/// The objects of a shard that an owner with fencing token `token` may delete: those of its own and
+/// of earlier owners, but for the one that the pointer names.
+pub fn unnamed_objects<'a>(
+    names: &'a [String],
+    partition: &str,
+    named: Option<&str>,
+    token: u64,
+) -> Vec<&'a str> {
+    let prefix = prefix_of(partition);
+    let is_deletable = |name: &&str| {
+        let numbers = name.strip_prefix(&prefix).and_then(|n| n.split_once('-'));
+        let stored_by = numbers.and_then(|(row, token)| {
+            row.parse::<u64>().ok()?;
+            u64::from_str_radix(token, 16).ok()
+        });
+        Some(*name) != named && stored_by.is_some_and(|stored_by| stored_by <= token)
+    };
+    let names = names.iter().map(String::as_str);
+    names.filter(is_deletable).collect()
 }
 
 async fn read_object(cx: &Cx, object: &str) -> eyre::Result<Ledger> {
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -464,3 +464,29 @@
         );
     }
 }
+
+/// Guards against a list of objects whose later pages are left out, so that objects without a pointer are never deleted.
+#[actix_rt::test]
+async fn all_pages_of_object_names_are_read() {
+    let (_stop, stopped) = watch::channel(false);
+    let rows = Rc::new(RowStore::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(Rc::clone(&rows).serve(listener, stopped));
+    let store = TableStore::new(PlatformClient::new(), &address);
+    let names = ["shard-1-400-a", "shard-1-800-a", "shard-1-900-b"];
+    for name in names.iter().chain(&["shard-10-400-a"]) {
+        let stored = store.put_object(name, "state".into()).await;
+        assert_eq!(stored, Ok(()));
+    }
+    for page_names in [1_000, 3, 2, 1] {
+        rows.max_page_names.set(page_names);
+        let found = store.list_objects("shard-1-").await;
+        assert_eq!(found.expect("names"), names, "pages of {page_names}");
+    }
+    for _ in 0..2 {
+        assert_eq!(store.delete_object(names[0]).await, Ok(()));
+    }
+    let found = store.list_objects("shard-1-").await;
+    assert_eq!(found.expect("names"), names[1..]);
+}
--- a/tests/testsuite/sched/snapshots.rs
+++ b/tests/testsuite/sched/snapshots.rs
@@ -3,19 +3,19 @@
 
 use super::{
     paused,
-    world::{CommitFate, CommitKind, StoreBehaviour, World},
+    world::{CommitFate, CommitKind, ObjectCall, StoreBehaviour, World},
 };
 use lapisdrum::sched::{
     Cx,
     edge::{Txn, TxnOutcome},
     event::Event,
     job::JobId,
-    journal::{AppendOutcome, JOURNAL_TABLE, Journal, SNAPSHOT_TABLE},
+    journal::{AppendOutcome, JOURNAL_TABLE, Journal, SNAPSHOT_TABLE, snapshots::unnamed_objects},
     layout::ShardId,
     ledger::Ledger,
 };
 use std::{cell::RefCell, rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const PARTITION: &str = "shard-0";
 /// Rows until the first snapshot, as the journal stores them.
@@ -215,3 +215,97 @@
         assert_eq!(next.check().await, Ok(()));
     });
 }
+
+/// Guards against objects that stay in the store for good because the call that deletes them got no answer, or because
+/// the call that stores them was performed without one.
+#[test]
+fn objects_without_a_pointer_are_deleted() {
+    let cases = [
+        (ObjectCall::Delete, CommitFate::Lost),
+        (ObjectCall::Delete, CommitFate::AnswerLost),
+        (ObjectCall::Put, CommitFate::AnswerLost),
+        (ObjectCall::Put, CommitFate::Late(SOON)),
+    ];
+    for (call, fate) in cases {
+        paused(async {
+            let world = World::new(0);
+            let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+            writer.write_rows(SNAPSHOT_ROWS).await;
+            sleep(SOON).await;
+            world.script_objects(call, [fate]);
+            writer.write_rows(SNAPSHOT_ROWS * 2).await;
+            sleep(COLLECTED_WITHIN).await;
+            assert_eq!(world.objects("").len(), 1, "{call:?} {fate:?}");
+            assert_eq!(writer.check().await, Ok(()));
+        });
+    }
+}
+
+/// Guards against objects that an owner left when it ended: the one that its last pointer replaced, and one whose pointer
+/// was not written.
+#[test]
+fn objects_that_an_earlier_owner_left_are_deleted() {
+    paused(async {
+        let world = World::new(0);
+        let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+        world.script_objects(ObjectCall::Delete, vec![CommitFate::Lost; 100]);
+        writer.write_rows(SNAPSHOT_ROWS * 2).await;
+        sleep(SOON).await;
+        let lost_pointers = vec![CommitFate::Lost; 100];
+        world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), lost_pointers);
+        writer.write_rows(SNAPSHOT_ROWS).await;
+        sleep(SOON).await;
+        assert_eq!(world.objects("").len(), 3);
+        writer.journal.stop();
+        world.script_objects(ObjectCall::Delete, []);
+        world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), []);
+        let next = Writer::take_over(&world, "b").await.expect("a shard");
+        sleep(COLLECTED_WITHIN).await;
+        assert_eq!(world.objects("").len(), 1);
+        assert_eq!(next.check().await, Ok(()));
+    });
+}
+
+/// Guards against an owner that has been replaced without knowing it, and deletes the object that the next one stores at
+/// that moment.
+#[test]
+fn a_replaced_owner_spares_objects_of_the_next_one() {
+    for before_ms in 0..60 {
+        paused(async move {
+            let world = World::new(0);
+            let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+            world.script_objects(ObjectCall::Put, [CommitFate::Lost]);
+            writer.write_rows(SNAPSHOT_ROWS).await;
+            // The read of the pointer, the call without an answer, and the delay until objects are listed.
+            let listed_at = Instant::now() + Duration::from_millis(8 + 8 + 500 + 10_000);
+            let next = Writer::take_over(&world, "b").await.expect("a shard");
+            tokio::time::sleep_until(listed_at - Duration::from_millis(before_ms)).await;
+            next.write_rows(1).await;
+            sleep(SOON).await;
+            assert_eq!(world.objects("").len(), 1);
+            assert_eq!(next.check().await, Ok(()), "{before_ms} ms before");
+        });
+    }
+}
+
+/// Guards against the deletion of an object that an owner may still need, and of other shards' objects.
+#[test]
+fn only_unnamed_objects_of_this_and_earlier_owners_are_deleted() {
+    let names = [
+        "shard-1-400-a",
+        "shard-1-800-b",
+        "shard-1-900-b",
+        "shard-1-950-c",
+        "shard-10-400-a",
+        "shard-1-x",
+        "shard-1-400",
+    ];
+    let names: Vec<String> = names.map(str::to_owned).to_vec();
+    let deleted = |named, token| unnamed_objects(&names, "shard-1", named, token);
+    assert_eq!(
+        deleted(Some("shard-1-800-b"), 0xb),
+        ["shard-1-400-a", "shard-1-900-b"]
+    );
+    assert_eq!(deleted(Some("shard-1-950-c"), 0xa), ["shard-1-400-a"]);
+    assert_eq!(deleted(None, 0x9), [""; 0]);
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -83,7 +83,7 @@
     RefusesReads,
 }
 
-/// What happens to one commit, instead of what [`StoreBehaviour`] says.
+/// What happens to one commit or change of an object, instead of what [`StoreBehaviour`] says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CommitFate {
     /// It is executed and answered.
@@ -107,6 +107,15 @@
     Deletes(&'static str),
 }
 
+/// Changes of objects that [`World::script_objects`] matches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum ObjectCall {
+    /// An object is stored.
+    Put,
+    /// An object is deleted.
+    Delete,
+}
+
 /// How a worker responds to start orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkerBehaviour {
@@ -190,6 +199,8 @@
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
     /// What happens to the next commits of each kind.
     commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CommitFate>>>,
+    /// What happens to the next changes of objects.
+    object_fates: RefCell<IndexMap<ObjectCall, VecDeque<CommitFate>>>,
     /// Time that a transaction occupies its partition of a slow store, and additional latency of its answer.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
@@ -287,6 +298,7 @@
             rows: RefCell::default(),
             behaviours: RefCell::default(),
             commit_fates: RefCell::default(),
+            object_fates: RefCell::default(),
             slow_txn: Cell::new((SLOW_TXN_TIME, Duration::ZERO)),
             workers: RefCell::default(),
             evacuated: RefCell::default(),
@@ -468,6 +480,25 @@
         scripted.insert(kind, fates.into_iter().collect());
     }
 
+    /// Sets what happens to the next changes of objects; later ones are as [`StoreBehaviour`] says.
+    pub(crate) fn script_objects(
+        &self,
+        call: ObjectCall,
+        fates: impl IntoIterator<Item = CommitFate>,
+    ) {
+        let mut scripted = self.object_fates.borrow_mut();
+        scripted.insert(call, fates.into_iter().collect());
+    }
+
+    /// Names of the objects that begin with `prefix`, in order.
+    pub(crate) fn objects(&self, prefix: &str) -> Vec<String> {
+        let rows = self.rows.borrow();
+        let names = rows.objects.keys().filter(|name| name.starts_with(prefix));
+        let mut names: Vec<String> = names.cloned().collect();
+        names.sort();
+        names
+    }
+
     /// A world without workers whose store has a copy of the rows and objects of this one.
     pub(crate) fn copy_of_store(&self) -> Rc<Self> {
         let copy = Self::new(0);
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,8 +1,8 @@
 //! The simulated store: rows with one version counter, objects, and scripted faults for each daemon.
 
 use super::{
-    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, Rows,
-    SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer,
+    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, ObjectCall,
+    Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer,
     too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
@@ -10,7 +10,7 @@
     edge::{CallError, Row, RowKey, Store, Txn, TxnOutcome},
     lease::OWNERS_TABLE,
 };
-use std::rc::Rc;
+use std::{collections::VecDeque, rc::Rc};
 use tokio::time::{Instant, sleep};
 
 /// Client of the store for one daemon.
@@ -54,6 +54,45 @@
         }
     }
 
+    /// Stores an object, or deletes it if there is no body.
+    async fn change_object(
+        &self,
+        call: ObjectCall,
+        name: &str,
+        body: Option<bytes::Bytes>,
+    ) -> Result<(), CallError> {
+        if !self.reach().await {
+            return Err(no_answer());
+        }
+        let scripted = self
+            .world
+            .object_fates
+            .borrow_mut()
+            .get_mut(&call)
+            .and_then(VecDeque::pop_front);
+        let fate = scripted.unwrap_or(CommitFate::Answered);
+        if matches!(
+            fate,
+            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::AnswerLost
+        ) {
+            self.world.rows.borrow_mut().set_object(name, body.clone());
+        }
+        if let CommitFate::Late(after) | CommitFate::Repeated(after) = fate {
+            let (world, name) = (Rc::clone(&self.world), name.to_owned());
+            actix_rt::spawn(async move {
+                sleep(after).await;
+                world.rows.borrow_mut().set_object(&name, body);
+            });
+        }
+        match fate {
+            CommitFate::Answered | CommitFate::Repeated(_) => Ok(()),
+            CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
+                sleep(CALL_TIMEOUT).await;
+                Err(no_answer())
+            }
+        }
+    }
+
     /// Waits for the latency of a call other than a commit, or its timeout; returns whether the store is available.
     async fn reach(&self) -> bool {
         let is_available = self.is_available().await;
@@ -171,13 +210,19 @@
         name: &'a str,
         body: bytes::Bytes,
     ) -> LocalBoxFuture<'a, Result<(), CallError>> {
+        self.change_object(ObjectCall::Put, name, Some(body))
+            .boxed_local()
+    }
+
+    fn list_objects<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<String>, CallError>> {
         async move {
             if !self.reach().await {
                 return Err(no_answer());
             }
-            let mut rows = self.world.rows.borrow_mut();
-            rows.objects.insert(name.to_owned(), body);
-            Ok(())
+            Ok(self.world.objects(prefix))
         }
         .boxed_local()
     }
@@ -196,14 +241,8 @@
     }
 
     fn delete_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<(), CallError>> {
-        async move {
-            if !self.reach().await {
-                return Err(no_answer());
-            }
-            self.world.rows.borrow_mut().objects.swap_remove(name);
-            Ok(())
-        }
-        .boxed_local()
+        self.change_object(ObjectCall::Delete, name, None)
+            .boxed_local()
     }
 }
 
@@ -227,6 +266,13 @@
             .insert(partition_of(txn).to_owned(), done_at);
     }
 
+    fn set_object(&mut self, name: &str, body: Option<bytes::Bytes>) {
+        match body {
+            Some(body) => self.objects.insert(name.to_owned(), body),
+            None => self.objects.swap_remove(name),
+        };
+    }
+
     pub(super) fn commit(&mut self, txn: &Txn) -> TxnOutcome {
         let holds = txn
             .expect
