--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -28,7 +28,7 @@
 use eyre::WrapErr as _;
 use futures::FutureExt;
 use serde::{Deserialize, Serialize};
-use snapshots::{Obsolete, Snapshot};
+use snapshots::{Obsolete, Retry, Snapshot};
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
 use tokio::sync::{Notify, oneshot};
 
@@ -135,6 +135,17 @@
     NotTaken(Piggyback),
 }
 
+/// What a journal keeps in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JournalUsage {
+    /// Rows that no snapshot covers.
+    pub rows: u64,
+    /// Bytes of these rows.
+    pub bytes: u64,
+    /// Covered rows whose deletion is not confirmed.
+    pub obsolete_rows: u64,
+}
+
 /// Rows of one transaction, with the senders of the appends that complete with it.
 struct Batch {
     waiting: Vec<oneshot::Sender<AppendOutcome>>,
@@ -156,7 +167,10 @@
     /// Number of the last row that the latest snapshot covers.
     covered_upto: u64,
     obsolete: Obsolete,
+    retry: Retry,
     rows_since_snapshot: u64,
+    /// Bytes of the rows that no snapshot covers.
+    uncovered_bytes: u64,
 }
 
 /// A shard's journal, as written by one owner.
@@ -226,6 +240,16 @@
         self.inner.borrow_mut().last_duration = took;
     }
 
+    /// What the journal keeps in the store.
+    pub fn usage(&self) -> JournalUsage {
+        let inner = self.inner.borrow();
+        JournalUsage {
+            rows: inner.rows_since_snapshot,
+            bytes: inner.uncovered_bytes,
+            obsolete_rows: inner.obsolete.rows(),
+        }
+    }
+
     /// Whether rows are in flight or queued.
     pub fn is_busy(&self) -> bool {
         let inner = self.inner.borrow();
@@ -275,6 +299,7 @@
         let rows = rows.wrap_err("failed to read the journal")?;
         let mut last = covered;
         let mut left = VecDeque::new();
+        let mut bytes = 0;
         let mut body = Vec::new();
         for row in &rows {
             let number = row
@@ -288,6 +313,7 @@
             }
             eyre::ensure!(number == last + 1, "journal row {} is missing", last + 1);
             last = number;
+            bytes += row.value.len() as u64;
             let (continues, part) = body_of(row)?;
             if !continues {
                 replay(&mut ledger, &std::mem::take(&mut body), number - 1)?;
@@ -300,6 +326,7 @@
         inner.covered_upto = covered;
         inner.obsolete = Obsolete::left_by_earlier_owners(left, cx.clock.now());
         inner.rows_since_snapshot = last - covered;
+        inner.uncovered_bytes = bytes;
         Ok(ledger)
     }
 
@@ -326,7 +353,9 @@
             let took = cx.clock.now().since(started_at);
             cx.metrics.row_seconds.observe(took.as_secs_f64());
             let last = first + batch.rows.len() as u64 - 1;
-            let is_snapshot_due = self.note_written(last, took);
+            let bytes: usize = batch.rows.iter().map(Bytes::len).sum();
+            self.inner.borrow_mut().uncovered_bytes += bytes as u64;
+            let is_snapshot_due = self.note_written(last, started_at, took);
             for tx in batch.waiting {
                 // The receiver may have timed out and dropped its half.
                 let _ = tx.send(AppendOutcome::Durable);
@@ -368,9 +397,10 @@
         Some(batch)
     }
 
-    /// Records that the rows up to `last` are committed. Returns whether a snapshot is due, which
+    /// Records that the rows up to `last` are committed, by a transaction that was first sent at
+    /// `started_at`. Returns whether a snapshot is due, which
     /// requires that the state has no events beyond these rows.
-    fn note_written(&self, last: u64, took: Duration) -> bool {
+    fn note_written(&self, last: u64, started_at: Millis, took: Duration) -> bool {
         let mut inner = self.inner.borrow_mut();
         inner.in_flight_since = None;
         inner.last_duration = took;
@@ -379,7 +409,8 @@
         let rows = inner.rows_since_snapshot;
         let is_due =
             rows >= MAX_ROWS_SINCE_SNAPSHOT || (rows >= SNAPSHOT_INTERVAL_ROWS && took < FAST_TXN);
-        is_due && inner.pending.is_empty() && !inner.is_storing_snapshot
+        let is_allowed = is_due && inner.retry.is_due(started_at + took);
+        is_allowed && inner.pending.is_empty() && !inner.is_storing_snapshot
     }
 
     async fn write_batch(&self, cx: &Cx, first: u64, rows: &[Bytes]) -> WriteVerdict {
@@ -454,7 +485,8 @@
 
     fn plan_snapshot(&self, row: u64, state: Bytes) {
         let mut inner = self.inner.borrow_mut();
-        inner.snapshot = Some(Snapshot { row, state });
+        let bytes = inner.uncovered_bytes;
+        inner.snapshot = Some(Snapshot { row, bytes, state });
         inner.is_storing_snapshot = true;
         self.snapshot_work.notify_one();
     }
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -33,6 +33,9 @@
 const SNAPSHOT_KEY: &str = "latest";
 /// Maximum rows deleted per transaction; the store takes 100 entries.
 const MAX_DELETES_PER_TXN: usize = 95;
+/// First and longest delay before another snapshot is stored after one has failed. It is sent whole
+/// and takes bandwidth that all calls to the store share.
+const SNAPSHOT_RETRIES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 /// First and longest delay before a deletion without a confirmation is tried again.
 const DELETION_RETRIES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 /// Delay before objects are listed that no pointer names: calls without an answer may take effect
@@ -57,9 +60,44 @@
 /// Serialised state, with the number of the last row that it covers.
 pub(super) struct Snapshot {
     pub(super) row: u64,
+    /// Bytes of the rows that it covers and the one before does not.
+    pub(super) bytes: u64,
     pub(super) state: Bytes,
 }
 
+/// When the next snapshot may be stored, after some have failed.
+pub(super) struct Retry {
+    not_before: Option<Millis>,
+    backoff: Backoff,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        let (first, cap) = SNAPSHOT_RETRIES;
+        Self {
+            not_before: None,
+            backoff: Backoff::new(first, cap),
+        }
+    }
+}
+
+impl Retry {
+    pub(super) fn is_due(&self, now: Millis) -> bool {
+        self.not_before.is_none_or(|at| now >= at)
+    }
+
+    fn note_stored(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records a failure at `now`, and returns the time until the next attempt.
+    fn note_failed(&mut self, now: Millis) -> Duration {
+        let wait = self.backoff.next_wait(&mut rand::rng());
+        self.not_before = Some(now + wait);
+        wait
+    }
+}
+
 /// What snapshots made obsolete and is not known to be deleted.
 pub(super) struct Obsolete {
     /// Numbers of covered rows, ascending.
@@ -88,6 +126,10 @@
         self.objects_due_at = Some(now + LATE_CALL_TIME);
     }
 
+    pub(super) fn rows(&self) -> u64 {
+        self.rows.len() as u64
+    }
+
     fn due_at(&self) -> Option<Millis> {
         [self.rows_due_at, self.objects_due_at]
             .into_iter()
@@ -130,7 +172,7 @@
         while !self.inner.borrow().is_lost {
             let planned = self.inner.borrow_mut().snapshot.take();
             if let Some(snapshot) = planned {
-                self.store_snapshot(cx, snapshot.row, snapshot.state).await;
+                self.try_snapshot(cx, snapshot).await;
                 self.inner.borrow_mut().is_storing_snapshot = false;
                 continue;
             }
@@ -149,39 +191,58 @@
         }
     }
 
-    /// Stores the state as of row `number` and deletes the rows that it covers. A snapshot that
-    /// fails is left to the next one; recovery skips covered rows that are not deleted.
-    async fn store_snapshot(&self, cx: &Cx, number: u64, state: Bytes) {
-        let before = match self.read_pointer(cx).await {
-            Ok(before) => before,
+    /// Stores a snapshot and deletes what it makes obsolete. One that fails is left to a later one;
+    /// recovery skips covered rows that are not deleted.
+    async fn try_snapshot(&self, cx: &Cx, snapshot: Snapshot) {
+        let (row, bytes) = (snapshot.row, snapshot.state.len());
+        let stored = self.store_snapshot(cx, snapshot).await;
+        let mut inner = self.inner.borrow_mut();
+        match stored {
+            Ok(replaced) => {
+                inner.retry.note_stored();
+                drop(inner);
+                log::info!(shard:% = self.partition, row, bytes; "snapshot stored");
+                self.delete_obsolete(cx).await;
+                if let Some(replaced) = replaced {
+                    self.delete_replaced(cx, &replaced.object).await;
+                }
+            }
             Err(e) => {
-                log::warn!(shard:% = self.partition, row = number, error:% = format!("{e:#}"); "snapshot failed");
-                return;
+                cx.metrics.snapshot_failures.inc();
+                let retry_in = inner.retry.note_failed(cx.clock.now());
+                let rows = inner.rows_since_snapshot;
+                log::warn!(shard:% = self.partition, row, bytes, rows, error:% = format!("{e:#}"), retry_in:?; "snapshot failed");
             }
-        };
+        }
+    }
+
+    /// Stores a snapshot and the pointer to it; returns the pointer before.
+    async fn store_snapshot(
+        &self,
+        cx: &Cx,
+        snapshot: Snapshot,
+    ) -> eyre::Result<Option<SnapshotPointer>> {
+        let before = self.read_pointer(cx).await?;
         let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
+        let (row, bytes) = (snapshot.row, snapshot.bytes);
         let pointer = SnapshotPointer {
-            row: number,
-            object: format!("{}{number}-{:x}", prefix_of(&self.partition), self.fence.1),
+            row,
+            object: format!("{}{row}-{:x}", prefix_of(&self.partition), self.fence.1),
         };
-        let stored = cx.store.put_object(&pointer.object, state).await;
-        if let Err(e) = stored {
+        let stored = cx.store.put_object(&pointer.object, snapshot.state).await;
+        if stored.is_err() {
             let now = cx.clock.now();
             self.inner.borrow_mut().obsolete.note_objects(now);
-            log::warn!(shard:% = self.partition, row = number, error:% = e; "snapshot failed");
-            return;
         }
+        stored.wrap_err_with(|| format!("failed to store {}", pointer.object))?;
         let verdict = self.write_pointer(cx, &pointer, version).await;
-        if verdict != PointerVerdict::Committed {
-            log::warn!(shard:% = self.partition, row = number, version, verdict:?; "snapshot pointer not written");
-            return;
-        }
-        self.note_covered(number);
-        self.delete_obsolete(cx).await;
-        if let Some(before) = before {
-            self.delete_replaced(cx, &before.object).await;
-        }
-        log::info!(shard:% = self.partition, row = number, version; "snapshot stored");
+        let is_written = verdict == PointerVerdict::Committed;
+        eyre::ensure!(
+            is_written,
+            "the pointer after version {version} is {verdict:?}"
+        );
+        self.note_covered(row, bytes);
+        Ok(before)
     }
 
     /// Replaces the pointer row of this version, 0 for none, and resolves the outcome.
@@ -214,10 +275,11 @@
     }
 
     /// Records that the pointer names a snapshot that covers the rows up to `number`.
-    fn note_covered(&self, number: u64) {
+    fn note_covered(&self, number: u64, bytes: u64) {
         let mut inner = self.inner.borrow_mut();
         // Rows may have been written while the snapshot was stored.
         inner.rows_since_snapshot = inner.last_row - number;
+        inner.uncovered_bytes -= bytes;
         let first = std::mem::replace(&mut inner.covered_upto, number) + 1;
         inner.obsolete.rows.extend(first..=number);
     }
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -72,6 +72,14 @@
     pub runs_awaiting_ends: Gauge,
     /// Workers that answer and may have more ends than they list.
     pub workers_with_truncated_ends: Gauge,
+    /// Snapshots that could not be stored.
+    pub snapshot_failures: Counter,
+    /// Journal rows that no snapshot covers.
+    pub journal_rows: Gauge,
+    /// Bytes of these rows.
+    pub journal_bytes: Gauge,
+    /// Covered rows whose deletion is not confirmed.
+    pub obsolete_rows: Gauge,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
     long_running_overdue: Family<WaitLabel, Gauge>,
@@ -101,6 +109,10 @@
             runs_in_evacuated: Gauge::default(),
             runs_awaiting_ends: Gauge::default(),
             workers_with_truncated_ends: Gauge::default(),
+            snapshot_failures: Counter::default(),
+            journal_rows: Gauge::default(),
+            journal_bytes: Gauge::default(),
+            obsolete_rows: Gauge::default(),
             long_running_outages: Counter::default(),
             long_running_overdue: Family::default(),
             submits: Family::default(),
@@ -169,6 +181,8 @@
             "Workers that may have more ends than they list",
             truncated,
         );
+        self.register_journal();
+        let r = &mut self.registry;
         let outages = self.long_running_outages.clone();
         r.register(
             "long_running_outages",
@@ -192,6 +206,22 @@
         r.register("run_ends", "Ends of runs", self.ends.clone());
     }
 
+    fn register_journal(&mut self) {
+        let r = &mut self.registry;
+        let failures = self.snapshot_failures.clone();
+        r.register("snapshot_failures", "Snapshots not stored", failures);
+        let rows = self.journal_rows.clone();
+        r.register("journal_rows", "Journal rows that no snapshot covers", rows);
+        let bytes = self.journal_bytes.clone();
+        r.register("journal_bytes", "Bytes of these rows", bytes);
+        let obsolete = self.obsolete_rows.clone();
+        r.register(
+            "obsolete_rows",
+            "Covered journal rows whose deletion is not confirmed",
+            obsolete,
+        );
+    }
+
     /// Counts a submission by its outcome.
     pub fn note_submit(&self, queue: &str, outcome: &Outcome<()>) {
         let outcome = match outcome {
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -13,7 +13,7 @@
         Cx,
         event::{Event, Loss, RunId},
         job::JobId,
-        journal::AppendOutcome,
+        journal::{AppendOutcome, JournalUsage},
         ledger::{Phase, SentJob},
         resolution::{Order, Stop},
     },
@@ -197,6 +197,13 @@
     cx.metrics
         .workers_with_truncated_ends
         .set(sum(Owner::workers_with_truncated_ends));
+    let usage: Vec<JournalUsage> = owners.iter().map(|o| o.journal.usage()).collect();
+    let sum = |part: fn(&JournalUsage) -> u64| usage.iter().map(part).sum::<u64>() as i64;
+    cx.metrics.journal_rows.set(sum(|usage| usage.rows));
+    cx.metrics.journal_bytes.set(sum(|usage| usage.bytes));
+    cx.metrics
+        .obsolete_rows
+        .set(sum(|usage| usage.obsolete_rows));
     let mut overdue: IndexMap<WaitsFor, i64> = IndexMap::new();
     for owner in &owners {
         for (waits_for, tasks) in owner.outages.borrow().overdue(cx.clock.now()) {
--- a/tests/testsuite/sched/snapshots.rs
+++ b/tests/testsuite/sched/snapshots.rs
@@ -309,3 +309,37 @@
     assert_eq!(deleted(Some("shard-1-950-c"), 0xa), ["shard-1-400-a"]);
     assert_eq!(deleted(None, 0x9), [""; 0]);
 }
+
+/// Guards against a snapshot that is sent whole with every transaction for as long as the store refuses it, which takes
+/// the bandwidth that all calls share.
+#[test]
+fn a_snapshot_that_is_refused_is_tried_less_and_less_often() {
+    paused(async {
+        let world = World::new(0);
+        let writer = Writer::take_over(&world, "a").await.expect("a new shard");
+        let refusals = 1_000;
+        world.script_objects(ObjectCall::Put, vec![CommitFate::Refused; refusals]);
+        writer.write_rows(SNAPSHOT_ROWS).await;
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_secs(60) {
+            writer.write_rows(1).await;
+        }
+        let attempts = refusals - world.scripted_objects(ObjectCall::Put);
+        assert!(
+            (3..=8).contains(&attempts),
+            "{attempts} attempts in a minute"
+        );
+        let usage = writer.journal.usage();
+        let uncovered = world.row_count(JOURNAL_TABLE) as u64;
+        assert_eq!((usage.rows, usage.obsolete_rows), (uncovered, 0));
+        assert!(usage.bytes > 10 * uncovered, "{usage:?}");
+        world.script_objects(ObjectCall::Put, []);
+        while started_at.elapsed() < Duration::from_secs(120) {
+            writer.write_rows(1).await;
+        }
+        let rows = world.row_count(JOURNAL_TABLE);
+        assert!(rows < SNAPSHOT_ROWS as usize * 2, "{rows}");
+        assert_eq!(writer.journal.usage().rows, rows as u64);
+        assert_eq!(writer.check().await, Ok(()));
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -94,6 +94,8 @@
     Lost,
     /// There is no answer, and it is executed after this time if its condition still holds.
     Late(Duration),
+    /// It is refused and has no effect.
+    Refused,
     /// It is executed and answered, and executed again after this time if its condition still holds.
     Repeated(Duration),
 }
@@ -490,6 +492,12 @@
         scripted.insert(call, fates.into_iter().collect());
     }
 
+    /// Number of changes of objects that are still scripted.
+    pub(crate) fn scripted_objects(&self, call: ObjectCall) -> usize {
+        let scripted = self.object_fates.borrow();
+        scripted.get(&call).map_or(0, VecDeque::len)
+    }
+
     /// Names of the objects that begin with `prefix`, in order.
     pub(crate) fn objects(&self, prefix: &str) -> Vec<String> {
         let rows = self.rows.borrow();
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -37,6 +37,7 @@
                 self.world.rows.borrow_mut().commit(txn)
             }
             CommitFate::Lost | CommitFate::Late(_) => TxnOutcome::Unknown(no_answer()),
+            CommitFate::Refused => TxnOutcome::NotDone(CallError::new("the store is full")),
         };
         if let CommitFate::Late(after) | CommitFate::Repeated(after) = fate {
             let (world, txn) = (Rc::clone(&self.world), txn.clone());
@@ -46,7 +47,7 @@
             });
         }
         match fate {
-            CommitFate::Answered | CommitFate::Repeated(_) => outcome,
+            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::Refused => outcome,
             CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
                 sleep(CALL_TIMEOUT).await;
                 TxnOutcome::Unknown(no_answer())
@@ -86,6 +87,7 @@
         }
         match fate {
             CommitFate::Answered | CommitFate::Repeated(_) => Ok(()),
+            CommitFate::Refused => Err(CallError::new("the store is full")),
             CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
                 sleep(CALL_TIMEOUT).await;
                 Err(no_answer())
