--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -47,6 +47,10 @@
 /// a part of an event. Larger ones are refused before they are applied; see
 /// [`fits`].
 pub const MAX_EVENT_BYTES: usize = MAX_ROWS_PER_TXN * MAX_ROW_BYTES;
+/// Maximum size of the rows that no snapshot covers, from which no new jobs are accepted: with 12
+/// shards they stay below the 400 MB after which the store takes no write, and accepted jobs can
+/// still end.
+const MAX_UNCOVERED_BYTES: u64 = 32 * 1024 * 1024;
 /// Time between two log lines about rows that the store does not take.
 const STUCK_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Minimum time that a transaction may be in flight before the store counts as unavailable and new
@@ -228,6 +232,11 @@
         !inner.is_lost && waited.is_none_or(|waited| waited < stall_timeout)
     }
 
+    /// Whether the rows that no snapshot covers have reached their maximum size.
+    pub fn is_full(&self) -> bool {
+        self.inner.borrow().uncovered_bytes >= MAX_UNCOVERED_BYTES
+    }
+
     /// Time that an append may take before the store counts as unavailable: twice the duration of
     /// the last transaction, within bounds.
     pub fn stall_timeout(&self) -> Duration {
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -20,7 +20,8 @@
 pub(super) const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// Retry delay for callers that are refused while the store does not accept rows.
 const STORE_UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
-
+/// Retry delay for callers while the journal is full; snapshots are tried again every 30 s then.
+const JOURNAL_FULL_RETRY: Duration = Duration::from_secs(30);
 /// Retry delay for callers while all workers of the shard are in evacuated data centres; operators
 /// need at least seconds to restore one.
 const EVACUATED_RETRY: Duration = Duration::from_secs(5);
@@ -49,6 +50,11 @@
     if !is_known && !owner.journal.accepts_work(cx.clock.now()) {
         return SubmitReply::Busy(STORE_UNAVAILABLE_RETRY);
     }
+    if !is_known && owner.journal.is_full() {
+        let bytes = owner.journal.usage().bytes;
+        log::warn!(job:% = job, shard:% = owner.handle.partition, bytes; "submission refused: the journal is full");
+        return SubmitReply::Busy(JOURNAL_FULL_RETRY);
+    }
     if !is_known && owner.is_evacuated(cx) {
         log::info!(job:% = job, shard:% = owner.handle.partition; "submission refused: every data centre is evacuated");
         return SubmitReply::Busy(EVACUATED_RETRY);
--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -2,7 +2,7 @@
 
 use super::{
     paused,
-    world::{StoreBehaviour, World, spec, step, terms},
+    world::{CommitFate, ObjectCall, StoreBehaviour, World, owned, spec, step, terms},
 };
 use assert_matches::assert_matches;
 use lapisdrum::{
@@ -14,6 +14,7 @@
         job::{InvalidJob, JobId, JobSpec, MAX_SPEC_BYTES, MAX_STEPS, RawJob, Step},
         journal::{AppendOutcome, Journal},
         ledger::Ledger,
+        peer::SubmitReply,
     },
 };
 use std::{cell::Cell, rc::Rc, time::Duration};
@@ -184,3 +185,35 @@
     };
     assert_matches!(JobSpec::try_from(raw), Err(InvalidJob::Size(len)) if len > MAX_SPEC_BYTES);
 }
+
+/// Guards against a shard that accepts jobs until the store is full, and then can't write how they end: without snapshots
+/// its journal grows for as long as jobs are accepted.
+#[test]
+fn a_shard_refuses_new_jobs_once_its_journal_is_full() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, Duration::from_secs(5)).await;
+        let owner = cx.owners().remove(0);
+        world.script_objects(ObjectCall::Put, vec![CommitFate::Refused; 1_000]);
+        let steps = || vec![step(1, 100, &[])];
+        assert_matches!(world.submit(&cx, 1, steps()).await, SubmitReply::Accepted);
+        for job in 100..11_000 {
+            let ticket = owner.propose(&cx, vec![event(job)]);
+            if job % 200 == 0 {
+                assert_eq!(ticket.outcome().await, AppendOutcome::Durable);
+            }
+        }
+        let bytes = owner.journal.usage().bytes;
+        assert!(bytes > 32 * 1024 * 1024, "{bytes}");
+        assert_matches!(world.submit(&cx, 2, steps()).await, SubmitReply::Busy(wait) if wait > Duration::ZERO);
+        // A repeated submission gets the outcome of the first.
+        assert_matches!(world.submit(&cx, 1, steps()).await, SubmitReply::Accepted);
+        world.script_objects(ObjectCall::Put, []);
+        sleep(Duration::from_secs(40)).await;
+        let ticket = owner.propose(&cx, Vec::new());
+        assert_eq!(ticket.outcome().await, AppendOutcome::Durable);
+        sleep(Duration::from_secs(5)).await;
+        assert_matches!(world.submit(&cx, 2, steps()).await, SubmitReply::Accepted);
+    });
+}
