--- a/src/bin/lapisdrum/cli.rs
+++ b/src/bin/lapisdrum/cli.rs
@@ -5,6 +5,7 @@
 use lapisdrum::{
     api::client::DaemonClient,
     ops::{self, output::Output},
+    util::build::FULL_VERSION,
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -23,7 +24,7 @@
 
 /// A scheduler for latency-critical and batch work on the same hosts.
 #[derive(Debug, Parser)]
-#[command(name = "lapisdrum", version, about, propagate_version = true)]
+#[command(name = "lapisdrum", version = FULL_VERSION, about, propagate_version = true)]
 #[command(after_help = EXAMPLES)]
 pub(crate) struct Cli {
     /// Form of the output.
--- a/src/lapisdrum/daemon/metrics.rs
+++ b/src/lapisdrum/daemon/metrics.rs
@@ -5,6 +5,7 @@
 //! `lapisdrum_evictions_total` (by entry and reason). Label values come from the catalogue and from
 //! fixed sets, never from callers, so that only operators can increase the number of time series.
 
+use crate::util::build;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -137,6 +138,7 @@
             daemons_live: Gauge::default(),
             platform_up: Gauge::default(),
         };
+        build::register(&mut m.registry);
         m.register_work();
         m.register_state();
         m
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -43,6 +43,7 @@
     state::{grants::Floors, ownership::Holder},
     store::client::PlatformClient,
     timeline::{event::Happening, ring::Timeline},
+    util::build,
     worker::client::WorkerClient,
 };
 use actix_rt::net::TcpListener;
@@ -180,6 +181,7 @@
     let callers = listen(cfg.daemon.callers).await?;
     let peers = listen(cfg.daemon.peers).await?;
     let cx = Daemon::new(cfg);
+    log::info!(daemon:% = cx.cfg.daemon.name, version = build::VERSION, sources = build::SOURCES; "started");
     let supervisor = start_components(&cx, callers, peers);
     stop.await;
     drain(&cx, &supervisor).await;
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the scheduler, in the text format that is served on the metrics address.
 
 use super::{event::RunEnd, front::Outcome, ledger::Phase, owner::outages::WaitsFor};
+use crate::util::build;
 use indexmap::IndexMap;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -93,7 +94,7 @@
     /// Creates and registers all metrics with value 0.
     pub fn new() -> Self {
         let mut new = Self {
-            registry: Registry::with_prefix("lapisdrum_sched"),
+            registry: Registry::default(),
             rows_written: Counter::default(),
             events: Counter::default(),
             row_seconds: Histogram::new(exponential_buckets(FIRST_ROW_BUCKET, 2.0, BUCKETS)),
@@ -120,13 +121,15 @@
             job_seconds: Histogram::new(exponential_buckets(FIRST_JOB_BUCKET, 2.0, BUCKETS)),
             ends: Family::default(),
         };
-        new.register();
+        let mut registry = Registry::with_prefix("lapisdrum");
+        build::register(&mut registry);
+        new.register(registry.sub_registry_with_prefix("sched"));
+        new.registry = registry;
         new.note_overdue(&IndexMap::new());
         new
     }
 
-    fn register(&mut self) {
-        let r = &mut self.registry;
+    fn register(&self, r: &mut Registry) {
         let rows = self.rows_written.clone();
         r.register("rows_written", "Journal rows written", rows);
         r.register("events", "Events journaled", self.events.clone());
@@ -181,8 +184,7 @@
             "Workers that may have more ends than they list",
             truncated,
         );
-        self.register_journal();
-        let r = &mut self.registry;
+        self.register_journal(r);
         let outages = self.long_running_outages.clone();
         r.register(
             "long_running_outages",
@@ -206,8 +208,7 @@
         r.register("run_ends", "Ends of runs", self.ends.clone());
     }
 
-    fn register_journal(&mut self) {
-        let r = &mut self.registry;
+    fn register_journal(&self, r: &mut Registry) {
         let failures = self.snapshot_failures.clone();
         r.register("snapshot_failures", "Snapshots not stored", failures);
         let rows = self.journal_rows.clone();
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -1,7 +1,7 @@
 //! Start and graceful shutdown of the process.
 
 use super::{Cx, lease, operators, peer, reachability};
-use crate::daemon::supervisor;
+use crate::{daemon::supervisor, util::build};
 use actix_rt::net::TcpListener;
 use eyre::WrapErr as _;
 use std::{rc::Rc, time::Duration};
@@ -16,7 +16,7 @@
     let address = cx.cfg.peers;
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("failed to listen on {address}"))?;
-    log::info!(daemon:% = cx.me.daemon, incarnation = cx.me.incarnation, data_centre:% = cx.cfg.data_centre, peers:% = address; "started");
+    log::info!(daemon:% = cx.me.daemon, incarnation = cx.me.incarnation, data_centre:% = cx.cfg.data_centre, peers:% = address, version = build::VERSION, sources = build::SOURCES; "started");
     supervisor::spawn("peers", peer::serve(Rc::clone(cx), listener));
     supervisor::spawn("operators", operators::follow(Rc::clone(cx)));
     supervisor::spawn("reach", reachability::follow(Rc::clone(cx)));
--- a/tests/testsuite/cli/mod.rs
+++ b/tests/testsuite/cli/mod.rs
@@ -5,6 +5,7 @@
 mod logs;
 mod pages;
 mod site;
+mod version;
 
 use crate::support::{process::lapisdrum_binary, wait};
 use std::{
--- a/tests/testsuite/metrics/mod.rs
+++ b/tests/testsuite/metrics/mod.rs
@@ -4,6 +4,7 @@
 use lapisdrum::{
     daemon::metrics::{EndLabels, EntryLabel, Metrics, ReasonLabel, RequestLabels},
     sched::{self, event::RunEnd, front::Outcome, ledger::Phase},
+    util::build,
 };
 use std::{fs, path::Path};
 
@@ -88,6 +89,7 @@
         let suffixes: &[&str] = match family.kind.as_str() {
             "counter" => &["_total"],
             "gauge" => &[""],
+            "info" => &["_info"],
             "histogram" => &["_bucket", "_sum", "_count"],
             other => panic!("{name} is a {other}"),
         };
@@ -133,6 +135,19 @@
     metrics
 }
 
+/// Guards against a running daemon that does not tell which code it runs.
+#[test]
+fn both_schedulers_name_their_sources() {
+    let (version, sources) = (build::VERSION, build::SOURCES);
+    let line = format!(r#"lapisdrum_build_info{{version="{version}",sources="{sources}"}} 1"#);
+    for text in [sample_metrics().text(), sched_metrics().text()] {
+        assert!(
+            text.lines().any(|shown| shown == line),
+            "{line} not in\n{text}"
+        );
+    }
+}
+
 /// An alert on a missing metric never fires: every name on the operations page must be one that a daemon
 /// exports.
 #[test]
@@ -149,6 +164,7 @@
     let mut count = 0;
     for name in named {
         let family = name.trim_end_matches("_total").trim_end_matches("_bucket");
+        let family = family.trim_end_matches("_info");
         assert!(families.contains_key(family), "{name} does not exist");
         count += 1;
     }
