Count the time for which a host was suspended

Cause: how long ago a lease was renewed went by the steady clock, which doesn't count suspensions (the platform's page on machines; CLOCK_BOOTTIME and the time of day do).

Ruled out: the time of day (it jumps); a check in the store before every answer (a call for each, and leases to workers have to be judged without the store).

Change: Clock adds the growth of the difference between CLOCK_BOOTTIME and CLOCK_MONOTONIC, read so that an interruption between the two makes it too small, never too great, and never less than before. All decisions by age go by that clock.

Test: superseded::an_owner_whose_host_was_suspended_has_no_valid_lease; without the addition: left != right, UnknownJob.

--- a/src/lapisdrum/core/time.rs
+++ b/src/lapisdrum/core/time.rs
@@ -4,9 +4,13 @@
 //! runtime controls all of them. Millisecond counts of two processes are never compared; the clock
 //! of a worker has its own type.
 
-use std::{ops::Add, time::Duration};
+use rustix::time::{ClockId, clock_gettime};
+use std::{cell::Cell, ops::Add, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// Readings of the system's clocks at the start; the process may be interrupted between two clocks.
+const START_READINGS: usize = 5;
+
 scalar! {
     /// A point on this process's monotonic clock, in milliseconds since the process started.
     #[derive(Default)]
@@ -52,22 +56,77 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// The runtime's clock, counted from the start of the process.
-#[derive(Clone, Copy, Debug)]
+/// The runtime's clock, counted from the start of the process, and the time for which the host was
+/// suspended, which the runtime's clock does not count. Without it, an owner whose host was suspended
+/// would take a lease for valid that another daemon has taken over meanwhile.
+#[derive(Clone, Debug)]
 pub struct Clock {
     origin: Instant,
+    suspended: SuspendedTime,
+}
+
+/// Source of the time for which the host was suspended.
+#[derive(Clone, Debug)]
+enum SuspendedTime {
+    /// The difference of two clocks of the system, one of which counts that time.
+    System {
+        /// The difference at the start of the process.
+        before: Duration,
+        /// Greatest time found so far.
+        greatest: Cell<Duration>,
+    },
+    /// Set by a test.
+    Simulated(Rc<Cell<Duration>>),
 }
 
 impl Clock {
     /// Starts a clock at 0 ms.
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        let differences = (0..START_READINGS).map(|_| {
+            // The monotonic clock is read first, so that no difference is too small.
+            let monotonic = read(ClockId::Monotonic);
+            read(ClockId::Boottime).saturating_sub(monotonic)
+        });
+        Self::with(SuspendedTime::System {
+            before: differences.min().unwrap_or_default(),
+            greatest: Cell::default(),
+        })
+    }
+
+    /// Starts a clock at 0 ms that takes the time of suspensions from `suspended`.
+    pub fn simulated(suspended: Rc<Cell<Duration>>) -> Self {
+        Self::with(SuspendedTime::Simulated(suspended))
+    }
+
+    fn with(suspended: SuspendedTime) -> Self {
+        let origin = Instant::now();
+        Self { origin, suspended }
     }
 
     /// The time since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(millis(self.origin.elapsed()))
+        Millis(millis(self.origin.elapsed() + self.suspended.total()))
     }
 }
+
+impl SuspendedTime {
+    /// Time of all suspensions since the start; never more than it was, and never less than before.
+    fn total(&self) -> Duration {
+        match self {
+            Self::Simulated(total) => total.get(),
+            Self::System { before, greatest } => {
+                // The monotonic clock is read last, so that no difference is too great.
+                let boot = read(ClockId::Boottime);
+                let difference = boot.saturating_sub(read(ClockId::Monotonic));
+                let total = difference.saturating_sub(*before).max(greatest.get());
+                greatest.set(total);
+                total
+            }
+        }
+    }
+}
+
+fn read(id: ClockId) -> Duration {
+    // Both clocks count from the boot of the host, so neither is negative.
+    clock_gettime(id).try_into().unwrap_or_default()
+}
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -140,6 +140,7 @@
     /// Creates the context under a random incarnation; no async task is spawned yet.
     pub fn new(
         cfg: NodeSettings,
+        clock: Clock,
         store: Rc<dyn Store>,
         workers: Rc<dyn Workers>,
         directory: Rc<dyn Directory>,
@@ -151,7 +152,7 @@
         };
         Rc::new(Self {
             me,
-            clock: Clock::start(),
+            clock,
             store,
             workers,
             directory,
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -295,3 +295,25 @@
         assert_eq!(repeated.await.expect("a reply"), SubmitReply::NotOwner);
     });
 }
+
+/// Guards against an owner whose host was suspended and that takes its lease for valid, since the steady clock does not
+/// count that time: it denies jobs of the next owner, and renews leases of workers that the next one waits for.
+#[test]
+fn an_owner_whose_host_was_suspended_has_no_valid_lease() {
+    paused(async {
+        let world = World::new(1);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        let owner = first.owners().remove(0);
+        assert!(owner.is_sole_owner(&first).await);
+        assert!(owner.may_renew(&first));
+        // Whatever happened meanwhile, the store can't tell now.
+        world.set_store("a", StoreBehaviour::Unavailable);
+        world.note_suspension("a", first.cfg.leases.owner_hold);
+        assert_ne!(world.cancel(&first, 7).await, CancelReply::UnknownJob);
+        assert_ne!(show(&first, 7).await, ShowReply::Unknown);
+        assert_eq!(pending(&first).await, None);
+        assert!(!owner.may_renew(&first));
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -13,7 +13,10 @@
 use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
 use lapisdrum::{
-    core::{size::Size, time::WorkerMillis},
+    core::{
+        size::Size,
+        time::{Clock, WorkerMillis},
+    },
     policy::dispatch::timings::Timings,
     sched::{
         Cx, Node, NodeSettings,
@@ -220,6 +223,8 @@
     pub(crate) start_takes: Cell<Duration>,
     /// When each daemon has sent the start orders that wait in it.
     sending_until: RefCell<IndexMap<String, Instant>>,
+    /// Time for which the host of each daemon was suspended; the runtime's clock does not count it.
+    suspended: RefCell<IndexMap<String, Rc<Cell<Duration>>>>,
     /// Whether delayed orders outlive a crash of their worker, as packets in flight may; by default they are lost.
     pub(crate) orders_outlive_crashes: Cell<bool>,
     /// Pairs of a daemon and a worker that it cannot reach.
@@ -310,6 +315,7 @@
             failing: RefCell::default(),
             start_takes: Cell::default(),
             sending_until: RefCell::default(),
+            suspended: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
             paths_cut: RefCell::default(),
             lease_reads: Cell::default(),
@@ -439,7 +445,15 @@
             world: Rc::clone(self),
             daemon: name.to_owned(),
         });
-        Node::new(cfg, store, Rc::clone(&edges) as Rc<dyn Workers>, edges)
+        let suspended = Rc::clone(
+            self.suspended
+                .borrow_mut()
+                .entry(name.to_owned())
+                .or_default(),
+        );
+        let clock = Clock::simulated(suspended);
+        let workers = Rc::clone(&edges) as Rc<dyn Workers>;
+        Node::new(cfg, clock, store, workers, edges)
     }
 
     /// The key of the fence row of a partition, and its version.
@@ -526,6 +540,12 @@
         change(self.workers.borrow_mut().get_mut(worker).expect("a worker"));
     }
 
+    /// Adds a suspension of a daemon's host that has just ended. None of its timers has advanced meanwhile.
+    pub(crate) fn note_suspension(&self, daemon: &str, time: Duration) {
+        let suspended = &self.suspended.borrow()[daemon];
+        suspended.set(suspended.get() + time);
+    }
+
     /// Makes a worker unreachable for all daemons, or reachable again.
     pub(crate) fn cut(&self, worker: &str, is_cut: bool) {
         self.change(worker, |w| w.is_cut = is_cut);
