Acknowledge ends that can't be read

What callers would see: jobs on a worker never end. A worker lists its first 500 ends until they are acknowledged; ends that can't be read (a way to end that this version doesn't know, a malformed task) were skipped and never acknowledged, so that 500 of them would hide all others for good.

Cause: the number up to which ends are acknowledged was that of the ends that could be read.

Change: a poll response carries the greatest number of a malformed end, and it is acknowledged with the others, once what was read is durable. A malformed end is logged as before; its run is in neither list, and its task is started again as before.

Test: sched::listed_ends::malformed_ends_do_not_hide_later_ones, with workers that list three ends and have five malformed ones; seen to fail before: "not within 5s: the job is completed". After: sched::listed_ends and users_platform passed.

--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -260,6 +260,8 @@
     /// Ended runs that the worker has not dropped yet, oldest first. A worker may list only the
     /// first of them.
     pub ended: Vec<ListedEnd>,
+    /// Greatest number of a listed end that could not be read, if there was one.
+    pub malformed_ends_upto: Option<u64>,
     /// Whether `ended` certainly holds every end that the worker has not dropped. If not, a run
     /// that is in neither list may have ended, and its end is listed once earlier ones are
     /// acknowledged.
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -302,11 +302,13 @@
     now: Millis,
 ) -> Option<LocalBoxFuture<'static, ()>> {
     let ended = &response.ended;
-    // A worker lists an end until it is acknowledged, which may take many polls.
-    let upto = ended.iter().map(|end| end.number).max()?;
+    // A worker lists an end until it is acknowledged, which may take many polls. Ends that can't be
+    // read are acknowledged too: they would fill the list and hide all others.
+    let numbers = ended.iter().map(|end| end.number);
+    let upto = numbers.chain(response.malformed_ends_upto).max()?;
     let appended_upto = owner.session(worker, |session| session.appended_upto)?;
     let ended: Vec<&ListedEnd> = ended.iter().filter(|e| e.number > appended_upto).collect();
-    if ended.is_empty() {
+    if upto <= appended_upto {
         return Some(acknowledged(owner, worker, upto).boxed_local());
     }
     owner.session(worker, |session| session.appended_upto = upto);
--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -333,3 +333,24 @@
         prop_assert_eq!(judged(known, is_same_incarnation, false, true), RunVerdict::Lost(why));
     }
 }
+
+/// Guards against ends that can't be read, are never acknowledged, and hide all later ones by filling the list.
+#[test]
+fn malformed_ends_do_not_hide_later_ones() {
+    paused(async {
+        let world = World::new(1);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        for job in 1..=3 {
+            world.add_malformed_ends("w0", 5);
+            let submitted = world.submit(&cx, job, vec![step(4, 100, &[])]).await;
+            assert_matches!(submitted, SubmitReply::Accepted);
+            until("the job is completed", LIMIT, async || {
+                world.state(&cx, job).await == Some(JobState::Completed)
+            })
+            .await;
+        }
+        assert_eq!(world.starts.borrow().len(), 12);
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -162,6 +162,8 @@
     capacity: Size,
     running: IndexMap<RunId, Running>,
     ended: Vec<ListedEnd>,
+    /// Numbers of listed ends that no daemon can read.
+    malformed: IndexSet<u64>,
     /// Checkpoint that its ends carry.
     checkpoint: Option<String>,
     /// Times of the ends, by number.
@@ -348,6 +350,7 @@
             capacity,
             running: IndexMap::new(),
             ended: Vec::new(),
+            malformed: IndexSet::new(),
             checkpoint: None,
             ended_at: IndexMap::new(),
             lapsed_at: None,
@@ -568,6 +571,14 @@
         self.change(worker, |w| w.loses_polls = loses_polls);
     }
 
+    /// Adds ends to a worker that no daemon can read, as from a later version of the worker.
+    pub(crate) fn add_malformed_ends(&self, worker: &str, count: u64) {
+        self.change(worker, |w| {
+            w.malformed.extend(w.next_end..w.next_end + count);
+            w.next_end += count;
+        });
+    }
+
     /// Sets whether the directory lists a worker.
     pub(crate) fn list(&self, worker: &str, is_listed: bool) {
         self.change(worker, |w| w.is_listed = is_listed);
@@ -1171,7 +1182,9 @@
                     });
                     self.world.note_acknowledged(acked.collect());
                     worker.ended.retain(|end| end.number > order.acked_upto);
-                    let is_due = !worker.ended.is_empty() || now - started_at >= order.wait;
+                    worker.malformed.retain(|end| *end > order.acked_upto);
+                    let has_ends = !worker.ended.is_empty() || !worker.malformed.is_empty();
+                    let is_due = has_ends || now - started_at >= order.wait;
                     let max_ends = self.world.max_listed_ends.get();
                     is_due.then(|| worker.poll_response(now, max_ends))
                 };
@@ -1213,13 +1226,23 @@
             percent: running.percent(now),
             gauge: 0,
         });
+        let ended = self.ended.iter().map(|end| end.number);
+        let mut numbers: Vec<u64> = ended.chain(self.malformed.iter().copied()).collect();
+        numbers.sort_unstable();
+        let is_listed = |number: &u64| numbers.iter().take(max_ends).any(|n| n == number);
         PollResponse {
             started_unix_ms: Some(self.incarnation),
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.iter().take(max_ends).cloned().collect(),
+            ended: self
+                .ended
+                .iter()
+                .filter(|end| is_listed(&end.number))
+                .cloned()
+                .collect(),
+            malformed_ends_upto: self.malformed.iter().copied().filter(is_listed).max(),
             // Like the platform's workers, this one doesn't say whether more follow.
-            lists_all_ends: self.ended.len() < max_ends,
+            lists_all_ends: numbers.len() < max_ends,
         }
     }
 }
