--- a/src/lapisdrum/core/time.rs
+++ b/src/lapisdrum/core/time.rs
@@ -8,7 +8,8 @@
 use std::{cell::Cell, ops::Add, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Readings of the system's clocks at the start; the process may be interrupted between two clocks.
+/// Number of readings at the start, of which the smallest difference of the two clocks is taken: the
+/// process may be interrupted between them.
 const START_READINGS: usize = 5;
 
 scalar! {
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -407,8 +407,8 @@
     }
 
     /// Records that the rows up to `last` are committed, by a transaction that was first sent at
-    /// `started_at`. Returns whether a snapshot is due, which
-    /// requires that the state has no events beyond these rows.
+    /// `started_at`. Returns whether a snapshot is due, which requires that the state has no events
+    /// beyond these rows.
     fn note_written(&self, last: u64, started_at: Millis, took: Duration) -> bool {
         let mut inner = self.inner.borrow_mut();
         inner.in_flight_since = None;
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -67,6 +67,7 @@
 
 /// When the next snapshot may be stored, after some have failed.
 pub(super) struct Retry {
+    /// None unless the last one has failed.
     not_before: Option<Millis>,
     backoff: Backoff,
 }
@@ -110,7 +111,7 @@
 }
 
 impl Obsolete {
-    /// What earlier owners left, with these rows, as read at `now`.
+    /// What earlier owners left: these rows, read at `now`, and objects that are not known yet.
     pub(super) fn left_by_earlier_owners(rows: VecDeque<u64>, now: Millis) -> Self {
         let due_at = Some(now + LATE_CALL_TIME);
         Self {
@@ -195,12 +196,9 @@
     /// recovery skips covered rows that are not deleted.
     async fn try_snapshot(&self, cx: &Cx, snapshot: Snapshot) {
         let (row, bytes) = (snapshot.row, snapshot.state.len());
-        let stored = self.store_snapshot(cx, snapshot).await;
-        let mut inner = self.inner.borrow_mut();
-        match stored {
+        match self.store_snapshot(cx, snapshot).await {
             Ok(replaced) => {
-                inner.retry.note_stored();
-                drop(inner);
+                self.inner.borrow_mut().retry.note_stored();
                 log::info!(shard:% = self.partition, row, bytes; "snapshot stored");
                 self.delete_obsolete(cx).await;
                 if let Some(replaced) = replaced {
@@ -209,6 +207,7 @@
             }
             Err(e) => {
                 cx.metrics.snapshot_failures.inc();
+                let mut inner = self.inner.borrow_mut();
                 let retry_in = inner.retry.note_failed(cx.clock.now());
                 let rows = inner.rows_since_snapshot;
                 log::warn!(shard:% = self.partition, row, bytes, rows, error:% = format!("{e:#}"), retry_in:?; "snapshot failed");
