--- a/build.rs
+++ b/build.rs
@@ -1,19 +1,17 @@
 //! Computes the identity of the sources that the binary is built from, so that a running daemon tells which code it is.
 //!
-//! A commit would not do: a checkout need not have one, and its files may differ from it. The identity is the SHA-1 hash
-//! of the list that `sha1sum` prints of the sources; `.ci/source-id` computes the same of a checkout.
+//! A commit would not do: a checkout need not have one, and its files may differ from it. The identity is the checksum
+//! that POSIX's `cksum` gives of its list of the sources; `.ci/source-id` computes the same of a checkout.
 
-use sha1::{Digest, Sha1};
 use std::{
-    fmt::Write as _,
     fs, io,
     path::{Path, PathBuf},
 };
 
 /// Files and folders that the binary is built from.
 const SOURCES: [&str; 5] = ["Cargo.lock", "Cargo.toml", "build.rs", "platform", "src"];
-/// Length of the identity in hexadecimal digits.
-const ID_DIGITS: usize = 12;
+/// Polynomial of the checksum, as POSIX defines it for `cksum`.
+const POLYNOMIAL: u32 = 0x04c1_1db7;
 
 fn main() {
     for source in SOURCES {
@@ -36,10 +34,10 @@
     names.sort();
     let mut list = String::new();
     for name in names {
-        let hash = hash(&fs::read(&name)?);
-        list.push_str(&format!("{hash}  {name}\n"));
+        let bytes = fs::read(&name)?;
+        list.push_str(&format!("{} {} {name}\n", checksum(&bytes), bytes.len()));
     }
-    Ok(hash(list.as_bytes())[..ID_DIGITS].to_owned())
+    Ok(format!("{:08x}", checksum(list.as_bytes())))
 }
 
 fn collect_files(path: &Path, files: &mut Vec<PathBuf>) -> io::Result<()> {
@@ -53,11 +51,20 @@
     Ok(())
 }
 
-fn hash(bytes: &[u8]) -> String {
-    let mut hex = String::new();
-    for byte in Sha1::digest(bytes) {
-        // Writing to a `String` cannot fail.
-        let _ = write!(hex, "{byte:02x}");
+/// The checksum of `cksum`: a cyclic redundancy check of the bytes and their number.
+fn checksum(bytes: &[u8]) -> u32 {
+    let length = bytes.len().to_le_bytes();
+    let used = length
+        .iter()
+        .rposition(|byte| *byte != 0)
+        .map_or(0, |at| at + 1);
+    let mut sum = 0_u32;
+    for byte in bytes.iter().chain(&length[..used]) {
+        sum ^= u32::from(*byte) << 24;
+        for _ in 0..8 {
+            let carry = sum >> 31;
+            sum = (sum << 1) ^ (carry * POLYNOMIAL);
+        }
     }
-    hex
+    !sum
 }
--- a/src/lapisdrum/core/time.rs
+++ b/src/lapisdrum/core/time.rs
@@ -4,14 +4,14 @@
 //! runtime controls all of them. Millisecond counts of two processes are never compared; the clock
 //! of a worker has its own type.
 
-use rustix::time::{ClockId, clock_gettime};
-use std::{cell::Cell, ops::Add, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    ops::Add,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 use tokio::time::Instant;
 
-/// Number of readings at the start, of which the smallest difference of the two clocks is taken: the
-/// process may be interrupted between them.
-const START_READINGS: usize = 5;
-
 scalar! {
     /// A point on this process's monotonic clock, in milliseconds since the process started.
     #[derive(Default)]
@@ -57,77 +57,63 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// The runtime's clock, counted from the start of the process, and the time for which the host was
-/// suspended, which the runtime's clock does not count. Without it, an owner whose host was suspended
-/// would take a lease for valid that another daemon has taken over meanwhile.
-#[derive(Clone, Debug)]
-pub struct Clock {
-    origin: Instant,
-    suspended: SuspendedTime,
+/// A point in time by two clocks of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timestamp {
+    /// By the runtime's clock.
+    pub at: Millis,
+    /// By the time of day, in Unix milliseconds.
+    pub unix_ms: u64,
 }
 
-/// Source of the time for which the host was suspended.
+/// The runtime's clock, counted from the start of the process, and the time of day.
 #[derive(Clone, Debug)]
-enum SuspendedTime {
-    /// The difference of two clocks of the system, one of which counts that time.
-    System {
-        /// The difference at the start of the process.
-        before: Duration,
-        /// Greatest time found so far.
-        greatest: Cell<Duration>,
-    },
-    /// Set by a test.
-    Simulated(Rc<Cell<Duration>>),
+pub struct Clock {
+    origin: Instant,
+    /// Added to the system's time of day by tests.
+    time_of_day_offset: Rc<Cell<Duration>>,
 }
 
 impl Clock {
     /// Starts a clock at 0 ms.
     pub fn start() -> Self {
-        let differences = (0..START_READINGS).map(|_| {
-            // The monotonic clock is read first, so that no difference is too small.
-            let monotonic = read(ClockId::Monotonic);
-            read(ClockId::Boottime).saturating_sub(monotonic)
-        });
-        Self::with(SuspendedTime::System {
-            before: differences.min().unwrap_or_default(),
-            greatest: Cell::default(),
-        })
-    }
-
-    /// Starts a clock at 0 ms that takes the time of suspensions from `suspended`.
-    pub fn simulated(suspended: Rc<Cell<Duration>>) -> Self {
-        Self::with(SuspendedTime::Simulated(suspended))
+        Self::with_time_of_day_offset(Rc::default())
     }
 
-    fn with(suspended: SuspendedTime) -> Self {
-        let origin = Instant::now();
-        Self { origin, suspended }
+    /// Starts a clock at 0 ms whose time of day is ahead of the system's by `offset`, which may
+    /// change.
+    pub fn with_time_of_day_offset(offset: Rc<Cell<Duration>>) -> Self {
+        Self {
+            origin: Instant::now(),
+            time_of_day_offset: offset,
+        }
     }
 
     /// The time since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(millis(self.origin.elapsed() + self.suspended.total()))
+        Millis(millis(self.origin.elapsed()))
     }
-}
 
-impl SuspendedTime {
-    /// Time of all suspensions since the start; never more than it was, and never less than before.
-    fn total(&self) -> Duration {
-        match self {
-            Self::Simulated(total) => total.get(),
-            Self::System { before, greatest } => {
-                // The monotonic clock is read last, so that no difference is too great.
-                let boot = read(ClockId::Boottime);
-                let difference = boot.saturating_sub(read(ClockId::Monotonic));
-                let total = difference.saturating_sub(*before).max(greatest.get());
-                greatest.set(total);
-                total
-            }
+    /// The present time by both clocks.
+    pub fn timestamp(&self) -> Timestamp {
+        Timestamp {
+            at: self.now(),
+            unix_ms: self.unix_ms(),
         }
     }
-}
 
-fn read(id: ClockId) -> Duration {
-    // Both clocks count from the boot of the host, so neither is negative.
-    clock_gettime(id).try_into().unwrap_or_default()
+    /// Upper bound of the time since `earlier`, by the clock on which more has passed. The runtime's
+    /// clock does not count the time for which the host was suspended, the time of day does. The
+    /// bound is too great after a jump of the time of day.
+    pub fn at_most_since(&self, earlier: Timestamp) -> Duration {
+        let by_time_of_day = self.unix_ms().saturating_sub(earlier.unix_ms);
+        let by_runtime = self.now().since(earlier.at);
+        by_runtime.max(Duration::from_millis(by_time_of_day))
+    }
+
+    /// The time of day, in Unix milliseconds. It may jump either way.
+    pub fn unix_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        millis(since.unwrap_or_default() + self.time_of_day_offset.get())
+    }
 }
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -23,7 +23,10 @@
     ledger::Ledger,
     resolution::{WriteVerdict, is_piggyback_stale, judge_write},
 };
-use crate::{core::time::Millis, util::backoff::Backoff};
+use crate::{
+    core::time::{Millis, Timestamp},
+    util::backoff::Backoff,
+};
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use futures::FutureExt;
@@ -126,7 +129,7 @@
     /// Reply of the store.
     pub outcome: TxnOutcome,
     /// Time at which the transaction was first sent.
-    pub sent_at: Millis,
+    pub sent_at: Timestamp,
 }
 
 /// Outcome of [`Journal::carry`].
@@ -424,7 +427,7 @@
 
     async fn write_batch(&self, cx: &Cx, first: u64, rows: &[Bytes]) -> WriteVerdict {
         let mut piggyback = self.inner.borrow_mut().piggyback.take();
-        let mut sent_at = cx.clock.now();
+        let mut sent_at = cx.clock.timestamp();
         let mut txn = self.txn(
             first,
             rows,
@@ -451,7 +454,7 @@
                 // The receiver may have timed out and dropped its half.
                 let _ = tx.send(PiggybackReply { outcome, sent_at });
                 txn = self.txn(first, rows, None);
-                sent_at = cx.clock.now();
+                sent_at = cx.clock.timestamp();
                 continue;
             }
             let verdict = judge_write(&outcome, holds_fence, is_own);
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -464,9 +464,9 @@
         ],
         delete: Vec::new(),
     };
-    let sent_at = cx.clock.now();
+    let sent_at = cx.clock.timestamp();
     let outcome = cx.store.commit(&txn).await;
-    log::info!(shard:% = handle.partition, end:? = outcome, unchanged_ms = sent_at.since(seen.since).as_millis() as u64; "take-over tried");
+    log::info!(shard:% = handle.partition, end:? = outcome, unchanged_ms = sent_at.at.since(seen.since).as_millis() as u64; "take-over tried");
     if matches!(outcome, TxnOutcome::Conflict(_) | TxnOutcome::NotDone(_)) {
         return Ok(());
     }
@@ -571,10 +571,10 @@
         put: std::iter::once(lease).chain(note).collect(),
         delete: Vec::new(),
     };
-    let sent_at = cx.clock.now();
+    let sent_at = cx.clock.timestamp();
     let outcome = cx.store.commit(&txn).await;
     if matches!(outcome, TxnOutcome::Committed(_) | TxnOutcome::Conflict(_)) {
-        owner.journal.note_answer(cx.clock.now().since(sent_at));
+        owner.journal.note_answer(cx.clock.now().since(sent_at.at));
     }
     PiggybackReply { outcome, sent_at }
 }
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -44,7 +44,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::sync::{Semaphore, watch};
 
@@ -211,8 +211,7 @@
     /// Wall-clock time, in Unix milliseconds. Only for times that are reported to callers or
     /// scheduled by wall-clock time; durations are measured with [`Self::clock`].
     pub fn unix_ms(&self) -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        since.map_or(0, |since| since.as_millis() as u64)
+        self.clock.unix_ms()
     }
 
     /// Records the result of a store call, and logs when the store becomes unavailable or available
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -38,7 +38,7 @@
     resolution::{EarlierOwners, LeaseBound, LeaseLimits},
 };
 use crate::{
-    core::time::{Millis, millis},
+    core::time::{Millis, Timestamp, millis},
     daemon::supervisor,
     policy::dispatch::{
         duration::DurationEstimates,
@@ -96,7 +96,7 @@
     /// Version of the lease row that this owner last wrote.
     pub lease_version: Cell<u64>,
     /// When the last successful renewal of the shard's lease was sent.
-    pub renewed_at: Cell<Millis>,
+    pub renewed_at: Cell<Timestamp>,
     /// Locked while the lease row is written.
     pub renewing: Mutex<()>,
     /// Writes events to the store, conditional on the fence.
@@ -158,7 +158,7 @@
         seen: &LeaseView,
         now: &LeaseView,
         fence: RowKey,
-        sent_at: Millis,
+        sent_at: Timestamp,
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
         let last_sender = seen.last_sender();
@@ -167,7 +167,7 @@
             handle: Rc::clone(handle),
             journal: Journal::new(&handle.partition, fence.clone()),
             fence,
-            taken_at: sent_at,
+            taken_at: sent_at.at,
             previous_owner: last_sender.map(|(holder, _)| holder.clone()),
             replaced_token: last_sender.map_or(0, |(_, token)| token),
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
@@ -226,28 +226,31 @@
     }
 
     /// Whether no other daemon owned the shard when this was called, so that a job unknown here is
-    /// unknown everywhere. A frozen, isolated or releasing owner still receives requests from
-    /// callers, while the next one accepts jobs. Beyond the time in which nobody takes the shard,
+    /// unknown everywhere. A frozen, suspended, isolated or releasing owner still receives requests
+    /// from callers, while the next one accepts jobs. Beyond the time in which nobody takes the shard,
     /// only the store can say: an append is durable only under this owner's fence.
     pub async fn is_sole_owner(&self, cx: &Cx) -> bool {
-        let since_renewal = cx.clock.now().since(self.renewed_at.get());
+        let renewed_at = self.renewed_at.get();
+        let since_renewal = cx.clock.now().since(renewed_at.at);
         if !self.is_recovered() || self.is_releasing() || since_renewal >= lease::LEASE {
             return false;
         }
-        if since_renewal < lease::exclusive_for(&cx.cfg.leases) {
+        let at_most = cx.clock.at_most_since(renewed_at);
+        if at_most < lease::exclusive_for(&cx.cfg.leases) {
             return true;
         }
         let outcome = self.journal.append(&[]).outcome();
         let outcome = tokio::time::timeout(jobs::ANSWER_WITHIN, outcome).await;
-        let since_renewal_ms = millis(since_renewal);
+        let since_renewal_ms = millis(at_most);
         log::info!(shard:% = self.handle.partition, token = self.token(), since_renewal_ms, outcome:?; "renewal is overdue; ownership is checked in the store");
         outcome == Ok(AppendOutcome::Durable)
     }
 
     /// Whether leases may be sent to workers: only within the hold time that the next owner waits
-    /// out, not before the store holds a row that says so, and not once the lease is being released.
+    /// out, also if the host was suspended, not before the store holds a row that says so, and not once
+    /// the lease is being released.
     pub fn may_renew(&self, cx: &Cx) -> bool {
-        let since_renewal = cx.clock.now().since(self.renewed_at.get());
+        let since_renewal = cx.clock.at_most_since(self.renewed_at.get());
         let is_held = self.is_serving() && since_renewal < cx.cfg.leases.owner_hold;
         is_held && self.may_have_sent_leases() && !self.is_releasing()
     }
