--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -2,7 +2,7 @@
 
 use super::{
     paused,
-    world::{CommitFate, ObjectCall, StoreBehaviour, World, owned, spec, step, terms},
+    world::{CallFate, ObjectCall, StoreBehaviour, World, owned, spec, step, terms},
 };
 use assert_matches::assert_matches;
 use lapisdrum::{
@@ -195,7 +195,7 @@
         let cx = world.daemon("a");
         owned(&cx, Duration::from_secs(5)).await;
         let owner = cx.owners().remove(0);
-        world.script_objects(ObjectCall::Put, vec![CommitFate::Refused; 1_000]);
+        world.script_objects(ObjectCall::Put, vec![CallFate::Refused; 1_000]);
         let steps = || vec![step(1, 100, &[])];
         assert_matches!(world.submit(&cx, 1, steps()).await, SubmitReply::Accepted);
         for job in 100..11_000 {
--- a/tests/testsuite/sched/snapshots.rs
+++ b/tests/testsuite/sched/snapshots.rs
@@ -3,7 +3,7 @@
 
 use super::{
     paused,
-    world::{CommitFate, CommitKind, ObjectCall, StoreBehaviour, World},
+    world::{CallFate, CommitKind, ObjectCall, StoreBehaviour, World},
 };
 use lapisdrum::sched::{
     Cx,
@@ -24,15 +24,18 @@
 const SOON: Duration = Duration::from_secs(2);
 /// Time within which what a snapshot makes obsolete is deleted, once the store answers again.
 const COLLECTED_WITHIN: Duration = Duration::from_secs(60);
+/// Time from the last row of a snapshot until the owner lists objects, if the call that stores the snapshot gets no
+/// answer: the read of the pointer, the call and its time limit, and the delay for calls that take effect late.
+const LISTED_AFTER: Duration = Duration::from_millis(8 + 8 + 500 + 10_000);
 /// After the next snapshot.
 const MUCH_LATER: Duration = Duration::from_secs(10);
-const FATES: [CommitFate; 6] = [
-    CommitFate::Answered,
-    CommitFate::AnswerLost,
-    CommitFate::Lost,
-    CommitFate::Late(SOON),
-    CommitFate::Late(MUCH_LATER),
-    CommitFate::Repeated(MUCH_LATER),
+const FATES: [CallFate; 6] = [
+    CallFate::Answered,
+    CallFate::AnswerLost,
+    CallFate::Lost,
+    CallFate::Late(SOON),
+    CallFate::Late(MUCH_LATER),
+    CallFate::Repeated(MUCH_LATER),
 ];
 
 /// An owner's journal whose writer runs, with the state that it has applied.
@@ -108,7 +111,7 @@
     paused(async {
         let world = World::new(0);
         let writer = Writer::take_over(&world, "a").await.expect("a new shard");
-        let late = CommitFate::Late(Duration::from_secs(3));
+        let late = CallFate::Late(Duration::from_secs(3));
         world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), [late]);
         writer.write_rows(SNAPSHOT_ROWS + 200).await;
         assert_eq!(writer.check().await, Ok(()));
@@ -123,13 +126,13 @@
 #[test]
 fn every_order_of_pointer_writes_and_deletions_can_be_recovered() {
     paused(async {
-        for deletions in [CommitFate::Answered, CommitFate::Late(MUCH_LATER)] {
+        for deletions in [CallFate::Answered, CallFate::Late(MUCH_LATER)] {
             for first in FATES {
                 for second in FATES {
                     for third in [
-                        CommitFate::Answered,
-                        CommitFate::AnswerLost,
-                        CommitFate::Late(MUCH_LATER),
+                        CallFate::Answered,
+                        CallFate::AnswerLost,
+                        CallFate::Late(MUCH_LATER),
                     ] {
                         let pointers = [first, second, third];
                         let outcome = play(pointers, deletions).await;
@@ -142,7 +145,7 @@
 }
 
 /// Two snapshots and more, with an owner that ends at any of the checks.
-async fn play(pointers: [CommitFate; 3], deletions: CommitFate) -> Result<(), String> {
+async fn play(pointers: [CallFate; 3], deletions: CallFate) -> Result<(), String> {
     let world = World::new(0);
     let writer = Writer::take_over(&world, "a").await.expect("a new shard");
     world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), pointers);
@@ -183,7 +186,7 @@
 /// got no answer.
 #[test]
 fn rows_whose_deletion_gets_no_answer_are_deleted_later() {
-    for fate in [CommitFate::Lost, CommitFate::AnswerLost] {
+    for fate in [CallFate::Lost, CallFate::AnswerLost] {
         paused(async {
             let world = World::new(0);
             let writer = Writer::take_over(&world, "a").await.expect("a new shard");
@@ -202,7 +205,7 @@
     paused(async {
         let world = World::new(0);
         let writer = Writer::take_over(&world, "a").await.expect("a new shard");
-        let deletions = vec![CommitFate::Lost; 100];
+        let deletions = vec![CallFate::Lost; 100];
         world.script_commits(CommitKind::Deletes(JOURNAL_TABLE), deletions);
         writer.write_rows(SNAPSHOT_ROWS + 30).await;
         sleep(SOON).await;
@@ -221,10 +224,10 @@
 #[test]
 fn objects_without_a_pointer_are_deleted() {
     let cases = [
-        (ObjectCall::Delete, CommitFate::Lost),
-        (ObjectCall::Delete, CommitFate::AnswerLost),
-        (ObjectCall::Put, CommitFate::AnswerLost),
-        (ObjectCall::Put, CommitFate::Late(SOON)),
+        (ObjectCall::Delete, CallFate::Lost),
+        (ObjectCall::Delete, CallFate::AnswerLost),
+        (ObjectCall::Put, CallFate::AnswerLost),
+        (ObjectCall::Put, CallFate::Late(SOON)),
     ];
     for (call, fate) in cases {
         paused(async {
@@ -248,10 +251,10 @@
     paused(async {
         let world = World::new(0);
         let writer = Writer::take_over(&world, "a").await.expect("a new shard");
-        world.script_objects(ObjectCall::Delete, vec![CommitFate::Lost; 100]);
+        world.script_objects(ObjectCall::Delete, vec![CallFate::Lost; 100]);
         writer.write_rows(SNAPSHOT_ROWS * 2).await;
         sleep(SOON).await;
-        let lost_pointers = vec![CommitFate::Lost; 100];
+        let lost_pointers = vec![CallFate::Lost; 100];
         world.script_commits(CommitKind::Puts(SNAPSHOT_TABLE), lost_pointers);
         writer.write_rows(SNAPSHOT_ROWS).await;
         sleep(SOON).await;
@@ -274,10 +277,9 @@
         paused(async move {
             let world = World::new(0);
             let writer = Writer::take_over(&world, "a").await.expect("a new shard");
-            world.script_objects(ObjectCall::Put, [CommitFate::Lost]);
+            world.script_objects(ObjectCall::Put, [CallFate::Lost]);
             writer.write_rows(SNAPSHOT_ROWS).await;
-            // The read of the pointer, the call without an answer, and the delay until objects are listed.
-            let listed_at = Instant::now() + Duration::from_millis(8 + 8 + 500 + 10_000);
+            let listed_at = Instant::now() + LISTED_AFTER;
             let next = Writer::take_over(&world, "b").await.expect("a shard");
             tokio::time::sleep_until(listed_at - Duration::from_millis(before_ms)).await;
             next.write_rows(1).await;
@@ -318,7 +320,7 @@
         let world = World::new(0);
         let writer = Writer::take_over(&world, "a").await.expect("a new shard");
         let refusals = 1_000;
-        world.script_objects(ObjectCall::Put, vec![CommitFate::Refused; refusals]);
+        world.script_objects(ObjectCall::Put, vec![CallFate::Refused; refusals]);
         writer.write_rows(SNAPSHOT_ROWS).await;
         let started_at = Instant::now();
         while started_at.elapsed() < Duration::from_secs(60) {
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -88,7 +88,7 @@
 
 /// What happens to one commit or change of an object, instead of what [`StoreBehaviour`] says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CommitFate {
+pub(crate) enum CallFate {
     /// It is executed and answered.
     Answered,
     /// It is executed, but the answer is lost.
@@ -205,9 +205,9 @@
     rows: RefCell<Rows>,
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
     /// What happens to the next commits of each kind.
-    commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CommitFate>>>,
+    commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CallFate>>>,
     /// What happens to the next changes of objects.
-    object_fates: RefCell<IndexMap<ObjectCall, VecDeque<CommitFate>>>,
+    object_fates: RefCell<IndexMap<ObjectCall, VecDeque<CallFate>>>,
     /// Time that a transaction occupies its partition of a slow store, and additional latency of its answer.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
@@ -493,7 +493,7 @@
     pub(crate) fn script_commits(
         &self,
         kind: CommitKind,
-        fates: impl IntoIterator<Item = CommitFate>,
+        fates: impl IntoIterator<Item = CallFate>,
     ) {
         let mut scripted = self.commit_fates.borrow_mut();
         scripted.insert(kind, fates.into_iter().collect());
@@ -503,7 +503,7 @@
     pub(crate) fn script_objects(
         &self,
         call: ObjectCall,
-        fates: impl IntoIterator<Item = CommitFate>,
+        fates: impl IntoIterator<Item = CallFate>,
     ) {
         let mut scripted = self.object_fates.borrow_mut();
         scripted.insert(call, fates.into_iter().collect());
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,7 +1,7 @@
 //! The simulated store: rows with one version counter, objects, and scripted faults for each daemon.
 
 use super::{
-    CALL_TIMEOUT, CommitFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, ObjectCall,
+    CALL_TIMEOUT, CallFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, ObjectCall,
     Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer,
     too_many_reads,
 };
@@ -25,21 +25,21 @@
     }
 
     /// Takes the scripted fate of a commit, if there is one.
-    fn scripted_fate(&self, txn: &Txn) -> Option<CommitFate> {
+    fn scripted_fate(&self, txn: &Txn) -> Option<CallFate> {
         let mut scripted = self.world.commit_fates.borrow_mut();
         let (_, fates) = scripted.iter_mut().find(|(kind, _)| kind.matches(txn))?;
         fates.pop_front()
     }
 
-    async fn commit_as(&self, fate: CommitFate, txn: &Txn) -> TxnOutcome {
+    async fn commit_as(&self, fate: CallFate, txn: &Txn) -> TxnOutcome {
         let outcome = match fate {
-            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::AnswerLost => {
+            CallFate::Answered | CallFate::Repeated(_) | CallFate::AnswerLost => {
                 self.world.rows.borrow_mut().commit(txn)
             }
-            CommitFate::Lost | CommitFate::Late(_) => TxnOutcome::Unknown(no_answer()),
-            CommitFate::Refused => TxnOutcome::NotDone(CallError::new("the store is full")),
+            CallFate::Lost | CallFate::Late(_) => TxnOutcome::Unknown(no_answer()),
+            CallFate::Refused => TxnOutcome::NotDone(CallError::new("the store is full")),
         };
-        if let CommitFate::Late(after) | CommitFate::Repeated(after) = fate {
+        if let CallFate::Late(after) | CallFate::Repeated(after) = fate {
             let (world, txn) = (Rc::clone(&self.world), txn.clone());
             actix_rt::spawn(async move {
                 sleep(after).await;
@@ -47,8 +47,8 @@
             });
         }
         match fate {
-            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::Refused => outcome,
-            CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
+            CallFate::Answered | CallFate::Repeated(_) | CallFate::Refused => outcome,
+            CallFate::AnswerLost | CallFate::Lost | CallFate::Late(_) => {
                 sleep(CALL_TIMEOUT).await;
                 TxnOutcome::Unknown(no_answer())
             }
@@ -71,14 +71,14 @@
             .borrow_mut()
             .get_mut(&call)
             .and_then(VecDeque::pop_front);
-        let fate = scripted.unwrap_or(CommitFate::Answered);
+        let fate = scripted.unwrap_or(CallFate::Answered);
         if matches!(
             fate,
-            CommitFate::Answered | CommitFate::Repeated(_) | CommitFate::AnswerLost
+            CallFate::Answered | CallFate::Repeated(_) | CallFate::AnswerLost
         ) {
             self.world.rows.borrow_mut().set_object(name, body.clone());
         }
-        if let CommitFate::Late(after) | CommitFate::Repeated(after) = fate {
+        if let CallFate::Late(after) | CallFate::Repeated(after) = fate {
             let (world, name) = (Rc::clone(&self.world), name.to_owned());
             actix_rt::spawn(async move {
                 sleep(after).await;
@@ -86,9 +86,9 @@
             });
         }
         match fate {
-            CommitFate::Answered | CommitFate::Repeated(_) => Ok(()),
-            CommitFate::Refused => Err(CallError::new("the store is full")),
-            CommitFate::AnswerLost | CommitFate::Lost | CommitFate::Late(_) => {
+            CallFate::Answered | CallFate::Repeated(_) => Ok(()),
+            CallFate::Refused => Err(CallError::new("the store is full")),
+            CallFate::AnswerLost | CallFate::Lost | CallFate::Late(_) => {
                 sleep(CALL_TIMEOUT).await;
                 Err(no_answer())
             }
