--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -21,7 +21,10 @@
 
 /// Workers of the deployment: 32 cores and 125 GB.
 const WORKER: Size = Size { cpu: 32_000, mem: 128_000, gpu: 0 };
-const RACK: usize = 12;
+/// Workers of the grown deployment that make two shards, and of one rack there.
+const TWO_SHARDS: (usize, usize) = (144, 12);
+/// Workers of the small deployment, and of one rack there.
+const SMALL: (usize, usize) = (66, 8);
 const ZONES: [&str; 4] = ["westlands", "karen", "kilimani", "parklands"];
 
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>) -> End {
@@ -35,18 +38,20 @@
     }
 }
 
-/// Racks of twelve workers each; `change` may change a worker's kind and size by rack and place there.
-fn racks(
+/// So many workers in racks of this size; `change` may change a worker's kind and size by rack and place
+/// there.
+fn fleet(
     count: usize,
+    per_rack: usize,
     change: impl Fn(usize, usize) -> (&'static str, Size),
 ) -> Vec<((String, String, &'static str, String), Size)> {
-    let places = (0..count).flat_map(|rack| (0..RACK).map(move |at| (rack, at)));
-    let worker = |(rack, at): (usize, usize)| {
+    let worker = |number: usize| {
+        let (rack, at) = (number / per_rack, number % per_rack);
         let (kind, size) = change(rack, at);
         let names = (format!("w-{rack:02}-{at:02}"), format!("r1-{rack:02}"), kind, ZONES[rack % 4].to_owned());
         (names, size)
     };
-    places.map(worker).collect()
+    (0..count).map(worker).collect()
 }
 
 fn step(count: u64, size: Size, estimate_ms: u64, more: Vec<(&str, Json)>) -> Json {
@@ -106,7 +111,7 @@
 /// TWICE: a job that lasts, due twice; the worker of its first time is lost while its part of the
 /// deployment is full and another part is empty.
 fn occurrences(has_trouble: bool, record: &Arc<Record>) -> End {
-    let site = Site::start(Arc::clone(record), racks(12, |_, _| ("a", WORKER)), &[STREAMS])?;
+    let site = Site::start(Arc::clone(record), fleet(TWO_SHARDS.0, TWO_SHARDS.1, |_, _| ("a", WORKER)), &[STREAMS])?;
     let size = Size { cpu: 16_000, mem: 8_000, gpu: 0 };
     let stream = id(1);
     let times = vec![("times", num(2)), ("firstRunMs", num(unix_ms() + 500)), ("intervalMs", num(3_000))];
@@ -147,7 +152,7 @@
 /// LOST: a step that lasts comes after a short one; its worker is lost while its part of the deployment
 /// is full and another part is empty.
 fn after(has_trouble: bool, record: &Arc<Record>) -> End {
-    let site = Site::start(Arc::clone(record), racks(12, |_, _| ("a", WORKER)), &[STREAMS])?;
+    let site = Site::start(Arc::clone(record), fleet(TWO_SHARDS.0, TWO_SHARDS.1, |_, _| ("a", WORKER)), &[STREAMS])?;
     let (short, size) = (Size { cpu: 1_000, mem: 1_000, gpu: 0 }, Size { cpu: 16_000, mem: 8_000, gpu: 0 });
     let stream = id(1);
     let comes_after = ("after", Json::List(vec![num(0)]));
@@ -234,7 +239,7 @@
 fn accelerators(has_trouble: bool, record: &Arc<Record>) -> End {
     let with_gpu = Size { gpu: 2, ..WORKER };
     let change = |rack, at| if rack < 2 && at < 2 { ("g", with_gpu) } else { ("a", WORKER) };
-    let site = Site::start(Arc::clone(record), racks(12, change), &[RENDERS])?;
+    let site = Site::start(Arc::clone(record), fleet(TWO_SHARDS.0, TWO_SHARDS.1, change), &[RENDERS])?;
     if site.racks_like("r1-00").contains(&"r1-01".to_owned()) {
         return Err("both racks with accelerators are in one shard".to_owned());
     }
@@ -273,7 +278,7 @@
 /// LOST: one of 25 jobs can never be done, as no worker has the label that its second step requires;
 /// later jobs of the same queue and image could run anywhere.
 fn image(has_trouble: bool, record: &Arc<Record>) -> End {
-    let site = Site::start(Arc::clone(record), racks(6, |_, _| ("a", WORKER)), &[RENDERS])?;
+    let site = Site::start(Arc::clone(record), fleet(SMALL.0, SMALL.1, |_, _| ("a", WORKER)), &[RENDERS])?;
     let size = Size { cpu: 3_500, mem: 6_400, gpu: 0 };
     let fills = |image: &str| vec![("fills", Json::Bool(true)), ("image", text(image))];
     let plain = |image: &str| job("1000", vec![step(2, size, 1_000, fills(image))], Vec::new());
@@ -320,7 +325,7 @@
 /// LOST: some workers fail all that they start; a gang of two fails there once and is shown as failed,
 /// although its queue allows two attempts.
 fn gang(has_trouble: bool, record: &Arc<Record>) -> End {
-    let site = Site::start(Arc::clone(record), racks(2, |_, _| ("a", WORKER)), &[RENDERS])?;
+    let site = Site::start(Arc::clone(record), fleet(24, 12, |_, _| ("a", WORKER)), &[RENDERS])?;
     let size = Size { cpu: 12_000, mem: 8_000, gpu: 0 };
     let body = job("gang2:800", vec![step(2, size, 800, vec![("gang", Json::Bool(true))])], Vec::new());
     let grey: Vec<_> = site.workers.iter().filter(|w| w.id.ends_with("-00")).cloned().collect();
