--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,10 +8,23 @@
     echo "build first: the command of deploy/system.toml, then review/build-2.sh" >&2
     exit 2
 fi
+TMPDIR=$(mktemp -d)
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 "$program" after review/6 &
 run=$!
+# The processes that the program started.
+children() {
+    for stat in /proc/[0-9]*/stat; do
+        { read -r line < "$stat"; } 2> /dev/null || continue
+        set -- ${line##*) }
+        if [ "$2" = "$run" ]; then
+            echo "${stat//[!0-9]/}"
+        fi
+    done
+}
 stop() {
-    kill $(cat "/proc/$run/task/$run/children") "$run"
+    kill -KILL $(children) "$run"
     exit 2
 }
 trap stop INT TERM
