Tests: a long-running task whose worker and owners are lost runs again in time

No test had an owner that ends for good beside a lost worker, nor leases of 10 s. Change: three tests over the real daemons, each with longest leases of 6 s and 10 s; the world takes the longest lease that its workers accept. The bound is the rule's: 7 s after the last disruption (a replaced machine is back after 1 s) and 9 s after the last run.

--- /dev/null
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -0,0 +1,130 @@
+//! Long-running tasks whose worker is lost before, with or after owners of its shard that end without a note: each runs
+//! again within the time that callers are promised, at every longest lease.
+
+use super::{
+    paused,
+    world::{StoreBehaviour, World, owned, step, until},
+};
+use assert_matches::assert_matches;
+use lapisdrum::sched::{Cx, job::Step, peer::SubmitReply};
+use std::{rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+const LIMIT: Duration = Duration::from_secs(5);
+/// Longest leases that workers of the deployments accept.
+const LONGEST_LEASES: [Duration; 2] = [Duration::from_secs(6), Duration::from_secs(10)];
+/// Time until another machine is in the place of one that was lost for good; the disruption ends then.
+const REPLACED_AFTER: Duration = Duration::from_secs(1);
+/// Calm time after a disruption before a task has to run, and time for which it may still wait.
+const CALM: Duration = Duration::from_secs(7);
+/// Time from the last run of a task during which its wait does not count, and time for which it may still wait.
+const AFTER_RUN: Duration = Duration::from_secs(9);
+
+/// A shard with one long-running task, on a worker beside one with free capacity.
+struct Site {
+    world: Rc<World>,
+    owners: Vec<Cx>,
+}
+
+impl Site {
+    async fn start(longest_lease: Duration) -> Self {
+        let world = World::with_longest_lease(2, longest_lease);
+        let owner = world.daemon("d0");
+        owned(&owner, LIMIT).await;
+        let step = Step {
+            is_long_running: true,
+            ..step(1, 600_000, &[])
+        };
+        let reply = world.submit(&owner, 1, vec![step]).await;
+        assert_matches!(reply, SubmitReply::Accepted);
+        until("the task runs", LIMIT, async || world.running().len() == 1).await;
+        sleep(LIMIT * 2).await;
+        Self {
+            world,
+            owners: vec![owner],
+        }
+    }
+
+    /// Makes the worker that runs the task unreachable; the task runs on there until the lease ends.
+    fn cut_worker(&self) {
+        let on = ["w0", "w1"].map(|worker| !self.world.running_on(worker).is_empty());
+        self.world.cut(if on[0] { "w0" } else { "w1" }, true);
+    }
+
+    /// Loses the owner for good, and starts another daemon.
+    async fn replace_owner(&mut self) {
+        let lost = format!("d{}", self.owners.len() - 1);
+        self.world.set_store(&lost, StoreBehaviour::Unavailable);
+        for worker in ["w0", "w1"] {
+            self.world.cut_from(&lost, worker);
+        }
+        let next = self.world.daemon(&format!("d{}", self.owners.len()));
+        self.owners.push(next);
+    }
+
+    async fn next_owner(&self) {
+        let next = self.owners.last().expect("an owner");
+        owned(next, LIMIT).await;
+    }
+
+    /// Waits until the task runs again; fails if that is later than promised after these times.
+    async fn check_restart(&self, ran_until: Instant, owner_lost_at: Instant) {
+        until("the task is started again", LIMIT * 6, async || {
+            self.world.starts.borrow().len() == 2
+        })
+        .await;
+        let due = (owner_lost_at + REPLACED_AFTER + CALM).max(ran_until + AFTER_RUN);
+        let late = Instant::now().saturating_duration_since(due);
+        assert_eq!(late, Duration::ZERO, "started too late by this");
+        sleep(LIMIT * 3).await;
+        self.world.check();
+    }
+}
+
+/// Guards against an owner that waits for hold and longest lease of a predecessor that had known when the leases of the
+/// silent worker end.
+#[test]
+fn a_task_runs_in_time_after_its_worker_and_then_its_owner_are_lost() {
+    for longest_lease in LONGEST_LEASES {
+        paused(async move {
+            let mut site = Site::start(longest_lease).await;
+            site.cut_worker();
+            let cut_at = Instant::now();
+            sleep(Duration::from_secs(4)).await;
+            site.replace_owner().await;
+            site.check_restart(cut_at, Instant::now()).await;
+        });
+    }
+}
+
+/// Guards against a wait for a hold and a whole longest lease of an owner that was lost at the same time as the worker.
+#[test]
+fn a_task_runs_in_time_after_its_worker_and_its_owner_are_lost_together() {
+    for longest_lease in LONGEST_LEASES {
+        paused(async move {
+            let mut site = Site::start(longest_lease).await;
+            site.cut_worker();
+            site.replace_owner().await;
+            let lost_at = Instant::now();
+            site.check_restart(lost_at, lost_at).await;
+        });
+    }
+}
+
+/// Guards against a bound that begins anew with each owner that is lost before it has reached the worker.
+#[test]
+fn a_task_runs_in_time_after_several_owners_are_lost_in_series() {
+    for longest_lease in LONGEST_LEASES {
+        paused(async move {
+            let mut site = Site::start(longest_lease).await;
+            site.cut_worker();
+            let cut_at = Instant::now();
+            sleep(Duration::from_secs(2)).await;
+            site.replace_owner().await;
+            site.next_owner().await;
+            sleep(Duration::from_secs(1)).await;
+            site.replace_owner().await;
+            site.check_restart(cut_at, Instant::now()).await;
+        });
+    }
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -11,6 +11,7 @@
 mod learning;
 mod ledger;
 mod listed_ends;
+mod lost_owners;
 mod order;
 mod outage_lines;
 mod outages;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -59,7 +59,7 @@
 const MAX_ROW_BYTES: usize = 64 * 1024;
 /// Maximum size of the values of a transaction: 1 MB as base64.
 const MAX_TXN_BYTES: usize = 750_000;
-/// Longest lease that a worker accepts.
+/// Longest lease that a worker accepts, unless a test sets another.
 const MAX_WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Time from a stop order until the run ends.
 const STOP_TIME: Duration = Duration::from_millis(300);
@@ -175,6 +175,8 @@
     next_end: u64,
     token: u64,
     lease_until: Instant,
+    /// Longest lease that it accepts.
+    longest_lease: Duration,
     /// Whether it is unreachable; its tasks keep running.
     is_cut: bool,
     /// Whether it has crashed.
@@ -202,6 +204,8 @@
 
 /// The simulated environment of the daemons.
 pub(crate) struct World {
+    /// Longest lease that workers accept.
+    longest_lease: Duration,
     rows: RefCell<Rows>,
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
     /// What happens to the next commits of each kind.
@@ -303,7 +307,13 @@
 impl World {
     /// Creates workers of four cores named `w0`, `w1` and so on, each in a rack of its own.
     pub(crate) fn new(workers: usize) -> Rc<Self> {
+        Self::with_longest_lease(workers, MAX_WORKER_LEASE)
+    }
+
+    /// Like [`Self::new`], with another longest lease that workers accept.
+    pub(crate) fn with_longest_lease(workers: usize, longest_lease: Duration) -> Rc<Self> {
         let world = Rc::new(Self {
+            longest_lease,
             rows: RefCell::default(),
             behaviours: RefCell::default(),
             commit_fates: RefCell::default(),
@@ -358,6 +368,7 @@
             next_end: 1,
             token: 0,
             lease_until: now,
+            longest_lease: self.longest_lease,
             is_cut: false,
             is_dead: false,
             is_listed: true,
@@ -433,7 +444,7 @@
             peers: address,
             seeds: Vec::new(),
             workers_per_shard: self.workers_per_shard.get(),
-            leases: limits(),
+            leases: limits_for(self.longest_lease),
             work: work_timings(),
             evacuated_within: EVACUATION_DEADLINE,
             cpu_share: 0.25,
@@ -900,10 +911,15 @@
     }
 }
 
-/// Lease limits that the simulated workers keep.
+/// Lease limits that the simulated workers keep by default.
 pub(crate) fn limits() -> LeaseLimits {
+    limits_for(MAX_WORKER_LEASE)
+}
+
+/// Lease limits of workers that accept leases of this length.
+pub(crate) fn limits_for(longest: Duration) -> LeaseLimits {
     LeaseLimits {
-        longest: MAX_WORKER_LEASE,
+        longest,
         drift_parts: 45,
         transit: Duration::from_millis(750),
         owner_hold: Duration::from_secs(5),
@@ -971,7 +987,7 @@
         let Some(left) = until.0.checked_sub(self.clock(now).0) else {
             return Err(Refusal::LeaseOver);
         };
-        let left = Duration::from_millis(left).min(MAX_WORKER_LEASE);
+        let left = Duration::from_millis(left).min(self.longest_lease);
         self.lease_until = self.lease_until.max(now + left);
         Ok(())
     }
