--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -300,9 +300,29 @@
         self.snapshot_work.notify_one();
     }
 
+    /// Number of the next row, for an event that is appended now or later.
+    pub fn next_row(&self) -> u64 {
+        self.inner.borrow().last_row + 1
+    }
+
+    /// Number of the last row that the latest snapshot covers.
+    pub fn covered_upto(&self) -> u64 {
+        self.inner.borrow().covered_upto
+    }
+
     /// Rebuilds the state from the snapshot and rows of earlier owners. The fence was raised
     /// before, so they cannot add rows any more.
     pub async fn recover(&self, cx: &Cx) -> eyre::Result<Ledger> {
+        self.recover_with(cx, |_, _| {}).await
+    }
+
+    /// Like [`Self::recover`]; calls `note` for each event that the snapshot does not cover, with
+    /// the number of its row.
+    pub async fn recover_with(
+        &self,
+        cx: &Cx,
+        mut note: impl FnMut(u64, &Event),
+    ) -> eyre::Result<Ledger> {
         // Concurrent, since nothing is started meanwhile: on a store that is 60 times slower, each
         // read takes a third of a second.
         let rows = cx.store.rows(JOURNAL_TABLE, &self.partition, "");
@@ -328,11 +348,16 @@
             bytes += row.value.len() as u64;
             let (continues, part) = body_of(row)?;
             if !continues {
-                replay(&mut ledger, &std::mem::take(&mut body), number - 1)?;
+                replay(
+                    &mut ledger,
+                    &std::mem::take(&mut body),
+                    number - 1,
+                    &mut note,
+                )?;
             }
             body.extend_from_slice(part);
         }
-        replay(&mut ledger, &body, last)?;
+        replay(&mut ledger, &body, last, &mut note)?;
         let mut inner = self.inner.borrow_mut();
         inner.last_row = last;
         inner.covered_upto = covered;
@@ -560,10 +585,16 @@
 }
 
 /// Applies the events of rows that end with row `last`.
-fn replay(ledger: &mut Ledger, body: &[u8], last: u64) -> eyre::Result<()> {
+fn replay(
+    ledger: &mut Ledger,
+    body: &[u8],
+    last: u64,
+    note: &mut impl FnMut(u64, &Event),
+) -> eyre::Result<()> {
     let events = events_of(body);
     for event in events.wrap_err_with(|| format!("journal row {last} is malformed"))? {
         ledger.apply(&event)?;
+        note(last, &event);
     }
     Ok(())
 }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -18,9 +18,10 @@
         Owner,
         stop_note::{self, StopNote},
     },
-    resolution::{EarlierOwners, LeaseLimits},
+    resolution::{EarlierOwners, LeaseLimits, LeasesLeft},
 };
 use crate::core::time::{Millis, millis};
+use indexmap::IndexMap;
 use rand::Rng;
 use std::{rc::Rc, time::Duration};
 
@@ -47,6 +48,9 @@
 /// starts. A lapse under a live owner costs a recovery of 0.15 s. Workers' leases last 6 s, so
 /// tasks survive both.
 pub const LEASE: Duration = Duration::from_millis(1_500);
+/// Time from the end of an owner until the next one has recovered the shard, on a store that answers:
+/// the lease, two polls and the recovery.
+pub const TAKEOVER: Duration = Duration::from_millis(2_500);
 /// Share of a core from which a host does not delay a take-over.
 const SUFFICIENT_CPU_SHARE: f64 = 0.25;
 /// Take-over delay for a CPU share of 0: several polls of the larger hosts.
@@ -76,6 +80,8 @@
 const JITTER_READ_TIMES: u32 = 10;
 /// Maximum extension of a time limit for a slow store.
 const MAX_SLOW_STORE_ALLOWANCE: Duration = Duration::from_millis(3_000);
+/// Minimum time between two renewals, one of which was asked for early.
+const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a renewal that no journal transaction has carried is sent in its own
 /// transaction.
 const PIGGYBACK_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -107,6 +113,24 @@
         pub earlier_may_send_ms: u64,
     }
 
+    /// What the last owner that may have sent leases, the *sender*, knows of the leases that workers
+    /// hold. The next owner may find neither that owner nor some of the workers.
+    pub struct SentLeases {
+        /// Leases of the sender.
+        pub sender: LeasesLeft,
+        /// Leases of the owners before the sender.
+        pub earlier: LeasesLeft,
+        /// Workers that do not answer and have runs: time after the writing of the row until which
+        /// all leases there last, in milliseconds. The sender sends them no lease until a row
+        /// without them is known to be written.
+        #[serde(default)]
+        pub silent: IndexMap<String, u64>,
+        /// Number of a journal row: long-running runs that were placed before it are confirmed,
+        /// unless they are on these workers.
+        #[serde(default)]
+        pub confirmed_before: Option<u64>,
+    }
+
     /// Content of the lease row.
     pub struct LeaseRow {
         /// The current or last holder.
@@ -128,6 +152,10 @@
         /// that ends before, needs no hold.
         #[serde(default)]
         pub last_sender: Option<LastSender>,
+        /// Leases of the last sender, which is the holder if none is named, and of the owners before
+        /// it. A holder of an earlier version does not write it.
+        #[serde(default)]
+        pub leases: Option<SentLeases>,
         /// Whether the holder takes back tasks that it delegated; an earlier version does not know
         /// the call.
         #[serde(default)]
@@ -237,15 +265,18 @@
 
     /// Until when earlier owners may send leases to workers, for a daemon that takes the shard over.
     pub fn earlier_owners(&self, limits: &LeaseLimits) -> EarlierOwners {
-        let mut earlier = EarlierOwners::held(self.fence_since, self.since, limits);
         let row = self.row.as_ref();
+        if let Some(sent) = row.and_then(|row| row.leases.as_ref()) {
+            return EarlierOwners::by_row(self.since, sent.sender, sent.earlier, limits);
+        }
+        let mut earlier = EarlierOwners::held(self.fence_since, self.since, limits);
         let Some((row, left_ms)) = row.and_then(|row| Some((row, row.earlier_may_send_ms?))) else {
             return earlier;
         };
         let left = Duration::from_millis(left_ms);
         if let Some(sender) = &row.last_sender {
             let before_left = Duration::from_millis(sender.earlier_may_send_ms);
-            return EarlierOwners::noted(self.since, left, before_left, limits);
+            return EarlierOwners::held_before_idle(self.since, left, before_left, limits);
         }
         earlier.note_before(self.since, left, limits);
         if row.is_released {
@@ -254,6 +285,23 @@
         earlier
     }
 
+    /// Workers that did not answer the last sender, and when the leases there have ended.
+    pub fn silent_workers(&self, limits: &LeaseLimits) -> IndexMap<String, Millis> {
+        let sent = self.row.as_ref().and_then(|row| row.leases.as_ref());
+        let silent = sent.into_iter().flat_map(|sent| &sent.silent);
+        silent
+            .map(|(worker, ends_in_ms)| {
+                (worker.clone(), limits.end_by_note(self.since, *ends_in_ms))
+            })
+            .collect()
+    }
+
+    /// Number of the journal row before which the last sender had confirmed all long-running runs,
+    /// but for those on silent workers.
+    pub fn confirmed_before(&self) -> Option<u64> {
+        self.row.as_ref()?.leases.as_ref()?.confirmed_before
+    }
+
     /// The last owner that may have sent leases, and its fencing token.
     pub fn last_sender(&self) -> Option<(&Holder, u64)> {
         let row = self.row.as_ref()?;
@@ -266,16 +314,28 @@
     /// The row of a take-over by `me` at `now`, after these rows were read.
     pub fn takeover_row(&self, me: &Holder, now: Millis, limits: &LeaseLimits) -> LeaseRow {
         let earlier = self.earlier_owners(limits);
+        let before = earlier.before().left(now);
+        // The first owner sends leases at once.
+        let sender = match self.row {
+            Some(_) => earlier.previous().left(now),
+            None => limits.after_row(),
+        };
         LeaseRow {
             holder: me.clone(),
             is_released: false,
             renewals: 0,
             up_ms: now.0,
-            earlier_may_send_ms: Some(millis(earlier.until().since(now))),
+            earlier_may_send_ms: Some(limits.may_send_ms(earlier.ends().left(now))),
             last_sender: self.last_sender().map(|(holder, token)| LastSender {
                 holder: holder.clone(),
                 token,
-                earlier_may_send_ms: millis(earlier.before_until().since(now)),
+                earlier_may_send_ms: limits.may_send_ms(before),
+            }),
+            leases: Some(SentLeases {
+                sender,
+                earlier: before,
+                silent: left_of(&self.silent_workers(limits), now),
+                confirmed_before: self.confirmed_before(),
             }),
             accepts_returns: true,
         }
@@ -308,6 +368,14 @@
     }
 }
 
+/// Time left at `now` until the leases of each worker have ended, in milliseconds, rounded up.
+pub fn left_of(workers: &IndexMap<String, Millis>, now: Millis) -> IndexMap<String, u64> {
+    let left = workers
+        .iter()
+        .map(|(worker, ends_at)| (worker.clone(), millis(ends_at.since(now)) + 1));
+    left.collect()
+}
+
 /// Time from the sending of a renewal during which no other daemon takes the shard over, unless the
 /// lease is released: a live holder whose address refuses connections, as in a network partition,
 /// may be replaced once it is suspected. On the holder's clock, which may be slower than that of
@@ -496,7 +564,8 @@
             renew_once(cx, owner, renewals, false).await;
         }
         drop(renewing);
-        tokio::time::sleep(RENEW).await;
+        tokio::time::sleep(MIN_RENEW_INTERVAL).await;
+        let _ = tokio::time::timeout(RENEW - MIN_RENEW_INTERVAL, owner.renewal_wanted()).await;
     }
 }
 
@@ -516,14 +585,22 @@
 /// Writes the lease row; returns whether the write is known to be committed.
 async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
     let now = cx.clock.now();
+    let last_sender = is_released.then(|| owner.sender_before(cx)).flatten();
+    let leases = match last_sender {
+        Some(_) => owner.leases_of_sender_before(now),
+        None => owner.sent_leases(cx, is_released),
+    };
+    owner.stop_leases_to(&leases.silent);
+    let listed = leases.silent.keys().cloned().collect();
     let earlier = owner.earlier_owners.get();
     let row = LeaseRow {
         holder: cx.me.clone(),
         is_released,
         renewals,
         up_ms: now.0,
-        earlier_may_send_ms: Some(millis(earlier.until().since(now))),
-        last_sender: is_released.then(|| owner.sender_before(now)).flatten(),
+        earlier_may_send_ms: Some(cx.cfg.leases.may_send_ms(earlier.ends().left(now))),
+        last_sender,
+        leases: Some(leases),
         accepts_returns: true,
     };
     let piggyback = Piggyback {
@@ -550,6 +627,7 @@
             owner.lease_version.set(newest);
             owner.renewed_at.set(sent_at);
             owner.start_sending_leases();
+            owner.note_listed(listed);
             return true;
         }
         TxnOutcome::Conflict(rows) => adopt_version_or_mark_lost(cx, owner, &rows),
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -28,6 +28,7 @@
 pub mod process;
 pub mod reachability;
 pub mod resolution;
+pub mod restart;
 pub mod shape;
 
 use crate::{
@@ -40,6 +41,7 @@
 use lease::{Holder, LeaseView};
 use owner::Owner;
 use resolution::LeaseLimits;
+use restart::RestartLimits;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -72,6 +74,8 @@
     pub workers_per_shard: usize,
     /// Limits on the leases of workers.
     pub leases: LeaseLimits,
+    /// Longest waits of long-running tasks whose worker is lost.
+    pub restarts: RestartLimits,
     /// Durations of stops and restores, and how long a task may exceed its latency target.
     pub work: Timings,
     /// Longest time from the acknowledgement of an evacuation until it must be in force.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -7,7 +7,6 @@
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
     runs::{self, load_of},
-    session::Session,
 };
 use crate::{
     core::{size::Size, time::Millis},
@@ -74,17 +73,20 @@
 }
 
 impl Owner {
-    /// Whether tasks may be placed: the shard is recovered, leases may be sent, the shard is not
-    /// being released, and its journal keeps up with appends.
+    /// Whether tasks may be placed: the shard is recovered, start orders may be sent, and its journal
+    /// keeps up with appends.
     pub fn may_place(&self, cx: &Cx) -> bool {
-        let is_sending = self.may_have_sent_leases() && !self.is_releasing();
-        self.is_recovered() && is_sending && self.journal.accepts_work(cx.clock.now())
+        let may_start = self.is_recovered() && self.may_start(cx);
+        may_start && self.journal.accepts_work(cx.clock.now())
     }
 
     /// The workers to which new tasks may be sent.
     pub fn open_workers(&self, cx: &Cx) -> Vec<Rc<WorkerReport>> {
         let sessions = self.sessions.borrow();
-        let open = sessions.values().filter_map(Session::open_for_tasks);
+        let unlisted = sessions
+            .iter()
+            .filter(|(worker, _)| !self.is_listed(worker));
+        let open = unlisted.filter_map(|(_, session)| session.open_for_tasks());
         let open = open.filter(|report| cx.allows_starts_in(&report.data_centre));
         open.cloned().collect()
     }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -24,6 +24,7 @@
 pub mod returns;
 pub mod runs;
 pub mod session;
+pub mod silent_workers;
 pub mod stop_note;
 pub mod upkeep;
 
@@ -53,6 +54,7 @@
 use kept_hosts::KeptHosts;
 use runs::RunRecord;
 use session::Session;
+use silent_workers::Listed;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -85,6 +87,13 @@
     pub earlier_owners: Cell<EarlierOwners>,
     /// Workers that did not answer the previous owner, and when the leases there have ended.
     silent_before: RefCell<IndexMap<String, Millis>>,
+    /// Journal row before which the previous owner had confirmed all long-running runs; see
+    /// [`SentLeases`](lease::SentLeases).
+    previous_confirmed_before: Option<u64>,
+    /// Workers that a lease row lists as silent.
+    listed: Listed,
+    /// When the state was recovered.
+    recovered_at: Cell<Option<Millis>>,
     /// Workers with runs that were given up while that is not durable yet, and when the leases
     /// there ended.
     given_up: RefCell<IndexMap<String, Millis>>,
@@ -162,6 +171,7 @@
     ) -> Rc<Self> {
         let (fence, lease_version) = ((fence, now.fence), now.version);
         let last_sender = seen.last_sender();
+        let silent_before = seen.silent_workers(limits);
         let is_first = last_sender.is_none();
         Rc::new(Self {
             handle: Rc::clone(handle),
@@ -171,7 +181,10 @@
             previous_owner: last_sender.map(|(holder, _)| holder.clone()),
             replaced_token: last_sender.map_or(0, |(_, token)| token),
             earlier_owners: Cell::new(seen.earlier_owners(limits)),
-            silent_before: RefCell::default(),
+            listed: Listed::new(silent_before.keys().cloned()),
+            silent_before: RefCell::new(silent_before),
+            previous_confirmed_before: seen.confirmed_before(),
+            recovered_at: Cell::new(None),
             given_up: RefCell::default(),
             may_have_sent_leases: Cell::new(is_first),
             is_releasing: Cell::new(false),
@@ -246,13 +259,26 @@
         outcome == Ok(AppendOutcome::Durable)
     }
 
-    /// Whether leases may be sent to workers: only within the hold time that the next owner waits
-    /// out, also if the host was suspended, not before the store holds a row that says so, and not once
-    /// the lease is being released.
+    /// Whether leases may be sent to workers.
     pub fn may_renew(&self, cx: &Cx) -> bool {
+        self.lease_length(cx).is_some()
+    }
+
+    /// Length of a lease that is sent now. None may be sent that ends after the time for which the
+    /// next owner waits, also if the host was suspended, none before the store holds a row that says
+    /// so, and none once the lease is being released.
+    pub fn lease_length(&self, cx: &Cx) -> Option<Duration> {
         let since_renewal = cx.clock.at_most_since(self.renewed_at.get());
-        let is_held = self.is_serving() && since_renewal < cx.cfg.leases.owner_hold;
-        is_held && self.may_have_sent_leases() && !self.is_releasing()
+        let is_held = self.is_serving() && self.may_have_sent_leases() && !self.is_releasing();
+        let length = cx.cfg.leases.sent(since_renewal);
+        length.filter(|_| is_held)
+    }
+
+    /// Whether start orders may be sent: for a shorter time after a renewal than other leases, since
+    /// a later incarnation of a worker may execute them.
+    pub fn may_start(&self, cx: &Cx) -> bool {
+        let since_renewal = cx.clock.at_most_since(self.renewed_at.get());
+        self.may_renew(cx) && since_renewal < cx.cfg.leases.start_hold
     }
 
     /// Whether leases may have been sent to workers.
@@ -270,13 +296,13 @@
     }
 
     /// The last owner that may have sent leases, if this one has sent none.
-    pub fn sender_before(&self, now: Millis) -> Option<LastSender> {
+    pub fn sender_before(&self, cx: &Cx) -> Option<LastSender> {
         let holder = self.previous_owner.clone()?;
-        let before_until = self.earlier_owners.get().before_until();
+        let before = self.earlier_owners.get().before().left(cx.clock.now());
         (!self.may_have_sent_leases()).then(|| LastSender {
             holder,
             token: self.replaced_token,
-            earlier_may_send_ms: millis(before_until.since(now)),
+            earlier_may_send_ms: cx.cfg.leases.may_send_ms(before),
         })
     }
 
@@ -294,7 +320,7 @@
     /// Until when runs of earlier owners may be alive on a worker that has not answered this owner
     /// yet.
     fn inherited_bound(&self, worker: &str) -> LeaseBound {
-        let mut bound = LeaseBound::inherited_until(self.earlier_owners.get().until());
+        let mut bound = LeaseBound::inherited(self.earlier_owners.get().ends());
         if let Some(ends_at) = self.silent_before.borrow().get(worker) {
             bound.note_inherited_end(*ends_at);
         }
@@ -410,9 +436,15 @@
 async fn recover(cx: &Cx, owner: &Rc<Owner>) -> bool {
     while owner.is_serving() {
         let learned = estimates::load_estimates(cx, owner);
-        match futures::join!(owner.journal.recover(cx), learned).0 {
+        let mut placed_rows = IndexMap::new();
+        let recovered = owner.journal.recover_with(cx, |row, event| {
+            if let Event::Placed { run, .. } = event {
+                placed_rows.insert(*run, row);
+            }
+        });
+        match futures::join!(recovered, learned).0 {
             Ok(ledger) => {
-                adopt(cx, owner, ledger);
+                adopt(cx, owner, ledger, &placed_rows);
                 return owner.is_serving();
             }
             Err(e) => log::warn!(error:% = format!("{e:#}"); "recovery failed"),
@@ -423,7 +455,7 @@
 }
 
 /// Installs the recovered ledger; every live run in it may still be on its worker.
-fn adopt(cx: &Cx, owner: &Rc<Owner>, ledger: Ledger) {
+fn adopt(cx: &Cx, owner: &Rc<Owner>, ledger: Ledger, placed_rows: &IndexMap<RunId, u64>) {
     let active = ledger.jobs.iter().filter(|(_, j)| j.phase == Phase::Active);
     owner.active.borrow_mut().extend(active.map(|(id, _)| *id));
     let live: Vec<_> = ledger
@@ -433,8 +465,9 @@
     let (jobs, runs) = (ledger.jobs.len(), live.len());
     *owner.ledger.borrow_mut() = ledger;
     for (run, on) in live {
-        owner.add_inherited(cx, run, &on);
+        owner.add_inherited(cx, run, &on, placed_rows.get(&run).copied());
     }
+    owner.recovered_at.set(Some(cx.clock.now()));
     if owner.is_serving() {
         owner.status.set(Status::Serving);
     }
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -152,7 +152,8 @@
     let sessions = owner.sessions.borrow();
     let session = worker.and_then(|worker| sessions.get(worker));
     let silent_ms = session.map(|session| session.unresponsive_ms(now));
-    let latest = session.map(|session| session.bound.latest_end(&cx.cfg.leases));
+    let is_confirmed = record.is_some_and(|record| record.is_confirmed);
+    let latest = session.map(|session| session.bound.latest_end(is_confirmed, &cx.cfg.leases));
     let last_lease = latest.map(|(kind, _)| kind);
     let ends_in_ms = latest.map(|(_, end)| millis(end.since(now)));
     let refused = refusal(owner, &found.task.step_id());
@@ -168,6 +169,7 @@
         order:? = record.map(|record| record.known.order),
         stop:? = record.map(|record| record.known.stop),
         silent_ms,
+        is_confirmed,
         last_lease:?,
         ends_in_ms,
         refused:?;
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -8,6 +8,7 @@
 use super::{
     Owner, interference,
     runs::{self, RunRecord, note_lease_call, stop_unknown},
+    session::Lease,
 };
 use crate::{
     core::time::{Millis, WorkerMillis, millis},
@@ -36,6 +37,8 @@
 /// Wait of a long poll where best-effort tasks share the host with serving ones, whose latency
 /// tails are updated every 500 ms.
 const POLL_WAIT_SHARED: Duration = Duration::from_millis(350);
+/// Wait of a poll of a worker that may get a lease again once the next lease row is written.
+const POLL_WAIT_LISTED: Duration = Duration::from_millis(50);
 /// Delay before an unresponsive worker is polled again.
 const UNRESPONSIVE_RETRY: Duration = Duration::from_millis(200);
 /// Longest wait for ends to become durable before the next poll. While the store is unavailable,
@@ -83,28 +86,29 @@
 /// response.
 async fn poll_next(cx: &Cx, owner: &Rc<Owner>, worker: &str) -> bool {
     let now = cx.clock.now();
-    let may_renew = owner.may_renew(cx);
+    let length = owner.lease_length(cx);
+    let is_listed = owner.is_listed(worker);
     let planned = owner.session(worker, |session| {
         let is_claimed = session.is_claimed();
         let answers = is_claimed && session.unresponsive_since.is_none();
-        let is_due = session.is_renewal_due(now) && may_renew;
-        let lease = (answers && is_due)
-            .then(|| session.lease_end(now, &cx.cfg.leases))
-            .flatten();
+        let is_due = answers && !is_listed && session.is_renewal_due(now);
+        let length = length.filter(|_| is_due);
+        let lease = length.and_then(|length| session.lease(now, length, &cx.cfg.leases));
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
         let lists_all_ends = session.ends_truncated_since.is_none();
         (is_claimed && lists_all_ends, lease, is_shared)
     });
-    let Some((may_wait, lease_until, is_shared)) = planned else {
+    let Some((may_wait, lease, is_shared)) = planned else {
         return false;
     };
-    let wait = match (may_wait && lease_until.is_none(), is_shared) {
+    let wait = match (may_wait && lease.is_none(), is_shared) {
+        (true, _) if is_listed => POLL_WAIT_LISTED,
         (true, true) => POLL_WAIT_SHARED,
         (true, false) => POLL_WAIT,
         (false, _) => Duration::ZERO,
     };
-    poll(cx, owner, worker, lease_until, wait).await
+    poll(cx, owner, worker, lease, wait).await
 }
 
 /// Sends a poll that returns at once with the current runs; false if the worker did not answer.
@@ -116,7 +120,7 @@
     cx: &Cx,
     owner: &Rc<Owner>,
     worker: &str,
-    lease_until: Option<WorkerMillis>,
+    lease: Option<Lease>,
     wait: Duration,
 ) -> bool {
     let Some(address) = owner.address_of(worker) else {
@@ -125,16 +129,16 @@
     let order = PollOrder {
         token: owner.token(),
         acked_upto: owner.session(worker, |s| s.ackable()).unwrap_or_default(),
-        lease_until,
+        lease_until: lease.map(|lease| lease.until),
         wait,
     };
     let sent_at = cx.clock.now();
-    if lease_until.is_some() {
-        owner.session(worker, |session| session.bound.note_sent());
+    if let Some(lease) = lease {
+        owner.session(worker, |session| session.bound.note_sent(lease.ends_by));
     }
     cx.metrics.polls.inc();
     let outcome = cx.workers.poll(&address, worker, &order).await;
-    if lease_until.is_some() {
+    if lease.is_some() {
         note_lease_call(cx, owner, worker, sent_at, &outcome);
     }
     if !owner.is_serving() {
@@ -212,7 +216,7 @@
     response: PollResponse,
 ) {
     let now = cx.clock.now();
-    let Some(incarnation) = note_incarnation(owner, worker, sent_at, &response, now) else {
+    let Some(incarnation) = note_incarnation(cx, owner, worker, sent_at, &response, now) else {
         return;
     };
     let acked = note_ends(cx, owner, worker, &incarnation, &response, now);
@@ -234,12 +238,14 @@
 }
 
 fn note_incarnation(
+    cx: &Cx,
     owner: &Rc<Owner>,
     worker: &str,
     sent_at: Millis,
     response: &PollResponse,
     now: Millis,
 ) -> Option<Incarnation> {
+    let are_runs_confirmed = owner.are_runs_confirmed_on(worker);
     let noted = owner.session(worker, |session| {
         let reported = session
             .report
@@ -263,7 +269,8 @@
             session.response_clock = WorkerMillis::default();
             session.clock = None;
             session.leased_at = None;
-            session.bound.note_claimed(now);
+            let limits = &cx.cfg.leases;
+            session.bound.note_claimed(now, are_runs_confirmed, limits);
         }
         let was_silent_ms = session.unresponsive_ms(now);
         session.unresponsive_since = None;
@@ -282,6 +289,9 @@
         ))
     })?;
     let (incarnation, before, was_silent_ms) = noted?;
+    if owner.is_listed(worker) {
+        owner.want_renewal();
+    }
     if before != Some(incarnation.started_unix_ms) {
         log::info!(worker, born = incarnation.started_unix_ms, before:? = before, token = owner.token(), runs = response.running.len(); "worker claimed");
         owner.wake.notify_one();
@@ -453,7 +463,12 @@
             owner.set_awaits_ends(&run, awaits_ends);
         }
         match verdict {
-            RunVerdict::Runs => note_progress(owner, &run, percent.unwrap_or_default(), now),
+            RunVerdict::Runs => {
+                if observation.is_same_incarnation {
+                    owner.note_confirmed(&run);
+                }
+                note_progress(owner, &run, percent.unwrap_or_default(), now);
+            }
             RunVerdict::Wait | RunVerdict::AwaitEnds => {}
             RunVerdict::OrderStop => {
                 runs::order_stop(cx, owner, run, "its start order was not answered")
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -1,11 +1,10 @@
 //! Detects that the previous owner's process has ended, or that the owner has noted its stop.
 //!
-//! An owner that the store rejects continues to renew workers' leases for `owner_hold`, so the next
-//! owner waits that long plus one lease before it gives up runs on workers that do not answer. When
-//! an owner and a worker were lost together, the worker's long-running tasks were interrupted for
-//! 12 s after the owner's end. A killed daemon is restarted under its address within a second: a
-//! reply from another incarnation proves that the previous one sends nothing more, and the tasks
-//! run again 3 s sooner. A missing reply proves nothing.
+//! An owner that the store rejects continues to renew workers' leases up to the end that its last
+//! lease row allows. The next owner waits for that end before it gives up runs on workers that do not
+//! answer, unless the row lists the worker. A killed daemon is restarted under its address within a
+//! second: a reply from another incarnation proves that the previous one sends nothing more, so that
+//! its leases end sooner. A missing reply proves nothing.
 
 use super::{Owner, stop_note};
 use crate::{
@@ -28,10 +27,9 @@
     let Some(before) = &owner.previous_owner else {
         return;
     };
-    let until = owner.earlier_owners.get().previous_until();
     // A released shard has a note, and no hold to wait out.
     while !stop_note::accept(&cx, &owner).await {
-        if !owner.is_serving() || cx.clock.now() >= until {
+        if !owner.is_serving() || !owner.awaits_inherited_leases(&cx) {
             return;
         }
         if has_ended(&cx, before).await {
@@ -53,7 +51,20 @@
 }
 
 impl Owner {
-    /// Logs until when earlier owners may send leases, as inferred from the rows that were `seen`
+    /// Whether a worker with runs may still hold leases of earlier owners and has not answered this
+    /// one, or that is not known before the recovery.
+    fn awaits_inherited_leases(&self, cx: &Cx) -> bool {
+        let now = cx.clock.now();
+        let may_last = self.earlier_owners.get().previous().unconfirmed > now;
+        let sessions = self.sessions.borrow();
+        let is_unclaimed = || {
+            let mut sessions = sessions.values();
+            sessions.any(|session| !session.is_claimed() && !session.runs.is_empty())
+        };
+        may_last && (!self.is_recovered() || is_unclaimed())
+    }
+
+    /// Logs until when leases of earlier owners may last, as inferred from the rows that were `seen`
     /// before the take-over.
     pub fn log_earlier_owners(&self, seen: &LeaseView) {
         let Some(before) = &seen.row else {
@@ -65,10 +76,11 @@
         let is_idle = before.last_sender.is_some();
         let unchanged_ms = millis(self.taken_at.since(seen.since));
         let owned_ms = millis(self.taken_at.since(seen.fence_since));
-        let until = self.earlier_owners.get().until();
-        let may_send_ms = millis(until.since(self.taken_at));
-        let before_ms = before.earlier_may_send_ms;
-        log::info!(shard:%, token = self.token(), daemon:%, is_released, is_idle, unchanged_ms, owned_ms, before_ms:?, may_send_ms; "earlier owners may send leases");
+        let left = self.earlier_owners.get().ends().left(self.taken_at);
+        let is_noted = before.leases.is_some();
+        let silent = self.silent_before.borrow().len();
+        let confirmed_before = self.previous_confirmed_before;
+        log::info!(shard:%, token = self.token(), daemon:%, is_released, is_idle, is_noted, unchanged_ms, owned_ms, leases_end_in_ms = left.confirmed_ms, unconfirmed_end_in_ms = left.unconfirmed_ms, silent, confirmed_before:?; "leases of earlier owners may last");
     }
 
     /// Notes that the previous owner had ended by `at`. The owners before that one may still renew
@@ -77,12 +89,12 @@
         let mut earlier = self.earlier_owners.get();
         earlier.note_previous_stopped(at);
         self.earlier_owners.set(earlier);
-        let until = earlier.until();
+        let ends = earlier.ends();
         let before = self.previous_owner.as_ref().map(|before| &before.daemon);
-        let earlier_for_ms = millis(until.since(at));
-        log::info!(shard:% = self.handle.partition, daemon:? = before, nothing_sent_after = until.0, earlier_for_ms; "owner before is gone");
+        let left = ends.left(at);
+        log::info!(shard:% = self.handle.partition, daemon:? = before, leases_end_in_ms = left.confirmed_ms, unconfirmed_end_in_ms = left.unconfirmed_ms; "owner before is gone");
         for session in self.sessions.borrow_mut().values_mut() {
-            session.bound.previous_owner_ended(until);
+            session.bound.note_inherited(ends);
         }
     }
 }
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -1,6 +1,9 @@
 //! Runs on workers: sends the orders to start and stop them, and resolves each order's outcome.
 
-use super::{Owner, headroom, poll, session::Session};
+use super::{
+    Owner, headroom, poll,
+    session::{Lease, Session},
+};
 use crate::{
     core::{
         size::Size,
@@ -36,6 +39,12 @@
     pub short_class: Option<Class>,
     /// State of its start and stop orders.
     pub known: RunKnowledge,
+    /// Whether the incarnation on which it was placed is known to have it, so that no later one
+    /// does.
+    pub is_confirmed: bool,
+    /// Number of the journal row that holds its placement, or of an earlier one; `None` if only a
+    /// snapshot is known to hold it.
+    pub placed_row: Option<u64>,
     /// When this owner placed it, or read it from the journal.
     pub since: Millis,
     /// Whether its end may be among those that its worker has not listed yet.
@@ -74,13 +83,24 @@
 }
 
 impl Owner {
-    /// Adds a live run that was read from the journal.
-    pub fn add_inherited(&self, cx: &Cx, run: RunId, on: &WorkerIncarnation) {
+    /// Adds a live run that was read from the journal; `placed_row` is the number of its row, unless
+    /// the snapshot holds it.
+    pub fn add_inherited(
+        &self,
+        cx: &Cx,
+        run: RunId,
+        on: &WorkerIncarnation,
+        placed_row: Option<u64>,
+    ) {
         let known = RunKnowledge {
             order: Order::Inherited,
             stop: Stop::No,
         };
-        self.add_run(cx, run, on, known);
+        self.add_run(cx, run, on, known, placed_row);
+        let is_confirmed = self.was_confirmed(placed_row);
+        self.record(&run, |record| {
+            record.is_confirmed = is_confirmed && record.is_long_running;
+        });
     }
 
     /// Adds a run that this owner has placed; its start order is not sent yet.
@@ -89,10 +109,18 @@
             order: Order::NotSent,
             stop: Stop::No,
         };
-        self.add_run(cx, run, on, known);
+        let placed_row = Some(self.journal.next_row());
+        self.add_run(cx, run, on, known, placed_row);
     }
 
-    fn add_run(&self, cx: &Cx, run: RunId, on: &WorkerIncarnation, known: RunKnowledge) {
+    fn add_run(
+        &self,
+        cx: &Cx,
+        run: RunId,
+        on: &WorkerIncarnation,
+        known: RunKnowledge,
+        placed_row: Option<u64>,
+    ) {
         let ledger = self.ledger.borrow();
         let Some(job) = ledger.jobs.get(&run.task.job) else {
             return;
@@ -109,6 +137,8 @@
             load: load_of(step),
             short_class: headroom::short_class(&job.terms, step),
             known,
+            is_confirmed: false,
+            placed_row,
             since: now,
             awaits_ends: false,
             progress: None,
@@ -163,6 +193,11 @@
         self.record(run, |record| record.awaits_ends = awaits_ends);
     }
 
+    /// Records that the incarnation on which a run was placed has it.
+    pub fn note_confirmed(&self, run: &RunId) {
+        self.record(run, |record| record.is_confirmed = true);
+    }
+
     fn set_order(&self, run: &RunId, order: Order) {
         self.record(run, |record| record.known.order = order);
     }
@@ -200,12 +235,12 @@
 async fn start(cx: &Cx, owner: &Rc<Owner>, run: RunId) {
     // An error is impossible, since the semaphore is never closed.
     let slot = cx.start_slots.acquire().await.ok();
-    let Some((address, worker, order)) = prepare(cx, owner, run) else {
+    let Some((address, worker, order, lease)) = prepare(cx, owner, run) else {
         owner.note_lost(cx, run, Loss::NotStarted);
         return;
     };
     owner.set_order(&run, Order::InFlight);
-    owner.session(&worker, |session| session.bound.note_sent());
+    owner.session(&worker, |session| session.bound.note_sent(lease.ends_by));
     let sent_at = cx.clock.now();
     let placed_at = owner.record(&run, |record| record.since);
     let waited_ms = millis(sent_at.since(placed_at.unwrap_or(sent_at)));
@@ -289,22 +324,25 @@
 }
 
 /// Builds the start order of a run; none if it must no longer be sent.
-fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Option<(String, String, StartOrder)> {
+fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Option<(String, String, StartOrder, Lease)> {
     let on = owner.runs.borrow().get(&run)?.on.clone();
     let now = cx.clock.now();
-    let (address, lease_until) = owner.session(&on.worker, |session| {
+    let length = owner.lease_length(cx).filter(|_| owner.may_start(cx))?;
+    if owner.is_listed(&on.worker) {
+        return None;
+    }
+    let (address, lease) = owner.session(&on.worker, |session| {
         let is_same_incarnation = session.claimed.started_unix_ms == Some(on.started_unix_ms);
         let report = session.report.as_ref()?;
-        let lease_until = session.lease_end(now, &cx.cfg.leases)?;
+        let lease = session.lease(now, length, &cx.cfg.leases)?;
         let is_responsive = session.unresponsive_since.is_none();
         // The data centre may have been evacuated after the run was placed.
         let may_start = cx.allows_starts_in(&report.data_centre);
-        (is_same_incarnation && is_responsive && may_start)
-            .then(|| (report.address.clone(), lease_until))
+        (is_same_incarnation && is_responsive && may_start).then(|| (report.address.clone(), lease))
     })??;
     let ledger = owner.ledger.borrow();
     let job = ledger.jobs.get(&run.task.job)?;
-    if job.phase != Phase::Active || !owner.may_renew(cx) {
+    if job.phase != Phase::Active {
         return None;
     }
     // The end of an earlier run may have been listed after this one was placed.
@@ -313,11 +351,11 @@
         run,
         payload: job.spec.payload.clone(),
         token: owner.token(),
-        lease_until,
+        lease_until: lease.until,
         checkpoint: task.checkpoint.clone(),
         ticket: None,
     };
-    Some((address, on.worker, order))
+    Some((address, on.worker, order, lease))
 }
 
 /// Stops every run of a job.
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -91,6 +91,15 @@
     }
 }
 
+/// A lease as a call names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Its end on the worker's clock.
+    pub until: WorkerMillis,
+    /// Time on the own clock by which it has ended, on the incarnation whose clock was read.
+    pub ends_by: Millis,
+}
+
 /// State of one worker, as known to the owner.
 #[derive(Clone, Debug)]
 pub struct Session {
@@ -190,12 +199,14 @@
         }
     }
 
-    /// End, on the worker's clock, of a lease sent at `now`; none if the clock was not read
-    /// recently.
-    pub fn lease_end(&self, now: Millis, limits: &LeaseLimits) -> Option<WorkerMillis> {
+    /// A lease of this length, sent at `now`; none if the worker's clock was not read recently.
+    pub fn lease(&self, now: Millis, length: Duration, limits: &LeaseLimits) -> Option<Lease> {
         let (clock, read_at) = self.clock?;
         let age = now.since(read_at);
-        (age <= limits.max_clock_age()).then(|| clock + age + limits.sent())
+        (age <= limits.max_clock_age()).then(|| Lease {
+            until: clock + age + length,
+            ends_by: now + limits.ends_within(length),
+        })
     }
 
     /// Whether the last accepted lease is old enough to be renewed, or there is none.
--- /dev/null
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -0,0 +1,201 @@
+//! What the lease row says of the leases that workers hold, for the next owner.
+//!
+//! Only the owner that sent a lease knows when it ends. Without that in the store, the next owner
+//! bounds the leases of a silent worker by all that its predecessors may have sent until they knew
+//! that they were replaced, and the worker's long-running tasks wait for that. So each lease row
+//! lists the silent workers and when their leases end.
+//!
+//! A listed worker that answers again gets no lease until a row without it is known to be written:
+//! whichever row the next owner finds, no lease was sent that it denies. A row takes effect only
+//! under the owner's fence, so none changes after a take-over.
+
+use super::{Owner, session::Session};
+use crate::{
+    core::time::Millis,
+    sched::{
+        Cx,
+        event::RunId,
+        lease::{SentLeases, left_of},
+    },
+};
+use indexmap::{IndexMap, IndexSet};
+use std::{cell::RefCell, time::Duration};
+use tokio::sync::Notify;
+
+/// Maximum number of listed workers, so that the row stays small: every daemon polls it. The next
+/// owner infers the bound on leases of further ones.
+const MAX_LISTED: usize = 200;
+/// Time after the recovery from which a worker counts as silent that has not answered a first poll:
+/// the poll's timeout. A worker in the list gets its first lease later.
+const FIRST_POLL_TIME: Duration = Duration::from_millis(500);
+
+/// The workers that a lease row may list which is in the store or may yet be written.
+#[derive(Default)]
+pub struct Listed {
+    workers: RefCell<IndexSet<String>>,
+    /// Notified when a listed worker answers again.
+    renewal_wanted: Notify,
+}
+
+impl Listed {
+    /// The workers that the row of the take-over lists.
+    pub fn new(workers: impl IntoIterator<Item = String>) -> Self {
+        Self {
+            workers: RefCell::new(workers.into_iter().collect()),
+            renewal_wanted: Notify::new(),
+        }
+    }
+}
+
+impl Owner {
+    /// Whether a lease row lists this worker, so that it gets no lease.
+    pub fn is_listed(&self, worker: &str) -> bool {
+        self.listed.workers.borrow().contains(worker)
+    }
+
+    /// Stops sending leases to workers that the next row lists.
+    pub fn stop_leases_to(&self, silent: &IndexMap<String, u64>) {
+        let mut listed = self.listed.workers.borrow_mut();
+        listed.extend(silent.keys().cloned());
+    }
+
+    /// Records that a row which lists just these workers is written; no earlier one takes effect
+    /// any more.
+    pub fn note_listed(&self, listed: IndexSet<String>) {
+        let workers = listed.len();
+        let before = self.listed.workers.replace(listed);
+        let has_changed = before != *self.listed.workers.borrow();
+        if has_changed {
+            let version = self.lease_version.get();
+            log::info!(shard:% = self.handle.partition, token = self.token(), version, workers, before = before.len(); "silent workers are noted");
+        }
+    }
+
+    /// Asks for a lease row at once, since a listed worker answers again.
+    pub fn want_renewal(&self) {
+        self.listed.renewal_wanted.notify_one();
+    }
+
+    /// Completes when a lease row is asked for.
+    pub async fn renewal_wanted(&self) {
+        self.listed.renewal_wanted.notified().await;
+    }
+
+    /// Leases of the last owner that sent any, while this one has sent none.
+    pub fn leases_of_sender_before(&self, now: Millis) -> SentLeases {
+        let earlier = self.earlier_owners.get();
+        SentLeases {
+            sender: earlier.previous().left(now),
+            earlier: earlier.before().left(now),
+            silent: left_of(&self.silent_before.borrow(), now),
+            confirmed_before: self.previous_confirmed_before,
+        }
+    }
+
+    /// Leases of this owner, for a row that is written now; after the last one it sends none.
+    pub fn sent_leases(&self, cx: &Cx, is_last_row: bool) -> SentLeases {
+        let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
+        let silent = match self.has_recovered() {
+            true => self.silent_workers(cx, true),
+            // Nothing was sent to a worker before the recovery.
+            false => left_of(&self.silent_before.borrow(), now),
+        };
+        SentLeases {
+            sender: match is_last_row {
+                true => limits.after_last_row(),
+                false => limits.after_row(),
+            },
+            earlier: self.earlier_owners.get().ends().left(now),
+            confirmed_before: self.confirmed_before(cx, &silent),
+            silent,
+        }
+    }
+
+    /// Workers that do not answer and have runs, or had some that were given up without that being
+    /// durable: time until which all leases there last, in milliseconds.
+    pub fn silent_workers(&self, cx: &Cx, is_first_poll_awaited: bool) -> IndexMap<String, u64> {
+        let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
+        let may_be_polling = is_first_poll_awaited && !self.is_first_poll_over(now);
+        let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
+        let listed = sessions.iter().filter(|(worker, session)| {
+            let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
+            let is_silent = match may_be_polling {
+                true => session.unresponsive_since.is_some() || self.is_listed(worker),
+                false => true,
+            };
+            session.is_silent() && is_silent && has_runs
+        });
+        let listed = listed.filter_map(|(worker, session)| {
+            let are_confirmed = self.are_confirmed(session);
+            let ends_at = session.bound.ends_at(are_confirmed, limits)?;
+            Some((worker.clone(), ends_at))
+        });
+        // The next owner finds their runs in the journal.
+        let forgotten = given_up
+            .iter()
+            .filter(|(worker, _)| !sessions.contains_key(*worker));
+        let forgotten = forgotten.map(|(worker, ended_at)| (worker.clone(), *ended_at));
+        let ends = listed.chain(forgotten).take(MAX_LISTED).collect();
+        left_of(&ends, now)
+    }
+
+    /// Whether the state was recovered, also if the shard has been lost since.
+    pub fn has_recovered(&self) -> bool {
+        self.recovered_at.get().is_some()
+    }
+
+    fn is_first_poll_over(&self, now: Millis) -> bool {
+        let recovered_at = self.recovered_at.get();
+        recovered_at.is_some_and(|at| now.since(at) >= FIRST_POLL_TIME)
+    }
+
+    /// Whether the worker's present incarnation is known to have all runs that were placed there.
+    pub fn are_runs_confirmed_on(&self, worker: &str) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions
+            .get(worker)
+            .is_some_and(|session| !session.runs.is_empty() && self.are_confirmed(session))
+    }
+
+    fn are_confirmed(&self, session: &Session) -> bool {
+        let runs = self.runs.borrow();
+        let is_confirmed = |run: &RunId| runs.get(run).is_none_or(|record| record.is_confirmed);
+        session.runs.iter().all(is_confirmed)
+    }
+
+    /// Whether an earlier owner confirmed a long-running run that was placed in this row; without a
+    /// row, in one that the snapshot covers.
+    pub fn was_confirmed(&self, placed_row: Option<u64>) -> bool {
+        let latest = placed_row.unwrap_or(self.journal.covered_upto());
+        let before = self.previous_confirmed_before;
+        before.is_some_and(|before| latest < before)
+    }
+
+    /// Number of the journal row before which all long-running runs are confirmed that are not on
+    /// `silent` workers; `None` if there is an unconfirmed one whose row is not known.
+    fn confirmed_before(&self, cx: &Cx, silent: &IndexMap<String, u64>) -> Option<u64> {
+        if !self.has_recovered() {
+            return self.previous_confirmed_before;
+        }
+        let limits = &cx.cfg.leases;
+        // A run on a worker with a later lease than the row allows counts as unconfirmed.
+        let row_ends_in = Duration::from_millis(limits.after_row().confirmed_ms);
+        let row_ends_at = cx.clock.now() + row_ends_in;
+        let (sessions, runs) = (self.sessions.borrow(), self.runs.borrow());
+        let unlisted = sessions
+            .iter()
+            .filter(|(worker, _)| !silent.contains_key(*worker));
+        let mut before = self.journal.next_row();
+        for (_, session) in unlisted {
+            let (_, ends_at) = session.bound.latest_end(true, limits);
+            let records = session.runs.iter().filter_map(|run| runs.get(run));
+            let unconfirmed = records
+                .filter(|record| record.is_long_running)
+                .filter(|record| !record.is_confirmed || ends_at > row_ends_at);
+            for record in unconfirmed {
+                before = before.min(record.placed_row?);
+            }
+        }
+        Some(before)
+    }
+}
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -9,10 +9,11 @@
 
 use super::Owner;
 use crate::{
-    core::time::millis,
+    core::time::{Millis, millis},
     sched::{
         Cx,
         edge::{CallError, Row, RowKey, Txn, TxnOutcome},
+        lease::left_of,
     },
 };
 use bytes::Bytes;
@@ -22,8 +23,6 @@
 /// Store table of the notes.
 pub const STOPPED_TABLE: &str = "stopped";
 const NOTE_KEY: &str = "latest";
-/// Maximum number of workers in a note, so that it fits into a row.
-const MAX_WORKERS: usize = 500;
 /// Maximum attempts to write a note.
 const ATTEMPTS: usize = 2;
 
@@ -131,23 +130,10 @@
 impl Owner {
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
-        let now = cx.clock.now();
-        let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
-        let listed = sessions.iter().filter(|(worker, session)| {
-            let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
-            session.is_silent() && has_runs
-        });
-        let listed = listed.filter_map(|(worker, session)| {
-            let ends_in_ms = session.bound.ends_in_ms(now, &cx.cfg.leases)?;
-            Some((worker.clone(), ends_in_ms))
-        });
-        // The next owner finds their runs in the journal.
-        let forgotten = given_up
-            .iter()
-            .filter(|(worker, _)| !sessions.contains_key(*worker));
-        let forgotten =
-            forgotten.map(|(worker, ended_at)| (worker.clone(), millis(ended_at.since(now)) + 1));
-        let ends_in_ms: IndexMap<_, _> = listed.chain(forgotten).take(MAX_WORKERS).collect();
+        let ends_in_ms = match self.has_recovered() {
+            true => self.silent_workers(cx, false),
+            false => left_of(&self.silent_before.borrow(), cx.clock.now()),
+        };
         let (token, workers) = (self.token(), ends_in_ms.len());
         log::info!(shard:% = self.handle.partition, token, workers; "end of leases is noted");
         StopNote {
@@ -160,7 +146,7 @@
     /// Fencing token of the last earlier owner that may have sent leases, if no earlier owner sends
     /// any more.
     fn stopped_token(&self, cx: &Cx) -> Option<u64> {
-        let have_stopped = self.earlier_owners.get().until() <= cx.clock.now();
+        let have_stopped = self.earlier_owners.get().ends().unconfirmed <= cx.clock.now();
         (have_stopped && self.previous_owner.is_some()).then_some(self.replaced_token)
     }
 
@@ -172,17 +158,20 @@
         self.earlier_owners.set(earlier);
         let ends_at = |ends_in_ms: &u64| cx.cfg.leases.end_by_note(now, *ends_in_ms);
         let silent = note.ends_in_ms.iter();
-        let silent = silent.map(|(worker, ends)| (worker.clone(), ends_at(ends)));
-        *self.silent_before.borrow_mut() = silent.collect();
+        for (worker, ends_in_ms) in silent {
+            let mut known = self.silent_before.borrow_mut();
+            let known = known.entry(worker.clone()).or_insert(Millis(u64::MAX));
+            *known = ends_at(ends_in_ms).min(*known);
+        }
         for (worker, session) in &mut *self.sessions.borrow_mut() {
-            session.bound.previous_owner_ended(earlier.until());
+            session.bound.note_inherited(earlier.ends());
             if let Some(ends_at) = self.silent_before.borrow().get(worker) {
                 session.bound.note_inherited_end(*ends_at);
             }
         }
         let since_takeover_ms = millis(now.since(self.taken_at));
-        let earlier_for_ms = millis(earlier.until().since(now));
+        let leases_end_in_ms = millis(earlier.ends().confirmed.since(now));
         let daemon = self.previous_owner.as_ref().map(|before| &before.daemon);
-        log::info!(shard:% = self.handle.partition, daemon:?, workers = note.ends_in_ms.len(), since_takeover_ms, earlier_for_ms; "owner before has stopped");
+        log::info!(shard:% = self.handle.partition, daemon:?, workers = note.ends_in_ms.len(), since_takeover_ms, leases_end_in_ms; "owner before has stopped");
     }
 }
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -22,7 +22,7 @@
 use std::{rc::Rc, time::Duration};
 
 /// Interval between maintenance rounds.
-const INTERVAL: Duration = Duration::from_millis(300);
+pub const INTERVAL: Duration = Duration::from_millis(300);
 /// A task without progress for this long is stalled: tasks take about 2 s, so one that works
 /// advances by 1 % every 20 ms.
 const STALLED_AFTER: Duration = Duration::from_millis(1_800);
@@ -56,7 +56,11 @@
         let record = &runs[run];
         let session = &sessions[&record.on.worker];
         let is_sent = record.known.order != Order::NotSent;
-        is_sent && session.is_silent() && session.bound.has_ended(now, &cx.cfg.leases)
+        let has_ended = || {
+            let bound = &session.bound;
+            bound.has_ended(record.is_confirmed, now, &cx.cfg.leases)
+        };
+        is_sent && session.is_silent() && has_ended()
     };
     let runs: Vec<RunId> = owner.runs.borrow().keys().copied().collect();
     let lapsed: Vec<RunId> = runs.into_iter().filter(is_lapsed).collect();
@@ -64,13 +68,7 @@
     log_ended_leases(cx, owner, &lapsed);
     let workers: IndexMap<String, Millis> = lapsed
         .iter()
-        .map(|run| {
-            let worker = owner.runs.borrow()[run].on.worker.clone();
-            let (_, ended_at) = owner.sessions.borrow()[&worker]
-                .bound
-                .latest_end(&cx.cfg.leases);
-            (worker, ended_at)
-        })
+        .map(|run| (owner.runs.borrow()[run].on.worker.clone(), now))
         .collect();
     for run in lapsed {
         owner.note_lost(cx, run, Loss::Lapsed);
@@ -99,17 +97,19 @@
 fn log_ended_leases(cx: &Cx, owner: &Owner, lapsed: &[RunId]) {
     let now = cx.clock.now();
     let runs = owner.runs.borrow();
-    let mut counts: IndexMap<&str, usize> = IndexMap::new();
+    let mut counts: IndexMap<(&str, bool), usize> = IndexMap::new();
     for run in lapsed {
-        *counts.entry(&runs[run].on.worker).or_default() += 1;
+        let record = &runs[run];
+        let key = (record.on.worker.as_str(), record.is_confirmed);
+        *counts.entry(key).or_default() += 1;
     }
-    for (worker, runs) in counts {
+    for ((worker, are_confirmed), runs) in counts {
         let session = &owner.sessions.borrow()[worker];
-        let (last, ended_at) = session.bound.latest_end(&cx.cfg.leases);
+        let (last, ended_at) = session.bound.latest_end(are_confirmed, &cx.cfg.leases);
         let late_ms = millis(now.since(ended_at));
         let silent_ms = session.unresponsive_ms(now);
         let is_claimed = session.is_claimed();
-        log::info!(worker, runs, last:?, late_ms, silent_ms, is_claimed; "leases of a silent worker have ended");
+        log::info!(worker, runs, are_confirmed, last:?, late_ms, silent_ms, is_claimed; "leases of a silent worker have ended");
     }
 }
 
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -1,7 +1,7 @@
 //! Start and graceful shutdown of the process.
 
-use super::{Cx, lease, operators, peer, reachability};
-use crate::{daemon::supervisor, util::build};
+use super::{Cx, lease, operators, peer, reachability, restart::restart_times};
+use crate::{core::time::millis, daemon::supervisor, util::build};
 use actix_rt::net::TcpListener;
 use eyre::WrapErr as _;
 use std::{rc::Rc, time::Duration};
@@ -17,6 +17,7 @@
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("failed to listen on {address}"))?;
     log::info!(daemon:% = cx.me.daemon, incarnation = cx.me.incarnation, data_centre:% = cx.cfg.data_centre, peers:% = address, version = build::VERSION, sources = build::SOURCES; "started");
+    log_restart_times(cx);
     supervisor::spawn("peers", peer::serve(Rc::clone(cx), listener));
     supervisor::spawn("operators", operators::follow(Rc::clone(cx)));
     supervisor::spawn("reach", reachability::follow(Rc::clone(cx)));
@@ -28,6 +29,20 @@
     Ok(())
 }
 
+fn log_restart_times(cx: &Cx) {
+    for time in restart_times(&cx.cfg.leases, &cx.cfg.restarts) {
+        let (longest_ms, limit_ms) = (millis(time.longest), millis(time.limit));
+        match time.is_over() {
+            true => {
+                log::warn!(lost:? = time.lost, longest_ms, limit_ms; "long-running tasks may wait for longer than promised");
+            }
+            false => {
+                log::info!(lost:? = time.lost, longest_ms, limit_ms; "longest wait of long-running tasks");
+            }
+        }
+    }
+}
+
 /// Releases all shards of this process. Called in a shutdown, after the last caller was answered.
 pub async fn release_shards(cx: &Cx) {
     let owners = cx.owners().into_iter().map(async |owner| {
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -251,17 +251,26 @@
     }
 }
 
-/// Bounds on how long a worker can hold a lease, as guaranteed by its platform.
+/// Bounds on how long a worker can hold a lease: what its platform guarantees, and what owners keep
+/// to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseLimits {
     /// Longest lease on the worker's clock; the worker shortens a longer one to it.
     pub longest: Duration,
+    /// Longest lease that owners send. Less than `longest` where workers accept more than a
+    /// take-over needs, since a silent worker's tasks wait for it.
+    pub longest_sent: Duration,
+    /// Every lease that an owner sends ends at most this long after its last successful renewal in
+    /// the store, however much later it was sent.
+    pub after_renewal: Duration,
+    /// Time after its last successful renewal during which an owner sends start orders.
+    pub start_hold: Duration,
     /// The worker's clock may be slower than the owner's by one part in this many.
     pub drift_parts: u32,
     /// Longest time in flight of an order to a worker that carries out orders on arrival.
     pub transit: Duration,
-    /// Time for which an owner continues to renew workers' leases after its last successful renewal
-    /// in the store.
+    /// Time for which an owner of an earlier version, whose rows do not bound its leases, sends
+    /// leases after its last successful renewal in the store.
     pub owner_hold: Duration,
 }
 
@@ -270,11 +279,13 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
 impl LeaseLimits {
-    /// Lease that owners send: as long as workers accept, since nothing is started elsewhere before
-    /// the longest lease has ended. With a shorter one, tasks of a partitioned worker would end
-    /// early and be down for the rest.
-    pub fn sent(&self) -> Duration {
-        self.longest.saturating_sub(LEASE_MARGIN)
+    /// Length of a lease that is sent `since_renewal` after the last successful renewal; none if
+    /// no lease may be sent any more.
+    pub fn sent(&self, since_renewal: Duration) -> Option<Duration> {
+        let left = self.after_renewal.saturating_sub(since_renewal);
+        let longest = self.longest_sent.min(self.longest).min(left);
+        let length = longest.saturating_sub(LEASE_MARGIN);
+        (!length.is_zero()).then_some(length)
     }
 
     /// Maximum age of a reading of a worker's clock by which a lease is sent. The worker's clock may
@@ -284,13 +295,19 @@
         LEASE_MARGIN * self.drift_parts
     }
 
+    /// Time from its sending, on the owner's clock, within which a lease of this length ends on the
+    /// incarnation whose clock was read.
+    pub fn ends_within(&self, length: Duration) -> Duration {
+        self.measured_elsewhere(length) + LEASE_MARGIN
+    }
+
     /// Longest lease on the owner's clock.
     fn longest_on_own_clock(&self) -> Duration {
         self.measured_elsewhere(self.longest)
     }
 
-    /// Upper bound, on the own clock, of a time that another daemon measured.
-    fn measured_elsewhere(&self, time: Duration) -> Duration {
+    /// Upper bound, on the own clock, of a time that another daemon or a worker measured.
+    pub fn measured_elsewhere(&self, time: Duration) -> Duration {
         time + time / self.drift_parts
     }
 
@@ -299,78 +316,213 @@
     pub fn end_by_note(&self, read_at: Millis, ends_in_ms: u64) -> Millis {
         read_at + self.measured_elsewhere(Duration::from_millis(ends_in_ms))
     }
+
+    /// Time after the writing of its lease row within which the leases of an owner end that goes on
+    /// sending them, unless it writes another row.
+    ///
+    /// An order to start a run may be executed by a later incarnation of its worker, whose clock
+    /// starts anew, and so may a renewal that is in flight then.
+    pub fn after_row(&self) -> LeasesLeft {
+        let confirmed = self.measured_elsewhere(self.after_renewal);
+        let unconfirmed = self.start_hold + self.transit * 2 + self.longest_on_own_clock();
+        LeasesLeft {
+            confirmed_ms: millis(confirmed),
+            unconfirmed_ms: millis(unconfirmed.max(confirmed)),
+        }
+    }
+
+    /// Like [`Self::after_row`], for a row whose writer sends no lease after it.
+    pub fn after_last_row(&self) -> LeasesLeft {
+        let lease = self.measured_elsewhere(self.longest_sent.min(self.longest));
+        let unconfirmed = self.transit + self.longest_on_own_clock();
+        LeasesLeft {
+            confirmed_ms: millis(lease),
+            unconfirmed_ms: millis(unconfirmed.max(lease)),
+        }
+    }
+
+    /// Time during which a reader of an earlier version has to expect calls with leases, which adds
+    /// the longest lease itself, in milliseconds.
+    pub fn may_send_ms(&self, left: LeasesLeft) -> u64 {
+        let left = Duration::from_millis(left.unconfirmed_ms.max(left.confirmed_ms));
+        millis(left.saturating_sub(self.after_unbounded_call()))
+    }
+
+    /// Time after the last call of an owner of an earlier version within which its leases end.
+    fn after_unbounded_call(&self) -> Duration {
+        self.transit + self.longest_on_own_clock()
+    }
 }
 
 /// Leases that a worker may hold, by who sent them and what is known of the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LeaseKind {
+    /// Sent by this owner, by the end that the call named on the clock of the worker's incarnation.
+    Named,
     /// Sent by this owner, with a reply.
     Answered,
     /// Sent by this owner, without a reply.
     Unanswered,
-    /// Sent by an earlier owner.
+    /// Sent by an earlier owner, by the time of its last lease row.
     Inherited,
+    /// Sent by an earlier owner, which wrote down when the leases of this silent worker end.
+    Noted,
+}
+
+data! {
+    /// Time after the writing of a row until which leases last, in milliseconds.
+    #[derive(Copy, Default, Hash)]
+    pub struct LeasesLeft {
+        /// Those of runs that the worker's incarnation on which they were placed is known to have.
+        pub confirmed_ms: u64,
+        /// Those of all other runs, which a later incarnation of the worker may have started.
+        pub unconfirmed_ms: u64,
+    }
+}
+
+/// Until when leases last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct LeaseEnds {
+    /// Those of runs that the worker's incarnation on which they were placed is known to have.
+    pub confirmed: Millis,
+    /// Those of all other runs.
+    pub unconfirmed: Millis,
 }
 
-/// Until when earlier owners of a shard may send leases.
+impl LeaseEnds {
+    fn both(at: Millis) -> Self {
+        Self {
+            confirmed: at,
+            unconfirmed: at,
+        }
+    }
+
+    /// By a row that was written at `at` or earlier.
+    fn by_row(at: Millis, left: LeasesLeft, limits: &LeaseLimits) -> Self {
+        Self {
+            confirmed: limits.end_by_note(at, left.confirmed_ms),
+            unconfirmed: limits.end_by_note(at, left.unconfirmed_ms),
+        }
+    }
+
+    fn max(self, other: Self) -> Self {
+        Self {
+            confirmed: self.confirmed.max(other.confirmed),
+            unconfirmed: self.unconfirmed.max(other.unconfirmed),
+        }
+    }
+
+    fn min(self, other: Self) -> Self {
+        Self {
+            confirmed: self.confirmed.min(other.confirmed),
+            unconfirmed: self.unconfirmed.min(other.unconfirmed),
+        }
+    }
+
+    /// Time left at `now`, for a row that is written then.
+    pub fn left(self, now: Millis) -> LeasesLeft {
+        LeasesLeft {
+            confirmed_ms: millis(self.confirmed.since(now)),
+            unconfirmed_ms: millis(self.unconfirmed.since(now)),
+        }
+    }
+}
+
+/// Until when leases that earlier owners of a shard sent last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct EarlierOwners {
-    /// Until when the previous owner may.
-    previous_until: Millis,
-    /// Until when the owners before the previous one may.
-    before_until: Millis,
+    previous: LeaseEnds,
+    before: LeaseEnds,
+    /// Longest lease of the previous owner, from its sending.
+    after_last_call: LeasesLeft,
 }
 
 impl EarlierOwners {
-    /// Bounds for a previous owner that took the shard at `took_at` or earlier and last renewed its
-    /// lease in the store at `renewed_at` or earlier. Each owner sends leases for
-    /// [`LeaseLimits::owner_hold`] after its last renewal.
+    /// Bounds for a previous owner of an earlier version that took the shard at `took_at` or earlier
+    /// and last renewed its lease in the store at `renewed_at` or earlier. Each owner sends leases
+    /// for [`LeaseLimits::owner_hold`] after its last renewal.
     pub fn held(took_at: Millis, renewed_at: Millis, limits: &LeaseLimits) -> Self {
+        let hold = limits.owner_hold + limits.after_unbounded_call();
         Self {
-            previous_until: renewed_at + limits.owner_hold,
-            before_until: took_at + limits.owner_hold,
+            previous: LeaseEnds::both(renewed_at + hold),
+            before: LeaseEnds::both(took_at + hold),
+            after_last_call: Self::after_call_of_earlier_version(limits),
         }
     }
 
-    /// Bounds from a row that was written at `at` or earlier by an owner that has sent no lease: the
-    /// last owner that has sends none after `previous_left`, and those before that one none after
-    /// `before_left`.
-    pub fn noted(
+    /// Bounds from a row of an earlier version that was written at `at` or earlier by an owner that
+    /// has sent no lease: the last owner that has sends none after `previous_left`, and those before
+    /// that one none after `before_left`.
+    pub fn held_before_idle(
         at: Millis,
         previous_left: Duration,
         before_left: Duration,
         limits: &LeaseLimits,
+    ) -> Self {
+        let ends = |left| {
+            let sent_until = at + limits.measured_elsewhere(left);
+            LeaseEnds::both(sent_until + limits.after_unbounded_call())
+        };
+        Self {
+            previous: ends(previous_left),
+            before: ends(before_left),
+            after_last_call: Self::after_call_of_earlier_version(limits),
+        }
+    }
+
+    /// Bounds from a row that was written at `at` or earlier: leases of the last owner that sent any
+    /// end after `previous`, those of the owners before that one after `before`.
+    pub fn by_row(
+        at: Millis,
+        previous: LeasesLeft,
+        before: LeasesLeft,
+        limits: &LeaseLimits,
     ) -> Self {
         Self {
-            previous_until: at + limits.measured_elsewhere(previous_left),
-            before_until: at + limits.measured_elsewhere(before_left),
+            previous: LeaseEnds::by_row(at, previous, limits),
+            before: LeaseEnds::by_row(at, before, limits),
+            after_last_call: limits.after_last_row(),
+        }
+    }
+
+    fn after_call_of_earlier_version(limits: &LeaseLimits) -> LeasesLeft {
+        let ms = millis(limits.after_unbounded_call());
+        LeasesLeft {
+            confirmed_ms: ms,
+            unconfirmed_ms: ms,
         }
     }
 
-    /// Records that the previous owner wrote at `at` or earlier that owners before it send no lease
-    /// after `left`.
+    /// Records that the previous owner, of an earlier version, wrote at `at` or earlier that owners
+    /// before it send no lease after `left`.
     pub fn note_before(&mut self, at: Millis, left: Duration, limits: &LeaseLimits) {
-        self.before_until = at + limits.measured_elsewhere(left);
+        let sent_until = at + limits.measured_elsewhere(left);
+        self.before = LeaseEnds::both(sent_until + limits.after_unbounded_call());
     }
 
     /// Records that the previous owner sends no lease after `at`.
     pub fn note_previous_stopped(&mut self, at: Millis) {
-        self.previous_until = self.previous_until.min(at);
+        let left = self.after_last_call;
+        let ends = LeaseEnds {
+            confirmed: at + Duration::from_millis(left.confirmed_ms),
+            unconfirmed: at + Duration::from_millis(left.unconfirmed_ms),
+        };
+        self.previous = self.previous.min(ends);
     }
 
-    /// Until when the previous owner may send leases.
-    pub fn previous_until(&self) -> Millis {
-        self.previous_until
+    /// Until when leases of the previous owner last.
+    pub fn previous(&self) -> LeaseEnds {
+        self.previous
     }
 
-    /// Until when the owners before the previous one may send leases.
-    pub fn before_until(&self) -> Millis {
-        self.before_until
+    /// Until when leases of the owners before the previous one last.
+    pub fn before(&self) -> LeaseEnds {
+        self.before
     }
 
-    /// Until when any earlier owner may send leases.
-    pub fn until(&self) -> Millis {
-        self.previous_until.max(self.before_until)
+    /// Until when leases of any earlier owner last.
+    pub fn ends(&self) -> LeaseEnds {
+        self.previous.max(self.before)
     }
 }
 
@@ -380,15 +532,21 @@
 /// A lease ends at a time on the worker's clock that the call names, however late the call takes
 /// effect, and a start order that arrives after that time is refused. So a call that is executed
 /// late extends nothing. A later incarnation of the worker, whose clock starts anew, may receive a
-/// call while that is in transit, and then counts the lease from its arrival; later calls ended with
-/// the connection.
+/// call while that is in transit, and then counts the longest lease from its arrival; later calls
+/// ended with the connection. Only a run whose start order that incarnation may have executed is
+/// alive there: not one that the incarnation on which it was placed is known to have, a *confirmed*
+/// run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseBound {
-    /// Time until which an earlier owner may have sent leases; `None` once the worker has answered
-    /// under this owner's token.
-    inherited_until: Option<Millis>,
-    /// Time at which the leases of earlier owners have ended, as the previous owner wrote.
-    inherited_end: Option<Millis>,
+    /// Ends of leases of earlier owners; `None` once the worker has answered under this owner's
+    /// token.
+    inherited: Option<LeaseEnds>,
+    /// Time at which the leases of earlier owners have ended, as an earlier owner wrote.
+    noted_end: Option<Millis>,
+    /// Latest end of a lease of this owner on the incarnation whose clock was read.
+    named_end: Option<Millis>,
+    /// Time until which leases may last that were not sent to the present incarnation by this owner.
+    unsettled_until: Option<Millis>,
     /// Time of the last reply to a lease of this owner.
     answered_at: Option<Millis>,
     /// Time at which the last lease without a reply was sent.
@@ -397,40 +555,38 @@
 }
 
 impl LeaseBound {
-    /// Bound for a worker without contact to this owner so far. The previous owner last renewed its
-    /// lease in the store at `renewed_at` or earlier, and may have renewed the workers' leases for
-    /// [`LeaseLimits::owner_hold`] after that.
-    pub fn inherited(renewed_at: Millis, limits: &LeaseLimits) -> Self {
-        Self::inherited_until(renewed_at + limits.owner_hold)
-    }
-
-    /// Bound for a worker without contact to this owner so far; no earlier owner sends a lease
-    /// after `until`.
-    pub fn inherited_until(until: Millis) -> Self {
+    /// Bound for a worker without contact to this owner so far; leases of earlier owners end by
+    /// `ends`.
+    pub fn inherited(ends: LeaseEnds) -> Self {
         Self {
-            inherited_until: Some(until),
-            inherited_end: None,
+            inherited: Some(ends),
+            noted_end: None,
+            named_end: None,
+            unsettled_until: None,
             answered_at: None,
             unanswered_at: None,
             in_flight: 0,
         }
     }
 
-    /// Records that the previous owner had ended by `at`, so that it sent no lease later.
-    pub fn previous_owner_ended(&mut self, at: Millis) {
-        self.inherited_until = self.inherited_until.map(|until| until.min(at));
+    /// Records that the leases of earlier owners end by `ends`. Later times than the known ones are
+    /// ignored.
+    pub fn note_inherited(&mut self, ends: LeaseEnds) {
+        self.inherited = self.inherited.map(|known| known.min(ends));
     }
 
     /// Records that the leases of earlier owners have ended by `at`. A later time than a known one
     /// is ignored.
     pub fn note_inherited_end(&mut self, at: Millis) {
-        let known = self.inherited_end.unwrap_or(at);
-        self.inherited_end = Some(known.min(at));
+        let known = self.noted_end.unwrap_or(at);
+        self.noted_end = Some(known.min(at));
     }
 
-    /// Records that a call with a lease is sent.
-    pub fn note_sent(&mut self) {
+    /// Records that a call with a lease is sent, which ends by `ends_by` on the incarnation whose
+    /// clock was read.
+    pub fn note_sent(&mut self, ends_by: Millis) {
         self.in_flight += 1;
+        self.named_end = self.named_end.max(Some(ends_by));
     }
 
     /// Records that a call with a lease was answered at `at`, so that it does not take effect
@@ -451,48 +607,73 @@
         self.unanswered_at = self.unanswered_at.max(Some(sent_at));
     }
 
-    /// Records the first reply under this owner's token, at `at`: from then on the worker refuses
-    /// calls of the previous owner, and leases that it sent earlier end at most one lease after
-    /// `at`.
-    pub fn note_claimed(&mut self, at: Millis) {
-        self.inherited_until = None;
+    /// Records the first reply of an incarnation under this owner's token, at `at`: from then on the
+    /// incarnation refuses calls of earlier owners, and leases that they sent earlier end at most
+    /// one lease after `at`. `are_runs_confirmed` says whether an earlier owner confirmed all runs
+    /// there.
+    pub fn note_claimed(&mut self, at: Millis, are_runs_confirmed: bool, limits: &LeaseLimits) {
+        let longest = at + limits.longest_on_own_clock();
+        let until = match self.inherited.take() {
+            Some(ends) if are_runs_confirmed => longest.min(ends.confirmed),
+            Some(_) => longest,
+            // This owner's calls to the incarnation before may be in flight.
+            None => longest + limits.transit * 2,
+        };
+        self.unsettled_until = self.unsettled_until.max(Some(until));
         self.answered_at = self.answered_at.max(Some(at));
     }
 
-    /// Whether no run can be alive on the worker any more.
-    pub fn has_ended(&self, now: Millis, limits: &LeaseLimits) -> bool {
-        let (_, latest) = self.latest_end(limits);
-        self.in_flight == 0 && now > latest
+    /// Whether a run can't be alive on the worker any more.
+    pub fn has_ended(&self, is_confirmed: bool, now: Millis, limits: &LeaseLimits) -> bool {
+        let ends_at = self.ends_at(is_confirmed, limits);
+        ends_at.is_some_and(|ends_at| now > ends_at)
     }
 
-    /// Time from `now` until the last lease ends, in milliseconds, rounded up; `None` while calls are
-    /// in flight.
-    pub fn ends_in_ms(&self, now: Millis, limits: &LeaseLimits) -> Option<u64> {
-        let (_, latest) = self.latest_end(limits);
-        (self.in_flight == 0).then(|| millis(latest.since(now)) + 1)
+    /// Time at which a run can't be alive on the worker any more; `None` while a call is in flight
+    /// that may be executed later.
+    pub fn ends_at(&self, is_confirmed: bool, limits: &LeaseLimits) -> Option<Millis> {
+        let (_, latest) = self.latest_end(is_confirmed, limits);
+        (is_confirmed || self.in_flight == 0).then_some(latest)
     }
 
-    /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
-    fn inherited_end(&self, limits: &LeaseLimits) -> Option<Millis> {
-        let inferred = self.inherited_until? + limits.transit + limits.longest_on_own_clock();
-        let noted = self.inherited_end.unwrap_or(inferred);
-        Some(noted.min(inferred))
+    /// Time at which the last lease ends if no call is in flight, and which leases end last.
+    pub fn latest_end(&self, is_confirmed: bool, limits: &LeaseLimits) -> (LeaseKind, Millis) {
+        let confirmed = self.confirmed_ends();
+        let unconfirmed = self.unconfirmed_ends(limits);
+        let ends = confirmed
+            .into_iter()
+            .chain(unconfirmed.into_iter().filter(|_| !is_confirmed));
+        let ends = ends.filter_map(|(kind, end)| Some((kind, end?)));
+        let latest = ends.max_by_key(|(_, end)| *end);
+        let never = Millis::default() + limits.longest_on_own_clock();
+        latest.unwrap_or((LeaseKind::Answered, never))
     }
 
-    /// Time at which the last lease ends if no call is in flight, and which leases end last.
-    pub fn latest_end(&self, limits: &LeaseLimits) -> (LeaseKind, Millis) {
+    fn confirmed_ends(&self) -> [(LeaseKind, Option<Millis>); 3] {
+        [
+            (LeaseKind::Named, self.named_end),
+            (LeaseKind::Answered, self.unsettled_until),
+            self.inherited_end(|ends| ends.confirmed),
+        ]
+    }
+
+    fn unconfirmed_ends(&self, limits: &LeaseLimits) -> [(LeaseKind, Option<Millis>); 3] {
         let longest = limits.longest_on_own_clock();
         let answered = self.answered_at.map(|at| at + longest);
         let unanswered = self.unanswered_at.map(|at| at + limits.transit + longest);
-        let ends = [
+        [
             (LeaseKind::Answered, answered),
             (LeaseKind::Unanswered, unanswered),
-            (LeaseKind::Inherited, self.inherited_end(limits)),
-        ];
-        let ends = ends
-            .into_iter()
-            .filter_map(|(kind, end)| Some((kind, end?)));
-        let latest = ends.max_by_key(|(_, end)| *end);
-        latest.unwrap_or((LeaseKind::Answered, Millis::default() + longest))
+            self.inherited_end(|ends| ends.unconfirmed),
+        ]
+    }
+
+    /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
+    fn inherited_end(&self, of: impl Fn(LeaseEnds) -> Millis) -> (LeaseKind, Option<Millis>) {
+        let inferred = self.inherited.map(of);
+        match (inferred, self.noted_end) {
+            (Some(inferred), Some(noted)) if noted < inferred => (LeaseKind::Noted, Some(noted)),
+            (inferred, _) => (LeaseKind::Inherited, inferred),
+        }
     }
 }
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -213,6 +213,7 @@
         up_ms: 0,
         earlier_may_send_ms: None,
         last_sender: None,
+        leases: None,
         accepts_returns: true,
     };
     let read = |answer_took| {
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -31,6 +31,7 @@
         lease, operators,
         peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
         resolution::LeaseLimits,
+        restart::RestartLimits,
     },
 };
 pub(crate) use relay::Relay;
@@ -445,6 +446,7 @@
             seeds: Vec::new(),
             workers_per_shard: self.workers_per_shard.get(),
             leases: limits_for(self.longest_lease),
+            restarts: restart_limits(),
             work: work_timings(),
             evacuated_within: EVACUATION_DEADLINE,
             cpu_share: 0.25,
@@ -911,6 +913,14 @@
     }
 }
 
+/// Longest waits of long-running tasks that callers are promised.
+pub(crate) fn restart_limits() -> RestartLimits {
+    RestartLimits {
+        worker: Duration::from_secs(9),
+        owner: Duration::from_secs(8),
+    }
+}
+
 /// Lease limits that the simulated workers keep by default.
 pub(crate) fn limits() -> LeaseLimits {
     limits_for(MAX_WORKER_LEASE)
@@ -920,6 +930,9 @@
 pub(crate) fn limits_for(longest: Duration) -> LeaseLimits {
     LeaseLimits {
         longest,
+        longest_sent: Duration::from_secs(6),
+        after_renewal: Duration::from_secs(7),
+        start_hold: Duration::from_millis(2_500),
         drift_parts: 45,
         transit: Duration::from_millis(750),
         owner_hold: Duration::from_secs(5),
