Dispatch: a refusal of one step isn't taken for all steps of its image

Cause: a pass remembered the image of a best-effort step that no host admitted and skipped all later steps of that image. The refusal may come from the step's own label, size, duration, limit for each worker or number of gang members. A job in progress ranks before new ones, so one hopeless step kept later jobs of its image from ever running (LOST).

Ruled out: the order of steps (the other image's jobs ran in the same passes); room (0% in use).

Change: a step is skipped only if a step of the same pool and image was refused in the pass that asks for no more in label, size, duration and tasks together (policy::dispatch::refused). A refusal that a limit for each worker may have decided isn't remembered. Hosts only fill up during a pass, so a skipped step would be refused.

Conclusion: mended. Found beside it, not mended: the load that sched::owner::balance compares is one figure for all pools, labels and accelerators of a shard.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub mod order;
 pub mod overload;
 pub mod place;
+pub mod refused;
 pub mod room;
 pub mod short_work;
 pub mod spare;
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -16,6 +16,7 @@
         interference::Victim,
         order::{Rank, RankInputs},
         place::{Host, Load, Need, choose, keep_for, reserved_by},
+        refused::{self, Demand, Refusal, RefusedDemands},
         room::{Room, Shortage},
         short_work::Class,
     },
@@ -106,8 +107,13 @@
 enum PlaceOutcome {
     /// All tasks of the step are placed.
     All,
-    /// Some tasks are not placed; why, if the pass determined that.
-    Partial(Option<Shortage>),
+    /// Some tasks are not placed.
+    Partial {
+        /// Why, if the pass determined that.
+        why: Option<Shortage>,
+        /// Whether only the step's own limit on the tasks of a worker may have decided that.
+        is_at_limit: bool,
+    },
 }
 
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
@@ -140,22 +146,25 @@
 ) -> Vec<Placed> {
     let now = cx.clock.now();
     let mut placed = Vec::new();
-    let mut unfit_images: IndexMap<String, Option<Shortage>> = IndexMap::new();
+    let ledger = owner.ledger.borrow();
+    let mut refused = RefusedDemands::default();
     owner.backlog.borrow_mut().begin();
     let short = waiting.iter().filter_map(|waiting| waiting.short.as_ref());
     headroom::note_waiting(owner, short, now);
     for waiting in waiting {
         let len_before = placed.len();
-        let image = best_effort_image(owner, &waiting.step);
-        let known = image.as_ref().and_then(|image| unfit_images.get(image));
-        if let Some(shortage) = known {
-            waiting.note_wait(owner, shortage.as_ref(), hosts, now);
+        let demand = best_effort_demand(owner, &ledger.jobs[&waiting.step.job], waiting);
+        let known = demand.as_ref().and_then(|demand| refused.find(demand));
+        if let Some(known) = known {
+            waiting.note_wait(owner, known.why.as_ref(), hosts, now);
         } else {
             let is_reason_due = backlog::is_reason_due(owner, &waiting.step, now);
             let outcome = place_step(owner, waiting, reports, hosts, &mut placed, is_reason_due);
-            if let PlaceOutcome::Partial(shortage) = outcome {
-                waiting.note_wait(owner, shortage.as_ref(), hosts, now);
-                unfit_images.extend(image.map(|image| (image, shortage)));
+            if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
+                waiting.note_wait(owner, why.as_ref(), hosts, now);
+                if let Some(demand) = demand.filter(|_| !is_at_limit) {
+                    refused.add(Refusal { demand, why });
+                }
             }
         }
         let done = placed.len() - len_before;
@@ -343,7 +352,7 @@
     let is_gang = spec.gang != Gang::No;
     let before = is_gang.then(|| (hosts.clone(), placed.len()));
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
-    let mut why = None;
+    let (mut why, mut is_at_limit) = (None, false);
     let mut may_take = spec
         .is_long_running
         .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
@@ -360,6 +369,7 @@
             let unplaced = &waiting.tasks[nth..];
             let interrupted = interrupted(job, &waiting.step, spec, unplaced);
             keep_hosts(owner, &need, &waiting.step, interrupted, hosts);
+            is_at_limit = refused::is_limit_reached(&need, hosts);
             if is_reason_due {
                 why = Shortage::of(&need, hosts, &model);
             }
@@ -382,19 +392,27 @@
     }
     match placed.len() - len_before == waiting.tasks.len() {
         true => PlaceOutcome::All,
-        false => PlaceOutcome::Partial(why),
+        false => PlaceOutcome::Partial { why, is_at_limit },
     }
 }
 
-/// The image of a best-effort step, else none. Once a best-effort step does not fit, a pass skips
-/// the others of its image: the same hosts would refuse them, and checking every host once per
-/// image is enough.
-fn best_effort_image(owner: &Owner, step: &StepId) -> Option<String> {
-    let ledger = owner.ledger.borrow();
-    let spec = &ledger.jobs[&step.job].spec.steps[usize::from(step.step)];
-    spec.image
-        .clone()
-        .filter(|_| load_of(spec) == Load::BestEffort)
+/// What a best-effort step with an image asks for; none for other steps.
+fn best_effort_demand<'a>(
+    owner: &Owner,
+    job: &'a Job,
+    waiting: &StartableStep,
+) -> Option<Demand<'a>> {
+    let spec = &job.spec.steps[usize::from(waiting.step.step)];
+    let image = spec.image.as_deref()?;
+    if waiting.load != Load::BestEffort {
+        return None;
+    }
+    let need = need_of(owner, job, spec, &waiting.step);
+    let together = match spec.gang {
+        Gang::No => 1,
+        Gang::AnyRack | Gang::SameRack => waiting.tasks.len(),
+    };
+    Some(Demand::new(&need, image, together))
 }
 
 /// How many of these tasks are long-running and have run before: their service is interrupted.
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -19,6 +19,7 @@
 mod pending;
 mod polling;
 mod random;
+mod refused;
 mod resolution;
 mod room;
 mod schedules;
