A gang that fails in a run has failed once, not once a member

Cause: `Ledger::note_failed` counted the end `failed` of each member at the gang's first member. A gang of two whose members both fail in their first run had used up two attempts and was shown as `failed` (LOST).

Ruled out: ends listed twice (an end of a run that is not live has no effect), an end `broken` that counts (only `failed` does), two run numbers alive at once (a gang starts again once none of its last run is live).

Change: an event passes `Ledger::recorded` before it is applied and journaled. After the first failed member, those that fail in the same run are recorded as broken. `Task::last_failed_run`, with a serde default, is the run that was counted; it is in the ledger, so that it holds over polls and owners. To compare run numbers in `Ledger::apply` was weighed and not taken: a process of the version before would count two failures from the same rows, find the next placement invalid and not recover the shard; and ours would find its `Forgotten` invalid.

A run may still count twice if a process of the version before has counted the first of its members and snapshotted, or reads the second itself.

--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -52,6 +52,9 @@
         pub last_run: RunNumber,
         /// Number of failed runs; those of a gang are counted at its first member.
         pub failures: u32,
+        /// Number of the last run that was counted as failed; 0 if there was none.
+        #[serde(default)]
+        pub last_failed_run: RunNumber,
         /// Latest checkpoint that a run returned; the next run starts from it.
         pub checkpoint: Option<String>,
         /// The other shard that runs the task, if any.
@@ -225,6 +228,32 @@
         self.jobs.iter().flat_map(|(id, job)| job.live_runs(*id))
     }
 
+    /// Returns the form in which an event is applied and journaled. A gang fails at most once in a
+    /// run: after the first failed member, those that fail in the same run are recorded as
+    /// [`RunEnd::GangBroken`]. [`Self::apply`] counts every recorded failure, as processes of earlier
+    /// versions do: with another count the same journal would give another phase of the job, in which
+    /// its later events are invalid.
+    pub fn recorded(&self, mut event: Event) -> Event {
+        if let Event::Ended { run, how, .. } = &mut event
+            && *how == RunEnd::Failed
+            && self.has_gang_failed(run)
+        {
+            *how = RunEnd::GangBroken;
+        }
+        event
+    }
+
+    /// Whether the run belongs to a gang and a failure of the gang in this run is counted.
+    fn has_gang_failed(&self, run: &RunId) -> bool {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let spec = job.spec.steps.get(usize::from(run.task.step));
+        let is_gang = spec.is_some_and(|spec| spec.gang != Gang::No);
+        let first = self.task(&run.task.step_id().task(0));
+        is_gang && first.is_some_and(|first| first.last_failed_run == run.run)
+    }
+
     /// Applies one event; on an error nothing is changed.
     pub fn apply(&mut self, event: &Event) -> Result<(), InvalidEvent> {
         match event {
@@ -760,6 +789,7 @@
             return;
         }
         task.failures += 1;
+        task.last_failed_run = run.run;
         if task.failures >= attempts && self.phase == Phase::Active {
             self.finish(Phase::Failed, at_unix_ms);
         }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -324,6 +324,7 @@
     pub fn propose(&self, cx: &Cx, events: Vec<Event>) -> Ticket {
         let mut valid = Vec::with_capacity(events.len());
         for event in events {
+            let event = self.ledger.borrow().recorded(event);
             let applied = self.ledger.borrow_mut().apply(&event);
             match applied {
                 Ok(()) => valid.push(event),
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -144,6 +144,107 @@
     assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Completed);
 }
 
+/// A gang of three in its first run. The queue allows two attempts.
+fn with_placed_gang() -> Ledger {
+    let gang = Step {
+        gang: Gang::AnyRack,
+        ..step(3, 10, &[])
+    };
+    let mut ledger = with_job(spec(vec![gang]));
+    place_gang(&mut ledger, 1);
+    ledger
+}
+
+fn place_gang(ledger: &mut Ledger, number: u32) {
+    for index in 0..3 {
+        ledger
+            .apply(&placed(run(0, index, number)))
+            .expect("all are placed");
+    }
+}
+
+/// Records and applies the ends of a gang's members; returns how they were recorded.
+fn end_gang(ledger: &mut Ledger, number: u32, ends: [(u32, RunEnd); 3]) -> Vec<RunEnd> {
+    let mut record = |(index, how)| {
+        let event = ledger.recorded(ended(run(0, index, number), how));
+        ledger.apply(&event).expect("the run was live");
+        match event {
+            Event::Ended { how, .. } => how,
+            other => panic!("{other:?}"),
+        }
+    };
+    ends.into_iter().map(&mut record).collect()
+}
+
+/// Guards against a run of a gang that counts as several failures, whichever member ends first.
+#[test]
+fn a_run_of_a_gang_is_recorded_as_failed_once() {
+    use RunEnd::{Failed, GangBroken, GangIncomplete};
+    let mut ledger = with_placed_gang();
+    let recorded = end_gang(&mut ledger, 1, [(2, Failed), (0, Failed), (1, Failed)]);
+    assert_eq!(recorded, [Failed, GangBroken, GangBroken]);
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Active);
+    place_gang(&mut ledger, 2);
+    let ends = [(0, GangBroken), (1, GangIncomplete), (2, Failed)];
+    assert_eq!(end_gang(&mut ledger, 2, ends), ends.map(|(_, how)| how));
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Failed);
+}
+
+/// Guards against a gang whose members that were broken, or did not all start, count as failed.
+#[test]
+fn a_gang_that_was_broken_or_incomplete_has_not_failed() {
+    use RunEnd::{GangBroken, GangIncomplete, Lapsed};
+    let mut ledger = with_placed_gang();
+    for number in 1..=4 {
+        let ends = [(0, GangIncomplete), (1, GangBroken), (2, Lapsed)];
+        assert_eq!(
+            end_gang(&mut ledger, number, ends),
+            ends.map(|(_, how)| how)
+        );
+        place_gang(&mut ledger, number + 1);
+    }
+    assert_eq!(ledger.jobs[&JobId(1)].phase, Phase::Active);
+}
+
+/// Guards against failures of tasks without a gang that are taken for those of another task.
+#[test]
+fn tasks_without_a_gang_fail_one_by_one() {
+    let mut ledger = with_job(spec(vec![step(2, 10, &[])]));
+    for index in 0..2 {
+        ledger
+            .apply(&placed(run(0, index, 1)))
+            .expect("a first run");
+        let end = ended(run(0, index, 1), RunEnd::Failed);
+        assert_eq!(ledger.recorded(end.clone()), end);
+        ledger.apply(&end).expect("the run was live");
+    }
+}
+
+/// Guards against journals of earlier versions that can't be read: these counted and recorded each member that failed,
+/// and dropped the job in the end.
+#[test]
+fn a_gang_that_an_earlier_version_recorded_as_failed_has_failed() {
+    let mut ledger = with_placed_gang();
+    for index in 0..2 {
+        ledger
+            .apply(&ended(run(0, index, 1), RunEnd::Failed))
+            .expect("the run was live");
+    }
+    let forgotten = Event::Forgotten { job: JobId(1) };
+    assert_eq!(ledger.apply(&forgotten), Ok(()));
+}
+
+/// Guards against snapshots of earlier versions that can't be read.
+#[test]
+fn tasks_without_a_last_failed_run_are_read() {
+    let ledger = with_placed_gang();
+    let text = serde_json::to_string(&ledger).expect("a serialisable ledger");
+    let earlier = text.replace(",\"last_failed_run\":0", "");
+    assert!(earlier.len() < text.len(), "{text}");
+    let read: Ledger = serde_json::from_str(&earlier).expect("a ledger of an earlier version");
+    assert_eq!(read, ledger);
+}
+
 #[test]
 fn a_long_running_task_is_never_done() {
     let long_running = Step {
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -4,6 +4,7 @@
 mod delegate;
 mod evacuation;
 mod faults;
+mod gangs;
 mod incarnations;
 mod interference;
 mod journal;
