--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -31,7 +31,7 @@
 const FENCE_KEY: &str = "fence";
 /// Time between two polls of the rows. Together with [`LEASE`] it determines how soon a failed
 /// owner is replaced.
-const POLL: Duration = Duration::from_millis(300);
+pub const POLL: Duration = Duration::from_millis(300);
 /// Minimum pause between two polls if there are several shards.
 const MIN_PAUSE: Duration = Duration::from_millis(150);
 /// Maximum number of shards that a daemon polls in every round. With [`MIN_PAUSE`] and one further
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -38,7 +38,7 @@
 /// tails are updated every 500 ms.
 const POLL_WAIT_SHARED: Duration = Duration::from_millis(350);
 /// Wait of a poll of a worker that may get a lease again once the next lease row is written.
-const POLL_WAIT_LISTED: Duration = Duration::from_millis(50);
+const POLL_WAIT_LISTED: Duration = Duration::from_millis(200);
 /// Delay before an unresponsive worker is polled again.
 const UNRESPONSIVE_RETRY: Duration = Duration::from_millis(200);
 /// Longest wait for ends to become durable before the next poll. While the store is unavailable,
@@ -91,11 +91,12 @@
     let planned = owner.session(worker, |session| {
         let is_claimed = session.is_claimed();
         let answers = is_claimed && session.unresponsive_since.is_none();
-        let is_due = answers && !is_listed && session.is_renewal_due(now);
-        let length = length.filter(|_| is_due);
+        let may_lease = answers && !is_listed;
+        let length = length.filter(|length| may_lease && session.is_renewal_due(now, *length));
         let lease = length.and_then(|length| session.lease(now, length, &cx.cfg.leases));
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
+        let is_shared = is_shared || session.does_lease_end_soon(now);
         let lists_all_ends = session.ends_truncated_since.is_none();
         (is_claimed && lists_all_ends, lease, is_shared)
     });
@@ -138,8 +139,8 @@
     }
     cx.metrics.polls.inc();
     let outcome = cx.workers.poll(&address, worker, &order).await;
-    if lease.is_some() {
-        note_lease_call(cx, owner, worker, sent_at, &outcome);
+    if let Some(lease) = lease {
+        note_lease_call(cx, owner, worker, (sent_at, lease), &outcome);
     }
     if !owner.is_serving() {
         return false;
@@ -245,7 +246,6 @@
     response: &PollResponse,
     now: Millis,
 ) -> Option<Incarnation> {
-    let are_runs_confirmed = owner.are_runs_confirmed_on(worker);
     let noted = owner.session(worker, |session| {
         let reported = session
             .report
@@ -268,9 +268,10 @@
             session.ends_truncated_since = None;
             session.response_clock = WorkerMillis::default();
             session.clock = None;
-            session.leased_at = None;
+            session.leased_until = None;
+            let has_confirmed = owner.has_confirmed_run(session, started_unix_ms);
             let limits = &cx.cfg.leases;
-            session.bound.note_claimed(now, are_runs_confirmed, limits);
+            session.bound.note_claimed(now, has_confirmed, limits);
         }
         let was_silent_ms = session.unresponsive_ms(now);
         session.unresponsive_since = None;
@@ -464,9 +465,7 @@
         }
         match verdict {
             RunVerdict::Runs => {
-                if observation.is_same_incarnation {
-                    owner.note_confirmed(&run);
-                }
+                owner.note_confirmed(&run);
                 note_progress(owner, &run, percent.unwrap_or_default(), now);
             }
             RunVerdict::Wait | RunVerdict::AwaitEnds => {}
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -39,8 +39,8 @@
     pub short_class: Option<Class>,
     /// State of its start and stop orders.
     pub known: RunKnowledge,
-    /// Whether the incarnation on which it was placed is known to have it, so that no later one
-    /// does.
+    /// Whether an incarnation of its worker is known to have it, so that its start order is executed
+    /// and no later incarnation gets it.
     pub is_confirmed: bool,
     /// Number of the journal row that holds its placement, or of an earlier one; `None` if only a
     /// snapshot is known to hold it.
@@ -97,7 +97,7 @@
             stop: Stop::No,
         };
         self.add_run(cx, run, on, known, placed_row);
-        let is_confirmed = self.was_confirmed(placed_row);
+        let is_confirmed = self.was_confirmed(&on.worker, placed_row);
         self.record(&run, |record| {
             record.is_confirmed = is_confirmed && record.is_long_running;
         });
@@ -193,7 +193,7 @@
         self.record(run, |record| record.awaits_ends = awaits_ends);
     }
 
-    /// Records that the incarnation on which a run was placed has it.
+    /// Records that an incarnation of its worker has a run.
     pub fn note_confirmed(&self, run: &RunId) {
         self.record(run, |record| record.is_confirmed = true);
     }
@@ -250,10 +250,12 @@
     let now = cx.clock.now();
     let took_ms = now.since(sent_at).as_millis() as u64;
     log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, outcome:? = outcome; "start ordered");
-    note_lease_call(cx, owner, &worker, sent_at, &outcome);
+    note_lease_call(cx, owner, &worker, (sent_at, lease), &outcome);
     match outcome {
         OrderOutcome::Done(clock) => {
-            owner.session(&worker, |session| session.note_clock(clock, now));
+            owner.session(&worker, |session| {
+                session.note_order_clock(clock, sent_at, now)
+            });
             owner.set_order(&run, Order::Answered(now));
         }
         OrderOutcome::Refused(why) => {
@@ -283,14 +285,14 @@
     cx: &Cx,
     owner: &Owner,
     worker: &str,
-    sent_at: Millis,
+    (sent_at, lease): (Millis, Lease),
     outcome: &OrderOutcome<T>,
 ) {
     let now = cx.clock.now();
     owner.session(worker, |session| match outcome {
         OrderOutcome::Done(_) => {
             session.bound.note_answered(now);
-            session.leased_at = session.leased_at.max(Some(sent_at));
+            session.leased_until = session.leased_until.max(Some(lease.lasts_until));
         }
         // A worker may refuse an order and accept its lease all the same.
         OrderOutcome::Refused(_) => session.bound.note_answered(now),
@@ -418,11 +420,14 @@
     let Some(address) = owner.address_of(&worker) else {
         return false;
     };
+    let sent_at = cx.clock.now();
     let outcome = cx.workers.stop(&address, &worker, run, owner.token()).await;
     let now = cx.clock.now();
     match outcome {
         OrderOutcome::Done(clock) => {
-            owner.session(&worker, |session| session.note_clock(clock, now));
+            owner.session(&worker, |session| {
+                session.note_order_clock(clock, sent_at, now)
+            });
             owner.record(&run, |record| record.known.stop = Stop::Confirmed(now));
             true
         }
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -21,9 +21,11 @@
 use std::{rc::Rc, time::Duration};
 use tokio::sync::Notify;
 
-/// Age at which a lease is renewed. Polls take up to 2 s, so that at least 2 s of the shortest
+/// Time by which a renewal extends a lease at least. Polls take up to 1 s, so that at least 3 s of a
 /// lease of 6 s are left for a new owner to take over.
 const RENEW_AFTER: Duration = Duration::from_millis(1_500);
+/// Time left of a lease that is renewed late, since the store does not answer.
+const ENDS_SOON: Duration = Duration::from_millis(2_500);
 /// Failures in a row after which a worker is suspect; a single one is as likely the job's fault.
 const SUSPECT_FAILURES: u32 = 2;
 /// How long a worker stays suspect after its last failure.
@@ -96,6 +98,8 @@
 pub struct Lease {
     /// Its end on the worker's clock.
     pub until: WorkerMillis,
+    /// Time on the own clock until which it lasts at least, if the worker accepts it.
+    pub lasts_until: Millis,
     /// Time on the own clock by which it has ended, on the incarnation whose clock was read.
     pub ends_by: Millis,
 }
@@ -123,8 +127,8 @@
     pub ends_truncated_since: Option<Millis>,
     /// Bounds the time until which runs may be alive on it.
     pub bound: LeaseBound,
-    /// When the last lease that it accepted was sent.
-    pub leased_at: Option<Millis>,
+    /// Until when the last lease that it accepted lasts at least.
+    pub leased_until: Option<Millis>,
     /// Since when it does not answer; none while it answers.
     pub unresponsive_since: Option<Millis>,
     /// Runs that may be alive on it.
@@ -160,7 +164,7 @@
             acked: Rc::default(),
             ends_truncated_since: None,
             bound,
-            leased_at: None,
+            leased_until: None,
             unresponsive_since: None,
             runs: IndexSet::new(),
             tally: Tally::default(),
@@ -205,13 +209,24 @@
         let age = now.since(read_at);
         (age <= limits.max_clock_age()).then(|| Lease {
             until: clock + age + length,
+            lasts_until: now + length,
             ends_by: now + limits.ends_within(length),
         })
     }
 
-    /// Whether the last accepted lease is old enough to be renewed, or there is none.
-    pub fn is_renewal_due(&self, now: Millis) -> bool {
-        self.leased_at.is_none_or(|at| now.since(at) >= RENEW_AFTER)
+    /// Whether a lease of this length, sent now, lasts for enough longer than the last accepted one.
+    /// The length depends on the owner's last renewal in the store, so an early renewal may be
+    /// worthwhile after an outage of the store, and none is during it.
+    pub fn is_renewal_due(&self, now: Millis, length: Duration) -> bool {
+        let until = now + length;
+        self.leased_until
+            .is_none_or(|leased| until >= leased + RENEW_AFTER)
+    }
+
+    /// Whether the last accepted lease ends soon, so that a poll should not wait for long.
+    pub fn does_lease_end_soon(&self, now: Millis) -> bool {
+        self.leased_until
+            .is_some_and(|leased| leased.since(now) < ENDS_SOON)
     }
 
     /// Replaces the reading of its clock by that of its newest poll response. A reply to an order
@@ -221,6 +236,14 @@
         self.clock = Some((clock, now));
     }
 
+    /// Notes a reading of its clock in a reply to an order that was sent at `sent_at`. One that was
+    /// sent before the present incarnation answered may have been executed by an earlier one.
+    pub fn note_order_clock(&mut self, clock: WorkerMillis, sent_at: Millis, now: Millis) {
+        if self.claimed.since.is_some_and(|since| sent_at > since) {
+            self.note_clock(clock, now);
+        }
+    }
+
     /// Notes a reading of its clock in a reply to an order. An answer to an order does not reset `unresponsive_since`: a
     /// new incarnation under the same id answers it too.
     pub fn note_clock(&mut self, clock: WorkerMillis, now: Millis) {
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -25,10 +25,6 @@
 /// Maximum number of listed workers, so that the row stays small: every daemon polls it. The next
 /// owner infers the bound on leases of further ones.
 const MAX_LISTED: usize = 200;
-/// Time after the recovery from which a worker counts as silent that has not answered a first poll:
-/// the poll's timeout. A worker in the list gets its first lease later.
-const FIRST_POLL_TIME: Duration = Duration::from_millis(500);
-
 /// The workers that a lease row may list which is in the store or may yet be written.
 #[derive(Default)]
 pub struct Listed {
@@ -96,7 +92,7 @@
     pub fn sent_leases(&self, cx: &Cx, is_last_row: bool) -> SentLeases {
         let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
         let silent = match self.has_recovered() {
-            true => self.silent_workers(cx, true),
+            true => self.silent_workers(cx),
             // Nothing was sent to a worker before the recovery.
             false => left_of(&self.silent_before.borrow(), now),
         };
@@ -113,17 +109,18 @@
 
     /// Workers that do not answer and have runs, or had some that were given up without that being
     /// durable: time until which all leases there last, in milliseconds.
-    pub fn silent_workers(&self, cx: &Cx, is_first_poll_awaited: bool) -> IndexMap<String, u64> {
+    pub fn silent_workers(&self, cx: &Cx) -> IndexMap<String, u64> {
         let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
-        let may_be_polling = is_first_poll_awaited && !self.is_first_poll_over(now);
         let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
+        let is_directory_read = sessions.values().any(|session| session.is_registered);
         let listed = sessions.iter().filter(|(worker, session)| {
             let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
-            let is_silent = match may_be_polling {
-                true => session.unresponsive_since.is_some() || self.is_listed(worker),
-                false => true,
-            };
-            session.is_silent() && is_silent && has_runs
+            // A worker whose first poll is under way is not silent yet: it would get its first lease
+            // later.
+            let is_known_silent = session.unresponsive_since.is_some()
+                || is_directory_read && session.report.is_none()
+                || self.is_listed(worker);
+            session.is_silent() && is_known_silent && has_runs
         });
         let listed = listed.filter_map(|(worker, session)| {
             let are_confirmed = self.are_confirmed(session);
@@ -144,17 +141,12 @@
         self.recovered_at.get().is_some()
     }
 
-    fn is_first_poll_over(&self, now: Millis) -> bool {
-        let recovered_at = self.recovered_at.get();
-        recovered_at.is_some_and(|at| now.since(at) >= FIRST_POLL_TIME)
-    }
-
-    /// Whether the worker's present incarnation is known to have all runs that were placed there.
-    pub fn are_runs_confirmed_on(&self, worker: &str) -> bool {
-        let sessions = self.sessions.borrow();
-        sessions
-            .get(worker)
-            .is_some_and(|session| !session.runs.is_empty() && self.are_confirmed(session))
+    /// Whether an owner has confirmed a run that was placed on this incarnation of a worker: its lease
+    /// row then bounds the leases of the incarnation.
+    pub fn has_confirmed_run(&self, session: &Session, started_unix_ms: u64) -> bool {
+        let runs = self.runs.borrow();
+        let mut records = session.runs.iter().filter_map(|run| runs.get(run));
+        records.any(|record| record.is_confirmed && record.on.started_unix_ms == started_unix_ms)
     }
 
     fn are_confirmed(&self, session: &Session) -> bool {
@@ -163,12 +155,14 @@
         session.runs.iter().all(is_confirmed)
     }
 
-    /// Whether an earlier owner confirmed a long-running run that was placed in this row; without a
-    /// row, in one that the snapshot covers.
-    pub fn was_confirmed(&self, placed_row: Option<u64>) -> bool {
+    /// Whether an earlier owner confirmed a long-running run that was placed on this worker in this
+    /// row; without a row, in one that the snapshot covers. Of the runs on workers that its lease row
+    /// lists nothing is known but when all leases there end.
+    pub fn was_confirmed(&self, worker: &str, placed_row: Option<u64>) -> bool {
         let latest = placed_row.unwrap_or(self.journal.covered_upto());
-        let before = self.previous_confirmed_before;
-        before.is_some_and(|before| latest < before)
+        let is_before = |before| latest < before;
+        let is_listed = self.silent_before.borrow().contains_key(worker);
+        !is_listed && self.previous_confirmed_before.is_some_and(is_before)
     }
 
     /// Number of the journal row before which all long-running runs are confirmed that are not on
@@ -178,8 +172,8 @@
             return self.previous_confirmed_before;
         }
         let limits = &cx.cfg.leases;
-        // A run on a worker with a later lease than the row allows counts as unconfirmed.
-        let row_ends_in = Duration::from_millis(limits.after_row().confirmed_ms);
+        // A run on a worker with a later lease than any row allows counts as unconfirmed.
+        let row_ends_in = Duration::from_millis(limits.after_last_row().confirmed_ms);
         let row_ends_at = cx.clock.now() + row_ends_in;
         let (sessions, runs) = (self.sessions.borrow(), self.runs.borrow());
         let unlisted = sessions
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -131,7 +131,7 @@
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
         let ends_in_ms = match self.has_recovered() {
-            true => self.silent_workers(cx, false),
+            true => self.silent_workers(cx),
             false => left_of(&self.silent_before.borrow(), cx.clock.now()),
         };
         let (token, workers) = (self.token(), ends_in_ms.len());
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -321,7 +321,8 @@
     /// sending them, unless it writes another row.
     ///
     /// An order to start a run may be executed by a later incarnation of its worker, whose clock
-    /// starts anew, and so may a renewal that is in flight then.
+    /// starts anew. So may a renewal that follows an answer of the earlier incarnation which was in
+    /// transit at the restart, hence two transits.
     pub fn after_row(&self) -> LeasesLeft {
         let confirmed = self.measured_elsewhere(self.after_renewal);
         let unconfirmed = self.start_hold + self.transit * 2 + self.longest_on_own_clock();
@@ -359,6 +360,9 @@
 pub enum LeaseKind {
     /// Sent by this owner, by the end that the call named on the clock of the worker's incarnation.
     Named,
+    /// Sent by earlier owners, or by this one to an earlier incarnation, before the present
+    /// incarnation answered this owner.
+    Unsettled,
     /// Sent by this owner, with a reply.
     Answered,
     /// Sent by this owner, without a reply.
@@ -609,13 +613,14 @@
 
     /// Records the first reply of an incarnation under this owner's token, at `at`: from then on the
     /// incarnation refuses calls of earlier owners, and leases that they sent earlier end at most
-    /// one lease after `at`. `are_runs_confirmed` says whether an earlier owner confirmed all runs
-    /// there.
-    pub fn note_claimed(&mut self, at: Millis, are_runs_confirmed: bool, limits: &LeaseLimits) {
+    /// one lease after `at`. `has_confirmed_run` says whether an earlier owner confirmed a run on
+    /// this incarnation, so that the bound on confirmed runs holds there.
+    pub fn note_claimed(&mut self, at: Millis, has_confirmed_run: bool, limits: &LeaseLimits) {
         let longest = at + limits.longest_on_own_clock();
+        let noted = self.noted_end.unwrap_or(longest);
         let until = match self.inherited.take() {
-            Some(ends) if are_runs_confirmed => longest.min(ends.confirmed),
-            Some(_) => longest,
+            Some(ends) if has_confirmed_run => longest.min(noted).min(ends.confirmed),
+            Some(_) => longest.min(noted),
             // This owner's calls to the incarnation before may be in flight.
             None => longest + limits.transit * 2,
         };
@@ -652,7 +657,7 @@
     fn confirmed_ends(&self) -> [(LeaseKind, Option<Millis>); 3] {
         [
             (LeaseKind::Named, self.named_end),
-            (LeaseKind::Answered, self.unsettled_until),
+            (LeaseKind::Unsettled, self.unsettled_until),
             self.inherited_end(|ends| ends.confirmed),
         ]
     }
--- a/src/lapisdrum/sched/restart.rs
+++ b/src/lapisdrum/sched/restart.rs
@@ -53,7 +53,8 @@
     let longest_sent = leases.sent(Duration::ZERO).unwrap_or_default();
     let lease = leases.ends_within(longest_sent);
     let after_row = leases.after_row();
-    let by_row = |left_ms| leases.measured_elsewhere(Duration::from_millis(left_ms));
+    // A row counts from its first read.
+    let by_row = |left_ms| lease::POLL + leases.measured_elsewhere(Duration::from_millis(left_ms));
     let [worker, owner] = [limits.worker, limits.owner];
     let times = [
         (LostTogether::WorkerAlone, lease, worker),
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -3,14 +3,19 @@
 
 use super::{
     paused,
-    world::{StoreBehaviour, World, limits_for, owned, restart_limits, step, until},
+    world::{
+        StoreBehaviour, WorkerBehaviour, World, limits_for, owned, restart_limits, step, until,
+    },
 };
 use assert_matches::assert_matches;
-use lapisdrum::sched::{
-    Cx,
-    job::Step,
-    peer::SubmitReply,
-    restart::{LostTogether, restart_times},
+use lapisdrum::{
+    core::size::Size,
+    sched::{
+        Cx,
+        job::Step,
+        peer::SubmitReply,
+        restart::{LostTogether, restart_times},
+    },
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -176,3 +181,64 @@
         assert_eq!(over, [LostTogether::OwnerOfNewRun], "{times:?}");
     }
 }
+
+/// Guards against tasks on workers that answer and get a shorter lease during an outage of the store, and no longer one
+/// in time after it.
+#[test]
+fn an_outage_of_the_store_within_the_cap_ends_no_task() {
+    for (nth, outage_ms) in (4_000..=5_000).step_by(50).enumerate() {
+        paused(async move {
+            let site = Site::start(LONGEST_LEASES[nth % 2]).await;
+            sleep(Duration::from_millis(nth as u64 * 97)).await;
+            site.world.set_store("d0", StoreBehaviour::Unavailable);
+            sleep(Duration::from_millis(outage_ms)).await;
+            site.world.set_store("d0", StoreBehaviour::Up);
+            sleep(LIMIT * 2).await;
+            assert_eq!(site.world.starts.borrow().len(), 1, "after {outage_ms} ms");
+            site.world.check();
+        });
+    }
+}
+
+/// Guards against a run on a listed worker that the next owner takes for confirmed, and gives up before the end that the
+/// row gives: a restarted worker had executed its start order, for a longest lease from then on.
+#[test]
+fn a_run_on_a_listed_worker_is_given_up_at_the_noted_end() {
+    for lost_after_ms in (600..2_400).step_by(200) {
+        paused(async move {
+            let mut site = Site::start(LONGEST_LEASES[1]).await;
+            let owner = Rc::clone(&site.owners[0]);
+            let free = ["w0", "w1"].map(|worker| site.world.running_on(worker).is_empty());
+            let free = if free[0] { "w0" } else { "w1" };
+            site.world.orders_outlive_crashes.set(true);
+            let late = Duration::from_millis(600);
+            site.world.set_worker(free, WorkerBehaviour::Late(late));
+            let placed = Step {
+                is_long_running: true,
+                size: Size {
+                    millicores: 4_000,
+                    memory_mb: 1_000,
+                    accelerators: 0,
+                },
+                ..step(1, 600_000, &[])
+            };
+            let world = Rc::clone(&site.world);
+            actix_rt::spawn(async move { world.submit(&owner, 2, vec![placed]).await });
+            until("an order is unanswered", LIMIT, async || {
+                site.owners[0].metrics.starts.get() > 1
+            })
+            .await;
+            site.world.crash(free);
+            sleep(Duration::from_millis(100)).await;
+            site.world.restart(free);
+            for daemon in ["d0", "d1"] {
+                site.world.cut_from(daemon, free);
+            }
+            sleep(Duration::from_millis(lost_after_ms)).await;
+            site.world.add_worker("spare");
+            site.replace_owner().await;
+            sleep(LIMIT * 6).await;
+            site.world.check();
+        });
+    }
+}
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -210,6 +210,10 @@
     let mut confirmed = inherited();
     confirmed.note_claimed(Millis(9_000), true, &limits);
     assert_eq!(end(&confirmed), Millis(10_000));
+    let mut noted = inherited();
+    noted.note_inherited_end(Millis(9_800));
+    noted.note_claimed(Millis(9_000), false, &limits);
+    assert_eq!(end(&noted), Millis(9_800));
 }
 
 /// A new owner cannot reach a worker, whose lease the previous owner of an earlier version may have renewed until the end
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -932,7 +932,7 @@
         longest,
         longest_sent: Duration::from_secs(6),
         after_renewal: Duration::from_secs(7),
-        start_hold: Duration::from_millis(2_500),
+        start_hold: Duration::from_secs(3),
         drift_parts: 45,
         transit: Duration::from_millis(750),
         owner_hold: Duration::from_secs(5),
