Tests: a submission that is never accepted shows its refusals

KNOWN-RED.txt names `process::ownership::a_frozen_owner_finds_its_lease_lost_and_doubles_nothing`, which failed once with "not within 30s: a job is accepted". The message says neither which of nine submissions that was nor what was answered.

So it is neither reproduced nor traced, and its line stays.

Change: `runs::submit` prints the daemon and each new answer; a test that fails shows them. What passes and fails is as before.

--- a/tests/testsuite/process/runs.rs
+++ b/tests/testsuite/process/runs.rs
@@ -6,6 +6,7 @@
 use lapisdrum_standins::worker::server::{TaskRun, WorkerSwitches};
 use serde_json::json;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// An entry of one core and half a gigabyte, whose tasks an owner that is cut off renews for 6 s.
 pub(crate) fn raw(name: &str, class: &str) -> RawEntry {
@@ -98,12 +99,21 @@
     line.and_then(|n| n.trim().parse().ok()).unwrap_or(0)
 }
 
-/// Submits a job, and retries until it is accepted.
+/// Submits a job, and retries until it is accepted. The output of a test that fails has the refusals.
 pub(crate) async fn submit(site: &Site, daemon: usize, entry: &str) -> String {
     let client = site.daemons[daemon].client();
+    let (started_at, mut last) = (Instant::now(), String::new());
     wait::until_some("a job is accepted", LIMIT, async || {
-        let job = client.submit_job(entry).await.ok()?;
-        Some(job.job.to_string())
+        let refusal = match client.submit_job(entry).await {
+            Ok(job) => return Some(job.job.to_string()),
+            Err(e) => format!("{e:?}"),
+        };
+        if refusal != last {
+            let after = started_at.elapsed();
+            println!("after {after:?} daemon {daemon} does not accept {entry}: {refusal}");
+            last = refusal;
+        }
+        None
     })
     .await
 }
