Lease rows: renewed at once while the last success is old

Change: the pause of 0.4 s between renewals is left out while leases get shorter; polls of workers whose leases end soon wait 0.2 s at most.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -80,8 +80,8 @@
 const JITTER_READ_TIMES: u32 = 10;
 /// Maximum extension of a time limit for a slow store.
 const MAX_SLOW_STORE_ALLOWANCE: Duration = Duration::from_millis(3_000);
-/// Minimum time between two renewals, one of which was asked for early.
-const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum time between two renewals, where one is asked for early or the last success is long ago.
+const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a renewal that no journal transaction has carried is sent in its own
 /// transaction.
 const PIGGYBACK_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -565,10 +565,21 @@
         }
         drop(renewing);
         tokio::time::sleep(MIN_RENEW_INTERVAL).await;
-        let _ = tokio::time::timeout(RENEW - MIN_RENEW_INTERVAL, owner.renewal_wanted()).await;
+        if !is_overdue(cx, owner) {
+            let _ = tokio::time::timeout(RENEW - MIN_RENEW_INTERVAL, owner.renewal_wanted()).await;
+        }
     }
 }
 
+/// Whether the last successful renewal was sent so long ago that workers' leases get shorter. A renewal
+/// counts from the sending of its first attempt, so one that was repeated until the store answered
+/// again may be old when it succeeds.
+fn is_overdue(cx: &Cx, owner: &Owner) -> bool {
+    let limits = &cx.cfg.leases;
+    let since_renewal = cx.clock.at_most_since(owner.renewed_at.get());
+    limits.sent(since_renewal) < limits.sent(Duration::ZERO)
+}
+
 /// Releases the lease, so that another daemon takes over at its next poll. A concurrent renewal
 /// would make the release fail and leave the lease to lapse, so renewals are locked out; a failed
 /// attempt is repeated.
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -37,8 +37,9 @@
 /// Wait of a long poll where best-effort tasks share the host with serving ones, whose latency
 /// tails are updated every 500 ms.
 const POLL_WAIT_SHARED: Duration = Duration::from_millis(350);
-/// Wait of a poll of a worker that may get a lease again once the next lease row is written.
-const POLL_WAIT_LISTED: Duration = Duration::from_millis(200);
+/// Wait of a poll of a worker that is to get a lease soon: once a lease row without it is written, or
+/// the store answers again before the worker's lease ends.
+const POLL_WAIT_LEASELESS: Duration = Duration::from_millis(200);
 /// Delay before an unresponsive worker is polled again.
 const UNRESPONSIVE_RETRY: Duration = Duration::from_millis(200);
 /// Longest wait for ends to become durable before the next poll. While the store is unavailable,
@@ -96,15 +97,20 @@
         let lease = length.and_then(|length| session.lease(now, length, &cx.cfg.leases));
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
-        let is_shared = is_shared || session.does_lease_end_soon(now);
+        let is_lease_short = is_listed || session.does_lease_end_soon(now);
         let lists_all_ends = session.ends_truncated_since.is_none();
-        (is_claimed && lists_all_ends, lease, is_shared)
+        (
+            is_claimed && lists_all_ends,
+            lease,
+            is_shared,
+            is_lease_short,
+        )
     });
-    let Some((may_wait, lease, is_shared)) = planned else {
+    let Some((may_wait, lease, is_shared, is_lease_short)) = planned else {
         return false;
     };
     let wait = match (may_wait && lease.is_none(), is_shared) {
-        (true, _) if is_listed => POLL_WAIT_LISTED,
+        (true, _) if is_lease_short => POLL_WAIT_LEASELESS,
         (true, true) => POLL_WAIT_SHARED,
         (true, false) => POLL_WAIT,
         (false, _) => Duration::ZERO,
