--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -563,7 +563,10 @@
 fn replay(ledger: &mut Ledger, body: &[u8], last: u64) -> eyre::Result<()> {
     let events = events_of(body);
     for event in events.wrap_err_with(|| format!("journal row {last} is malformed"))? {
-        ledger.apply(&event)?;
+        if let Err(why) = ledger.apply(&event) {
+            ledger.apply_earlier(&event, why)?;
+            log::warn!(row = last, event:?, why:%; "event of an earlier version is replayed");
+        }
     }
     Ok(())
 }
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -272,6 +272,42 @@
         }
     }
 
+    /// Applies an event of the journal that [`Ledger::apply`] refuses for `why`, if an earlier
+    /// version wrote it: it placed tasks that a guest had not adopted, and numbered the runs of
+    /// later occurrences from 1. A placed run may be alive, so it is recorded, but its task stays
+    /// where it is. The return of a task that is not here, or with a number that is too low, had no
+    /// effect in the job's shard either.
+    pub fn apply_earlier(&mut self, event: &Event, why: InvalidEvent) -> Result<(), InvalidEvent> {
+        let is_guest = |id: &JobId| self.jobs.get(id).is_some_and(|job| job.is_guest);
+        match event {
+            Event::Placed { run, on } if is_guest(&run.task.job) => self.place_earlier(run, on),
+            Event::Returned { task, .. } if is_guest(&task.job) => Ok(()),
+            _ => Err(why),
+        }
+    }
+
+    fn place_earlier(&mut self, run: &RunId, on: &WorkerIncarnation) -> Result<(), InvalidEvent> {
+        let id = run.task;
+        let job = self.job_mut(id.job)?;
+        let home = job.home.ok_or(InvalidEvent::Job(id.job))?;
+        job.add_occurrence_elsewhere(id.occurrence, home);
+        let step = job.step_mut(&id.step_id()).ok_or(InvalidEvent::Task(id))?;
+        let task = step.tasks.get_mut(id.index as usize);
+        let task = task.ok_or(InvalidEvent::Task(id))?;
+        if task.is_done || !task.live.is_empty() {
+            return Err(InvalidEvent::Run(*run));
+        }
+        step.running += 1;
+        if task.elsewhere.is_none() {
+            task.last_run = task.last_run.max(run.run);
+        }
+        task.live.push(LiveRun {
+            number: run.run,
+            on: on.clone(),
+        });
+        Ok(())
+    }
+
     fn accept(
         &mut self,
         id: JobId,
@@ -306,7 +342,8 @@
     }
 
     /// Takes tasks of another shard's job. A repeat changes nothing, nor does one that comes after
-    /// the job was cancelled or the task was returned: a return uses up a greater number.
+    /// the job was cancelled or the task was returned: a return uses up a greater number. All other
+    /// tasks of the job stay elsewhere.
     fn adopt(
         &mut self,
         id: JobId,
@@ -320,6 +357,7 @@
         }
         job.home = Some(from);
         for (task, last_run) in tasks {
+            job.add_occurrence_elsewhere(task.occurrence, from);
             let task = job.task_mut(task).ok_or(InvalidEvent::Task(*task))?;
             if task.elsewhere.is_some() && *last_run >= task.last_run {
                 task.elsewhere = None;
@@ -505,20 +543,25 @@
     /// Creates the state of another shard's job before any of its tasks is adopted.
     fn guest(spec: &Rc<JobSpec>, terms: &QueueConfig, from: ShardId, at_unix_ms: u64) -> Self {
         let mut job = Self::new(spec, terms, at_unix_ms);
+        job.add_occurrence_elsewhere(0, from);
+        job.has_started = true;
+        job.is_guest = true;
+        job.home = Some(from);
+        job
+    }
+
+    /// Adds an occurrence that has no state yet, with all tasks in the job's shard.
+    fn add_occurrence_elsewhere(&mut self, number: u32, home: ShardId) {
         let tasks = |step: &Step| StepState {
-            tasks: vec![Task::elsewhere(from); step.count as usize],
+            tasks: vec![Task::elsewhere(home); step.count as usize],
             done: 0,
             running: 0,
         };
-        let occurrence = Occurrence {
-            steps: spec.steps.iter().map(tasks).collect(),
+        let new = || Occurrence {
+            steps: self.spec.steps.iter().map(tasks).collect(),
             is_done: false,
         };
-        job.occurrences.insert(0, occurrence);
-        job.has_started = true;
-        job.is_guest = true;
-        job.home = Some(from);
-        job
+        self.occurrences.entry(number).or_insert_with(new);
     }
 
     fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
@@ -627,8 +670,12 @@
     /// Occurrences that are due and not done, in order, as far as a dispatch pass looks: all that
     /// run, and of the others as many as have [`WINDOW_TASKS`] tasks. An occurrence beyond waits for
     /// one before it, which the same workers would run. Without the limit, a schedule that started
-    /// long ago would have more occurrences than a process can list.
+    /// long ago would have more occurrences than a process can list. For a guest, those with adopted
+    /// tasks: a task is delegated only once it is due, and nothing is known of other occurrences.
     pub fn startable_occurrences(&self, now_unix_ms: u64) -> Vec<u32> {
+        if self.is_guest {
+            return self.occurrences.keys().copied().collect();
+        }
         let due = self.spec.due_occurrences(now_unix_ms);
         let tasks_each: u64 = self.spec.steps.iter().map(|s| u64::from(s.count)).sum();
         let (mut listed, mut tasks, mut next) = (Vec::new(), 0, 0);
@@ -667,14 +714,15 @@
         if self.occurrences_done.dropped.contains(id.occurrence) {
             return None;
         }
-        let spec = &self.spec;
-        let occurrence = self
-            .occurrences
-            .entry(id.occurrence)
-            .or_insert_with(|| Occurrence {
+        if !self.is_guest {
+            let spec = &self.spec;
+            let new = || Occurrence {
                 steps: spec.steps.iter().map(|s| StepState::new(s.count)).collect(),
                 is_done: false,
-            });
+            };
+            self.occurrences.entry(id.occurrence).or_insert_with(new);
+        }
+        let occurrence = self.occurrences.get_mut(&id.occurrence)?;
         occurrence.steps.get_mut(usize::from(id.step))
     }
 
--- a/tests/testsuite/model/handover.rs
+++ b/tests/testsuite/model/handover.rs
@@ -9,7 +9,7 @@
 use crate::sched::world::{step, terms};
 use lapisdrum::sched::{
     event::{Event, Loss, RunId, WorkerIncarnation},
-    job::{JobId, JobSpec, RawJob, RunNumber, TaskId},
+    job::{JobId, JobSpec, RawJob, RunNumber, Schedule, TaskId},
     layout::ShardId,
     ledger::{Job, Ledger, Phase, Task},
 };
@@ -18,10 +18,18 @@
 const JOB: JobId = JobId(1);
 const TASK: TaskId = TaskId {
     job: JOB,
-    occurrence: 0,
+    occurrence: 1,
     step: 0,
     index: 0,
 };
+/// Tasks of the job that are never delegated, one of the same and one of another occurrence.
+const OTHERS: [TaskId; 2] = [
+    TaskId { index: 1, ..TASK },
+    TaskId {
+        occurrence: 2,
+        ..TASK
+    },
+];
 /// Runs after which the task is not placed again; bounds the search.
 const MAX_RUNS: u32 = 3;
 
@@ -72,12 +80,17 @@
 type Step = (String, State);
 
 fn spec() -> Rc<JobSpec> {
-    let mut long_running = step(1, 600_000, &[]);
+    let mut long_running = step(2, 600_000, &[]);
     long_running.is_long_running = true;
+    let schedule = Schedule {
+        first_unix_ms: 0,
+        interval_ms: 1,
+        times: 3,
+    };
     let raw = RawJob {
         payload: "work".to_owned(),
         steps: vec![long_running],
-        schedule: None,
+        schedule: Some(schedule),
     };
     Rc::new(JobSpec::try_from(raw).expect("a good job"))
 }
@@ -215,6 +228,7 @@
             next.extend(self.give_back(state, other));
             next.extend(self.send(state, other));
             next.extend(self.send_return(state, other));
+            next.extend(place_others(state, other));
         }
         let may_cancel = self.may_cancel && state.phase(0) == Some(Phase::Active);
         let cancelled = may_cancel.then(|| state.after(0, &[CANCELLED])).flatten();
@@ -354,8 +368,8 @@
 }
 
 fn task_of(job: &mut Job) -> &mut Task {
-    let occurrence = job.occurrences.get_mut(&0).expect("the first occurrence");
-    &mut occurrence.steps[0].tasks[0]
+    let occurrence = job.occurrences.get_mut(&TASK.occurrence);
+    &mut occurrence.expect("the occurrence").steps[0].tasks[0]
 }
 
 fn delegate(state: &State, to: usize) -> Option<Step> {
@@ -385,6 +399,22 @@
     Some((format!("place {shard}"), placed))
 }
 
+/// Places tasks that were not delegated to this shard.
+fn place_others(state: &State, shard: usize) -> impl Iterator<Item = Step> {
+    OTHERS.into_iter().filter_map(move |task| {
+        let run = RunId {
+            task,
+            run: RunNumber(1),
+        };
+        let on = WorkerIncarnation {
+            worker: format!("w{shard}"),
+            started_unix_ms: 1,
+        };
+        let placed = state.after(shard, &[Event::Placed { run, on }])?;
+        Some((format!("place {task} in {shard}"), placed))
+    })
+}
+
 fn lose(state: &State, shard: usize) -> Option<Step> {
     let run = RunId {
         task: TASK,
@@ -417,13 +447,19 @@
     Some((format!("forget {shard}"), forgotten))
 }
 
-/// Two shards run the task, or the job is active again after its end was confirmed.
+/// Two shards run the task, one that adopted it runs another of the job, or the job is active again
+/// after its end was confirmed.
 fn is_broken(state: &State) -> bool {
     let shards = 0..MAX_SHARDS;
     let running = shards.clone().filter(|shard| state.is_alive(*shard));
     let revived =
         |shard: usize| state.is_end_confirmed[shard] && state.phase(shard) == Some(Phase::Active);
-    running.count() > 1 || shards.into_iter().any(revived)
+    let runs_other = |shard: usize| {
+        let ledger = state.ledger(shard);
+        let mut runs = ledger.live_runs();
+        runs.any(|(run, _)| run.task != TASK)
+    };
+    running.count() > 1 || shards.into_iter().any(|s| revived(s) || runs_other(s))
 }
 
 /// The job has ended in all shards, and the first knows so.
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -1,5 +1,7 @@
 //! Delegation of interrupted long-running tasks to a shard with free capacity.
 
+mod guests;
+
 use super::{
     paused,
     world::{StoreBehaviour, World, home, owns, step, terms, until},
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -284,6 +284,113 @@
     ledger.apply(&returned(2)).expect("a greater number");
 }
 
+/// A long-running job with three occurrences of two tasks each.
+fn three_times() -> Rc<JobSpec> {
+    let raw = RawJob {
+        payload: "work".to_owned(),
+        steps: vec![Step {
+            is_long_running: true,
+            ..step(2, 0, &[])
+        }],
+        schedule: Some(Schedule {
+            first_unix_ms: 0,
+            interval_ms: 1,
+            times: 3,
+        }),
+    };
+    Rc::new(JobSpec::try_from(raw).expect("a valid job"))
+}
+
+fn run_of(occurrence: u32, index: u32, number: u32) -> RunId {
+    let mut run = run(0, index, number);
+    run.task.occurrence = occurrence;
+    run
+}
+
+/// The adoption of one task of a later occurrence that has run three times.
+fn adopted_later() -> Event {
+    Event::Adopted {
+        job: JobId(1),
+        spec: three_times(),
+        terms: terms(),
+        from: ShardId(0),
+        tasks: vec![(run_of(1, 0, 3).task, RunNumber(3))],
+        at_unix_ms: 1_000,
+    }
+}
+
+/// Guards against tasks that two shards run: a shard starts tasks of a job that it did not adopt.
+#[test]
+fn a_guest_has_the_adopted_tasks_only() {
+    let mut ledger = Ledger::default();
+    ledger.apply(&adopted_later()).expect("it is new");
+    let read = serde_json::to_vec(&ledger).expect("a serialisable ledger");
+    let read: Ledger = serde_json::from_slice(&read).expect("the ledger is parsed back");
+    assert_eq!(read, ledger);
+    for other in [run_of(0, 0, 9), run_of(1, 1, 9), run_of(2, 0, 9)] {
+        assert_matches!(ledger.apply(&placed(other)), Err(_), "{other:?}");
+    }
+    let job = &ledger.jobs[&JobId(1)];
+    assert_eq!(job.startable_occurrences(u64::MAX), [0, 1]);
+    assert_matches!(ledger.apply(&placed(run_of(1, 0, 3))), Err(_));
+    ledger
+        .apply(&placed(run_of(1, 0, 4)))
+        .expect("a greater number than in the shard before");
+}
+
+/// Applies rows as a recovery does.
+fn replay(ledger: &mut Ledger, events: &[Event]) -> Result<(), InvalidEvent> {
+    let mut events = events.iter();
+    events.try_for_each(|event| {
+        let applied = ledger.apply(event);
+        applied.or_else(|why| ledger.apply_earlier(event, why))
+    })
+}
+
+/// Guards against a shard that can't be recovered because of rows of an earlier version, which started tasks that it had
+/// not adopted and numbered runs of later occurrences from one; against a run that is forgotten although it may be
+/// alive; and against a task that no shard runs, since its return was without effect in the job's shard.
+#[test]
+fn rows_of_guests_of_an_earlier_version_are_replayed() {
+    let runs = [run_of(1, 0, 1), run_of(1, 1, 1), run_of(2, 0, 1)];
+    let lost = Event::Lost {
+        run: runs[0],
+        why: Loss::Lapsed,
+        is_unstarted: false,
+    };
+    let returned = |task: TaskId| Event::Returned {
+        task,
+        to: ShardId(0),
+        last_run: RunNumber(2),
+    };
+    let mut events = vec![adopted_later()];
+    events.extend(runs.map(placed));
+    events.extend([lost, returned(runs[0].task), returned(run_of(2, 1, 1).task)]);
+    let mut ledger = Ledger::default();
+    replay(&mut ledger, &events).expect("valid rows");
+    let job = &ledger.jobs[&JobId(1)];
+    let live: Vec<RunId> = job.live_runs(JobId(1)).map(|(run, _)| run).collect();
+    assert_eq!(live, runs[1..]);
+    let here = job.tasks(JobId(1));
+    let here = here.filter(|(_, task)| task.elsewhere.is_none());
+    let here: Vec<TaskId> = here.map(|(id, _)| id).collect();
+    assert_eq!(here, [runs[0].task]);
+    ledger
+        .apply(&placed(run_of(1, 0, 4)))
+        .expect("a greater number than in the shard before");
+}
+
+/// Guards against a replay that accepts whatever is in the journal.
+#[test]
+fn no_other_invalid_row_is_replayed() {
+    let mut own = with_job(three_times());
+    let again = [run_of(0, 0, 1), run_of(0, 0, 2)].map(placed);
+    assert_matches!(replay(&mut own, &again), Err(InvalidEvent::Run(_)));
+    let mut guest = with_guest(1);
+    let again = [run(0, 0, 2), run(0, 0, 3)].map(placed);
+    assert_matches!(replay(&mut guest, &again), Err(InvalidEvent::Run(_)));
+}
+
 /// Any event of a run, valid or not.
 fn any_event() -> impl Strategy<Value = Event> {
     let any_run =
