--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -630,11 +630,17 @@
         occurrence.steps.get(usize::from(id.step))
     }
 
-    /// Whether every step that `step` depends on is done in this occurrence.
+    /// Whether every step that `step` depends on is done in this occurrence. A guest does not know
+    /// the state of the other steps: the specification that it records has no dependencies, and in
+    /// one recorded by an earlier version they do not apply to the first occurrence, of which it has
+    /// adopted tasks only.
     pub fn may_start(&self, occurrence: u32, step: usize) -> bool {
         let Some(spec) = self.spec.steps.get(step) else {
             return false;
         };
+        if self.is_guest && occurrence == 0 {
+            return true;
+        }
         let is_done = |before: &u16| {
             let occurrence = self.occurrences.get(&occurrence);
             let state = occurrence.and_then(|o| o.steps.get(usize::from(*before)));
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -450,7 +450,7 @@
 /// One event for each part of the tasks, at least one; their number is not bounded, but the size of
 /// an event is.
 fn adoptions(guests: GuestTasks, at_unix_ms: u64) -> Vec<Event> {
-    let spec = Rc::new(guests.spec);
+    let spec = Rc::new(without_dependencies(guests.spec));
     let adopted = |tasks: &[(TaskId, RunNumber)]| Event::Adopted {
         job: guests.job,
         spec: Rc::clone(&spec),
@@ -468,6 +468,16 @@
     }
 }
 
+/// The specification that a guest records. A task is delegated once the steps before its own are
+/// done, which only the job's shard can tell. A daemon of an earlier version checks the dependencies
+/// as it replays a placement, and can't recover the shard if they are recorded.
+fn without_dependencies(mut spec: JobSpec) -> JobSpec {
+    for step in &mut spec.steps {
+        step.after.clear();
+    }
+    spec
+}
+
 /// Adopts tasks of another shard's job. A repeated call is confirmed like the first.
 pub async fn adopt(cx: &Cx, owner: &Rc<Owner>, tasks: GuestTasks) -> AdoptReply {
     if !owner.is_recovered() {
--- a/tests/testsuite/sched/delegate/guests.rs
+++ b/tests/testsuite/sched/delegate/guests.rs
@@ -121,6 +121,14 @@
     spec_of(steps, Some(schedule))
 }
 
+/// A short step, and two long-running tasks that come after it.
+fn dependent() -> JobSpec {
+    let mut steps = vec![step(1, 100, &[])];
+    steps.extend(long_running(2));
+    steps[1].after = vec![0];
+    once(steps)
+}
+
 /// Guards against a task that two shards run: the shard that adopted tasks of the first occurrence starts the second.
 #[test]
 fn a_shard_with_tasks_of_one_occurrence_starts_no_other() {
@@ -184,6 +192,39 @@
     });
 }
 
+/// Guards against a delegated task that never runs because the adopting shard waits for steps that it doesn't know to
+/// be done.
+#[test]
+fn a_delegated_task_of_a_dependent_step_runs_again() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b"]).await;
+        let job = cluster.run_at_home(dependent(), 2).await;
+        cluster.lose_tasks(job, |task| task.step == 1).await;
+        cluster.assert_settled(job, 2, 2).await;
+        let other = cluster.owner_of(SHARDS[1]).expect("an owner");
+        let owner = other.handle(SHARDS[1]).owner.borrow().clone();
+        let owner = owner.expect("an owner");
+        // An earlier version could not replay the placement with the dependency in the row.
+        let ledger = owner.ledger.borrow();
+        let steps = &ledger.jobs[&job].spec.steps;
+        assert!(steps.iter().all(|step| step.after.is_empty()));
+    });
+}
+
+/// Guards against an adopted task of a dependent step that the next owner of the shard doesn't run again.
+#[test]
+fn a_task_of_a_dependent_step_outlives_its_owner() {
+    paused(async {
+        let cluster = Cluster::start(&["a", "b", "c"]).await;
+        let job = cluster.run_at_home(dependent(), 2).await;
+        cluster.lose_tasks(job, |task| task.step == 1).await;
+        cluster.until_running(job, 2).await;
+        cluster.replace_adopter().await;
+        cluster.crash_workers_of(job, SHARDS[1]);
+        cluster.assert_settled(job, 2, 2).await;
+    });
+}
+
 /// Guards against a shard that no daemon recovers, since an earlier version started tasks of a job that it had not
 /// adopted.
 #[test]
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -391,6 +391,40 @@
     assert_matches!(replay(&mut guest, &again), Err(InvalidEvent::Run(_)));
 }
 
+/// Guards against an adopted task that never runs, since the guest, as an earlier version recorded it, waits for steps of
+/// which it doesn't know that they are done; and against tasks of later occurrences, which that version took for its
+/// own, that start before the steps they depend on.
+#[test]
+fn a_guest_of_an_earlier_version_starts_a_dependent_step_of_the_first_occurrence_only() {
+    let mut spec = JobSpec::clone(&three_times());
+    let dependent = Step {
+        after: vec![0],
+        ..spec.steps[0].clone()
+    };
+    spec.steps.push(dependent);
+    let adopted = |task: TaskId| Event::Adopted {
+        job: JobId(1),
+        spec: Rc::new(spec.clone()),
+        terms: terms(),
+        from: ShardId(0),
+        tasks: vec![(task, RunNumber(3))],
+        at_unix_ms: 1_000,
+    };
+    let (first, later) = (run(1, 0, 4), run_of(1, 0, 4));
+    let mut ledger = Ledger::default();
+    ledger.apply(&adopted(first.task)).expect("it is new");
+    ledger.apply(&adopted(later.task)).expect("a later one");
+    ledger.apply(&placed(first)).expect("its turn has come");
+    let job = ledger.jobs.get_mut(&JobId(1)).expect("the job");
+    let steps = &mut job.occurrences.get_mut(&1).expect("the occurrence").steps;
+    for task in steps.iter_mut().flat_map(|step| &mut step.tasks) {
+        task.elsewhere = None;
+    }
+    let mut dependent = later;
+    dependent.task.step = 1;
+    assert_matches!(ledger.apply(&placed(dependent)), Err(_));
+}
+
 /// Any event of a run, valid or not.
 fn any_event() -> impl Strategy<Value = Event> {
     let any_run =
