--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -593,7 +593,10 @@
 ) -> eyre::Result<()> {
     let events = events_of(body);
     for event in events.wrap_err_with(|| format!("journal row {last} is malformed"))? {
-        ledger.apply(&event)?;
+        if let Err(why) = ledger.apply(&event) {
+            ledger.apply_earlier(&event, why)?;
+            log::warn!(row = last, event:?, why:%; "event of an earlier version is replayed");
+        }
         note(last, &event);
     }
     Ok(())
