Tests: random ends of owners and losses of workers around them

No test drew ends of owners beside lost workers; the three of sched::lost_owners hold single stories. Change: sched::owner_losses draws one to four ends of owners (lost, killed, released, cut off, frozen), one to three losses of workers up to 5 s before or after these, slow clocks, late orders and a slow store, with longest leases of 6 s and 10 s. One test holds the users' rule (4 s of calm + 3 s, and not before 6 s + 3 s after the last run) and all invariants, another the invariants alone. The rule and the runner of stories move from sched::outages to sched::calm without a change of bounds. The world can freeze and kill a daemon's process, slow a worker's clock, and make an address silent.

--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the job graph scheduler: its pure policies, and the real shard owner in a simulated cluster with
 //! injected faults.
 
+mod calm;
 mod delegate;
 mod evacuation;
 mod faults;
@@ -15,6 +16,7 @@
 mod order;
 mod outage_lines;
 mod outages;
+mod owner_losses;
 mod ownership;
 mod pending;
 mod polling;
--- a/tests/testsuite/sched/outages.rs
+++ b/tests/testsuite/sched/outages.rs
@@ -2,6 +2,7 @@
 //! at a time: after a calm period every accepted long-running task runs if there is free capacity for two of it.
 
 use super::{
+    calm::{self, CALM, LastRuns, MAX_WAIT, Waiting, run_stories, tasks_within},
     paused,
     world::{Relay, StoreBehaviour, WorkerBehaviour, World, owns, step, until},
 };
@@ -13,11 +14,8 @@
     peer::SubmitReply,
     process,
 };
-use proptest::{
-    prelude::*,
-    test_runner::{RngAlgorithm, TestRng, TestRunner},
-};
-use std::{cell::RefCell, env, rc::Rc, time::Duration};
+use proptest::prelude::*;
+use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 const WORKERS: usize = 5;
@@ -30,18 +28,8 @@
 /// Part of the processors that a task which has never run may leave to short tasks.
 const MAX_HEADROOM_PERCENT: u64 = 13;
 const TAKEOVER: Duration = Duration::from_secs(10);
-/// Calm time before the time in which a task has to run.
-const CALM: Duration = Duration::from_secs(4);
-/// Time that a task may wait, in calm, while there is free capacity for it.
-const MAX_WAIT: Duration = Duration::from_secs(3);
-/// Time since the last run of a task before its wait counts: the longest lease.
-const AFTER_RUN: Duration = Duration::from_secs(6);
-/// Time in calm for which tasks are watched.
-const WATCHED: Duration = Duration::from_secs(25);
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Repetitions of a story whose outcome depends on the order in which daemons own the shard.
 const TAKEOVER_ORDERS: usize = 20;
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Estimate of long-running tasks, which does not end within a test.
 const LONG_MS: u64 = 600_000;
 /// Time between a worker's notice that it leaves and its end.
@@ -166,23 +154,12 @@
     (jobs, faults).prop_map(|(jobs, faults)| Story { jobs, faults })
 }
 
-/// A long-running task that waits although there is free capacity for two of it.
-#[derive(Clone, Debug)]
-#[expect(dead_code, reason = "printed when the test fails")]
-struct Waiting {
-    task: TaskId,
-    starts: usize,
-    waited: Duration,
-    fits: Vec<(String, u64)>,
-}
-
 struct Site {
     world: Rc<World>,
     daemons: Vec<(Cx, Relay)>,
     /// Accepted long-running tasks and their steps.
     accepted: IndexMap<TaskId, Step>,
-    /// When each task last ran.
-    last_run: Rc<RefCell<IndexMap<TaskId, Instant>>>,
+    last_runs: LastRuns,
     next_job: u64,
     crashed: [bool; WORKERS],
     leaving: [bool; WORKERS],
@@ -211,7 +188,7 @@
             daemons: daemons.collect(),
             world,
             accepted: IndexMap::new(),
-            last_run: Rc::default(),
+            last_runs: LastRuns::default(),
             next_job: 1,
             crashed: [false; WORKERS],
             leaving: [false; WORKERS],
@@ -223,24 +200,10 @@
         })
         .await;
         sleep(Duration::from_secs(2)).await;
-        site.sample_runs();
+        site.last_runs.sample(&site.world);
         site
     }
 
-    /// Notes in the background which tasks run.
-    fn sample_runs(&self) {
-        let (world, last_run) = (Rc::clone(&self.world), Rc::clone(&self.last_run));
-        actix_rt::spawn(async move {
-            loop {
-                let now = Instant::now();
-                let running = world.running().into_iter();
-                let running = running.map(|run| (run.task, now));
-                last_run.borrow_mut().extend(running);
-                sleep(SAMPLE_INTERVAL).await;
-            }
-        });
-    }
-
     fn owner(&self) -> Option<Cx> {
         let mut daemons = self.daemons.iter().map(|(cx, _)| cx);
         daemons.find(|cx| owns(cx, ShardId(0))).cloned()
@@ -410,14 +373,12 @@
         let labelled = |id: &str| ["w0", "w1", "w2"].contains(&id);
         let open = open.filter(|(id, _)| step.required_label.is_none() || labelled(id));
         let fits = open.map(|(worker, free)| {
-            let by_cores = free.millicores / step.size.millicores;
-            let by_memory = free.memory_mb / step.size.memory_mb;
             let on = self.world.running_on(&worker);
             let of_step = on.iter().filter(|run| run.task.job == id.job).count();
             let left = step.max_per_worker.map_or(u64::MAX, |max| {
                 u64::from(max).saturating_sub(of_step as u64)
             });
-            (worker, by_cores.min(by_memory).min(left))
+            (worker, tasks_within(&free, step).min(left))
         });
         fits.filter(|(_, count)| *count > 0).collect()
     }
@@ -433,44 +394,18 @@
 
     /// Watches the long-running tasks in calm; returns those that wait for too long.
     async fn watch(&self) -> Vec<Waiting> {
-        let mut waits_since: IndexMap<TaskId, Instant> = IndexMap::new();
-        let calm_from = self.faults_until.max(Instant::now());
-        while calm_from.max(Instant::now()) - calm_from < WATCHED {
-            let now = Instant::now();
-            let running: Vec<TaskId> = self.world.running().iter().map(|run| run.task).collect();
-            let mut stuck = Vec::new();
-            for (task, step) in &self.accepted {
-                let ran = self.last_run.borrow().get(task).copied();
-                let is_due = now >= calm_from + CALM
-                    && !running.contains(task)
-                    && ran.is_none_or(|ran| now - ran >= AFTER_RUN);
-                let fits = self.fits(*task, step);
-                let has_room = match self.world.starts_of(task) {
-                    0 => self.leaves_headroom(step),
-                    _ => true,
-                };
-                let count: u64 = fits.iter().map(|(_, count)| count).sum();
-                if !is_due || !has_room || count < 2 {
-                    waits_since.swap_remove(task);
-                    continue;
-                }
-                let waited = now - *waits_since.entry(*task).or_insert(now);
-                if waited >= MAX_WAIT {
-                    let starts = self.world.starts_of(task);
-                    stuck.push(Waiting {
-                        task: *task,
-                        starts,
-                        waited,
-                        fits,
-                    });
-                }
+        let fits = |task: &TaskId, step: &Step| {
+            let has_room = match self.world.starts_of(task) {
+                0 => self.leaves_headroom(step),
+                _ => true,
+            };
+            match has_room {
+                true => self.fits(*task, step),
+                false => Vec::new(),
             }
-            if !stuck.is_empty() {
-                return stuck;
-            }
-            sleep(CHECK_INTERVAL).await;
-        }
-        Vec::new()
+        };
+        let tasks = self.accepted.iter();
+        calm::watch(&self.world, tasks, &self.last_runs, self.faults_until, fits).await
     }
 }
 
@@ -533,21 +468,7 @@
 /// Guards against long-running tasks that wait in calm although there is free capacity for them.
 #[test]
 fn no_long_running_task_waits_in_calm_beside_free_capacity() {
-    let cases = env::var("OUTAGE_CASES").map_or(CASES, |n| n.parse().expect("a number"));
-    let seed = env::var("OUTAGE_SEED").map_or(0, |n| n.parse().expect("a number"));
-    let config = ProptestConfig {
-        cases,
-        max_shrink_iters: 300,
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
-    let run = |story| {
-        paused(run_story(story));
-        Ok(())
-    };
-    let found = TestRunner::new_with_rng(config, rng).run(&any_story(), run);
-    found.unwrap_or_else(|e| panic!("{e}"));
+    run_stories("OUTAGE", CASES, &any_story(), run_story);
 }
 
 /// Guards against an owner that waits again for leases whose end the previous owner had established, but not yet
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -6,6 +6,7 @@
 //! later, a worker over its capacity, a step started before the steps that it depends on have ended, a start sent to a
 //! data centre after its evacuation deadline.
 
+mod process;
 mod relay;
 mod store;
 
@@ -33,6 +34,7 @@
         resolution::LeaseLimits,
     },
 };
+use process::Process;
 pub(crate) use relay::Relay;
 use std::{
     cell::{Cell, RefCell},
@@ -159,6 +161,8 @@
     /// Incarnation number, reported as its start time.
     incarnation: u64,
     started_at: Instant,
+    /// Milliseconds that its clock advances in a second.
+    clock_rate: u64,
     capacity: Size,
     running: IndexMap<RunId, Running>,
     ended: Vec<ListedEnd>,
@@ -207,6 +211,8 @@
     /// Longest lease that workers accept.
     longest_lease: Duration,
     rows: RefCell<Rows>,
+    /// The processes of daemons, by incarnation.
+    processes: RefCell<IndexMap<u64, Rc<Process>>>,
     behaviours: RefCell<IndexMap<String, StoreBehaviour>>,
     /// What happens to the next commits of each kind.
     commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CallFate>>>,
@@ -315,6 +321,7 @@
         let world = Rc::new(Self {
             longest_lease,
             rows: RefCell::default(),
+            processes: RefCell::default(),
             behaviours: RefCell::default(),
             commit_fates: RefCell::default(),
             object_fates: RefCell::default(),
@@ -357,6 +364,7 @@
         let worker = Worker {
             incarnation: 1,
             started_at: now,
+            clock_rate: 1_000,
             capacity,
             running: IndexMap::new(),
             ended: Vec::new(),
@@ -451,12 +459,15 @@
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
         };
+        let process = Rc::new(Process::default());
         let store = Rc::new(StoreHandle {
             world: Rc::clone(self),
+            process: Rc::clone(&process),
             daemon: name.to_owned(),
         });
         let edges = Rc::new(Edges {
             world: Rc::clone(self),
+            process: Rc::clone(&process),
             daemon: name.to_owned(),
         });
         let suspended = Rc::clone(
@@ -467,7 +478,21 @@
         );
         let clock = Clock::with_time_of_day_offset(suspended);
         let workers = Rc::clone(&edges) as Rc<dyn Workers>;
-        Node::new(cfg, clock, store, workers, edges)
+        let cx = Node::new(cfg, clock, store, workers, edges);
+        self.processes
+            .borrow_mut()
+            .insert(cx.me.incarnation, process);
+        cx
+    }
+
+    /// Freezes a daemon for this time.
+    pub(crate) fn freeze(&self, cx: &Cx, time: Duration) {
+        self.processes.borrow()[&cx.me.incarnation].freeze(time);
+    }
+
+    /// Kills a daemon; [`Self::restart_daemon`] starts it again.
+    pub(crate) fn kill(&self, cx: &Cx) {
+        self.processes.borrow()[&cx.me.incarnation].kill();
     }
 
     /// The key of the fence row of a partition, and its version.
@@ -595,6 +620,11 @@
         self.change(worker, |w| w.is_listed = is_listed);
     }
 
+    /// Sets by how many milliseconds a worker's clock advances in a second, from the worker's start.
+    pub(crate) fn set_clock_rate(&self, worker: &str, clock_rate: u64) {
+        self.change(worker, |w| w.clock_rate = clock_rate);
+    }
+
     /// Sets the labels of a worker.
     pub(crate) fn set_labels(&self, worker: &str, labels: &[&str]) {
         let labels = labels.iter().map(|label| (*label).to_owned()).collect();
@@ -928,7 +958,8 @@
 
 impl Worker {
     fn clock(&self, now: Instant) -> WorkerMillis {
-        WorkerMillis((now - self.started_at).as_millis() as u64 + 1_000)
+        let elapsed_ms = (now - self.started_at).as_millis() as u64;
+        WorkerMillis(elapsed_ms * self.clock_rate / 1_000 + 1_000)
     }
 
     fn is_open(&self) -> bool {
@@ -988,6 +1019,7 @@
             return Err(Refusal::LeaseOver);
         };
         let left = Duration::from_millis(left).min(self.longest_lease);
+        let left = left * 1_000 / self.clock_rate as u32;
         self.lease_until = self.lease_until.max(now + left);
         Ok(())
     }
@@ -1044,6 +1076,7 @@
 
 struct Edges {
     world: Rc<World>,
+    process: Rc<Process>,
     daemon: String,
 }
 
@@ -1085,43 +1118,44 @@
         id: &'a str,
         order: &'a StartOrder,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
-        async move {
-            if !self.send_start().await || !self.reach(id).await {
-                return OrderOutcome::Silent(no_answer());
-            }
-            self.world.check_evacuation(id, &order.run);
-            let (behaviour, incarnation) = {
-                let workers = self.world.workers.borrow();
-                (workers[id].behaviour, workers[id].incarnation)
-            };
-            let after = match behaviour {
-                WorkerBehaviour::Prompt => return self.world.execute_start(id, order),
-                WorkerBehaviour::Unhealthy => return OrderOutcome::Refused(Refusal::Unhealthy),
-                WorkerBehaviour::LosesOrders | WorkerBehaviour::LosesAnswers => {
-                    if behaviour == WorkerBehaviour::LosesAnswers {
-                        self.world.execute_start(id, order);
-                    }
-                    sleep(CALL_TIMEOUT).await;
+        self.process
+            .call(async move {
+                if !self.send_start().await || !self.reach(id).await {
                     return OrderOutcome::Silent(no_answer());
                 }
-                WorkerBehaviour::Late(after) => after,
-            };
-            let (world, id, order) = (Rc::clone(&self.world), id.to_owned(), order.clone());
-            actix_rt::spawn(async move {
-                sleep(after).await;
-                let (is_dead, current) = {
-                    let workers = world.workers.borrow();
-                    (workers[&id].is_dead, workers[&id].incarnation)
+                self.world.check_evacuation(id, &order.run);
+                let (behaviour, incarnation) = {
+                    let workers = self.world.workers.borrow();
+                    (workers[id].behaviour, workers[id].incarnation)
                 };
-                let is_alive = current == incarnation || world.orders_outlive_crashes.get();
-                if is_alive && !is_dead {
-                    world.execute_start(&id, &order);
-                }
-            });
-            sleep(CALL_TIMEOUT).await;
-            OrderOutcome::Silent(no_answer())
-        }
-        .boxed_local()
+                let after = match behaviour {
+                    WorkerBehaviour::Prompt => return self.world.execute_start(id, order),
+                    WorkerBehaviour::Unhealthy => return OrderOutcome::Refused(Refusal::Unhealthy),
+                    WorkerBehaviour::LosesOrders | WorkerBehaviour::LosesAnswers => {
+                        if behaviour == WorkerBehaviour::LosesAnswers {
+                            self.world.execute_start(id, order);
+                        }
+                        sleep(CALL_TIMEOUT).await;
+                        return OrderOutcome::Silent(no_answer());
+                    }
+                    WorkerBehaviour::Late(after) => after,
+                };
+                let (world, id, order) = (Rc::clone(&self.world), id.to_owned(), order.clone());
+                actix_rt::spawn(async move {
+                    sleep(after).await;
+                    let (is_dead, current) = {
+                        let workers = world.workers.borrow();
+                        (workers[&id].is_dead, workers[&id].incarnation)
+                    };
+                    let is_alive = current == incarnation || world.orders_outlive_crashes.get();
+                    if is_alive && !is_dead {
+                        world.execute_start(&id, &order);
+                    }
+                });
+                sleep(CALL_TIMEOUT).await;
+                OrderOutcome::Silent(no_answer())
+            })
+            .boxed_local()
     }
 
     fn stop<'a>(
@@ -1131,27 +1165,28 @@
         run: RunId,
         token: u64,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
-        async move {
-            if !self.reach(id).await {
-                return OrderOutcome::Silent(no_answer());
-            }
-            self.world.end_all_due_runs();
-            let now = Instant::now();
-            let mut workers = self.world.workers.borrow_mut();
-            let worker = workers.get_mut(id).expect("a worker");
-            if let Err(why) = worker.check_token(token) {
-                return OrderOutcome::Refused(why);
-            }
-            match worker.running.get_mut(&run) {
-                Some(running) => running.stop_at = Some(now + STOP_TIME),
-                None => {
-                    let last = worker.last_ended.entry(run.task).or_default();
-                    *last = (*last).max(run.run);
+        self.process
+            .call(async move {
+                if !self.reach(id).await {
+                    return OrderOutcome::Silent(no_answer());
                 }
-            }
-            OrderOutcome::Done(worker.clock(now))
-        }
-        .boxed_local()
+                self.world.end_all_due_runs();
+                let now = Instant::now();
+                let mut workers = self.world.workers.borrow_mut();
+                let worker = workers.get_mut(id).expect("a worker");
+                if let Err(why) = worker.check_token(token) {
+                    return OrderOutcome::Refused(why);
+                }
+                match worker.running.get_mut(&run) {
+                    Some(running) => running.stop_at = Some(now + STOP_TIME),
+                    None => {
+                        let last = worker.last_ended.entry(run.task).or_default();
+                        *last = (*last).max(run.run);
+                    }
+                }
+                OrderOutcome::Done(worker.clock(now))
+            })
+            .boxed_local()
     }
 
     fn poll<'a>(
@@ -1160,60 +1195,61 @@
         id: &'a str,
         order: &'a PollOrder,
     ) -> LocalBoxFuture<'a, OrderOutcome<PollResponse>> {
-        async move {
-            if !self.reach(id).await {
-                return OrderOutcome::Silent(no_answer());
-            }
-            let started_at = Instant::now();
-            let incarnation = self.world.workers.borrow()[id].incarnation;
-            loop {
-                self.world.end_all_due_runs();
-                let now = Instant::now();
-                let response = {
-                    let mut workers = self.world.workers.borrow_mut();
-                    let worker = workers.get_mut(id).expect("a worker");
-                    // A restart ends the worker's connections.
-                    let is_restarted = worker.incarnation != incarnation;
-                    if worker.is_cut || worker.is_dead || is_restarted || worker.loses_polls {
-                        break;
-                    }
-                    if let Err(why) = worker.check_token(order.token) {
-                        return OrderOutcome::Refused(why);
-                    }
-                    if let Some(until) = order.lease_until {
-                        // A lease that has already ended extends nothing.
-                        let _ = worker.extend_lease(until, now);
-                    }
-                    let acked = worker.ended.iter().filter(|e| e.number <= order.acked_upto);
-                    // If the lease ended between the end and its acknowledgement, the task may have been run again.
-                    let is_final = |end: &&ListedEnd| {
-                        let at = worker.ended_at.get(&end.number).copied();
-                        worker.lapsed_at.is_none_or(|lapsed| Some(lapsed) <= at)
+        self.process
+            .call(async move {
+                if !self.reach(id).await {
+                    return OrderOutcome::Silent(no_answer());
+                }
+                let started_at = Instant::now();
+                let incarnation = self.world.workers.borrow()[id].incarnation;
+                loop {
+                    self.world.end_all_due_runs();
+                    let now = Instant::now();
+                    let response = {
+                        let mut workers = self.world.workers.borrow_mut();
+                        let worker = workers.get_mut(id).expect("a worker");
+                        // A restart ends the worker's connections.
+                        let is_restarted = worker.incarnation != incarnation;
+                        if worker.is_cut || worker.is_dead || is_restarted || worker.loses_polls {
+                            break;
+                        }
+                        if let Err(why) = worker.check_token(order.token) {
+                            return OrderOutcome::Refused(why);
+                        }
+                        if let Some(until) = order.lease_until {
+                            // A lease that has already ended extends nothing.
+                            let _ = worker.extend_lease(until, now);
+                        }
+                        let acked = worker.ended.iter().filter(|e| e.number <= order.acked_upto);
+                        // If the lease ended between the end and its acknowledgement, the task may have been run again.
+                        let is_final = |end: &&ListedEnd| {
+                            let at = worker.ended_at.get(&end.number).copied();
+                            worker.lapsed_at.is_none_or(|lapsed| Some(lapsed) <= at)
+                        };
+                        let acked = acked.filter(is_final);
+                        let acked = acked.map(|end| AcknowledgedEnd {
+                            run: end.run,
+                            how: end.how,
+                            at: worker.ended_at[&end.number],
+                        });
+                        self.world.note_acknowledged(acked.collect());
+                        worker.ended.retain(|end| end.number > order.acked_upto);
+                        worker.malformed.retain(|end| *end > order.acked_upto);
+                        let has_ends = !worker.ended.is_empty() || !worker.malformed.is_empty();
+                        let is_due = has_ends || now - started_at >= order.wait;
+                        let max_ends = self.world.max_listed_ends.get();
+                        is_due.then(|| worker.poll_response(now, max_ends))
                     };
-                    let acked = acked.filter(is_final);
-                    let acked = acked.map(|end| AcknowledgedEnd {
-                        run: end.run,
-                        how: end.how,
-                        at: worker.ended_at[&end.number],
-                    });
-                    self.world.note_acknowledged(acked.collect());
-                    worker.ended.retain(|end| end.number > order.acked_upto);
-                    worker.malformed.retain(|end| *end > order.acked_upto);
-                    let has_ends = !worker.ended.is_empty() || !worker.malformed.is_empty();
-                    let is_due = has_ends || now - started_at >= order.wait;
-                    let max_ends = self.world.max_listed_ends.get();
-                    is_due.then(|| worker.poll_response(now, max_ends))
-                };
-                if let Some(response) = response {
-                    sleep(self.world.response_delay.get()).await;
-                    return OrderOutcome::Done(response);
+                    if let Some(response) = response {
+                        sleep(self.world.response_delay.get()).await;
+                        return OrderOutcome::Done(response);
+                    }
+                    sleep(CHECK_INTERVAL).await;
                 }
-                sleep(CHECK_INTERVAL).await;
-            }
-            sleep(CALL_TIMEOUT).await;
-            OrderOutcome::Silent(no_answer())
-        }
-        .boxed_local()
+                sleep(CALL_TIMEOUT).await;
+                OrderOutcome::Silent(no_answer())
+            })
+            .boxed_local()
     }
 
     fn set_cpu_limit<'a>(
@@ -1224,13 +1260,16 @@
         _: u32,
         _: u64,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
-        async move {
-            match self.reach(id).await {
-                true => OrderOutcome::Done(self.world.workers.borrow()[id].clock(Instant::now())),
-                false => OrderOutcome::Silent(no_answer()),
-            }
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                match self.reach(id).await {
+                    true => {
+                        OrderOutcome::Done(self.world.workers.borrow()[id].clock(Instant::now()))
+                    }
+                    false => OrderOutcome::Silent(no_answer()),
+                }
+            })
+            .boxed_local()
     }
 }
 
@@ -1265,48 +1304,51 @@
 
 impl Directory for Edges {
     fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>> {
-        async move {
-            sleep(STORE_LATENCY).await;
-            if self.world.directory_is_silent.get() {
-                sleep(CALL_TIMEOUT).await;
-                return Err(no_answer());
-            }
-            let outdated = self.world.outdated_directory.borrow().clone();
-            Ok(outdated.unwrap_or_else(|| self.world.reports()))
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                sleep(STORE_LATENCY).await;
+                if self.world.directory_is_silent.get() {
+                    sleep(CALL_TIMEOUT).await;
+                    return Err(no_answer());
+                }
+                let outdated = self.world.outdated_directory.borrow().clone();
+                Ok(outdated.unwrap_or_else(|| self.world.reports()))
+            })
+            .boxed_local()
     }
 
     fn operator_state(&self) -> LocalBoxFuture<'_, Result<OperatorState, CallError>> {
-        async move {
-            sleep(STORE_LATENCY).await;
-            let behaviour = self.world.store_behaviour(&self.daemon);
-            if behaviour == StoreBehaviour::Unavailable || self.world.operators_are_silent.get() {
-                sleep(CALL_TIMEOUT).await;
-                return Err(no_answer());
-            }
-            let reads = &self.world.operator_reads;
-            reads.set(reads.get() + 1);
-            if behaviour == StoreBehaviour::RefusesReads {
-                return Err(too_many_reads());
-            }
-            let queue = Queue {
-                terms: terms(),
-                host: "maps.example".to_owned(),
-                path_prefix: "/maps/".to_owned(),
-            };
-            let catalogue = Catalogue {
-                version: 1,
-                queues: IndexMap::from_iter([("maps".to_owned(), queue)]),
-                max_body_bytes: None,
-            };
-            let evacuated = self.world.evacuated.borrow();
-            Ok(OperatorState {
-                catalogue: Some(catalogue),
-                evacuated: evacuated.keys().map(|name| (name.clone(), 1)).collect(),
+        self.process
+            .call(async move {
+                sleep(STORE_LATENCY).await;
+                let behaviour = self.world.store_behaviour(&self.daemon);
+                if behaviour == StoreBehaviour::Unavailable || self.world.operators_are_silent.get()
+                {
+                    sleep(CALL_TIMEOUT).await;
+                    return Err(no_answer());
+                }
+                let reads = &self.world.operator_reads;
+                reads.set(reads.get() + 1);
+                if behaviour == StoreBehaviour::RefusesReads {
+                    return Err(too_many_reads());
+                }
+                let queue = Queue {
+                    terms: terms(),
+                    host: "maps.example".to_owned(),
+                    path_prefix: "/maps/".to_owned(),
+                };
+                let catalogue = Catalogue {
+                    version: 1,
+                    queues: IndexMap::from_iter([("maps".to_owned(), queue)]),
+                    max_body_bytes: None,
+                };
+                let evacuated = self.world.evacuated.borrow();
+                Ok(OperatorState {
+                    catalogue: Some(catalogue),
+                    evacuated: evacuated.keys().map(|name| (name.clone(), 1)).collect(),
+                })
             })
-        }
-        .boxed_local()
+            .boxed_local()
     }
 }
 
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -2,8 +2,8 @@
 
 use super::{
     CALL_TIMEOUT, CallFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, ObjectCall,
-    Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World, no_answer,
-    too_many_reads,
+    Process, Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World,
+    no_answer, too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::{
@@ -16,6 +16,7 @@
 /// Client of the store for one daemon.
 pub(super) struct StoreHandle {
     pub(super) world: Rc<World>,
+    pub(super) process: Rc<Process>,
     pub(super) daemon: String,
 }
 
@@ -152,24 +153,25 @@
 
 impl Store for StoreHandle {
     fn commit<'a>(&'a self, txn: &'a Txn) -> LocalBoxFuture<'a, TxnOutcome> {
-        async move {
-            if !self.is_available().await {
-                return TxnOutcome::Unknown(no_answer());
-            }
-            if let Some(fate) = self.scripted_fate(txn) {
-                return self.commit_as(fate, txn).await;
-            }
-            if self.behaviour() == StoreBehaviour::Slow {
-                return self.commit_slowly(txn).await;
-            }
-            let outcome = self.world.rows.borrow_mut().commit(txn);
-            if self.behaviour() == StoreBehaviour::LosesAnswers {
-                sleep(CALL_TIMEOUT).await;
-                return TxnOutcome::Unknown(no_answer());
-            }
-            outcome
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                if !self.is_available().await {
+                    return TxnOutcome::Unknown(no_answer());
+                }
+                if let Some(fate) = self.scripted_fate(txn) {
+                    return self.commit_as(fate, txn).await;
+                }
+                if self.behaviour() == StoreBehaviour::Slow {
+                    return self.commit_slowly(txn).await;
+                }
+                let outcome = self.world.rows.borrow_mut().commit(txn);
+                if self.behaviour() == StoreBehaviour::LosesAnswers {
+                    sleep(CALL_TIMEOUT).await;
+                    return TxnOutcome::Unknown(no_answer());
+                }
+                outcome
+            })
+            .boxed_local()
     }
 
     fn rows<'a>(
@@ -178,33 +180,34 @@
         partition: &'a str,
         from: &'a str,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, CallError>> {
-        async move {
-            if !self.reach().await {
-                return Err(no_answer());
-            }
-            if table == OWNERS_TABLE {
-                let reads = &self.world.lease_reads;
-                reads.set(reads.get() + 1);
-            }
-            if self.behaviour() == StoreBehaviour::RefusesReads {
-                return Err(too_many_reads());
-            }
-            let rows = self.world.rows.borrow();
-            let mut found: Vec<Row> = rows
-                .rows
-                .iter()
-                .filter(|((t, p, k), _)| t == table && p == partition && k.as_str() >= from)
-                .map(|((t, _, k), (value, version))| Row {
-                    table: t.clone(),
-                    key: k.clone(),
-                    value: value.clone(),
-                    version: *version,
-                })
-                .collect();
-            found.sort_by(|a, b| a.key.cmp(&b.key));
-            Ok(found)
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                if !self.reach().await {
+                    return Err(no_answer());
+                }
+                if table == OWNERS_TABLE {
+                    let reads = &self.world.lease_reads;
+                    reads.set(reads.get() + 1);
+                }
+                if self.behaviour() == StoreBehaviour::RefusesReads {
+                    return Err(too_many_reads());
+                }
+                let rows = self.world.rows.borrow();
+                let mut found: Vec<Row> = rows
+                    .rows
+                    .iter()
+                    .filter(|((t, p, k), _)| t == table && p == partition && k.as_str() >= from)
+                    .map(|((t, _, k), (value, version))| Row {
+                        table: t.clone(),
+                        key: k.clone(),
+                        value: value.clone(),
+                        version: *version,
+                    })
+                    .collect();
+                found.sort_by(|a, b| a.key.cmp(&b.key));
+                Ok(found)
+            })
+            .boxed_local()
     }
 
     fn put_object<'a>(
@@ -212,7 +215,8 @@
         name: &'a str,
         body: bytes::Bytes,
     ) -> LocalBoxFuture<'a, Result<(), CallError>> {
-        self.change_object(ObjectCall::Put, name, Some(body))
+        self.process
+            .call(self.change_object(ObjectCall::Put, name, Some(body)))
             .boxed_local()
     }
 
@@ -220,30 +224,33 @@
         &'a self,
         prefix: &'a str,
     ) -> LocalBoxFuture<'a, Result<Vec<String>, CallError>> {
-        async move {
-            if !self.reach().await {
-                return Err(no_answer());
-            }
-            Ok(self.world.objects(prefix))
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                if !self.reach().await {
+                    return Err(no_answer());
+                }
+                Ok(self.world.objects(prefix))
+            })
+            .boxed_local()
     }
 
     fn get_object<'a>(
         &'a self,
         name: &'a str,
     ) -> LocalBoxFuture<'a, Result<Option<bytes::Bytes>, CallError>> {
-        async move {
-            if !self.reach().await {
-                return Err(no_answer());
-            }
-            Ok(self.world.rows.borrow().objects.get(name).cloned())
-        }
-        .boxed_local()
+        self.process
+            .call(async move {
+                if !self.reach().await {
+                    return Err(no_answer());
+                }
+                Ok(self.world.rows.borrow().objects.get(name).cloned())
+            })
+            .boxed_local()
     }
 
     fn delete_object<'a>(&'a self, name: &'a str) -> LocalBoxFuture<'a, Result<(), CallError>> {
-        self.change_object(ObjectCall::Delete, name, None)
+        self.process
+            .call(self.change_object(ObjectCall::Delete, name, None))
             .boxed_local()
     }
 }
