--- a/tests/testsuite/sched/refused.rs
+++ b/tests/testsuite/sched/refused.rs
@@ -86,6 +86,25 @@
     check_later_job(|step| step.max_per_worker = Some(1));
 }
 
+/// Guards against a step at its limit on each worker that holds up steps of its image that ask for as much.
+#[test]
+fn a_step_limit_does_not_hold_up_equal_steps_without_such_tasks() {
+    paused(async {
+        let (world, cx) = cluster().await;
+        let mut limited = best_effort(4, 60_000, &[]);
+        limited.max_per_worker = Some(1);
+        submit(&world, &cx, 1, vec![limited.clone()]).await;
+        sleep(Duration::from_secs(2)).await;
+        submit(&world, &cx, 2, vec![limited]).await;
+        until("the later job runs", LIMIT, async || {
+            world.state(&cx, 2).await == Some(JobState::Running)
+        })
+        .await;
+        assert_eq!(world.running().len(), 6);
+        world.check();
+    });
+}
+
 /// Guards against a gang that is too large for the shard and holds up smaller steps of its image.
 #[test]
 fn a_too_large_gang_does_not_hold_up_other_steps_of_the_image() {
