Leases after an outage of the store, and leases given up when they end

Callers would see: tasks on healthy workers lapse after an outage of the store of 5.5 s or more, though the store is back.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -15,7 +15,7 @@
     journal::{Piggyback, PiggybackOutcome, PiggybackReply},
     layout::ShardId,
     owner::{
-        Owner,
+        Owner, poll,
         stop_note::{self, StopNote},
     },
     resolution::{EarlierOwners, LeaseLimits, LeasesLeft},
@@ -561,7 +561,11 @@
         let renewing = owner.renewing.lock().await;
         // The lease may have been released while this waited for the lock.
         if owner.is_serving() {
-            renew_once(cx, owner, renewals, false).await;
+            let was_overdue = is_overdue(cx, owner);
+            let is_renewed = renew_once(cx, owner, renewals, false).await;
+            if is_renewed && was_overdue {
+                poll::renew_leases(cx, owner);
+            }
         }
         drop(renewing);
         tokio::time::sleep(MIN_RENEW_INTERVAL).await;
@@ -619,7 +623,9 @@
         version: owner.lease_version.get(),
         value: serde_json::to_vec(&row).unwrap_or_default().into(),
     };
-    let carry_outcome = match owner.journal.is_busy() && !is_released {
+    // A transaction that the store does not answer takes no further row along.
+    let is_moving = owner.journal.is_busy() && owner.journal.accepts_work(now);
+    let carry_outcome = match is_moving && !is_released {
         true => owner.journal.carry(piggyback, PIGGYBACK_TIMEOUT).await,
         false => PiggybackOutcome::NotTaken(piggyback),
     };
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -87,26 +87,17 @@
 /// response.
 async fn poll_next(cx: &Cx, owner: &Rc<Owner>, worker: &str) -> bool {
     let now = cx.clock.now();
-    let length = owner.lease_length(cx);
+    let lease = due_lease(cx, owner, worker);
     let is_listed = owner.is_listed(worker);
     let planned = owner.session(worker, |session| {
         let is_claimed = session.is_claimed();
-        let answers = is_claimed && session.unresponsive_since.is_none();
-        let may_lease = answers && !is_listed;
-        let length = length.filter(|length| may_lease && session.is_renewal_due(now, *length));
-        let lease = length.and_then(|length| session.lease(now, length, &cx.cfg.leases));
         let is_shared =
             session.tally.best_effort_millicores > 0 && session.tally.serving_millicores > 0;
         let is_lease_short = is_listed || session.does_lease_end_soon(now);
         let lists_all_ends = session.ends_truncated_since.is_none();
-        (
-            is_claimed && lists_all_ends,
-            lease,
-            is_shared,
-            is_lease_short,
-        )
+        (is_claimed && lists_all_ends, is_shared, is_lease_short)
     });
-    let Some((may_wait, lease, is_shared, is_lease_short)) = planned else {
+    let Some((may_wait, is_shared, is_lease_short)) = planned else {
         return false;
     };
     let wait = match (may_wait && lease.is_none(), is_shared) {
@@ -118,6 +109,37 @@
     poll(cx, owner, worker, lease, wait).await
 }
 
+/// Sends leases at once to the workers whose leases got shorter while the store did not answer; their
+/// polls that are under way carry none.
+pub fn renew_leases(cx: &Cx, owner: &Rc<Owner>) {
+    let workers: Vec<String> = owner.sessions.borrow().keys().cloned().collect();
+    for worker in workers {
+        let Some(lease) = due_lease(cx, owner, &worker) else {
+            continue;
+        };
+        let (cx, owner) = (Rc::clone(cx), Rc::clone(owner));
+        supervisor::spawn("renew-lease", async move {
+            poll(&cx, &owner, &worker, Some(lease), Duration::ZERO).await;
+        });
+    }
+}
+
+/// The lease that a poll of a worker carries now, if one is due.
+fn due_lease(cx: &Cx, owner: &Owner, worker: &str) -> Option<Lease> {
+    let now = cx.clock.now();
+    let length = owner.lease_length(cx)?;
+    if owner.is_listed(worker) {
+        return None;
+    }
+    let lease = owner.session(worker, |session| {
+        let answers = session.is_claimed() && session.unresponsive_since.is_none();
+        let is_due = answers && session.is_renewal_due(now, length);
+        let lease = is_due.then(|| session.lease(now, length, &cx.cfg.leases));
+        lease.flatten()
+    });
+    lease.flatten()
+}
+
 /// Sends a poll that returns at once with the current runs; false if the worker did not answer.
 pub async fn poll_now(cx: &Cx, owner: &Rc<Owner>, worker: &str) -> bool {
     poll(cx, owner, worker, None, Duration::ZERO).await
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -24,6 +24,8 @@
 /// Time by which a renewal extends a lease at least. Polls take up to 1 s, so that at least 3 s of a
 /// lease of 6 s are left for a new owner to take over.
 const RENEW_AFTER: Duration = Duration::from_millis(1_500);
+/// Time by which a renewal extends a lease at least that ends soon.
+const LEAST_EXTENSION: Duration = Duration::from_millis(100);
 /// Time left of a lease that is renewed late, since the store does not answer.
 const ENDS_SOON: Duration = Duration::from_millis(2_500);
 /// Failures in a row after which a worker is suspect; a single one is as likely the job's fault.
@@ -219,8 +221,12 @@
     /// worthwhile after an outage of the store, and none is during it.
     pub fn is_renewal_due(&self, now: Millis, length: Duration) -> bool {
         let until = now + length;
+        let least = match self.does_lease_end_soon(now) {
+            true => LEAST_EXTENSION,
+            false => RENEW_AFTER,
+        };
         self.leased_until
-            .is_none_or(|leased| until >= leased + RENEW_AFTER)
+            .is_none_or(|leased| until >= leased + least)
     }
 
     /// Whether the last accepted lease ends soon, so that a poll should not wait for long.
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -21,8 +21,10 @@
 use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
 
+/// Minimum time between two maintenance rounds, one of which is due to the end of a lease.
+pub const MIN_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between maintenance rounds.
-pub const INTERVAL: Duration = Duration::from_millis(300);
+const INTERVAL: Duration = Duration::from_millis(300);
 /// A task without progress for this long is stalled: tasks take about 2 s, so one that works
 /// advances by 1 % every 20 ms.
 const STALLED_AFTER: Duration = Duration::from_millis(1_800);
@@ -41,12 +43,26 @@
         note_evacuated(&cx, &owner);
         outages::note(&cx, &owner);
         note_gauges(&cx);
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(until_next_round(&cx, &owner)).await;
     }
     // A process without a shard has no other round that would reset them.
     note_gauges(&cx);
 }
 
+/// Time until the next round, in which the next leases of silent workers have ended.
+fn until_next_round(cx: &Cx, owner: &Owner) -> Duration {
+    let now = cx.clock.now();
+    let (sessions, runs) = (owner.sessions.borrow(), owner.runs.borrow());
+    let silent = sessions.values().filter(|session| session.is_silent());
+    let ends = silent.flat_map(|session| {
+        let records = session.runs.iter().filter_map(|run| runs.get(run));
+        records.filter_map(|record| session.bound.ends_at(record.is_confirmed, &cx.cfg.leases))
+    });
+    let next = ends.filter(|ends_at| *ends_at >= now).min();
+    let left = next.map_or(INTERVAL, |ends_at| ends_at.since(now));
+    (left + Duration::from_millis(1)).clamp(MIN_INTERVAL, INTERVAL)
+}
+
 /// Gives up runs on unresponsive or unclaimed workers once every lease there has certainly expired.
 fn give_up_lapsed(cx: &Cx, owner: &Rc<Owner>) {
     let now = cx.clock.now();
--- a/src/lapisdrum/sched/restart.rs
+++ b/src/lapisdrum/sched/restart.rs
@@ -68,7 +68,7 @@
     ];
     times.map(|(lost, leases_end, limit)| RestartTime {
         lost,
-        longest: leases_end + upkeep::INTERVAL,
+        longest: leases_end + upkeep::MIN_INTERVAL,
         limit,
     })
 }
