--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -1,8 +1,9 @@
 //! What an owner that sends no more leases writes for the next one.
 //!
-//! A worker that is lost shortly before its owner is silent to the next owner too, which knows
-//! neither when the worker last got a lease nor whether a replaced owner still renews it. Without
-//! the note it waits out the hold and one lease from its own take-over.
+//! A worker that is lost shortly before its owner is silent to the next owner too. If the lease row
+//! does not list the worker, the next owner knows neither when the worker last got a lease nor
+//! whether a replaced owner still renews it, and waits for the end that the row allows. A replaced
+//! owner that lives knows better.
 //!
 //! The row is in a table of its own, which only a new owner reads: every daemon polls the rows of
 //! the lease.
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -201,6 +201,12 @@
         let owner = first.owners().remove(0);
         sleep(Duration::from_secs(1)).await;
         for is_journal_busy in [false, true] {
+            // No renewal is in flight right after one was answered.
+            let answered = owner.renewed_at.get().at;
+            until("a renewal is answered", LIMIT, async || {
+                owner.renewed_at.get().at > answered
+            })
+            .await;
             let sent_after = first.clock.now();
             world.set_slow_txn(Duration::from_millis(1_200), Duration::from_millis(800));
             world.set_store("a", StoreBehaviour::Slow);
