--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -18,9 +18,11 @@
         Owner, poll,
         stop_note::{self, StopNote},
     },
-    resolution::{EarlierOwners, LeaseLimits, LeasesLeft},
+    resolution::{
+        ConfirmedBefore, ConfirmedRuns, EarlierOwners, LeaseLimits, LeasesLeft, SilentWorker,
+    },
 };
-use crate::core::time::{Millis, millis};
+use crate::core::time::Millis;
 use indexmap::IndexMap;
 use rand::Rng;
 use std::{rc::Rc, time::Duration};
@@ -125,10 +127,17 @@
         /// without them is known to be written.
         #[serde(default)]
         pub silent: IndexMap<String, u64>,
+        /// Those of these workers on which confirmed runs end before others. A sender of an earlier
+        /// version does not write it.
+        #[serde(default)]
+        pub silent_confirmed: IndexMap<String, ConfirmedRuns>,
         /// Number of a journal row: long-running runs that were placed before it are confirmed,
         /// unless they are on these workers.
         #[serde(default)]
         pub confirmed_before: Option<u64>,
+        /// The same by worker, which a reader of an earlier version does not know.
+        #[serde(default)]
+        pub confirmed: Option<ConfirmedBefore>,
     }
 
     /// Content of the lease row.
@@ -163,6 +172,14 @@
     }
 }
 
+impl SentLeases {
+    fn confirmed_by_worker(&self) -> ConfirmedBefore {
+        self.confirmed
+            .clone()
+            .unwrap_or_else(|| ConfirmedBefore::everywhere(self.confirmed_before))
+    }
+}
+
 impl Holder {
     /// Whether this is another process at the address of `me`. Only one process can listen there at
     /// a time, so the process `me` can conclude that the other one has ended.
@@ -285,21 +302,19 @@
         earlier
     }
 
-    /// Workers that did not answer the last sender, and when the leases there have ended.
-    pub fn silent_workers(&self, limits: &LeaseLimits) -> IndexMap<String, Millis> {
+    /// Workers that did not answer the last sender, and when the leases there end.
+    pub fn silent_workers(&self, limits: &LeaseLimits) -> IndexMap<String, SilentWorker> {
         let sent = self.row.as_ref().and_then(|row| row.leases.as_ref());
-        let silent = sent.into_iter().flat_map(|sent| &sent.silent);
-        silent
-            .map(|(worker, ends_in_ms)| {
-                (worker.clone(), limits.end_by_note(self.since, *ends_in_ms))
-            })
-            .collect()
+        sent.map_or_else(IndexMap::new, |sent| {
+            read_silent(&sent.silent, &sent.silent_confirmed, self.since, limits)
+        })
     }
 
-    /// Number of the journal row before which the last sender had confirmed all long-running runs,
-    /// but for those on silent workers.
-    pub fn confirmed_before(&self) -> Option<u64> {
-        self.row.as_ref()?.leases.as_ref()?.confirmed_before
+    /// The journal rows before which the last sender had confirmed the long-running runs on workers
+    /// that answered it.
+    pub fn confirmed_before(&self) -> ConfirmedBefore {
+        let sent = self.row.as_ref().and_then(|row| row.leases.as_ref());
+        sent.map_or_else(ConfirmedBefore::default, SentLeases::confirmed_by_worker)
     }
 
     /// The last owner that may have sent leases, and its fencing token.
@@ -315,6 +330,7 @@
     pub fn takeover_row(&self, me: &Holder, now: Millis, limits: &LeaseLimits) -> LeaseRow {
         let earlier = self.earlier_owners(limits);
         let before = earlier.before().left(now);
+        let silent = self.silent_workers(limits);
         // The first owner sends leases at once.
         let sender = match self.row {
             Some(_) => earlier.previous().left(now),
@@ -334,8 +350,10 @@
             leases: Some(SentLeases {
                 sender,
                 earlier: before,
-                silent: left_of(&self.silent_workers(limits), now),
-                confirmed_before: self.confirmed_before(),
+                silent: left_of(&silent, now),
+                silent_confirmed: confirmed_left_of(&silent, now),
+                confirmed_before: self.confirmed_before().on_all(),
+                confirmed: Some(self.confirmed_before()),
             }),
             accepts_returns: true,
         }
@@ -368,14 +386,40 @@
     }
 }
 
-/// Time left at `now` until the leases of each worker have ended, in milliseconds, rounded up.
-pub fn left_of(workers: &IndexMap<String, Millis>, now: Millis) -> IndexMap<String, u64> {
+/// Time left at `now` until all leases on each worker have ended, in milliseconds.
+pub fn left_of(workers: &IndexMap<String, SilentWorker>, now: Millis) -> IndexMap<String, u64> {
     let left = workers
         .iter()
-        .map(|(worker, ends_at)| (worker.clone(), millis(ends_at.since(now)) + 1));
+        .map(|(worker, silent)| (worker.clone(), silent.all_left_ms(now)));
     left.collect()
 }
 
+/// The workers on which confirmed runs end before others, for a row that is written at `now`.
+pub fn confirmed_left_of(
+    workers: &IndexMap<String, SilentWorker>,
+    now: Millis,
+) -> IndexMap<String, ConfirmedRuns> {
+    let left = workers
+        .iter()
+        .filter_map(|(worker, silent)| Some((worker.clone(), silent.confirmed_left(now)?)));
+    left.collect()
+}
+
+/// When the leases on silent workers end, by a row that was read at `read_at`.
+pub fn read_silent(
+    ends_in_ms: &IndexMap<String, u64>,
+    confirmed: &IndexMap<String, ConfirmedRuns>,
+    read_at: Millis,
+    limits: &LeaseLimits,
+) -> IndexMap<String, SilentWorker> {
+    let silent = ends_in_ms.iter().map(|(worker, ends_in_ms)| {
+        let confirmed = confirmed.get(worker);
+        let silent = SilentWorker::by_row(read_at, *ends_in_ms, confirmed, limits);
+        (worker.clone(), silent)
+    });
+    silent.collect()
+}
+
 /// Time from the sending of a renewal during which no other daemon takes the shard over, unless the
 /// lease is released: a live holder whose address refuses connections, as in a network partition,
 /// may be replaced once it is suspected. On the holder's clock, which may be slower than that of
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -36,7 +36,7 @@
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LastSender, LeaseView},
     ledger::{Ledger, Phase},
-    resolution::{EarlierOwners, LeaseBound, LeaseLimits},
+    resolution::{ConfirmedBefore, EarlierOwners, LeaseBound, LeaseLimits, SilentWorker},
 };
 use crate::{
     core::time::{Millis, Timestamp, millis},
@@ -85,11 +85,11 @@
     pub replaced_token: u64,
     /// Until when earlier owners may send leases.
     pub earlier_owners: Cell<EarlierOwners>,
-    /// Workers that did not answer the previous owner, and when the leases there have ended.
-    silent_before: RefCell<IndexMap<String, Millis>>,
-    /// Journal row before which the previous owner had confirmed all long-running runs; see
-    /// [`SentLeases`](lease::SentLeases).
-    previous_confirmed_before: Option<u64>,
+    /// Workers that did not answer the previous owner, and when the leases there end.
+    silent_before: RefCell<IndexMap<String, SilentWorker>>,
+    /// Journal rows before which the previous owner had confirmed the long-running runs on workers
+    /// that answered it.
+    previous_confirmed_before: ConfirmedBefore,
     /// Workers that a lease row lists as silent.
     listed: Listed,
     /// When the state was recovered.
@@ -321,8 +321,8 @@
     /// yet.
     fn inherited_bound(&self, worker: &str) -> LeaseBound {
         let mut bound = LeaseBound::inherited(self.earlier_owners.get().ends());
-        if let Some(ends_at) = self.silent_before.borrow().get(worker) {
-            bound.note_inherited_end(*ends_at);
+        if let Some(silent) = self.silent_before.borrow().get(worker) {
+            bound.note_written_end(silent.ends);
         }
         bound
     }
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -3,7 +3,9 @@
 //! Only the owner that sent a lease knows when it ends. Without that in the store, the next owner
 //! bounds the leases of a silent worker by all that its predecessors may have sent until they knew
 //! that they were replaced, and the worker's long-running tasks wait for that. So each lease row
-//! lists the silent workers and when their leases end.
+//! lists the silent workers and when their leases end: those of confirmed long-running runs, and all.
+//! A single end for both would be that of the runs that are not confirmed, such as batch tasks, some
+//! seconds later, and each owner would pass it on.
 //!
 //! A listed worker that answers again gets no lease until a row without it is known to be written:
 //! whichever row the next owner finds, no lease was sent that it denies. A row takes effect only
@@ -15,7 +17,8 @@
     sched::{
         Cx,
         event::RunId,
-        lease::{SentLeases, left_of},
+        lease::{SentLeases, confirmed_left_of, left_of},
+        resolution::{ConfirmedBefore, LeaseEnds, LeaseLimits, SilentWorker},
     },
 };
 use indexmap::{IndexMap, IndexSet};
@@ -80,37 +83,43 @@
     /// Leases of the last owner that sent any, while this one has sent none.
     pub fn leases_of_sender_before(&self, now: Millis) -> SentLeases {
         let earlier = self.earlier_owners.get();
+        let silent = self.silent_before.borrow();
         SentLeases {
             sender: earlier.previous().left(now),
             earlier: earlier.before().left(now),
-            silent: left_of(&self.silent_before.borrow(), now),
-            confirmed_before: self.previous_confirmed_before,
+            silent: left_of(&silent, now),
+            silent_confirmed: confirmed_left_of(&silent, now),
+            confirmed_before: self.previous_confirmed_before.on_all(),
+            confirmed: Some(self.previous_confirmed_before.clone()),
         }
     }
 
     /// Leases of this owner, for a row that is written now; after the last one it sends none.
     pub fn sent_leases(&self, cx: &Cx, is_last_row: bool) -> SentLeases {
         let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
-        let silent = match self.has_recovered() {
-            true => self.silent_workers(cx),
-            // Nothing was sent to a worker before the recovery.
-            false => left_of(&self.silent_before.borrow(), now),
-        };
+        let silent = self.silent_workers(cx);
+        let confirmed = self.confirmed_before(cx, &silent);
         SentLeases {
             sender: match is_last_row {
                 true => limits.after_last_row(),
                 false => limits.after_row(),
             },
             earlier: self.earlier_owners.get().ends().left(now),
-            confirmed_before: self.confirmed_before(cx, &silent),
-            silent,
+            confirmed_before: confirmed.on_all(),
+            confirmed: Some(confirmed),
+            silent: left_of(&silent, now),
+            silent_confirmed: confirmed_left_of(&silent, now),
         }
     }
 
     /// Workers that do not answer and have runs, or had some that were given up without that being
-    /// durable: time until which all leases there last, in milliseconds.
-    pub fn silent_workers(&self, cx: &Cx) -> IndexMap<String, u64> {
-        let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
+    /// durable, and when the leases there end.
+    pub fn silent_workers(&self, cx: &Cx) -> IndexMap<String, SilentWorker> {
+        // Nothing was sent to a worker before the recovery.
+        if !self.has_recovered() {
+            return self.silent_before.borrow().clone();
+        }
+        let limits = &cx.cfg.leases;
         let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
         let is_directory_read = sessions.values().any(|session| session.is_registered);
         let listed = sessions.iter().filter(|(worker, session)| {
@@ -122,18 +131,38 @@
                 || self.is_listed(worker);
             session.is_silent() && is_known_silent && has_runs
         });
-        let listed = listed.filter_map(|(worker, session)| {
-            let are_confirmed = self.are_confirmed(session);
-            let ends_at = session.bound.ends_at(are_confirmed, limits)?;
-            Some((worker.clone(), ends_at))
-        });
+        let listed = listed
+            .filter_map(|(worker, session)| Some((worker.clone(), self.ends_on(session, limits)?)));
         // The next owner finds their runs in the journal.
         let forgotten = given_up
             .iter()
             .filter(|(worker, _)| !sessions.contains_key(*worker));
-        let forgotten = forgotten.map(|(worker, ended_at)| (worker.clone(), *ended_at));
-        let ends = listed.chain(forgotten).take(MAX_LISTED).collect();
-        left_of(&ends, now)
+        let forgotten = forgotten.map(|(worker, at)| (worker.clone(), SilentWorker::ended_by(*at)));
+        listed.chain(forgotten).take(MAX_LISTED).collect()
+    }
+
+    /// Until when the leases on a worker last: those of its confirmed runs as known here, also where
+    /// other runs may last longer. `None` while a call is in flight that a run may get its lease by.
+    fn ends_on(&self, session: &Session, limits: &LeaseLimits) -> Option<SilentWorker> {
+        let are_confirmed = self.are_confirmed(session);
+        let unconfirmed = session.bound.ends_at(are_confirmed, limits)?;
+        let (_, confirmed) = session.bound.latest_end(true, limits);
+        let runs = self.runs.borrow();
+        let records = session.runs.iter().filter_map(|run| runs.get(run));
+        let others = records.filter(|record| record.is_long_running && !record.is_confirmed);
+        let rows: Option<Vec<u64>> = others.map(|record| record.placed_row).collect();
+        let next_row = self.journal.next_row();
+        let confirmed_before = rows.map(|rows| rows.into_iter().fold(next_row, u64::min));
+        Some(match confirmed_before {
+            None => SilentWorker::ended_by(unconfirmed),
+            Some(_) => SilentWorker {
+                ends: LeaseEnds {
+                    confirmed: confirmed.min(unconfirmed),
+                    unconfirmed,
+                },
+                confirmed_before,
+            },
+        })
     }
 
     /// Whether the state was recovered, also if the shard has been lost since.
@@ -156,20 +185,27 @@
     }
 
     /// Whether an earlier owner confirmed a long-running run that was placed on this worker in this
-    /// row; without a row, in one that the snapshot covers. Of the runs on workers that its lease row
-    /// lists nothing is known but when all leases there end.
+    /// row; without a row, in one that the snapshot covers.
     pub fn was_confirmed(&self, worker: &str, placed_row: Option<u64>) -> bool {
         let latest = placed_row.unwrap_or(self.journal.covered_upto());
-        let is_before = |before| latest < before;
-        let is_listed = self.silent_before.borrow().contains_key(worker);
-        !is_listed && self.previous_confirmed_before.is_some_and(is_before)
+        match self.silent_before.borrow().get(worker) {
+            Some(silent) => silent.is_confirmed(latest),
+            None => self
+                .previous_confirmed_before
+                .on(worker)
+                .is_some_and(|before| latest < before),
+        }
     }
 
-    /// Number of the journal row before which all long-running runs are confirmed that are not on
-    /// `silent` workers; `None` if there is an unconfirmed one whose row is not known.
-    fn confirmed_before(&self, cx: &Cx, silent: &IndexMap<String, u64>) -> Option<u64> {
+    /// Journal rows before which the long-running runs on workers other than `silent` ones are
+    /// confirmed.
+    fn confirmed_before(
+        &self,
+        cx: &Cx,
+        silent: &IndexMap<String, SilentWorker>,
+    ) -> ConfirmedBefore {
         if !self.has_recovered() {
-            return self.previous_confirmed_before;
+            return self.previous_confirmed_before.clone();
         }
         let limits = &cx.cfg.leases;
         // A run on a worker with a later lease than any row allows counts as unconfirmed.
@@ -179,17 +215,19 @@
         let unlisted = sessions
             .iter()
             .filter(|(worker, _)| !silent.contains_key(*worker));
-        let mut before = self.journal.next_row();
-        for (_, session) in unlisted {
+        let mut before = ConfirmedBefore::everywhere(Some(self.journal.next_row()));
+        for (worker, session) in unlisted {
             let (_, ends_at) = session.bound.latest_end(true, limits);
             let records = session.runs.iter().filter_map(|run| runs.get(run));
             let unconfirmed = records
                 .filter(|record| record.is_long_running)
                 .filter(|record| !record.is_confirmed || ends_at > row_ends_at);
-            for record in unconfirmed {
-                before = before.min(record.placed_row?);
+            // A run whose row is not known is in the snapshot.
+            let rows = unconfirmed.map(|record| record.placed_row.unwrap_or_default());
+            if let Some(lowest) = rows.min() {
+                before.add(worker, lowest);
             }
         }
-        Some(before)
+        before
     }
 }
--- a/src/lapisdrum/sched/owner/stop_note.rs
+++ b/src/lapisdrum/sched/owner/stop_note.rs
@@ -10,11 +10,12 @@
 
 use super::Owner;
 use crate::{
-    core::time::{Millis, millis},
+    core::time::millis,
     sched::{
         Cx,
         edge::{CallError, Row, RowKey, Txn, TxnOutcome},
-        lease::left_of,
+        lease::{confirmed_left_of, left_of, read_silent},
+        resolution::ConfirmedRuns,
     },
 };
 use bytes::Bytes;
@@ -41,6 +42,9 @@
         /// and earlier ones last, in milliseconds.
         #[serde(default)]
         pub ends_in_ms: IndexMap<String, u64>,
+        /// Those of these workers on which confirmed runs end before others.
+        #[serde(default)]
+        pub confirmed: IndexMap<String, ConfirmedRuns>,
     }
 }
 
@@ -131,16 +135,15 @@
 impl Owner {
     /// What this owner writes once it sends no more leases.
     pub fn stop_note(&self, cx: &Cx) -> StopNote {
-        let ends_in_ms = match self.has_recovered() {
-            true => self.silent_workers(cx),
-            false => left_of(&self.silent_before.borrow(), cx.clock.now()),
-        };
-        let (token, workers) = (self.token(), ends_in_ms.len());
+        let now = cx.clock.now();
+        let silent = self.silent_workers(cx);
+        let (token, workers) = (self.token(), silent.len());
         log::info!(shard:% = self.handle.partition, token, workers; "end of leases is noted");
         StopNote {
             token,
             stopped_token: self.stopped_token(cx),
-            ends_in_ms,
+            ends_in_ms: left_of(&silent, now),
+            confirmed: confirmed_left_of(&silent, now),
         }
     }
 
@@ -157,17 +160,16 @@
         let mut earlier = self.earlier_owners.get();
         earlier.note_previous_stopped(now);
         self.earlier_owners.set(earlier);
-        let ends_at = |ends_in_ms: &u64| cx.cfg.leases.end_by_note(now, *ends_in_ms);
-        let silent = note.ends_in_ms.iter();
-        for (worker, ends_in_ms) in silent {
+        let noted = read_silent(&note.ends_in_ms, &note.confirmed, now, &cx.cfg.leases);
+        for (worker, noted) in noted {
             let mut known = self.silent_before.borrow_mut();
-            let known = known.entry(worker.clone()).or_insert(Millis(u64::MAX));
-            *known = ends_at(ends_in_ms).min(*known);
+            let known = known.entry(worker).or_insert(noted);
+            *known = known.min(noted);
         }
         for (worker, session) in &mut *self.sessions.borrow_mut() {
             session.bound.note_inherited(earlier.ends());
-            if let Some(ends_at) = self.silent_before.borrow().get(worker) {
-                session.bound.note_inherited_end(*ends_at);
+            if let Some(silent) = self.silent_before.borrow().get(worker) {
+                session.bound.note_written_end(silent.ends);
             }
         }
         let since_takeover_ms = millis(now.since(self.taken_at));
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -11,6 +11,7 @@
     event::Loss,
 };
 use crate::core::time::{Millis, millis};
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Outcome of sending a transaction with journal rows.
@@ -274,6 +275,9 @@
     pub owner_hold: Duration,
 }
 
+/// Maximum number of workers that a lease row names for their unconfirmed runs, so that the row stays
+/// small: every daemon polls it.
+const MAX_UNCONFIRMED_WORKERS: usize = 64;
 /// Difference of a sent lease from the longest. Without it, a worker whose clock was read shortly
 /// before would shorten the lease on arrival.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
@@ -384,6 +388,138 @@
     }
 }
 
+data! {
+    /// What a row says of the confirmed long-running runs on a silent worker.
+    #[derive(Copy, Default, Hash)]
+    pub struct ConfirmedRuns {
+        /// Number of a journal row: long-running runs there that were placed before it are
+        /// confirmed.
+        pub before: u64,
+        /// Time after the writing of the row until which the leases of these runs last, in
+        /// milliseconds.
+        pub ends_in_ms: u64,
+    }
+}
+
+data! {
+    /// Journal rows before which the long-running runs on workers that answer are confirmed.
+    #[derive(Default)]
+    pub struct ConfirmedBefore {
+        /// On all workers that are not named; none if nothing is known there.
+        pub others: Option<u64>,
+        /// On workers with a run that is not confirmed. One such run would otherwise have the next
+        /// owner wait longer for all runs that were placed after it, whatever workers they are on.
+        pub workers: IndexMap<String, u64>,
+    }
+}
+
+impl ConfirmedBefore {
+    /// The same row for all workers.
+    pub fn everywhere(before: Option<u64>) -> Self {
+        Self {
+            others: before,
+            workers: IndexMap::new(),
+        }
+    }
+
+    /// The row for a worker.
+    pub fn on(&self, worker: &str) -> Option<u64> {
+        self.workers.get(worker).copied().or(self.others)
+    }
+
+    /// The row that holds for each worker.
+    pub fn on_all(&self) -> Option<u64> {
+        let lowest = self.workers.values().copied().min();
+        let others = self.others?;
+        Some(lowest.map_or(others, |lowest| lowest.min(others)))
+    }
+
+    /// Adds a worker where runs that were placed in this row or later ones are not confirmed; beyond
+    /// [`MAX_UNCONFIRMED_WORKERS`] the row counts for all workers that are not named.
+    pub fn add(&mut self, worker: &str, before: u64) {
+        if self.workers.len() < MAX_UNCONFIRMED_WORKERS {
+            self.workers.insert(worker.to_owned(), before);
+        } else {
+            self.others = self.others.map(|others| others.min(before));
+        }
+    }
+}
+
+/// Until when the leases on a silent worker last, as an owner wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SilentWorker {
+    /// Those of confirmed runs and of all others; the same where none is known to be confirmed.
+    pub ends: LeaseEnds,
+    /// Number of the journal row before which long-running runs there are confirmed.
+    pub confirmed_before: Option<u64>,
+}
+
+impl SilentWorker {
+    /// A worker where all leases end at `at`, with no run that is known to be confirmed.
+    pub fn ended_by(at: Millis) -> Self {
+        Self {
+            ends: LeaseEnds::both(at),
+            confirmed_before: None,
+        }
+    }
+
+    /// By a row that was read at `read_at`: all leases end `ends_in_ms` after its writing.
+    pub fn by_row(
+        read_at: Millis,
+        ends_in_ms: u64,
+        confirmed: Option<&ConfirmedRuns>,
+        limits: &LeaseLimits,
+    ) -> Self {
+        let all = limits.end_by_note(read_at, ends_in_ms);
+        let Some(confirmed) = confirmed else {
+            return Self::ended_by(all);
+        };
+        Self {
+            ends: LeaseEnds {
+                confirmed: limits.end_by_note(read_at, confirmed.ends_in_ms).min(all),
+                unconfirmed: all,
+            },
+            confirmed_before: Some(confirmed.before),
+        }
+    }
+
+    /// Time left at `now` of all leases, for a row that is written then, in milliseconds.
+    pub fn all_left_ms(&self, now: Millis) -> u64 {
+        millis(self.ends.unconfirmed.since(now)) + 1
+    }
+
+    /// What a row that is written at `now` says of the confirmed runs; none if their leases last as
+    /// long as all others.
+    pub fn confirmed_left(&self, now: Millis) -> Option<ConfirmedRuns> {
+        let ends_in_ms = millis(self.ends.confirmed.since(now)) + 1;
+        let before = self.confirmed_before?;
+        (ends_in_ms < self.all_left_ms(now)).then_some(ConfirmedRuns { before, ends_in_ms })
+    }
+
+    /// Whether a long-running run that was placed in this journal row is confirmed.
+    pub fn is_confirmed(&self, placed_row: u64) -> bool {
+        self.confirmed_before
+            .is_some_and(|before| placed_row < before)
+    }
+
+    /// This one, or a later one of the same owner: all leases end by the earlier of both ends, and
+    /// those of confirmed runs by the one that knows of more such runs.
+    pub fn min(self, other: Self) -> Self {
+        let all = self.ends.unconfirmed.min(other.ends.unconfirmed);
+        let knows_more = match other.confirmed_before >= self.confirmed_before {
+            true => other,
+            false => self,
+        };
+        Self {
+            ends: LeaseEnds {
+                confirmed: knows_more.ends.confirmed.min(all),
+                unconfirmed: all,
+            },
+            confirmed_before: knows_more.confirmed_before,
+        }
+    }
+}
+
 /// Until when leases last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LeaseEnds {
@@ -545,8 +681,8 @@
     /// Ends of leases of earlier owners; `None` once the worker has answered under this owner's
     /// token.
     inherited: Option<LeaseEnds>,
-    /// Time at which the leases of earlier owners have ended, as an earlier owner wrote.
-    noted_end: Option<Millis>,
+    /// Ends of leases of earlier owners, as an earlier owner wrote.
+    noted: Option<LeaseEnds>,
     /// Latest end of a lease of this owner on the incarnation whose clock was read.
     named_end: Option<Millis>,
     /// Time until which leases may last that were not sent to the present incarnation by this owner.
@@ -564,7 +700,7 @@
     pub fn inherited(ends: LeaseEnds) -> Self {
         Self {
             inherited: Some(ends),
-            noted_end: None,
+            noted: None,
             named_end: None,
             unsettled_until: None,
             answered_at: None,
@@ -579,11 +715,11 @@
         self.inherited = self.inherited.map(|known| known.min(ends));
     }
 
-    /// Records that the leases of earlier owners have ended by `at`. A later time than a known one
-    /// is ignored.
-    pub fn note_inherited_end(&mut self, at: Millis) {
-        let known = self.noted_end.unwrap_or(at);
-        self.noted_end = Some(known.min(at));
+    /// Records that an earlier owner wrote that the leases of earlier owners end by `ends`. Later
+    /// times than the known ones are ignored.
+    pub fn note_written_end(&mut self, ends: LeaseEnds) {
+        let known = self.noted.unwrap_or(ends);
+        self.noted = Some(known.min(ends));
     }
 
     /// Records that a call with a lease is sent, which ends by `ends_by` on the incarnation whose
@@ -617,10 +753,10 @@
     /// this incarnation, so that the bound on confirmed runs holds there.
     pub fn note_claimed(&mut self, at: Millis, has_confirmed_run: bool, limits: &LeaseLimits) {
         let longest = at + limits.longest_on_own_clock();
-        let noted = self.noted_end.unwrap_or(longest);
+        let noted = self.noted.unwrap_or(LeaseEnds::both(longest));
         let until = match self.inherited.take() {
-            Some(ends) if has_confirmed_run => longest.min(noted).min(ends.confirmed),
-            Some(_) => longest.min(noted),
+            Some(ends) if has_confirmed_run => longest.min(noted.confirmed).min(ends.confirmed),
+            Some(_) => longest.min(noted.unconfirmed),
             // This owner's calls to the incarnation before may be in flight.
             None => longest + limits.transit * 2,
         };
@@ -675,8 +811,8 @@
 
     /// Time at which the leases of earlier owners have ended; `None` once the worker has answered.
     fn inherited_end(&self, of: impl Fn(LeaseEnds) -> Millis) -> (LeaseKind, Option<Millis>) {
-        let inferred = self.inherited.map(of);
-        match (inferred, self.noted_end) {
+        let inferred = self.inherited.map(&of);
+        match (inferred, self.noted.map(of)) {
             (Some(inferred), Some(noted)) if noted < inferred => (LeaseKind::Noted, Some(noted)),
             (inferred, _) => (LeaseKind::Inherited, inferred),
         }
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -155,7 +155,7 @@
             }
             bound = LeaseBound::inherited(earlier.previous());
             if contact.note_read.is_some() {
-                bound.note_inherited_end(limits.end_by_note(now, noted));
+                bound.note_written_end(both(limits.end_by_note(now, noted)));
             }
             let (_, latest) = bound.latest_end(false, &limits);
             prop_assert!(latest >= lasts_until, "{latest:?} < {lasts_until:?}");
@@ -207,7 +207,9 @@
                     },
                     earlier: left,
                     silent: IndexMap::new(),
+                    silent_confirmed: IndexMap::new(),
                     confirmed_before: None,
+                    confirmed: None,
                 }),
                 accepts_returns: true,
             };
@@ -288,7 +290,9 @@
             sender: limits.after_row(),
             earlier: LeasesLeft::default(),
             silent: IndexMap::new(),
+            silent_confirmed: IndexMap::new(),
             confirmed_before: None,
+            confirmed: None,
         }),
         ..LeaseView::default().takeover_row(&holder(1), Millis(0), &limits)
     };
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -12,7 +12,8 @@
     core::size::Size,
     sched::{
         Cx,
-        job::Step,
+        job::{JobId, Step, TaskId},
+        lease,
         peer::SubmitReply,
         restart::{LostTogether, restart_times},
     },
@@ -30,6 +31,16 @@
 /// Time from the last run of a task during which its wait does not count, and time for which it may still wait.
 const AFTER_RUN: Duration = Duration::from_secs(9);
 
+/// Longest time by which each further owner may lengthen a wait: it reads the row late, and expects slower clocks.
+const PER_TAKEOVER: Duration = Duration::from_millis(500);
+
+const LONG_RUNNING: TaskId = TaskId {
+    job: JobId(1),
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
 /// A shard with one long-running task, on a worker beside one with free capacity.
 struct Site {
     world: Rc<World>,
@@ -38,17 +49,36 @@
 
 impl Site {
     async fn start(longest_lease: Duration) -> Self {
+        Self::start_with(longest_lease, 0).await
+    }
+
+    /// The same, with this many batch tasks beside the long-running one.
+    async fn start_with(longest_lease: Duration, batch_tasks: u32) -> Self {
+        Self::start_for(longest_lease, batch_tasks, LIMIT * 2).await
+    }
+
+    /// The same, after the tasks have run for this time.
+    async fn start_for(longest_lease: Duration, batch_tasks: u32, runs_for: Duration) -> Self {
         let world = World::with_longest_lease(2, longest_lease);
         let owner = world.daemon("d0");
         owned(&owner, LIMIT).await;
-        let step = Step {
+        let long_running = Step {
             is_long_running: true,
             ..step(1, 600_000, &[])
         };
-        let reply = world.submit(&owner, 1, vec![step]).await;
-        assert_matches!(reply, SubmitReply::Accepted);
-        until("the task runs", LIMIT, async || world.running().len() == 1).await;
-        sleep(LIMIT * 2).await;
+        let batch = step(batch_tasks, 600_000, &[]);
+        for (job, step) in [(1, long_running), (2, batch)] {
+            if step.count > 0 {
+                let reply = world.submit(&owner, job, vec![step]).await;
+                assert_matches!(reply, SubmitReply::Accepted);
+            }
+        }
+        let tasks = 1 + batch_tasks as usize;
+        until("the tasks run", LIMIT, async || {
+            world.running().len() == tasks
+        })
+        .await;
+        sleep(runs_for).await;
         Self {
             world,
             owners: vec![owner],
@@ -139,6 +169,115 @@
     }
 }
 
+/// Loses a worker, and after it this many owners in series that never reach it; checks that these add no more than
+/// [`PER_TAKEOVER`] each to the wait after the first loss.
+fn check_owners_in_series(owners: u32, longest_lease: Duration, owned_for: Duration) {
+    paused(async move {
+        let mut site = Site::start_with(longest_lease, 6).await;
+        site.cut_worker();
+        sleep(owned_for).await;
+        let first_lost_at = Instant::now();
+        site.replace_owner().await;
+        for _ in 1..owners {
+            site.next_owner().await;
+            sleep(owned_for).await;
+            site.replace_owner().await;
+        }
+        let last_lost_at = Instant::now();
+        let times = restart_times(&limits_for(longest_lease), &restart_limits());
+        let by_first = times.iter().find(|time| time.lost == LostTogether::Owner);
+        let by_first = first_lost_at + by_first.expect("its time").longest;
+        let due = by_first.max(last_lost_at + lease::TAKEOVER) + PER_TAKEOVER * owners;
+        until("the task is started again", LIMIT * 6, async || {
+            site.world.starts_of(&LONG_RUNNING) == 2
+        })
+        .await;
+        let late = Instant::now().saturating_duration_since(due);
+        let case = format!("{longest_lease:?}, {owners} owners, {owned_for:?}");
+        assert_eq!(late, Duration::ZERO, "started too late by this: {case}");
+        sleep(LIMIT * 3).await;
+        site.world.check();
+    });
+}
+
+fn check_all_owners_in_series(owned_for_ms: &[u64]) {
+    for longest_lease in LONGEST_LEASES {
+        for owners in 2..=4 {
+            for ms in owned_for_ms {
+                check_owners_in_series(owners, longest_lease, Duration::from_millis(*ms));
+            }
+        }
+    }
+}
+
+/// Guards against an owner that notes a later end than the one before it, for a worker that it never reached: that of the
+/// batch tasks there, whose runs are not confirmed.
+#[test]
+fn owners_that_never_reach_a_worker_pass_on_when_its_confirmed_runs_end() {
+    check_all_owners_in_series(&[1_200, 2_000, 3_000]);
+}
+
+/// Guards against one run that is not confirmed, on a restarted worker, and has the next owner take all later runs for
+/// such, whatever worker they are on.
+#[test]
+fn a_run_that_is_not_confirmed_does_not_delay_tasks_of_other_workers() {
+    for longest_lease in LONGEST_LEASES {
+        paused(async move {
+            let world = World::with_longest_lease(1, longest_lease);
+            let owner = world.daemon("d0");
+            owned(&owner, LIMIT).await;
+            let mut site = Site {
+                world,
+                owners: vec![Rc::clone(&owner)],
+            };
+            let whole_worker = Step {
+                is_long_running: true,
+                size: Size {
+                    millicores: 4_000,
+                    memory_mb: 1_000,
+                    accelerators: 0,
+                },
+                ..step(1, 600_000, &[])
+            };
+            let other = TaskId {
+                job: JobId(2),
+                ..LONG_RUNNING
+            };
+            let runs = async |task: TaskId, starts: usize| {
+                until("the task runs", LIMIT, async || {
+                    let running = site.world.running();
+                    site.world.starts_of(&task) == starts
+                        && running.iter().any(|run| run.task == task)
+                })
+                .await;
+            };
+            let step = vec![whole_worker];
+            site.world.submit(&owner, 1, step.clone()).await;
+            runs(LONG_RUNNING, 1).await;
+            site.world.crash("w0");
+            site.world.restart("w0");
+            runs(LONG_RUNNING, 2).await;
+            site.world.add_worker("w1");
+            site.world.submit(&owner, 2, step).await;
+            runs(other, 1).await;
+            sleep(Duration::from_secs(1)).await;
+            site.world.add_worker("w2");
+            site.world.cut("w1", true);
+            site.replace_owner().await;
+            let lost_at = Instant::now();
+            until("the task is started again", LIMIT * 6, async || {
+                site.world.starts_of(&other) == 2
+            })
+            .await;
+            let due = lost_at + REPLACED_AFTER.max(AFTER_RUN - CALM) + CALM;
+            let late = Instant::now().saturating_duration_since(due);
+            assert_eq!(late, Duration::ZERO, "started too late by this");
+            sleep(LIMIT * 3).await;
+            site.world.check();
+        });
+    }
+}
+
 /// Guards against a task that runs twice at once: its worker, which the lease row lists as silent, answers again and gets
 /// a lease that the next owner does not expect.
 #[test]
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -152,12 +152,16 @@
     }
 }
 
+fn both(at_ms: u64) -> LeaseEnds {
+    LeaseEnds {
+        confirmed: Millis(at_ms),
+        unconfirmed: Millis(at_ms),
+    }
+}
+
 /// Bound on a worker without contact, whose leases of earlier owners end at 10 s.
 fn inherited() -> LeaseBound {
-    LeaseBound::inherited(LeaseEnds {
-        confirmed: Millis(10_000),
-        unconfirmed: Millis(10_000),
-    })
+    LeaseBound::inherited(both(10_000))
 }
 
 /// When an unconfirmed run of an unresponsive worker may be started elsewhere: after its lease, counted from the last
@@ -211,7 +215,7 @@
     confirmed.note_claimed(Millis(9_000), true, &limits);
     assert_eq!(end(&confirmed), Millis(10_000));
     let mut noted = inherited();
-    noted.note_inherited_end(Millis(9_800));
+    noted.note_written_end(both(9_800));
     noted.note_claimed(Millis(9_000), false, &limits);
     assert_eq!(end(&noted), Millis(9_800));
 }
@@ -237,10 +241,10 @@
     let mut bound = inherited();
     let end = |bound: &LeaseBound| bound.latest_end(false, &limits).1;
     let inferred = end(&bound);
-    bound.note_inherited_end(inferred + Duration::from_secs(1));
+    bound.note_written_end(both(inferred.0 + 1_000));
     assert_eq!(end(&bound), inferred);
-    bound.note_inherited_end(Millis(8_000));
-    bound.note_inherited_end(Millis(9_000));
+    bound.note_written_end(both(8_000));
+    bound.note_written_end(both(9_000));
     let noted = (LeaseKind::Noted, Millis(8_000));
     assert_eq!(bound.latest_end(false, &limits), noted);
     assert_eq!(bound.latest_end(true, &limits), noted);
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -321,6 +321,7 @@
             token: owner.token() + 1,
             stopped_token: Some(owner.token()),
             ends_in_ms: IndexMap::from_iter([(on, 2_500)]),
+            confirmed: IndexMap::new(),
         };
         let put = Txn {
             put: vec![row_of(&owner, &note)],
@@ -348,6 +349,7 @@
             stopped_token: None,
             token: first.owners()[0].token() - 1,
             ends_in_ms: IndexMap::from_iter([(on.clone(), 0)]),
+            confirmed: IndexMap::new(),
         };
         let row = row_of(&first.owners()[0], &note);
         let put = Txn {
