An owner is no sender before it has reached its workers (LOST)

Callers saw the waits of tasks on lost workers begin anew when an owner was lost right after its take-over, though it had sent nothing to any worker.

Cause: the first row after a take-over, written before the recovery, said that this owner sends leases for 7.3 s, to whichever worker. The next owner counted that for workers that were never reached.

Change: until each worker with runs has answered or is known to be silent, for 150 ms after the recovery at most, rows name the last sender, and nothing is sent. The first row of the owner's own lists the workers that have not answered, with the ends that it inherited; a listed worker gets its first lease after the next row, which is written at once.

Test: owners_that_are_lost_at_their_take_over_add_no_hold, failed before.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -157,8 +157,8 @@
         #[serde(default)]
         pub earlier_may_send_ms: Option<u64>,
         /// The last owner that may have sent leases, if the holder has sent none. A holder sends
-        /// none until a row without it is known to be written: one whose take-over got no reply, or
-        /// that ends before, needs no hold.
+        /// none until a row without it is known to be written, which lists the workers that it has
+        /// not reached: one whose take-over got no reply, or that ends before, needs no hold.
         #[serde(default)]
         pub last_sender: Option<LastSender>,
         /// Leases of the last sender, which is the holder if none is named, and of the owners before
@@ -644,7 +644,9 @@
 /// Writes the lease row; returns whether the write is known to be committed.
 async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
     let now = cx.clock.now();
-    let last_sender = is_released.then(|| owner.sender_before(cx)).flatten();
+    let may_send = !is_released && owner.has_contacted_workers(now);
+    let last_sender = (!may_send).then(|| owner.sender_before(cx)).flatten();
+    let is_idle = last_sender.is_some();
     let leases = match last_sender {
         Some(_) => owner.leases_of_sender_before(now),
         None => owner.sent_leases(cx, is_released),
@@ -687,7 +689,9 @@
             cx.note_store(Ok(()));
             owner.lease_version.set(newest);
             owner.renewed_at.set(sent_at);
-            owner.start_sending_leases();
+            if !is_idle {
+                owner.start_sending_leases();
+            }
             owner.note_listed(listed);
             return true;
         }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -493,7 +493,13 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 8] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
+        (
+            "first-contact",
+            Rc::clone(owner)
+                .renew_after_first_contact(Rc::clone(cx))
+                .boxed_local(),
+        ),
         (
             "journal",
             write_journal(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -22,12 +22,18 @@
     },
 };
 use indexmap::{IndexMap, IndexSet};
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::sync::Notify;
 
 /// Maximum number of listed workers, so that the row stays small: every daemon polls it. The next
 /// owner infers the bound on leases of further ones.
 const MAX_LISTED: usize = 200;
+/// Time after the recovery within which workers that answer have answered the first poll. Later ones
+/// are listed and get their first lease a row later.
+const FIRST_CONTACT_TIME: Duration = Duration::from_millis(150);
+/// Interval between checks whether all workers were contacted.
+const FIRST_CONTACT_CHECK: Duration = Duration::from_millis(10);
+
 /// The workers that a lease row may list which is in the store or may yet be written.
 #[derive(Default)]
 pub struct Listed {
@@ -121,15 +127,9 @@
         }
         let limits = &cx.cfg.leases;
         let (sessions, given_up) = (self.sessions.borrow(), self.given_up.borrow());
-        let is_directory_read = sessions.values().any(|session| session.is_registered);
         let listed = sessions.iter().filter(|(worker, session)| {
             let has_runs = !session.runs.is_empty() || given_up.contains_key(*worker);
-            // A worker whose first poll is under way is not silent yet: it would get its first lease
-            // later.
-            let is_known_silent = session.unresponsive_since.is_some()
-                || is_directory_read && session.report.is_none()
-                || self.is_listed(worker);
-            session.is_silent() && is_known_silent && has_runs
+            session.is_silent() && has_runs
         });
         let listed = listed
             .filter_map(|(worker, session)| Some((worker.clone(), self.ends_on(session, limits)?)));
@@ -165,6 +165,30 @@
         })
     }
 
+    /// Whether each worker with runs has answered this owner or is known to be silent, or has had the
+    /// time for it. Until then nothing is sent to workers, and rows say what they said before: this
+    /// owner would otherwise be taken for the sender of leases to workers that it has not reached.
+    pub fn has_contacted_workers(&self, now: Millis) -> bool {
+        let Some(recovered_at) = self.recovered_at.get() else {
+            return false;
+        };
+        let sessions = self.sessions.borrow();
+        let with_runs = || sessions.values().filter(|session| !session.runs.is_empty());
+        let is_settled =
+            |session: &Session| session.is_claimed() || session.unresponsive_since.is_some();
+        self.may_have_sent_leases()
+            || now.since(recovered_at) >= FIRST_CONTACT_TIME
+            || with_runs().all(is_settled)
+    }
+
+    /// Has the lease row written by which leases may be sent as soon as the workers are contacted.
+    pub async fn renew_after_first_contact(self: Rc<Self>, cx: Cx) {
+        while self.is_serving() && !self.has_contacted_workers(cx.clock.now()) {
+            tokio::time::sleep(FIRST_CONTACT_CHECK).await;
+        }
+        self.want_renewal();
+    }
+
     /// Whether the state was recovered, also if the shard has been lost since.
     pub fn has_recovered(&self) -> bool {
         self.recovered_at.get().is_some()
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -217,6 +217,12 @@
     check_all_owners_in_series(&[1_200, 2_000, 3_000]);
 }
 
+/// Guards against a hold that is counted for an owner which is lost before it could reach any worker.
+#[test]
+fn owners_that_are_lost_at_their_take_over_add_no_hold() {
+    check_all_owners_in_series(&[0, 50, 200, 400]);
+}
+
 /// Guards against one run that is not confirmed, on a restarted worker, and has the next owner take all later runs for
 /// such, whatever worker they are on.
 #[test]
