Workers are polled before and after the start of a long-running task (LOST)

Callers saw a task that was interrupted by a crash stay down for longer than 7 s where it was placed on a worker that had just crashed too, and for 10 s and more, with leases of 10 s, where worker and owner were lost within about a second of its start.

Cause: a start order that gets no reply may have been executed by a later incarnation of the worker, for a longest lease from then on. An owner learns of a crash by its poll, which may wait for 1.7 s, and sent the order meanwhile. And an answered order is confirmed by the poll after the one that is under way, up to a second later; until then no row names the run as confirmed.

Change: a worker that has not answered within 100 ms is polled before the start of a long-running task; one that does not answer gets no order, and the task is placed elsewhere at once. After an answered start the worker is polled at once unless the run is confirmed. Two looks at a worker for each such start, of which there are about two a second per shard.

What is left: worker and owner lost within the 0.4 s until the next row, or on a slow store.

--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -25,6 +25,8 @@
 
 /// Delay before an unconfirmed stop order is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(250);
+/// Age of a worker's last answer up to which it is not polled before a long-running task is started.
+const RECENT_ANSWER: Duration = Duration::from_millis(100);
 
 /// State of a run that the journal does not hold.
 #[derive(Clone, Debug)]
@@ -233,6 +235,9 @@
 }
 
 async fn start(cx: &Cx, owner: &Rc<Owner>, run: RunId) {
+    if owner.record(&run, |record| record.is_long_running) == Some(true) {
+        check_worker(cx, owner, run).await;
+    }
     // An error is impossible, since the semaphore is never closed.
     let slot = cx.start_slots.acquire().await.ok();
     let Some((address, worker, order, lease)) = prepare(cx, owner, run) else {
@@ -257,6 +262,12 @@
                 session.note_order_clock(clock, sent_at, now)
             });
             owner.set_order(&run, Order::Answered(now));
+            // The reply does not name the incarnation. Until a poll confirms the run, the next owner
+            // would wait for a longest lease of a later one.
+            let is_open = |record: &mut RunRecord| record.is_long_running && !record.is_confirmed;
+            if owner.record(&run, is_open) == Some(true) {
+                poll::poll_now(cx, owner, &worker).await;
+            }
         }
         OrderOutcome::Refused(why) => {
             note_refused(cx, owner, &worker, why);
@@ -280,6 +291,23 @@
     }
 }
 
+/// Polls the worker of a run that is to be started, unless it answered just now. A start order to a
+/// worker that has crashed gets no reply, and the task then waits for a longest lease of a later
+/// incarnation, which may have executed the order.
+async fn check_worker(cx: &Cx, owner: &Rc<Owner>, run: RunId) {
+    let Some(worker) = owner.record(&run, |record| record.on.worker.clone()) else {
+        return;
+    };
+    let now = cx.clock.now();
+    let has_answered = owner.session(&worker, |session| {
+        let age = session.clock.map(|(_, read_at)| now.since(read_at));
+        age.is_some_and(|age| age < RECENT_ANSWER)
+    });
+    if has_answered == Some(false) {
+        poll::poll_now(cx, owner, &worker).await;
+    }
+}
+
 /// Updates the worker's lease bound by the outcome of a call that carried a lease.
 pub fn note_lease_call<T>(
     cx: &Cx,
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -299,6 +299,37 @@
     }
 }
 
+/// Guards against a task that was started half a second before its worker and its owner are lost, and is known to no row:
+/// the poll that confirms it would only return when another run ends.
+#[test]
+fn a_task_that_was_just_started_runs_in_time_after_worker_and_owner_are_lost() {
+    for longest_lease in LONGEST_LEASES {
+        for phase_ms in (0..1_000).step_by(250) {
+            paused(async move {
+                let world = World::with_longest_lease(2, longest_lease);
+                let owner = world.daemon("d0");
+                owned(&owner, LIMIT).await;
+                sleep(Duration::from_millis(5_000 + phase_ms)).await;
+                let task = Step {
+                    is_long_running: true,
+                    ..step(1, 600_000, &[])
+                };
+                world.submit(&owner, 1, vec![task]).await;
+                until("the task runs", LIMIT, async || world.running().len() == 1).await;
+                sleep(Duration::from_millis(550)).await;
+                let mut site = Site {
+                    world,
+                    owners: vec![owner],
+                };
+                site.cut_worker();
+                site.replace_owner().await;
+                let lost_at = Instant::now();
+                site.check_restart(lost_at, lost_at).await;
+            });
+        }
+    }
+}
+
 /// Guards against a task that runs twice at once: its worker, which the lease row lists as silent, answers again and gets
 /// a lease that the next owner does not expect.
 #[test]
