--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -207,6 +207,10 @@
     /// goes to the same shard: if it were chosen by load again, two shards could accept the job.
     #[serde(with = "indexmap::map::serde_seq", default)]
     pub sent: IndexMap<JobId, SentJob>,
+    /// In a snapshot: numbers of the journal rows that placed the long-running runs that may be
+    /// alive. Empty otherwise, and in a snapshot of an earlier version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub placed_rows: Vec<(RunId, u64)>,
 }
 
 impl Ledger {
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -361,6 +361,18 @@
         self.journal.append(&valid)
     }
 
+    /// The serialised state of the shard. Without the rows of its runs, the next owner would take all
+    /// of them for placed in the last row that a snapshot covers, which no lease row may name yet.
+    fn snapshot_state(&self) -> Vec<u8> {
+        let runs = self.runs.borrow();
+        let long_running = runs.iter().filter(|(_, record)| record.is_long_running);
+        let placed_rows = long_running.filter_map(|(run, record)| Some((*run, record.placed_row?)));
+        self.ledger.borrow_mut().placed_rows = placed_rows.collect();
+        let state = serde_json::to_vec(&*self.ledger.borrow());
+        self.ledger.borrow_mut().placed_rows.clear();
+        state.unwrap_or_default()
+    }
+
     /// Removes a job that has ended from the active ones; callers see its end once that is durable.
     pub fn note_if_ended(self: &Rc<Self>, cx: &Cx, job: JobId) {
         let phase = self.ledger.borrow().jobs.get(&job).map(|job| job.phase);
@@ -437,14 +449,15 @@
 async fn recover(cx: &Cx, owner: &Rc<Owner>) -> bool {
     while owner.is_serving() {
         let learned = estimates::load_estimates(cx, owner);
-        let mut placed_rows = IndexMap::new();
+        let mut placed_rows: IndexMap<RunId, u64> = IndexMap::new();
         let recovered = owner.journal.recover_with(cx, |row, event| {
             if let Event::Placed { run, .. } = event {
                 placed_rows.insert(*run, row);
             }
         });
         match futures::join!(recovered, learned).0 {
-            Ok(ledger) => {
+            Ok(mut ledger) => {
+                placed_rows.extend(std::mem::take(&mut ledger.placed_rows));
                 adopt(cx, owner, ledger, &placed_rows);
                 return owner.is_serving();
             }
@@ -539,7 +552,7 @@
 }
 
 async fn write_journal(cx: Cx, owner: Rc<Owner>) {
-    let state = || serde_json::to_vec(&*owner.ledger.borrow()).unwrap_or_default();
+    let state = || owner.snapshot_state();
     owner.journal.write_all(&cx, state).await;
     owner.mark_lost("the journal was fenced");
 }
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -13,6 +13,7 @@
     sched::{
         Cx,
         job::{JobId, Step, TaskId},
+        journal::SNAPSHOT_TABLE,
         lease,
         peer::SubmitReply,
         restart::{LostTogether, restart_times},
@@ -330,6 +331,41 @@
     }
 }
 
+/// Guards against runs that count as placed in the last row that a snapshot covers, and so as unconfirmed where no lease
+/// row was written since.
+#[test]
+fn a_snapshot_does_not_delay_tasks_after_worker_and_owner_are_lost() {
+    for longest_lease in LONGEST_LEASES {
+        paused(async move {
+            let mut site = Site::start(longest_lease).await;
+            let owner = Rc::clone(&site.owners[0]);
+            let snapshots = site.world.objects("").len();
+            for job in 2.. {
+                site.world.submit(&owner, job, vec![step(1, 1, &[])]).await;
+                if site.world.objects("").len() > snapshots {
+                    break;
+                }
+            }
+            until("the snapshot is in force", LIMIT, async || {
+                site.world.row_count(SNAPSHOT_TABLE) > 0
+            })
+            .await;
+            site.cut_worker();
+            site.replace_owner().await;
+            let lost_at = Instant::now();
+            until("the task is started again", LIMIT * 6, async || {
+                site.world.starts_of(&LONG_RUNNING) == 2
+            })
+            .await;
+            let due = lost_at + REPLACED_AFTER.max(AFTER_RUN - CALM) + CALM;
+            let late = Instant::now().saturating_duration_since(due);
+            assert_eq!(late, Duration::ZERO, "started too late by this");
+            sleep(LIMIT * 3).await;
+            site.world.check();
+        });
+    }
+}
+
 /// Guards against a task that runs twice at once: its worker, which the lease row lists as silent, answers again and gets
 /// a lease that the next owner does not expect.
 #[test]
