--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -13,6 +13,7 @@
         delegate::{GuestTasks, TaskNeed},
         estimates::{LearnedUpdate, ReceivedVersions},
         returns::ReturnedTasks,
+        suitable::{JobNeeds, Suitability},
     },
     peer::{
         self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply,
@@ -189,11 +190,14 @@
     Outcome::Done(sum)
 }
 
-/// Share of a shard's capacity taken by long-running tasks, in thousandths; none without an answer
-/// from its owner.
-pub async fn long_running_load(cx: &Cx, handle: &Rc<ShardHandle>) -> Option<u32> {
-    match call_owner(cx, handle, OwnerRequest::Load).await {
-        OwnerCall::Answered(OwnerReply::Load(load)) => load,
+/// How suitable a shard is for a job; none without an answer from its owner.
+pub async fn suitability(
+    cx: &Cx,
+    handle: &Rc<ShardHandle>,
+    needs: &JobNeeds,
+) -> Option<Suitability> {
+    match call_owner(cx, handle, OwnerRequest::Suitability(needs.clone())).await {
+        OwnerCall::Answered(OwnerReply::Suitability(suitability)) => suitability,
         _ => None,
     }
 }
--- a/src/lapisdrum/sched/owner/balance.rs
+++ b/src/lapisdrum/sched/owner/balance.rs
@@ -1,5 +1,6 @@
-//! Sends new long-running jobs to the less loaded of two shards: their home shard and another one
-//! drawn at random.
+//! Sends new jobs that no worker of their home shard can run to a shard that has workers for them, and
+//! long-running jobs to the less loaded of two shards: their home shard and another one drawn at
+//! random.
 //!
 //! Load pattern: about fifty long-running jobs of ninety cores per shard, which reserve 84 % of it
 //! on average and run for a minute. Placed by a hash alone, the fullest of three shards is more
@@ -10,15 +11,18 @@
 //! The home shard decides once and journals the decision before it replies. A repeated submission,
 //! at any daemon and any owner, is sent to the same shard, so only one shard accepts the job.
 
-use super::{Owner, jobs::ANSWER_WITHIN};
+use super::{
+    Owner,
+    jobs::ANSWER_WITHIN,
+    suitable::{JobNeeds, Suitability},
+};
 use crate::sched::{
     Cx,
     event::Event,
     front,
-    job::{JobId, JobSpec},
+    job::{JobId, JobSpec, QueueConfig},
     journal::AppendOutcome,
     layout::{Layout, ShardId},
-    ledger::{Job, Phase},
     peer::SubmitReply,
 };
 use rand::Rng;
@@ -43,19 +47,25 @@
     owner: &Rc<Owner>,
     job: JobId,
     spec: &JobSpec,
+    terms: &QueueConfig,
 ) -> Option<SubmitReply> {
-    if let Some(other) = candidate(cx, owner, job, spec) {
-        let own = owner.long_running_load(cx);
-        let handle = cx.handle(other);
-        let reply = tokio::time::timeout(LOAD_TIMEOUT, front::long_running_load(cx, &handle)).await;
-        let theirs = reply.ok().flatten();
-        let is_decided = !is_new(owner, job);
-        if let (false, Some(own), Some(theirs)) = (is_decided, own, theirs)
-            && is_less_loaded(own, theirs)
+    if is_new(owner, job) {
+        let needs = JobNeeds::new(spec, terms);
+        let own = owner.suitability(cx, &needs);
+        let better = match own {
+            None => None,
+            Some(Suitability::Unsuitable) => suitable_shard(cx, owner, &needs).await,
+            Some(Suitability::Suitable(own)) => less_loaded(cx, owner, spec, &needs, own).await,
+        };
+        // Another call may have decided meanwhile.
+        if let Some((to, theirs)) = better
+            && is_new(owner, job)
             && owner.journal.accepts_work(cx.clock.now())
         {
-            log::info!(job:% = job, from:% = owner.handle.partition, to:% = handle.partition, own, theirs; "job is sent to another shard");
-            drop(owner.propose(cx, vec![sent(cx, job, other)]));
+            log::info!(job:% = job, from:% = owner.handle.partition, to = to.0, own:?, theirs; "job is sent to another shard");
+            drop(owner.propose(cx, vec![sent(cx, job, to)]));
+        } else if own == Some(Suitability::Unsuitable) {
+            log::warn!(job:% = job, shard:% = owner.handle.partition, steps = needs.steps.len(); "no shard that answers has workers for each step of the job");
         }
     }
     let to = owner.ledger.borrow().sent.get(&job).map(|sent| sent.to)?;
@@ -81,16 +91,43 @@
     !ledger.jobs.contains_key(&job) && !ledger.sent.contains_key(&job)
 }
 
-/// Another shard, drawn at random, for a new long-running job; none for other jobs and for those
-/// bound to a data rack.
-fn candidate(cx: &Cx, owner: &Owner, job: JobId, spec: &JobSpec) -> Option<ShardId> {
+/// The least loaded of the other shards that have workers for each step, and its load.
+async fn suitable_shard(cx: &Cx, owner: &Owner, needs: &JobNeeds) -> Option<(ShardId, u32)> {
+    let layout = cx.layout.borrow().clone()?;
+    let others = layout.all().filter(|shard| *shard != owner.handle.shard);
+    let asked = others.map(async |shard| Some((shard, load_of(cx, shard, needs).await?)));
+    let suitable = futures::future::join_all(asked).await;
+    let suitable = suitable.into_iter().flatten();
+    suitable.min_by_key(|(_, load)| *load)
+}
+
+/// Another shard, drawn at random, if it is less loaded, and its load; none for jobs without
+/// long-running steps and for those bound to a data rack.
+async fn less_loaded(
+    cx: &Cx,
+    owner: &Owner,
+    spec: &JobSpec,
+    needs: &JobNeeds,
+    own: u32,
+) -> Option<(ShardId, u32)> {
     let layout = cx.layout.borrow().clone()?;
-    let is_long_running = spec.steps.iter().any(|step| step.is_long_running);
     let is_bound = spec.steps.iter().any(|step| step.data_rack.is_some());
-    if !is_long_running || is_bound || !is_new(owner, job) {
+    if needs.long_running.is_empty() || is_bound {
         return None;
     }
-    draw(&layout, owner.handle.shard)
+    let other = draw(&layout, owner.handle.shard)?;
+    let theirs = load_of(cx, other, needs).await?;
+    is_less_loaded(own, theirs).then_some((other, theirs))
+}
+
+/// The load of a shard for a job; none if it has no workers for it, or does not answer in time.
+async fn load_of(cx: &Cx, shard: ShardId, needs: &JobNeeds) -> Option<u32> {
+    let handle = cx.handle(shard);
+    let asked = front::suitability(cx, &handle, needs);
+    match tokio::time::timeout(LOAD_TIMEOUT, asked).await.ok()?? {
+        Suitability::Unsuitable => None,
+        Suitability::Suitable(load) => Some(load),
+    }
 }
 
 fn draw(layout: &Layout, own: ShardId) -> Option<ShardId> {
@@ -100,29 +137,3 @@
     }
     Some(others[rand::rng().random_range(0..others.len())])
 }
-
-/// Processors that a job's long-running tasks reserve in this shard, in thousandths of a core.
-fn long_running_millicores(job: &Job) -> u64 {
-    let steps = job.spec.steps.iter().enumerate();
-    let long_running = steps.filter(|(_, step)| step.is_long_running);
-    long_running
-        .map(|(at, step)| step.size.millicores * job.own_task_count(at))
-        .sum()
-}
-
-impl Owner {
-    /// Processors that active jobs' long-running tasks ask for, in thousandths of the shard's
-    /// capacity. None before the shard is recovered and while no worker is open for tasks.
-    pub fn long_running_load(&self, cx: &Cx) -> Option<u32> {
-        if !self.is_recovered() {
-            return None;
-        }
-        let open = self.open_workers(cx);
-        let capacity: u64 = open.iter().map(|report| report.capacity.millicores).sum();
-        let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
-        let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
-        let jobs = jobs.filter(|job| job.phase == Phase::Active);
-        let requested: u64 = jobs.map(long_running_millicores).sum();
-        (capacity > 0).then(|| u32::try_from(requested * 1_000 / capacity).unwrap_or(u32::MAX))
-    }
-}
--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -252,7 +252,7 @@
                     step: at as u16,
                     index: index as u32,
                 };
-                tasks.insert(id, need_of(&job.terms, spec));
+                tasks.insert(id, TaskNeed::new(&job.terms, spec));
             }
         }
     }
@@ -262,11 +262,14 @@
     step.is_long_running && step.gang == Gang::No && step.data_rack.is_none()
 }
 
-fn need_of(terms: &QueueConfig, step: &Step) -> TaskNeed {
-    TaskNeed {
-        pool: terms.pool.clone(),
-        size: step.size,
-        required_label: step.required_label.clone(),
+impl TaskNeed {
+    /// What a task of this step requires.
+    pub(super) fn new(terms: &QueueConfig, step: &Step) -> Self {
+        Self {
+            pool: terms.pool.clone(),
+            size: step.size,
+            required_label: step.required_label.clone(),
+        }
     }
 }
 
@@ -441,7 +444,9 @@
             .is_some_and(|known| known.elsewhere.is_none() || known.last_run > *last_run);
         let step = guests.spec.steps.get(usize::from(task.step));
         if let Some(step) = step.filter(|_| !is_known) {
-            *adopted.entry(need_of(&guests.terms, step)).or_default() += 1;
+            *adopted
+                .entry(TaskNeed::new(&guests.terms, step))
+                .or_default() += 1;
         }
     }
     adopted
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -38,7 +38,7 @@
     if !owner.is_recovered() {
         return SubmitReply::NotOwner;
     }
-    if !is_sent && let Some(to) = balance::reply_if_sent(cx, owner, job, &spec).await {
+    if !is_sent && let Some(to) = balance::reply_if_sent(cx, owner, job, &spec, &terms).await {
         return to;
     }
     // If the shard was lost meanwhile, a job in the ledger may not be durable.
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -26,6 +26,7 @@
 pub mod session;
 pub mod silent_workers;
 pub mod stop_note;
+pub mod suitable;
 pub mod upkeep;
 
 use super::{
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -10,6 +10,7 @@
         estimates::{self, LearnedUpdate, ReceivedVersions},
         jobs,
         returns::{self, ReturnedTasks},
+        suitable::{JobNeeds, Suitability},
     },
 };
 use actix_rt::net::TcpListener;
@@ -49,7 +50,7 @@
         Cancel(JobId),
         /// Count the jobs of a queue that have not started.
         Pending(String),
-        /// Return the share of the shard's processors that long-running tasks request.
+        /// Of an earlier version, which compares shards by totals; it gets no figure.
         Load,
         /// Return the interference estimates that are newer than the given versions, or all of them
         /// if none are given.
@@ -61,6 +62,8 @@
         Adopt(GuestTasks),
         /// Take tasks back that were delegated.
         TakeBack(ReturnedTasks),
+        /// Tell whether the shard has workers for a job, and how loaded they are.
+        Suitability(JobNeeds),
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -74,8 +77,7 @@
         /// Reply to [`OwnerRequest::Pending`]; `None` if the callee is not certain to own the
         /// shard.
         Pending(Option<u64>),
-        /// Reply to [`OwnerRequest::Load`], in thousandths; `None` if the callee does not own the
-        /// shard or has no workers yet.
+        /// Reply to [`OwnerRequest::Load`].
         Load(Option<u32>),
         /// Reply to [`OwnerRequest::Learned`]; `None` if the callee does not own the shard or has
         /// not recovered it yet.
@@ -87,6 +89,9 @@
         Adopted(AdoptReply),
         /// Reply to [`OwnerRequest::TakeBack`].
         TakenBack(TakeBackReply),
+        /// Reply to [`OwnerRequest::Suitability`]; `None` if the callee does not own the shard or
+        /// can't tell yet.
+        Suitability(Option<Suitability>),
     }
 
     /// Outcome of [`OwnerRequest::TakeBack`].
@@ -226,7 +231,8 @@
         (OwnerRequest::Show(_), None) => OwnerReply::Shown(ShowReply::NotOwner),
         (OwnerRequest::Cancel(_), None) => OwnerReply::Cancelled(CancelReply::NotOwner),
         (OwnerRequest::Pending(_), None) => OwnerReply::Pending(None),
-        (OwnerRequest::Load, None) => OwnerReply::Load(None),
+        (OwnerRequest::Load, _) => OwnerReply::Load(None),
+        (OwnerRequest::Suitability(_), None) => OwnerReply::Suitability(None),
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
         (OwnerRequest::Adopt(_), None) => OwnerReply::Adopted(AdoptReply::NotOwner),
@@ -234,7 +240,9 @@
         (OwnerRequest::Learned(upto), Some(owner)) => {
             OwnerReply::Learned(estimates::updates_since(cx, &owner, upto))
         }
-        (OwnerRequest::Load, Some(owner)) => OwnerReply::Load(owner.long_running_load(cx)),
+        (OwnerRequest::Suitability(needs), Some(owner)) => {
+            OwnerReply::Suitability(owner.suitability(cx, &needs))
+        }
         (
             OwnerRequest::Submit {
                 job,
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -355,9 +355,8 @@
     paused(async {
         let (world, cx, queue) = sole_owner(4).await;
         until("the workers are claimed", LIMIT, async || {
-            cx.owners()
-                .iter()
-                .all(|owner| owner.long_running_load(&cx).is_some())
+            let is_open = |owner: &Rc<Owner>| !owner.open_workers(&cx).is_empty();
+            cx.owners().iter().all(is_open)
         })
         .await;
         let in_first_shard = (1..).filter(|id| home(&cx, *id) == ShardId(0));
@@ -388,6 +387,154 @@
     });
 }
 
+/// Adds a label to the workers of one shard; returns once all owners know it.
+async fn label_workers(world: &World, cx: &Cx, shard: ShardId) {
+    let labelled = async || {
+        let owner = cx.handle(shard).owner.borrow().clone().expect("an owner");
+        owner.open_workers(cx)
+    };
+    until("the workers are claimed", LIMIT, async || {
+        !labelled().await.is_empty()
+    })
+    .await;
+    for report in labelled().await {
+        world.set_labels(&report.incarnation.worker, &["press"]);
+    }
+    until("the label is known", LIMIT, async || {
+        let reports = labelled().await;
+        reports.iter().all(|report| !report.labels.is_empty())
+    })
+    .await;
+}
+
+fn labelled(step: Step) -> Vec<Step> {
+    vec![Step {
+        required_label: Some("press".to_owned()),
+        ..step
+    }]
+}
+
+fn homes_in(cx: &Cx, shard: ShardId, count: usize) -> Vec<u64> {
+    let homes = (1..).filter(|id| home(cx, *id) == shard);
+    homes.take(count).collect()
+}
+
+/// Guards against a long-running job that is sent to a less loaded shard which has no worker with its label, and waits
+/// there for ever.
+#[test]
+fn a_long_running_job_stays_where_workers_have_its_label() {
+    paused(async {
+        let (world, cx, queue) = sole_owner(4).await;
+        label_workers(&world, &cx, ShardId(0)).await;
+        let ids = homes_in(&cx, ShardId(0), 9);
+        let (last, others) = ids.split_last().expect("jobs");
+        for id in others {
+            let steps = labelled(long_running(1).remove(0));
+            world.register_steps(*id, steps.clone());
+            let submitted = front::submit(&cx, &queue, JobId(*id), spec_of(steps)).await;
+            assert_eq!(submitted, Outcome::Done(()));
+        }
+        until("all of them run", LIMIT, async || {
+            world.running().len() == 8
+        })
+        .await;
+        assert_eq!(
+            front::cancel(&cx, JobId(others[0])).await,
+            Outcome::Done(())
+        );
+        let steps = labelled(long_running(1).remove(0));
+        world.register_steps(*last, steps.clone());
+        let submitted = front::submit(&cx, &queue, JobId(*last), spec_of(steps)).await;
+        assert_eq!(submitted, Outcome::Done(()));
+        until("the last one runs", LIMIT, async || {
+            world
+                .running()
+                .iter()
+                .any(|run| run.task.job == JobId(*last))
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// Guards against a job that waits for ever in its home shard, which has no worker for one of its steps, beside free
+/// workers of another shard.
+#[test]
+fn a_job_goes_to_a_shard_with_workers_for_each_step() {
+    paused(async {
+        let (world, cx, queue) = sole_owner(4).await;
+        label_workers(&world, &cx, ShardId(1)).await;
+        let ids = homes_in(&cx, ShardId(0), 4);
+        for id in &ids {
+            let plain = step(1, 100, &[]);
+            let last = labelled(step(1, 100, &[0])).remove(0);
+            let steps = vec![plain, last];
+            world.register_steps(*id, steps.clone());
+            let submitted = front::submit(&cx, &queue, JobId(*id), spec_of(steps)).await;
+            assert_eq!(submitted, Outcome::Done(()));
+        }
+        until("the jobs are completed", LIMIT, async || {
+            for id in &ids {
+                if front::show(&cx, JobId(*id)).await != Outcome::Done(JobState::Completed) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// Guards against a job that waits for ever in a shard that lost its last workers with the job's label after it accepted
+/// the job, beside free workers of another shard.
+#[test]
+fn a_waiting_job_leaves_a_shard_that_loses_its_last_workers_for_it() {
+    paused(async {
+        let (world, cx, queue) = sole_owner(4).await;
+        for shard in [ShardId(0), ShardId(1)] {
+            label_workers(&world, &cx, shard).await;
+        }
+        let owner = cx
+            .handle(ShardId(0))
+            .owner
+            .borrow()
+            .clone()
+            .expect("an owner");
+        let lost = owner.open_workers(&cx);
+        let ids = homes_in(&cx, ShardId(0), lost.len() + 1);
+        let whole_worker = Step {
+            size: lost[0].capacity,
+            ..step(1, 600_000, &[])
+        };
+        let (waiting, running) = ids.split_last().expect("jobs");
+        for id in running {
+            let steps = vec![whole_worker.clone()];
+            world.register_steps(*id, steps.clone());
+            let submitted = front::submit(&cx, &queue, JobId(*id), spec_of(steps)).await;
+            assert_eq!(submitted, Outcome::Done(()));
+        }
+        until("the workers are full", LIMIT, async || {
+            world.running().len() == running.len()
+        })
+        .await;
+        let steps = labelled(step(1, 100, &[]));
+        world.register_steps(*waiting, steps.clone());
+        let submitted = front::submit(&cx, &queue, JobId(*waiting), spec_of(steps)).await;
+        assert_eq!(submitted, Outcome::Done(()));
+        for report in &lost {
+            let worker = &report.incarnation.worker;
+            world.crash(worker);
+            world.list(worker, false);
+        }
+        until("the job is completed", LIMIT * 3, async || {
+            front::show(&cx, JobId(*waiting)).await == Outcome::Done(JobState::Completed)
+        })
+        .await;
+        world.check();
+    });
+}
+
 /// Guards against two decisions on a job that is submitted over several connections at once: it would run twice. All
 /// callers are sent to the same shard.
 #[test]
