--- a/src/lapisdrum/sched/owner/delegate.rs
+++ b/src/lapisdrum/sched/owner/delegate.rs
@@ -38,9 +38,10 @@
 const STRANDED_AFTER: Duration = Duration::from_millis(800);
 /// Timeout of a call that asks a shard for an offer: many round trips between data centres.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(150);
-/// A task is delegated for this long to the shard that returned it only if no other shard offers
-/// capacity: an offer does not state every reason for which that shard may refuse the task.
-const AVOID_AFTER_RETURN: Duration = Duration::from_secs(10);
+/// A task is delegated for this long to a shard that returned it only if no other shard offers
+/// capacity: an offer does not state every reason for which that shard may refuse the task. A try of
+/// a shard takes about 2.5 s, so that a task gets to more than twenty others.
+const AVOID_AFTER_RETURN: Duration = Duration::from_secs(60);
 /// Time between two lines with totals.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -49,8 +50,8 @@
 pub struct Delegations {
     /// When each interrupted task was first seen waiting.
     stranded_since: IndexMap<TaskId, Millis>,
-    /// The shard that last returned each task, and when.
-    returned_by: IndexMap<TaskId, (ShardId, Millis)>,
+    /// The shards that returned tasks.
+    returned: Returned,
     /// Jobs with tasks or an end that another shard may not have confirmed.
     open: IndexSet<JobId>,
     /// Tasks that the other shard has confirmed, with the number from which it started: a returned
@@ -61,6 +62,36 @@
     requests: Requests,
 }
 
+/// The shards that returned each task, and when. With the last one alone, a task alternates between
+/// two shards that offer more capacity than the one which would take it.
+#[derive(Default)]
+pub struct Returned {
+    by_task: IndexMap<TaskId, IndexMap<ShardId, Millis>>,
+}
+
+impl Returned {
+    /// Notes that a shard has returned a task.
+    pub fn note(&mut self, task: TaskId, by: ShardId, now: Millis) {
+        self.by_task.entry(task).or_default().insert(by, now);
+    }
+
+    /// The shards to avoid for a task, in ascending order.
+    pub fn avoided(&self, task: &TaskId, now: Millis) -> Vec<ShardId> {
+        let shards = self.by_task.get(task).into_iter().flatten();
+        let recent = shards.filter(|(_, at)| now.since(**at) < AVOID_AFTER_RETURN);
+        let mut recent: Vec<ShardId> = recent.map(|(shard, _)| *shard).collect();
+        recent.sort();
+        recent
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.by_task.retain(|_, shards| {
+            shards.retain(|_, at| now.since(*at) < AVOID_AFTER_RETURN);
+            !shards.is_empty()
+        });
+    }
+}
+
 /// Requests for offers since the last line with totals.
 #[derive(Default)]
 struct Requests {
@@ -136,8 +167,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Kind {
     need: TaskNeed,
-    /// The shard that returned them within [`AVOID_AFTER_RETURN`].
-    returned_by: Option<ShardId>,
+    /// The shards that returned them within [`AVOID_AFTER_RETURN`], in ascending order.
+    returned_by: Vec<ShardId>,
 }
 
 data! {
@@ -185,12 +216,12 @@
     let delegating = stranded.iter().map(async |(kind, tasks)| {
         let need = &kind.need;
         let offers = offers(cx, owner, need, tasks.len()).await;
-        let Some((to, room)) = best_offer(&offers, kind.returned_by) else {
+        let Some((to, room)) = best_offer(&offers, &kind.returned_by) else {
             return;
         };
         let count = tasks.len().min(room as usize);
         let unused = release_unused(cx, need, &offers, to);
-        let delegated = delegate(cx, owner, to, &tasks[..count], kind.returned_by);
+        let delegated = delegate(cx, owner, to, &tasks[..count], &kind.returned_by);
         futures::join!(delegated, unused);
     });
     futures::future::join_all(delegating).await;
@@ -206,16 +237,16 @@
     let mut delegations = owner.delegations.borrow_mut();
     let Delegations {
         stranded_since: since,
-        returned_by,
+        returned,
         ..
     } = &mut *delegations;
     since.retain(|task, _| waiting.contains_key(task));
-    returned_by.retain(|_, (_, at)| now.since(*at) < AVOID_AFTER_RETURN);
+    returned.expire(now);
     let mut stranded: IndexMap<Kind, Vec<TaskId>> = IndexMap::new();
     for (task, need) in waiting {
         let waits = now.since(*since.entry(task).or_insert(now));
         if waits >= STRANDED_AFTER {
-            let returned_by = returned_by.get(&task).map(|(shard, _)| *shard);
+            let returned_by = returned.avoided(&task, now);
             let kind = Kind { need, returned_by };
             stranded.entry(kind).or_default().push(task);
         }
@@ -296,10 +327,10 @@
     offered.ok().flatten()
 }
 
-/// The offer for most tasks; that of the shard that returned them only if no other shard offers.
-fn best_offer(offers: &[(ShardId, u32)], returned_by: Option<ShardId>) -> Option<(ShardId, u32)> {
+/// The offer for most tasks; one of a shard that returned them only if no other shard offers.
+pub fn best_offer(offers: &[(ShardId, u32)], returned_by: &[ShardId]) -> Option<(ShardId, u32)> {
     let made = offers.iter().copied().filter(|(_, room)| *room > 0);
-    made.max_by_key(|(shard, room)| (Some(*shard) != returned_by, *room))
+    made.max_by_key(|(shard, room)| (!returned_by.contains(shard), *room))
 }
 
 /// Releases the offers of all shards but `to`, so that they can be made for other tasks.
@@ -316,7 +347,7 @@
     owner: &Rc<Owner>,
     to: ShardId,
     tasks: &[TaskId],
-    returned_by: Option<ShardId>,
+    returned_by: &[ShardId],
 ) {
     // Some may have been placed while the shards were asked.
     let still = interrupted_tasks(owner);
@@ -326,7 +357,7 @@
         .filter(|t| still.contains_key(t))
         .collect();
     for task in &tasks {
-        log::info!(task:% = task, from:% = owner.handle.partition, to = to.0, returned_by = returned_by.map(|shard| shard.0); "task is delegated");
+        log::info!(task:% = task, from:% = owner.handle.partition, to = to.0, returned_by:?; "task is delegated");
     }
     let events = tasks
         .iter()
@@ -402,7 +433,7 @@
 impl Delegations {
     /// Notes that a shard has returned a task.
     pub fn note_return(&mut self, task: TaskId, by: ShardId, now: Millis) {
-        self.returned_by.insert(task, (by, now));
+        self.returned.note(task, by, now);
     }
 }
 
--- a/tests/testsuite/sched/delegate.rs
+++ b/tests/testsuite/sched/delegate.rs
@@ -7,17 +7,21 @@
     world::{StoreBehaviour, World, home, owns, step, terms, until},
 };
 use assert_matches::assert_matches;
-use lapisdrum::sched::{
-    Cx, front,
-    job::{JobId, JobSpec, RawJob, RunNumber, Step, TaskId},
-    layout::ShardId,
-    ledger::Phase,
-    owner::{
-        delegate::{GuestTasks, TaskNeed},
-        jobs,
-    },
-    peer::{
-        self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply,
+use lapisdrum::{
+    core::time::Millis,
+    sched::{
+        Cx, front,
+        job::{JobId, JobSpec, RawJob, RunNumber, Step, TaskId},
+        layout::ShardId,
+        ledger::Phase,
+        owner::{
+            delegate::{GuestTasks, Returned, TaskNeed, best_offer},
+            jobs,
+        },
+        peer::{
+            self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply,
+            SubmitReply,
+        },
     },
 };
 use std::{rc::Rc, time::Duration};
@@ -821,3 +825,39 @@
         assert_matches!(reply, Ok(OwnerReply::Adopted(AdoptReply::Adopted)));
     });
 }
+
+/// Guards against a task that alternates between shards which offer most and refuse it, and never gets to one that would
+/// take it.
+#[test]
+fn a_task_gets_to_each_shard_that_offers_capacity() {
+    let task = TaskId {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let refusing = 12;
+    let mut offers: Vec<(ShardId, u32)> = (1..=refusing).map(|at| (ShardId(at), 8)).collect();
+    let taker = ShardId(refusing + 1);
+    offers.push((taker, 1));
+    let mut returned = Returned::default();
+    let mut now = Millis(0);
+    let mut tries = 0;
+    loop {
+        let (to, _) = best_offer(&offers, &returned.avoided(&task, now)).expect("an offer");
+        if to == taker {
+            break;
+        }
+        tries += 1;
+        assert!(tries <= refusing, "{to:?} is tried again");
+        now = now + Duration::from_millis(2_500);
+        returned.note(task, to, now);
+    }
+    let only = &offers[..1];
+    let again = best_offer(only, &returned.avoided(&task, now));
+    assert_eq!(
+        again,
+        Some(only[0]),
+        "a shard that returned it is better than none"
+    );
+}
