--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -161,7 +161,15 @@
             waiting.note_wait(owner, known.why.as_ref(), hosts, now);
         } else {
             let is_reason_due = backlog::is_reason_due(owner, &waiting.step, now);
-            let outcome = place_step(owner, waiting, reports, hosts, &mut placed, is_reason_due);
+            let outcome = place_step(
+                owner,
+                waiting,
+                reports,
+                hosts,
+                &mut placed,
+                is_reason_due,
+                now,
+            );
             if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
                 waiting.note_wait(owner, why.as_ref(), hosts, now);
                 if let Some(demand) = demand.filter(|_| !is_at_limit) {
@@ -343,6 +351,7 @@
     hosts: &mut Vec<Host>,
     placed: &mut Vec<Placed>,
     is_reason_due: bool,
+    now: Millis,
 ) -> PlaceOutcome {
     let ledger = owner.ledger.borrow();
     let job = &ledger.jobs[&waiting.step.job];
@@ -366,7 +375,7 @@
             why = Some(Shortage::left_to_short(&need, hosts));
             continue;
         }
-        mark_avoided(owner, &task, hosts);
+        mark_avoided(owner, &task, hosts, now);
         let Some(at) = choose(&need, hosts, &model) else {
             let unplaced = &waiting.tasks[nth..];
             let interrupted = interrupted(job, &waiting.step, spec, unplaced);
@@ -472,11 +481,11 @@
     }
 }
 
-fn mark_avoided(owner: &Owner, task: &TaskId, hosts: &mut [Host]) {
+fn mark_avoided(owner: &Owner, task: &TaskId, hosts: &mut [Host], now: Millis) {
     let failed_on = owner.failed_on.borrow();
-    let avoided = failed_on.get(task);
-    for host in hosts.iter_mut() {
-        host.is_avoided = avoided.is_some_and(|some| some.iter().any(|w| w == host.id));
+    let has_failed = failed_on.recent(task, now);
+    for host in hosts {
+        host.is_avoided = has_failed(host.id);
     }
 }
 
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod estimates;
+pub mod failed_on;
 pub mod headroom;
 pub mod interference;
 pub mod jobs;
@@ -33,7 +34,7 @@
     Cx, ShardHandle,
     edge::RowKey,
     event::{Event, RunId},
-    job::{JobId, StepId, TaskId},
+    job::{JobId, StepId},
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LastSender, LeaseView},
     ledger::{Ledger, Phase},
@@ -50,6 +51,7 @@
     },
 };
 use backlog::Backlog;
+use failed_on::FailedOn;
 use futures::{FutureExt, future::LocalBoxFuture};
 use indexmap::{IndexMap, IndexSet};
 use kept_hosts::KeptHosts;
@@ -124,7 +126,7 @@
     /// Jobs whose end is not durable yet; callers still see them as active.
     pub ending: RefCell<IndexSet<JobId>>,
     /// Workers on which a task has failed; other workers are tried first.
-    pub failed_on: RefCell<IndexMap<TaskId, Vec<String>>>,
+    pub failed_on: RefCell<FailedOn>,
     /// Interference model: starts from the previous owner's estimates, if they can be read.
     pub interference_model: RefCell<InterferenceModel>,
     /// Load estimates of serving steps.
@@ -391,6 +393,7 @@
                 return;
             }
             owner.ending.borrow_mut().swap_remove(&job);
+            owner.failed_on.borrow_mut().forget_job(job);
             owner.loads.borrow_mut().retain(|step, _| step.job != job);
             owner
                 .wait_reasons
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -454,7 +454,7 @@
         RunEnd::Done if has_overrun => owner.note_misbehaved(worker, &end.run.task, now),
         RunEnd::Done => {
             owner.session(worker, |session| session.failures = (0, now));
-            owner.failed_on.borrow_mut().swap_remove(&end.run.task);
+            owner.failed_on.borrow_mut().forget_task(&end.run.task);
         }
         RunEnd::Failed => owner.note_misbehaved(worker, &end.run.task, now),
         RunEnd::Stopped | RunEnd::Lapsed | RunEnd::GangBroken | RunEnd::GangIncomplete => {}
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -504,8 +504,7 @@
         self.session(worker, |session| {
             session.failures = (session.failures.0.saturating_add(1), now);
         });
-        let mut failed_on = self.failed_on.borrow_mut();
-        failed_on.entry(*task).or_default().push(worker.to_owned());
+        self.failed_on.borrow_mut().note(task, worker, now);
     }
 
     /// Address of a worker; none if the directory has not reported it.
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -4,6 +4,7 @@
 mod calm;
 mod delegate;
 mod evacuation;
+mod failed_on;
 mod faults;
 mod gangs;
 mod incarnations;
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -6,10 +6,12 @@
     sched::{
         edge::{CallError, Row, TxnOutcome},
         event::Loss,
+        lease::LeaseView,
         owner::session::Session,
         resolution::{
-            EarlierOwners, LeaseBound, LeaseEnds, LeaseKind, Observation, Order, RunKnowledge,
-            RunVerdict, Stop, WriteVerdict, is_piggyback_stale, judge_run, judge_write,
+            ConfirmedBefore, EarlierOwners, LeaseBound, LeaseEnds, LeaseKind, Observation, Order,
+            RunKnowledge, RunVerdict, SilentWorker, Stop, WriteVerdict, is_piggyback_stale,
+            judge_run, judge_write,
         },
     },
 };
@@ -299,3 +301,56 @@
     bound.note_unanswered(Millis(900));
     assert!(noted(&bound).is_some());
 }
+
+/// Guards against a row of an earlier version that is taken to confirm runs on a silent worker, of which it gives one end.
+#[test]
+fn a_row_of_an_earlier_version_confirms_no_run_on_a_silent_worker() {
+    let value = br#"{"holder":{"daemon":"a","address":"a.example:1","incarnation":1},"is_released":false,"renewals":3,
+        "up_ms":5,"earlier_may_send_ms":0,"last_sender":null,"leases":{"sender":{"confirmed_ms":7462,
+        "unconfirmed_ms":14824},"earlier":{"confirmed_ms":0,"unconfirmed_ms":0},"silent":{"w1":5000},
+        "confirmed_before":12},"accepts_returns":true}"#;
+    let row = Row {
+        table: "owners".to_owned(),
+        key: "lease".to_owned(),
+        value: value.as_slice().into(),
+        version: 9,
+    };
+    let limits = limits();
+    let mut view = LeaseView::default();
+    view.note(&[row], Millis(1_000)).expect("a valid row");
+    let silent = view.silent_workers(&limits)["w1"];
+    assert_eq!(silent.ends.confirmed, silent.ends.unconfirmed);
+    assert!(!silent.is_confirmed(0));
+    let confirmed = view.confirmed_before();
+    assert_eq!([confirmed.on("w2"), confirmed.on_all()], [Some(12); 2]);
+}
+
+/// Guards against an owner of an earlier version that takes a run for confirmed which is not: it knows one number for all
+/// workers, and one end for all runs of a silent worker.
+#[test]
+fn what_an_earlier_version_reads_promises_no_less() {
+    let mut confirmed = ConfirmedBefore::everywhere(Some(20));
+    for at in 0..200 {
+        confirmed.add(&format!("w{at}"), 100 - at / 2);
+    }
+    let lowest = confirmed.on_all();
+    assert_eq!(lowest, Some(1), "also beyond the workers that are named");
+    for at in 0..300 {
+        assert!(confirmed.on(&format!("w{at}")) >= lowest);
+    }
+    let silent = SilentWorker {
+        ends: LeaseEnds {
+            confirmed: Millis(3_000),
+            unconfirmed: Millis(9_000),
+        },
+        confirmed_before: Some(7),
+    };
+    assert!(silent.all_left_ms(Millis(1_000)) >= 8_000);
+    let left = silent
+        .confirmed_left(Millis(1_000))
+        .expect("an earlier end");
+    assert!(left.ends_in_ms >= 2_000);
+    let read = SilentWorker::by_row(Millis(1_500), 8_001, Some(&left), &limits());
+    assert!(read.ends.confirmed >= silent.ends.confirmed);
+    assert!(read.is_confirmed(6) && !read.is_confirmed(7));
+}
