--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -321,6 +321,12 @@
         read_at + self.measured_elsewhere(Duration::from_millis(ends_in_ms))
     }
 
+    /// Time for which an owner sends renewals after its last start order.
+    fn renewed_after_starts(&self) -> Duration {
+        let renewed = self.after_renewal.saturating_sub(self.start_hold);
+        self.measured_elsewhere(renewed)
+    }
+
     /// Time after the writing of its lease row within which the leases of an owner end that goes on
     /// sending them, unless it writes another row.
     ///
@@ -758,19 +764,18 @@
 
     /// Records the first reply of an incarnation under this owner's token, at `at`: from then on the
     /// incarnation refuses calls of earlier owners, and leases that they sent earlier end at most
-    /// one lease after `at`, and by their rows. `has_confirmed_run` says whether an earlier owner confirmed a run on
+    /// one lease after `at`, or as their rows say if that is earlier. `has_confirmed_run` says whether an earlier owner confirmed a run on
     /// this incarnation, so that the bound on confirmed runs holds there.
     pub fn note_claimed(&mut self, at: Millis, has_confirmed_run: bool, limits: &LeaseLimits) {
         let longest = at + limits.longest_on_own_clock();
         let until = match self.inherited.take() {
-            Some(inferred) => {
-                let ends = inferred.min(self.noted.unwrap_or(inferred));
-                let by_row = match has_confirmed_run {
-                    true => ends.confirmed,
-                    false => ends.unconfirmed,
-                };
-                longest.min(by_row)
+            Some(inferred) if has_confirmed_run => {
+                let written = self.noted.unwrap_or(inferred);
+                longest.min(inferred.min(written).confirmed)
             }
+            // Rows and notes bound the leases of runs. A restarted worker without any may have a lease
+            // by a renewal in transit, which counts for the runs that this owner starts there.
+            Some(inferred) => longest.min(inferred.unconfirmed + limits.renewed_after_starts()),
             // This owner's calls to the incarnation before may be in flight.
             None => longest + limits.transit * 2,
         };
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -9,9 +9,9 @@
         lease::LeaseView,
         owner::session::Session,
         resolution::{
-            ConfirmedBefore, EarlierOwners, LeaseBound, LeaseEnds, LeaseKind, Observation, Order,
-            RunKnowledge, RunVerdict, SilentWorker, Stop, WriteVerdict, is_piggyback_stale,
-            judge_run, judge_write,
+            ConfirmedBefore, EarlierOwners, LeaseBound, LeaseEnds, LeaseKind, LeasesLeft,
+            Observation, Order, RunKnowledge, RunVerdict, SilentWorker, Stop, WriteVerdict,
+            is_piggyback_stale, judge_run, judge_write,
         },
     },
 };
@@ -222,11 +222,21 @@
     assert_eq!(end(&confirmed), Millis(10_000));
     let mut ended = inherited();
     ended.note_claimed(Millis(9_000), false, &limits);
-    assert_eq!(end(&ended), Millis(10_000), "all leases end by the rows");
+    let renewed = limits.after_renewal - limits.start_hold;
+    let renewed = renewed + renewed / limits.drift_parts;
+    assert_eq!(
+        end(&ended),
+        Millis(10_000) + renewed,
+        "renewals go on after starts"
+    );
     let mut noted = LeaseBound::inherited(later);
     noted.note_written_end(both(9_800));
-    noted.note_claimed(Millis(9_000), false, &limits);
+    noted.note_claimed(Millis(9_000), true, &limits);
     assert_eq!(end(&noted), Millis(9_800));
+    let mut restarted = LeaseBound::inherited(later);
+    restarted.note_written_end(both(9_800));
+    restarted.note_claimed(Millis(9_000), false, &limits);
+    assert_eq!(end(&restarted), Millis(9_000) + longest);
 }
 
 /// A new owner cannot reach a worker, whose lease the previous owner of an earlier version may have renewed until the end
@@ -354,3 +364,27 @@
     assert!(read.ends.confirmed >= silent.ends.confirmed);
     assert!(read.is_confirmed(6) && !read.is_confirmed(7));
 }
+
+/// Guards against a run of a new owner on a restarted worker that is given up while the lease lasts which the worker got
+/// before, by a renewal of the earlier owner in transit.
+#[test]
+fn a_claim_expects_renewals_that_met_a_restart() {
+    for longest in [6, 10].map(Duration::from_secs) {
+        let limits = limits_for(longest);
+        let longest = longest + longest / limits.drift_parts;
+        let row = limits.after_row();
+        let earlier = EarlierOwners::by_row(Millis(0), row, LeasesLeft::default(), &limits);
+        for claimed_at in (0..20_000).step_by(100).map(Millis) {
+            let mut bound = LeaseBound::inherited(earlier.ends());
+            bound.note_written_end(both(6_000));
+            bound.note_claimed(claimed_at, false, &limits);
+            let last_effect = Millis(0) + limits.after_renewal + limits.transit * 2;
+            let lease_ends = claimed_at.min(last_effect) + longest;
+            let (_, end) = bound.latest_end(true, &limits);
+            assert!(
+                end >= lease_ends,
+                "{claimed_at:?}: {end:?} < {lease_ends:?}"
+            );
+        }
+    }
+}
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -281,6 +281,11 @@
             .borrow()
             .clone()
             .expect("an owner");
+        // Without a load of its own, the shard does not ask for that of another one.
+        until("the workers are claimed", LIMIT, async || {
+            !owner.open_workers(&first).is_empty()
+        })
+        .await;
         let submit = || {
             let (cx, owner) = (Rc::clone(&first), Rc::clone(&owner));
             actix_rt::spawn(async move {
