--- a/src/lapisdrum/sched/owner/failed_on.rs
+++ b/src/lapisdrum/sched/owner/failed_on.rs
@@ -29,7 +29,7 @@
         workers.insert(worker.to_owned(), now);
     }
 
-    /// Whether a task has failed recently, as a function of the worker.
+    /// Returns a function that tells of a worker whether the task has failed there recently.
     pub fn recent(&self, task: &TaskId, now: Millis) -> impl Fn(&str) -> bool {
         let workers = self.by_task.get(task);
         move |worker| {
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -141,8 +141,9 @@
         listed.chain(forgotten).take(MAX_LISTED).collect()
     }
 
-    /// Until when the leases on a worker last: those of its confirmed runs as known here, also where
-    /// other runs may last longer. `None` while a call is in flight that a run may get its lease by.
+    /// Until when the leases on a worker last. The end for its confirmed runs counts for the
+    /// long-running ones that were placed before the first one which is not confirmed. `None` while a
+    /// call is in flight that may extend the lease of a run.
     fn ends_on(&self, session: &Session, limits: &LeaseLimits) -> Option<SilentWorker> {
         let are_confirmed = self.are_confirmed(session);
         let unconfirmed = session.bound.ends_at(are_confirmed, limits)?;
@@ -165,9 +166,9 @@
         })
     }
 
-    /// Whether each worker with runs has answered this owner or is known to be silent, or has had the
-    /// time for it. Until then nothing is sent to workers, and rows say what they said before: this
-    /// owner would otherwise be taken for the sender of leases to workers that it has not reached.
+    /// Whether each worker with runs has answered this owner or is known to be silent, or
+    /// [`FIRST_CONTACT_TIME`] has passed. Until then no lease is sent, and rows name the last sender:
+    /// the next owner would otherwise expect leases of this one on workers that it has not reached.
     pub fn has_contacted_workers(&self, now: Millis) -> bool {
         let Some(recovered_at) = self.recovered_at.get() else {
             return false;
@@ -181,7 +182,7 @@
             || with_runs().all(is_settled)
     }
 
-    /// Has the lease row written by which leases may be sent as soon as the workers are contacted.
+    /// Requests the first row under which leases may be sent, once the workers are contacted.
     pub async fn renew_after_first_contact(self: Rc<Self>, cx: Cx) {
         while self.is_serving() && !self.has_contacted_workers(cx.clock.now()) {
             tokio::time::sleep(FIRST_CONTACT_CHECK).await;
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -508,8 +508,8 @@
             .is_some_and(|before| placed_row < before)
     }
 
-    /// This one, or a later one of the same owner: all leases end by the earlier of both ends, and
-    /// those of confirmed runs by the one that knows of more such runs.
+    /// What follows from two statements of the same owner: all leases end by the earlier of both ends,
+    /// and those of confirmed runs as the one says that knows of more such runs.
     pub fn min(self, other: Self) -> Self {
         let all = self.ends.unconfirmed.min(other.ends.unconfirmed);
         let knows_more = match other.confirmed_before >= self.confirmed_before {
@@ -764,8 +764,9 @@
 
     /// Records the first reply of an incarnation under this owner's token, at `at`: from then on the
     /// incarnation refuses calls of earlier owners, and leases that they sent earlier end at most
-    /// one lease after `at`, or as their rows say if that is earlier. `has_confirmed_run` says whether an earlier owner confirmed a run on
-    /// this incarnation, so that the bound on confirmed runs holds there.
+    /// one lease after `at`, or as their rows say if that is earlier. `has_confirmed_run` says
+    /// whether an earlier owner confirmed a run on this incarnation, so that the bound on confirmed
+    /// runs holds there.
     pub fn note_claimed(&mut self, at: Millis, has_confirmed_run: bool, limits: &LeaseLimits) {
         let longest = at + limits.longest_on_own_clock();
         let until = match self.inherited.take() {
