Settings switch optional features on

Cause: parts that are built for some deployments need a switch that all of them share, off by default, so that other deployments are served as before. Ruled out: a switch for each part in its own module, which would read the settings in several places.

--- /dev/null
+++ b/src/lapisdrum/sched/features.rs
@@ -0,0 +1,15 @@
+//! Optional features of the scheduler, which a deployment's settings switch on.
+
+/// Which optional features are on; none by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Features {
+    /// Whether an owner that is told to stop hands its shards over to a prepared successor.
+    pub planned_handover: bool,
+    /// Whether jobs go to the shard that is expected to start them first.
+    pub load_routing: bool,
+    /// Whether callers that compete for capacity share it by weight.
+    pub fair_sharing: bool,
+    /// Factor by which a task is slower away from its data or from its gang; tasks wait for a place
+    /// near them only where it is given.
+    pub far_slowdown: Option<f64>,
+}
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -14,6 +14,7 @@
 pub mod edge;
 pub mod evacuation;
 pub mod event;
+pub mod features;
 pub mod front;
 pub mod job;
 pub mod journal;
@@ -36,6 +37,7 @@
     policy::{dispatch::timings::Timings, polling::PollRate},
 };
 use edge::{CallError, Catalogue, Directory, Store, Workers};
+use features::Features;
 use indexmap::IndexMap;
 use layout::{Layout, ShardId};
 use lease::{Holder, LeaseView};
@@ -86,6 +88,8 @@
     pub retention: Duration,
     /// Longest time that a graceful shutdown may take.
     pub drain: Duration,
+    /// Optional features.
+    pub features: Features,
 }
 
 /// State of one shard as this process knows it.
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -27,6 +27,7 @@
             WorkerReport, Workers,
         },
         event::{RunEnd, RunId, WorkerIncarnation},
+        features::Features,
         job::{JobId, JobSpec, QueueConfig, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
         lease, operators,
@@ -254,6 +255,8 @@
     outdated_directory: RefCell<Option<Vec<WorkerReport>>>,
     /// Target number of workers per shard, for daemons created from now on; unlimited by default.
     pub(crate) workers_per_shard: Cell<usize>,
+    /// Optional features of daemons created from now on; none by default.
+    pub(crate) features: Cell<Features>,
     /// Time that a poll response is under way after it was made.
     pub(crate) response_delay: Cell<Duration>,
     /// Maximum number of ends in a poll response.
@@ -344,6 +347,7 @@
             directory_is_silent: Cell::new(false),
             outdated_directory: RefCell::default(),
             workers_per_shard: Cell::new(usize::MAX),
+            features: Cell::default(),
             response_delay: Cell::default(),
             max_listed_ends: Cell::new(MAX_LISTED_ENDS),
             starts: RefCell::default(),
@@ -460,6 +464,7 @@
             cpu_share: 0.25,
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
+            features: self.features.get(),
         };
         let process = Rc::new(Process::default());
         let store = Rc::new(StoreHandle {
