--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -74,6 +74,23 @@
     pub version: u64,
 }
 
+/// Rows of a table that have changed, over all partitions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The rows as they were written, oldest first, each with its partition; without deleted rows.
+    pub rows: Vec<(String, Row)>,
+    /// Version up to which changes are included.
+    pub newest: u64,
+}
+
+impl Changes {
+    /// The changed rows of one partition, oldest first.
+    pub fn of(&self, partition: &str) -> Vec<&Row> {
+        let rows = self.rows.iter().filter(|(of, _)| of == partition);
+        rows.map(|(_, row)| row).collect()
+    }
+}
+
 /// An atomic transaction over rows of one partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Txn {
@@ -111,6 +128,13 @@
         partition: &'a str,
         from: &'a str,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, CallError>>;
+    /// Reads what was written in all partitions of a table after version `after`. The answer may
+    /// be late by seconds, and fails once the store has dropped that part of its history.
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+    ) -> LocalBoxFuture<'a, Result<Changes, CallError>>;
     /// Stores an object under a name.
     fn put_object<'a>(
         &'a self,
--- a/src/lapisdrum/sched/features.rs
+++ b/src/lapisdrum/sched/features.rs
@@ -9,6 +9,11 @@
     pub load_routing: bool,
     /// Whether callers that compete for capacity share it by weight.
     pub fair_sharing: bool,
+    /// Whether the leases of several shards are read by the changes of their table.
+    pub lease_feed: bool,
+    /// Whether snapshots are stored by the size of the rows since the last one, so that recoveries
+    /// are short on hosts with slow links.
+    pub quick_recovery: bool,
     /// Factor by which a task is slower away from its data or from its gang; tasks wait for a place
     /// near them only where it is given.
     pub far_slowdown: Option<f64>,
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -68,6 +68,9 @@
 const RETRY_DELAYS: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 /// Rows between two snapshots, so that a new owner reads at most two pages of rows.
 const SNAPSHOT_INTERVAL_ROWS: u64 = 400;
+/// Bytes of rows between two snapshots where recoveries are kept short: a host with 10 Mbit/s reads
+/// them in half a second.
+const SNAPSHOT_INTERVAL_BYTES: u64 = 512 * 1024;
 /// A store that takes longer than this for a transaction is slow, and snapshots are postponed: each
 /// costs the partition seven transactions, which the journal rows need then.
 const FAST_TXN: Duration = Duration::from_millis(100);
@@ -392,7 +395,11 @@
             let last = first + batch.rows.len() as u64 - 1;
             let bytes: usize = batch.rows.iter().map(Bytes::len).sum();
             self.inner.borrow_mut().uncovered_bytes += bytes as u64;
-            let is_snapshot_due = self.note_written(last, started_at, took);
+            let interval_bytes = match cx.cfg.features.quick_recovery {
+                true => SNAPSHOT_INTERVAL_BYTES,
+                false => u64::MAX,
+            };
+            let is_snapshot_due = self.note_written(last, started_at, took, interval_bytes);
             for tx in batch.waiting {
                 // The receiver may have timed out and dropped its half.
                 let _ = tx.send(AppendOutcome::Durable);
@@ -435,17 +442,24 @@
     }
 
     /// Records that the rows up to `last` are committed, by a transaction that was first sent at
-    /// `started_at`. Returns whether a snapshot is due, which requires that the state has no events
+    /// `started_at`. Returns whether a snapshot is due, also after `interval_bytes`, which requires that the state has no events
     /// beyond these rows.
-    fn note_written(&self, last: u64, started_at: Millis, took: Duration) -> bool {
+    fn note_written(
+        &self,
+        last: u64,
+        started_at: Millis,
+        took: Duration,
+        interval_bytes: u64,
+    ) -> bool {
         let mut inner = self.inner.borrow_mut();
         inner.in_flight_since = None;
         inner.last_duration = took;
         inner.rows_since_snapshot += last - inner.last_row;
         inner.last_row = last;
         let rows = inner.rows_since_snapshot;
-        let is_due =
-            rows >= MAX_ROWS_SINCE_SNAPSHOT || (rows >= SNAPSHOT_INTERVAL_ROWS && took < FAST_TXN);
+        let is_interval_over =
+            rows >= SNAPSHOT_INTERVAL_ROWS || inner.uncovered_bytes >= interval_bytes;
+        let is_due = rows >= MAX_ROWS_SINCE_SNAPSHOT || (is_interval_over && took < FAST_TXN);
         let is_allowed = is_due && inner.retry.is_due(started_at + took);
         is_allowed && inner.pending.is_empty() && !inner.is_storing_snapshot
     }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -14,6 +14,7 @@
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
     journal::{Piggyback, PiggybackOutcome, PiggybackReply},
     layout::ShardId,
+    lease_feed,
     owner::{
         Owner, poll,
         stop_note::{self, StopNote},
@@ -231,6 +232,27 @@
         Ok(())
     }
 
+    /// Records the rows that have changed since the last read, oldest first; those that were read
+    /// before are skipped. Returns an error if the lease row is malformed.
+    pub fn note_changed(&mut self, rows: &[&Row], now: Millis) -> Result<(), serde_json::Error> {
+        for row in rows {
+            if row.key == LEASE_KEY && row.version > self.version {
+                self.row = Some(serde_json::from_slice(&row.value)?);
+                (self.version, self.since) = (row.version, now);
+            }
+            if row.key == FENCE_KEY && row.version > self.fence {
+                (self.fence, self.fence_since) = (row.version, now);
+            }
+        }
+        self.read_at = Some(now);
+        Ok(())
+    }
+
+    /// Newest version of the rows; 0 if there are none.
+    pub fn newest_version(&self) -> u64 {
+        self.version.max(self.fence)
+    }
+
     /// Returns the holder, unless the lease was released or has lapsed at `now`. A daemon that
     /// cannot read the rows uses the last known holder: the store may be unavailable to this host
     /// only, and a daemon that no longer holds the lease says so when it is called.
@@ -444,6 +466,9 @@
     super::layout::load_or_create(&cx).await;
     let shards: Vec<_> = cx.layout.borrow().iter().flat_map(|l| l.all()).collect();
     let pause = (POLL / shards.len().max(1) as u32).max(MIN_PAUSE);
+    if cx.cfg.features.lease_feed && lease_feed::is_useful(shards.len()) {
+        lease_feed::follow(&cx, &shards, pause).await;
+    }
     for shard in poll_order(&shards, cx.me.incarnation).into_iter().cycle() {
         poll_shard(&cx, &cx.handle(shard)).await;
         tokio::time::sleep(cx.read_rate.get().pause(pause)).await;
@@ -468,10 +493,31 @@
     others.iter().flat_map(round).collect()
 }
 
-async fn poll_shard(cx: &Cx, handle: &Rc<ShardHandle>) {
-    if let Err(e) = read(cx, handle).await {
-        cx.note_store(Err(&e));
+/// Reads the lease of a shard and takes the shard over if it is free; returns whether the read
+/// succeeded.
+pub(super) async fn poll_shard(cx: &Cx, handle: &Rc<ShardHandle>) -> bool {
+    let read = read(cx, handle).await;
+    if let Err(e) = &read {
+        cx.note_store(Err(e));
+    }
+    act(cx, handle).await;
+    read.is_ok()
+}
+
+/// Reads the lease of a shard again, and acts on it, if its last known row calls for a probe or a
+/// take-over.
+pub(super) async fn act_if_due(cx: &Cx, handle: &Rc<ShardHandle>) {
+    let is_due = {
+        let (lease, now) = (handle.lease.borrow(), cx.clock.now());
+        lease.suspected(now).is_some() || lease.is_free_for(&cx.me, now)
+    };
+    if is_due && handle.owner.borrow().is_none() && !cx.is_draining() {
+        poll_shard(cx, handle).await;
     }
+}
+
+/// Probes a suspected holder, and takes the shard over if it is free.
+async fn act(cx: &Cx, handle: &Rc<ShardHandle>) {
     let is_own = handle.owner.borrow().is_some();
     if is_own || cx.is_draining() {
         return;
@@ -548,6 +594,31 @@
     handle.lease.borrow_mut().answer_took = now.since(sent_at);
     let noted = handle.lease.borrow_mut().note(&rows, now);
     noted.map_err(|e| CallError::new(format!("the lease row is malformed: {e}")))?;
+    note_owner(handle, before);
+    Ok(())
+}
+
+/// Records changed rows of a shard, as answered to a call that was sent at `sent_at`. Returns an
+/// error if the lease row is malformed.
+pub(super) fn note_changed(
+    cx: &Cx,
+    handle: &ShardHandle,
+    rows: &[&Row],
+    sent_at: Millis,
+) -> Result<(), serde_json::Error> {
+    let before = handle.lease.borrow().fence;
+    let now = cx.clock.now();
+    let mut lease = handle.lease.borrow_mut();
+    lease.answer_took = now.since(sent_at);
+    lease.note_changed(rows, now)?;
+    drop(lease);
+    note_owner(handle, before);
+    Ok(())
+}
+
+/// Logs a change of the owner, and ends the own ownership if another daemon has taken the shard.
+/// `before` is the fence of the read before.
+fn note_owner(handle: &ShardHandle, before: u64) {
     let view = handle.lease.borrow().clone();
     if view.fence != before {
         let holder = view.row.map(|row| row.holder.daemon).unwrap_or_default();
@@ -557,7 +628,6 @@
     if let Some(own) = own.filter(|own| view.fence > own.token()) {
         own.mark_lost("another daemon has taken the shard");
     }
-    Ok(())
 }
 
 async fn try_take(cx: &Cx, handle: &Rc<ShardHandle>) -> eyre::Result<()> {
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -88,8 +88,9 @@
         pub terms: QueueConfig,
         /// Time of acceptance, in Unix milliseconds.
         pub accepted_unix_ms: u64,
-        /// By number; an occurrence is added when one of its tasks is first placed or adopted, and
-        /// removed when it is done and none of its runs may be alive.
+        /// By number; an occurrence is added when one of its tasks is first placed or adopted. That
+        /// of a schedule is removed when it is done and none of its runs may be alive, and all are
+        /// removed when the job has ended and none of its runs may be alive.
         pub occurrences: BTreeMap<u32, Occurrence>,
         /// Occurrences that are done.
         pub occurrences_done: DoneOccurrences,
@@ -523,6 +524,7 @@
             _ => {}
         }
         job.drop_if_over(id.occurrence);
+        job.drop_if_ended();
         Ok(())
     }
 
@@ -531,6 +533,7 @@
             let was_live = job.take_live(run);
             job.has_started |= was_live && !is_unstarted;
             job.drop_if_over(run.task.occurrence);
+            job.drop_if_ended();
         }
         Ok(())
     }
@@ -539,6 +542,7 @@
         let job = self.job_mut(id)?;
         if job.phase == Phase::Active {
             job.finish(Phase::Cancelled, at_unix_ms);
+            job.drop_if_ended();
         }
         Ok(())
     }
@@ -749,10 +753,25 @@
         }
     }
 
+    /// Drops the state of all tasks of a job that has ended, once none of its runs may be alive. An
+    /// ended job is kept for minutes, and its tasks would be most of what a take-over reads. Tasks in
+    /// other shards are kept: these still have to learn the end.
+    fn drop_if_ended(&mut self) {
+        let is_needed = |task: &Task| !task.live.is_empty() || task.elsewhere.is_some();
+        let occurrences = self.occurrences.values();
+        let mut tasks = occurrences.flat_map(|o| o.steps.iter().flat_map(|step| &step.tasks));
+        if self.phase != Phase::Active && !self.is_guest && !tasks.any(is_needed) {
+            self.occurrences.clear();
+        }
+    }
+
     fn step_mut(&mut self, id: &StepId) -> Option<&mut StepState> {
         if self.occurrences_done.dropped.contains(id.occurrence) {
             return None;
         }
+        if self.phase != Phase::Active && !self.occurrences.contains_key(&id.occurrence) {
+            return None;
+        }
         if !self.is_guest {
             let spec = &self.spec;
             let new = || Occurrence {
@@ -796,7 +815,8 @@
             return;
         };
         for (index, task) in step.tasks.iter_mut().enumerate() {
-            if gang != Gang::No || index == run.task.index as usize {
+            let is_of_task = gang != Gang::No || index == run.task.index as usize;
+            if is_of_task && !task.is_done {
                 task.checkpoint = Some(checkpoint.to_owned());
             }
         }
@@ -812,6 +832,7 @@
             let counts = gang != Gang::No || index == run.task.index as usize;
             if counts && !task.is_done {
                 task.is_done = true;
+                task.checkpoint = None;
                 step.done += 1;
                 if !task.live.is_empty() {
                     step.running -= 1;
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -20,6 +20,7 @@
 pub mod journal;
 pub mod layout;
 pub mod lease;
+pub mod lease_feed;
 pub mod ledger;
 pub mod metrics;
 pub mod numbers;
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -491,7 +491,8 @@
     }
     stop_runs_of_ended_jobs(cx, owner);
     let took_ms = cx.clock.now().since(owner.taken_at).as_millis() as u64;
-    log::info!(shard:% = owner.handle.partition, token = owner.token(), jobs, runs, took_ms; "shard recovered");
+    let row_bytes = owner.journal.usage().bytes;
+    log::info!(shard:% = owner.handle.partition, token = owner.token(), jobs, runs, took_ms, row_bytes; "shard recovered");
 }
 
 /// Stops runs of ended jobs: the previous owner may have ended between a job's end and the stop
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -614,3 +614,68 @@
     assert!(has_started(&[first(), lost(false)]));
     assert!(has_started(&[first(), ended(run(0, 0, 1), RunEnd::Failed)]));
 }
+
+fn has_task_state(ledger: &Ledger) -> bool {
+    !ledger.jobs[&JobId(1)].occurrences.is_empty()
+}
+
+/// Guards against snapshots that grow with the tasks of ended jobs, so that a take-over reads them for seconds while
+/// the leases of all running tasks end.
+#[test]
+fn an_ended_job_keeps_no_task_state_once_its_runs_have_ended() {
+    let mut ledger = with_job(spec(vec![step(2, 10, &[])]));
+    for index in 0..2 {
+        ledger.apply(&placed(run(0, index, 1))).expect("it is free");
+    }
+    let cancelled = Event::Cancelled {
+        job: JobId(1),
+        at_unix_ms: 2_000,
+    };
+    ledger.apply(&cancelled).expect("it is active");
+    let stopped = |index| ended(run(0, index, 1), RunEnd::Stopped);
+    ledger.apply(&stopped(0)).expect("the run was live");
+    assert!(has_task_state(&ledger), "a run may be alive");
+    ledger.apply(&stopped(1)).expect("the run was live");
+    assert!(!has_task_state(&ledger));
+}
+
+/// Guards against a late report that revives the state of an ended job, or changes how it ended.
+#[test]
+fn late_reports_about_an_ended_job_change_nothing() {
+    let mut ledger = with_job(spec(vec![step(1, 10, &[])]));
+    ledger.apply(&placed(run(0, 0, 1))).expect("it is free");
+    let done = ended(run(0, 0, 1), RunEnd::Done);
+    ledger.apply(&done).expect("the run was live");
+    assert!(!has_task_state(&ledger));
+    let before = ledger.clone();
+    let lost = Event::Lost {
+        run: run(0, 0, 1),
+        why: Loss::Lapsed,
+        is_unstarted: false,
+    };
+    for late in [done, ended(run(0, 0, 1), RunEnd::Failed), lost] {
+        ledger.apply(&late).expect("a repeat is valid");
+        assert_eq!(ledger, before);
+    }
+}
+
+/// Guards against an ended job that no longer knows which shard still has to learn its end.
+#[test]
+fn an_ended_job_keeps_the_tasks_in_other_shards() {
+    let mut ledger = with_job(long_running());
+    ledger.apply(&placed(run(0, 0, 1))).expect("it is free");
+    let stopped = ended(run(0, 0, 1), RunEnd::Stopped);
+    ledger.apply(&stopped).expect("the run was live");
+    let delegated = Event::Delegated {
+        task: run(0, 0, 1).task,
+        to: ShardId(1),
+    };
+    ledger.apply(&delegated).expect("it is not running");
+    let cancelled = Event::Cancelled {
+        job: JobId(1),
+        at_unix_ms: 2_000,
+    };
+    ledger.apply(&cancelled).expect("it is active");
+    let delegated = ledger.jobs[&JobId(1)].delegated(JobId(1));
+    assert_eq!(delegated[&ShardId(1)].len(), 1);
+}
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -12,6 +12,7 @@
 mod journal;
 mod layout;
 mod learning;
+mod lease_feed;
 mod ledger;
 mod listed_ends;
 mod lost_owners;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -90,6 +90,18 @@
     RefusesReads,
 }
 
+/// How the store answers calls for the changes of a table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FeedBehaviour {
+    /// With all changes.
+    #[default]
+    Current,
+    /// Without changes after this version.
+    BehindAfter(u64),
+    /// With an error, since the history is dropped.
+    Dropped,
+}
+
 /// What happens to one commit or change of an object, instead of what [`StoreBehaviour`] says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallFate {
@@ -245,6 +257,10 @@
     paths_cut: RefCell<IndexSet<(String, String)>>,
     /// Number of reads of leases, answered or refused.
     pub(crate) lease_reads: Cell<usize>,
+    /// Number of calls for changes of a table, answered or refused.
+    pub(crate) feed_reads: Cell<usize>,
+    /// How calls for changes of a table are answered.
+    pub(crate) feed: Cell<FeedBehaviour>,
     /// Number of reads of the operators' state, answered or refused.
     pub(crate) operator_reads: Cell<usize>,
     /// Whether reads of the operators' state get no answer.
@@ -342,6 +358,8 @@
             orders_outlive_crashes: Cell::new(false),
             paths_cut: RefCell::default(),
             lease_reads: Cell::default(),
+            feed_reads: Cell::default(),
+            feed: Cell::default(),
             operator_reads: Cell::default(),
             operators_are_silent: Cell::new(false),
             directory_is_silent: Cell::new(false),
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -1,13 +1,13 @@
 //! The simulated store: rows with one version counter, objects, and scripted faults for each daemon.
 
 use super::{
-    CALL_TIMEOUT, CallFate, CommitKind, MAX_QUEUE_TIME, MAX_ROW_BYTES, MAX_TXN_BYTES, ObjectCall,
-    Process, Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY, StoreBehaviour, World,
-    no_answer, too_many_reads,
+    CALL_TIMEOUT, CallFate, CommitKind, FeedBehaviour, MAX_QUEUE_TIME, MAX_ROW_BYTES,
+    MAX_TXN_BYTES, ObjectCall, Process, Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY,
+    StoreBehaviour, World, no_answer, too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::{
-    edge::{CallError, Row, RowKey, Store, Txn, TxnOutcome},
+    edge::{CallError, Changes, Row, RowKey, Store, Txn, TxnOutcome},
     lease::OWNERS_TABLE,
 };
 use std::{collections::VecDeque, rc::Rc};
@@ -210,6 +210,48 @@
             .boxed_local()
     }
 
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+    ) -> LocalBoxFuture<'a, Result<Changes, CallError>> {
+        self.process
+            .call(async move {
+                if !self.reach().await {
+                    return Err(no_answer());
+                }
+                let reads = &self.world.feed_reads;
+                reads.set(reads.get() + 1);
+                let rows = self.world.rows.borrow();
+                let newest = match self.world.feed.get() {
+                    FeedBehaviour::Current => rows.version,
+                    FeedBehaviour::BehindAfter(version) => version.max(after),
+                    FeedBehaviour::Dropped => {
+                        return Err(CallError::new("the history is dropped"));
+                    }
+                };
+                let of_table = rows.rows.iter().filter(|((t, ..), _)| t == table);
+                let changed = of_table
+                    .filter(|(_, (_, version))| *version > after && *version <= newest)
+                    .map(|((t, p, k), (value, version))| {
+                        let row = Row {
+                            table: t.clone(),
+                            key: k.clone(),
+                            value: value.clone(),
+                            version: *version,
+                        };
+                        (p.clone(), row)
+                    });
+                let mut changed: Vec<(String, Row)> = changed.collect();
+                changed.sort_by_key(|(_, row)| row.version);
+                Ok(Changes {
+                    rows: changed,
+                    newest,
+                })
+            })
+            .boxed_local()
+    }
+
     fn put_object<'a>(
         &'a self,
         name: &'a str,
