Daemons draw from one source that tests seed

Cause: random stories on the real daemons failed now and then with the same seed, since the daemons drew jitter, incarnations, nonces and backoff from the system, so that no failure could be traced. Change: core::random::Random, a field of Node that production seeds from the system; all of sched draws from it. The simulated cluster gives each daemon a seed of its own, drawn from the system unless the test sets one. The stories of sched::owner_losses, sched::outages and sched::random name a seed; tests that repeat one story for its chance draw a new seed each time, as before. Conclusion: stories repeat (`a_story_repeats`); ports, the time of day and draws inside libraries still differ.

--- a/src/lapisdrum/core/mod.rs
+++ b/src/lapisdrum/core/mod.rs
@@ -7,5 +7,6 @@
 pub mod id;
 pub mod job;
 pub mod outcome;
+pub mod random;
 pub mod size;
 pub mod time;
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -30,6 +30,7 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use futures::FutureExt;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 use snapshots::{Obsolete, Retry, Snapshot};
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
@@ -379,7 +380,7 @@
     }
 
     async fn write_rows(&self, cx: &Cx, state: impl Fn() -> Vec<u8>) {
-        while let Some(batch) = self.next_batch().await {
+        while let Some(batch) = self.next_batch(cx).await {
             let started_at = cx.clock.now();
             self.inner.borrow_mut().in_flight_since = Some(started_at);
             let first = self.inner.borrow().last_row + 1;
@@ -404,19 +405,19 @@
         }
     }
 
-    async fn next_batch(&self) -> Option<Batch> {
+    async fn next_batch(&self, cx: &Cx) -> Option<Batch> {
         loop {
             if self.inner.borrow().is_lost {
                 return None;
             }
-            if let Some(batch) = self.take_batch() {
+            if let Some(batch) = self.take_batch(cx) {
                 return Some(batch);
             }
             self.work.notified().await;
         }
     }
 
-    fn take_batch(&self) -> Option<Batch> {
+    fn take_batch(&self, cx: &Cx) -> Option<Batch> {
         let mut inner = self.inner.borrow_mut();
         inner.pending.front()?;
         let mut batch = Batch {
@@ -429,7 +430,7 @@
                 break;
             }
             let body = take_body(&mut inner.pending, &mut batch.waiting);
-            batch.rows.extend(rows_of(&body));
+            batch.rows.extend(rows_of(&body, &mut cx.rng()));
         }
         Some(batch)
     }
@@ -499,7 +500,7 @@
             if self.inner.borrow().is_lost {
                 return WriteVerdict::Fenced;
             }
-            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
+            tokio::time::sleep(backoff.next_wait(&mut cx.rng())).await;
         }
     }
 
@@ -564,16 +565,18 @@
 }
 
 /// Encodes lines as one row, or as several if they are a single event beyond the maximum of one.
-fn rows_of(body: &[u8]) -> Vec<Bytes> {
+fn rows_of(body: &[u8], rng: &mut impl Rng) -> Vec<Bytes> {
     // A row without lines is written too, since an append without events is durable once it is.
     let (first, rest) = body.split_at(body.len().min(MAX_ROW_BYTES));
-    let rest = rest.chunks(MAX_ROW_BYTES).map(|part| row_of(true, part));
-    std::iter::once(row_of(false, first)).chain(rest).collect()
+    let first = row_of(false, first, rng);
+    let rest = rest.chunks(MAX_ROW_BYTES);
+    let rest = rest.map(|part| row_of(true, part, rng));
+    std::iter::once(first).chain(rest).collect()
 }
 
-fn row_of(continues: bool, part: &[u8]) -> Bytes {
+fn row_of(continues: bool, part: &[u8], rng: &mut impl Rng) -> Bytes {
     let head = RowHead {
-        nonce: rand::random(),
+        nonce: rng.random(),
         continues,
     };
     let mut row = serde_json::to_vec(&head).unwrap_or_default();
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -28,6 +28,7 @@
 };
 use bytes::Bytes;
 use eyre::WrapErr as _;
+use rand::Rng;
 use std::{collections::VecDeque, future::pending, time::Duration};
 
 const SNAPSHOT_KEY: &str = "latest";
@@ -92,8 +93,8 @@
     }
 
     /// Records a failure at `now`, and returns the time until the next attempt.
-    fn note_failed(&mut self, now: Millis) -> Duration {
-        let wait = self.backoff.next_wait(&mut rand::rng());
+    fn note_failed(&mut self, now: Millis, rng: &mut impl Rng) -> Duration {
+        let wait = self.backoff.next_wait(rng);
         self.not_before = Some(now + wait);
         wait
     }
@@ -208,7 +209,7 @@
             Err(e) => {
                 cx.metrics.snapshot_failures.inc();
                 let mut inner = self.inner.borrow_mut();
-                let retry_in = inner.retry.note_failed(cx.clock.now());
+                let retry_in = inner.retry.note_failed(cx.clock.now(), &mut cx.rng());
                 let rows = inner.rows_since_snapshot;
                 log::warn!(shard:% = self.partition, row, bytes, rows, error:% = format!("{e:#}"), retry_in:?; "snapshot failed");
             }
@@ -269,7 +270,7 @@
             if verdict != PointerVerdict::SendAgain || self.inner.borrow().is_lost {
                 return verdict;
             }
-            tokio::time::sleep(backoff.next_wait(&mut rand::rng())).await;
+            tokio::time::sleep(backoff.next_wait(&mut cx.rng())).await;
         }
     }
 
@@ -303,7 +304,7 @@
             obsolete.backoff.reset();
             return;
         }
-        let retry_in = obsolete.backoff.next_wait(&mut rand::rng());
+        let retry_in = obsolete.backoff.next_wait(&mut cx.rng());
         let retry_at = Some(cx.clock.now() + retry_in);
         obsolete.rows_due_at = retry_at.filter(|_| rows_left.is_some());
         if objects_left.is_some() {
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -484,7 +484,7 @@
     let restart_delay = handle.lease.borrow().rolling_restart_delay(up);
     let is_first_in_line = restart_delay == Duration::ZERO && handle.lease.borrow().is_released();
     let jitter = handle.lease.borrow().takeover_jitter(is_first_in_line);
-    let jitter = rand::rng().random_range(Duration::ZERO..=jitter);
+    let jitter = cx.rng().random_range(Duration::ZERO..=jitter);
     let owned_delay = DELAY_PER_OWNED_SHARD * cx.owners().len() as u32;
     let waits = [
         jitter,
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -33,7 +33,10 @@
 pub mod shape;
 
 use crate::{
-    core::time::{Clock, Millis},
+    core::{
+        random::Random,
+        time::{Clock, Millis},
+    },
     policy::{dispatch::timings::Timings, polling::PollRate},
 };
 use edge::{CallError, Catalogue, Directory, Store, Workers};
@@ -42,6 +45,7 @@
 use layout::{Layout, ShardId};
 use lease::{Holder, LeaseView};
 use owner::Owner;
+use rand::Rng;
 use resolution::LeaseLimits;
 use restart::RestartLimits;
 use std::{
@@ -114,6 +118,8 @@
     pub me: Holder,
     /// Monotonic clock, started with the process.
     pub clock: Clock,
+    /// Source of all random numbers that the process draws; see [`Self::rng`].
+    random: Random,
     /// The transactional store.
     pub store: Rc<dyn Store>,
     /// Client for calls to workers.
@@ -149,6 +155,7 @@
     pub fn new(
         cfg: NodeSettings,
         clock: Clock,
+        random: Random,
         store: Rc<dyn Store>,
         workers: Rc<dyn Workers>,
         directory: Rc<dyn Directory>,
@@ -156,11 +163,12 @@
         let me = Holder {
             daemon: cfg.name.clone(),
             address: cfg.peers.to_string(),
-            incarnation: rand::random::<u64>() >> 1,
+            incarnation: (&random).random::<u64>() >> 1,
         };
         Rc::new(Self {
             me,
             clock,
+            random,
             store,
             workers,
             directory,
@@ -179,6 +187,11 @@
         })
     }
 
+    /// Generator of random numbers; it may be held across an `await`.
+    pub fn rng(&self) -> &Random {
+        &self.random
+    }
+
     /// The handle of a shard, created on first use.
     pub fn handle(&self, shard: ShardId) -> Rc<ShardHandle> {
         let mut handles = self.handles.borrow_mut();
--- a/src/lapisdrum/sched/operators.rs
+++ b/src/lapisdrum/sched/operators.rs
@@ -21,7 +21,7 @@
         let read = cx.directory.operator_state().await;
         cx.note_store(read.as_ref().map(|_| ()));
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
-        let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut rand::rng());
+        let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
         if let Ok(read) = read {
             adopt(&cx, read, asked_at);
         }
--- a/src/lapisdrum/sched/owner/balance.rs
+++ b/src/lapisdrum/sched/owner/balance.rs
@@ -115,7 +115,7 @@
     if needs.long_running.is_empty() || is_bound {
         return None;
     }
-    let other = draw(&layout, owner.handle.shard)?;
+    let other = draw(&layout, owner.handle.shard, &mut cx.rng())?;
     let theirs = load_of(cx, other, needs).await?;
     is_less_loaded(own, theirs).then_some((other, theirs))
 }
@@ -130,10 +130,10 @@
     }
 }
 
-fn draw(layout: &Layout, own: ShardId) -> Option<ShardId> {
+fn draw(layout: &Layout, own: ShardId, rng: &mut impl Rng) -> Option<ShardId> {
     let others: Vec<ShardId> = layout.all().filter(|shard| *shard != own).collect();
     if others.is_empty() {
         return None;
     }
-    Some(others[rand::rng().random_range(0..others.len())])
+    Some(others[rng.random_range(0..others.len())])
 }
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -22,7 +22,7 @@
         let read = cx.directory.workers().await;
         cx.note_store(read.as_ref().map(|_| ()));
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
-        let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut rand::rng());
+        let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
         if let Ok(reports) = read {
             layout::extend(&cx, &reports, owner.handle.shard == ShardId(0)).await;
             let own = of_shard(&cx, owner.handle.shard, reports);
--- a/tests/testsuite/sched/outages.rs
+++ b/tests/testsuite/sched/outages.rs
@@ -145,13 +145,17 @@
     jobs: Vec<Tasks>,
     /// Faults with the milliseconds that pass after each.
     faults: Vec<(u64, Fault)>,
+    /// Seed of the daemons' random numbers.
+    seed: u64,
 }
 
 fn any_story() -> impl Strategy<Value = Story> {
     let jobs = prop::collection::vec(any_tasks(), 1..7);
     let wait = prop_oneof![1 => 0..50_u64, 2 => 0..2_500_u64];
     let faults = prop::collection::vec((wait, any_fault()), 1..14);
-    (jobs, faults).prop_map(|(jobs, faults)| Story { jobs, faults })
+    // A smaller seed is no simpler story.
+    let seed = any::<u64>().no_shrink();
+    (jobs, faults, seed).prop_map(|(jobs, faults, seed)| Story { jobs, faults, seed })
 }
 
 struct Site {
@@ -178,8 +182,9 @@
 }
 
 impl Site {
-    async fn start() -> Self {
+    async fn start(seed: u64) -> Self {
         let world = World::new(WORKERS);
+        world.seed(seed);
         for at in 0..3 {
             world.set_labels(&worker(at), &[LABEL]);
         }
@@ -410,7 +415,7 @@
 }
 
 async fn run_story(story: Story) {
-    let mut site = Site::start().await;
+    let mut site = Site::start(story.seed).await;
     for tasks in story.jobs {
         site.submit(tasks).await;
     }
@@ -428,7 +433,7 @@
 /// A long-running task runs on `w0`, which crashes; `w1`, on which the task would be placed next, crashes `wait` later.
 /// Returns how long the task then waits although the other workers have free capacity for it.
 async fn wait_after_two_crashes(wait: Duration) -> Duration {
-    let mut site = Site::start().await;
+    let mut site = Site::start(rand::random()).await;
     let tasks = Tasks {
         count: 1,
         cores: 1,
@@ -494,10 +499,14 @@
             (1_509, Fault::CutFromDaemon(1, 0)),
             (0, Fault::Cut(4)),
         ],
+        seed: 0,
     };
     // Which daemons own the shard is random.
     for _ in 0..TAKEOVER_ORDERS {
-        paused(run_story(story.clone()));
+        paused(run_story(Story {
+            seed: rand::random(),
+            ..story.clone()
+        }));
     }
 }
 
@@ -540,9 +549,13 @@
             (31, Fault::Unlist(4)),
             (1_640, Fault::Crash(1)),
         ],
+        seed: 0,
     };
     // Which daemons own the shard is random.
     for _ in 0..TAKEOVER_ORDERS {
-        paused(run_story(story.clone()));
+        paused(run_story(Story {
+            seed: rand::random(),
+            ..story.clone()
+        }));
     }
 }
--- a/tests/testsuite/sched/owner_losses.rs
+++ b/tests/testsuite/sched/owner_losses.rs
@@ -3,19 +3,24 @@
 
 use super::{
     calm::{self, LastRuns, WATCHED, run_stories, tasks_within},
+    paused,
     world::{Relay, StoreBehaviour, WorkerBehaviour, World, owns, step, until},
 };
 use assert_matches::assert_matches;
 use indexmap::{IndexMap, IndexSet};
 use lapisdrum::sched::{
     Cx,
+    event::RunId,
     job::{JobId, Step, TaskId},
     layout::ShardId,
     peer::SubmitReply,
     process,
 };
-use proptest::prelude::*;
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, TestRng, TestRunner},
+};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until};
 
 const MAX_WORKERS: usize = 5;
@@ -23,6 +28,8 @@
 const MAX_OWNER_ENDS: usize = 4;
 /// Cases per run, unless the environment variable `OWNER_LOSS_CASES` says otherwise.
 const CASES: u32 = 40;
+/// Stories that are played twice.
+const REPEATED: u32 = 10;
 /// Estimate of long-running tasks, which does not end within a test.
 const LONG_MS: u64 = 600_000;
 /// Time until the site is set up.
@@ -119,6 +126,8 @@
     short_tasks: Option<(u32, u64)>,
     /// Faults with their times in milliseconds.
     faults: Vec<(u64, Fault)>,
+    /// Seed of the daemons' random numbers.
+    seed: u64,
 }
 
 fn seconds(range: std::ops::Range<u64>) -> impl Strategy<Value = Duration> {
@@ -208,7 +217,9 @@
     let long_jobs = prop::collection::vec(1..3_u32, 2..=3);
     let short_tasks = prop::option::weighted(0.3, (1..5_u32, 500..6_000_u64));
     let site = (longest_lease, clock_rates, long_jobs, short_tasks);
-    (site, any_faults()).prop_map(|(site, faults)| {
+    // A smaller seed is no simpler story.
+    let seed = any::<u64>().no_shrink();
+    (site, any_faults(), seed).prop_map(|(site, faults, seed)| {
         let (longest_lease, clock_rates, long_jobs, short_tasks) = site;
         Story {
             longest_lease,
@@ -216,6 +227,7 @@
             long_jobs,
             short_tasks,
             faults,
+            seed,
         }
     })
 }
@@ -261,6 +273,7 @@
     async fn start(story: &Story) -> Self {
         let workers = story.clock_rates.len();
         let world = World::with_longest_lease(workers, story.longest_lease);
+        world.seed(story.seed);
         for (at, rate) in story.clock_rates.iter().enumerate() {
             world.set_clock_rate(&worker(at), *rate);
         }
@@ -607,3 +620,31 @@
         site.world.check();
     });
 }
+
+/// When each run is started in a story, and on which worker.
+fn starts_in(story: &Story) -> Vec<(Duration, RunId, String)> {
+    let found = RefCell::default();
+    paused(async {
+        let began_at = Instant::now();
+        let mut site = Site::start(story).await;
+        site.play(&story.faults).await;
+        let starts = site.world.starts.take().into_iter();
+        let starts = starts.map(|(at, run, worker)| (at - began_at, run, worker));
+        found.replace(starts.collect());
+    });
+    found.into_inner()
+}
+
+/// Guards against a story that fails and passes with the same seed, so that its failure can't be traced.
+#[test]
+fn a_story_repeats() {
+    let config = ProptestConfig::with_cases(REPEATED);
+    let mut stories =
+        TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
+    let repeats = |story| {
+        prop_assert_eq!(starts_in(&story), starts_in(&story));
+        Ok(())
+    };
+    let found = stories.run(&any_story(), repeats);
+    found.unwrap_or_else(|e| panic!("{e}"));
+}
--- a/tests/testsuite/sched/random.rs
+++ b/tests/testsuite/sched/random.rs
@@ -115,8 +115,9 @@
     }
 }
 
-async fn run_scenario(max_listed_ends: usize, faults: Vec<(u64, Fault)>) {
+async fn run_scenario(seed: u64, max_listed_ends: usize, faults: Vec<(u64, Fault)>) {
     let world = World::new(3);
+    world.seed(seed);
     world.max_listed_ends.set(max_listed_ends);
     for (at, data_centre) in DATA_CENTRES.iter().enumerate() {
         world.set_data_centre(&format!("w{at}"), data_centre);
@@ -170,8 +171,9 @@
     fn no_task_is_duplicated_or_lost(
         faults in prop::collection::vec((50..2_500_u64, any_fault()), 1..14),
         max_listed_ends in 2..6_usize,
+        seed in any::<u64>().no_shrink(),
     ) {
-        paused(run_scenario(max_listed_ends, faults));
+        paused(run_scenario(seed, max_listed_ends, faults));
     }
 }
 
@@ -180,6 +182,7 @@
 #[test]
 fn acknowledged_ends_survive_two_outages() {
     paused(run_scenario(
+        rand::random(),
         MAX_LISTED_ENDS,
         vec![
             (1_150, Fault::StoreUnavailable(0)),
@@ -194,6 +197,7 @@
 #[test]
 fn ends_of_a_new_incarnation_are_not_dropped_by_numbers_of_the_previous_one() {
     paused(run_scenario(
+        rand::random(),
         MAX_LISTED_ENDS,
         vec![
             (253, Fault::ExecutePromptly(0)),
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -15,6 +15,7 @@
 use indexmap::{IndexMap, IndexSet};
 use lapisdrum::{
     core::{
+        random::Random,
         size::Size,
         time::{Clock, WorkerMillis},
     },
@@ -37,6 +38,7 @@
     },
 };
 use process::Process;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 pub(crate) use relay::Relay;
 use std::{
     cell::{Cell, RefCell},
@@ -257,6 +259,8 @@
     pub(crate) workers_per_shard: Cell<usize>,
     /// Optional features of daemons created from now on; none by default.
     pub(crate) features: Cell<Features>,
+    /// Source of the seeds of daemons created from now on; see [`Self::seed`].
+    seeds: RefCell<StdRng>,
     /// Time that a poll response is under way after it was made.
     pub(crate) response_delay: Cell<Duration>,
     /// Maximum number of ends in a poll response.
@@ -348,6 +352,7 @@
             outdated_directory: RefCell::default(),
             workers_per_shard: Cell::new(usize::MAX),
             features: Cell::default(),
+            seeds: RefCell::new(StdRng::from_os_rng()),
             response_delay: Cell::default(),
             max_listed_ends: Cell::new(MAX_LISTED_ENDS),
             starts: RefCell::default(),
@@ -395,6 +400,11 @@
         self.workers.borrow_mut().insert(id.to_owned(), worker);
     }
 
+    /// Makes daemons created from now on draw the same random numbers for the same seed.
+    pub(crate) fn seed(&self, seed: u64) {
+        self.seeds.replace(StdRng::seed_from_u64(seed));
+    }
+
     /// Starts a daemon that polls leases and answers requests of other daemons.
     pub(crate) fn daemon(self: &Rc<Self>, name: &str) -> Cx {
         self.daemon_in(name, DATA_CENTRE)
@@ -484,8 +494,9 @@
                 .or_default(),
         );
         let clock = Clock::with_time_of_day_offset(suspended);
+        let random = Random::seeded(self.seeds.borrow_mut().random());
         let workers = Rc::clone(&edges) as Rc<dyn Workers>;
-        let cx = Node::new(cfg, clock, store, workers, edges);
+        let cx = Node::new(cfg, clock, random, store, workers, edges);
         self.processes
             .borrow_mut()
             .insert(cx.me.incarnation, process);
