Runs stay confirmed where an earlier owner's leases last longest

Cause: a row denied that runs are confirmed if the leases on their worker end later than those of the row's writer. For 0.7 s after a quick take-over those of the owner before do, and the row says when. If the writer and the worker were lost then, tasks waited for a longest lease (LOST). Ruled out: a run that had just been started, the known case: the tasks had run for five seconds. Change: the comparison is with the later of both ends, which is what readers of the row wait for.

--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -233,9 +233,11 @@
             return self.previous_confirmed_before.clone();
         }
         let limits = &cx.cfg.leases;
-        // A run on a worker with a later lease than any row allows counts as unconfirmed.
-        let row_ends_in = Duration::from_millis(limits.after_last_row().confirmed_ms);
-        let row_ends_at = cx.clock.now() + row_ends_in;
+        // A run on a worker with a later lease than the row allows counts as unconfirmed. The row says
+        // when the leases of earlier owners end too, which may be later.
+        let own_end_in = Duration::from_millis(limits.after_last_row().confirmed_ms);
+        let earlier_end_at = self.earlier_owners.get().ends().confirmed;
+        let row_ends_at = earlier_end_at.max(cx.clock.now() + own_end_in);
         let (sessions, runs) = (self.sessions.borrow(), self.runs.borrow());
         let unlisted = sessions
             .iter()
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -62,6 +62,11 @@
     async fn start_for(longest_lease: Duration, batch_tasks: u32, runs_for: Duration) -> Self {
         let world = World::with_longest_lease(2, longest_lease);
         let owner = world.daemon("d0");
+        Self::start_in(world, owner, batch_tasks, runs_for).await
+    }
+
+    /// The same in a world with this daemon.
+    async fn start_in(world: Rc<World>, owner: Cx, batch_tasks: u32, runs_for: Duration) -> Self {
         owned(&owner, LIMIT).await;
         let long_running = Step {
             is_long_running: true,
@@ -92,13 +97,18 @@
         self.world.cut(if on[0] { "w0" } else { "w1" }, true);
     }
 
-    /// Loses the owner for good, and starts another daemon.
-    async fn replace_owner(&mut self) {
+    /// Loses the owner for good.
+    fn lose_owner(&self) {
         let lost = format!("d{}", self.owners.len() - 1);
         self.world.set_store(&lost, StoreBehaviour::Unavailable);
         for worker in ["w0", "w1"] {
             self.world.cut_from(&lost, worker);
         }
+    }
+
+    /// Loses the owner for good, and starts another daemon.
+    async fn replace_owner(&mut self) {
+        self.lose_owner();
         let next = self.world.daemon(&format!("d{}", self.owners.len()));
         self.owners.push(next);
     }
@@ -239,6 +249,32 @@
     }
 }
 
+/// Guards against runs that count as unconfirmed for the time in which leases of an earlier owner, whose end its rows give,
+/// end later than those of the owner that writes the row: the one before had been replaced at once.
+#[test]
+fn a_task_runs_in_time_after_an_owner_and_then_worker_and_next_owner_are_lost() {
+    for longest_lease in LONGEST_LEASES {
+        for owned_for_ms in (0..1_000).step_by(100) {
+            paused(async move {
+                let world = World::with_longest_lease(2, longest_lease);
+                let (first, to_first) = world.daemon_behind_relay("d0", "karen");
+                let mut site = Site::start_in(world, first, 0, LIMIT).await;
+                let (next, to_next) = site.world.daemon_behind_relay("d1", "karen");
+                site.lose_owner();
+                to_first.cut();
+                site.owners.push(next);
+                site.next_owner().await;
+                sleep(Duration::from_millis(owned_for_ms)).await;
+                site.cut_worker();
+                site.replace_owner().await;
+                to_next.cut();
+                let lost_at = Instant::now();
+                site.check_restart(lost_at, lost_at).await;
+            });
+        }
+    }
+}
+
 /// Guards against one run that is not confirmed, on a restarted worker, and has the next owner take all later runs for
 /// such, whatever worker they are on.
 #[test]
