Callers share capacity by weight; worthless jobs can be refused at submission

Cause: bursts of two kinds overlap, every job is accepted, and who came first pays nothing. Change: pure modules fair_share and admission, driven by owner::sharing; the data centre of submission is journaled with a job and sent in SubmitFrom to owners whose row knows it; switches features.fair_sharing and features.early_refusal, both off; keys share_weights. Tests that build Event::Accepted, LeaseRow or call jobs::submit name the new fields; World::jobs is visible to the test modules.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -7,9 +7,12 @@
 //! latter exceed their targets within a second. [`order`] ranks steps by the durations that
 //! [`duration`] estimates, [`place`] chooses workers, [`interference`] models the interference
 //! between tasks, [`mitigation`] decides which best-effort tasks are throttled or stopped, and
-//! [`spare`] computes what can be offered to other shards. All are pure.
+//! [`spare`] computes what can be offered to other shards. Under contention [`admission`] decides
+//! which new jobs are refused and [`fair_share`] which caller's steps go first. All are pure.
 
+pub mod admission;
 pub mod duration;
+pub mod fair_share;
 pub mod interference;
 pub mod mitigation;
 pub mod order;
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -80,14 +80,50 @@
     oldest: Reverse<u64>,
 }
 
+/// Short steps of equal priority and feasibility, either of jobs in progress or of new ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Band {
+    /// Priority of the class; 0 is served first.
+    pub priority: u32,
+    /// Whether the jobs can still meet their objective.
+    pub feasibility: Feasibility,
+    /// Whether any task of the jobs' occurrences has been started.
+    pub is_in_progress: bool,
+}
+
+impl Rank {
+    /// The steps among which callers share capacity; none for long-running steps, which occupy it
+    /// for as long as their users want.
+    pub fn band(&self) -> Option<Band> {
+        let is_short = self.is_uninterrupted && !self.is_long_running;
+        is_short.then_some(Band {
+            priority: self.priority,
+            feasibility: self.feasibility,
+            is_in_progress: self.precedence == Precedence::InProgress,
+        })
+    }
+}
+
 impl RankInputs {
+    /// Time after the job was due from which its result is worth nothing, in milliseconds.
+    pub fn worthless_from_ms(&self) -> u64 {
+        self.objective_ms * LATE_FACTOR
+    }
+
+    /// How long a new job can wait before any further wait may make it late, in milliseconds.
+    pub fn safe_for_ms(&self) -> u64 {
+        let safe_slack_ms = self.chain_ms * SAFE_SLACK_PERCENT / 100;
+        let needed_ms = self.age_ms + self.chain_ms + safe_slack_ms;
+        self.objective_ms.saturating_sub(needed_ms)
+    }
+
     /// Whether the job can meet its objective if the step starts now.
     pub fn feasibility(&self) -> Feasibility {
         let completion_age_ms = self.age_ms + self.chain_ms;
         if self.is_long_running || completion_age_ms <= self.objective_ms {
             return Feasibility::OnTime;
         }
-        match completion_age_ms <= self.objective_ms * LATE_FACTOR {
+        match completion_age_ms <= self.worthless_from_ms() {
             true => Feasibility::Late,
             false => Feasibility::NoValue,
         }
@@ -107,7 +143,7 @@
         let feasibility = self.feasibility();
         let deadline_ms = match feasibility {
             Feasibility::OnTime => self.objective_ms,
-            Feasibility::Late | Feasibility::NoValue => self.objective_ms * LATE_FACTOR,
+            Feasibility::Late | Feasibility::NoValue => self.worthless_from_ms(),
         };
         let slack_ms = deadline_ms.saturating_sub(self.age_ms + self.chain_ms);
         Rank {
--- a/src/lapisdrum/policy/drain.rs
+++ b/src/lapisdrum/policy/drain.rs
@@ -57,8 +57,21 @@
 
     /// Records that an item that had to wait has left the queue to run.
     pub fn note(&mut self, now: Millis) {
+        self.note_amount(1.0, now);
+    }
+
+    /// Like [`Self::note`], for this many items, or for work in a unit of the caller's choice.
+    pub fn note_amount(&mut self, items: f64, now: Millis) {
         self.advance(now);
-        self.items += 1.0;
+        self.items += items;
+    }
+
+    /// Time in which items waited that the rate is computed from, with the weight of each
+    /// measurement; at most [`HALF_LIFE`] / ln 2.
+    pub fn measured_for(&self, now: Millis) -> Duration {
+        let mut present = self.clone();
+        present.advance(now);
+        Duration::from_secs_f64(present.busy_ms / 1_000.0)
     }
 
     /// Items per second; `None` before enough was measured.
--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -68,6 +68,9 @@
             terms: QueueConfig,
             /// Time of acceptance, in Unix milliseconds.
             at_unix_ms: u64,
+            /// Data centre of the daemon that received the job, where callers share capacity.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            data_centre: Option<String>,
         },
         /// A run was placed on a worker; the start order is sent once this event is durable.
         Placed {
--- a/src/lapisdrum/sched/features.rs
+++ b/src/lapisdrum/sched/features.rs
@@ -9,6 +9,8 @@
     pub load_routing: bool,
     /// Whether callers that compete for capacity share it by weight.
     pub fair_sharing: bool,
+    /// Whether a job is refused at submission if it is expected to end too late to be worth anything.
+    pub early_refusal: bool,
     /// Factor by which a task is slower away from its data or from its gang; tasks wait for a place
     /// near them only where it is given.
     pub far_slowdown: Option<f64>,
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -74,15 +74,27 @@
         return Outcome::Refused(NO_LAYOUT_RETRY);
     };
     let mut handle = cx.handle(layout.home(job, &spec));
-    let request = |is_sent| OwnerRequest::Submit {
-        job,
-        spec: spec.clone(),
-        terms: queue.terms.clone(),
-        is_sent,
+    let request = |handle: &ShardHandle, is_sent| {
+        let (spec, terms) = (spec.clone(), queue.terms.clone());
+        match shares_by_data_centre(cx, handle) {
+            true => OwnerRequest::SubmitFrom {
+                data_centre: cx.cfg.data_centre.clone(),
+                job,
+                spec,
+                terms,
+                is_sent,
+            },
+            false => OwnerRequest::Submit {
+                job,
+                spec,
+                terms,
+                is_sent,
+            },
+        }
     };
     let (mut is_sent, mut was_in_flight) = (false, false);
     let reply = loop {
-        let reply = call_owner(cx, &handle, request(is_sent)).await;
+        let reply = call_owner(cx, &handle, request(&handle, is_sent)).await;
         let is_time_left = cx.clock.now().since(started_at) + OWNER_TIMEOUT <= IN_FLIGHT_TIMEOUT;
         match &reply {
             OwnerCall::Answered(OwnerReply::Submitted(SubmitReply::Elsewhere(to))) if !is_sent => {
@@ -116,6 +128,14 @@
     outcome
 }
 
+/// Whether a submission names its data centre: where callers share capacity. An owner of an earlier
+/// version would drop the connection on such a call, and with it other calls in flight.
+fn shares_by_data_centre(cx: &Cx, handle: &ShardHandle) -> bool {
+    let lease = handle.lease.borrow();
+    let accepts_origins = lease.row.as_ref().is_some_and(|row| row.accepts_origins);
+    cx.cfg.features.fair_sharing && accepts_origins
+}
+
 /// Reads the state of a job.
 pub async fn show(cx: &Cx, job: JobId) -> Outcome<JobState> {
     call_home_shards(cx, job, async |handle| {
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -169,6 +169,9 @@
         /// the call.
         #[serde(default)]
         pub accepts_returns: bool,
+        /// Whether the holder knows the submission that names a data centre.
+        #[serde(default)]
+        pub accepts_origins: bool,
     }
 }
 
@@ -358,6 +361,7 @@
                 confirmed: Some(self.confirmed_before()),
             }),
             accepts_returns: true,
+            accepts_origins: true,
         }
     }
 
@@ -665,6 +669,7 @@
         last_sender,
         leases: Some(leases),
         accepts_returns: true,
+        accepts_origins: true,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -109,6 +109,9 @@
         /// Shards that adopted and returned tasks: each one still has to learn the job's end.
         #[serde(default)]
         pub returned_by: IndexSet<ShardId>,
+        /// Data centre of the daemon that received the job, where callers share capacity.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub data_centre: Option<String>,
     }
 }
 
@@ -266,7 +269,12 @@
                 spec,
                 terms,
                 at_unix_ms,
-            } => self.accept(*job, spec, terms, *at_unix_ms),
+                data_centre,
+            } => {
+                let mut new = Job::new(spec, terms, *at_unix_ms);
+                new.data_centre.clone_from(data_centre);
+                self.accept(*job, new)
+            }
             Event::Placed { run, on } => self.place(run, on),
             Event::Ended {
                 run,
@@ -341,17 +349,11 @@
         Ok(())
     }
 
-    fn accept(
-        &mut self,
-        id: JobId,
-        spec: &Rc<JobSpec>,
-        terms: &QueueConfig,
-        at_unix_ms: u64,
-    ) -> Result<(), InvalidEvent> {
+    fn accept(&mut self, id: JobId, new: Job) -> Result<(), InvalidEvent> {
         if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
             return Err(InvalidEvent::Job(id));
         }
-        self.jobs.insert(id, Job::new(spec, terms, at_unix_ms));
+        self.jobs.insert(id, new);
         Ok(())
     }
 
@@ -570,6 +572,7 @@
             is_guest: false,
             home: None,
             returned_by: IndexSet::new(),
+            data_centre: None,
         }
     }
 
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -81,6 +81,10 @@
     pub journal_bytes: Gauge,
     /// Covered rows whose deletion is not confirmed.
     pub obsolete_rows: Gauge,
+    /// Jobs refused since they would have ended too late to be worth anything.
+    pub hopeless_refusals: Counter,
+    /// Dispatch passes in which callers' shares changed the order of steps.
+    pub reordered_passes: Counter,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
     long_running_overdue: Family<WaitLabel, Gauge>,
@@ -114,6 +118,8 @@
             journal_rows: Gauge::default(),
             journal_bytes: Gauge::default(),
             obsolete_rows: Gauge::default(),
+            hopeless_refusals: Counter::default(),
+            reordered_passes: Counter::default(),
             long_running_outages: Counter::default(),
             long_running_overdue: Family::default(),
             submits: Family::default(),
@@ -185,6 +191,18 @@
             truncated,
         );
         self.register_journal(r);
+        let hopeless = self.hopeless_refusals.clone();
+        r.register(
+            "hopeless_refusals",
+            "Jobs refused since they would have ended too late to be worth anything",
+            hopeless,
+        );
+        let reordered = self.reordered_passes.clone();
+        r.register(
+            "reordered_passes",
+            "Dispatch passes in which callers' shares changed the order of steps",
+            reordered,
+        );
         let outages = self.long_running_outages.clone();
         r.register(
             "long_running_outages",
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -34,7 +34,10 @@
 
 use crate::{
     core::time::{Clock, Millis},
-    policy::{dispatch::timings::Timings, polling::PollRate},
+    policy::{
+        dispatch::{fair_share::Weights, timings::Timings},
+        polling::PollRate,
+    },
 };
 use edge::{CallError, Catalogue, Directory, Store, Workers};
 use features::Features;
@@ -90,6 +93,8 @@
     pub drain: Duration,
     /// Optional features.
     pub features: Features,
+    /// Weights of callers, where they share capacity.
+    pub share_weights: Weights,
 }
 
 /// State of one shard as this process knows it.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -7,11 +7,13 @@
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
     runs::{self, load_of},
+    sharing::{self, Sharing},
 };
 use crate::{
     core::{size::Size, time::Millis},
     policy::dispatch::{
         duration::DurationEstimates,
+        fair_share::Claim,
         interference::Victim,
         order::{Rank, RankInputs},
         place::{Host, Load, Need, choose, keep_for, reserved_by},
@@ -37,14 +39,19 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A step with tasks that may start.
-struct StartableStep {
+pub(super) struct StartableStep {
     rank: Rank,
-    step: StepId,
-    tasks: Vec<u32>,
-    load: Load,
+    /// Id of the step.
+    pub(super) step: StepId,
+    /// Indices of these tasks.
+    pub(super) tasks: Vec<u32>,
+    /// How they use resources.
+    pub(super) load: Load,
     /// For short tasks: their class, and the sum of what they ask for in thousandths of a core.
     short: Option<(Class, u64)>,
     age_ms: u64,
+    /// What the step claims against other callers, where these share capacity.
+    pub(super) claim: Option<Claim>,
 }
 
 impl StartableStep {
@@ -122,9 +129,11 @@
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
         kept_hosts::note(owner, &[], cx.clock.now());
+        sharing::note_pass(cx, owner, &[], &[]);
         return;
     }
     waiting.sort_by_key(|waiting| waiting.rank);
+    let waiting = sharing::by_share(cx, owner, waiting);
     let reports = owner.open_workers(cx);
     let mut hosts = hosts_of(cx, owner, &reports);
     let placed = place_all(cx, owner, &waiting, &reports, &mut hosts);
@@ -147,7 +156,7 @@
     hosts: &mut Vec<Host>,
 ) -> Vec<Placed> {
     let now = cx.clock.now();
-    let mut placed = Vec::new();
+    let (mut placed, mut placed_of) = (Vec::new(), Vec::with_capacity(waiting.len()));
     let ledger = owner.ledger.borrow();
     let mut refused = RefusedDemands::default();
     owner.backlog.borrow_mut().begin();
@@ -178,6 +187,7 @@
             }
         }
         let done = placed.len() - len_before;
+        placed_of.push(done);
         let mut backlog = owner.backlog.borrow_mut();
         backlog.note(
             waiting.load,
@@ -186,6 +196,8 @@
             waiting.age_ms,
         );
     }
+    drop(ledger);
+    sharing::note_pass(cx, owner, waiting, &placed_of);
     placed
 }
 
@@ -210,6 +222,7 @@
     let now_unix_ms = cx.unix_ms();
     let ledger = owner.ledger.borrow();
     let (active, durations) = (owner.active.borrow(), owner.durations.borrow());
+    let mut sharing = owner.sharing.borrow_mut();
     let mut waiting = Vec::new();
     for id in active.iter() {
         // A job must have no effect before its acceptance is durable.
@@ -217,7 +230,8 @@
             continue;
         }
         if let Some(job) = ledger.jobs.get(id) {
-            collect_job(*id, job, &durations, now_unix_ms, &mut waiting);
+            let sharing = sharing::is_on(cx).then_some(&mut *sharing);
+            collect_job(*id, job, &durations, sharing, now_unix_ms, &mut waiting);
         }
     }
     waiting
@@ -227,14 +241,17 @@
     id: JobId,
     job: &Job,
     durations: &DurationEstimates,
+    mut sharing: Option<&mut Sharing>,
     now_unix_ms: u64,
     waiting: &mut Vec<StartableStep>,
 ) {
+    let refused_before_ms = sharing.as_ref().map_or(0, |s| s.refused_before_ms(id));
     let chains = job.spec.chains_ms();
     let chain_ms = chains.iter().copied().max().unwrap_or_default();
     for occurrence in job.startable_occurrences(now_unix_ms) {
         let due = job.spec.due_unix_ms(occurrence);
         let due = due.unwrap_or(job.accepted_unix_ms);
+        let first = waiting.len();
         for (at, spec) in job.spec.steps.iter().enumerate() {
             let step = StepId {
                 job: id,
@@ -249,15 +266,22 @@
                 priority: job.terms.priority,
                 is_long_running: spec.is_long_running,
                 is_interrupted: interrupted(job, &step, spec, &tasks) > 0,
-                age_ms: now_unix_ms.saturating_sub(due),
+                age_ms: now_unix_ms.saturating_sub(due) + refused_before_ms,
                 objective_ms: job.terms.objective_ms(chain_ms),
                 chain_ms: durations.expected_ms(&job.terms.queue, chains[at]),
                 is_in_progress: job.occurrences.contains_key(&occurrence),
             };
             let millicores = spec.size.millicores * tasks.len() as u64;
             let class = headroom::short_class(&job.terms, spec);
+            let rank = inputs.rank();
+            let claim = sharing.as_mut();
+            let claim = claim.map(|sharing| {
+                let is_first = waiting.len() == first;
+                sharing.claim(job, &step, rank, tasks.len(), is_first)
+            });
             waiting.push(StartableStep {
-                rank: inputs.rank(),
+                rank,
+                claim,
                 step,
                 tasks,
                 load: load_of(spec),
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,6 +1,6 @@
 //! Serves requests about jobs: submission, state, cancellation and the number of pending jobs.
 
-use super::{Owner, balance};
+use super::{Owner, balance, sharing};
 use crate::{
     daemon::supervisor,
     sched::{
@@ -33,6 +33,7 @@
     job: JobId,
     spec: Rc<JobSpec>,
     terms: QueueConfig,
+    data_centre: Option<String>,
     is_sent: bool,
 ) -> SubmitReply {
     if !owner.is_recovered() {
@@ -60,7 +61,14 @@
         return SubmitReply::Busy(EVACUATED_RETRY);
     }
     if !is_known {
-        accept(cx, owner, job, spec, terms);
+        match sharing::refusal(cx, owner, job, &spec, &terms, data_centre.as_ref()) {
+            // The refusal of a job that a later owner has accepted would be false.
+            Some(_) if !owner.is_sole_owner(cx).await => return SubmitReply::NotOwner,
+            // Another call may have accepted the job meanwhile.
+            Some(_) if owner.ledger.borrow().jobs.contains_key(&job) => {}
+            Some(retry_after) => return SubmitReply::Busy(retry_after),
+            None => accept(cx, owner, job, spec, terms, data_centre),
+        }
     }
     let accepting = owner.accepting.borrow().get(&job).cloned();
     let Some(mut accepting) = accepting else {
@@ -74,12 +82,21 @@
     }
 }
 
-fn accept(cx: &Cx, owner: &Rc<Owner>, job: JobId, spec: Rc<JobSpec>, terms: QueueConfig) {
+fn accept(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    job: JobId,
+    spec: Rc<JobSpec>,
+    terms: QueueConfig,
+    data_centre: Option<String>,
+) {
+    sharing::note_accepted(cx, owner, job);
     let event = Event::Accepted {
         job,
         spec,
         terms,
         at_unix_ms: cx.unix_ms(),
+        data_centre,
     };
     let ticket = owner.propose(cx, vec![event]);
     owner.active.borrow_mut().insert(job);
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -25,6 +25,7 @@
 pub mod returns;
 pub mod runs;
 pub mod session;
+pub mod sharing;
 pub mod silent_workers;
 pub mod stop_note;
 pub mod suitable;
@@ -139,6 +140,8 @@
     pub wait_reasons: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
     /// Processors that short tasks hold and wait for.
     pub short_work: RefCell<ShortWork>,
+    /// Expected waits of new jobs, and service that callers have received.
+    sharing: RefCell<sharing::Sharing>,
     /// Totals of the tasks that wait for free capacity, for the log.
     backlog: RefCell<Backlog>,
     /// Hosts that are kept free for waiting tasks, for the log.
@@ -207,6 +210,7 @@
             started_at: RefCell::default(),
             wait_reasons: RefCell::default(),
             short_work: RefCell::default(),
+            sharing: RefCell::default(),
             backlog: RefCell::default(),
             kept_hosts: RefCell::default(),
             outages: RefCell::default(),
@@ -384,6 +388,7 @@
             return;
         }
         self.ending.borrow_mut().insert(job);
+        self.sharing.borrow_mut().forget_job(job);
         self.note_duration(cx, job);
         // An empty append is durable once everything before it is.
         let ticket = self.journal.append(&[]);
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -64,6 +64,19 @@
         TakeBack(ReturnedTasks),
         /// Tell whether the shard has workers for a job, and how loaded they are.
         Suitability(JobNeeds),
+        /// Accept a job, like [`Self::Submit`].
+        SubmitFrom {
+            /// Data centre of the daemon that received the job.
+            data_centre: String,
+            /// Id of the job.
+            job: JobId,
+            /// Specification as submitted.
+            spec: JobSpec,
+            /// Settings of the job's queue in the sender's catalogue.
+            terms: QueueConfig,
+            /// Whether the job's home shard has transferred the job to this one.
+            is_sent: bool,
+        },
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -227,7 +240,9 @@
     let owner = cx.handle(shard).owner.borrow().clone();
     let owner = owner.filter(|owner| !owner.is_releasing());
     match (ask, owner) {
-        (OwnerRequest::Submit { .. }, None) => OwnerReply::Submitted(SubmitReply::NotOwner),
+        (OwnerRequest::Submit { .. } | OwnerRequest::SubmitFrom { .. }, None) => {
+            OwnerReply::Submitted(SubmitReply::NotOwner)
+        }
         (OwnerRequest::Show(_), None) => OwnerReply::Shown(ShowReply::NotOwner),
         (OwnerRequest::Cancel(_), None) => OwnerReply::Cancelled(CancelReply::NotOwner),
         (OwnerRequest::Pending(_), None) => OwnerReply::Pending(None),
@@ -252,7 +267,21 @@
             },
             Some(owner),
         ) => {
-            let submitted = jobs::submit(cx, &owner, job, Rc::new(spec), terms, is_sent);
+            let submitted = jobs::submit(cx, &owner, job, Rc::new(spec), terms, None, is_sent);
+            OwnerReply::Submitted(submitted.await)
+        }
+        (
+            OwnerRequest::SubmitFrom {
+                data_centre,
+                job,
+                spec,
+                terms,
+                is_sent,
+            },
+            Some(owner),
+        ) => {
+            let (spec, from) = (Rc::new(spec), Some(data_centre));
+            let submitted = jobs::submit(cx, &owner, job, spec, terms, from, is_sent);
             OwnerReply::Submitted(submitted.await)
         }
         (OwnerRequest::Room(need, wanted), Some(owner)) => {
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -212,6 +212,7 @@
                     confirmed: None,
                 }),
                 accepts_returns: true,
+                accepts_origins: true,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/model/handover.rs
+++ b/tests/testsuite/model/handover.rs
@@ -102,6 +102,7 @@
         spec: spec(),
         terms: terms(),
         at_unix_ms: 0,
+        data_centre: None,
     };
     first.apply(&accepted).expect("it is new");
     State {
--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -47,6 +47,7 @@
         spec: Rc::new(spec(&"x".repeat(3_000))),
         terms: terms(),
         at_unix_ms: 0,
+        data_centre: None,
     }
 }
 
@@ -132,6 +133,7 @@
         spec: Rc::new(JobSpec::try_from(raw).expect("a valid job")),
         terms: terms(),
         at_unix_ms: 0,
+        data_centre: None,
     }
 }
 
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -578,6 +578,7 @@
         spec: Rc::new(spec_of(long_running(1))),
         terms: super::world::terms(),
         at_unix_ms: 6,
+        data_centre: None,
     };
     assert_matches!(
         read.apply(&accepted),
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -27,6 +27,7 @@
 mod resolution;
 mod room;
 mod schedules;
+mod sharing;
 mod short_work;
 mod snapshots;
 mod stranded;
--- a/tests/testsuite/sched/schedules.rs
+++ b/tests/testsuite/sched/schedules.rs
@@ -41,6 +41,7 @@
         spec: Rc::new(spec),
         terms: terms(),
         at_unix_ms: 0,
+        data_centre: None,
     };
     ledger.apply(&accepted).expect("a new job");
     ledger
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -290,7 +290,7 @@
             let (cx, owner) = (Rc::clone(&first), Rc::clone(&owner));
             actix_rt::spawn(async move {
                 let spec = Rc::new(long_running_spec());
-                jobs::submit(&cx, &owner, JobId(id), spec, terms(), false).await
+                jobs::submit(&cx, &owner, JobId(id), spec, terms(), None, false).await
             })
         };
         let original = submit();
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -166,6 +166,7 @@
             spec: Rc::new(spec("work")),
             terms: terms(),
             at_unix_ms: 0,
+            data_centre: None,
         };
         let mut covered = None;
         for job in 0..500 {
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -18,7 +18,7 @@
         size::Size,
         time::{Clock, WorkerMillis},
     },
-    policy::dispatch::timings::Timings,
+    policy::dispatch::{fair_share::Weights, timings::Timings},
     sched::{
         Cx, Node, NodeSettings,
         edge::{
@@ -226,7 +226,7 @@
     /// Evacuated data centres, and when the evacuation was acknowledged.
     evacuated: RefCell<IndexMap<String, Instant>>,
     /// Steps of submitted jobs; tasks take the estimated time of their step.
-    jobs: RefCell<IndexMap<JobId, Vec<Step>>>,
+    pub(crate) jobs: RefCell<IndexMap<JobId, Vec<Step>>>,
     /// Acknowledged ends of runs, by task. An end is left out if the worker's lease ended before the acknowledgement,
     /// since the task may have been run again.
     acknowledged: RefCell<IndexMap<TaskId, Vec<AcknowledgedEnd>>>,
@@ -257,6 +257,8 @@
     pub(crate) workers_per_shard: Cell<usize>,
     /// Optional features of daemons created from now on; none by default.
     pub(crate) features: Cell<Features>,
+    /// Weights of callers, for daemons created from now on.
+    pub(crate) share_weights: RefCell<Weights>,
     /// Time that a poll response is under way after it was made.
     pub(crate) response_delay: Cell<Duration>,
     /// Maximum number of ends in a poll response.
@@ -348,6 +350,7 @@
             outdated_directory: RefCell::default(),
             workers_per_shard: Cell::new(usize::MAX),
             features: Cell::default(),
+            share_weights: RefCell::default(),
             response_delay: Cell::default(),
             max_listed_ends: Cell::new(MAX_LISTED_ENDS),
             starts: RefCell::default(),
@@ -465,6 +468,7 @@
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
             features: self.features.get(),
+            share_weights: self.share_weights.borrow().clone(),
         };
         let process = Rc::new(Process::default());
         let store = Rc::new(StoreHandle {
