--- a/src/lapisdrum/sched/features.rs
+++ b/src/lapisdrum/sched/features.rs
@@ -14,6 +14,8 @@
     /// Whether snapshots are stored by the size of the rows since the last one, so that recoveries
     /// are short on hosts with slow links.
     pub quick_recovery: bool,
+    /// Whether a job is refused at submission if it is expected to end too late to be worth anything.
+    pub early_refusal: bool,
     /// Factor by which a task is slower away from its data or from its gang; tasks wait for a place
     /// near them only where it is given.
     pub far_slowdown: Option<f64>,
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -38,7 +38,10 @@
         random::Random,
         time::{Clock, Millis},
     },
-    policy::{dispatch::timings::Timings, polling::PollRate},
+    policy::{
+        dispatch::{fair_share::Weights, timings::Timings},
+        polling::PollRate,
+    },
 };
 use edge::{CallError, Catalogue, Directory, Store, Workers};
 use features::Features;
@@ -95,6 +98,8 @@
     pub drain: Duration,
     /// Optional features.
     pub features: Features,
+    /// Weights of callers, where they share capacity.
+    pub share_weights: Weights,
 }
 
 /// State of one shard as this process knows it.
