An owner whose fencing token a worker refuses is suspended until it has read the lease

Ruled out: stepping down at the refusal itself, since a worker that was reached by mistake would then cost a take-over at each call. Change: from the first refusal on the owner calls no worker, places and accepts nothing and does not answer as the owner; it reads the lease row every 100 ms and steps down, or resumes if a read that was sent after the last refusal proves that its fence is the row's. The worker that refused is then not called for 3 s. Orders to change a CPU limit and stops of unknown runs count as calls too; their refusals were ignored before.

--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -63,6 +63,8 @@
     pub polls: Counter,
     /// Take-overs of shards by this process.
     pub takeovers: Counter,
+    /// Suspensions of owners whose fencing token a worker refused.
+    pub suspensions: Counter,
     /// Jobs that have not ended.
     pub jobs_active: Gauge,
     /// Runs that may be alive.
@@ -105,6 +107,7 @@
             runs_lost: Counter::default(),
             polls: Counter::default(),
             takeovers: Counter::default(),
+            suspensions: Counter::default(),
             jobs_active: Gauge::default(),
             runs_live: Gauge::default(),
             runs_in_evacuated: Gauge::default(),
@@ -162,6 +165,12 @@
         );
         r.register("looks", "Looks at workers", self.polls.clone());
         r.register("takeovers", "Shards taken over", self.takeovers.clone());
+        let suspensions = self.suspensions.clone();
+        r.register(
+            "suspensions",
+            "Suspensions of owners whose fencing token a worker refused",
+            suspensions,
+        );
         let active = self.jobs_active.clone();
         r.register("jobs_active", "Jobs that are not over", active);
         let live = self.runs_live.clone();
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -5,6 +5,7 @@
     Owner,
     runs::{self, RunRecord},
     session::Departed,
+    suspension,
 };
 use crate::{
     core::time::Millis,
@@ -17,7 +18,7 @@
     },
     sched::{
         Cx,
-        edge::{OrderOutcome, PollResponse},
+        edge::{OrderOutcome, PollResponse, Refusal},
         event::RunId,
         job::StepId,
         resolution::{Order, Stop},
@@ -419,6 +420,9 @@
 }
 
 fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
+    if !owner.may_call(cx, worker) {
+        return;
+    }
     let before = owner.runs.borrow_mut().get_mut(&run).map(|record| {
         record.previous_cpu_limit = (record.cpu_limit_percent, cx.clock.now());
         std::mem::replace(&mut record.cpu_limit_percent, percent)
@@ -435,6 +439,9 @@
             .workers
             .set_cpu_limit(&address, &worker, run, percent, token)
             .await;
+        if outcome == OrderOutcome::Refused(Refusal::NewerOwner) {
+            suspension::note_newer_owner(&cx, &owner, &worker);
+        }
         // Without a confirmed order the old limit counts, so that a later poll response can order
         // it again.
         if !matches!(outcome, OrderOutcome::Done(_))
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -43,7 +43,7 @@
     }
     // If the shard was lost meanwhile, a job in the ledger may not be durable.
     let is_lost = !owner.is_recovered();
-    if is_lost {
+    if is_lost || owner.is_suspended() {
         return SubmitReply::NotOwner;
     }
     let is_known = owner.ledger.borrow().jobs.contains_key(&job);
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -28,6 +28,7 @@
 pub mod silent_workers;
 pub mod stop_note;
 pub mod suitable;
+pub mod suspension;
 pub mod upkeep;
 
 use super::{
@@ -103,6 +104,8 @@
     /// Whether a lease row is known to be written by which this owner may send leases; see
     /// [`LeaseRow::last_sender`](lease::LeaseRow::last_sender).
     may_have_sent_leases: Cell<bool>,
+    /// Whether a worker has refused the token.
+    suspension: suspension::Suspension,
     /// Whether the lease is being released, so that no more leases are sent to workers.
     is_releasing: Cell<bool>,
     /// Version of the lease row that this owner last wrote.
@@ -190,6 +193,7 @@
             recovered_at: Cell::new(None),
             given_up: RefCell::default(),
             may_have_sent_leases: Cell::new(is_first),
+            suspension: suspension::Suspension::default(),
             is_releasing: Cell::new(false),
             lease_version: Cell::new(lease_version),
             renewed_at: Cell::new(sent_at),
@@ -248,7 +252,8 @@
     pub async fn is_sole_owner(&self, cx: &Cx) -> bool {
         let renewed_at = self.renewed_at.get();
         let since_renewal = cx.clock.now().since(renewed_at.at);
-        if !self.is_recovered() || self.is_releasing() || since_renewal >= lease::LEASE {
+        let is_out = !self.is_recovered() || self.is_releasing() || self.is_suspended();
+        if is_out || since_renewal >= lease::LEASE {
             return false;
         }
         let at_most = cx.clock.at_most_since(renewed_at);
@@ -269,12 +274,12 @@
 
     /// Length of a lease that is sent now. None may be sent that ends after the time for which the
     /// next owner waits, also if the host was suspended, none before the store holds a row that says
-    /// so, and none once the lease is being released.
+    /// so, none once the lease is being released, and none while the owner is suspended.
     pub fn lease_length(&self, cx: &Cx) -> Option<Duration> {
         let since_renewal = cx.clock.at_most_since(self.renewed_at.get());
         let is_held = self.is_serving() && self.may_have_sent_leases() && !self.is_releasing();
         let length = cx.cfg.leases.sent(since_renewal);
-        length.filter(|_| is_held)
+        length.filter(|_| is_held && !self.is_suspended())
     }
 
     /// Whether start orders may be sent: for a shorter time after a renewal than other leases, since
@@ -338,6 +343,7 @@
         self.journal.stop();
         self.wake.notify_one();
         self.lost.notify_one();
+        self.suspension.wake_all();
         let mut held = self.handle.owner.borrow_mut();
         let is_held = held
             .as_ref()
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -9,6 +9,7 @@
     Owner, interference,
     runs::{self, RunRecord, note_lease_call, stop_unknown},
     session::Lease,
+    suspension,
 };
 use crate::{
     core::time::{Millis, WorkerMillis, millis},
@@ -20,7 +21,6 @@
         event::{Event, Loss, RunEnd, RunId},
         job::JobId,
         journal::{self, AppendOutcome},
-        lease,
         resolution::{
             IncarnationVerdict, KnownIncarnation, Observation, Order, RunVerdict,
             judge_incarnation, judge_run,
@@ -61,6 +61,7 @@
     let (cx, owner, worker) = (Rc::clone(cx), Rc::clone(owner), worker.to_owned());
     supervisor::spawn("visit", async move {
         while owner.is_serving() && is_worth_polling(&owner, &worker) {
+            owner.resumed().await;
             if !poll_next(&cx, &owner, &worker).await {
                 tokio::time::sleep(UNRESPONSIVE_RETRY).await;
             }
@@ -152,7 +153,8 @@
     lease: Option<Lease>,
     wait: Duration,
 ) -> bool {
-    let Some(address) = owner.address_of(worker) else {
+    let address = owner.address_of(worker);
+    let Some(address) = address.filter(|_| owner.may_call(cx, worker)) else {
         return false;
     };
     let order = PollOrder {
@@ -179,7 +181,7 @@
             true
         }
         OrderOutcome::Refused(Refusal::NewerOwner) => {
-            note_newer_owner(cx, owner, worker);
+            suspension::note_newer_owner(cx, owner, worker);
             false
         }
         OrderOutcome::Refused(Refusal::OtherLife) => {
@@ -224,19 +226,6 @@
     }
 }
 
-/// A worker has seen a greater token, so another daemon has probably taken the shard; reads the
-/// lease row to confirm it.
-pub fn note_newer_owner(cx: &Cx, owner: &Rc<Owner>, worker: &str) {
-    log::warn!(worker, token = owner.token(); "worker refuses the fencing token of this owner");
-    let (cx, owner) = (Rc::clone(cx), Rc::clone(owner));
-    supervisor::spawn("check-lease", async move {
-        let lease_read = lease::read(&cx, &owner.handle).await;
-        if lease_read.is_ok() && owner.handle.lease.borrow().fence != owner.token() {
-            owner.mark_lost("a worker has seen a newer owner");
-        }
-    });
-}
-
 async fn note_response(
     cx: &Cx,
     owner: &Rc<Owner>,
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -3,6 +3,7 @@
 use super::{
     Owner, headroom, poll,
     session::{Lease, Session},
+    suspension,
 };
 use crate::{
     core::{
@@ -332,7 +333,7 @@
 fn note_refused(cx: &Cx, owner: &Rc<Owner>, worker: &str, why: Refusal) {
     let now = cx.clock.now();
     match why {
-        Refusal::NewerOwner => poll::note_newer_owner(cx, owner, worker),
+        Refusal::NewerOwner => suspension::note_newer_owner(cx, owner, worker),
         Refusal::Unhealthy => {
             owner.session(worker, |session| session.failures = (u32::MAX, now));
         }
@@ -358,7 +359,7 @@
     let on = owner.runs.borrow().get(&run)?.on.clone();
     let now = cx.clock.now();
     let length = owner.lease_length(cx).filter(|_| owner.may_start(cx))?;
-    if owner.is_listed(&on.worker) {
+    if owner.is_listed(&on.worker) || !owner.may_call(cx, &on.worker) {
         return None;
     }
     let (address, lease) = owner.session(&on.worker, |session| {
@@ -445,7 +446,8 @@
     let Some(worker) = worker else {
         return true;
     };
-    let Some(address) = owner.address_of(&worker) else {
+    let address = owner.address_of(&worker);
+    let Some(address) = address.filter(|_| owner.may_call(cx, &worker)) else {
         return false;
     };
     let sent_at = cx.clock.now();
@@ -460,7 +462,7 @@
             true
         }
         OrderOutcome::Refused(Refusal::NewerOwner) => {
-            poll::note_newer_owner(cx, owner, &worker);
+            suspension::note_newer_owner(cx, owner, &worker);
             false
         }
         OrderOutcome::Refused(_) | OrderOutcome::Unsent(_) | OrderOutcome::Silent(_) => false,
@@ -475,9 +477,13 @@
     log::warn!(task:% = run.task, run = run.run.0, worker; "stopping unknown run");
     let (cx, owner, worker) = (Rc::clone(cx), Rc::clone(owner), worker.to_owned());
     supervisor::spawn("stop-unknown", async move {
-        if let Some(address) = owner.address_of(&worker) {
+        let address = owner.address_of(&worker);
+        if let Some(address) = address.filter(|_| owner.may_call(&cx, &worker)) {
             // If this fails, the next poll lists the run again and another stop is sent.
-            let _ = cx.workers.stop(&address, &worker, run, owner.token()).await;
+            let stopped = cx.workers.stop(&address, &worker, run, owner.token());
+            if stopped.await == OrderOutcome::Refused(Refusal::NewerOwner) {
+                suspension::note_newer_owner(&cx, &owner, &worker);
+            }
         }
         owner.stopping_unknown.borrow_mut().swap_remove(&run);
     });
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -125,6 +125,8 @@
     pub appended_upto: u64,
     /// Notified whenever ends become durable.
     pub acked: Rc<Notify>,
+    /// When it last refused the owner's token.
+    pub refused_at: Option<Millis>,
     /// Since when it may have more ends than it lists; none while it lists all.
     pub ends_truncated_since: Option<Millis>,
     /// Bounds the time until which runs may be alive on it.
@@ -164,6 +166,7 @@
             acked_upto: 0,
             appended_upto: 0,
             acked: Rc::default(),
+            refused_at: None,
             ends_truncated_since: None,
             bound,
             leased_until: None,
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -38,7 +38,9 @@
 pub async fn run(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
         give_up_lapsed(&cx, &owner);
-        stop_stalled(&cx, &owner);
+        if !owner.is_suspended() {
+            stop_stalled(&cx, &owner);
+        }
         forget_old(&cx, &owner);
         note_evacuated(&cx, &owner);
         outages::note(&cx, &owner);
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -221,11 +221,11 @@
 }
 
 /// Executes a request if this process owns the shard; otherwise the reply says that it does not. An
-/// owner that releases the shard answers for nothing, since the next one may own it already: the
-/// caller asks that one.
+/// owner that releases the shard, or whose token a worker refuses, answers for nothing, since the
+/// next one may own it already: the caller asks that one.
 pub async fn answer(cx: &Cx, shard: ShardId, ask: OwnerRequest) -> OwnerReply {
     let owner = cx.handle(shard).owner.borrow().clone();
-    let owner = owner.filter(|owner| !owner.is_releasing());
+    let owner = owner.filter(|owner| !owner.is_releasing() && !owner.is_suspended());
     match (ask, owner) {
         (OwnerRequest::Submit { .. }, None) => OwnerReply::Submitted(SubmitReply::NotOwner),
         (OwnerRequest::Show(_), None) => OwnerReply::Shown(ShowReply::NotOwner),
--- a/tests/testsuite/sched/superseded.rs
+++ b/tests/testsuite/sched/superseded.rs
@@ -328,3 +328,113 @@
         assert!(!owner.may_renew(&first));
     });
 }
+
+/// An owner with four running tasks and four that wait, which is cut off from the store while another daemon takes over.
+async fn superseded(world: &Rc<World>) -> [Cx; 2] {
+    let first = world.daemon("a");
+    owned(&first, LIMIT).await;
+    let second = world.daemon("b");
+    let steps = vec![step(20, 60_000, &[])];
+    assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+    until("the tasks run", LIMIT, async || world.running().len() == 16).await;
+    world.set_store("a", StoreBehaviour::Unavailable);
+    owned(&second, LIMIT).await;
+    [first, second]
+}
+
+/// Guards against an owner that goes on ordering and polling although workers refuse its token, for as long as it can't
+/// read the lease row.
+#[test]
+fn an_owner_whose_token_is_refused_calls_no_worker() {
+    paused(async {
+        let world = World::new(4);
+        let [first, second] = superseded(&world).await;
+        let owner = first.owners().remove(0);
+        until("a worker refuses the token", LIMIT, async || {
+            owner.is_suspended()
+        })
+        .await;
+        let before = world.worker_calls("a");
+        assert!(!owner.may_place(&first) && !owner.may_renew(&first));
+        sleep(LIMIT).await;
+        let calls = world.worker_calls("a") - before;
+        assert!(calls <= 4, "{calls} calls after a refusal");
+        assert!(owns(&first, ShardId(0)) && owner.is_suspended());
+        assert!(!owner.is_sole_owner(&first).await);
+        let steps = vec![step(1, 100, &[])];
+        assert_matches!(world.submit(&first, 2, steps).await, SubmitReply::NotOwner);
+        assert_eq!(first.metrics.suspensions.get(), 1);
+        world.set_store("a", StoreBehaviour::Up);
+        until("the owner steps down", Duration::from_secs(1), async || {
+            !owns(&first, ShardId(0))
+        })
+        .await;
+        assert!(owns(&second, ShardId(0)));
+        world.check();
+    });
+}
+
+/// Guards against a shard that stops since one worker, reached by mistake, refuses the token of the current owner.
+#[test]
+fn a_worker_reached_by_mistake_does_not_stop_a_shard() {
+    paused(async {
+        let world = World::new(2);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let owner = first.owners().remove(0);
+        until("the workers are claimed", LIMIT, async || {
+            owner.open_workers(&first).len() == 2
+        })
+        .await;
+        world.raise_token("w0", u64::MAX);
+        for id in 1..40 {
+            let steps = vec![step(1, 50, &[])];
+            let submitted = world.submit(&first, id, steps).await;
+            assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::NotOwner);
+            sleep(Duration::from_millis(200)).await;
+        }
+        assert!(owns(&first, ShardId(0)));
+        let starts = world.starts.borrow().len();
+        assert!(starts >= 35, "{starts} starts");
+        let suspensions = first.metrics.suspensions.get();
+        assert!((1..=4).contains(&suspensions), "{suspensions} suspensions");
+        world.check();
+    });
+}
+
+/// Guards against tasks that lose their leases, or are taken for stalled, since their owner was suspended by mistake
+/// while the store didn't answer.
+#[test]
+fn an_owner_suspended_by_mistake_resumes_with_its_tasks() {
+    paused(async {
+        let world = World::new(2);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let owner = first.owners().remove(0);
+        world.cut("w1", true);
+        let steps = vec![step(4, 60_000, &[])];
+        assert_matches!(world.submit(&first, 1, steps).await, SubmitReply::Accepted);
+        until("the tasks run", LIMIT, async || {
+            world.running_on("w0").len() == 4
+        })
+        .await;
+        sleep(LIMIT).await;
+        world.set_store("a", StoreBehaviour::Unavailable);
+        world.raise_token("w1", u64::MAX);
+        world.cut("w1", false);
+        until("the owner is suspended", LIMIT, async || {
+            owner.is_suspended()
+        })
+        .await;
+        sleep(Duration::from_millis(2_500)).await;
+        world.set_store("a", StoreBehaviour::Up);
+        until("the owner resumes", Duration::from_secs(1), async || {
+            !owner.is_suspended()
+        })
+        .await;
+        sleep(LIMIT * 2).await;
+        assert_eq!(world.running_on("w0").len(), 4);
+        assert_eq!(world.starts.borrow().len(), 4);
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -241,6 +241,8 @@
     suspended: RefCell<IndexMap<String, Rc<Cell<Duration>>>>,
     /// Whether delayed orders outlive a crash of their worker, as packets in flight may; by default they are lost.
     pub(crate) orders_outlive_crashes: Cell<bool>,
+    /// Number of calls that each daemon has made to workers.
+    worker_calls: RefCell<IndexMap<String, usize>>,
     /// Pairs of a daemon and a worker that it cannot reach.
     paths_cut: RefCell<IndexSet<(String, String)>>,
     /// Number of reads of leases, answered or refused.
@@ -340,6 +342,7 @@
             sending_until: RefCell::default(),
             suspended: RefCell::default(),
             orders_outlive_crashes: Cell::new(false),
+            worker_calls: RefCell::default(),
             paths_cut: RefCell::default(),
             lease_reads: Cell::default(),
             operator_reads: Cell::default(),
@@ -597,6 +600,16 @@
         self.change(worker, |w| w.is_cut = is_cut);
     }
 
+    /// Number of calls that a daemon has made to workers.
+    pub(crate) fn worker_calls(&self, daemon: &str) -> usize {
+        self.worker_calls.borrow().get(daemon).copied().unwrap_or(0)
+    }
+
+    /// Makes a worker refuse all tokens below this one, as another shard's worker would.
+    pub(crate) fn raise_token(&self, worker: &str, token: u64) {
+        self.change(worker, |w| w.token = token);
+    }
+
     /// Makes a worker unreachable for one daemon.
     pub(crate) fn cut_from(&self, daemon: &str, worker: &str) {
         let path = (daemon.to_owned(), worker.to_owned());
@@ -1114,6 +1127,12 @@
 
     /// Waits for the latency of an order, or its timeout; returns whether the worker is reachable.
     async fn reach(&self, worker: &str) -> bool {
+        *self
+            .world
+            .worker_calls
+            .borrow_mut()
+            .entry(self.daemon.clone())
+            .or_default() += 1;
         sleep(ORDER_LATENCY).await;
         let is_reached = {
             let path = (self.daemon.clone(), worker.to_owned());
