A daemon that is told to stop hands its shards to a prepared successor

Cause: a release goes to whichever daemon polls first, often one with a small part of a core that is itself restarted seconds later, and each such change stops the shard for a recovery; callers are refused meanwhile. Ruled out: addresses in the reply to 'who' (daemons of earlier versions could not read it), the state sent by the owner (megabytes over a small link), a fence raised by the owner for the successor. Change, under features.planned_handover: each daemon writes a presence row at its start, owners read these every 5 s. A stopping owner asks up to 12 daemons for their state, policy::succession ranks them, the best reads the shard's state ahead while the owner serves; then the owner stops, writes its last rows, releases the lease with the successor's name and calls it. The successor takes over at once by the same conditional write and reads only the rows after its copy. Others leave a named shard alone for 400 ms. Callers' requests wait up to 600 ms for the next owner instead of being refused at once.

--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -10,7 +10,7 @@
 //! [`retry`] (whether to send again). A task passes [`queueing`], [`placement`] with
 //! [`slowdown`] and [`health`], then [`eviction`]. [`hysteresis`] limits how often a decision
 //! changes where its signal lags. Tasks of job graphs are placed by [`dispatch`]; [`polling`]
-//! limits the reads of the shared store.
+//! limits the reads of the shared store, and [`succession`] chooses the next owner of a shard.
 
 pub mod admission;
 pub mod dispatch;
@@ -26,3 +26,4 @@
 pub mod retry;
 pub mod routing;
 pub mod slowdown;
+pub mod succession;
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -41,8 +41,11 @@
 const NO_LAYOUT_RETRY: Duration = Duration::from_secs(1);
 /// Delay before the lease is read again after a call that did not reach the owner.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Maximum number of calls to owners for one request.
+/// Maximum number of calls to owners for one request, unless the shard is being handed over.
 const MAX_CALLS: usize = 2;
+/// Longest time for which a caller's request waits for the next owner in a planned hand-over: several
+/// times the usual one, and a small part of the callers' timeout of 3 s.
+const HANDOVER_PATIENCE: Duration = Duration::from_millis(600);
 
 /// Outcome of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,7 +106,7 @@
         OwnerCall::Answered(OwnerReply::Submitted(SubmitReply::Busy(wait))) => {
             Outcome::Refused(wait)
         }
-        OwnerCall::NotReached => Outcome::Refused(NO_OWNER_RETRY),
+        OwnerCall::NotReached | OwnerCall::NotOwner => Outcome::Refused(NO_OWNER_RETRY),
         OwnerCall::Answered(_) | OwnerCall::Unanswered => Outcome::Unknown,
     };
     cx.metrics.note_submit(&queue.terms.queue, &outcome);
@@ -122,9 +125,7 @@
         match call_owner(cx, &handle, OwnerRequest::Show(job)).await {
             OwnerCall::Answered(OwnerReply::Shown(ShowReply::State(state))) => Outcome::Done(state),
             OwnerCall::Answered(OwnerReply::Shown(ShowReply::Unknown)) => Outcome::NoSuchJob,
-            OwnerCall::NotReached | OwnerCall::Unanswered | OwnerCall::Answered(_) => {
-                Outcome::Refused(NO_OWNER_RETRY)
-            }
+            _ => Outcome::Refused(NO_OWNER_RETRY),
         }
     })
     .await
@@ -139,7 +140,7 @@
     let outcome = match call_owner(cx, handle, OwnerRequest::Cancel(job)).await {
         OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::Done)) => Outcome::Done(()),
         OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::UnknownJob)) => Outcome::NoSuchJob,
-        OwnerCall::NotReached => Outcome::Refused(NO_OWNER_RETRY),
+        OwnerCall::NotReached | OwnerCall::NotOwner => Outcome::Refused(NO_OWNER_RETRY),
         OwnerCall::Unanswered | OwnerCall::Answered(_) => Outcome::Unknown,
     };
     let (owner, owner_seen_ms) = last_known_owner(cx, handle);
@@ -261,27 +262,50 @@
     Answered(OwnerReply),
     /// No owner is known, or the call certainly did not reach it.
     NotReached,
+    /// The callee does not own the shard, or no longer.
+    NotOwner,
     /// No answer; the owner may have carried out the request.
     Unanswered,
 }
 
 async fn call_owner(cx: &Cx, handle: &Rc<ShardHandle>, request: OwnerRequest) -> OwnerCall {
-    let mut reply = OwnerCall::NotReached;
-    for attempt in 0..MAX_CALLS {
-        if attempt > 0 {
-            if cx.reachability.is_isolated() {
-                break;
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
+    let started_at = cx.clock.now();
+    let is_of_caller = matches!(
+        request,
+        OwnerRequest::Submit { .. }
+            | OwnerRequest::Show(_)
+            | OwnerRequest::Cancel(_)
+            | OwnerRequest::Pending(_)
+    );
+    for attempt in 1.. {
+        let reply = call_once(cx, handle, request.clone()).await;
+        let is_final = !matches!(reply, OwnerCall::NotReached | OwnerCall::NotOwner);
+        let now = cx.clock.now();
+        let may_wait = || {
+            let is_in_time = now.since(started_at) < HANDOVER_PATIENCE;
+            is_of_caller && is_in_time && is_handed_over(cx, handle, &reply)
+        };
+        let is_again = !is_final && (attempt < MAX_CALLS || may_wait());
+        if !is_again || cx.reachability.is_isolated() {
+            return reply;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+        // Further attempts share the reads of other requests.
+        let read_at = handle.lease.borrow().read_at;
+        let is_recent = read_at.is_some_and(|at| cx.clock.now().since(at) < RETRY_DELAY);
+        if attempt == 1 || !is_recent {
             // If the read fails, the lease stays as last read.
             let _ = super::lease::read(cx, handle).await;
         }
-        reply = call_once(cx, handle, request.clone()).await;
-        if !matches!(reply, OwnerCall::NotReached) {
-            break;
-        }
     }
-    reply
+    OwnerCall::NotReached
+}
+
+/// Whether the shard is probably being handed over as planned, so that its next owner answers soon.
+fn is_handed_over(cx: &Cx, handle: &ShardHandle, reply: &OwnerCall) -> bool {
+    let has_successor = handle.lease.borrow().successor(cx.clock.now()).is_some();
+    let is_planned = has_successor || matches!(reply, OwnerCall::NotOwner);
+    cx.cfg.features.planned_handover && is_planned
 }
 
 async fn call_once(cx: &Cx, handle: &ShardHandle, request: OwnerRequest) -> OwnerCall {
@@ -340,7 +364,7 @@
         | OwnerReply::Learned(None)
         | OwnerReply::Room(None)
         | OwnerReply::Adopted(AdoptReply::NotOwner)
-        | OwnerReply::TakenBack(TakeBackReply::NotOwner) => OwnerCall::NotReached,
+        | OwnerReply::TakenBack(TakeBackReply::NotOwner) => OwnerCall::NotOwner,
         answer => OwnerCall::Answered(answer),
     }
 }
--- a/src/lapisdrum/sched/journal.rs
+++ b/src/lapisdrum/sched/journal.rs
@@ -15,11 +15,14 @@
 //! the [`Ticket`].
 
 pub mod snapshots;
+mod standby;
+
+pub use standby::Standby;
 
 use super::{
     Cx,
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
-    event::Event,
+    event::{Event, RunId},
     ledger::Ledger,
     resolution::{WriteVerdict, is_piggyback_stale, judge_write},
 };
@@ -30,6 +33,7 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use futures::FutureExt;
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use snapshots::{Obsolete, Retry, Snapshot};
 use std::{cell::RefCell, collections::VecDeque, time::Duration};
@@ -313,58 +317,27 @@
     /// Rebuilds the state from the snapshot and rows of earlier owners. The fence was raised
     /// before, so they cannot add rows any more.
     pub async fn recover(&self, cx: &Cx) -> eyre::Result<Ledger> {
-        self.recover_with(cx, |_, _| {}).await
+        Ok(self.recover_from(cx, None).await?.0)
     }
 
-    /// Like [`Self::recover`]; calls `note` for each event that the snapshot does not cover, with
-    /// the number of its row.
-    pub async fn recover_with(
+    /// Like [`Self::recover`], and returns the rows of placed runs that the snapshot does not cover;
+    /// reads only the rows after those of `standby`, if there is one.
+    pub async fn recover_from(
         &self,
         cx: &Cx,
-        mut note: impl FnMut(u64, &Event),
-    ) -> eyre::Result<Ledger> {
-        // Concurrent, since nothing is started meanwhile: on a store that is 60 times slower, each
-        // read takes a third of a second.
-        let rows = cx.store.rows(JOURNAL_TABLE, &self.partition, "");
-        let (snapshot, rows) = futures::join!(self.read_snapshot(cx), rows);
-        let (mut ledger, covered) = snapshot?;
-        let rows = rows.wrap_err("failed to read the journal")?;
-        let mut last = covered;
-        let mut left = VecDeque::new();
-        let mut bytes = 0;
-        let mut body = Vec::new();
-        for row in &rows {
-            let number = row
-                .key
-                .parse()
-                .wrap_err("a journal row key is not a number")?;
-            // Rows that the snapshot covers may not be deleted yet.
-            if number <= covered {
-                left.push_back(number);
-                continue;
-            }
-            eyre::ensure!(number == last + 1, "journal row {} is missing", last + 1);
-            last = number;
-            bytes += row.value.len() as u64;
-            let (continues, part) = body_of(row)?;
-            if !continues {
-                replay(
-                    &mut ledger,
-                    &std::mem::take(&mut body),
-                    number - 1,
-                    &mut note,
-                )?;
-            }
-            body.extend_from_slice(part);
-        }
-        replay(&mut ledger, &body, last, &mut note)?;
+        standby: Option<Standby>,
+    ) -> eyre::Result<(Ledger, IndexMap<RunId, u64>)> {
+        let standby = match standby {
+            Some(standby) => standby.advanced(cx, &self.partition).await?,
+            None => Standby::read(cx, &self.partition).await?,
+        };
         let mut inner = self.inner.borrow_mut();
-        inner.last_row = last;
-        inner.covered_upto = covered;
-        inner.obsolete = Obsolete::left_by_earlier_owners(left, cx.clock.now());
-        inner.rows_since_snapshot = last - covered;
-        inner.uncovered_bytes = bytes;
-        Ok(ledger)
+        inner.last_row = standby.last;
+        inner.covered_upto = standby.covered;
+        inner.obsolete = Obsolete::left_by_earlier_owners(standby.left, cx.clock.now());
+        inner.rows_since_snapshot = standby.last - standby.covered;
+        inner.uncovered_bytes = standby.bytes;
+        Ok((standby.ledger, standby.placed_rows))
     }
 
     /// Writes appended events and snapshots until the shard is lost. `state` returns the serialised
--- a/src/lapisdrum/sched/journal/snapshots.rs
+++ b/src/lapisdrum/sched/journal/snapshots.rs
@@ -46,16 +46,16 @@
 
 data! {
     /// Location of a snapshot.
-    struct SnapshotPointer {
+    pub(super) struct SnapshotPointer {
         /// Number of the last row that the snapshot covers.
-        row: u64,
+        pub(super) row: u64,
         /// Name of the object in the store.
         object: String,
     }
 }
 
 /// The pointer row as read: the pointer and the version of the row.
-type ReadPointer = (SnapshotPointer, u64);
+pub(super) type ReadPointer = (SnapshotPointer, u64);
 
 /// Serialised state, with the number of the last row that it covers.
 pub(super) struct Snapshot {
@@ -153,21 +153,6 @@
 
 impl Journal {
     /// Reads the newest snapshot and the number of the last row that it covers.
-    pub(super) async fn read_snapshot(&self, cx: &Cx) -> eyre::Result<(Ledger, u64)> {
-        match self.read_pointer(cx).await? {
-            Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
-            None => Ok((Ledger::default(), 0)),
-        }
-    }
-
-    async fn read_pointer(&self, cx: &Cx) -> eyre::Result<Option<ReadPointer>> {
-        let rows = cx.store.rows(SNAPSHOT_TABLE, &self.partition, SNAPSHOT_KEY);
-        let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
-        let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
-        let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
-        pointer.wrap_err("the snapshot pointer is malformed")
-    }
-
     /// Stores planned snapshots and deletes what they make obsolete, until the shard is lost.
     pub(super) async fn store_snapshots(&self, cx: &Cx) {
         while !self.inner.borrow().is_lost {
@@ -221,7 +206,7 @@
         cx: &Cx,
         snapshot: Snapshot,
     ) -> eyre::Result<Option<SnapshotPointer>> {
-        let before = self.read_pointer(cx).await?;
+        let before = read_pointer(cx, &self.partition).await?;
         let (before, version) = before.map_or((None, 0), |(pointer, at)| (Some(pointer), at));
         let (row, bytes) = (snapshot.row, snapshot.bytes);
         let pointer = SnapshotPointer {
@@ -347,7 +332,7 @@
         if due_at.is_none_or(|due_at| due_at > cx.clock.now()) {
             return Ok(());
         }
-        let pointer = self.read_pointer(cx).await?;
+        let pointer = read_pointer(cx, &self.partition).await?;
         let named = pointer.as_ref().map(|(pointer, _)| pointer.object.as_str());
         let names = cx.store.list_objects(&prefix_of(&self.partition)).await;
         let names = names.wrap_err("failed to list snapshots")?;
@@ -395,3 +380,19 @@
     let bytes = bytes.ok_or_else(|| eyre::eyre!("snapshot {object} is missing"))?;
     serde_json::from_slice(&bytes).wrap_err("the snapshot is malformed")
 }
+
+/// Reads the latest snapshot, and the number of the last row that it covers.
+pub(super) async fn read_snapshot(cx: &Cx, partition: &str) -> eyre::Result<(Ledger, u64)> {
+    match read_pointer(cx, partition).await? {
+        Some((pointer, _)) => Ok((read_object(cx, &pointer.object).await?, pointer.row)),
+        None => Ok((Ledger::default(), 0)),
+    }
+}
+
+pub(super) async fn read_pointer(cx: &Cx, partition: &str) -> eyre::Result<Option<ReadPointer>> {
+    let rows = cx.store.rows(SNAPSHOT_TABLE, partition, SNAPSHOT_KEY);
+    let rows = rows.await.wrap_err("failed to read the snapshot pointer")?;
+    let parse = |row: &Row| Ok((serde_json::from_slice(&row.value)?, row.version));
+    let pointer: Result<_, serde_json::Error> = rows.first().map(parse).transpose();
+    pointer.wrap_err("the snapshot pointer is malformed")
+}
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -12,6 +12,7 @@
 use super::{
     Cx, ShardHandle,
     edge::{CallError, Row, RowKey, Txn, TxnOutcome},
+    handover,
     journal::{Piggyback, PiggybackOutcome, PiggybackReply},
     layout::ShardId,
     owner::{
@@ -87,6 +88,9 @@
 /// Time after which a renewal that no journal transaction has carried is sent in its own
 /// transaction.
 const PIGGYBACK_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time from the first read of a release with a named successor in which other daemons leave the
+/// shard to it: it has been called and needs some calls to the store, also if one is repeated.
+const SUCCESSOR_FIRST: Duration = Duration::from_millis(400);
 /// Maximum attempts to release a lease.
 const RELEASE_ATTEMPTS: usize = 3;
 /// Time for which a daemon does not take a shard again that it released itself, so that others come
@@ -169,6 +173,9 @@
         /// the call.
         #[serde(default)]
         pub accepts_returns: bool,
+        /// Daemon that has read the shard's state ahead and for which the holder released the lease.
+        #[serde(default)]
+        pub successor: Option<Holder>,
     }
 }
 
@@ -231,16 +238,28 @@
         Ok(())
     }
 
-    /// Returns the holder, unless the lease was released or has lapsed at `now`. A daemon that
+    /// Returns the holder, or the successor for which it released the lease, unless the lease was
+    /// released without one or has lapsed at `now`. A daemon that
     /// cannot read the rows uses the last known holder: the store may be unavailable to this host
     /// only, and a daemon that no longer holds the lease says so when it is called.
     pub fn holder(&self, now: Millis) -> Option<&Holder> {
-        let row = self.row.as_ref().filter(|row| !row.is_released)?;
+        let row = self.row.as_ref();
+        if row.is_some_and(|row| row.is_released) {
+            return self.successor(now);
+        }
+        let row = row?;
         let is_stale = self.read_at.is_none_or(|at| now.since(at) > STALE_AFTER);
         let is_held = now.since(self.since) < self.lapses_after() && !self.has_holder_ended();
         (is_held || is_stale).then_some(&row.holder)
     }
 
+    /// The successor for which the lease was released, while others leave the shard to it.
+    pub fn successor(&self, now: Millis) -> Option<&Holder> {
+        let row = self.row.as_ref().filter(|row| row.is_released)?;
+        let is_due = now.since(self.since) < SUCCESSOR_FIRST;
+        row.successor.as_ref().filter(|_| is_due)
+    }
+
     /// Time without a change after which the lease lapses. On a slow store renewals are late too,
     /// and after a lapse under a live owner every daemon tries to take over in the same partition,
     /// which delays the renewals further.
@@ -358,6 +377,7 @@
                 confirmed: Some(self.confirmed_before()),
             }),
             accepts_returns: true,
+            successor: None,
         }
     }
 
@@ -379,7 +399,9 @@
             Some(row) if row.is_released && row.holder == *me => {
                 now.since(self.since) >= RETAKE_DELAY
             }
-            Some(row) if row.is_released => true,
+            Some(row) if row.is_released => {
+                self.successor(now).is_none_or(|successor| successor == me)
+            }
             // An earlier take-over by this process whose reply was lost; it has not acted under it.
             Some(row) if row.holder == *me => true,
             Some(row) if row.holder.is_other_incarnation_of(me) => true,
@@ -480,6 +502,37 @@
     if !is_free(cx, handle) {
         return;
     }
+    if handle.lease.borrow().successor(cx.clock.now()) != Some(&cx.me) {
+        let wait = takeover_wait(cx, handle);
+        tokio::time::sleep(wait).await;
+        // Another daemon may have taken the shard over meanwhile; a failing attempt would delay its
+        // first journal rows.
+        if wait >= POLL && read(cx, handle).await.is_err() {
+            return;
+        }
+    }
+    if let Err(e) = try_take(cx, handle).await {
+        log::warn!(error:% = e; "take-over failed");
+    }
+}
+
+/// Takes over a shard that was released for this daemon.
+pub async fn take_as_successor(cx: &Cx, handle: &Rc<ShardHandle>) {
+    if let Err(e) = read(cx, handle).await {
+        cx.note_store(Err(&e));
+    }
+    let is_named = handle.lease.borrow().successor(cx.clock.now()) == Some(&cx.me);
+    let is_own = handle.owner.borrow().is_some();
+    if !is_named || is_own || cx.is_draining() {
+        return;
+    }
+    if let Err(e) = try_take(cx, handle).await {
+        log::warn!(error:% = e; "take-over failed");
+    }
+}
+
+/// Time that a daemon waits before it takes a free shard over, so that better ones come first.
+fn takeover_wait(cx: &Cx, handle: &ShardHandle) -> Duration {
     let up = Duration::from_millis(cx.clock.now().0);
     let restart_delay = handle.lease.borrow().rolling_restart_delay(up);
     let is_first_in_line = restart_delay == Duration::ZERO && handle.lease.borrow().is_released();
@@ -492,16 +545,7 @@
         restart_delay,
         cpu_delay(cx.cfg.cpu_share),
     ];
-    let wait: Duration = waits.into_iter().sum();
-    tokio::time::sleep(wait).await;
-    // Another daemon may have taken the shard over meanwhile; a failing attempt would delay its
-    // first journal rows.
-    if wait >= POLL && read(cx, handle).await.is_err() {
-        return;
-    }
-    if let Err(e) = try_take(cx, handle).await {
-        log::warn!(error:% = e; "take-over failed");
-    }
+    waits.into_iter().sum()
 }
 
 /// Probes a suspected holder. If its process has ended or was restarted, the rest of its lease need
@@ -561,8 +605,18 @@
 }
 
 async fn try_take(cx: &Cx, handle: &Rc<ShardHandle>) -> eyre::Result<()> {
+    // A poll and a planned hand-over may try at the same time; the second would replace the first.
+    if handle.is_taking.replace(true) {
+        return Ok(());
+    }
+    let taken = take(cx, handle).await;
+    handle.is_taking.set(false);
+    taken
+}
+
+async fn take(cx: &Cx, handle: &Rc<ShardHandle>) -> eyre::Result<()> {
     // The last read may be outdated; the write is conditional on its versions.
-    if !is_free(cx, handle) {
+    if !is_free(cx, handle) || handle.owner.borrow().is_some() {
         return Ok(());
     }
     let seen = handle.lease.borrow().clone();
@@ -602,13 +656,18 @@
 /// Renews the lease until the shard is lost.
 pub async fn renew(cx: &Cx, owner: &Rc<Owner>) {
     let mut renewals = 0;
+    // After a planned take-over the workers are contacted at once, and leases may be sent as soon as a
+    // row says so. Another row before it would only delay that one.
+    if handover::is_planned(&owner.handle) {
+        let _ = tokio::time::timeout(MIN_RENEW_INTERVAL, owner.renewal_wanted()).await;
+    }
     while owner.is_serving() {
         renewals += 1;
         let renewing = owner.renewing.lock().await;
         // The lease may have been released while this waited for the lock.
         if owner.is_serving() {
             let was_overdue = is_overdue(cx, owner);
-            let is_renewed = renew_once(cx, owner, renewals, false).await;
+            let is_renewed = renew_once(cx, owner, renewals, None).await;
             if is_renewed && was_overdue {
                 poll::renew_leases(cx, owner);
             }
@@ -630,22 +689,38 @@
     limits.sent(since_renewal) < limits.sent(Duration::ZERO)
 }
 
-/// Releases the lease, so that another daemon takes over at its next poll. A concurrent renewal
-/// would make the release fail and leave the lease to lapse, so renewals are locked out; a failed
-/// attempt is repeated.
-pub async fn release(cx: &Cx, owner: &Rc<Owner>) {
+/// Release of a lease.
+struct Release<'a> {
+    /// Daemon that is to take the shard over.
+    successor: Option<&'a Holder>,
+}
+
+/// Releases the lease, so that another daemon takes over at its next poll, or `successor` at once. A
+/// concurrent renewal would make the release fail and leave the lease to lapse, so renewals are
+/// locked out; a failed attempt is repeated. Returns whether the release is known to be committed.
+pub async fn release(cx: &Cx, owner: &Rc<Owner>, successor: Option<&Holder>) -> bool {
     let _renewing = owner.renewing.lock().await;
     owner.stop_sending_leases();
     for _ in 0..RELEASE_ATTEMPTS {
-        if !owner.is_serving() || renew_once(cx, owner, u64::MAX, true).await {
-            return;
+        if !owner.is_serving() {
+            return false;
+        }
+        if renew_once(cx, owner, u64::MAX, Some(Release { successor })).await {
+            return true;
         }
     }
+    false
 }
 
 /// Writes the lease row; returns whether the write is known to be committed.
-async fn renew_once(cx: &Cx, owner: &Rc<Owner>, renewals: u64, is_released: bool) -> bool {
+async fn renew_once(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    renewals: u64,
+    release: Option<Release<'_>>,
+) -> bool {
     let now = cx.clock.now();
+    let is_released = release.is_some();
     let may_send = !is_released && owner.has_contacted_workers(now);
     let last_sender = (!may_send).then(|| owner.sender_before(cx)).flatten();
     let is_idle = last_sender.is_some();
@@ -665,6 +740,7 @@
         last_sender,
         leases: Some(leases),
         accepts_returns: true,
+        successor: release.and_then(|release| release.successor.cloned()),
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -65,6 +65,9 @@
     pub takeovers: Counter,
     /// Suspensions of owners whose fencing token a worker refused.
     pub suspensions: Counter,
+    /// Time from the stop of an owner until the successor that it named has recovered the shard, in
+    /// seconds.
+    pub handover_seconds: Histogram,
     /// Jobs that have not ended.
     pub jobs_active: Gauge,
     /// Runs that may be alive.
@@ -86,6 +89,7 @@
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
     long_running_overdue: Family<WaitLabel, Gauge>,
+    handovers: Family<EndLabel, Counter>,
     submits: Family<OutcomeLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
     job_seconds: Histogram,
@@ -108,6 +112,7 @@
             polls: Counter::default(),
             takeovers: Counter::default(),
             suspensions: Counter::default(),
+            handover_seconds: Histogram::new(exponential_buckets(FIRST_ROW_BUCKET, 2.0, BUCKETS)),
             jobs_active: Gauge::default(),
             runs_live: Gauge::default(),
             runs_in_evacuated: Gauge::default(),
@@ -119,6 +124,7 @@
             obsolete_rows: Gauge::default(),
             long_running_outages: Counter::default(),
             long_running_overdue: Family::default(),
+            handovers: Family::default(),
             submits: Family::default(),
             jobs: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(FIRST_JOB_BUCKET, 2.0, BUCKETS)),
@@ -171,6 +177,14 @@
             "Suspensions of owners whose fencing token a worker refused",
             suspensions,
         );
+        let handover_seconds = self.handover_seconds.clone();
+        r.register(
+            "handover_seconds",
+            "Time without an owner in a planned hand-over",
+            handover_seconds,
+        );
+        let handovers = self.handovers.clone();
+        r.register("handovers", "Shards released in a planned stop", handovers);
         let active = self.jobs_active.clone();
         r.register("jobs_active", "Jobs that are not over", active);
         let live = self.runs_live.clone();
@@ -232,6 +246,12 @@
         );
     }
 
+    /// Counts a release in a planned stop by its outcome.
+    pub fn note_handover(&self, outcome: &str) {
+        let outcome = outcome.to_owned();
+        self.handovers.get_or_create(&EndLabel { outcome }).inc();
+    }
+
     /// Counts a submission by its outcome.
     pub fn note_submit(&self, queue: &str, outcome: &Outcome<()>) {
         let outcome = match outcome {
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod features;
 pub mod front;
+pub mod handover;
 pub mod job;
 pub mod journal;
 pub mod layout;
@@ -104,6 +105,10 @@
     pub unresponsive_owner: RefCell<Option<(String, Millis)>>,
     /// The shard's owner, set while this process holds the lease.
     pub owner: RefCell<Option<Rc<Owner>>>,
+    /// Whether this process is trying to take the shard over.
+    pub is_taking: Cell<bool>,
+    /// What this process has prepared to take the shard over as planned.
+    pub prepared: RefCell<handover::Prepared>,
 }
 
 /// State shared by the components of a process.
@@ -122,6 +127,8 @@
     pub directory: Rc<dyn Directory>,
     /// Client for calls to other processes.
     pub peers: peer::Peers,
+    /// Daemons that take part in planned hand-overs, as last read from the store.
+    pub daemons: RefCell<Vec<Holder>>,
     /// Reachability of the store and of other processes.
     pub reachability: reachability::Reachability,
     /// Counters and histograms of this process.
@@ -165,6 +172,7 @@
             workers,
             directory,
             peers: peer::Peers::default(),
+            daemons: RefCell::default(),
             reachability: reachability::Reachability::default(),
             metrics: metrics::Metrics::new(),
             catalogue: RefCell::default(),
@@ -189,11 +197,18 @@
                 lease: RefCell::default(),
                 unresponsive_owner: RefCell::default(),
                 owner: RefCell::default(),
+                is_taking: Cell::new(false),
+                prepared: RefCell::default(),
             })
         });
         Rc::clone(handle)
     }
 
+    /// The handles of all shards that were used so far.
+    pub fn handles(&self) -> Vec<Rc<ShardHandle>> {
+        self.handles.borrow().values().cloned().collect()
+    }
+
     /// The owners of all shards that this process owns at present.
     pub fn owners(&self) -> Vec<Rc<Owner>> {
         let handles = self.handles.borrow();
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -35,6 +35,7 @@
     Cx, ShardHandle,
     edge::RowKey,
     event::{Event, RunId},
+    handover,
     job::{JobId, StepId},
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LastSender, LeaseView},
@@ -459,14 +460,10 @@
 async fn recover(cx: &Cx, owner: &Rc<Owner>) -> bool {
     while owner.is_serving() {
         let learned = estimates::load_estimates(cx, owner);
-        let mut placed_rows: IndexMap<RunId, u64> = IndexMap::new();
-        let recovered = owner.journal.recover_with(cx, |row, event| {
-            if let Event::Placed { run, .. } = event {
-                placed_rows.insert(*run, row);
-            }
-        });
+        let standby = handover::take_standby(cx, &owner.handle);
+        let recovered = owner.journal.recover_from(cx, standby);
         match futures::join!(recovered, learned).0 {
-            Ok(mut ledger) => {
+            Ok((mut ledger, mut placed_rows)) => {
                 placed_rows.extend(std::mem::take(&mut ledger.placed_rows));
                 adopt(cx, owner, ledger, &placed_rows);
                 return owner.is_serving();
@@ -498,6 +495,7 @@
     stop_runs_of_ended_jobs(cx, owner);
     let took_ms = cx.clock.now().since(owner.taken_at).as_millis() as u64;
     log::info!(shard:% = owner.handle.partition, token = owner.token(), jobs, runs, took_ms; "shard recovered");
+    handover::note_recovered(cx, &owner.handle);
 }
 
 /// Stops runs of ended jobs: the previous owner may have ended between a job's end and the stop
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -1,7 +1,7 @@
 //! Calls between processes: a daemon forwards requests to the shard's leaseholder.
 
 use super::{
-    Cx,
+    Cx, handover,
     job::{JobId, JobSpec, QueueConfig},
     layout::ShardId,
     lease::Holder,
@@ -13,6 +13,7 @@
         suitable::{JobNeeds, Suitability},
     },
 };
+use crate::policy::succession::Candidate;
 use actix_rt::net::TcpListener;
 use futures::StreamExt;
 use indexmap::IndexMap;
@@ -64,6 +65,14 @@
         TakeBack(ReturnedTasks),
         /// Tell whether the shard has workers for a job, and how loaded they are.
         Suitability(JobNeeds),
+        /// Tell whether the callee may take the shard over. This and the next two are sent to
+        /// daemons that are named in [`PRESENCE_TABLE`](handover::PRESENCE_TABLE).
+        Candidacy,
+        /// Read the shard's state ahead.
+        Prepare,
+        /// Take the shard over, which was released for the callee this many milliseconds after its
+        /// owner stopped.
+        TakeOver(u64),
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -92,6 +101,13 @@
         /// Reply to [`OwnerRequest::Suitability`]; `None` if the callee does not own the shard or
         /// can't tell yet.
         Suitability(Option<Suitability>),
+        /// Reply to [`OwnerRequest::Candidacy`]; `None` if the callee takes no shard over as planned.
+        Candidacy(Option<Candidate>),
+        /// Reply to [`OwnerRequest::Prepare`]: the last journal row that was read; `None` if the
+        /// callee isn't prepared.
+        Prepared(Option<u64>),
+        /// Reply to [`OwnerRequest::TakeOver`]: whether the callee tries to take the shard over.
+        TakingOver(bool),
     }
 
     /// Outcome of [`OwnerRequest::TakeBack`].
@@ -232,6 +248,14 @@
         (OwnerRequest::Cancel(_), None) => OwnerReply::Cancelled(CancelReply::NotOwner),
         (OwnerRequest::Pending(_), None) => OwnerReply::Pending(None),
         (OwnerRequest::Load, _) => OwnerReply::Load(None),
+        (OwnerRequest::Candidacy, _) => OwnerReply::Candidacy(handover::candidacy(cx)),
+        (OwnerRequest::Prepare, _) => {
+            OwnerReply::Prepared(handover::prepare(cx, &cx.handle(shard)).await)
+        }
+        (OwnerRequest::TakeOver(stopped_ms), _) => {
+            let stopped = Duration::from_millis(stopped_ms);
+            OwnerReply::TakingOver(handover::take_over(cx, &cx.handle(shard), stopped))
+        }
         (OwnerRequest::Suitability(_), None) => OwnerReply::Suitability(None),
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
--- a/src/lapisdrum/sched/process.rs
+++ b/src/lapisdrum/sched/process.rs
@@ -1,6 +1,6 @@
 //! Start and graceful shutdown of the process.
 
-use super::{Cx, lease, operators, peer, reachability, restart::restart_times};
+use super::{Cx, handover, lease, operators, peer, reachability, restart::restart_times};
 use crate::{core::time::millis, daemon::supervisor, util::build};
 use actix_rt::net::TcpListener;
 use eyre::WrapErr as _;
@@ -21,6 +21,9 @@
     supervisor::spawn("peers", peer::serve(Rc::clone(cx), listener));
     supervisor::spawn("operators", operators::follow(Rc::clone(cx)));
     supervisor::spawn("reach", reachability::follow(Rc::clone(cx)));
+    if cx.cfg.features.planned_handover {
+        supervisor::spawn("presence", handover::follow(Rc::clone(cx)));
+    }
     let lease_cx = Rc::clone(cx);
     supervisor::spawn("lease-watch", async move {
         // Runs until the process ends.
@@ -45,9 +48,13 @@
 
 /// Releases all shards of this process. Called in a shutdown, after the last caller was answered.
 pub async fn release_shards(cx: &Cx) {
+    let planned = match cx.cfg.features.planned_handover {
+        true => handover::PLAN_TIMEOUT,
+        false => Duration::ZERO,
+    };
     let owners = cx.owners().into_iter().map(async |owner| {
-        let released = lease::release(cx, &owner);
-        if tokio::time::timeout(RELEASE_TIMEOUT, released)
+        let released = handover::release(cx, &owner);
+        if tokio::time::timeout(RELEASE_TIMEOUT + planned, released)
             .await
             .is_err()
         {
--- a/src/lapisdrum/sched/reachability.rs
+++ b/src/lapisdrum/sched/reachability.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Time since the last answer of the store.
+    pub fn store_age(&self, now: Millis) -> Duration {
+        now.since(self.store_answered_at.get())
+    }
+
     /// Whether the store has not answered for [`UNREACHABLE_AFTER`].
     fn is_store_unreachable(&self, now: Millis) -> bool {
         now.since(self.store_answered_at.get()) >= UNREACHABLE_AFTER
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -212,6 +212,7 @@
                     confirmed: None,
                 }),
                 accepts_returns: true,
+                successor: None,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -15,6 +15,7 @@
 mod slowdown;
 mod spare;
 mod stories;
+mod succession;
 
 use lapisdrum::core::id::{EntryName, JobId, OwnerName, WorkerId};
 use rand::{SeedableRng, rngs::StdRng};
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -7,6 +7,7 @@
 mod failed_on;
 mod faults;
 mod gangs;
+mod handover;
 mod incarnations;
 mod interference;
 mod journal;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -28,6 +28,7 @@
         },
         event::{RunEnd, RunId, WorkerIncarnation},
         features::Features,
+        handover,
         job::{JobId, JobSpec, QueueConfig, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
         lease, operators,
@@ -450,6 +451,9 @@
         let cx = self.node(name, data_centre, address);
         actix_rt::spawn(lease::run(Rc::clone(&cx)));
         actix_rt::spawn(operators::follow(Rc::clone(&cx)));
+        if self.features.get().planned_handover {
+            actix_rt::spawn(handover::follow(Rc::clone(&cx)));
+        }
         cx
     }
 
