--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -213,6 +213,7 @@
                 }),
                 accepts_returns: true,
                 accepts_origins: true,
+                successor: None,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -216,6 +216,7 @@
         leases: None,
         accepts_returns: true,
         accepts_origins: true,
+        successor: None,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
