Tasks wait for places near their data where that pays

Cause: placement only prefers near hosts. A task whose data rack is full for half a second starts in another rack and takes two or three times as long; members of a gang that is slow over several racks were spread by free capacity alone. Ruled out: a fixed wait, waits that don't count each other, reserved near hosts, a bound by the cost alone (docs/design/place-wait.md). Change: policy::dispatch::place_wait compares the expected wait for a near place with what a far start costs, bounded by the job's slack and by 1 s for a step; expected ends are claimed by waiting tasks, and the error of recent waits of a rack corrects them. Gangs are placed in one rack, now or after a wait decided in the same way. Long-running tasks never wait, nor anything in the first 3 s of an owner. Tests: sched::place_wait, gangs, refused, order, short_work, settings and cli pass (66); the rest was not run.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -5,9 +5,10 @@
 //! still be on time, a burst of batch work makes every job behind it late, urgent ones included.
 //! Unless best-effort tasks are kept apart from tasks that serve users, the latency tails of the
 //! latter exceed their targets within a second. [`order`] ranks steps by the durations that
-//! [`duration`] estimates, [`place`] chooses workers, [`interference`] models the interference
-//! between tasks, [`mitigation`] decides which best-effort tasks are throttled or stopped, and
-//! [`spare`] computes what can be offered to other shards. All are pure.
+//! [`duration`] estimates, [`place`] chooses workers, [`place_wait`] decides whether a task waits for
+//! one near its data, [`interference`] models the interference between tasks, [`mitigation`] decides
+//! which best-effort tasks are throttled or stopped, and [`spare`] computes what can be offered to
+//! other shards. All are pure.
 
 pub mod duration;
 pub mod interference;
@@ -15,6 +16,7 @@
 pub mod order;
 pub mod overload;
 pub mod place;
+pub mod place_wait;
 pub mod refused;
 pub mod room;
 pub mod short_work;
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Time by which the job may be delayed and still be on time, in milliseconds.
+    pub fn slack_ms(&self) -> u64 {
+        self.objective_ms
+            .saturating_sub(self.age_ms + self.chain_ms)
+    }
+
     fn precedence(&self, slack_ms: u64) -> Precedence {
         let safe_slack_ms = self.chain_ms * SAFE_SLACK_PERCENT / 100;
         match self.is_in_progress || self.is_long_running {
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -322,11 +322,30 @@
     }
 }
 
+/// What a task needs to find open on a host, and what is open there: unreserved resources, and for a
+/// best-effort task idle processors instead of unreserved ones.
+pub fn asked_and_open(need: &Need, host: &Host) -> (Size, Size) {
+    match need.load {
+        Load::Reserving | Load::Serving => (need.size, host.free()),
+        Load::BestEffort => (
+            Size {
+                millicores: need.size.millicores * MIN_IDLE_PERCENT / 100,
+                ..need.size
+            },
+            Size {
+                millicores: host.unused_millicores(),
+                ..host.free()
+            },
+        ),
+    }
+}
+
 fn unfit_best_effort(need: &Need, host: &Host, model: &InterferenceModel) -> Option<Unfit> {
     if !host.is_open_for_best_effort {
         return Some(Unfit::Closed);
     }
-    if need.size.millicores * MIN_IDLE_PERCENT / 100 > host.unused_millicores() {
+    let (wanted, open) = asked_and_open(need, host);
+    if wanted.millicores > open.millicores {
         return Some(Unfit::Busy);
     }
     // A best-effort task waits rather than cost serving tasks anything.
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -88,6 +88,7 @@
     jobs: Family<OutcomeLabels, Counter>,
     job_seconds: Histogram,
     ends: Family<EndLabel, Counter>,
+    place_waits: Family<EndLabel, Counter>,
 }
 
 impl Metrics {
@@ -120,6 +121,7 @@
             jobs: Family::default(),
             job_seconds: Histogram::new(exponential_buckets(FIRST_JOB_BUCKET, 2.0, BUCKETS)),
             ends: Family::default(),
+            place_waits: Family::default(),
         };
         let mut registry = Registry::with_prefix("lapisdrum");
         build::register(&mut registry);
@@ -206,6 +208,12 @@
             seconds,
         );
         r.register("run_ends", "Ends of runs", self.ends.clone());
+        let waits = self.place_waits.clone();
+        r.register(
+            "place_waits",
+            "Tasks placed after they waited for a place near their data",
+            waits,
+        );
     }
 
     fn register_journal(&self, r: &mut Registry) {
@@ -249,6 +257,13 @@
         self.ends.get_or_create(&EndLabel { outcome }).inc();
     }
 
+    /// Counts a task that was placed after a wait for a place near its data.
+    pub fn note_place_wait(&self, is_far: bool) {
+        let outcome = if is_far { "far" } else { "near" }.to_owned();
+        let label = EndLabel { outcome };
+        self.place_waits.get_or_create(&label).inc();
+    }
+
     /// Sets the number of overdue long-running tasks by what they wait for.
     pub fn note_overdue(&self, overdue: &IndexMap<WaitsFor, i64>) {
         for waits_for in WaitsFor::ALL {
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -6,6 +6,7 @@
     Owner,
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
+    place_wait::{GangPlace, Pass, Placing},
     runs::{self, load_of},
 };
 use crate::{
@@ -37,14 +38,18 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A step with tasks that may start.
-struct StartableStep {
+pub struct StartableStep {
     rank: Rank,
-    step: StepId,
-    tasks: Vec<u32>,
+    /// Id of the step.
+    pub step: StepId,
+    /// Indices of the tasks.
+    pub tasks: Vec<u32>,
     load: Load,
     /// For short tasks: their class, and the sum of what they ask for in thousandths of a core.
     short: Option<(Class, u64)>,
     age_ms: u64,
+    /// Time by which the job may be delayed and still be on time, in milliseconds.
+    pub slack_ms: u64,
 }
 
 impl StartableStep {
@@ -113,7 +118,8 @@
     Partial {
         /// Why, if the pass determined that.
         why: Option<Shortage>,
-        /// Whether only the step's own limit on the tasks of a worker may have decided that.
+        /// Whether only the step's own limit on the tasks of a worker, or a wait for a near place,
+        /// may have decided that.
         is_at_limit: bool,
     },
 }
@@ -151,6 +157,7 @@
     let ledger = owner.ledger.borrow();
     let mut refused = RefusedDemands::default();
     owner.backlog.borrow_mut().begin();
+    let mut waits = Pass::new(cx, owner);
     let short = waiting.iter().filter_map(|waiting| waiting.short.as_ref());
     headroom::note_waiting(owner, short, now);
     for waiting in waiting {
@@ -162,13 +169,12 @@
         } else {
             let is_reason_due = backlog::is_reason_due(owner, &waiting.step, now);
             let outcome = place_step(
-                owner,
+                &mut waits,
                 waiting,
                 reports,
                 hosts,
                 &mut placed,
                 is_reason_due,
-                now,
             );
             if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
                 waiting.note_wait(owner, why.as_ref(), hosts, now);
@@ -186,6 +192,7 @@
             waiting.age_ms,
         );
     }
+    waits.end();
     placed
 }
 
@@ -263,6 +270,7 @@
                 load: load_of(spec),
                 short: class.map(|class| (class, millicores)),
                 age_ms: inputs.age_ms,
+                slack_ms: inputs.slack_ms(),
             });
         }
     }
@@ -345,25 +353,43 @@
 }
 
 fn place_step(
-    owner: &Owner,
+    waits: &mut Pass,
     waiting: &StartableStep,
     reports: &[Rc<WorkerReport>],
     hosts: &mut Vec<Host>,
     placed: &mut Vec<Placed>,
     is_reason_due: bool,
-    now: Millis,
 ) -> PlaceOutcome {
+    let (owner, now) = (waits.owner, waits.now);
     let ledger = owner.ledger.borrow();
     let job = &ledger.jobs[&waiting.step.job];
     let spec = &job.spec.steps[usize::from(waiting.step.step)];
-    let need = need_of(owner, job, spec, &waiting.step);
+    let mut need = need_of(owner, job, spec, &waiting.step);
     let model = owner.interference_model.borrow();
     let len_before = placed.len();
     count_step(job, &waiting.step, spec, hosts);
     let is_gang = spec.gang != Gang::No;
+    let asked = need;
+    let placing = Placing {
+        waiting,
+        spec,
+        need: &asked,
+    };
+    let gang_place = waits.gang_place(placing, hosts, &model);
+    match gang_place {
+        GangPlace::Anywhere | GangPlace::Spread => {}
+        GangPlace::Rack(rack) => need.data_rack = Some(rack),
+        GangPlace::Waits => {
+            return PlaceOutcome::Partial {
+                why: None,
+                is_at_limit: true,
+            };
+        }
+    }
     let before = is_gang.then(|| (hosts.clone(), placed.len()));
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
     let (mut why, mut is_at_limit) = (None, false);
+    let mut of_gang = Vec::new();
     let mut may_take = spec
         .is_long_running
         .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
@@ -386,6 +412,14 @@
             }
             break;
         };
+        if waits.waits(placing, *index, at, hosts, &model) {
+            is_at_limit = true;
+            continue;
+        }
+        match is_gang {
+            true => of_gang.push((*index, at)),
+            false => waits.note_placed(placing, gang_place, *index, at, hosts),
+        }
         hosts[at].take(&need, &model);
         hosts[at].of_step += 1;
         may_take = may_take.map(|left| left.saturating_sub(wanted));
@@ -400,6 +434,10 @@
     {
         *hosts = hosts_before.into_iter().collect();
         placed.truncate(len);
+    } else {
+        for (index, at) in of_gang {
+            waits.note_placed(placing, gang_place, index, at, hosts);
+        }
     }
     match placed.len() - len_before == waiting.tasks.len() {
         true => PlaceOutcome::All,
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -20,6 +20,7 @@
 pub mod kept_hosts;
 pub mod offers;
 pub mod outages;
+pub mod place_wait;
 pub mod poll;
 pub mod previous_owner;
 pub mod returns;
@@ -143,6 +144,8 @@
     backlog: RefCell<Backlog>,
     /// Hosts that are kept free for waiting tasks, for the log.
     kept_hosts: RefCell<KeptHosts>,
+    /// Tasks that wait for places near their data or their gang.
+    place_waits: RefCell<place_wait::PlaceWaits>,
     /// Long-running tasks that do not run.
     outages: RefCell<outages::Outages>,
     /// Number of runs that are still in each evacuated data centre.
@@ -209,6 +212,7 @@
             short_work: RefCell::default(),
             backlog: RefCell::default(),
             kept_hosts: RefCell::default(),
+            place_waits: RefCell::default(),
             outages: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
@@ -394,6 +398,7 @@
             }
             owner.ending.borrow_mut().swap_remove(&job);
             owner.failed_on.borrow_mut().forget_job(job);
+            owner.place_waits.borrow_mut().forget_job(job);
             owner.loads.borrow_mut().retain(|step, _| step.job != job);
             owner
                 .wait_reasons
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -21,6 +21,7 @@
 mod owner_losses;
 mod ownership;
 mod pending;
+mod place_wait;
 mod polling;
 mod random;
 mod refused;
