check warns of what can't take effect and compares catalogues

Ruled out: warnings as errors, which would refuse files that were applied before; a check for shadowed names, as entries are found by their whole name and a repeated one is a fault already; differences of settings files and of the platform's template, not built. The console block of docs/OPERATIONS.md asks for the differences. No test was seen failing first. Conclusion: operators see before they apply what a catalogue changes and what of it has no effect.

--- a/src/bin/lapisdrum/commands/mod.rs
+++ b/src/bin/lapisdrum/commands/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) async fn run(command: Command, output: Output) -> Result<(), Failure> {
     match command {
         Command::Run(args) => run::run(args).await,
-        Command::Check(args) => check::run(&args, output),
+        Command::Check(args) => check::run(&args, output).await,
         Command::Catalogue(command) => catalogue::run(command, output).await,
         Command::Jobs(command) => jobs::run(command, output).await,
         Command::Status(args) => status::run(args, output).await,
--- a/src/lapisdrum/ops/catalogue.rs
+++ b/src/lapisdrum/ops/catalogue.rs
@@ -201,7 +201,7 @@
 }
 
 /// Returns the keys whose values differ; all keys that have a value if `before` is none.
-fn differences(before: Option<&RawEntry>, after: &RawEntry) -> Vec<KeyChange> {
+pub fn differences(before: Option<&RawEntry>, after: &RawEntry) -> Vec<KeyChange> {
     let object = |raw: &RawEntry| match serde_json::to_value(raw) {
         Ok(Value::Object(map)) => map,
         _ => serde_json::Map::new(),
@@ -303,13 +303,18 @@
             Applied::Failed(message) => write!(f, "{entry}: not changed: {message}")?,
             Applied::NotTried => write!(f, "{entry}: not tried")?,
         }
-        for KeyChange { key, from, to } in &self.changes {
-            match from {
-                Value::Null => write!(f, "\n  {key}: {to}")?,
-                _ => write!(f, "\n  {key}: {from} -> {to}")?,
-            }
+        let mut changes = self.changes.iter();
+        changes.try_for_each(|change| write!(f, "\n  {change}"))
+    }
+}
+
+impl fmt::Display for KeyChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { key, from, to } = self;
+        match from {
+            Value::Null => write!(f, "{key}: {to}"),
+            _ => write!(f, "{key}: {from} -> {to}"),
         }
-        Ok(())
     }
 }
 
--- a/src/lapisdrum/ops/mod.rs
+++ b/src/lapisdrum/ops/mod.rs
@@ -3,6 +3,7 @@
 pub mod catalogue;
 pub mod check;
 pub mod explain;
+pub mod findings;
 pub mod jobs;
 pub mod logging;
 pub mod output;
--- a/tests/testsuite/cli/mod.rs
+++ b/tests/testsuite/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line, run as the real binary: its output and its exit statuses.
 
 mod catalogue;
+mod check;
 mod definitions;
 mod logs;
 mod pages;
