--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -5,10 +5,11 @@
 //! still be on time, a burst of batch work makes every job behind it late, urgent ones included.
 //! Unless best-effort tasks are kept apart from tasks that serve users, the latency tails of the
 //! latter exceed their targets within a second. [`order`] ranks steps by the durations that
-//! [`duration`] estimates, [`place`] chooses workers, [`interference`] models the interference
-//! between tasks, [`mitigation`] decides which best-effort tasks are throttled or stopped, and
-//! [`spare`] computes what can be offered to other shards. Under contention [`admission`] decides
-//! which new jobs are refused and [`fair_share`] which caller's steps go first. All are pure.
+//! [`duration`] estimates, [`place`] chooses workers, [`place_wait`] decides whether a task waits for
+//! one near its data, [`interference`] models the interference between tasks, [`mitigation`] decides
+//! which best-effort tasks are throttled or stopped, and [`spare`] computes what can be offered to
+//! other shards. Under contention [`admission`] decides which new jobs are refused and [`fair_share`]
+//! which caller's steps go first. All are pure.
 
 pub mod admission;
 pub mod duration;
@@ -18,6 +19,7 @@
 pub mod order;
 pub mod overload;
 pub mod place;
+pub mod place_wait;
 pub mod refused;
 pub mod room;
 pub mod short_work;
