New jobs go to the shard that is expected to start them first

Cause: a job's home is a hash of its id, and short jobs stay there.

Ruled out: totals of free processors (they lie in pieces), a call for each new job (a round trip for jobs that stay), digests rounded to four sizes a doubling (a free piece of exactly 4 cores took no task of 4; seen failing in four tests), a flat wait for a shard that placed nothing lately (12 of 15 jobs of a burst went to one shard; seen failing in sched::routing).

The protocol is the existing Event::Sent. Lease rows say who knows the new call.

--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -28,19 +28,20 @@
 /// for; best-effort tasks on a host share the idle ones. At 100 the rest of each host stays unused
 /// under a backlog; much lower values make the tasks slow each other so much that fewer jobs are on
 /// time.
-const MIN_IDLE_PERCENT: u64 = 80;
+pub const MIN_IDLE_PERCENT: u64 = 80;
 /// One host in this many, and at least one, may be kept free for tasks that found no host.
 const HOSTS_PER_KEPT_HOST: usize = 16;
 
-/// How a task uses the resources of its host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Load {
-    /// Reserves processors and memory.
-    Reserving,
-    /// Like [`Load::Reserving`], with a target for its latency tail.
-    Serving,
-    /// Reserves memory and runs on idle processors.
-    BestEffort,
+scalar! {
+    /// How a task uses the resources of its host.
+    pub enum Load {
+        /// Reserves processors and memory.
+        Reserving,
+        /// Like [`Load::Reserving`], with a target for its latency tail.
+        Serving,
+        /// Reserves memory and runs on idle processors.
+        BestEffort,
+    }
 }
 
 /// A task to place.
--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -9,8 +9,8 @@
 //! (slots reserved for shorter runs), [`routing`] with [`outliers`] (choice of worker) and
 //! [`retry`] (whether to send again). A task passes [`queueing`], [`placement`] with
 //! [`slowdown`] and [`health`], then [`eviction`]. [`hysteresis`] limits how often a decision
-//! changes where its signal lags. Tasks of job graphs are placed by [`dispatch`]; [`polling`]
-//! limits the reads of the shared store.
+//! changes where its signal lags. Tasks of job graphs are placed by [`dispatch`], in the
+//! shard that [`shard_load`] chooses for their job; [`polling`] limits the reads of the shared store.
 
 pub mod admission;
 pub mod dispatch;
@@ -25,4 +25,5 @@
 pub mod queueing;
 pub mod retry;
 pub mod routing;
+pub mod shard_load;
 pub mod slowdown;
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -20,7 +20,10 @@
         TakeBackReply,
     },
 };
-use crate::core::time::{Millis, millis};
+use crate::{
+    core::time::{Millis, millis},
+    policy::shard_load::LoadDigest,
+};
 use futures::FutureExt;
 use std::{cmp::Reverse, rc::Rc, time::Duration};
 
@@ -202,6 +205,15 @@
     }
 }
 
+/// The load of a shard; none without an answer from its owner.
+pub async fn load_digest(cx: &Cx, handle: &Rc<ShardHandle>) -> Option<LoadDigest> {
+    // Without a retry: calls are frequent, and a retry reads the lease from the store.
+    match call_once(cx, handle, OwnerRequest::LoadDigest).await {
+        OwnerCall::Answered(OwnerReply::LoadDigest(digest)) => digest,
+        _ => None,
+    }
+}
+
 /// Estimates of interference that the owner of a shard added since `upto`; none without an answer.
 pub async fn interference_update(
     cx: &Cx,
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -169,6 +169,10 @@
         /// the call.
         #[serde(default)]
         pub accepts_returns: bool,
+        /// Whether the holder describes the load of the shard to other owners; an earlier version
+        /// does not know the call.
+        #[serde(default)]
+        pub tells_load: bool,
     }
 }
 
@@ -358,6 +362,8 @@
                 confirmed: Some(self.confirmed_before()),
             }),
             accepts_returns: true,
+            // A daemon with the feature says so in its first renewal.
+            tells_load: false,
         }
     }
 
@@ -665,6 +671,7 @@
         last_sender,
         leases: Some(leases),
         accepts_returns: true,
+        tells_load: cx.cfg.features.load_routing,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -1,6 +1,11 @@
 //! Metrics of the scheduler, in the text format that is served on the metrics address.
 
-use super::{event::RunEnd, front::Outcome, ledger::Phase, owner::outages::WaitsFor};
+use super::{
+    event::RunEnd,
+    front::Outcome,
+    ledger::Phase,
+    owner::{balance, outages::WaitsFor},
+};
 use crate::util::build;
 use indexmap::IndexMap;
 use prometheus_client::{
@@ -39,6 +44,12 @@
     waits_for: String,
 }
 
+/// Label of metrics by reason.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    reason: String,
+}
+
 /// Metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -83,6 +94,9 @@
     pub obsolete_rows: Gauge,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
+    /// Calls that asked another owner for its shard's load.
+    pub load_asks: Counter,
+    jobs_sent: Family<ReasonLabel, Counter>,
     long_running_overdue: Family<WaitLabel, Gauge>,
     submits: Family<OutcomeLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
@@ -115,6 +129,8 @@
             journal_bytes: Gauge::default(),
             obsolete_rows: Gauge::default(),
             long_running_outages: Counter::default(),
+            load_asks: Counter::default(),
+            jobs_sent: Family::default(),
             long_running_overdue: Family::default(),
             submits: Family::default(),
             jobs: Family::default(),
@@ -126,6 +142,10 @@
         new.register(registry.sub_registry_with_prefix("sched"));
         new.registry = registry;
         new.note_overdue(&IndexMap::new());
+        for reason in balance::REASONS {
+            let reason = reason.to_owned();
+            new.jobs_sent.get_or_create(&ReasonLabel { reason });
+        }
         new
     }
 
@@ -197,6 +217,10 @@
             "Interrupted long-running tasks that have been down for three seconds",
             overdue,
         );
+        let asks = self.load_asks.clone();
+        r.register("load_asks", "Calls that asked for a shard's load", asks);
+        let sent = self.jobs_sent.clone();
+        r.register("jobs_sent", "New jobs sent to another shard", sent);
         r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
@@ -233,6 +257,12 @@
         self.submits.get_or_create(&labels(queue, outcome)).inc();
     }
 
+    /// Counts a new job that its home sent to another shard.
+    pub fn note_sent(&self, reason: &str) {
+        let reason = reason.to_owned();
+        self.jobs_sent.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a job that has ended; `took_ms` is the time since acceptance and is recorded for
     /// completed jobs.
     pub fn note_job(&self, queue: &str, phase: Phase, took_ms: u64) {
--- a/src/lapisdrum/sched/owner/balance.rs
+++ b/src/lapisdrum/sched/owner/balance.rs
@@ -1,6 +1,7 @@
-//! Sends new jobs that no worker of their home shard can run to a shard that has workers for them, and
-//! long-running jobs to the less loaded of two shards: their home shard and another one drawn at
-//! random.
+//! Sends new jobs that no worker of their home shard can run to a shard that has workers for them,
+//! long-running jobs to the less loaded of two shards (their home shard and another one drawn at
+//! random), and other jobs to a shard that is expected to start them clearly sooner, if the feature
+//! is on ([`shard_loads`]).
 //!
 //! Load pattern: about fifty long-running jobs of ninety cores per shard, which reserve 84 % of it
 //! on average and run for a minute. Placed by a hash alone, the fullest of three shards is more
@@ -14,16 +15,20 @@
 use super::{
     Owner,
     jobs::ANSWER_WITHIN,
+    shard_loads::{self, SoonerStart},
     suitable::{JobNeeds, Suitability},
 };
-use crate::sched::{
-    Cx,
-    event::Event,
-    front,
-    job::{JobId, JobSpec, QueueConfig},
-    journal::AppendOutcome,
-    layout::{Layout, ShardId},
-    peer::SubmitReply,
+use crate::{
+    core::time::millis,
+    sched::{
+        Cx,
+        event::Event,
+        front,
+        job::{JobId, JobSpec, QueueConfig},
+        journal::AppendOutcome,
+        layout::{Layout, ShardId},
+        peer::SubmitReply,
+    },
 };
 use rand::Rng;
 use std::{rc::Rc, time::Duration};
@@ -55,14 +60,20 @@
         let better = match own {
             None => None,
             Some(Suitability::Unsuitable) => suitable_shard(cx, owner, &needs).await,
+            Some(Suitability::Suitable(_)) if needs.long_running.is_empty() => {
+                let sooner = shard_loads::sooner_elsewhere(cx, owner, job, spec, terms);
+                sooner.map(Better::SoonerStart)
+            }
             Some(Suitability::Suitable(own)) => less_loaded(cx, owner, spec, &needs, own).await,
         };
         // Another call may have decided meanwhile.
-        if let Some((to, theirs)) = better
+        if let Some(better) = better
             && is_new(owner, job)
             && owner.journal.accepts_work(cx.clock.now())
         {
-            log::info!(job:% = job, from:% = owner.handle.partition, to = to.0, own:?, theirs; "job is sent to another shard");
+            note_sent(cx, owner, job, own, &better);
+            let to = better.shard();
+            shard_loads::note_sent(owner, to, spec, terms);
             drop(owner.propose(cx, vec![sent(cx, job, to)]));
         } else if own == Some(Suitability::Unsuitable) {
             log::warn!(job:% = job, shard:% = owner.handle.partition, steps = needs.steps.len(); "no shard that answers has workers for each step of the job");
@@ -78,6 +89,56 @@
     }
 }
 
+/// Why jobs are sent to another shard, as lines and metrics name it: it has workers for the job, is less
+/// loaded with long-running tasks, or is expected to start the job sooner.
+pub const REASONS: [&str; 3] = [HAS_WORKERS, LESS_LOADED, SOONER_START];
+const HAS_WORKERS: &str = "has_workers";
+const LESS_LOADED: &str = "less_loaded";
+const SOONER_START: &str = "sooner_start";
+
+/// Another shard for a job, and why.
+enum Better {
+    /// It has workers for the job, and this load, in thousandths.
+    HasWorkers(ShardId, u32),
+    /// It has this load of long-running tasks, in thousandths.
+    LessLoaded(ShardId, u32),
+    /// It is expected to start the job sooner.
+    SoonerStart(SoonerStart),
+}
+
+impl Better {
+    fn shard(&self) -> ShardId {
+        match self {
+            Self::HasWorkers(shard, _) | Self::LessLoaded(shard, _) => *shard,
+            Self::SoonerStart(sooner) => sooner.to,
+        }
+    }
+
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::HasWorkers(..) => HAS_WORKERS,
+            Self::LessLoaded(..) => LESS_LOADED,
+            Self::SoonerStart(_) => SOONER_START,
+        }
+    }
+}
+
+fn note_sent(cx: &Cx, owner: &Owner, job: JobId, own: Option<Suitability>, better: &Better) {
+    let (from, to, reason) = (&owner.handle.partition, better.shard().0, better.reason());
+    cx.metrics.note_sent(reason);
+    match better {
+        Better::HasWorkers(_, theirs) | Better::LessLoaded(_, theirs) => {
+            log::info!(job:% = job, from:%, to, reason, own:?, theirs; "job is sent to another shard");
+        }
+        Better::SoonerStart(sooner) => {
+            let own_wait_ms = millis(sooner.own_wait);
+            let wait_ms = millis(sooner.there.wait);
+            let age_ms = millis(sooner.there.age);
+            log::info!(job:% = job, from:%, to, reason, own_wait_ms, wait_ms, age_ms; "job is sent to another shard");
+        }
+    }
+}
+
 fn sent(cx: &Cx, job: JobId, to: ShardId) -> Event {
     Event::Sent {
         job,
@@ -92,32 +153,33 @@
 }
 
 /// The least loaded of the other shards that have workers for each step, and its load.
-async fn suitable_shard(cx: &Cx, owner: &Owner, needs: &JobNeeds) -> Option<(ShardId, u32)> {
+async fn suitable_shard(cx: &Cx, owner: &Owner, needs: &JobNeeds) -> Option<Better> {
     let layout = cx.layout.borrow().clone()?;
     let others = layout.all().filter(|shard| *shard != owner.handle.shard);
     let asked = others.map(async |shard| Some((shard, load_of(cx, shard, needs).await?)));
     let suitable = futures::future::join_all(asked).await;
     let suitable = suitable.into_iter().flatten();
-    suitable.min_by_key(|(_, load)| *load)
+    let (shard, load) = suitable.min_by_key(|(_, load)| *load)?;
+    Some(Better::HasWorkers(shard, load))
 }
 
-/// Another shard, drawn at random, if it is less loaded, and its load; none for jobs without
-/// long-running steps and for those bound to a data rack.
+/// Another shard, drawn at random, if it is less loaded, and its load; none for jobs that are
+/// bound to a data rack.
 async fn less_loaded(
     cx: &Cx,
     owner: &Owner,
     spec: &JobSpec,
     needs: &JobNeeds,
     own: u32,
-) -> Option<(ShardId, u32)> {
+) -> Option<Better> {
     let layout = cx.layout.borrow().clone()?;
     let is_bound = spec.steps.iter().any(|step| step.data_rack.is_some());
-    if needs.long_running.is_empty() || is_bound {
+    if is_bound {
         return None;
     }
     let other = draw(&layout, owner.handle.shard)?;
     let theirs = load_of(cx, other, needs).await?;
-    is_less_loaded(own, theirs).then_some((other, theirs))
+    is_less_loaded(own, theirs).then_some(Better::LessLoaded(other, theirs))
 }
 
 /// The load of a shard for a job; none if it has no workers for it, or does not answer in time.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -7,6 +7,7 @@
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
     runs::{self, load_of},
+    shard_loads::{self, WaitingWork},
 };
 use crate::{
     core::{size::Size, time::Millis},
@@ -132,12 +133,42 @@
     backlog.end(cx, owner, || Room::of(&hosts));
     drop(backlog);
     kept_hosts::note(owner, &hosts, cx.clock.now());
+    if shard_loads::is_due(cx, owner) {
+        let work = waiting_work(owner, &waiting, &placed);
+        shard_loads::note_pass(cx, owner, work, &hosts);
+    }
     if placed.is_empty() {
         return;
     }
     commit(cx, owner, placed);
 }
 
+/// Makes the digest of the shard's load without placing anything.
+pub(super) fn note_load(cx: &Cx, owner: &Owner) {
+    let waiting = collect(cx, owner);
+    let reports = owner.open_workers(cx);
+    let hosts = hosts_of(cx, owner, &reports);
+    shard_loads::note_pass(cx, owner, waiting_work(owner, &waiting, &[]), &hosts);
+}
+
+/// Work of the steps that a pass left waiting, without long-running tasks.
+fn waiting_work(owner: &Owner, waiting: &[StartableStep], placed: &[Placed]) -> Vec<WaitingWork> {
+    let mut done: IndexMap<StepId, usize> = IndexMap::new();
+    for (run, _) in placed {
+        *done.entry(run.task.step_id()).or_default() += 1;
+    }
+    let ledger = owner.ledger.borrow();
+    let work = waiting.iter().filter_map(|waiting| {
+        let job = &ledger.jobs[&waiting.step.job];
+        let spec = &job.spec.steps[usize::from(waiting.step.step)];
+        let class = shard_loads::class_of(&job.terms, spec)?;
+        let placed = done.get(&waiting.step).copied().unwrap_or_default();
+        let left = waiting.tasks.len().saturating_sub(placed) as u64;
+        Some((class, spec.size.millicores * left, waiting.age_ms))
+    });
+    work.collect()
+}
+
 /// Places as many tasks of the waiting steps as fit, in the order of the steps.
 fn place_all(
     cx: &Cx,
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,6 +1,6 @@
 //! Serves requests about jobs: submission, state, cancellation and the number of pending jobs.
 
-use super::{Owner, balance};
+use super::{Owner, balance, shard_loads};
 use crate::{
     daemon::supervisor,
     sched::{
@@ -75,6 +75,7 @@
 }
 
 fn accept(cx: &Cx, owner: &Rc<Owner>, job: JobId, spec: Rc<JobSpec>, terms: QueueConfig) {
+    shard_loads::note_accepted(cx, owner, &spec, &terms);
     let event = Event::Accepted {
         job,
         spec,
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -25,6 +25,7 @@
 pub mod returns;
 pub mod runs;
 pub mod session;
+pub mod shard_loads;
 pub mod silent_workers;
 pub mod stop_note;
 pub mod suitable;
@@ -57,6 +58,7 @@
 use kept_hosts::KeptHosts;
 use runs::RunRecord;
 use session::Session;
+use shard_loads::ShardLoads;
 use silent_workers::Listed;
 use std::{
     cell::{Cell, RefCell},
@@ -139,6 +141,10 @@
     pub wait_reasons: RefCell<IndexMap<StepId, (Unfit, Millis)>>,
     /// Processors that short tasks hold and wait for.
     pub short_work: RefCell<ShortWork>,
+    /// Loads of this shard and of others.
+    pub shard_loads: RefCell<ShardLoads>,
+    /// Notified when the loads of other shards are wanted.
+    exchange_loads: Notify,
     /// Totals of the tasks that wait for free capacity, for the log.
     backlog: RefCell<Backlog>,
     /// Hosts that are kept free for waiting tasks, for the log.
@@ -207,6 +213,8 @@
             started_at: RefCell::default(),
             wait_reasons: RefCell::default(),
             short_work: RefCell::default(),
+            shard_loads: RefCell::default(),
+            exchange_loads: Notify::new(),
             backlog: RefCell::default(),
             kept_hosts: RefCell::default(),
             outages: RefCell::default(),
@@ -553,6 +561,10 @@
     for (name, component) in components {
         supervisor::spawn(name, component);
     }
+    if cx.cfg.features.load_routing {
+        let exchange = shard_loads::exchange(Rc::clone(cx), Rc::clone(owner));
+        supervisor::spawn("shard-loads", exchange);
+    }
 }
 
 async fn write_journal(cx: Cx, owner: Rc<Owner>) {
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -3,6 +3,7 @@
 use super::{
     Owner, headroom, poll,
     session::{Lease, Session},
+    shard_loads,
 };
 use crate::{
     core::{
@@ -113,6 +114,7 @@
         };
         let placed_row = Some(self.journal.next_row());
         self.add_run(cx, run, on, known, placed_row);
+        shard_loads::note_placed(cx, self, &run);
     }
 
     fn add_run(
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -10,9 +10,11 @@
         estimates::{self, LearnedUpdate, ReceivedVersions},
         jobs,
         returns::{self, ReturnedTasks},
+        shard_loads,
         suitable::{JobNeeds, Suitability},
     },
 };
+use crate::policy::shard_load::LoadDigest;
 use actix_rt::net::TcpListener;
 use futures::StreamExt;
 use indexmap::IndexMap;
@@ -64,6 +66,8 @@
         TakeBack(ReturnedTasks),
         /// Tell whether the shard has workers for a job, and how loaded they are.
         Suitability(JobNeeds),
+        /// Describe the load of the shard; only to owners whose lease row says that they know it.
+        LoadDigest,
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -92,6 +96,9 @@
         /// Reply to [`OwnerRequest::Suitability`]; `None` if the callee does not own the shard or
         /// can't tell yet.
         Suitability(Option<Suitability>),
+        /// Reply to [`OwnerRequest::LoadDigest`]; `None` if the callee does not own the shard or
+        /// places no tasks.
+        LoadDigest(Option<LoadDigest>),
     }
 
     /// Outcome of [`OwnerRequest::TakeBack`].
@@ -232,6 +239,7 @@
         (OwnerRequest::Cancel(_), None) => OwnerReply::Cancelled(CancelReply::NotOwner),
         (OwnerRequest::Pending(_), None) => OwnerReply::Pending(None),
         (OwnerRequest::Load, _) => OwnerReply::Load(None),
+        (OwnerRequest::LoadDigest, None) => OwnerReply::LoadDigest(None),
         (OwnerRequest::Suitability(_), None) => OwnerReply::Suitability(None),
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
@@ -240,6 +248,9 @@
         (OwnerRequest::Learned(upto), Some(owner)) => {
             OwnerReply::Learned(estimates::updates_since(cx, &owner, upto))
         }
+        (OwnerRequest::LoadDigest, Some(owner)) => {
+            OwnerReply::LoadDigest(shard_loads::digest(cx, &owner))
+        }
         (OwnerRequest::Suitability(needs), Some(owner)) => {
             OwnerReply::Suitability(owner.suitability(cx, &needs))
         }
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -212,6 +212,7 @@
                     confirmed: None,
                 }),
                 accepts_returns: true,
+                tells_load: false,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -12,6 +12,7 @@
 mod queueing;
 mod retry;
 mod routing;
+mod shard_load;
 mod slowdown;
 mod spare;
 mod stories;
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -11,6 +11,7 @@
         Cx,
         edge::{Queue, WorkerReport},
         event::{Event, WorkerIncarnation},
+        features::Features,
         front::{self, Outcome},
         job::{JobId, JobSpec, RawJob, Step},
         layout::{Layout, ShardId},
@@ -169,7 +170,13 @@
 
 /// A cluster of two shards with half of the workers each, owned by a single daemon, and the queue for jobs.
 async fn sole_owner(workers: usize) -> (Rc<World>, Cx, Queue) {
+    sole_owner_with(workers, Features::default()).await
+}
+
+/// Like [`sole_owner`], with these features.
+pub(super) async fn sole_owner_with(workers: usize, features: Features) -> (Rc<World>, Cx, Queue) {
     let world = World::new(workers);
+    world.features.set(features);
     world.workers_per_shard.set(workers / 2);
     let cx = world.daemon("a");
     until("the daemon owns both shards", LIMIT, async || {
@@ -338,7 +345,7 @@
     }]
 }
 
-fn spec_of(steps: Vec<Step>) -> JobSpec {
+pub(super) fn spec_of(steps: Vec<Step>) -> JobSpec {
     let raw = RawJob {
         payload: "work".to_owned(),
         steps,
@@ -414,7 +421,7 @@
     }]
 }
 
-fn homes_in(cx: &Cx, shard: ShardId, count: usize) -> Vec<u64> {
+pub(super) fn homes_in(cx: &Cx, shard: ShardId, count: usize) -> Vec<u64> {
     let homes = (1..).filter(|id| home(cx, *id) == shard);
     homes.take(count).collect()
 }
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -26,6 +26,7 @@
 mod refused;
 mod resolution;
 mod room;
+mod routing;
 mod schedules;
 mod short_work;
 mod snapshots;
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -215,6 +215,7 @@
         last_sender: None,
         leases: None,
         accepts_returns: true,
+        tells_load: false,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
