--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -9,8 +9,9 @@
 //! (slots reserved for shorter runs), [`routing`] with [`outliers`] (choice of worker) and
 //! [`retry`] (whether to send again). A task passes [`queueing`], [`placement`] with
 //! [`slowdown`] and [`health`], then [`eviction`]. [`hysteresis`] limits how often a decision
-//! changes where its signal lags. Tasks of job graphs are placed by [`dispatch`]; [`polling`]
-//! limits the reads of the shared store, and [`succession`] chooses the next owner of a shard.
+//! changes where its signal lags. Tasks of job graphs are placed by [`dispatch`], in the
+//! shard that [`shard_load`] chooses for their job; [`polling`] limits the reads of the shared store,
+//! and [`succession`] chooses the next owner of a shard.
 
 pub mod admission;
 pub mod dispatch;
@@ -25,5 +26,6 @@
 pub mod queueing;
 pub mod retry;
 pub mod routing;
+pub mod shard_load;
 pub mod slowdown;
 pub mod succession;
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -180,6 +180,10 @@
         /// Daemon that has read the shard's state ahead and for which the holder released the lease.
         #[serde(default)]
         pub successor: Option<Holder>,
+        /// Whether the holder describes the load of the shard to other owners; an earlier version
+        /// does not know the call.
+        #[serde(default)]
+        pub tells_load: bool,
     }
 }
 
@@ -404,6 +408,8 @@
             accepts_returns: true,
             accepts_origins: true,
             successor: None,
+            // A daemon with the feature says so in its first renewal.
+            tells_load: false,
         }
     }
 
@@ -816,6 +822,7 @@
         accepts_returns: true,
         accepts_origins: true,
         successor: release.and_then(|release| release.successor.cloned()),
+        tells_load: cx.cfg.features.load_routing,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,6 +1,6 @@
 //! Serves requests about jobs: submission, state, cancellation and the number of pending jobs.
 
-use super::{Owner, balance, sharing};
+use super::{Owner, balance, shard_loads, sharing};
 use crate::{
     daemon::supervisor,
     sched::{
@@ -91,6 +91,7 @@
     data_centre: Option<String>,
 ) {
     sharing::note_accepted(cx, owner, job);
+    shard_loads::note_accepted(cx, owner, &spec, &terms);
     let event = Event::Accepted {
         job,
         spec,
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -26,6 +26,7 @@
 pub mod returns;
 pub mod runs;
 pub mod session;
+pub mod shard_loads;
 pub mod sharing;
 pub mod silent_workers;
 pub mod stop_note;
@@ -61,6 +62,7 @@
 use kept_hosts::KeptHosts;
 use runs::RunRecord;
 use session::Session;
+use shard_loads::ShardLoads;
 use silent_workers::Listed;
 use std::{
     cell::{Cell, RefCell},
@@ -147,6 +149,10 @@
     pub short_work: RefCell<ShortWork>,
     /// Expected waits of new jobs, and service that callers have received.
     sharing: RefCell<sharing::Sharing>,
+    /// Loads of this shard and of others.
+    pub shard_loads: RefCell<ShardLoads>,
+    /// Notified when the loads of other shards are wanted.
+    exchange_loads: Notify,
     /// Totals of the tasks that wait for free capacity, for the log.
     backlog: RefCell<Backlog>,
     /// Hosts that are kept free for waiting tasks, for the log.
@@ -219,6 +225,8 @@
             wait_reasons: RefCell::default(),
             short_work: RefCell::default(),
             sharing: RefCell::default(),
+            shard_loads: RefCell::default(),
+            exchange_loads: Notify::new(),
             backlog: RefCell::default(),
             kept_hosts: RefCell::default(),
             place_waits: RefCell::default(),
@@ -568,6 +576,10 @@
     for (name, component) in components {
         supervisor::spawn(name, component);
     }
+    if cx.cfg.features.load_routing {
+        let exchange = shard_loads::exchange(Rc::clone(cx), Rc::clone(owner));
+        supervisor::spawn("shard-loads", exchange);
+    }
 }
 
 async fn write_journal(cx: Cx, owner: Rc<Owner>) {
--- a/src/lapisdrum/sched/owner/sharing.rs
+++ b/src/lapisdrum/sched/owner/sharing.rs
@@ -276,7 +276,7 @@
     let mut sharing = owner.sharing.borrow_mut();
     let refusal = sharing
         .admission
-        .decide(&new, shares, now, &mut rand::rng())?;
+        .decide(&new, shares, now, &mut cx.rng())?;
     sharing.totals.refused += 1;
     cx.metrics.hopeless_refusals.inc();
     log::info!(
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -10,10 +10,11 @@
         estimates::{self, LearnedUpdate, ReceivedVersions},
         jobs,
         returns::{self, ReturnedTasks},
+        shard_loads,
         suitable::{JobNeeds, Suitability},
     },
 };
-use crate::policy::succession::Candidate;
+use crate::policy::{shard_load::LoadDigest, succession::Candidate};
 use actix_rt::net::TcpListener;
 use futures::StreamExt;
 use indexmap::IndexMap;
@@ -86,6 +87,8 @@
         /// Take the shard over, which was released for the callee this many milliseconds after its
         /// owner stopped.
         TakeOver(u64),
+        /// Describe the load of the shard; only to owners whose lease row says that they know it.
+        LoadDigest,
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -121,6 +124,9 @@
         Prepared(Option<u64>),
         /// Reply to [`OwnerRequest::TakeOver`]: whether the callee tries to take the shard over.
         TakingOver(bool),
+        /// Reply to [`OwnerRequest::LoadDigest`]; `None` if the callee does not own the shard or
+        /// places no tasks.
+        LoadDigest(Option<LoadDigest>),
     }
 
     /// Outcome of [`OwnerRequest::TakeBack`].
@@ -271,6 +277,7 @@
             let stopped = Duration::from_millis(stopped_ms);
             OwnerReply::TakingOver(handover::take_over(cx, &cx.handle(shard), stopped))
         }
+        (OwnerRequest::LoadDigest, None) => OwnerReply::LoadDigest(None),
         (OwnerRequest::Suitability(_), None) => OwnerReply::Suitability(None),
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
@@ -279,6 +286,9 @@
         (OwnerRequest::Learned(upto), Some(owner)) => {
             OwnerReply::Learned(estimates::updates_since(cx, &owner, upto))
         }
+        (OwnerRequest::LoadDigest, Some(owner)) => {
+            OwnerReply::LoadDigest(shard_loads::digest(cx, &owner))
+        }
         (OwnerRequest::Suitability(needs), Some(owner)) => {
             OwnerReply::Suitability(owner.suitability(cx, &needs))
         }
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -214,6 +214,7 @@
                 accepts_returns: true,
                 accepts_origins: true,
                 successor: None,
+                tells_load: false,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -29,6 +29,7 @@
 mod refused;
 mod resolution;
 mod room;
+mod routing;
 mod schedules;
 mod sharing;
 mod short_work;
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -217,6 +217,7 @@
         accepts_returns: true,
         accepts_origins: true,
         successor: None,
+        tells_load: false,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
