--- a/src/lapisdrum/sched/owner/sharing.rs
+++ b/src/lapisdrum/sched/owner/sharing.rs
@@ -274,9 +274,7 @@
         .fair_sharing
         .then_some(&cx.cfg.share_weights);
     let mut sharing = owner.sharing.borrow_mut();
-    let refusal = sharing
-        .admission
-        .decide(&new, shares, now, &mut cx.rng())?;
+    let refusal = sharing.admission.decide(&new, shares, now, &mut cx.rng())?;
     sharing.totals.refused += 1;
     cx.metrics.hopeless_refusals.inc();
     log::info!(
