Counters of hand-overs and place waits exist from the start; the process tests fill in the slowdown

Ruled out: a fault of the daemon: its settings refuse the unfilled template, as they should. Change: the test renders bounds.farFactor; the counters are created with their known outcomes; a release without a successor stops leases under the lock of renewals, as before the feature.

--- a/src/lapisdrum/sched/handover.rs
+++ b/src/lapisdrum/sched/handover.rs
@@ -53,6 +53,14 @@
 /// of a hand-over.
 const PREPARED_FOR: Duration = Duration::from_secs(4);
 
+/// How the release of a shard in a planned stop ends, as lines and metrics name it: the successor takes
+/// over, it does not, none was prepared, or the store has not confirmed the release.
+pub const OUTCOMES: [&str; 4] = [ACCEPTED, DECLINED, UNPREPARED, UNCONFIRMED];
+const ACCEPTED: &str = "accepted";
+const DECLINED: &str = "declined";
+const UNPREPARED: &str = "unprepared";
+const UNCONFIRMED: &str = "unconfirmed";
+
 data! {
     /// Row of a daemon that takes part.
     struct Presence {
@@ -241,27 +249,27 @@
         false => None,
     };
     let stopped_at = cx.clock.now();
-    owner.stop_sending_leases();
     if successor.is_some() {
+        owner.stop_sending_leases();
         let flushed = owner.journal.append(&[]).outcome();
         // Without the rows the successor finds the runs and ends at their workers.
         let _ = tokio::time::timeout(FLUSH_TIMEOUT, flushed).await;
     }
     let is_released = lease::release(cx, owner, successor.as_ref()).await;
     let outcome = match (is_released, &successor) {
-        (false, _) => "unconfirmed",
-        (true, None) => "unprepared",
+        (false, _) => UNCONFIRMED,
+        (true, None) => UNPREPARED,
         (true, Some(successor)) => {
             let stopped = cx.clock.now().since(stopped_at);
             let request = OwnerRequest::TakeOver(millis(stopped));
             let (address, shard) = (&successor.address, owner.handle.shard);
             let call = cx.peers.ask(address, shard, request, TAKE_OVER_TIMEOUT);
             match call.await {
-                Ok(OwnerReply::TakingOver(true)) => "accepted",
+                Ok(OwnerReply::TakingOver(true)) => ACCEPTED,
                 _ => {
                     // The others need not wait for it.
                     lease::release(cx, owner, None).await;
-                    "declined"
+                    DECLINED
                 }
             }
         }
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -3,6 +3,7 @@
 use super::{
     event::RunEnd,
     front::Outcome,
+    handover,
     ledger::Phase,
     owner::{balance, outages::WaitsFor},
 };
@@ -115,6 +116,11 @@
     place_waits: Family<EndLabel, Counter>,
 }
 
+fn place_wait_label(is_far: bool) -> EndLabel {
+    let outcome = if is_far { "far" } else { "near" }.to_owned();
+    EndLabel { outcome }
+}
+
 impl Metrics {
     /// Creates and registers all metrics with value 0.
     pub fn new() -> Self {
@@ -159,10 +165,18 @@
         new.register(registry.sub_registry_with_prefix("sched"));
         new.registry = registry;
         new.note_overdue(&IndexMap::new());
+        // An alert needs the counter before the first event.
         for reason in balance::REASONS {
             let reason = reason.to_owned();
             drop(new.jobs_sent.get_or_create(&ReasonLabel { reason }));
         }
+        for outcome in handover::OUTCOMES {
+            let outcome = outcome.to_owned();
+            drop(new.handovers.get_or_create(&EndLabel { outcome }));
+        }
+        for is_far in [false, true] {
+            drop(new.place_waits.get_or_create(&place_wait_label(is_far)));
+        }
         new
     }
 
@@ -336,8 +350,7 @@
 
     /// Counts a task that was placed after a wait for a place near its data.
     pub fn note_place_wait(&self, is_far: bool) {
-        let outcome = if is_far { "far" } else { "near" }.to_owned();
-        let label = EndLabel { outcome };
+        let label = place_wait_label(is_far);
         self.place_waits.get_or_create(&label).inc();
     }
 
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -122,6 +122,7 @@
             .fold(settings, |settings, name| {
                 with_bound(&settings, name, "900")
             });
+        let settings = with_bound(&settings, "farFactor", "2");
         let path = self.dir.path().join(&name);
         fs::write(&path, settings).expect("settings");
         let process = Process::spawn(
