With the switch off a release is as before; first plays of the planned hand-over

Cause: the release stopped leases before it had the renewal's lock also without a planned hand-over. Ruled out: nothing else differs with the switch off, by reading. Change: it does so only for a named successor.

--- a/src/lapisdrum/sched/handover.rs
+++ b/src/lapisdrum/sched/handover.rs
@@ -241,8 +241,8 @@
         false => None,
     };
     let stopped_at = cx.clock.now();
-    owner.stop_sending_leases();
     if successor.is_some() {
+        owner.stop_sending_leases();
         let flushed = owner.journal.append(&[]).outcome();
         // Without the rows the successor finds the runs and ends at their workers.
         let _ = tokio::time::timeout(FLUSH_TIMEOUT, flushed).await;
