Jobs of which nothing runs are reported with what they wait for

For a short job no line said for how long nothing of it had run, nor which of the three suspected causes held it; only long-running tasks had such a line.

Change: `sched::owner::stalled_jobs`. Each round of maintenance finds the accepted jobs with a task whose turn has come and no run at work; after 3 s a line gives the step and its size, the run that counts as alive with the state of its orders and the end of the last lease, the main reason of the hosts' refusals and its age, the shard's room, and why the shard places nothing at all (`NotPlacing`). A gauge by what they wait for and a counter. At most 20 lines a round, one a second and job.

What each hypothesis would show: hosts that refuse without end, `Host` with `refused`; runs that count as alive, `LeaseEnd`, `Start`, `Stop` or `Ends`; a shard that dispatches nothing, `not_placing`.

The evidence about a run is shared with the line of long-running tasks.

--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -104,10 +104,13 @@
     pub reordered_passes: Counter,
     /// Interrupted long-running tasks that did not run again within three seconds.
     pub long_running_outages: Counter,
+    /// Accepted jobs of which nothing ran for three seconds although a task's turn had come.
+    pub job_stalls: Counter,
     /// Calls that asked another owner for its shard's load.
     pub load_asks: Counter,
     jobs_sent: Family<ReasonLabel, Counter>,
     long_running_overdue: Family<WaitLabel, Gauge>,
+    stalled_jobs: Family<WaitLabel, Gauge>,
     handovers: Family<EndLabel, Counter>,
     submits: Family<OutcomeLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
@@ -150,9 +153,11 @@
             hopeless_refusals: Counter::default(),
             reordered_passes: Counter::default(),
             long_running_outages: Counter::default(),
+            job_stalls: Counter::default(),
             load_asks: Counter::default(),
             jobs_sent: Family::default(),
             long_running_overdue: Family::default(),
+            stalled_jobs: Family::default(),
             handovers: Family::default(),
             submits: Family::default(),
             jobs: Family::default(),
@@ -165,6 +170,7 @@
         new.register(registry.sub_registry_with_prefix("sched"));
         new.registry = registry;
         new.note_overdue(&IndexMap::new());
+        new.note_stalled(&IndexMap::new());
         // An alert needs the counter before the first event.
         for reason in balance::REASONS {
             let reason = reason.to_owned();
@@ -274,6 +280,18 @@
             "Interrupted long-running tasks that have been down for three seconds",
             overdue,
         );
+        let stalls = self.job_stalls.clone();
+        r.register(
+            "job_stalls",
+            "Accepted jobs of which nothing ran for three seconds",
+            stalls,
+        );
+        let stalled = self.stalled_jobs.clone();
+        r.register(
+            "stalled_jobs",
+            "Accepted jobs of which nothing has run for three seconds",
+            stalled,
+        );
         let asks = self.load_asks.clone();
         r.register("load_asks", "Calls that asked for a shard's load", asks);
         let sent = self.jobs_sent.clone();
@@ -356,12 +374,12 @@
 
     /// Sets the number of overdue long-running tasks by what they wait for.
     pub fn note_overdue(&self, overdue: &IndexMap<WaitsFor, i64>) {
-        for waits_for in WaitsFor::ALL {
-            let tasks = overdue.get(&waits_for).copied().unwrap_or_default();
-            let waits_for = format!("{waits_for:?}");
-            let label = WaitLabel { waits_for };
-            self.long_running_overdue.get_or_create(&label).set(tasks);
-        }
+        set_by_wait(&self.long_running_overdue, overdue);
+    }
+
+    /// Sets the number of stalled jobs by what they wait for.
+    pub fn note_stalled(&self, stalled: &IndexMap<WaitsFor, i64>) {
+        set_by_wait(&self.stalled_jobs, stalled);
     }
 
     /// Encodes all metrics in the text format.
@@ -373,6 +391,14 @@
     }
 }
 
+fn set_by_wait(gauges: &Family<WaitLabel, Gauge>, counts: &IndexMap<WaitsFor, i64>) {
+    for waits_for in WaitsFor::ALL {
+        let count = counts.get(&waits_for).copied().unwrap_or_default();
+        let waits_for = format!("{waits_for:?}");
+        gauges.get_or_create(&WaitLabel { waits_for }).set(count);
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -329,6 +329,27 @@
     }
 }
 
+/// The first step of a job with tasks that may start at this time.
+pub(super) fn first_startable(id: JobId, job: &Job, now_unix_ms: u64) -> Option<StepId> {
+    let occurrences = job.startable_occurrences(now_unix_ms).into_iter();
+    let mut steps = occurrences.flat_map(|occurrence| {
+        let steps = job.spec.steps.iter().enumerate();
+        steps.map(move |(at, spec)| {
+            let step = StepId {
+                job: id,
+                occurrence,
+                step: at as u16,
+            };
+            (step, spec)
+        })
+    });
+    let may_start = |(step, spec): &(StepId, &Step)| {
+        let is_turn = job.may_start(step.occurrence, usize::from(step.step));
+        is_turn && !startable(job, step, spec).is_empty()
+    };
+    steps.find(may_start).map(|(step, _)| step)
+}
+
 /// Indices of the tasks that are not done, have no live run and are not delegated to another shard.
 fn startable(job: &Job, step: &StepId, spec: &Step) -> Vec<u32> {
     let Some(state) = job.step(step) else {
@@ -347,7 +368,12 @@
     free
 }
 
-fn hosts_of<'a>(cx: &Cx, owner: &Owner, reports: &'a [Rc<WorkerReport>]) -> Vec<Host<'a>> {
+/// The workers as hosts for tasks.
+pub(super) fn hosts_of<'a>(
+    cx: &Cx,
+    owner: &Owner,
+    reports: &'a [Rc<WorkerReport>],
+) -> Vec<Host<'a>> {
     let now = cx.clock.now();
     let sessions = owner.sessions.borrow();
     let host = |report: &'a Rc<WorkerReport>| {
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -29,6 +29,7 @@
 pub mod shard_loads;
 pub mod sharing;
 pub mod silent_workers;
+pub mod stalled_jobs;
 pub mod stop_note;
 pub mod suitable;
 pub mod suspension;
@@ -161,6 +162,8 @@
     place_waits: RefCell<place_wait::PlaceWaits>,
     /// Long-running tasks that do not run.
     outages: RefCell<outages::Outages>,
+    /// Jobs of which nothing runs.
+    stalled_jobs: RefCell<stalled_jobs::StalledJobs>,
     /// Number of runs that are still in each evacuated data centre.
     left_in_evacuated: RefCell<IndexMap<String, usize>>,
     /// Tasks delegated to other shards.
@@ -231,6 +234,7 @@
             kept_hosts: RefCell::default(),
             place_waits: RefCell::default(),
             outages: RefCell::default(),
+            stalled_jobs: RefCell::default(),
             left_in_evacuated: RefCell::default(),
             delegations: RefCell::default(),
             offers: RefCell::default(),
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -13,7 +13,7 @@
         event::RunId,
         job::{JobId, StepId, TaskId},
         ledger::{Job, Task},
-        resolution::{Order, Stop},
+        resolution::{LeaseKind, Order, Stop},
     },
 };
 use indexmap::IndexMap;
@@ -146,16 +146,8 @@
 
 fn log_outage(cx: &Cx, owner: &Owner, found: &Down, down: Duration) {
     let now = cx.clock.now();
-    let runs = owner.runs.borrow();
-    let record = found.run.and_then(|run| runs.get(&run));
-    let worker = record.map(|record| record.on.worker.as_str());
-    let sessions = owner.sessions.borrow();
-    let session = worker.and_then(|worker| sessions.get(worker));
-    let silent_ms = session.map(|session| session.unresponsive_ms(now));
-    let is_confirmed = record.is_some_and(|record| record.is_confirmed);
-    let latest = session.map(|session| session.bound.latest_end(is_confirmed, &cx.cfg.leases));
-    let last_lease = latest.map(|(kind, _)| kind);
-    let ends_in_ms = latest.map(|(_, end)| millis(end.since(now)));
+    let evidence = found.run.map(|run| run_evidence(cx, owner, &run));
+    let evidence = evidence.unwrap_or_default();
     let refused = refusal(owner, &found.task.step_id());
     log::warn!(
         task:% = found.task,
@@ -165,18 +157,57 @@
         down_ms = millis(down),
         owned_ms = millis(now.since(owner.taken_at)),
         run = found.run.map(|run| run.run.0),
-        worker,
-        order:? = record.map(|record| record.known.order),
-        stop:? = record.map(|record| record.known.stop),
-        silent_ms,
-        is_confirmed,
-        last_lease:?,
-        ends_in_ms,
+        worker = evidence.worker,
+        order:? = evidence.order,
+        stop:? = evidence.stop,
+        silent_ms = evidence.silent_ms,
+        is_confirmed = evidence.is_confirmed,
+        last_lease:? = evidence.last_lease,
+        ends_in_ms = evidence.ends_in_ms,
         refused:?;
         "long-running task does not run"
     );
 }
 
+/// What the owner knows of a run that may be alive, for a line about it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunEvidence {
+    /// The worker on which it was placed.
+    pub worker: Option<String>,
+    /// State of its start order.
+    pub order: Option<Order>,
+    /// State of its stop order.
+    pub stop: Option<Stop>,
+    /// Milliseconds since the worker stopped answering; 0 while it answers.
+    pub silent_ms: Option<u64>,
+    /// Whether an incarnation of the worker is known to have it.
+    pub is_confirmed: bool,
+    /// The kind of lease that ends last there.
+    pub last_lease: Option<LeaseKind>,
+    /// Milliseconds until that end.
+    pub ends_in_ms: Option<u64>,
+}
+
+/// Returns what is known of a run.
+pub(super) fn run_evidence(cx: &Cx, owner: &Owner, run: &RunId) -> RunEvidence {
+    let now = cx.clock.now();
+    let (runs, sessions) = (owner.runs.borrow(), owner.sessions.borrow());
+    let record = runs.get(run);
+    let worker = record.map(|record| record.on.worker.as_str());
+    let session = worker.and_then(|worker| sessions.get(worker));
+    let is_confirmed = record.is_some_and(|record| record.is_confirmed);
+    let latest = session.map(|session| session.bound.latest_end(is_confirmed, &cx.cfg.leases));
+    RunEvidence {
+        worker: worker.map(str::to_owned),
+        order: record.map(|record| record.known.order),
+        stop: record.map(|record| record.known.stop),
+        silent_ms: session.map(|session| session.unresponsive_ms(now)),
+        is_confirmed,
+        last_lease: latest.map(|(kind, _)| kind),
+        ends_in_ms: latest.map(|(_, end)| millis(end.since(now))),
+    }
+}
+
 fn log_end(owner: &Owner, task: &TaskId, outage: &Outage, now: Millis) {
     let ledger = owner.ledger.borrow();
     let is_here = |task: &Task| task.elsewhere.is_none() && !task.live.is_empty();
@@ -257,7 +288,8 @@
     })
 }
 
-fn waiting_for(may_place: bool) -> WaitsFor {
+/// What a task without a run waits for.
+pub(super) fn waiting_for(may_place: bool) -> WaitsFor {
     match may_place {
         true => WaitsFor::Host,
         false => WaitsFor::Dispatcher,
@@ -265,7 +297,7 @@
 }
 
 /// What a run that may be alive waits for; `None` if its worker has confirmed it and answers.
-fn run_waits_for(owner: &Owner, run: &RunId) -> Option<WaitsFor> {
+pub(super) fn run_waits_for(owner: &Owner, run: &RunId) -> Option<WaitsFor> {
     let runs = owner.runs.borrow();
     let record = runs.get(run)?;
     let sessions = owner.sessions.borrow();
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -4,7 +4,7 @@
 use super::{
     Owner,
     outages::{self, WaitsFor},
-    runs,
+    runs, stalled_jobs,
 };
 use crate::{
     core::time::{Millis, millis},
@@ -44,6 +44,7 @@
         forget_old(&cx, &owner);
         note_evacuated(&cx, &owner);
         outages::note(&cx, &owner);
+        stalled_jobs::note(&cx, &owner);
         note_gauges(&cx);
         tokio::time::sleep(until_next_round(&cx, &owner)).await;
     }
@@ -222,13 +223,18 @@
     cx.metrics
         .obsolete_rows
         .set(sum(|usage| usage.obsolete_rows));
-    let mut overdue: IndexMap<WaitsFor, i64> = IndexMap::new();
-    for owner in &owners {
-        for (waits_for, tasks) in owner.outages.borrow().overdue(cx.clock.now()) {
-            *overdue.entry(waits_for).or_default() += tasks;
+    let now = cx.clock.now();
+    let sum_by_wait = |of: &dyn Fn(&Owner) -> IndexMap<WaitsFor, i64>| {
+        let mut sums: IndexMap<WaitsFor, i64> = IndexMap::new();
+        for (waits_for, count) in owners.iter().flat_map(|owner| of(owner)) {
+            *sums.entry(waits_for).or_default() += count;
         }
-    }
+        sums
+    };
+    let overdue = sum_by_wait(&|owner| owner.outages.borrow().overdue(now));
+    let stalled = sum_by_wait(&|owner| owner.stalled_jobs.borrow().overdue(now));
     cx.metrics.note_overdue(&overdue);
+    cx.metrics.note_stalled(&stalled);
 }
 
 impl Owner {
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -34,6 +34,7 @@
 mod sharing;
 mod short_work;
 mod snapshots;
+mod stalled_jobs;
 mod stranded;
 mod superseded;
 mod takeover;
