--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub mod duration;
 pub mod fair_share;
 pub mod interference;
+pub mod missed_alone;
 pub mod mitigation;
 pub mod order;
 pub mod overload;
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -80,6 +80,8 @@
     pub load: f64,
     /// Their utilisation forecast with everything that runs beside them.
     pub forecast: UtilisationForecast,
+    /// Whether they miss their target without best-effort tasks, too.
+    pub misses_alone: bool,
 }
 
 /// A worker that may take tasks.
@@ -141,6 +143,7 @@
                 limit,
                 [load; utilisation::POINTS],
             ),
+            misses_alone: false,
         }
     }
 
@@ -198,13 +201,14 @@
     }
 
     /// Whether a serving task is expected to miss its target, or to miss it by more, because of the
-    /// task to place.
+    /// task to place. One that misses it without best-effort tasks, too, does not count.
     fn is_overloaded_by(&self, need: &Need, model: &InterferenceModel) -> bool {
         let Some(aggressor) = self.aggressor(need) else {
             return false;
         };
         let points = utilisation::points_within(need.duration);
-        self.serving.iter().any(|s| {
+        let mut serving = self.serving.iter().filter(|s| !s.misses_alone);
+        serving.any(|s| {
             let forecast = s.forecast_with(&aggressor, points, model);
             forecast.overload() > s.forecast.overload()
         })
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -12,6 +12,7 @@
     daemon::supervisor,
     policy::dispatch::{
         interference::{Aggressor, Victim},
+        missed_alone::{Check, MAX_PAUSE, StepTail},
         mitigation::{self, Action, BestEffort, DecisionInputs, Serving},
         place::{Load, ServingGroup},
         utilisation::{self, UtilisationForecast},
@@ -24,7 +25,7 @@
         resolution::{Order, Stop},
     },
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
 
 /// Tail latency starts to reflect the start or end of a task after this time, and reflects it fully
@@ -57,9 +58,16 @@
     now: Millis,
 ) {
     note_tails(owner, worker, response, now);
+    let check = note_missed_alone(cx, owner, worker, response, now);
     let over_for = note_overload(owner, worker, now);
     let (runs, best_effort, serving) = on_host(owner, worker, now);
-    if best_effort.is_empty() || serving.is_empty() {
+    match check {
+        Check::None => {}
+        Check::Pause => set_all_cpu_limits(cx, owner, worker, &runs, 0),
+        Check::Resume => set_all_cpu_limits(cx, owner, worker, &runs, 100),
+        Check::Wait => return,
+    }
+    if best_effort.is_empty() || serving.is_empty() || check != Check::None {
         return;
     }
     if over_for.is_some_and(|over| over >= cx.cfg.work.max_measured_overload()) {
@@ -84,9 +92,84 @@
 fn note_overload(owner: &Owner, worker: &str, now: Millis) -> Option<Duration> {
     let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
     let session = sessions.get_mut(worker)?;
-    let here = session.runs.iter().filter_map(|run| runs.get(run));
-    let tails = here.filter_map(|record| Some(record.tail_ms / f64::from(record.target_ms?)));
-    session.overload.note(tails, now)
+    let missed_alone = &session.missed_alone;
+    let tails = step_tails(&session.runs, &runs);
+    let tails = tails.filter(|(step, _)| !missed_alone.contains(*step));
+    session.overload.note(tails.map(|(_, tail)| tail), now)
+}
+
+/// The latest tails of the serving tasks among these runs.
+fn step_tails(
+    here: &IndexSet<RunId>,
+    runs: &IndexMap<RunId, RunRecord>,
+) -> impl Iterator<Item = StepTail> {
+    let records = here
+        .iter()
+        .filter_map(|run| Some((run.task.step_id(), runs.get(run)?)));
+    records.filter_map(|(step, record)| {
+        let tail = record.tail_ms / f64::from(record.target_ms?);
+        Some((step.key(), tail))
+    })
+}
+
+/// Updates which serving tasks of a worker miss their targets without best-effort tasks, too, and
+/// opens the worker for best-effort tasks if some do.
+fn note_missed_alone(
+    cx: &Cx,
+    owner: &Owner,
+    worker: &str,
+    response: &PollResponse,
+    now: Millis,
+) -> Check {
+    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
+    let Some(session) = sessions.get_mut(worker) else {
+        return Check::None;
+    };
+    let mut here = session.runs.iter().filter_map(|run| runs.get(run));
+    // A run that the owner doesn't know may be a best-effort one.
+    let is_known = response
+        .running
+        .iter()
+        .all(|listed| runs.contains_key(&listed.run));
+    let is_recent = session
+        .claimed
+        .since
+        .is_none_or(|at| now.since(at) < EFFECT_FULL_AFTER);
+    if is_recent || !is_known || !session.departed.is_empty() || here.any(RunRecord::disturbs) {
+        session.disturbed_at = now;
+    }
+    let is_undisturbed = now.since(session.disturbed_at) >= EFFECT_FULL_AFTER;
+    let tails: Vec<StepTail> = step_tails(&session.runs, &runs).collect();
+    let before = !session.missed_alone.is_empty();
+    let trusted_for = cx.cfg.work.max_measured_overload();
+    let check = session
+        .missed_alone
+        .note(&tails, is_undisturbed, trusted_for, now);
+    let after = !session.missed_alone.is_empty();
+    if before != after {
+        let worst = tails.iter().map(|(_, tail)| *tail).fold(0.0, f64::max);
+        log::info!(worker, misses_alone = after, is_undisturbed, worst_tail_of_target = worst; "serving tasks miss their targets without best-effort tasks");
+    }
+    match check {
+        Check::None | Check::Resume if after && is_undisturbed => {
+            session.best_effort_closed_until = now;
+        }
+        Check::Pause => session.best_effort_closed_until = now + MAX_PAUSE,
+        Check::None | Check::Wait | Check::Resume => {}
+    }
+    check
+}
+
+/// Sets the CPU limit of all best-effort runs of a worker that are not being stopped.
+fn set_all_cpu_limits(cx: &Cx, owner: &Rc<Owner>, worker: &str, runs: &[RunId], percent: u32) {
+    for run in runs {
+        let is_changed = owner.runs.borrow().get(run).is_some_and(|record| {
+            record.known.stop == Stop::No && record.cpu_limit_percent != percent
+        });
+        if is_changed {
+            set_cpu_limit(cx, owner, worker, *run, percent);
+        }
+    }
 }
 
 /// Updates the interference model and the loads of serving tasks with the tail latencies of a poll
@@ -202,6 +285,12 @@
 }
 
 impl RunRecord {
+    /// Whether it is a best-effort run that may be at work.
+    fn disturbs(&self) -> bool {
+        let is_sent = !matches!(self.known.order, Order::NotSent);
+        self.load == Load::BestEffort && is_sent && self.cpu_limit_percent > 0
+    }
+
     /// Notes the processors that a best-effort task uses, once it has run unthrottled long enough.
     /// Tasks use two thirds or more of what they ask for, and interfere by what they use.
     fn note_use(&mut self, millicores: u64, now: Millis) {
@@ -288,7 +377,9 @@
         .iter()
         .filter_map(|run| Some((run, runs.get(run)?)))
     {
-        if let Some(victim) = owner.victim(run, record) {
+        let victim = owner.victim(run, record);
+        let victim = victim.filter(|victim| !session.missed_alone.contains(victim.step));
+        if let Some(victim) = victim {
             let step = run.task.step_id();
             let group = serving.entry(step).or_insert_with(|| Serving {
                 victim,
@@ -357,6 +448,7 @@
                     limit,
                     load.map(|load| load + residual),
                 ),
+                misses_alone: session.missed_alone.contains(victim.step),
             }
         });
         group.millicores += record.size.millicores;
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -7,6 +7,7 @@
     },
     policy::dispatch::{
         interference::Aggressor,
+        missed_alone::MissedAlone,
         overload::Overload,
         place::{Load, reserved_by},
     },
@@ -148,6 +149,10 @@
     pub best_effort_closed_until: Millis,
     /// Tracks for how long serving tasks here have been over their latency targets.
     pub overload: Overload,
+    /// Its serving tasks that miss their targets without best-effort tasks, too.
+    pub missed_alone: MissedAlone,
+    /// When a best-effort task last had an effect on the tails of its serving tasks.
+    pub disturbed_at: Millis,
     /// Failures in a row, and the time of the last one or of the reset.
     pub failures: (u32, Millis),
     /// Whether the owner polls it; see [`start_polling`](super::poll::start_polling).
@@ -177,6 +182,8 @@
             departed: Vec::new(),
             best_effort_closed_until: Millis::default(),
             overload: Overload::default(),
+            missed_alone: MissedAlone::default(),
+            disturbed_at: Millis::default(),
             failures: (0, Millis::default()),
             is_polled: false,
         }
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -6,6 +6,7 @@
 mod headroom;
 mod health;
 mod hysteresis;
+mod missed_alone;
 mod outliers;
 mod placement;
 mod polling;
--- a/tests/testsuite/sched/interference.rs
+++ b/tests/testsuite/sched/interference.rs
@@ -129,6 +129,7 @@
             InterferenceModel::default().limit(victim),
             [utilisation; POINTS],
         ),
+        misses_alone: false,
     };
     Host {
         id,
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -33,6 +33,7 @@
 mod schedules;
 mod sharing;
 mod short_work;
+mod slow_workers;
 mod snapshots;
 mod stalled_jobs;
 mod stranded;
--- a/tests/testsuite/sched/refused.rs
+++ b/tests/testsuite/sched/refused.rs
@@ -205,6 +205,7 @@
             millicores: 2_000,
             load: spec.load,
             forecast: UtilisationForecast::without_aggressors(1, limit, [spec.load; POINTS]),
+            misses_alone: false,
         }],
         is_open_for_best_effort: true,
         of_step: 0,
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -187,6 +187,8 @@
     malformed: IndexSet<u64>,
     /// Checkpoint that its ends carry.
     checkpoint: Option<String>,
+    /// Latency tail, in milliseconds, that it reports of serving tasks.
+    gauge: u64,
     /// Times of the ends, by number.
     ended_at: IndexMap<u64, Instant>,
     /// Time at which its lease last ended.
@@ -405,6 +407,7 @@
             ended: Vec::new(),
             malformed: IndexSet::new(),
             checkpoint: None,
+            gauge: 0,
             ended_at: IndexMap::new(),
             lapsed_at: None,
             last_ended: IndexMap::new(),
@@ -771,6 +774,11 @@
         self.change(worker, |w| w.behaviour = behaviour);
     }
 
+    /// Sets the figure that a worker reports of each run from now on: the latency tail of a serving task in milliseconds.
+    pub(crate) fn set_gauge(&self, worker: &str, gauge: u64) {
+        self.change(worker, |w| w.gauge = gauge);
+    }
+
     /// Sets the checkpoint that a worker's ends carry from now on.
     pub(crate) fn set_checkpoint(&self, worker: &str, checkpoint: &str) {
         self.change(worker, |w| w.checkpoint = Some(checkpoint.to_owned()));
@@ -1353,7 +1361,7 @@
             run: *run,
             checkpoint: None,
             percent: running.percent(now),
-            gauge: 0,
+            gauge: self.gauge,
         });
         let ended = self.ended.iter().map(|end| end.number);
         let mut numbers: Vec<u64> = ended.chain(self.malformed.iter().copied()).collect();
