A failing test of best-effort jobs that all hosts refuse

What callers see: an accepted best-effort job waits for as long as the serving tasks of all hosts run, although three quarters of the processors are free.

Cause, shown by the test: a host refuses a best-effort task that may add to the overload of a serving task there. For a pair of images without measurements the variance of the estimate decides, and it grows with the square of the task's share of the host: half of a host is refused beside any serving load. A pair that is refused everywhere is never measured, so nothing ends the wait.

The test: four hosts of four cores, a serving task of one core on each (at most one to a host), and a job of one best-effort task of two cores. No disruption, no measured tail: the refusal needs no evidence.

--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -16,6 +16,7 @@
 mod lease_feed;
 mod ledger;
 mod listed_ends;
+mod long_waits;
 mod lost_owners;
 mod order;
 mod outage_lines;
