A best-effort job that all hosts refuse runs after a bounded time

What callers see: an accepted best-effort job has nothing running for as long as the serving tasks of all hosts run, with most processors free.

Cause: admission by estimates alone. A host refuses a best-effort task that may add to the overload of a serving task there. A pair of images that is refused everywhere is never measured, so its estimate stays as it is, and neither time nor free capacity changes the answer. The variance of an unmeasured pair is enough for it.

Ruled out, by reading: the memo of refused demands. It compares all that decides an admission, and the refusal is each host's own.

Change: policy::dispatch::overdue. A job with startable best-effort tasks and nothing running for 1.5 s gets one task (a gang as a whole), while less than half of the pool's processors are reserved or asked for by best-effort tasks. It goes where it is expected to add least to overloads, and gets, right after its start, the highest CPU limit at which it is expected to add nothing, at least 20 %. Only refusals for interference, closed hosts and busy processors are overruled; memory, labels, limits of the step and kept hosts are not. One such task with a limit runs on a host, and none comes to a host for 3 s after its best-effort tasks were all stopped, which stays as it was. Mitigation throttles such a run and doesn't stop it while it is its job's only one.

Weighed: a tolerance that grows with the wait. It bounds the wait too, but several tasks come to one host at full speed, and mitigation stops those that checkpoint for the reason for which they had been refused.

Tests: the in-memory workers report latency tails by load and interference and obey CPU limits. They don't count the processors of best-effort tasks against their capacity, as the platform's don't.

Open: a run with a limit of 0 % stays there while no higher one is expected to pay. With more overdue jobs than hosts, those beyond wait until a limit is lifted or a run ends. A wide step of such a job gets one task at a time, each after 1.5 s.

--- a/src/lapisdrum/policy/dispatch/mitigation.rs
+++ b/src/lapisdrum/policy/dispatch/mitigation.rs
@@ -52,6 +52,8 @@
     pub is_checkpointing: bool,
     /// Whether it is being stopped.
     pub is_stopping: bool,
+    /// Whether it is throttled instead of stopped: it was overdue, and its job has no other run.
+    pub is_never_stopped: bool,
     /// The time for which it has run.
     pub ran: Duration,
     /// Its estimated remaining run time without a CPU limit.
@@ -144,7 +146,8 @@
         let limits = CPU_LIMITS_PERCENT
             .into_iter()
             .filter(move |p| *p != cpu_limit_percent);
-        limits.map(Action::LimitCpu).chain([Action::Stop])
+        let stop = (!self.is_never_stopped).then_some(Action::Stop);
+        limits.map(Action::LimitCpu).chain(stop)
     }
 }
 
--- /dev/null
+++ b/src/lapisdrum/policy/dispatch/overdue.rs
@@ -0,0 +1,101 @@
+//! Admits best-effort tasks of jobs that have had nothing running for too long.
+//!
+//! Load pattern: serving tasks run on every host, and a best-effort image is expected to slow each
+//! of them. [`super::place`] then refuses the image everywhere for as long as they run. Nothing
+//! else would end the wait: a pair of images that never runs together is never measured, so a high
+//! estimate stays high. While most processors of the pool are free, such a job therefore gets one
+//! task after a bounded time, which depends on no estimate. It starts on the host where it is
+//! expected to cost serving tasks least, with a CPU limit at which it is expected to cost nothing,
+//! or with the lowest one that lets it progress. At most one such task with a CPU limit runs on a
+//! host.
+//!
+//! [`super::mitigation`] may change the limit but doesn't stop the task while its job has no other.
+//! If tails stay over their targets, all best-effort tasks of the host are stopped as usual, and
+//! the host takes no such task until it is open again.
+//!
+//! A tolerance that grows with the wait would bound the wait too, but would admit several tasks at
+//! full speed to a host at once, and mitigation would stop them again for the reason for which they
+//! were refused.
+
+use super::{
+    interference::InterferenceModel,
+    place::{self, Host, Need, Unfit},
+};
+use std::time::Duration;
+
+/// Time for which a job may have nothing running. Callers expect such a job to run within 3 s, of
+/// which the other half is left for the start or for another attempt.
+pub const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
+/// CPU limits with which a task may start, in percent of what it asks for, highest first.
+const CPU_LIMITS_PERCENT: [u32; 5] = [100, 80, 60, 40, LOWEST_CPU_LIMIT_PERCENT];
+/// Lowest CPU limit that lets a task progress, in percent of what it asks for.
+const LOWEST_CPU_LIMIT_PERCENT: u32 = 20;
+
+/// Where an overdue task is admitted, and how.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admission {
+    /// Index of the host.
+    pub at: usize,
+    /// Why the host would refuse the task otherwise.
+    pub why: Unfit,
+    /// The CPU limit to set at its start, in percent of what it asks for.
+    pub cpu_limit_percent: u32,
+    /// By how much it is expected to add to the overload of serving tasks with this limit.
+    pub added_overload: f64,
+}
+
+/// Whether less than half of the pool's processors are reserved or asked for by best-effort tasks.
+pub fn is_mostly_free(pool: &str, hosts: &[Host]) -> bool {
+    let in_pool = hosts.iter().filter(|host| host.pool == pool);
+    let (used, all) = in_pool.fold((0, 0), |(used, all), host| {
+        let of_host = host.reserved.millicores + host.best_effort_millicores;
+        (used + of_host, all + host.capacity.millicores)
+    });
+    2 * used < all
+}
+
+/// Whether the pool is mostly free and a host of it takes an overdue task now.
+pub fn takes_any(pool: &str, hosts: &[Host]) -> bool {
+    let mut in_pool = hosts.iter().filter(|host| host.pool == pool);
+    in_pool.any(|host| host.takes_overdue) && is_mostly_free(pool, hosts)
+}
+
+/// Returns where to admit an overdue best-effort task that no host of its pool admits; `None` if
+/// every host lacks memory, a label or the like, or takes no overdue task now.
+pub fn admit(need: &Need, hosts: &[Host], model: &InterferenceModel) -> Option<Admission> {
+    let in_pool = hosts.iter().enumerate();
+    let in_pool = in_pool.filter(|(_, host)| host.pool == need.pool && host.takes_overdue);
+    let able = in_pool.filter_map(|(at, host)| admit_on(need, at, host, model));
+    able.min_by(|a, b| {
+        let is_unreliable = |admission: &Admission| {
+            let host = &hosts[admission.at];
+            (host.is_avoided, host.is_suspect)
+        };
+        let by_cost = a.added_overload.total_cmp(&b.added_overload);
+        let by_limit = b.cpu_limit_percent.cmp(&a.cpu_limit_percent);
+        let by_reliability = is_unreliable(a).cmp(&is_unreliable(b));
+        by_reliability.then(by_cost).then(by_limit)
+    })
+}
+
+fn admit_on(need: &Need, at: usize, host: &Host, model: &InterferenceModel) -> Option<Admission> {
+    let why = place::unfit(need, host, model)?;
+    match why {
+        Unfit::Closed | Unfit::Busy | Unfit::Pressure => {}
+        Unfit::Memory
+        | Unfit::Processors
+        | Unfit::Kept
+        | Unfit::LeftToShort
+        | Unfit::Label
+        | Unfit::StepLimit => return None,
+    }
+    let with_limit = |cpu_limit_percent| Admission {
+        at,
+        why,
+        cpu_limit_percent,
+        added_overload: host.added_overload(need, cpu_limit_percent, model),
+    };
+    let mut limits = CPU_LIMITS_PERCENT.into_iter().map(with_limit);
+    let harmless = limits.find(|admission| admission.added_overload <= 0.0);
+    Some(harmless.unwrap_or_else(|| with_limit(LOWEST_CPU_LIMIT_PERCENT)))
+}
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -106,6 +106,9 @@
     pub serving: Vec<ServingGroup>,
     /// Whether it currently accepts best-effort tasks.
     pub is_open_for_best_effort: bool,
+    /// Whether it takes a best-effort task that it would refuse, once the task is overdue: it has
+    /// no such task with a CPU limit, and its best-effort tasks were not all stopped recently.
+    pub takes_overdue: bool,
     /// The number of its tasks that belong to the step that is being placed.
     pub of_step: u32,
     /// Whether tasks have recently failed or stalled on it.
@@ -210,6 +213,30 @@
         })
     }
 
+    /// By how much the task is expected to add to the overload of the serving tasks with this CPU
+    /// limit, in percent of what it asks for.
+    pub fn added_overload(
+        &self,
+        need: &Need,
+        cpu_limit_percent: u32,
+        model: &InterferenceModel,
+    ) -> f64 {
+        let Some(unlimited) = self.aggressor(need) else {
+            return 0.0;
+        };
+        let aggressor = Aggressor {
+            share: unlimited.share * f64::from(cpu_limit_percent) / 100.0,
+            ..unlimited
+        };
+        let points = utilisation::points_within(need.duration * 100 / cpu_limit_percent.max(1));
+        let added = self.serving.iter().map(|s| {
+            let forecast = s.forecast_with(&aggressor, points, model);
+            let added = forecast.overload() - s.forecast.overload();
+            f64::from(s.forecast.tasks) * added
+        });
+        added.sum()
+    }
+
     /// The highest interference that the task is expected to cause to a serving task.
     fn max_interference(&self, need: &Need, model: &InterferenceModel) -> f64 {
         let Some(aggressor) = self.aggressor(need) else {
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -696,6 +696,12 @@
         spec.after.iter().all(is_done)
     }
 
+    /// Returns the number of tasks that are not done and have a live run.
+    pub fn running(&self) -> u32 {
+        let steps = self.occurrences.values().flat_map(|o| &o.steps);
+        steps.map(|step| step.running).sum()
+    }
+
     /// Iterates over the runs of this job that may be alive; `id` is the job's own id.
     pub fn live_runs(&self, id: JobId) -> impl Iterator<Item = (RunId, &LiveRun)> {
         self.occurrences
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -69,6 +69,8 @@
     pub orders_unanswered: Counter,
     /// Orders to change a task's CPU limit.
     pub cpu_limit_orders: Counter,
+    /// Best-effort tasks admitted although every host refused them, since their jobs were overdue.
+    pub overdue_admissions: Counter,
     /// Runs that ended without a report from their worker, or never started.
     pub runs_lost: Counter,
     /// Polls of workers.
@@ -133,6 +135,7 @@
             starts: Counter::default(),
             orders_unanswered: Counter::default(),
             cpu_limit_orders: Counter::default(),
+            overdue_admissions: Counter::default(),
             runs_lost: Counter::default(),
             polls: Counter::default(),
             takeovers: Counter::default(),
@@ -205,6 +208,12 @@
         );
         let cpu_limit_orders = self.cpu_limit_orders.clone();
         r.register("paces", "Orders to work at another pace", cpu_limit_orders);
+        let admitted = self.overdue_admissions.clone();
+        r.register(
+            "overdue_admissions",
+            "Overdue best-effort tasks admitted beside serving tasks that they may slow",
+            admitted,
+        );
         let lost = self.runs_lost.clone();
         r.register(
             "runs_lost",
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -6,8 +6,10 @@
     Owner,
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
+    overdue::{self, Admitted},
     place_wait::{GangPlace, Pass, Placing},
     runs::{self, load_of},
+    session::Session,
     shard_loads::{self, WaitingWork},
     sharing::{self, Sharing},
 };
@@ -18,6 +20,7 @@
         fair_share::Claim,
         interference::Victim,
         order::{Rank, RankInputs},
+        overdue::{admit, takes_any},
         place::{Host, Load, Need, choose, keep_for, reserved_by},
         refused::{self, Demand, Refusal, RefusedDemands},
         room::{Room, Shortage},
@@ -133,6 +136,7 @@
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
+        owner.overdue.borrow_mut().end_pass();
         kept_hosts::note(owner, &[], cx.clock.now());
         sharing::note_pass(cx, owner, &[], &[]);
         return;
@@ -200,8 +204,12 @@
     headroom::note_waiting(owner, short, now);
     for waiting in waiting {
         let len_before = placed.len();
-        let demand = best_effort_demand(owner, &ledger.jobs[&waiting.step.job], waiting);
+        let job = &ledger.jobs[&waiting.step.job];
+        let demand = best_effort_demand(owner, job, waiting);
+        note_idle(owner, job, waiting, now);
         let known = demand.as_ref().and_then(|demand| refused.find(demand));
+        // A host may admit an overdue task that it has refused.
+        let known = known.filter(|_| !is_overdue(owner, &job.terms.pool, waiting, hosts, now));
         if let Some(known) = known {
             waiting.note_wait(owner, known.why.as_ref(), hosts, now);
         } else {
@@ -223,6 +231,9 @@
         }
         let done = placed.len() - len_before;
         placed_of.push(done);
+        if done > 0 {
+            owner.overdue.borrow_mut().note_placed(waiting.step.job);
+        }
         let mut backlog = owner.backlog.borrow_mut();
         backlog.note(
             waiting.load,
@@ -233,10 +244,33 @@
     }
     waits.end();
     drop(ledger);
+    owner.overdue.borrow_mut().end_pass();
     sharing::note_pass(cx, owner, waiting, &placed_of);
     placed
 }
 
+/// Notes that a job has startable best-effort tasks and nothing running, if so.
+fn note_idle(owner: &Owner, job: &Job, waiting: &StartableStep, now: Millis) {
+    if waiting.load == Load::BestEffort && job.running() == 0 {
+        let mut overdue = owner.overdue.borrow_mut();
+        overdue.note_idle(waiting.step.job, now);
+    }
+}
+
+/// Whether a best-effort step's job has had nothing running for too long, and hosts of its pool take
+/// overdue tasks.
+fn is_overdue(
+    owner: &Owner,
+    pool: &str,
+    waiting: &StartableStep,
+    hosts: &[Host],
+    now: Millis,
+) -> bool {
+    let idle_for = owner.overdue.borrow().idle_for(waiting.step.job, now);
+    let is_best_effort = waiting.load == Load::BestEffort;
+    is_best_effort && idle_for.is_some() && takes_any(pool, hosts)
+}
+
 /// Steps with interrupted long-running tasks that may start, in the order in which passes place
 /// them, and the number of these tasks.
 pub(super) fn interrupted_steps(cx: &Cx, owner: &Owner) -> Vec<(StepId, u64)> {
@@ -368,6 +402,7 @@
                 now,
             ),
             is_open_for_best_effort: now >= session.best_effort_closed_until,
+            takes_overdue: now >= session.cleared_until && !has_limited_overdue(owner, session),
             of_step: 0,
             is_suspect: session.is_suspect(now),
             is_avoided: false,
@@ -378,6 +413,16 @@
     reports.iter().map(host).collect()
 }
 
+/// Whether a task that was overdue runs on the worker with a CPU limit.
+fn has_limited_overdue(owner: &Owner, session: &Session) -> bool {
+    let runs = owner.runs.borrow();
+    let mut here = session.runs.iter().filter_map(|run| runs.get(run));
+    here.any(|record| {
+        let first = record.first_cpu_limit_percent;
+        first.is_some_and(|first| first < 100) && record.cpu_limit_percent < 100
+    })
+}
+
 /// A run and the worker that it is placed on.
 type Placed = (RunId, WorkerIncarnation);
 
@@ -443,6 +488,8 @@
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
     let (mut why, mut is_at_limit) = (None, false);
     let mut of_gang = Vec::new();
+    let mut admitted: Vec<(Admitted, &str)> = Vec::new();
+    let is_overdue = is_overdue(owner, need.pool, waiting, hosts, now);
     let mut may_take = spec
         .is_long_running
         .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
@@ -455,7 +502,15 @@
             continue;
         }
         mark_avoided(owner, &task, hosts, now);
-        let Some(at) = choose(&need, hosts, &model) else {
+        let admission = match choose(&need, hosts, &model) {
+            Some(at) => Some((at, None)),
+            None if is_overdue && (is_gang || placed.len() == len_before) => {
+                let admission = admit(&need, hosts, &model);
+                admission.map(|admission| (admission.at, Some(admission)))
+            }
+            None => None,
+        };
+        let Some((at, admission)) = admission else {
             let unplaced = &waiting.tasks[nth..];
             let interrupted = interrupted(job, &waiting.step, spec, unplaced);
             keep_hosts(owner, &need, &waiting.step, interrupted, hosts);
@@ -465,7 +520,7 @@
             }
             break;
         };
-        if waits.waits(placing, *index, at, hosts, &model) {
+        if admission.is_none() && waits.waits(placing, *index, at, hosts, &model) {
             is_at_limit = true;
             continue;
         }
@@ -473,6 +528,19 @@
             true => of_gang.push((*index, at)),
             false => waits.note_placed(placing, gang_place, *index, at, hosts),
         }
+        if let Some(admission) = admission {
+            let refused = Shortage::of(&need, hosts, &model);
+            let task = Admitted {
+                run: RunId {
+                    task,
+                    run: number(*index),
+                },
+                admission,
+                refused: refused.map_or_else(String::new, |s| s.refusals_text().to_string()),
+            };
+            admitted.push((task, hosts[at].id));
+            hosts[at].takes_overdue = false;
+        }
         hosts[at].take(&need, &model);
         hosts[at].of_step += 1;
         may_take = may_take.map(|left| left.saturating_sub(wanted));
@@ -491,6 +559,9 @@
         for (index, at) in of_gang {
             waits.note_placed(placing, gang_place, index, at, hosts);
         }
+        if !admitted.is_empty() {
+            overdue::note_admitted(waits.cx, owner, waiting.step.job, &admitted);
+        }
     }
     match placed.len() - len_before == waiting.tasks.len() {
         true => PlaceOutcome::All,
@@ -589,10 +660,12 @@
     let now = cx.clock.now();
     let mut runs = Vec::with_capacity(placed.len());
     for (run, on) in placed {
+        let cpu_limit = owner.overdue.borrow_mut().take_cpu_limit(&run);
         if owner.ledger.borrow().live(&run).is_none() {
             continue;
         }
         owner.add_placed(cx, run, &on);
+        owner.record(&run, |record| record.first_cpu_limit_percent = cpu_limit);
         owner
             .started_at
             .borrow_mut()
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -20,7 +20,7 @@
         Cx,
         edge::{OrderOutcome, PollResponse, Refusal},
         event::RunId,
-        job::StepId,
+        job::{Gang, StepId},
         resolution::{Order, Stop},
     },
 };
@@ -188,6 +188,20 @@
 }
 
 impl Owner {
+    /// Whether a best-effort run is throttled instead of stopped: stopped for the reason for which
+    /// hosts had refused it, its job would have nothing running again.
+    fn is_never_stopped(&self, run: &RunId, record: &RunRecord) -> bool {
+        if record.first_cpu_limit_percent.is_none() {
+            return false;
+        }
+        let ledger = self.ledger.borrow();
+        let Some(job) = ledger.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let step = job.spec.steps.get(usize::from(run.task.step));
+        step.is_some_and(|step| step.gang != Gang::No) || job.running() == 1
+    }
+
     /// The run as a victim of interference, if it is a serving task of a known image.
     fn victim(&self, run: &RunId, record: &RunRecord) -> Option<Victim> {
         let target_ms = f64::from(record.target_ms?);
@@ -307,6 +321,7 @@
             cpu_limit_percent: record.cpu_limit_percent,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
+            is_never_stopped: owner.is_never_stopped(run, record),
             ran: now.since(record.since),
             remaining: record.remaining_time(now),
         });
@@ -419,7 +434,8 @@
     }
 }
 
-fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
+/// Orders a CPU limit for a best-effort run, in percent of what it asks for.
+pub fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
     if !owner.may_call(cx, worker) {
         return;
     }
@@ -462,7 +478,9 @@
     now: Millis,
 ) {
     log::warn!(worker, leftover = best_effort.len(); "tail latency stays over its target; stopping best-effort tasks of the host");
-    close(owner, worker, now + CLOSED_AFTER_CLEARING);
+    let until = now + CLOSED_AFTER_CLEARING;
+    close(owner, worker, until);
+    owner.session(worker, |session| session.cleared_until = until);
     for (run, aggressor) in runs.iter().zip(best_effort) {
         if !aggressor.is_stopping {
             act(cx, owner, worker, *run, Action::Stop, now);
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -20,6 +20,7 @@
 pub mod kept_hosts;
 pub mod offers;
 pub mod outages;
+pub mod overdue;
 pub mod place_wait;
 pub mod poll;
 pub mod previous_owner;
@@ -155,6 +156,8 @@
     exchange_loads: Notify,
     /// Totals of the tasks that wait for free capacity, for the log.
     backlog: RefCell<Backlog>,
+    /// Jobs with startable best-effort tasks and nothing running.
+    overdue: RefCell<overdue::OverdueJobs>,
     /// Hosts that are kept free for waiting tasks, for the log.
     kept_hosts: RefCell<KeptHosts>,
     /// Tasks that wait for places near their data or their gang.
@@ -228,6 +231,7 @@
             shard_loads: RefCell::default(),
             exchange_loads: Notify::new(),
             backlog: RefCell::default(),
+            overdue: RefCell::default(),
             kept_hosts: RefCell::default(),
             place_waits: RefCell::default(),
             outages: RefCell::default(),
--- a/src/lapisdrum/sched/owner/place_wait.rs
+++ b/src/lapisdrum/sched/owner/place_wait.rs
@@ -59,7 +59,8 @@
 
 /// Waits in one dispatch pass; switched off without a slowdown factor.
 pub struct Pass<'a> {
-    cx: &'a Cx,
+    /// The daemon.
+    pub cx: &'a Cx,
     /// The owner that places tasks.
     pub owner: &'a Owner,
     /// When the pass began.
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -1,7 +1,7 @@
 //! Runs on workers: sends the orders to start and stop them, and resolves each order's outcome.
 
 use super::{
-    Owner, headroom, poll,
+    Owner, headroom, interference, poll,
     session::{Lease, Session},
     shard_loads, suspension,
 };
@@ -72,6 +72,8 @@
     pub used_millicores: Option<u64>,
     /// CPU limit, in percent of the processors that it asks for.
     pub cpu_limit_percent: u32,
+    /// CPU limit that is ordered right after its start, for a best-effort task that was overdue.
+    pub first_cpu_limit_percent: Option<u32>,
     /// CPU limit before the last change, and the time of that change.
     pub previous_cpu_limit: (u32, Millis),
 }
@@ -155,6 +157,7 @@
             tail_ms: 0.0,
             used_millicores: None,
             cpu_limit_percent: 100,
+            first_cpu_limit_percent: None,
             previous_cpu_limit: (100, now),
         };
         let mut sessions = self.sessions.borrow_mut();
@@ -188,7 +191,8 @@
         self.sessions.borrow_mut().get_mut(worker).map(change)
     }
 
-    fn record<T>(&self, run: &RunId, change: impl FnOnce(&mut RunRecord) -> T) -> Option<T> {
+    /// Applies `change` to the record of a run; none if the run is unknown.
+    pub fn record<T>(&self, run: &RunId, change: impl FnOnce(&mut RunRecord) -> T) -> Option<T> {
         self.runs.borrow_mut().get_mut(run).map(change)
     }
 
@@ -264,6 +268,10 @@
                 session.note_order_clock(clock, sent_at, now)
             });
             owner.set_order(&run, Order::Answered(now));
+            let first_cpu_limit = owner.record(&run, |record| record.first_cpu_limit_percent);
+            if let Some(percent) = first_cpu_limit.flatten().filter(|percent| *percent < 100) {
+                interference::set_cpu_limit(cx, owner, &worker, run, percent);
+            }
             // The reply does not name the incarnation. Until a poll confirms the run, the next owner
             // would wait for a longest lease of a later one.
             let is_open = |record: &mut RunRecord| record.is_long_running && !record.is_confirmed;
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -146,6 +146,8 @@
     pub departed: Vec<Departed>,
     /// No best-effort task is placed here before this time.
     pub best_effort_closed_until: Millis,
+    /// Until when no best-effort task is placed here since all were stopped, overdue or not.
+    pub cleared_until: Millis,
     /// Tracks for how long serving tasks here have been over their latency targets.
     pub overload: Overload,
     /// Failures in a row, and the time of the last one or of the reset.
@@ -176,6 +178,7 @@
             residuals: IndexMap::new(),
             departed: Vec::new(),
             best_effort_closed_until: Millis::default(),
+            cleared_until: Millis::default(),
             overload: Overload::default(),
             failures: (0, Millis::default()),
             is_polled: false,
--- a/tests/testsuite/sched/interference.rs
+++ b/tests/testsuite/sched/interference.rs
@@ -141,6 +141,7 @@
         best_effort_millicores: 0,
         serving: victims.iter().map(serving_group).collect(),
         is_open_for_best_effort: true,
+        takes_overdue: true,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
@@ -265,6 +266,7 @@
         cpu_limit_percent: 100,
         is_checkpointing: true,
         is_stopping: false,
+        is_never_stopped: false,
         ran: Duration::from_secs(2),
         remaining: Duration::from_secs(10),
     }
--- a/tests/testsuite/sched/refused.rs
+++ b/tests/testsuite/sched/refused.rs
@@ -207,6 +207,7 @@
             forecast: UtilisationForecast::without_aggressors(1, limit, [spec.load; POINTS]),
         }],
         is_open_for_best_effort: true,
+        takes_overdue: true,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
--- a/tests/testsuite/sched/room.rs
+++ b/tests/testsuite/sched/room.rs
@@ -31,6 +31,7 @@
         best_effort_millicores: 0,
         serving: Vec::new(),
         is_open_for_best_effort: true,
+        takes_overdue: true,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -19,7 +19,11 @@
         size::Size,
         time::{Clock, WorkerMillis},
     },
-    policy::dispatch::{fair_share::Weights, timings::Timings},
+    policy::dispatch::{
+        fair_share::Weights,
+        place::{Load, reserved_by},
+        timings::Timings,
+    },
     sched::{
         Cx, Node, NodeSettings,
         edge::{
@@ -33,6 +37,7 @@
         job::{JobId, JobSpec, QueueConfig, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
         lease, operators,
+        owner::runs::load_of,
         peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
         resolution::LeaseLimits,
         restart::RestartLimits,
@@ -75,6 +80,12 @@
 /// Default maximum number of ends in a poll response. The platform's is 500; with a small one, every test has workers with
 /// more ends than they list.
 pub(crate) const MAX_LISTED_ENDS: usize = 3;
+/// Latency tail of a serving task without any utilisation, in milliseconds.
+const IDLE_TAIL_MS: f64 = 10.0;
+/// Highest utilisation that a latency tail shows.
+const SATURATION: f64 = 0.98;
+/// Run time of a task that makes no progress.
+const STALLED_RUN_TIME: Duration = Duration::from_secs(1_000);
 /// Interval at which a long poll checks for new ends.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -167,13 +178,33 @@
 }
 
 struct Running {
-    started_at: Instant,
+    /// Run time without a CPU limit.
+    total: Duration,
+    /// Run time, without a CPU limit, that was left when the limit was last set.
+    left: Duration,
+    /// When the CPU limit was last set.
+    limited_at: Instant,
+    cpu_limit_percent: u32,
     done_at: Instant,
     stop_at: Option<Instant>,
+    /// Reserved resources: those of a best-effort task include no processors.
     size: Size,
+    /// Processors that its step asks for, in thousandths of a core.
+    millicores: u64,
+    load: Load,
+    latency_target_ms: u32,
     fails: bool,
 }
 
+/// How serving tasks are slowed by others on their worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Contention {
+    /// Utilisation of a serving task without best-effort tasks beside it.
+    pub(crate) load: f64,
+    /// Utilisation that a best-effort task adds which uses all processors of the worker.
+    pub(crate) interference: f64,
+}
+
 struct Worker {
     /// Incarnation number, reported as its start time.
     incarnation: u64,
@@ -286,6 +317,8 @@
     pub(crate) response_delay: Cell<Duration>,
     /// Maximum number of ends in a poll response.
     pub(crate) max_listed_ends: Cell<usize>,
+    /// How serving tasks are slowed; by default workers report no latency tails.
+    pub(crate) contention: Cell<Option<Contention>>,
     /// Executed start orders: when, which run, on which worker.
     pub(crate) starts: RefCell<Vec<(Instant, RunId, String)>>,
     /// Violated invariants.
@@ -380,6 +413,7 @@
             share_weights: RefCell::default(),
             response_delay: Cell::default(),
             max_listed_ends: Cell::new(MAX_LISTED_ENDS),
+            contention: Cell::default(),
             starts: RefCell::default(),
             violations: RefCell::default(),
         });
@@ -829,6 +863,24 @@
         open.map(|(id, w)| (id.clone(), w.free())).collect()
     }
 
+    /// Workers whose serving tasks exceed their latency target while best-effort tasks work there.
+    pub(crate) fn overloaded(&self) -> IndexSet<String> {
+        self.end_all_due_runs();
+        let Some(contention) = self.contention.get() else {
+            return IndexSet::new();
+        };
+        let is_overloaded = |worker: &Worker| {
+            let mut running = worker.running.values();
+            let is_shared = running.any(|r| r.load == Load::BestEffort && r.used_millicores() > 0);
+            let tail_ms = worker.tail_ms(&contention);
+            let mut serving = worker.running.values().filter(|r| r.load == Load::Serving);
+            is_shared && serving.any(|r| tail_ms > f64::from(r.latency_target_ms))
+        };
+        let workers = self.workers.borrow();
+        let overloaded = workers.iter().filter(|(_, worker)| is_overloaded(worker));
+        overloaded.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Number of executed start orders of a task.
     pub(crate) fn starts_of(&self, task: &TaskId) -> usize {
         let starts = self.starts.borrow();
@@ -903,16 +955,24 @@
         self.check_start(&order.run, &steps, &step, id);
         let mut workers = self.workers.borrow_mut();
         let worker = workers.get_mut(id).expect("a worker");
+        let total = match worker.is_stalled {
+            true => STALLED_RUN_TIME,
+            false => Duration::from_millis(step.estimate_ms),
+        };
+        let load = load_of(&step);
         worker.running.insert(
             order.run,
             Running {
-                started_at: now,
-                done_at: match worker.is_stalled {
-                    true => now + Duration::from_secs(1_000),
-                    false => now + Duration::from_millis(step.estimate_ms),
-                },
+                total,
+                left: total,
+                limited_at: now,
+                cpu_limit_percent: 100,
+                done_at: now + total,
                 stop_at: None,
-                size: step.size,
+                size: reserved_by(&step.size, load),
+                millicores: step.size.millicores,
+                load,
+                latency_target_ms: step.latency_target_ms.unwrap_or_default(),
                 fails,
             },
         );
@@ -1104,10 +1164,30 @@
 }
 
 impl Running {
+    /// Run time, without a CPU limit, that is left.
+    fn left(&self, now: Instant) -> Duration {
+        let worked = (now - self.limited_at) * self.cpu_limit_percent / 100;
+        self.left.saturating_sub(worked)
+    }
+
     /// Progress of the run, in percent.
     fn percent(&self, now: Instant) -> u32 {
-        let (total, elapsed) = (self.done_at - self.started_at, now - self.started_at);
-        (elapsed.as_secs_f64() / total.as_secs_f64() * 100.0) as u32
+        let left = self.left(now).as_secs_f64() / self.total.as_secs_f64();
+        ((1.0 - left) * 100.0) as u32
+    }
+
+    fn set_cpu_limit(&mut self, percent: u32, now: Instant) {
+        (self.left, self.limited_at) = (self.left(now), now);
+        self.cpu_limit_percent = percent;
+        self.done_at = match percent {
+            0 => now + STALLED_RUN_TIME,
+            _ => now + self.left * 100 / percent,
+        };
+    }
+
+    /// Processors that a best-effort task uses, in thousandths of a core.
+    fn used_millicores(&self) -> u64 {
+        self.millicores * u64::from(self.cpu_limit_percent) / 100
     }
 
     /// When the run ended, which may be noticed later.
@@ -1312,7 +1392,8 @@
                         let has_ends = !worker.ended.is_empty() || !worker.malformed.is_empty();
                         let is_due = has_ends || now - started_at >= order.wait;
                         let max_ends = self.world.max_listed_ends.get();
-                        is_due.then(|| worker.poll_response(now, max_ends))
+                        let contention = self.world.contention.get();
+                        is_due.then(|| worker.poll_response(now, max_ends, contention))
                     };
                     if let Some(response) = response {
                         sleep(self.world.response_delay.get()).await;
@@ -1330,30 +1411,57 @@
         &'a self,
         _: &'a str,
         id: &'a str,
-        _: RunId,
-        _: u32,
+        run: RunId,
+        percent: u32,
         _: u64,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
         self.process
             .call(async move {
-                match self.reach(id).await {
-                    true => {
-                        OrderOutcome::Done(self.world.workers.borrow()[id].clock(Instant::now()))
-                    }
-                    false => OrderOutcome::Silent(no_answer()),
+                if !self.reach(id).await {
+                    return OrderOutcome::Silent(no_answer());
+                }
+                self.world.end_all_due_runs();
+                let now = Instant::now();
+                let mut workers = self.world.workers.borrow_mut();
+                let worker = workers.get_mut(id).expect("a worker");
+                if let Some(running) = worker.running.get_mut(&run) {
+                    running.set_cpu_limit(percent, now);
                 }
+                OrderOutcome::Done(worker.clock(now))
             })
             .boxed_local()
     }
 }
 
 impl Worker {
-    fn poll_response(&self, now: Instant, max_ends: usize) -> PollResponse {
+    /// Latency tail of serving tasks here, in milliseconds.
+    fn tail_ms(&self, contention: &Contention) -> f64 {
+        let best_effort = self.running.values().filter(|r| r.load == Load::BestEffort);
+        let used: u64 = best_effort.map(Running::used_millicores).sum();
+        let share = used as f64 / self.capacity.millicores as f64;
+        let utilisation = contention.load + contention.interference * share;
+        IDLE_TAIL_MS / (1.0 - utilisation.min(SATURATION))
+    }
+
+    fn gauge(&self, running: &Running, contention: &Contention) -> u64 {
+        match running.load {
+            Load::Serving => self.tail_ms(contention) as u64,
+            Load::BestEffort => running.used_millicores(),
+            Load::Reserving => running.millicores,
+        }
+    }
+
+    fn poll_response(
+        &self,
+        now: Instant,
+        max_ends: usize,
+        contention: Option<Contention>,
+    ) -> PollResponse {
         let running = self.running.iter().map(|(run, running)| ListedRun {
             run: *run,
             checkpoint: None,
             percent: running.percent(now),
-            gauge: 0,
+            gauge: contention.map_or(0, |contention| self.gauge(running, &contention)),
         });
         let ended = self.ended.iter().map(|end| end.number);
         let mut numbers: Vec<u64> = ended.chain(self.malformed.iter().copied()).collect();
