--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -21,7 +21,7 @@
         Cx,
         edge::{OrderOutcome, PollResponse, Refusal},
         event::RunId,
-        job::StepId,
+        job::{Gang, StepId},
         resolution::{Order, Stop},
     },
 };
@@ -63,8 +63,8 @@
     let (runs, best_effort, serving) = on_host(owner, worker, now);
     match check {
         Check::None => {}
-        Check::Pause => set_all_cpu_limits(cx, owner, worker, &runs, 0),
-        Check::Resume => set_all_cpu_limits(cx, owner, worker, &runs, 100),
+        Check::Pause => set_cpu_limits(cx, owner, worker, &runs, |_| 0),
+        Check::Resume => set_cpu_limits(cx, owner, worker, &runs, RunRecord::limit_before_pause),
         Check::Wait => return,
     }
     if best_effort.is_empty() || serving.is_empty() || check != Check::None {
@@ -160,15 +160,22 @@
     check
 }
 
-/// Sets the CPU limit of all best-effort runs of a worker that are not being stopped.
-fn set_all_cpu_limits(cx: &Cx, owner: &Rc<Owner>, worker: &str, runs: &[RunId], percent: u32) {
-    for run in runs {
-        let is_changed = owner.runs.borrow().get(run).is_some_and(|record| {
-            record.known.stop == Stop::No && record.cpu_limit_percent != percent
-        });
-        if is_changed {
-            set_cpu_limit(cx, owner, worker, *run, percent);
-        }
+/// Sets the CPU limits of the best-effort runs of a worker that are not being stopped.
+fn set_cpu_limits(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    worker: &str,
+    runs: &[RunId],
+    limit_of: impl Fn(&RunRecord) -> u32,
+) {
+    let changed = |run: &RunId| {
+        let runs = owner.runs.borrow();
+        let record = runs.get(run).filter(|r| r.known.stop == Stop::No)?;
+        let percent = limit_of(record);
+        (percent != record.cpu_limit_percent).then_some((*run, percent))
+    };
+    for (run, percent) in runs.iter().filter_map(changed) {
+        set_cpu_limit(cx, owner, worker, run, percent);
     }
 }
 
@@ -271,6 +278,20 @@
 }
 
 impl Owner {
+    /// Whether a best-effort run is throttled instead of stopped: stopped for the reason for which
+    /// hosts had refused it, its job would have nothing running again.
+    fn is_never_stopped(&self, run: &RunId, record: &RunRecord) -> bool {
+        if record.first_cpu_limit_percent.is_none() {
+            return false;
+        }
+        let ledger = self.ledger.borrow();
+        let Some(job) = ledger.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let step = job.spec.steps.get(usize::from(run.task.step));
+        step.is_some_and(|step| step.gang != Gang::No) || job.running() == 1
+    }
+
     /// The run as a victim of interference, if it is a serving task of a known image.
     fn victim(&self, run: &RunId, record: &RunRecord) -> Option<Victim> {
         let target_ms = f64::from(record.target_ms?);
@@ -285,6 +306,14 @@
 }
 
 impl RunRecord {
+    /// The CPU limit that it had before all best-effort runs of its worker were paused.
+    fn limit_before_pause(&self) -> u32 {
+        match self.cpu_limit_percent {
+            0 => self.previous_cpu_limit.0,
+            percent => percent,
+        }
+    }
+
     /// Whether it is a best-effort run that may be at work.
     fn disturbs(&self) -> bool {
         let is_sent = !matches!(self.known.order, Order::NotSent);
@@ -398,6 +427,7 @@
             cpu_limit_percent: record.cpu_limit_percent,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
+            is_never_stopped: owner.is_never_stopped(run, record),
             ran: now.since(record.since),
             remaining: record.remaining_time(now),
         });
@@ -511,7 +541,8 @@
     }
 }
 
-fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
+/// Orders a CPU limit for a best-effort run, in percent of what it asks for.
+pub fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
     if !owner.may_call(cx, worker) {
         return;
     }
@@ -554,7 +585,9 @@
     now: Millis,
 ) {
     log::warn!(worker, leftover = best_effort.len(); "tail latency stays over its target; stopping best-effort tasks of the host");
-    close(owner, worker, now + CLOSED_AFTER_CLEARING);
+    let until = now + CLOSED_AFTER_CLEARING;
+    close(owner, worker, until);
+    owner.session(worker, |session| session.cleared_until = until);
     for (run, aggressor) in runs.iter().zip(best_effort) {
         if !aggressor.is_stopping {
             act(cx, owner, worker, *run, Action::Stop, now);
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -147,6 +147,8 @@
     pub departed: Vec<Departed>,
     /// No best-effort task is placed here before this time.
     pub best_effort_closed_until: Millis,
+    /// Until when no best-effort task is placed here since all were stopped, overdue or not.
+    pub cleared_until: Millis,
     /// Tracks for how long serving tasks here have been over their latency targets.
     pub overload: Overload,
     /// Its serving tasks that miss their targets without best-effort tasks, too.
@@ -181,6 +183,7 @@
             residuals: IndexMap::new(),
             departed: Vec::new(),
             best_effort_closed_until: Millis::default(),
+            cleared_until: Millis::default(),
             overload: Overload::default(),
             missed_alone: MissedAlone::default(),
             disturbed_at: Millis::default(),
--- a/tests/testsuite/sched/refused.rs
+++ b/tests/testsuite/sched/refused.rs
@@ -208,6 +208,7 @@
             misses_alone: false,
         }],
         is_open_for_best_effort: true,
+        takes_overdue: true,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
