--- a/src/lapisdrum/policy/dispatch/overdue.rs
+++ b/src/lapisdrum/policy/dispatch/overdue.rs
@@ -44,14 +44,15 @@
     pub added_overload: f64,
 }
 
-/// Whether less than half of the pool's processors are reserved or asked for by best-effort tasks.
+/// Whether less than half of the pool's processors are reserved. Those that best-effort tasks use do
+/// not count: jobs that came first would keep an overdue one waiting.
 pub fn is_mostly_free(pool: &str, hosts: &[Host]) -> bool {
     let in_pool = hosts.iter().filter(|host| host.pool == pool);
-    let (used, all) = in_pool.fold((0, 0), |(used, all), host| {
-        let of_host = host.reserved.millicores + host.best_effort_millicores;
-        (used + of_host, all + host.capacity.millicores)
+    let (reserved, all) = in_pool.fold((0, 0), |(reserved, all), host| {
+        let (of_host, capacity) = (host.reserved.millicores, host.capacity.millicores);
+        (reserved + of_host, all + capacity)
     });
-    2 * used < all
+    2 * reserved < all
 }
 
 /// Whether the pool is mostly free and a host of it takes an overdue task now.
