--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -12,6 +12,7 @@
     daemon::supervisor,
     policy::dispatch::{
         interference::{Aggressor, Victim},
+        missed_alone::{Check, MAX_PAUSE, StepTail},
         mitigation::{self, Action, BestEffort, DecisionInputs, Serving},
         place::{Load, ServingGroup},
         utilisation::{self, UtilisationForecast},
@@ -20,11 +21,11 @@
         Cx,
         edge::{OrderOutcome, PollResponse, Refusal},
         event::RunId,
-        job::StepId,
+        job::{Gang, StepId},
         resolution::{Order, Stop},
     },
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{rc::Rc, time::Duration};
 
 /// Tail latency starts to reflect the start or end of a task after this time, and reflects it fully
@@ -57,9 +58,16 @@
     now: Millis,
 ) {
     note_tails(owner, worker, response, now);
+    let check = note_missed_alone(cx, owner, worker, response, now);
     let over_for = note_overload(owner, worker, now);
     let (runs, best_effort, serving) = on_host(owner, worker, now);
-    if best_effort.is_empty() || serving.is_empty() {
+    match check {
+        Check::None => {}
+        Check::Pause => set_cpu_limits(cx, owner, worker, &runs, |_| 0),
+        Check::Resume => set_cpu_limits(cx, owner, worker, &runs, RunRecord::limit_before_pause),
+        Check::Wait => return,
+    }
+    if best_effort.is_empty() || serving.is_empty() || check != Check::None {
         return;
     }
     if over_for.is_some_and(|over| over >= cx.cfg.work.max_measured_overload()) {
@@ -84,9 +92,91 @@
 fn note_overload(owner: &Owner, worker: &str, now: Millis) -> Option<Duration> {
     let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
     let session = sessions.get_mut(worker)?;
-    let here = session.runs.iter().filter_map(|run| runs.get(run));
-    let tails = here.filter_map(|record| Some(record.tail_ms / f64::from(record.target_ms?)));
-    session.overload.note(tails, now)
+    let missed_alone = &session.missed_alone;
+    let tails = step_tails(&session.runs, &runs);
+    let tails = tails.filter(|(step, _)| !missed_alone.contains(*step));
+    session.overload.note(tails.map(|(_, tail)| tail), now)
+}
+
+/// The latest tails of the serving tasks among these runs.
+fn step_tails(
+    here: &IndexSet<RunId>,
+    runs: &IndexMap<RunId, RunRecord>,
+) -> impl Iterator<Item = StepTail> {
+    let records = here
+        .iter()
+        .filter_map(|run| Some((run.task.step_id(), runs.get(run)?)));
+    records.filter_map(|(step, record)| {
+        let tail = record.tail_ms / f64::from(record.target_ms?);
+        Some((step.key(), tail))
+    })
+}
+
+/// Updates which serving tasks of a worker miss their targets without best-effort tasks, too, and
+/// opens the worker for best-effort tasks if some do.
+fn note_missed_alone(
+    cx: &Cx,
+    owner: &Owner,
+    worker: &str,
+    response: &PollResponse,
+    now: Millis,
+) -> Check {
+    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
+    let Some(session) = sessions.get_mut(worker) else {
+        return Check::None;
+    };
+    let mut here = session.runs.iter().filter_map(|run| runs.get(run));
+    // A run that the owner doesn't know may be a best-effort one.
+    let is_known = response
+        .running
+        .iter()
+        .all(|listed| runs.contains_key(&listed.run));
+    let is_recent = session
+        .claimed
+        .since
+        .is_none_or(|at| now.since(at) < EFFECT_FULL_AFTER);
+    if is_recent || !is_known || !session.departed.is_empty() || here.any(RunRecord::disturbs) {
+        session.disturbed_at = now;
+    }
+    let is_undisturbed = now.since(session.disturbed_at) >= EFFECT_FULL_AFTER;
+    let tails: Vec<StepTail> = step_tails(&session.runs, &runs).collect();
+    let before = !session.missed_alone.is_empty();
+    let trusted_for = cx.cfg.work.max_measured_overload();
+    let check = session
+        .missed_alone
+        .note(&tails, is_undisturbed, trusted_for, now);
+    let after = !session.missed_alone.is_empty();
+    if before != after {
+        let worst = tails.iter().map(|(_, tail)| *tail).fold(0.0, f64::max);
+        log::info!(worker, misses_alone = after, is_undisturbed, worst_tail_of_target = worst; "serving tasks miss their targets without best-effort tasks");
+    }
+    match check {
+        Check::None | Check::Resume if after && is_undisturbed => {
+            session.best_effort_closed_until = now;
+        }
+        Check::Pause => session.best_effort_closed_until = now + MAX_PAUSE,
+        Check::None | Check::Wait | Check::Resume => {}
+    }
+    check
+}
+
+/// Sets the CPU limits of the best-effort runs of a worker that are not being stopped.
+fn set_cpu_limits(
+    cx: &Cx,
+    owner: &Rc<Owner>,
+    worker: &str,
+    runs: &[RunId],
+    limit_of: impl Fn(&RunRecord) -> u32,
+) {
+    let changed = |run: &RunId| {
+        let runs = owner.runs.borrow();
+        let record = runs.get(run).filter(|r| r.known.stop == Stop::No)?;
+        let percent = limit_of(record);
+        (percent != record.cpu_limit_percent).then_some((*run, percent))
+    };
+    for (run, percent) in runs.iter().filter_map(changed) {
+        set_cpu_limit(cx, owner, worker, run, percent);
+    }
 }
 
 /// Updates the interference model and the loads of serving tasks with the tail latencies of a poll
@@ -188,6 +278,20 @@
 }
 
 impl Owner {
+    /// Whether a best-effort run is throttled instead of stopped: stopped for the reason for which
+    /// hosts had refused it, its job would have nothing running again.
+    fn is_never_stopped(&self, run: &RunId, record: &RunRecord) -> bool {
+        if record.first_cpu_limit_percent.is_none() {
+            return false;
+        }
+        let ledger = self.ledger.borrow();
+        let Some(job) = ledger.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let step = job.spec.steps.get(usize::from(run.task.step));
+        step.is_some_and(|step| step.gang != Gang::No) || job.running() == 1
+    }
+
     /// The run as a victim of interference, if it is a serving task of a known image.
     fn victim(&self, run: &RunId, record: &RunRecord) -> Option<Victim> {
         let target_ms = f64::from(record.target_ms?);
@@ -202,6 +306,20 @@
 }
 
 impl RunRecord {
+    /// The CPU limit that it had before all best-effort runs of its worker were paused.
+    fn limit_before_pause(&self) -> u32 {
+        match self.cpu_limit_percent {
+            0 => self.previous_cpu_limit.0,
+            percent => percent,
+        }
+    }
+
+    /// Whether it is a best-effort run that may be at work.
+    fn disturbs(&self) -> bool {
+        let is_sent = !matches!(self.known.order, Order::NotSent);
+        self.load == Load::BestEffort && is_sent && self.cpu_limit_percent > 0
+    }
+
     /// Notes the processors that a best-effort task uses, once it has run unthrottled long enough.
     /// Tasks use two thirds or more of what they ask for, and interfere by what they use.
     fn note_use(&mut self, millicores: u64, now: Millis) {
@@ -288,7 +406,9 @@
         .iter()
         .filter_map(|run| Some((run, runs.get(run)?)))
     {
-        if let Some(victim) = owner.victim(run, record) {
+        let victim = owner.victim(run, record);
+        let victim = victim.filter(|victim| !session.missed_alone.contains(victim.step));
+        if let Some(victim) = victim {
             let step = run.task.step_id();
             let group = serving.entry(step).or_insert_with(|| Serving {
                 victim,
@@ -307,6 +427,7 @@
             cpu_limit_percent: record.cpu_limit_percent,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
+            is_never_stopped: owner.is_never_stopped(run, record),
             ran: now.since(record.since),
             remaining: record.remaining_time(now),
         });
@@ -357,6 +478,7 @@
                     limit,
                     load.map(|load| load + residual),
                 ),
+                misses_alone: session.missed_alone.contains(victim.step),
             }
         });
         group.millicores += record.size.millicores;
@@ -419,7 +541,8 @@
     }
 }
 
-fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
+/// Orders a CPU limit for a best-effort run, in percent of what it asks for.
+pub fn set_cpu_limit(cx: &Cx, owner: &Rc<Owner>, worker: &str, run: RunId, percent: u32) {
     if !owner.may_call(cx, worker) {
         return;
     }
@@ -462,7 +585,9 @@
     now: Millis,
 ) {
     log::warn!(worker, leftover = best_effort.len(); "tail latency stays over its target; stopping best-effort tasks of the host");
-    close(owner, worker, now + CLOSED_AFTER_CLEARING);
+    let until = now + CLOSED_AFTER_CLEARING;
+    close(owner, worker, until);
+    owner.session(worker, |session| session.cleared_until = until);
     for (run, aggressor) in runs.iter().zip(best_effort) {
         if !aggressor.is_stopping {
             act(cx, owner, worker, *run, Action::Stop, now);
