A search for accepted short jobs that wait in calm (sched::accepted_jobs)

Two of the hypotheses are that its runs count as alive on workers or in orders that are gone, and that the shard dispatches nothing after daemons lost power or the store refused them.

Change: random stories on real daemons in the in-memory world. Four daemons and 6 to 10 workers; jobs of up to three steps, reserving, best-effort or long-running, in order, with a limit for a worker, speculative or checkpointing. Up to 17 faults in 15 s, which overlap and gather at the end: workers cut off, restarted, dark, crashed or leaving for good, with lost polls, late, lost or refused orders, lost answers, stalled and failed runs, missing in the directory; a frozen or silent directory; daemons without power, frozen, isolated or released, one or all at once and in series; a store that is unavailable, slow, loses answers, refuses reads or everything; single commits lost, late or repeated.

Besides, each daemon knows each accepted job and shows no state without a cause, within 4 s with refusals in between, and the world's invariants hold.

The world: a store that refuses all calls of a daemon. Best-effort tasks count with their memory only, as they reserve no processors; until now the world would have reported a worker with such tasks as over its capacity. All other tasks count as before.

Not covered: several shards, serving tasks beside best-effort ones, the platform's wire.

--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the job graph scheduler: its pure policies, and the real shard owner in a simulated cluster with
 //! injected faults.
 
+mod accepted_jobs;
 mod calm;
 mod delegate;
 mod evacuation;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -19,7 +19,7 @@
         size::Size,
         time::{Clock, WorkerMillis},
     },
-    policy::dispatch::{fair_share::Weights, timings::Timings},
+    policy::dispatch::{fair_share::Weights, place::reserved_by, timings::Timings},
     sched::{
         Cx, Node, NodeSettings,
         edge::{
@@ -33,6 +33,7 @@
         job::{JobId, JobSpec, QueueConfig, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
         lease, operators,
+        owner::runs::load_of,
         peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
         resolution::LeaseLimits,
         restart::RestartLimits,
@@ -91,6 +92,8 @@
     Slow,
     /// Refuses reads with a rate-limit error.
     RefusesReads,
+    /// Refuses all calls, as for a process whose key is revoked.
+    Refuses,
 }
 
 /// How the store answers calls for the changes of a table.
@@ -542,6 +545,11 @@
         self.processes.borrow()[&cx.me.incarnation].kill();
     }
 
+    /// Whether a daemon is killed.
+    pub(crate) fn is_killed(&self, cx: &Cx) -> bool {
+        self.processes.borrow()[&cx.me.incarnation].is_killed()
+    }
+
     /// The key of the fence row of a partition, and its version.
     pub(crate) fn fence(&self, partition: &str) -> (RowKey, u64) {
         let fence = RowKey {
@@ -778,7 +786,12 @@
 
     /// Makes tasks that a worker starts from now on make no progress.
     pub(crate) fn stall(&self, worker: &str) {
-        self.change(worker, |w| w.is_stalled = true);
+        self.set_stalled(worker, true);
+    }
+
+    /// Sets whether tasks that a worker starts from now on make no progress.
+    pub(crate) fn set_stalled(&self, worker: &str, is_stalled: bool) {
+        self.change(worker, |w| w.is_stalled = is_stalled);
     }
 
     /// Makes every task of a job fail.
@@ -829,6 +842,22 @@
         open.map(|(id, w)| (id.clone(), w.free())).collect()
     }
 
+    /// Capacity of a worker.
+    pub(crate) fn capacity(&self, worker: &str) -> Size {
+        self.workers.borrow()[worker].capacity
+    }
+
+    /// Whether a worker has crashed and was not restarted.
+    pub(crate) fn is_down(&self, worker: &str) -> bool {
+        self.workers.borrow()[worker].is_dead
+    }
+
+    /// Whether a run of a task was completed.
+    pub(crate) fn is_done(&self, task: &TaskId) -> bool {
+        self.end_all_due_runs();
+        self.done.borrow().contains(task)
+    }
+
     /// Number of executed start orders of a task.
     pub(crate) fn starts_of(&self, task: &TaskId) -> usize {
         let starts = self.starts.borrow();
@@ -912,7 +941,7 @@
                     false => now + Duration::from_millis(step.estimate_ms),
                 },
                 stop_at: None,
-                size: step.size,
+                size: reserved_by(&step.size, load_of(&step)),
                 fails,
             },
         );
@@ -1138,6 +1167,10 @@
     CallError::rate_limited("too many reads")
 }
 
+fn refused() -> CallError {
+    CallError::new("the key is revoked")
+}
+
 fn no_answer() -> CallError {
     CallError::new("no answer")
 }
@@ -1403,8 +1436,10 @@
                 }
                 let reads = &self.world.operator_reads;
                 reads.set(reads.get() + 1);
-                if behaviour == StoreBehaviour::RefusesReads {
-                    return Err(too_many_reads());
+                match behaviour {
+                    StoreBehaviour::RefusesReads => return Err(too_many_reads()),
+                    StoreBehaviour::Refuses => return Err(refused()),
+                    _ => {}
                 }
                 let queue = Queue {
                     terms: terms(),
--- a/tests/testsuite/sched/world/process.rs
+++ b/tests/testsuite/sched/world/process.rs
@@ -23,6 +23,11 @@
         self.is_killed.set(true);
     }
 
+    /// Whether the process is killed.
+    pub(super) fn is_killed(&self) -> bool {
+        self.is_killed.get()
+    }
+
     /// Sends a call and returns its answer once the process handles that.
     pub(super) async fn call<T>(&self, call: impl Future<Output = T>) -> T {
         self.until_active().await;
--- a/tests/testsuite/sched/world/store.rs
+++ b/tests/testsuite/sched/world/store.rs
@@ -3,7 +3,7 @@
 use super::{
     CALL_TIMEOUT, CallFate, CommitKind, FeedBehaviour, MAX_QUEUE_TIME, MAX_ROW_BYTES,
     MAX_TXN_BYTES, ObjectCall, Process, Rows, SLOW_STORE_LATENCY, SLOW_TXN_TIMEOUT, STORE_LATENCY,
-    StoreBehaviour, World, no_answer, too_many_reads,
+    StoreBehaviour, World, no_answer, refused, too_many_reads,
 };
 use futures::{FutureExt, future::LocalBoxFuture};
 use lapisdrum::sched::{
@@ -63,9 +63,7 @@
         name: &str,
         body: Option<bytes::Bytes>,
     ) -> Result<(), CallError> {
-        if !self.reach().await {
-            return Err(no_answer());
-        }
+        self.reach().await?;
         let scripted = self
             .world
             .object_fates
@@ -96,13 +94,17 @@
         }
     }
 
-    /// Waits for the latency of a call other than a commit, or its timeout; returns whether the store is available.
-    async fn reach(&self) -> bool {
-        let is_available = self.is_available().await;
-        if is_available && self.behaviour() == StoreBehaviour::Slow {
-            sleep(SLOW_STORE_LATENCY).await;
+    /// Waits for the latency of a call other than a commit, or its timeout; an error if the store does not execute it.
+    async fn reach(&self) -> Result<(), CallError> {
+        if !self.is_available().await {
+            return Err(no_answer());
         }
-        is_available
+        match self.behaviour() {
+            StoreBehaviour::Refuses => return Err(refused()),
+            StoreBehaviour::Slow => sleep(SLOW_STORE_LATENCY).await,
+            _ => {}
+        }
+        Ok(())
     }
 
     async fn is_available(&self) -> bool {
@@ -158,6 +160,9 @@
                 if !self.is_available().await {
                     return TxnOutcome::Unknown(no_answer());
                 }
+                if self.behaviour() == StoreBehaviour::Refuses {
+                    return TxnOutcome::NotDone(refused());
+                }
                 if let Some(fate) = self.scripted_fate(txn) {
                     return self.commit_as(fate, txn).await;
                 }
@@ -182,9 +187,7 @@
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, CallError>> {
         self.process
             .call(async move {
-                if !self.reach().await {
-                    return Err(no_answer());
-                }
+                self.reach().await?;
                 if table == OWNERS_TABLE {
                     let reads = &self.world.lease_reads;
                     reads.set(reads.get() + 1);
@@ -217,9 +220,7 @@
     ) -> LocalBoxFuture<'a, Result<Changes, CallError>> {
         self.process
             .call(async move {
-                if !self.reach().await {
-                    return Err(no_answer());
-                }
+                self.reach().await?;
                 let reads = &self.world.feed_reads;
                 reads.set(reads.get() + 1);
                 let rows = self.world.rows.borrow();
@@ -268,9 +269,7 @@
     ) -> LocalBoxFuture<'a, Result<Vec<String>, CallError>> {
         self.process
             .call(async move {
-                if !self.reach().await {
-                    return Err(no_answer());
-                }
+                self.reach().await?;
                 Ok(self.world.objects(prefix))
             })
             .boxed_local()
@@ -282,9 +281,7 @@
     ) -> LocalBoxFuture<'a, Result<Option<bytes::Bytes>, CallError>> {
         self.process
             .call(async move {
-                if !self.reach().await {
-                    return Err(no_answer());
-                }
+                self.reach().await?;
                 Ok(self.world.rows.borrow().objects.get(name).cloned())
             })
             .boxed_local()
