Pauses follow what workers report, and don't count as standing still

What callers would see: best-effort tasks stopped for no reason after each pause, their work done again; after a lost answer a task that stands still for good, or a serving task over its target beside one that works unseen.

Causes: the time under a CPU limit of 0 counted as time without progress. The order book was taken for a measurement: a run whose limit was believed to be 0 counted as undisturbing. A lost order was not repeated. A pause restored limits that mitigation had set to 0; overdue tasks were admitted to paused hosts; an opened host ignored a clearing for another step; limits stayed once no serving task was left.

Change: sched::owner::missed_alone. Each poll response is compared with what is wanted, and the order repeated until it is confirmed; a best-effort run that uses processors disturbs whatever was ordered; the limit before a pause is kept by itself; the time from the last effect counts to the sending of the poll. Time under limits at which no progress is judged is left out. A host opens only if all its serving tasks miss alone, takes no overdue task while it is paused, and lifts limits that disturb nobody.

--- a/src/lapisdrum/policy/dispatch/missed_alone.rs
+++ b/src/lapisdrum/policy/dispatch/missed_alone.rs
@@ -55,6 +55,11 @@
         self.measured_at.is_empty()
     }
 
+    /// Whether best-effort tasks are paused for a measurement.
+    pub fn is_paused(&self) -> bool {
+        self.paused_since.is_some()
+    }
+
     /// Updates the steps with the latest tails of all serving tasks of the host. `is_undisturbed`
     /// says whether no best-effort task has an effect on them; a measurement counts for
     /// `trusted_for`.
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -109,7 +109,8 @@
     /// Whether it currently accepts best-effort tasks.
     pub is_open_for_best_effort: bool,
     /// Whether it takes a best-effort task that it would refuse, once the task is overdue: it has
-    /// no such task with a CPU limit, and its best-effort tasks were not all stopped recently.
+    /// no such task with a CPU limit, and its best-effort tasks are not paused and were not all
+    /// stopped recently.
     pub takes_overdue: bool,
     /// The number of its tasks that belong to the step that is being placed.
     pub of_step: u32,
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -428,7 +428,9 @@
                 now,
             ),
             is_open_for_best_effort: now >= session.best_effort_closed_until,
-            takes_overdue: now >= session.cleared_until && !has_limited_overdue(owner, session),
+            takes_overdue: now >= session.cleared_until
+                && !session.missed_alone.is_paused()
+                && !has_limited_overdue(owner, session),
             of_step: 0,
             is_suspect: session.is_suspect(now),
             is_avoided: false,
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -2,17 +2,17 @@
 //! hosts that interfere with them.
 
 use super::{
-    Owner,
+    Owner, missed_alone,
     runs::{self, RunRecord},
     session::Departed,
     suspension,
+    upkeep::MIN_JUDGED_CPU_LIMIT_PERCENT,
 };
 use crate::{
     core::time::Millis,
     daemon::supervisor,
     policy::dispatch::{
         interference::{Aggressor, Victim},
-        missed_alone::{Check, MAX_PAUSE, StepTail},
         mitigation::{self, Action, BestEffort, DecisionInputs, Serving},
         place::{Load, ServingGroup},
         utilisation::{self, UtilisationForecast},
@@ -25,14 +25,14 @@
         resolution::{Order, Stop},
     },
 };
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use std::{rc::Rc, time::Duration};
 
 /// Tail latency starts to reflect the start or end of a task after this time, and reflects it fully
 /// after [`EFFECT_FULL_AFTER`]: the reported value covers half a second and is smoothed.
 const EFFECT_STARTS_AFTER: Duration = Duration::from_millis(200);
 /// See [`EFFECT_STARTS_AFTER`].
-const EFFECT_FULL_AFTER: Duration = Duration::from_millis(900);
+pub(super) const EFFECT_FULL_AFTER: Duration = Duration::from_millis(900);
 /// Expected duration of a best-effort task as a multiple of its estimate, until it reports
 /// progress.
 const DURATION_FACTOR: f64 = 1.3;
@@ -55,19 +55,20 @@
     owner: &Rc<Owner>,
     worker: &str,
     response: &PollResponse,
+    sent_at: Millis,
     now: Millis,
 ) {
     note_tails(owner, worker, response, now);
-    let check = note_missed_alone(cx, owner, worker, response, now);
+    missed_alone::note(cx, owner, worker, response, sent_at, now);
     let over_for = note_overload(owner, worker, now);
+    if missed_alone::pause_or_resume(cx, owner, worker) {
+        return;
+    }
     let (runs, best_effort, serving) = on_host(owner, worker, now);
-    match check {
-        Check::None => {}
-        Check::Pause => set_cpu_limits(cx, owner, worker, &runs, |_| 0),
-        Check::Resume => set_cpu_limits(cx, owner, worker, &runs, RunRecord::limit_before_pause),
-        Check::Wait => return,
+    if serving.is_empty() {
+        lift_cpu_limits(cx, owner, worker, &runs, &best_effort);
     }
-    if best_effort.is_empty() || serving.is_empty() || check != Check::None {
+    if best_effort.is_empty() || serving.is_empty() {
         return;
     }
     if over_for.is_some_and(|over| over >= cx.cfg.work.max_measured_overload()) {
@@ -88,97 +89,31 @@
     }
 }
 
-/// For how long a serving task on the worker has been over its latency target.
-fn note_overload(owner: &Owner, worker: &str, now: Millis) -> Option<Duration> {
-    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
-    let session = sessions.get_mut(worker)?;
-    let missed_alone = &session.missed_alone;
-    let tails = step_tails(&session.runs, &runs);
-    let tails = tails.filter(|(step, _)| !missed_alone.contains(*step));
-    session.overload.note(tails.map(|(_, tail)| tail), now)
-}
-
-/// The latest tails of the serving tasks among these runs.
-fn step_tails(
-    here: &IndexSet<RunId>,
-    runs: &IndexMap<RunId, RunRecord>,
-) -> impl Iterator<Item = StepTail> {
-    let records = here
-        .iter()
-        .filter_map(|run| Some((run.task.step_id(), runs.get(run)?)));
-    records.filter_map(|(step, record)| {
-        let tail = record.tail_ms / f64::from(record.target_ms?);
-        Some((step.key(), tail))
-    })
-}
-
-/// Updates which serving tasks of a worker miss their targets without best-effort tasks, too, and
-/// opens the worker for best-effort tasks if some do.
-fn note_missed_alone(
-    cx: &Cx,
-    owner: &Owner,
-    worker: &str,
-    response: &PollResponse,
-    now: Millis,
-) -> Check {
-    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
-    let Some(session) = sessions.get_mut(worker) else {
-        return Check::None;
-    };
-    let mut here = session.runs.iter().filter_map(|run| runs.get(run));
-    // A run that the owner doesn't know may be a best-effort one.
-    let is_known = response
-        .running
-        .iter()
-        .all(|listed| runs.contains_key(&listed.run));
-    let is_recent = session
-        .claimed
-        .since
-        .is_none_or(|at| now.since(at) < EFFECT_FULL_AFTER);
-    if is_recent || !is_known || !session.departed.is_empty() || here.any(RunRecord::disturbs) {
-        session.disturbed_at = now;
-    }
-    let is_undisturbed = now.since(session.disturbed_at) >= EFFECT_FULL_AFTER;
-    let tails: Vec<StepTail> = step_tails(&session.runs, &runs).collect();
-    let before = !session.missed_alone.is_empty();
-    let trusted_for = cx.cfg.work.max_measured_overload();
-    let check = session
-        .missed_alone
-        .note(&tails, is_undisturbed, trusted_for, now);
-    let after = !session.missed_alone.is_empty();
-    if before != after {
-        let worst = tails.iter().map(|(_, tail)| *tail).fold(0.0, f64::max);
-        log::info!(worker, misses_alone = after, is_undisturbed, worst_tail_of_target = worst; "serving tasks miss their targets without best-effort tasks");
-    }
-    match check {
-        Check::None | Check::Resume if after && is_undisturbed => {
-            session.best_effort_closed_until = now;
-        }
-        Check::Pause => session.best_effort_closed_until = now + MAX_PAUSE,
-        Check::None | Check::Wait | Check::Resume => {}
-    }
-    check
-}
-
-/// Sets the CPU limits of the best-effort runs of a worker that are not being stopped.
-fn set_cpu_limits(
+/// Lifts the CPU limits of the best-effort runs on a worker where they disturb no serving task.
+fn lift_cpu_limits(
     cx: &Cx,
     owner: &Rc<Owner>,
     worker: &str,
     runs: &[RunId],
-    limit_of: impl Fn(&RunRecord) -> u32,
+    best_effort: &[BestEffort],
 ) {
-    let changed = |run: &RunId| {
-        let runs = owner.runs.borrow();
-        let record = runs.get(run).filter(|r| r.known.stop == Stop::No)?;
-        let percent = limit_of(record);
-        (percent != record.cpu_limit_percent).then_some((*run, percent))
-    };
-    for (run, percent) in runs.iter().filter_map(changed) {
-        set_cpu_limit(cx, owner, worker, run, percent);
+    let limited = runs.iter().zip(best_effort);
+    let limited = limited.filter(|(_, task)| task.cpu_limit_percent < 100 && !task.is_stopping);
+    for (run, _) in limited {
+        set_cpu_limit(cx, owner, worker, *run, 100);
     }
 }
 
+/// For how long a serving task on the worker has been over its latency target.
+fn note_overload(owner: &Owner, worker: &str, now: Millis) -> Option<Duration> {
+    let (mut sessions, runs) = (owner.sessions.borrow_mut(), owner.runs.borrow());
+    let session = sessions.get_mut(worker)?;
+    let known = &session.missed_alone;
+    let tails = missed_alone::step_tails(&session.runs, &runs);
+    let tails = tails.filter(|(step, _)| !known.contains(*step));
+    session.overload.note(tails.map(|(_, tail)| tail), now)
+}
+
 /// Updates the interference model and the loads of serving tasks with the tail latencies of a poll
 /// response.
 fn note_tails(owner: &Owner, worker: &str, response: &PollResponse, now: Millis) {
@@ -306,20 +241,18 @@
 }
 
 impl RunRecord {
-    /// The CPU limit that it had before all best-effort runs of its worker were paused.
-    fn limit_before_pause(&self) -> u32 {
-        match self.cpu_limit_percent {
-            0 => self.previous_cpu_limit.0,
-            percent => percent,
+    /// Leaves the time under a CPU limit at which no progress is judged out of the time without
+    /// progress.
+    fn discount_limited_time(&mut self, now: Millis) {
+        let (_, limited_at) = self.previous_cpu_limit;
+        if self.cpu_limit_percent < MIN_JUDGED_CPU_LIMIT_PERCENT {
+            let limited_for = now.since(limited_at);
+            self.progress = self
+                .progress
+                .map(|(percent, at)| (percent, (at + limited_for).min(now)));
         }
     }
 
-    /// Whether it is a best-effort run that may be at work.
-    fn disturbs(&self) -> bool {
-        let is_sent = !matches!(self.known.order, Order::NotSent);
-        self.load == Load::BestEffort && is_sent && self.cpu_limit_percent > 0
-    }
-
     /// Notes the processors that a best-effort task uses, once it has run unthrottled long enough.
     /// Tasks use two thirds or more of what they ask for, and interfere by what they use.
     fn note_use(&mut self, millicores: u64, now: Millis) {
@@ -520,6 +453,7 @@
             if percent < before {
                 close(owner, worker, now + CLOSED_AFTER_MITIGATION);
             }
+            owner.record(&run, |record| record.limit_before_pause = None);
             set_cpu_limit(cx, owner, worker, run, percent);
         }
     }
@@ -546,8 +480,10 @@
     if !owner.may_call(cx, worker) {
         return;
     }
+    let now = cx.clock.now();
     let before = owner.runs.borrow_mut().get_mut(&run).map(|record| {
-        record.previous_cpu_limit = (record.cpu_limit_percent, cx.clock.now());
+        record.discount_limited_time(now);
+        record.previous_cpu_limit = (record.cpu_limit_percent, now);
         std::mem::replace(&mut record.cpu_limit_percent, percent)
     });
     let (Some(address), Some(before)) = (owner.address_of(worker), before) else {
@@ -565,12 +501,14 @@
         if outcome == OrderOutcome::Refused(Refusal::NewerOwner) {
             suspension::note_newer_owner(&cx, &owner, &worker);
         }
-        // Without a confirmed order the old limit counts, so that a later poll response can order
-        // it again.
-        if !matches!(outcome, OrderOutcome::Done(_))
-            && let Some(record) = owner.runs.borrow_mut().get_mut(&run)
-        {
-            record.cpu_limit_percent = before;
+        if let Some(record) = owner.runs.borrow_mut().get_mut(&run) {
+            match outcome {
+                OrderOutcome::Done(_) if percent > 0 => record.limit_before_pause = None,
+                OrderOutcome::Done(_) => {}
+                // Without a confirmed order the old limit counts, so that a later poll response can
+                // order it again.
+                _ => record.cpu_limit_percent = before,
+            }
         }
     });
 }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -18,6 +18,7 @@
 pub mod interference;
 pub mod jobs;
 pub mod kept_hosts;
+pub mod missed_alone;
 pub mod offers;
 pub mod outages;
 pub mod overdue;
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -240,7 +240,7 @@
     let acked = note_ends(cx, owner, worker, &incarnation, &response, now);
     if incarnation.is_newest {
         note_running(cx, owner, worker, &incarnation, sent_at, &response, now);
-        interference::note_poll_response(cx, owner, worker, &response, now);
+        interference::note_poll_response(cx, owner, worker, &response, sent_at, now);
     }
     if let Some(acked) = acked {
         // On a time-out the next poll lists the same ends again, and they are skipped.
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -74,6 +74,8 @@
     pub cpu_limit_percent: u32,
     /// CPU limit that is ordered right after its start, for a best-effort task that was overdue.
     pub first_cpu_limit_percent: Option<u32>,
+    /// CPU limit before a pause, until it is confirmed that the run goes on.
+    pub limit_before_pause: Option<u32>,
     /// CPU limit before the last change, and the time of that change.
     pub previous_cpu_limit: (u32, Millis),
 }
@@ -158,6 +160,7 @@
             used_millicores: None,
             cpu_limit_percent: 100,
             first_cpu_limit_percent: None,
+            limit_before_pause: None,
             previous_cpu_limit: (100, now),
         };
         let mut sessions = self.sessions.borrow_mut();
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -30,7 +30,7 @@
 const STALLED_AFTER: Duration = Duration::from_millis(1_800);
 /// Tasks with a CPU limit below this, in percent, are too slow to be distinguished from stalled
 /// ones.
-const MIN_JUDGED_CPU_LIMIT_PERCENT: u32 = 20;
+pub(super) const MIN_JUDGED_CPU_LIMIT_PERCENT: u32 = 20;
 /// Most jobs removed in one round, so that their events fit into one row.
 const MAX_FORGOTTEN_PER_ROUND: usize = 200;
 
--- a/tests/testsuite/sched/slow_workers.rs
+++ b/tests/testsuite/sched/slow_workers.rs
@@ -6,7 +6,7 @@
 };
 use lapisdrum::sched::{
     Cx,
-    job::{JobId, Step},
+    job::{JobId, Step, TaskId},
     peer::{JobState, SubmitReply},
 };
 use std::{rc::Rc, time::Duration};
@@ -97,3 +97,23 @@
         world.check();
     });
 }
+
+/// Guards against tasks that are stopped as stalled since they made no progress while they were paused.
+#[test]
+fn a_paused_task_does_not_count_as_stalled() {
+    paused(async {
+        let (world, cx) = slow_cluster().await;
+        submit(&world, &cx, 2, vec![best_effort(4, 100_000)]).await;
+        longest_wait(&world, &cx, 2, Duration::from_secs(600)).await;
+        for index in 0..4 {
+            let task = TaskId {
+                job: JobId(2),
+                occurrence: 0,
+                step: 0,
+                index,
+            };
+            assert_eq!(world.starts_of(&task), 1, "starts of task {index}");
+        }
+        world.check();
+    });
+}
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -815,7 +815,7 @@
         self.change(worker, |w| w.behaviour = behaviour);
     }
 
-    /// Sets the figure that a worker reports of each run from now on: the latency tail of a serving task in milliseconds.
+    /// Sets the latency tail, in milliseconds, that a worker reports of its serving tasks from now on.
     pub(crate) fn set_gauge(&self, worker: &str, gauge: u64) {
         self.change(worker, |w| w.gauge = gauge);
     }
@@ -1503,7 +1503,8 @@
             percent: running.percent(now),
             gauge: match contention {
                 Some(contention) => self.gauge_of(running, &contention),
-                None => self.gauge,
+                None if running.load == Load::Serving => self.gauge,
+                None => running.used_millicores(),
             },
         });
         let ended = self.ended.iter().map(|end| end.number);
