--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -336,6 +336,62 @@
     }
 }
 
+/// A task on a worker that restarted just before its first owner is lost, after two more owners, each for such a time.
+async fn start_on_restarted_worker(
+    longest_lease: Duration,
+    kind: Step,
+    owned_for: [Duration; 2],
+) -> Site {
+    let world = World::with_longest_lease(1, longest_lease);
+    let first = world.daemon("d0");
+    owned(&first, LIMIT).await;
+    sleep(LIMIT).await;
+    let mut site = Site {
+        world,
+        owners: vec![first],
+    };
+    site.world.crash("w0");
+    site.world.restart("w0");
+    sleep(Duration::from_millis(500)).await;
+    site.replace_owner().await;
+    site.next_owner().await;
+    site.world.submit(&site.owners[1], 1, vec![kind]).await;
+    until("the task runs", LIMIT, async || {
+        site.world.running_on("w0").len() == 1
+    })
+    .await;
+    site.world.add_worker("w1");
+    sleep(owned_for[0]).await;
+    site.replace_owner().await;
+    site.next_owner().await;
+    sleep(owned_for[1]).await;
+    site
+}
+
+/// Guards against a longest lease on a restarted worker that begins with the first contact of each later owner: no row
+/// says until when the leases last there that calls of the first owner may have extended.
+#[test]
+fn owners_pass_on_when_leases_on_a_restarted_worker_end() {
+    for longest_lease in LONGEST_LEASES {
+        for first_ms in [500, 1_500, 3_000, 5_000] {
+            for second_ms in [300, 1_000, 2_000, 4_000] {
+                paused(async move {
+                    let task = Step {
+                        is_long_running: true,
+                        ..step(1, 600_000, &[])
+                    };
+                    let owned_for = [first_ms, second_ms].map(Duration::from_millis);
+                    let mut site = start_on_restarted_worker(longest_lease, task, owned_for).await;
+                    site.cut_worker();
+                    site.replace_owner().await;
+                    let lost_at = Instant::now();
+                    site.check_restart(lost_at, lost_at).await;
+                });
+            }
+        }
+    }
+}
+
 /// Guards against a task that was started half a second before its worker and its owner are lost, and is known to no row:
 /// the poll that confirms it would only return when another run ends.
 #[test]
