Lease rows give the end of leases on restarted workers that answer

Callers saw long-running tasks wait beside free capacity for longer than promised: a worker had restarted shortly before its owner was lost, two more owners followed, and then worker and owner were lost together.

Calls of an earlier owner may meet the restart of a worker and give a longest lease (10 s) from then on, up to the worker's first answer to the next owner. That bound is right. But a row could only say "not confirmed" of the runs there, so each next owner counted a longest lease from its own first contact: a bound that begins again with each owner. Class: what one process knows of a lease is not in the row.

Readers of the version before ignore the field and take the runs for unconfirmed, as until now; rows without it are read as before.

Lowering the first bound: the renewal that met the restart is real.

The whole test suite was not run on this commit.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -22,6 +22,7 @@
     },
     resolution::{
         ConfirmedBefore, ConfirmedRuns, EarlierOwners, LeaseLimits, LeasesLeft, SilentWorker,
+        UnsettledWorker,
     },
 };
 use crate::core::time::Millis;
@@ -143,6 +144,11 @@
         /// The same by worker, which a reader of an earlier version does not know.
         #[serde(default)]
         pub confirmed: Option<ConfirmedBefore>,
+        /// Workers that answer, on which leases of confirmed runs last longer than this row says for
+        /// all; a reader of an earlier version takes these runs for unconfirmed. The sender names at
+        /// most as many as in `confirmed`.
+        #[serde(default)]
+        pub unsettled: IndexMap<String, ConfirmedRuns>,
     }
 
     /// Content of the lease row.
@@ -360,6 +366,18 @@
         })
     }
 
+    /// Workers that answered the last sender, on which leases of confirmed runs last longer than on
+    /// others.
+    pub fn unsettled_workers(&self, limits: &LeaseLimits) -> IndexMap<String, UnsettledWorker> {
+        let sent = self.row.as_ref().and_then(|row| row.leases.as_ref());
+        let unsettled = sent.into_iter().flat_map(|sent| &sent.unsettled);
+        let unsettled = unsettled.map(|(worker, confirmed)| {
+            let unsettled = UnsettledWorker::by_row(self.since, confirmed, limits);
+            (worker.clone(), unsettled)
+        });
+        unsettled.collect()
+    }
+
     /// The journal rows before which the last sender had confirmed the long-running runs on workers
     /// that answered it.
     pub fn confirmed_before(&self) -> ConfirmedBefore {
@@ -404,6 +422,7 @@
                 silent_confirmed: confirmed_left_of(&silent, now),
                 confirmed_before: self.confirmed_before().on_all(),
                 confirmed: Some(self.confirmed_before()),
+                unsettled: unsettled_left_of(&self.unsettled_workers(limits), now),
             }),
             accepts_returns: true,
             accepts_origins: true,
@@ -461,6 +480,18 @@
     left.collect()
 }
 
+/// What a row that is written at `now` says of workers on which leases of confirmed runs last longer
+/// than on others.
+pub fn unsettled_left_of(
+    workers: &IndexMap<String, UnsettledWorker>,
+    now: Millis,
+) -> IndexMap<String, ConfirmedRuns> {
+    let left = workers
+        .iter()
+        .map(|(worker, unsettled)| (worker.clone(), unsettled.left(now)));
+    left.collect()
+}
+
 /// When the leases on silent workers end, by a row that was read at `read_at`.
 pub fn read_silent(
     ends_in_ms: &IndexMap<String, u64>,
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -43,7 +43,9 @@
     journal::{AppendOutcome, Journal, Ticket},
     lease::{self, Holder, LastSender, LeaseView},
     ledger::{Ledger, Phase},
-    resolution::{ConfirmedBefore, EarlierOwners, LeaseBound, LeaseLimits, SilentWorker},
+    resolution::{
+        ConfirmedBefore, EarlierOwners, LeaseBound, LeaseLimits, SilentWorker, UnsettledWorker,
+    },
 };
 use crate::{
     core::time::{Millis, Timestamp, millis},
@@ -99,6 +101,9 @@
     /// Journal rows before which the previous owner had confirmed the long-running runs on workers
     /// that answered it.
     previous_confirmed_before: ConfirmedBefore,
+    /// Workers that answered the previous owner, on which leases of confirmed runs last longer than
+    /// on others.
+    unsettled_before: IndexMap<String, UnsettledWorker>,
     /// Workers that a lease row lists as silent.
     listed: Listed,
     /// When the state was recovered.
@@ -203,6 +208,7 @@
             listed: Listed::new(silent_before.keys().cloned()),
             silent_before: RefCell::new(silent_before),
             previous_confirmed_before: seen.confirmed_before(),
+            unsettled_before: seen.unsettled_workers(limits),
             recovered_at: Cell::new(None),
             given_up: RefCell::default(),
             may_have_sent_leases: Cell::new(is_first),
@@ -349,6 +355,9 @@
         if let Some(silent) = self.silent_before.borrow().get(worker) {
             bound.note_written_end(silent.ends);
         }
+        if let Some(unsettled) = self.unsettled_before.get(worker) {
+            bound.note_unsettled(unsettled.until);
+        }
         bound
     }
 
--- a/src/lapisdrum/sched/owner/previous_owner.rs
+++ b/src/lapisdrum/sched/owner/previous_owner.rs
@@ -81,7 +81,8 @@
         let silent = self.silent_before.borrow().len();
         let confirmed_before = self.previous_confirmed_before.others;
         let unconfirmed_on = self.previous_confirmed_before.workers.len();
-        log::info!(shard:%, token = self.token(), daemon:%, is_released, is_idle, is_noted, unchanged_ms, owned_ms, leases_end_in_ms = left.confirmed_ms, unconfirmed_end_in_ms = left.unconfirmed_ms, silent, confirmed_before:?, unconfirmed_on; "leases of earlier owners may last");
+        let unsettled_on = self.unsettled_before.len();
+        log::info!(shard:%, token = self.token(), daemon:%, is_released, is_idle, is_noted, unchanged_ms, owned_ms, leases_end_in_ms = left.confirmed_ms, unconfirmed_end_in_ms = left.unconfirmed_ms, silent, confirmed_before:?, unconfirmed_on, unsettled_on; "leases of earlier owners may last");
     }
 
     /// Notes that the previous owner had ended by `at`. The owners before that one may still renew
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -7,18 +7,22 @@
 //! A single end for both would be that of the runs that are not confirmed, such as batch tasks, some
 //! seconds later, and each owner would pass it on.
 //!
+//! A worker that answers may be named too: calls of earlier owners may have met its restart, and then
+//! leases there last up to a longest lease from its first answer. Without that end in the row, each
+//! next owner would count the longest lease from its own first contact.
+//!
 //! A listed worker that answers again gets no lease until a row without it is known to be written:
 //! whichever row the next owner finds, no lease was sent that it denies. A row takes effect only
 //! under the owner's fence, so none changes after a take-over.
 
-use super::{Owner, session::Session};
+use super::{Owner, runs::RunRecord, session::Session};
 use crate::{
     core::time::Millis,
     sched::{
         Cx,
         event::RunId,
-        lease::{SentLeases, confirmed_left_of, left_of},
-        resolution::{ConfirmedBefore, LeaseEnds, LeaseLimits, SilentWorker},
+        lease::{SentLeases, confirmed_left_of, left_of, unsettled_left_of},
+        resolution::{ConfirmedBefore, LeaseEnds, LeaseLimits, SilentWorker, UnsettledWorker},
     },
 };
 use indexmap::{IndexMap, IndexSet};
@@ -97,6 +101,7 @@
             silent_confirmed: confirmed_left_of(&silent, now),
             confirmed_before: self.previous_confirmed_before.on_all(),
             confirmed: Some(self.previous_confirmed_before.clone()),
+            unsettled: unsettled_left_of(&self.unsettled_before, now),
         }
     }
 
@@ -104,7 +109,7 @@
     pub fn sent_leases(&self, cx: &Cx, is_last_row: bool) -> SentLeases {
         let (now, limits) = (cx.clock.now(), &cx.cfg.leases);
         let silent = self.silent_workers(cx);
-        let confirmed = self.confirmed_before(cx, &silent);
+        let (confirmed, unsettled) = self.confirmed_before(cx, &silent);
         SentLeases {
             sender: match is_last_row {
                 true => limits.after_last_row(),
@@ -113,6 +118,7 @@
             earlier: self.earlier_owners.get().ends().left(now),
             confirmed_before: confirmed.on_all(),
             confirmed: Some(confirmed),
+            unsettled: unsettled_left_of(&unsettled, now),
             silent: left_of(&silent, now),
             silent_confirmed: confirmed_left_of(&silent, now),
         }
@@ -215,46 +221,61 @@
         let latest = placed_row.unwrap_or(self.journal.covered_upto());
         match self.silent_before.borrow().get(worker) {
             Some(silent) => silent.is_confirmed(latest),
-            None => self
-                .previous_confirmed_before
-                .on(worker)
-                .is_some_and(|before| latest < before),
+            None => {
+                let before = self.previous_confirmed_before.on(worker);
+                let unsettled = self.unsettled_before.get(worker);
+                before.is_some_and(|before| latest < before)
+                    || unsettled.is_some_and(|unsettled| unsettled.is_confirmed(latest))
+            }
         }
     }
 
     /// Journal rows before which the long-running runs on workers other than `silent` ones are
-    /// confirmed.
+    /// confirmed, and those of these workers where leases of confirmed runs last longer than the row
+    /// allows for all.
     fn confirmed_before(
         &self,
         cx: &Cx,
         silent: &IndexMap<String, SilentWorker>,
-    ) -> ConfirmedBefore {
+    ) -> (ConfirmedBefore, IndexMap<String, UnsettledWorker>) {
         if !self.has_recovered() {
-            return self.previous_confirmed_before.clone();
+            let confirmed = self.previous_confirmed_before.clone();
+            return (confirmed, self.unsettled_before.clone());
         }
         let limits = &cx.cfg.leases;
-        // A run on a worker with a later lease than the row allows counts as unconfirmed. The row says
-        // when the leases of earlier owners end too, which may be later.
-        let own_end_in = Duration::from_millis(limits.after_last_row().confirmed_ms);
-        let earlier_end_at = self.earlier_owners.get().ends().confirmed;
-        let row_ends_at = earlier_end_at.max(cx.clock.now() + own_end_in);
+        // A run on a worker with a later lease than the row allows counts as unconfirmed, unless the
+        // row names the worker. The row says when the leases of earlier owners end too, which may be
+        // later.
+        let row_end = limits.row_end(cx.clock.now(), self.earlier_owners.get().ends());
         let (sessions, runs) = (self.sessions.borrow(), self.runs.borrow());
         let unlisted = sessions
             .iter()
             .filter(|(worker, _)| !silent.contains_key(*worker));
-        let mut before = ConfirmedBefore::everywhere(Some(self.journal.next_row()));
+        let next_row = self.journal.next_row();
+        let mut before = ConfirmedBefore::everywhere(Some(next_row));
+        let mut unsettled = IndexMap::new();
         for (worker, session) in unlisted {
-            let (_, ends_at) = session.bound.latest_end(true, limits);
+            let until = session.bound.unsettled_after(row_end, limits);
             let records = session.runs.iter().filter_map(|run| runs.get(run));
-            let unconfirmed = records
-                .filter(|record| record.is_long_running)
-                .filter(|record| !record.is_confirmed || ends_at > row_ends_at);
+            let long_running = || records.clone().filter(|record| record.is_long_running);
             // A run whose row is not known is in the snapshot.
-            let rows = unconfirmed.map(|record| record.placed_row.unwrap_or_default());
-            if let Some(lowest) = rows.min() {
-                before.add(worker, lowest);
+            let row_of = |record: &RunRecord| record.placed_row.unwrap_or_default();
+            let unconfirmed = long_running().filter(|record| !record.is_confirmed);
+            let unconfirmed = unconfirmed.map(row_of).min();
+            let lowest = match until {
+                Some(_) => long_running().map(row_of).min(),
+                None => unconfirmed,
+            };
+            let is_named = lowest.is_some_and(|lowest| before.add(worker, lowest));
+            if let Some(until) = until.filter(|_| is_named) {
+                let confirmed_before = unconfirmed.unwrap_or(next_row);
+                let named = UnsettledWorker {
+                    confirmed_before,
+                    until,
+                };
+                unsettled.insert(worker.clone(), named);
             }
         }
-        before
+        (before, unsettled)
     }
 }
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -352,6 +352,13 @@
         }
     }
 
+    /// Time by which all leases of confirmed runs have ended by a row that is written at `now`, also if
+    /// its writer sends none after it; leases of owners before the writer end by `earlier`.
+    pub fn row_end(&self, now: Millis, earlier: LeaseEnds) -> Millis {
+        let own = Duration::from_millis(self.after_last_row().confirmed_ms);
+        earlier.confirmed.max(now + own)
+    }
+
     /// Time during which a reader of an earlier version has to expect calls with leases, which adds
     /// the longest lease itself, in milliseconds.
     pub fn may_send_ms(&self, left: LeasesLeft) -> u64 {
@@ -395,7 +402,7 @@
 }
 
 data! {
-    /// What a row says of the confirmed long-running runs on a silent worker.
+    /// What a row says of the confirmed long-running runs on a worker.
     #[derive(Copy, Default, Hash)]
     pub struct ConfirmedRuns {
         /// Number of a journal row: long-running runs there that were placed before it are
@@ -441,13 +448,16 @@
     }
 
     /// Adds a worker where runs that were placed in this row or later ones are not confirmed; beyond
-    /// [`MAX_UNCONFIRMED_WORKERS`] the row counts for all workers that are not named.
-    pub fn add(&mut self, worker: &str, before: u64) {
-        if self.workers.len() < MAX_UNCONFIRMED_WORKERS {
+    /// [`MAX_UNCONFIRMED_WORKERS`] the row counts for all workers that are not named. Returns whether
+    /// the worker is named.
+    pub fn add(&mut self, worker: &str, before: u64) -> bool {
+        let is_named = self.workers.len() < MAX_UNCONFIRMED_WORKERS;
+        if is_named {
             self.workers.insert(worker.to_owned(), before);
         } else {
             self.others = self.others.map(|others| others.min(before));
         }
+        is_named
     }
 }
 
@@ -526,6 +536,39 @@
     }
 }
 
+/// Until when leases on a worker that answers last for its confirmed runs, as an owner wrote: longer than
+/// on other workers, since calls of earlier owners may have met its restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct UnsettledWorker {
+    /// Number of the journal row before which long-running runs there are confirmed.
+    pub confirmed_before: u64,
+    /// End of the leases that were sent before the worker answered that owner.
+    pub until: Millis,
+}
+
+impl UnsettledWorker {
+    /// By a row that was read at `read_at`.
+    pub fn by_row(read_at: Millis, confirmed: &ConfirmedRuns, limits: &LeaseLimits) -> Self {
+        Self {
+            confirmed_before: confirmed.before,
+            until: limits.end_by_note(read_at, confirmed.ends_in_ms),
+        }
+    }
+
+    /// What a row that is written at `now` says of the worker.
+    pub fn left(&self, now: Millis) -> ConfirmedRuns {
+        ConfirmedRuns {
+            before: self.confirmed_before,
+            ends_in_ms: millis(self.until.since(now)) + 1,
+        }
+    }
+
+    /// Whether a long-running run that was placed in this journal row is confirmed.
+    pub fn is_confirmed(&self, placed_row: u64) -> bool {
+        placed_row < self.confirmed_before
+    }
+}
+
 /// Until when leases last.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LeaseEnds {
@@ -737,6 +780,12 @@
         self.noted = Some(known.min(ends));
     }
 
+    /// Records that leases which earlier owners sent before the worker answered one of them may last
+    /// until `until`, as that owner wrote, although its own end earlier.
+    pub fn note_unsettled(&mut self, until: Millis) {
+        self.unsettled_until = self.unsettled_until.max(Some(until));
+    }
+
     /// Records that a call with a lease is sent, which ends by `ends_by` on the incarnation whose
     /// clock was read.
     pub fn note_sent(&mut self, ends_by: Millis) {
@@ -766,7 +815,7 @@
     /// incarnation refuses calls of earlier owners, and leases that they sent earlier end at most
     /// one lease after `at`, or as their rows say if that is earlier. `has_confirmed_run` says
     /// whether an earlier owner confirmed a run on this incarnation, so that the bound on confirmed
-    /// runs holds there.
+    /// runs holds there, together with [`Self::note_unsettled`].
     pub fn note_claimed(&mut self, at: Millis, has_confirmed_run: bool, limits: &LeaseLimits) {
         let longest = at + limits.longest_on_own_clock();
         let until = match self.inherited.take() {
@@ -810,6 +859,13 @@
         latest.unwrap_or((LeaseKind::Answered, never))
     }
 
+    /// End of the last lease of a confirmed run, if that is later than the end that a row gives for all
+    /// workers.
+    pub fn unsettled_after(&self, row_end: Millis, limits: &LeaseLimits) -> Option<Millis> {
+        let (_, ends_at) = self.latest_end(true, limits);
+        (ends_at > row_end).then_some(ends_at)
+    }
+
     fn confirmed_ends(&self) -> [(LeaseKind, Option<Millis>); 3] {
         [
             (LeaseKind::Named, self.named_end),
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -7,8 +7,11 @@
     core::time::{Millis, millis},
     sched::{
         edge::Row,
-        lease::{Holder, LeaseRow, LeaseView, SentLeases},
-        resolution::{EarlierOwners, LeaseBound, LeaseEnds, LeaseLimits, LeasesLeft},
+        lease::{Holder, LeaseRow, LeaseView, SentLeases, unsettled_left_of},
+        resolution::{
+            ConfirmedBefore, ConfirmedRuns, EarlierOwners, LeaseBound, LeaseEnds, LeaseLimits,
+            LeasesLeft, UnsettledWorker,
+        },
     },
 };
 use proptest::{collection::vec, option, prelude::*};
@@ -210,6 +213,7 @@
                     silent_confirmed: IndexMap::new(),
                     confirmed_before: None,
                     confirmed: None,
+                    unsettled: IndexMap::new(),
                 }),
                 accepts_returns: true,
                 accepts_origins: true,
@@ -248,6 +252,209 @@
     }
 }
 
+/// What an owner does on a worker that may restart.
+#[derive(Clone, Copy, Debug)]
+struct Visit {
+    /// Time after the take-over at which the worker restarts, if it does.
+    restarts: Option<u64>,
+    /// Time after the restart at which a call to the incarnation before takes effect.
+    late_effect: u64,
+    /// Time after the take-over at which the worker answers, if it does.
+    answers: Option<u64>,
+    /// Time from then until the last row is composed.
+    stays: u64,
+    is_released: bool,
+    is_known_to_have_ended: bool,
+    /// Time until the next owner reads the row.
+    read_ms: u64,
+    /// Thousandths by which this owner's clock is slower than true time.
+    slowness: u64,
+}
+
+fn visit() -> impl Strategy<Value = Visit> {
+    let times = (
+        option::weighted(0.3, 0..4_000_u64),
+        0..12_000_u64,
+        option::weighted(0.8, 0..4_000_u64),
+    );
+    let end = (
+        0..6_000_u64,
+        any::<bool>(),
+        any::<bool>(),
+        0..3_000_u64,
+        0..20_u64,
+    );
+    (times, end).prop_map(|((restarts, late_effect, answers), end)| {
+        let (stays, is_released, is_known_to_have_ended, read_ms, slowness) = end;
+        Visit {
+            restarts,
+            late_effect,
+            answers,
+            stays,
+            is_released,
+            is_known_to_have_ended,
+            read_ms,
+            slowness,
+        }
+    })
+}
+
+/// A worker and its only long-running run, in true time.
+#[derive(Default)]
+struct TrueWorker {
+    incarnation: u64,
+    leases_end: u64,
+    /// Incarnation that has the run, and the journal row of its placement.
+    run: Option<(u64, u64)>,
+    /// Latest time at which a call to an earlier incarnation may take effect.
+    calls_until: u64,
+    /// When such a call takes effect, unless a later owner is answered before.
+    late_effect: Option<u64>,
+}
+
+/// The row of an owner that sends leases.
+fn sender_row(leases: SentLeases, is_released: bool) -> LeaseRow {
+    let holder = Holder {
+        daemon: "a".to_owned(),
+        address: "a.example:1".to_owned(),
+        incarnation: 1,
+    };
+    LeaseRow {
+        is_released,
+        last_sender: None,
+        leases: Some(leases),
+        ..LeaseView::default().takeover_row(&holder, Millis(0), &limits())
+    }
+}
+
+fn unsettled_left(worker: &str, unsettled: Option<UnsettledWorker>, now: Millis) -> SentLeases {
+    let workers: IndexMap<_, _> = unsettled
+        .map(|u| (worker.to_owned(), u))
+        .into_iter()
+        .collect();
+    SentLeases {
+        sender: LeasesLeft::default(),
+        earlier: LeasesLeft::default(),
+        silent: IndexMap::new(),
+        silent_confirmed: IndexMap::new(),
+        confirmed_before: None,
+        confirmed: None,
+        unsettled: unsettled_left_of(&workers, now),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8_192, ..ProptestConfig::default() })]
+
+    /// Guards against a run that is given up by the end which an owner wrote for a restarted worker, while a lease lasts
+    /// there that a call of an earlier owner has extended.
+    #[test]
+    fn no_lease_on_a_restarted_worker_outlasts_what_rows_say(visits in vec(visit(), 2..7), longest_s in 6..12_u64) {
+        let limits = limits_for(Duration::from_secs(longest_s));
+        let transit = limits.transit.as_millis() as u64;
+        let longest = limits.longest.as_millis() as u64;
+        let longest = longest + longest / 50;
+        let mut worker = TrueWorker::default();
+        let mut view = LeaseView::default();
+        let mut has_previous_ended = false;
+        let mut now = 1_000;
+        for (nth, visit) in (1..).zip(visits) {
+            // The rows are read by the clock of this owner, which counts from its take-over.
+            let own = |at: u64| Millis(100_000 + (at - now) - (at - now) * visit.slowness / 1_000);
+            let mut earlier = view.earlier_owners(&limits);
+            if has_previous_ended {
+                earlier.note_previous_stopped(own(now));
+            }
+            let mut bound = LeaseBound::inherited(earlier.ends());
+            let unsettled = view.unsettled_workers(&limits).get("w").copied();
+            if let Some(unsettled) = unsettled {
+                bound.note_unsettled(unsettled.until);
+            }
+            let is_confirmed = |placed: u64| {
+                let before = view.confirmed_before().on("w");
+                before.is_some_and(|before| placed < before)
+                    || unsettled.is_some_and(|unsettled| unsettled.is_confirmed(placed))
+            };
+            let true_end = |bound: &LeaseBound, at: u64| {
+                let left = bound.latest_end(true, &limits).1.since(own(at)).as_millis() as u64;
+                at + left * 1_000 / (1_000 - visit.slowness) + 2
+            };
+            if let Some((incarnation, placed)) = worker.run
+                && incarnation == worker.incarnation
+                && is_confirmed(placed)
+            {
+                prop_assert!(true_end(&bound, now) >= worker.leases_end, "{nth}: silent");
+            }
+            if let Some(after) = visit.restarts {
+                let at = now + after;
+                worker.incarnation += 1;
+                worker.leases_end = 0;
+                let effect = at + visit.late_effect;
+                worker.late_effect = (effect <= worker.calls_until).then_some(effect);
+            }
+            let claimed_at = visit.answers.map(|answers| now + answers.max(visit.restarts.unwrap_or(0)));
+            let row_at = claimed_at.unwrap_or(now) + visit.stays;
+            let length = limits.sent(Duration::ZERO).expect("a lease");
+            if let Some(at) = claimed_at {
+                if let Some(effect) = worker.late_effect.take().filter(|effect| *effect < at) {
+                    worker.leases_end = worker.leases_end.max(effect + longest);
+                }
+                // Calls of earlier owners are refused from now on; none gave more than a longest lease.
+                worker.leases_end = worker.leases_end.min(at + longest);
+                let run = worker.run.filter(|(incarnation, _)| *incarnation == worker.incarnation);
+                let has_confirmed = run.is_some_and(|(_, placed)| is_confirmed(placed));
+                bound.note_claimed(own(at), has_confirmed, &limits);
+                prop_assert!(true_end(&bound, at) >= worker.leases_end, "{nth}: claimed");
+                worker.run = run.or(Some((worker.incarnation, nth)));
+                bound.note_sent(own(row_at) + limits.ends_within(length));
+                bound.note_answered(own(row_at));
+                let ms = length.as_millis() as u64;
+                worker.leases_end = worker.leases_end.max(row_at + ms + ms / 50);
+                prop_assert!(true_end(&bound, row_at) >= worker.leases_end, "{nth}: renewed");
+            }
+            let at = own(row_at);
+            let placed = worker.run.map_or(0, |(_, placed)| placed);
+            let until = bound.unsettled_after(limits.row_end(at, earlier.ends()), &limits);
+            let mut confirmed = ConfirmedBefore::everywhere(Some(nth + 1));
+            let mut named = None;
+            // A worker that does not answer and that no row lists, since there are too many.
+            let known = claimed_at.map(|_| nth + 1).or(is_confirmed(placed).then_some(placed + 1));
+            if until.is_some() || known.is_none() {
+                confirmed.add("w", placed);
+            }
+            if let (Some(until), Some(confirmed_before)) = (until, known) {
+                named = Some(UnsettledWorker { confirmed_before, until });
+            }
+            let row = SentLeases {
+                sender: match visit.is_released {
+                    true => limits.after_last_row(),
+                    false => limits.after_row(),
+                },
+                earlier: earlier.ends().left(at),
+                confirmed_before: confirmed.on_all(),
+                confirmed: Some(confirmed),
+                ..unsettled_left("w", named, at)
+            };
+            let sent_until = match visit.is_released {
+                true => row_at,
+                false => {
+                    let ms = limits.after_renewal.as_millis() as u64;
+                    let ends_at = row_at + ms + ms / 50;
+                    if claimed_at.is_some() {
+                        worker.leases_end = worker.leases_end.max(ends_at);
+                    }
+                    row_at + ms
+                }
+            };
+            worker.calls_until = worker.calls_until.max(sent_until + transit * 2);
+            has_previous_ended = visit.is_known_to_have_ended && visit.is_released;
+            now = row_at + visit.read_ms;
+            view = LeaseView::default();
+            view.note(&rows(nth, &sender_row(row, visit.is_released)), Millis(100_000)).expect("a valid row");
+        }
+    }
+}
+
 proptest! {
     /// Guards against a run that is given up while an owner whose clock is slower still renews its lease.
     #[test]
@@ -257,6 +464,9 @@
         let by_row = EarlierOwners::by_row(Millis(at), LeasesLeft::default(), left, &limits);
         let due = Millis(at) + on_own_clock(Duration::from_millis(left_ms), &limits);
         prop_assert!(by_row.ends().confirmed >= due && by_row.ends().unconfirmed >= due, "{by_row:?}");
+        let unsettled = ConfirmedRuns { before: 1, ends_in_ms: left_ms };
+        let unsettled = UnsettledWorker::by_row(Millis(at), &unsettled, &limits);
+        prop_assert!(unsettled.until >= due, "{unsettled:?}");
         let mut earlier = EarlierOwners::held(Millis(0), Millis(0), &limits);
         earlier.note_previous_stopped(Millis(0));
         earlier.note_before(Millis(at), Duration::from_millis(left_ms), &limits);
@@ -296,6 +506,7 @@
             silent_confirmed: IndexMap::new(),
             confirmed_before: None,
             confirmed: None,
+            unsettled: IndexMap::new(),
         }),
         ..LeaseView::default().takeover_row(&holder(1), Millis(0), &limits)
     };
--- a/tests/testsuite/sched/lost_owners.rs
+++ b/tests/testsuite/sched/lost_owners.rs
@@ -14,7 +14,9 @@
         Cx,
         job::{JobId, Step, TaskId},
         journal::SNAPSHOT_TABLE,
+        layout::ShardId,
         lease,
+        owner::session::Session,
         peer::SubmitReply,
         restart::{LostTogether, restart_times},
     },
@@ -336,12 +338,8 @@
     }
 }
 
-/// A task on a worker that restarted just before its first owner is lost, after two more owners, each for such a time.
-async fn start_on_restarted_worker(
-    longest_lease: Duration,
-    kind: Step,
-    owned_for: [Duration; 2],
-) -> Site {
+/// A long-running task on a worker that restarted just before the first owner of its shard was lost, and the next owner.
+async fn start_on_restarted_worker(longest_lease: Duration) -> Site {
     let world = World::with_longest_lease(1, longest_lease);
     let first = world.daemon("d0");
     owned(&first, LIMIT).await;
@@ -355,16 +353,15 @@
     sleep(Duration::from_millis(500)).await;
     site.replace_owner().await;
     site.next_owner().await;
-    site.world.submit(&site.owners[1], 1, vec![kind]).await;
+    let task = Step {
+        is_long_running: true,
+        ..step(1, 600_000, &[])
+    };
+    site.world.submit(&site.owners[1], 1, vec![task]).await;
     until("the task runs", LIMIT, async || {
         site.world.running_on("w0").len() == 1
     })
     .await;
-    site.world.add_worker("w1");
-    sleep(owned_for[0]).await;
-    site.replace_owner().await;
-    site.next_owner().await;
-    sleep(owned_for[1]).await;
     site
 }
 
@@ -374,14 +371,14 @@
 fn owners_pass_on_when_leases_on_a_restarted_worker_end() {
     for longest_lease in LONGEST_LEASES {
         for first_ms in [500, 1_500, 3_000, 5_000] {
-            for second_ms in [300, 1_000, 2_000, 4_000] {
+            for second_ms in [0, 50, 300, 1_000, 2_000, 4_000] {
                 paused(async move {
-                    let task = Step {
-                        is_long_running: true,
-                        ..step(1, 600_000, &[])
-                    };
-                    let owned_for = [first_ms, second_ms].map(Duration::from_millis);
-                    let mut site = start_on_restarted_worker(longest_lease, task, owned_for).await;
+                    let mut site = start_on_restarted_worker(longest_lease).await;
+                    site.world.add_worker("w1");
+                    sleep(Duration::from_millis(first_ms)).await;
+                    site.replace_owner().await;
+                    site.next_owner().await;
+                    sleep(Duration::from_millis(second_ms)).await;
                     site.cut_worker();
                     site.replace_owner().await;
                     let lost_at = Instant::now();
@@ -392,6 +389,68 @@
     }
 }
 
+/// Guards against a row that has the next owner give up a run too early on a worker where leases last longer: one that the
+/// worker is not known to have, or, by an owner of an earlier version, one that it has.
+#[test]
+fn a_row_confirms_only_known_runs_on_a_restarted_worker() {
+    paused(async {
+        let site = start_on_restarted_worker(LONGEST_LEASES[1]).await;
+        let late = WorkerBehaviour::Late(Duration::from_secs(3));
+        site.world.set_worker("w0", late);
+        let (world, next) = (Rc::clone(&site.world), Rc::clone(&site.owners[1]));
+        let task = Step {
+            is_long_running: true,
+            ..step(1, 600_000, &[])
+        };
+        actix_rt::spawn(async move { world.submit(&next, 2, vec![task]).await });
+        let cx = Rc::clone(&site.owners[1]);
+        let owner = cx.handle(ShardId(0)).owner.borrow().clone();
+        let owner = owner.expect("the owner");
+        let row_of = |is_confirmed| {
+            let runs = owner.runs.borrow();
+            let record = runs.values().find(|run| run.is_confirmed == is_confirmed);
+            record.and_then(|record| record.placed_row)
+        };
+        until("a run is not confirmed", LIMIT, async || {
+            row_of(false).is_some()
+        })
+        .await;
+        sleep(Duration::from_millis(100)).await;
+        let known = row_of(true).expect("a run that is known");
+        let unknown = row_of(false).expect("a run that is not known");
+        let sent = owner.sent_leases(&cx, false);
+        let before = sent.unsettled["w0"].before;
+        assert!(known < before && before <= unknown, "{before}");
+        let by_earlier_version = sent.confirmed.and_then(|confirmed| confirmed.on("w0"));
+        assert!(by_earlier_version.is_some_and(|before| before <= known));
+        site.world.check();
+    });
+}
+
+/// Guards against a run that an owner gives up while leases last on its worker which calls of the first owner may have
+/// extended: the owner before had written their end, and this one has not reached the worker.
+#[test]
+fn an_owner_expects_the_leases_on_a_restarted_worker_that_the_one_before_noted() {
+    paused(async {
+        let mut site = start_on_restarted_worker(LONGEST_LEASES[1]).await;
+        sleep(Duration::from_secs(1)).await;
+        site.world.cut("w0", true);
+        let left = |site: &Site| {
+            let cx = site.owners.last().expect("an owner");
+            let owner = cx.handle(ShardId(0)).owner.borrow().clone();
+            let owner = owner.expect("the owner");
+            let end = |session: &mut Session| session.bound.latest_end(true, &cx.cfg.leases);
+            let (_, end) = owner.session("w0", end).expect("the worker");
+            end.since(cx.clock.now())
+        };
+        let (lost_at, before) = (Instant::now(), left(&site));
+        site.replace_owner().await;
+        site.next_owner().await;
+        let after = lost_at.elapsed() + left(&site);
+        assert!(after >= before, "{after:?} < {before:?}");
+    });
+}
+
 /// Guards against a task that was started half a second before its worker and its owner are lost, and is known to no row:
 /// the poll that confirms it would only return when another run ends.
 #[test]
--- a/tests/testsuite/sched/resolution.rs
+++ b/tests/testsuite/sched/resolution.rs
@@ -333,6 +333,7 @@
     assert!(!silent.is_confirmed(0));
     let confirmed = view.confirmed_before();
     assert_eq!([confirmed.on("w2"), confirmed.on_all()], [Some(12); 2]);
+    assert!(view.unsettled_workers(&limits).is_empty());
 }
 
 /// Guards against an owner of an earlier version that takes a run for confirmed which is not: it knows one number for all
@@ -341,7 +342,8 @@
 fn what_an_earlier_version_reads_promises_no_less() {
     let mut confirmed = ConfirmedBefore::everywhere(Some(20));
     for at in 0..200 {
-        confirmed.add(&format!("w{at}"), 100 - at / 2);
+        let is_named = confirmed.add(&format!("w{at}"), 100 - at / 2);
+        assert_eq!(is_named, at < 64, "the row stays small");
     }
     let lowest = confirmed.on_all();
     assert_eq!(lowest, Some(1), "also beyond the workers that are named");
