--- a/src/lapisdrum/policy/dispatch/mitigation.rs
+++ b/src/lapisdrum/policy/dispatch/mitigation.rs
@@ -53,7 +53,7 @@
     /// Whether it is being stopped.
     pub is_stopping: bool,
     /// Whether it is throttled instead of stopped: it was overdue, and its job has no other run.
-    pub is_never_stopped: bool,
+    pub is_only_throttled: bool,
     /// The time for which it has run.
     pub ran: Duration,
     /// Its estimated remaining run time without a CPU limit.
@@ -146,7 +146,7 @@
         let limits = CPU_LIMITS_PERCENT
             .into_iter()
             .filter(move |p| *p != cpu_limit_percent);
-        let stop = (!self.is_never_stopped).then_some(Action::Stop);
+        let stop = (!self.is_only_throttled).then_some(Action::Stop);
         limits.map(Action::LimitCpu).chain(stop)
     }
 }
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -215,7 +215,7 @@
 impl Owner {
     /// Whether a best-effort run is throttled instead of stopped: stopped for the reason for which
     /// hosts had refused it, its job would have nothing running again.
-    fn is_never_stopped(&self, run: &RunId, record: &RunRecord) -> bool {
+    fn is_only_throttled(&self, run: &RunId, record: &RunRecord) -> bool {
         if record.first_cpu_limit_percent.is_none() {
             return false;
         }
@@ -360,7 +360,7 @@
             cpu_limit_percent: record.cpu_limit_percent,
             is_checkpointing: record.is_checkpointing,
             is_stopping: record.known.stop != Stop::No,
-            is_never_stopped: owner.is_never_stopped(run, record),
+            is_only_throttled: owner.is_only_throttled(run, record),
             ran: now.since(record.since),
             remaining: record.remaining_time(now),
         });
--- a/src/lapisdrum/sched/owner/place_wait.rs
+++ b/src/lapisdrum/sched/owner/place_wait.rs
@@ -59,7 +59,7 @@
 
 /// Waits in one dispatch pass; switched off without a slowdown factor.
 pub struct Pass<'a> {
-    /// The daemon.
+    /// The context of the process.
     pub cx: &'a Cx,
     /// The owner that places tasks.
     pub owner: &'a Owner,
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -147,7 +147,7 @@
     pub departed: Vec<Departed>,
     /// No best-effort task is placed here before this time.
     pub best_effort_closed_until: Millis,
-    /// Until when no best-effort task is placed here since all were stopped, overdue or not.
+    /// Until when no overdue best-effort task is placed here, since all were stopped.
     pub cleared_until: Millis,
     /// Tracks for how long serving tasks here have been over their latency targets.
     pub overload: Overload,
--- a/tests/testsuite/sched/interference.rs
+++ b/tests/testsuite/sched/interference.rs
@@ -267,7 +267,7 @@
         cpu_limit_percent: 100,
         is_checkpointing: true,
         is_stopping: false,
-        is_never_stopped: false,
+        is_only_throttled: false,
         ran: Duration::from_secs(2),
         remaining: Duration::from_secs(10),
     }
--- a/tests/testsuite/sched/long_waits.rs
+++ b/tests/testsuite/sched/long_waits.rs
@@ -364,14 +364,14 @@
         cpu_limit_percent: 100,
         is_checkpointing: true,
         is_stopping: false,
-        is_never_stopped: false,
+        is_only_throttled: false,
         ran: Duration::from_secs(2),
         remaining: Duration::from_secs(10),
     };
     let decide = |task| mitigation::decide(&inputs, &overloaded, &[task]);
     assert_eq!(decide(checkpointing), [(0, Action::Stop)]);
     let only = BestEffort {
-        is_never_stopped: true,
+        is_only_throttled: true,
         ..checkpointing
     };
     assert_matches!(decide(only)[..], [(0, Action::LimitCpu(..100))]);
