--- a/tests/testsuite/sched/long_waits.rs
+++ b/tests/testsuite/sched/long_waits.rs
@@ -1,8 +1,9 @@
 //! Best-effort jobs that every host refuses, and how long they wait while most processors are free.
 
 use super::{
+    layout::sole_owner_with,
     paused,
-    world::{Contention, World, owned, step, until},
+    world::{Contention, World, home, owned, step, until},
 };
 use assert_matches::assert_matches;
 use indexmap::IndexMap;
@@ -18,7 +19,9 @@
     },
     sched::{
         Cx,
+        features::Features,
         job::{Gang, JobId, Step},
+        layout::ShardId,
         peer::{JobState, SubmitReply},
     },
 };
@@ -188,6 +191,92 @@
     });
 }
 
+/// Long-running tasks of three cores that report no latency, no two on one worker.
+fn reserving(count: u32) -> Vec<Step> {
+    let mut step = step(count, 600_000, &[]);
+    step.size.millicores = 3_000;
+    step.is_long_running = true;
+    step.max_per_worker = Some(1);
+    vec![step]
+}
+
+/// Guards against a best-effort job that waits for as long as its shard's workers are mostly reserved, although most
+/// processors of the deployment are free: the shard got all long-running tasks.
+#[test]
+fn a_best_effort_job_runs_in_time_in_the_shard_that_got_the_long_running_tasks() {
+    paused(async {
+        let (world, cx, _) = sole_owner_with(4, Features::default()).await;
+        let layout = cx.layout.borrow().clone().expect("a layout");
+        let mut racks = layout.racks.iter().filter(|(_, of)| **of == ShardId(0));
+        let (rack, _) = racks.next().expect("a rack");
+        let mut ids = (1..).filter(|id| home(&cx, *id) == ShardId(0));
+        let mut next_id = || ids.next().expect("an id");
+        submit(&world, &cx, next_id(), reserving(2)).await;
+        until("the long-running tasks run", LIMIT, async || {
+            world.running().len() == 2
+        })
+        .await;
+        let id = next_id();
+        let near = Step {
+            data_rack: Some(rack.clone()),
+            ..best_effort(500, 2)
+        };
+        submit(&world, &cx, id, vec![near]).await;
+        until("the best-effort job runs", MAX_WAIT, async || {
+            runs(&world, id)
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// Guards against the oldest of more overdue jobs than hosts, which starves behind newer ones with less slack, and against
+/// several overdue tasks at once on a host that is mostly reserved.
+#[test]
+fn the_job_that_waits_longest_is_the_next_on_a_mostly_reserved_host() {
+    paused(async {
+        let world = World::new(4);
+        let cx = world.daemon("a");
+        owned(&cx, LIMIT).await;
+        submit(&world, &cx, SERVING, reserving(4)).await;
+        until("the long-running tasks run", LIMIT, async || {
+            world.running().len() == 4
+        })
+        .await;
+        for id in 2..6 {
+            submit(&world, &cx, id, vec![best_effort(3_000, 2)]).await;
+        }
+        sleep(Duration::from_millis(500)).await;
+        let (oldest, newer) = (6, 7..15);
+        submit(&world, &cx, oldest, vec![best_effort(6_000, 2)]).await;
+        sleep(Duration::from_millis(100)).await;
+        for id in newer.clone() {
+            submit(&world, &cx, id, vec![best_effort(500, 2)]).await;
+        }
+        until("the first jobs run", MAX_WAIT, async || {
+            (2..6).all(|id| runs(&world, id))
+        })
+        .await;
+        until("the oldest of the others runs", LIMIT, async || {
+            assert!(!newer.clone().any(|id| runs(&world, id)));
+            runs(&world, oldest)
+        })
+        .await;
+        until("all are completed", LIMIT * 4, async || {
+            for worker in ["w0", "w1", "w2", "w3"] {
+                assert!(world.running_on(worker).len() <= 2, "{worker}");
+            }
+            let mut is_completed = true;
+            for id in 2..15 {
+                is_completed &= world.state(&cx, id).await == Some(JobState::Completed);
+            }
+            is_completed
+        })
+        .await;
+        world.check();
+    });
+}
+
 const TARGET_MS: f64 = 50.0;
 
 fn victim(image: Image) -> Victim {
