The wait of a best-effort job is bounded whatever share of its shard is reserved

Callers saw best-effort jobs of which nothing runs for up to 43 s while a third of the processors, or half of them in the whole deployment, are unreserved.

Cause: an overdue task was admitted only while less than half of the processors of the shard's own hosts are reserved. Callers expect the bound for the deployment; a shard that lost racks or got more long-running jobs is over half reserved while the deployment is under. And half was never what they need: it stood for a cost that nothing else bounded.

Change: the cost has the bound. An overdue task is admitted after 1.5 s whatever is reserved; while half or more of the pool's processors are reserved, a host runs at most one such task, with or without a CPU limit (before: one with a limit, and none at all while over half is reserved). A pass places all that hosts admit first, and then overdue jobs in the order of how long they have had nothing running, so that the oldest of more jobs than hosts is not behind newer ones with less slack. `nothing of an accepted job runs` tells in `not_admitted` how many hosts take no overdue task and why, and how old that is; the line of an admission tells `is_mostly_free`.

Weighed: the share summed over all owners from LoadDigest.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -8,10 +8,9 @@
 //! [`duration`] estimates, [`place`] chooses workers, [`place_wait`] decides whether a task waits for
 //! one near its data, [`interference`] models the interference between tasks, [`mitigation`] decides
 //! which best-effort tasks are throttled or stopped, [`missed_alone`] finds serving tasks that miss
-//! their targets without these, [`overdue`] bounds how long a best-effort job waits while most
-//! processors are free, and [`spare`] computes what can be offered to other shards. Under contention
-//! [`admission`] decides which new jobs are refused and [`fair_share`] which caller's steps go first.
-//! All are pure.
+//! their targets without these, [`overdue`] bounds how long a best-effort job waits, and [`spare`]
+//! computes what can be offered to other shards. Under contention [`admission`] decides which new
+//! jobs are refused and [`fair_share`] which caller's steps go first. All are pure.
 
 pub mod admission;
 pub mod duration;
--- a/src/lapisdrum/policy/dispatch/overdue.rs
+++ b/src/lapisdrum/policy/dispatch/overdue.rs
@@ -3,11 +3,17 @@
 //! Load pattern: serving tasks run on every host, and a best-effort image is expected to slow each
 //! of them. [`super::place`] then refuses the image everywhere for as long as they run. Nothing
 //! else would end the wait: a pair of images that never runs together is never measured, so a high
-//! estimate stays high. While most processors of the pool are free, such a job therefore gets one
-//! task after a bounded time, which depends on no estimate. It starts on the host where it is
-//! expected to cost serving tasks least, with a CPU limit at which it is expected to cost nothing,
-//! or with the lowest one that lets it progress. At most one such task with a CPU limit runs on a
-//! host.
+//! estimate stays high. Or the backlog of a burst uses all idle processors, and newer jobs that can
+//! still be on time go first for as long as it lasts. Such a job therefore gets one task after a
+//! bounded time, which depends on no estimate and on no share of processors: what this shard's hosts
+//! have reserved says nothing about the deployment, for which callers expect the bound. The task
+//! starts on the host where it is expected to cost serving tasks least, with a CPU limit at which
+//! it is expected to cost nothing, or with the lowest one that lets it progress.
+//!
+//! The number of such tasks bounds the cost instead. A host runs at most one of them with a CPU
+//! limit; while half or more of the processors of its pool are reserved, at most one at all. Jobs
+//! that have had nothing running for longest are first, so that none starves behind newer ones when
+//! there are more of them than hosts.
 //!
 //! [`super::mitigation`] may change the limit but doesn't stop the task while its job has no other.
 //! If tails stay over their targets, all best-effort tasks of the host are stopped as usual, and
@@ -21,7 +27,8 @@
     interference::InterferenceModel,
     place::{self, Host, Need, Unfit},
 };
-use std::time::Duration;
+use indexmap::IndexMap;
+use std::{fmt, time::Duration};
 
 /// Time for which a job may have nothing running. Callers expect such a job to run within 3 s, of
 /// which the other half is left for the start or for another attempt.
@@ -42,6 +49,34 @@
     pub cpu_limit_percent: u32,
     /// By how much it is expected to add to the overload of serving tasks with this limit.
     pub added_overload: f64,
+    /// Whether the pool is mostly free.
+    pub is_mostly_free: bool,
+}
+
+/// Whether a host takes a best-effort task that it would refuse, once the task is overdue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OverdueTasks {
+    /// It runs no task that was overdue.
+    None,
+    /// It runs such tasks, all without a CPU limit.
+    Unlimited,
+    /// It runs such a task with a CPU limit, or was given one in this pass.
+    Limited,
+    /// Its best-effort tasks are paused for a measurement.
+    Paused,
+    /// Its best-effort tasks were all stopped recently.
+    Cleared,
+}
+
+impl OverdueTasks {
+    /// Whether one more is taken.
+    pub fn takes_one(self, is_mostly_free: bool) -> bool {
+        match self {
+            Self::None => true,
+            Self::Unlimited => is_mostly_free,
+            Self::Limited | Self::Paused | Self::Cleared => false,
+        }
+    }
 }
 
 /// Whether less than half of the pool's processors are reserved. Those that best-effort tasks use do
@@ -55,18 +90,36 @@
     2 * reserved < all
 }
 
-/// Whether the pool is mostly free and a host of it takes an overdue task now.
+/// Whether a host of the pool takes an overdue task now.
 pub fn takes_any(pool: &str, hosts: &[Host]) -> bool {
+    let is_mostly_free = is_mostly_free(pool, hosts);
     let mut in_pool = hosts.iter().filter(|host| host.pool == pool);
-    in_pool.any(|host| host.takes_overdue) && is_mostly_free(pool, hosts)
+    in_pool.any(|host| host.overdue.takes_one(is_mostly_free))
+}
+
+/// Number of hosts of a pool by whether they take an overdue task, such as `Unlimited:60 Cleared:6`.
+pub fn hosts_text(pool: &str, hosts: &[Host]) -> impl fmt::Display {
+    let mut counts: IndexMap<OverdueTasks, usize> = IndexMap::new();
+    for host in hosts.iter().filter(|host| host.pool == pool) {
+        *counts.entry(host.overdue).or_default() += 1;
+    }
+    counts.sort_by(|_, a, _, b| b.cmp(a));
+    fmt::from_fn(move |f| {
+        for (at, (overdue, hosts)) in counts.iter().enumerate() {
+            let space = if at == 0 { "" } else { " " };
+            write!(f, "{space}{overdue:?}:{hosts}")?;
+        }
+        Ok(())
+    })
 }
 
 /// Returns where to admit an overdue best-effort task that no host of its pool admits; `None` if
 /// every host lacks memory, a label or the like, or takes no overdue task now.
 pub fn admit(need: &Need, hosts: &[Host], model: &InterferenceModel) -> Option<Admission> {
-    let in_pool = hosts.iter().enumerate();
-    let in_pool = in_pool.filter(|(_, host)| host.pool == need.pool && host.takes_overdue);
-    let able = in_pool.filter_map(|(at, host)| admit_on(need, at, host, model));
+    let is_mostly_free = is_mostly_free(need.pool, hosts);
+    let takes = |host: &Host| host.pool == need.pool && host.overdue.takes_one(is_mostly_free);
+    let taking = hosts.iter().enumerate().filter(|(_, host)| takes(host));
+    let able = taking.filter_map(|(at, host)| admit_on(need, at, host, is_mostly_free, model));
     able.min_by(|a, b| {
         let is_unreliable = |admission: &Admission| {
             let host = &hosts[admission.at];
@@ -79,7 +132,13 @@
     })
 }
 
-fn admit_on(need: &Need, at: usize, host: &Host, model: &InterferenceModel) -> Option<Admission> {
+fn admit_on(
+    need: &Need,
+    at: usize,
+    host: &Host,
+    is_mostly_free: bool,
+    model: &InterferenceModel,
+) -> Option<Admission> {
     let why = place::unfit(need, host, model)?;
     match why {
         Unfit::Closed | Unfit::Busy | Unfit::Pressure => {}
@@ -95,6 +154,7 @@
         why,
         cpu_limit_percent,
         added_overload: host.added_overload(need, cpu_limit_percent, model),
+        is_mostly_free,
     };
     let mut limits = CPU_LIMITS_PERCENT.into_iter().map(with_limit);
     let harmless = limits.find(|admission| admission.added_overload <= 0.0);
--- a/src/lapisdrum/policy/dispatch/place.rs
+++ b/src/lapisdrum/policy/dispatch/place.rs
@@ -16,6 +16,7 @@
 
 use super::{
     interference::{Aggressor, Image, InterferenceModel, Victim},
+    overdue::OverdueTasks,
     utilisation::{self, UtilisationForecast},
 };
 use crate::core::size::Size;
@@ -108,10 +109,8 @@
     pub serving: Vec<ServingGroup>,
     /// Whether it currently accepts best-effort tasks.
     pub is_open_for_best_effort: bool,
-    /// Whether it takes a best-effort task that it would refuse, once the task is overdue: it has
-    /// no such task with a CPU limit, and its best-effort tasks are not paused and were not all
-    /// stopped recently.
-    pub takes_overdue: bool,
+    /// Whether it takes a best-effort task that it would refuse, once the task is overdue.
+    pub overdue: OverdueTasks,
     /// The number of its tasks that belong to the step that is being placed.
     pub of_step: u32,
     /// Whether tasks have recently failed or stalled on it.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -6,7 +6,7 @@
     Owner,
     backlog::{self, WaitingStep},
     headroom, interference, kept_hosts,
-    overdue::{self, Admitted},
+    overdue::{self, Admitted, NotAdmitted},
     place_wait::{GangPlace, Pass, Placing},
     runs::{self, load_of},
     session::Session,
@@ -20,7 +20,7 @@
         fair_share::Claim,
         interference::Victim,
         order::{Rank, RankInputs},
-        overdue::{admit, takes_any},
+        overdue::{OverdueTasks, admit, hosts_text, takes_any},
         place::{Host, Load, Need, choose, keep_for, reserved_by},
         refused::{self, Demand, Refusal, RefusedDemands},
         room::{Room, Shortage},
@@ -35,7 +35,7 @@
     },
 };
 use indexmap::IndexMap;
-use std::{rc::Rc, time::Duration};
+use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Minimum time between two passes, so that capacity freed within it is used by one pass.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
@@ -208,8 +208,6 @@
         let demand = best_effort_demand(owner, job, waiting);
         note_idle(owner, job, waiting, now);
         let known = demand.as_ref().and_then(|demand| refused.find(demand));
-        // A host may admit an overdue task that it has refused.
-        let known = known.filter(|_| !is_overdue(owner, &job.terms.pool, waiting, hosts, now));
         if let Some(known) = known {
             waiting.note_wait(owner, known.why.as_ref(), hosts, now);
         } else {
@@ -221,6 +219,7 @@
                 hosts,
                 &mut placed,
                 is_reason_due,
+                OverdueRule::Refuse,
             );
             if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
                 waiting.note_wait(owner, why.as_ref(), hosts, now);
@@ -234,14 +233,21 @@
         if done > 0 {
             owner.overdue.borrow_mut().note_placed(waiting.step.job);
         }
-        let mut backlog = owner.backlog.borrow_mut();
-        backlog.note(
-            waiting.load,
-            done,
-            waiting.tasks.len() - done,
-            waiting.age_ms,
-        );
     }
+    place_overdue(
+        &mut waits,
+        waiting,
+        reports,
+        hosts,
+        &mut placed,
+        &mut placed_of,
+    );
+    let mut backlog = owner.backlog.borrow_mut();
+    for (waiting, done) in waiting.iter().zip(&placed_of) {
+        let left = waiting.tasks.len() - done;
+        backlog.note(waiting.load, *done, left, waiting.age_ms);
+    }
+    drop(backlog);
     waits.end();
     drop(ledger);
     owner.overdue.borrow_mut().end_pass();
@@ -257,18 +263,80 @@
     }
 }
 
-/// Whether a best-effort step's job has had nothing running for too long, and hosts of its pool take
-/// overdue tasks.
-fn is_overdue(
-    owner: &Owner,
-    pool: &str,
-    waiting: &StartableStep,
-    hosts: &[Host],
-    now: Millis,
-) -> bool {
-    let idle_for = owner.overdue.borrow().idle_for(waiting.step.job, now);
-    let is_best_effort = waiting.load == Load::BestEffort;
-    is_best_effort && idle_for.is_some() && takes_any(pool, hosts)
+/// What is done with the task of an overdue job that every host refuses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OverdueRule {
+    Refuse,
+    Admit,
+}
+
+/// Admits tasks of overdue jobs of which the pass has placed none, those with nothing running for
+/// longest first. All other tasks are placed before, so that an overdue one takes no place from
+/// them.
+fn place_overdue(
+    waits: &mut Pass,
+    waiting: &[StartableStep],
+    reports: &[Rc<WorkerReport>],
+    hosts: &mut Vec<Host>,
+    placed: &mut Vec<Placed>,
+    placed_of: &mut [usize],
+) {
+    let (owner, now) = (waits.owner, waits.now);
+    let ledger = owner.ledger.borrow();
+    let idle_for = |step: &StepId| owner.overdue.borrow().idle_for(step.job, now);
+    let steps = waiting.iter().enumerate();
+    let steps = steps.filter(|(_, waiting)| waiting.load == Load::BestEffort);
+    let idle = steps.filter_map(|(at, waiting)| Some((idle_for(&waiting.step)?, at)));
+    let mut idle: Vec<(Duration, usize)> = idle.collect();
+    idle.sort_by_key(|(idle_for, _)| Reverse(*idle_for));
+    let mut refused = RefusedDemands::default();
+    let mut full_pools: IndexMap<&str, Rc<str>> = IndexMap::new();
+    for (_, at) in idle {
+        let waiting = &waiting[at];
+        if idle_for(&waiting.step).is_none() {
+            continue;
+        }
+        let job = &ledger.jobs[&waiting.step.job];
+        let pool = job.terms.pool.as_str();
+        if !full_pools.contains_key(pool) && !takes_any(pool, hosts) {
+            full_pools.insert(pool, hosts_text(pool, hosts).to_string().into());
+        }
+        if let Some(hosts) = full_pools.get(pool) {
+            let why = NotAdmitted::NoHostTakesOne(Rc::clone(hosts));
+            owner
+                .overdue
+                .borrow_mut()
+                .note_not_admitted(waiting.step.job, why, now);
+            continue;
+        }
+        let demand = best_effort_demand(owner, job, waiting);
+        let known = demand.as_ref().and_then(|demand| refused.find(demand));
+        let len_before = placed.len();
+        if known.is_none() {
+            let outcome = place_step(
+                waits,
+                waiting,
+                reports,
+                hosts,
+                placed,
+                false,
+                OverdueRule::Admit,
+            );
+            if let (PlaceOutcome::Partial { is_at_limit, .. }, Some(demand)) = (outcome, demand)
+                && !is_at_limit
+                && placed.len() == len_before
+            {
+                refused.add(Refusal { demand, why: None });
+            }
+        }
+        let done = placed.len() - len_before;
+        placed_of[at] += done;
+        let mut overdue = owner.overdue.borrow_mut();
+        match done {
+            0 => overdue.note_not_admitted(waiting.step.job, NotAdmitted::Refused, now),
+            _ => overdue.note_placed(waiting.step.job),
+        }
+    }
 }
 
 /// Steps with interrupted long-running tasks that may start, in the order in which passes place
@@ -428,9 +496,7 @@
                 now,
             ),
             is_open_for_best_effort: now >= session.best_effort_closed_until,
-            takes_overdue: now >= session.cleared_until
-                && !session.missed_alone.is_paused()
-                && !has_limited_overdue(owner, session),
+            overdue: overdue_tasks(owner, session, now),
             of_step: 0,
             is_suspect: session.is_suspect(now),
             is_avoided: false,
@@ -441,13 +507,25 @@
     reports.iter().map(host).collect()
 }
 
-/// Whether a task that was overdue runs on the worker with a CPU limit.
-fn has_limited_overdue(owner: &Owner, session: &Session) -> bool {
+/// Whether the worker takes an overdue task, by those that it runs.
+fn overdue_tasks(owner: &Owner, session: &Session, now: Millis) -> OverdueTasks {
+    if now < session.cleared_until {
+        return OverdueTasks::Cleared;
+    }
+    if session.missed_alone.is_paused() {
+        return OverdueTasks::Paused;
+    }
     let runs = owner.runs.borrow();
-    let mut here = session.runs.iter().filter_map(|run| runs.get(run));
-    here.any(|record| {
-        let first = record.first_cpu_limit_percent;
-        first.is_some_and(|first| first < 100) && record.cpu_limit_percent < 100
+    let here = session.runs.iter().filter_map(|run| runs.get(run));
+    let limits = here.filter_map(|record| {
+        let first = record.first_cpu_limit_percent?;
+        Some((first, record.cpu_limit_percent))
+    });
+    limits.fold(OverdueTasks::None, |so_far, (first, limit)| {
+        match first < 100 && limit < 100 || so_far == OverdueTasks::Limited {
+            true => OverdueTasks::Limited,
+            false => OverdueTasks::Unlimited,
+        }
     })
 }
 
@@ -485,6 +563,7 @@
     hosts: &mut Vec<Host>,
     placed: &mut Vec<Placed>,
     is_reason_due: bool,
+    rule: OverdueRule,
 ) -> PlaceOutcome {
     let (owner, now) = (waits.owner, waits.now);
     let ledger = owner.ledger.borrow();
@@ -517,7 +596,6 @@
     let (mut why, mut is_at_limit) = (None, false);
     let mut of_gang = Vec::new();
     let mut admitted: Vec<(Admitted, &str)> = Vec::new();
-    let is_overdue = is_overdue(owner, need.pool, waiting, hosts, now);
     let mut may_take = spec
         .is_long_running
         .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
@@ -532,7 +610,7 @@
         mark_avoided(owner, &task, hosts, now);
         let admission = match choose(&need, hosts, &model) {
             Some(at) => Some((at, None)),
-            None if is_overdue && (is_gang || placed.len() == len_before) => {
+            None if rule == OverdueRule::Admit && (is_gang || placed.len() == len_before) => {
                 let admission = admit(&need, hosts, &model);
                 admission.map(|admission| (admission.at, Some(admission)))
             }
@@ -567,7 +645,7 @@
                 refused: refused.map_or_else(String::new, |s| s.refusals_text().to_string()),
             };
             admitted.push((task, hosts[at].id));
-            hosts[at].takes_overdue = false;
+            hosts[at].overdue = OverdueTasks::Limited;
         }
         hosts[at].take(&need, &model);
         hosts[at].of_step += 1;
--- a/src/lapisdrum/sched/owner/stalled_jobs.rs
+++ b/src/lapisdrum/sched/owner/stalled_jobs.rs
@@ -159,6 +159,10 @@
     let job = &ledger.jobs[&found.job];
     let spec = &job.spec.steps[usize::from(found.step.step)];
     let (refused, refused_age_ms) = refusal(owner, &found.step, now).unzip();
+    let overdue = owner.overdue.borrow();
+    let not_admitted = overdue.not_admitted(found.job);
+    let not_admitted = not_admitted.map(|(why, at)| (why, millis(now.since(*at))));
+    let (not_admitted, not_admitted_age_ms) = not_admitted.unzip();
     let evidence = found.run.map(|run| outages::run_evidence(cx, owner, &run));
     let evidence = evidence.unwrap_or_default();
     let room = {
@@ -181,6 +185,8 @@
         not_placing:? = owner.not_placing(cx),
         refused:?,
         refused_age_ms,
+        not_admitted:?,
+        not_admitted_age_ms,
         runs = found.runs,
         run = found.run.map(|run| run.run.0),
         worker:? = evidence.worker,
--- a/tests/testsuite/sched/place_wait.rs
+++ b/tests/testsuite/sched/place_wait.rs
@@ -8,6 +8,7 @@
     core::{size::Size, time::Millis},
     policy::dispatch::{
         interference::InterferenceModel,
+        overdue::OverdueTasks,
         place::{Host, Load, Need},
         place_wait::{
             Decision, Forecast, Hold, MAX_WAIT, Progress, Reason, SETTLED_AFTER, SeenRun,
@@ -72,7 +73,7 @@
         best_effort_millicores: 0,
         serving: Vec::new(),
         is_open_for_best_effort: true,
-        takes_overdue: true,
+        overdue: OverdueTasks::None,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
--- a/tests/testsuite/sched/refused.rs
+++ b/tests/testsuite/sched/refused.rs
@@ -9,6 +9,7 @@
     core::size::Size,
     policy::dispatch::{
         interference::{InterferenceModel, ServingLoad, Victim},
+        overdue::OverdueTasks,
         place::{Host, Load, Need, ServingGroup, choose},
         refused::{Demand, Refusal, RefusedDemands, is_limit_reached},
         utilisation::{POINTS, UtilisationForecast},
@@ -208,7 +209,7 @@
             misses_alone: false,
         }],
         is_open_for_best_effort: true,
-        takes_overdue: true,
+        overdue: OverdueTasks::None,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
--- a/tests/testsuite/sched/room.rs
+++ b/tests/testsuite/sched/room.rs
@@ -4,6 +4,7 @@
     core::size::Size,
     policy::dispatch::{
         interference::InterferenceModel,
+        overdue::OverdueTasks,
         place::{Host, Load, Need, Unfit},
         room::{Room, Shortage},
     },
@@ -31,7 +32,7 @@
         best_effort_millicores: 0,
         serving: Vec::new(),
         is_open_for_best_effort: true,
-        takes_overdue: true,
+        overdue: OverdueTasks::None,
         of_step: 0,
         is_suspect: false,
         is_avoided: false,
