Tests with real processes print what the daemons believe when they fail

Nothing told why. Daemons of the tests write warnings only; a refusal names no owner, not who holds the lease, whether it has lapsed or whether the platform answers.

Now a wait that ends in vain, a refused entry and an owner that isn't found print each daemon's readiness, status and last 100 events. Limits and conditions are unchanged.

--- a/tests/testsuite/process/runs.rs
+++ b/tests/testsuite/process/runs.rs
@@ -31,6 +31,9 @@
     let client = site.daemons[0].client();
     for (name, class) in [("render", "batch"), ("stream", "long-running")] {
         let put = client.put_entry(&raw(name, class), None).await;
+        if put.is_err() {
+            print_daemons(site).await;
+        }
         put.expect("the entry is accepted");
     }
 }
@@ -84,6 +87,7 @@
             return i;
         }
     }
+    print_daemons(site).await;
     panic!("no daemon owns the shard");
 }
 
@@ -103,7 +107,7 @@
 pub(crate) async fn submit(site: &Site, daemon: usize, entry: &str) -> String {
     let client = site.daemons[daemon].client();
     let (started_at, mut last) = (Instant::now(), String::new());
-    wait::until_some("a job is accepted", LIMIT, async || {
+    until_some(site, "a job is accepted", async || {
         let refusal = match client.submit_job(entry).await {
             Ok(job) => return Some(job.job.to_string()),
             Err(e) => format!("{e:?}"),
@@ -122,18 +126,16 @@
 pub(crate) async fn reaches(site: &Site, daemon: usize, job: &str, state: &str) {
     let client = site.daemons[daemon].client();
     let what = format!("{job} is {state}");
-    wait::until(&what, LIMIT, async || {
-        client
-            .job(job)
-            .await
-            .is_ok_and(|shown| shown.state == state)
+    until_some(site, &what, async || {
+        let shown = client.job(job).await;
+        shown.is_ok_and(|shown| shown.state == state).then_some(())
     })
     .await;
 }
 
 /// Waits until a worker runs the task; returns the worker's index.
 pub(crate) async fn worker_of(site: &Site, task: &str) -> usize {
-    wait::until_some("a worker runs the task", LIMIT, async || {
+    until_some(site, "a worker runs the task", async || {
         for (i, worker) in site.workers.iter().enumerate() {
             let log = worker.log().await;
             if log.tasks.iter().any(|run| run.task.as_str() == task) {
@@ -145,5 +147,35 @@
     .await
 }
 
+/// Waits until `get` returns a value. A test that waits in vain fails, and its output has what the
+/// daemons believe.
+async fn until_some<T>(site: &Site, what: &str, get: impl AsyncFnMut() -> Option<T>) -> T {
+    let Some(got) = wait::some_within(LIMIT, get).await else {
+        print_daemons(site).await;
+        panic!("not within {LIMIT:?}: {what}");
+    };
+    got
+}
+
+/// Prints the status and the last events of each daemon.
+async fn print_daemons(site: &Site) {
+    for daemon in &site.daemons {
+        let (client, name) = (daemon.client(), &daemon.plan.name);
+        println!("{name} is ready: {}", client.is_ready().await);
+        println!("{name}: {:?}", client.status().await);
+        match client.timeline().await {
+            Err(e) => println!("{name} has no timeline: {e:?}"),
+            Ok(line) => {
+                let skipped = line.events.len().saturating_sub(MAX_PRINTED_EVENTS);
+                for record in &line.events[skipped..] {
+                    println!("{name}: {record:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Number of events that are printed of each daemon.
+const MAX_PRINTED_EVENTS: usize = 100;
 /// Upper bound of each wait.
 pub(crate) const LIMIT: Duration = Duration::from_secs(30);
--- a/tests/testsuite/support/wait.rs
+++ b/tests/testsuite/support/wait.rs
@@ -22,14 +22,23 @@
 pub(crate) async fn until_some<T>(
     what: &str,
     limit: Duration,
-    mut get: impl AsyncFnMut() -> Option<T>,
+    get: impl AsyncFnMut() -> Option<T>,
 ) -> T {
+    let got = some_within(limit, get).await;
+    got.unwrap_or_else(|| panic!("not within {limit:?}: {what}"))
+}
+
+/// Waits until `get` returns a value; `None` if it returns none for longer than `limit`.
+pub(crate) async fn some_within<T>(
+    limit: Duration,
+    mut get: impl AsyncFnMut() -> Option<T>,
+) -> Option<T> {
     let end = Instant::now() + limit;
     loop {
-        if let Some(got) = get().await {
+        let got = get().await;
+        if got.is_some() || Instant::now() >= end {
             return got;
         }
-        assert!(Instant::now() < end, "not within {limit:?}: {what}");
         tokio::time::sleep(POLL).await;
     }
 }
