One task of a late job that has nothing running goes ahead of other jobs

Cause, by the lines: processors that become free go to the next task of the same few jobs. The usual order starts what can be on time and what is in progress; of 1,000 to 1,200 best-effort starts a second 14 to 25 were the first of a job, while 380 jobs had had nothing running for 3 s. Ruled out: a shard that places nothing (not_placing is none in all lines), a lack of processors.

Change: a short job that can't be on time and has had nothing running for 1.5 s starts one task ahead of others, the longest wait first, behind interrupted long-running tasks and more urgent priorities, and the next one when that ends, until none of its tasks waits (policy::dispatch::ahead). Hosts admit it as usual, so serving tasks bear nothing new. Only one start in four of a pool and kind of load may go ahead: with one task of each of many narrow jobs, jobs that can be on time would get nothing. So under a long backlog the wait grows with the number of late jobs; by arithmetic on the lines 441 idle jobs of a shard wait for 11 to 14 s. A job that can still be on time isn't moved ahead.

--- a/src/lapisdrum/policy/dispatch/mod.rs
+++ b/src/lapisdrum/policy/dispatch/mod.rs
@@ -8,11 +8,13 @@
 //! [`duration`] estimates, [`place`] chooses workers, [`place_wait`] decides whether a task waits for
 //! one near its data, [`interference`] models the interference between tasks, [`mitigation`] decides
 //! which best-effort tasks are throttled or stopped, [`missed_alone`] finds serving tasks that miss
-//! their targets without these, [`overdue`] bounds how long a best-effort job waits, and [`spare`]
-//! computes what can be offered to other shards. Under contention [`admission`] decides which new
-//! jobs are refused and [`fair_share`] which caller's steps go first. All are pure.
+//! their targets without these, [`ahead`] and [`overdue`] bound how long a job has nothing running
+//! while other jobs' tasks start or every host refuses its own, and [`spare`] computes what can be
+//! offered to other shards. Under contention [`admission`] decides which new jobs are refused and
+//! [`fair_share`] which caller's steps go first. All are pure.
 
 pub mod admission;
+pub mod ahead;
 pub mod duration;
 pub mod fair_share;
 pub mod interference;
--- a/src/lapisdrum/policy/dispatch/order.rs
+++ b/src/lapisdrum/policy/dispatch/order.rs
@@ -92,6 +92,16 @@
 }
 
 impl Rank {
+    /// Whether the step has interrupted long-running tasks.
+    pub fn is_interrupted(&self) -> bool {
+        !self.is_uninterrupted
+    }
+
+    /// Priority of the class; 0 is served first.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// The steps among which callers share capacity; none for long-running steps, which occupy it
     /// for as long as their users want.
     pub fn band(&self) -> Option<Band> {
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -71,6 +71,8 @@
     pub cpu_limit_orders: Counter,
     /// Best-effort tasks admitted although every host refused them, since their jobs were overdue.
     pub overdue_admissions: Counter,
+    /// Starts that went ahead of others, since their jobs had had nothing running for too long.
+    pub starts_ahead: Counter,
     /// Runs that ended without a report from their worker, or never started.
     pub runs_lost: Counter,
     /// Polls of workers.
@@ -139,6 +141,7 @@
             orders_unanswered: Counter::default(),
             cpu_limit_orders: Counter::default(),
             overdue_admissions: Counter::default(),
+            starts_ahead: Counter::default(),
             runs_lost: Counter::default(),
             polls: Counter::default(),
             takeovers: Counter::default(),
@@ -220,6 +223,12 @@
             "Overdue best-effort tasks admitted beside serving tasks that they may slow",
             admitted,
         );
+        let ahead = self.starts_ahead.clone();
+        r.register(
+            "starts_ahead",
+            "Tasks that started ahead of others, since nothing of their jobs had run for too long",
+            ahead,
+        );
         let lost = self.runs_lost.clone();
         r.register(
             "runs_lost",
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -14,8 +14,12 @@
     sharing::{self, Sharing},
 };
 use crate::{
-    core::{size::Size, time::Millis},
+    core::{
+        size::Size,
+        time::{Millis, millis},
+    },
     policy::dispatch::{
+        ahead::{self, Turn},
         duration::DurationEstimates,
         fair_share::Claim,
         interference::Victim,
@@ -31,10 +35,10 @@
         edge::WorkerReport,
         event::{Event, RunId, WorkerIncarnation},
         job::{Gang, JobId, RunNumber, Step, StepId, TaskId},
-        ledger::{Job, Task},
+        ledger::{Job, Ledger, Task},
     },
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{cmp::Reverse, rc::Rc, time::Duration};
 
 /// Minimum time between two passes, so that capacity freed within it is used by one pass.
@@ -136,7 +140,7 @@
 fn pass(cx: &Cx, owner: &Rc<Owner>) {
     let mut waiting = collect(cx, owner);
     if waiting.is_empty() {
-        owner.overdue.borrow_mut().end_pass();
+        owner.overdue.borrow_mut().end_pass(&owner.active.borrow());
         kept_hosts::note(owner, &[], cx.clock.now());
         sharing::note_pass(cx, owner, &[], &[]);
         return;
@@ -195,43 +199,57 @@
     hosts: &mut Vec<Host>,
 ) -> Vec<Placed> {
     let now = cx.clock.now();
-    let (mut placed, mut placed_of) = (Vec::new(), Vec::with_capacity(waiting.len()));
+    let (mut placed, mut placed_of) = (Vec::new(), vec![0; waiting.len()]);
     let ledger = owner.ledger.borrow();
     let mut refused = RefusedDemands::default();
     owner.backlog.borrow_mut().begin();
     let mut waits = Pass::new(cx, owner);
     let short = waiting.iter().filter_map(|waiting| waiting.short.as_ref());
     headroom::note_waiting(owner, short, now);
-    for waiting in waiting {
-        let len_before = placed.len();
+    let mut gone_ahead = IndexSet::new();
+    // In the same pass a usual turn would end like one ahead in which no host took a task.
+    let mut in_vain = vec![false; waiting.len()];
+    for turn in turns(owner, &ledger, waiting, now) {
+        let (at, attempt) = match turn {
+            Turn::Ahead(at) => (at, Attempt::Ahead),
+            Turn::Usual(at) => (at, Attempt::Usual),
+        };
+        let is_ahead = attempt == Attempt::Ahead;
+        let waiting = &waiting[at];
         let job = &ledger.jobs[&waiting.step.job];
-        let demand = best_effort_demand(owner, job, waiting);
-        note_idle(owner, job, waiting, now);
-        let known = demand.as_ref().and_then(|demand| refused.find(demand));
-        if let Some(known) = known {
-            waiting.note_wait(owner, known.why.as_ref(), hosts, now);
-        } else {
-            let is_reason_due = backlog::is_reason_due(owner, &waiting.step, now);
-            let outcome = place_step(
-                &mut waits,
-                waiting,
-                reports,
-                hosts,
-                &mut placed,
-                is_reason_due,
-                OverdueRule::Refuse,
-            );
-            if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
-                waiting.note_wait(owner, why.as_ref(), hosts, now);
-                if let Some(demand) = demand.filter(|_| !is_at_limit) {
-                    refused.add(Refusal { demand, why });
+        let may_place = !gone_ahead.contains(&waiting.step.job) && !in_vain[at];
+        if may_place && (!is_ahead || may_go_ahead(owner, job, waiting)) {
+            let len_before = placed.len();
+            note_idle(owner, job, waiting, now);
+            let demand = best_effort_demand(owner, job, waiting);
+            let known = demand.as_ref().and_then(|demand| refused.find(demand));
+            if let Some(known) = known {
+                waiting.note_wait(owner, known.why.as_ref(), hosts, now);
+            } else {
+                let is_reason_due = backlog::is_reason_due(owner, &waiting.step, now);
+                let outcome = place_step(
+                    &mut waits,
+                    waiting,
+                    attempt,
+                    reports,
+                    hosts,
+                    &mut placed,
+                    is_reason_due,
+                );
+                if let PlaceOutcome::Partial { why, is_at_limit } = outcome {
+                    waiting.note_wait(owner, why.as_ref(), hosts, now);
+                    if let Some(demand) = demand.filter(|_| !is_at_limit) {
+                        refused.add(Refusal { demand, why });
+                    }
                 }
             }
-        }
-        let done = placed.len() - len_before;
-        placed_of.push(done);
-        if done > 0 {
-            owner.overdue.borrow_mut().note_placed(waiting.step.job);
+            let done = placed.len() - len_before;
+            placed_of[at] += done;
+            note_placed(cx, owner, waiting, job, done, is_ahead);
+            if is_ahead && done > 0 {
+                gone_ahead.insert(waiting.step.job);
+            }
+            in_vain[at] = is_ahead && done == 0;
         }
     }
     place_overdue(
@@ -242,32 +260,62 @@
         &mut placed,
         &mut placed_of,
     );
-    let mut backlog = owner.backlog.borrow_mut();
     for (waiting, done) in waiting.iter().zip(&placed_of) {
         let left = waiting.tasks.len() - done;
+        let mut backlog = owner.backlog.borrow_mut();
         backlog.note(waiting.load, *done, left, waiting.age_ms);
+        let job = &ledger.jobs[&waiting.step.job];
+        if left > 0 && !is_long_running(job, &waiting.step) {
+            owner.overdue.borrow_mut().note_left(waiting.step.job);
+        }
     }
-    drop(backlog);
     waits.end();
     drop(ledger);
-    owner.overdue.borrow_mut().end_pass();
+    owner.overdue.borrow_mut().end_pass(&owner.active.borrow());
     sharing::note_pass(cx, owner, waiting, &placed_of);
     placed
 }
 
-/// Notes that a job has startable best-effort tasks and nothing running, if so.
+fn is_long_running(job: &Job, step: &StepId) -> bool {
+    job.spec.steps[usize::from(step.step)].is_long_running
+}
+
+/// The turns of the waiting steps: jobs that have had nothing running for too long go ahead with one
+/// task.
+fn turns(owner: &Owner, ledger: &Ledger, waiting: &[StartableStep], now: Millis) -> Vec<Turn> {
+    let overdue = owner.overdue.borrow();
+    let steps = waiting.iter().map(|waiting| {
+        let job = &ledger.jobs[&waiting.step.job];
+        let is_idle = job.running() == 0 && !is_long_running(job, &waiting.step);
+        let waits_for = is_idle.then(|| overdue.waits_for(waiting.step.job, now));
+        (waiting.rank, waits_for.flatten())
+    });
+    ahead::turns(steps)
+}
+
+fn may_go_ahead(owner: &Owner, job: &Job, waiting: &StartableStep) -> bool {
+    let overdue = owner.overdue.borrow();
+    overdue.may_go_ahead(&job.terms.pool, waiting.load)
+}
+
+/// Notes that a job has startable short or best-effort tasks and nothing running, if so.
 fn note_idle(owner: &Owner, job: &Job, waiting: &StartableStep, now: Millis) {
-    if waiting.load == Load::BestEffort && job.running() == 0 {
+    let is_bounded = waiting.load == Load::BestEffort || !is_long_running(job, &waiting.step);
+    if is_bounded && job.running() == 0 {
         let mut overdue = owner.overdue.borrow_mut();
         overdue.note_idle(waiting.step.job, now);
     }
 }
 
-/// What is done with the task of an overdue job that every host refuses.
+/// How a pass tries to place tasks of a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OverdueRule {
-    Refuse,
-    Admit,
+enum Attempt {
+    /// All of them, where hosts take them.
+    Usual,
+    /// One of them, ahead of other jobs.
+    Ahead,
+    /// One of them, on a host that refuses it.
+    Overdue,
 }
 
 /// Admits tasks of overdue jobs of which the pass has placed none, those with nothing running for
@@ -316,11 +364,11 @@
             let outcome = place_step(
                 waits,
                 waiting,
+                Attempt::Overdue,
                 reports,
                 hosts,
                 placed,
                 false,
-                OverdueRule::Admit,
             );
             if let (PlaceOutcome::Partial { is_at_limit, .. }, Some(demand)) = (outcome, demand)
                 && !is_at_limit
@@ -334,11 +382,44 @@
         let mut overdue = owner.overdue.borrow_mut();
         match done {
             0 => overdue.note_not_admitted(waiting.step.job, NotAdmitted::Refused, now),
-            _ => overdue.note_placed(waiting.step.job),
+            _ => overdue.note_placed(waiting.step.job, false),
         }
     }
 }
 
+/// Notes that the pass has placed so many tasks of a step, and logs those that went ahead.
+fn note_placed(
+    cx: &Cx,
+    owner: &Owner,
+    waiting: &StartableStep,
+    job: &Job,
+    placed: usize,
+    is_ahead: bool,
+) {
+    if placed == 0 {
+        return;
+    }
+    let mut overdue = owner.overdue.borrow_mut();
+    if is_ahead {
+        let waits_for = overdue.waits_for(waiting.step.job, cx.clock.now());
+        cx.metrics.starts_ahead.inc_by(placed as u64);
+        log::info!(
+            step:% = waiting.step,
+            shard:% = owner.handle.partition,
+            load:? = waiting.load,
+            priority = job.terms.priority,
+            tasks = placed,
+            waited_ms = waits_for.map_or(0, millis),
+            age_ms = waiting.age_ms;
+            "job with nothing running goes ahead"
+        );
+    }
+    if !is_long_running(job, &waiting.step) {
+        overdue.note_starts(&job.terms.pool, waiting.load, placed, is_ahead);
+    }
+    overdue.note_placed(waiting.step.job, is_ahead);
+}
+
 /// Steps with interrupted long-running tasks that may start, in the order in which passes place
 /// them, and the number of these tasks.
 pub(super) fn interrupted_steps(cx: &Cx, owner: &Owner) -> Vec<(StepId, u64)> {
@@ -556,14 +637,15 @@
     }
 }
 
+/// Places tasks of a step; a gang is placed whole.
 fn place_step(
     waits: &mut Pass,
     waiting: &StartableStep,
+    attempt: Attempt,
     reports: &[Rc<WorkerReport>],
     hosts: &mut Vec<Host>,
     placed: &mut Vec<Placed>,
     is_reason_due: bool,
-    rule: OverdueRule,
 ) -> PlaceOutcome {
     let (owner, now) = (waits.owner, waits.now);
     let ledger = owner.ledger.borrow();
@@ -593,13 +675,18 @@
     }
     let before = is_gang.then(|| (hosts.clone(), placed.len()));
     let number = |index: u32| next_run(job, &waiting.step, spec, index);
-    let (mut why, mut is_at_limit) = (None, false);
+    let most = match attempt {
+        Attempt::Ahead | Attempt::Overdue if !is_gang => 1,
+        _ => waiting.tasks.len(),
+    };
+    // Hosts haven't refused the tasks beyond the limit.
+    let (mut why, mut is_at_limit) = (None, most < waiting.tasks.len());
     let mut of_gang = Vec::new();
     let mut admitted: Vec<(Admitted, &str)> = Vec::new();
     let mut may_take = spec
         .is_long_running
         .then(|| headroom::free_for_long_running(owner, &job.terms, hosts));
-    for (nth, index) in waiting.tasks.iter().enumerate() {
+    for (nth, index) in waiting.tasks.iter().enumerate().take(most) {
         let task = waiting.step.task(*index);
         let is_new = interrupted(job, &waiting.step, spec, &[*index]) == 0;
         let wanted = reserved_by(&need.size, need.load).millicores;
@@ -610,7 +697,7 @@
         mark_avoided(owner, &task, hosts, now);
         let admission = match choose(&need, hosts, &model) {
             Some(at) => Some((at, None)),
-            None if rule == OverdueRule::Admit && (is_gang || placed.len() == len_before) => {
+            None if attempt == Attempt::Overdue => {
                 let admission = admit(&need, hosts, &model);
                 admission.map(|admission| (admission.at, Some(admission)))
             }
--- a/src/lapisdrum/sched/owner/interference.rs
+++ b/src/lapisdrum/sched/owner/interference.rs
@@ -442,6 +442,7 @@
     match action {
         Action::Stop => {
             close(owner, worker, now + CLOSED_AFTER_MITIGATION);
+            owner.overdue.borrow_mut().note_interfered(run.task.job);
             runs::order_stop(cx, owner, run, "interferes with a serving task");
         }
         Action::LimitCpu(percent) => {
--- a/src/lapisdrum/sched/owner/overdue.rs
+++ b/src/lapisdrum/sched/owner/overdue.rs
@@ -1,12 +1,17 @@
-//! Tracks for how long jobs with startable best-effort tasks have had nothing running, and which of
-//! their tasks are admitted by [`crate::policy::dispatch::overdue`].
+//! Tracks for how long jobs with startable short tasks have had nothing running. One task of such a
+//! job goes ahead of others ([`crate::policy::dispatch::ahead`]), and a best-effort one may be admitted
+//! although hosts refuse it ([`crate::policy::dispatch::overdue`]).
 //!
 //! The times are known to this owner only; the next one counts from its recovery.
 
 use super::Owner;
 use crate::{
     core::time::{Millis, millis},
-    policy::dispatch::overdue::{Admission, MAX_IDLE_TIME},
+    policy::dispatch::{
+        ahead::Budget,
+        overdue::{Admission, MAX_IDLE_TIME},
+        place::Load,
+    },
     sched::{Cx, event::RunId, job::JobId},
 };
 use indexmap::{IndexMap, IndexSet};
@@ -40,37 +45,106 @@
     not_admitted: Option<(NotAdmitted, Millis)>,
 }
 
-/// Jobs with startable best-effort tasks and nothing running.
+/// How a task of an overdue job was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Help {
+    /// It went ahead of others.
+    Ahead,
+    /// It was admitted although every host refused it.
+    Admitted,
+}
+
+/// Jobs with startable short tasks and nothing running.
+///
+/// A job that was helped stays overdue until a pass leaves none of its tasks waiting: if it had to wait
+/// for [`MAX_IDLE_TIME`] after each task, it would have nothing running for most of the time, since a
+/// task takes about a second. If one of its tasks is stopped because it interferes, the wait begins
+/// anew, or the job would be started and stopped on one host after the other.
 #[derive(Clone, Debug, Default)]
 pub struct OverdueJobs {
     idle: IndexMap<JobId, Idle>,
+    /// Jobs that the current pass found with nothing running.
     in_pass: IndexSet<JobId>,
+    /// Jobs of which the current pass has placed tasks, and those of which it left some waiting.
+    placed: IndexSet<JobId>,
+    left: IndexSet<JobId>,
     /// CPU limits of runs that the current pass has admitted.
     cpu_limits: IndexMap<RunId, u32>,
+    /// Jobs that were helped, and how at last.
+    helped: IndexMap<JobId, Help>,
+    /// How many tasks may go ahead of others that use the same resources: those of the same pool and
+    /// kind of load.
+    budgets: IndexMap<(String, Load), Budget>,
 }
 
 impl OverdueJobs {
     /// Notes that the current dispatch pass found a job with nothing running.
     pub fn note_idle(&mut self, job: JobId, now: Millis) {
-        self.in_pass.insert(job);
-        self.idle.entry(job).or_insert(Idle {
-            since: now,
-            not_admitted: None,
-        });
+        // The ledger shows placed tasks as running after the pass.
+        if !self.placed.contains(&job) {
+            self.in_pass.insert(job);
+            self.idle.entry(job).or_insert(Idle {
+                since: now,
+                not_admitted: None,
+            });
+        }
     }
 
-    /// Ends a dispatch pass: forgets the jobs that it did not find.
-    pub fn end_pass(&mut self) {
+    /// Ends a dispatch pass: forgets the jobs that it did not find, and those that are not active.
+    pub fn end_pass(&mut self, active: &IndexSet<JobId>) {
         let in_pass = std::mem::take(&mut self.in_pass);
+        let (placed, left) = (
+            std::mem::take(&mut self.placed),
+            std::mem::take(&mut self.left),
+        );
         self.idle.retain(|job, _| in_pass.contains(job));
+        let is_served = |job: &JobId| placed.contains(job) && !left.contains(job);
+        self.helped
+            .retain(|job, _| active.contains(job) && !is_served(job));
     }
 
-    /// Notes that the current pass has placed a task of a job.
-    pub fn note_placed(&mut self, job: JobId) {
+    /// Notes that the current pass has placed tasks of a job, and whether they went ahead of others.
+    pub fn note_placed(&mut self, job: JobId, went_ahead: bool) {
         self.idle.swap_remove(&job);
+        self.placed.insert(job);
+        let is_admitted = self.cpu_limits.keys().any(|run| run.task.job == job);
+        if is_admitted {
+            self.helped.insert(job, Help::Admitted);
+        } else if went_ahead {
+            self.helped.insert(job, Help::Ahead);
+        }
+    }
+
+    /// Notes that the current pass has left short tasks of a job waiting.
+    pub fn note_left(&mut self, job: JobId) {
+        self.left.insert(job);
+    }
+
+    /// Notes that a run of a job is stopped because it interferes with serving tasks.
+    pub fn note_interfered(&mut self, job: JobId) {
+        self.helped.swap_remove(&job);
+    }
+
+    /// Whether another task of this pool and kind of load may go ahead.
+    pub fn may_go_ahead(&self, pool: &str, load: Load) -> bool {
+        let kind = (pool.to_owned(), load);
+        self.budgets.get(&kind).is_none_or(Budget::allows)
+    }
+
+    /// Notes that so many short tasks were placed, and whether they went ahead.
+    pub fn note_starts(&mut self, pool: &str, load: Load, starts: usize, is_ahead: bool) {
+        let budget = self.budgets.entry((pool.to_owned(), load)).or_default();
+        budget.note(starts, is_ahead);
+    }
+
+    /// For how long a job has had nothing running, if a task of it may go ahead.
+    pub fn waits_for(&self, job: JobId, now: Millis) -> Option<Duration> {
+        let idle_for = now.since(self.idle.get(&job)?.since);
+        let is_overdue = idle_for >= MAX_IDLE_TIME || self.helped.contains_key(&job);
+        is_overdue.then_some(idle_for)
     }
 
-    /// For how long a job has had nothing running, if that is too long.
+    /// For how long a job has had nothing running, if hosts that refuse a task of it may admit one.
     pub fn idle_for(&self, job: JobId, now: Millis) -> Option<Duration> {
         let idle_for = now.since(self.idle.get(&job)?.since);
         (idle_for >= MAX_IDLE_TIME).then_some(idle_for)
--- a/tests/testsuite/sched/long_waits.rs
+++ b/tests/testsuite/sched/long_waits.rs
@@ -10,8 +10,10 @@
 use lapisdrum::{
     core::{size::Size, time::Millis},
     policy::dispatch::{
+        ahead::{self, Budget, Turn},
         interference::{Image, InterferenceModel, ServingLoad, Victim},
         mitigation::{self, Action, BestEffort, DecisionInputs, Serving},
+        order::{Rank, RankInputs},
         overdue::{OverdueTasks, admit, hosts_text, is_mostly_free, takes_any},
         place::{Host, Kept, Load, Need, ServingGroup, Unfit, choose},
         timings::Timings,
@@ -175,6 +177,126 @@
     });
 }
 
+/// Jobs of twenty tasks for a whole core each, three a second, which is twice what the cluster can run.
+async fn backlog(world: &World, cx: &Cx, is_best_effort: bool) {
+    for id in 100..142 {
+        let mut step = best_effort(500, 1);
+        step.count = 20;
+        step.uses_leftover_cpu = is_best_effort;
+        submit(world, cx, id, vec![step]).await;
+        sleep(Duration::from_millis(333)).await;
+    }
+}
+
+/// Longest time for which each job of the backlog has nothing running while a part of it waits.
+async fn longest_waits(world: &World, cx: &Cx, time: Duration) -> IndexMap<u64, Duration> {
+    let started_at = Instant::now();
+    let mut idle_since: IndexMap<u64, Instant> = IndexMap::new();
+    let mut longest: IndexMap<u64, Duration> = IndexMap::new();
+    while started_at.elapsed() < time {
+        let now = Instant::now();
+        for id in 100..142 {
+            let is_waiting = matches!(
+                world.state(cx, id).await,
+                Some(JobState::Queued | JobState::Running)
+            );
+            if !is_waiting || runs(world, id) {
+                idle_since.swap_remove(&id);
+                continue;
+            }
+            let wait = now - *idle_since.entry(id).or_insert(now);
+            let longest = longest.entry(id).or_default();
+            *longest = wait.max(*longest);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    longest
+}
+
+async fn check_backlog(is_best_effort: bool) {
+    let world = World::new(4);
+    let cx = world.daemon("a");
+    owned(&cx, LIMIT).await;
+    let time = Duration::from_secs(14);
+    let (_, waits) = futures::join!(
+        backlog(&world, &cx, is_best_effort),
+        longest_waits(&world, &cx, time)
+    );
+    let longest = waits.into_iter().max_by_key(|(_, wait)| *wait);
+    let (id, wait) = longest.expect("a job that waits");
+    assert!(wait <= MAX_WAIT, "nothing of job {id} runs for {wait:?}");
+    assert!(cx.metrics.starts_ahead.get() > 0);
+    world.check();
+}
+
+/// Guards against late best-effort jobs that have nothing running for as long as newer ones keep all processors busy.
+#[test]
+fn late_best_effort_jobs_of_a_backlog_have_something_running() {
+    paused(check_backlog(true));
+}
+
+/// Guards against late jobs that have nothing running for as long as newer ones reserve all processors.
+#[test]
+fn late_reserving_jobs_of_a_backlog_have_something_running() {
+    paused(check_backlog(false));
+}
+
+fn rank(priority: u32, age_ms: u64) -> Rank {
+    let inputs = RankInputs {
+        priority,
+        is_long_running: false,
+        is_interrupted: false,
+        age_ms,
+        objective_ms: 4_000,
+        chain_ms: 1_000,
+        is_in_progress: false,
+    };
+    inputs.rank()
+}
+
+/// Guards against late jobs that go ahead of more urgent ones, of longer waits or of jobs that can be on time without
+/// having waited.
+#[test]
+fn jobs_go_ahead_by_how_long_they_have_nothing_running() {
+    let waited = |ms| Some(Duration::from_millis(ms));
+    let steps = [
+        (rank(0, 100), None),
+        (rank(1, 100), None),
+        (rank(1, 200), waited(9_000)),
+        (rank(1, 20_000), waited(2_000)),
+        (rank(1, 30_000), waited(6_000)),
+    ];
+    assert_eq!(
+        ahead::turns(steps.into_iter()),
+        [
+            Turn::Usual(0),
+            Turn::Ahead(4),
+            Turn::Ahead(3),
+            Turn::Usual(1),
+            Turn::Usual(2),
+            Turn::Usual(3),
+            Turn::Usual(4),
+        ]
+    );
+}
+
+/// Guards against a backlog of narrow jobs that go ahead and leave nothing to jobs that can be on time.
+#[test]
+fn one_start_in_four_goes_ahead_under_a_long_backlog() {
+    let mut budget = Budget::default();
+    let mut ahead = 0;
+    for _ in 0..4_000 {
+        let is_ahead = budget.allows();
+        budget.note(1, is_ahead);
+        ahead += u32::from(is_ahead);
+    }
+    assert!((1_000..=1_025).contains(&ahead), "{ahead} of 4,000");
+    let mut budget = Budget::default();
+    budget.note(40, true);
+    budget.note(3 * 40 - 65, false);
+    assert!(!budget.allows(), "a gang counts with all its tasks");
+}
+
 /// Guards against overdue tasks that together slow the serving tasks of a mostly reserved host: it takes one at a time,
 /// which keeps no serving task over its target for long and stops none.
 #[test]
