A job that was admitted overdue runs one task after the other

Cause: an admitted job counted as overdue anew only 1.5 s after its task had ended.

Change: a job that was admitted stays so until a pass leaves none of its tasks waiting. How many such tasks a host takes is bounded as before.

--- a/src/lapisdrum/sched/owner/overdue.rs
+++ b/src/lapisdrum/sched/owner/overdue.rs
@@ -147,7 +147,8 @@
     /// For how long a job has had nothing running, if hosts that refuse a task of it may admit one.
     pub fn idle_for(&self, job: JobId, now: Millis) -> Option<Duration> {
         let idle_for = now.since(self.idle.get(&job)?.since);
-        (idle_for >= MAX_IDLE_TIME).then_some(idle_for)
+        let was_admitted = self.helped.get(&job) == Some(&Help::Admitted);
+        (idle_for >= MAX_IDLE_TIME || was_admitted).then_some(idle_for)
     }
 
     /// Notes that the current pass has admitted no task of an overdue job.
--- a/tests/testsuite/sched/long_waits.rs
+++ b/tests/testsuite/sched/long_waits.rs
@@ -158,6 +158,32 @@
     });
 }
 
+/// Guards against a job that all hosts refuse and that has nothing running for most of the time, since it counts as
+/// overdue anew after each of its tasks.
+#[test]
+fn an_overdue_job_runs_one_task_after_the_other() {
+    paused(async {
+        let contention = Contention {
+            load: 0.45,
+            interference: 2.0,
+        };
+        let (world, cx) = shared_cluster(1, Some(contention)).await;
+        let mut step = best_effort(800, 2);
+        step.count = 5;
+        submit(&world, &cx, 2, vec![step]).await;
+        until("the job runs", MAX_WAIT, async || runs(&world, 2)).await;
+        let (mut idle, mut all) = (0, 0);
+        while world.state(&cx, 2).await != Some(JobState::Completed) {
+            all += 1;
+            idle += u32::from(!runs(&world, 2));
+            assert!(all < 3_000, "the job is not completed");
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(5 * idle < all, "idle for {idle} of {all} looks");
+        world.check();
+    });
+}
+
 /// Guards against overdue tasks that keep serving tasks over their targets even with the lowest CPU limit.
 #[test]
 fn an_overdue_job_does_not_keep_serving_tasks_over_their_targets() {
