Test of a reserving job that waits in a full shard beside a free one

What callers see: an accepted short job that reserves its processors has nothing running for as long as all hosts of its shard are full, although another shard has free hosts: a new job is sent there, one that was accepted before stays.

Evidence: the test fails on this code (1 of 1 run, 'not within 3s: the job is completed'), with the feature load_routing on.

--- a/tests/testsuite/sched/routing.rs
+++ b/tests/testsuite/sched/routing.rs
@@ -169,3 +169,18 @@
         world.check();
     });
 }
+
+/// Guards against a job that waits in the shard that accepted it, all of whose hosts are full for longer than callers
+/// accept, beside free hosts of another shard: no digest of that one had come when the job was accepted.
+#[test]
+fn a_waiting_job_leaves_a_full_shard_for_one_that_starts_it_now() {
+    paused(async {
+        let (world, cx, queue, ids) = busy_shard(ROUTING, 20_000).await;
+        submit(&world, &cx, &queue, ids[0], vec![step(1, 100, &[])]).await;
+        assert_eq!(sent(&cx), 0, "the job is accepted where it waits");
+        wait_completed(&cx, ids[0], Duration::from_secs(3)).await;
+        submit(&world, &cx, &queue, ids[0], vec![step(1, 100, &[])]).await;
+        assert_eq!(world.starts.borrow().len(), 8 + 1, "each task started once");
+        world.check();
+    });
+}
