A waiting job leaves a shard that does not start it

What callers see: an accepted short job waited for ever in a shard that lost its last workers for it, and for as long as all hosts of its shard were full, beside free hosts of another shard.

Cause: a job's shard was decided once, when it came; nothing of a job of which no task was placed could leave the shard.

Change: its home moves such a job, if nothing of it has run for 1.5 s, to a shard that has workers for it, or that tells that it starts the job now; once, journaled before the other shard is called, at most 16 of a shard at a time. The home answers for the job until the other shard has confirmed it, and asks that shard for its state meanwhile, so that a cancellation which is confirmed there is shown. An answered 'unknown' ends the search for a job that is cancelled. Owners of earlier versions get no such call.

--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -71,6 +71,10 @@
             /// Data centre of the daemon that received the job, where callers share capacity.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             data_centre: Option<String>,
+            /// The job's home, if the job waited there and moved here; an earlier version takes the
+            /// job for one that a caller submitted here.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            moved_from: Option<ShardId>,
         },
         /// A run was placed on a worker; the start order is sent once this event is durable.
         Placed {
@@ -163,5 +167,19 @@
             /// Number of the return; runs and delegations from now on have greater ones.
             last_run: RunNumber,
         },
+        /// A waiting job, of which no task was ever placed, leaves its home for another shard.
+        Moved {
+            /// The moved job.
+            job: JobId,
+            /// The shard that receives the job.
+            to: ShardId,
+            /// Time of the decision, in Unix milliseconds.
+            at_unix_ms: u64,
+        },
+        /// The shard that receives a moved job has accepted it.
+        MoveConfirmed {
+            /// The moved job.
+            job: JobId,
+        },
     }
 }
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -12,12 +12,13 @@
     owner::{
         delegate::{GuestTasks, TaskNeed},
         estimates::{LearnedUpdate, ReceivedVersions},
+        moves::MovedJob,
         returns::ReturnedTasks,
         suitable::{JobNeeds, Suitability},
     },
     peer::{
         self, AdoptReply, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply,
-        TakeBackReply,
+        TakeBackReply, TakeReply,
     },
 };
 use crate::{
@@ -146,29 +147,57 @@
 pub async fn show(cx: &Cx, job: JobId) -> Outcome<JobState> {
     call_home_shards(cx, job, async |handle| {
         match call_owner(cx, &handle, OwnerRequest::Show(job)).await {
-            OwnerCall::Answered(OwnerReply::Shown(ShowReply::State(state))) => Outcome::Done(state),
-            OwnerCall::Answered(OwnerReply::Shown(ShowReply::Unknown)) => Outcome::NoSuchJob,
-            _ => Outcome::Refused(NO_OWNER_RETRY),
+            OwnerCall::Answered(OwnerReply::Shown(ShowReply::State(state))) => {
+                Asked::Final(Outcome::Done(state))
+            }
+            OwnerCall::Answered(OwnerReply::Shown(ShowReply::Unknown)) => Asked::NotHere,
+            _ => Asked::Undecided(Outcome::Refused(NO_OWNER_RETRY)),
         }
     })
     .await
 }
 
+/// The reply of a shard's owner to the question for the state of a job; none without an answer.
+pub async fn state_in(cx: &Cx, handle: &Rc<ShardHandle>, job: JobId) -> Option<ShowReply> {
+    match call_owner(cx, handle, OwnerRequest::Show(job)).await {
+        OwnerCall::Answered(OwnerReply::Shown(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
 /// Cancels a job in the shard that has it.
 pub async fn cancel(cx: &Cx, job: JobId) -> Outcome<()> {
     call_home_shards(cx, job, async |handle| cancel_in(cx, &handle, job).await).await
 }
 
-async fn cancel_in(cx: &Cx, handle: &Rc<ShardHandle>, job: JobId) -> Outcome<()> {
-    let outcome = match call_owner(cx, handle, OwnerRequest::Cancel(job)).await {
-        OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::Done)) => Outcome::Done(()),
-        OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::UnknownJob)) => Outcome::NoSuchJob,
-        OwnerCall::NotReached | OwnerCall::NotOwner => Outcome::Refused(NO_OWNER_RETRY),
-        OwnerCall::Unanswered | OwnerCall::Answered(_) => Outcome::Unknown,
+async fn cancel_in(cx: &Cx, handle: &Rc<ShardHandle>, job: JobId) -> Asked<()> {
+    let asked = match call_owner(cx, handle, OwnerRequest::Cancel(job)).await {
+        OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::Done)) => {
+            Asked::Final(Outcome::Done(()))
+        }
+        OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::UnknownJob)) => Asked::NotHere,
+        OwnerCall::NotReached | OwnerCall::NotOwner => {
+            Asked::Undecided(Outcome::Refused(NO_OWNER_RETRY))
+        }
+        OwnerCall::Unanswered => Asked::Undecided(Outcome::Unknown),
+        // This shard answers for the job. Another one may have it already, and a cancellation that
+        // is confirmed there would not be known here.
+        OwnerCall::Answered(_) => Asked::Final(Outcome::Unknown),
     };
     let (owner, owner_seen_ms) = last_known_owner(cx, handle);
-    log::info!(job:% = job, outcome:? = outcome, shard:% = handle.partition, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
-    outcome
+    log::info!(job:% = job, outcome:? = asked, shard:% = handle.partition, owner:% = owner, owner_seen_ms, store_up = cx.store_up.get(); "cancel asked for");
+    asked
+}
+
+/// What a shard says of a job that is looked for.
+#[derive(Debug)]
+enum Asked<T> {
+    /// The shard answers for the job.
+    Final(Outcome<T>),
+    /// The shard does not know the job.
+    NotHere,
+    /// The shard may have the job; the outcome if no other has it.
+    Undecided(Outcome<T>),
 }
 
 /// Makes a call to the shards that may have a job, the likeliest first. The job is unknown only if
@@ -177,7 +206,7 @@
 async fn call_home_shards<T>(
     cx: &Cx,
     job: JobId,
-    call: impl AsyncFn(Rc<ShardHandle>) -> Outcome<T>,
+    call: impl AsyncFn(Rc<ShardHandle>) -> Asked<T>,
 ) -> Outcome<T> {
     let Some(layout) = cx.layout.borrow().clone() else {
         return Outcome::Refused(NO_LAYOUT_RETRY);
@@ -185,10 +214,10 @@
     let mut undecided = None;
     for shard in layout.homes(job) {
         match call(cx.handle(shard)).await {
-            Outcome::Done(found) => return Outcome::Done(found),
-            Outcome::NoSuchJob => {}
-            other => {
-                undecided.get_or_insert(other);
+            Asked::Final(outcome) => return outcome,
+            Asked::NotHere => {}
+            Asked::Undecided(outcome) => {
+                undecided.get_or_insert(outcome);
             }
         }
     }
@@ -280,6 +309,23 @@
     )
 }
 
+/// Hands a job that waits in its home to another shard; none without an answer.
+pub async fn take(cx: &Cx, handle: &Rc<ShardHandle>, moved: MovedJob) -> Option<TakeReply> {
+    match call_owner(cx, handle, OwnerRequest::TakeJob(moved)).await {
+        OwnerCall::Answered(OwnerReply::JobTaken(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
+/// Whether the home of a job that moved still calls for it; none without an answer.
+pub async fn still_moving(cx: &Cx, handle: &Rc<ShardHandle>, job: JobId) -> Option<bool> {
+    // Without a retry, which reads the lease from the store: the next round asks again.
+    match call_once(cx, handle, OwnerRequest::StillMoving(job)).await {
+        OwnerCall::Answered(OwnerReply::StillMoving(is_moving)) => is_moving,
+        _ => None,
+    }
+}
+
 /// The owner by the last read of the lease, and the age of that read in milliseconds; for logs.
 fn last_known_owner(cx: &Cx, handle: &ShardHandle) -> (String, u64) {
     let (lease, now) = (handle.lease.borrow(), cx.clock.now());
@@ -396,7 +442,9 @@
         | OwnerReply::Learned(None)
         | OwnerReply::Room(None)
         | OwnerReply::Adopted(AdoptReply::NotOwner)
-        | OwnerReply::TakenBack(TakeBackReply::NotOwner) => OwnerCall::NotOwner,
+        | OwnerReply::TakenBack(TakeBackReply::NotOwner)
+        | OwnerReply::JobTaken(TakeReply::NotOwner)
+        | OwnerReply::StillMoving(None) => OwnerCall::NotOwner,
         answer => OwnerCall::Answered(answer),
     }
 }
--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -190,6 +190,10 @@
         /// does not know the call.
         #[serde(default)]
         pub tells_load: bool,
+        /// Whether the holder accepts jobs that move from their home, and tells whether those of its
+        /// own still move; an earlier version does not know the calls.
+        #[serde(default)]
+        pub takes_jobs: bool,
     }
 }
 
@@ -429,6 +433,7 @@
             successor: None,
             // A daemon with the feature says so in its first renewal.
             tells_load: false,
+            takes_jobs: true,
         }
     }
 
@@ -854,6 +859,7 @@
         accepts_origins: true,
         successor: release.and_then(|release| release.successor.cloned()),
         tells_load: cx.cfg.features.load_routing,
+        takes_jobs: true,
     };
     let piggyback = Piggyback {
         row: key(&owner.handle, LEASE_KEY),
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -5,6 +5,10 @@
 //! becoming visible later as a task that runs twice. A replay of the journal passes the same
 //! checks.
 
+mod moves;
+
+pub use moves::MovingJob;
+
 use super::{
     event::{Event, RunEnd, RunId, WorkerIncarnation},
     job::{Gang, JobId, JobSpec, MAX_TASKS_PER_STEP, QueueConfig, RunNumber, Step, StepId, TaskId},
@@ -115,6 +119,9 @@
         /// Data centre of the daemon that received the job, where callers share capacity.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub data_centre: Option<String>,
+        /// The job's home, if the job waited there and moved here.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub moved_from: Option<ShardId>,
     }
 }
 
@@ -218,6 +225,13 @@
     /// goes to the same shard: if it were chosen by load again, two shards could accept the job.
     #[serde(with = "indexmap::map::serde_seq", default)]
     pub sent: IndexMap<JobId, SentJob>,
+    /// Jobs on their way to another shard, which has not confirmed them; each is in [`Self::sent`] too.
+    #[serde(
+        with = "indexmap::map::serde_seq",
+        default,
+        skip_serializing_if = "IndexMap::is_empty"
+    )]
+    pub moving: IndexMap<JobId, MovingJob>,
     /// In a snapshot: numbers of the journal rows that placed the long-running runs that may be
     /// alive. Empty otherwise, and in a snapshot of an earlier version.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -278,9 +292,11 @@
                 terms,
                 at_unix_ms,
                 data_centre,
+                moved_from,
             } => {
                 let mut new = Job::new(spec, terms, *at_unix_ms);
                 new.data_centre.clone_from(data_centre);
+                new.moved_from = *moved_from;
                 self.accept(*job, new)
             }
             Event::Placed { run, on } => self.place(run, on),
@@ -318,6 +334,12 @@
                 from,
                 last_run,
             } => self.take_back(task, *from, *last_run),
+            Event::Moved {
+                job,
+                to,
+                at_unix_ms,
+            } => self.start_move(*job, *to, *at_unix_ms),
+            Event::MoveConfirmed { job } => self.confirm_move(*job),
         }
     }
 
@@ -557,6 +579,9 @@
     }
 
     fn forget(&mut self, id: JobId) -> Result<(), InvalidEvent> {
+        if self.moving.contains_key(&id) {
+            return Err(InvalidEvent::NotEnded(id));
+        }
         if self.sent.shift_remove(&id).is_some() {
             return Ok(());
         }
@@ -584,6 +609,7 @@
             home: None,
             returned_by: IndexSet::new(),
             data_centre: None,
+            moved_from: None,
         }
     }
 
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -5,7 +5,7 @@
     front::Outcome,
     handover,
     ledger::Phase,
-    owner::{balance, outages::WaitsFor},
+    owner::{balance, moves, outages::WaitsFor},
 };
 use crate::util::build;
 use indexmap::IndexMap;
@@ -111,6 +111,9 @@
     /// Calls that asked another owner for its shard's load.
     pub load_asks: Counter,
     jobs_sent: Family<ReasonLabel, Counter>,
+    jobs_moved: Family<ReasonLabel, Counter>,
+    /// Waiting jobs on their way to another shard.
+    pub jobs_moving: Gauge,
     long_running_overdue: Family<WaitLabel, Gauge>,
     stalled_jobs: Family<WaitLabel, Gauge>,
     handovers: Family<EndLabel, Counter>,
@@ -159,6 +162,8 @@
             job_stalls: Counter::default(),
             load_asks: Counter::default(),
             jobs_sent: Family::default(),
+            jobs_moved: Family::default(),
+            jobs_moving: Gauge::default(),
             long_running_overdue: Family::default(),
             stalled_jobs: Family::default(),
             handovers: Family::default(),
@@ -179,6 +184,10 @@
             let reason = reason.to_owned();
             drop(new.jobs_sent.get_or_create(&ReasonLabel { reason }));
         }
+        for reason in moves::REASONS {
+            let reason = reason.to_owned();
+            drop(new.jobs_moved.get_or_create(&ReasonLabel { reason }));
+        }
         for outcome in handover::OUTCOMES {
             let outcome = outcome.to_owned();
             drop(new.handovers.get_or_create(&EndLabel { outcome }));
@@ -305,6 +314,10 @@
         r.register("load_asks", "Calls that asked for a shard's load", asks);
         let sent = self.jobs_sent.clone();
         r.register("jobs_sent", "New jobs sent to another shard", sent);
+        let moved = self.jobs_moved.clone();
+        r.register("jobs_moved", "Waiting jobs moved to another shard", moved);
+        let moving = self.jobs_moving.clone();
+        r.register("jobs_moving", "Jobs on their way to another shard", moving);
         r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
@@ -359,6 +372,12 @@
         self.jobs_sent.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a waiting job that its home moved to another shard.
+    pub fn note_moved(&self, reason: &str) {
+        let reason = reason.to_owned();
+        self.jobs_moved.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a job that has ended; `took_ms` is the time since acceptance and is recorded for
     /// completed jobs.
     pub fn note_job(&self, queue: &str, phase: Phase, took_ms: u64) {
--- a/src/lapisdrum/sched/owner/balance.rs
+++ b/src/lapisdrum/sched/owner/balance.rs
@@ -80,6 +80,10 @@
         }
     }
     let to = owner.ledger.borrow().sent.get(&job).map(|sent| sent.to)?;
+    // The other shard may not know a job on its way, and would accept it as a new one.
+    if owner.ledger.borrow().moving.contains_key(&job) {
+        return Some(SubmitReply::Accepted);
+    }
     // An empty append is durable once all earlier ones are, including the decision.
     let outcome = owner.journal.append(&[]).outcome();
     match tokio::time::timeout(ANSWER_WITHIN, outcome).await {
@@ -154,13 +158,24 @@
 
 /// The least loaded of the other shards that have workers for each step, and its load.
 async fn suitable_shard(cx: &Cx, owner: &Owner, needs: &JobNeeds) -> Option<Better> {
-    let layout = cx.layout.borrow().clone()?;
+    let suitable = suitable_shards(cx, owner, needs).await.into_iter();
+    let (shard, load) = suitable.min_by_key(|(_, load)| *load)?;
+    Some(Better::HasWorkers(shard, load))
+}
+
+/// The other shards that have workers for each step, and their loads.
+pub(super) async fn suitable_shards(
+    cx: &Cx,
+    owner: &Owner,
+    needs: &JobNeeds,
+) -> Vec<(ShardId, u32)> {
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return Vec::new();
+    };
     let others = layout.all().filter(|shard| *shard != owner.handle.shard);
     let asked = others.map(async |shard| Some((shard, load_of(cx, shard, needs).await?)));
     let suitable = futures::future::join_all(asked).await;
-    let suitable = suitable.into_iter().flatten();
-    let (shard, load) = suitable.min_by_key(|(_, load)| *load)?;
-    Some(Better::HasWorkers(shard, load))
+    suitable.into_iter().flatten().collect()
 }
 
 /// Another shard, drawn at random, if it is less loaded, and its load; none for jobs that are
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -1,6 +1,6 @@
 //! Serves requests about jobs: submission, state, cancellation and the number of pending jobs.
 
-use super::{Owner, balance, shard_loads, sharing};
+use super::{Owner, balance, moves, shard_loads, sharing};
 use crate::{
     daemon::supervisor,
     sched::{
@@ -8,6 +8,7 @@
         event::Event,
         job::{JobId, JobSpec, QueueConfig},
         journal::AppendOutcome,
+        layout::ShardId,
         ledger::{Job, Phase},
         peer::{CancelReply, JobState, ShowReply, SubmitReply},
         shape::Shape,
@@ -67,9 +68,14 @@
             // Another call may have accepted the job meanwhile.
             Some(_) if owner.ledger.borrow().jobs.contains_key(&job) => {}
             Some(retry_after) => return SubmitReply::Busy(retry_after),
-            None => accept(cx, owner, job, spec, terms, data_centre),
+            None => accept(cx, owner, job, spec, terms, data_centre, None),
         }
     }
+    acceptance(cx, owner, job).await
+}
+
+/// The outcome of an acceptance, under way or earlier, for one of its callers.
+pub(super) async fn acceptance(cx: &Cx, owner: &Owner, job: JobId) -> SubmitReply {
     let accepting = owner.accepting.borrow().get(&job).cloned();
     let Some(mut accepting) = accepting else {
         return SubmitReply::Accepted;
@@ -82,13 +88,15 @@
     }
 }
 
-fn accept(
+/// Accepts a new job, which comes from its caller, or from its home, which accepted it at the given time.
+pub(super) fn accept(
     cx: &Cx,
     owner: &Rc<Owner>,
     job: JobId,
     spec: Rc<JobSpec>,
     terms: QueueConfig,
     data_centre: Option<String>,
+    home: Option<(ShardId, u64)>,
 ) {
     sharing::note_accepted(cx, owner, job);
     shard_loads::note_accepted(cx, owner, &spec, &terms);
@@ -96,8 +104,9 @@
         job,
         spec,
         terms,
-        at_unix_ms: cx.unix_ms(),
+        at_unix_ms: home.map_or_else(|| cx.unix_ms(), |(_, accepted_unix_ms)| accepted_unix_ms),
         data_centre,
+        moved_from: home.map(|(home, _)| home),
     };
     let ticket = owner.propose(cx, vec![event]);
     owner.active.borrow_mut().insert(job);
@@ -129,6 +138,9 @@
     if !owner.is_recovered() {
         return ShowReply::NotOwner;
     }
+    if let Some(shown) = moves::show(cx, owner, id).await {
+        return shown;
+    }
     if own_phase(owner, id).is_none() && !owner.is_sole_owner(cx).await {
         return ShowReply::NotOwner;
     }
@@ -169,6 +181,13 @@
 
 /// Cancels a job; also succeeds for one that has already ended.
 pub async fn cancel(cx: &Cx, owner: &Rc<Owner>, job: JobId) -> CancelReply {
+    if !owner.is_recovered() {
+        return CancelReply::NotOwner;
+    }
+    // The other shard cancels a moved job, so the home must not show it as queued afterwards.
+    if !moves::has_arrived(owner, job).await {
+        return CancelReply::Unknown;
+    }
     if !owner.is_recovered() {
         return CancelReply::NotOwner;
     }
@@ -205,5 +224,7 @@
     let waiting = jobs.filter(|(id, job)| {
         job.terms.queue == queue && !job.is_guest && !has_started(owner, *id, job)
     });
-    Some(waiting.count() as u64)
+    let moving = ledger.moving.values();
+    let moving = moving.filter(|job| job.terms.queue == queue);
+    Some((waiting.count() + moving.count()) as u64)
 }
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -19,6 +19,7 @@
 pub mod jobs;
 pub mod kept_hosts;
 pub mod missed_alone;
+pub mod moves;
 pub mod offers;
 pub mod outages;
 pub mod overdue;
@@ -181,6 +182,10 @@
     offers: RefCell<offers::Offers>,
     /// Tasks of other shards that wait here.
     returns: RefCell<returns::Returns>,
+    /// Jobs that move to or from other shards.
+    moves: RefCell<moves::Moves>,
+    /// Notified when another shard has confirmed a job.
+    move_confirmed: Notify,
     /// Runs that a worker lists but the journal does not have there, while they are being stopped.
     pub stopping_unknown: RefCell<IndexSet<RunId>>,
     /// Wakes the dispatcher.
@@ -250,6 +255,8 @@
             delegations: RefCell::default(),
             offers: RefCell::default(),
             returns: RefCell::default(),
+            moves: RefCell::default(),
+            move_confirmed: Notify::new(),
             stopping_unknown: RefCell::default(),
             wake: Notify::new(),
             lost: Notify::new(),
@@ -551,7 +558,7 @@
 }
 
 fn serve(cx: &Cx, owner: &Rc<Owner>) {
-    let components: [(&'static str, LocalBoxFuture<'static, ()>); 9] = [
+    let components: [(&'static str, LocalBoxFuture<'static, ()>); 10] = [
         (
             "first-contact",
             Rc::clone(owner)
@@ -582,6 +589,10 @@
             "returns",
             returns::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
         ),
+        (
+            "moves",
+            moves::run(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
+        ),
         (
             "learned",
             estimates::store_estimates(Rc::clone(cx), Rc::clone(owner)).boxed_local(),
--- a/src/lapisdrum/sched/owner/shard_loads.rs
+++ b/src/lapisdrum/sched/owner/shard_loads.rs
@@ -10,7 +10,7 @@
 use crate::{
     core::{size::Size, time::Millis},
     policy::{
-        dispatch::place::Host,
+        dispatch::{overdue::MAX_IDLE_TIME, place::Host},
         shard_load::{
             self, Candidate, Class, JobDemand, LoadDigest, PoolRoom, Sooner, TaskDemand, WorkMeter,
         },
@@ -250,6 +250,37 @@
     })
 }
 
+/// A shard that starts a waiting job now, by what it told of its load, and the age of that; of those
+/// that `takes` admits. Answers at once.
+pub fn starting_now(
+    cx: &Cx,
+    owner: &Owner,
+    spec: &JobSpec,
+    terms: &QueueConfig,
+    takes: impl Fn(ShardId) -> bool,
+) -> Option<(ShardId, Duration)> {
+    if !cx.cfg.features.load_routing {
+        return None;
+    }
+    let demand = demand_of(spec, terms)?;
+    owner.exchange_loads.notify_one();
+    let now = cx.clock.now();
+    let loads = owner.shard_loads.borrow();
+    let starts_now = |known: &Known| known.digest.expected_wait(&demand) == Some(Duration::ZERO);
+    let others = loads.others.iter();
+    let (shards, candidates): (Vec<ShardId>, Vec<Candidate>) = others
+        .filter(|(shard, known)| takes(**shard) && starts_now(known))
+        .map(|(shard, known)| {
+            let age = now.since(known.made_at);
+            let digest = &known.digest;
+            (*shard, Candidate { digest, age })
+        })
+        .unzip();
+    // Any wait that a move is worth: the job has had nothing running for longer.
+    let there = shard_load::choose(&demand, MAX_IDLE_TIME, &candidates, &mut cx.rng())?;
+    Some((shards[there.candidate], there.age))
+}
+
 /// Counts a job that was sent to another shard into that shard's digest.
 pub fn note_sent(owner: &Owner, to: ShardId, spec: &JobSpec, terms: &QueueConfig) {
     let others = &mut owner.shard_loads.borrow_mut().others;
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -167,8 +167,11 @@
         job.phase != Phase::Active && now.saturating_sub(job.over_unix_ms) > retention_ms
     });
     let old = old.filter(|(id, _)| !owner.is_delegation_open(id));
+    let old = old.filter(|(id, job)| owner.is_move_settled(**id, job));
     let is_old = |sent: &SentJob| now.saturating_sub(sent.at_unix_ms) > retention_ms;
-    let sent = ledger.sent.iter().filter(|(_, sent)| is_old(sent));
+    let is_moving = |id: &JobId| ledger.moving.contains_key(id);
+    let sent = ledger.sent.iter();
+    let sent = sent.filter(|(id, sent)| is_old(sent) && !is_moving(id));
     let old = old.map(|(id, _)| *id).chain(sent.map(|(id, _)| *id));
     let old: Vec<JobId> = old.take(MAX_FORGOTTEN_PER_ROUND).collect();
     drop(ledger);
@@ -206,6 +209,9 @@
     let owners = cx.owners();
     let sum = |count: fn(&Owner) -> usize| owners.iter().map(|o| count(o)).sum::<usize>() as i64;
     cx.metrics.jobs_active.set(sum(|o| o.active.borrow().len()));
+    cx.metrics
+        .jobs_moving
+        .set(sum(|o| o.ledger.borrow().moving.len()));
     cx.metrics.runs_live.set(sum(|o| o.runs.borrow().len()));
     cx.metrics
         .runs_in_evacuated
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -9,6 +9,7 @@
         delegate::{self, GuestTasks, TaskNeed},
         estimates::{self, LearnedUpdate, ReceivedVersions},
         jobs,
+        moves::{self, MovedJob},
         returns::{self, ReturnedTasks},
         shard_loads,
         suitable::{JobNeeds, Suitability},
@@ -89,6 +90,11 @@
         TakeOver(u64),
         /// Describe the load of the shard; only to owners whose lease row says that they know it.
         LoadDigest,
+        /// Accept a job that waited in its home. This and the next one are sent only to owners whose
+        /// lease row says that they know them.
+        TakeJob(MovedJob),
+        /// Tell whether the callee, the home of this job, still sends [`Self::TakeJob`] for it.
+        StillMoving(JobId),
     }
 
     /// Reply to an [`OwnerRequest`].
@@ -127,6 +133,24 @@
         /// Reply to [`OwnerRequest::LoadDigest`]; `None` if the callee does not own the shard or
         /// places no tasks.
         LoadDigest(Option<LoadDigest>),
+        /// Reply to [`OwnerRequest::TakeJob`].
+        JobTaken(TakeReply),
+        /// Reply to [`OwnerRequest::StillMoving`]; `None` if the callee is not certain.
+        StillMoving(Option<bool>),
+    }
+
+    /// Outcome of [`OwnerRequest::TakeJob`].
+    #[derive(Copy)]
+    pub enum TakeReply {
+        /// The acceptance is durable.
+        Taken,
+        /// The acceptance is being written to a slow store; if asked again, the owner continues to
+        /// wait for it.
+        UnderWay,
+        /// The job was not accepted, or may not have been; to be called again.
+        Busy,
+        /// The callee does not own the shard, or lost it during the call.
+        NotOwner,
     }
 
     /// Outcome of [`OwnerRequest::TakeBack`].
@@ -278,6 +302,8 @@
             OwnerReply::TakingOver(handover::take_over(cx, &cx.handle(shard), stopped))
         }
         (OwnerRequest::LoadDigest, None) => OwnerReply::LoadDigest(None),
+        (OwnerRequest::TakeJob(_), None) => OwnerReply::JobTaken(TakeReply::NotOwner),
+        (OwnerRequest::StillMoving(_), None) => OwnerReply::StillMoving(None),
         (OwnerRequest::Suitability(_), None) => OwnerReply::Suitability(None),
         (OwnerRequest::Learned(_), None) => OwnerReply::Learned(None),
         (OwnerRequest::Room(..), None) => OwnerReply::Room(None),
@@ -318,6 +344,12 @@
             let submitted = jobs::submit(cx, &owner, job, spec, terms, from, is_sent);
             OwnerReply::Submitted(submitted.await)
         }
+        (OwnerRequest::TakeJob(moved), Some(owner)) => {
+            OwnerReply::JobTaken(moves::take(cx, &owner, moved).await)
+        }
+        (OwnerRequest::StillMoving(job), Some(owner)) => {
+            OwnerReply::StillMoving(moves::is_still_moving(&owner, job).await)
+        }
         (OwnerRequest::Room(need, wanted), Some(owner)) => {
             OwnerReply::Room(owner.offer_capacity(cx, &need, wanted))
         }
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -219,6 +219,7 @@
                 accepts_origins: true,
                 successor: None,
                 tells_load: false,
+                takes_jobs: true,
             };
             let row = match tenure.end {
                 End::Idle => taken,
--- a/tests/testsuite/model/handover.rs
+++ b/tests/testsuite/model/handover.rs
@@ -103,6 +103,7 @@
         terms: terms(),
         at_unix_ms: 0,
         data_centre: None,
+        moved_from: None,
     };
     first.apply(&accepted).expect("it is new");
     State {
--- a/tests/testsuite/model/mod.rs
+++ b/tests/testsuite/model/mod.rs
@@ -5,4 +5,5 @@
 mod explore;
 mod handover;
 mod leases;
+mod moves;
 mod ownership;
--- a/tests/testsuite/sched/handover.rs
+++ b/tests/testsuite/sched/handover.rs
@@ -312,6 +312,7 @@
                 terms: terms(),
                 at_unix_ms: 0,
                 data_centre: None,
+                moved_from: None,
             };
             ledger.borrow_mut().apply(&event).expect("a valid event");
             let ticket = journal.append(&[event]);
--- a/tests/testsuite/sched/journal.rs
+++ b/tests/testsuite/sched/journal.rs
@@ -49,6 +49,7 @@
         terms: terms(),
         at_unix_ms: 0,
         data_centre: None,
+        moved_from: None,
     }
 }
 
@@ -135,6 +136,7 @@
         terms: terms(),
         at_unix_ms: 0,
         data_centre: None,
+        moved_from: None,
     }
 }
 
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -586,6 +586,7 @@
         terms: super::world::terms(),
         at_unix_ms: 6,
         data_centre: None,
+        moved_from: None,
     };
     assert_matches!(
         read.apply(&accepted),
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -28,6 +28,7 @@
         terms: terms(),
         at_unix_ms: 1_000,
         data_centre: None,
+        moved_from: None,
     };
     ledger.apply(&accepted).expect("a new job is valid");
     assert_eq!(ledger.apply(&accepted), Err(InvalidEvent::Job(JobId(1))));
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -19,6 +19,7 @@
 mod listed_ends;
 mod long_waits;
 mod lost_owners;
+mod moves;
 mod order;
 mod outage_lines;
 mod outages;
--- a/tests/testsuite/sched/ownership.rs
+++ b/tests/testsuite/sched/ownership.rs
@@ -218,6 +218,7 @@
         accepts_origins: true,
         successor: None,
         tells_load: false,
+        takes_jobs: true,
     };
     let read = |answer_took| {
         let mut view = LeaseView {
--- a/tests/testsuite/sched/schedules.rs
+++ b/tests/testsuite/sched/schedules.rs
@@ -42,6 +42,7 @@
         terms: terms(),
         at_unix_ms: 0,
         data_centre: None,
+        moved_from: None,
     };
     ledger.apply(&accepted).expect("a new job");
     ledger
--- a/tests/testsuite/sched/takeover.rs
+++ b/tests/testsuite/sched/takeover.rs
@@ -167,6 +167,7 @@
             terms: terms(),
             at_unix_ms: 0,
             data_centre: None,
+            moved_from: None,
         };
         let mut covered = None;
         for job in 0..500 {
