Bound the wait that admission expects from a decayed drain

Callers saw: nothing yet; found by the question whether the divisor of a Duration::from_secs_f64 can be 0.

Cause: the measured drain of a queue decays by half every two seconds in which work waits. While work is placed only in passes before which none waited, it is never measured anew, but the queue still counts as moving. The expected wait grows until the sum with the job's age and chain overflows (it wraps in a release, and a hopeless job is accepted), and further on the conversion to a Duration panics.

Ruled out: policy::drain bounds its quotient, policy::routing converts a measured duration (both by reading).

The test failed before (1 run: attempt to add with overflow) and passes now.

--- a/src/lapisdrum/policy/dispatch/admission.rs
+++ b/src/lapisdrum/policy/dispatch/admission.rs
@@ -34,6 +34,8 @@
 /// Time without a placed task from which a queue counts as held up, by workers or the store, and not
 /// as slow; its rate says nothing about the time after that.
 const HELD_UP_AFTER: Duration = Duration::from_secs(1);
+/// Longest expected wait that is told apart from longer ones: no objective is as late.
+const MAX_WAIT: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
 /// Number of refused jobs whose first submission is remembered.
 const MAX_REMEMBERED: usize = 4_096;
 /// Time for which it is remembered: longer than the longest Retry-After time, several times over.
@@ -224,7 +226,10 @@
     ) -> Option<Refusal> {
         let drain_per_s = self.drain_per_s(now)?;
         let (ahead_on_time, ahead) = self.ahead_of(job, shares);
-        let wait_for = |work: u64| Duration::from_secs_f64(work as f64 / drain_per_s);
+        // Bounded, since a rate that has decayed may be as good as 0.
+        let wait_for = |work: u64| {
+            Duration::from_secs_f64((work as f64 / drain_per_s).min(MAX_WAIT.as_secs_f64()))
+        };
         let wait = wait_for(ahead);
         // Later jobs go before one that any further wait would make late.
         let is_on_time = millis(wait_for(ahead_on_time)) <= job.inputs.safe_for_ms();
--- a/tests/testsuite/sched/sharing/admission.rs
+++ b/tests/testsuite/sched/sharing/admission.rs
@@ -197,6 +197,26 @@
     );
 }
 
+/// Guards against a daemon that ends at a submission, since the measured drain has decayed until the expected wait
+/// exceeds what a duration can hold.
+#[test]
+fn a_drain_of_nearly_nothing_gives_a_wait() {
+    let (mut admission, mut now) = after_passes(400);
+    for pass in 0..10_000 {
+        now = now + Duration::from_millis(100);
+        // Work is placed only in passes before which none waited, so the drain is not measured anew.
+        let outcome = match pass % 2 {
+            0 => PassOutcome::default(),
+            _ => PassOutcome {
+                placed: 1,
+                waiting: vec![waiting(100, 10_000), waiting(20_000, 100)],
+            },
+        };
+        admission.note_pass(IndexMap::from([(kind(), outcome)]), now);
+        decide(&mut admission, &new_job(1), now);
+    }
+}
+
 /// Guards against refusals without evidence: before the drain is measured, as after a take-over, from a pass long
 /// ago, while nothing at all is placed, and for long-running jobs, which gain by each second.
 #[test]
