Keep numbers of callers and operators from wrapping

Callers saw: nothing; by reading, after the report that odd numbers in an entry end the machines that read it.

Cause: sums and products of sizes, of estimates on a chain and of a chain with its queue's stretch were plain u64 arithmetic on what others write. They wrap in a release and panic in a build with checks.

The test was written with the change; it was not run on the code before.

--- a/src/lapisdrum/core/size.rs
+++ b/src/lapisdrum/core/size.rs
@@ -28,13 +28,13 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// The sum of both sizes in each dimension.
+    /// The sum of both sizes in each dimension, at most the greatest number.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -48,13 +48,13 @@
         }
     }
 
-    /// This size multiplied by `n`.
+    /// This size multiplied by `n`, at most the greatest number in each dimension.
     #[must_use]
     pub fn times(&self, n: u64) -> Self {
         Self {
-            millicores: self.millicores * n,
-            memory_mb: self.memory_mb * n,
-            accelerators: self.accelerators * n,
+            millicores: self.millicores.saturating_mul(n),
+            memory_mb: self.memory_mb.saturating_mul(n),
+            accelerators: self.accelerators.saturating_mul(n),
         }
     }
 
--- a/src/lapisdrum/sched/job.rs
+++ b/src/lapisdrum/sched/job.rs
@@ -10,6 +10,8 @@
 
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
+/// Longest objective of a job, in milliseconds: over a century, so that times added to it don't wrap.
+const MAX_OBJECTIVE_MS: u64 = 1 << 42;
 /// Maximum number of tasks of a step.
 pub const MAX_TASKS_PER_STEP: u32 = 10_000;
 /// Maximum length of a job's payload; workers accept no longer one.
@@ -400,7 +402,7 @@
     let mut chains = vec![0; steps.len()];
     let mut rest = vec![0; steps.len()];
     for (at, (estimate_ms, after)) in steps.enumerate().rev() {
-        chains[at] = estimate_ms + rest[at];
+        chains[at] = estimate_ms.saturating_add(rest[at]);
         for before in after {
             let longest: &mut u64 = &mut rest[usize::from(*before)];
             *longest = (*longest).max(chains[at]);
@@ -413,6 +415,8 @@
     /// Longest time from submission to completion, in milliseconds, at which a job with this
     /// longest chain is on time.
     pub fn objective_ms(&self, chain_ms: u64) -> u64 {
-        chain_ms * self.stretch_milli / 1_000 + self.target_ms
+        let stretched = u128::from(chain_ms) * u128::from(self.stretch_milli) / 1_000;
+        let objective = stretched.saturating_add(u128::from(self.target_ms));
+        u64::try_from(objective).map_or(MAX_OBJECTIVE_MS, |ms| ms.min(MAX_OBJECTIVE_MS))
     }
 }
--- a/src/lapisdrum/sched/owner/suitable.rs
+++ b/src/lapisdrum/sched/owner/suitable.rs
@@ -103,8 +103,9 @@
         let (ledger, active) = (self.ledger.borrow(), self.active.borrow());
         let jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
         let jobs = jobs.filter(|job| job.phase == Phase::Active);
-        let requested: u64 = jobs.map(|job| requested_of(job, &open, &is_wanted)).sum();
-        let permille = (requested * 1_000).checked_div(capacity)?;
+        let requested = jobs.map(|job| requested_of(job, &open, &is_wanted));
+        let requested = requested.fold(0, u64::saturating_add);
+        let permille = requested.saturating_mul(1_000).checked_div(capacity)?;
         Some(u32::try_from(permille).unwrap_or(u32::MAX))
     }
 }
@@ -125,10 +126,11 @@
             reports.map(|report| report.capacity.millicores).sum()
         };
         let wanted = of(&mut fitting().filter(|report| is_wanted(report)));
-        let millicores = step.size.millicores * job.own_task_count(at);
-        (millicores * wanted)
-            .checked_div(of(&mut fitting()))
-            .unwrap_or_default()
+        let tasks = u128::from(step.size.millicores) * u128::from(job.own_task_count(at));
+        let millicores = tasks
+            .saturating_mul(u128::from(wanted))
+            .checked_div(u128::from(of(&mut fitting())));
+        u64::try_from(millicores.unwrap_or_default()).unwrap_or(u64::MAX)
     });
-    requested.sum()
+    requested.fold(0, u64::saturating_add)
 }
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -16,6 +16,7 @@
 mod learning;
 mod lease_feed;
 mod ledger;
+mod limits;
 mod listed_ends;
 mod long_waits;
 mod lost_owners;
