Refuse odd entries of workers one by one, and those of unnamed pools

Callers saw: nothing yet; operators of like systems reported machines that ended again and again, or stopped following the workers, since another writer had left one odd entry among those of the workers.

Cause, of two faults in one path: (1) the rows of a read were decoded as one value, so a row whose value is no base64 or no text, or without a readable key, was an error of the whole list, and of the operators' rows; a key with a byte that means something in a query, the last of a page, broke the address of the next one. (2) What is well-formed was believed: an entry of a pool that no queue names limited the first layout to one shard for ever, added its rack to the layout's row without a bound, and was polled for as long as it stood.

Ruled out: deep nesting, numbers and ports out of range in a worker's value; these were skipped before. No process ended.

Change: tables that others write are read row by row, with keys escaped; own tables stay all or nothing. A worker's report is made by TryFrom with a reason for each refusal and bounds on texts, labels, amounts and address. Entries of pools that the catalogue neither lists nor names for a queue are not used, unless their worker answers already, has runs, or a job that has not ended needs the pool; the first layout waits for the catalogue. The layout takes no rack beyond 48 KiB.

Both faults are in one commit, since the list's type changes for both.

Written with the change, not run before: the property test over drawn entries (128 cases) and sched::layout::a_flood_of_racks_….

--- a/crates/lapisdrum-standins/src/users/rows.rs
+++ b/crates/lapisdrum-standins/src/users/rows.rs
@@ -24,8 +24,11 @@
 
 #[derive(Clone, Debug)]
 struct RowValue {
+    /// In base64, unless another writer left something else.
     value: String,
     version: u64,
+    /// What reads return in place of the whole row, for a row that no client can decode.
+    verbatim: Option<Bytes>,
 }
 
 /// The store's contents, counters and fault switch.
@@ -96,10 +99,30 @@
     /// Writes a row into the unnamed partition, as an operator or a worker does; `value` is stored as
     /// base64 of its JSON text.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Like [`Self::put`], with a value that need not be JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_encoded(table, key, &STANDARD.encode(value), None);
+    }
+
+    /// Like [`Self::put`], with a value that need not be base64.
+    pub fn put_unencoded(&self, table: &str, key: &str, value: &str) {
+        self.put_encoded(table, key, value, None);
+    }
+
+    /// Like [`Self::put`]; reads return these bytes in place of the whole row.
+    pub fn put_verbatim(&self, table: &str, key: &str, row: &[u8]) {
+        self.put_encoded(table, key, "", Some(Bytes::copy_from_slice(row)));
+    }
+
+    fn put_encoded(&self, table: &str, key: &str, value: &str, verbatim: Option<Bytes>) {
         self.version.set(self.version.get() + 1);
         let row = RowValue {
-            value: STANDARD.encode(value.to_string()),
+            value: value.to_owned(),
             version: self.version.get(),
+            verbatim,
         };
         let at = (table.to_owned(), String::new(), key.to_owned());
         self.rows.borrow_mut().insert(at, row);
@@ -204,6 +227,7 @@
             let row = RowValue {
                 value: string_field(entry, "value"),
                 version: self.version.get(),
+                verbatim: None,
             };
             rows.insert(key_of(entry), row);
         }
@@ -231,25 +255,51 @@
     }
 
     fn get(&self, req: &HttpRequest) -> HttpResponse {
-        let query = |name: &str| req.query(name).unwrap_or_default().to_owned();
+        let query = |name: &str| decoded(req.query(name).unwrap_or_default());
         let (table, part, from) = (query("table"), query("part"), query("from"));
         let limit: usize = query("limit").parse().unwrap_or(MAX_PAGE_ROWS);
         let limit = limit.min(self.max_page_rows.get());
         let rows = self.rows.borrow();
-        let mut found: Vec<Value> = rows
+        let mut found: Vec<Bytes> = rows
             .iter()
             .filter(|(at, _)| at.0 == table && at.1 == part && at.2 >= from)
             .take(limit + 1)
-            .map(|(at, row)| self.wire_row(at, row))
+            .map(|(at, row)| match &row.verbatim {
+                Some(verbatim) => verbatim.clone(),
+                None => self.wire_row(at, row).to_string().into(),
+            })
             .collect();
         let has_more = found.len() > limit;
         found.truncate(limit);
-        let answer = json!({
-            "rows": found,
-            "hasMore": has_more,
-            "schemaVersion": self.version.get(),
-            "nowMs": self.now_ms(),
-        });
-        HttpResponse::json(StatusCode::OK, &answer)
+        let (newest, now_ms) = (self.version.get(), self.now_ms());
+        let tail = format!(r#"],"hasMore":{has_more},"schemaVersion":{newest},"nowMs":{now_ms}}}"#);
+        let body = [
+            br#"{"rows":["#,
+            found.join(&b","[..]).as_slice(),
+            tail.as_bytes(),
+        ]
+        .concat();
+        HttpResponse::bytes(StatusCode::OK, body.into())
+    }
+}
+
+/// Decodes the escapes of a query's value; an escape that is cut off stands for itself.
+fn decoded(raw: &str) -> String {
+    let mut bytes = Vec::with_capacity(raw.len());
+    let mut rest = raw.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let digits = after.get(..2).filter(|_| *first == b'%');
+        let escaped = digits
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(escaped.unwrap_or(match first {
+            b'+' => b' ',
+            other => *other,
+        }));
+        rest = match escaped {
+            Some(_) => &after[2..],
+            None => after,
+        };
     }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -12,7 +12,7 @@
 use crate::core::{size::Size, time::WorkerMillis};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{fmt, time::Duration};
 
 /// A call that failed or had no usable answer.
@@ -176,6 +176,100 @@
     pub leaving_in: Option<Duration>,
 }
 
+/// Why an entry of the directory is not used. Not only workers write to the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryFault {
+    /// The store's row can't be decoded.
+    Row(String),
+    /// The entry can't be decoded, or lacks a field.
+    Format(String),
+    /// The worker's id can't be sent to a worker.
+    Id,
+    /// The state is not one of those that workers report.
+    State(String),
+    /// Nothing can be sent to the address.
+    Address(String),
+    /// The host has more of a resource than any host.
+    Capacity(Size),
+    /// There are too many labels.
+    Labels(usize),
+    /// This field's text is too long.
+    Length(&'static str),
+    /// No queue's jobs run on workers of this pool.
+    UnnamedPool(String),
+    /// The layout has no room for further racks.
+    NoShard,
+}
+
+impl EntryFault {
+    /// The names for metrics.
+    pub const REASONS: [&'static str; 10] = [
+        "row",
+        "format",
+        "id",
+        "state",
+        "address",
+        "capacity",
+        "labels",
+        "length",
+        "unnamed_pool",
+        "no_shard",
+    ];
+
+    /// Name for metrics, one of [`Self::REASONS`].
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Row(_) => "row",
+            Self::Format(_) => "format",
+            Self::Id => "id",
+            Self::State(_) => "state",
+            Self::Address(_) => "address",
+            Self::Capacity(_) => "capacity",
+            Self::Labels(_) => "labels",
+            Self::Length(_) => "length",
+            Self::UnnamedPool(_) => "unnamed_pool",
+            Self::NoShard => "no_shard",
+        }
+    }
+}
+
+impl fmt::Display for EntryFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Row(e) => write!(f, "the row can't be decoded: {e}"),
+            Self::Format(e) => write!(f, "the entry can't be decoded: {e}"),
+            Self::Id => f.write_str("the id can't be sent to a worker"),
+            Self::State(state) => write!(f, "unknown state `{state}`"),
+            Self::Address(e) => write!(f, "nothing can be sent to the address: {e}"),
+            Self::Capacity(size) => write!(f, "no host has this capacity: {size:?}"),
+            Self::Labels(count) => write!(f, "{count} labels are too many"),
+            Self::Length(field) => write!(f, "the {field} is too long"),
+            Self::UnnamedPool(pool) => write!(f, "no queue names the pool `{pool}`"),
+            Self::NoShard => f.write_str("the layout has no room for the worker's rack"),
+        }
+    }
+}
+
+impl std::error::Error for EntryFault {}
+
+/// An entry of the directory that is not used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedEntry {
+    /// The entry's key, empty if it can't be decoded.
+    pub key: String,
+    /// Why it is not used.
+    pub fault: EntryFault,
+}
+
+/// The directory's workers, as of one read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerList {
+    /// The registered workers.
+    pub workers: Vec<WorkerReport>,
+    /// Entries that describe no worker to use.
+    pub refused: Vec<RefusedEntry>,
+}
+
 /// A queue as the catalogue describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Queue {
@@ -194,10 +288,19 @@
     pub version: u64,
     /// Queues by name.
     pub queues: IndexMap<String, Queue>,
+    /// Pools that the catalogue lists, whether or not a queue's jobs run on them.
+    pub pools: IndexSet<String>,
     /// Maximum size of a request body, in bytes, if the catalogue sets one.
     pub max_body_bytes: Option<u64>,
 }
 
+impl Catalogue {
+    /// Whether the catalogue lists a pool or names it for a queue.
+    pub fn has_pool(&self, pool: &str) -> bool {
+        self.pools.contains(pool) || self.queues.values().any(|queue| queue.terms.pool == pool)
+    }
+}
+
 /// State requested by operators, as of one read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OperatorState {
@@ -210,7 +313,7 @@
 /// Lists workers, queues and evacuations.
 pub trait Directory {
     /// The workers registered at present.
-    fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>>;
+    fn workers(&self) -> LocalBoxFuture<'_, Result<WorkerList, CallError>>;
     /// Reads the catalogue and the evacuated data centres.
     fn operator_state(&self) -> LocalBoxFuture<'_, Result<OperatorState, CallError>>;
 }
--- a/src/lapisdrum/sched/layout.rs
+++ b/src/lapisdrum/sched/layout.rs
@@ -12,8 +12,9 @@
 
 use super::{
     Cx,
-    edge::{RowKey, Txn, TxnOutcome, WorkerReport},
+    edge::{EntryFault, RefusedEntry, RowKey, Txn, TxnOutcome, WorkerList, WorkerReport},
     job::{JobId, JobSpec},
+    refused_entries,
 };
 use eyre::WrapErr as _;
 use indexmap::{IndexMap, IndexSet};
@@ -29,6 +30,13 @@
 /// Number of reads after which the first layout is written even if the number of workers still
 /// changes.
 const MAX_WORKER_READS: usize = 5;
+/// Greatest size of the racks' part of the row, in bytes: the store refuses a row of more than 64
+/// KiB, and then no further rack would ever get a shard.
+const MAX_RACKS_BYTES: usize = 48 * 1024;
+/// Greatest size of a rack's entry in the row without its name, in bytes.
+const RACK_ENTRY_BYTES: usize = 9;
+/// Greatest number of bytes that an escape in JSON adds to a character.
+const ESCAPE_BYTES: usize = 5;
 /// Delay before the layout is read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -56,10 +64,36 @@
     }
 }
 
-fn rack_of(report: &WorkerReport) -> &str {
+/// The name of a worker's rack, "" for none.
+pub fn rack_of(report: &WorkerReport) -> &str {
     report.rack.as_deref().unwrap_or_default()
 }
 
+/// Bytes that a rack takes up in the layout's row, with its name as JSON may escape it.
+pub fn entry_bytes(rack: &str) -> usize {
+    let escapes = rack
+        .chars()
+        .filter(|c| c.is_control() || matches!(c, '"' | '\\'));
+    rack.len() + escapes.count() * ESCAPE_BYTES + RACK_ENTRY_BYTES
+}
+
+/// Moves the workers that `fault` gives a reason for to the refused entries.
+pub fn split(
+    mut list: WorkerList,
+    fault: impl Fn(&WorkerReport) -> Option<EntryFault>,
+) -> WorkerList {
+    let WorkerList { workers, refused } = &mut list;
+    workers.retain(|report| match fault(report) {
+        None => true,
+        Some(fault) => {
+            let key = report.incarnation.worker.clone();
+            refused.push(RefusedEntry { key, fault });
+            false
+        }
+    });
+    list
+}
+
 impl Layout {
     /// Creates the first layout, with enough shards for `workers_per_shard` workers each. Each pool
     /// needs a rack in every shard, as otherwise jobs could have a home without any worker for
@@ -84,8 +118,8 @@
         layout
     }
 
-    /// Assigns each rack without a shard to the shard with the fewest workers of its pool. Returns
-    /// whether there were any.
+    /// Assigns each rack without a shard to the shard with the fewest workers of its pool, as long as
+    /// the row has room. Returns whether there were any.
     pub fn assign_racks(&mut self, workers: &[WorkerReport]) -> bool {
         let mut racks: IndexMap<(&str, &str), usize> = IndexMap::new();
         for worker in workers {
@@ -99,21 +133,32 @@
             }
         }
         let mut is_changed = false;
+        let mut room_bytes = self.room_bytes();
         for ((pool, rack), count) in &racks {
             if self.racks.contains_key(*rack) {
                 continue;
             }
+            let Some(left) = room_bytes.checked_sub(entry_bytes(rack)) else {
+                continue;
+            };
             let load = |shard: &ShardId| loads.get(&(*pool, *shard)).copied().unwrap_or_default();
             let Some(least) = self.all().min_by_key(load) else {
                 continue;
             };
             *loads.entry((pool, least)).or_default() += count;
             self.racks.insert((*rack).to_owned(), least);
+            room_bytes = left;
             is_changed = true;
         }
         is_changed
     }
 
+    /// Bytes of the row that are left for further racks.
+    pub fn room_bytes(&self) -> usize {
+        let used = self.racks.keys().map(|rack| entry_bytes(rack)).sum();
+        MAX_RACKS_BYTES.saturating_sub(used)
+    }
+
     /// All shards, in ascending order.
     pub fn all(&self) -> impl Iterator<Item = ShardId> + use<> {
         (0..self.shards).map(ShardId)
@@ -209,21 +254,39 @@
     }
 }
 
+/// Writes the first layout. Waits for the catalogue, since only workers of its pools count: with an
+/// entry of any other pool, which may have a single rack, there would be one shard for ever.
 async fn create_first(cx: &Cx) -> eyre::Result<Option<(Layout, u64)>> {
     let mut before = 0;
     for _ in 0..MAX_WORKER_READS {
-        let workers = cx.directory.workers().await?;
+        let workers = workers_of_pools(cx).await?.unwrap_or_default();
         if !workers.is_empty() && workers.len() == before {
             break;
         }
         before = workers.len();
         tokio::time::sleep(WORKER_READ_INTERVAL).await;
     }
-    let workers = cx.directory.workers().await?;
+    let Some(workers) = workers_of_pools(cx).await? else {
+        return Ok(None);
+    };
     write(cx, &Layout::first(&workers, cx.cfg.workers_per_shard), 0).await?;
     read(cx).await
 }
 
+/// The registered workers of the catalogue's pools; none before the catalogue is known.
+async fn workers_of_pools(cx: &Cx) -> eyre::Result<Option<Vec<WorkerReport>>> {
+    let list = cx.directory.workers().await?;
+    let Some(catalogue) = cx.catalogue.borrow().clone() else {
+        return Ok(None);
+    };
+    let list = split(list, |report| {
+        let is_usable = catalogue.has_pool(&report.pool);
+        (!is_usable).then(|| EntryFault::UnnamedPool(report.pool.clone()))
+    });
+    refused_entries::note(cx, &list.refused);
+    Ok(Some(list.workers))
+}
+
 fn adopt(cx: &Cx, layout: Layout) {
     let is_changed = cx.layout.borrow().as_deref() != Some(&layout);
     if is_changed {
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the scheduler, in the text format that is served on the metrics address.
 
 use super::{
+    edge::EntryFault,
     event::RunEnd,
     front::Outcome,
     handover,
@@ -111,6 +112,7 @@
     /// Calls that asked another owner for its shard's load.
     pub load_asks: Counter,
     jobs_sent: Family<ReasonLabel, Counter>,
+    refused_entries: Family<ReasonLabel, Counter>,
     long_running_overdue: Family<WaitLabel, Gauge>,
     stalled_jobs: Family<WaitLabel, Gauge>,
     handovers: Family<EndLabel, Counter>,
@@ -159,6 +161,7 @@
             job_stalls: Counter::default(),
             load_asks: Counter::default(),
             jobs_sent: Family::default(),
+            refused_entries: Family::default(),
             long_running_overdue: Family::default(),
             stalled_jobs: Family::default(),
             handovers: Family::default(),
@@ -179,6 +182,10 @@
             let reason = reason.to_owned();
             drop(new.jobs_sent.get_or_create(&ReasonLabel { reason }));
         }
+        for reason in EntryFault::REASONS {
+            let reason = reason.to_owned();
+            drop(new.refused_entries.get_or_create(&ReasonLabel { reason }));
+        }
         for outcome in handover::OUTCOMES {
             let outcome = outcome.to_owned();
             drop(new.handovers.get_or_create(&EndLabel { outcome }));
@@ -305,6 +312,12 @@
         r.register("load_asks", "Calls that asked for a shard's load", asks);
         let sent = self.jobs_sent.clone();
         r.register("jobs_sent", "New jobs sent to another shard", sent);
+        let refused = self.refused_entries.clone();
+        r.register(
+            "refused_entries",
+            "Entries of the directory of workers that are not used",
+            refused,
+        );
         r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
@@ -359,6 +372,13 @@
         self.jobs_sent.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts an entry of the directory that is not used.
+    pub fn note_refused_entry(&self, reason: &str) {
+        let reason = reason.to_owned();
+        let refused = &self.refused_entries;
+        refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a job that has ended; `took_ms` is the time since acceptance and is recorded for
     /// completed jobs.
     pub fn note_job(&self, queue: &str, phase: Phase, took_ms: u64) {
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -30,6 +30,7 @@
 pub mod peer;
 pub mod process;
 pub mod reachability;
+pub mod refused_entries;
 pub mod resolution;
 pub mod restart;
 pub mod shape;
@@ -147,6 +148,8 @@
     pub metrics: metrics::Metrics,
     /// The catalogue in force in this process; none before the first read.
     pub catalogue: RefCell<Option<Rc<Catalogue>>>,
+    /// Entries of the directory that are not used.
+    pub refused_entries: RefCell<refused_entries::RefusedEntries>,
     /// Evacuated data centres.
     pub evacuations: RefCell<evacuation::Evacuations>,
     /// Assignment of racks and jobs to shards; none before the first read.
@@ -190,6 +193,7 @@
             reachability: reachability::Reachability::default(),
             metrics: metrics::Metrics::new(),
             catalogue: RefCell::default(),
+            refused_entries: RefCell::default(),
             evacuations: RefCell::default(),
             layout: RefCell::default(),
             handles: RefCell::default(),
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -5,8 +5,9 @@
     policy::polling,
     sched::{
         Cx,
-        edge::WorkerReport,
+        edge::{EntryFault, WorkerList, WorkerReport},
         layout::{self, ShardId},
+        refused_entries,
     },
 };
 use indexmap::IndexSet;
@@ -23,15 +24,56 @@
         cx.note_store(read.as_ref().map(|_| ()));
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
         let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
-        if let Ok(reports) = read {
-            layout::extend(&cx, &reports, owner.handle.shard == ShardId(0)).await;
-            let own = of_shard(&cx, owner.handle.shard, reports);
+        if let Ok(list) = read {
+            let list = usable(&cx, &owner, list);
+            layout::extend(&cx, &list.workers, owner.handle.shard == ShardId(0)).await;
+            let list = assigned(&cx, list);
+            refused_entries::note(&cx, &list.refused);
+            let own = of_shard(&cx, owner.handle.shard, list.workers);
             note(&cx, &owner, own);
         }
         tokio::time::sleep(pause).await;
     }
 }
 
+/// Moves workers of pools that no queue's jobs run on to the refused entries: an entry of another
+/// writer would be polled for ever, and its rack would take up room in the layout. Workers that are
+/// in use stay, and pools that jobs of a removed queue run on.
+fn usable(cx: &Cx, owner: &Owner, list: WorkerList) -> WorkerList {
+    // Without a catalogue, jobs that were accepted earlier may need any worker.
+    let Some(catalogue) = cx.catalogue.borrow().clone() else {
+        return list;
+    };
+    let (ledger, active) = (owner.ledger.borrow(), owner.active.borrow());
+    let is_of_job = |pool: &str| {
+        let mut jobs = active.iter().filter_map(|id| ledger.jobs.get(id));
+        jobs.any(|job| job.terms.pool == pool)
+    };
+    let sessions = owner.sessions.borrow();
+    let is_in_use = |worker: &str| {
+        let session = sessions.get(worker);
+        session.is_some_and(|session| session.is_claimed() || !session.runs.is_empty())
+    };
+    layout::split(list, |report| {
+        let (pool, worker) = (&report.pool, &report.incarnation.worker);
+        let is_usable = catalogue.has_pool(pool) || is_in_use(worker) || is_of_job(pool);
+        (!is_usable).then(|| EntryFault::UnnamedPool(pool.clone()))
+    })
+}
+
+/// Moves workers whose rack the layout has no room for to the refused entries.
+fn assigned(cx: &Cx, list: WorkerList) -> WorkerList {
+    let Some(layout) = cx.layout.borrow().clone() else {
+        return list;
+    };
+    let room_bytes = layout.room_bytes();
+    layout::split(list, |report| {
+        let is_unassigned = layout.shard_of(report).is_none();
+        let has_room = layout::entry_bytes(layout::rack_of(report)) <= room_bytes;
+        (is_unassigned && !has_room).then_some(EntryFault::NoShard)
+    })
+}
+
 fn of_shard(cx: &Cx, shard: ShardId, mut reports: Vec<WorkerReport>) -> Vec<WorkerReport> {
     let layout = cx.layout.borrow().clone();
     reports.retain(|report| layout.as_ref().and_then(|l| l.shard_of(report)) == Some(shard));
--- a/tests/testsuite/process/mod.rs
+++ b/tests/testsuite/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod faults;
+mod odd_entries;
 mod outages;
 mod ownership;
 mod pressure;
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -33,7 +33,7 @@
 use tempfile::TempDir;
 use tokio::sync::watch;
 
-const LIMIT: Duration = Duration::from_secs(20);
+pub(super) const LIMIT: Duration = Duration::from_secs(20);
 const HOST: (&str, &str) = ("host", "trail.example");
 
 /// The template's section for an optional bound, filled in.
@@ -45,10 +45,10 @@
 }
 
 /// A store, workers and daemons.
-struct Site {
-    store: Rc<RowStore>,
+pub(super) struct Site {
+    pub(super) store: Rc<RowStore>,
     workers: IndexMap<String, (Rc<UsersWorker>, SocketAddr)>,
-    daemons: Vec<(Process, SocketAddr, SocketAddr)>,
+    pub(super) daemons: Vec<(Process, SocketAddr, SocketAddr)>,
     dir: TempDir,
     _stop: watch::Sender<bool>,
 }
@@ -56,6 +56,11 @@
 impl Site {
     /// A site with three workers and the given number of daemons, which all have the first catalogue.
     async fn start(daemons: usize) -> Self {
+        Self::start_with(daemons, |_| {}).await
+    }
+
+    /// Like [`Self::start`], with entries that stand in the store before the first daemon starts.
+    pub(super) async fn start_with(daemons: usize, add_entries: impl FnOnce(&RowStore)) -> Self {
         let (stop, stopped) = watch::channel(false);
         let store = Rc::new(RowStore::default());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -77,6 +82,7 @@
             &json!({ "service": 7, "state": "dancing" }),
         );
         store.put("op", "config", &catalogue(1, &["/maps/"]));
+        add_entries(&store);
         let mut site = Self {
             store,
             workers,
@@ -147,7 +153,7 @@
     }
 
     /// Submits a job, and retries until it is accepted, as callers do.
-    async fn submit(&self, daemon: usize, id: &str, job: &Value) {
+    pub(super) async fn submit(&self, daemon: usize, id: &str, job: &Value) {
         let path = format!("/maps/{id}");
         wait::until("the job is accepted", LIMIT, async || {
             self.call(daemon, Method::POST, &path, job).await.0 == 200
@@ -155,7 +161,7 @@
         .await;
     }
 
-    async fn until_state(&self, daemon: usize, id: &str, state: &str) {
+    pub(super) async fn until_state(&self, daemon: usize, id: &str, state: &str) {
         let path = format!("/maps/{id}");
         wait::until(&format!("the job is {state}"), LIMIT, async || {
             let (status, shown) = self.call(daemon, Method::GET, &path, &Value::Null).await;
@@ -164,14 +170,14 @@
         .await;
     }
 
-    fn running(&self) -> usize {
+    pub(super) fn running(&self) -> usize {
         self.workers
             .values()
             .map(|(worker, _)| worker.running())
             .sum()
     }
 
-    fn started(&self) -> usize {
+    pub(super) fn started(&self) -> usize {
         let started = self.workers.values().map(|(w, _)| w.started.borrow().len());
         started.sum()
     }
@@ -192,7 +198,7 @@
     })
 }
 
-fn two_steps(spec: &str) -> Value {
+pub(super) fn two_steps(spec: &str) -> Value {
     json!({
         "spec": spec,
         "steps": [
@@ -202,7 +208,7 @@
     })
 }
 
-fn long_running_job() -> Value {
+pub(super) fn long_running_job() -> Value {
     json!({
         "spec": "until stopped",
         "steps": [{ "count": 2, "cpu": 1000, "memMb": 500, "longRunning": true, "maxPerServer": 1 }],
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -87,6 +87,37 @@
     assert_ne!(layout.racks["s0"], layout.racks["s1"]);
 }
 
+/// Guards against a deployment that has a single shard for ever since an entry of a pool that no queue names stood in
+/// the directory when its first daemon started.
+#[test]
+fn entries_of_a_pool_that_no_queue_names_take_no_part_in_the_layout() {
+    paused(async {
+        let world = World::new(4);
+        world.workers_per_shard.set(2);
+        world
+            .odd_reports
+            .borrow_mut()
+            .push(worker(0, "odd", "odd-0"));
+        let daemons = [world.daemon("a"), world.daemon("b")];
+        wait_all_owned(&daemons, 2).await;
+        for id in 1..20 {
+            let entry = worker(id, "odd", &format!("odd-{id}"));
+            world.odd_reports.borrow_mut().push(entry);
+        }
+        sleep(Duration::from_secs(3)).await;
+        submit_at_home(&world, &daemons, 1, vec![step(2, 500, &[])]).await;
+        wait_completed(&world, &daemons, 1).await;
+        for cx in &daemons {
+            let layout = cx.layout.borrow().clone().expect("a layout");
+            assert_eq!((layout.shards, layout.racks.len()), (2, 4));
+            let owners = cx.owners();
+            let sessions = owners.iter().map(|owner| owner.sessions.borrow().len());
+            assert_eq!(sessions.sum::<usize>(), 2, "odd entries are not polled");
+        }
+        world.check();
+    });
+}
+
 /// Guards against workers that no shard owns because they report no rack.
 #[test]
 fn a_worker_without_a_rack_has_an_owner() {
@@ -95,6 +126,20 @@
     assert_eq!(layout.shard_of(&workers[0]), Some(ShardId(0)));
 }
 
+/// Guards against a layout that no further rack joins, since racks that odd entries name have made its row larger than
+/// the store takes.
+#[test]
+fn a_flood_of_racks_leaves_a_row_that_the_store_takes() {
+    let mut layout = Layout::first(&racks_of(4, 2), 2);
+    let quoted = |id: usize| worker(id, "pool", &format!("\"\u{1}{id}"));
+    for flood in [racks_of(20_000, 1), (0..20_000).map(quoted).collect()] {
+        layout.assign_racks(&flood);
+        let row = serde_json::to_vec(&layout).expect("a row");
+        assert!(row.len() < 64 * 1024, "{} bytes", row.len());
+        assert!(!layout.assign_racks(&flood), "it is written once");
+    }
+}
+
 proptest! {
     /// Racks join in any order, and daemons know layouts of different ages. An assigned rack stays in its shard, and
     /// all daemons determine the same home of a job, with or without a data rack.
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -29,7 +29,7 @@
         edge::{
             CallError, Catalogue, Directory, ListedEnd, ListedRun, OperatorState, OrderOutcome,
             PollOrder, PollResponse, Queue, Refusal, RowKey, StartOrder, Txn, TxnOutcome,
-            WorkerReport, Workers,
+            WorkerList, WorkerReport, Workers,
         },
         event::{RunEnd, RunId, WorkerIncarnation},
         features::Features,
@@ -309,6 +309,8 @@
     pub(crate) directory_is_silent: Cell<bool>,
     /// Outdated content that reads of the directory return.
     outdated_directory: RefCell<Option<Vec<WorkerReport>>>,
+    /// Entries of the directory that no worker wrote; calls to them get no answer.
+    pub(crate) odd_reports: RefCell<Vec<WorkerReport>>,
     /// Target number of workers per shard, for daemons created from now on; unlimited by default.
     pub(crate) workers_per_shard: Cell<usize>,
     /// Optional features of daemons created from now on; none by default.
@@ -411,6 +413,7 @@
             operators_are_silent: Cell::new(false),
             directory_is_silent: Cell::new(false),
             outdated_directory: RefCell::default(),
+            odd_reports: RefCell::default(),
             workers_per_shard: Cell::new(usize::MAX),
             features: Cell::default(),
             seeds: RefCell::new(StdRng::from_os_rng()),
@@ -872,7 +875,8 @@
             rack: Some(id.clone()),
             leaving_in: worker.leaving_in,
         };
-        listed.map(report).collect()
+        let odd = self.odd_reports.borrow();
+        listed.map(report).chain(odd.iter().cloned()).collect()
     }
 
     /// Free capacity of each worker that answers, is listed and isn't leaving.
@@ -1295,8 +1299,8 @@
             let path = (self.daemon.clone(), worker.to_owned());
             let is_path_cut = self.world.paths_cut.borrow().contains(&path);
             let workers = self.world.workers.borrow();
-            let worker = &workers[worker];
-            !worker.is_cut && !worker.is_dead && !is_path_cut
+            let worker = workers.get(worker);
+            worker.is_some_and(|w| !w.is_cut && !w.is_dead) && !is_path_cut
         };
         if !is_reached {
             sleep(CALL_TIMEOUT).await;
@@ -1529,7 +1533,7 @@
 }
 
 impl Directory for Edges {
-    fn workers(&self) -> LocalBoxFuture<'_, Result<Vec<WorkerReport>, CallError>> {
+    fn workers(&self) -> LocalBoxFuture<'_, Result<WorkerList, CallError>> {
         self.process
             .call(async move {
                 sleep(STORE_LATENCY).await;
@@ -1538,7 +1542,10 @@
                     return Err(no_answer());
                 }
                 let outdated = self.world.outdated_directory.borrow().clone();
-                Ok(outdated.unwrap_or_else(|| self.world.reports()))
+                Ok(WorkerList {
+                    workers: outdated.unwrap_or_else(|| self.world.reports()),
+                    refused: Vec::new(),
+                })
             })
             .boxed_local()
     }
@@ -1568,6 +1575,7 @@
                 let catalogue = Catalogue {
                     version: 1,
                     queues: IndexMap::from_iter([("maps".to_owned(), queue)]),
+                    pools: IndexSet::new(),
                     max_body_bytes: None,
                 };
                 let evacuated = self.world.evacuated.borrow();
