--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the scheduler, in the text format that is served on the metrics address.
 
 use super::{
+    edge::EntryFault,
     event::RunEnd,
     front::Outcome,
     handover,
@@ -116,6 +117,7 @@
     jobs_moved: Family<ReasonLabel, Counter>,
     /// Waiting jobs on their way to another shard.
     pub jobs_moving: Gauge,
+    refused_entries: Family<ReasonLabel, Counter>,
     long_running_overdue: Family<WaitLabel, Gauge>,
     stalled_jobs: Family<WaitLabel, Gauge>,
     handovers: Family<EndLabel, Counter>,
@@ -167,6 +169,7 @@
             jobs_sent: Family::default(),
             jobs_moved: Family::default(),
             jobs_moving: Gauge::default(),
+            refused_entries: Family::default(),
             long_running_overdue: Family::default(),
             stalled_jobs: Family::default(),
             handovers: Family::default(),
@@ -191,6 +194,10 @@
             let reason = reason.to_owned();
             drop(new.jobs_moved.get_or_create(&ReasonLabel { reason }));
         }
+        for reason in EntryFault::REASONS {
+            let reason = reason.to_owned();
+            drop(new.refused_entries.get_or_create(&ReasonLabel { reason }));
+        }
         for outcome in handover::OUTCOMES {
             let outcome = outcome.to_owned();
             drop(new.handovers.get_or_create(&EndLabel { outcome }));
@@ -327,6 +334,12 @@
         r.register("jobs_moved", "Waiting jobs moved to another shard", moved);
         let moving = self.jobs_moving.clone();
         r.register("jobs_moving", "Jobs on their way to another shard", moving);
+        let refused = self.refused_entries.clone();
+        r.register(
+            "refused_entries",
+            "Entries of the directory of workers that are not used",
+            refused,
+        );
         r.register("submits", "Jobs submitted", self.submits.clone());
         r.register("jobs", "Jobs over", self.jobs.clone());
         let seconds = self.job_seconds.clone();
@@ -387,6 +400,13 @@
         self.jobs_moved.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts an entry of the directory that is not used.
+    pub fn note_refused_entry(&self, reason: &str) {
+        let reason = reason.to_owned();
+        let refused = &self.refused_entries;
+        refused.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a job that has ended; `took_ms` is the time since acceptance and is recorded for
     /// completed jobs.
     pub fn note_job(&self, queue: &str, phase: Phase, took_ms: u64) {
