Tests of a job on its way and of its end; its acceptance is logged once

The other shard logged 'job accepted' for a moved job too, and the account of a job's waits (attribution) took that for the acceptance (by reading). Two tests: the ledger neither forgets nor accepts a job on its way, and an ended job that moved is forgotten once its home says that it has arrived.

--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -116,7 +116,8 @@
     supervisor::spawn("accept", async move {
         let outcome = ticket.outcome().await;
         owner.accepting.borrow_mut().swap_remove(&job);
-        if outcome == AppendOutcome::Durable {
+        // Its home has logged the acceptance of a moved job.
+        if outcome == AppendOutcome::Durable && home.is_none() {
             log_accepted(&owner, job);
         }
         tx.send_replace(Some(outcome));
--- a/tests/testsuite/sched/moves.rs
+++ b/tests/testsuite/sched/moves.rs
@@ -4,15 +4,17 @@
 use super::{
     layout::{homes_in, spec_of},
     paused,
-    world::{StoreBehaviour, World, owns, step, until},
+    world::{StoreBehaviour, World, owns, step, terms, until},
 };
 use lapisdrum::sched::{
     Cx,
     edge::Queue,
+    event::Event,
     features::Features,
     front::{self, Outcome},
     job::{JobId, Step, TaskId},
     layout::ShardId,
+    ledger::Ledger,
     peer::JobState,
 };
 use std::{rc::Rc, time::Duration};
@@ -253,3 +255,61 @@
         });
     }
 }
+
+/// Guards against ended jobs that moved and are kept for ever: their shard forgets them like others,
+/// once their home has said that it no longer calls for them.
+#[test]
+fn a_job_that_moved_is_forgotten_when_it_is_old() {
+    paused(async {
+        let cluster = Cluster::new(1).await;
+        assert_eq!(cluster.submit_job(&cluster.home).await, Outcome::Done(()));
+        cluster.wait_completed(&cluster.home, LIMIT).await;
+        let is_known = || {
+            let owners = cluster.other.owners();
+            let mut ledgers = owners.iter().map(|owner| owner.ledger.borrow());
+            ledgers.any(|ledger| ledger.jobs.contains_key(&JobId(cluster.job)))
+        };
+        sleep(Duration::from_secs(10)).await;
+        assert!(is_known(), "it is kept for 120 s");
+        // The time of day alone says that these have passed.
+        for daemon in ["a", "b"] {
+            let time = Duration::from_secs(121);
+            cluster.world.note_suspension(daemon, time);
+        }
+        until("the job is forgotten", LIMIT * 3, async || !is_known()).await;
+    });
+}
+
+/// Guards against a home that forgets where a job on its way goes, or accepts it again, and against
+/// snapshots that lose it.
+#[test]
+fn a_job_on_its_way_is_neither_accepted_again_nor_forgotten() {
+    let accepted = Event::Accepted {
+        job: JobId(1),
+        spec: Rc::new(spec_of(vec![step(1, 100, &[])])),
+        terms: terms(),
+        at_unix_ms: 5,
+        data_centre: None,
+        moved_from: None,
+    };
+    let moved = Event::Moved {
+        job: JobId(1),
+        to: ShardId(1),
+        at_unix_ms: 9,
+    };
+    let mut ledger = Ledger::default();
+    ledger.apply(&accepted).expect("it is new");
+    ledger.apply(&moved).expect("it may move");
+    let text = serde_json::to_string(&ledger).expect("a text form");
+    let mut ledger: Ledger = serde_json::from_str(&text).expect("it is read back");
+    assert_eq!(ledger.moving[&JobId(1)].accepted_unix_ms, 5);
+    let forgotten = Event::Forgotten { job: JobId(1) };
+    for event in [&accepted, &moved, &forgotten] {
+        assert!(ledger.apply(event).is_err(), "{event:?}");
+    }
+    let confirmed = Event::MoveConfirmed { job: JobId(1) };
+    ledger.apply(&confirmed).expect("it is on its way");
+    assert!(ledger.apply(&confirmed).is_err(), "it has arrived");
+    assert!(ledger.apply(&accepted).is_err(), "it was sent away");
+    ledger.apply(&forgotten).expect("it has arrived");
+}
