--- a/src/lapisdrum/policy/dispatch/overdue.rs
+++ b/src/lapisdrum/policy/dispatch/overdue.rs
@@ -3,17 +3,16 @@
 //! Load pattern: serving tasks run on every host, and a best-effort image is expected to slow each
 //! of them. [`super::place`] then refuses the image everywhere for as long as they run. Nothing
 //! else would end the wait: a pair of images that never runs together is never measured, so a high
-//! estimate stays high. Or the backlog of a burst uses all idle processors, and newer jobs that can
-//! still be on time go first for as long as it lasts. Such a job therefore gets one task after a
-//! bounded time, which depends on no estimate and on no share of processors: what this shard's hosts
-//! have reserved says nothing about the deployment, for which callers expect the bound. The task
-//! starts on the host where it is expected to cost serving tasks least, with a CPU limit at which
-//! it is expected to cost nothing, or with the lowest one that lets it progress.
+//! estimate stays high. While most processors of the pool are free, such a job therefore gets one
+//! task after a bounded time, which depends on no estimate. It starts on the host where it is
+//! expected to cost serving tasks least, with a CPU limit at which it is expected to cost nothing,
+//! or with the lowest one that lets it progress. At most one such task with a CPU limit runs on a
+//! host. Jobs that have had nothing running for longest are first, so that none starves behind newer
+//! ones when there are more of them than hosts.
 //!
-//! The number of such tasks bounds the cost instead. A host runs at most one of them with a CPU
-//! limit; while half or more of the processors of its pool are reserved, at most one at all. Jobs
-//! that have had nothing running for longest are first, so that none starves behind newer ones when
-//! there are more of them than hosts.
+//! While half or more of the processors are reserved, no such task is admitted: serving tasks of an
+//! overloaded pool stay over their targets for it, also where the estimates expect no cost. What
+//! hosts admit is then shared by [`super::ahead`].
 //!
 //! [`super::mitigation`] may change the limit but doesn't stop the task while its job has no other.
 //! If tails stay over their targets, all best-effort tasks of the host are stopped as usual, and
@@ -72,8 +71,7 @@
     /// Whether one more is taken.
     pub fn takes_one(self, is_mostly_free: bool) -> bool {
         match self {
-            Self::None => true,
-            Self::Unlimited => is_mostly_free,
+            Self::None | Self::Unlimited => is_mostly_free,
             Self::Limited | Self::Paused | Self::Cleared => false,
         }
     }
