--- a/src/lapisdrum/policy/dispatch/admission.rs
+++ b/src/lapisdrum/policy/dispatch/admission.rs
@@ -34,7 +34,7 @@
 /// Time without a placed task from which a queue counts as held up, by workers or the store, and not
 /// as slow; its rate says nothing about the time after that.
 const HELD_UP_AFTER: Duration = Duration::from_secs(1);
-/// Longest expected wait that is told apart from longer ones: no objective is as late.
+/// Upper bound of an expected wait: no objective is as late.
 const MAX_WAIT: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
 /// Number of refused jobs whose first submission is remembered.
 const MAX_REMEMBERED: usize = 4_096;
