Lines and metrics of the reading on which a start order is sent

Callers saw 98 starts on workers whose leaving the store had acknowledged. The lines could not tell the three hypotheses apart: on which reading of a worker's entry a run was placed and its order sent, how old the list of workers was, and which orders were dropped and why.

Change: no logic. An entry of the directory carries its version. The list that was noted last has an age, by the clock that counts suspensions too: lapisdrum_sched_worker_list_age_seconds, and a line when reads begin to fail and when they succeed again. start ordered gives the reading (born, version, age) of the placement and of the order. Orders that are dropped after their task was placed are logged and counted by reason (lapisdrum_sched_starts_not_sent_total). Building the order moved from runs into a module of its own, with an outcome for each reason.

--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -160,6 +160,8 @@
 pub struct WorkerReport {
     /// The worker and its incarnation.
     pub incarnation: WorkerIncarnation,
+    /// Version of the entry's last write, from one counter for the whole store.
+    pub version: u64,
     /// The pool that the worker belongs to.
     pub pool: String,
     /// IP address and port of the worker's interface.
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -6,7 +6,7 @@
     front::Outcome,
     handover,
     ledger::Phase,
-    owner::{balance, moves, outages::WaitsFor},
+    owner::{balance, moves, outages::WaitsFor, start_order::NotSent},
 };
 use crate::util::build;
 use indexmap::IndexMap;
@@ -20,6 +20,7 @@
     },
     registry::Registry,
 };
+use std::sync::atomic::AtomicU64;
 
 /// Upper bound of the first bucket of `row_seconds`, in seconds; doubled eleven times up to 8 s.
 const FIRST_ROW_BUCKET: f64 = 0.004;
@@ -118,6 +119,9 @@
     /// Waiting jobs on their way to another shard.
     pub jobs_moving: Gauge,
     refused_entries: Family<ReasonLabel, Counter>,
+    starts_not_sent: Family<ReasonLabel, Counter>,
+    /// Age in seconds of the oldest list of workers that an owner in this process uses; 0 without one.
+    pub worker_list_age_seconds: Gauge<f64, AtomicU64>,
     long_running_overdue: Family<WaitLabel, Gauge>,
     stalled_jobs: Family<WaitLabel, Gauge>,
     handovers: Family<EndLabel, Counter>,
@@ -170,6 +174,8 @@
             jobs_moved: Family::default(),
             jobs_moving: Gauge::default(),
             refused_entries: Family::default(),
+            starts_not_sent: Family::default(),
+            worker_list_age_seconds: Gauge::default(),
             long_running_overdue: Family::default(),
             stalled_jobs: Family::default(),
             handovers: Family::default(),
@@ -198,6 +204,10 @@
             let reason = reason.to_owned();
             drop(new.refused_entries.get_or_create(&ReasonLabel { reason }));
         }
+        for reason in NotSent::REASONS {
+            let reason = reason.to_owned();
+            drop(new.starts_not_sent.get_or_create(&ReasonLabel { reason }));
+        }
         for outcome in handover::OUTCOMES {
             let outcome = outcome.to_owned();
             drop(new.handovers.get_or_create(&EndLabel { outcome }));
@@ -225,6 +235,18 @@
             errors,
         );
         r.register("starts", "Orders to start", self.starts.clone());
+        let not_sent = self.starts_not_sent.clone();
+        r.register(
+            "starts_not_sent",
+            "Orders to start that were dropped after their tasks were placed",
+            not_sent,
+        );
+        let list_age = self.worker_list_age_seconds.clone();
+        r.register(
+            "worker_list_age_seconds",
+            "Age of the list of workers on which tasks are started",
+            list_age,
+        );
         let orders_unanswered = self.orders_unanswered.clone();
         r.register(
             "orders_silent",
@@ -407,6 +429,13 @@
         refused.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a start order that was not sent.
+    pub fn note_start_not_sent(&self, why: NotSent) {
+        let reason = why.reason().to_owned();
+        let not_sent = &self.starts_not_sent;
+        not_sent.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a job that has ended; `took_ms` is the time since acceptance and is recorded for
     /// completed jobs.
     pub fn note_job(&self, queue: &str, phase: Phase, took_ms: u64) {
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -2,26 +2,61 @@
 
 use super::{Owner, poll, runs, session::Session};
 use crate::{
+    core::time::{Timestamp, millis},
     policy::polling,
     sched::{
         Cx,
-        edge::{EntryFault, WorkerList, WorkerReport},
+        edge::{CallError, EntryFault, WorkerList, WorkerReport},
         layout::{self, ShardId},
         refused_entries,
     },
 };
 use indexmap::IndexSet;
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// Time between two reads of the directory: a worker must get no new tasks from 2 s after it
 /// announces that it leaves.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
 
+/// The list of workers that was noted last.
+#[derive(Debug, Default)]
+pub struct NotedList {
+    /// When its read was sent; none before the first list.
+    read_sent_at: Cell<Option<Timestamp>>,
+    /// Whether reads have failed since.
+    is_unreadable: Cell<bool>,
+}
+
+impl NotedList {
+    /// Upper bound of the time since the list was read; none before the first list.
+    pub fn age(&self, cx: &Cx) -> Option<Duration> {
+        let read_sent_at = self.read_sent_at.get()?;
+        Some(cx.clock.at_most_since(read_sent_at))
+    }
+
+    /// Age in milliseconds, for logs; none before the first list.
+    pub fn age_ms(&self, cx: &Cx) -> Option<u64> {
+        self.age(cx).map(millis)
+    }
+
+    fn note_read(&self, cx: &Cx, read: &Result<WorkerList, CallError>) {
+        let before = self.is_unreadable.replace(read.is_err());
+        let age_ms = self.age_ms(cx);
+        match read {
+            Err(e) if !before => log::warn!(error:% = e, age_ms:?; "workers can't be read"),
+            Ok(_) if before => log::info!(age_ms:?; "workers are read again"),
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
 /// Polls the directory until the shard is lost.
 pub async fn follow(cx: Cx, owner: Rc<Owner>) {
     while owner.is_serving() {
+        let read_sent_at = cx.clock.timestamp();
         let read = cx.directory.workers().await;
         cx.note_store(read.as_ref().map(|_| ()));
+        owner.worker_list.note_read(&cx, &read);
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
         let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
         if let Ok(list) = read {
@@ -30,6 +65,7 @@
             let list = assigned(&cx, list);
             refused_entries::note(&cx, &list.refused);
             let own = of_shard(&cx, owner.handle.shard, list.workers);
+            owner.worker_list.read_sent_at.set(Some(read_sent_at));
             note(&cx, &owner, own);
         }
         tokio::time::sleep(pause).await;
@@ -111,7 +147,7 @@
         .as_ref()
         .is_some_and(|r| r.leaving_in.is_some());
     if !session.is_registered || was_leaving != report.leaving_in.is_some() {
-        log::info!(worker:% = worker, address:% = report.address, born = report.incarnation.started_unix_ms, leaving_in:? = report.leaving_in; "worker registered");
+        log::info!(worker:% = worker, address:% = report.address, born = report.incarnation.started_unix_ms, version = report.version, list_age_ms:? = owner.worker_list.age_ms(cx), leaving_in:? = report.leaving_in; "worker registered");
     }
     session.is_registered = true;
     let is_leaving = report.leaving_in.is_some();
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -33,6 +33,7 @@
 pub mod sharing;
 pub mod silent_workers;
 pub mod stalled_jobs;
+pub mod start_order;
 pub mod stop_note;
 pub mod suitable;
 pub mod suspension;
@@ -134,6 +135,8 @@
     pub ledger: RefCell<Ledger>,
     /// Runs that may be alive, with what the journal does not hold.
     pub runs: RefCell<IndexMap<RunId, RunRecord>>,
+    /// The list of workers that was noted last.
+    pub worker_list: directory::NotedList,
     /// Workers by id.
     pub sessions: RefCell<IndexMap<String, Session>>,
     /// Jobs that have not ended.
@@ -231,6 +234,7 @@
             renewing: Mutex::new(()),
             ledger: RefCell::default(),
             runs: RefCell::default(),
+            worker_list: directory::NotedList::default(),
             sessions: RefCell::default(),
             active: RefCell::default(),
             accepting: RefCell::default(),
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -3,7 +3,9 @@
 use super::{
     Owner, headroom, interference, poll,
     session::{Lease, Session},
-    shard_loads, suspension,
+    shard_loads,
+    start_order::{self, EntryReading, Prepared},
+    suspension,
 };
 use crate::{
     core::{
@@ -14,11 +16,10 @@
     policy::dispatch::{interference::Image, place::Load, short_work::Class},
     sched::{
         Cx,
-        edge::{OrderOutcome, Refusal, StartOrder},
+        edge::{OrderOutcome, Refusal},
         event::{Event, Loss, RunId, WorkerIncarnation},
         job::{JobId, Step, TaskId},
         journal::{AppendOutcome, Ticket},
-        ledger::Phase,
         resolution::{KnownIncarnation, Order, RunKnowledge, Stop},
     },
 };
@@ -50,6 +51,8 @@
     pub placed_row: Option<u64>,
     /// When this owner placed it, or read it from the journal.
     pub since: Millis,
+    /// The reading of its worker's entry on which this owner placed it.
+    pub placed_on: Option<EntryReading>,
     /// Whether its end may be among those that its worker has not listed yet.
     pub awaits_ends: bool,
     /// Last reported progress in percent, and when that value was first reported.
@@ -137,6 +140,7 @@
             return;
         };
         let now = cx.clock.now();
+        let is_placed = known.order == Order::NotSent;
         let image = step.image.as_ref();
         let image = image.map(|name| self.interference_model.borrow_mut().image(name));
         let record = RunRecord {
@@ -148,6 +152,7 @@
             is_confirmed: false,
             placed_row,
             since: now,
+            placed_on: EntryReading::of(cx, self, on.worker.as_str()).filter(|_| is_placed),
             awaits_ends: false,
             progress: None,
             first_progress: None,
@@ -249,21 +254,33 @@
     }
     // An error is impossible, since the semaphore is never closed.
     let slot = cx.start_slots.acquire().await.ok();
-    let Some((address, worker, order, lease)) = prepare(cx, owner, run) else {
-        owner.note_lost(cx, run, Loss::NotStarted);
-        return;
+    let prepared = match start_order::prepare(cx, owner, run) {
+        Ok(prepared) => prepared,
+        Err(why) => {
+            start_order::note_not_sent(cx, owner, &run, why);
+            owner.note_lost(cx, run, Loss::NotStarted);
+            return;
+        }
     };
+    let Prepared {
+        address,
+        worker,
+        order,
+        lease,
+        reading,
+    } = prepared;
     owner.set_order(&run, Order::InFlight);
     owner.session(&worker, |session| session.bound.note_sent(lease.ends_by));
     let sent_at = cx.clock.now();
-    let placed_at = owner.record(&run, |record| record.since);
-    let waited_ms = millis(sent_at.since(placed_at.unwrap_or(sent_at)));
+    let placed = owner.record(&run, |record| (record.since, record.placed_on));
+    let (placed_at, placed_on) = placed.unwrap_or((sent_at, None));
+    let waited_ms = millis(sent_at.since(placed_at));
     cx.metrics.starts.inc();
     let outcome = cx.workers.start(&address, &worker, &order).await;
     drop(slot);
     let now = cx.clock.now();
     let took_ms = now.since(sent_at).as_millis() as u64;
-    log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, outcome:? = outcome; "start ordered");
+    log::info!(task:% = run.task, run = run.run.0, worker:% = worker, token = order.token, waited_ms, took_ms, reading:?, placed_on:?, outcome:? = outcome; "start ordered");
     note_lease_call(cx, owner, &worker, (sent_at, lease), &outcome);
     match outcome {
         OrderOutcome::Done(clock) => {
@@ -366,41 +383,6 @@
     }
 }
 
-/// Builds the start order of a run; none if it must no longer be sent.
-fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Option<(String, String, StartOrder, Lease)> {
-    let on = owner.runs.borrow().get(&run)?.on.clone();
-    let now = cx.clock.now();
-    let length = owner.lease_length(cx).filter(|_| owner.may_start(cx))?;
-    if owner.is_listed(&on.worker) || !owner.may_call(cx, &on.worker) {
-        return None;
-    }
-    let (address, lease) = owner.session(&on.worker, |session| {
-        let is_same_incarnation = session.claimed.started_unix_ms == Some(on.started_unix_ms);
-        let report = session.report.as_ref()?;
-        let lease = session.lease(now, length, &cx.cfg.leases)?;
-        let is_responsive = session.unresponsive_since.is_none();
-        // The data centre may have been evacuated after the run was placed.
-        let may_start = cx.allows_starts_in(&report.data_centre);
-        (is_same_incarnation && is_responsive && may_start).then(|| (report.address.clone(), lease))
-    })??;
-    let ledger = owner.ledger.borrow();
-    let job = ledger.jobs.get(&run.task.job)?;
-    if job.phase != Phase::Active {
-        return None;
-    }
-    // The end of an earlier run may have been listed after this one was placed.
-    let task = ledger.task(&run.task).filter(|task| !task.is_done)?;
-    let order = StartOrder {
-        run,
-        payload: job.spec.payload.clone(),
-        token: owner.token(),
-        lease_until: lease.until,
-        checkpoint: task.checkpoint.clone(),
-        ticket: None,
-    };
-    Some((address, on.worker, order, lease))
-}
-
 /// Stops every run of a job.
 pub fn stop_all_of(cx: &Cx, owner: &Rc<Owner>, job: JobId) {
     let runs = owner.runs.borrow();
--- /dev/null
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -0,0 +1,163 @@
+//! Builds start orders from what is known when they are sent.
+//!
+//! A placement is written to the journal before its order is sent, which takes seconds on a slow
+//! store. An order is dropped if it must no longer be sent by then; its task is placed again, at no
+//! cost of an attempt.
+
+use super::{Owner, session::Lease};
+use crate::{
+    core::time::millis,
+    sched::{Cx, edge::StartOrder, event::RunId, ledger::Phase},
+};
+
+/// A reading of a worker's entry in the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryReading {
+    /// Start of the incarnation that the entry describes, in Unix milliseconds.
+    pub born: u64,
+    /// Version of the entry.
+    pub version: u64,
+    /// Time since the list with the entry was read, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl EntryReading {
+    /// The last reading of a worker's entry; none if no list had one.
+    pub fn of(cx: &Cx, owner: &Owner, worker: &str) -> Option<Self> {
+        let sessions = owner.sessions.borrow();
+        let report = sessions.get(worker)?.report.as_ref()?;
+        Some(Self {
+            born: report.incarnation.started_unix_ms,
+            version: report.version,
+            age_ms: owner.worker_list.age_ms(cx)?,
+        })
+    }
+}
+
+/// A start order that may be sent now.
+pub struct Prepared {
+    /// Address of the worker.
+    pub address: String,
+    /// Id of the worker.
+    pub worker: String,
+    /// The order.
+    pub order: StartOrder,
+    /// The lease that the order carries.
+    pub lease: Lease,
+    /// The reading of the worker's entry on which the order is sent.
+    pub reading: Option<EntryReading>,
+}
+
+/// Why a start order must not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotSent {
+    /// The owner may not send start orders.
+    NoLease,
+    /// The worker may have runs of an earlier owner whose leases are not known.
+    WorkerNotCallable,
+    /// The directory has not reported the worker.
+    WorkerUnknown,
+    /// Another incarnation of the worker answers.
+    OtherIncarnation,
+    /// The worker does not answer.
+    WorkerSilent,
+    /// The worker's clock was not read recently.
+    NoClock,
+    /// The worker's data centre is evacuated.
+    Evacuated,
+    /// The run, its task or its job has ended.
+    Ended,
+}
+
+impl NotSent {
+    /// The names for metrics.
+    pub const REASONS: [&'static str; 8] = [
+        "no_lease",
+        "worker_not_callable",
+        "worker_unknown",
+        "other_incarnation",
+        "worker_silent",
+        "no_clock",
+        "evacuated",
+        "ended",
+    ];
+
+    /// Name for metrics, one of [`Self::REASONS`].
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NoLease => "no_lease",
+            Self::WorkerNotCallable => "worker_not_callable",
+            Self::WorkerUnknown => "worker_unknown",
+            Self::OtherIncarnation => "other_incarnation",
+            Self::WorkerSilent => "worker_silent",
+            Self::NoClock => "no_clock",
+            Self::Evacuated => "evacuated",
+            Self::Ended => "ended",
+        }
+    }
+}
+
+/// Builds the start order of a run, or says why it must not be sent.
+pub fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Result<Prepared, NotSent> {
+    let on = owner.record(&run, |record| record.on.clone());
+    let on = on.ok_or(NotSent::Ended)?;
+    let length = owner.lease_length(cx).filter(|_| owner.may_start(cx));
+    let length = length.ok_or(NotSent::NoLease)?;
+    if owner.is_listed(&on.worker) || !owner.may_call(cx, &on.worker) {
+        return Err(NotSent::WorkerNotCallable);
+    }
+    let now = cx.clock.now();
+    let ready = owner.session(&on.worker, |session| {
+        let report = session.report.as_ref().ok_or(NotSent::WorkerUnknown)?;
+        let lease = session.lease(now, length, &cx.cfg.leases);
+        let lease = lease.ok_or(NotSent::NoClock)?;
+        if session.claimed.started_unix_ms != Some(on.started_unix_ms) {
+            return Err(NotSent::OtherIncarnation);
+        }
+        if session.unresponsive_since.is_some() {
+            return Err(NotSent::WorkerSilent);
+        }
+        // The data centre may have been evacuated after the run was placed.
+        match cx.allows_starts_in(&report.data_centre) {
+            true => Ok((report.address.clone(), lease)),
+            false => Err(NotSent::Evacuated),
+        }
+    });
+    let (address, lease) = ready.ok_or(NotSent::WorkerUnknown)??;
+    let ledger = owner.ledger.borrow();
+    let job = ledger.jobs.get(&run.task.job);
+    let job = job.filter(|job| job.phase == Phase::Active);
+    let job = job.ok_or(NotSent::Ended)?;
+    // The end of an earlier run may have been listed after this one was placed.
+    let task = ledger.task(&run.task).filter(|task| !task.is_done);
+    let task = task.ok_or(NotSent::Ended)?;
+    let order = StartOrder {
+        run,
+        payload: job.spec.payload.clone(),
+        token: owner.token(),
+        lease_until: lease.until,
+        checkpoint: task.checkpoint.clone(),
+        ticket: None,
+    };
+    Ok(Prepared {
+        address,
+        reading: EntryReading::of(cx, owner, &on.worker),
+        worker: on.worker,
+        order,
+        lease,
+    })
+}
+
+/// Logs and counts a start order that is not sent.
+pub fn note_not_sent(cx: &Cx, owner: &Owner, run: &RunId, why: NotSent) {
+    cx.metrics.note_start_not_sent(why);
+    let placed = owner.record(run, |record| {
+        (record.on.worker.clone(), record.since, record.placed_on)
+    });
+    let Some((worker, placed_at, placed_on)) = placed else {
+        return;
+    };
+    let waited_ms = millis(cx.clock.now().since(placed_at));
+    let reading = EntryReading::of(cx, owner, &worker);
+    log::info!(task:% = run.task, run = run.run.0, worker:%, why = why.reason(), waited_ms, reading:?, placed_on:?; "start order is not sent");
+}
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -229,6 +229,9 @@
     cx.metrics
         .obsolete_rows
         .set(sum(|usage| usage.obsolete_rows));
+    let list_ages = owners.iter().filter_map(|owner| owner.worker_list.age(cx));
+    let oldest = list_ages.max().unwrap_or_default();
+    cx.metrics.worker_list_age_seconds.set(oldest.as_secs_f64());
     let now = cx.clock.now();
     let sum_by_wait = |of: &dyn Fn(&Owner) -> IndexMap<WaitsFor, i64>| {
         let mut sums: IndexMap<WaitsFor, i64> = IndexMap::new();
--- a/tests/testsuite/sched/layout.rs
+++ b/tests/testsuite/sched/layout.rs
@@ -33,6 +33,7 @@
             worker: format!("i{id}"),
             started_unix_ms: 1,
         },
+        version: 1,
         pool: pool.to_owned(),
         address: "127.0.0.1:1".to_owned(),
         data_centre: "karen".to_owned(),
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -867,6 +867,7 @@
                 worker: id.clone(),
                 started_unix_ms: worker.incarnation,
             },
+            version: 1,
             pool: "pool".to_owned(),
             address: format!("{id}:1"),
             data_centre: worker.data_centre.clone(),
