--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -15,6 +15,7 @@
 mod layout;
 mod learning;
 mod lease_feed;
+mod leaving;
 mod ledger;
 mod limits;
 mod listed_ends;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -4,7 +4,7 @@
 //! leases, ends listed until they are acknowledged), and violations of its invariants are recorded: two runs of a task
 //! at once, a task started again after it was done or had used up its attempts and these ends were acknowledged then or
 //! later, a worker over its capacity, a step started before the steps that it depends on have ended, a start sent to a
-//! data centre after its evacuation deadline.
+//! data centre after its evacuation deadline, or to a worker later than allowed after it announced that it leaves.
 
 mod process;
 mod relay;
@@ -77,6 +77,10 @@
 const STOP_TIME: Duration = Duration::from_millis(300);
 /// Time after which no start may reach an evacuated data centre.
 const EVACUATION_DEADLINE: Duration = Duration::from_secs(5);
+/// Time after which no start may reach a worker that has announced that it leaves.
+pub(crate) const LEAVING_DEADLINE: Duration = Duration::from_secs(2);
+/// Longest time that a start order is under way, unless its process is frozen.
+const TRANSIT: Duration = Duration::from_millis(750);
 /// Default maximum number of ends in a poll response. The platform's is 500; with a small one, every test has workers with
 /// more ends than they list.
 pub(crate) const MAX_LISTED_ENDS: usize = 3;
@@ -240,6 +244,8 @@
     is_listed: bool,
     data_centre: String,
     leaving_in: Option<Duration>,
+    /// When the directory first listed its present incarnation as leaving.
+    leaving_since: Option<Instant>,
     behaviour: WorkerBehaviour,
     /// Whether polls get no answer, although other orders do.
     loses_polls: bool,
@@ -459,6 +465,7 @@
             is_listed: true,
             data_centre: DATA_CENTRE.to_owned(),
             leaving_in: None,
+            leaving_since: None,
             behaviour: WorkerBehaviour::Prompt,
             loses_polls: false,
             is_stalled: false,
@@ -737,6 +744,9 @@
 
     /// Makes the directory return its present content from now on, or its current content again.
     pub(crate) fn freeze_directory(&self, is_frozen: bool) {
+        for worker in self.workers.borrow_mut().values_mut() {
+            worker.leaving_since = worker.leaving_since.map(|_| Instant::now());
+        }
         *self.outdated_directory.borrow_mut() = is_frozen.then(|| self.reports());
     }
 
@@ -771,6 +781,7 @@
         self.change(worker, |w| {
             w.is_dead = false;
             w.incarnation = incarnation;
+            w.leaving_since = w.leaving_in.map(|_| Instant::now());
             w.started_at = Instant::now();
             w.last_ended.clear();
             w.next_end = 1;
@@ -780,7 +791,29 @@
 
     /// Makes a worker report that it is leaving in 2 s.
     pub(crate) fn announce_leaving(&self, worker: &str) {
-        self.change(worker, |w| w.leaving_in = Some(Duration::from_secs(2)));
+        self.change(worker, |w| {
+            w.leaving_in = Some(Duration::from_secs(2));
+            w.leaving_since = w.leaving_since.or(Some(Instant::now()));
+        });
+    }
+
+    /// Makes the directory list a worker as ready, although the same incarnation has announced that it leaves.
+    pub(crate) fn list_as_ready(&self, worker: &str) {
+        self.change(worker, |w| w.leaving_in = None);
+    }
+
+    /// Records a violation if a start order that was sent at `sent_at` arrives too late after its worker announced that it
+    /// leaves. No daemon can know of it while the directory is outdated, or recall an order while it is frozen itself.
+    fn check_leaving(&self, id: &str, run: &RunId, sent_at: Instant) {
+        let since = self.workers.borrow()[id].leaving_since;
+        let ago = since.map(|since| since.elapsed());
+        let is_recallable =
+            self.outdated_directory.borrow().is_none() && sent_at.elapsed() <= TRANSIT;
+        if is_recallable && ago.is_some_and(|ago| ago > LEAVING_DEADLINE) {
+            self.record_violation(format!(
+                "{run:?} is sent to {id} {ago:?} after it announced that it leaves"
+            ));
+        }
     }
 
     /// Moves a worker to a data centre.
@@ -1120,7 +1153,7 @@
         after_renewal: Duration::from_millis(7_300),
         start_hold: Duration::from_secs(3),
         drift_parts: 45,
-        transit: Duration::from_millis(750),
+        transit: TRANSIT,
         owner_hold: Duration::from_secs(5),
     }
 }
@@ -1317,12 +1350,14 @@
         id: &'a str,
         order: &'a StartOrder,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>> {
+        let sent_at = Instant::now();
         self.process
             .call(async move {
                 if !self.send_start().await || !self.reach(id).await {
                     return OrderOutcome::Silent(no_answer());
                 }
                 self.world.check_evacuation(id, &order.run);
+                self.world.check_leaving(id, &order.run, sent_at);
                 let (behaviour, incarnation) = {
                     let workers = self.world.workers.borrow();
                     (workers[id].behaviour, workers[id].incarnation)
@@ -1538,10 +1573,18 @@
         self.process
             .call(async move {
                 sleep(STORE_LATENCY).await;
-                if self.world.directory_is_silent.get() {
+                let behaviour = self.world.store_behaviour(&self.daemon);
+                if behaviour == StoreBehaviour::Unavailable || self.world.directory_is_silent.get()
+                {
                     sleep(CALL_TIMEOUT).await;
                     return Err(no_answer());
                 }
+                match behaviour {
+                    StoreBehaviour::RefusesReads => return Err(too_many_reads()),
+                    StoreBehaviour::Refuses => return Err(refused()),
+                    StoreBehaviour::Slow => sleep(SLOW_STORE_LATENCY).await,
+                    _ => {}
+                }
                 let outdated = self.world.outdated_directory.borrow().clone();
                 Ok(WorkerList {
                     workers: outdated.unwrap_or_else(|| self.world.reports()),
