A start order is sent by the same conditions by which it was placed

Callers saw starts on workers that had said they leave. Cause: a task is placed, its placement is journaled, and its order is sent once that is durable, seconds later on a slow store. The order looked again at lease, incarnation, silence and evacuations, but not at whether the worker was leaving or still listed.

Change: Session::open_for_tasks says whether a worker may get tasks, or why not; placing and sending both ask it. What is dropped is placed again at no cost of an attempt, as with an evacuated data centre.

Why it works: what the owner knows when it sends decides, whatever delayed the order.

--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -105,7 +105,7 @@
         let unlisted = sessions
             .iter()
             .filter(|(worker, _)| !self.is_listed(worker));
-        let open = unlisted.filter_map(|(_, session)| session.open_for_tasks());
+        let open = unlisted.filter_map(|(_, session)| session.open_for_tasks().ok());
         let open = open.filter(|report| cx.allows_starts_in(&report.data_centre));
         open.cloned().collect()
     }
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -1,5 +1,6 @@
 //! State that an owner keeps for each worker.
 
+use super::start_order::NotSent;
 use crate::{
     core::{
         size::Size,
@@ -278,13 +279,23 @@
         failures >= SUSPECT_FAILURES && now.since(last) < SUSPECT_FOR
     }
 
-    /// The worker's report if new tasks may be placed on it.
-    pub fn open_for_tasks(&self) -> Option<&Rc<WorkerReport>> {
-        let report = self.report.as_ref()?;
-        let is_claimed = self.claimed.started_unix_ms == Some(report.incarnation.started_unix_ms);
-        let is_staying = report.leaving_in.is_none();
-        let is_open = is_claimed && is_staying && self.is_registered;
-        (is_open && self.unresponsive_since.is_none()).then_some(report)
+    /// The worker's report if tasks may be started on it, or why none may be. Tasks are placed and
+    /// their start orders are sent by the same conditions, since the answer may change in between.
+    pub fn open_for_tasks(&self) -> Result<&Rc<WorkerReport>, NotSent> {
+        let report = self.report.as_ref().ok_or(NotSent::WorkerUnknown)?;
+        if !self.is_registered {
+            return Err(NotSent::WorkerGone);
+        }
+        if report.leaving_in.is_some() {
+            return Err(NotSent::WorkerLeaving);
+        }
+        if self.claimed.started_unix_ms != Some(report.incarnation.started_unix_ms) {
+            return Err(NotSent::OtherIncarnation);
+        }
+        match self.unresponsive_since {
+            None => Ok(report),
+            Some(_) => Err(NotSent::WorkerSilent),
+        }
     }
 
     /// Whether an incarnation has answered this owner, and none has refused an order since.
--- a/src/lapisdrum/sched/owner/start_order.rs
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -1,8 +1,8 @@
 //! Builds start orders from what is known when they are sent.
 //!
 //! A placement is written to the journal before its order is sent, which takes seconds on a slow
-//! store. An order is dropped if it must no longer be sent by then; its task is placed again, at no
-//! cost of an attempt.
+//! store. Whatever the placement rests on is therefore checked again, and an order that must no
+//! longer be sent is dropped; its task is placed again, at no cost of an attempt.
 
 use super::{Owner, session::Lease};
 use crate::{
@@ -57,7 +57,11 @@
     WorkerNotCallable,
     /// The directory has not reported the worker.
     WorkerUnknown,
-    /// Another incarnation of the worker answers.
+    /// The directory no longer lists the worker.
+    WorkerGone,
+    /// The worker has announced that it leaves.
+    WorkerLeaving,
+    /// Another incarnation of the worker answers, or is listed.
     OtherIncarnation,
     /// The worker does not answer.
     WorkerSilent,
@@ -71,10 +75,12 @@
 
 impl NotSent {
     /// The names for metrics.
-    pub const REASONS: [&'static str; 8] = [
+    pub const REASONS: [&'static str; 10] = [
         "no_lease",
         "worker_not_callable",
         "worker_unknown",
+        "worker_gone",
+        "worker_leaving",
         "other_incarnation",
         "worker_silent",
         "no_clock",
@@ -88,6 +94,8 @@
             Self::NoLease => "no_lease",
             Self::WorkerNotCallable => "worker_not_callable",
             Self::WorkerUnknown => "worker_unknown",
+            Self::WorkerGone => "worker_gone",
+            Self::WorkerLeaving => "worker_leaving",
             Self::OtherIncarnation => "other_incarnation",
             Self::WorkerSilent => "worker_silent",
             Self::NoClock => "no_clock",
@@ -108,16 +116,12 @@
     }
     let now = cx.clock.now();
     let ready = owner.session(&on.worker, |session| {
-        let report = session.report.as_ref().ok_or(NotSent::WorkerUnknown)?;
-        let lease = session.lease(now, length, &cx.cfg.leases);
-        let lease = lease.ok_or(NotSent::NoClock)?;
-        if session.claimed.started_unix_ms != Some(on.started_unix_ms) {
+        let report = session.open_for_tasks()?;
+        if report.incarnation != on {
             return Err(NotSent::OtherIncarnation);
         }
-        if session.unresponsive_since.is_some() {
-            return Err(NotSent::WorkerSilent);
-        }
-        // The data centre may have been evacuated after the run was placed.
+        let lease = session.lease(now, length, &cx.cfg.leases);
+        let lease = lease.ok_or(NotSent::NoClock)?;
         match cx.allows_starts_in(&report.data_centre) {
             true => Ok((report.address.clone(), lease)),
             false => Err(NotSent::Evacuated),
