An incarnation that has announced that it leaves never counts as staying again

Callers may see starts on a worker that has said it leaves, until it is gone. Cause: each entry of the directory replaced what was known, so one that says ready under the same incarnation (a late write of the worker, a second process under its id, an older list) opened the worker again.

Change: a session keeps the start time of the last incarnation that announced its departure. The reported incarnation is leaving if it is that one; a later one under the same id is open as before.

--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -142,16 +142,16 @@
     let session = sessions
         .entry(worker.clone())
         .or_insert_with(|| Session::new(owner.inherited_bound(&worker)));
-    let was_leaving = session
+    let was_announced = session
         .report
         .as_ref()
         .is_some_and(|r| r.leaving_in.is_some());
-    if !session.is_registered || was_leaving != report.leaving_in.is_some() {
+    if !session.is_registered || was_announced != report.leaving_in.is_some() {
         log::info!(worker:% = worker, address:% = report.address, born = report.incarnation.started_unix_ms, version = report.version, list_age_ms:? = owner.worker_list.age_ms(cx), leaving_in:? = report.leaving_in; "worker registered");
     }
     session.is_registered = true;
-    let is_leaving = report.leaving_in.is_some();
-    session.report = Some(Rc::new(report));
+    session.set_report(report);
+    let is_leaving = session.is_leaving();
     drop(sessions);
     poll::start_polling(cx, owner, &worker);
     if is_leaving {
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -113,6 +113,8 @@
 pub struct Session {
     /// Latest report of the directory; none for a worker known only from the journal.
     pub report: Option<Rc<WorkerReport>>,
+    /// Start time of the last incarnation that has announced that it leaves.
+    left_incarnation: Option<u64>,
     /// Whether the last read of the directory listed it.
     pub is_registered: bool,
     /// Incarnation that answered under this owner's token.
@@ -167,6 +169,7 @@
     pub fn new(bound: LeaseBound) -> Self {
         Self {
             report: None,
+            left_incarnation: None,
             is_registered: false,
             claimed: KnownIncarnation::default(),
             clock: None,
@@ -286,7 +289,7 @@
         if !self.is_registered {
             return Err(NotSent::WorkerGone);
         }
-        if report.leaving_in.is_some() {
+        if self.is_leaving() {
             return Err(NotSent::WorkerLeaving);
         }
         if self.claimed.started_unix_ms != Some(report.incarnation.started_unix_ms) {
@@ -298,6 +301,22 @@
         }
     }
 
+    /// Replaces the report of the directory.
+    pub fn set_report(&mut self, report: WorkerReport) {
+        if report.leaving_in.is_some() {
+            self.left_incarnation = Some(report.incarnation.started_unix_ms);
+        }
+        self.report = Some(Rc::new(report));
+    }
+
+    /// Whether the reported incarnation has announced that it leaves. It does leave, also if a late
+    /// write of its entry says otherwise.
+    pub fn is_leaving(&self) -> bool {
+        let report = self.report.as_ref();
+        let started = report.map(|report| report.incarnation.started_unix_ms);
+        started.is_some() && started == self.left_incarnation
+    }
+
     /// Whether an incarnation has answered this owner, and none has refused an order since.
     pub fn is_claimed(&self) -> bool {
         self.claimed.started_unix_ms.is_some()
--- a/src/lapisdrum/sched/owner/suitable.rs
+++ b/src/lapisdrum/sched/owner/suitable.rs
@@ -87,9 +87,10 @@
         let present = sessions
             .values()
             .filter(|session| session.is_registered && session.unresponsive_since.is_none());
-        let reports = present.filter_map(|session| session.report.as_ref());
-        let staying = reports.filter(|report| report.leaving_in.is_none());
-        staying.cloned().collect()
+        let staying = present.filter(|session| !session.is_leaving());
+        staying
+            .filter_map(|session| session.report.clone())
+            .collect()
     }
 
     /// Processors that active jobs' long-running tasks ask for of the workers that fit one of these
