A new rack no longer holds up the news that workers leave

Callers may see starts on workers that have said they leave, while another host joins with a rack of its own. Cause: the owner assigned new racks to shards, with a write to the store, before it noted the list that it had read; on a slow store that takes seconds, in which no list is read.

Change: the list is noted at once, and new racks are assigned beside the reads; when the layout has changed, the list is read again without waiting for the interval, so that a new host's worker is claimed as soon as before.

--- a/src/lapisdrum/sched/layout.rs
+++ b/src/lapisdrum/sched/layout.rs
@@ -295,16 +295,21 @@
     }
 }
 
-/// Assigns racks that the layout doesn't contain. Only the owner of the first shard may do so
-/// (`may_assign`); other processes read the layout that it wrote.
-pub async fn extend(cx: &Cx, workers: &[WorkerReport], may_assign: bool) {
+/// Whether the layout contains the racks of all these workers, or isn't known yet.
+pub fn has_all_racks(cx: &Cx, workers: &[WorkerReport]) -> bool {
     let is_known = |layout: &Layout| workers.iter().all(|w| layout.shard_of(w).is_some());
-    if cx.layout.borrow().as_deref().is_none_or(is_known) {
-        return;
-    }
+    cx.layout.borrow().as_deref().is_none_or(is_known)
+}
+
+/// Assigns racks that the layout doesn't contain, and returns whether the layout in force has
+/// changed. Only the owner of the first shard may assign them (`may_assign`); other processes read
+/// the layout that it wrote.
+pub async fn extend(cx: &Cx, workers: &[WorkerReport], may_assign: bool) -> bool {
+    let before = cx.layout.borrow().clone();
     if let Err(e) = try_extend(cx, workers, may_assign).await {
         log::warn!(error:% = format!("{e:#}"); "new racks have no shard yet");
     }
+    *cx.layout.borrow() != before
 }
 
 async fn try_extend(cx: &Cx, workers: &[WorkerReport], may_assign: bool) -> eyre::Result<()> {
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -3,6 +3,7 @@
 use super::{Owner, poll, runs, session::Session};
 use crate::{
     core::time::{Timestamp, millis},
+    daemon::supervisor,
     policy::polling,
     sched::{
         Cx,
@@ -13,6 +14,7 @@
 };
 use indexmap::IndexSet;
 use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::sync::Notify;
 
 /// Time between two reads of the directory: a worker must get no new tasks from 2 s after it
 /// announces that it leaves.
@@ -25,6 +27,10 @@
     read_sent_at: Cell<Option<Timestamp>>,
     /// Whether reads have failed since.
     is_unreadable: Cell<bool>,
+    /// Whether new racks are being assigned to shards.
+    is_extending: Cell<bool>,
+    /// Notified when the list shall be read before the next interval.
+    reread: Notify,
 }
 
 impl NotedList {
@@ -61,17 +67,33 @@
         let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
         if let Ok(list) = read {
             let list = usable(&cx, &owner, list);
-            layout::extend(&cx, &list.workers, owner.handle.shard == ShardId(0)).await;
+            extend_layout(&cx, &owner, &list.workers);
             let list = assigned(&cx, list);
             refused_entries::note(&cx, &list.refused);
             let own = of_shard(&cx, owner.handle.shard, list.workers);
             owner.worker_list.read_sent_at.set(Some(read_sent_at));
             note(&cx, &owner, own);
         }
-        tokio::time::sleep(pause).await;
+        let _ = tokio::time::timeout(pause, owner.worker_list.reread.notified()).await;
     }
 }
 
+/// Assigns new racks to shards, unless that is under way. It writes to the store, which takes
+/// seconds on a slow one, and must not hold up the news of other workers.
+fn extend_layout(cx: &Cx, owner: &Rc<Owner>, workers: &[WorkerReport]) {
+    if layout::has_all_racks(cx, workers) || owner.worker_list.is_extending.replace(true) {
+        return;
+    }
+    let (cx, owner, workers) = (Rc::clone(cx), Rc::clone(owner), workers.to_vec());
+    supervisor::spawn("layout", async move {
+        let may_assign = owner.handle.shard == ShardId(0);
+        if layout::extend(&cx, &workers, may_assign).await {
+            owner.worker_list.reread.notify_one();
+        }
+        owner.worker_list.is_extending.set(false);
+    });
+}
+
 /// Moves workers of pools that no queue's jobs run on to the refused entries: an entry of another
 /// writer would be polled for ever, and its rack would take up room in the layout. Workers that are
 /// in use stay, and pools that jobs of a removed queue run on.
