Tasks are started only on a list of workers that is recent

Callers saw starts on workers that had said they leave. Cause: the owner kept the last list for as long as reads failed, timed out or were refused, and while its host was suspended, and went on starting tasks on it; the lease and the evacuations were compared with an age, the list was not. Class: a belief that is acted on without an age.

Change: a list has an age, counted from when its read was sent, by the clock that counts suspensions. Beyond bounds.leaving_within_ms (the platform's drainMs, 2 to 4 s by deployment; 2 s if not given) less the longest time that an order is under way, nothing is placed, and an order whose placement is durable is held until a newer list is noted. Reads are sent every 600 ms instead of 600 ms after the last one ended, so that a read may take 0.65 s before starts are held.

Held and not dropped: on a slow store the placement would be written again, and its order would be as late. A held order goes through all checks again, and is dropped once the owner may not start at all (renewal of over 3 s).

Ruled out: a floor of 2 s as for evacuations, which allows an order to arrive 2.75 s after the announcement where 2 s are promised.

--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -119,6 +119,8 @@
     /// Waiting jobs on their way to another shard.
     pub jobs_moving: Gauge,
     refused_entries: Family<ReasonLabel, Counter>,
+    /// Start orders that waited for a recent list of workers.
+    pub starts_held: Counter,
     starts_not_sent: Family<ReasonLabel, Counter>,
     /// Age in seconds of the oldest list of workers that an owner in this process uses; 0 without one.
     pub worker_list_age_seconds: Gauge<f64, AtomicU64>,
@@ -174,6 +176,7 @@
             jobs_moved: Family::default(),
             jobs_moving: Gauge::default(),
             refused_entries: Family::default(),
+            starts_held: Counter::default(),
             starts_not_sent: Family::default(),
             worker_list_age_seconds: Gauge::default(),
             long_running_overdue: Family::default(),
@@ -241,6 +244,12 @@
             "Orders to start that were dropped after their tasks were placed",
             not_sent,
         );
+        let held = self.starts_held.clone();
+        r.register(
+            "starts_held",
+            "Orders to start that waited for a recent list of workers",
+            held,
+        );
         let list_age = self.worker_list_age_seconds.clone();
         r.register(
             "worker_list_age_seconds",
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -92,6 +92,8 @@
     pub work: Timings,
     /// Longest time from the acknowledgement of an evacuation until it must be in force.
     pub evacuated_within: Duration,
+    /// Longest time from a worker's announcement that it leaves until no more start reaches it.
+    pub leaving_within: Duration,
     /// CPU available to the process, in cores; may be a fraction.
     pub cpu_share: f64,
     /// How long an ended job is kept.
--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -1,4 +1,8 @@
 //! Polls the directory for the shard's workers.
+//!
+//! Workers announce that they leave, and no start may reach one from a bound after that. The owner
+//! acts on the last list that it could read; with one that is too old for the bound it starts
+//! nothing, since it can't know which workers have announced their departure meanwhile.
 
 use super::{Owner, poll, runs, session::Session};
 use crate::{
@@ -16,9 +20,15 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::sync::Notify;
 
-/// Time between two reads of the directory: a worker must get no new tasks from 2 s after it
-/// announces that it leaves.
+/// Interval at which reads of the directory are sent, while they take less time than that.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
+/// Least time between the end of a read and the next one.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+/// Lower limit of the maximum age of a list: the time for which one is the newest while reads take
+/// no time, twice, so that a read that takes longer stops no starts.
+const MIN_AGE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Interval at which an order that waits for a recent list checks whether it may still be sent.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The list of workers that was noted last.
 #[derive(Debug, Default)]
@@ -29,6 +39,8 @@
     is_unreadable: Cell<bool>,
     /// Whether new racks are being assigned to shards.
     is_extending: Cell<bool>,
+    /// Notified when a list is noted.
+    noted: Notify,
     /// Notified when the list shall be read before the next interval.
     reread: Notify,
 }
@@ -45,6 +57,14 @@
         self.age(cx).map(millis)
     }
 
+    /// Whether tasks may be started on the list: a worker that has announced since that it leaves
+    /// gets no start later than allowed, also if the order is under way for as long as possible.
+    pub fn is_recent(&self, cx: &Cx) -> bool {
+        let (bound, transit) = (cx.cfg.leaving_within, cx.cfg.leases.transit);
+        let max_age = bound.saturating_sub(transit).max(MIN_AGE_LIMIT);
+        self.age(cx).is_some_and(|age| age < max_age)
+    }
+
     fn note_read(&self, cx: &Cx, read: &Result<WorkerList, CallError>) {
         let before = self.is_unreadable.replace(read.is_err());
         let age_ms = self.age_ms(cx);
@@ -64,7 +84,9 @@
         cx.note_store(read.as_ref().map(|_| ()));
         owner.worker_list.note_read(&cx, &read);
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
-        let pause = polling::urgent_pause(POLL_INTERVAL, was_refused, &mut cx.rng());
+        let took = cx.clock.now().since(read_sent_at.at);
+        let pause = POLL_INTERVAL.saturating_sub(took).max(MIN_PAUSE);
+        let pause = polling::urgent_pause(pause, was_refused, &mut cx.rng());
         if let Ok(list) = read {
             let list = usable(&cx, &owner, list);
             extend_layout(&cx, &owner, &list.workers);
@@ -73,6 +95,7 @@
             let own = of_shard(&cx, owner.handle.shard, list.workers);
             owner.worker_list.read_sent_at.set(Some(read_sent_at));
             note(&cx, &owner, own);
+            owner.worker_list.noted.notify_waiters();
         }
         let _ = tokio::time::timeout(pause, owner.worker_list.reread.notified()).await;
     }
@@ -94,6 +117,14 @@
     });
 }
 
+/// Waits until the list is recent, or no start order may be sent anyway.
+pub async fn recent_list(cx: &Cx, owner: &Owner) {
+    while owner.may_start(cx) && !owner.worker_list.is_recent(cx) {
+        let noted = owner.worker_list.noted.notified();
+        let _ = tokio::time::timeout(RECHECK_INTERVAL, noted).await;
+    }
+}
+
 /// Moves workers of pools that no queue's jobs run on to the refused entries: an entry of another
 /// writer would be polled for ever, and its rack would take up room in the layout. Workers that are
 /// in use stay, and pools that jobs of a removed queue run on.
--- a/src/lapisdrum/sched/owner/dispatch.rs
+++ b/src/lapisdrum/sched/owner/dispatch.rs
@@ -92,11 +92,11 @@
 }
 
 impl Owner {
-    /// Whether tasks may be placed: the shard is recovered, start orders may be sent, and its journal
-    /// keeps up with appends.
+    /// Whether tasks may be placed: the shard is recovered, start orders may be sent, the list of
+    /// workers is recent, and the journal keeps up with appends.
     pub fn may_place(&self, cx: &Cx) -> bool {
         let may_start = self.is_recovered() && self.may_start(cx);
-        may_start && self.journal.accepts_work(cx.clock.now())
+        may_start && self.worker_list.is_recent(cx) && self.journal.accepts_work(cx.clock.now())
     }
 
     /// The workers to which new tasks may be sent.
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -252,8 +252,7 @@
     if owner.record(&run, |record| record.is_long_running) == Some(true) {
         check_worker(cx, owner, run).await;
     }
-    // An error is impossible, since the semaphore is never closed.
-    let slot = cx.start_slots.acquire().await.ok();
+    let slot = start_order::acquire_slot(cx, owner, &run).await;
     let prepared = match start_order::prepare(cx, owner, run) {
         Ok(prepared) => prepared,
         Err(why) => {
--- a/src/lapisdrum/sched/owner/stalled_jobs.rs
+++ b/src/lapisdrum/sched/owner/stalled_jobs.rs
@@ -43,6 +43,8 @@
     Suspended,
     /// The last renewal in the store is too old for start orders.
     RenewalOverdue,
+    /// The list of workers is too old.
+    OldList,
     /// The journal does not keep up with appends.
     JournalStalled,
 }
@@ -63,6 +65,8 @@
             NotPlacing::NoLeasesYet
         } else if !self.may_start(cx) {
             NotPlacing::RenewalOverdue
+        } else if !self.worker_list.is_recent(cx) {
+            NotPlacing::OldList
         } else {
             NotPlacing::JournalStalled
         })
--- a/src/lapisdrum/sched/owner/start_order.rs
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -4,11 +4,12 @@
 //! store. Whatever the placement rests on is therefore checked again, and an order that must no
 //! longer be sent is dropped; its task is placed again, at no cost of an attempt.
 
-use super::{Owner, session::Lease};
+use super::{Owner, directory, session::Lease};
 use crate::{
     core::time::millis,
     sched::{Cx, edge::StartOrder, event::RunId, ledger::Phase},
 };
+use tokio::sync::SemaphorePermit;
 
 /// A reading of a worker's entry in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +56,8 @@
     NoLease,
     /// The worker may have runs of an earlier owner whose leases are not known.
     WorkerNotCallable,
+    /// The list of workers is too old.
+    OldList,
     /// The directory has not reported the worker.
     WorkerUnknown,
     /// The directory no longer lists the worker.
@@ -75,9 +78,10 @@
 
 impl NotSent {
     /// The names for metrics.
-    pub const REASONS: [&'static str; 10] = [
+    pub const REASONS: [&'static str; 11] = [
         "no_lease",
         "worker_not_callable",
+        "old_list",
         "worker_unknown",
         "worker_gone",
         "worker_leaving",
@@ -93,6 +97,7 @@
         match self {
             Self::NoLease => "no_lease",
             Self::WorkerNotCallable => "worker_not_callable",
+            Self::OldList => "old_list",
             Self::WorkerUnknown => "worker_unknown",
             Self::WorkerGone => "worker_gone",
             Self::WorkerLeaving => "worker_leaving",
@@ -105,6 +110,28 @@
     }
 }
 
+/// Waits for a slot to send a start order, and for a list of workers to send it on. To drop orders
+/// while the store is slow would write their placements again, and these would be as late.
+pub async fn acquire_slot<'a>(
+    cx: &'a Cx,
+    owner: &Owner,
+    run: &RunId,
+) -> Option<SemaphorePermit<'a>> {
+    loop {
+        if owner.may_start(cx) && !owner.worker_list.is_recent(cx) {
+            let list_age_ms = owner.worker_list.age_ms(cx);
+            log::info!(task:% = run.task, run = run.run.0, list_age_ms:?; "start order waits for a recent list of workers");
+            cx.metrics.starts_held.inc();
+            directory::recent_list(cx, owner).await;
+        }
+        // An error is impossible, since the semaphore is never closed.
+        let slot = cx.start_slots.acquire().await.ok();
+        if owner.worker_list.is_recent(cx) || !owner.may_start(cx) {
+            return slot;
+        }
+    }
+}
+
 /// Builds the start order of a run, or says why it must not be sent.
 pub fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Result<Prepared, NotSent> {
     let on = owner.record(&run, |record| record.on.clone());
@@ -114,6 +141,9 @@
     if owner.is_listed(&on.worker) || !owner.may_call(cx, &on.worker) {
         return Err(NotSent::WorkerNotCallable);
     }
+    if !owner.worker_list.is_recent(cx) {
+        return Err(NotSent::OldList);
+    }
     let now = cx.clock.now();
     let ready = owner.session(&on.worker, |session| {
         let report = session.open_for_tasks()?;
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -123,11 +123,17 @@
             .replace("{{bounds.holdMaxMs}}", "6000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.graceS}}", "6");
-        let settings = ["stopTimeoutMs", "restoreMs", "harmMs", "evacuateMs"]
-            .iter()
-            .fold(settings, |settings, name| {
-                with_bound(&settings, name, "900")
-            });
+        let settings = [
+            "stopTimeoutMs",
+            "restoreMs",
+            "harmMs",
+            "evacuateMs",
+            "drainMs",
+        ]
+        .iter()
+        .fold(settings, |settings, name| {
+            with_bound(&settings, name, "900")
+        });
         let settings = with_bound(&settings, "farFactor", "2");
         let path = self.dir.path().join(&name);
         fs::write(&path, settings).expect("settings");
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -548,6 +548,7 @@
             restarts: restart_limits(),
             work: work_timings(),
             evacuated_within: EVACUATION_DEADLINE,
+            leaving_within: LEAVING_DEADLINE,
             cpu_share: 0.25,
             retention: Duration::from_secs(120),
             drain: Duration::from_secs(5),
