The age of the evacuations counts the time for which the host was suspended

Callers may see starts in an evacuated data centre from a daemon whose host was suspended. Cause: the age of the last read of the evacuations went by the runtime's clock, which a suspension stops; the same class as the list of workers, a belief whose age is not what passed.

Change: the read's age is the greater of what both clocks say, as for leases and the list of workers. The rule itself and its bounds are as they were; its pure tests give the age that they computed inside before.

a_host_that_was_suspended_reads_the_evacuations_* failed before (tasks started on a read of 5 s before) and passes.

--- a/src/lapisdrum/sched/evacuation.rs
+++ b/src/lapisdrum/sched/evacuation.rs
@@ -9,7 +9,7 @@
 //! in a data centre that has been evacuated since, so with a read older than the configured bound
 //! it starts nothing in any data centre.
 
-use crate::core::time::Millis;
+use crate::core::time::{Millis, Timestamp};
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -52,7 +52,7 @@
 pub struct Evacuations {
     by_data_centre: IndexMap<String, Evacuation>,
     /// When the last successful read was sent.
-    read_sent_at: Option<Millis>,
+    read_sent_at: Option<Timestamp>,
 }
 
 impl Evacuations {
@@ -61,7 +61,7 @@
     pub fn note(
         &mut self,
         read: &IndexMap<String, u64>,
-        read_sent_at: Millis,
+        read_sent_at: Timestamp,
         now: Millis,
     ) -> Vec<Change> {
         self.read_sent_at = Some(read_sent_at);
@@ -90,25 +90,29 @@
             changes.push(Change::Evacuated {
                 data_centre: data_centre.clone(),
                 version: *version,
-                read_took: now.since(read_sent_at),
+                read_took: now.since(read_sent_at.at),
             });
         }
         changes
     }
 
-    /// Whether tasks may be started in a data centre. An evacuation must be in force within `bound`
-    /// of its acknowledgement; `transit` is the longest time that a start order takes to reach a
-    /// worker.
+    /// When the last successful read was sent; none before the first.
+    pub fn read_sent_at(&self) -> Option<Timestamp> {
+        self.read_sent_at
+    }
+
+    /// Whether tasks may be started in a data centre, with `read_age` since the last successful read
+    /// was sent. An evacuation must be in force within `bound` of its acknowledgement; `transit` is
+    /// the longest time that a start order takes to reach a worker.
     pub fn allows_starts(
         &self,
         data_centre: &str,
-        now: Millis,
+        read_age: Option<Duration>,
         bound: Duration,
         transit: Duration,
     ) -> bool {
         let max_age = bound.saturating_sub(transit).max(MIN_READ_AGE_LIMIT);
-        let is_fresh = self.read_sent_at.is_some_and(|at| now.since(at) < max_age);
-        is_fresh && !self.is_evacuated(data_centre)
+        read_age.is_some_and(|age| age < max_age) && !self.is_evacuated(data_centre)
     }
 
     /// Whether a data centre is evacuated, by the last successful read of any age.
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -248,7 +248,9 @@
     pub fn allows_starts_in(&self, data_centre: &str) -> bool {
         let (bound, transit) = (self.cfg.evacuated_within, self.cfg.leases.transit);
         let evacuations = self.evacuations.borrow();
-        evacuations.allows_starts(data_centre, self.clock.now(), bound, transit)
+        let read_sent_at = evacuations.read_sent_at();
+        let read_age = read_sent_at.map(|at| self.clock.at_most_since(at));
+        evacuations.allows_starts(data_centre, read_age, bound, transit)
     }
 
     /// Whether the process is shutting down.
--- a/src/lapisdrum/sched/operators.rs
+++ b/src/lapisdrum/sched/operators.rs
@@ -8,7 +8,7 @@
     edge::{Catalogue, OperatorState},
     evacuation::Change,
 };
-use crate::{core::time::Millis, policy::polling};
+use crate::{core::time::Timestamp, policy::polling};
 use std::{rc::Rc, time::Duration};
 
 /// Interval of the reads: a change is in force within half of the bound of 2 s, with one read lost.
@@ -17,7 +17,7 @@
 /// Polls until the process ends.
 pub async fn follow(cx: Cx) {
     loop {
-        let asked_at = cx.clock.now();
+        let asked_at = cx.clock.timestamp();
         let read = cx.directory.operator_state().await;
         cx.note_store(read.as_ref().map(|_| ()));
         let was_refused = read.as_ref().is_err_and(|e| e.is_rate_limited);
@@ -29,7 +29,7 @@
     }
 }
 
-fn adopt(cx: &Cx, read: OperatorState, asked_at: Millis) {
+fn adopt(cx: &Cx, read: OperatorState, asked_at: Timestamp) {
     if let Some(catalogue) = read.catalogue {
         adopt_catalogue(cx, catalogue);
     }
--- a/tests/testsuite/sched/evacuation.rs
+++ b/tests/testsuite/sched/evacuation.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use indexmap::IndexMap;
 use lapisdrum::{
-    core::time::Millis,
+    core::time::{Millis, Timestamp},
     sched::{
         Cx,
         evacuation::{Change, Evacuations},
@@ -30,8 +30,17 @@
     requests.map(|(name, at)| (name.to_string(), at)).collect()
 }
 
+fn sent_at(at: u64) -> Timestamp {
+    Timestamp {
+        at: Millis(at),
+        unix_ms: at,
+    }
+}
+
 fn allows(evacuations: &Evacuations, data_centre: &str, now: u64) -> bool {
-    evacuations.allows_starts(data_centre, Millis(now), DEADLINE, TRANSIT)
+    let read_sent_at = evacuations.read_sent_at();
+    let read_age = read_sent_at.map(|sent| Millis(now).since(sent.at));
+    evacuations.allows_starts(data_centre, read_age, DEADLINE, TRANSIT)
 }
 
 /// A cluster of two workers in `karen`, two in `westlands` and one daemon.
@@ -56,7 +65,7 @@
 fn missing_or_stale_knowledge_allows_no_start() {
     let mut evacuations = Evacuations::default();
     assert!(!allows(&evacuations, "karen", 0));
-    evacuations.note(&requests(&[]), Millis(1_000), Millis(1_010));
+    evacuations.note(&requests(&[]), sent_at(1_000), Millis(1_010));
     assert!(allows(&evacuations, "karen", 1_010));
     assert!(allows(&evacuations, "karen", 5_200));
     assert!(!allows(&evacuations, "karen", 5_250));
@@ -67,7 +76,7 @@
 fn evacuations_of_several_data_centres_end_one_by_one() {
     let mut evacuations = Evacuations::default();
     let note = |evacuations: &mut Evacuations, names: &[&str], at: u64| {
-        evacuations.note(&requests(names), Millis(at), Millis(at + 10))
+        evacuations.note(&requests(names), sent_at(at), Millis(at + 10))
     };
     assert_eq!(note(&mut evacuations, &["karen"], 0).len(), 1);
     assert_eq!(
@@ -189,6 +198,30 @@
     });
 }
 
+/// Guards against a host that wakes from a suspension and starts tasks by the evacuations that it read before.
+#[test]
+fn a_host_that_was_suspended_reads_the_evacuations_before_it_starts_tasks() {
+    paused(async {
+        let (world, cx) = two_data_centres().await;
+        sleep(KNOWN).await;
+        world.operators_are_silent.set(true);
+        world.note_suspension("a", DEADLINE);
+        world.evacuate("westlands");
+        // Until the lease is renewed, nothing is started for that reason.
+        until("starts are allowed again", LIMIT, async || {
+            cx.owners().iter().any(|owner| owner.may_start(&cx))
+        })
+        .await;
+        let submitted = world.submit(&cx, 1, vec![step(16, 300, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        sleep(Duration::from_secs(2)).await;
+        assert!(world.starts.borrow().is_empty());
+        world.operators_are_silent.set(false);
+        wait_completed(&world, &cx, 1).await;
+        world.check();
+    });
+}
+
 /// Guards against accepting jobs while no data centre can run them, and against refusing the repeated submission of an
 /// accepted job.
 #[test]
