--- a/src/lapisdrum/sched/owner/directory.rs
+++ b/src/lapisdrum/sched/owner/directory.rs
@@ -1,8 +1,9 @@
 //! Polls the directory for the shard's workers.
 //!
-//! Workers announce that they leave, and no start may reach one from a bound after that. The owner
-//! acts on the last list that it could read; with one that is too old for the bound it starts
-//! nothing, since it can't know which workers have announced their departure meanwhile.
+//! A worker announces in the directory that it leaves, and callers are promised that no start
+//! reaches it later than a bound after that. The owner acts on the last list that it could read. With
+//! one that is too old for the bound it starts nothing, since it can't know who has announced to
+//! leave meanwhile.
 
 use super::{Owner, poll, runs, session::Session};
 use crate::{
@@ -20,12 +21,12 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::sync::Notify;
 
-/// Interval at which reads of the directory are sent, while they take less time than that.
+/// Interval between the starts of two reads of the directory, unless a read takes longer.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
 /// Least time between the end of a read and the next one.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
-/// Lower limit of the maximum age of a list: the time for which one is the newest while reads take
-/// no time, twice, so that a read that takes longer stops no starts.
+/// Lower limit of the maximum age of a list. A list ages by one interval until the next read, and by
+/// the time that this read takes; a lower limit would stop starts between ordinary reads.
 const MIN_AGE_LIMIT: Duration = Duration::from_millis(1_200);
 /// Interval at which an order that waits for a recent list checks whether it may still be sent.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -101,8 +102,8 @@
     }
 }
 
-/// Assigns new racks to shards, unless that is under way. It writes to the store, which takes
-/// seconds on a slow one, and must not hold up the news of other workers.
+/// Assigns new racks to shards in the background, unless that is under way. An assignment writes to
+/// the store, which takes seconds on a slow one, and must not delay the news of other workers.
 fn extend_layout(cx: &Cx, owner: &Rc<Owner>, workers: &[WorkerReport]) {
     if layout::has_all_racks(cx, workers) || owner.worker_list.is_extending.replace(true) {
         return;
@@ -195,11 +196,11 @@
     let session = sessions
         .entry(worker.clone())
         .or_insert_with(|| Session::new(owner.inherited_bound(&worker)));
-    let was_announced = session
+    let was_listed_as_leaving = session
         .report
         .as_ref()
         .is_some_and(|r| r.leaving_in.is_some());
-    if !session.is_registered || was_announced != report.leaving_in.is_some() {
+    if !session.is_registered || was_listed_as_leaving != report.leaving_in.is_some() {
         log::info!(worker:% = worker, address:% = report.address, born = report.incarnation.started_unix_ms, version = report.version, list_age_ms:? = owner.worker_list.age_ms(cx), leaving_in:? = report.leaving_in; "worker registered");
     }
     session.is_registered = true;
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -114,7 +114,7 @@
     /// Latest report of the directory; none for a worker known only from the journal.
     pub report: Option<Rc<WorkerReport>>,
     /// Start time of the last incarnation that has announced that it leaves.
-    left_incarnation: Option<u64>,
+    leaving_incarnation: Option<u64>,
     /// Whether the last read of the directory listed it.
     pub is_registered: bool,
     /// Incarnation that answered under this owner's token.
@@ -169,7 +169,7 @@
     pub fn new(bound: LeaseBound) -> Self {
         Self {
             report: None,
-            left_incarnation: None,
+            leaving_incarnation: None,
             is_registered: false,
             claimed: KnownIncarnation::default(),
             clock: None,
@@ -282,8 +282,8 @@
         failures >= SUSPECT_FAILURES && now.since(last) < SUSPECT_FOR
     }
 
-    /// The worker's report if tasks may be started on it, or why none may be. Tasks are placed and
-    /// their start orders are sent by the same conditions, since the answer may change in between.
+    /// The worker's report if tasks may be started on it, or why none may be. Both the placement of a
+    /// task and its start order, which may be sent seconds later, depend on this.
     pub fn open_for_tasks(&self) -> Result<&Rc<WorkerReport>, NotSent> {
         let report = self.report.as_ref().ok_or(NotSent::WorkerUnknown)?;
         if !self.is_registered {
@@ -304,7 +304,7 @@
     /// Replaces the report of the directory.
     pub fn set_report(&mut self, report: WorkerReport) {
         if report.leaving_in.is_some() {
-            self.left_incarnation = Some(report.incarnation.started_unix_ms);
+            self.leaving_incarnation = Some(report.incarnation.started_unix_ms);
         }
         self.report = Some(Rc::new(report));
     }
@@ -314,7 +314,7 @@
     pub fn is_leaving(&self) -> bool {
         let report = self.report.as_ref();
         let started = report.map(|report| report.incarnation.started_unix_ms);
-        started.is_some() && started == self.left_incarnation
+        started.is_some() && started == self.leaving_incarnation
     }
 
     /// Whether an incarnation has answered this owner, and none has refused an order since.
--- a/src/lapisdrum/sched/owner/start_order.rs
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -110,8 +110,8 @@
     }
 }
 
-/// Waits for a slot to send a start order, and for a list of workers to send it on. To drop orders
-/// while the store is slow would write their placements again, and these would be as late.
+/// Waits until the list of workers is recent and a slot for a start order is free. Dropping
+/// the order instead would need another journal row, which would be as late on a slow store.
 pub async fn acquire_slot<'a>(
     cx: &'a Cx,
     owner: &Owner,
