A gang of which one order is dropped is not started at all

Callers may see members of a gang that are started, hold their hosts, and end alone. Cause: each member's order is checked and sent by itself, and those that are dropped, now also since their worker leaves, left the others to wait for them.

Change: before the orders of a batch are sent, those of each gang are checked together, on a list of workers that is recent; if one must be dropped, all are, and the gang is placed again whole at no cost of an attempt.

a_gang_that_waits_for_its_journal_row_* failed before (one member of two was started) and passes.

--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -243,6 +243,7 @@
         if ticket.outcome().await != AppendOutcome::Durable {
             return;
         }
+        let runs = start_order::drop_incomplete_gangs(&cx, &owner, runs).await;
         let starts = runs.into_iter().map(|run| start(&cx, &owner, run));
         futures::future::join_all(starts).await;
     });
--- a/src/lapisdrum/sched/owner/start_order.rs
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -7,8 +7,16 @@
 use super::{Owner, directory, session::Lease};
 use crate::{
     core::time::millis,
-    sched::{Cx, edge::StartOrder, event::RunId, ledger::Phase},
+    sched::{
+        Cx,
+        edge::StartOrder,
+        event::{Loss, RunId},
+        job::{Gang, RunNumber, StepId},
+        ledger::Phase,
+    },
 };
+use indexmap::{IndexMap, IndexSet};
+use std::rc::Rc;
 use tokio::sync::SemaphorePermit;
 
 /// A reading of a worker's entry in the directory.
@@ -72,13 +80,15 @@
     NoClock,
     /// The worker's data centre is evacuated.
     Evacuated,
+    /// Another member of the gang must not be started.
+    GangIncomplete,
     /// The run, its task or its job has ended.
     Ended,
 }
 
 impl NotSent {
     /// The names for metrics.
-    pub const REASONS: [&'static str; 11] = [
+    pub const REASONS: [&'static str; 12] = [
         "no_lease",
         "worker_not_callable",
         "old_list",
@@ -89,6 +99,7 @@
         "worker_silent",
         "no_clock",
         "evacuated",
+        "gang_incomplete",
         "ended",
     ];
 
@@ -105,11 +116,52 @@
             Self::WorkerSilent => "worker_silent",
             Self::NoClock => "no_clock",
             Self::Evacuated => "evacuated",
+            Self::GangIncomplete => "gang_incomplete",
             Self::Ended => "ended",
         }
     }
 }
 
+/// Drops the start orders of gangs of which one may not be sent, and returns the other runs. Members
+/// that were started without it would hold their hosts until they give up waiting for it.
+pub async fn drop_incomplete_gangs(cx: &Cx, owner: &Rc<Owner>, runs: Vec<RunId>) -> Vec<RunId> {
+    let gangs = gangs_of(owner, &runs);
+    if gangs.is_empty() {
+        return runs;
+    }
+    directory::recent_list(cx, owner).await;
+    let mut dropped = IndexSet::new();
+    for members in gangs.values() {
+        let reasons = members.iter().map(|run| prepare(cx, owner, *run).err());
+        let reasons: Vec<Option<NotSent>> = reasons.collect();
+        if reasons.iter().all(Option::is_none) {
+            continue;
+        }
+        for (run, why) in members.iter().zip(reasons) {
+            note_not_sent(cx, owner, run, why.unwrap_or(NotSent::GangIncomplete));
+            owner.note_lost(cx, *run, Loss::NotStarted);
+            dropped.insert(*run);
+        }
+    }
+    let left = runs.into_iter().filter(|run| !dropped.contains(run));
+    left.collect()
+}
+
+/// The runs that are members of gangs, by their gang's run.
+fn gangs_of(owner: &Owner, runs: &[RunId]) -> IndexMap<(StepId, RunNumber), Vec<RunId>> {
+    let ledger = owner.ledger.borrow();
+    let mut gangs: IndexMap<(StepId, RunNumber), Vec<RunId>> = IndexMap::new();
+    for run in runs {
+        let job = ledger.jobs.get(&run.task.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step)));
+        if step.is_some_and(|step| step.gang != Gang::No) {
+            let gang = (run.task.step_id(), run.run);
+            gangs.entry(gang).or_default().push(*run);
+        }
+    }
+    gangs
+}
+
 /// Waits until the list of workers is recent and a slot for a start order is free. Dropping
 /// the order instead would need another journal row, which would be as late on a slow store.
 pub async fn acquire_slot<'a>(
--- a/tests/testsuite/sched/leaving.rs
+++ b/tests/testsuite/sched/leaving.rs
@@ -6,9 +6,13 @@
     world::{LEAVING_DEADLINE, StoreBehaviour, World, owned, step, until},
 };
 use assert_matches::assert_matches;
-use lapisdrum::sched::{
-    Cx,
-    peer::{JobState, SubmitReply},
+use lapisdrum::{
+    core::size::Size,
+    sched::{
+        Cx,
+        job::{Gang, Step},
+        peer::{JobState, SubmitReply},
+    },
 };
 use std::{rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -111,6 +115,41 @@
     });
 }
 
+/// Guards against members of a gang that are started, and hold their hosts, although another member is not.
+#[test]
+fn a_gang_that_waits_for_its_journal_row_is_started_whole_or_not_at_all() {
+    paused(async {
+        let (world, cx) = cluster(2).await;
+        world.set_slow_txn(Duration::from_millis(1_200), Duration::ZERO);
+        world.set_store("a", StoreBehaviour::Slow);
+        let member = step(2, 300, &[]);
+        let gang = Step {
+            gang: Gang::AnyRack,
+            size: Size {
+                millicores: 4_000,
+                ..member.size
+            },
+            ..member
+        };
+        let submitted = world.submit(&cx, 1, vec![gang]).await;
+        assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::Unknown);
+        until("a placement is being written", LIMIT, async || {
+            cx.owners()
+                .iter()
+                .any(|owner| !owner.runs.borrow().is_empty())
+        })
+        .await;
+        world.announce_leaving("w0");
+        sleep(Duration::from_secs(4)).await;
+        assert!(world.starts.borrow().is_empty());
+        world.add_worker("w2");
+        world.set_store("a", StoreBehaviour::Up);
+        wait_completed(&world, &cx, 1).await;
+        assert_eq!(world.starts.borrow().len(), 2);
+        world.check();
+    });
+}
+
 /// Guards against an owner that goes on starting tasks on a list of workers that it can no longer read.
 #[test]
 fn an_owner_that_cannot_read_the_workers_stops_starting() {
