--- a/tests/testsuite/sched/leaving.rs
+++ b/tests/testsuite/sched/leaving.rs
@@ -47,6 +47,20 @@
     }
 }
 
+/// Submits a job while transactions take over a second, and returns while the placement of its tasks is being written.
+async fn place_while_store_is_slow(world: &Rc<World>, cx: &Cx, steps: Vec<Step>) {
+    world.set_slow_txn(Duration::from_millis(1_200), Duration::ZERO);
+    world.set_store("a", StoreBehaviour::Slow);
+    let submitted = world.submit(cx, 1, steps).await;
+    assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::Unknown);
+    until("a placement is being written", LIMIT, async || {
+        cx.owners()
+            .iter()
+            .any(|owner| !owner.runs.borrow().is_empty())
+    })
+    .await;
+}
+
 fn starts_on(world: &World, worker: &str) -> usize {
     let starts = world.starts.borrow();
     starts.iter().filter(|(_, _, on)| on == worker).count()
@@ -68,16 +82,7 @@
 fn a_start_that_waits_for_its_journal_row_is_not_sent_to_a_worker_that_leaves_by_then() {
     paused(async {
         let (world, cx) = cluster(1).await;
-        world.set_slow_txn(Duration::from_millis(1_200), Duration::ZERO);
-        world.set_store("a", StoreBehaviour::Slow);
-        let submitted = world.submit(&cx, 1, vec![step(2, 300, &[])]).await;
-        assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::Unknown);
-        until("a placement is being written", LIMIT, async || {
-            cx.owners()
-                .iter()
-                .any(|owner| !owner.runs.borrow().is_empty())
-        })
-        .await;
+        place_while_store_is_slow(&world, &cx, vec![step(2, 300, &[])]).await;
         world.announce_leaving("w0");
         until("the announcement is read", LIMIT, async || {
             is_known_to_leave(&cx, "w0")
@@ -98,16 +103,7 @@
 fn a_start_that_waits_for_its_journal_row_is_not_sent_to_a_worker_that_is_gone_by_then() {
     paused(async {
         let (world, cx) = cluster(1).await;
-        world.set_slow_txn(Duration::from_millis(1_200), Duration::ZERO);
-        world.set_store("a", StoreBehaviour::Slow);
-        let submitted = world.submit(&cx, 1, vec![step(2, 300, &[])]).await;
-        assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::Unknown);
-        until("a placement is being written", LIMIT, async || {
-            cx.owners()
-                .iter()
-                .any(|owner| !owner.runs.borrow().is_empty())
-        })
-        .await;
+        place_while_store_is_slow(&world, &cx, vec![step(2, 300, &[])]).await;
         world.list("w0", false);
         sleep(Duration::from_secs(4)).await;
         assert_eq!(starts_on(&world, "w0"), 0);
@@ -120,8 +116,6 @@
 fn a_gang_that_waits_for_its_journal_row_is_started_whole_or_not_at_all() {
     paused(async {
         let (world, cx) = cluster(2).await;
-        world.set_slow_txn(Duration::from_millis(1_200), Duration::ZERO);
-        world.set_store("a", StoreBehaviour::Slow);
         let member = step(2, 300, &[]);
         let gang = Step {
             gang: Gang::AnyRack,
@@ -131,14 +125,7 @@
             },
             ..member
         };
-        let submitted = world.submit(&cx, 1, vec![gang]).await;
-        assert_matches!(submitted, SubmitReply::Accepted | SubmitReply::Unknown);
-        until("a placement is being written", LIMIT, async || {
-            cx.owners()
-                .iter()
-                .any(|owner| !owner.runs.borrow().is_empty())
-        })
-        .await;
+        place_while_store_is_slow(&world, &cx, vec![gang]).await;
         world.announce_leaving("w0");
         sleep(Duration::from_secs(4)).await;
         assert!(world.starts.borrow().is_empty());
