Tests of crowds of clients, with the memory of the smallest host as their bound

Change: a crowd client (whole bodies, pieces, large and tiny chunks, unfinished heads, pipelined requests left unread, idle connections) and 26 tests of real processes, on both interfaces. They check that the daemon lives, that its memory stays below 160 MB and its descriptors below the limit less 200 (the smallest host on the users' sheets), and that an ordinary request is answered, beside the crowd and after it; no times and no shares. No setting is used that the present code does not know.

Tried on the way: a fixed wait before the first check was too short for pipelined requests, which the daemon works through long after they were sent; the wait now ends when the daemon uses next to no processor time. A client whose write stalled had closed its connection; it keeps it now.

--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -49,6 +49,8 @@
     pub(super) store: Rc<RowStore>,
     workers: IndexMap<String, (Rc<UsersWorker>, SocketAddr)>,
     pub(super) daemons: Vec<(Process, SocketAddr, SocketAddr)>,
+    /// Where each daemon serves its metrics.
+    pub(super) metrics: Vec<SocketAddr>,
     dir: TempDir,
     _stop: watch::Sender<bool>,
 }
@@ -61,6 +63,20 @@
 
     /// Like [`Self::start`], with entries that stand in the store before the first daemon starts.
     pub(super) async fn start_with(daemons: usize, add_entries: impl FnOnce(&RowStore)) -> Self {
+        let run = || {
+            let mut cmd = Command::new(lapisdrum_binary());
+            cmd.stdout(Stdio::null());
+            cmd
+        };
+        Self::start_by(run, daemons, add_entries).await
+    }
+
+    /// Like [`Self::start_with`], with daemons that are started by a command of the caller's.
+    pub(super) async fn start_by(
+        run: impl Fn() -> Command,
+        daemons: usize,
+        add_entries: impl FnOnce(&RowStore),
+    ) -> Self {
         let (stop, stopped) = watch::channel(false);
         let store = Rc::new(RowStore::default());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -87,11 +103,12 @@
             store,
             workers,
             daemons: Vec::new(),
+            metrics: Vec::new(),
             dir: TempDir::new().expect("a temporary folder"),
             _stop: stop,
         };
         for _ in 0..daemons {
-            site.add_daemon(address);
+            site.add_daemon(run(), address);
         }
         for at in 0..daemons {
             let ready = site.daemons[at].2;
@@ -104,7 +121,7 @@
         site
     }
 
-    fn add_daemon(&mut self, store: SocketAddr) {
+    fn add_daemon(&mut self, mut cmd: Command, store: SocketAddr) {
         let name = format!("edge-{}", self.daemons.len());
         let (front, ready) = (site::free_address(), site::free_address());
         let (peers, metrics) = (site::free_address(), site::free_address());
@@ -120,6 +137,8 @@
             .replace("{{seeds}}", "127.0.0.1:1,127.0.0.1:2")
             .replace("{{platform.address}}", &store.to_string())
             .replace("{{limits.cpuShare}}", "0.25")
+            .replace("{{limits.memoryMb}}", "160")
+            .replace("{{limits.maxFds}}", "4096")
             .replace("{{bounds.holdMaxMs}}", "6000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.graceS}}", "6");
@@ -137,13 +156,9 @@
         let settings = with_bound(&settings, "farFactor", "2");
         let path = self.dir.path().join(&name);
         fs::write(&path, settings).expect("settings");
-        let process = Process::spawn(
-            Command::new(lapisdrum_binary())
-                .args(["run", "--config"])
-                .arg(&path)
-                .stdout(Stdio::null()),
-        );
+        let process = Process::spawn(cmd.args(["run", "--config"]).arg(&path));
         self.daemons.push((process, front, ready));
+        self.metrics.push(metrics);
     }
 
     async fn call(&self, daemon: usize, method: Method, path: &str, body: &Value) -> (u16, Value) {
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,5 +1,6 @@
 //! Shared by several test modules: processes, waiting, raw HTTP.
 
+pub(crate) mod crowd;
 pub(crate) mod http;
 pub(crate) mod process;
 pub(crate) mod relay;
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -28,6 +28,16 @@
     PathBuf::from(env!("CARGO_BIN_EXE_lapisdrum"))
 }
 
+/// Runs the binary under test with at most `descriptors` open files.
+pub(crate) fn limited_command(descriptors: u32) -> Command {
+    let mut cmd = Command::new("sh");
+    cmd.args(["-c", "ulimit -n \"$0\" && exec \"$@\""])
+        .arg(descriptors.to_string())
+        .arg(lapisdrum_binary())
+        .stdout(Stdio::null());
+    cmd
+}
+
 /// The folder of the examples' binaries.
 pub(crate) fn examples_folder() -> PathBuf {
     let bin = lapisdrum_binary();
@@ -71,6 +81,34 @@
         );
     }
 
+    /// The most memory that it has had resident so far, in kB.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let status = fs::read_to_string(path).expect("the process lives");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        peak.and_then(|kb| kb.parse().ok())
+            .expect("a size in kB, which a process that has ended lacks")
+    }
+
+    /// Processor time that it has used, in clock ticks of usually a hundredth of a second.
+    pub(crate) fn processor_ticks(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        let stat = stat.expect("the process lives");
+        // The name before the fields may hold spaces; user and system time are the 12th and 13th fields after it.
+        let (_, fields) = stat.rsplit_once(')').expect("a name in parentheses");
+        let times = fields.split_whitespace().skip(11).take(2);
+        times
+            .map(|ticks| ticks.parse::<u64>().expect("a number"))
+            .sum()
+    }
+
+    /// Number of its open descriptors.
+    pub(crate) fn descriptors(&self) -> usize {
+        let open = fs::read_dir(format!("/proc/{}/fd", self.id()));
+        open.expect("the process lives").count()
+    }
+
     /// Kills it without a graceful shutdown.
     pub(crate) fn kill(&mut self) {
         let _ = self.child.kill();
@@ -159,18 +197,17 @@
 
 impl DaemonProcess {
     pub(crate) fn start(plan: DaemonPlan) -> Self {
+        Self::start_by(Command::new(lapisdrum_binary()), plan)
+    }
+
+    /// Like [`Self::start`], by a command that runs the binary with the arguments added to it.
+    pub(crate) fn start_by(mut cmd: Command, plan: DaemonPlan) -> Self {
         let dir = TempDir::new().expect("a temporary folder");
         let config = dir.path().join("daemon.toml");
         fs::write(&config, plan.settings()).expect("the settings are written");
-        let child = Command::new(lapisdrum_binary())
-            .arg("run")
-            .arg("--config")
-            .arg(&config)
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
+        cmd.args(["run", "--config"]).arg(&config);
         Self {
-            process: Process { child },
+            process: Process::spawn(cmd.stdin(Stdio::null())),
             plan,
             _dir: dir,
         }
