Bodies that nothing reads are no longer collected

Seen by callers: a few hundred bodies of 1 MiB for an entry or a queue that does not exist, or sent to the readiness or metrics address, ended a process; so did bodies over the platform catalogue's limit.

Cause: each request was collected whole before its path was looked at. The own interface took the server's limit for a path it did not know, the adapter 1 MiB for all, and the catalogue's limit of 256 KiB was checked afterwards; readiness and metrics collected 1 MiB and ignored it.

Change: the server asks for a policy by the head: collect up to a limit, ignore the body, or answer at once. An answer given there cannot run with an empty body if the catalogue changes between head and handler. Entries are checked by the conditions that the router applies (`callable`).

Ruled out: a limit of 0 for unknown paths, which would answer 413 in place of 404.

--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -18,9 +18,9 @@
         router::{self, RunEnd, RunRequest},
     },
     timeline::event::Happening,
-    util::http::{self, BodyFault, HttpRequest, HttpResponse},
+    util::http::{self, BodyFault, BodyPolicy, HttpRequest, HttpResponse},
 };
-use actix_http::{Method, StatusCode};
+use actix_http::{Method, RequestHead, StatusCode};
 use actix_rt::net::TcpListener;
 use bytes::Bytes;
 use std::{rc::Rc, time::Duration};
@@ -29,9 +29,9 @@
 /// Serves until the daemon drains and the last request in flight has its response.
 pub async fn serve(cx: Cx, listener: TcpListener) {
     let stop = cx.draining.subscribe();
-    let limits = Rc::clone(&cx);
-    let limit = move |_: &Method, path: &str| body_limit(&limits, path);
-    http::serve_with(listener, limit, stop, move |received| {
+    let policy_cx = Rc::clone(&cx);
+    let policy = move |head: &RequestHead| body_policy(&policy_cx, head);
+    http::serve_with(listener, policy, stop, move |received| {
         let cx = Rc::clone(&cx);
         async move {
             match received {
@@ -43,19 +43,32 @@
     .await;
 }
 
-/// Maximum body size in bytes for a call to `path`. For a request it is at most the entry's own
-/// limit, so that a body that would be refused is not buffered.
-fn body_limit(cx: &Cx, path: &str) -> usize {
-    let server_limit = cx.cfg.requests.max_body_bytes;
-    let entry = path.strip_prefix("/v1/run/").map(EntryName::try_from);
-    let entry_limit = match entry {
-        Some(Ok(name)) => {
-            let entry = cx.catalogue.borrow().entry(&name);
-            entry.map_or(server_limit, |entry| entry.limits.body_bytes)
-        }
-        _ => server_limit,
+/// Collects bodies only for the calls that have one. The limit of a request is at most the entry's
+/// own, and a request that would be refused whatever its body holds is refused at once.
+fn body_policy(cx: &Cx, head: &RequestHead) -> BodyPolicy {
+    let limit = cx.cfg.requests.max_body_bytes;
+    let collect = |limit| BodyPolicy::Collect {
+        limit: usize::try_from(limit).unwrap_or(usize::MAX),
     };
-    usize::try_from(entry_limit.min(server_limit)).unwrap_or(usize::MAX)
+    let path = head.uri.path().trim_matches('/');
+    let parts: Vec<&str> = path.split('/').collect();
+    match (&head.method, parts.as_slice()) {
+        (&Method::POST, ["v1", "run", entry]) => match EntryName::try_from(*entry) {
+            Ok(name) => match router::callable(cx, &name) {
+                Ok(entry) => collect(limit.min(entry.limits.body_bytes)),
+                Err(refusal) => BodyPolicy::Answer(refuse_run(cx, entry, &refusal)),
+            },
+            Err(_) => BodyPolicy::Ignore,
+        },
+        (&Method::PUT, ["v1", "catalogue", _]) => collect(limit),
+        _ => BodyPolicy::Ignore,
+    }
+}
+
+fn refuse_run(cx: &Cx, entry: &str, refusal: &Refusal) -> HttpResponse {
+    let response = note_refusal(cx, refusal);
+    count_run(cx, entry, Duration::ZERO, "refused");
+    response
 }
 
 fn body_fault_response(fault: BodyFault) -> HttpResponse {
@@ -149,24 +162,26 @@
         Ok(parsed) => run_response(cx, router::run(cx, parsed).await),
         Err(response) => (response.with(OUTCOME_HEADER, "refused"), "refused"),
     };
+    count_run(cx, entry, cx.clock.now().since(started), outcome);
+    response
+}
+
+/// Counts a request that was answered after `took`.
+fn count_run(cx: &Cx, entry: &str, took: Duration, outcome: &'static str) {
     let known = EntryName::try_from(entry).ok();
     let known = known.filter(|name| cx.catalogue.borrow().rows.contains_key(name));
     // Only entries of the catalogue become labels: else callers could add label values without
     // bound.
-    if let Some(entry) = known.map(String::from) {
-        let seconds = cx.clock.now().since(started).as_secs_f64();
-        cx.metrics
-            .request_seconds
-            .get_or_create(&EntryLabel {
-                entry: entry.clone(),
-            })
-            .observe(seconds);
-        cx.metrics
-            .requests
-            .get_or_create(&RequestLabels { entry, outcome })
-            .inc();
-    }
-    response
+    let Some(entry) = known.map(String::from) else {
+        return;
+    };
+    let label = EntryLabel {
+        entry: entry.clone(),
+    };
+    let seconds = cx.metrics.request_seconds.get_or_create(&label);
+    seconds.observe(took.as_secs_f64());
+    let label = RequestLabels { entry, outcome };
+    cx.metrics.requests.get_or_create(&label).inc();
 }
 
 fn run_request(entry: &str, req: &HttpRequest) -> Result<RunRequest, HttpResponse> {
--- a/src/lapisdrum/daemon/router.rs
+++ b/src/lapisdrum/daemon/router.rs
@@ -252,13 +252,24 @@
 }
 
 fn check(cx: &Cx, req: &RunRequest) -> Result<Entry, Refusal> {
+    let entry = callable(cx, &req.entry)?;
+    let limit = entry.limits.body_bytes;
+    if req.body.len() as u64 > limit {
+        let entry = entry.name;
+        return Err(Refusal::BodyTooLarge { entry, limit });
+    }
+    Ok(entry)
+}
+
+/// The entry of this name, if a request for it can be served, whatever its body holds.
+pub fn callable(cx: &Cx, name: &EntryName) -> Result<Entry, Refusal> {
     if !cx.is_ready() {
         return Err(Refusal::Draining {
             retry_after: BUSY_RETRY,
         });
     }
-    let entry = cx.catalogue.borrow().entry(&req.entry);
-    let entry = entry.ok_or_else(|| Refusal::UnknownEntry(req.entry.clone()))?;
+    let entry = cx.catalogue.borrow().entry(name);
+    let entry = entry.ok_or_else(|| Refusal::UnknownEntry(name.clone()))?;
     if entry.class != Class::LatencyCritical {
         return Err(Refusal::WrongClass {
             entry: entry.name,
@@ -268,11 +279,6 @@
     if !entry.is_active() {
         return Err(Refusal::Retired(entry.name));
     }
-    let limit = entry.limits.body_bytes;
-    if req.body.len() as u64 > limit {
-        let entry = entry.name;
-        return Err(Refusal::BodyTooLarge { entry, limit });
-    }
     Ok(entry)
 }
 
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -5,7 +5,7 @@
 //! beyond the limit is refused before it is buffered whole.
 
 use actix_http::{
-    HttpService, Method, Request, Response, StatusCode,
+    HttpService, Method, Payload, Request, RequestHead, Response, StatusCode,
     body::{BodySize, BoxBody, MessageBody},
     error::PayloadError,
     header::{CONTENT_LENGTH, HeaderMap},
@@ -142,6 +142,20 @@
     }
 }
 
+/// What happens to a request's body, decided on the head alone.
+#[derive(Clone, Debug)]
+pub enum BodyPolicy {
+    /// It is collected for the handler, up to a limit in bytes.
+    Collect {
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The handler is called at once, with an empty body in its place.
+    Ignore,
+    /// The request is answered at once, without the handler.
+    Answer(HttpResponse),
+}
+
 /// Why a request's body could not be read; passed to the handler instead of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFault {
@@ -166,31 +180,36 @@
     H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
-    serve_with(listener, move |_, _| body_limit, stop, handler).await;
+    let policy = move |_: &RequestHead| BodyPolicy::Collect { limit: body_limit };
+    serve_with(listener, policy, stop, handler).await;
 }
 
-/// Like [`serve`], but `body_limit` gives the limit in bytes by method and path, before any of the
-/// body is read.
-pub async fn serve_with<L, H, F>(
+/// Like [`serve`], but `policy` decides by the head of each request what happens to its body, before
+/// any of it is read.
+pub async fn serve_with<P, H, F>(
     listener: TcpListener,
-    body_limit: L,
+    policy: P,
     stop: watch::Receiver<bool>,
     handler: H,
 ) where
-    L: Fn(&Method, &str) -> usize + 'static,
+    P: Fn(&RequestHead) -> BodyPolicy + 'static,
     H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
     F: Future<Output = HttpResponse> + 'static,
 {
     let handler = Rc::new(handler);
-    let body_limit = Rc::new(body_limit);
+    let policy = Rc::new(policy);
     let in_flight = Rc::new(());
     let counted = Rc::clone(&in_flight);
     let service = fn_service(move |req: Request| {
         let (handler, token) = (Rc::clone(&handler), Rc::clone(&counted));
-        let limit = body_limit(req.method(), req.path());
+        let policy = Rc::clone(&policy);
         async move {
-            let read = read_request(req, limit).await;
-            Ok::<_, Infallible>(to_actix(handler(read).await, token))
+            let response = match policy(req.head()) {
+                BodyPolicy::Collect { limit } => handler(collect(req, limit).await).await,
+                BodyPolicy::Ignore => handler(Ok(with_body(req, Bytes::new()))).await,
+                BodyPolicy::Answer(response) => response,
+            };
+            Ok::<_, Infallible>(to_actix(response, token))
         }
     });
     let signal = {
@@ -258,11 +277,16 @@
     }
 }
 
-async fn read_request(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
+/// Reads a request with its body.
+async fn collect(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
     if declared_len(&req).is_some_and(|len| len > limit) {
         return Err(BodyFault::TooLarge { limit });
     }
-    let mut payload = req.take_payload();
+    let body = read_body(req.take_payload(), limit).await?;
+    Ok(with_body(req, body))
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, BodyFault> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_: PayloadError| BodyFault::Incomplete)?;
@@ -271,14 +295,18 @@
         }
         body.extend_from_slice(&chunk);
     }
-    Ok(HttpRequest {
+    Ok(body.freeze())
+}
+
+fn with_body(mut req: Request, body: Bytes) -> HttpRequest {
+    HttpRequest {
         method: req.method().clone(),
         path: req.path().to_owned(),
         query: req.uri().query().unwrap_or_default().to_owned(),
         headers: std::mem::replace(req.headers_mut(), HeaderMap::new()),
-        body: body.freeze(),
+        body,
         peer: req.peer_addr().map(|peer| peer.ip()),
-    })
+    }
 }
 
 fn declared_len(req: &Request) -> Option<usize> {
