A graceful end no longer waits for bodies that never come

Seen by callers and operators: with one body that had stopped short of its end, a daemon that was told to stop waited until its limit: 30 s on the own interface, on the platform until just before the kill.

Cause: a request counted as in flight from its head on.

Change: after the signal a body has one second left. Then its client gets 503 with `Retry-After`, which is true: the request never ran. Requests that have arrived whole are finished as before. Clients keep deadlines of a few seconds, so one inside the limits has sent the rest by then or may send it to another daemon.

--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -26,6 +26,9 @@
 use std::{rc::Rc, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Time after which a caller may send a request again that a shutdown has cut short.
+const DRAINING_RETRY: Duration = Duration::from_secs(1);
+
 /// Serves until the daemon drains and the last request in flight has its response.
 pub async fn serve(cx: Cx, listener: TcpListener) {
     let stop = cx.draining.subscribe();
@@ -36,7 +39,7 @@
         async move {
             match received {
                 Ok(req) => route(&cx, req).await,
-                Err(fault) => body_fault_response(fault),
+                Err(fault) => body_fault_response(&cx, fault),
             }
         }
     })
@@ -71,7 +74,7 @@
     response
 }
 
-fn body_fault_response(fault: BodyFault) -> HttpResponse {
+fn body_fault_response(cx: &Cx, fault: BodyFault) -> HttpResponse {
     let response = match fault {
         BodyFault::TooLarge { limit } => error(
             StatusCode::PAYLOAD_TOO_LARGE,
@@ -83,6 +86,10 @@
             "the body broke off",
             "send the request again; it was not run",
         ),
+        BodyFault::Draining => {
+            let retry_after = DRAINING_RETRY;
+            return note_refusal(cx, &Refusal::Draining { retry_after });
+        }
     };
     response.with(OUTCOME_HEADER, "refused")
 }
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http.rs
@@ -35,6 +35,10 @@
 /// it the connection closes at once, and a client that is still sending gets a reset instead of the
 /// response.
 const LINGER: Duration = Duration::from_secs(2);
+/// Time that a body may still take after the server was told to stop. A client within its own
+/// deadline of a few seconds sends the rest sooner, and it leaves most of the shutdown to requests
+/// that have arrived whole.
+const STOP_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between checks for open requests and connections, and delay after a failed accept.
 const CLOSE_POLL: Duration = Duration::from_millis(5);
 /// Time after which an idle connection is closed.
@@ -166,6 +170,8 @@
     },
     /// The connection failed before the end of the body.
     Incomplete,
+    /// The server stops, and the body was not complete in time.
+    Draining,
 }
 
 /// Serves requests on `listener` until `stop` becomes true. Then accepts no more connections, lets
@@ -200,12 +206,13 @@
     let policy = Rc::new(policy);
     let in_flight = Rc::new(());
     let counted = Rc::clone(&in_flight);
+    let stopped = stop.clone();
     let service = fn_service(move |req: Request| {
         let (handler, token) = (Rc::clone(&handler), Rc::clone(&counted));
-        let policy = Rc::clone(&policy);
+        let (policy, stop) = (Rc::clone(&policy), stopped.clone());
         async move {
             let response = match policy(req.head()) {
-                BodyPolicy::Collect { limit } => handler(collect(req, limit).await).await,
+                BodyPolicy::Collect { limit } => handler(collect(req, limit, stop).await).await,
                 BodyPolicy::Ignore => handler(Ok(with_body(req, Bytes::new()))).await,
                 BodyPolicy::Answer(response) => response,
             };
@@ -277,12 +284,25 @@
     }
 }
 
-/// Reads a request with its body.
-async fn collect(mut req: Request, limit: usize) -> Result<HttpRequest, BodyFault> {
+/// Reads a request with its body. After `stop` the body has [`STOP_BODY_TIMEOUT`] left.
+async fn collect(
+    mut req: Request,
+    limit: usize,
+    stop: watch::Receiver<bool>,
+) -> Result<HttpRequest, BodyFault> {
     if declared_len(&req).is_some_and(|len| len > limit) {
         return Err(BodyFault::TooLarge { limit });
     }
-    let body = read_body(req.take_payload(), limit).await?;
+    let body = read_body(req.take_payload(), limit);
+    let stopped = async {
+        wait_true(stop).await;
+        tokio::time::sleep(STOP_BODY_TIMEOUT).await;
+    };
+    let body = tokio::select! {
+        biased;
+        body = body => body?,
+        () = stopped => return Err(BodyFault::Draining),
+    };
     Ok(with_body(req, body))
 }
 
