What callers hold together is bounded, in memory and in connections

Seen by callers: a few hundred clients that stop just short of the end of their bodies, or a dozen that pipeline requests and read no response, ended a process; idle connections took all descriptors, also those that calls to the store and the workers need.

Cause: nothing bounded the sum over connections. Bodies were collected whole. The HTTP library decodes and queues all that the socket gives it: a queued request of 28 bytes takes over 4 kB (20 MB for each pipelining connection, whatever it reads), and a chunk of one byte takes 32 bytes and more. One commit for the three, since the bound on memory needs to know of each connection what the limit on connections needs to know.

Change: - `util::http::connection` wraps the socket: 512 bytes a step between requests, 8 KiB of a body, nothing while requests are queued or 16 KiB of responses are unread. - `util::http::intake` counts what all callers hold beyond 16 KiB a connection, taken before it is buffered and given back with the last reference to the body. Limits follow from the memory and the descriptors of the process: a fifth of the memory for bytes, a fifth for connections at 64 KiB each, half of the descriptors less 200. - `policy::intake` (pure) chooses who gives way: the one without progress for longest, never a whole request.

Ruled out: responses as the cause of what pipelining takes (the gauge of unsent bytes stayed at 0 while 20 MB a connection were held).

--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -28,13 +28,17 @@
 
 /// Time after which a caller may send a request again that a shutdown has cut short.
 const DRAINING_RETRY: Duration = Duration::from_secs(1);
+/// Time after which a caller may send a request again for which there was no memory: several round
+/// trips, within which the requests of other callers end.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
 
 /// Serves until the daemon drains and the last request in flight has its response.
 pub async fn serve(cx: Cx, listener: TcpListener) {
     let stop = cx.draining.subscribe();
     let policy_cx = Rc::clone(&cx);
     let policy = move |head: &RequestHead| body_policy(&policy_cx, head);
-    http::serve_with(listener, policy, stop, move |received| {
+    let intake = Rc::clone(&cx.intake);
+    http::serve_with(listener, intake, policy, stop, move |received| {
         let cx = Rc::clone(&cx);
         async move {
             match received {
@@ -90,6 +94,10 @@
             let retry_after = DRAINING_RETRY;
             return note_refusal(cx, &Refusal::Draining { retry_after });
         }
+        BodyFault::OutOfMemory => {
+            let retry_after = MEMORY_RETRY;
+            return note_refusal(cx, &Refusal::OutOfMemory { retry_after });
+        }
     };
     response.with(OUTCOME_HEADER, "refused")
 }
--- a/src/lapisdrum/api/wire.rs
+++ b/src/lapisdrum/api/wire.rs
@@ -199,7 +199,8 @@
         | Refusal::TooLate { .. }
         | Refusal::StoreAway { .. }
         | Refusal::NoOwner { .. }
-        | Refusal::Draining { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        | Refusal::Draining { .. }
+        | Refusal::OutOfMemory { .. } => StatusCode::SERVICE_UNAVAILABLE,
     };
     let response = error(status, refusal, refusal.help()).with(OUTCOME_HEADER, "refused");
     match refusal.retry_after() {
--- a/src/lapisdrum/core/outcome.rs
+++ b/src/lapisdrum/core/outcome.rs
@@ -77,6 +77,11 @@
             /// Time after which the caller may try again.
             retry_after: Duration,
         },
+        /// The callers of this daemon hold all the memory that they may.
+        OutOfMemory {
+            /// Time after which the caller may try again.
+            retry_after: Duration,
+        },
     }
 }
 
@@ -97,7 +102,8 @@
             | Self::StoreAway { retry_after }
             | Self::NoOwner { retry_after }
             | Self::InProgress { retry_after }
-            | Self::Draining { retry_after } => Some(*retry_after),
+            | Self::Draining { retry_after }
+            | Self::OutOfMemory { retry_after } => Some(*retry_after),
         }
     }
 
@@ -118,6 +124,7 @@
             Self::IdReused(_) => "id_reused",
             Self::BodyTooLarge { .. } => "body_too_large",
             Self::Draining { .. } => "draining",
+            Self::OutOfMemory { .. } => "out_of_memory",
         }
     }
 
@@ -141,7 +148,8 @@
             | Self::StoreAway { .. }
             | Self::NoOwner { .. }
             | Self::InProgress { .. }
-            | Self::Draining { .. } => "come back after the time in retry-after",
+            | Self::Draining { .. }
+            | Self::OutOfMemory { .. } => "come back after the time in retry-after",
         }
     }
 }
@@ -168,6 +176,7 @@
                 )
             }
             Self::Draining { .. } => f.write_str("this daemon is shutting down"),
+            Self::OutOfMemory { .. } => f.write_str("callers hold all the memory that they may"),
         }
     }
 }
--- a/src/lapisdrum/daemon/metrics.rs
+++ b/src/lapisdrum/daemon/metrics.rs
@@ -5,7 +5,7 @@
 //! `lapisdrum_evictions_total` (by entry and reason). Label values come from the catalogue and from
 //! fixed sets, never from callers, so that only operators can increase the number of time series.
 
-use crate::util::build;
+use crate::util::{build, http::intake::IntakeMetrics};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -111,6 +111,8 @@
     pub daemons_live: Gauge,
     /// 1 if the platform answers, 0 if not.
     pub platform_up: Gauge,
+    /// What callers hold together.
+    pub intake: IntakeMetrics,
 }
 
 impl Metrics {
@@ -137,6 +139,7 @@
             workers_silent: Gauge::default(),
             daemons_live: Gauge::default(),
             platform_up: Gauge::default(),
+            intake: IntakeMetrics::default(),
         };
         build::register(&mut m.registry);
         m.register_work();
@@ -192,6 +195,7 @@
     /// Registers the metrics of the daemon itself.
     fn register_state(&mut self) {
         let r = &mut self.registry;
+        self.intake.register(r);
         r.register(
             "ledger_writes",
             "Ledger rows written",
--- a/src/lapisdrum/daemon/mod.rs
+++ b/src/lapisdrum/daemon/mod.rs
@@ -43,7 +43,10 @@
     state::{grants::Floors, ownership::Holder},
     store::client::PlatformClient,
     timeline::{event::Happening, ring::Timeline},
-    util::build,
+    util::{
+        build,
+        http::intake::{Intake, IntakeLimits},
+    },
     worker::client::WorkerClient,
 };
 use actix_rt::net::TcpListener;
@@ -83,6 +86,8 @@
     pub timeline: Rc<Timeline>,
     /// Metrics served at `/metrics`.
     pub metrics: metrics::Metrics,
+    /// What the callers hold together.
+    pub intake: Rc<Intake>,
     /// The catalogue in force on this daemon.
     pub catalogue: RefCell<catalogue::InForce>,
     /// Daemons, shards and hosts as last seen.
@@ -140,6 +145,8 @@
             cfg.platform.timeout,
             Rc::clone(&timeline),
         );
+        let metrics = metrics::Metrics::new();
+        let limits = IntakeLimits::from(cfg.daemon.process.within_system());
         Rc::new(Self {
             me,
             clock: Clock::start(),
@@ -147,7 +154,8 @@
             workers: WorkerClient::new(&agent, cfg.shards.command_timeout),
             peers: Peers::new(Rc::clone(&timeline), cfg.requests.peer_timeout),
             timeline,
-            metrics: metrics::Metrics::new(),
+            intake: Intake::new(limits, metrics.intake.clone()),
+            metrics,
             catalogue: RefCell::default(),
             members: RefCell::default(),
             shards: RefCell::default(),
--- a/src/lapisdrum/policy/mod.rs
+++ b/src/lapisdrum/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod headroom;
 pub mod health;
 pub mod hysteresis;
+pub mod intake;
 pub mod outliers;
 pub mod placement;
 pub mod polling;
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -8,7 +8,7 @@
     ledger::Phase,
     owner::{balance, moves, outages::WaitsFor, start_order::NotSent},
 };
-use crate::util::build;
+use crate::util::{build, http::intake::IntakeMetrics};
 use indexmap::IndexMap;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -56,6 +56,8 @@
 /// Metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
+    /// What callers hold together.
+    pub intake: IntakeMetrics,
     /// Journal rows written.
     pub rows_written: Counter,
     /// Events journaled.
@@ -144,6 +146,7 @@
     pub fn new() -> Self {
         let mut new = Self {
             registry: Registry::default(),
+            intake: IntakeMetrics::default(),
             rows_written: Counter::default(),
             events: Counter::default(),
             row_seconds: Histogram::new(exponential_buckets(FIRST_ROW_BUCKET, 2.0, BUCKETS)),
@@ -190,6 +193,7 @@
         };
         let mut registry = Registry::with_prefix("lapisdrum");
         build::register(&mut registry);
+        new.intake.register(&mut registry);
         new.register(registry.sub_registry_with_prefix("sched"));
         new.registry = registry;
         new.note_overdue(&IndexMap::new());
--- a/src/lapisdrum/settings/mod.rs
+++ b/src/lapisdrum/settings/mod.rs
@@ -11,6 +11,7 @@
 use crate::{
     core::id::{DaemonId, DataCentre},
     state::ownership::LeaseTerms,
+    util::http::intake::{IntakeLimits, ProcessLimits},
 };
 use reader::{Faults, Reader};
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
@@ -49,6 +50,8 @@
     pub ask_first: Vec<SocketAddr>,
     /// Maximum time that a graceful shutdown waits for requests in flight.
     pub drain: Duration,
+    /// Memory and descriptors of the process.
+    pub process: ProcessLimits,
 }
 
 /// Access to the platform.
@@ -169,6 +172,7 @@
             poll: r.duration("catalogue.poll_ms"),
         };
         let requests = read_requests(r);
+        check_memory(r, daemon.as_ref(), &requests);
         let log = LogSettings {
             level: log_level(r.word("log.level")),
             format: log_format(r.word("log.format")),
@@ -204,6 +208,10 @@
     let peers = r.required_address("daemon.peers");
     let ask_first = r.addresses("daemon.ask_first");
     let drain = r.duration("daemon.drain_ms");
+    let process = ProcessLimits {
+        memory_mb: to_usize(r.integer("daemon.memory_mb")),
+        descriptors: to_usize(r.integer("daemon.descriptors")),
+    };
     check_addresses(r, callers, peers);
     Some(DaemonSettings {
         name: name?,
@@ -212,6 +220,7 @@
         peers: peers?,
         ask_first,
         drain,
+        process,
     })
 }
 
@@ -296,6 +305,17 @@
     }
 }
 
+/// Checks that two callers can send a body of the greatest size at a time.
+fn check_memory(r: &mut Reader, daemon: Option<&DaemonSettings>, requests: &RequestSettings) {
+    let limit = daemon.map(|daemon| IntakeLimits::from(daemon.process).bytes / 2);
+    if limit.is_some_and(|limit| to_usize(requests.max_body_bytes) > limit) {
+        r.fault(
+            "requests.max_body_bytes",
+            "must be at most a tenth of `daemon.memory_mb`",
+        );
+    }
+}
+
 fn read_requests(r: &mut Reader) -> RequestSettings {
     RequestSettings {
         max_body_bytes: r.integer("requests.max_body_bytes"),
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -95,6 +95,16 @@
         ms(30_000, 100, 3_600_000),
         "longest time that a graceful end waits for requests in flight",
     ),
+    setting(
+        "daemon.memory_mb",
+        number("MB", 160, 64, 1_048_576),
+        "memory of the process; its callers may hold a fifth of it in requests and responses, and the same again in connections",
+    ),
+    setting(
+        "daemon.descriptors",
+        number("descriptors", 4_096, 256, 1_048_576),
+        "descriptors of the process, if the system allows it as many; its callers may hold half of what remains after 200 for files",
+    ),
     setting("platform.address", Kind::Address, "the platform's service"),
     setting(
         "platform.timeout_ms",
--- a/src/lapisdrum/util/http.rs
+++ b/src/lapisdrum/util/http/mod.rs
@@ -2,23 +2,29 @@
 //!
 //! The accept loop runs on the caller's thread, so a handler can hold `Rc` state without locks, and a
 //! test that pauses the runtime's clock also pauses the server. The size of bodies is limited; a body
-//! beyond the limit is refused before it is buffered whole.
+//! beyond the limit is refused before it is buffered whole. What all clients hold together is limited
+//! by an [`Intake`](intake::Intake).
+
+mod connection;
+pub mod intake;
 
 use actix_http::{
-    HttpService, Method, Payload, Request, RequestHead, Response, StatusCode,
+    Extensions, HttpService, Method, Payload, Request, RequestHead, Response, StatusCode,
     body::{BodySize, BoxBody, MessageBody},
     error::PayloadError,
     header::{CONTENT_LENGTH, HeaderMap},
 };
-use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::net::TcpListener;
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use connection::{Connection, Socket};
 use futures::StreamExt;
+use intake::{Charge, Intake, IntakeLimits, IntakeMetrics};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     convert::Infallible,
     future::Future,
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -172,11 +178,13 @@
     Incomplete,
     /// The server stops, and the body was not complete in time.
     Draining,
+    /// There is no memory for the body.
+    OutOfMemory,
 }
 
 /// Serves requests on `listener` until `stop` becomes true. Then accepts no more connections, lets
 /// requests in flight finish, and returns once connections are closed, at most `CLOSE_GRACE` after
-/// the last response. Limits bodies to `body_limit` bytes.
+/// the last response. Limits bodies to `body_limit` bytes, and what clients hold together to nothing.
 pub async fn serve<H, F>(
     listener: TcpListener,
     body_limit: usize,
@@ -187,13 +195,15 @@
     F: Future<Output = HttpResponse> + 'static,
 {
     let policy = move |_: &RequestHead| BodyPolicy::Collect { limit: body_limit };
-    serve_with(listener, policy, stop, handler).await;
+    let intake = Intake::new(IntakeLimits::NONE, IntakeMetrics::default());
+    serve_with(listener, intake, policy, stop, handler).await;
 }
 
-/// Like [`serve`], but `policy` decides by the head of each request what happens to its body, before
-/// any of it is read.
+/// Like [`serve`], but `intake` limits what clients hold together, and `policy` decides by the head of
+/// each request what happens to its body, before any of it is read.
 pub async fn serve_with<P, H, F>(
     listener: TcpListener,
+    intake: Rc<Intake>,
     policy: P,
     stop: watch::Receiver<bool>,
     handler: H,
@@ -211,11 +221,7 @@
         let (handler, token) = (Rc::clone(&handler), Rc::clone(&counted));
         let (policy, stop) = (Rc::clone(&policy), stopped.clone());
         async move {
-            let response = match policy(req.head()) {
-                BodyPolicy::Collect { limit } => handler(collect(req, limit, stop).await).await,
-                BodyPolicy::Ignore => handler(Ok(with_body(req, Bytes::new()))).await,
-                BodyPolicy::Answer(response) => response,
-            };
+            let response = respond(req, &*policy, &*handler, stop).await;
             Ok::<_, Infallible>(to_actix(response, token))
         }
     });
@@ -227,24 +233,68 @@
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
         .client_disconnect_timeout(LINGER)
         .keep_alive(KEEP_ALIVE)
-        .tcp_nodelay(true)
         .graceful_shutdown_signal(signal)
-        .finish(service)
-        .tcp()
+        .on_connect_ext(|socket: &Socket, data: &mut Extensions| {
+            data.insert(Rc::clone(socket.connection()));
+        })
+        .h1(service)
         .into_factory();
     let Ok(connections) = factory.new_service(()).await else {
         return;
     };
-    accept_loop(listener, stop, Rc::new(connections), &in_flight).await;
+    let connections = Rc::new(connections);
+    accept_loop(listener, &intake, stop, connections, &in_flight).await;
+}
+
+/// Answers one request, and keeps the state of its connection.
+async fn respond<H, F>(
+    mut req: Request,
+    policy: &dyn Fn(&RequestHead) -> BodyPolicy,
+    handler: &H,
+    stop: watch::Receiver<bool>,
+) -> HttpResponse
+where
+    H: Fn(Result<HttpRequest, BodyFault>) -> F + 'static,
+    F: Future<Output = HttpResponse> + 'static,
+{
+    let Some(connection) = req.conn_data::<Rc<Connection>>().cloned() else {
+        unreachable!("the state of a connection is set when it is accepted");
+    };
+    connection.begin().await;
+    let payload = req.take_payload();
+    let has_body = !matches!(payload, Payload::None);
+    let declared_len = declared_len(&req);
+    let (response, is_rest_unread) = match policy(req.head()) {
+        BodyPolicy::Collect { limit } => {
+            let body = collect(&connection, declared_len, payload, limit, stop).await;
+            connection.begin_serving();
+            let is_rest_unread = body.is_err();
+            let read = body.map(|body| with_body(req, body));
+            (handler(read).await, is_rest_unread)
+        }
+        BodyPolicy::Ignore => {
+            drop(payload);
+            connection.begin_serving();
+            let response = handler(Ok(with_body(req, Bytes::new()))).await;
+            (response, has_body)
+        }
+        BodyPolicy::Answer(response) => (response, has_body),
+    };
+    connection.end(response.body.len(), is_rest_unread);
+    match is_rest_unread {
+        true => response.closing(),
+        false => response,
+    }
 }
 
 async fn accept_loop<S>(
     listener: TcpListener,
+    intake: &Rc<Intake>,
     stop: watch::Receiver<bool>,
     service: Rc<S>,
     in_flight: &Rc<()>,
 ) where
-    S: Service<TcpStream> + 'static,
+    S: Service<(Socket, Option<SocketAddr>)> + 'static,
 {
     // Clones of the token that are held even while no request is in flight.
     let idle_tokens = Rc::strong_count(in_flight);
@@ -255,13 +305,23 @@
             () = wait_true(stop.clone()) => break,
         };
         // A failed accept (out of file descriptors, client disconnected) must not stop the server.
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(CLOSE_POLL).await;
             continue;
         };
-        let (service, token) = (Rc::clone(&service), Rc::clone(&open));
+        let Some(connection) = intake.admit() else {
+            continue;
+        };
+        // Fails only for a connection that is already closed.
+        let _ = stream.set_nodelay(true);
+        let (service, intake, token) = (Rc::clone(&service), Rc::clone(intake), Rc::clone(&open));
         actix_rt::spawn(async move {
-            let _ = service.call(stream).await;
+            let socket = Socket::new(stream, Rc::clone(&connection));
+            tokio::select! {
+                _ = service.call((socket, Some(peer))) => {}
+                () = connection.closed() => {}
+            }
+            intake.remove(connection.id());
             drop(token);
         });
     }
@@ -284,38 +344,70 @@
     }
 }
 
-/// Reads a request with its body. After `stop` the body has [`STOP_BODY_TIMEOUT`] left.
+/// Reads a body. After `stop` it has [`STOP_BODY_TIMEOUT`] left.
 async fn collect(
-    mut req: Request,
+    connection: &Connection,
+    declared_len: Option<usize>,
+    payload: Payload,
     limit: usize,
     stop: watch::Receiver<bool>,
-) -> Result<HttpRequest, BodyFault> {
-    if declared_len(&req).is_some_and(|len| len > limit) {
+) -> Result<Bytes, BodyFault> {
+    if declared_len.is_some_and(|len| len > limit) {
         return Err(BodyFault::TooLarge { limit });
     }
-    let body = read_body(req.take_payload(), limit);
+    connection.begin_body();
     let stopped = async {
         wait_true(stop).await;
         tokio::time::sleep(STOP_BODY_TIMEOUT).await;
     };
-    let body = tokio::select! {
+    tokio::select! {
         biased;
-        body = body => body?,
-        () = stopped => return Err(BodyFault::Draining),
-    };
-    Ok(with_body(req, body))
+        () = connection.yielded() => Err(BodyFault::OutOfMemory),
+        body = read_body(connection, payload, limit) => body,
+        () = stopped => Err(BodyFault::Draining),
+    }
 }
 
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, BodyFault> {
-    let mut body = BytesMut::new();
+async fn read_body(
+    connection: &Connection,
+    mut payload: Payload,
+    limit: usize,
+) -> Result<Bytes, BodyFault> {
+    let mut body = Vec::new();
+    let mut charge = connection.body_charge();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_: PayloadError| BodyFault::Incomplete)?;
-        if body.len() + chunk.len() > limit {
+        let len = body.len() + chunk.len();
+        if len > limit {
             return Err(BodyFault::TooLarge { limit });
         }
+        if len > body.capacity() {
+            let capacity = (body.capacity() * 2).max(len).min(limit);
+            let charge = charge.as_mut();
+            if !charge.is_none_or(|charge| connection.try_hold_body(charge, capacity)) {
+                return Err(BodyFault::OutOfMemory);
+            }
+            body.reserve_exact(capacity - body.len());
+        }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok(Bytes::from_owner(Body {
+        body,
+        _charge: charge,
+    }))
+}
+
+/// A body that gives back its memory when the last reference to it is dropped, which may be after its
+/// connection was closed.
+struct Body {
+    body: Vec<u8>,
+    _charge: Option<Charge>,
+}
+
+impl AsRef<[u8]> for Body {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
 }
 
 fn with_body(mut req: Request, body: Bytes) -> HttpRequest {
--- a/tests/testsuite/policy/mod.rs
+++ b/tests/testsuite/policy/mod.rs
@@ -6,6 +6,7 @@
 mod headroom;
 mod health;
 mod hysteresis;
+mod intake;
 mod missed_alone;
 mod outliers;
 mod placement;
--- a/tests/testsuite/settings/platform.rs
+++ b/tests/testsuite/settings/platform.rs
@@ -55,3 +55,19 @@
         "`bounds.overload_borne_ms` must be at most 60000 ms, not 4000000"
     );
 }
+
+/// Guards against memory or descriptors that the platform states and the daemon ignores, or that leave no place for callers.
+#[test]
+fn memory_and_descriptors_are_read() {
+    let read = |more: &str| {
+        let text = settings("").replace("cpu_share", &format!("{more}\ncpu_share"));
+        PlatformSettings::try_from(text.as_str())
+    };
+    let usual = read("").expect("settings").process;
+    assert_eq!((usual.memory_mb, usual.descriptors), (160, 4_096));
+    let stated = read("memory_mb = 260\ndescriptors = 4100").expect("settings");
+    assert_eq!(stated.process.memory_mb, 260);
+    assert_eq!(stated.process.descriptors, 4_100);
+    let error = read("memory_mb = 1").expect_err("a fault").to_string();
+    assert_eq!(error, "`daemon.memory_mb` must be at least 64, not 1");
+}
