--- a/src/lapisdrum/util/http/intake.rs
+++ b/src/lapisdrum/util/http/intake.rs
@@ -34,6 +34,9 @@
 const MEMORY_PARTS: usize = 5;
 /// Descriptors that are left aside for files.
 const FILE_DESCRIPTORS: usize = 200;
+/// Connections that callers always get: enough for the load balancer and a few callers, should the
+/// limit of descriptors be hardly larger than what is left aside.
+const MIN_CONNECTIONS: usize = 16;
 /// Minimum time between two log lines about clients that gave way.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -90,7 +93,9 @@
         let by_descriptors = process.descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
         Self {
             bytes,
-            connections: by_descriptors.min(bytes / CONNECTION_BYTES).max(1),
+            connections: by_descriptors
+                .min(bytes / CONNECTION_BYTES)
+                .max(MIN_CONNECTIONS),
         }
     }
 }
@@ -189,6 +194,10 @@
 impl Intake {
     /// An intake that holds nothing.
     pub fn new(limits: IntakeLimits, metrics: IntakeMetrics) -> Rc<Self> {
+        if limits != IntakeLimits::NONE {
+            let (max_bytes, max_connections) = (limits.bytes, limits.connections);
+            log::info!(max_bytes, max_connections; "limits of what callers hold");
+        }
         Rc::new(Self {
             limits,
             metrics,
