One copy of the limits of a process and of the time to come back

Found by reading the diff: both interfaces had their own `Retry-After` of bodies that are refused, and both settings their own smallest memory and descriptors. No change of behaviour.

--- a/src/lapisdrum/api/server.rs
+++ b/src/lapisdrum/api/server.rs
@@ -18,7 +18,7 @@
         router::{self, RunEnd, RunRequest},
     },
     timeline::event::Happening,
-    util::http::{self, BodyFault, BodyPolicy, HttpRequest, HttpResponse},
+    util::http::{self, BODY_RETRY, BodyFault, BodyPolicy, HttpRequest, HttpResponse},
 };
 use actix_http::{Method, RequestHead, StatusCode};
 use actix_rt::net::TcpListener;
@@ -26,12 +26,6 @@
 use std::{rc::Rc, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Time after which a caller may send a request again that a shutdown has cut short.
-const DRAINING_RETRY: Duration = Duration::from_secs(1);
-/// Time after which a caller may send a request again for which there was no memory: several round
-/// trips, within which the requests of other callers end.
-const MEMORY_RETRY: Duration = Duration::from_secs(1);
-
 /// Serves until the daemon drains and the last request in flight has its response.
 pub async fn serve(cx: Cx, listener: TcpListener) {
     let stop = cx.draining.subscribe();
@@ -91,11 +85,11 @@
             "send the request again; it was not run",
         ),
         BodyFault::Draining => {
-            let retry_after = DRAINING_RETRY;
+            let retry_after = BODY_RETRY;
             return note_refusal(cx, &Refusal::Draining { retry_after });
         }
         BodyFault::OutOfMemory => {
-            let retry_after = MEMORY_RETRY;
+            let retry_after = BODY_RETRY;
             return note_refusal(cx, &Refusal::OutOfMemory { retry_after });
         }
     };
--- a/src/lapisdrum/settings/table.rs
+++ b/src/lapisdrum/settings/table.rs
@@ -3,7 +3,10 @@
 //! The reader takes defaults and ranges from this table, and a test compares docs/SETTINGS.md with
 //! [`markdown`], so the page can't differ from the code.
 
-use crate::core::catalogue::{DEFAULT_BODY_BYTES, MAX_BODY_BYTES};
+use crate::{
+    core::catalogue::{DEFAULT_BODY_BYTES, MAX_BODY_BYTES},
+    util::http::intake::ProcessLimits,
+};
 use std::fmt::Write;
 
 /// Type, default and range of a setting.
@@ -97,12 +100,22 @@
     ),
     setting(
         "daemon.memory_mb",
-        number("MB", 160, 64, 1_048_576),
+        number(
+            "MB",
+            ProcessLimits::SMALLEST.memory_mb as u64,
+            ProcessLimits::LEAST.memory_mb as u64,
+            1_048_576,
+        ),
         "memory of the process; its callers may hold a fifth of it in requests and responses, and the same again in connections",
     ),
     setting(
         "daemon.descriptors",
-        number("descriptors", 4_096, 256, 1_048_576),
+        number(
+            "descriptors",
+            ProcessLimits::SMALLEST.descriptors as u64,
+            ProcessLimits::LEAST.descriptors as u64,
+            1_048_576,
+        ),
         "descriptors of the process, if the system allows it as many; its callers may hold half of what remains after 200 for files",
     ),
     setting("platform.address", Kind::Address, "the platform's service"),
--- a/src/lapisdrum/util/http/intake.rs
+++ b/src/lapisdrum/util/http/intake.rs
@@ -50,6 +50,18 @@
 }
 
 impl ProcessLimits {
+    /// Of a process on the smallest host that the users have.
+    pub const SMALLEST: Self = Self {
+        memory_mb: 160,
+        descriptors: 4_096,
+    };
+    /// The least that is accepted: the state at the start, files, and a few requests of the greatest
+    /// size.
+    pub const LEAST: Self = Self {
+        memory_mb: 64,
+        descriptors: 256,
+    };
+
     /// These limits, with the descriptors that the system allows this process if they are fewer.
     pub fn within_system(self) -> Self {
         let allowed = allowed_descriptors().unwrap_or(self.descriptors);
--- a/src/lapisdrum/util/http/mod.rs
+++ b/src/lapisdrum/util/http/mod.rs
@@ -182,6 +182,11 @@
     OutOfMemory,
 }
 
+/// Time after which a client may send a request again that was refused for the state of the server:
+/// several round trips, within which the requests of other clients end, or the load balancer has
+/// learned that this server stops.
+pub const BODY_RETRY: Duration = Duration::from_secs(1);
+
 /// Serves requests on `listener` until `stop` becomes true. Then accepts no more connections, lets
 /// requests in flight finish, and returns once connections are closed, at most `CLOSE_GRACE` after
 /// the last response. Limits bodies to `body_limit` bytes, and what clients hold together to nothing.
