--- a/src/lapisdrum/policy/intake.rs
+++ b/src/lapisdrum/policy/intake.rs
@@ -17,7 +17,7 @@
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// No request has begun, its head is incomplete, or the last response is being sent.
+    /// Idle, receiving the head of a request, or sending the last response.
     BetweenRequests,
     /// The body of a request arrives.
     ReadingBody,
--- a/src/lapisdrum/util/http/connection.rs
+++ b/src/lapisdrum/util/http/connection.rs
@@ -104,7 +104,7 @@
         self.charged.get() + self.body.get()
     }
 
-    /// Whether the connection was told to give back its memory, and has not begun another request.
+    /// Whether its memory is being reclaimed: its request is being refused, or it is being closed.
     pub(super) fn has_yielded(&self) -> bool {
         self.has_yielded.get() || self.is_closing.get()
     }
