Show that a job whose cancelling was acknowledged runs after a freeze

Cause: a submission has no age. A daemon that wakes from a freeze acts on one whose requester has left, and a cancellation of an unknown id leaves nothing behind.

One of 6 daemons, which owns nothing, freezes for 3.5 s with a submission in its socket; the requester waits 3 s, cancels the job elsewhere and gets 410.

Nothing is fixed here.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder="review/9"
 [ -x target/release/lapisdrum ] && [ -x target/review-3/review-3 ] || exit 2
-timeout --signal=KILL 118 target/review-3/review-3 pending "$folder"
+timeout --signal=KILL 118 target/review-3/review-3 late "$folder"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod json;
 mod lasting;
+mod late;
 mod muted;
 mod pending;
 mod record;
@@ -37,6 +38,7 @@
     let _ = std::fs::create_dir_all(&logs);
     let outcome = match case.as_str() {
         "capped" => capped::run(&record, has_trouble, &logs),
+        "late" => late::run(&record, has_trouble, &logs),
         "muted" => muted::run(&record, has_trouble, &logs),
         "pending" => pending::run(&record, has_trouble, &logs),
         _ => Outcome::NotRun,
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Sends a signal by its name, such as STOP or CONT.
+    pub fn signal(&self, name: &str) -> bool {
+        let Some(process) = &self.process else {
+            return false;
+        };
+        let sent = Command::new("kill").args(["-s", name, &process.id().to_string()]).status();
+        sent.is_ok_and(|status| status.success())
+    }
+
     pub fn is_ready(&self) -> bool {
         call(self.ready, "GET", "/ready", HOST, "", Duration::from_secs(1)).is_some_and(|a| a.0 == 200)
     }
