Show that a worker and an owner lost right after a start stop a task for over ten seconds

Cause: the next owner bounds the lease of a run that no row confirms yet by the time for which the earlier owner may send starts and a whole lease, counted from the earlier owner's last row.

One of 8 workers and the owner's machine are lost 50 ms after a long-running task has started; a new machine comes 2 s later.

Nothing is fixed here.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod site;
 mod store;
+mod together;
 mod worker;
 
 use record::Record;
@@ -40,6 +41,7 @@
         "capped" => capped::run(&record, has_trouble, &logs),
         "late" => late::run(&record, has_trouble, &logs),
         "muted" => muted::run(&record, has_trouble, &logs),
+        "together" => together::run(&record, has_trouble, &logs),
         "pending" => pending::run(&record, has_trouble, &logs),
         _ => Outcome::NotRun,
     };
