The template leaves out limits of the process that the platform does not state

The settings have defaults for both, and the optional bounds of the template have sections already.

Each line has a section of its own.

--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -39,12 +39,12 @@
 /// Descriptors of a daemon, as the platform states them.
 const DESCRIPTORS: u32 = 4_096;
 
-/// The template's section for an optional bound, filled in.
-fn with_bound(settings: &str, name: &str, value: &str) -> String {
+/// The template's section for an optional value, filled in.
+fn with_value(settings: &str, name: &str, value: &str) -> String {
     settings
-        .replace(&format!("{{{{#bounds.{name}}}}}"), "")
-        .replace(&format!("{{{{/bounds.{name}}}}}"), "")
-        .replace(&format!("{{{{bounds.{name}}}}}"), value)
+        .replace(&format!("{{{{#{name}}}}}"), "")
+        .replace(&format!("{{{{/{name}}}}}"), "")
+        .replace(&format!("{{{{{name}}}}}"), value)
 }
 
 /// A store, workers and daemons.
@@ -142,23 +142,24 @@
             .replace("{{seeds}}", "127.0.0.1:1,127.0.0.1:2")
             .replace("{{platform.address}}", &store.to_string())
             .replace("{{limits.cpuShare}}", "0.25")
-            .replace("{{limits.memoryMb}}", "160")
-            .replace("{{limits.maxFds}}", &descriptors.to_string())
             .replace("{{bounds.holdMaxMs}}", "6000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.graceS}}", "6");
+        let descriptors = descriptors.to_string();
         let settings = [
-            "stopTimeoutMs",
-            "restoreMs",
-            "harmMs",
-            "evacuateMs",
-            "drainMs",
+            ("limits.memoryMb", "160"),
+            ("limits.maxFds", &descriptors),
+            ("bounds.stopTimeoutMs", "900"),
+            ("bounds.restoreMs", "900"),
+            ("bounds.harmMs", "900"),
+            ("bounds.evacuateMs", "900"),
+            ("bounds.drainMs", "900"),
+            ("bounds.farFactor", "2"),
         ]
         .iter()
-        .fold(settings, |settings, name| {
-            with_bound(&settings, name, "900")
+        .fold(settings, |settings, (name, value)| {
+            with_value(&settings, name, value)
         });
-        let settings = with_bound(&settings, "farFactor", "2");
         let path = self.dir.path().join(&name);
         fs::write(&path, settings).expect("settings");
         let process = Process::spawn(cmd.args(["run", "--config"]).arg(&path));
