A daemon keeps few connections to a worker, and a former owner none

Cause: nothing bounded the connections of a daemon to one worker, and nothing closed idle ones. awc's pool looks at the age of a connection only when its address is called again, which a former owner never does, and its limit counts all addresses together. An owner opened as many connections as it sent starts at a time (39 in the case), the second got the rest of the worker's 64 and the third none.

Ruled out: workers that are slow to accept, and calls in flight; the channels were idle.

Change: each kept connection is an awc client of its own in a pool by address (util::http::pool). A daemon has at most 16 connections to a worker: 8 for starts, 4 for other orders, 4 for polls, so that three former owners that can't close theirs leave as many as the next one uses. Starts wait for a slot of their worker before they are prepared, so that they never wait with a lease that ages. Connections idle for 15 s are closed by a timer, also if the address is never called again. An owner whose token a worker refuses, or that stops polling a worker, closes what it keeps. The bound holds also for a former owner that is frozen or cut off. lapisdrum_connections_open counts connections by peer.

--- a/src/lapisdrum/sched/edge.rs
+++ b/src/lapisdrum/sched/edge.rs
@@ -431,6 +431,9 @@
     Silent(CallError),
 }
 
+/// Maximum number of start orders that a process has in flight to one worker.
+pub const MAX_STARTS_PER_WORKER: usize = 8;
+
 /// Client for the workers' interface; each call goes to a worker's address.
 pub trait Workers {
     /// Starts a run; the answer is the worker's clock.
@@ -465,6 +468,8 @@
         percent: u32,
         token: u64,
     ) -> LocalBoxFuture<'a, OrderOutcome<WorkerMillis>>;
+    /// Closes the connections that are kept to a worker, which are limited resources of the worker.
+    fn disconnect(&self, address: &str);
 }
 
 /// The advisory service's permission to run a step on a worker.
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -8,7 +8,10 @@
     ledger::Phase,
     owner::{balance, moves, outages::WaitsFor, start_order::NotSent},
 };
-use crate::util::{build, http::intake::IntakeMetrics};
+use crate::util::{
+    build,
+    http::{intake::IntakeMetrics, pool::ConnectionMetrics},
+};
 use indexmap::IndexMap;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -58,6 +61,8 @@
     registry: Registry,
     /// What callers hold together.
     pub intake: IntakeMetrics,
+    /// Connections to the store and to workers.
+    pub connections: ConnectionMetrics,
     /// Journal rows written.
     pub rows_written: Counter,
     /// Events journaled.
@@ -147,6 +152,7 @@
         let mut new = Self {
             registry: Registry::default(),
             intake: IntakeMetrics::default(),
+            connections: ConnectionMetrics::default(),
             rows_written: Counter::default(),
             events: Counter::default(),
             row_seconds: Histogram::new(exponential_buckets(FIRST_ROW_BUCKET, 2.0, BUCKETS)),
@@ -194,6 +200,7 @@
         let mut registry = Registry::with_prefix("lapisdrum");
         build::register(&mut registry);
         new.intake.register(&mut registry);
+        new.connections.register(&mut registry);
         new.register(registry.sub_registry_with_prefix("sched"));
         new.registry = registry;
         new.note_overdue(&IndexMap::new());
--- a/src/lapisdrum/sched/mod.rs
+++ b/src/lapisdrum/sched/mod.rs
@@ -177,6 +177,7 @@
         store: Rc<dyn Store>,
         workers: Rc<dyn Workers>,
         directory: Rc<dyn Directory>,
+        metrics: metrics::Metrics,
     ) -> Cx {
         let me = Holder {
             daemon: cfg.name.clone(),
@@ -193,7 +194,7 @@
             peers: peer::Peers::default(),
             daemons: RefCell::default(),
             reachability: reachability::Reachability::default(),
-            metrics: metrics::Metrics::new(),
+            metrics,
             catalogue: RefCell::default(),
             refused_entries: RefCell::default(),
             evacuations: RefCell::default(),
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -67,6 +67,9 @@
             }
         }
         owner.session(&worker, |session| session.is_polled = false);
+        if let Some(address) = owner.address_of(&worker) {
+            cx.workers.disconnect(&address);
+        }
     });
 }
 
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -507,6 +507,14 @@
         self.failed_on.borrow_mut().note(task, worker, now);
     }
 
+    /// Closes the connections that are kept to workers.
+    pub fn disconnect_workers(&self, cx: &Cx) {
+        let sessions = self.sessions.borrow();
+        for report in sessions.values().filter_map(|s| s.report.as_ref()) {
+            cx.workers.disconnect(&report.address);
+        }
+    }
+
     /// Address of a worker; none if the directory has not reported it.
     pub fn address_of(&self, worker: &str) -> Option<String> {
         let sessions = self.sessions.borrow();
--- a/src/lapisdrum/sched/owner/session.rs
+++ b/src/lapisdrum/sched/owner/session.rs
@@ -13,15 +13,15 @@
         place::{Load, reserved_by},
     },
     sched::{
-        edge::WorkerReport,
+        edge::{MAX_STARTS_PER_WORKER, WorkerReport},
         event::RunId,
         job::StepId,
         resolution::{KnownIncarnation, LeaseBound, LeaseLimits},
     },
 };
 use indexmap::{IndexMap, IndexSet};
-use std::{rc::Rc, time::Duration};
-use tokio::sync::Notify;
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::sync::{Notify, Semaphore};
 
 /// Time by which a renewal extends a lease at least. Polls take up to 1 s, so that at least 3 s of a
 /// lease of 6 s are left for a new owner to take over.
@@ -160,6 +160,8 @@
     pub disturbed_at: Millis,
     /// Failures in a row, and the time of the last one or of the reset.
     pub failures: (u32, Millis),
+    /// Bounds the start orders in flight to it; one permit is held for each.
+    pub start_slots: Arc<Semaphore>,
     /// Whether the owner polls it; see [`start_polling`](super::poll::start_polling).
     pub is_polled: bool,
 }
@@ -192,6 +194,7 @@
             missed_alone: MissedAlone::default(),
             disturbed_at: Millis::default(),
             failures: (0, Millis::default()),
+            start_slots: Arc::new(Semaphore::new(MAX_STARTS_PER_WORKER)),
             is_polled: false,
         }
     }
--- a/src/lapisdrum/sched/owner/start_order.rs
+++ b/src/lapisdrum/sched/owner/start_order.rs
@@ -16,8 +16,8 @@
     },
 };
 use indexmap::{IndexMap, IndexSet};
-use std::rc::Rc;
-use tokio::sync::SemaphorePermit;
+use std::{rc::Rc, sync::Arc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, SemaphorePermit};
 
 /// A reading of a worker's entry in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -162,13 +162,15 @@
     gangs
 }
 
+/// Permission to send a start order, held until the order is answered.
+pub struct StartSlot<'a> {
+    _of_worker: Option<OwnedSemaphorePermit>,
+    _of_process: Option<SemaphorePermit<'a>>,
+}
+
 /// Waits until the list of workers is recent and a slot for a start order is free. Dropping
 /// the order instead would need another journal row, which would be as late on a slow store.
-pub async fn acquire_slot<'a>(
-    cx: &'a Cx,
-    owner: &Owner,
-    run: &RunId,
-) -> Option<SemaphorePermit<'a>> {
+pub async fn acquire_slot<'a>(cx: &'a Cx, owner: &Owner, run: &RunId) -> StartSlot<'a> {
     loop {
         if owner.may_start(cx) && !owner.worker_list.is_recent(cx) {
             let list_age_ms = owner.worker_list.age_ms(cx);
@@ -176,14 +178,28 @@
             cx.metrics.starts_held.inc();
             directory::recent_list(cx, owner).await;
         }
-        // An error is impossible, since the semaphore is never closed.
-        let slot = cx.start_slots.acquire().await.ok();
+        // Orders that wait for one worker hold no slot that orders to others need. An error is
+        // impossible, since the semaphores are never closed.
+        let of_worker = match worker_slots(owner, run) {
+            Some(slots) => slots.acquire_owned().await.ok(),
+            None => None,
+        };
+        let slot = StartSlot {
+            _of_worker: of_worker,
+            _of_process: cx.start_slots.acquire().await.ok(),
+        };
         if owner.worker_list.is_recent(cx) || !owner.may_start(cx) {
             return slot;
         }
     }
 }
 
+/// Slots for start orders to the worker of a run; none if the run has ended.
+fn worker_slots(owner: &Owner, run: &RunId) -> Option<Arc<Semaphore>> {
+    let worker = owner.record(run, |record| record.on.worker.clone())?;
+    owner.session(&worker, |session| Arc::clone(&session.start_slots))
+}
+
 /// Builds the start order of a run, or says why it must not be sent.
 pub fn prepare(cx: &Cx, owner: &Owner, run: RunId) -> Result<Prepared, NotSent> {
     let on = owner.record(&run, |record| record.on.clone());
--- a/src/lapisdrum/sched/owner/suspension.rs
+++ b/src/lapisdrum/sched/owner/suspension.rs
@@ -3,7 +3,7 @@
 //! A worker refuses a token after it has seen a greater one, which exists only once another daemon
 //! has taken the shard over, so the refusal proves that this owner is superseded. Its own read of
 //! the lease row may take seconds longer, if it is cut off from the store. From the first refusal on
-//! it calls no worker, places nothing, accepts nothing and doesn't answer as the owner, until a read
+//! it calls no worker and keeps no connection to one, places nothing, accepts nothing and doesn't answer as the owner, until a read
 //! of the rows decides: it steps down, or it resumes, because the refusal came from a worker that was
 //! reached by mistake. That worker is then left alone for [`REFUSED_PAUSE`], so that it suspends the
 //! shard for a read in every such pause at most.
@@ -82,6 +82,7 @@
     suspension.since.set(Some(now));
     suspension.refusals.set(1);
     cx.metrics.suspensions.inc();
+    owner.disconnect_workers(cx);
     let shard = &owner.handle.partition;
     log::warn!(shard:%, worker, token = owner.token(); "worker refuses the fencing token of this owner");
     supervisor::spawn("check-lease", check_lease(Rc::clone(cx), Rc::clone(owner)));
--- a/src/lapisdrum/util/http/mod.rs
+++ b/src/lapisdrum/util/http/mod.rs
@@ -7,6 +7,7 @@
 
 mod connection;
 pub mod intake;
+pub mod pool;
 
 use actix_http::{
     Extensions, HttpService, Method, Payload, Request, RequestHead, Response, StatusCode,
--- a/tests/testsuite/process/mod.rs
+++ b/tests/testsuite/process/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the real binary: daemons, workers and platform as separate processes.
 
 mod changes;
+mod connections;
 mod crowds;
 mod faults;
 mod odd_entries;
--- a/tests/testsuite/process/odd_entries.rs
+++ b/tests/testsuite/process/odd_entries.rs
@@ -1,10 +1,10 @@
 //! Entries that other writers leave in the platform's tables, read by the real client from the stand-in of the store.
 
-use super::users_platform::{LIMIT, Site, long_running_job, two_steps};
+use super::users_platform::{LIMIT, Site, long_running_job, store_client, two_steps};
 use crate::support::wait;
 use actix_rt::net::TcpListener;
 use lapisdrum::{
-    platform::{client::PlatformClient, directory::StoreDirectory, store::TableStore},
+    platform::{directory::StoreDirectory, store::TableStore},
     sched::edge::Directory,
 };
 use lapisdrum_standins::users::{catalogue, rows::RowStore, worker::UsersWorker};
@@ -35,7 +35,7 @@
         for id in ["a-worker", "z-worker"] {
             rows.put("servers", id, &entry(id));
         }
-        let store = TableStore::new(PlatformClient::new(), &address);
+        let store = TableStore::new(store_client(), &address);
         Self {
             rows,
             directory: StoreDirectory::new(Rc::new(store)),
--- a/tests/testsuite/process/users_platform.rs
+++ b/tests/testsuite/process/users_platform.rs
@@ -17,6 +17,7 @@
         event::RunId,
         job::{JobId, RunNumber, TaskId},
     },
+    util::http::pool::{ConnectionMetrics, PeerKind},
 };
 use lapisdrum_standins::{
     site,
@@ -47,6 +48,16 @@
         .replace(&format!("{{{{{name}}}}}"), value)
 }
 
+/// A client of workers, as a daemon has it.
+pub(super) fn worker_client() -> PlatformClient {
+    PlatformClient::new(PeerKind::Worker, &ConnectionMetrics::default())
+}
+
+/// A client of the store, as a daemon has it.
+pub(super) fn store_client() -> PlatformClient {
+    PlatformClient::new(PeerKind::Store, &ConnectionMetrics::default())
+}
+
 /// A store, workers and daemons.
 pub(super) struct Site {
     pub(super) store: Rc<RowStore>,
@@ -448,7 +459,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     actix_rt::spawn(Rc::clone(&worker).serve(listener, stopped));
-    let workers = HttpWorkers::new(PlatformClient::new());
+    let workers = HttpWorkers::new(worker_client());
     for index in 0..501 {
         let order = StartOrder {
             run: RunId {
@@ -487,7 +498,7 @@
     for at in 0..5 {
         rows.put("status", &format!("row-{at}"), &json!(at));
     }
-    let store = TableStore::new(PlatformClient::new(), &address);
+    let store = TableStore::new(store_client(), &address);
     for (page_rows, read) in [(500, Some(5)), (2, Some(5)), (1, None)] {
         rows.max_page_rows.set(page_rows);
         let found = store.rows("status", "", "").await;
@@ -507,7 +518,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     actix_rt::spawn(Rc::clone(&rows).serve(listener, stopped));
-    let store = TableStore::new(PlatformClient::new(), &address);
+    let store = TableStore::new(store_client(), &address);
     let names = ["shard-1-400-a", "shard-1-800-a", "shard-1-900-b"];
     for name in names.iter().chain(&["shard-10-400-a"]) {
         let stored = store.put_object(name, "state".into()).await;
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -3,6 +3,7 @@
 
 mod accepted_jobs;
 mod calm;
+mod connections;
 mod delegate;
 mod evacuation;
 mod failed_on;
--- a/tests/testsuite/sched/world.rs
+++ b/tests/testsuite/sched/world.rs
@@ -36,7 +36,9 @@
         handover,
         job::{JobId, JobSpec, QueueConfig, RawJob, RunNumber, Step, TaskId},
         layout::ShardId,
-        lease, operators,
+        lease,
+        metrics::Metrics,
+        operators,
         owner::runs::load_of,
         peer::{self, CancelReply, JobState, OwnerReply, OwnerRequest, ShowReply, SubmitReply},
         resolution::LeaseLimits,
@@ -276,6 +278,8 @@
     commit_fates: RefCell<IndexMap<CommitKind, VecDeque<CallFate>>>,
     /// What happens to the next changes of objects.
     object_fates: RefCell<IndexMap<ObjectCall, VecDeque<CallFate>>>,
+    /// Connections to workers that were closed: daemon and address of the worker.
+    pub(crate) disconnects: RefCell<Vec<(String, String)>>,
     /// Time that a transaction occupies its partition of a slow store, and additional latency of its answer.
     slow_txn: Cell<(Duration, Duration)>,
     workers: RefCell<IndexMap<String, Worker>>,
@@ -399,6 +403,7 @@
             behaviours: RefCell::default(),
             commit_fates: RefCell::default(),
             object_fates: RefCell::default(),
+            disconnects: RefCell::default(),
             slow_txn: Cell::new((SLOW_TXN_TIME, Duration::ZERO)),
             workers: RefCell::default(),
             evacuated: RefCell::default(),
@@ -575,7 +580,7 @@
         let clock = Clock::with_time_of_day_offset(suspended);
         let random = Random::seeded(self.seeds.borrow_mut().random());
         let workers = Rc::clone(&edges) as Rc<dyn Workers>;
-        let cx = Node::new(cfg, clock, random, store, workers, edges);
+        let cx = Node::new(cfg, clock, random, store, workers, edges, Metrics::new());
         self.processes
             .borrow_mut()
             .insert(cx.me.incarnation, process);
@@ -1512,6 +1517,11 @@
             })
             .boxed_local()
     }
+
+    fn disconnect(&self, address: &str) {
+        let mut disconnects = self.world.disconnects.borrow_mut();
+        disconnects.push((self.daemon.clone(), address.to_owned()));
+    }
 }
 
 impl Worker {
