A call without a response closes all connections kept for its address

All workers counted as silent for about 15 s, their leases of 6 s ran out, and long-running tasks had no run for 9.9 s, where 9 s are allowed.

Cause: a call without a response closed its own connection only, and the next one took another kept connection, the one that had been idle for longest. A silent worker is polled once in 1.1 to 1.9 s, so five silent connections outlast a lease. The same holds for the store.

Both tests of silent connections failed on: the call after the first timeout timed out as well. Ruled out: the timeout of one call, at most 1.7 s, and workers or a store that refuse new connections.

Change: a call that was sent and got no response closes every connection that is kept for its address; those in use are closed when their calls end. So the next call opens a new one, and a silent worker answers after one timeout. Stops have permits of their own, so they don't wait for starts that are silent. Between daemons there is one connection an address already, which a failed call drops. lapisdrum_connections_given_up_total and the line "kept connections given up" show it.

--- a/src/lapisdrum/util/http/pool.rs
+++ b/src/lapisdrum/util/http/pool.rs
@@ -1,15 +1,17 @@
 //! Connections to other services, kept between calls.
 //!
 //! The pool of `awc` hands out the connection that has been idle for longest, and closes none until
-//! the same address is called again: the peak of a burst stays open. Here each connection is an `awc`
-//! client of its own that is limited to one connection. The most recently used one is handed out
-//! first, and idle ones are closed after [`MAX_IDLE`].
+//! the same address is called again: the peak of a burst stays open, and after a network fault each
+//! connection that has gone silent fails one more call. Here each connection is an `awc` client of its
+//! own that is limited to one connection. The most recently used one is handed out first, idle ones
+//! are closed after [`MAX_IDLE`], and a call without a response closes all that are kept for its
+//! address, so that the next call opens a new one.
 
 use awc::Client;
 use indexmap::IndexMap;
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{family::Family, gauge::Gauge},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
 use std::{
@@ -57,6 +59,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionMetrics {
     open: Family<PeerLabel, Gauge>,
+    given_up: Family<PeerLabel, Counter>,
 }
 
 impl ConnectionMetrics {
@@ -64,12 +67,18 @@
     pub fn register(&self, r: &mut Registry) {
         for kind in [PeerKind::Store, PeerKind::Worker] {
             drop(self.open.get_or_create(&kind.label()));
+            drop(self.given_up.get_or_create(&kind.label()));
         }
         r.register(
             "connections_open",
             "Connections to other services, in use or kept",
             self.open.clone(),
         );
+        r.register(
+            "connections_given_up",
+            "Kept connections closed since a call to their address got no response",
+            self.given_up.clone(),
+        );
     }
 }
 
@@ -93,10 +102,10 @@
 }
 
 impl Peer {
-    /// Closes the kept connections.
-    fn close_kept(&self) {
+    /// Closes the kept connections and returns their number.
+    fn close_kept(&self) -> usize {
         self.generation.set(self.generation.get() + 1);
-        self.idle.take();
+        std::mem::take(&mut *self.idle.borrow_mut()).len()
     }
 }
 
@@ -211,4 +220,19 @@
         self.peer.idle.borrow_mut().push(kept);
         self.pool.sweep();
     }
+
+    /// Closes the connection, on which no response arrived, and all that are kept for its address.
+    pub fn give_up(self, address: &str, reason: &str) {
+        let closed = self.peer.close_kept();
+        let kind = self.pool.kind;
+        if closed > 0 {
+            log::info!(peer = kind.name(), address, closed, reason; "kept connections given up");
+            let given_up = self
+                .pool
+                .metrics
+                .given_up
+                .get_or_create_owned(&kind.label());
+            given_up.inc_by(closed as u64);
+        }
+    }
 }
--- a/tests/testsuite/process/connections.rs
+++ b/tests/testsuite/process/connections.rs
@@ -1,21 +1,24 @@
-//! Connections that a process keeps to workers, through a relay that counts and silences them.
+//! Connections that a process keeps to workers and to the store, through a relay that counts and silences them.
 
-use super::users_platform::worker_client;
+use super::users_platform::{store_client, worker_client};
 use crate::support::{gate::Gate, wait};
 use actix_rt::net::TcpListener;
 use assert_matches::assert_matches;
 use futures::future::join_all;
 use lapisdrum::{
     core::time::WorkerMillis,
-    platform::workers::HttpWorkers,
+    platform::{store::TableStore, workers::HttpWorkers},
     sched::{
-        edge::{OrderOutcome, PollOrder, PollResponse, StartOrder, Workers},
+        edge::{OrderOutcome, PollOrder, PollResponse, StartOrder, Store, Workers},
         event::RunId,
         job::{JobId, RunNumber, TaskId},
     },
 };
-use lapisdrum_standins::users::worker::UsersWorker;
-use std::{rc::Rc, time::Duration};
+use lapisdrum_standins::users::{rows::RowStore, worker::UsersWorker};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::sync::watch;
 
 /// Connections that a worker accepts.
@@ -141,3 +144,60 @@
     })
     .await;
 }
+
+/// Guards against a worker that stays silent for as long as each connection that a network fault has silenced fails a
+/// call.
+#[actix_rt::test]
+async fn one_call_without_an_answer_gives_up_all_silent_connections_to_a_worker() {
+    let setup = Setup::new().await;
+    let workers = HttpWorkers::new(worker_client());
+    for _ in 0..2 {
+        setup.burst(&workers, 1).await;
+        assert!(setup.gate.open() > 1);
+        setup.gate.silence();
+        assert_matches!(setup.poll(&workers, 1).await, OrderOutcome::Silent(_));
+        assert_matches!(setup.poll(&workers, 1).await, OrderOutcome::Done(_));
+    }
+}
+
+/// Guards against stops and polls that wait for starts on silent connections.
+#[actix_rt::test]
+async fn a_stop_and_a_poll_do_not_wait_for_silent_starts() {
+    let setup = Setup::new().await;
+    let workers = HttpWorkers::new(worker_client());
+    setup.burst(&workers, 1).await;
+    setup.gate.silence();
+    let address = setup.gate.address.to_string();
+    let (started, took) = futures::join!(setup.burst(&workers, 1), async {
+        // The starts are sent first.
+        tokio::task::yield_now().await;
+        let sent_at = Instant::now();
+        let stopped = workers.stop(&address, WORKER, run(0), 1).await;
+        assert_matches!(stopped, OrderOutcome::Done(_));
+        assert_matches!(setup.poll(&workers, 1).await, OrderOutcome::Done(_));
+        sent_at.elapsed()
+    });
+    assert!(started.iter().any(|s| matches!(s, OrderOutcome::Silent(_))));
+    assert!(took < Duration::from_millis(400), "{took:?}");
+}
+
+/// Guards against an owner that can't renew its lease for as long as each silent connection to the store fails a call.
+#[actix_rt::test]
+async fn one_call_without_an_answer_gives_up_all_silent_connections_to_the_store() {
+    let (_stop, stopped) = watch::channel(false);
+    let rows = Rc::new(RowStore::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    actix_rt::spawn(Rc::clone(&rows).serve(listener, stopped));
+    rows.put("status", "row", &serde_json::json!(1));
+    let gate = Gate::start(address, WORKER_CONNECTIONS).await;
+    let store = TableStore::new(store_client(), &gate.address);
+    for _ in 0..2 {
+        let reads = (0..10).map(|_| store.rows("status", "", ""));
+        assert!(join_all(reads).await.iter().all(Result::is_ok));
+        assert!(gate.open() > 1);
+        gate.silence();
+        assert!(store.rows("status", "", "").await.is_err());
+        assert!(store.rows("status", "", "").await.is_ok());
+    }
+}
--- a/tests/testsuite/support/gate.rs
+++ b/tests/testsuite/support/gate.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that counts open connections and limits their number.
+//! A TCP relay whose open connections can be silenced, and which limits their number.
 
 use actix_rt::net::{TcpListener, TcpStream};
 use std::{
@@ -17,6 +17,8 @@
     /// Address that clients connect to.
     pub(crate) address: SocketAddr,
     open: Cell<usize>,
+    /// Connections that were accepted before the last increment are silent.
+    silenced: Cell<u64>,
 }
 
 impl Gate {
@@ -27,6 +29,7 @@
         let gate = Rc::new(Self {
             address: listener.local_addr().expect("an address"),
             open: Cell::new(0),
+            silenced: Cell::new(0),
         });
         actix_rt::spawn(accept(Rc::downgrade(&gate), listener, target, max_open));
         gate
@@ -36,6 +39,11 @@
     pub(crate) fn open(&self) -> usize {
         self.open.get()
     }
+
+    /// Stops passing on anything on the connections that are open now. They stay open.
+    pub(crate) fn silence(&self) {
+        self.silenced.set(self.silenced.get() + 1);
+    }
 }
 
 async fn accept(gate: Weak<Gate>, listener: TcpListener, target: SocketAddr, max_open: usize) {
@@ -58,6 +66,7 @@
 }
 
 async fn relay(gate: Rc<Gate>, mut client: TcpStream, target: SocketAddr) {
+    let silenced_before = gate.silenced.get();
     let mut upstream = TcpStream::connect(target).await.expect("the target");
     let (mut sent, mut received) = ([0; 16 * 1024], [0; 16 * 1024]);
     loop {
@@ -71,7 +80,8 @@
                 _ => break,
             },
         };
-        if to.write_all(bytes).await.is_err() {
+        let is_silent = gate.silenced.get() != silenced_before;
+        if !is_silent && to.write_all(bytes).await.is_err() {
             break;
         }
     }
