The lease row says which runs have started, for the next owner

Ruled out: the first owner's count, which was right.

An inherited run has started if the row says so; else it counts once its worker lists it, and as never started if it is lost. A job that was shown as running stays so, unless its worker and owner are lost within a row's time of its start. A row of an earlier version has no such field, and an earlier version ignores it.

only_an_answer_of_the_worker_shows_a_start asserted the assumption that was wrong (an inherited run counts as started); it now asserts that one counts by evidence alone, in both directions.

--- a/src/lapisdrum/sched/lease.rs
+++ b/src/lapisdrum/sched/lease.rs
@@ -149,6 +149,10 @@
         /// most as many as in `confirmed`.
         #[serde(default)]
         pub unsettled: IndexMap<String, ConfirmedRuns>,
+        /// Journal rows before which all runs have started, as far as the sender knows. A sender of an
+        /// earlier version does not write it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub started: Option<ConfirmedBefore>,
     }
 
     /// Content of the lease row.
@@ -389,6 +393,13 @@
         sent.map_or_else(ConfirmedBefore::default, SentLeases::confirmed_by_worker)
     }
 
+    /// The journal rows before which all runs had started, as far as the last sender knew.
+    pub fn started_before(&self) -> ConfirmedBefore {
+        let sent = self.row.as_ref().and_then(|row| row.leases.as_ref());
+        sent.and_then(|sent| sent.started.clone())
+            .unwrap_or_default()
+    }
+
     /// The last owner that may have sent leases, and its fencing token.
     pub fn last_sender(&self) -> Option<(&Holder, u64)> {
         let row = self.row.as_ref()?;
@@ -427,6 +438,7 @@
                 confirmed_before: self.confirmed_before().on_all(),
                 confirmed: Some(self.confirmed_before()),
                 unsettled: unsettled_left_of(&self.unsettled_workers(limits), now),
+                started: Some(self.started_before()),
             }),
             accepts_returns: true,
             accepts_origins: true,
--- a/src/lapisdrum/sched/owner/mod.rs
+++ b/src/lapisdrum/sched/owner/mod.rs
@@ -106,6 +106,8 @@
     /// Journal rows before which the previous owner had confirmed the long-running runs on workers
     /// that answered it.
     previous_confirmed_before: ConfirmedBefore,
+    /// Journal rows before which all runs had started, as far as the previous owner knew.
+    previous_started_before: ConfirmedBefore,
     /// Workers that answered the previous owner, on which leases of confirmed runs last longer than
     /// on others.
     unsettled_before: IndexMap<String, UnsettledWorker>,
@@ -223,6 +225,7 @@
             listed: Listed::new(silent_before.keys().cloned()),
             silent_before: RefCell::new(silent_before),
             previous_confirmed_before: seen.confirmed_before(),
+            previous_started_before: seen.started_before(),
             unsettled_before: seen.unsettled_workers(limits),
             recovered_at: Cell::new(None),
             given_up: RefCell::default(),
--- a/src/lapisdrum/sched/owner/outages.rs
+++ b/src/lapisdrum/sched/owner/outages.rs
@@ -309,7 +309,9 @@
         _ if is_silent => Some(WaitsFor::LeaseEnd),
         _ if record.awaits_ends => Some(WaitsFor::Ends),
         (_, Stop::InFlight | Stop::Confirmed(_)) => Some(WaitsFor::Stop),
-        (Order::InFlight | Order::Unanswered | Order::Inherited, Stop::No) => Some(WaitsFor::Start),
+        (Order::InFlight | Order::Unanswered | Order::Inherited { .. }, Stop::No) => {
+            Some(WaitsFor::Start)
+        }
         (Order::Answered(_), Stop::No) => None,
     }
 }
--- a/src/lapisdrum/sched/owner/poll.rs
+++ b/src/lapisdrum/sched/owner/poll.rs
@@ -547,7 +547,10 @@
     let Some(record) = runs.get_mut(run) else {
         return;
     };
-    if matches!(record.known.order, Order::Unanswered | Order::Inherited) {
+    if matches!(
+        record.known.order,
+        Order::Unanswered | Order::Inherited { .. }
+    ) {
         record.known.order = Order::Answered(now);
     }
     if record.progress.is_none_or(|(before, _)| before != percent) {
--- a/src/lapisdrum/sched/owner/runs.rs
+++ b/src/lapisdrum/sched/owner/runs.rs
@@ -103,7 +103,9 @@
         placed_row: Option<u64>,
     ) {
         let known = RunKnowledge {
-            order: Order::Inherited,
+            order: Order::Inherited {
+                has_started: self.had_started(&on.worker, placed_row),
+            },
             stop: Stop::No,
         };
         self.add_run(cx, run, on, known, placed_row);
@@ -224,7 +226,7 @@
         let Some(record) = self.remove_run(&run) else {
             return;
         };
-        let is_unstarted = record.known.is_unstarted(why);
+        let is_unstarted = !record.known.has_started();
         log::info!(task:% = run.task, run = run.run.0, worker:% = record.on.worker, why:? = why, is_unstarted; "run lost");
         cx.metrics.runs_lost.inc();
         let lost = Event::Lost {
--- a/src/lapisdrum/sched/owner/silent_workers.rs
+++ b/src/lapisdrum/sched/owner/silent_workers.rs
@@ -1,4 +1,4 @@
-//! What the lease row says of the leases that workers hold, for the next owner.
+//! What the lease row says of the leases that workers hold and of their runs, for the next owner.
 //!
 //! Only the owner that sent a lease knows when it ends. Without that in the store, the next owner
 //! bounds the leases of a silent worker by all that its predecessors may have sent until they knew
@@ -11,6 +11,9 @@
 //! leases there last up to a longest lease from its first answer. Without that end in the row, each
 //! next owner would count the longest lease from its own first contact.
 //!
+//! The row says as well which runs are known to have started, for callers who ask the next owner before
+//! their workers answer it. A worker that is gone never does.
+//!
 //! A listed worker that answers again gets no lease until a row without it is known to be written:
 //! whichever row the next owner finds, no lease was sent that it denies. A row takes effect only
 //! under the owner's fence, so none changes after a take-over.
@@ -102,6 +105,7 @@
             confirmed_before: self.previous_confirmed_before.on_all(),
             confirmed: Some(self.previous_confirmed_before.clone()),
             unsettled: unsettled_left_of(&self.unsettled_before, now),
+            started: Some(self.previous_started_before.clone()),
         }
     }
 
@@ -121,6 +125,7 @@
             unsettled: unsettled_left_of(&unsettled, now),
             silent: left_of(&silent, now),
             silent_confirmed: confirmed_left_of(&silent, now),
+            started: Some(self.started_before()),
         }
     }
 
@@ -230,6 +235,38 @@
         }
     }
 
+    /// Whether an earlier owner knew that a run had started that was placed on this worker in this row;
+    /// without a row, in one that the snapshot covers.
+    pub fn had_started(&self, worker: &str, placed_row: Option<u64>) -> bool {
+        let latest = placed_row.unwrap_or(self.journal.covered_upto());
+        let before = self.previous_started_before.on(worker);
+        before.is_some_and(|before| latest < before)
+    }
+
+    /// Journal rows before which all runs have started, as far as known. Workers that answer are not
+    /// named: the next owner hears from them which runs they have.
+    fn started_before(&self) -> ConfirmedBefore {
+        if !self.has_recovered() {
+            return self.previous_started_before.clone();
+        }
+        let (sessions, runs) = (self.sessions.borrow(), self.runs.borrow());
+        let mut before = ConfirmedBefore::everywhere(Some(self.journal.next_row()));
+        for (worker, session) in sessions.iter() {
+            let records = session.runs.iter().filter_map(|run| runs.get(run));
+            let unstarted = records.filter(|record| !record.known.has_started());
+            // A run whose row is not known is in the snapshot.
+            let rows = unstarted.map(|record| record.placed_row.unwrap_or_default());
+            match rows.min() {
+                None => {}
+                Some(row) if session.is_silent() => {
+                    before.add(worker, row);
+                }
+                Some(row) => before.others = before.others.map(|others| others.min(row)),
+            }
+        }
+        before
+    }
+
     /// Journal rows before which the long-running runs on workers other than `silent` ones are
     /// confirmed, and those of these workers where leases of confirmed runs last longer than the row
     /// allows for all.
--- a/src/lapisdrum/sched/resolution.rs
+++ b/src/lapisdrum/sched/resolution.rs
@@ -102,7 +102,10 @@
     /// The call ended without a reply; the order may still be carried out.
     Unanswered,
     /// Sent by an earlier owner, whose token the worker refuses once it has seen this owner's.
-    Inherited,
+    Inherited {
+        /// Whether that owner's lease row says that the run has started.
+        has_started: bool,
+    },
 }
 
 /// State of an order to stop a run.
@@ -127,19 +130,13 @@
 }
 
 impl RunKnowledge {
-    /// Whether the run has started, as far as known. An earlier owner's run counts as started until
-    /// its worker answers: most are, and the earlier owner may have reported it so.
+    /// Whether there is evidence that the run has started. A placement is none: its worker may have
+    /// been lost before the order arrived, and then no answer ever tells.
     pub fn has_started(&self) -> bool {
-        matches!(self.order, Order::Answered(_) | Order::Inherited)
-    }
-
-    /// Whether there is no evidence that the run, which was lost, had started.
-    pub fn is_unstarted(&self, why: Loss) -> bool {
         match self.order {
-            Order::NotSent | Order::InFlight | Order::Unanswered => true,
-            Order::Answered(_) => false,
-            // Its worker has no end of it, and the journal neither.
-            Order::Inherited => why == Loss::NotThere,
+            Order::NotSent | Order::InFlight | Order::Unanswered => false,
+            Order::Answered(_) => true,
+            Order::Inherited { has_started } => has_started,
         }
     }
 }
@@ -242,7 +239,7 @@
         Order::Answered(_) => RunVerdict::Wait,
         // The poll carried this owner's token, so the worker refuses orders of earlier owners that
         // are in flight.
-        Order::Inherited => RunVerdict::Lost(loss),
+        Order::Inherited { .. } => RunVerdict::Lost(loss),
         // A worker that restarts under the same id has lost all tokens and stopped runs: an order
         // still in flight would be carried out by the new incarnation too.
         Order::Unanswered => match known.stop {
@@ -415,13 +412,14 @@
 }
 
 data! {
-    /// Journal rows before which the long-running runs on workers that answer are confirmed.
+    /// Journal rows before which something is known of the runs that were placed, by worker: that
+    /// the long-running ones are confirmed, or that all have started.
     #[derive(Default)]
     pub struct ConfirmedBefore {
         /// On all workers that are not named; none if nothing is known there.
         pub others: Option<u64>,
-        /// On workers with a run that is not confirmed. One such run would otherwise have the next
-        /// owner wait longer for all runs that were placed after it, whatever workers they are on.
+        /// On workers with a run of which it is not known. One such run would otherwise count for
+        /// all that were placed after it, whatever workers they are on.
         pub workers: IndexMap<String, u64>,
     }
 }
@@ -447,7 +445,7 @@
         Some(lowest.map_or(others, |lowest| lowest.min(others)))
     }
 
-    /// Adds a worker where runs that were placed in this row or later ones are not confirmed; beyond
+    /// Adds a worker where it is not known of runs that were placed in this row or later ones; beyond
     /// [`MAX_UNCONFIRMED_WORKERS`] the row counts for all workers that are not named. Returns whether
     /// the worker is named.
     pub fn add(&mut self, worker: &str, before: u64) -> bool {
--- a/tests/testsuite/model/earlier_owners.rs
+++ b/tests/testsuite/model/earlier_owners.rs
@@ -214,6 +214,7 @@
                     confirmed_before: None,
                     confirmed: None,
                     unsettled: IndexMap::new(),
+                    started: None,
                 }),
                 accepts_returns: true,
                 accepts_origins: true,
@@ -341,6 +342,7 @@
         confirmed_before: None,
         confirmed: None,
         unsettled: unsettled_left_of(&workers, now),
+        started: None,
     }
 }
 
@@ -508,6 +510,7 @@
             confirmed_before: None,
             confirmed: None,
             unsettled: IndexMap::new(),
+            started: None,
         }),
         ..LeaseView::default().takeover_row(&holder(1), Millis(0), &limits)
     };
--- a/tests/testsuite/sched/listed_ends.rs
+++ b/tests/testsuite/sched/listed_ends.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 const LIMIT: Duration = Duration::from_secs(5);
+const INHERITED: Order = Order::Inherited { has_started: true };
 
 fn small_step(count: u32, estimate_ms: u64) -> Step {
     Step {
@@ -322,7 +323,7 @@
             lists.ended = (lists.ended + ends).min(RUNS);
             let is_complete = lists.poll();
             for run in lists.read..RUNS {
-                for order in [Order::Answered(Millis(100)), Order::Inherited] {
+                for order in [Order::Answered(Millis(100)), INHERITED] {
                     let known = RunKnowledge { order, stop };
                     let verdict = judged(known, is_same_incarnation, run >= lists.ended, is_complete);
                     let is_lost = matches!(verdict, RunVerdict::Lost(_));
@@ -336,7 +337,7 @@
         while !lists.poll() {
             lists.durable = lists.read;
         }
-        let known = RunKnowledge { order: Order::Inherited, stop };
+        let known = RunKnowledge { order: INHERITED, stop };
         let why = if is_same_incarnation { Loss::NotThere } else { Loss::Reborn };
         prop_assert_eq!(judged(known, is_same_incarnation, false, true), RunVerdict::Lost(why));
     }
--- a/tests/testsuite/sched/pending.rs
+++ b/tests/testsuite/sched/pending.rs
@@ -9,7 +9,6 @@
     core::time::Millis,
     sched::{
         Cx,
-        event::Loss,
         layout::ShardId,
         owner::jobs,
         peer::{JobState, SubmitReply},
@@ -80,25 +79,87 @@
     });
 }
 
-/// Guards against a run that counts as started by its order alone, and against one that a worker had confirmed and that
-/// no longer counts once it is lost.
+/// Guards against jobs that the next owner tells as running because they were placed on a worker that was lost before.
 #[test]
-fn only_an_answer_of_the_worker_shows_a_start() {
+fn a_job_placed_on_a_silent_worker_is_pending_after_a_take_over() {
+    paused(async {
+        let world = World::new(1);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        sleep(Duration::from_secs(1)).await;
+        world.cut("w0", true);
+        for job in 1..=4 {
+            let submitted = world.submit(&first, job, vec![step(1, 60_000, &[])]).await;
+            assert_matches!(submitted, SubmitReply::Accepted);
+        }
+        let second = world.daemon("b");
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        until("the shard is recovered", LIMIT, async || {
+            pending(&second).await.is_some()
+        })
+        .await;
+        for _ in 0..20 {
+            assert_eq!(pending(&second).await, Some(4));
+            assert_eq!(world.state(&second, 1).await, Some(JobState::Queued));
+            sleep(Duration::from_millis(500)).await;
+        }
+        world.cut("w0", false);
+        until("the jobs have started", LIMIT, async || {
+            pending(&second).await == Some(0)
+        })
+        .await;
+        world.check();
+    });
+}
+
+/// Guards against a job that ran and waits again for its callers once its worker and its owner are lost together.
+#[test]
+fn a_job_that_runs_is_not_pending_after_its_worker_and_owner_are_lost() {
+    paused(async {
+        let world = World::new(2);
+        let first = world.daemon("a");
+        owned(&first, LIMIT).await;
+        let submitted = world.submit(&first, 1, vec![step(1, 60_000, &[])]).await;
+        assert_matches!(submitted, SubmitReply::Accepted);
+        until("the task runs", LIMIT, async || {
+            pending(&first).await == Some(0)
+        })
+        .await;
+        sleep(Duration::from_secs(1)).await;
+        let second = world.daemon("b");
+        for worker in ["w0", "w1"] {
+            world.cut(worker, true);
+        }
+        world.set_store("a", StoreBehaviour::Unavailable);
+        owned(&second, LIMIT).await;
+        until("the shard is recovered", LIMIT, async || {
+            pending(&second).await.is_some()
+        })
+        .await;
+        for _ in 0..20 {
+            assert_eq!(pending(&second).await, Some(0));
+            assert_eq!(world.state(&second, 1).await, Some(JobState::Running));
+            sleep(Duration::from_millis(500)).await;
+        }
+    });
+}
+
+/// Guards against a run that counts as started by its order or its placement alone.
+#[test]
+fn only_an_answer_of_the_worker_to_some_owner_shows_a_start() {
     let known = |order| RunKnowledge {
         order,
         stop: Stop::No,
     };
-    for order in [Order::NotSent, Order::InFlight, Order::Unanswered] {
+    let unknown = Order::Inherited { has_started: false };
+    for order in [Order::NotSent, Order::InFlight, Order::Unanswered, unknown] {
         assert!(!known(order).has_started());
-        assert!(known(order).is_unstarted(Loss::Lapsed));
     }
-    let answered = known(Order::Answered(Millis(1)));
-    assert!(answered.has_started());
-    assert!(!answered.is_unstarted(Loss::NotThere));
-    let inherited = known(Order::Inherited);
-    assert!(inherited.has_started());
-    assert!(inherited.is_unstarted(Loss::NotThere));
-    for why in [Loss::Lapsed, Loss::Reborn] {
-        assert!(!inherited.is_unstarted(why));
+    for order in [
+        Order::Answered(Millis(1)),
+        Order::Inherited { has_started: true },
+    ] {
+        assert!(known(order).has_started());
     }
 }
