A cancelled job is refused if it arrives later

The submission had waited in the socket of a frozen daemon that owned nothing.

Cause: an owner that is asked to cancel an unknown job forgot the id, and nothing in a submission shows its age. Weighed and not taken: to drop what is read after a freeze, since a delay elsewhere can't be seen; to look at closed connections, since an open one proves nothing; to remember the id in memory, since the next owner would accept the job.

Change: the owner journals a tombstone before it answers 410, in each shard that may be the home, and refuses a submission of the id with 503 until the tombstone is dropped, after the time for which ended jobs are remembered, counted from the last cancellation; Retry-After says so. The refusal needs the same proof of ownership as others. A shard has at most 4,096; beyond them a cancellation of an unknown job is refused rather than an earlier answer made false. A job that moves was accepted by its home and is not refused.

--- a/src/lapisdrum/sched/event.rs
+++ b/src/lapisdrum/sched/event.rs
@@ -111,6 +111,14 @@
             /// Time of the cancellation, in Unix milliseconds.
             at_unix_ms: u64,
         },
+        /// A caller cancelled a job that the shard does not know: its submission may still arrive, and
+        /// is refused then. An earlier version can't read the event, as it would accept the job.
+        CancelledBeforeArrival {
+            /// Id of the job.
+            job: JobId,
+            /// Time of the cancellation, in Unix milliseconds.
+            at_unix_ms: u64,
+        },
         /// A job was transferred from its home shard to one with more free capacity for
         /// long-running tasks.
         Sent {
@@ -143,7 +151,8 @@
             /// Time of the adoption, in Unix milliseconds.
             at_unix_ms: u64,
         },
-        /// The record of an ended or transferred job was dropped after the retention time.
+        /// The record of an ended or transferred job, or a tombstone, was dropped after the retention
+        /// time.
         Forgotten {
             /// The dropped job.
             job: JobId,
--- a/src/lapisdrum/sched/front.rs
+++ b/src/lapisdrum/sched/front.rs
@@ -176,6 +176,9 @@
             Asked::Final(Outcome::Done(()))
         }
         OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::UnknownJob)) => Asked::NotHere,
+        OwnerCall::Answered(OwnerReply::Cancelled(CancelReply::Busy(wait))) => {
+            Asked::Undecided(Outcome::Refused(wait))
+        }
         OwnerCall::NotReached | OwnerCall::NotOwner => {
             Asked::Undecided(Outcome::Refused(NO_OWNER_RETRY))
         }
--- a/src/lapisdrum/sched/ledger.rs
+++ b/src/lapisdrum/sched/ledger.rs
@@ -232,6 +232,14 @@
         skip_serializing_if = "IndexMap::is_empty"
     )]
     pub moving: IndexMap<JobId, MovingJob>,
+    /// Unknown jobs that callers cancelled, with the time of the last cancellation in Unix
+    /// milliseconds. They are refused if they arrive later.
+    #[serde(
+        with = "indexmap::map::serde_seq",
+        default,
+        skip_serializing_if = "IndexMap::is_empty"
+    )]
+    pub tombstones: IndexMap<JobId, u64>,
     /// In a snapshot: numbers of the journal rows that placed the long-running runs that may be
     /// alive. Empty otherwise, and in a snapshot of an earlier version.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -310,6 +318,7 @@
                 run, is_unstarted, ..
             } => self.lose(run, *is_unstarted),
             Event::Cancelled { job, at_unix_ms } => self.cancel(*job, *at_unix_ms),
+            Event::CancelledBeforeArrival { job, at_unix_ms } => self.bury(*job, *at_unix_ms),
             Event::Sent {
                 job,
                 to,
@@ -379,14 +388,31 @@
         Ok(())
     }
 
+    /// A job that moves here was accepted by its home, which answers for it until then, so a tombstone
+    /// does not apply to it.
     fn accept(&mut self, id: JobId, new: Job) -> Result<(), InvalidEvent> {
-        if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
+        let is_cancelled = self.tombstones.contains_key(&id) && new.moved_from.is_none();
+        if self.is_known(id) || is_cancelled {
             return Err(InvalidEvent::Job(id));
         }
+        self.tombstones.shift_remove(&id);
         self.jobs.insert(id, new);
         Ok(())
     }
 
+    /// Whether the shard has the job, runs tasks of it, or has sent it to another shard.
+    pub fn is_known(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id) || self.sent.contains_key(&id)
+    }
+
+    fn bury(&mut self, id: JobId, at_unix_ms: u64) -> Result<(), InvalidEvent> {
+        if self.is_known(id) {
+            return Err(InvalidEvent::Job(id));
+        }
+        self.tombstones.insert(id, at_unix_ms);
+        Ok(())
+    }
+
     /// Delegates a long-running task without a live run. Only the other shard can return it, since
     /// it may adopt the task at any later time.
     fn delegate(&mut self, id: &TaskId, to: ShardId) -> Result<(), InvalidEvent> {
@@ -476,7 +502,7 @@
     }
 
     fn send(&mut self, id: JobId, to: ShardId, at_unix_ms: u64) -> Result<(), InvalidEvent> {
-        if self.jobs.contains_key(&id) || self.sent.contains_key(&id) {
+        if self.is_known(id) || self.tombstones.contains_key(&id) {
             return Err(InvalidEvent::Job(id));
         }
         self.sent.insert(id, SentJob { to, at_unix_ms });
@@ -582,7 +608,8 @@
         if self.moving.contains_key(&id) {
             return Err(InvalidEvent::NotEnded(id));
         }
-        if self.sent.shift_remove(&id).is_some() {
+        let is_dropped = self.sent.shift_remove(&id).is_some();
+        if is_dropped || self.tombstones.shift_remove(&id).is_some() {
             return Ok(());
         }
         let job = self.jobs.get(&id).ok_or(InvalidEvent::Job(id))?;
--- a/src/lapisdrum/sched/metrics.rs
+++ b/src/lapisdrum/sched/metrics.rs
@@ -113,6 +113,8 @@
     pub obsolete_rows: Gauge,
     /// Jobs refused since they would have ended too late to be worth anything.
     pub hopeless_refusals: Counter,
+    /// Submissions refused since their jobs were cancelled before they arrived.
+    pub late_submissions: Counter,
     /// Dispatch passes in which callers' shares changed the order of steps.
     pub reordered_passes: Counter,
     /// Interrupted long-running tasks that did not run again within three seconds.
@@ -177,6 +179,7 @@
             journal_bytes: Gauge::default(),
             obsolete_rows: Gauge::default(),
             hopeless_refusals: Counter::default(),
+            late_submissions: Counter::default(),
             reordered_passes: Counter::default(),
             long_running_outages: Counter::default(),
             job_stalls: Counter::default(),
@@ -332,6 +335,12 @@
             truncated,
         );
         self.register_journal(r);
+        let late = self.late_submissions.clone();
+        r.register(
+            "late_submissions",
+            "Submissions refused since their jobs were cancelled before they arrived",
+            late,
+        );
         let hopeless = self.hopeless_refusals.clone();
         r.register(
             "hopeless_refusals",
--- a/src/lapisdrum/sched/owner/jobs.rs
+++ b/src/lapisdrum/sched/owner/jobs.rs
@@ -2,12 +2,13 @@
 
 use super::{Owner, balance, moves, shard_loads, sharing};
 use crate::{
+    core::time::millis,
     daemon::supervisor,
     sched::{
         Cx,
         event::Event,
         job::{JobId, JobSpec, QueueConfig},
-        journal::AppendOutcome,
+        journal::{AppendOutcome, Ticket},
         layout::ShardId,
         ledger::{Job, Phase},
         peer::{CancelReply, JobState, ShowReply, SubmitReply},
@@ -27,6 +28,11 @@
 /// need at least seconds to restore one.
 const EVACUATED_RETRY: Duration = Duration::from_secs(5);
 
+/// Maximum number of tombstones of a shard; a snapshot has 40 bytes for each.
+const MAX_TOMBSTONES: usize = 4_096;
+/// Retry delay for callers that cancel an unknown job while the shard has too many tombstones.
+const TOO_MANY_TOMBSTONES_RETRY: Duration = Duration::from_secs(5);
+
 /// Accepts a job. A repeated submission of the same id gets the outcome of the first.
 pub async fn submit(
     cx: &Cx,
@@ -40,6 +46,9 @@
     if !owner.is_recovered() {
         return SubmitReply::NotOwner;
     }
+    if let Some(refusal) = refusal_of_cancelled(cx, owner, job).await {
+        return refusal;
+    }
     if !is_sent && let Some(to) = balance::reply_if_sent(cx, owner, job, &spec, &terms).await {
         return to;
     }
@@ -48,6 +57,10 @@
     if is_lost || owner.is_suspended() {
         return SubmitReply::NotOwner;
     }
+    // The job may have been cancelled while another shard was asked.
+    if let Some(refusal) = refusal_of_cancelled(cx, owner, job).await {
+        return refusal;
+    }
     let is_known = owner.ledger.borrow().jobs.contains_key(&job);
     if !is_known && !owner.journal.accepts_work(cx.clock.now()) {
         return SubmitReply::Busy(STORE_UNAVAILABLE_RETRY);
@@ -74,6 +87,20 @@
     acceptance(cx, owner, job).await
 }
 
+/// The reply to the submission of a job that was cancelled before it arrived, if it was: callers were
+/// told that there is no such job, and no longer expect it to run. It says when the tombstone is
+/// dropped. Without a tombstone this doesn't wait.
+async fn refusal_of_cancelled(cx: &Cx, owner: &Owner, job: JobId) -> Option<SubmitReply> {
+    let cancelled_at = owner.ledger.borrow().tombstones.get(&job).copied()?;
+    if !owner.is_sole_owner(cx).await {
+        return Some(SubmitReply::NotOwner);
+    }
+    let age = Duration::from_millis(cx.unix_ms().saturating_sub(cancelled_at));
+    log::info!(job:% = job, shard:% = owner.handle.partition, cancelled_ms_ago = millis(age); "submission refused: the job was cancelled before it arrived");
+    cx.metrics.late_submissions.inc();
+    Some(SubmitReply::Busy(cx.cfg.retention.saturating_sub(age)))
+}
+
 /// The outcome of an acceptance, under way or earlier, for one of its callers.
 pub(super) async fn acceptance(cx: &Cx, owner: &Owner, job: JobId) -> SubmitReply {
     let accepting = owner.accepting.borrow().get(&job).cloned();
@@ -180,7 +207,9 @@
     job.map(|job| job.phase)
 }
 
-/// Cancels a job; also succeeds for one that has already ended.
+/// Cancels a job; also succeeds for one that has already ended. That an unknown one was cancelled is
+/// durable before the reply: its submission may be on its way, delayed by a frozen daemon or by the
+/// network, and nothing in it shows its age.
 pub async fn cancel(cx: &Cx, owner: &Rc<Owner>, job: JobId) -> CancelReply {
     if !owner.is_recovered() {
         return CancelReply::NotOwner;
@@ -195,8 +224,14 @@
     if own_phase(owner, job).is_none() && !owner.is_sole_owner(cx).await {
         return CancelReply::NotOwner;
     }
-    let ticket = match own_phase(owner, job) {
-        None => return CancelReply::UnknownJob,
+    let phase = own_phase(owner, job);
+    let ticket = match phase {
+        // A guest, or a job that was sent to another shard, which answers for it.
+        None if owner.ledger.borrow().is_known(job) => return CancelReply::UnknownJob,
+        None => match bury(cx, owner, job) {
+            Some(ticket) => ticket,
+            None => return CancelReply::Busy(TOO_MANY_TOMBSTONES_RETRY),
+        },
         Some(Phase::Active) => {
             let at_unix_ms = cx.unix_ms();
             let ticket = owner.propose(cx, vec![Event::Cancelled { job, at_unix_ms }]);
@@ -208,11 +243,36 @@
         Some(_) => owner.journal.append(&[]),
     };
     match tokio::time::timeout(owner.journal.stall_timeout(), ticket.outcome()).await {
+        Ok(AppendOutcome::Durable) if phase.is_none() => CancelReply::UnknownJob,
         Ok(AppendOutcome::Durable) => CancelReply::Done,
         Ok(AppendOutcome::Lost) | Err(_) => CancelReply::Unknown,
     }
 }
 
+/// Records that an unknown job was cancelled; none if the shard has too many such records.
+fn bury(cx: &Cx, owner: &Owner, job: JobId) -> Option<Ticket> {
+    let at_unix_ms = cx.unix_ms();
+    let (recorded, tombstones) = {
+        let ledger = owner.ledger.borrow();
+        let recorded = ledger.tombstones.get(&job).copied();
+        (recorded, ledger.tombstones.len())
+    };
+    let age = recorded.map(|at| Duration::from_millis(at_unix_ms.saturating_sub(at)));
+    match age {
+        // It may not be durable yet.
+        Some(age) if age < cx.cfg.retention / 2 => Some(owner.journal.append(&[])),
+        None if tombstones >= MAX_TOMBSTONES => {
+            log::warn!(job:% = job, shard:% = owner.handle.partition, tombstones; "cancel refused: too many unknown jobs were cancelled");
+            None
+        }
+        Some(_) | None => {
+            log::info!(job:% = job, shard:% = owner.handle.partition, tombstones; "unknown job is cancelled");
+            let event = Event::CancelledBeforeArrival { job, at_unix_ms };
+            Some(owner.propose(cx, vec![event]))
+        }
+    }
+}
+
 /// Number of a queue's jobs that have not started; none unless this is certainly the only owner.
 pub async fn pending(cx: &Cx, owner: &Owner, queue: &str) -> Option<u64> {
     if !owner.is_sole_owner(cx).await {
--- a/src/lapisdrum/sched/owner/upkeep.rs
+++ b/src/lapisdrum/sched/owner/upkeep.rs
@@ -172,7 +172,10 @@
     let is_moving = |id: &JobId| ledger.moving.contains_key(id);
     let sent = ledger.sent.iter();
     let sent = sent.filter(|(id, sent)| is_old(sent) && !is_moving(id));
+    let tombstones = ledger.tombstones.iter();
+    let tombstones = tombstones.filter(|(_, at)| now.saturating_sub(**at) > retention_ms);
     let old = old.map(|(id, _)| *id).chain(sent.map(|(id, _)| *id));
+    let old = old.chain(tombstones.map(|(id, _)| *id));
     let old: Vec<JobId> = old.take(MAX_FORGOTTEN_PER_ROUND).collect();
     drop(ledger);
     if old.is_empty() || !owner.journal.accepts_work(cx.clock.now()) {
--- a/src/lapisdrum/sched/peer.rs
+++ b/src/lapisdrum/sched/peer.rs
@@ -210,6 +210,9 @@
         NotOwner,
         /// The job may have been cancelled.
         Unknown,
+        /// The shard does not know the job, and can't record that it was cancelled; retry after this
+        /// time. An earlier version can't read it, and takes it for no answer.
+        Busy(Duration),
     }
 
     /// Identity of the process at an address.
--- a/tests/testsuite/sched/ledger.rs
+++ b/tests/testsuite/sched/ledger.rs
@@ -547,6 +547,7 @@
         4 => any_run.clone().prop_map(placed),
         3 => (any_run.clone(), any_end).prop_map(|(run, how)| ended(run, how)),
         2 => any_run.prop_map(|run| Event::Lost { run, why: Loss::NotThere, is_unstarted: false }),
+        1 => (1..4_u64).prop_map(|job| Event::CancelledBeforeArrival { job: JobId(job), at_unix_ms: 2_000 }),
     ]
 }
 
--- a/tests/testsuite/sched/mod.rs
+++ b/tests/testsuite/sched/mod.rs
@@ -45,6 +45,7 @@
 mod stranded;
 mod superseded;
 mod takeover;
+mod tombstones;
 pub(crate) mod world;
 
 /// Runs a test under a paused clock, which advances to the next timer whenever no task can run.
